--- /dev/null
+++ b/crates/coordination/src/rendezvous.rs
@@ -0,0 +1,1 @@
+//! To be written.
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,6 @@
+//! Border types and codecs: what crosses a process boundary, as typed Rust values.
+
+pub mod chat;
+pub mod engine;
+pub mod headers;
+pub mod table;
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,7 @@
+//! Typed state of the router fleet: names, the effective configuration, service ledgers and the
+//! records kept in the platform's table service.
+//!
+//! This crate does no I/O, starts no threads and reads no clock.
+
+pub mod ids;
+pub mod settings;
--- /dev/null
+++ b/crates/state/src/settings.rs
@@ -0,0 +1,369 @@
+//! The effective configuration: the base file after the overlay of one site is merged into it.
+//!
+//! [`Settings`] is plain data with defaults. Reading, merging and checking the INI files is the
+//! work of the loader, which accepts a file as a whole or refuses it with every error found.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::ids::AccountId;
+use crate::ids::EndpointId;
+use crate::ids::HostId;
+use crate::ids::PoolId;
+use crate::ids::ServiceId;
+use crate::ids::SiteId;
+
+/// Everything that one site's processes need to know, merged and checked.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Settings {
+    /// Section `[fleet]`.
+    pub fleet: FleetSettings,
+    /// Section `[front]`.
+    pub front: FrontSettings,
+    /// Section `[fair]`.
+    pub fair: FairSettings,
+    /// Section `[retry]`.
+    pub retry: RetrySettings,
+    /// Section `[health]`.
+    pub health: HealthSettings,
+    /// Section `[membership]`.
+    pub membership: MembershipSettings,
+    /// Section `[platform]`.
+    pub platform: PlatformSettings,
+    /// Sections `[site.NAME]`.
+    pub sites: Vec<SiteSettings>,
+    /// Sections `[host.NAME]`.
+    pub hosts: Vec<HostSettings>,
+    /// Sections `[pool.NAME]`.
+    pub pools: Vec<PoolSettings>,
+    /// Sections `[service.NAME]`.
+    pub services: Vec<ServiceSettings>,
+    /// Sections `[endpoint.NAME]`.
+    pub endpoints: Vec<EndpointSettings>,
+    /// Sections `[account.NAME]`.
+    pub accounts: Vec<AccountSettings>,
+}
+
+/// Section `[fleet]`: what names this deployment.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct FleetSettings {
+    /// Name of the deployment, shown on operator pages.
+    pub name: String,
+}
+
+/// Section `[front]`: limits towards callers.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FrontSettings {
+    /// Largest request body that is read.
+    pub max_body_bytes: u64,
+    /// Time a caller has to send a whole request head.
+    pub header_timeout_ms: u64,
+    /// Time an idle kept-alive connection stays open.
+    pub idle_timeout_ms: u64,
+    /// Most open caller connections of one router.
+    pub max_connections: u32,
+    /// Most requests that wait in one router.
+    pub max_queue: u32,
+    /// Most requests of one client account that wait in one router.
+    pub max_queue_per_account: u32,
+    /// Deadline of a request whose caller names none.
+    pub default_deadline_ms: u64,
+    /// Latest deadline a caller may ask for.
+    pub max_deadline_ms: u64,
+}
+
+impl Default for FrontSettings {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: 1 << 20,
+            header_timeout_ms: 5_000,
+            idle_timeout_ms: 60_000,
+            max_connections: 2_048,
+            max_queue: 4_096,
+            max_queue_per_account: 256,
+            default_deadline_ms: 60_000,
+            max_deadline_ms: 600_000,
+        }
+    }
+}
+
+/// How far the fair order reaches.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum FairScope {
+    /// One order across all routers.
+    #[default]
+    Fleet,
+    /// Each router orders its own requests only (baseline).
+    Router,
+}
+
+/// How waiting requests are ordered.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum QueueOrder {
+    /// Least weighted service received first.
+    #[default]
+    Fair,
+    /// Arrival order (baseline).
+    Fifo,
+}
+
+/// How an endpoint is picked for a request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum EndpointChoice {
+    /// Prefix affinity first, then the most free slots, then the nearest.
+    #[default]
+    Affinity,
+    /// Any free slot (baseline).
+    Random,
+}
+
+/// Section `[fair]`: the order between client accounts.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FairSettings {
+    /// How far the order reaches.
+    pub scope: FairScope,
+    /// How waiting requests are ordered.
+    pub order: QueueOrder,
+    /// How an endpoint is picked.
+    pub endpoint_choice: EndpointChoice,
+    /// Weight of one output token against one uncached input token.
+    pub output_token_factor: u32,
+    /// Longest time peer messages are gathered into one.
+    pub batch_interval_ms: u64,
+    /// Time after which an unused grant returns to its home.
+    pub grant_timeout_ms: u64,
+}
+
+impl Default for FairSettings {
+    fn default() -> Self {
+        Self {
+            scope: FairScope::default(),
+            order: QueueOrder::default(),
+            endpoint_choice: EndpointChoice::default(),
+            output_token_factor: 4,
+            batch_interval_ms: 5,
+            grant_timeout_ms: 1_000,
+        }
+    }
+}
+
+/// Section `[retry]`: repeated attempts.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RetrySettings {
+    /// Most attempts of one repeatable request.
+    pub max_attempts: u32,
+    /// Retries allowed for each hundred successes.
+    pub budget_percent: u32,
+    /// First backoff; it doubles with each attempt and is jittered.
+    pub base_backoff_ms: u64,
+}
+
+impl Default for RetrySettings {
+    fn default() -> Self {
+        Self {
+            max_attempts: 3,
+            budget_percent: 20,
+            base_backoff_ms: 25,
+        }
+    }
+}
+
+/// Section `[health]`: endpoints that fail.
+#[derive(Debug, Clone, PartialEq)]
+pub struct HealthSettings {
+    /// Time to open a connection to an endpoint.
+    pub connect_timeout_ms: u64,
+    /// Longest silence of an answer in progress.
+    pub stream_idle_timeout_ms: u64,
+    /// Time between reads of an endpoint's load report.
+    pub report_interval_ms: u64,
+    /// Failures in a row after which an endpoint is ejected.
+    pub eject_after_failures: u32,
+    /// First ejection time; it doubles with each further ejection.
+    pub eject_ms: u64,
+    /// Largest share of a pool that may be ejected at once.
+    pub max_ejected_percent: u32,
+    /// Distinct endpoints that a request may crash before it is quarantined.
+    pub poison_after_crashes: u32,
+    /// Time a quarantined request stays refused.
+    pub poison_quarantine_ms: u64,
+}
+
+impl Default for HealthSettings {
+    fn default() -> Self {
+        Self {
+            connect_timeout_ms: 500,
+            stream_idle_timeout_ms: 5_000,
+            report_interval_ms: 250,
+            eject_after_failures: 3,
+            eject_ms: 2_000,
+            max_ejected_percent: 50,
+            poison_after_crashes: 2,
+            poison_quarantine_ms: 300_000,
+        }
+    }
+}
+
+/// Section `[membership]`: heartbeats between routers.
+#[derive(Debug, Clone, PartialEq)]
+pub struct MembershipSettings {
+    /// Time between two probes by one router.
+    pub probe_interval_ms: u64,
+    /// Time after which an unanswered probe is tried through others.
+    pub probe_timeout_ms: u64,
+    /// Routers asked to probe on one's behalf.
+    pub indirect_probes: u32,
+    /// Time a suspected router has to refute the suspicion.
+    pub suspicion_ms: u64,
+}
+
+impl Default for MembershipSettings {
+    fn default() -> Self {
+        Self {
+            probe_interval_ms: 500,
+            probe_timeout_ms: 200,
+            indirect_probes: 3,
+            suspicion_ms: 1_500,
+        }
+    }
+}
+
+/// Section `[platform]`: addresses of the platform's services.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct PlatformSettings {
+    /// The transactional table service.
+    pub table_address: Option<SocketAddr>,
+    /// The object store.
+    pub object_address: Option<SocketAddr>,
+    /// The lagging list of live and leaving hosts.
+    pub host_list_address: Option<SocketAddr>,
+    /// The rate-limited weight store.
+    pub weight_store_address: Option<SocketAddr>,
+    /// Time allowed for one call.
+    pub call_timeout_ms: u64,
+}
+
+/// Section `[site.NAME]`: a data centre.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SiteSettings {
+    /// Name of the site.
+    pub id: SiteId,
+    /// Region the site lies in.
+    pub region: String,
+}
+
+/// Section `[host.NAME]`: a host that runs one router.
+#[derive(Debug, Clone, PartialEq)]
+pub struct HostSettings {
+    /// Name of the host.
+    pub id: HostId,
+    /// Site it stands in.
+    pub site: SiteId,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where other routers connect.
+    pub peer_address: SocketAddr,
+    /// Where operators and metric collectors connect.
+    pub operator_address: SocketAddr,
+}
+
+/// Section `[pool.NAME]`: endpoints that share the same work.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PoolSettings {
+    /// Name of the pool.
+    pub id: PoolId,
+    /// What its endpoints speak.
+    pub kind: PoolKind,
+    /// Fewest endpoints that orders must leave serving.
+    pub floor: u32,
+}
+
+/// What the endpoints of a pool speak.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum PoolKind {
+    /// Model engines: the chat-completions form.
+    #[default]
+    Model,
+    /// Plain HTTP services.
+    Plain,
+}
+
+/// Rank of a service within one client account: interactive work goes before deferred work.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum RequestClass {
+    /// Somebody waits for it.
+    #[default]
+    Interactive,
+    /// It may wait.
+    Deferred,
+}
+
+/// Section `[service.NAME]`: what callers address.
+///
+/// Callers name a model service in the request's `model` field, and a plain service by the path
+/// `/services/NAME/...`.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServiceSettings {
+    /// Name of the service.
+    pub id: ServiceId,
+    /// Pool that runs it.
+    pub pool: PoolId,
+    /// Whether a request may run more than once.
+    pub repeatable: bool,
+    /// Rank within one client account.
+    pub class: RequestClass,
+}
+
+/// Section `[endpoint.NAME]`: one model engine or plain service process.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EndpointSettings {
+    /// Name of the endpoint.
+    pub id: EndpointId,
+    /// Pool it belongs to.
+    pub pool: PoolId,
+    /// Site it stands in.
+    pub site: SiteId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Requests it may run at once.
+    pub slots: u32,
+    /// Whether it refuses orders with an old fencing number.
+    pub checks_fencing: bool,
+}
+
+/// Section `[account.NAME]`: a client account.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AccountSettings {
+    /// Name of the account.
+    pub id: AccountId,
+    /// Share relative to other accounts.
+    pub weight: u32,
+    /// SHA-256 of the account's key, in lower-case hexadecimal.
+    pub key_sha256: String,
+    /// Most requests in progress at once across the fleet; 0 means no ceiling.
+    pub max_in_progress: u32,
+    /// Most requests started a second across the fleet; 0 means no ceiling.
+    pub max_requests_per_s: u32,
+}
+
+impl Settings {
+    /// Finds a service by name.
+    pub fn service(&self, id: &str) -> Option<&ServiceSettings> {
+        self.services.iter().find(|s| s.id.as_str() == id)
+    }
+
+    /// Finds a host by name.
+    pub fn host(&self, id: &str) -> Option<&HostSettings> {
+        self.hosts.iter().find(|h| h.id.as_str() == id)
+    }
+}
+
+/// Converts a setting in milliseconds to a duration.
+///
+/// ```
+/// use std::time::Duration;
+/// assert_eq!(sedgeridge_state::settings::millis(20), Duration::from_millis(20));
+/// ```
+pub fn millis(value_ms: u64) -> Duration {
+    Duration::from_millis(value_ms)
+}
