--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod limits;
 pub mod membership;
 pub mod pool_home;
+pub mod pool_messages;
 pub mod quarantine;
 pub mod rendezvous;
 pub mod retry_budget;
--- a/crates/coordination/src/pool_home.rs
+++ b/crates/coordination/src/pool_home.rs
@@ -1,1 +1,106 @@
-//! To be written.
+//! The home of a pool: orders the demand of the whole fleet and grants the pool's slots.
+
+use std::time::Duration;
+
+use sedgeridge_state::ids::AccountId;
+use sedgeridge_state::ids::EndpointId;
+use sedgeridge_state::ids::Member;
+use sedgeridge_state::ids::PoolId;
+use sedgeridge_state::ids::SiteId;
+use sedgeridge_state::settings::FairSettings;
+
+use crate::pool_messages::EntryReport;
+use crate::pool_messages::Grant;
+
+/// What happens to the home of a pool.
+#[derive(Debug, Clone, PartialEq)]
+pub enum HomeEvent {
+    /// A configuration is in force.
+    Configured {
+        /// The pool's endpoints.
+        endpoints: Vec<HomeEndpoint>,
+        /// Weights of all client accounts.
+        weights: Vec<AccountWeight>,
+    },
+    /// An entry router reports.
+    Report(EntryReport),
+    /// What is known of an endpoint changed.
+    EndpointState {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Slots that may be granted now; 0 while it is ejected or leaving.
+        usable_slots: u32,
+    },
+    /// The members believed alive changed; holdings of the others are freed.
+    Members(Vec<Member>),
+    /// Time passed.
+    Tick,
+}
+
+/// An endpoint as its pool's home sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HomeEndpoint {
+    /// Name of the endpoint.
+    pub id: EndpointId,
+    /// Site it stands in.
+    pub site: SiteId,
+    /// Requests it may run at once.
+    pub slots: u32,
+}
+
+/// Share of a client account.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AccountWeight {
+    /// The client account.
+    pub account: AccountId,
+    /// Share relative to other accounts.
+    pub weight: u32,
+}
+
+/// What the home of a pool wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum HomeAction {
+    /// Send a grant.
+    Grant {
+        /// The entry router.
+        to: Member,
+        /// The grant.
+        grant: Grant,
+    },
+    /// Ask an entry router for a full report.
+    AskFull {
+        /// The entry router.
+        to: Member,
+    },
+}
+
+/// Orders demand and grants slots.
+#[derive(Debug)]
+pub struct PoolHome {
+    member: Member,
+    pool: PoolId,
+    settings: FairSettings,
+}
+
+impl PoolHome {
+    /// Creates the home of `pool` on `member`.
+    pub fn new(member: Member, pool: PoolId, settings: FairSettings) -> Self {
+        Self {
+            member,
+            pool,
+            settings,
+        }
+    }
+
+    /// Takes one event and appends what is to be done.
+    pub fn handle(&mut self, now: Duration, event: HomeEvent, actions: &mut Vec<HomeAction>) {
+        let _ = (
+            now,
+            event,
+            actions,
+            &self.member,
+            &self.pool,
+            &self.settings,
+        );
+    }
+}
