feat(standins): engine with continuous batching, ledger and orders to misbehave

The engine batches continuously without priorities, keeps a bounded prefix cache, reports load with a lag, resumes and cancels streams, and keeps a ledger of what it really ran, which a check can join to the callers' side.

The server is hyper on one thread in place of tiny_http.

--- /dev/null
+++ b/crates/standins/src/cli.rs
@@ -0,0 +1,115 @@
+//! The command line: one subcommand for each stand-in.
+
+use std::ffi::OsString;
+use std::io;
+use std::io::Read;
+use std::os::unix::net::UnixStream;
+use std::process::ExitCode;
+
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook::low_level::pipe;
+use thiserror::Error;
+
+use crate::configs::CommandLine;
+use crate::configs::UsageError;
+use crate::configs::engine::EngineConfig;
+use crate::engine;
+use crate::server::Running;
+
+/// Exit code after a command line that is not understood.
+const USAGE_EXIT_CODE: u8 = 2;
+
+const HELP: &str = "\
+Stand-ins for the systems around the fleet.
+
+sedgeridge-standins SUBCOMMAND [OPTIONS]
+
+  engine   a model engine that batches continuously
+
+Each subcommand has its own --help.
+";
+
+#[derive(Debug, Error)]
+enum CliError {
+    #[error("{0}")]
+    Usage(#[from] UsageError),
+    #[error("{0}")]
+    Start(#[from] io::Error),
+}
+
+/// Runs the command line without the program's name until SIGTERM or SIGINT.
+pub fn run(mut arguments: Vec<OsString>) -> ExitCode {
+    if arguments.is_empty() {
+        eprint!("{HELP}");
+        return ExitCode::from(USAGE_EXIT_CODE);
+    }
+    let subcommand = arguments.remove(0).to_string_lossy().into_owned();
+    let ran = match subcommand.as_str() {
+        "engine" => serve(arguments, engine::spawn, |config: &EngineConfig| {
+            &config.endpoint.name
+        }),
+        "--help" | "-h" | "help" => return print(HELP),
+        "--version" => return print_version(),
+        other => Err(UsageError::Unknown(other.to_owned()).into()),
+    };
+    match ran {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(CliError::Usage(error)) => {
+            eprintln!("sedgeridge-standins: {error}\nTry `sedgeridge-standins --help`.");
+            ExitCode::from(USAGE_EXIT_CODE)
+        }
+        Err(CliError::Start(error)) => {
+            eprintln!("sedgeridge-standins {subcommand}: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn serve<C: CommandLine>(
+    arguments: Vec<OsString>,
+    spawn: fn(C) -> io::Result<Running>,
+    name: fn(&C) -> &str,
+) -> Result<(), CliError> {
+    let asks = |flag: &str| arguments.iter().any(|argument| argument == flag);
+    if asks("--help") || asks("-h") {
+        print(&C::help());
+        return Ok(());
+    }
+    if asks("--version") {
+        print_version();
+        return Ok(());
+    }
+    let config = C::parse(arguments)?;
+    let name = name(&config).to_owned();
+    let stop = stop_signal()?;
+    let running = spawn(config)?;
+    println!("listening {name} {}", running.address());
+    wait_for(stop)?;
+    drop(running);
+    Ok(())
+}
+
+fn stop_signal() -> io::Result<UnixStream> {
+    let (receiver, sender) = UnixStream::pair()?;
+    pipe::register(SIGTERM, sender.try_clone()?)?;
+    pipe::register(SIGINT, sender)?;
+    Ok(receiver)
+}
+
+fn wait_for(mut stop: UnixStream) -> io::Result<()> {
+    stop.read_exact(&mut [0])
+}
+
+fn print(text: &str) -> ExitCode {
+    print!("{text}");
+    ExitCode::SUCCESS
+}
+
+fn print_version() -> ExitCode {
+    print(concat!(
+        "sedgeridge-standins ",
+        env!("CARGO_PKG_VERSION"),
+        "\n"
+    ))
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,3 +1,18 @@
 //! Stand-ins for the systems around the fleet: engines, plain services and the platform.
 
 pub mod answer;
+pub mod batch;
+pub mod chat_answer;
+pub mod cli;
+pub mod configs;
+pub mod control;
+pub mod endpoint;
+pub mod engine;
+pub mod engine_orders;
+pub mod faults;
+pub mod ledger;
+pub mod link;
+pub mod load_history;
+pub mod prefix_cache;
+pub mod reply;
+pub mod server;
--- /dev/null
+++ b/crates/standins/src/server.rs
@@ -0,0 +1,330 @@
+//! The HTTP server that all stand-ins share, with the orders to misbehave built in.
+//!
+//! It runs on one thread. hyper takes the place of tiny_http here: tiny_http can neither close a
+//! connection on order nor tell that a caller has gone, and a burst of new connections leaves some
+//! of them without a thread.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::future::Future;
+use std::future::pending;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::rc::Weak;
+use std::sync::mpsc;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+
+use crate::control;
+use crate::control::CONTROL_PATH;
+use crate::faults::Faults;
+use crate::faults::Plan;
+use crate::link::Link;
+use crate::link::LinkStream;
+use crate::reply;
+use crate::reply::Reply;
+use crate::reply::ReplyBody;
+
+/// Exit code of a process that crashes on order.
+pub const CRASH_EXIT_CODE: i32 = 70;
+/// Pause after a failed accept, so that a lack of descriptors does not turn into a busy loop.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// One call to a stand-in.
+#[derive(Debug)]
+pub struct Call {
+    /// The method.
+    pub method: Method,
+    /// The path without the query.
+    pub path: String,
+    /// The query without its question mark.
+    pub query: String,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// The connection.
+    pub link: Rc<Link>,
+    /// What goes wrong with this call.
+    pub plan: Plan,
+}
+
+impl Call {
+    /// The text of a header, if there is one.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// The number in a header, if there is one.
+    pub fn header_number(&self, name: &str) -> Option<u64> {
+        self.header(name)?.trim().parse().ok()
+    }
+}
+
+/// What a stand-in does with a call.
+pub trait Service: 'static {
+    /// Answers a call.
+    fn call(&self, call: &Call) -> impl Future<Output = Reply>;
+
+    /// Takes an order of its own from `POST /control`; `None` leaves it to the common ones.
+    fn control(&self, _body: &[u8]) -> Option<Reply> {
+        None
+    }
+
+    /// Records the crash that this call causes; the process ends right after.
+    fn crash(&self, _call: &Call) {}
+}
+
+/// What all parts of one stand-in share.
+#[derive(Debug)]
+pub struct Shared {
+    started_at: Instant,
+    /// Orders to misbehave.
+    pub faults: RefCell<Faults>,
+    links: RefCell<Vec<Weak<Link>>>,
+    crashed: Cell<bool>,
+}
+
+impl Shared {
+    fn new() -> Self {
+        Self {
+            started_at: Instant::now(),
+            faults: RefCell::default(),
+            links: RefCell::default(),
+            crashed: Cell::new(false),
+        }
+    }
+
+    /// Time since the start.
+    pub fn now(&self) -> Duration {
+        self.started_at.elapsed()
+    }
+
+    /// The instant at a time since the start, for timers.
+    pub fn instant(&self, at: Duration) -> tokio::time::Instant {
+        tokio::time::Instant::from_std(self.started_at + at)
+    }
+
+    /// Open connections but the given one.
+    pub fn other_links(&self, own: &Rc<Link>) -> Vec<Rc<Link>> {
+        self.links
+            .borrow()
+            .iter()
+            .filter_map(Weak::upgrade)
+            .filter(|link| !Rc::ptr_eq(link, own))
+            .collect()
+    }
+
+    fn add_link(&self) -> Rc<Link> {
+        let link = Rc::new(Link::default());
+        let mut links = self.links.borrow_mut();
+        links.retain(|link| link.strong_count() > 0);
+        links.push(Rc::downgrade(&link));
+        link
+    }
+}
+
+/// A stand-in that runs on a thread of its own; it stops when this value is dropped.
+#[derive(Debug)]
+pub struct Running {
+    address: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Running {
+    /// The address it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// A URL on it.
+    pub fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.address)
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        if let Some(thread) = self.thread.take()
+            && thread.join().is_err()
+        {
+            eprintln!("a stand-in ended by a panic");
+        }
+    }
+}
+
+/// Starts a stand-in on a thread of its own. `build` runs on that thread.
+pub fn spawn<S, B>(listen: SocketAddr, build: B) -> io::Result<Running>
+where
+    S: Service,
+    B: FnOnce(Rc<Shared>) -> io::Result<S> + Send + 'static,
+{
+    let (stop, stopped) = oneshot::channel();
+    spawn_with(stop, move |ready| async move {
+        let listener = TcpListener::bind(listen).await?;
+        let shared = Rc::new(Shared::new());
+        let service = Rc::new(build(Rc::clone(&shared))?);
+        let address = listener.local_addr()?;
+        let accepting = spawn_local(accept(listener, shared, service));
+        ready(address);
+        // Either the handle was dropped or it asked to stop; both end the server.
+        let _ = stopped.await;
+        accepting.abort();
+        Ok(())
+    })
+}
+
+/// Runs a task on a thread with a runtime of its own and waits until it says that it is ready.
+pub(crate) fn spawn_with<T, F>(stop: oneshot::Sender<()>, task: T) -> io::Result<Running>
+where
+    T: FnOnce(Box<dyn FnOnce(SocketAddr)>) -> F + Send + 'static,
+    F: Future<Output = io::Result<()>>,
+{
+    let (ready, started) = mpsc::channel();
+    let failed = ready.clone();
+    let thread = thread::Builder::new()
+        .name("standin".into())
+        .spawn(move || {
+            let on_ready = Box::new(move |address| {
+                // The starter may have given up waiting.
+                let _ = ready.send(Ok(address));
+            });
+            if let Err(error) = block_on(task(on_ready)) {
+                let _ = failed.send(Err(error));
+            }
+        })?;
+    let address = started
+        .recv()
+        .map_err(|_| io::Error::other("the stand-in ended before it was ready"))??;
+    Ok(Running {
+        address,
+        stop: Some(stop),
+        thread: Some(thread),
+    })
+}
+
+fn block_on(task: impl Future<Output = io::Result<()>>) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, task)
+}
+
+async fn accept<S: Service>(listener: TcpListener, shared: Rc<Shared>, service: Rc<S>) {
+    loop {
+        let Ok((tcp, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        spawn_local(serve(tcp, Rc::clone(&shared), Rc::clone(&service)));
+    }
+}
+
+async fn serve<S: Service>(tcp: TcpStream, shared: Rc<Shared>, service: Rc<S>) {
+    // Without this each event would wait for the acknowledgement of the one before.
+    if tcp.set_nodelay(true).is_err() {
+        return;
+    }
+    let link = shared.add_link();
+    let stream = TokioIo::new(LinkStream::new(tcp, Rc::clone(&link)));
+    let answer = service_fn(|request| {
+        let shared = Rc::clone(&shared);
+        let service = Rc::clone(&service);
+        let link = Rc::clone(&link);
+        async move { Ok::<_, Infallible>(respond(shared, service, link, request).await) }
+    });
+    let connection = http1::Builder::new().serve_connection(stream, answer);
+    tokio::select! {
+        // A connection ends by its caller as a rule; there is nobody to tell.
+        _ = connection => {}
+        () = link.closed() => {}
+    }
+}
+
+async fn respond<S: Service>(
+    shared: Rc<Shared>,
+    service: Rc<S>,
+    link: Rc<Link>,
+    request: Request<Incoming>,
+) -> Reply {
+    let (parts, body) = request.into_parts();
+    let Ok(body) = body.collect().await else {
+        return reply::text(StatusCode::BAD_REQUEST, "the body is incomplete");
+    };
+    let mut call = Call {
+        method: parts.method,
+        path: parts.uri.path().to_owned(),
+        query: parts.uri.query().unwrap_or_default().to_owned(),
+        headers: parts.headers,
+        body: body.to_bytes(),
+        link,
+        plan: Plan::default(),
+    };
+    if call.path == CONTROL_PATH {
+        return service
+            .control(&call.body)
+            .unwrap_or_else(|| control::handle(&shared, &call));
+    }
+    if !control::is_harness_path(&call.path) {
+        call.plan = shared
+            .faults
+            .borrow_mut()
+            .plan(shared.now(), &call.path, &call.body);
+    }
+    misbehave(&shared, &*service, &call).await
+}
+
+async fn misbehave<S: Service>(shared: &Shared, service: &S, call: &Call) -> Reply {
+    let plan = &call.plan;
+    if plan.close {
+        return close(call).await;
+    }
+    if plan.outage {
+        return reply::text(StatusCode::SERVICE_UNAVAILABLE, "outage");
+    }
+    wait(plan.delay).await;
+    if plan.crash && !shared.crashed.replace(true) {
+        service.crash(call);
+        std::process::exit(CRASH_EXIT_CODE);
+    }
+    let answer = service.call(call).await;
+    wait(plan.late).await;
+    let is_whole = matches!(answer.body(), ReplyBody::Whole(_));
+    match plan.drop_after_events {
+        Some(after_events) if is_whole || after_events == 0 => close(call).await,
+        _ => answer,
+    }
+}
+
+async fn wait(time: Duration) {
+    if !time.is_zero() {
+        tokio::time::sleep(time).await;
+    }
+}
+
+async fn close(call: &Call) -> Reply {
+    call.link.close();
+    pending().await
+}
