feat(standins): plain service and table service

The table service takes all-or-nothing conditional transactions with store-wide versions and keeps the earlier rows of a minute for stale reads.

--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -14,8 +14,12 @@
 use crate::configs::CommandLine;
 use crate::configs::UsageError;
 use crate::configs::engine::EngineConfig;
+use crate::configs::plain::PlainConfig;
+use crate::configs::platform::TableConfig;
 use crate::engine;
+use crate::plain;
 use crate::server::Running;
+use crate::table;
 
 /// Exit code after a command line that is not understood.
 const USAGE_EXIT_CODE: u8 = 2;
@@ -26,6 +30,8 @@
 sedgeridge-standins SUBCOMMAND [OPTIONS]
 
   engine   a model engine that batches continuously
+  plain    a plain HTTP service
+  table    the platform's table service
 
 Each subcommand has its own --help.
 ";
@@ -49,6 +55,10 @@
         "engine" => serve(arguments, engine::spawn, |config: &EngineConfig| {
             &config.endpoint.name
         }),
+        "plain" => serve(arguments, plain::spawn, |config: &PlainConfig| {
+            &config.endpoint.name
+        }),
+        "table" => serve(arguments, table::spawn, |config: &TableConfig| &config.name),
         "--help" | "-h" | "help" => return print(HELP),
         "--version" => return print_version(),
         other => Err(UsageError::Unknown(other.to_owned()).into()),
--- a/crates/standins/src/configs/mod.rs
+++ b/crates/standins/src/configs/mod.rs
@@ -1,6 +1,8 @@
 //! Typed settings of each stand-in, read from the command line.
 
 pub mod engine;
+pub mod plain;
+pub mod platform;
 
 use std::ffi::OsString;
 use std::fmt::Display;
--- /dev/null
+++ b/crates/standins/src/refusal.rs
@@ -0,0 +1,53 @@
+//! Why a platform service refuses a call.
+
+use std::cell::RefCell;
+
+use hyper::StatusCode;
+use serde::de::DeserializeOwned;
+
+use crate::rate_limit::RateLimit;
+use crate::reply;
+use crate::reply::Reply;
+use crate::server::Call;
+use crate::server::Shared;
+
+/// A refused call.
+#[derive(Debug)]
+pub enum Refusal {
+    /// The body is not what the call takes.
+    Malformed(serde_json::Error),
+    /// The rate limit is reached.
+    RateLimited {
+        /// When to come back.
+        retry_after_s: u64,
+    },
+    /// Nothing is there.
+    NotFound,
+}
+
+impl From<Refusal> for Reply {
+    fn from(refusal: Refusal) -> Self {
+        match refusal {
+            Refusal::Malformed(error) => reply::text(StatusCode::BAD_REQUEST, &error.to_string()),
+            Refusal::RateLimited { retry_after_s } => reply::rate_limited(retry_after_s),
+            Refusal::NotFound => reply::text(StatusCode::NOT_FOUND, "not found"),
+        }
+    }
+}
+
+/// Reads the JSON body of a call.
+pub fn parse<T: DeserializeOwned>(call: &Call) -> Result<T, Refusal> {
+    serde_json::from_slice(&call.body).map_err(Refusal::Malformed)
+}
+
+/// Takes a permit of the rate limit.
+pub fn permit(limit: &RefCell<RateLimit>, shared: &Shared) -> Result<(), Refusal> {
+    let mut limit = limit.borrow_mut();
+    if limit.take(shared.now()) {
+        Ok(())
+    } else {
+        Err(Refusal::RateLimited {
+            retry_after_s: limit.retry_after_s(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/standins/src/table_store.rs
@@ -0,0 +1,136 @@
+//! Rows of the table service, with all-or-nothing conditional transactions.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use sedgeridge_protocol::table::Check;
+use sedgeridge_protocol::table::Read;
+use sedgeridge_protocol::table::ReadAnswer;
+use sedgeridge_protocol::table::Row;
+use sedgeridge_protocol::table::Transact;
+use sedgeridge_protocol::table::TransactAnswer;
+
+/// How long earlier rows are kept for stale reads.
+const HISTORY: Duration = Duration::from_secs(60);
+
+/// All rows, with the earlier ones of the last minute.
+#[derive(Debug, Default)]
+pub struct TableStore {
+    rows: BTreeMap<String, Row>,
+    version: u64,
+    replaced: VecDeque<Replaced>,
+}
+
+/// A row as it was before a write.
+#[derive(Debug)]
+struct Replaced {
+    at: Duration,
+    before: Row,
+}
+
+impl TableStore {
+    /// Runs a transaction: every condition is checked, then every write is made, or none is.
+    pub fn transact(&mut self, now: Duration, transact: Transact) -> TransactAnswer {
+        let rows: Vec<Row> = transact
+            .checks
+            .iter()
+            .filter_map(|check| self.mismatch(check))
+            .collect();
+        if !rows.is_empty() {
+            return TransactAnswer::Conflict { rows };
+        }
+        self.version += 1;
+        for write in transact.writes {
+            self.write(now, write.key, write.value);
+        }
+        self.forget(now);
+        TransactAnswer::Committed {
+            version: self.version,
+        }
+    }
+
+    /// Reads the current rows.
+    pub fn read(&self, read: &Read) -> ReadAnswer {
+        select(&self.rows, read)
+    }
+
+    /// Reads the rows as they stood at an earlier time.
+    pub fn read_as_of(&self, at: Duration, read: &Read) -> ReadAnswer {
+        let mut rows = self.rows.clone();
+        for replaced in self.replaced.iter().rev() {
+            if replaced.at <= at {
+                break;
+            }
+            let before = replaced.before.clone();
+            if before.value.is_some() {
+                rows.insert(before.key.clone(), before);
+            } else {
+                rows.remove(&before.key);
+            }
+        }
+        select(&rows, read)
+    }
+
+    fn mismatch(&self, check: &Check) -> Option<Row> {
+        let row = self.row(&check.key);
+        (row.version != check.version).then_some(row)
+    }
+
+    fn row(&self, key: &str) -> Row {
+        self.rows.get(key).cloned().unwrap_or_else(|| Row {
+            key: key.to_owned(),
+            version: 0,
+            value: None,
+        })
+    }
+
+    fn write(&mut self, now: Duration, key: String, value: Option<String>) {
+        let before = self.row(&key);
+        self.replaced.push_back(Replaced { at: now, before });
+        match value {
+            None => {
+                self.rows.remove(&key);
+            }
+            Some(value) => {
+                let row = Row {
+                    key: key.clone(),
+                    version: self.version,
+                    value: Some(value),
+                };
+                self.rows.insert(key, row);
+            }
+        }
+    }
+
+    fn forget(&mut self, now: Duration) {
+        let is_old = |replaced: &Replaced| replaced.at + HISTORY < now;
+        while self.replaced.front().is_some_and(is_old) {
+            self.replaced.pop_front();
+        }
+    }
+}
+
+fn select(rows: &BTreeMap<String, Row>, read: &Read) -> ReadAnswer {
+    let mut found: BTreeMap<&str, &Row> = BTreeMap::new();
+    for key in &read.keys {
+        if let Some(row) = rows.get(key) {
+            found.insert(&row.key, row);
+        }
+    }
+    if let Some(prefix) = &read.prefix {
+        let in_range = rows
+            .range(prefix.clone()..)
+            .take_while(|(key, _)| key.starts_with(prefix.as_str()));
+        for (key, row) in in_range {
+            found.insert(key, row);
+        }
+    }
+    ReadAnswer {
+        rows: found
+            .into_values()
+            .filter(|row| row.version > read.after_version)
+            .cloned()
+            .collect(),
+    }
+}
