--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -247,8 +247,7 @@
             }
             BatchEvent::Token { id, position } => {
                 if let Some(session) = self.sessions.get_mut(&id) {
-                    session.record.output_tokens += 1;
-                    session.tell(JobEvent::Token { position });
+                    session.make_token(position, core);
                 }
             }
             BatchEvent::Finished { id } => {
@@ -268,6 +267,15 @@
         self.run_id = Some(run_id);
     }
 
+    fn make_token(&mut self, position: u64, core: &EndpointCore) {
+        self.record.output_tokens += 1;
+        if let Some(run_id) = self.run_id {
+            let made = self.record.output_tokens;
+            core.ledger.borrow_mut().progress(run_id, made);
+        }
+        self.tell(JobEvent::Token { position });
+    }
+
     fn finish(self, core: &EndpointCore) {
         let made = self.record.output_tokens;
         if let Some(run_id) = self.run_id {
--- a/crates/standins/src/ledger.rs
+++ b/crates/standins/src/ledger.rs
@@ -1,5 +1,6 @@
 //! The history of what an endpoint ran, for checks that do not trust the router's word.
 
+use std::collections::HashMap;
 use std::fs::File;
 use std::fs::OpenOptions;
 use std::io;
@@ -25,6 +26,8 @@
 pub struct Ledger {
     records: Vec<LedgerRecord>,
     next_run_id: u64,
+    /// Positions of the runs in progress.
+    open: HashMap<u64, usize>,
     file: Option<File>,
 }
 
@@ -58,7 +61,7 @@
         run_id
     }
 
-    /// Records the end of a run; a run that has ended already, or was reset, stays as it is.
+    /// Records the end of a run; a run that has ended already stays as it is.
     pub fn end(&mut self, run_id: u64, outcome: RunOutcome, output_tokens: u64) {
         let Some(run) = self.running(run_id) else {
             return;
@@ -67,6 +70,7 @@
         run.output_tokens = output_tokens;
         run.ended_at_ms = Some(unix_ms());
         let ended = LedgerRecord::Run(run.clone());
+        self.open.remove(&run_id);
         self.write(&ended);
     }
 
@@ -84,26 +88,23 @@
 
     /// Records every run in progress as crashed.
     pub fn crash(&mut self) {
-        let running: Vec<(u64, u64)> = self
-            .records
-            .iter()
-            .filter_map(|record| match record {
-                LedgerRecord::Run(run) if run.outcome == RunOutcome::Running => {
-                    Some((run.run_id, run.output_tokens))
-                }
-                _ => None,
-            })
-            .collect();
-        for (run_id, output_tokens) in running {
+        let mut run_ids: Vec<u64> = self.open.keys().copied().collect();
+        run_ids.sort_unstable();
+        for run_id in run_ids {
+            let output_tokens = self.running(run_id).map_or(0, |run| run.output_tokens);
             self.end(run_id, RunOutcome::Crashed, output_tokens);
         }
     }
 
     /// Forgets all that has ended; runs in progress stay.
     pub fn reset(&mut self) -> io::Result<()> {
-        self.records.retain(
-            |record| matches!(record, LedgerRecord::Run(run) if run.outcome == RunOutcome::Running),
-        );
+        let kept = std::mem::take(&mut self.records);
+        self.open.clear();
+        for record in kept {
+            if matches!(&record, LedgerRecord::Run(run) if run.outcome == RunOutcome::Running) {
+                self.keep(record);
+            }
+        }
         match &self.file {
             Some(file) => file.set_len(0),
             None => Ok(()),
@@ -121,17 +122,19 @@
     }
 
     fn running(&mut self, run_id: u64) -> Option<&mut RunRecord> {
-        self.records
-            .iter_mut()
-            .rev()
-            .find_map(|record| match record {
-                LedgerRecord::Run(run)
-                    if run.run_id == run_id && run.outcome == RunOutcome::Running =>
-                {
-                    Some(run)
-                }
-                _ => None,
-            })
+        match self.records.get_mut(*self.open.get(&run_id)?) {
+            Some(LedgerRecord::Run(run)) => Some(run),
+            _ => None,
+        }
+    }
+
+    fn keep(&mut self, record: LedgerRecord) {
+        if let LedgerRecord::Run(run) = &record
+            && run.outcome == RunOutcome::Running
+        {
+            self.open.insert(run.run_id, self.records.len());
+        }
+        self.records.push(record);
     }
 
     fn restore(&mut self, record: LedgerRecord) {
@@ -139,15 +142,18 @@
             self.next_run_id = self.next_run_id.max(run.run_id + 1);
             if let Some(earlier) = self.running(run.run_id) {
                 *earlier = run.clone();
+                if run.outcome != RunOutcome::Running {
+                    self.open.remove(&run.run_id);
+                }
                 return;
             }
         }
-        self.records.push(record);
+        self.keep(record);
     }
 
     fn push(&mut self, record: LedgerRecord) {
         self.write(&record);
-        self.records.push(record);
+        self.keep(record);
     }
 
     fn write(&mut self, record: &LedgerRecord) {
