feat(standins): object store, host list, weight store and relay

The relay runs on threads: a link delay of half a millisecond is below the resolution of the runtime's timers. Its orders are kept apart from those of the other stand-ins, since they concern a link and not a request.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod engine;
 pub mod headers;
 pub mod ledger;
+pub mod platform;
 pub mod table;
--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -14,12 +14,20 @@
 use crate::configs::CommandLine;
 use crate::configs::UsageError;
 use crate::configs::engine::EngineConfig;
+use crate::configs::hosts::HostsConfig;
 use crate::configs::plain::PlainConfig;
 use crate::configs::platform::TableConfig;
+use crate::configs::relay::RelayConfig;
+use crate::configs::weights::WeightsConfig;
 use crate::engine;
+use crate::hosts;
+use crate::objects;
 use crate::plain;
+use crate::relay;
+use crate::relay::Relay;
 use crate::server::Running;
 use crate::table;
+use crate::weights;
 
 /// Exit code after a command line that is not understood.
 const USAGE_EXIT_CODE: u8 = 2;
@@ -32,6 +40,10 @@
   engine   a model engine that batches continuously
   plain    a plain HTTP service
   table    the platform's table service
+  objects  the platform's object store
+  hosts    the platform's lagging host list
+  weights  the platform's rate-limited weight store
+  relay    a TCP relay that stands for a network link
 
 Each subcommand has its own --help.
 ";
@@ -59,6 +71,18 @@
             &config.endpoint.name
         }),
         "table" => serve(arguments, table::spawn, |config: &TableConfig| &config.name),
+        "objects" => serve(arguments, objects::spawn, |config: &TableConfig| {
+            &config.name
+        }),
+        "hosts" => serve(arguments, hosts::spawn, |config: &HostsConfig| &config.name),
+        "weights" => serve(arguments, weights::spawn, |config: &WeightsConfig| {
+            &config.name
+        }),
+        "relay" => serve(
+            arguments,
+            |config| relay::spawn(&config),
+            |config: &RelayConfig| &config.name,
+        ),
         "--help" | "-h" | "help" => return print(HELP),
         "--version" => return print_version(),
         other => Err(UsageError::Unknown(other.to_owned()).into()),
@@ -76,9 +100,27 @@
     }
 }
 
-fn serve<C: CommandLine>(
+/// A stand-in that was started.
+trait Started {
+    /// The start line from the address on.
+    fn addresses(&self) -> String;
+}
+
+impl Started for Running {
+    fn addresses(&self) -> String {
+        self.address().to_string()
+    }
+}
+
+impl Started for Relay {
+    fn addresses(&self) -> String {
+        format!("{} control {}", self.address(), self.control().address())
+    }
+}
+
+fn serve<C: CommandLine, S: Started>(
     arguments: Vec<OsString>,
-    spawn: fn(C) -> io::Result<Running>,
+    spawn: fn(C) -> io::Result<S>,
     name: fn(&C) -> &str,
 ) -> Result<(), CliError> {
     let asks = |flag: &str| arguments.iter().any(|argument| argument == flag);
@@ -94,7 +136,7 @@
     let name = name(&config).to_owned();
     let stop = stop_signal()?;
     let running = spawn(config)?;
-    println!("listening {name} {}", running.address());
+    println!("listening {name} {}", running.addresses());
     wait_for(stop)?;
     drop(running);
     Ok(())
--- a/crates/standins/src/configs/mod.rs
+++ b/crates/standins/src/configs/mod.rs
@@ -1,8 +1,11 @@
 //! Typed settings of each stand-in, read from the command line.
 
 pub mod engine;
+pub mod hosts;
 pub mod plain;
 pub mod platform;
+pub mod relay;
+pub mod weights;
 
 use std::ffi::OsString;
 use std::fmt::Display;
--- /dev/null
+++ b/crates/standins/tests/relay.rs
@@ -0,0 +1,130 @@
+//! The relay between two ends of a TCP connection.
+
+mod common;
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use sedgeridge_standins::configs::relay::RelayConfig;
+use sedgeridge_standins::relay;
+use sedgeridge_standins::relay::Relay;
+
+use common::agent;
+use common::order;
+use common::post;
+
+const SHORT: Duration = Duration::from_millis(200);
+const LONG: Duration = Duration::from_secs(20);
+
+/// A server that sends back each byte, for as long as the test process runs.
+fn echo() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        while let Ok((mut stream, _)) = listener.accept() {
+            thread::spawn(move || {
+                let mut byte = [0];
+                while stream.read_exact(&mut byte).is_ok() && stream.write_all(&byte).is_ok() {}
+            });
+        }
+    });
+    address
+}
+
+fn relay(delay_ms: f64) -> Relay {
+    let config = RelayConfig {
+        to: Some(echo()),
+        delay_ms,
+        ..RelayConfig::default()
+    };
+    relay::spawn(&config).unwrap()
+}
+
+fn connect(relay: &Relay) -> TcpStream {
+    TcpStream::connect(relay.address()).unwrap()
+}
+
+/// Sends a byte and tells whether it came back within the patience.
+fn echoes(stream: &mut TcpStream, patience: Duration) -> bool {
+    stream.set_read_timeout(Some(patience)).unwrap();
+    let mut byte = [0];
+    stream.write_all(b"x").is_ok() && stream.read_exact(&mut byte).is_ok()
+}
+
+#[test]
+fn bytes_pass_both_ways_with_the_delay() {
+    let relay = relay(30.0);
+    let mut stream = connect(&relay);
+    let start = Instant::now();
+    assert!(echoes(&mut stream, LONG));
+    // A lower bound only: the link must not be faster than ordered.
+    assert!(start.elapsed() >= Duration::from_millis(60));
+    order(relay.control(), r#"{"link":"delay","delay_ms":0}"#);
+    assert!(echoes(&mut stream, LONG));
+}
+
+#[test]
+fn a_cut_link_closes_connections_until_it_is_healed() {
+    let relay = relay(0.0);
+    let mut open = connect(&relay);
+    assert!(echoes(&mut open, LONG));
+    order(relay.control(), r#"{"link":"cut"}"#);
+    assert!(!echoes(&mut open, LONG));
+    assert!(!echoes(&mut connect(&relay), LONG));
+    order(relay.control(), r#"{"link":"heal"}"#);
+    assert!(echoes(&mut connect(&relay), LONG));
+}
+
+#[test]
+fn a_blocked_link_holds_bytes_back_until_it_is_healed() {
+    let relay = relay(0.0);
+    let mut open = connect(&relay);
+    assert!(echoes(&mut open, LONG));
+    order(relay.control(), r#"{"link":"block"}"#);
+    assert!(!echoes(&mut open, SHORT));
+    assert!(!echoes(&mut connect(&relay), SHORT));
+    order(relay.control(), r#"{"link":"heal"}"#);
+    open.set_read_timeout(Some(LONG)).unwrap();
+    open.read_exact(&mut [0]).unwrap();
+    assert!(echoes(&mut open, LONG));
+}
+
+#[test]
+fn silence_holds_the_open_connections_only() {
+    // An open connection swallows all bytes and never closes, as when something between the two
+    // ends has lost track of it; only a timeout tells. A fresh connection works at once, and the
+    // old one stays silent after the link is healed.
+    let relay = relay(0.0);
+    let mut open = connect(&relay);
+    assert!(echoes(&mut open, LONG));
+    order(relay.control(), r#"{"link":"silence"}"#);
+    assert!(!echoes(&mut open, SHORT));
+    assert!(echoes(&mut connect(&relay), LONG));
+    order(relay.control(), r#"{"link":"heal"}"#);
+    assert!(!echoes(&mut open, SHORT));
+}
+
+#[test]
+fn a_close_passes_through() {
+    let relay = relay(0.0);
+    let mut open = connect(&relay);
+    assert!(echoes(&mut open, LONG));
+    open.shutdown(std::net::Shutdown::Write).unwrap();
+    open.set_read_timeout(Some(LONG)).unwrap();
+    assert_eq!(open.read(&mut [0]).unwrap(), 0);
+}
+
+#[test]
+fn bad_orders_are_refused() {
+    let relay = relay(0.0);
+    for body in ["x", r#"{"link":"melt"}"#, r#"{"link":"delay"}"#] {
+        let refused = post(&agent(), &relay.control().url("/control"), body).unwrap();
+        assert_eq!(refused.status(), 400, "{body}");
+    }
+}
