--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -46,6 +46,27 @@
     Clear,
 }
 
+impl Fault {
+    /// All of them.
+    pub const ALL: [Self; 15] = [
+        Self::Delay,
+        Self::Late,
+        Self::DropAnswer,
+        Self::Outage,
+        Self::Close,
+        Self::Silence,
+        Self::Cut,
+        Self::Crash,
+        Self::StaleReads,
+        Self::Leaving,
+        Self::FreezeLoad,
+        Self::LagLoad,
+        Self::IgnoreFencing,
+        Self::HonourFencing,
+        Self::Clear,
+    ];
+}
+
 /// An order to misbehave, as `POST /control` takes it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -182,40 +182,17 @@
     B: FnOnce(Rc<Shared>) -> io::Result<S> + Send + 'static,
 {
     let (stop, stopped) = oneshot::channel();
-    spawn_with(stop, move |ready| async move {
-        let listener = TcpListener::bind(listen).await?;
-        let shared = Rc::new(Shared::new());
-        let service = Rc::new(build(Rc::clone(&shared))?);
-        let address = listener.local_addr()?;
-        let accepting = spawn_local(accept(listener, shared, service));
-        ready(address);
-        // Either the handle was dropped or it asked to stop; both end the server.
-        let _ = stopped.await;
-        accepting.abort();
-        Ok(())
-    })
-}
-
-/// Runs a task on a thread with a runtime of its own and waits until it says that it is ready.
-pub(crate) fn spawn_with<T, F>(stop: oneshot::Sender<()>, task: T) -> io::Result<Running>
-where
-    T: FnOnce(Box<dyn FnOnce(SocketAddr)>) -> F + Send + 'static,
-    F: Future<Output = io::Result<()>>,
-{
-    let (ready, started) = mpsc::channel();
-    let failed = ready.clone();
+    let (started, start) = mpsc::channel();
     let thread = thread::Builder::new()
         .name("standin".into())
         .spawn(move || {
-            let on_ready = Box::new(move |address| {
-                // The starter may have given up waiting.
-                let _ = ready.send(Ok(address));
-            });
-            if let Err(error) = block_on(task(on_ready)) {
+            let failed = started.clone();
+            if let Err(error) = block_on(serve_until(stopped, listen, build, started)) {
+                // Reaches the starter if it still waits; afterwards there is no such error.
                 let _ = failed.send(Err(error));
             }
         })?;
-    let address = started
+    let address = start
         .recv()
         .map_err(|_| io::Error::other("the stand-in ended before it was ready"))??;
     Ok(Running {
@@ -225,6 +202,29 @@
     })
 }
 
+async fn serve_until<S, B>(
+    stopped: oneshot::Receiver<()>,
+    listen: SocketAddr,
+    build: B,
+    started: mpsc::Sender<io::Result<SocketAddr>>,
+) -> io::Result<()>
+where
+    S: Service,
+    B: FnOnce(Rc<Shared>) -> io::Result<S>,
+{
+    let listener = TcpListener::bind(listen).await?;
+    let address = listener.local_addr()?;
+    let shared = Rc::new(Shared::new());
+    let service = Rc::new(build(Rc::clone(&shared))?);
+    let accepting = spawn_local(accept(listener, shared, service));
+    // The starter waits for exactly this.
+    let _ = started.send(Ok(address));
+    // Ends with an error when the handle is dropped, which is the signal.
+    let _ = stopped.await;
+    accepting.abort();
+    Ok(())
+}
+
 fn block_on(task: impl Future<Output = io::Result<()>>) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/crates/standins/tests/command_line.rs
+++ b/crates/standins/tests/command_line.rs
@@ -8,6 +8,8 @@
 
 use signal_hook::consts::SIGTERM;
 
+use sedgeridge_standins::faults::Fault;
+
 const SUBCOMMANDS: [&str; 7] = [
     "engine", "plain", "table", "objects", "hosts", "weights", "relay",
 ];
@@ -63,6 +65,24 @@
     }
 }
 
+#[test]
+fn the_page_names_every_option_and_every_fault() {
+    let page = include_str!("../../../docs/standins.md");
+    for subcommand in SUBCOMMANDS {
+        let help = String::from_utf8(run(&format!("{subcommand} --help")).stdout).unwrap();
+        let options = help
+            .split_whitespace()
+            .filter(|word| word.starts_with("--"));
+        for option in options {
+            assert!(page.contains(option), "{subcommand} {option}");
+        }
+    }
+    for fault in Fault::ALL {
+        let name = serde_json::to_string(&fault).unwrap().replace('"', "`");
+        assert!(page.contains(&name), "{name}");
+    }
+}
+
 #[test]
 fn sigterm_ends_each_stand_in() {
     for subcommand in SUBCOMMANDS {
