feat(coordination): claims that let a request run at most once

A router that dies, a store whose answer is lost and a caller who repeats at another router could each run a deposit charge twice. Before dispatch a conditional write now claims (client account, idempotency key) in the table, and only the router run named there dispatches.

Weighed: a claim per transaction (two table writes per request), a lease per key (a paused holder still dispatches), and group commit, which is taken. A lost answer is read back; only the claim's own record counts as proof, all else is written again on the same condition. A refused claim is released by a write on that condition, so the caller's repeat can run.

Records are `name=value` text in the state crate: no parser enters the decision layer's dependencies, and rows can be read as they stand.

--- /dev/null
+++ b/crates/coordination/src/backoff.rs
@@ -0,0 +1,72 @@
+//! Exponential backoff with jitter from a passed seed.
+
+use std::time::Duration;
+
+const MAX_DOUBLINGS: u32 = 16;
+
+/// Spreads retries, so that hosts which failed together do not return together.
+#[derive(Debug)]
+pub struct Backoff {
+    base: Duration,
+    cap: Duration,
+    random_state: u64,
+}
+
+impl Backoff {
+    /// Creates a backoff that starts at `base` and never exceeds `cap`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::backoff::Backoff;
+    ///
+    /// let mut backoff = Backoff::new(Duration::from_millis(100), Duration::from_secs(1), 7);
+    /// assert!(backoff.delay(1) <= Duration::from_millis(100));
+    /// ```
+    pub fn new(base: Duration, cap: Duration, seed: u64) -> Self {
+        Self {
+            base,
+            cap,
+            random_state: seed,
+        }
+    }
+
+    /// Returns the delay before the retry that follows this many failures: between half of the
+    /// doubled base and all of it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::backoff::Backoff;
+    ///
+    /// let mut backoff = Backoff::new(Duration::from_millis(100), Duration::from_secs(1), 7);
+    /// assert!(backoff.delay(9) >= Duration::from_millis(500));
+    /// ```
+    pub fn delay(&mut self, failures: u32) -> Duration {
+        let doublings = failures.saturating_sub(1).min(MAX_DOUBLINGS);
+        let full = self.base.saturating_mul(1 << doublings).min(self.cap);
+        self.jitter(full)
+    }
+
+    /// Returns a time between half of `full` and all of it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::backoff::Backoff;
+    ///
+    /// let mut backoff = Backoff::new(Duration::ZERO, Duration::ZERO, 7);
+    /// assert!(backoff.jitter(Duration::from_secs(2)) >= Duration::from_secs(1));
+    /// ```
+    pub fn jitter(&mut self, full: Duration) -> Duration {
+        let half = full / 2;
+        let span_us = u64::try_from(half.as_micros()).unwrap_or(u64::MAX);
+        half + Duration::from_micros(self.next_random() % span_us.saturating_add(1))
+    }
+
+    // SplitMix64.
+    fn next_random(&mut self) -> u64 {
+        self.random_state = self.random_state.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.random_state;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,9 +4,11 @@
 //! the process started, read from a [`clock::Clock`] at the edge. Iteration order is fixed, so the
 //! same inputs always give the same actions.
 
+pub mod backoff;
 pub mod clock;
 pub mod entry;
 
+pub mod claim_events;
 pub mod claims;
 pub mod config_adoption;
 pub mod endpoint_health;
@@ -18,3 +20,5 @@
 pub mod quarantine;
 pub mod rendezvous;
 pub mod retry_budget;
+pub mod store_call;
+mod store_gate;
--- /dev/null
+++ b/crates/coordination/tests/claims.rs
@@ -0,0 +1,233 @@
+//! Failures that claims are there for.
+
+mod common;
+
+use common::claim_fleet::ClaimFleet;
+use common::claim_fleet::Told;
+use common::claim_fleet::answer_of;
+use common::store::Fate;
+use sedgeridge_coordination::claim_events::ClaimEvent;
+use sedgeridge_coordination::claim_events::ClaimRefusal;
+use sedgeridge_coordination::claim_events::ClaimSettings;
+
+const BODY: u64 = 11;
+const KEY: u32 = 1;
+
+fn fleet() -> ClaimFleet {
+    ClaimFleet::new(2, ClaimSettings::default())
+}
+
+fn settle(fleet: &mut ClaimFleet, router: usize) {
+    fleet.advance(100);
+    while !fleet.routers[router].calls.is_empty() {
+        fleet.deliver(router, Fate::Answered);
+    }
+}
+
+// A crew taps "pay" twice and the balancer sends the taps to two routers at the same instant.
+// Both write a claim on the absent key; the store takes one and names it to the other.
+// The second is told that the first is under way, and later gets its answer.
+#[test]
+fn two_routers_given_one_key_run_it_once() {
+    let mut fleet = fleet();
+    let first = fleet.claim(0, KEY, BODY);
+    let second = fleet.claim(1, KEY, BODY);
+    settle(&mut fleet, 0);
+    settle(&mut fleet, 1);
+    assert_eq!(fleet.told(&first), [Told::Dispatched]);
+    let in_progress = Told::Refused(ClaimRefusal::InProgress);
+    assert_eq!(fleet.told(&second), [in_progress]);
+
+    fleet.finish(0, 0);
+    settle(&mut fleet, 0);
+    let third = fleet.claim(1, KEY, BODY);
+    settle(&mut fleet, 1);
+    assert_eq!(fleet.told(&third), [Told::Replayed(answer_of(&first))]);
+    fleet.check();
+}
+
+// The caller's deposit is claimed, but the store's answer is lost after the write took effect.
+// The router reads back, finds its own attempt in the row and dispatches.
+// Without the read it could only refuse, and the key would be blocked for good.
+#[test]
+fn a_lost_answer_is_settled_by_reading_back() {
+    let mut fleet = fleet();
+    let request = fleet.claim(0, KEY, BODY);
+    fleet.advance(20);
+    fleet.deliver(0, Fate::AnswerLost);
+    assert_eq!(fleet.told(&request), []);
+    fleet.deliver(0, Fate::Answered);
+    assert_eq!(fleet.told(&request), [Told::Dispatched]);
+    fleet.check();
+}
+
+// The claim's write gets no answer and is still on its way when the router reads back: no row.
+// The router writes again on the same condition and dispatches; then the late write arrives.
+// Its condition no longer holds, so the row stays as it is and nothing runs again.
+#[test]
+fn a_write_that_arrives_late_changes_nothing() {
+    let mut fleet = fleet();
+    let request = fleet.claim(0, KEY, BODY);
+    fleet.advance(20);
+    fleet.deliver(0, Fate::RunsLate);
+    fleet.deliver(0, Fate::Answered);
+    fleet.deliver(0, Fate::Answered);
+    assert_eq!(fleet.told(&request), [Told::Dispatched]);
+    fleet.store.run_late();
+    fleet.finish(0, 1);
+    settle(&mut fleet, 0);
+    let repeat = fleet.claim(1, KEY, BODY);
+    settle(&mut fleet, 1);
+    assert_eq!(fleet.told(&repeat), [Told::Dispatched]);
+    fleet.check();
+}
+
+// The store goes down while a claim is on its way; the read-back is refused too.
+// The caller is told "not run" at once, and that is true, as only this router may dispatch.
+// When the store is back the claim is released, and the caller's repeat runs at another router.
+#[test]
+fn a_claim_given_up_in_an_outage_does_not_block_the_repeat() {
+    let mut fleet = fleet();
+    let request = fleet.claim(0, KEY, BODY);
+    fleet.advance(20);
+    fleet.deliver(0, Fate::AnswerLost);
+    fleet.deliver(0, Fate::Refused);
+    let refused = Told::Refused(ClaimRefusal::StoreUnavailable);
+    assert_eq!(fleet.told(&request), [refused]);
+
+    fleet.heal();
+    let repeat = fleet.claim(1, KEY, BODY);
+    settle(&mut fleet, 1);
+    assert_eq!(fleet.told(&repeat), [Told::Dispatched]);
+    fleet.check();
+}
+
+// As above, but the caller repeats at the same router before the claim was released.
+// The row holds an attempt that this router itself gave up, so the repeat takes it over.
+#[test]
+fn a_repeat_takes_over_the_claim_that_its_router_gave_up() {
+    let mut fleet = fleet();
+    let request = fleet.claim(0, KEY, BODY);
+    fleet.advance(20);
+    fleet.deliver(0, Fate::RunsLate);
+    fleet.event(0, ClaimEvent::GiveUp(request.clone()));
+    let given_up = Told::Refused(ClaimRefusal::GivenUp);
+    assert_eq!(fleet.told(&request), [given_up]);
+
+    fleet.store.run_late();
+    let repeat = fleet.claim(0, KEY, BODY);
+    fleet.routers[0].calls.clear();
+    fleet.advance(20);
+    for _ in 0..3 {
+        fleet.deliver(0, Fate::Answered);
+        fleet.advance(30);
+    }
+    assert_eq!(fleet.told(&repeat), [Told::Dispatched]);
+    fleet.check();
+}
+
+// The router dies after dispatch and before the outcome is recorded; the caller repeats elsewhere.
+// The row is open and its owner is gone: the deposit may have been charged.
+// The repeat is told "unknown", never "not run", and nothing runs again.
+#[test]
+fn a_repeat_after_the_owner_died_is_told_unknown() {
+    let mut fleet = fleet();
+    fleet.claim(0, KEY, BODY);
+    settle(&mut fleet, 0);
+    fleet.restart(0);
+    for router in [1, 0] {
+        let repeat = fleet.claim(router, KEY, BODY);
+        settle(&mut fleet, router);
+        let unknown = Told::Refused(ClaimRefusal::EarlierUnknown);
+        assert_eq!(fleet.told(&repeat), [unknown]);
+    }
+    fleet.check();
+}
+
+// A host comes back without memory and counts its attempts from the start under its old
+// incarnation. Its new attempt has the same id as the one in the table, which was dispatched.
+// The row is not taken for the new attempt's own, since no write of it lost its answer.
+#[test]
+fn a_reused_attempt_id_is_not_taken_for_the_own_claim() {
+    let mut fleet = fleet();
+    fleet.claim(0, KEY, BODY);
+    settle(&mut fleet, 0);
+    let row = fleet.store.value("claim/crew-07/deposit-1");
+    let row = row.expect("the claim").to_owned();
+    let mut again = ClaimFleet::new(2, ClaimSettings::default());
+    again.store.put("claim/crew-07/deposit-1", &row);
+    let request = again.claim(0, KEY, BODY);
+    settle(&mut again, 0);
+    let unknown = Told::Refused(ClaimRefusal::EarlierUnknown);
+    assert_eq!(again.told(&request), [unknown]);
+}
+
+// Two callers' claims share a transaction; one key is already taken, so the store refuses both.
+// The taken one is answered from the row the store names, and the other goes out again at once.
+#[test]
+fn a_taken_key_does_not_fail_the_claims_it_shares_a_transaction_with() {
+    let mut fleet = fleet();
+    fleet.claim(1, KEY, BODY);
+    settle(&mut fleet, 1);
+    let taken = fleet.claim(0, KEY, BODY);
+    let other = fleet.claim(0, 2, BODY);
+    fleet.advance(20);
+    assert_eq!(fleet.routers[0].calls.len(), 1);
+    fleet.deliver(0, Fate::Answered);
+    let in_progress = Told::Refused(ClaimRefusal::InProgress);
+    assert_eq!(fleet.told(&taken), [in_progress]);
+    fleet.deliver(0, Fate::Answered);
+    assert_eq!(fleet.told(&other), [Told::Dispatched]);
+    fleet.check();
+}
+
+// The store refuses a call. Until the pause has passed, each further caller is refused in the same
+// step, without a call, and told when to come back; after it, the next claim tries the store.
+#[test]
+fn an_outage_is_answered_at_once() {
+    let mut fleet = fleet();
+    fleet.claim(0, KEY, BODY);
+    fleet.advance(20);
+    fleet.deliver(0, Fate::Refused);
+    let second = fleet.claim(0, 2, BODY);
+    let refused = Told::Refused(ClaimRefusal::StoreUnavailable);
+    assert_eq!(fleet.told(&second), [refused]);
+    assert!(fleet.routers[0].calls.is_empty());
+    fleet.advance(200);
+    let third = fleet.claim(0, 3, BODY);
+    settle(&mut fleet, 0);
+    assert_eq!(fleet.told(&third), [Told::Dispatched]);
+}
+
+// A caller uses a key again for another body: a lens instead of a camera.
+// Replaying the camera's answer would confirm a hold that was never made, so it is an error.
+#[test]
+fn a_key_used_with_another_body_is_an_error() {
+    let mut fleet = fleet();
+    fleet.claim(0, KEY, BODY);
+    settle(&mut fleet, 0);
+    fleet.finish(0, 0);
+    settle(&mut fleet, 0);
+    for router in 0..2 {
+        let other = fleet.claim(router, KEY, BODY + 1);
+        settle(&mut fleet, router);
+        let reused = Told::Refused(ClaimRefusal::KeyReused);
+        assert_eq!(fleet.told(&other), [reused]);
+    }
+}
+
+// The store stops answering. The claim is refused after its longest wait, well before the call's
+// own timeout, and the late confirmation of the write dispatches nothing.
+#[test]
+fn a_claim_refused_for_slowness_never_runs() {
+    let mut fleet = fleet();
+    let request = fleet.claim(0, KEY, BODY);
+    fleet.advance(20);
+    fleet.advance(1_000);
+    let slow = Told::Refused(ClaimRefusal::StoreSlow);
+    assert_eq!(fleet.told(&request), std::slice::from_ref(&slow));
+    fleet.deliver(0, Fate::Answered);
+    fleet.heal();
+    assert_eq!(fleet.told(&request), [slow]);
+    fleet.check();
+}
--- /dev/null
+++ b/crates/coordination/tests/common/mod.rs
@@ -0,0 +1,6 @@
+//! Fakes shared by the tests.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+pub mod claim_fleet;
+pub mod store;
--- /dev/null
+++ b/crates/coordination/tests/common/store.rs
@@ -0,0 +1,170 @@
+//! A table service in memory that misbehaves on order.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use sedgeridge_coordination::store_call::CallId;
+use sedgeridge_coordination::store_call::StoreAction;
+use sedgeridge_coordination::store_call::StoreCheck;
+use sedgeridge_coordination::store_call::StoreEvent;
+use sedgeridge_coordination::store_call::StoreQuery;
+use sedgeridge_coordination::store_call::StoreResult;
+use sedgeridge_coordination::store_call::StoreRow;
+use sedgeridge_coordination::store_call::StoreWrite;
+
+/// States kept for stale reads.
+const PAST_KEPT: usize = 8;
+
+/// What the store does with one call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// Runs it and answers.
+    Answered,
+    /// Runs it; the answer is lost.
+    AnswerLost,
+    /// Never runs it; the caller gets no answer.
+    CallLost,
+    /// Gives no answer and runs it when [`Store::run_late`] is called.
+    RunsLate,
+    /// Refuses it.
+    Refused,
+    /// Answers a read from rows as they were this many commits ago; a write as usual.
+    Stale(usize),
+}
+
+/// Rows, their history and the writes that are still on their way.
+#[derive(Debug, Default)]
+pub struct Store {
+    pub version: u64,
+    pub transactions: u64,
+    pub rows_written: u64,
+    pub reads: u64,
+    rows: BTreeMap<Arc<str>, StoreRow>,
+    past: Vec<BTreeMap<Arc<str>, StoreRow>>,
+    late: Vec<(Vec<StoreCheck>, Vec<StoreWrite>)>,
+}
+
+impl Store {
+    /// Handles a call by its fate.
+    pub fn call(&mut self, action: &StoreAction, fate: Fate) -> StoreEvent {
+        match action {
+            StoreAction::Transact {
+                call,
+                checks,
+                writes,
+            } => event(*call, self.write(checks, writes, fate)),
+            StoreAction::Read { call, query } => event(*call, self.read(query, fate)),
+        }
+    }
+
+    /// Runs the oldest write that is still on its way.
+    pub fn run_late(&mut self) {
+        if !self.late.is_empty() {
+            let (checks, writes) = self.late.remove(0);
+            self.transact(&checks, &writes);
+        }
+    }
+
+    /// Returns the value of a key.
+    pub fn value(&self, key: &str) -> Option<&str> {
+        self.rows.get(key)?.value.as_deref()
+    }
+
+    /// Writes a row unconditionally.
+    pub fn put(&mut self, key: &str, value: &str) -> u64 {
+        let write = StoreWrite {
+            key: Arc::from(key),
+            value: Some(Arc::from(value)),
+        };
+        self.transact(&[], &[write]);
+        self.version
+    }
+
+    fn write(&mut self, checks: &[StoreCheck], writes: &[StoreWrite], fate: Fate) -> StoreResult {
+        match fate {
+            Fate::Answered | Fate::Stale(_) => self.transact(checks, writes),
+            Fate::AnswerLost => {
+                self.transact(checks, writes);
+                StoreResult::Unknown
+            }
+            Fate::CallLost => StoreResult::Unknown,
+            Fate::RunsLate => {
+                self.late.push((checks.to_vec(), writes.to_vec()));
+                StoreResult::Unknown
+            }
+            Fate::Refused => StoreResult::Unavailable,
+        }
+    }
+
+    fn transact(&mut self, checks: &[StoreCheck], writes: &[StoreWrite]) -> StoreResult {
+        self.transactions += 1;
+        let failed = checks.iter().map(|c| (c.version, self.row(&c.key)));
+        let rows: Vec<_> = failed
+            .filter(|(version, row)| *version != row.version)
+            .map(|(_, row)| row)
+            .collect();
+        if !rows.is_empty() {
+            return StoreResult::Conflict { rows };
+        }
+        self.past.push(self.rows.clone());
+        let excess = self.past.len().saturating_sub(PAST_KEPT);
+        self.past.drain(..excess);
+        self.version += 1;
+        for write in writes {
+            self.rows_written += 1;
+            let row = StoreRow {
+                key: Arc::clone(&write.key),
+                version: self.version,
+                value: write.value.clone(),
+            };
+            match row.value {
+                Some(_) => self.rows.insert(Arc::clone(&write.key), row),
+                None => self.rows.remove(&write.key),
+            };
+        }
+        StoreResult::Committed {
+            version: self.version,
+        }
+    }
+
+    fn read(&mut self, query: &StoreQuery, fate: Fate) -> StoreResult {
+        self.reads += 1;
+        match fate {
+            Fate::Refused => StoreResult::Unavailable,
+            Fate::AnswerLost | Fate::CallLost | Fate::RunsLate => StoreResult::Unknown,
+            Fate::Answered => StoreResult::Rows(select(&self.rows, query)),
+            Fate::Stale(back) => {
+                let index = self.past.len().checked_sub(back.max(1));
+                let rows = index.map_or(&self.rows, |i| &self.past[i]);
+                StoreResult::Rows(select(rows, query))
+            }
+        }
+    }
+
+    fn row(&self, key: &Arc<str>) -> StoreRow {
+        let absent = StoreRow {
+            key: Arc::clone(key),
+            version: 0,
+            value: None,
+        };
+        self.rows.get(key).cloned().unwrap_or(absent)
+    }
+}
+
+fn select(rows: &BTreeMap<Arc<str>, StoreRow>, query: &StoreQuery) -> Vec<StoreRow> {
+    match query {
+        StoreQuery::Keys(keys) => keys.iter().filter_map(|k| rows.get(k).cloned()).collect(),
+        StoreQuery::Prefix {
+            prefix,
+            after_version,
+        } => rows
+            .values()
+            .filter(|r| r.key.starts_with(&**prefix) && r.version > *after_version)
+            .cloned()
+            .collect(),
+    }
+}
+
+fn event(call: CallId, result: StoreResult) -> StoreEvent {
+    StoreEvent { call, result }
+}
--- /dev/null
+++ b/crates/state/src/claim_record.rs
@@ -0,0 +1,162 @@
+//! The record that lets a request which may not be repeated run at most once.
+
+use std::sync::Arc;
+
+use crate::fields::FieldReader;
+use crate::fields::FieldWriter;
+use crate::ids::AccountId;
+use crate::ids::AttemptId;
+use crate::ids::HostId;
+use crate::ids::Incarnation;
+use crate::ids::Member;
+
+/// First part of every claim's key.
+pub const CLAIM_PREFIX: &str = "claim/";
+
+/// Hash of a request body; tells a repeat from another request under the same idempotency key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BodyHash(pub u64);
+
+/// Row of one idempotency key of one client account.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClaimRecord {
+    /// The attempt that holds the claim; only its router run may dispatch.
+    pub attempt: AttemptId,
+    /// Body the key was first used with.
+    pub body_hash: BodyHash,
+    /// Unix time after which the row may be deleted.
+    pub expires_at_ms: u64,
+    /// What is known of the run.
+    pub state: ClaimState,
+}
+
+/// What is known of a claimed request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ClaimState {
+    /// The attempt may dispatch, or has.
+    Open,
+    /// The attempt never dispatched and never will.
+    Released,
+    /// The request ran.
+    Ran(RecordedAnswer),
+    /// The attempt dispatched and cannot tell whether the request ran.
+    Unknown,
+}
+
+/// Answer kept for repeats.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RecordedAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Body, if kept.
+    pub body: RecordedBody,
+}
+
+/// Body kept for repeats.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RecordedBody {
+    /// The body itself.
+    Inline(Arc<str>),
+    /// Name of the body in the object store.
+    Object(Arc<str>),
+    /// Larger than is kept.
+    Omitted,
+}
+
+/// Returns the table key of an idempotency key.
+///
+/// ```
+/// use sedgeridge_state::claim_record::claim_key;
+/// use sedgeridge_state::ids::AccountId;
+///
+/// assert_eq!(&*claim_key(&AccountId::from("crew-07"), "deposit-9"), "claim/crew-07/deposit-9");
+/// ```
+pub fn claim_key(account: &AccountId, idempotency_key: &str) -> Arc<str> {
+    let account = account.as_str().replace('%', "%25").replace('/', "%2F");
+    Arc::from(format!("{CLAIM_PREFIX}{account}/{idempotency_key}"))
+}
+
+impl ClaimRecord {
+    /// Returns the row's value.
+    ///
+    /// ```
+    /// use sedgeridge_state::claim_record::*;
+    /// use sedgeridge_state::ids::*;
+    ///
+    /// let member = Member { host: HostId::from("r1"), incarnation: Incarnation(2) };
+    /// let record = ClaimRecord {
+    ///     attempt: AttemptId { member, sequence: 3 },
+    ///     body_hash: BodyHash(4),
+    ///     expires_at_ms: 5,
+    ///     state: ClaimState::Open,
+    /// };
+    /// assert_eq!(ClaimRecord::decode(&record.encode()), Some(record));
+    /// ```
+    pub fn encode(&self) -> String {
+        let mut fields = FieldWriter::default();
+        let member = &self.attempt.member;
+        fields
+            .put("host", member.host.as_str())
+            .put("incarnation", &member.incarnation.0.to_string())
+            .put("sequence", &self.attempt.sequence.to_string())
+            .put("body_hash", &self.body_hash.0.to_string())
+            .put("expires_at_ms", &self.expires_at_ms.to_string());
+        match &self.state {
+            ClaimState::Open => fields.put("state", "open"),
+            ClaimState::Released => fields.put("state", "released"),
+            ClaimState::Unknown => fields.put("state", "unknown"),
+            ClaimState::Ran(answer) => encode_answer(&mut fields, answer),
+        };
+        fields.finish()
+    }
+
+    /// Reads a row's value; `None` if it is no claim that this release knows.
+    ///
+    /// ```
+    /// assert_eq!(sedgeridge_state::claim_record::ClaimRecord::decode("state=open"), None);
+    /// ```
+    pub fn decode(text: &str) -> Option<Self> {
+        let fields = FieldReader::parse(text);
+        let member = Member {
+            host: HostId::from(fields.text("host")?.as_str()),
+            incarnation: Incarnation(fields.number("incarnation")?),
+        };
+        let state = match fields.text("state")?.as_str() {
+            "open" => ClaimState::Open,
+            "released" => ClaimState::Released,
+            "unknown" => ClaimState::Unknown,
+            "ran" => ClaimState::Ran(decode_answer(&fields)?),
+            _ => return None,
+        };
+        Some(Self {
+            attempt: AttemptId {
+                member,
+                sequence: fields.number("sequence")?,
+            },
+            body_hash: BodyHash(fields.number("body_hash")?),
+            expires_at_ms: fields.number("expires_at_ms")?,
+            state,
+        })
+    }
+}
+
+fn encode_answer<'a>(fields: &'a mut FieldWriter, answer: &RecordedAnswer) -> &'a mut FieldWriter {
+    fields
+        .put("state", "ran")
+        .put("status", &answer.status.to_string());
+    match &answer.body {
+        RecordedBody::Inline(body) => fields.put("body", body),
+        RecordedBody::Object(name) => fields.put("object", name),
+        RecordedBody::Omitted => fields,
+    }
+}
+
+fn decode_answer(fields: &FieldReader<'_>) -> Option<RecordedAnswer> {
+    let body = match (fields.text("body"), fields.text("object")) {
+        (Some(body), _) => RecordedBody::Inline(Arc::from(body)),
+        (None, Some(name)) => RecordedBody::Object(Arc::from(name)),
+        (None, None) => RecordedBody::Omitted,
+    };
+    let status = u16::try_from(fields.number("status")?).ok()?;
+    Some(RecordedAnswer { status, body })
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -3,5 +3,7 @@
 //!
 //! This crate does no I/O, starts no threads and reads no clock.
 
+pub mod claim_record;
+pub mod fields;
 pub mod ids;
 pub mod settings;
