--- a/crates/coordination/src/claims/send.rs
+++ b/crates/coordination/src/claims/send.rs
@@ -3,8 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sedgeridge_state::claim_record::ClaimIndex;
+
 use crate::claim_events::ClaimAction;
 use crate::claims::Claims;
+use crate::claims::entry::Stage;
 use crate::claims::queue::BatchItem;
 use crate::store_call::StoreAction;
 use crate::store_call::StoreCheck;
@@ -50,6 +53,7 @@
                 value: Some(Arc::from(entry.record.encode())),
             });
         }
+        writes.extend(self.index_write(&items));
         let call = self.calls.next();
         actions.push(ClaimAction::Store(StoreAction::Transact {
             call,
@@ -66,6 +70,23 @@
         );
     }
 
+    /// Lists the new claims of a transaction under their expiry, for the sweep.
+    ///
+    /// Expired claims could not be found without reading every claim of the retention time.
+    fn index_write(&self, items: &[BatchItem]) -> Option<StoreWrite> {
+        let entries = items.iter().map(|item| (item, self.entries.get(&item.key)));
+        let mut claims = entries
+            .filter_map(|(item, entry)| Some((item, entry?)))
+            .filter(|(_, entry)| entry.stage == Stage::Claiming)
+            .peekable();
+        let (_, last) = claims.clone().last()?;
+        let (_, first) = claims.peek()?;
+        let key = ClaimIndex::key(last.record.expires_at_ms, &first.record.attempt);
+        let keys = claims.map(|(item, _)| Arc::clone(&item.key)).collect();
+        let value = Some(Arc::from(ClaimIndex { keys }.encode()));
+        Some(StoreWrite { key, value })
+    }
+
     /// Asks what became of a transaction without answer.
     pub(super) fn send_read_back(&mut self, flight: Flight, actions: &mut Vec<ClaimAction>) {
         for item in &flight.items {
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod entry;
 
 pub mod claim_events;
+pub mod claim_sweep;
 pub mod claims;
 pub mod config_adoption;
 pub mod endpoint_health;
--- a/crates/coordination/tests/common/claim_fleet.rs
+++ b/crates/coordination/tests/common/claim_fleet.rs
@@ -27,7 +27,8 @@
 use super::store::Fate;
 use super::store::Store;
 
-const STARTED_UNIX_MS: u64 = 1_800_000_000_000;
+/// When every process of the fleet started.
+pub const STARTED_UNIX_MS: u64 = 1_800_000_000_000;
 
 /// What a request was told, or that it was dispatched.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/coordination/tests/common/store.rs
+++ b/crates/coordination/tests/common/store.rs
@@ -70,6 +70,11 @@
         self.rows.get(key)?.value.as_deref()
     }
 
+    /// Counts the rows whose key begins so.
+    pub fn count(&self, prefix: &str) -> usize {
+        self.rows.keys().filter(|k| k.starts_with(prefix)).count()
+    }
+
     /// Writes a row unconditionally.
     pub fn put(&mut self, key: &str, value: &str) -> u64 {
         let write = StoreWrite {
--- a/crates/state/src/claim_record.rs
+++ b/crates/state/src/claim_record.rs
@@ -160,3 +160,84 @@
     let status = u16::try_from(fields.number("status")?).ok()?;
     Some(RecordedAnswer { status, body })
 }
+
+/// First part of the key of every index row.
+pub const CLAIM_INDEX_PREFIX: &str = "claim-index/";
+
+/// Time covered by one bucket of the index.
+pub const CLAIM_BUCKET_MS: u64 = 60_000;
+
+/// Returns the bucket of claims that expire at this Unix time.
+///
+/// ```
+/// assert_eq!(sedgeridge_state::claim_record::claim_bucket(120_001), 2);
+/// ```
+pub fn claim_bucket(expires_at_ms: u64) -> u64 {
+    expires_at_ms / CLAIM_BUCKET_MS
+}
+
+/// Returns the first part of the index keys of a bucket.
+///
+/// ```
+/// use sedgeridge_state::claim_record::claim_bucket_prefix;
+///
+/// assert_eq!(&*claim_bucket_prefix(2), "claim-index/0000000002/");
+/// ```
+pub fn claim_bucket_prefix(bucket: u64) -> Arc<str> {
+    Arc::from(format!("{CLAIM_INDEX_PREFIX}{bucket:010}/"))
+}
+
+/// Keys claimed by one transaction, so that they can be found when they expire.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClaimIndex {
+    /// Keys of the claims.
+    pub keys: Vec<Arc<str>>,
+}
+
+impl ClaimIndex {
+    /// Returns the key of the index row that goes with a claim.
+    ///
+    /// ```
+    /// use sedgeridge_state::claim_record::ClaimIndex;
+    /// use sedgeridge_state::ids::*;
+    ///
+    /// let member = Member { host: HostId::from("r1"), incarnation: Incarnation(2) };
+    /// let first = AttemptId { member, sequence: 3 };
+    /// assert_eq!(&*ClaimIndex::key(120_000, &first), "claim-index/0000000002/r1.2.3");
+    /// ```
+    pub fn key(expires_at_ms: u64, first: &AttemptId) -> Arc<str> {
+        let prefix = claim_bucket_prefix(claim_bucket(expires_at_ms));
+        Arc::from(format!("{prefix}{first}"))
+    }
+
+    /// Returns the row's value.
+    ///
+    /// ```
+    /// use sedgeridge_state::claim_record::ClaimIndex;
+    ///
+    /// let index = ClaimIndex { keys: vec!["claim/a/1".into()] };
+    /// assert_eq!(ClaimIndex::decode(&index.encode()), index);
+    /// ```
+    pub fn encode(&self) -> String {
+        let mut fields = FieldWriter::default();
+        for (position, key) in self.keys.iter().enumerate() {
+            fields.put(&format!("key_{position}"), key);
+        }
+        fields.finish()
+    }
+
+    /// Reads a row's value.
+    ///
+    /// ```
+    /// use sedgeridge_state::claim_record::ClaimIndex;
+    ///
+    /// assert!(ClaimIndex::decode("").keys.is_empty());
+    /// ```
+    pub fn decode(text: &str) -> Self {
+        let fields = FieldReader::parse(text);
+        let keys = (0..).map_while(|i| fields.text(&format!("key_{i}")));
+        Self {
+            keys: keys.map(Arc::from).collect(),
+        }
+    }
+}
