feat(coordination): coordinator's lease with a fencing number

Two coordinators at once would give engines contradicting orders. The lease is a row that is renewed by compare-and-set; a candidate takes over when its own clock has counted a term and a margin without a renewal, so no wall clocks are compared. The holder counts its term from the sending of the renewal and asks `held(now)` before each order.

Weighed: expiry by wall clock (skew between hosts ends exclusion), election among the routers (a second coordination service), no lease (racing orders).

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod config_adoption;
 pub mod endpoint_health;
 pub mod lease;
+pub mod lease_events;
 pub mod limits;
 pub mod membership;
 pub mod pool_home;
--- a/crates/coordination/tests/claim_writes.rs
+++ b/crates/coordination/tests/claim_writes.rs
@@ -44,6 +44,7 @@
         ..ClaimSettings::default()
     };
     let mut fleet = ClaimFleet::new(1, settings);
+    fleet.store.forgets_past = true;
     let mut key = 0;
     let mut arrivals: BTreeMap<RequestId, u64> = BTreeMap::new();
     let mut ends: BTreeMap<u64, usize> = BTreeMap::new();
--- a/crates/coordination/tests/common/mod.rs
+++ b/crates/coordination/tests/common/mod.rs
@@ -3,4 +3,5 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod claim_fleet;
+pub mod lease_fleet;
 pub mod store;
--- a/crates/coordination/tests/common/store.rs
+++ b/crates/coordination/tests/common/store.rs
@@ -39,6 +39,8 @@
     pub transactions: u64,
     pub rows_written: u64,
     pub reads: u64,
+    /// Keeps no older states, so that long runs stay cheap; stale reads then see current rows.
+    pub forgets_past: bool,
     rows: BTreeMap<Arc<str>, StoreRow>,
     past: Vec<BTreeMap<Arc<str>, StoreRow>>,
     late: Vec<(Vec<StoreCheck>, Vec<StoreWrite>)>,
@@ -70,6 +72,11 @@
         self.rows.get(key)?.value.as_deref()
     }
 
+    /// Returns the version of a key that exists.
+    pub fn version_of(&self, key: &str) -> Option<u64> {
+        self.rows.get(key).map(|r| r.version)
+    }
+
     /// Counts the rows whose key begins so.
     pub fn count(&self, prefix: &str) -> usize {
         self.rows.keys().filter(|k| k.starts_with(prefix)).count()
@@ -111,7 +118,9 @@
         if !rows.is_empty() {
             return StoreResult::Conflict { rows };
         }
-        self.past.push(self.rows.clone());
+        if !self.forgets_past {
+            self.past.push(self.rows.clone());
+        }
         let excess = self.past.len().saturating_sub(PAST_KEPT);
         self.past.drain(..excess);
         self.version += 1;
--- /dev/null
+++ b/crates/coordination/tests/lease.rs
@@ -0,0 +1,141 @@
+//! Failures that the lease is there for.
+
+mod common;
+
+use std::time::Duration;
+
+use common::lease_fleet::LeaseFleet;
+use common::store::Fate;
+use sedgeridge_coordination::lease_events::LeaseEvent;
+use sedgeridge_state::lease_record::FencingNumber;
+
+fn held_by_first() -> LeaseFleet {
+    let mut fleet = LeaseFleet::new(2);
+    fleet.event(0, LeaseEvent::Tick);
+    fleet.deliver(0, Fate::Answered);
+    fleet.deliver(0, Fate::Answered);
+    assert_eq!(fleet.holders(), [0]);
+    fleet
+}
+
+// The holder is paused past its term and another host takes the lease over.
+// When the paused process goes on, its next step is an order, before any timer has run.
+// Its own clock tells that the term is over, so the order is not sent.
+#[test]
+fn a_holder_paused_past_its_term_gives_no_order() {
+    let mut fleet = held_by_first();
+    fleet.run(1_000);
+    fleet.hosts[0].paused = true;
+    fleet.run(15_000);
+    assert_eq!(fleet.holders(), [1]);
+    fleet.hosts[0].paused = false;
+    assert!(!fleet.order_unfenced(0));
+    fleet.check();
+    let fencing = fleet.held(1).map(|h| h.fencing);
+    assert_eq!(fencing, Some(FencingNumber(2)));
+}
+
+// A renewal takes effect and its answer is lost. The holder reads back, finds its own record and
+// stays the holder, but only for a term from when it sent the renewal.
+// Counted from the answer, its term would outlast what a candidate waits.
+#[test]
+fn a_lost_renewal_answer_extends_the_term_from_its_sending() {
+    let mut fleet = held_by_first();
+    let first = fleet.held(0).map(|h| h.deadline);
+    fleet.advance(3_000);
+    let sent_at = fleet.now;
+    fleet.advance(2_000);
+    fleet.deliver(0, Fate::AnswerLost);
+    fleet.deliver(0, Fate::Answered);
+    let second = fleet.held(0).map(|h| h.deadline);
+    assert!(second > first);
+    assert_eq!(second, Some(sent_at + Duration::from_secs(10)));
+    fleet.check();
+}
+
+// The store is down for longer than a term. The holder stops at its deadline although no timer of
+// the store's client told it so; when the store is back a holder is found, with a higher number.
+#[test]
+fn an_outage_longer_than_the_term_ends_the_lease() {
+    let mut fleet = held_by_first();
+    for _ in 0..150 {
+        fleet.advance(100);
+        for host in 0..2 {
+            fleet.deliver(host, Fate::Refused);
+        }
+        fleet.check();
+    }
+    assert!(fleet.holders().is_empty());
+    fleet.run(15_000);
+    assert_eq!(fleet.holders().len(), 1);
+    assert_eq!(fleet.epochs.len(), 2);
+}
+
+// A planned stop gives the lease back, so the next host need not wait a term.
+// It still waits the longest order delay before it orders engines that ignore fencing numbers.
+#[test]
+fn a_planned_stop_hands_over_without_waiting_a_term() {
+    let mut fleet = held_by_first();
+    fleet.run(2_000);
+    assert!(!fleet.order_unfenced(0));
+    fleet.run(4_000);
+    assert!(fleet.order_unfenced(0));
+    fleet.event(0, LeaseEvent::Stop);
+    assert!(fleet.holders().is_empty());
+    fleet.run(2_000);
+    assert_eq!(fleet.holders(), [1]);
+    assert!(!fleet.order_unfenced(1));
+    fleet.run(6_000);
+    assert!(fleet.order_unfenced(1));
+}
+
+// The acquisition gets no answer and the read-back finds no row; the host writes it again.
+// Meanwhile the first write takes effect, so the second conflicts with a row of the same record.
+// That settles the acquisition; taken for another holder's row, the lease would idle for a term.
+#[test]
+fn an_acquisition_that_lands_late_is_settled() {
+    let mut fleet = LeaseFleet::new(2);
+    fleet.event(0, LeaseEvent::Tick);
+    fleet.deliver(0, Fate::Answered);
+    fleet.deliver(0, Fate::RunsLate);
+    fleet.deliver(0, Fate::Answered);
+    assert!(fleet.holders().is_empty());
+    fleet.store.run_late();
+    fleet.deliver(0, Fate::Answered);
+    fleet.check();
+    assert_eq!(fleet.holders(), [0]);
+}
+
+// A renewal is sent twice; neither is answered, and only the first took effect.
+// The read-back finds the record of both. The term counts from the first sending: a candidate that
+// saw the row since then would take over before a term counted from the second has ended.
+#[test]
+fn a_renewal_sent_twice_counts_from_the_first_sending() {
+    let mut fleet = held_by_first();
+    fleet.advance(3_000);
+    let first_sent_at = fleet.now;
+    fleet.deliver(0, Fate::RunsLate);
+    fleet.advance(1_000);
+    fleet.deliver(0, Fate::Answered);
+    fleet.store.run_late();
+    fleet.advance(1_000);
+    fleet.deliver(0, Fate::AnswerLost);
+    fleet.deliver(0, Fate::Answered);
+    let deadline = fleet.held(0).map(|h| h.deadline);
+    assert_eq!(deadline, Some(first_sent_at + Duration::from_secs(10)));
+    fleet.check();
+}
+
+// An acquisition is answered after its whole term has passed. Announced as held, it would start
+// work that has to be broken off in the same step; the host waits like any candidate.
+#[test]
+fn an_acquisition_answered_after_its_term_is_not_announced() {
+    let mut fleet = LeaseFleet::new(1);
+    fleet.event(0, LeaseEvent::Tick);
+    fleet.deliver(0, Fate::Answered);
+    fleet.advance(10_000);
+    fleet.deliver(0, Fate::Answered);
+    assert!(fleet.epochs.is_empty());
+    fleet.run(15_000);
+    assert_eq!(fleet.holders(), [0]);
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod claim_record;
 pub mod fields;
 pub mod ids;
+pub mod lease_record;
 pub mod settings;
