feat(coordination): orders to engines with intent before effect

A coordinator that dies between two steps of an order would leave an engine drained or half changed for good. The intent is written first, on condition of the holder's epoch; the next holder reads all open intents before it takes new orders and completes them.

Engines that check fencing numbers refuse old ones. For those that ignore them a new holder waits the longest order delay, reads the state back and repeats. Drains wait until every router has heard of them and keep pools at their floor. Loads keep an interval, also across a change of holder.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod lease_events;
 pub mod limits;
 pub mod membership;
+pub mod order_events;
+pub mod orders;
 pub mod pool_home;
 pub mod pool_messages;
 pub mod quarantine;
--- /dev/null
+++ b/crates/coordination/src/orders/pools.rs
@@ -0,0 +1,87 @@
+//! Which endpoints a pool can spare.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use sedgeridge_state::ids::EndpointId;
+use sedgeridge_state::ids::PoolId;
+
+use crate::order_events::OrderEndpoint;
+use crate::order_events::PoolFloor;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Report {
+    serving: bool,
+    in_progress: u32,
+}
+
+/// Endpoints, what they reported, and which of them are drained.
+#[derive(Debug, Default)]
+pub(super) struct Pools {
+    endpoints: BTreeMap<EndpointId, OrderEndpoint>,
+    floors: BTreeMap<PoolId, u32>,
+    reports: BTreeMap<EndpointId, Report>,
+    drained: BTreeSet<EndpointId>,
+}
+
+impl Pools {
+    pub(super) fn configure(&mut self, endpoints: Vec<OrderEndpoint>, floors: Vec<PoolFloor>) {
+        let by_id = endpoints.into_iter().map(|e| (e.id.clone(), e));
+        self.endpoints = by_id.collect();
+        self.floors = floors.into_iter().map(|f| (f.pool, f.floor)).collect();
+    }
+
+    pub(super) fn report(&mut self, endpoint: EndpointId, serving: bool, in_progress: u32) {
+        let report = Report {
+            serving,
+            in_progress,
+        };
+        self.reports.insert(endpoint, report);
+    }
+
+    pub(super) fn get(&self, endpoint: &EndpointId) -> Option<&OrderEndpoint> {
+        self.endpoints.get(endpoint)
+    }
+
+    /// Marks the endpoint as drained if its pool can spare it.
+    ///
+    /// Only endpoints that reported to serve, and are not drained for another order, count. Orders
+    /// that each saw the pool above its floor would together take it below, and its callers would
+    /// be refused.
+    pub(super) fn try_drain(&mut self, endpoint: &EndpointId) -> bool {
+        let Some(pool) = self.endpoints.get(endpoint).map(|e| e.pool.clone()) else {
+            return false;
+        };
+        let floor = self.floors.get(&pool).copied().unwrap_or(0);
+        let others = self.endpoints.values().filter(|e| e.pool == pool);
+        let left = others.filter(|e| e.id != *endpoint && self.is_in_service(&e.id));
+        let is_spare = left.count() >= floor as usize;
+        let is_idle = self.reports.get(endpoint).is_some_and(|r| !r.serving);
+        if is_spare || is_idle {
+            self.drained.insert(endpoint.clone());
+        }
+        is_spare || is_idle
+    }
+
+    pub(super) fn undrain(&mut self, endpoint: &EndpointId) {
+        self.drained.remove(endpoint);
+    }
+
+    pub(super) fn forget_drains(&mut self) {
+        self.drained.clear();
+    }
+
+    /// Tells whether the newest report shows no work in progress.
+    pub(super) fn is_empty(&self, endpoint: &EndpointId) -> bool {
+        let report = self.reports.get(endpoint);
+        report.is_some_and(|r| r.in_progress == 0)
+    }
+
+    fn is_serving(&self, endpoint: &EndpointId) -> bool {
+        self.reports.get(endpoint).is_some_and(|r| r.serving)
+    }
+
+    fn is_in_service(&self, endpoint: &EndpointId) -> bool {
+        self.is_serving(endpoint) && !self.drained.contains(endpoint)
+    }
+}
--- a/crates/coordination/tests/common/mod.rs
+++ b/crates/coordination/tests/common/mod.rs
@@ -4,4 +4,5 @@
 
 pub mod claim_fleet;
 pub mod lease_fleet;
+pub mod order_bench;
 pub mod store;
--- /dev/null
+++ b/crates/coordination/tests/orders.rs
@@ -0,0 +1,210 @@
+//! Failures in the middle of orders to engines.
+
+mod common;
+
+use std::time::Duration;
+
+use common::order_bench::OrderBench;
+use common::store::Fate;
+use sedgeridge_coordination::order_events::EngineAnswer;
+use sedgeridge_coordination::order_events::OrderEvent;
+use sedgeridge_coordination::order_events::OrderRefusal;
+use sedgeridge_state::lease_record::FencingNumber;
+use sedgeridge_state::order_record::EngineOrder;
+use sedgeridge_state::order_record::OrderState;
+
+const LOAD_INTERVAL_MS: u64 = 10_000;
+
+fn to_booking() -> EngineOrder {
+    EngineOrder::ChangeRole("booking".into())
+}
+
+fn load() -> EngineOrder {
+    EngineOrder::Load("assistant/v2".into())
+}
+
+// The holder writes the intent and dies before it sends the order.
+// The next holder reads the intent before it takes new orders, and sends it with its own number.
+#[test]
+fn the_next_holder_completes_an_intent() {
+    let mut bench = OrderBench::new(true);
+    bench.want("desk-1", to_booking());
+    bench.deliver(Fate::Answered);
+    assert!(bench.sent.is_empty());
+    bench.take_over();
+    bench.want("desk-2", to_booking());
+    assert_eq!(bench.refused, [OrderRefusal::Recovering]);
+    bench.run(4_000);
+    assert_eq!(bench.ordered(), ["desk-1"]);
+    assert_eq!(bench.sent[0].fencing, FencingNumber(2));
+    bench.answer(EngineAnswer::Done);
+    bench.run(1_000);
+    assert_eq!(bench.ended, [("desk-1".into(), OrderState::Done)]);
+    assert!(bench.drained.is_empty());
+}
+
+// The holder's intent is still on its way to the table when the next one takes over and reads.
+// The write's condition on the epoch no longer holds, so the order never comes into being.
+// Without it the row would appear unseen, and a later holder would send a forgotten order.
+#[test]
+fn an_intent_that_arrives_after_the_epoch_is_not_written() {
+    let mut bench = OrderBench::new(true);
+    bench.want("desk-1", to_booking());
+    bench.deliver(Fate::RunsLate);
+    bench.take_over();
+    bench.deliver_all();
+    bench.store.run_late();
+    assert_eq!(bench.store.count("order/"), 0);
+    bench.run(40_000);
+    assert!(bench.sent.is_empty());
+}
+
+// The table takes the intent and its answer is lost. Nothing is sent until the row is read back.
+#[test]
+fn an_order_is_not_sent_before_its_intent_is_certain() {
+    let mut bench = OrderBench::new(true);
+    bench.want("desk-1", to_booking());
+    bench.deliver(Fate::AnswerLost);
+    for _ in 0..50 {
+        bench.now += Duration::from_millis(100);
+        bench.event(OrderEvent::Tick);
+    }
+    assert!(bench.sent.is_empty());
+    bench.deliver(Fate::Answered);
+    bench.run(4_000);
+    assert_eq!(bench.ordered(), ["desk-1"]);
+}
+
+// The first read of the new holder is stale and lacks the intent of the holder before.
+// The orders are read again, so the order is completed without another change of holder.
+#[test]
+fn an_intent_missed_by_a_stale_read_is_found_later() {
+    let mut bench = OrderBench::new(true);
+    bench.want("desk-1", to_booking());
+    bench.deliver(Fate::Answered);
+    bench.take_over();
+    bench.deliver(Fate::Stale(2));
+    bench.run(10_000);
+    assert!(bench.sent.is_empty());
+    bench.run(30_000);
+    assert_eq!(bench.ordered(), ["desk-1"]);
+}
+
+// A holder is paused past its deadline with an order ready to send.
+// When it goes on, before it learnt that its lease is lost, the order stays unsent.
+#[test]
+fn a_paused_holder_sends_nothing() {
+    let mut bench = OrderBench::new(true);
+    bench.want("desk-1", to_booking());
+    bench.deliver_all();
+    bench.now += Duration::from_secs(4_000);
+    bench.event(OrderEvent::Tick);
+    assert!(bench.sent.is_empty());
+    bench.want("desk-2", to_booking());
+    assert_eq!(bench.refused, [OrderRefusal::NotHolder]);
+}
+
+// An engine that ignores fencing numbers obeys the new holder, and then an older holder's order
+// arrives that was on its way. The new holder waits for the longest delay, reads the engine's
+// state, finds another one and repeats its order.
+#[test]
+fn an_engine_that_ignores_fencing_is_read_back_and_told_again() {
+    let mut bench = OrderBench::new(false);
+    bench.want("desk-1", to_booking());
+    bench.deliver_all();
+    bench.run(4_500);
+    assert!(
+        bench.sent.is_empty(),
+        "orders of the holder before may be on their way"
+    );
+    bench.run(1_000);
+    assert_eq!(bench.ordered(), ["desk-1"]);
+    bench.answer(EngineAnswer::Done);
+    bench.run(4_000);
+    assert!(bench.read_backs.is_empty());
+    bench.run(2_000);
+    assert_eq!(bench.read_backs, [1]);
+    read_back(&mut bench, false);
+    assert_eq!(bench.ordered(), ["desk-1", "desk-1"]);
+    assert!(bench.ended.is_empty());
+    bench.answer(EngineAnswer::Done);
+    bench.run(6_000);
+    read_back(&mut bench, true);
+    bench.deliver_all();
+    assert_eq!(bench.ended, [("desk-1".into(), OrderState::Done)]);
+}
+
+fn read_back(bench: &mut OrderBench, in_effect: bool) {
+    bench.event(OrderEvent::ReadBack {
+        endpoint: "desk-1".into(),
+        number: 1,
+        in_effect: Some(in_effect),
+    });
+}
+
+// An engine that checks numbers has seen a higher one. This process is no holder any more,
+// whatever its clock says, and gives no further order.
+#[test]
+fn an_engine_that_knows_a_higher_number_ends_the_orders() {
+    let mut bench = OrderBench::new(true);
+    bench.want("desk-1", to_booking());
+    bench.run(4_000);
+    bench.answer(EngineAnswer::OldFencing);
+    bench.want("desk-2", to_booking());
+    assert_eq!(bench.refused, [OrderRefusal::NotHolder]);
+    bench.run(60_000);
+    assert_eq!(bench.ordered(), ["desk-1"]);
+}
+
+// Two of three endpoints are ordered to other roles at once; the pool's floor is two.
+// The second drain waits until the first endpoint is back, so callers always find two.
+#[test]
+fn drains_never_take_a_pool_below_its_floor() {
+    let mut bench = OrderBench::new(true);
+    bench.want("desk-1", to_booking());
+    bench.want("desk-2", to_booking());
+    bench.run(20_000);
+    assert_eq!(bench.drained, ["desk-1".into()]);
+    bench.answer(EngineAnswer::Done);
+    bench.run(4_000);
+    assert_eq!(bench.drained, ["desk-2".into()]);
+}
+
+// The endpoint still runs requests, and a router that has not heard of the drain may send more.
+// The order waits for both; sent earlier, it would cut answers off.
+#[test]
+fn an_order_waits_for_the_work_in_progress() {
+    let mut bench = OrderBench::new(true);
+    bench.want("desk-1", to_booking());
+    bench.run(2_000);
+    assert_eq!(bench.drained, ["desk-1".into()]);
+    assert!(
+        bench.sent.is_empty(),
+        "a router may not have heard of the drain"
+    );
+    bench.report("desk-1", 2);
+    bench.run(10_000);
+    assert!(bench.sent.is_empty());
+    bench.report("desk-1", 0);
+    assert_eq!(bench.ordered(), ["desk-1"]);
+}
+
+// Loads on several engines are wanted at once and a holder dies between them.
+// The weight store sees one load an interval, also across the change of holder.
+#[test]
+fn loads_keep_to_the_rate_of_the_weight_store() {
+    let mut bench = OrderBench::new(true);
+    bench.run(LOAD_INTERVAL_MS);
+    bench.want("desk-1", load());
+    bench.run(4_000);
+    assert_eq!(bench.ordered(), ["desk-1"]);
+    bench.take_over();
+    bench.run(LOAD_INTERVAL_MS - 1_000);
+    assert!(bench.sent.is_empty());
+    bench.run(2_000);
+    bench.answer(EngineAnswer::Unknown);
+    bench.run(20_000);
+    assert_eq!(bench.ordered(), ["desk-1"]);
+    bench.run(20_000);
+    assert_eq!(bench.ordered(), ["desk-1", "desk-1"]);
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod fields;
 pub mod ids;
 pub mod lease_record;
+pub mod order_record;
 pub mod settings;
