feat(coordination): adoption of accepted configurations by routers

A router that restarts, reads a replica that lags or is handed an old copy by a peer could put an older configuration back in force. Adoption takes only what follows the generation in force; a delta over a gap is fetched again. The first generation after a start is no lower than an exact read of the head (a transaction that checks and writes nothing), or, while the table is down, than the highest that the asked peers told. A router with none is not ready.

Weighed: each router polling every second (400 reads a second, a fifth of the table), polls at a share of the whole fleet plus news between peers (taken), and pushes by a leader (one more duty that fails). Changes come from the peer that told of them; fetched from the table by all, they alone cost more than a hundredth of its reads.

--- a/crates/coordination/src/backoff.rs
+++ b/crates/coordination/src/backoff.rs
@@ -57,8 +57,21 @@
     /// ```
     pub fn jitter(&mut self, full: Duration) -> Duration {
         let half = full / 2;
-        let span_us = u64::try_from(half.as_micros()).unwrap_or(u64::MAX);
-        half + Duration::from_micros(self.next_random() % span_us.saturating_add(1))
+        half + self.spread(half)
+    }
+
+    /// Returns a time between zero and `full`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::backoff::Backoff;
+    ///
+    /// let mut backoff = Backoff::new(Duration::ZERO, Duration::ZERO, 7);
+    /// assert!(backoff.spread(Duration::from_secs(2)) <= Duration::from_secs(2));
+    /// ```
+    pub fn spread(&mut self, full: Duration) -> Duration {
+        let span_us = u64::try_from(full.as_micros()).unwrap_or(u64::MAX);
+        Duration::from_micros(self.next_random() % span_us.saturating_add(1))
     }
 
     // SplitMix64.
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod claim_sweep;
 pub mod claims;
 pub mod config_adoption;
+pub mod config_events;
 pub mod endpoint_health;
 pub mod lease;
 pub mod lease_events;
--- a/crates/coordination/tests/common/mod.rs
+++ b/crates/coordination/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod claim_fleet;
+pub mod config_fleet;
 pub mod lease_fleet;
 pub mod order_bench;
 pub mod store;
--- /dev/null
+++ b/crates/coordination/tests/config_fuzz.rs
@@ -0,0 +1,121 @@
+//! Adoption by three routers with stale reads, gaps, lost calls, partitions and restarts.
+//!
+//! The oracle is the list of accepted changes: whatever a router has in force is a prefix of it.
+
+mod common;
+
+use common::config_fleet::ConfigFleet;
+use common::store::Fate;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+use proptest_state_machine::prop_state_machine;
+
+const ROUTERS: usize = 3;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Accept,
+    Deliver { router: usize, fate: Fate },
+    Advance { by_ms: u64 },
+    Cut { a: usize, b: usize },
+    Join { a: usize, b: usize },
+    Restart { router: usize },
+}
+
+/// The number of accepted changes.
+#[derive(Debug, Clone)]
+struct Oracle;
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        6 => Just(Fate::Answered),
+        2 => Just(Fate::AnswerLost),
+        2 => Just(Fate::CallLost),
+        1 => Just(Fate::Refused),
+        3 => (1..4_usize).prop_map(Fate::Stale),
+    ]
+}
+
+impl ReferenceStateMachine for Oracle {
+    type State = usize;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<usize> {
+        Just(0).boxed()
+    }
+
+    fn transitions(_: &usize) -> BoxedStrategy<Step> {
+        let router = 0..ROUTERS;
+        let pair = || (0..ROUTERS, 0..ROUTERS);
+        prop_oneof![
+            3 => Just(Step::Accept),
+            14 => (router.clone(), fate()).prop_map(|(router, fate)| Step::Deliver { router, fate }),
+            5 => prop_oneof![Just(100_u64), Just(700), Just(2_000)]
+                .prop_map(|by_ms| Step::Advance { by_ms }),
+            1 => pair().prop_map(|(a, b)| Step::Cut { a: a.min(b), b: a.max(b) }),
+            1 => pair().prop_map(|(a, b)| Step::Join { a: a.min(b), b: a.max(b) }),
+            1 => router.prop_map(|router| Step::Restart { router }),
+        ]
+        .boxed()
+    }
+
+    fn apply(accepted: usize, step: &Step) -> usize {
+        accepted + usize::from(matches!(step, Step::Accept))
+    }
+}
+
+struct Fleet;
+
+impl StateMachineTest for Fleet {
+    type SystemUnderTest = ConfigFleet;
+    type Reference = Oracle;
+
+    fn init_test(_: &usize) -> ConfigFleet {
+        ConfigFleet::new(ROUTERS)
+    }
+
+    // The fleet itself asserts at each adoption that the document is what was accepted.
+    fn apply(mut fleet: ConfigFleet, _: &usize, step: Step) -> ConfigFleet {
+        match step {
+            Step::Accept => fleet.accept(),
+            Step::Deliver { router, fate } => fleet.deliver(router, fate),
+            Step::Advance { by_ms } => fleet.advance(by_ms),
+            Step::Cut { a, b } => fleet.cut.push((a, b)),
+            Step::Join { a, b } => fleet.cut.retain(|cut| *cut != (a, b)),
+            Step::Restart { router } => fleet.restart(router),
+        }
+        fleet
+    }
+
+    fn check_invariants(fleet: &ConfigFleet, accepted: &usize) {
+        assert_eq!(fleet.accepted.len(), *accepted);
+        for router in &fleet.routers {
+            let generation = router.adoption.current().map_or(0, |g| g.0 as usize);
+            assert_eq!(router.document.len(), generation);
+            assert_eq!(router.ready, generation > 0);
+        }
+    }
+
+    // With everything connected and working, all routers come to the last accepted change.
+    fn teardown(mut fleet: ConfigFleet, _: usize) {
+        fleet.cut.clear();
+        fleet.announce_members();
+        fleet.run(20_000);
+        fleet.check_all_in_force();
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(Config {
+        cases: 600,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn configurations_never_turn_back(sequential 1..150 => Fleet);
+}
