--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,7 +5,12 @@
 //! same inputs always give the same actions.
 
 pub mod clock;
+pub mod cost_estimate;
 pub mod entry;
+pub mod entry_pool;
+pub mod entry_queue;
+pub mod node;
+pub mod refusal;
 
 pub mod claims;
 pub mod config_adoption;
--- /dev/null
+++ b/crates/transport/src/clock.rs
@@ -0,0 +1,39 @@
+//! The process clock.
+
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use sedgeridge_coordination::clock::Clock;
+use sedgeridge_state::ids::Incarnation;
+
+/// Monotonic time since the process started.
+#[derive(Debug, Clone, Copy)]
+pub struct ProcessClock {
+    started: Instant,
+}
+
+impl ProcessClock {
+    /// Starts the clock.
+    pub fn start() -> Self {
+        Self {
+            started: Instant::now(),
+        }
+    }
+}
+
+impl Clock for ProcessClock {
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+}
+
+/// Returns an incarnation above that of every earlier run on this host, as hosts keep nothing that
+/// could count their runs.
+pub fn incarnation_from_wall_clock() -> Incarnation {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Incarnation(since_epoch.as_micros() as u64)
+}
--- /dev/null
+++ b/crates/transport/src/directory.rs
@@ -0,0 +1,95 @@
+//! Looks up accounts by key and services by name, under the configuration in force.
+
+use std::collections::BTreeMap;
+
+use sha2::Digest;
+use sha2::Sha256;
+
+use sedgeridge_state::ids::AccountId;
+use sedgeridge_state::ids::EndpointId;
+use sedgeridge_state::settings::EndpointSettings;
+use sedgeridge_state::settings::PoolKind;
+use sedgeridge_state::settings::ServiceSettings;
+use sedgeridge_state::settings::Settings;
+
+/// Index over a configuration.
+#[derive(Debug, Clone)]
+pub struct Directory {
+    accounts_by_key: BTreeMap<String, AccountId>,
+    services: BTreeMap<String, DirectoryService>,
+    endpoints: BTreeMap<EndpointId, EndpointSettings>,
+    /// The configuration.
+    pub settings: Settings,
+}
+
+/// A service and the kind of its pool.
+#[derive(Debug, Clone)]
+pub struct DirectoryService {
+    /// The service.
+    pub service: ServiceSettings,
+    /// What its endpoints speak.
+    pub kind: PoolKind,
+}
+
+impl Directory {
+    /// Indexes a configuration.
+    pub fn new(settings: Settings) -> Self {
+        let accounts_by_key = settings
+            .accounts
+            .iter()
+            .map(|account| (account.key_sha256.clone(), account.id.clone()))
+            .collect();
+        let kind_of = |service: &ServiceSettings| {
+            let pool = settings.pools.iter().find(|pool| pool.id == service.pool);
+            pool.map(|pool| pool.kind).unwrap_or_default()
+        };
+        let services = settings
+            .services
+            .iter()
+            .map(|service| {
+                let entry = DirectoryService {
+                    service: service.clone(),
+                    kind: kind_of(service),
+                };
+                (service.id.as_str().to_owned(), entry)
+            })
+            .collect();
+        let endpoints = settings
+            .endpoints
+            .iter()
+            .map(|endpoint| (endpoint.id.clone(), endpoint.clone()))
+            .collect();
+        Self {
+            accounts_by_key,
+            services,
+            endpoints,
+            settings,
+        }
+    }
+
+    /// Finds the account that a key belongs to.
+    pub fn account_of_key(&self, key: &str) -> Option<&AccountId> {
+        self.accounts_by_key.get(&key_sha256(key))
+    }
+
+    /// Finds a service.
+    pub fn service(&self, name: &str) -> Option<&DirectoryService> {
+        self.services.get(name)
+    }
+
+    /// Finds an endpoint.
+    pub fn endpoint(&self, id: &EndpointId) -> Option<&EndpointSettings> {
+        self.endpoints.get(id)
+    }
+}
+
+/// Hashes an account key as the configuration holds it.
+///
+/// ```
+/// let hash = sedgeridge_transport::directory::key_sha256("secret");
+/// assert!(hash.starts_with("2bb80d53"));
+/// ```
+pub fn key_sha256(key: &str) -> String {
+    let digest = Sha256::digest(key.as_bytes());
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
--- /dev/null
+++ b/crates/transport/src/event_log.rs
@@ -0,0 +1,91 @@
+//! Numbered log events. docs/EVENTS.md is the catalogue.
+
+use std::fmt;
+use std::sync::Arc;
+
+use spdlog::formatter::PatternFormatter;
+use spdlog::formatter::pattern;
+use spdlog::prelude::*;
+use spdlog::sink::Sink;
+use spdlog::sink::StdStream;
+use spdlog::sink::StdStreamSink;
+
+macro_rules! log_events {
+    ($($(#[doc = $doc:literal])* $name:ident = $code:literal, $label:literal;)*) => {
+        /// Everything that is logged.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+        pub enum LogEvent {
+            $($(#[doc = $doc])* $name,)*
+        }
+
+        impl LogEvent {
+            /// Every event, in order of its number.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// Returns the number, which never changes its meaning.
+            pub fn code(self) -> u16 {
+                match self { $(Self::$name => $code,)* }
+            }
+
+            /// Returns the name.
+            pub fn label(self) -> &'static str {
+                match self { $(Self::$name => $label,)* }
+            }
+
+            /// Returns the explanation.
+            pub fn doc(self) -> &'static str {
+                match self { $(Self::$name => concat!($($doc,)*).trim_ascii(),)* }
+            }
+        }
+    };
+}
+
+log_events! {
+    /// The router has started and listens.
+    RouterStarted = 1001, "router_started";
+    /// The router was told to stop and finishes what runs.
+    StopRequested = 1002, "stop_requested";
+    /// The router has finished what ran and exits.
+    RouterStopped = 1003, "router_stopped";
+    /// A listener failed to accept; the router goes on after a pause.
+    AcceptFailed = 1101, "accept_failed";
+    /// A request was refused or given up.
+    RequestGivenUp = 1201, "request_given_up";
+    /// An attempt failed and the request waits for another one.
+    RequestRetried = 1202, "request_retried";
+}
+
+impl fmt::Display for LogEvent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "E{} {}", self.code(), self.label())
+    }
+}
+
+/// Sends the log to standard error, one event a line: time, level, number, name, `key=value`.
+pub fn start_log() {
+    let formatter = PatternFormatter::new(pattern!(
+        "{date}T{time}.{millisecond} {level} {payload}{eol}"
+    ));
+    let built = StdStreamSink::builder()
+        .std_stream(StdStream::Stderr)
+        .formatter(formatter)
+        .build_arc();
+    let Ok(sink) = built else {
+        return;
+    };
+    let sink: Arc<dyn Sink> = sink;
+    if let Ok(logger) = Logger::builder().sink(sink).build_arc() {
+        logger.set_flush_level_filter(LevelFilter::All);
+        spdlog::set_default_logger(logger);
+    }
+}
+
+/// Logs an event that needs nobody's attention.
+pub fn log_info(event: LogEvent, fields: impl fmt::Display) {
+    info!("{event} {fields}");
+}
+
+/// Logs an event that somebody may want to look at.
+pub fn log_warn(event: LogEvent, fields: impl fmt::Display) {
+    warn!("{event} {fields}");
+}
--- /dev/null
+++ b/crates/transport/src/front.rs
@@ -0,0 +1,319 @@
+//! The front: takes callers' requests and gives them their answers.
+//!
+//! It runs in one thread on a current-thread runtime, so that a caller who sends half a header or
+//! reads slowly costs a socket and a little memory, not a thread.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener as StdListener;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::SyncSender;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use http::request::Parts;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use metrics::counter;
+use sedgeridge_coordination::clock::Clock;
+use sedgeridge_coordination::entry::RequestKey;
+use sedgeridge_coordination::refusal::Outcome;
+use sedgeridge_coordination::refusal::RefusalReason;
+use sedgeridge_protocol::headers;
+use sedgeridge_state::ids::Member;
+use sedgeridge_state::settings::millis;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use crate::answer::ANSWER_RING_LEN;
+use crate::answer::AnswerPart;
+use crate::answer::AnswerReceiver;
+use crate::answer::GivenUp;
+use crate::core::CoreInput;
+use crate::core::NewRequest;
+use crate::directory::Directory;
+use crate::event_log::LogEvent;
+use crate::event_log::log_warn;
+use crate::front_body::FrontBody;
+use crate::front_request::BadRequest;
+use crate::front_request::Caller;
+use crate::front_request::accept;
+use crate::front_request::identify;
+
+/// Pause after a failed accept, for instance when no file descriptor is free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Longest time for open connections to finish after the core has answered every request.
+const LAST_BYTES_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// What the front needs from the rest of the router.
+#[derive(Debug)]
+pub struct Front<C> {
+    /// The process clock.
+    pub clock: C,
+    /// This router run.
+    pub member: Member,
+    /// The configuration in force.
+    pub directory: Arc<Directory>,
+    /// Ring to the core.
+    pub core: SyncSender<CoreInput>,
+    /// Number of requests so far, which also names them.
+    pub next_request: AtomicU64,
+}
+
+impl<C: Clock + Send + Sync + 'static> Front<C> {
+    /// Serves callers until `stop` turns true, then lets open connections finish.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the runtime or the listener cannot be set up.
+    pub fn run(self, address: SocketAddr, stop: watch::Receiver<bool>) -> io::Result<()> {
+        let listener = StdListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        runtime.block_on(serve(Arc::new(self), listener, stop))
+    }
+}
+
+async fn serve<C: Clock + Send + Sync + 'static>(
+    front: Arc<Front<C>>,
+    listener: StdListener,
+    mut stop: watch::Receiver<bool>,
+) -> io::Result<()> {
+    let listener = TcpListener::from_std(listener)?;
+    let max_connections = front.directory.settings.front.max_connections;
+    let permits = Arc::new(Semaphore::new(max_connections as usize));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => break,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log_warn(LogEvent::AcceptFailed, format_args!("error={error:?}"));
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            counter!("sedgeridge_refusals_total", "reason" => "too_many_connections").increment(1);
+            continue;
+        };
+        let front = Arc::clone(&front);
+        let stop = stop.clone();
+        tokio::spawn(async move {
+            connection(front, stream, stop).await;
+            drop(permit);
+        });
+    }
+    drop(listener);
+    // Every request has its final answer queued by now or gets it from the core, which is still
+    // running; connections close when the last byte is out.
+    let all = permits.acquire_many(max_connections);
+    let _ = tokio::time::timeout(front.shutdown_timeout(), all).await;
+    Ok(())
+}
+
+async fn connection<C: Clock + Send + Sync + 'static>(
+    front: Arc<Front<C>>,
+    stream: TcpStream,
+    mut stop: watch::Receiver<bool>,
+) {
+    let _ = stream.set_nodelay(true);
+    let header_timeout = millis(front.directory.settings.front.header_timeout_ms);
+    let service = service_fn(move |request: http::Request<Incoming>| {
+        let front = Arc::clone(&front);
+        async move { Ok::<_, Infallible>(front.request(request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(header_timeout)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let stopped = tokio::select! {
+        _ = connection.as_mut() => false,
+        _ = stop.wait_for(|stop| *stop) => true,
+    };
+    if stopped {
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
+    }
+}
+
+impl<C: Clock> Front<C> {
+    fn shutdown_timeout(&self) -> Duration {
+        millis(self.directory.settings.front.max_deadline_ms) + LAST_BYTES_TIMEOUT
+    }
+
+    async fn request(&self, request: http::Request<Incoming>) -> Response<FrontBody> {
+        let key = RequestKey(self.next_request.fetch_add(1, Ordering::Relaxed));
+        let Member { host, incarnation } = &self.member;
+        let fallback_id = format!("{host}-{}-{}", incarnation.0, key.0);
+        let (parts, body) = request.into_parts();
+        let caller = match identify(&parts, &self.directory, &fallback_id) {
+            Ok(caller) => caller,
+            Err(bad) => return self.refuse_bad(&fallback_id, bad),
+        };
+        let request_id = caller.request_id.as_str().to_owned();
+        match self.queue(key, &parts, body, caller).await {
+            Ok(answer) => self.answer(key, &request_id, answer).await,
+            Err(bad) => self.refuse_bad(&request_id, bad),
+        }
+    }
+
+    async fn queue(
+        &self,
+        key: RequestKey,
+        parts: &Parts,
+        body: Incoming,
+        caller: Caller,
+    ) -> Result<AnswerReceiver, BadRequest> {
+        let body = self.read_body(body).await?;
+        let now = self.clock.now();
+        let accepted = accept(parts, body, caller, &self.directory, key, now)?;
+        let (sender, receiver) = mpsc::channel(ANSWER_RING_LEN);
+        let arrived = CoreInput::Arrived(Box::new(NewRequest {
+            arrival: accepted.arrival,
+            call: accepted.call,
+            answer: sender,
+        }));
+        self.core.try_send(arrived).map_err(|_| BadRequest {
+            reason: RefusalReason::QueueFull,
+            detail: "the router's ring of new requests is full".to_owned(),
+        })?;
+        Ok(receiver)
+    }
+
+    async fn read_body(&self, body: Incoming) -> Result<Bytes, BadRequest> {
+        let limits = &self.directory.settings.front;
+        let limited = Limited::new(body, limits.max_body_bytes as usize);
+        let body_timeout = millis(limits.header_timeout_ms);
+        let read = tokio::time::timeout(body_timeout, limited.collect()).await;
+        let Ok(read) = read else {
+            let detail = format!("the body took longer than {} ms", limits.header_timeout_ms);
+            return Err(BadRequest {
+                reason: RefusalReason::BodyTimeout,
+                detail,
+            });
+        };
+        match read {
+            Ok(body) => Ok(body.to_bytes()),
+            Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(BadRequest {
+                reason: RefusalReason::BodyTooLarge,
+                detail: format!("at most {} bytes are accepted", limits.max_body_bytes),
+            }),
+            Err(error) => Err(BadRequest {
+                reason: RefusalReason::BadRequest,
+                detail: format!("body: {error}"),
+            }),
+        }
+    }
+
+    async fn answer(
+        &self,
+        key: RequestKey,
+        request_id: &str,
+        mut answer: AnswerReceiver,
+    ) -> Response<FrontBody> {
+        let mut guard = CallerGuard {
+            key,
+            core: &self.core,
+            waiting: true,
+        };
+        let first = answer.recv().await;
+        guard.waiting = false;
+        match first {
+            Some(AnswerPart::Head {
+                status,
+                content_type,
+                attempt,
+            }) => {
+                counter!("sedgeridge_answers_total").increment(1);
+                let response = Response::builder()
+                    .status(status)
+                    .header(http::header::CONTENT_TYPE, content_type)
+                    .header(headers::REQUEST_ID, request_id)
+                    .header(headers::ATTEMPT_ID, attempt)
+                    .header(headers::OUTCOME, Outcome::Ran.as_str())
+                    .body(FrontBody::Parts(Some(answer)));
+                response.expect("status and headers came from a valid answer")
+            }
+            Some(AnswerPart::GivenUp(given_up)) => refusal(request_id, &given_up),
+            Some(AnswerPart::Chunk(_) | AnswerPart::End) | None => refusal(
+                request_id,
+                &GivenUp {
+                    reason: RefusalReason::EndpointFailed,
+                    outcome: Outcome::Unknown,
+                    retry_after: None,
+                    detail: "the router lost track of this request".to_owned(),
+                },
+            ),
+        }
+    }
+
+    fn refuse_bad(&self, request_id: &str, bad: BadRequest) -> Response<FrontBody> {
+        let reason = bad.reason.as_str();
+        counter!("sedgeridge_refusals_total", "reason" => reason).increment(1);
+        let given_up = GivenUp {
+            reason: bad.reason,
+            outcome: Outcome::NotRun,
+            retry_after: bad
+                .reason
+                .worth_retrying()
+                .then_some(Duration::from_secs(1)),
+            detail: bad.detail,
+        };
+        refusal(request_id, &given_up)
+    }
+}
+
+/// Tells the core when a caller goes away before its answer began. Without it, requests that
+/// nobody waits for would fill the queue and run on endpoints.
+struct CallerGuard<'a> {
+    key: RequestKey,
+    core: &'a SyncSender<CoreInput>,
+    waiting: bool,
+}
+
+impl Drop for CallerGuard<'_> {
+    fn drop(&mut self) {
+        if self.waiting {
+            // On a full ring the request stays until its deadline, which bounds the loss.
+            let _ = self.core.try_send(CoreInput::CallerGone { key: self.key });
+        }
+    }
+}
+
+fn refusal(request_id: &str, given_up: &GivenUp) -> Response<FrontBody> {
+    let reason = given_up.reason.as_str();
+    let outcome = given_up.outcome.as_str();
+    let error = serde_json::json!({
+        "error": { "type": reason, "message": given_up.detail, "outcome": outcome }
+    });
+    let mut response = Response::builder()
+        .status(given_up.reason.status())
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .header(headers::REQUEST_ID, request_id)
+        .header(headers::OUTCOME, outcome)
+        .header(headers::REASON, reason);
+    if let Some(retry_after) = given_up.retry_after {
+        let seconds = retry_after.as_secs_f64().ceil().max(1.0) as u64;
+        response = response.header(http::header::RETRY_AFTER, seconds);
+    }
+    let body = FrontBody::Whole(Some(Bytes::from(error.to_string())));
+    response.body(body).expect("refusal headers are valid")
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,1 +1,19 @@
+//! Sockets, threads, logs and metrics around the decisions of the `sedgeridge-coordination` crate.
+//!
+//! Each duty has a thread of its own, and bounded rings join them: `front` (callers), `core`
+//! (decisions), `endpoint workers` (one attempt each) and `operator` (pages and metrics).
 
+pub mod answer;
+pub mod call;
+pub mod clock;
+pub mod core;
+pub mod directory;
+pub mod endpoint_call;
+pub mod endpoint_workers;
+pub mod event_log;
+pub mod front;
+pub mod front_body;
+pub mod front_request;
+pub mod operator;
+pub mod status;
+pub mod stop_signal;
--- /dev/null
+++ b/crates/transport/src/status.rs
@@ -0,0 +1,39 @@
+//! What the core publishes for operator pages.
+
+use std::sync::Arc;
+use std::sync::RwLock;
+
+/// A router's state as last published.
+#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize)]
+pub struct RouterStatus {
+    /// The host.
+    pub host: String,
+    /// Which run of the host this is.
+    pub incarnation: u64,
+    /// Whether new requests are welcome.
+    pub ready: bool,
+    /// Whether the router is stopping.
+    pub stopping: bool,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that run.
+    pub running: u64,
+}
+
+/// Shared place of the last published status.
+#[derive(Debug, Clone, Default)]
+pub struct StatusBoard {
+    status: Arc<RwLock<RouterStatus>>,
+}
+
+impl StatusBoard {
+    /// Replaces the status.
+    pub fn publish(&self, status: RouterStatus) {
+        *self.status.write().expect("no writer panics") = status;
+    }
+
+    /// Copies the status.
+    pub fn read(&self) -> RouterStatus {
+        self.status.read().expect("no writer panics").clone()
+    }
+}
