feat(state): load settings from a base file, an overlay and overrides

The routers need checked settings before anything starts. A schema held as data gives parsing, checks and the reference page; a load returns typed settings or every finding with file, line, key, what was expected and a hint.

rust-ini keeps no line numbers and stops at the first syntax error, so it parses one line at a time. Weighed: a whole-file parse with a scan for the line of a key (two parsers that may disagree), and a parser of our own.

An overlay sets only what may differ at a site (front limits, addresses, connection and stream timeouts) and adds no named section; the rest holds everywhere. Overrides may set every key.

--- a/crates/state/src/settings.rs
+++ b/crates/state/src/settings.rs
@@ -3,15 +3,38 @@
 //! [`Settings`] is plain data with defaults. Reading, merging and checking the INI files is the
 //! work of the loader, which accepts a file as a whole or refuses it with every error found.
 
+mod assemble;
+mod checks;
+pub mod error;
+mod layers;
+mod lines;
+mod load;
+mod nearest;
+pub mod overrides;
+pub mod reference;
+pub mod schema;
+mod topology;
+mod value;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::ids::AccountId;
-use crate::ids::EndpointId;
-use crate::ids::HostId;
-use crate::ids::PoolId;
-use crate::ids::ServiceId;
-use crate::ids::SiteId;
+pub use error::Problem;
+pub use error::SettingsError;
+pub use load::Layers;
+pub use load::Source;
+pub use load::load;
+pub use load::load_layers;
+pub use overrides::Override;
+pub use overrides::OverrideError;
+pub use topology::AccountSettings;
+pub use topology::EndpointSettings;
+pub use topology::HostSettings;
+pub use topology::PoolKind;
+pub use topology::PoolSettings;
+pub use topology::RequestClass;
+pub use topology::ServiceSettings;
+pub use topology::SiteSettings;
 
 /// Everything that one site's processes need to know, merged and checked.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -229,7 +252,7 @@
 }
 
 /// Section `[platform]`: addresses of the platform's services.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct PlatformSettings {
     /// The transactional table service.
     pub table_address: Option<SocketAddr>,
@@ -243,107 +266,16 @@
     pub call_timeout_ms: u64,
 }
 
-/// Section `[site.NAME]`: a data centre.
-#[derive(Debug, Clone, PartialEq)]
-pub struct SiteSettings {
-    /// Name of the site.
-    pub id: SiteId,
-    /// Region the site lies in.
-    pub region: String,
-}
-
-/// Section `[host.NAME]`: a host that runs one router.
-#[derive(Debug, Clone, PartialEq)]
-pub struct HostSettings {
-    /// Name of the host.
-    pub id: HostId,
-    /// Site it stands in.
-    pub site: SiteId,
-    /// Where callers connect.
-    pub caller_address: SocketAddr,
-    /// Where other routers connect.
-    pub peer_address: SocketAddr,
-    /// Where operators and metric collectors connect.
-    pub operator_address: SocketAddr,
-}
-
-/// Section `[pool.NAME]`: endpoints that share the same work.
-#[derive(Debug, Clone, PartialEq)]
-pub struct PoolSettings {
-    /// Name of the pool.
-    pub id: PoolId,
-    /// What its endpoints speak.
-    pub kind: PoolKind,
-    /// Fewest endpoints that orders must leave serving.
-    pub floor: u32,
-}
-
-/// What the endpoints of a pool speak.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum PoolKind {
-    /// Model engines: the chat-completions form.
-    #[default]
-    Model,
-    /// Plain HTTP services.
-    Plain,
-}
-
-/// Rank of a service within one client account: interactive work goes before deferred work.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum RequestClass {
-    /// Somebody waits for it.
-    #[default]
-    Interactive,
-    /// It may wait.
-    Deferred,
-}
-
-/// Section `[service.NAME]`: what callers address.
-///
-/// Callers name a model service in the request's `model` field, and a plain service by the path
-/// `/services/NAME/...`.
-#[derive(Debug, Clone, PartialEq)]
-pub struct ServiceSettings {
-    /// Name of the service.
-    pub id: ServiceId,
-    /// Pool that runs it.
-    pub pool: PoolId,
-    /// Whether a request may run more than once.
-    pub repeatable: bool,
-    /// Rank within one client account.
-    pub class: RequestClass,
-}
-
-/// Section `[endpoint.NAME]`: one model engine or plain service process.
-#[derive(Debug, Clone, PartialEq)]
-pub struct EndpointSettings {
-    /// Name of the endpoint.
-    pub id: EndpointId,
-    /// Pool it belongs to.
-    pub pool: PoolId,
-    /// Site it stands in.
-    pub site: SiteId,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Requests it may run at once.
-    pub slots: u32,
-    /// Whether it refuses orders with an old fencing number.
-    pub checks_fencing: bool,
-}
-
-/// Section `[account.NAME]`: a client account.
-#[derive(Debug, Clone, PartialEq)]
-pub struct AccountSettings {
-    /// Name of the account.
-    pub id: AccountId,
-    /// Share relative to other accounts.
-    pub weight: u32,
-    /// SHA-256 of the account's key, in lower-case hexadecimal.
-    pub key_sha256: String,
-    /// Most requests in progress at once across the fleet; 0 means no ceiling.
-    pub max_in_progress: u32,
-    /// Most requests started a second across the fleet; 0 means no ceiling.
-    pub max_requests_per_s: u32,
+impl Default for PlatformSettings {
+    fn default() -> Self {
+        Self {
+            table_address: None,
+            object_address: None,
+            host_list_address: None,
+            weight_store_address: None,
+            call_timeout_ms: 1_000,
+        }
+    }
 }
 
 impl Settings {
--- /dev/null
+++ b/crates/state/src/settings/overrides.rs
@@ -0,0 +1,53 @@
+//! Overrides from the command line: the third layer, above base file and overlay.
+
+use std::sync::Arc;
+
+use thiserror::Error;
+
+/// File name under which findings in overrides are reported.
+pub const OVERRIDE_FILE: &str = "--set";
+
+/// One `--set section.key=value`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Override {
+    /// Section, with its name if it has one: `front`, `account.crew-07`.
+    pub section: Arc<str>,
+    /// Key.
+    pub key: Arc<str>,
+    /// Value, as it would stand in a file.
+    pub value: Arc<str>,
+}
+
+/// An override that is not of the form `section.key=value`.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("--set: expected `section.key=value`, found `{found}`")]
+pub struct OverrideError {
+    /// The argument.
+    pub found: String,
+}
+
+impl Override {
+    /// Parses the argument of `--set`. The last dot before `=` ends the section.
+    ///
+    /// ```
+    /// use sedgeridge_state::settings::Override;
+    /// let parsed = Override::parse("account.crew-07.weight=3").unwrap();
+    /// assert_eq!(&*parsed.section, "account.crew-07");
+    /// assert_eq!(&*parsed.key, "weight");
+    /// ```
+    pub fn parse(argument: &str) -> Result<Self, OverrideError> {
+        let parts = argument
+            .split_once('=')
+            .and_then(|(path, value)| Some((path.trim().rsplit_once('.')?, value.trim())));
+        match parts {
+            Some(((section, key), value)) if !section.is_empty() && !key.is_empty() => Ok(Self {
+                section: section.into(),
+                key: key.into(),
+                value: value.into(),
+            }),
+            _ => Err(OverrideError {
+                found: argument.to_owned(),
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/settings/schema/general.rs
@@ -0,0 +1,317 @@
+//! Schema of the sections that stand once.
+
+use super::Fallback::Mandatory;
+use super::Fallback::Unset;
+use super::Fallback::Value;
+use super::Scope::Fleet;
+use super::Scope::Site;
+use super::SectionSchema;
+use super::Unit::Bytes;
+use super::Unit::Count;
+use super::Unit::Milliseconds;
+use super::Unit::Percent;
+use super::ValueKind::Address;
+use super::ValueKind::Choice;
+use super::ValueKind::Name;
+use super::key;
+use super::whole;
+
+/// Schema of `[fleet]`.
+pub(super) const FLEET: SectionSchema = SectionSchema {
+    name: "fleet",
+    named: false,
+    doc: "What names this deployment.",
+    keys: &[key(
+        "name",
+        Name,
+        Mandatory,
+        Fleet,
+        "Name of the deployment, shown on operator pages.",
+    )],
+};
+
+/// Schema of `[front]`.
+pub(super) const FRONT: SectionSchema = SectionSchema {
+    name: "front",
+    named: false,
+    doc: "Limits towards callers.",
+    keys: &[
+        key(
+            "max_body_bytes",
+            whole(Bytes, 1_024, 1_073_741_824),
+            Value("1048576"),
+            Site,
+            "Largest request body that is read.",
+        ),
+        key(
+            "header_timeout_ms",
+            whole(Milliseconds, 10, 600_000),
+            Value("5000"),
+            Site,
+            "Time a caller has to send a whole request head.",
+        ),
+        key(
+            "idle_timeout_ms",
+            whole(Milliseconds, 10, 3_600_000),
+            Value("60000"),
+            Site,
+            "Time an idle kept-alive connection stays open.",
+        ),
+        key(
+            "max_connections",
+            whole(Count, 1, 1_000_000),
+            Value("2048"),
+            Site,
+            "Most open caller connections of one router.",
+        ),
+        key(
+            "max_queue",
+            whole(Count, 1, 1_000_000),
+            Value("4096"),
+            Site,
+            "Most requests that wait in one router.",
+        ),
+        key(
+            "max_queue_per_account",
+            whole(Count, 1, 1_000_000),
+            Value("256"),
+            Site,
+            "Most requests of one client account that wait in one router; at most `max_queue`.",
+        ),
+        key(
+            "default_deadline_ms",
+            whole(Milliseconds, 1, 3_600_000),
+            Value("60000"),
+            Site,
+            "Deadline of a request whose caller names none; at most `max_deadline_ms`.",
+        ),
+        key(
+            "max_deadline_ms",
+            whole(Milliseconds, 1, 3_600_000),
+            Value("600000"),
+            Site,
+            "Latest deadline a caller may ask for.",
+        ),
+    ],
+};
+
+/// Schema of `[fair]`.
+pub(super) const FAIR: SectionSchema = SectionSchema {
+    name: "fair",
+    named: false,
+    doc: "The order between client accounts. The baselines `router`, `fifo` and `random` are for comparison.",
+    keys: &[
+        key(
+            "scope",
+            Choice(&["fleet", "router"]),
+            Value("fleet"),
+            Fleet,
+            "How far the order reaches.",
+        ),
+        key(
+            "order",
+            Choice(&["fair", "fifo"]),
+            Value("fair"),
+            Fleet,
+            "How waiting requests are ordered.",
+        ),
+        key(
+            "endpoint_choice",
+            Choice(&["affinity", "random"]),
+            Value("affinity"),
+            Fleet,
+            "How an endpoint is picked for a request.",
+        ),
+        key(
+            "output_token_factor",
+            whole(Count, 1, 1_000),
+            Value("4"),
+            Fleet,
+            "Weight of one output token against one uncached input token.",
+        ),
+        key(
+            "batch_interval_ms",
+            whole(Milliseconds, 1, 1_000),
+            Value("5"),
+            Fleet,
+            "Longest time peer messages are gathered into one.",
+        ),
+        key(
+            "grant_timeout_ms",
+            whole(Milliseconds, 10, 60_000),
+            Value("1000"),
+            Fleet,
+            "Time after which an unused grant returns to its home.",
+        ),
+    ],
+};
+
+/// Schema of `[retry]`.
+pub(super) const RETRY: SectionSchema = SectionSchema {
+    name: "retry",
+    named: false,
+    doc: "Repeated attempts.",
+    keys: &[
+        key(
+            "max_attempts",
+            whole(Count, 1, 10),
+            Value("3"),
+            Fleet,
+            "Most attempts of one repeatable request.",
+        ),
+        key(
+            "budget_percent",
+            whole(Percent, 0, 100),
+            Value("20"),
+            Fleet,
+            "Retries allowed for each hundred successes.",
+        ),
+        key(
+            "base_backoff_ms",
+            whole(Milliseconds, 1, 10_000),
+            Value("25"),
+            Fleet,
+            "First backoff; it doubles with each attempt and is jittered.",
+        ),
+    ],
+};
+
+/// Schema of `[health]`.
+pub(super) const HEALTH: SectionSchema = SectionSchema {
+    name: "health",
+    named: false,
+    doc: "Endpoints that fail.",
+    keys: &[
+        key(
+            "connect_timeout_ms",
+            whole(Milliseconds, 1, 60_000),
+            Value("500"),
+            Site,
+            "Time to open a connection to an endpoint.",
+        ),
+        key(
+            "stream_idle_timeout_ms",
+            whole(Milliseconds, 10, 600_000),
+            Value("5000"),
+            Site,
+            "Longest silence of an answer in progress.",
+        ),
+        key(
+            "report_interval_ms",
+            whole(Milliseconds, 10, 60_000),
+            Value("250"),
+            Site,
+            "Time between reads of an endpoint's load report.",
+        ),
+        key(
+            "eject_after_failures",
+            whole(Count, 1, 1_000),
+            Value("3"),
+            Fleet,
+            "Failures in a row after which an endpoint is ejected.",
+        ),
+        key(
+            "eject_ms",
+            whole(Milliseconds, 1, 600_000),
+            Value("2000"),
+            Fleet,
+            "First ejection time; it doubles with each further ejection.",
+        ),
+        key(
+            "max_ejected_percent",
+            whole(Percent, 0, 100),
+            Value("50"),
+            Fleet,
+            "Largest share of a pool that may be ejected at once.",
+        ),
+        key(
+            "poison_after_crashes",
+            whole(Count, 1, 100),
+            Value("2"),
+            Fleet,
+            "Distinct endpoints that a request may crash before it is quarantined.",
+        ),
+        key(
+            "poison_quarantine_ms",
+            whole(Milliseconds, 1, 86_400_000),
+            Value("300000"),
+            Fleet,
+            "Time a quarantined request stays refused.",
+        ),
+    ],
+};
+
+/// Schema of `[membership]`.
+pub(super) const MEMBERSHIP: SectionSchema = SectionSchema {
+    name: "membership",
+    named: false,
+    doc: "Heartbeats between routers.",
+    keys: &[
+        key(
+            "probe_interval_ms",
+            whole(Milliseconds, 10, 60_000),
+            Value("500"),
+            Fleet,
+            "Time between two probes by one router.",
+        ),
+        key(
+            "probe_timeout_ms",
+            whole(Milliseconds, 1, 60_000),
+            Value("200"),
+            Fleet,
+            "Time after which an unanswered probe is tried through others; less than `probe_interval_ms`.",
+        ),
+        key(
+            "indirect_probes",
+            whole(Count, 0, 100),
+            Value("3"),
+            Fleet,
+            "Routers asked to probe on one's behalf.",
+        ),
+        key(
+            "suspicion_ms",
+            whole(Milliseconds, 10, 600_000),
+            Value("1500"),
+            Fleet,
+            "Time a suspected router has to refute the suspicion.",
+        ),
+    ],
+};
+
+/// Schema of `[platform]`.
+pub(super) const PLATFORM: SectionSchema = SectionSchema {
+    name: "platform",
+    named: false,
+    doc: "Addresses of the platform's services.",
+    keys: &[
+        key(
+            "table_address",
+            Address,
+            Unset,
+            Site,
+            "The transactional table service.",
+        ),
+        key("object_address", Address, Unset, Site, "The object store."),
+        key(
+            "host_list_address",
+            Address,
+            Unset,
+            Site,
+            "The lagging list of live and leaving hosts.",
+        ),
+        key(
+            "weight_store_address",
+            Address,
+            Unset,
+            Site,
+            "The rate-limited weight store.",
+        ),
+        key(
+            "call_timeout_ms",
+            whole(Milliseconds, 1, 60_000),
+            Value("1000"),
+            Site,
+            "Time allowed for one call.",
+        ),
+    ],
+};
--- /dev/null
+++ b/crates/state/src/settings/value.rs
@@ -0,0 +1,196 @@
+//! Turns the text of one value into a typed value, or says what was expected.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::error::Problem;
+use super::nearest::nearest;
+use super::schema::Unit;
+use super::schema::ValueKind;
+
+/// Longest name of an account, host and so on.
+const MAX_NAME_CHARS: usize = 64;
+/// Hexadecimal digits of a SHA-256 digest.
+const DIGEST_DIGITS: usize = 64;
+
+/// A checked value.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) enum Value {
+    Whole(u64),
+    Flag(bool),
+    Text(Arc<str>),
+    Address(SocketAddr),
+}
+
+/// What is wrong with a value, and a hint.
+pub(super) type Rejection = (Problem, Option<String>);
+
+/// Checks a text against the kind of value its key takes.
+pub(super) fn check_value(kind: &ValueKind, text: &str) -> Result<Value, Rejection> {
+    match kind {
+        ValueKind::Whole { unit, min, max } => check_whole(kind, *unit, *min..=*max, text),
+        ValueKind::Choice(choices) => check_choice(kind, choices, text),
+        ValueKind::Flag => check_flag(kind, text),
+        ValueKind::Name => check_name(text).map(Value::Text),
+        ValueKind::Reference(_) => check_name(text).map(Value::Text),
+        ValueKind::Address => check_address(kind, text),
+        ValueKind::Digest => check_digest(kind, text),
+    }
+}
+
+fn wrong_type(kind: &ValueKind, found: &str) -> Problem {
+    Problem::WrongType {
+        expected: kind.expected(),
+        found: found.to_owned(),
+    }
+}
+
+fn check_whole(
+    kind: &ValueKind,
+    unit: Unit,
+    range: std::ops::RangeInclusive<u64>,
+    text: &str,
+) -> Result<Value, Rejection> {
+    let Ok(number) = text.parse::<u64>() else {
+        return Err(reject_number(kind, unit, text));
+    };
+    if !range.contains(&number) {
+        let nearest = number.clamp(*range.start(), *range.end());
+        let problem = Problem::OutOfRange {
+            expected: kind.expected(),
+            found: text.to_owned(),
+        };
+        return Err((
+            problem,
+            Some(format!("the nearest accepted value is {nearest}")),
+        ));
+    }
+    Ok(Value::Whole(number))
+}
+
+fn reject_number(kind: &ValueKind, unit: Unit, text: &str) -> Rejection {
+    if let Some(hint) = comment_hint(text) {
+        return (wrong_type(kind, text), Some(hint));
+    }
+    let plain: String = text.chars().filter(|c| !"_,' ".contains(*c)).collect();
+    let digits_end = plain
+        .find(|c: char| !c.is_ascii_digit() && c != '.')
+        .unwrap_or(plain.len());
+    let (number, suffix) = plain.split_at(digits_end);
+    let amount = number.parse::<f64>().ok();
+    let converted = amount
+        .zip(unit.factor(suffix))
+        .map(|(amount, factor)| amount * factor)
+        .filter(|converted| converted.fract() == 0.0)
+        .map(|converted| format!("write {converted}"));
+    let carries_unit = amount.is_some() && !suffix.is_empty();
+    if !carries_unit {
+        return (wrong_type(kind, text), converted);
+    }
+    let problem = Problem::WrongUnit {
+        expected: kind.expected(),
+        found: text.to_owned(),
+    };
+    (
+        problem,
+        converted.or_else(|| Some("the key names the unit; write the number alone".into())),
+    )
+}
+
+/// Explains a value that ends in what was meant as a comment.
+fn comment_hint(text: &str) -> Option<String> {
+    let has_comment = text.contains(" #") || text.contains(" ;");
+    has_comment.then(|| "a comment needs a line of its own".to_owned())
+}
+
+fn check_choice(
+    kind: &ValueKind,
+    choices: &'static [&'static str],
+    text: &str,
+) -> Result<Value, Rejection> {
+    if choices.contains(&text) {
+        return Ok(Value::Text(text.into()));
+    }
+    let lower = text.to_ascii_lowercase();
+    let hint = nearest(&lower, choices.iter().copied()).map(did_you_mean);
+    Err((wrong_type(kind, text), hint.or_else(|| comment_hint(text))))
+}
+
+fn check_flag(kind: &ValueKind, text: &str) -> Result<Value, Rejection> {
+    match text {
+        "yes" | "true" => Ok(Value::Flag(true)),
+        "no" | "false" => Ok(Value::Flag(false)),
+        _ => {
+            let hint = match text.to_ascii_lowercase().as_str() {
+                "1" | "on" | "y" | "yes" | "true" => Some("write yes".to_owned()),
+                "0" | "off" | "n" | "no" | "false" => Some("write no".to_owned()),
+                _ => comment_hint(text),
+            };
+            Err((wrong_type(kind, text), hint))
+        }
+    }
+}
+
+/// Checks the name of a section, or of what a value refers to.
+pub(super) fn check_name(text: &str) -> Result<Arc<str>, Rejection> {
+    let starts_well = text.starts_with(|c: char| c.is_ascii_alphanumeric());
+    let accepted = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
+    if starts_well && text.len() <= MAX_NAME_CHARS && text.chars().all(accepted) {
+        return Ok(text.into());
+    }
+    let stray = text.chars().find(|c| !accepted(*c));
+    let hint = match stray {
+        Some(stray) => Some(format!("`{stray}` is not accepted in a name")),
+        None if text.is_empty() => Some("the name is empty".to_owned()),
+        None => None,
+    };
+    let problem = Problem::BadName {
+        expected: ValueKind::Name.expected(),
+        found: text.to_owned(),
+    };
+    Err((problem, hint))
+}
+
+fn check_address(kind: &ValueKind, text: &str) -> Result<Value, Rejection> {
+    match text.parse::<SocketAddr>() {
+        Ok(address) if address.port() == 0 => Err((
+            wrong_type(kind, text),
+            Some("port 0 names no port; others must know where to connect".to_owned()),
+        )),
+        Ok(address) if address.ip().is_unspecified() => Err((
+            wrong_type(kind, text),
+            Some("write the address that others connect to".to_owned()),
+        )),
+        Ok(address) => Ok(Value::Address(address)),
+        Err(_) => {
+            let hint = if text.parse::<std::net::IpAddr>().is_ok() {
+                "add the port, as in 127.0.0.1:8080"
+            } else {
+                "host names are not looked up; write an IP number and a port"
+            };
+            Err((wrong_type(kind, text), Some(hint.to_owned())))
+        }
+    }
+}
+
+fn check_digest(kind: &ValueKind, text: &str) -> Result<Value, Rejection> {
+    let lower_hex = |c: char| c.is_ascii_digit() || ('a'..='f').contains(&c);
+    if text.len() == DIGEST_DIGITS && text.chars().all(lower_hex) {
+        return Ok(Value::Text(text.into()));
+    }
+    let is_hex = text.chars().all(|c| c.is_ascii_hexdigit());
+    let hint = if !is_hex {
+        "give the SHA-256 of the key, never the key itself".to_owned()
+    } else if text.len() == DIGEST_DIGITS {
+        "write the digits in lower case".to_owned()
+    } else {
+        format!("{} digits were found", text.len())
+    };
+    // The text may be the key itself, which must not reach a terminal or a log.
+    Err((wrong_type(kind, "(not shown)"), Some(hint)))
+}
+
+/// Words the hint that offers a known name.
+pub(super) fn did_you_mean(name: &str) -> String {
+    format!("did you mean `{name}`?")
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,1 +1,1 @@
-
+pub mod settings_files;
