--- a/crates/transport/src/front.rs
+++ b/crates/transport/src/front.rs
@@ -11,6 +11,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::TrySendError;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -191,11 +192,17 @@
             call: accepted.call,
             answer: sender,
         }));
-        self.core.try_send(arrived).map_err(|_| BadRequest {
-            reason: RefusalReason::QueueFull,
-            detail: "the router's ring of new requests is full".to_owned(),
-        })?;
-        Ok(receiver)
+        match self.core.try_send(arrived) {
+            Ok(()) => Ok(receiver),
+            Err(TrySendError::Full(_)) => Err(BadRequest {
+                reason: RefusalReason::QueueFull,
+                detail: "the router's ring of new requests is full".to_owned(),
+            }),
+            Err(TrySendError::Disconnected(_)) => Err(BadRequest {
+                reason: RefusalReason::Draining,
+                detail: "the router is stopping".to_owned(),
+            }),
+        }
     }
 
     async fn read_body(&self, body: Incoming) -> Result<Bytes, BadRequest> {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod front_body;
 pub mod front_request;
 pub mod operator;
+pub mod settings_files;
 pub mod status;
 pub mod stop_signal;
