--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -7,6 +7,7 @@
 
 use sedgeridge_state::ids::AccountId;
 use sedgeridge_state::ids::EndpointId;
+use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Member;
 use sedgeridge_state::ids::PoolId;
 use sedgeridge_state::settings::FrontSettings;
@@ -88,6 +89,11 @@
         /// The pool.
         pool: PoolId,
     },
+    /// Messages to a home were lost: it is told everything again.
+    HomeResync {
+        /// The host of the home.
+        host: HostId,
+    },
     /// A pool has another home now; `None` while there is none.
     HomeChanged {
         /// The pool.
@@ -230,6 +236,13 @@
             EntryEvent::Arrived(arrival) => self.arrived(arrival, actions),
             EntryEvent::Granted(grant) => self.granted(&grant, actions),
             EntryEvent::FullReportWanted { pool } => self.pool(&pool).want_full(),
+            EntryEvent::HomeResync { host } => {
+                let homed = self
+                    .pools
+                    .values_mut()
+                    .filter(|pool| pool.is_homed_on(&host));
+                homed.for_each(EntryPool::want_full);
+            }
             EntryEvent::HomeChanged { pool, home } => self.pool(&pool).set_home(home),
             EntryEvent::AttemptEnded { attempt, end } => {
                 self.attempt_ended(now, attempt, end, actions);
--- a/crates/coordination/src/entry_pool.rs
+++ b/crates/coordination/src/entry_pool.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 
 use sedgeridge_state::ids::AccountId;
+use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Member;
 use sedgeridge_state::ids::PoolId;
 use sedgeridge_state::settings::RequestClass;
@@ -69,6 +70,11 @@
         }
     }
 
+    /// Tells whether the pool's home stands on a host.
+    pub fn is_homed_on(&self, host: &HostId) -> bool {
+        self.home.as_ref().is_some_and(|home| home.host == *host)
+    }
+
     /// Makes the next report a full one.
     pub fn want_full(&mut self) {
         self.full_wanted = true;
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Member;
 use sedgeridge_state::ids::PoolId;
 use sedgeridge_state::settings::FairScope;
@@ -45,6 +46,11 @@
         /// The message.
         message: PeerMessage,
     },
+    /// Messages to another router were lost.
+    PeerReset {
+        /// The other router.
+        host: HostId,
+    },
     /// Time passed.
     Tick,
 }
@@ -102,6 +108,10 @@
             NodeEvent::Peer { from, message } => {
                 self.peer(now, &from, message, &mut entry_actions, actions);
             }
+            NodeEvent::PeerReset { host } => {
+                let event = EntryEvent::HomeResync { host };
+                self.entry.handle(now, event, &mut entry_actions);
+            }
             NodeEvent::Tick => {
                 self.entry.handle(now, EntryEvent::Tick, &mut entry_actions);
                 self.tick_homes(now, &mut entry_actions, actions);
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod chat;
 pub mod engine;
 pub mod headers;
+pub mod peer;
 pub mod table;
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -1,11 +1,14 @@
 //! Starts the router's threads and waits for their end.
 
+use std::collections::BTreeMap;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::mpsc::sync_channel;
 use std::thread;
 
+use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Member;
 use sedgeridge_state::settings::HostSettings;
 use sedgeridge_state::settings::Override;
@@ -21,8 +24,12 @@
 use sedgeridge_transport::event_log::log_info;
 use sedgeridge_transport::event_log::start_log;
 use sedgeridge_transport::front::Front;
+use sedgeridge_transport::front::bind;
 use sedgeridge_transport::operator::serve_operator_pages;
 use sedgeridge_transport::operator::start_metrics;
+use sedgeridge_transport::peers::PeerSockets;
+use sedgeridge_transport::peers::Peers;
+use sedgeridge_transport::peers::peer_ring;
 use sedgeridge_transport::settings_files::ReadSettingsError;
 use sedgeridge_transport::settings_files::read_settings;
 use sedgeridge_transport::status::StatusBoard;
@@ -100,10 +107,20 @@
         core: inputs.clone(),
         next_request: AtomicU64::new(0),
     };
-    let caller_address = host.caller_address;
+    let listener = bind(host.caller_address)?;
+    let peers = Peers {
+        member: member.clone(),
+        addresses: peer_addresses(&directory.settings, host),
+        core: inputs.clone(),
+    };
+    let sockets = PeerSockets::bind(host.peer_address)?;
+    let (peer_sender, peer_outbox) = peer_ring();
+    thread::Builder::new()
+        .name("peers".into())
+        .spawn(move || peers.run(sockets, peer_outbox))?;
     let front = thread::Builder::new()
         .name("front".into())
-        .spawn(move || front.run(caller_address, front_stops))?;
+        .spawn(move || front.run(listener, front_stops))?;
     let on_stop = inputs.clone();
     on_stop_signal(move || {
         let _ = on_stop.send(CoreInput::Stop);
@@ -115,7 +132,7 @@
             member.host, member.incarnation.0, host.caller_address
         ),
     );
-    let core = Core::new(clock, member, directory, inputs, status);
+    let core = Core::new(clock, member, directory, inputs, peer_sender, status);
     let core = thread::Builder::new()
         .name("core".into())
         .spawn(move || core.run(&inbox))?;
@@ -127,3 +144,10 @@
     log_info(LogEvent::RouterStopped, "");
     Ok(())
 }
+
+fn peer_addresses(settings: &Settings, own: &HostSettings) -> BTreeMap<HostId, SocketAddr> {
+    let others = settings.hosts.iter().filter(|host| host.id != own.id);
+    others
+        .map(|host| (host.id.clone(), host.peer_address))
+        .collect()
+}
--- a/crates/transport/src/core.rs
+++ b/crates/transport/src/core.rs
@@ -19,8 +19,11 @@
 use sedgeridge_coordination::node::Node;
 use sedgeridge_coordination::node::NodeAction;
 use sedgeridge_coordination::node::NodeEvent;
+use sedgeridge_coordination::node::PeerMessage;
+use sedgeridge_protocol::peer::encode;
 use sedgeridge_state::ids::AttemptId;
 use sedgeridge_state::ids::EndpointId;
+use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Member;
 
 use crate::answer::AnswerPart;
@@ -34,6 +37,9 @@
 use crate::endpoint_workers::WorkerId;
 use crate::event_log::LogEvent;
 use crate::event_log::log_info;
+use crate::peers::PeerOut;
+use crate::peers::PeerPayload;
+use crate::peers::PeerSender;
 use crate::status::RouterStatus;
 use crate::status::StatusBoard;
 
@@ -72,6 +78,23 @@
         /// The worker, idle now.
         worker: WorkerId,
     },
+    /// Another router sent a message.
+    Peer {
+        /// The sender.
+        from: Member,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Messages to another router were lost.
+    PeerReset {
+        /// The other router.
+        host: HostId,
+    },
+    /// Another router sent a datagram.
+    Datagram {
+        /// Its bytes.
+        bytes: Vec<u8>,
+    },
     /// The process was told to stop.
     Stop,
 }
@@ -94,6 +117,7 @@
     workers: EndpointWorkers,
     pending: BTreeMap<RequestKey, Pending>,
     running: BTreeMap<AttemptKey, RequestKey>,
+    peers: PeerSender,
     status: StatusBoard,
     stopping: bool,
 }
@@ -105,6 +129,7 @@
         member: Member,
         directory: Arc<Directory>,
         inputs: SyncSender<CoreInput>,
+        peers: PeerSender,
         status: StatusBoard,
     ) -> Self {
         let clients = EndpointClients::new(&directory.settings.health);
@@ -116,6 +141,7 @@
             workers: EndpointWorkers::new(clients, inputs),
             pending: BTreeMap::new(),
             running: BTreeMap::new(),
+            peers,
             status,
             stopping: false,
         }
@@ -173,6 +199,9 @@
                 self.workers.idle(worker);
                 self.attempt_ended(attempt, end);
             }
+            CoreInput::Peer { from, message } => self.event(NodeEvent::Peer { from, message }),
+            CoreInput::PeerReset { host } => self.event(NodeEvent::PeerReset { host }),
+            CoreInput::Datagram { bytes: _ } => {}
             CoreInput::Stop => {
                 self.stopping = true;
                 log_info(
@@ -229,7 +258,8 @@
                 let fields = format_args!("request={} reason={}", key.0, reason.as_str());
                 log_info(LogEvent::RequestRetried, fields);
             }
-            NodeAction::Entry(EntryAction::Report { .. }) | NodeAction::Send { .. } => {}
+            NodeAction::Entry(EntryAction::Report { .. }) => {}
+            NodeAction::Send { to, message } => self.send(to, &message),
         }
     }
 
@@ -290,6 +320,17 @@
         }
     }
 
+    fn send(&mut self, to: Member, message: &PeerMessage) {
+        let out = PeerOut {
+            to: to.host.clone(),
+            payload: PeerPayload::Stream(encode(message)),
+        };
+        if self.peers.try_send(out).is_err() {
+            counter!("sedgeridge_peer_drops_total", "reason" => "ring_full").increment(1);
+            self.event(NodeEvent::PeerReset { host: to.host });
+        }
+    }
+
     fn publish(&self) {
         let load = self.node.load();
         self.status.publish(RouterStatus {
--- a/crates/transport/src/event_log.rs
+++ b/crates/transport/src/event_log.rs
@@ -49,6 +49,8 @@
     RouterStopped = 1003, "router_stopped";
     /// A listener failed to accept; the router goes on after a pause.
     AcceptFailed = 1101, "accept_failed";
+    /// A message from another router was refused; it changed nothing.
+    PeerMessageRefused = 1102, "peer_message_refused";
     /// A request was refused or given up.
     RequestGivenUp = 1201, "request_given_up";
     /// An attempt failed and the request waits for another one.
--- a/crates/transport/src/front.rs
+++ b/crates/transport/src/front.rs
@@ -73,15 +73,24 @@
     pub next_request: AtomicU64,
 }
 
+/// Binds the address on which callers connect.
+///
+/// # Errors
+///
+/// Fails when the address is not to be had, so that the process ends before anything started.
+pub fn bind(address: SocketAddr) -> io::Result<StdListener> {
+    let listener = StdListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
 impl<C: Clock + Send + Sync + 'static> Front<C> {
     /// Serves callers until `stop` turns true, then lets open connections finish.
     ///
     /// # Errors
     ///
-    /// Fails when the runtime or the listener cannot be set up.
-    pub fn run(self, address: SocketAddr, stop: watch::Receiver<bool>) -> io::Result<()> {
-        let listener = StdListener::bind(address)?;
-        listener.set_nonblocking(true)?;
+    /// Fails when the runtime cannot be set up.
+    pub fn run(self, listener: StdListener, stop: watch::Receiver<bool>) -> io::Result<()> {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()?;
--- /dev/null
+++ b/crates/transport/src/peer_link.rs
@@ -0,0 +1,143 @@
+//! The outgoing link to one other router.
+
+use std::net::SocketAddr;
+use std::sync::mpsc::SyncSender;
+use std::time::Duration;
+
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use metrics::counter;
+use sedgeridge_protocol::peer::encode_hello;
+use sedgeridge_state::ids::HostId;
+use sedgeridge_state::ids::Member;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+use tokio::time::timeout;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::client_async_with_config;
+use tokio_tungstenite::tungstenite::Message;
+
+use crate::core::CoreInput;
+use crate::peers::STREAM_OVERHEAD_BYTES;
+use crate::peers::count_bytes;
+use crate::peers::websocket_config;
+
+/// Longest time to set a link up.
+const SETUP_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Pause after a link failed.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+/// Time between two pings on a link in use.
+const PING_INTERVAL: Duration = Duration::from_secs(5);
+/// Silence of the other side after which the link is set up anew.
+///
+/// A connection can go silent for good while new ones work. Its sender sees no error: writes go
+/// into the socket's buffer. The missing pong shows it, and a new connection mends it.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(11);
+
+type Socket = WebSocketStream<TcpStream>;
+
+/// Sends messages to one router over one connection at a time.
+#[derive(Debug)]
+pub struct Link {
+    /// This router run.
+    pub member: Member,
+    /// The other router.
+    pub host: HostId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Ring to the core.
+    pub core: SyncSender<CoreInput>,
+}
+
+impl Link {
+    /// Runs until `outbox` is closed.
+    pub async fn run(self, mut outbox: mpsc::Receiver<Vec<u8>>) {
+        let mut lost = false;
+        while let Some(first) = outbox.recv().await {
+            let Some(mut socket) = self.connect().await else {
+                counter!("sedgeridge_peer_drops_total", "reason" => "link_down").increment(1);
+                lost = true;
+                tokio::time::sleep(RECONNECT_PAUSE).await;
+                // The messages behind it are older than the state that follows the reset.
+                while outbox.try_recv().is_ok() {}
+                self.report_reset();
+                continue;
+            };
+            if std::mem::take(&mut lost) {
+                self.report_reset();
+            }
+            if self.pass_on(&mut socket, first, &mut outbox).await.is_err() {
+                counter!("sedgeridge_peer_drops_total", "reason" => "link_broken").increment(1);
+                self.report_reset();
+            }
+        }
+    }
+
+    fn report_reset(&self) {
+        let host = self.host.clone();
+        let _ = self.core.send(CoreInput::PeerReset { host });
+    }
+
+    async fn connect(&self) -> Option<Socket> {
+        timeout(SETUP_TIMEOUT, async {
+            let stream = TcpStream::connect(self.address).await.ok()?;
+            stream.set_nodelay(true).ok()?;
+            let url = format!("ws://{}/", self.address);
+            let config = Some(websocket_config());
+            let (mut socket, _) = client_async_with_config(url, stream, config).await.ok()?;
+            let hello = encode_hello(&self.member);
+            socket.send(Message::binary(hello)).await.ok()?;
+            Some(socket)
+        })
+        .await
+        .ok()
+        .flatten()
+    }
+
+    async fn pass_on(
+        &self,
+        socket: &mut Socket,
+        first: Vec<u8>,
+        outbox: &mut mpsc::Receiver<Vec<u8>>,
+    ) -> Result<(), LinkBroken> {
+        send(socket, first).await?;
+        let mut pings = interval(PING_INTERVAL);
+        pings.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut last_heard = Instant::now();
+        loop {
+            tokio::select! {
+                message = outbox.recv() => match message {
+                    Some(message) => send(socket, message).await?,
+                    None => return Ok(()),
+                },
+                heard = socket.next() => match heard {
+                    Some(Ok(_)) => last_heard = Instant::now(),
+                    Some(Err(_)) | None => return Err(LinkBroken),
+                },
+                _ = pings.tick() => {
+                    if last_heard.elapsed() > SILENCE_TIMEOUT {
+                        return Err(LinkBroken);
+                    }
+                    socket.send(Message::Ping(bytes::Bytes::new())).await.map_err(|_| LinkBroken)?;
+                    count_bytes("out", 0, STREAM_OVERHEAD_BYTES);
+                }
+            }
+        }
+    }
+}
+
+/// The connection of a link ended or went silent.
+#[derive(Debug)]
+struct LinkBroken;
+
+async fn send(socket: &mut Socket, message: Vec<u8>) -> Result<(), LinkBroken> {
+    count_bytes("out", message.len() as u64, STREAM_OVERHEAD_BYTES);
+    let sent = timeout(SETUP_TIMEOUT, socket.send(Message::binary(message))).await;
+    match sent {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(_)) | Err(_) => Err(LinkBroken),
+    }
+}
--- /dev/null
+++ b/crates/transport/src/peers.rs
@@ -0,0 +1,201 @@
+//! The peers thread: messages to and from other routers.
+//!
+//! Reports and grants go over one WebSocket connection per direction and pair of routers that talk;
+//! membership messages are small, may be lost, and go as single datagrams. One thread with a
+//! current-thread runtime carries all of it.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc::SyncSender;
+
+use metrics::counter;
+use sedgeridge_protocol::peer::MAX_PEER_MESSAGE_BYTES;
+use sedgeridge_state::ids::HostId;
+use sedgeridge_state::ids::Member;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+
+use crate::core::CoreInput;
+use crate::event_log::LogEvent;
+use crate::event_log::log_warn;
+use crate::peer_inbound;
+use crate::peer_link;
+
+/// Messages that may wait for the peers thread.
+const PEER_RING_LEN: usize = 4_096;
+/// Messages that may wait for one link.
+const LINK_RING_LEN: usize = 256;
+/// Largest datagram that is read.
+const MAX_DATAGRAM_BYTES: usize = 64 << 10;
+/// What a UDP datagram costs on the wire beside its payload (IPv4 and UDP headers).
+const DATAGRAM_OVERHEAD_BYTES: u64 = 28;
+/// What a WebSocket message costs on the wire beside its payload when it travels alone: IPv4 and
+/// TCP headers with timestamps, the frame header and the segment that acknowledges it.
+pub const STREAM_OVERHEAD_BYTES: u64 = 52 + 8 + 52;
+
+/// A message for another router.
+#[derive(Debug)]
+pub struct PeerOut {
+    /// The receiver.
+    pub to: HostId,
+    /// The encoded message.
+    pub payload: PeerPayload,
+}
+
+/// How a message travels.
+#[derive(Debug)]
+pub enum PeerPayload {
+    /// In order, on the link to the receiver.
+    Stream(Vec<u8>),
+    /// Alone; may be lost.
+    Datagram(Vec<u8>),
+}
+
+/// Ring to the peers thread.
+pub type PeerSender = mpsc::Sender<PeerOut>;
+
+/// Creates the ring to the peers thread.
+pub fn peer_ring() -> (PeerSender, mpsc::Receiver<PeerOut>) {
+    mpsc::channel(PEER_RING_LEN)
+}
+
+/// Sockets on which this router hears the others.
+#[derive(Debug)]
+pub struct PeerSockets {
+    listener: std::net::TcpListener,
+    datagrams: std::net::UdpSocket,
+}
+
+impl PeerSockets {
+    /// Binds both sockets to the same address and port.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address is not to be had, so that the process ends before anything started.
+    pub fn bind(address: SocketAddr) -> io::Result<Self> {
+        let listener = std::net::TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let datagrams = std::net::UdpSocket::bind(address)?;
+        datagrams.set_nonblocking(true)?;
+        Ok(Self {
+            listener,
+            datagrams,
+        })
+    }
+}
+
+/// What the peers thread needs from the rest of the router.
+#[derive(Debug)]
+pub struct Peers {
+    /// This router run.
+    pub member: Member,
+    /// Where the others listen.
+    pub addresses: BTreeMap<HostId, SocketAddr>,
+    /// Ring to the core.
+    pub core: SyncSender<CoreInput>,
+}
+
+impl Peers {
+    /// Runs until the ring to it is closed.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the runtime cannot be set up.
+    pub fn run(self, sockets: PeerSockets, outbox: mpsc::Receiver<PeerOut>) -> io::Result<()> {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        runtime.block_on(self.serve(sockets, outbox))
+    }
+
+    async fn serve(
+        self,
+        sockets: PeerSockets,
+        mut outbox: mpsc::Receiver<PeerOut>,
+    ) -> io::Result<()> {
+        let listener = TcpListener::from_std(sockets.listener)?;
+        let socket = Arc::new(UdpSocket::from_std(sockets.datagrams)?);
+        tokio::spawn(peer_inbound::accept_links(listener, self.core.clone()));
+        tokio::spawn(receive_datagrams(Arc::clone(&socket), self.core.clone()));
+        let mut links: BTreeMap<HostId, mpsc::Sender<Vec<u8>>> = BTreeMap::new();
+        while let Some(PeerOut { to, payload }) = outbox.recv().await {
+            let Some(address) = self.addresses.get(&to).copied() else {
+                counter!("sedgeridge_peer_drops_total", "reason" => "unknown_host").increment(1);
+                continue;
+            };
+            match payload {
+                PeerPayload::Datagram(bytes) => send_datagram(&socket, address, &bytes).await,
+                PeerPayload::Stream(bytes) => {
+                    let link = links
+                        .entry(to.clone())
+                        .or_insert_with(|| self.open_link(to.clone(), address));
+                    if link.try_send(bytes).is_err() {
+                        // The receiver is cut off or slow. What is dropped here is absolute state
+                        // that the core sends anew when it hears of the loss.
+                        counter!("sedgeridge_peer_drops_total", "reason" => "link_full")
+                            .increment(1);
+                        let _ = self.core.send(CoreInput::PeerReset { host: to });
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn open_link(&self, host: HostId, address: SocketAddr) -> mpsc::Sender<Vec<u8>> {
+        let (sender, outbox) = mpsc::channel(LINK_RING_LEN);
+        let link = peer_link::Link {
+            member: self.member.clone(),
+            host,
+            address,
+            core: self.core.clone(),
+        };
+        tokio::spawn(link.run(outbox));
+        sender
+    }
+}
+
+/// Bounds what one connection may make this router hold.
+pub fn websocket_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(MAX_PEER_MESSAGE_BYTES))
+        .max_frame_size(Some(MAX_PEER_MESSAGE_BYTES))
+        .read_buffer_size(4 << 10)
+        .write_buffer_size(0)
+}
+
+async fn send_datagram(socket: &UdpSocket, address: SocketAddr, bytes: &[u8]) {
+    if socket.send_to(bytes, address).await.is_ok() {
+        count_bytes("out", bytes.len() as u64, DATAGRAM_OVERHEAD_BYTES);
+    }
+}
+
+async fn receive_datagrams(socket: Arc<UdpSocket>, core: SyncSender<CoreInput>) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((len, _)) => {
+                count_bytes("in", len as u64, DATAGRAM_OVERHEAD_BYTES);
+                let datagram = CoreInput::Datagram {
+                    bytes: buffer[..len].to_vec(),
+                };
+                if core.try_send(datagram).is_err() {
+                    counter!("sedgeridge_peer_drops_total", "reason" => "core_full").increment(1);
+                }
+            }
+            Err(error) => log_warn(LogEvent::AcceptFailed, format_args!("udp error={error:?}")),
+        }
+    }
+}
+
+/// Counts control traffic: its payload, and an estimate of what it costs on the wire.
+pub fn count_bytes(direction: &'static str, payload_bytes: u64, overhead_bytes: u64) {
+    counter!("sedgeridge_peer_messages_total", "direction" => direction).increment(1);
+    counter!("sedgeridge_peer_bytes_total", "direction" => direction).increment(payload_bytes);
+    counter!("sedgeridge_peer_wire_bytes_total", "direction" => direction)
+        .increment(payload_bytes + overhead_bytes);
+}
