feat(coordination): fair order and grants at the home of a pool

Each free slot goes to the backlogged account with the least weighted service: settled totals of all router runs plus the estimates of what runs. An account that becomes backlogged is lifted to the minimum of the others. A new home waits for the full reports of all live members, or for fair.gather_timeout_ms, before it grants. What a run served before it was admitted is history and moves no tag: charging an hour of a partition at once would starve its accounts.

Items that name an account or endpoint unknown here are dropped one by one, not with their report: during an import configurations arrive at different times, and refusing whole reports would stop all other work of a router. Absurd counters drop the whole report.

--- /dev/null
+++ b/crates/coordination/src/account_table.rs
@@ -0,0 +1,200 @@
+//! Accounts as the home of a pool sees them: weight, service, tag, and their place in the order.
+
+use std::collections::BTreeMap;
+
+use sedgeridge_state::ids::AccountId;
+
+use crate::fair_order::FairOrder;
+use crate::fair_order::Tag;
+use crate::pool_home::AccountWeight;
+use crate::service_ledger::ServiceLedger;
+
+#[derive(Debug)]
+struct Account {
+    id: AccountId,
+    weight: u32,
+    configured: bool,
+    /// Position among all accounts by name: breaks ties between equal tags.
+    rank: u32,
+    base_tag: Tag,
+    /// Service at which the tag was `base_tag`.
+    base_service_tokens: i128,
+    /// Estimates of grants and holdings that are not settled.
+    in_progress_tokens: u64,
+    /// Tag under which the account stands in the order, while it is backlogged.
+    listed_tag: Option<Tag>,
+}
+
+/// All accounts. Indices stay valid when the configuration changes.
+#[derive(Debug, Default)]
+pub(crate) struct AccountTable {
+    accounts: Vec<Account>,
+    by_id: BTreeMap<AccountId, usize>,
+    by_rank: Vec<usize>,
+    order: FairOrder,
+    ledger: ServiceLedger,
+}
+
+impl AccountTable {
+    /// Takes the configured weights and returns the accounts that are no longer configured.
+    pub(crate) fn configure(&mut self, weights: &[AccountWeight]) -> Vec<usize> {
+        let was_configured = self.take_configured();
+        for configured in weights {
+            let index = self.find_or_add(&configured.account);
+            self.set_weight(index, configured.weight);
+            self.accounts[index].configured = true;
+        }
+        self.rank();
+        was_configured
+            .into_iter()
+            .filter(|index| !self.accounts[*index].configured)
+            .collect()
+    }
+
+    fn take_configured(&mut self) -> Vec<usize> {
+        let configured = (0..self.accounts.len()).filter(|index| self.accounts[*index].configured);
+        let configured: Vec<usize> = configured.collect();
+        for index in &configured {
+            self.accounts[*index].configured = false;
+        }
+        configured
+    }
+
+    fn find_or_add(&mut self, id: &AccountId) -> usize {
+        if let Some(&index) = self.by_id.get(id) {
+            return index;
+        }
+        let index = self.accounts.len();
+        self.accounts.push(Account {
+            id: id.clone(),
+            weight: 1,
+            configured: false,
+            rank: 0,
+            base_tag: Tag::default(),
+            base_service_tokens: 0,
+            in_progress_tokens: 0,
+            listed_tag: None,
+        });
+        self.by_id.insert(id.clone(), index);
+        index
+    }
+
+    /// Changes a weight for service from now on.
+    ///
+    /// Dividing all past service by a new weight would move the tag by years of service at once:
+    /// a doubled weight would shut everybody else out until they had caught up.
+    fn set_weight(&mut self, index: usize, weight: u32) {
+        if self.accounts[index].weight == weight {
+            return;
+        }
+        let tag = self.tag(index);
+        self.rebase(index, tag);
+        self.accounts[index].weight = weight;
+    }
+
+    fn rank(&mut self) {
+        self.order.clear();
+        self.by_rank = self.by_id.values().copied().collect();
+        for (rank, &index) in self.by_rank.iter().enumerate() {
+            let account = &mut self.accounts[index];
+            account.rank = rank as u32;
+            if let Some(tag) = account.listed_tag {
+                self.order.insert(tag, account.rank);
+            }
+        }
+    }
+
+    /// Finds an account, also one that is no longer configured.
+    pub(crate) fn find(&self, id: &AccountId) -> Option<usize> {
+        self.by_id.get(id).copied()
+    }
+
+    pub(crate) fn find_configured(&self, id: &AccountId) -> Option<usize> {
+        self.find(id)
+            .filter(|index| self.accounts[*index].configured)
+    }
+
+    pub(crate) fn id(&self, account: usize) -> &AccountId {
+        &self.accounts[account].id
+    }
+
+    pub(crate) fn ledger(&self) -> &ServiceLedger {
+        &self.ledger
+    }
+
+    /// Starts the counters of a router run; what it served before is history and moves no tag.
+    ///
+    /// A run that comes back after a partition was served by another home meanwhile. Charging an
+    /// hour of that service at once would starve its accounts until all others had caught up.
+    pub(crate) fn admit_run(&mut self, router: usize, totals: Vec<(usize, u64)>) {
+        self.ledger.admit(router, totals);
+    }
+
+    pub(crate) fn close_run(&mut self, router: usize) {
+        self.ledger.close(router);
+    }
+
+    pub(crate) fn merge_served(&mut self, router: usize, account: usize, total_tokens: u64) {
+        self.ledger.merge(router, account, total_tokens);
+    }
+
+    /// Charges the estimate of a grant or holding.
+    pub(crate) fn charge(&mut self, account: usize, estimate_tokens: u64) {
+        self.accounts[account].in_progress_tokens += estimate_tokens;
+    }
+
+    /// Takes an estimate back, because it changed or because the grant ended.
+    pub(crate) fn refund(&mut self, account: usize, estimate_tokens: u64) {
+        self.accounts[account].in_progress_tokens -= estimate_tokens;
+    }
+
+    pub(crate) fn tag(&self, index: usize) -> Tag {
+        let account = &self.accounts[index];
+        let service_tokens = self.service_tokens(index) - account.base_service_tokens;
+        account.base_tag.advanced(service_tokens, account.weight)
+    }
+
+    fn service_tokens(&self, index: usize) -> i128 {
+        let settled_tokens = self.ledger.received_tokens(index);
+        i128::from(settled_tokens) + i128::from(self.accounts[index].in_progress_tokens)
+    }
+
+    fn rebase(&mut self, index: usize, tag: Tag) {
+        self.accounts[index].base_service_tokens = self.service_tokens(index);
+        self.accounts[index].base_tag = tag;
+    }
+
+    /// Returns the least tag that a newly backlogged account may start with.
+    pub(crate) fn floor(&self) -> Tag {
+        self.order.floor()
+    }
+
+    /// Brings the place of an account in the order up to date.
+    ///
+    /// A newly backlogged account is lifted to `floor`, so that idle time gives no credit. The
+    /// lift never adds to a tag that is above the floor: an account whose requests come one by one
+    /// keeps exactly the tag that its service and its estimates gave it.
+    pub(crate) fn refresh(&mut self, index: usize, backlogged: bool, floor: Tag) {
+        let listed = self.accounts[index].listed_tag;
+        if backlogged && listed.is_none() && self.tag(index) < floor {
+            self.rebase(index, floor);
+        }
+        let tag = backlogged.then(|| self.tag(index));
+        if tag == listed {
+            return;
+        }
+        let rank = self.accounts[index].rank;
+        if let Some(listed) = listed {
+            self.order.remove(listed, rank);
+        }
+        if let Some(tag) = tag {
+            self.order.insert(tag, rank);
+        }
+        self.accounts[index].listed_tag = tag;
+    }
+
+    /// Returns the backlogged account with the least tag.
+    pub(crate) fn next(&self) -> Option<usize> {
+        self.order.first().map(|rank| self.by_rank[rank as usize])
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/entry_record.rs
@@ -0,0 +1,105 @@
+//! What the home of a pool keeps of one entry router.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sedgeridge_state::ids::Member;
+use sedgeridge_state::settings::RequestClass;
+
+use crate::pool_messages::GrantId;
+
+/// How far a grant got.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum GrantStage {
+    /// Sent; not seen by the router as far as is known. Occupies its slot.
+    Sent { expires_at: Duration },
+    /// Not acknowledged in time. Its slot was returned.
+    TimedOut,
+    /// Seen by the router. Occupies its slot until it ends.
+    Acknowledged,
+}
+
+/// A grant that has not ended.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Held {
+    pub(crate) account: usize,
+    pub(crate) class: RequestClass,
+    pub(crate) endpoint: usize,
+    pub(crate) estimate_tokens: u64,
+    pub(crate) stage: GrantStage,
+}
+
+/// One run of an entry router.
+#[derive(Debug)]
+pub(crate) struct EntryRecord {
+    pub(crate) member: Member,
+    /// Site of its host, if known.
+    pub(crate) site: Option<usize>,
+    /// Sequence of the last report; `None` until a full one came.
+    pub(crate) last_sequence: Option<u64>,
+    pub(crate) last_full_at: Duration,
+    pub(crate) asked_full_at: Option<Duration>,
+    /// Whether its reports named what the configuration here does not know yet.
+    pub(crate) named_unknown: bool,
+    pub(crate) grants_received: u64,
+    pub(crate) last_granted: u64,
+    /// Grants of this home by sequence.
+    pub(crate) own: BTreeMap<u64, Held>,
+    /// Grants of earlier homes.
+    pub(crate) foreign: BTreeMap<GrantId, Held>,
+}
+
+impl EntryRecord {
+    pub(crate) fn new(member: Member, site: Option<usize>) -> Self {
+        Self {
+            member,
+            site,
+            last_sequence: None,
+            last_full_at: Duration::ZERO,
+            asked_full_at: None,
+            named_unknown: false,
+            grants_received: 0,
+            last_granted: 0,
+            own: BTreeMap::new(),
+            foreign: BTreeMap::new(),
+        }
+    }
+
+    /// Finds a grant that has not ended; `home` is the home that keeps this record.
+    pub(crate) fn held_mut(&mut self, home: &Member, id: &GrantId) -> Option<&mut Held> {
+        if id.home == *home {
+            self.own.get_mut(&id.sequence)
+        } else {
+            self.foreign.get_mut(id)
+        }
+    }
+
+    pub(crate) fn insert(&mut self, home: &Member, id: &GrantId, held: Held) {
+        if id.home == *home {
+            self.own.insert(id.sequence, held);
+        } else {
+            self.foreign.insert(id.clone(), held);
+        }
+    }
+
+    pub(crate) fn remove(&mut self, home: &Member, id: &GrantId) -> Option<Held> {
+        if id.home == *home {
+            self.own.remove(&id.sequence)
+        } else {
+            self.foreign.remove(id)
+        }
+    }
+
+    /// Returns the ids of all grants that have not ended, in a fixed order.
+    pub(crate) fn grant_ids(&self, home: &Member) -> Vec<GrantId> {
+        let own = self.own.keys().map(|&sequence| GrantId {
+            home: home.clone(),
+            sequence,
+        });
+        own.chain(self.foreign.keys().cloned()).collect()
+    }
+
+    pub(crate) fn holds_any(&self) -> bool {
+        !self.own.is_empty() || !self.foreign.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/entry_table.rs
@@ -0,0 +1,125 @@
+//! Entry routers known to the home of a pool, and which of their reports may be taken.
+
+use std::collections::BTreeMap;
+
+use sedgeridge_state::ids::HostId;
+use sedgeridge_state::ids::Member;
+
+use crate::entry_record::EntryRecord;
+use crate::home_counters::RejectionReason;
+use crate::pool_messages::EntryReport;
+
+/// A report that is not taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Refusal {
+    pub(crate) reason: RejectionReason,
+    /// Whether a full report would help.
+    pub(crate) ask_full: bool,
+}
+
+/// A report that may be taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Admission {
+    /// From the run that is known at this index.
+    Known(usize),
+    /// From a later run of the host at this index.
+    Restarted(usize),
+}
+
+/// Entry routers by index; the index of a host that left is used again.
+#[derive(Debug, Default)]
+pub(crate) struct EntryTable {
+    records: Vec<Option<EntryRecord>>,
+    by_host: BTreeMap<HostId, usize>,
+    vacant: Vec<usize>,
+}
+
+impl EntryTable {
+    pub(crate) fn find(&self, host: &HostId) -> Option<usize> {
+        self.by_host.get(host).copied()
+    }
+
+    pub(crate) fn indices(&self) -> Vec<usize> {
+        self.by_host.values().copied().collect()
+    }
+
+    pub(crate) fn is_live(&self, router: usize) -> bool {
+        self.records[router].is_some()
+    }
+
+    pub(crate) fn record(&self, router: usize) -> &EntryRecord {
+        self.records[router]
+            .as_ref()
+            .expect("the index of a live router has a record")
+    }
+
+    pub(crate) fn record_mut(&mut self, router: usize) -> &mut EntryRecord {
+        self.records[router]
+            .as_mut()
+            .expect("the index of a live router has a record")
+    }
+
+    pub(crate) fn add(&mut self, member: &Member, site: Option<usize>) -> usize {
+        let record = EntryRecord::new(member.clone(), site);
+        let router = self.vacant.pop().unwrap_or_else(|| {
+            self.records.push(None);
+            self.records.len() - 1
+        });
+        self.records[router] = Some(record);
+        self.by_host.insert(member.host.clone(), router);
+        router
+    }
+
+    pub(crate) fn remove(&mut self, router: usize) {
+        if let Some(record) = self.records[router].take() {
+            self.by_host.remove(&record.member.host);
+            self.vacant.push(router);
+        }
+    }
+
+    /// Whether every known router has sent a full report.
+    pub(crate) fn all_reported(&self) -> bool {
+        self.by_host
+            .values()
+            .all(|router| self.record(*router).last_sequence.is_some())
+    }
+
+    /// Decides by sender and sequence whether a report is taken.
+    pub(crate) fn admit(&self, report: &EntryReport) -> Result<Admission, Refusal> {
+        let Some(router) = self.find(&report.from.host) else {
+            return Err(refusal(RejectionReason::NotAMember, !report.full));
+        };
+        let record = self.record(router);
+        let known = record.member.incarnation;
+        if report.from.incarnation < known {
+            return Err(refusal(RejectionReason::OlderIncarnation, false));
+        }
+        if report.from.incarnation > known {
+            return match report.full {
+                true => Ok(Admission::Restarted(router)),
+                false => Err(refusal(RejectionReason::UnknownRun, true)),
+            };
+        }
+        check_sequence(record, report).map(|()| Admission::Known(router))
+    }
+}
+
+fn check_sequence(record: &EntryRecord, report: &EntryReport) -> Result<(), Refusal> {
+    let Some(last) = record.last_sequence else {
+        return match report.full {
+            true => Ok(()),
+            false => Err(refusal(RejectionReason::UnknownRun, true)),
+        };
+    };
+    if report.sequence <= last {
+        return Err(refusal(RejectionReason::RepeatedSequence, false));
+    }
+    if !report.full && report.sequence != last + 1 {
+        return Err(refusal(RejectionReason::SequenceGap, true));
+    }
+    Ok(())
+}
+
+fn refusal(reason: RejectionReason, ask_full: bool) -> Refusal {
+    Refusal { reason, ask_full }
+}
--- /dev/null
+++ b/crates/coordination/src/fair_order.rs
@@ -0,0 +1,123 @@
+//! The fair order: backlogged accounts by weighted service, least first.
+
+use std::collections::BTreeSet;
+
+/// Fraction bits of a [`Tag`].
+const TAG_FRACTION_BITS: u32 = 16;
+
+/// Weighted service of an account: tokens divided by weight, in fixed point.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Tag(i128);
+
+impl Tag {
+    /// Returns this tag moved on by `service_tokens` at `weight`; negative service moves it back.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::fair_order::Tag;
+    ///
+    /// let heavy = Tag::default().advanced(400, 4);
+    /// let light = Tag::default().advanced(100, 1);
+    /// assert_eq!(heavy, light);
+    /// ```
+    pub fn advanced(self, service_tokens: i128, weight: u32) -> Self {
+        Self(self.0 + (service_tokens << TAG_FRACTION_BITS) / i128::from(weight.max(1)))
+    }
+
+    /// Returns whole tokens per unit of weight.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::fair_order::Tag;
+    ///
+    /// assert_eq!(Tag::default().advanced(300, 2).tokens_per_weight(), 150);
+    /// ```
+    pub fn tokens_per_weight(self) -> i128 {
+        self.0 >> TAG_FRACTION_BITS
+    }
+}
+
+/// Backlogged accounts, ordered by tag and then by rank.
+#[derive(Debug, Default)]
+pub struct FairOrder {
+    entries: BTreeSet<(Tag, u32)>,
+    last_minimum: Tag,
+}
+
+impl FairOrder {
+    /// Adds an account by its rank.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::fair_order::{FairOrder, Tag};
+    ///
+    /// let mut order = FairOrder::default();
+    /// order.insert(Tag::default().advanced(10, 1), 0);
+    /// order.insert(Tag::default().advanced(5, 1), 1);
+    /// assert_eq!(order.first(), Some(1));
+    /// ```
+    pub fn insert(&mut self, tag: Tag, rank: u32) {
+        self.entries.insert((tag, rank));
+    }
+
+    /// Removes an account; `tag` must be the one that it was added with.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::fair_order::{FairOrder, Tag};
+    ///
+    /// let mut order = FairOrder::default();
+    /// order.insert(Tag::default(), 0);
+    /// order.remove(Tag::default(), 0);
+    /// assert_eq!(order.first(), None);
+    /// ```
+    pub fn remove(&mut self, tag: Tag, rank: u32) {
+        self.remember_minimum();
+        self.entries.remove(&(tag, rank));
+    }
+
+    /// Returns the rank of the account that is served next.
+    ///
+    /// ```
+    /// assert_eq!(sedgeridge_coordination::fair_order::FairOrder::default().first(), None);
+    /// ```
+    pub fn first(&self) -> Option<u32> {
+        self.entries.first().map(|(_, rank)| *rank)
+    }
+
+    /// Returns the least tag that a newly backlogged account may start with.
+    ///
+    /// That is the minimum of the backlogged accounts, or the last one when none is backlogged:
+    /// without it an account that was idle for a day would come back with a day of credit and
+    /// starve the others.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::fair_order::{FairOrder, Tag};
+    ///
+    /// let mut order = FairOrder::default();
+    /// let tag = Tag::default().advanced(7, 1);
+    /// order.insert(tag, 0);
+    /// order.remove(tag, 0);
+    /// assert_eq!(order.floor(), tag);
+    /// ```
+    pub fn floor(&self) -> Tag {
+        self.entries
+            .first()
+            .map_or(self.last_minimum, |(tag, _)| *tag)
+    }
+
+    /// Forgets all accounts but keeps the floor.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::fair_order::{FairOrder, Tag};
+    ///
+    /// let mut order = FairOrder::default();
+    /// order.insert(Tag::default(), 3);
+    /// order.clear();
+    /// assert_eq!(order.first(), None);
+    /// ```
+    pub fn clear(&mut self) {
+        self.remember_minimum();
+        self.entries.clear();
+    }
+
+    fn remember_minimum(&mut self) {
+        self.last_minimum = self.floor();
+    }
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -10,11 +10,24 @@
 pub mod claims;
 pub mod config_adoption;
 pub mod endpoint_health;
+pub mod fair_order;
+pub mod home_counters;
 pub mod lease;
 pub mod limits;
 pub mod membership;
 pub mod pool_home;
 pub mod pool_messages;
+pub mod service_ledger;
+
+mod account_table;
+mod demand_table;
+mod entry_record;
+mod entry_table;
+mod prefix_affinity;
+mod report_apply;
+mod report_check;
+mod slot_table;
+
 pub mod quarantine;
 pub mod rendezvous;
 pub mod retry_budget;
--- a/crates/coordination/src/pool_messages.rs
+++ b/crates/coordination/src/pool_messages.rs
@@ -35,6 +35,9 @@
     /// Grants in use. A full report lists all; a partial one only changed estimates.
     pub holdings: Vec<Holding>,
     /// Grants that ended or could not be used.
+    ///
+    /// A grant that never came, seen by a skipped sequence, is listed here in the report that
+    /// acknowledges a later one. Left out, it would occupy its slot until the next full report.
     pub ended: Vec<GrantId>,
     /// Service received through this router since it started.
     pub served: Vec<Served>,
--- /dev/null
+++ b/crates/coordination/src/prefix_affinity.rs
@@ -0,0 +1,40 @@
+//! Remembers which endpoints served a prompt prefix lately, in bounded memory.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use crate::pool_messages::PrefixHash;
+
+/// Prefixes remembered by one home.
+const MAX_PREFIXES: usize = 8_192;
+/// Endpoints remembered for one prefix.
+const MAX_ENDPOINTS: usize = 4;
+
+#[derive(Debug, Default)]
+pub(crate) struct PrefixAffinity {
+    endpoints: BTreeMap<PrefixHash, Vec<usize>>,
+    oldest: VecDeque<PrefixHash>,
+}
+
+impl PrefixAffinity {
+    /// Returns the endpoints that served `prefix` lately, the latest first.
+    pub(crate) fn recent(&self, prefix: PrefixHash) -> &[usize] {
+        self.endpoints.get(&prefix).map_or(&[], Vec::as_slice)
+    }
+
+    pub(crate) fn served(&mut self, prefix: PrefixHash, endpoint: usize) {
+        if let Some(recent) = self.endpoints.get_mut(&prefix) {
+            recent.retain(|known| *known != endpoint);
+            recent.insert(0, endpoint);
+            recent.truncate(MAX_ENDPOINTS);
+            return;
+        }
+        if self.oldest.len() == MAX_PREFIXES
+            && let Some(evicted) = self.oldest.pop_front()
+        {
+            self.endpoints.remove(&evicted);
+        }
+        self.oldest.push_back(prefix);
+        self.endpoints.insert(prefix, vec![endpoint]);
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/report_apply.rs
@@ -0,0 +1,384 @@
+//! How the home of a pool takes reports and changes of membership.
+
+use std::time::Duration;
+
+use sedgeridge_state::ids::Member;
+use sedgeridge_state::settings::RequestClass;
+
+use crate::demand_table::DemandKey;
+use crate::demand_table::DemandReport;
+use crate::entry_record::GrantStage;
+use crate::entry_record::Held;
+use crate::entry_table::Admission;
+use crate::home_counters::RejectionReason;
+use crate::pool_home::HomeAction;
+use crate::pool_home::HostSite;
+use crate::pool_home::MIN_CHARGE_TOKENS;
+use crate::pool_home::PoolHome;
+use crate::pool_messages::Demand;
+use crate::pool_messages::EntryReport;
+use crate::pool_messages::GrantId;
+use crate::pool_messages::Holding;
+use crate::report_check::check_counters;
+
+impl PoolHome {
+    pub(crate) fn take_report(
+        &mut self,
+        now: Duration,
+        report: &EntryReport,
+        actions: &mut Vec<HomeAction>,
+    ) {
+        if report.pool != self.pool {
+            return self.counters.reject(RejectionReason::WrongPool);
+        }
+        let admission = match self.entries.admit(report) {
+            Ok(admission) => admission,
+            Err(refusal) => {
+                self.counters.reject(refusal.reason);
+                if refusal.ask_full {
+                    self.ask_full_from(now, &report.from, actions);
+                }
+                return;
+            }
+        };
+        if let Err(reason) = self.check(report, admission) {
+            return self.counters.reject(reason);
+        }
+        let router = match admission {
+            Admission::Known(router) => router,
+            Admission::Restarted(router) => {
+                self.remove_router(router);
+                self.add_router(&report.from)
+            }
+        };
+        self.apply(now, router, report);
+    }
+
+    fn ask_full_from(&mut self, now: Duration, from: &Member, actions: &mut Vec<HomeAction>) {
+        let known = self.entries.find(&from.host);
+        match known.filter(|router| self.entries.record(*router).member == *from) {
+            Some(router) => self.ask_full(now, router, actions),
+            None => actions.push(HomeAction::AskFull { to: from.clone() }),
+        }
+    }
+
+    /// Checks all counters first, so that a refused report changes nothing.
+    fn check(&self, report: &EntryReport, admission: Admission) -> Result<(), RejectionReason> {
+        check_counters(report)?;
+        let Admission::Known(router) = admission else {
+            return Ok(());
+        };
+        let record = self.entries.record(router);
+        let known_run = record.last_sequence.is_some();
+        if known_run && report.grants_received > record.last_granted {
+            return Err(RejectionReason::AbsurdCounter);
+        }
+        let went_down = report.served.iter().any(|served| {
+            let account = self.accounts.find(&served.account);
+            account.is_some_and(|account| {
+                served.total_tokens < self.accounts.ledger().total_tokens(router, account)
+            })
+        });
+        if went_down {
+            return Err(RejectionReason::ServedWentDown);
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, now: Duration, router: usize, report: &EntryReport) {
+        let first = self.entries.record(router).last_sequence.is_none();
+        let record = self.entries.record_mut(router);
+        record.last_sequence = Some(report.sequence);
+        if report.full {
+            record.last_full_at = now;
+            record.named_unknown = false;
+        }
+        if first {
+            self.start_grants(router, report);
+        }
+        let resumed = self.demand.suspend(router, false);
+        self.touched.extend(resumed);
+        for id in &report.ended {
+            self.end(router, id);
+        }
+        self.acknowledge(router, report.grants_received);
+        for holding in &report.holdings {
+            self.hold(router, holding);
+        }
+        if report.full {
+            self.end_unlisted(router, report);
+        }
+        self.apply_served(router, report, first);
+        for demand in &report.demand {
+            self.apply_demand(router, demand);
+        }
+        if report.full {
+            self.withdraw_unlisted(router, report);
+        }
+    }
+
+    /// Continues the sequence of grants that an earlier stay of this home began.
+    fn start_grants(&mut self, router: usize, report: &EntryReport) {
+        let own = report
+            .holdings
+            .iter()
+            .filter(|holding| holding.grant.home == self.member)
+            .map(|holding| holding.grant.sequence);
+        let highest = own.fold(report.grants_received, u64::max);
+        let record = self.entries.record_mut(router);
+        record.last_granted = highest;
+        record.grants_received = highest;
+    }
+
+    fn acknowledge(&mut self, router: usize, grants_received: u64) {
+        let record = self.entries.record_mut(router);
+        if grants_received <= record.grants_received {
+            return;
+        }
+        let from = record.grants_received + 1;
+        record.grants_received = grants_received;
+        let seen = record.own.range(from..=grants_received);
+        let sequences: Vec<u64> = seen.map(|(sequence, _)| *sequence).collect();
+        for sequence in sequences {
+            self.acknowledge_one(router, sequence);
+        }
+    }
+
+    fn acknowledge_one(&mut self, router: usize, sequence: u64) {
+        let Some(held) = self.entries.record_mut(router).own.get_mut(&sequence) else {
+            return;
+        };
+        let stage = std::mem::replace(&mut held.stage, GrantStage::Acknowledged);
+        let held = *held;
+        match stage {
+            GrantStage::Sent { .. } => self.demand.acknowledged(key_of(router, &held)),
+            GrantStage::TimedOut => self.occupy_again(&held),
+            GrantStage::Acknowledged => {}
+        }
+        self.touched.push(held.account);
+    }
+
+    /// Counts a grant again that arrived after its slot was returned; it may run beside another.
+    fn occupy_again(&mut self, held: &Held) {
+        self.counters.late_grants += 1;
+        self.slots.occupy(held.endpoint);
+        self.accounts.charge(held.account, held.estimate_tokens);
+    }
+
+    /// Returns the slot of a grant that is not acknowledged; false if it is, or has ended.
+    pub(crate) fn time_out(&mut self, at: Duration, router: usize, sequence: u64) -> bool {
+        if !self.entries.is_live(router) {
+            return false;
+        }
+        let own = &mut self.entries.record_mut(router).own;
+        let Some(held) = own.get_mut(&sequence) else {
+            return false;
+        };
+        if held.stage != (GrantStage::Sent { expires_at: at }) {
+            return false;
+        }
+        held.stage = GrantStage::TimedOut;
+        let held = *held;
+        self.free(router, &held, GrantStage::Sent { expires_at: at });
+        let suspended = self.demand.suspend(router, true);
+        self.touched.extend(suspended);
+        true
+    }
+
+    fn end(&mut self, router: usize, id: &GrantId) {
+        let record = self.entries.record_mut(router);
+        if let Some(held) = record.remove(&self.member, id) {
+            self.free(router, &held, held.stage);
+        }
+    }
+
+    /// Takes back what a grant occupied in `stage`.
+    fn free(&mut self, router: usize, held: &Held, stage: GrantStage) {
+        self.touched.push(held.account);
+        if stage == GrantStage::TimedOut {
+            return;
+        }
+        self.slots.release(held.endpoint);
+        self.accounts.refund(held.account, held.estimate_tokens);
+        if stage != GrantStage::Acknowledged {
+            self.demand.acknowledged(key_of(router, held));
+        }
+    }
+
+    fn hold(&mut self, router: usize, holding: &Holding) {
+        let estimate_tokens = holding.estimate_tokens.max(MIN_CHARGE_TOKENS);
+        let record = self.entries.record_mut(router);
+        if let Some(held) = record.held_mut(&self.member, &holding.grant) {
+            let before_tokens = std::mem::replace(&mut held.estimate_tokens, estimate_tokens);
+            let account = held.account;
+            self.accounts.refund(account, before_tokens);
+            self.accounts.charge(account, estimate_tokens);
+            self.touched.push(account);
+            return;
+        }
+        self.adopt(router, holding, estimate_tokens);
+    }
+
+    /// Takes over a grant of an earlier home: it occupies its slot here until it ends.
+    fn adopt(&mut self, router: usize, holding: &Holding, estimate_tokens: u64) {
+        let Some(account) = self.accounts.find(&holding.account) else {
+            return self.name_unknown(router, RejectionReason::UnknownAccount);
+        };
+        let Some(endpoint) = self.slots.find(&holding.endpoint) else {
+            return self.name_unknown(router, RejectionReason::UnknownEndpoint);
+        };
+        let held = Held {
+            account,
+            class: RequestClass::default(),
+            endpoint,
+            estimate_tokens,
+            stage: GrantStage::Acknowledged,
+        };
+        self.slots.occupy(endpoint);
+        self.accounts.charge(account, estimate_tokens);
+        self.touched.push(account);
+        let record = self.entries.record_mut(router);
+        record.insert(&self.member, &holding.grant, held);
+    }
+
+    /// Drops one item; the rest of the report counts, and a full one is asked for when the next
+    /// configuration is in force. During an import routers learn of new accounts at different
+    /// times, and refusing whole reports would stop all other work of a router meanwhile.
+    fn name_unknown(&mut self, router: usize, reason: RejectionReason) {
+        self.counters.reject(reason);
+        self.entries.record_mut(router).named_unknown = true;
+    }
+
+    fn end_unlisted(&mut self, router: usize, report: &EntryReport) {
+        let record = self.entries.record(router);
+        for id in record.grant_ids(&self.member) {
+            let unseen = id.home == self.member && id.sequence > report.grants_received;
+            let listed = report.holdings.iter().any(|holding| holding.grant == id);
+            if !unseen && !listed {
+                self.end(router, &id);
+            }
+        }
+    }
+
+    fn apply_served(&mut self, router: usize, report: &EntryReport, first: bool) {
+        let mut totals = Vec::new();
+        for served in &report.served {
+            match self.accounts.find(&served.account) {
+                Some(account) => totals.push((account, served.total_tokens)),
+                None => self.name_unknown(router, RejectionReason::UnknownAccount),
+            }
+        }
+        if first {
+            return self.accounts.admit_run(router, totals);
+        }
+        for (account, total_tokens) in totals {
+            self.accounts.merge_served(router, account, total_tokens);
+            self.touched.push(account);
+        }
+    }
+
+    fn apply_demand(&mut self, router: usize, demand: &Demand) {
+        let Some(account) = self.accounts.find_configured(&demand.account) else {
+            return self.name_unknown(router, RejectionReason::UnknownAccount);
+        };
+        let key = DemandKey {
+            account,
+            class: demand.class,
+            router,
+        };
+        let report = DemandReport {
+            waiting: demand.waiting,
+            head_cost_tokens: demand.head_cost_tokens,
+            head_prefix: demand.head_prefix,
+        };
+        self.demand.report(key, report);
+        self.touched.push(account);
+    }
+
+    fn withdraw_unlisted(&mut self, router: usize, report: &EntryReport) {
+        for key in self.demand.keys_of(router) {
+            let account = self.accounts.id(key.account);
+            let mut listed = report.demand.iter();
+            if listed.any(|demand| demand.class == key.class && demand.account == *account) {
+                continue;
+            }
+            self.demand.report(key, DemandReport::default());
+            self.touched.push(key.account);
+        }
+    }
+
+    pub(crate) fn drop_demand_of(&mut self, account: usize) {
+        for key in self.demand.keys_of_account(account) {
+            self.demand.report(key, DemandReport::default());
+        }
+        self.touched.push(account);
+    }
+
+    pub(crate) fn set_members(
+        &mut self,
+        now: Duration,
+        members: &[Member],
+        actions: &mut Vec<HomeAction>,
+    ) {
+        self.members_known = true;
+        for router in self.entries.indices() {
+            let host = &self.entries.record(router).member.host;
+            if !members.iter().any(|member| member.host == *host) {
+                self.remove_router(router);
+            }
+        }
+        for member in members {
+            self.set_member(now, member, actions);
+        }
+    }
+
+    fn set_member(&mut self, now: Duration, member: &Member, actions: &mut Vec<HomeAction>) {
+        if let Some(router) = self.entries.find(&member.host) {
+            if self.entries.record(router).member.incarnation >= member.incarnation {
+                return;
+            }
+            self.remove_router(router);
+        }
+        let router = self.add_router(member);
+        self.ask_full(now, router, actions);
+    }
+
+    fn add_router(&mut self, member: &Member) -> usize {
+        let host_site = self
+            .host_sites
+            .iter()
+            .find(|known| known.host == member.host);
+        let site = host_site.map(|known| self.slots.site(&known.site));
+        self.entries.add(member, site)
+    }
+
+    /// Frees everything that a run holds: when it is gone its streams are cut.
+    fn remove_router(&mut self, router: usize) {
+        let ids = self.entries.record(router).grant_ids(&self.member);
+        for id in ids {
+            self.end(router, &id);
+        }
+        let waited = self.demand.remove_router(router);
+        self.touched.extend(waited);
+        self.accounts.close_run(router);
+        self.entries.remove(router);
+    }
+
+    pub(crate) fn set_host_sites(&mut self, host_sites: Vec<HostSite>) {
+        for known in &host_sites {
+            let site = self.slots.site(&known.site);
+            if let Some(router) = self.entries.find(&known.host) {
+                self.entries.record_mut(router).site = Some(site);
+            }
+        }
+        self.host_sites = host_sites;
+    }
+}
+
+fn key_of(router: usize, held: &Held) -> DemandKey {
+    DemandKey {
+        account: held.account,
+        class: held.class,
+        router,
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/service_ledger.rs
@@ -0,0 +1,101 @@
+//! Settled service of each account: grow-only counters of router runs, merged by maximum.
+
+use std::collections::BTreeMap;
+
+/// Counters of all admitted runs and what accounts received through them.
+///
+/// Merging by maximum is commutative and idempotent, so late, repeated and crossed reports count
+/// once. A run is admitted with the totals it had then: these came before this ledger and are not
+/// counted, so a run that rejoins after a partition is not counted twice.
+#[derive(Debug, Default)]
+pub struct ServiceLedger {
+    runs: BTreeMap<usize, BTreeMap<usize, u64>>,
+    received_tokens: Vec<u64>,
+}
+
+impl ServiceLedger {
+    /// Starts the counters of `run` from its totals so far.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::service_ledger::ServiceLedger;
+    ///
+    /// let mut ledger = ServiceLedger::default();
+    /// ledger.admit(0, [(7, 100)]);
+    /// assert_eq!(ledger.received_tokens(7), 0);
+    /// assert_eq!(ledger.merge(0, 7, 130), 30);
+    /// assert_eq!(ledger.received_tokens(7), 30);
+    /// ```
+    pub fn admit(&mut self, run: usize, totals: impl IntoIterator<Item = (usize, u64)>) {
+        self.runs.insert(run, totals.into_iter().collect());
+    }
+
+    /// Raises a counter to `total_tokens` and returns by how much it grew.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::service_ledger::ServiceLedger;
+    ///
+    /// let mut ledger = ServiceLedger::default();
+    /// assert_eq!(ledger.merge(0, 7, 30), 30);
+    /// assert_eq!(ledger.merge(0, 7, 20), 0);
+    /// ```
+    pub fn merge(&mut self, run: usize, account: usize, total_tokens: u64) -> u64 {
+        let counters = self.runs.entry(run).or_default();
+        let counter = counters.entry(account).or_default();
+        let growth_tokens = total_tokens.saturating_sub(*counter);
+        *counter += growth_tokens;
+        self.add(account, growth_tokens);
+        growth_tokens
+    }
+
+    /// Returns the counter of one run.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::service_ledger::ServiceLedger;
+    ///
+    /// let mut ledger = ServiceLedger::default();
+    /// ledger.merge(0, 7, 30);
+    /// assert_eq!(ledger.total_tokens(0, 7), 30);
+    /// ```
+    pub fn total_tokens(&self, run: usize, account: usize) -> u64 {
+        let counters = self.runs.get(&run);
+        counters
+            .and_then(|counters| counters.get(&account))
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Drops the counters of a run that ended or left; what accounts received stays.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::service_ledger::ServiceLedger;
+    ///
+    /// let mut ledger = ServiceLedger::default();
+    /// ledger.merge(0, 7, 30);
+    /// ledger.close(0);
+    /// assert_eq!(ledger.received_tokens(7), 30);
+    /// ```
+    pub fn close(&mut self, run: usize) {
+        self.runs.remove(&run);
+    }
+
+    /// Returns what an account received through all runs since they were admitted.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::service_ledger::ServiceLedger;
+    ///
+    /// assert_eq!(ServiceLedger::default().received_tokens(7), 0);
+    /// ```
+    pub fn received_tokens(&self, account: usize) -> u64 {
+        self.received_tokens
+            .get(account)
+            .copied()
+            .unwrap_or_default()
+    }
+
+    fn add(&mut self, account: usize, growth_tokens: u64) {
+        if self.received_tokens.len() <= account {
+            self.received_tokens.resize(account + 1, 0);
+        }
+        self.received_tokens[account] += growth_tokens;
+    }
+}
--- a/crates/state/src/settings.rs
+++ b/crates/state/src/settings.rs
@@ -132,6 +132,8 @@
     pub batch_interval_ms: u64,
     /// Time after which an unused grant returns to its home.
     pub grant_timeout_ms: u64,
+    /// Longest time a new home of a pool waits for full reports before it grants.
+    pub gather_timeout_ms: u64,
 }
 
 impl Default for FairSettings {
@@ -143,6 +145,7 @@
             output_token_factor: 4,
             batch_interval_ms: 5,
             grant_timeout_ms: 1_000,
+            gather_timeout_ms: 300,
         }
     }
 }
