--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -172,7 +172,7 @@
 /// let message = PeerMessage::FullReportWanted { pool: "desk".into() };
 /// let bytes = encode(&message);
 /// assert_eq!(decode(&bytes, &from).unwrap(), message);
-/// assert!(decode(&bytes[1..], &from).is_err());
+/// assert!(decode(&bytes[..bytes.len() - 1], &from).is_err());
 /// ```
 pub fn encode(message: &PeerMessage) -> Vec<u8> {
     to_cbor(&match message {
--- a/crates/state/src/settings/schema/general.rs
+++ b/crates/state/src/settings/schema/general.rs
@@ -143,6 +143,13 @@
             Fleet,
             "Time after which an unused grant returns to its home.",
         ),
+        key(
+            "gather_timeout_ms",
+            whole(Milliseconds, 10, 60_000),
+            Value("300"),
+            Fleet,
+            "Longest time a new home waits for full reports before it grants.",
+        ),
     ],
 };
 
