--- a/crates/coordination/src/account_table.rs
+++ b/crates/coordination/src/account_table.rs
@@ -164,33 +164,45 @@
         self.accounts[index].base_tag = tag;
     }
 
-    /// Returns the least tag that a newly backlogged account may start with.
-    pub(crate) fn floor(&self) -> Tag {
-        self.order.floor()
-    }
-
-    /// Brings the place of an account in the order up to date.
+    /// Brings the places of `changed` accounts in the order up to date.
     ///
-    /// A newly backlogged account is lifted to `floor`, so that idle time gives no credit. The
-    /// lift never adds to a tag that is above the floor: an account whose requests come one by one
-    /// keeps exactly the tag that its service and its estimates gave it.
-    pub(crate) fn refresh(&mut self, index: usize, backlogged: bool, floor: Tag) {
-        let listed = self.accounts[index].listed_tag;
-        if backlogged && listed.is_none() && self.tag(index) < floor {
-            self.rebase(index, floor);
+    /// Newly backlogged accounts are lifted to the minimum of those that were backlogged before,
+    /// so that idle time gives no credit. All of one event start from the same minimum: one after
+    /// the other, the first one's tag would lift the second one's. The lift never adds to a tag
+    /// above the minimum, so an account whose requests come one by one is charged for these only.
+    pub(crate) fn refresh(&mut self, changed: &[usize], is_backlogged: impl Fn(usize) -> bool) {
+        self.order.note_minimum();
+        let mut joined = Vec::new();
+        for &index in changed {
+            let backlogged = is_backlogged(index);
+            if backlogged && self.accounts[index].listed_tag.is_none() {
+                joined.push(index);
+                continue;
+            }
+            self.list(index, backlogged.then(|| self.tag(index)));
         }
-        let tag = backlogged.then(|| self.tag(index));
-        if tag == listed {
+        let floor = self.order.floor();
+        for index in joined {
+            let tag = self.tag(index);
+            if tag < floor {
+                self.rebase(index, floor);
+            }
+            self.list(index, Some(tag.max(floor)));
+        }
+    }
+
+    fn list(&mut self, index: usize, tag: Option<Tag>) {
+        let account = &mut self.accounts[index];
+        let listed = std::mem::replace(&mut account.listed_tag, tag);
+        if listed == tag {
             return;
         }
-        let rank = self.accounts[index].rank;
         if let Some(listed) = listed {
-            self.order.remove(listed, rank);
+            self.order.remove(listed, account.rank);
         }
         if let Some(tag) = tag {
-            self.order.insert(tag, rank);
+            self.order.insert(tag, account.rank);
         }
-        self.accounts[index].listed_tag = tag;
     }
 
     /// Returns the backlogged account with the least tag.
--- a/crates/coordination/src/fair_order.rs
+++ b/crates/coordination/src/fair_order.rs
@@ -68,7 +68,6 @@
     /// assert_eq!(order.first(), None);
     /// ```
     pub fn remove(&mut self, tag: Tag, rank: u32) {
-        self.remember_minimum();
         self.entries.remove(&(tag, rank));
     }
 
@@ -93,7 +92,6 @@
     /// let mut order = FairOrder::default();
     /// let tag = Tag::default().advanced(7, 1);
     /// order.insert(tag, 0);
-    /// order.remove(tag, 0);
     /// assert_eq!(order.floor(), tag);
     /// ```
     pub fn floor(&self) -> Tag {
@@ -113,11 +111,22 @@
     /// assert_eq!(order.first(), None);
     /// ```
     pub fn clear(&mut self) {
-        self.remember_minimum();
+        self.note_minimum();
         self.entries.clear();
     }
 
-    fn remember_minimum(&mut self) {
+    /// Remembers the minimum; called before changes that may leave no account backlogged.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::fair_order::{FairOrder, Tag};
+    ///
+    /// let mut order = FairOrder::default();
+    /// order.insert(Tag::default().advanced(3, 1), 0);
+    /// order.note_minimum();
+    /// order.remove(Tag::default().advanced(3, 1), 0);
+    /// assert_eq!(order.floor(), Tag::default().advanced(3, 1));
+    /// ```
+    pub fn note_minimum(&mut self) {
         self.last_minimum = self.floor();
     }
 }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -23,6 +23,8 @@
 mod demand_table;
 mod entry_record;
 mod entry_table;
+mod grant_slots;
+mod home_events;
 mod prefix_affinity;
 mod report_apply;
 mod report_check;
--- a/crates/coordination/src/pool_home.rs
+++ b/crates/coordination/src/pool_home.rs
@@ -10,121 +10,37 @@
 
 use sedgeridge_state::ids::AccountId;
 use sedgeridge_state::ids::EndpointId;
-use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Member;
 use sedgeridge_state::ids::PoolId;
-use sedgeridge_state::ids::SiteId;
 use sedgeridge_state::settings::FairSettings;
-use sedgeridge_state::settings::QueueOrder;
 use sedgeridge_state::settings::millis;
 
 use crate::account_table::AccountTable;
-use crate::demand_table::DemandKey;
 use crate::demand_table::DemandTable;
-use crate::entry_record::GrantStage;
-use crate::entry_record::Held;
 use crate::entry_table::EntryTable;
 use crate::fair_order::Tag;
 use crate::home_counters::HomeCounters;
-use crate::pool_messages::EntryReport;
-use crate::pool_messages::Grant;
-use crate::pool_messages::GrantId;
 use crate::rendezvous::seed_of;
 use crate::slot_table::SlotTable;
 
+pub use crate::home_events::AccountWeight;
+pub use crate::home_events::HomeAction;
+pub use crate::home_events::HomeEndpoint;
+pub use crate::home_events::HomeEvent;
+pub use crate::home_events::HostSite;
+pub use crate::home_events::SlotUsage;
+
 /// Least charge of a request, so that requests estimated at nothing still move the order.
 pub(crate) const MIN_CHARGE_TOKENS: u64 = 1;
 /// Time after which a router with grants in use is asked to list them all.
 const RECONCILE_INTERVAL: Duration = Duration::from_secs(30);
 
-/// What happens to the home of a pool.
-#[derive(Debug, Clone, PartialEq)]
-pub enum HomeEvent {
-    /// A configuration is in force.
-    Configured {
-        /// The pool's endpoints.
-        endpoints: Vec<HomeEndpoint>,
-        /// Weights of all client accounts.
-        weights: Vec<AccountWeight>,
-    },
-    /// Where the hosts stand; without it no endpoint counts as near.
-    HostSites(Vec<HostSite>),
-    /// An entry router reports.
-    Report(EntryReport),
-    /// What is known of an endpoint changed.
-    EndpointState {
-        /// The endpoint.
-        endpoint: EndpointId,
-        /// Slots that may be granted now; 0 while it is ejected or leaving.
-        usable_slots: u32,
-    },
-    /// The members believed alive changed; holdings of the others are freed.
-    Members(Vec<Member>),
-    /// Time passed.
-    Tick,
-}
-
-/// An endpoint as its pool's home sees it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct HomeEndpoint {
-    /// Name of the endpoint.
-    pub id: EndpointId,
-    /// Site it stands in.
-    pub site: SiteId,
-    /// Requests it may run at once.
-    pub slots: u32,
-}
-
-/// Share of a client account.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct AccountWeight {
-    /// The client account.
-    pub account: AccountId,
-    /// Share relative to other accounts.
-    pub weight: u32,
-}
-
-/// Where a host stands.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct HostSite {
-    /// The host.
-    pub host: HostId,
-    /// Its site.
-    pub site: SiteId,
-}
-
-/// Slots of an endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct SlotUsage {
-    /// Slots that may be granted now.
-    pub usable: u32,
-    /// Slots that grants occupy; above `usable` when it shrank, or after rehoming.
-    pub occupied: u32,
-}
-
-/// What the home of a pool wants done.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum HomeAction {
-    /// Send a grant.
-    Grant {
-        /// The entry router.
-        to: Member,
-        /// The grant.
-        grant: Grant,
-    },
-    /// Ask an entry router for a full report.
-    AskFull {
-        /// The entry router.
-        to: Member,
-    },
-}
-
 /// A grant whose acknowledgement is due.
 #[derive(Debug)]
-struct Expiry {
-    at: Duration,
-    router: usize,
-    sequence: u64,
+pub(crate) struct Expiry {
+    pub(crate) at: Duration,
+    pub(crate) router: usize,
+    pub(crate) sequence: u64,
 }
 
 /// Orders demand and grants slots.
@@ -142,10 +58,10 @@
     pub(crate) touched: Vec<usize>,
     pub(crate) host_sites: Vec<HostSite>,
     pub(crate) members_known: bool,
-    configured: bool,
-    started_at: Option<Duration>,
-    granting: bool,
-    expiries: VecDeque<Expiry>,
+    pub(crate) configured: bool,
+    pub(crate) started_at: Option<Duration>,
+    pub(crate) granting: bool,
+    pub(crate) expiries: VecDeque<Expiry>,
 }
 
 impl PoolHome {
@@ -330,127 +246,15 @@
         actions.push(HomeAction::AskFull { to });
     }
 
-    /// Returns the slots of grants that were not acknowledged in time.
-    ///
-    /// A lost grant would keep its slot idle for good while work waits. Its router gets no further
-    /// grant until it reports, else each grant to an unreachable router idles a slot anew.
-    fn expire_grants(&mut self, now: Duration, actions: &mut Vec<HomeAction>) {
-        while self.expiries.front().is_some_and(|first| first.at <= now) {
-            let Some(Expiry {
-                at,
-                router,
-                sequence,
-            }) = self.expiries.pop_front()
-            else {
-                return;
-            };
-            if self.time_out(at, router, sequence) {
-                self.counters.timed_out_grants += 1;
-                self.ask_full(now, router, actions);
-            }
-        }
-    }
-
-    /// Starts granting once the slots in use are known.
-    ///
-    /// A new home that grants at once hands out slots that still run requests granted by the home
-    /// before it: endpoints get up to twice their load at each rehoming. Every live member lists
-    /// its grants in use in its full report, so when all have come no slot in use is unknown. A
-    /// member that stays silent may hold its reports back for the gather time at most; what it
-    /// holds is then over-admitted until its report arrives.
-    fn finish_gathering(&mut self, now: Duration) {
-        if self.granting || !self.configured {
-            return;
-        }
-        let started_at = self.started_at.unwrap_or(now);
-        let waited = now >= started_at + millis(self.settings.gather_timeout_ms);
-        self.granting = waited || (self.members_known && self.entries.all_reported());
-    }
-
-    fn grant_free_slots(&mut self, now: Duration, actions: &mut Vec<HomeAction>) {
-        while self.granting && self.slots.any_free() {
-            let Some(key) = self.next_demand() else {
-                return;
-            };
-            let reported = self.demand.reported(key);
-            let site = self.entries.record(key.router).site;
-            let Some(endpoint) = self.slots.take(reported.head_prefix, site) else {
-                return;
-            };
-            let estimate_tokens = reported.head_cost_tokens.max(MIN_CHARGE_TOKENS);
-            actions.push(self.grant(now, key, endpoint, estimate_tokens));
-        }
-    }
-
-    fn next_demand(&self) -> Option<DemandKey> {
-        match self.settings.order {
-            QueueOrder::Fair => self.demand.next_of(self.accounts.next()?),
-            QueueOrder::Fifo => self.demand.oldest(),
-        }
-    }
-
-    fn grant(
-        &mut self,
-        now: Duration,
-        key: DemandKey,
-        endpoint: usize,
-        estimate_tokens: u64,
-    ) -> HomeAction {
-        let at = now + millis(self.settings.grant_timeout_ms);
-        let record = self.entries.record_mut(key.router);
-        record.last_granted += 1;
-        let sequence = record.last_granted;
-        let held = Held {
-            account: key.account,
-            class: key.class,
-            endpoint,
-            estimate_tokens,
-            stage: GrantStage::Sent { expires_at: at },
-        };
-        record.own.insert(sequence, held);
-        let to = record.member.clone();
-        self.expiries.push_back(Expiry {
-            at,
-            router: key.router,
-            sequence,
-        });
-        self.accounts.charge(key.account, estimate_tokens);
-        self.demand.granted(key);
-        self.refresh_account(key.account);
-        self.counters.grants += 1;
-        let grant = Grant {
-            id: GrantId {
-                home: self.member.clone(),
-                sequence,
-            },
-            pool: self.pool.clone(),
-            endpoint: self.slots.id(endpoint).clone(),
-            account: self.accounts.id(key.account).clone(),
-            class: key.class,
-        };
-        HomeAction::Grant { to, grant }
-    }
-
-    fn refresh_account(&mut self, account: usize) {
-        let floor = self.accounts.floor();
-        let backlogged = self.demand.is_backlogged(account);
-        self.accounts.refresh(account, backlogged, floor);
-    }
-
-    /// Brings the order up to date with everything that this event changed.
-    ///
-    /// Accounts that become backlogged together start from the same floor, whatever their order
-    /// in the report: else the first one's tag would lift the second one's.
     fn refresh_touched(&mut self) {
         self.demand.settle();
         let mut touched = std::mem::take(&mut self.touched);
         touched.sort_unstable();
         touched.dedup();
-        let floor = self.accounts.floor();
-        for account in touched.drain(..) {
-            let backlogged = self.demand.is_backlogged(account);
-            self.accounts.refresh(account, backlogged, floor);
-        }
+        let demand = &self.demand;
+        self.accounts
+            .refresh(&touched, |account| demand.is_backlogged(account));
+        touched.clear();
         self.touched = touched;
     }
 }
