feat(coordination): membership by probes, suspicion and table comparison

Routers have to agree roughly on who is live, so that pools have one home each, and the platform's host list lags too far to be that agreement.

Failure detection and dissemination follow SWIM, local health and the shrinking suspicion time follow Lifeguard. Whole tables are compared now and then, and named hosts that are not live are contacted, so that the halves of a partition and restarted hosts find each other. A record's version is the incarnation and a refutation count: one number for both was weighed, but other parts identify a run by its incarnation, and a refutation must not look to them like a restart.

Old death records that come in with a table only make the member be told: taken over, the first exchange after a heal would empty the fleet.

--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -1,1 +1,370 @@
-//! To be written.
+//! Which hosts of the fleet are live.
+//!
+//! Failure detection and dissemination follow SWIM (Das, Gupta, Motivala, 2002) with the local
+//! health of Lifeguard (Dadgar, Phillips, Currey, 2018): each host probes one other in each
+//! interval, directly and then through others; who leaves a probe unanswered is suspected and has
+//! time to refute; news ride on the probes and on a few extra messages. Now and then two hosts
+//! compare their whole tables, and hosts that are named but not live are contacted, so that the
+//! halves of a partition and restarted hosts find each other again.
+//!
+//! Safety never rests on membership: two hosts may believe different tables at any time.
+
+mod admission;
+mod dissemination;
+mod events;
+mod member_table;
+mod messages;
+mod notice_board;
+mod probe_schedule;
+mod prober;
+mod random;
+mod receive;
+mod rejections;
+mod suspicion;
+mod table_sync;
+mod timers;
+
+use std::time::Duration;
+
+use sedgeridge_state::ids::HostId;
+use sedgeridge_state::ids::Member;
+use sedgeridge_state::settings::MembershipSettings;
+use sedgeridge_state::settings::millis;
+
+use admission::Admission;
+use dissemination::Dissemination;
+use member_table::MemberTable;
+use member_table::Merge;
+use member_table::Source;
+use notice_board::NoticeBoard;
+use prober::Outgoing;
+use prober::Prober;
+use random::SeededRandom;
+
+pub use events::HostHint;
+pub use events::ListedHost;
+pub use events::LiveMember;
+pub use events::MemberState;
+pub use events::MembershipAction;
+pub use events::MembershipEvent;
+pub use messages::Body;
+pub use messages::Health;
+pub use messages::MemberRecord;
+pub use messages::Message;
+pub use messages::Notice;
+pub use messages::TableDigest;
+pub use messages::Update;
+pub use messages::Version;
+pub use rejections::Rejection;
+pub use rejections::Rejections;
+
+/// The membership of one host.
+#[derive(Debug)]
+pub struct Membership {
+    settings: MembershipSettings,
+    own: MemberRecord,
+    admission: Admission,
+    table: MemberTable,
+    prober: Prober,
+    news: Dissemination,
+    notices: NoticeBoard,
+    rejections: Rejections,
+    random: SeededRandom,
+    config_generation: u64,
+    published: Vec<LiveMember>,
+    may_have_changed: bool,
+    last_gossip_at: Option<Duration>,
+    next_sync_at: Duration,
+    next_rejoin_at: Duration,
+    next_table_at: Duration,
+    departed: bool,
+}
+
+impl Membership {
+    /// Creates the membership of `member`, whose incarnation is the wall-clock time of its start
+    /// in microseconds. `hosts` are those named in the settings.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::membership::{Membership, MembershipAction, MembershipEvent};
+    /// use sedgeridge_state::ids::{HostId, Incarnation, Member};
+    /// use sedgeridge_state::settings::MembershipSettings;
+    ///
+    /// let member = Member { host: HostId::from("entry-1"), incarnation: Incarnation(1) };
+    /// let hosts = vec![HostId::from("entry-1"), HostId::from("entry-2")];
+    /// let mut membership = Membership::new(member, MembershipSettings::default(), hosts, 42);
+    /// let mut actions = Vec::new();
+    /// membership.handle(Duration::ZERO, MembershipEvent::Tick, &mut actions);
+    /// assert!(actions.iter().any(|a| matches!(a, MembershipAction::Send { .. })));
+    /// ```
+    pub fn new(
+        member: Member,
+        settings: MembershipSettings,
+        hosts: Vec<HostId>,
+        seed: u64,
+    ) -> Self {
+        let mut random = SeededRandom::new(seed);
+        let prober = Prober::new(&settings, &mut random);
+        let sync_phase_ms = random.below(settings.sync_interval_ms as usize) as u64;
+        let admission = Admission::new(member.host.clone(), hosts);
+        Self {
+            own: MemberRecord {
+                member,
+                refutations: 0,
+                leaving: false,
+                health: Health::Alive,
+            },
+            admission,
+            table: MemberTable::new(millis(settings.suspicion_ms)),
+            prober,
+            news: Dissemination::default(),
+            notices: NoticeBoard::default(),
+            rejections: Rejections::default(),
+            random,
+            config_generation: 0,
+            published: Vec::new(),
+            may_have_changed: true,
+            last_gossip_at: None,
+            next_sync_at: millis(sync_phase_ms),
+            next_rejoin_at: Duration::ZERO,
+            next_table_at: Duration::ZERO,
+            departed: false,
+            settings,
+        }
+    }
+
+    /// Takes one event and appends what is to be done.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::membership::{Membership, MembershipAction, MembershipEvent};
+    /// use sedgeridge_state::ids::{HostId, Incarnation, Member};
+    /// use sedgeridge_state::settings::MembershipSettings;
+    ///
+    /// let member = Member { host: HostId::from("entry-1"), incarnation: Incarnation(1) };
+    /// let mut membership = Membership::new(member, MembershipSettings::default(), Vec::new(), 42);
+    /// let mut actions = Vec::new();
+    /// membership.handle(Duration::ZERO, MembershipEvent::Tick, &mut actions);
+    /// assert!(matches!(&actions[..], [MembershipAction::MembersChanged(m)] if m.len() == 1));
+    /// ```
+    pub fn handle(
+        &mut self,
+        now: Duration,
+        event: MembershipEvent,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        if self.departed {
+            return;
+        }
+        self.notice_pause(now);
+        match event {
+            MembershipEvent::Tick => self.tick(now, actions),
+            MembershipEvent::MessageReceived(message) => self.receive(now, message, actions),
+            MembershipEvent::Configured(hosts) => self.admission.configure(hosts),
+            MembershipEvent::HostList(hosts) => self.take_list(hosts),
+            MembershipEvent::ConfigGeneration(generation) => self.raise_generation(generation),
+            MembershipEvent::Announce(notice) => self.announce(now, &notice),
+            MembershipEvent::LeaveRequested => self.start_leaving(),
+            MembershipEvent::LeaveFinished => self.depart(now, actions),
+        }
+        self.publish(actions);
+    }
+
+    /// Returns when the next [`MembershipEvent::Tick`] is due. A tick that comes much later is
+    /// taken for a sign that this process was paused.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::membership::Membership;
+    /// use sedgeridge_state::ids::{HostId, Incarnation, Member};
+    /// use sedgeridge_state::settings::MembershipSettings;
+    ///
+    /// let member = Member { host: HostId::from("entry-1"), incarnation: Incarnation(1) };
+    /// let membership = Membership::new(member, MembershipSettings::default(), Vec::new(), 42);
+    /// assert_eq!(membership.next_wake(), Duration::ZERO);
+    /// ```
+    pub fn next_wake(&self) -> Duration {
+        let gossip = self.news.is_pending().then(|| self.gossip_due());
+        let suspicion = self.table.next_suspicion_end();
+        let timers = [gossip, suspicion, Some(self.prober.next_wake())];
+        timers
+            .into_iter()
+            .flatten()
+            .fold(self.next_sync_at.min(self.next_rejoin_at), Duration::min)
+    }
+
+    /// Returns what was refused so far.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::membership::{Membership, Rejection};
+    /// use sedgeridge_state::ids::{HostId, Incarnation, Member};
+    /// use sedgeridge_state::settings::MembershipSettings;
+    ///
+    /// let member = Member { host: HostId::from("entry-1"), incarnation: Incarnation(1) };
+    /// let membership = Membership::new(member, MembershipSettings::default(), Vec::new(), 42);
+    /// assert_eq!(membership.rejections().of(Rejection::UnknownSender), 0);
+    /// ```
+    pub fn rejections(&self) -> &Rejections {
+        &self.rejections
+    }
+
+    /// Returns the highest configuration generation heard of.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::membership::Membership;
+    /// use sedgeridge_state::ids::{HostId, Incarnation, Member};
+    /// use sedgeridge_state::settings::MembershipSettings;
+    ///
+    /// let member = Member { host: HostId::from("entry-1"), incarnation: Incarnation(1) };
+    /// let membership = Membership::new(member, MembershipSettings::default(), Vec::new(), 42);
+    /// assert_eq!(membership.config_generation(), 0);
+    /// ```
+    pub fn config_generation(&self) -> u64 {
+        self.config_generation
+    }
+
+    fn gossip_due(&self) -> Duration {
+        let interval = millis(self.settings.gossip_interval_ms);
+        self.last_gossip_at
+            .map_or(Duration::ZERO, |at| at + interval)
+    }
+
+    fn take_list(&mut self, hosts: Vec<ListedHost>) {
+        self.admission.list(hosts, &self.table);
+        self.may_have_changed = true;
+    }
+
+    fn raise_generation(&mut self, generation: u64) {
+        if generation > self.config_generation {
+            self.config_generation = generation;
+            self.news.push_generation();
+        }
+    }
+
+    fn announce(&mut self, now: Duration, notice: &Notice) {
+        match self.notices.merge(now, self.unix_us(now) / 1_000, notice) {
+            Ok(true) => self.news.push_notice(notice.into()),
+            Ok(false) => {}
+            Err(reason) => self.rejections.count(reason),
+        }
+    }
+
+    fn start_leaving(&mut self) {
+        if !self.own.leaving {
+            self.own.leaving = true;
+            self.renew_own(self.own.refutations + 1);
+        }
+    }
+
+    fn depart(&mut self, now: Duration, actions: &mut Vec<MembershipAction>) {
+        self.own.health = Health::Left;
+        for host in self.random_live(2 * self.settings.gossip_fanout as usize) {
+            self.send(now, host, Body::Gossip, actions);
+        }
+        self.departed = true;
+    }
+
+    /// Gives the own record a higher version and spreads it.
+    fn renew_own(&mut self, refutations: u64) {
+        self.own.refutations = refutations;
+        self.may_have_changed = true;
+        self.news.push_update(Update {
+            record: self.own.clone(),
+            accuser: None,
+        });
+    }
+
+    /// Merges an update on another host and spreads it if it is news.
+    fn merge(&mut self, now: Duration, update: Update, source: Source) {
+        let merge = self.table.merge(now, &update, source);
+        if merge == Merge::Ignored {
+            return;
+        }
+        self.may_have_changed = true;
+        if update.record.is_live() {
+            self.prober
+                .schedule
+                .insert(&update.record.member.host, &mut self.random);
+        }
+        if source == Source::News {
+            self.news.push_update(update);
+        }
+    }
+
+    fn random_live(&mut self, count: usize) -> Vec<HostId> {
+        let mut hosts: Vec<HostId> = self.table.live().map(|r| r.member.host.clone()).collect();
+        self.random.choose(&mut hosts, count);
+        hosts
+    }
+
+    fn send_digest(&mut self, now: Duration, to: HostId, actions: &mut Vec<MembershipAction>) {
+        let digest = table_sync::digest(&self.own, &self.table, &self.notices);
+        self.send(now, to, Body::SyncRequest { digest }, actions);
+    }
+
+    fn send_all(&mut self, now: Duration, out: Vec<Outgoing>, actions: &mut Vec<MembershipAction>) {
+        for Outgoing { to, body } in out {
+            self.send(now, to, body, actions);
+        }
+    }
+
+    /// Sends a message with the news that fit in. What the receiver should refute goes first.
+    fn send(&mut self, now: Duration, to: HostId, body: Body, actions: &mut Vec<MembershipAction>) {
+        let members = self.table.live_count() + 1;
+        let accuser = Some(self.own.member.host.clone());
+        let doubt = self.table.doubt(&to);
+        let mut updates: Vec<Update> = doubt
+            .map(|record| Update { record, accuser })
+            .into_iter()
+            .collect();
+        updates.extend(self.news.take_updates(members));
+        let keys = self.news.take_notices(members);
+        let notices = keys
+            .iter()
+            .filter_map(|key| self.notices.notice(now, key))
+            .collect();
+        self.news.count_generation(members);
+        let message = Message {
+            from: self.own.clone(),
+            config_generation: self.config_generation,
+            updates,
+            notices,
+            body,
+        };
+        actions.push(MembershipAction::Send { to, message });
+    }
+
+    fn publish(&mut self, actions: &mut Vec<MembershipAction>) {
+        if !self.may_have_changed {
+            return;
+        }
+        self.may_have_changed = false;
+        let mut live: Vec<LiveMember> = self.table.live().map(|r| self.live_member(r)).collect();
+        let own = self.live_member(&self.own);
+        let place = live.partition_point(|m| m.member < own.member);
+        live.insert(place, own);
+        if live != self.published {
+            self.published.clone_from(&live);
+            actions.push(MembershipAction::MembersChanged(live));
+        }
+    }
+
+    fn live_member(&self, record: &MemberRecord) -> LiveMember {
+        let leaving = record.leaving || self.admission.is_listed_leaving(record);
+        let state = if leaving {
+            MemberState::Leaving
+        } else {
+            MemberState::Alive
+        };
+        LiveMember {
+            member: record.member.clone(),
+            state,
+        }
+    }
+
+    /// Estimates the wall clock from the incarnation, which was read from it at the start.
+    fn unix_us(&self, now: Duration) -> u64 {
+        let elapsed_us = now.as_micros() as u64;
+        self.own.member.incarnation.0.saturating_add(elapsed_us)
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/membership/prober.rs
@@ -0,0 +1,254 @@
+//! Probes one member after the other, directly and then through others.
+//!
+//! The times follow Lifeguard: a host that has reason to doubt itself (unanswered relays, refuted
+//! suspicions, pauses) waits longer before it suspects others.
+
+use std::time::Duration;
+
+use sedgeridge_state::ids::HostId;
+use sedgeridge_state::settings::MembershipSettings;
+use sedgeridge_state::settings::millis;
+
+use super::member_table::MemberTable;
+use super::messages::Body;
+use super::probe_schedule::ProbeSchedule;
+use super::random::SeededRandom;
+
+/// Worst local health; times are stretched by at most this plus one.
+const MAX_LOCAL_HEALTH: u32 = 7;
+
+/// Most probes made for others at a time.
+const MAX_RELAYS: usize = 64;
+
+/// A message body on its way out.
+#[derive(Debug)]
+pub(crate) struct Outgoing {
+    pub(crate) to: HostId,
+    pub(crate) body: Body,
+}
+
+#[derive(Debug)]
+struct PendingProbe {
+    target: HostId,
+    sequence: u64,
+    indirect_at: Option<Duration>,
+    relays_asked: usize,
+    nacks: usize,
+}
+
+/// A probe made on behalf of another member.
+#[derive(Debug)]
+struct Relay {
+    origin: HostId,
+    origin_sequence: u64,
+    sequence: u64,
+    nack_at: Duration,
+}
+
+/// Runs one probe in each probe interval.
+#[derive(Debug)]
+pub(crate) struct Prober {
+    interval: Duration,
+    timeout: Duration,
+    indirect_probes: usize,
+    pub(crate) schedule: ProbeSchedule,
+    pending: Option<PendingProbe>,
+    relays: Vec<Relay>,
+    next_probe_at: Duration,
+    sequence: u64,
+    local_health: u32,
+}
+
+impl Prober {
+    /// Creates a prober whose first probe falls at a random point of the first interval, so that
+    /// hosts that start together do not probe in step.
+    pub(crate) fn new(settings: &MembershipSettings, random: &mut SeededRandom) -> Self {
+        let phase_ms = random.below(settings.probe_interval_ms as usize) as u64;
+        Self {
+            interval: millis(settings.probe_interval_ms),
+            timeout: millis(settings.probe_timeout_ms),
+            indirect_probes: settings.indirect_probes as usize,
+            schedule: ProbeSchedule::default(),
+            pending: None,
+            relays: Vec::new(),
+            next_probe_at: millis(phase_ms),
+            sequence: 0,
+            local_health: 0,
+        }
+    }
+
+    /// Returns when [`Prober::tick`] has something to do.
+    pub(crate) fn next_wake(&self) -> Duration {
+        let indirect = self.pending.as_ref().and_then(|p| p.indirect_at);
+        let nack = self.relays.iter().map(|r| r.nack_at).min();
+        let wakes = [indirect, nack];
+        wakes
+            .into_iter()
+            .flatten()
+            .fold(self.next_probe_at, Duration::min)
+    }
+
+    /// Does what is due; returns the member whose probe stayed unanswered.
+    pub(crate) fn tick(
+        &mut self,
+        now: Duration,
+        table: &MemberTable,
+        random: &mut SeededRandom,
+        out: &mut Vec<Outgoing>,
+    ) -> Option<HostId> {
+        self.send_nacks(now, out);
+        self.ask_others(now, table, random, out);
+        if now < self.next_probe_at {
+            return None;
+        }
+        let failed = self.finish_probe();
+        self.start_probe(now, table, random, out);
+        failed
+    }
+
+    /// Takes an answer to a probe of this host, or passes on that of a relayed probe.
+    pub(crate) fn acked(&mut self, sequence: u64, out: &mut Vec<Outgoing>) {
+        if self
+            .pending
+            .as_ref()
+            .is_some_and(|p| p.sequence == sequence)
+        {
+            self.pending = None;
+            self.local_health = self.local_health.saturating_sub(1);
+            return;
+        }
+        if let Some(i) = self.relays.iter().position(|r| r.sequence == sequence) {
+            let relay = self.relays.swap_remove(i);
+            out.push(Outgoing {
+                to: relay.origin,
+                body: Body::ProbeAck {
+                    sequence: relay.origin_sequence,
+                },
+            });
+        }
+    }
+
+    /// Counts a relay that works, though the target has not answered it.
+    pub(crate) fn nacked(&mut self, sequence: u64) {
+        if let Some(pending) = self.pending.as_mut().filter(|p| p.sequence == sequence) {
+            pending.nacks += 1;
+        }
+    }
+
+    /// Probes `target` on behalf of `origin`.
+    pub(crate) fn relay(
+        &mut self,
+        now: Duration,
+        origin: HostId,
+        origin_sequence: u64,
+        target: HostId,
+        out: &mut Vec<Outgoing>,
+    ) {
+        if self.relays.len() >= MAX_RELAYS {
+            return;
+        }
+        let sequence = self.next_sequence();
+        self.relays.push(Relay {
+            origin,
+            origin_sequence,
+            sequence,
+            nack_at: now + self.timeout,
+        });
+        out.push(Outgoing {
+            to: target,
+            body: Body::Probe { sequence },
+        });
+    }
+
+    /// Lowers the trust of this host in its own timing.
+    pub(crate) fn doubt_self(&mut self) {
+        self.local_health = (self.local_health + 1).min(MAX_LOCAL_HEALTH);
+    }
+
+    /// Drops the probe in progress: its answer may have been missed during a pause.
+    pub(crate) fn abandon(&mut self, now: Duration) {
+        self.pending = None;
+        self.relays.clear();
+        self.next_probe_at = now + self.interval;
+    }
+
+    fn send_nacks(&mut self, now: Duration, out: &mut Vec<Outgoing>) {
+        for relay in self.relays.extract_if(.., |r| r.nack_at <= now) {
+            out.push(Outgoing {
+                to: relay.origin,
+                body: Body::ProbeNack {
+                    sequence: relay.origin_sequence,
+                },
+            });
+        }
+    }
+
+    fn ask_others(
+        &mut self,
+        now: Duration,
+        table: &MemberTable,
+        random: &mut SeededRandom,
+        out: &mut Vec<Outgoing>,
+    ) {
+        let Some(pending) = self.pending.as_mut() else {
+            return;
+        };
+        if pending.indirect_at.is_none_or(|at| now < at) {
+            return;
+        }
+        pending.indirect_at = None;
+        let mut helpers: Vec<HostId> = table
+            .live()
+            .map(|r| r.member.host.clone())
+            .filter(|h| *h != pending.target)
+            .collect();
+        random.choose(&mut helpers, self.indirect_probes);
+        pending.relays_asked = helpers.len();
+        out.extend(helpers.into_iter().map(|to| Outgoing {
+            to,
+            body: Body::IndirectProbe {
+                sequence: pending.sequence,
+                target: pending.target.clone(),
+            },
+        }));
+    }
+
+    fn finish_probe(&mut self) -> Option<HostId> {
+        let pending = self.pending.take()?;
+        if pending.nacks < pending.relays_asked {
+            self.doubt_self();
+        }
+        Some(pending.target)
+    }
+
+    fn start_probe(
+        &mut self,
+        now: Duration,
+        table: &MemberTable,
+        random: &mut SeededRandom,
+        out: &mut Vec<Outgoing>,
+    ) {
+        let stretch = self.local_health + 1;
+        self.next_probe_at = now + self.interval * stretch;
+        let Some(target) = self.schedule.next(random, |host| table.is_live(host)) else {
+            return;
+        };
+        let sequence = self.next_sequence();
+        self.pending = Some(PendingProbe {
+            target: target.clone(),
+            sequence,
+            indirect_at: Some(now + self.timeout * stretch),
+            relays_asked: 0,
+            nacks: 0,
+        });
+        out.push(Outgoing {
+            to: target,
+            body: Body::Probe { sequence },
+        });
+    }
+
+    fn next_sequence(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/membership/receive.rs
@@ -0,0 +1,258 @@
+//! Takes in messages.
+
+use std::time::Duration;
+
+use sedgeridge_state::ids::HostId;
+use sedgeridge_state::ids::Incarnation;
+
+use super::Membership;
+use super::MembershipAction;
+use super::admission::Admission;
+use super::member_table::Source;
+use super::messages::Body;
+use super::messages::Health;
+use super::messages::MemberRecord;
+use super::messages::Message;
+use super::messages::Notice;
+use super::messages::TableDigest;
+use super::messages::Update;
+use super::rejections::Rejection;
+use super::table_sync;
+
+/// Shortest time between two whole tables sent. Without it, every host that finds a restarted one
+/// sends it a table in the same second.
+const TABLE_INTERVAL: Duration = Duration::from_millis(200);
+
+impl Membership {
+    pub(super) fn receive(
+        &mut self,
+        now: Duration,
+        message: Message,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let unix_us = self.unix_us(now);
+        if let Err(reason) = self.admission.check_message(&message, &self.table, unix_us) {
+            self.reject(now, reason, &message, actions);
+            return;
+        }
+        let sender = message.from.member.host.clone();
+        let first_action = actions.len();
+        self.hear_generation(message.config_generation, &sender, actions);
+        let from = Update {
+            record: message.from,
+            accuser: None,
+        };
+        self.merge(now, from, Source::News);
+        for update in message.updates {
+            self.take_update(now, update, Source::News, actions);
+        }
+        for notice in message.notices {
+            self.take_notice(now, notice, actions);
+        }
+        self.take_body(now, &sender, message.body, actions);
+        self.contradict(now, &sender, first_action, actions);
+    }
+
+    /// Counts a refused message. A sender whose host is known under a higher incarnation is told,
+    /// or it would go on talking to a fleet that does not listen.
+    fn reject(
+        &mut self,
+        now: Duration,
+        reason: Rejection,
+        message: &Message,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        self.rejections.count(reason);
+        if reason != Rejection::StaleIncarnation {
+            return;
+        }
+        let sender = &message.from.member.host;
+        if let Some(incarnation) = self.table.incarnation(sender) {
+            self.send(
+                now,
+                sender.clone(),
+                Body::Outranked { incarnation },
+                actions,
+            );
+        }
+    }
+
+    fn hear_generation(
+        &mut self,
+        generation: u64,
+        sender: &HostId,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        if generation <= self.config_generation {
+            return;
+        }
+        self.raise_generation(generation);
+        actions.push(MembershipAction::GenerationSeen {
+            generation,
+            from: sender.clone(),
+        });
+    }
+
+    fn take_update(
+        &mut self,
+        now: Duration,
+        update: Update,
+        source: Source,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let unix_us = self.unix_us(now);
+        let checked = self
+            .admission
+            .check_record(&update.record, &self.table, unix_us);
+        if let Err(reason) = checked {
+            self.rejections.count(reason);
+            return;
+        }
+        if update.record.member.host == self.own.member.host {
+            self.hear_of_self(&update.record, actions);
+        } else {
+            self.merge(now, update, source);
+        }
+    }
+
+    /// Refutes what is wrongly said of this host.
+    fn hear_of_self(&mut self, said: &MemberRecord, actions: &mut Vec<MembershipAction>) {
+        if said.member.incarnation != self.own.member.incarnation {
+            self.hear_outranked(said.member.incarnation, actions);
+            return;
+        }
+        let is_older = said.refutations < self.own.refutations;
+        let is_true = said.refutations == self.own.refutations && said.health == Health::Alive;
+        if is_older || is_true {
+            return;
+        }
+        self.prober.doubt_self();
+        self.renew_own(said.refutations + 1);
+    }
+
+    fn hear_outranked(&mut self, incarnation: Incarnation, actions: &mut Vec<MembershipAction>) {
+        if incarnation > self.own.member.incarnation {
+            actions.push(MembershipAction::Outranked { incarnation });
+        }
+    }
+
+    fn take_notice(&mut self, now: Duration, notice: Notice, actions: &mut Vec<MembershipAction>) {
+        match self.notices.merge(now, self.unix_us(now) / 1_000, &notice) {
+            Ok(false) => {}
+            Ok(true) => {
+                self.news.push_notice((&notice).into());
+                actions.push(MembershipAction::NoticeReceived(notice));
+            }
+            Err(reason) => self.rejections.count(reason),
+        }
+    }
+
+    fn take_body(
+        &mut self,
+        now: Duration,
+        sender: &HostId,
+        body: Body,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let mut out = Vec::new();
+        match body {
+            Body::Probe { sequence } => {
+                self.send(now, sender.clone(), Body::ProbeAck { sequence }, actions);
+            }
+            Body::ProbeAck { sequence } => self.prober.acked(sequence, &mut out),
+            Body::IndirectProbe { sequence, target } => {
+                self.prober
+                    .relay(now, sender.clone(), sequence, target, &mut out);
+            }
+            Body::ProbeNack { sequence } => self.prober.nacked(sequence),
+            Body::Gossip => {}
+            Body::SyncRequest { digest } => self.answer_sync(now, sender, digest, actions),
+            Body::SyncTable {
+                records,
+                answer_wanted,
+            } => self.take_table(now, sender, records, answer_wanted, actions),
+            Body::Outranked { incarnation } => self.hear_outranked(incarnation, actions),
+        }
+        self.send_all(now, out, actions);
+    }
+
+    fn answer_sync(
+        &mut self,
+        now: Duration,
+        sender: &HostId,
+        digest: TableDigest,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        if digest == table_sync::digest(&self.own, &self.table, &self.notices) {
+            return;
+        }
+        if now < self.next_table_at {
+            self.rejections.count(Rejection::SyncTooOften);
+            return;
+        }
+        self.next_table_at = now + TABLE_INTERVAL;
+        let records = self.table.records().cloned().collect();
+        self.send_table(now, sender, records, true, actions);
+    }
+
+    fn take_table(
+        &mut self,
+        now: Duration,
+        sender: &HostId,
+        records: Vec<MemberRecord>,
+        answer_wanted: bool,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        if let Err(reason) = Admission::check_table(&records) {
+            self.rejections.count(reason);
+            return;
+        }
+        let newer = table_sync::newer_than(&self.table, &records);
+        for record in records {
+            let accuser = (record.health == Health::Suspect).then(|| sender.clone());
+            self.take_update(now, Update { record, accuser }, Source::Table, actions);
+        }
+        if answer_wanted {
+            self.send_table(now, sender, newer, false, actions);
+        }
+    }
+
+    fn send_table(
+        &mut self,
+        now: Duration,
+        to: &HostId,
+        records: Vec<MemberRecord>,
+        answer_wanted: bool,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        for key in self.notices.keys() {
+            self.news.push_notice(key.clone());
+        }
+        let body = Body::SyncTable {
+            records,
+            answer_wanted,
+        };
+        self.send(now, to.clone(), body, actions);
+    }
+
+    /// Tells a sender that is not believed alive so, unless a reply has told it already.
+    ///
+    /// A host that was paused for longer than the suspicion lasts is dead to the fleet and knows
+    /// nothing of it. Nobody probes it any more, so it must hear it when it speaks, and refutes.
+    fn contradict(
+        &mut self,
+        now: Duration,
+        sender: &HostId,
+        first_action: usize,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        if self.table.doubt(sender).is_none() {
+            return;
+        }
+        let is_reply =
+            |a: &MembershipAction| matches!(a, MembershipAction::Send { to, .. } if to == sender);
+        if !actions[first_action..].iter().any(is_reply) {
+            self.send(now, sender.clone(), Body::Gossip, actions);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/membership/rejections.rs
@@ -0,0 +1,77 @@
+//! Counts what was refused, by reason.
+
+use std::collections::BTreeMap;
+
+use thiserror::Error;
+
+/// Why a message, or one entry of a message, was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Error)]
+pub enum Rejection {
+    /// The sender is in neither the settings, the host list nor the table.
+    #[error("sender is unknown")]
+    UnknownSender,
+    /// An update names a host that is in neither the settings, the host list nor the table.
+    #[error("update names an unknown host")]
+    UnknownSubject,
+    /// The sender's host is known under a higher incarnation.
+    #[error("sender has an older incarnation")]
+    StaleIncarnation,
+    /// An incarnation lies further in the future than clocks may differ.
+    #[error("incarnation lies in the future")]
+    AbsurdIncarnation,
+    /// A refutation count is far above the one known.
+    #[error("refutation count is absurd")]
+    AbsurdRefutations,
+    /// The configuration generation is above what any fleet reaches.
+    #[error("configuration generation is absurd")]
+    AbsurdGeneration,
+    /// A notice lies in the future or lasts too long.
+    #[error("notice is absurd")]
+    AbsurdNotice,
+    /// The sender uses this host's own name.
+    #[error("sender uses this host's name")]
+    OwnName,
+    /// The sender calls itself suspect or dead.
+    #[error("sender declares itself suspect or dead")]
+    SelfAccusation,
+    /// The message has more entries than any member sends.
+    #[error("message has too many entries")]
+    Oversized,
+    /// A table was asked for too soon after the last one.
+    #[error("table was asked for too often")]
+    SyncTooOften,
+}
+
+/// Number of refusals by reason.
+#[derive(Debug, Clone, Default)]
+pub struct Rejections {
+    counts: BTreeMap<Rejection, u64>,
+}
+
+impl Rejections {
+    pub(crate) fn count(&mut self, reason: Rejection) {
+        *self.counts.entry(reason).or_default() += 1;
+    }
+
+    /// Returns how often something was refused for `reason`.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::membership::{Rejection, Rejections};
+    ///
+    /// assert_eq!(Rejections::default().of(Rejection::UnknownSender), 0);
+    /// ```
+    pub fn of(&self, reason: Rejection) -> u64 {
+        self.counts.get(&reason).copied().unwrap_or(0)
+    }
+
+    /// Lists the reasons met so far, in fixed order.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::membership::Rejections;
+    ///
+    /// assert_eq!(Rejections::default().iter().count(), 0);
+    /// ```
+    pub fn iter(&self) -> impl Iterator<Item = (Rejection, u64)> + '_ {
+        self.counts.iter().map(|(reason, count)| (*reason, *count))
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/membership_network/mod.rs
@@ -0,0 +1,388 @@
+//! Connects memberships in memory, with loss, delay, partitions, restarts and freezes.
+#![allow(dead_code)]
+
+pub mod encoding;
+pub mod reports;
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::BinaryHeap;
+use std::ops::Range;
+use std::time::Duration;
+use std::time::Instant;
+
+use sedgeridge_coordination::membership::HostHint;
+use sedgeridge_coordination::membership::ListedHost;
+use sedgeridge_coordination::membership::LiveMember;
+use sedgeridge_coordination::membership::MemberState;
+use sedgeridge_coordination::membership::Membership;
+use sedgeridge_coordination::membership::MembershipAction;
+use sedgeridge_coordination::membership::MembershipEvent;
+use sedgeridge_coordination::membership::Message;
+use sedgeridge_state::ids::HostId;
+use sedgeridge_state::ids::Incarnation;
+use sedgeridge_state::ids::Member;
+use sedgeridge_state::settings::MembershipSettings;
+
+use reports::Costs;
+use reports::Reports;
+
+/// Wall clock at the start of each run.
+const START_UNIX_US: u64 = 1_800_000_000_000_000;
+
+/// Messages that wait for a frozen process before further ones are lost.
+const FROZEN_INBOX: usize = 1_000;
+
+/// How messages fare on their way.
+#[derive(Debug, Clone)]
+pub struct Links {
+    pub loss_percent: u64,
+    pub delay_us: Range<u64>,
+}
+
+impl Default for Links {
+    fn default() -> Self {
+        Self {
+            loss_percent: 0,
+            delay_us: 500..1_500,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Deliver(usize),
+    Wake,
+}
+
+/// One host of the network.
+#[derive(Debug)]
+pub struct Node {
+    pub host: HostId,
+    pub incarnation: Incarnation,
+    pub membership: Option<Membership>,
+    pub reports: Reports,
+    started_at: Duration,
+    frozen: bool,
+    inbox: Vec<Message>,
+    group: u32,
+}
+
+/// Hosts and the messages between them.
+#[derive(Debug)]
+pub struct Network {
+    pub now: Duration,
+    pub nodes: Vec<Node>,
+    pub links: Links,
+    pub costs: Costs,
+    settings: MembershipSettings,
+    index: BTreeMap<HostId, usize>,
+    due: BinaryHeap<Reverse<(Duration, u64, usize, Due)>>,
+    in_flight: BTreeMap<usize, Message>,
+    sequence: u64,
+    random: u64,
+}
+
+impl Network {
+    /// Creates `count` hosts that have not started.
+    pub fn new(count: usize, settings: MembershipSettings, links: Links, seed: u64) -> Self {
+        let hosts: Vec<HostId> = (0..count).map(host_name).collect();
+        let nodes = hosts.iter().map(|host| Node {
+            host: host.clone(),
+            incarnation: Incarnation(0),
+            membership: None,
+            reports: Reports::default(),
+            started_at: Duration::ZERO,
+            frozen: false,
+            inbox: Vec::new(),
+            group: 0,
+        });
+        Self {
+            now: Duration::ZERO,
+            nodes: nodes.collect(),
+            links,
+            costs: Costs::default(),
+            settings,
+            index: hosts.iter().cloned().zip(0..).collect(),
+            due: BinaryHeap::new(),
+            in_flight: BTreeMap::new(),
+            sequence: 0,
+            random: seed,
+        }
+    }
+
+    /// Creates `count` hosts, starts them and lets them find each other.
+    pub fn settled(count: usize, links: Links, seed: u64) -> Self {
+        let mut network = Self::new(count, MembershipSettings::default(), links, seed);
+        network.start_all();
+        network.run(Duration::from_secs(10));
+        network
+    }
+
+    pub fn start_all(&mut self) {
+        for node in 0..self.nodes.len() {
+            self.start(node);
+        }
+    }
+
+    /// Starts a host, or restarts it with no memory.
+    pub fn start(&mut self, node: usize) {
+        let incarnation = START_UNIX_US + self.now.as_micros() as u64;
+        self.start_with_incarnation(node, Incarnation(incarnation));
+    }
+
+    pub fn start_with_incarnation(&mut self, node: usize, incarnation: Incarnation) {
+        let hosts = self.nodes.iter().map(|n| n.host.clone()).collect();
+        let seed = self.below(u64::MAX);
+        let settings = self.settings.clone();
+        let now = self.now;
+        let started = &mut self.nodes[node];
+        let member = Member {
+            host: started.host.clone(),
+            incarnation,
+        };
+        started.membership = Some(Membership::new(member, settings, hosts, seed));
+        started.incarnation = incarnation;
+        started.started_at = now;
+        started.frozen = false;
+        started.inbox.clear();
+        started.reports = Reports::default();
+        self.handle(node, MembershipEvent::Tick);
+    }
+
+    /// Ends a host at once.
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node].membership = None;
+    }
+
+    /// Stops a host from running; messages to it wait.
+    pub fn freeze(&mut self, node: usize) {
+        self.nodes[node].frozen = true;
+    }
+
+    /// Lets a frozen host go on: it finds its messages first, then its overdue timer.
+    pub fn resume(&mut self, node: usize) {
+        self.nodes[node].frozen = false;
+        for message in std::mem::take(&mut self.nodes[node].inbox) {
+            self.handle(node, MembershipEvent::MessageReceived(message));
+        }
+        self.handle(node, MembershipEvent::Tick);
+    }
+
+    /// Cuts the network into those in `group` and the others.
+    pub fn partition(&mut self, group: &BTreeSet<usize>) {
+        for (i, node) in self.nodes.iter_mut().enumerate() {
+            node.group = u32::from(group.contains(&i));
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.partition(&BTreeSet::new());
+    }
+
+    /// Hands an event to a host.
+    pub fn handle(&mut self, node: usize, event: MembershipEvent) {
+        let target = &mut self.nodes[node];
+        let Some(membership) = target.membership.as_mut() else {
+            return;
+        };
+        let local_now = self.now - target.started_at;
+        let mut actions = Vec::new();
+        let begin = Instant::now();
+        membership.handle(local_now, event, &mut actions);
+        let wake = membership.next_wake();
+        self.costs.handle_time += begin.elapsed();
+        let wake_at = (target.started_at + wake).max(self.now);
+        self.schedule(wake_at, node, Due::Wake);
+        for action in actions {
+            self.act(node, action);
+        }
+    }
+
+    /// Runs for `time`.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some(Reverse((at, ..))) = self.due.peek() {
+            if *at > end {
+                break;
+            }
+            let Some(Reverse((at, _, node, due))) = self.due.pop() else {
+                break;
+            };
+            self.now = at;
+            self.step(node, due);
+        }
+        self.now = end;
+    }
+
+    /// Runs until `done`, at most for `limit`; returns the time taken, to 10 ms.
+    pub fn run_until(&mut self, limit: Duration, done: impl Fn(&Self) -> bool) -> Option<Duration> {
+        let begin = self.now;
+        while !done(self) {
+            if self.now >= begin + limit {
+                return None;
+            }
+            self.run(Duration::from_millis(10));
+        }
+        Some(self.now - begin)
+    }
+
+    /// Hosts that run, frozen ones too.
+    pub fn running(&self) -> BTreeSet<HostId> {
+        let running = self.nodes.iter().filter(|n| n.membership.is_some());
+        running.map(|n| n.host.clone()).collect()
+    }
+
+    /// Whether every running host believes exactly the running hosts, in their present run, live.
+    pub fn agrees(&self) -> bool {
+        let running: Vec<Member> = self
+            .nodes
+            .iter()
+            .filter(|n| n.membership.is_some())
+            .map(|n| Member {
+                host: n.host.clone(),
+                incarnation: n.incarnation,
+            })
+            .collect();
+        self.nodes
+            .iter()
+            .filter(|n| n.membership.is_some())
+            .all(|n| n.reports.live.iter().map(|m| &m.member).eq(&running))
+    }
+
+    /// Whether `node` believes `other` live.
+    pub fn believes_live(&self, node: usize, other: usize) -> bool {
+        let host = &self.nodes[other].host;
+        let live = &self.nodes[node].reports.live;
+        live.iter().any(|m| m.member.host == *host)
+    }
+
+    /// State of `other` as `node` sees it.
+    pub fn state(&self, node: usize, other: usize) -> Option<MemberState> {
+        let host = &self.nodes[other].host;
+        let live = &self.nodes[node].reports.live;
+        live.iter()
+            .find(|m| m.member.host == *host)
+            .map(|m| m.state)
+    }
+
+    /// The platform's list, naming all hosts.
+    pub fn list(&self, hint: impl Fn(usize) -> HostHint) -> Vec<ListedHost> {
+        let hosts = self.nodes.iter().enumerate();
+        hosts
+            .map(|(i, n)| ListedHost {
+                host: n.host.clone(),
+                hint: hint(i),
+            })
+            .collect()
+    }
+
+    /// Returns a number below `bound`.
+    pub fn below(&mut self, bound: u64) -> u64 {
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        self.random % bound.max(1)
+    }
+
+    fn step(&mut self, node: usize, due: Due) {
+        match due {
+            Due::Deliver(id) => {
+                if let Some(message) = self.in_flight.remove(&id) {
+                    self.deliver(node, message);
+                }
+            }
+            Due::Wake => self.wake(node),
+        }
+    }
+
+    fn wake(&mut self, node: usize) {
+        let target = &self.nodes[node];
+        let Some(membership) = target.membership.as_ref().filter(|_| !target.frozen) else {
+            return;
+        };
+        if target.started_at + membership.next_wake() <= self.now {
+            self.handle(node, MembershipEvent::Tick);
+        }
+    }
+
+    fn deliver(&mut self, node: usize, message: Message) {
+        let target = &mut self.nodes[node];
+        if target.frozen {
+            if target.inbox.len() < FROZEN_INBOX {
+                target.inbox.push(message);
+            }
+            return;
+        }
+        self.handle(node, MembershipEvent::MessageReceived(message));
+    }
+
+    fn act(&mut self, node: usize, action: MembershipAction) {
+        let now = self.now;
+        match action {
+            MembershipAction::Send { to, message } => self.send(node, &to, message),
+            MembershipAction::MembersChanged(live) => self.note_members(node, live),
+            MembershipAction::GenerationSeen { generation, .. } => {
+                let reports = &mut self.nodes[node].reports;
+                reports.generations.entry(generation).or_insert(now);
+            }
+            MembershipAction::NoticeReceived(notice) => {
+                self.nodes[node].reports.notices.push((now, notice));
+            }
+            MembershipAction::Outranked { incarnation } => {
+                self.nodes[node].reports.outranked.push(incarnation);
+            }
+        }
+    }
+
+    fn note_members(&mut self, node: usize, live: Vec<LiveMember>) {
+        let still: BTreeSet<&HostId> = live.iter().map(|m| &m.member.host).collect();
+        let before = std::mem::take(&mut self.nodes[node].reports.live);
+        for lost in before.iter().filter(|m| !still.contains(&m.member.host)) {
+            let host = &lost.member.host;
+            let other = &self.nodes[self.index[host]];
+            let reachable = other.group == self.nodes[node].group;
+            let false_loss = other.membership.is_some() && !other.frozen && reachable;
+            let reports = &mut self.nodes[node].reports;
+            reports.losses += u64::from(false_loss);
+            reports.lost_at.insert(host.clone(), self.now);
+        }
+        self.nodes[node].reports.live = live;
+    }
+
+    fn send(&mut self, from: usize, to: &HostId, message: Message) {
+        self.count(from, &message);
+        let Some(&target) = self.index.get(to) else {
+            return;
+        };
+        let cut = self.nodes[from].group != self.nodes[target].group;
+        if cut || self.below(100) < self.links.loss_percent {
+            return;
+        }
+        let Range { start, end } = self.links.delay_us;
+        let delay = Duration::from_micros(start + self.below(end - start));
+        let id = self.sequence as usize;
+        self.in_flight.insert(id, message);
+        self.schedule(self.now + delay, target, Due::Deliver(id));
+    }
+
+    fn count(&mut self, from: usize, message: &Message) {
+        let bytes = encoding::estimated_bytes(message);
+        self.costs.messages += 1;
+        self.costs.bytes += bytes;
+        self.costs.largest_bytes = self.costs.largest_bytes.max(bytes);
+        let slot = (from, self.now.as_secs());
+        *self.costs.bytes_by_second.entry(slot).or_default() += bytes;
+    }
+
+    fn schedule(&mut self, at: Duration, node: usize, due: Due) {
+        self.due.push(Reverse((at, self.sequence, node, due)));
+        self.sequence += 1;
+    }
+}
+
+/// Name of the host at a position; names sort like positions.
+pub fn host_name(position: usize) -> HostId {
+    HostId::from(format!("router-{position:04}").as_str())
+}
--- a/crates/state/src/settings.rs
+++ b/crates/state/src/settings.rs
@@ -213,8 +213,19 @@
     pub probe_timeout_ms: u64,
     /// Routers asked to probe on one's behalf.
     pub indirect_probes: u32,
-    /// Time a suspected router has to refute the suspicion.
+    /// Shortest time a suspected router has to refute the suspicion; it is up to four times as long
+    /// until others confirm it.
     pub suspicion_ms: u64,
+    /// Shortest time between two messages that only carry news.
+    pub gossip_interval_ms: u64,
+    /// Routers told at once of news.
+    pub gossip_fanout: u32,
+    /// Time between comparisons of the whole table with another router.
+    pub sync_interval_ms: u64,
+    /// Time between attempts to reach routers that are named but not live.
+    pub rejoin_interval_ms: u64,
+    /// Lateness of a timer from which on this process takes itself for having been paused.
+    pub pause_ms: u64,
 }
 
 impl Default for MembershipSettings {
@@ -224,6 +235,11 @@
             probe_timeout_ms: 200,
             indirect_probes: 3,
             suspicion_ms: 1_500,
+            gossip_interval_ms: 100,
+            gossip_fanout: 3,
+            sync_interval_ms: 30_000,
+            rejoin_interval_ms: 5_000,
+            pause_ms: 1_000,
         }
     }
 }
