--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -16,5 +16,7 @@
 pub mod pool_home;
 pub mod pool_messages;
 pub mod quarantine;
+pub mod random;
+pub mod refusal;
 pub mod rendezvous;
 pub mod retry_budget;
--- /dev/null
+++ b/crates/coordination/src/refusal.rs
@@ -0,0 +1,236 @@
+//! Every reason for which the fleet gives a caller something other than a whole answer.
+//!
+//! A refusal is a final answer: it tells at once whether the request ran, and whether it is worth
+//! coming back. The names are stable, since metric labels and the reason header carry them.
+
+use std::fmt;
+
+/// Whether a request ran, as told to its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Outcome {
+    /// The request ran to its end.
+    Ran,
+    /// No endpoint started the request.
+    NotRun,
+    /// The request may have run, in part or as a whole.
+    Unknown,
+}
+
+impl Outcome {
+    /// Returns the value of the outcome header.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::refusal::Outcome;
+    ///
+    /// assert_eq!(Outcome::NotRun.as_str(), "not-run");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Ran => "ran",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// What a refusal looks like to its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct RefusalFacts {
+    name: &'static str,
+    status: u16,
+    outcome: Outcome,
+    retry_after: bool,
+}
+
+const fn not_run(name: &'static str, status: u16) -> RefusalFacts {
+    RefusalFacts {
+        name,
+        status,
+        outcome: Outcome::NotRun,
+        retry_after: false,
+    }
+}
+
+const fn not_run_yet(name: &'static str, status: u16) -> RefusalFacts {
+    RefusalFacts {
+        retry_after: true,
+        ..not_run(name, status)
+    }
+}
+
+const fn unknown(name: &'static str, status: u16) -> RefusalFacts {
+    RefusalFacts {
+        outcome: Outcome::Unknown,
+        ..not_run(name, status)
+    }
+}
+
+/// Why a request got no whole answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum RefusalReason {
+    /// The key is missing or names no client account.
+    Unauthorized,
+    /// No service has the name asked for.
+    UnknownService,
+    /// The request does not parse, or a header has a wrong value.
+    BadRequest,
+    /// The body is larger than the front reads.
+    BodyTooLarge,
+    /// The head or body did not arrive in time.
+    HeaderTimeout,
+    /// The router has as many caller connections as it may.
+    TooManyConnections,
+    /// The router's queue is full.
+    QueueFull,
+    /// The client account's share of the router's queue is full.
+    AccountQueueFull,
+    /// The client account starts more requests a second than it may.
+    RateLimited,
+    /// The client account has as many requests in progress as it may.
+    ConcurrencyLimited,
+    /// The estimated wait is longer than the deadline leaves.
+    DeadlineUnreachable,
+    /// The deadline passed while the request waited.
+    DeadlinePassed,
+    /// The deadline passed while an endpoint worked on the request.
+    DeadlinePassedRunning,
+    /// The request crashed too many endpoints.
+    Quarantined,
+    /// No endpoint of the pool can take work.
+    NoEndpoint,
+    /// Every endpoint tried refused the request before starting it.
+    EndpointRefused,
+    /// The router is stopping.
+    Draining,
+    /// The router has no configuration yet.
+    NotReady,
+    /// The table service cannot record the claim that a non-repeatable request needs.
+    StoreUnavailable,
+    /// A non-repeatable request came without an idempotency key.
+    KeyMissing,
+    /// The idempotency key was used before with another body.
+    KeyConflict,
+    /// The request with this idempotency key is still running.
+    InProgress,
+    /// A non-repeatable request may or may not have run.
+    OutcomeUnknown,
+    /// The endpoint failed after it was given the request, and no retry was allowed.
+    EndpointFailed,
+    /// The answer ended early, after part of it had been passed on.
+    AnswerIncomplete,
+}
+
+impl RefusalReason {
+    /// Every reason, in the order of declaration.
+    pub const ALL: [Self; 25] = [
+        Self::Unauthorized,
+        Self::UnknownService,
+        Self::BadRequest,
+        Self::BodyTooLarge,
+        Self::HeaderTimeout,
+        Self::TooManyConnections,
+        Self::QueueFull,
+        Self::AccountQueueFull,
+        Self::RateLimited,
+        Self::ConcurrencyLimited,
+        Self::DeadlineUnreachable,
+        Self::DeadlinePassed,
+        Self::DeadlinePassedRunning,
+        Self::Quarantined,
+        Self::NoEndpoint,
+        Self::EndpointRefused,
+        Self::Draining,
+        Self::NotReady,
+        Self::StoreUnavailable,
+        Self::KeyMissing,
+        Self::KeyConflict,
+        Self::InProgress,
+        Self::OutcomeUnknown,
+        Self::EndpointFailed,
+        Self::AnswerIncomplete,
+    ];
+
+    const fn facts(self) -> RefusalFacts {
+        match self {
+            Self::Unauthorized => not_run("unauthorized", 401),
+            Self::UnknownService => not_run("unknown_service", 404),
+            Self::BadRequest => not_run("bad_request", 400),
+            Self::BodyTooLarge => not_run("body_too_large", 413),
+            Self::HeaderTimeout => not_run("header_timeout", 408),
+            Self::TooManyConnections => not_run_yet("too_many_connections", 503),
+            Self::QueueFull => not_run_yet("queue_full", 503),
+            Self::AccountQueueFull => not_run_yet("account_queue_full", 429),
+            Self::RateLimited => not_run_yet("rate_limited", 429),
+            Self::ConcurrencyLimited => not_run_yet("concurrency_limited", 429),
+            Self::DeadlineUnreachable => not_run_yet("deadline_unreachable", 503),
+            Self::DeadlinePassed => not_run_yet("deadline_passed", 504),
+            Self::DeadlinePassedRunning => unknown("deadline_passed_running", 504),
+            Self::Quarantined => not_run("quarantined", 422),
+            Self::NoEndpoint => not_run_yet("no_endpoint", 503),
+            Self::EndpointRefused => not_run_yet("endpoint_refused", 503),
+            Self::Draining => not_run_yet("draining", 503),
+            Self::NotReady => not_run_yet("not_ready", 503),
+            Self::StoreUnavailable => not_run_yet("store_unavailable", 503),
+            Self::KeyMissing => not_run("key_missing", 400),
+            Self::KeyConflict => not_run("key_conflict", 422),
+            Self::InProgress => RefusalFacts {
+                retry_after: true,
+                ..unknown("in_progress", 409)
+            },
+            Self::OutcomeUnknown => unknown("outcome_unknown", 502),
+            Self::EndpointFailed => unknown("endpoint_failed", 502),
+            Self::AnswerIncomplete => unknown("answer_incomplete", 502),
+        }
+    }
+
+    /// Returns the stable name, used in metric labels and the reason header.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::refusal::RefusalReason;
+    ///
+    /// assert_eq!(RefusalReason::QueueFull.as_str(), "queue_full");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        self.facts().name
+    }
+
+    /// Returns the HTTP status.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::refusal::RefusalReason;
+    ///
+    /// assert_eq!(RefusalReason::RateLimited.status(), 429);
+    /// ```
+    pub fn status(self) -> u16 {
+        self.facts().status
+    }
+
+    /// Tells whether the refused request ran.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::refusal::{Outcome, RefusalReason};
+    ///
+    /// assert_eq!(RefusalReason::QueueFull.outcome(), Outcome::NotRun);
+    /// ```
+    pub fn outcome(self) -> Outcome {
+        self.facts().outcome
+    }
+
+    /// Tells whether the answer carries `Retry-After`: the same request may succeed later.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::refusal::RefusalReason;
+    ///
+    /// assert!(RefusalReason::QueueFull.offers_retry_after());
+    /// assert!(!RefusalReason::BadRequest.offers_retry_after());
+    /// ```
+    pub fn offers_retry_after(self) -> bool {
+        self.facts().retry_after
+    }
+}
+
+impl fmt::Display for RefusalReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
