feat(coordination): deadline-aware admission, drain rate and ceilings

A request that cannot make its deadline waited in the queue until it expired: its caller learnt nothing and its place was lost to others. Admission now estimates the wait from the account's measured drain rate and refuses at once, with a Retry-After that gives refused callers one place after another.

Ceilings, ways weighed: an equal split between routers (an account whose work is all at one of 400 routers gets 1/400 of it), a split by demand told by the home (messages, and it lags when work moves), a check at the pool home before each grant. The last needs no message and follows the traffic by itself.

--- /dev/null
+++ b/crates/coordination/src/drain_rate.rs
@@ -0,0 +1,107 @@
+//! How fast a queue moves, measured only while somebody waits in it.
+
+use std::time::Duration;
+
+/// Starts after which the measured gap is believed.
+const MIN_STARTS: u32 = 3;
+/// Least that the past keeps of its weight at each start.
+const LEAST_KEPT: f64 = 0.875;
+/// Time in which the past loses its weight when starts come fast.
+const MEMORY: Duration = Duration::from_secs(5);
+/// Time without waiting requests after which the measurement is forgotten.
+const STALE_AFTER: Duration = Duration::from_secs(60);
+
+/// Mean gap between two starts out of one queue.
+///
+/// Starts come in bursts, since grants travel in batches. The past is therefore weighed by time
+/// when starts come fast, and by their number when they come slowly.
+///
+/// ```
+/// use std::time::Duration;
+/// use sedgeridge_coordination::drain_rate::DrainRate;
+///
+/// let mut rate = DrainRate::default();
+/// rate.queued(Duration::ZERO);
+/// for second in 1..=10 {
+///     rate.started(Duration::from_secs(second), true);
+/// }
+/// assert_eq!(rate.gap(Duration::from_secs(10)), Some(Duration::from_secs(1)));
+/// ```
+#[derive(Debug, Default)]
+pub struct DrainRate {
+    starts: u32,
+    weighted_starts: f64,
+    weighted_s: f64,
+    waiting_since: Option<Duration>,
+    changed_at: Duration,
+}
+
+impl DrainRate {
+    /// Notes that a request joined the queue.
+    pub fn queued(&mut self, now: Duration) {
+        if self.is_stale(now) {
+            *self = Self::default();
+        }
+        self.waiting_since.get_or_insert(now);
+        self.changed_at = now;
+    }
+
+    /// Notes that a request left the queue to run; `others_wait` tells whether more wait.
+    pub fn started(&mut self, now: Duration, others_wait: bool) {
+        let elapsed_s = self.elapsed_s(now);
+        let kept = kept_weight(elapsed_s);
+        self.starts = self.starts.saturating_add(1);
+        self.weighted_starts = self.weighted_starts * kept + 1.0;
+        self.weighted_s = self.weighted_s * kept + elapsed_s;
+        self.waiting_since = others_wait.then_some(now);
+        self.changed_at = now;
+    }
+
+    /// Notes that the last waiting request left without having run.
+    pub fn emptied(&mut self, now: Duration) {
+        self.waiting_since = None;
+        self.changed_at = now;
+    }
+
+    /// Returns the expected gap between two starts, or nothing while too little was seen.
+    ///
+    /// A queue that has stopped moving is believed to be slower the longer it stands still.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::drain_rate::DrainRate;
+    ///
+    /// assert_eq!(DrainRate::default().gap(Duration::ZERO), None);
+    /// ```
+    pub fn gap(&self, now: Duration) -> Option<Duration> {
+        if self.starts < MIN_STARTS || self.is_stale(now) {
+            return None;
+        }
+        let elapsed_s = self.elapsed_s(now);
+        let kept = kept_weight(elapsed_s);
+        let measured_s = self.weighted_s / self.weighted_starts;
+        let stalled_s = (self.weighted_s * kept + elapsed_s) / (self.weighted_starts * kept + 1.0);
+        Some(Duration::from_secs_f64(measured_s.max(stalled_s)))
+    }
+
+    /// Tells whether nobody waited for so long that the measurement means nothing.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::drain_rate::DrainRate;
+    ///
+    /// assert!(DrainRate::default().is_stale(Duration::from_secs(3_600)));
+    /// ```
+    pub fn is_stale(&self, now: Duration) -> bool {
+        self.waiting_since.is_none() && now.saturating_sub(self.changed_at) > STALE_AFTER
+    }
+
+    fn elapsed_s(&self, now: Duration) -> f64 {
+        self.waiting_since
+            .map_or(0.0, |since| now.saturating_sub(since).as_secs_f64())
+    }
+}
+
+fn kept_weight(elapsed_s: f64) -> f64 {
+    (-elapsed_s / MEMORY.as_secs_f64()).exp().max(LEAST_KEPT)
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -7,8 +7,10 @@
 pub mod clock;
 pub mod entry;
 
+pub mod account_ceilings;
 pub mod claims;
 pub mod config_adoption;
+pub mod drain_rate;
 pub mod endpoint_health;
 pub mod lease;
 pub mod limits;
--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -1,1 +1,314 @@
-//! To be written.
+//! Admission: whether a request joins the queue of its router, or is refused at once.
+//!
+//! Requests in the queue are counted by their owner and passed in with each call, so that a missed
+//! event can't leave a count behind that refuses callers for ever.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sedgeridge_state::ids::AccountId;
+use sedgeridge_state::ids::PoolId;
+use sedgeridge_state::settings::FrontSettings;
+
+use crate::drain_rate::DrainRate;
+use crate::random::SeededRandom;
+use crate::refusal::RefusalReason;
+
+/// Shortest time after which a refused caller is asked back.
+const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Longest time after which a refused caller is asked back, before the jitter of up to a half.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
+/// Longest wait that is estimated; above it, it only matters that it is long.
+const MAX_WAIT: Duration = Duration::from_secs(3_600);
+
+/// A request that asks to join the queue.
+#[derive(Debug, Clone, Copy)]
+pub struct Arrival<'a> {
+    /// The client account.
+    pub account: &'a AccountId,
+    /// Pool that runs the service.
+    pub pool: &'a PoolId,
+    /// Requests that wait in this router, over all pools.
+    pub waiting: u32,
+    /// Requests of the account that wait in this router, over all pools.
+    pub waiting_of_account: u32,
+    /// Requests of the account for this pool that would go before this one.
+    pub ahead: u32,
+    /// Accounts with waiting requests for this pool in this router, this one included.
+    pub backlogged_accounts: u32,
+    /// Deadline on the clock of `now`.
+    pub deadline: Duration,
+    /// Least time that the run itself takes; zero when unknown.
+    pub min_run: Duration,
+}
+
+/// A refusal, with the time after which the caller is asked back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: RefusalReason,
+    /// When to come back; header values are rounded up to whole seconds.
+    pub retry_after: Option<Duration>,
+}
+
+#[derive(Debug, Default)]
+struct Queue {
+    rate: DrainRate,
+    next_return_at: Duration,
+}
+
+/// Admission to the queue of one router.
+///
+/// ```
+/// use std::time::Duration;
+/// use sedgeridge_coordination::limits::{Admission, Arrival};
+/// use sedgeridge_coordination::refusal::RefusalReason;
+/// use sedgeridge_state::ids::{AccountId, PoolId};
+/// use sedgeridge_state::settings::FrontSettings;
+///
+/// let account = AccountId::from("crew-07");
+/// let pool = PoolId::from("desk");
+/// let mut admission = Admission::new(FrontSettings::default(), 1);
+/// let arrival = Arrival {
+///     account: &account,
+///     pool: &pool,
+///     waiting: 4_096,
+///     waiting_of_account: 1,
+///     ahead: 1,
+///     backlogged_accounts: 9,
+///     deadline: Duration::from_secs(60),
+///     min_run: Duration::ZERO,
+/// };
+/// let refusal = admission.admit(Duration::ZERO, arrival).unwrap_err();
+/// assert_eq!(refusal.reason, RefusalReason::QueueFull);
+/// assert!(refusal.retry_after.is_some());
+/// ```
+#[derive(Debug)]
+pub struct Admission {
+    settings: FrontSettings,
+    random: SeededRandom,
+    pools: BTreeMap<PoolId, Queue>,
+    accounts: BTreeMap<(PoolId, AccountId), Queue>,
+}
+
+impl Admission {
+    /// Creates the admission of a router; `seed` feeds the jitter.
+    pub fn new(settings: FrontSettings, seed: u64) -> Self {
+        Self {
+            settings,
+            random: SeededRandom::new(seed),
+            pools: BTreeMap::new(),
+            accounts: BTreeMap::new(),
+        }
+    }
+
+    /// Adopts changed settings; measured rates stay.
+    pub fn configure(&mut self, settings: FrontSettings) {
+        self.settings = settings;
+    }
+
+    /// Decides whether a request may wait; an admitted one is reported with
+    /// [`queued`](Self::queued).
+    pub fn admit(&mut self, now: Duration, arrival: Arrival<'_>) -> Result<(), Refusal> {
+        let Some(reason) = self.refusal_reason(now, arrival) else {
+            return Ok(());
+        };
+        let wait = self.estimated_wait(now, arrival).unwrap_or_default();
+        let left = arrival.deadline.saturating_sub(now + arrival.min_run);
+        let too_long_by = wait.saturating_sub(left);
+        Err(self.refuse(now, reason, arrival.pool, arrival.account, too_long_by))
+    }
+
+    /// Makes the refusal of a request for any reason.
+    ///
+    /// Callers refused from the same queue are asked back one gap of the drain rate after another:
+    /// asked back all at once, they would find the queue full again and be refused together.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::limits::Admission;
+    /// use sedgeridge_coordination::refusal::RefusalReason;
+    /// use sedgeridge_state::ids::{AccountId, PoolId};
+    /// use sedgeridge_state::settings::FrontSettings;
+    ///
+    /// let mut admission = Admission::new(FrontSettings::default(), 1);
+    /// let refusal = admission.refuse(
+    ///     Duration::ZERO,
+    ///     RefusalReason::NoEndpoint,
+    ///     &PoolId::from("desk"),
+    ///     &AccountId::from("crew-07"),
+    ///     Duration::ZERO,
+    /// );
+    /// assert!(refusal.retry_after >= Some(Duration::from_secs(1)));
+    /// ```
+    pub fn refuse(
+        &mut self,
+        now: Duration,
+        reason: RefusalReason,
+        pool: &PoolId,
+        account: &AccountId,
+        earliest: Duration,
+    ) -> Refusal {
+        let retry_after = reason
+            .offers_retry_after()
+            .then(|| self.retry_after(now, reason, pool, account, earliest));
+        Refusal {
+            reason,
+            retry_after,
+        }
+    }
+
+    /// Notes that a request of `account` joined the queue for `pool`.
+    pub fn queued(&mut self, now: Duration, pool: &PoolId, account: &AccountId) {
+        self.pool(pool).rate.queued(now);
+        self.account(pool, account).rate.queued(now);
+    }
+
+    /// Notes that a request left the queue to run, and how many wait for `pool` after it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::limits::Admission;
+    /// use sedgeridge_state::ids::{AccountId, PoolId};
+    /// use sedgeridge_state::settings::FrontSettings;
+    ///
+    /// let (pool, account) = (PoolId::from("desk"), AccountId::from("crew-07"));
+    /// let mut admission = Admission::new(FrontSettings::default(), 1);
+    /// admission.queued(Duration::ZERO, &pool, &account);
+    /// admission.started(Duration::from_millis(3), &pool, &account, 0, 0);
+    /// ```
+    pub fn started(
+        &mut self,
+        now: Duration,
+        pool: &PoolId,
+        account: &AccountId,
+        waiting_of_pool: u32,
+        waiting_of_account: u32,
+    ) {
+        self.pool(pool).rate.started(now, waiting_of_pool > 0);
+        let queue = self.account(pool, account);
+        queue.rate.started(now, waiting_of_account > 0);
+    }
+
+    /// Notes that a waiting request left without having run: cancelled, or past its deadline.
+    pub fn left(
+        &mut self,
+        now: Duration,
+        pool: &PoolId,
+        account: &AccountId,
+        waiting_of_pool: u32,
+        waiting_of_account: u32,
+    ) {
+        if waiting_of_pool == 0 {
+            self.pool(pool).rate.emptied(now);
+        }
+        if waiting_of_account == 0 {
+            self.account(pool, account).rate.emptied(now);
+        }
+    }
+
+    /// Forgets queues in which nobody waited for a long time. Called now and then.
+    pub fn forget_stale(&mut self, now: Duration) {
+        let in_use = |queue: &Queue| !queue.rate.is_stale(now) || queue.next_return_at > now;
+        self.accounts.retain(|_, queue| in_use(queue));
+        self.pools.retain(|_, queue| in_use(queue));
+    }
+
+    /// Estimates how long a request would wait; nothing while too little is known.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::limits::{Admission, Arrival};
+    /// use sedgeridge_state::ids::{AccountId, PoolId};
+    /// use sedgeridge_state::settings::FrontSettings;
+    ///
+    /// let (pool, account) = (PoolId::from("desk"), AccountId::from("crew-07"));
+    /// let admission = Admission::new(FrontSettings::default(), 1);
+    /// let arrival = Arrival {
+    ///     account: &account,
+    ///     pool: &pool,
+    ///     waiting: 0,
+    ///     waiting_of_account: 0,
+    ///     ahead: 0,
+    ///     backlogged_accounts: 1,
+    ///     deadline: Duration::from_secs(60),
+    ///     min_run: Duration::ZERO,
+    /// };
+    /// assert_eq!(admission.estimated_wait(Duration::ZERO, arrival), None);
+    /// ```
+    pub fn estimated_wait(&self, now: Duration, arrival: Arrival<'_>) -> Option<Duration> {
+        let gap = self.account_gap(now, arrival)?;
+        let wait = gap.saturating_mul(arrival.ahead.saturating_add(1));
+        Some(wait.min(MAX_WAIT))
+    }
+
+    fn refusal_reason(&self, now: Duration, arrival: Arrival<'_>) -> Option<RefusalReason> {
+        if arrival.deadline <= now + arrival.min_run {
+            return Some(RefusalReason::DeadlineUnreachable);
+        }
+        if arrival.waiting >= self.settings.max_queue {
+            return Some(RefusalReason::QueueFull);
+        }
+        if arrival.waiting_of_account >= self.settings.max_queue_per_account {
+            return Some(RefusalReason::AccountQueueFull);
+        }
+        // After an outage the measured gap is longer than any deadline. If that refused the only
+        // request of an account, nothing would start, the gap would never be measured again and
+        // the account would be shut out for good. So the first in line is always let in.
+        if arrival.ahead == 0 {
+            return None;
+        }
+        let wait = self.estimated_wait(now, arrival)?;
+        let in_time = now + wait + arrival.min_run <= arrival.deadline;
+        (!in_time).then_some(RefusalReason::DeadlineUnreachable)
+    }
+
+    // An account that was not seen waiting yet is expected to get an equal part of its pool.
+    fn account_gap(&self, now: Duration, arrival: Arrival<'_>) -> Option<Duration> {
+        let key = (arrival.pool.clone(), arrival.account.clone());
+        let own = self.accounts.get(&key).and_then(|q| q.rate.gap(now));
+        own.or_else(|| {
+            let pool_gap = self.pools.get(arrival.pool)?.rate.gap(now)?;
+            Some(pool_gap.saturating_mul(arrival.backlogged_accounts.max(1)))
+        })
+    }
+
+    fn retry_after(
+        &mut self,
+        now: Duration,
+        reason: RefusalReason,
+        pool: &PoolId,
+        account: &AccountId,
+        earliest: Duration,
+    ) -> Duration {
+        let queue = match reason {
+            RefusalReason::AccountQueueFull
+            | RefusalReason::DeadlineUnreachable
+            | RefusalReason::ConcurrencyLimited => self.account(pool, account),
+            RefusalReason::QueueFull => self.pool(pool),
+            _ => return self.spread(earliest),
+        };
+        let gap = queue.rate.gap(now).unwrap_or_default();
+        let first = now + earliest.max(MIN_RETRY_AFTER).min(MAX_RETRY_AFTER);
+        let last = now + MAX_RETRY_AFTER;
+        let return_at = queue.next_return_at.max(first).min(last);
+        queue.next_return_at = (return_at + gap.min(MAX_RETRY_AFTER)).min(last);
+        self.spread(return_at - now)
+    }
+
+    // Callers refused in the same instant, also by different routers, come back apart.
+    fn spread(&mut self, after: Duration) -> Duration {
+        let after = after.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+        let most_us = u64::try_from(after.as_micros() / 2).unwrap_or(u64::MAX);
+        after + Duration::from_micros(self.random.below(most_us))
+    }
+
+    fn pool(&mut self, pool: &PoolId) -> &mut Queue {
+        self.pools.entry(pool.clone()).or_default()
+    }
+
+    fn account(&mut self, pool: &PoolId, account: &AccountId) -> &mut Queue {
+        let key = (pool.clone(), account.clone());
+        self.accounts.entry(key).or_default()
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/limits.rs
@@ -0,0 +1,304 @@
+//! Admission and ceilings: who waits, who is refused at once, and when refused callers come back.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use proptest::prelude::prop;
+use proptest::prop_assert;
+use proptest::proptest;
+use proptest::test_runner::Config as ProptestConfig;
+use proptest::test_runner::RngSeed;
+use sedgeridge_coordination::account_ceilings::AccountCeilings;
+use sedgeridge_coordination::drain_rate::DrainRate;
+use sedgeridge_coordination::limits::Admission;
+use sedgeridge_coordination::limits::Arrival;
+use sedgeridge_coordination::refusal::RefusalReason;
+use sedgeridge_state::ids::AccountId;
+use sedgeridge_state::ids::PoolId;
+use sedgeridge_state::settings::AccountSettings;
+use sedgeridge_state::settings::FrontSettings;
+use sedgeridge_state::settings::millis;
+use yare::parameterized;
+
+const FAR: Duration = Duration::from_secs(1 << 30);
+
+fn account_settings(max_in_progress: u32, max_requests_per_s: u32) -> AccountSettings {
+    AccountSettings {
+        id: AccountId::from("crew-07"),
+        weight: 1,
+        key_sha256: String::new(),
+        max_in_progress,
+        max_requests_per_s,
+    }
+}
+
+/// One account's queue for one pool, drained at a fixed pace by a pretend pool.
+struct Queue {
+    admission: Admission,
+    account: AccountId,
+    pool: PoolId,
+    deadlines: VecDeque<Duration>,
+    expired: u32,
+    in_time: u32,
+}
+
+impl Queue {
+    fn new() -> Self {
+        Self {
+            admission: Admission::new(FrontSettings::default(), 3),
+            account: AccountId::from("crew-07"),
+            pool: PoolId::from("desk"),
+            deadlines: VecDeque::new(),
+            expired: 0,
+            in_time: 0,
+        }
+    }
+
+    fn arrive(&mut self, now: Duration, patience: Duration) -> Result<(), RefusalReason> {
+        let waiting = u32::try_from(self.deadlines.len()).unwrap();
+        let arrival = Arrival {
+            account: &self.account,
+            pool: &self.pool,
+            waiting,
+            waiting_of_account: waiting,
+            ahead: waiting,
+            backlogged_accounts: 1,
+            deadline: now + patience,
+            min_run: Duration::ZERO,
+        };
+        self.admission
+            .admit(now, arrival)
+            .map_err(|refusal| refusal.reason)?;
+        self.admission.queued(now, &self.pool, &self.account);
+        self.deadlines.push_back(now + patience);
+        Ok(())
+    }
+
+    fn start_one(&mut self, now: Duration) {
+        while let Some(deadline) = self.deadlines.pop_front() {
+            let left = u32::try_from(self.deadlines.len()).unwrap();
+            let (pool, account) = (&self.pool, &self.account);
+            if deadline < now {
+                self.expired += 1;
+                self.admission.left(now, pool, account, left, left);
+                continue;
+            }
+            self.in_time += 1;
+            self.admission.started(now, pool, account, left, left);
+            return;
+        }
+    }
+}
+
+#[parameterized(
+    queue = { 4_096, 0, FAR, RefusalReason::QueueFull },
+    account_queue = { 300, 256, FAR, RefusalReason::AccountQueueFull },
+    deadline = { 0, 0, Duration::ZERO, RefusalReason::DeadlineUnreachable },
+)]
+fn refuses(waiting: u32, of_account: u32, deadline: Duration, reason: RefusalReason) {
+    let (account, pool) = (AccountId::from("crew-07"), PoolId::from("desk"));
+    let arrival = Arrival {
+        account: &account,
+        pool: &pool,
+        waiting,
+        waiting_of_account: of_account,
+        ahead: of_account,
+        backlogged_accounts: 1,
+        deadline,
+        min_run: Duration::ZERO,
+    };
+    let mut admission = Admission::new(FrontSettings::default(), 1);
+    let refusal = admission.admit(Duration::ZERO, arrival).unwrap_err();
+    assert_eq!(refusal.reason, reason);
+    assert!(refusal.retry_after >= Some(Duration::from_secs(1)));
+}
+
+/// Ten times more requests arrive than the pool takes, each with two seconds to spare.
+/// The caller of one that can't make it is told at once and may go elsewhere. Without the estimate
+/// all would wait in a queue of 256 for 12.8 s, and nearly every request would expire there.
+#[test]
+fn refuses_at_once_what_cannot_make_its_deadline() {
+    let mut queue = Queue::new();
+    let mut refused = 0;
+    for ms in 0..60_000_u64 {
+        let now = millis(ms);
+        if ms % 5 == 0 && queue.arrive(now, Duration::from_secs(2)).is_err() {
+            refused += 1;
+        }
+        if ms % 50 == 0 {
+            queue.start_one(now);
+        }
+    }
+    let Queue {
+        expired, in_time, ..
+    } = queue;
+    assert!(
+        in_time >= 1_190,
+        "no slot stays idle: {in_time} of 1,200 used"
+    );
+    assert!(
+        expired <= in_time / 20,
+        "{expired} expired, {in_time} in time"
+    );
+    assert_eq!(
+        refused + expired + in_time + queue.deadlines.len() as u32,
+        12_000
+    );
+}
+
+/// Every endpoint is down for ten minutes, then all come back.
+/// The measured gap is then longer than any deadline. A caller that asks again must still be let
+/// in, or nothing would ever start and the estimate could never recover.
+#[test]
+fn an_outage_does_not_shut_an_account_out() {
+    let mut queue = Queue::new();
+    let patience = Duration::from_secs(10);
+    for s in 0..20 {
+        let _ = queue.arrive(millis(s * 100), patience);
+        queue.start_one(millis(s * 100));
+    }
+    let back = Duration::from_secs(600);
+    let _ = queue.arrive(Duration::from_secs(3), Duration::from_secs(800));
+    assert!(
+        queue.arrive(back, patience).is_err(),
+        "the queue stands still"
+    );
+    let mut admitted_late = 0;
+    for ms in 0..10_000 {
+        let now = back + millis(ms);
+        if ms % 100 == 0 {
+            queue.start_one(now);
+        }
+        if ms % 200 == 0 {
+            let admitted = queue.arrive(now, patience).is_ok();
+            admitted_late += u32::from(admitted && ms >= 5_000);
+        }
+    }
+    assert_eq!(admitted_late, 25, "all of the second half are let in");
+}
+
+/// A thousand callers are refused in the same instant by a queue that drains ten a second.
+/// Told the same time, they would all return together and be refused again. They are spread.
+#[test]
+fn refused_callers_do_not_return_together() {
+    let mut queue = Queue::new();
+    for ms in (0..20_000).step_by(50) {
+        let _ = queue.arrive(millis(ms), Duration::from_secs(600));
+        if ms % 100 == 0 {
+            queue.start_one(millis(ms));
+        }
+    }
+    let now = Duration::from_secs(20);
+    let (pool, account) = (queue.pool.clone(), queue.account.clone());
+    let mut returns_in_second = [0_u32; 91];
+    for _ in 0..1_000 {
+        let reason = RefusalReason::AccountQueueFull;
+        let refusal = queue
+            .admission
+            .refuse(now, reason, &pool, &account, Duration::ZERO);
+        let after = refusal.retry_after.unwrap();
+        assert!(after >= Duration::from_secs(1) && after <= Duration::from_secs(90));
+        returns_in_second[after.as_secs() as usize] += 1;
+    }
+    let most = returns_in_second.iter().max().unwrap();
+    assert!(*most <= 40, "{most} of 1,000 return in the same second");
+}
+
+#[test]
+fn drain_rate_is_not_misled_by_bursts_or_by_slow_queues() {
+    for (burst, period_s) in [(1, 20), (10, 1), (10, 20)] {
+        let mut rate = DrainRate::default();
+        rate.queued(Duration::ZERO);
+        let mut now = Duration::ZERO;
+        for _ in 0..50 {
+            now += Duration::from_secs(period_s);
+            for _ in 0..burst {
+                rate.started(now, true);
+            }
+        }
+        let real_s = period_s as f64 / f64::from(burst);
+        let gap_s = rate.gap(now).unwrap().as_secs_f64();
+        assert!((gap_s / real_s - 1.0).abs() < 0.25, "{gap_s} for {real_s}");
+    }
+}
+
+#[test]
+fn idle_time_is_no_slow_drain() {
+    let mut rate = DrainRate::default();
+    for s in 0..20 {
+        rate.queued(Duration::from_secs(s));
+        rate.started(Duration::from_secs(s) + millis(10), false);
+    }
+    let gap = rate.gap(Duration::from_secs(20)).unwrap();
+    assert!(gap <= millis(11), "{gap:?}");
+}
+
+#[test]
+fn a_changed_configuration_refills_no_ceiling() {
+    let account = AccountId::from("crew-07");
+    let mut ceilings = AccountCeilings::default();
+    let mut starts = 0;
+    for _ in 0..10 {
+        ceilings.configure(Duration::ZERO, &[account_settings(0, 1)]);
+        if ceilings.check(Duration::ZERO, &account, 0).is_ok() {
+            ceilings.started(Duration::ZERO, &account);
+            starts += 1;
+        }
+    }
+    assert_eq!(starts, 1);
+    let reached = ceilings.check(Duration::ZERO, &account, 0).unwrap_err();
+    assert_eq!(reached.reason, RefusalReason::RateLimited);
+    assert_eq!(reached.next_start_in, Some(Duration::from_secs(1)));
+}
+
+/// A fixed seed, so that every run tries the same cases.
+fn fixed_cases() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(256)
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed_cases())]
+
+    /// Naive oracle: in any window of whole seconds, no more starts than the rate allows and one
+    /// second saved up; never more in progress than the ceiling; a told wait is long enough.
+    #[test]
+    fn ceilings_hold_over_every_window(
+        pauses_us in prop::collection::vec(0_u64..400_000, 1..300),
+        max_requests_per_s in 1_u32..20,
+        max_in_progress in 1_u32..8,
+    ) {
+        let account = AccountId::from("crew-07");
+        let mut ceilings = AccountCeilings::default();
+        ceilings.configure(Duration::ZERO, &[account_settings(max_in_progress, max_requests_per_s)]);
+        let mut now = Duration::ZERO;
+        let mut starts: Vec<Duration> = Vec::new();
+        let run = Duration::from_millis(600);
+        for pause_us in pauses_us {
+            now += Duration::from_micros(pause_us);
+            let in_progress = starts.iter().filter(|start| **start + run > now).count() as u32;
+            match ceilings.check(now, &account, in_progress) {
+                Ok(()) => {
+                    prop_assert!(in_progress < max_in_progress);
+                    ceilings.started(now, &account);
+                    starts.push(now);
+                }
+                Err(reached) => {
+                    if let Some(wait) = reached.next_start_in {
+                        prop_assert!(ceilings.check(now + wait, &account, 0).is_ok());
+                        now += wait;
+                    }
+                }
+            }
+        }
+        for (first, from) in starts.iter().enumerate() {
+            for (count, to) in starts[first..].iter().enumerate() {
+                let allowed = f64::from(max_requests_per_s) * (1.0 + (*to - *from).as_secs_f64());
+                prop_assert!((count + 1) as f64 <= allowed + 1e-3);
+            }
+        }
+    }
+}
