feat(coordination): endpoint health, breakers and learnt concurrency

An endpoint that fails, leaves or queues inside itself must not keep getting work, and a fault common to all endpoints must not take the whole pool out. Ejection is bounded by share and by the last endpoint; one that can't be spared is throttled to one request at a time, since an endpoint that fails fast frees its slots fast and would draw the pool's work.

Concurrency, ways weighed: the configured slots (engines with less memory queue inside, out of the fair order), latency alone (prompt length moves it as much as load does), the lagging reports with what was held at the time of their figures. The last, with latency while reports are missing.

--- a/crates/coordination/src/endpoint_health.rs
+++ b/crates/coordination/src/endpoint_health.rs
@@ -1,1 +1,395 @@
-//! To be written.
+//! Health of a pool's endpoints: which take new work, and how much.
+//!
+//! The home of a pool owns one [`PoolHealth`]. It is told what became of attempts, what the load
+//! reports say and which endpoints are leaving, and tells how many requests each may hold.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sedgeridge_state::ids::EndpointId;
+use sedgeridge_state::settings::HealthSettings;
+use sedgeridge_state::settings::millis;
+
+use crate::breaker::AnswerCounts;
+use crate::breaker::Breaker;
+use crate::breaker::FailureKind;
+use crate::slot_budget::Load;
+use crate::slot_budget::SlotBudget;
+
+/// Report intervals after which a load report is stale.
+const STALE_REPORT_INTERVALS: u32 = 4;
+/// Time for which a notice of leaving stands against reports that say otherwise, since they lag.
+const LEAVING_NOTICE_HOLDS: Duration = Duration::from_secs(10);
+
+/// Who says that an endpoint is leaving.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeavingSource {
+    /// Another router of the fleet.
+    Peer,
+    /// The platform's list of hosts.
+    HostList,
+}
+
+/// Requests that may be held on an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UsableSlots {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Requests in all, those in progress included; 0 while it is ejected or leaving.
+    pub slots: u32,
+}
+
+#[derive(Debug, Default)]
+struct Leaving {
+    by_report: bool,
+    by_peer_at: Option<Duration>,
+    by_host_list: bool,
+}
+
+impl Leaving {
+    fn is_leaving(&self) -> bool {
+        self.by_report || self.by_peer_at.is_some() || self.by_host_list
+    }
+
+    fn reported(&mut self, leaving: bool, figures_at: Duration) {
+        self.by_report = leaving;
+        let outlived = |at: Duration| figures_at > at + LEAVING_NOTICE_HOLDS;
+        if !leaving && self.by_peer_at.is_some_and(outlived) {
+            self.by_peer_at = None;
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Endpoint {
+    breaker: Breaker,
+    budget: SlotBudget,
+    ramp: Option<u32>,
+    leaving: Leaving,
+    reported_at: Option<Duration>,
+    told: Option<u32>,
+}
+
+impl Endpoint {
+    fn new(slots: u32) -> Self {
+        Self {
+            breaker: Breaker::new(),
+            budget: SlotBudget::new(slots),
+            ramp: None,
+            leaving: Leaving::default(),
+            reported_at: None,
+            told: None,
+        }
+    }
+
+    fn is_full_member(&self) -> bool {
+        !self.leaving.is_leaving() && !self.breaker.is_ejected()
+    }
+
+    fn usable_slots(&self, now: Duration, stale_after: Duration) -> u32 {
+        if self.leaving.is_leaving() || self.breaker.open_until().is_some() {
+            return 0;
+        }
+        if self.breaker.is_half_open() {
+            return 1;
+        }
+        let usable = self.budget.usable(now, stale_after);
+        self.ramp.map_or(usable, |ramp| ramp.min(usable))
+    }
+
+    // One more slot for each answer doubles the load in the time of one request: a cold endpoint
+    // is not flooded, and a warm one is soon back at full load.
+    fn climb(&mut self, now: Duration, stale_after: Duration) {
+        let Some(ramp) = self.ramp else { return };
+        if ramp + 1 >= self.budget.usable(now, stale_after) {
+            self.ramp = None;
+            self.breaker.forgive();
+        } else {
+            self.ramp = Some(ramp + 1);
+        }
+    }
+}
+
+/// Health of the endpoints of one pool.
+///
+/// ```
+/// use std::time::Duration;
+/// use sedgeridge_coordination::breaker::FailureKind;
+/// use sedgeridge_coordination::endpoint_health::PoolHealth;
+/// use sedgeridge_state::ids::EndpointId;
+/// use sedgeridge_state::settings::HealthSettings;
+///
+/// let (sick, sound) = (EndpointId::from("desk-1"), EndpointId::from("desk-2"));
+/// let mut health = PoolHealth::new(HealthSettings::default());
+/// health.configure(&[(sick.clone(), 8), (sound.clone(), 8)]);
+/// for ms in 1..=3 {
+///     let now = Duration::from_millis(ms);
+///     health.failed(now, &sick, now, FailureKind::ConnectFailed);
+/// }
+/// let now = Duration::from_millis(4);
+/// assert_eq!(health.usable_slots(now, &sick), 0);
+/// assert_eq!(health.usable_slots(now, &sound), 8);
+/// ```
+#[derive(Debug)]
+pub struct PoolHealth {
+    settings: HealthSettings,
+    endpoints: BTreeMap<EndpointId, Endpoint>,
+}
+
+impl PoolHealth {
+    /// Creates the health of a pool without endpoints.
+    pub fn new(settings: HealthSettings) -> Self {
+        Self {
+            settings,
+            endpoints: BTreeMap::new(),
+        }
+    }
+
+    /// Adopts the pool's endpoints and their slots; what is known of the others is dropped.
+    ///
+    /// An endpoint that joins others starts slowly. Those of the first configuration do not: they
+    /// were serving before this home was.
+    pub fn configure(&mut self, endpoints: &[(EndpointId, u32)]) {
+        let joins = !self.endpoints.is_empty();
+        let mut known = std::mem::take(&mut self.endpoints);
+        for (id, slots) in endpoints {
+            let endpoint = match known.remove(id) {
+                Some(mut endpoint) => {
+                    endpoint.budget.configure(*slots);
+                    endpoint
+                }
+                None => Endpoint {
+                    ramp: joins.then_some(1),
+                    ..Endpoint::new(*slots)
+                },
+            };
+            self.endpoints.insert(id.clone(), endpoint);
+        }
+    }
+
+    /// Adopts changed settings.
+    pub fn set_settings(&mut self, settings: HealthSettings) {
+        self.settings = settings;
+    }
+
+    /// Notes how many requests the fleet holds on an endpoint from now on.
+    pub fn held(&mut self, now: Duration, id: &EndpointId, requests: u32) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.budget.held(now, requests);
+        }
+    }
+
+    /// Counts a whole answer to an attempt that began at `started_at`.
+    pub fn succeeded(
+        &mut self,
+        now: Duration,
+        id: &EndpointId,
+        started_at: Duration,
+        first_byte: Duration,
+    ) {
+        let stale_after = self.stale_after();
+        let Some(endpoint) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        endpoint.budget.answered(now, first_byte, stale_after);
+        if endpoint.breaker.succeeded(now, started_at) {
+            endpoint.ramp = Some(1);
+        }
+        endpoint.climb(now, stale_after);
+    }
+
+    /// Counts a failed attempt that began at `started_at`, or a load report that can't be read.
+    pub fn failed(
+        &mut self,
+        now: Duration,
+        id: &EndpointId,
+        started_at: Duration,
+        kind: FailureKind,
+    ) {
+        let others = self.counts_of_others(id);
+        let idle_timeout = millis(self.settings.stream_idle_timeout_ms);
+        let Some(endpoint) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        // Something between the two ends can lose track of one open connection while new ones
+        // work. An endpoint that answered a fresh read of its report since then is not at fault.
+        let answers_elsewhere = endpoint
+            .reported_at
+            .is_some_and(|at| now.saturating_sub(at) < idle_timeout);
+        if kind == FailureKind::Silent && answers_elsewhere && !endpoint.breaker.is_half_open() {
+            return;
+        }
+        let settings = &self.settings;
+        let breaker = &mut endpoint.breaker;
+        if breaker.failed(now, started_at, kind, settings, others) {
+            self.eject(now, id);
+        }
+        self.keep_quota(now);
+    }
+
+    /// Takes a load report; `load.age` counts from when its figures were true.
+    pub fn reported(&mut self, now: Duration, id: &EndpointId, load: Load) {
+        let Some(endpoint) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        let figures_at = now.saturating_sub(load.age);
+        endpoint.reported_at = Some(now);
+        endpoint.breaker.reported(now, figures_at);
+        endpoint.budget.reported(now, load);
+        let was_leaving = endpoint.leaving.is_leaving();
+        endpoint.leaving.reported(load.leaving, figures_at);
+        if endpoint.leaving.is_leaving() != was_leaving {
+            self.keep_quota(now);
+        }
+    }
+
+    /// Notes that somebody other than the endpoint says whether it is leaving.
+    ///
+    /// Any one source is enough to stop new work, and none can take back what another says: the
+    /// host list lags, so "not leaving" in it may be the past.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::endpoint_health::{LeavingSource, PoolHealth};
+    /// use sedgeridge_state::ids::EndpointId;
+    /// use sedgeridge_state::settings::HealthSettings;
+    ///
+    /// let desk = EndpointId::from("desk-1");
+    /// let mut health = PoolHealth::new(HealthSettings::default());
+    /// health.configure(&[(desk.clone(), 8)]);
+    /// health.set_leaving(Duration::ZERO, &desk, LeavingSource::Peer, true);
+    /// assert_eq!(health.usable_slots(Duration::ZERO, &desk), 0);
+    /// ```
+    pub fn set_leaving(
+        &mut self,
+        now: Duration,
+        id: &EndpointId,
+        source: LeavingSource,
+        leaving: bool,
+    ) {
+        let Some(endpoint) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        match source {
+            LeavingSource::Peer => endpoint.leaving.by_peer_at = leaving.then_some(now),
+            LeavingSource::HostList => endpoint.leaving.by_host_list = leaving,
+        }
+        self.keep_quota(now);
+    }
+
+    /// Tells whether an endpoint is leaving.
+    pub fn is_leaving(&self, id: &EndpointId) -> bool {
+        self.endpoints
+            .get(id)
+            .is_some_and(|endpoint| endpoint.leaving.is_leaving())
+    }
+
+    /// Returns how many requests the fleet may hold on an endpoint, those in progress included.
+    pub fn usable_slots(&self, now: Duration, id: &EndpointId) -> u32 {
+        self.endpoints
+            .get(id)
+            .map_or(0, |endpoint| endpoint.usable_slots(now, self.stale_after()))
+    }
+
+    /// Ends ejections that are over, and returns the endpoints whose usable slots changed since
+    /// the last call. Called after events and at each tick.
+    pub fn changes(&mut self, now: Duration) -> Vec<UsableSlots> {
+        for endpoint in self.endpoints.values_mut() {
+            if endpoint.breaker.open_until().is_some_and(|at| at <= now) {
+                endpoint.breaker.half_open(now);
+            }
+        }
+        self.keep_quota(now);
+        let stale_after = self.stale_after();
+        let mut changes = Vec::new();
+        for (id, endpoint) in &mut self.endpoints {
+            let slots = endpoint.usable_slots(now, stale_after);
+            if endpoint.told.replace(slots) != Some(slots) {
+                changes.push(UsableSlots {
+                    endpoint: id.clone(),
+                    slots,
+                });
+            }
+        }
+        changes
+    }
+
+    fn stale_after(&self) -> Duration {
+        millis(self.settings.report_interval_ms) * STALE_REPORT_INTERVALS
+    }
+
+    fn counts_of_others(&self, id: &EndpointId) -> AnswerCounts {
+        let mut others = AnswerCounts::default();
+        for (other, endpoint) in &self.endpoints {
+            if other != id {
+                others.add(endpoint.breaker.counts());
+            }
+        }
+        others
+    }
+
+    // An endpoint that can't be spared is throttled instead: an endpoint that fails fast frees its
+    // slots fast, and would draw the work of the whole pool into failing.
+    fn eject(&mut self, now: Duration, id: &EndpointId) {
+        let may_eject = self.may_eject(id);
+        let settings = &self.settings;
+        let Some(endpoint) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        if may_eject {
+            endpoint.breaker.open(now, settings);
+        } else {
+            endpoint.breaker.close_anyway(now);
+            endpoint.ramp = Some(1);
+        }
+    }
+
+    fn may_eject(&self, id: &EndpointId) -> bool {
+        let mut ejected = 0;
+        let mut full_members = 0;
+        for (other, endpoint) in &self.endpoints {
+            if other != id {
+                ejected += usize::from(endpoint.breaker.is_ejected());
+                full_members += usize::from(endpoint.is_full_member());
+            }
+        }
+        full_members > 0 && ejected < self.max_ejected()
+    }
+
+    fn max_ejected(&self) -> usize {
+        let percent = usize::try_from(self.settings.max_ejected_percent.min(100)).unwrap_or(100);
+        self.endpoints.len() * percent / 100
+    }
+
+    // When endpoints leave the pool, those that are ejected may become too large a part of it, or
+    // all of it. The ones that would return first return at once, slowly.
+    fn keep_quota(&mut self, now: Duration) {
+        while self.ejected() > self.max_ejected() || !self.takes_work() {
+            let Some(endpoint) = self.first_to_return() else {
+                return;
+            };
+            endpoint.breaker.close_anyway(now);
+            endpoint.ramp = Some(1);
+        }
+    }
+
+    fn ejected(&self) -> usize {
+        self.endpoints
+            .values()
+            .filter(|endpoint| endpoint.breaker.is_ejected())
+            .count()
+    }
+
+    fn takes_work(&self) -> bool {
+        self.endpoints.values().any(|endpoint| {
+            !endpoint.leaving.is_leaving() && endpoint.breaker.open_until().is_none()
+        })
+    }
+
+    fn first_to_return(&mut self) -> Option<&mut Endpoint> {
+        self.endpoints
+            .values_mut()
+            .filter(|endpoint| endpoint.breaker.is_ejected())
+            .min_by_key(|endpoint| (endpoint.leaving.is_leaving(), endpoint.breaker.open_until()))
+    }
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod entry;
 
 pub mod account_ceilings;
+pub mod breaker;
 pub mod claims;
 pub mod config_adoption;
 pub mod drain_rate;
@@ -22,3 +23,4 @@
 pub mod refusal;
 pub mod rendezvous;
 pub mod retry_budget;
+pub mod slot_budget;
