--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -501,6 +501,6 @@
         key,
         reason,
         outcome,
-        retry_after: reason.worth_retrying().then_some(DEFAULT_RETRY_AFTER),
+        retry_after: reason.offers_retry_after().then_some(DEFAULT_RETRY_AFTER),
     }
 }
