--- /dev/null
+++ b/crates/coordination/src/attempt_results.rs
@@ -0,0 +1,87 @@
+//! What attempts told about their endpoints, gathered for the home of the pool.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sedgeridge_state::ids::EndpointId;
+
+use crate::breaker::FailureKind;
+
+/// What the attempts of one entry router told about one endpoint since its last report.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndpointResult {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Whole answers.
+    pub answered: u32,
+    /// Mean time until they began.
+    pub first_byte_ms: u32,
+    /// Failures, each with the time since its attempt began.
+    pub failures: Vec<AttemptFailed>,
+}
+
+/// A failed attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AttemptFailed {
+    /// How it failed.
+    pub kind: FailureKind,
+    /// Time since it began.
+    pub started_ago_ms: u32,
+}
+
+/// Most failures of one endpoint that one report carries; more say nothing new.
+const MAX_FAILURES: usize = 8;
+
+/// Results not yet reported.
+#[derive(Debug, Default)]
+pub(crate) struct AttemptResults {
+    endpoints: BTreeMap<EndpointId, Gathered>,
+}
+
+#[derive(Debug, Default)]
+struct Gathered {
+    answered: u32,
+    first_byte_sum: Duration,
+    failures: Vec<AttemptFailed>,
+}
+
+impl AttemptResults {
+    pub(crate) fn answered(&mut self, endpoint: &EndpointId, first_byte: Duration) {
+        let gathered = self.endpoints.entry(endpoint.clone()).or_default();
+        gathered.answered += 1;
+        gathered.first_byte_sum += first_byte;
+    }
+
+    pub(crate) fn failed(
+        &mut self,
+        endpoint: &EndpointId,
+        kind: FailureKind,
+        started_ago: Duration,
+    ) {
+        let gathered = self.endpoints.entry(endpoint.clone()).or_default();
+        if gathered.failures.len() < MAX_FAILURES {
+            gathered.failures.push(AttemptFailed {
+                kind,
+                started_ago_ms: millis_u32(started_ago),
+            });
+        }
+    }
+
+    pub(crate) fn take(&mut self) -> Vec<EndpointResult> {
+        let gathered = std::mem::take(&mut self.endpoints);
+        let results = gathered.into_iter().map(|(endpoint, gathered)| {
+            let first_byte = gathered.first_byte_sum / gathered.answered.max(1);
+            EndpointResult {
+                endpoint,
+                answered: gathered.answered,
+                first_byte_ms: millis_u32(first_byte),
+                failures: gathered.failures,
+            }
+        });
+        results.collect()
+    }
+}
+
+fn millis_u32(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -2,239 +2,97 @@
 //! granted slot to the account's first waiting request.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use sedgeridge_state::ids::AccountId;
 use sedgeridge_state::ids::EndpointId;
-use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Member;
 use sedgeridge_state::ids::PoolId;
-use sedgeridge_state::settings::FrontSettings;
-use sedgeridge_state::settings::RequestClass;
-use sedgeridge_state::settings::RetrySettings;
+use sedgeridge_state::settings::Settings;
 
+use crate::account_ceilings::AccountCeilings;
 use crate::cost_estimate::CostEstimates;
+use crate::entry_events::Arrival;
+use crate::entry_events::AttemptEnd;
+use crate::entry_events::AttemptFailure;
+use crate::entry_events::AttemptKey;
+use crate::entry_events::EntryAction;
+use crate::entry_events::EntryEvent;
+use crate::entry_events::RequestKey;
 use crate::entry_pool::EntryPool;
-use crate::entry_queue::Lane;
-use crate::pool_messages::EntryReport;
+use crate::limits;
+use crate::limits::Admission;
+use crate::limits::Refusal;
 use crate::pool_messages::Grant;
-use crate::pool_messages::GrantId;
-use crate::pool_messages::PrefixHash;
+use crate::quarantine::Permit;
+use crate::quarantine::Quarantine;
 use crate::refusal::Outcome;
 use crate::refusal::RefusalReason;
-
-/// Identifies a request within one router run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct RequestKey(pub u64);
-
-/// Identifies an attempt within one router run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct AttemptKey(pub u64);
-
-/// A request that a caller sent to this router.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Arrival {
-    /// Identifies the request.
-    pub key: RequestKey,
-    /// The client account.
-    pub account: AccountId,
-    /// The pool that runs it.
-    pub pool: PoolId,
-    /// Rank within the account.
-    pub class: RequestClass,
-    /// Whether it may run more than once.
-    pub repeatable: bool,
-    /// Rough hint of its cost.
-    pub hint_tokens: u64,
-    /// Prefix of the prompt.
-    pub prefix: Option<PrefixHash>,
-    /// Time since the process started by which the answer must be complete.
-    pub deadline: Duration,
-}
-
-/// How an attempt ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AttemptEnd {
-    /// The whole answer went to the caller.
-    Finished {
-        /// Service received.
-        charged_tokens: u64,
-    },
-    /// No byte of the request can have reached the endpoint, or it refused before starting.
-    NotStarted,
-    /// The answer broke off or never came.
-    Broken {
-        /// Output tokens that went to the caller over all attempts.
-        sent_tokens: u64,
-        /// Service received in this attempt.
-        charged_tokens: u64,
-    },
-    /// The caller went away.
-    CallerGone {
-        /// Service received.
-        charged_tokens: u64,
-    },
-}
-
-/// What happens to the entry router.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum EntryEvent {
-    /// A caller sent a request.
-    Arrived(Arrival),
-    /// A home granted a slot.
-    Granted(Grant),
-    /// A home asks for a full report.
-    FullReportWanted {
-        /// The pool.
-        pool: PoolId,
-    },
-    /// Messages to a home were lost: it is told everything again.
-    HomeResync {
-        /// The host of the home.
-        host: HostId,
-    },
-    /// A pool has another home now; `None` while there is none.
-    HomeChanged {
-        /// The pool.
-        pool: PoolId,
-        /// Its home.
-        home: Option<Member>,
-    },
-    /// An attempt ended.
-    AttemptEnded {
-        /// The attempt.
-        attempt: AttemptKey,
-        /// How it ended.
-        end: AttemptEnd,
-    },
-    /// A waiting request's caller went away.
-    CallerGone {
-        /// The request.
-        key: RequestKey,
-    },
-    /// The router was told to stop: what waits is refused, what runs is finished.
-    StopRequested,
-    /// Time passed.
-    Tick,
-}
-
-/// What the entry router wants done.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum EntryAction {
-    /// Run the request on an endpoint.
-    Start {
-        /// The request.
-        key: RequestKey,
-        /// The attempt.
-        attempt: AttemptKey,
-        /// The endpoint.
-        endpoint: EndpointId,
-        /// Output tokens that the caller already holds.
-        resume_after_tokens: u64,
-    },
-    /// Give the caller its final answer now.
-    GiveUp {
-        /// The request.
-        key: RequestKey,
-        /// Why.
-        reason: RefusalReason,
-        /// Whether the request ran.
-        outcome: Outcome,
-        /// When to come back.
-        retry_after: Option<Duration>,
-    },
-    /// An attempt failed and the request waits for another one.
-    Retried {
-        /// The request.
-        key: RequestKey,
-        /// Why.
-        reason: RetryReason,
-    },
-    /// Send a report to the home of its pool.
-    Report {
-        /// The home.
-        to: Member,
-        /// The report.
-        report: EntryReport,
-    },
-}
-
-/// Why a request is attempted again.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum RetryReason {
-    /// The endpoint could not be reached or refused before starting.
-    NotStarted,
-    /// The answer broke off.
-    Broken,
-}
-
-impl RetryReason {
-    /// Returns the stable name used in logs and metrics.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::NotStarted => "not_started",
-            Self::Broken => "broken",
-        }
-    }
-}
-
-#[derive(Debug)]
-struct Request {
-    arrival: Arrival,
-    attempts: u32,
-    sent_tokens: u64,
-    may_have_run: bool,
-}
-
-#[derive(Debug)]
-struct Attempt {
-    key: RequestKey,
-    grant: GrantId,
-}
+use crate::request_table::Attempt;
+use crate::request_table::Place;
+use crate::request_table::Request;
+use crate::request_table::RequestTable;
+use crate::retry_budget::FailedAttempt;
+use crate::retry_budget::RetryBudgets;
+use crate::retry_budget::RetryDecision;
+
+/// Time after which a suspect of crashing endpoints asks again for its trial.
+const TRIAL_PAUSE: Duration = Duration::from_millis(100);
+/// Time between two clean-ups of measurements that nobody needs any more.
+const FORGET_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Keeps the requests of one router's callers.
 #[derive(Debug)]
 pub struct Entry {
     member: Member,
-    front: FrontSettings,
-    retry: RetrySettings,
-    requests: BTreeMap<RequestKey, Request>,
-    attempts: BTreeMap<AttemptKey, Attempt>,
-    deadlines: BTreeSet<(Duration, RequestKey)>,
+    max_attempts: u32,
+    requests: RequestTable,
     pools: BTreeMap<PoolId, EntryPool>,
+    admission: Admission,
+    ceilings: AccountCeilings,
+    retries: RetryBudgets,
+    quarantine: Quarantine,
     estimates: CostEstimates,
-    next_attempt: u64,
     waiting: u32,
     stopping: bool,
+    forgot_at: Duration,
 }
 
-/// Time after which a caller whose pool has no known drain rate may come back.
-const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
-
 impl Entry {
-    /// Creates the entry part of the router run `member`.
-    pub fn new(member: Member, front: FrontSettings, retry: RetrySettings) -> Self {
-        Self {
+    /// Creates the entry part of the router run `member`; `seed` feeds the jitter.
+    pub fn new(member: Member, settings: &Settings, seed: u64) -> Self {
+        let mut entry = Self {
             member,
-            front,
-            retry,
-            requests: BTreeMap::new(),
-            attempts: BTreeMap::new(),
-            deadlines: BTreeSet::new(),
+            max_attempts: settings.retry.max_attempts,
+            requests: RequestTable::default(),
             pools: BTreeMap::new(),
+            admission: Admission::new(settings.front.clone(), seed),
+            ceilings: AccountCeilings::default(),
+            retries: RetryBudgets::new(settings.retry.clone(), seed.wrapping_add(1)),
+            quarantine: Quarantine::new(settings.health.clone()),
             estimates: CostEstimates::default(),
-            next_attempt: 0,
             waiting: 0,
             stopping: false,
-        }
+            forgot_at: Duration::ZERO,
+        };
+        entry.configure(Duration::ZERO, settings);
+        entry
+    }
+
+    /// Adopts a configuration; requests in hand and what was measured stay.
+    pub fn configure(&mut self, now: Duration, settings: &Settings) {
+        self.max_attempts = settings.retry.max_attempts;
+        self.admission.configure(settings.front.clone());
+        self.ceilings.configure(now, &settings.accounts);
+        self.retries.configure(settings.retry.clone());
+        self.quarantine.configure(settings.health.clone());
     }
 
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Duration, event: EntryEvent, actions: &mut Vec<EntryAction>) {
         match event {
-            EntryEvent::Arrived(arrival) => self.arrived(arrival, actions),
-            EntryEvent::Granted(grant) => self.granted(&grant, actions),
+            EntryEvent::Arrived(arrival) => self.arrived(now, arrival, actions),
+            EntryEvent::Granted(grant) => self.granted(now, &grant, actions),
             EntryEvent::FullReportWanted { pool } => self.pool(&pool).want_full(),
             EntryEvent::HomeResync { host } => {
                 let homed = self
@@ -244,24 +102,32 @@
                 homed.for_each(EntryPool::want_full);
             }
             EntryEvent::HomeChanged { pool, home } => self.pool(&pool).set_home(home),
+            EntryEvent::Progress {
+                attempt,
+                charged_tokens,
+            } => self.progressed(attempt, charged_tokens),
             EntryEvent::AttemptEnded { attempt, end } => {
                 self.attempt_ended(now, attempt, end, actions);
             }
-            EntryEvent::CallerGone { key } => {
-                self.drop_waiting(key);
-            }
-            EntryEvent::StopRequested => self.stop(actions),
-            EntryEvent::Tick => self.expire(now, actions),
+            EntryEvent::CallerGone { key } => self.caller_gone(now, key),
+            EntryEvent::Poison(notice) => self.quarantine.on_notice(now, notice),
+            EntryEvent::StopRequested => self.stop(now, actions),
+            EntryEvent::Tick => self.tick(now, actions),
         }
+        let notices = self.quarantine.take_notices();
+        actions.extend(notices.into_iter().map(EntryAction::Announce));
     }
 
-    /// Appends a report for each pool about which something is new.
-    pub fn report(&mut self, actions: &mut Vec<EntryAction>) {
+    /// Appends a report for each pool about which something is new and whose home is `wanted`.
+    pub fn report(&mut self, wanted: impl Fn(&Member) -> bool, actions: &mut Vec<EntryAction>) {
         let requests = &self.requests;
         let estimates = &self.estimates;
         for pool in self.pools.values_mut() {
+            if !pool.home().is_some_and(&wanted) {
+                continue;
+            }
             let head = |key: RequestKey| {
-                let arrival = &requests.get(&key)?.arrival;
+                let arrival = &requests.get(key)?.arrival;
                 let cost_tokens = estimates.estimate(&arrival.account, arrival.hint_tokens);
                 Some((cost_tokens, arrival.prefix))
             };
@@ -271,11 +137,16 @@
         }
     }
 
-    /// Tells whether some pool has news for its home.
+    /// Tells whether some home has to be told something.
     pub fn has_news(&self) -> bool {
         self.pools.values().any(EntryPool::has_news)
     }
 
+    /// Returns when a put-off request is to be queued again.
+    pub fn next_wake(&self) -> Option<Duration> {
+        self.requests.next_due()
+    }
+
     /// Counts the requests that wait.
     pub fn waiting(&self) -> u32 {
         self.waiting
@@ -283,7 +154,12 @@
 
     /// Counts the requests that run.
     pub fn running(&self) -> usize {
-        self.attempts.len()
+        self.requests.running()
+    }
+
+    /// Counts all requests in hand.
+    pub fn in_hand(&self) -> usize {
+        self.requests.len()
     }
 
     fn pool(&mut self, id: &PoolId) -> &mut EntryPool {
@@ -292,74 +168,137 @@
             .or_insert_with(|| EntryPool::new(id.clone()))
     }
 
-    fn arrived(&mut self, arrival: Arrival, actions: &mut Vec<EntryAction>) {
+    fn arrived(&mut self, now: Duration, arrival: Arrival, actions: &mut Vec<EntryAction>) {
         let key = arrival.key;
-        if let Some(reason) = self.refusal(&arrival) {
-            actions.push(give_up(key, reason, Outcome::NotRun));
+        if let Err(refusal) = self.admit(now, &arrival) {
+            actions.push(give_up(key, refusal, Outcome::NotRun));
             return;
         }
-        let request = Request {
-            arrival,
-            attempts: 0,
-            sent_tokens: 0,
-            may_have_run: false,
-        };
-        self.requests.insert(key, request);
-        self.enqueue(key, false);
+        self.ceilings.started(now, &arrival.account);
+        self.requests.insert(Request::new(arrival));
+        self.enqueue(now, key, false);
     }
 
-    fn refusal(&mut self, arrival: &Arrival) -> Option<RefusalReason> {
+    fn admit(&mut self, now: Duration, arrival: &Arrival) -> Result<(), Refusal> {
+        let refuse = |admission: &mut Admission, reason, earliest| {
+            Err(admission.refuse(now, reason, &arrival.pool, &arrival.account, earliest))
+        };
         if self.stopping {
-            return Some(RefusalReason::Draining);
+            let reason = RefusalReason::Draining;
+            return refuse(&mut self.admission, reason, Duration::ZERO);
+        }
+        if let Some(left) = self.quarantine.refused_for(now, arrival.fingerprint) {
+            return refuse(&mut self.admission, RefusalReason::Quarantined, left);
         }
-        if self.waiting >= self.front.max_queue {
-            return Some(RefusalReason::QueueFull);
+        let in_progress = self.requests.in_progress(&arrival.account);
+        if let Err(reached) = self.ceilings.check(now, &arrival.account, in_progress) {
+            let earliest = reached.next_start_in.unwrap_or_default();
+            return refuse(&mut self.admission, reached.reason, earliest);
         }
-        let max_queue_per_account = self.front.max_queue_per_account;
-        let of_account = self.pool(&arrival.pool).waiting_of(&arrival.account);
-        (of_account >= max_queue_per_account).then_some(RefusalReason::AccountQueueFull)
+        let waiting_of_account = self.waiting_of(&arrival.account);
+        let pool = self.pool(&arrival.pool);
+        let ahead = pool.ahead(&arrival.account, arrival.class);
+        let backlogged_accounts = pool.backlogged_accounts_with(&arrival.account);
+        self.admission.admit(
+            now,
+            limits::Arrival {
+                account: &arrival.account,
+                pool: &arrival.pool,
+                waiting: self.waiting,
+                waiting_of_account,
+                ahead,
+                backlogged_accounts,
+                deadline: arrival.deadline,
+                min_run: Duration::ZERO,
+            },
+        )
+    }
+
+    fn waiting_of(&self, account: &AccountId) -> u32 {
+        let pools = self.pools.values();
+        pools.map(|pool| pool.waiting_of(account)).sum()
     }
 
-    fn enqueue(&mut self, key: RequestKey, first: bool) {
-        let arrival = &self.requests[&key].arrival;
-        let lane = lane_of(arrival);
-        let pool = arrival.pool.clone();
-        self.deadlines.insert((arrival.deadline, key));
+    fn enqueue(&mut self, now: Duration, key: RequestKey, first: bool) {
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        request.place = Place::Queued;
+        let lane = request.lane();
+        let pool = request.arrival.pool.clone();
+        self.admission.queued(now, &pool, &lane.account);
         self.waiting += 1;
         self.pool(&pool).enqueue(lane, key, first);
     }
 
-    fn granted(&mut self, grant: &Grant, actions: &mut Vec<EntryAction>) {
-        let Some(key) = self.pool(&grant.pool).take_grant(grant) else {
+    fn granted(&mut self, now: Duration, grant: &Grant, actions: &mut Vec<EntryAction>) {
+        if !self.pool(&grant.pool).accept(grant) {
+            return;
+        }
+        while let Some(key) = self.pool(&grant.pool).pop_for(grant) {
+            self.waiting -= 1;
+            let fingerprint = self.requests.get(key).map(|r| r.arrival.fingerprint);
+            let permit = fingerprint.map(|print| self.quarantine.start(now, print));
+            match permit {
+                Some(Permit::Start) => return self.start(now, key, grant, actions),
+                Some(Permit::Wait) => self.requests.put_off(key, now + TRIAL_PAUSE),
+                Some(Permit::Refuse) => {
+                    self.give_up(now, key, RefusalReason::Quarantined, actions);
+                }
+                None => {}
+            }
+        }
+        self.pool(&grant.pool).give_back(grant);
+    }
+
+    fn start(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        grant: &Grant,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let attempt = self.requests.start_attempt(key, grant.id.clone(), now);
+        let max_attempts = self.max_attempts;
+        let Some(request) = self.requests.get_mut(key) else {
             return;
         };
-        self.waiting -= 1;
-        let request = self
-            .requests
-            .get_mut(&key)
-            .expect("a queued request is in the table");
-        self.deadlines.remove(&(request.arrival.deadline, key));
         request.attempts += 1;
+        request.place = Place::Running;
+        let account = request.arrival.account.clone();
         let estimate_tokens = self
             .estimates
-            .estimate(&request.arrival.account, request.arrival.hint_tokens);
-        let resume_after_tokens = request.sent_tokens;
-        let attempt = AttemptKey(self.next_attempt);
-        self.next_attempt += 1;
-        self.attempts.insert(
-            attempt,
-            Attempt {
-                key,
-                grant: grant.id.clone(),
-            },
-        );
-        self.pool(&grant.pool).hold(grant, estimate_tokens);
+            .estimate(&account, request.arrival.hint_tokens);
         actions.push(EntryAction::Start {
             key,
             attempt,
             endpoint: grant.endpoint.clone(),
-            resume_after_tokens,
+            resume_after_tokens: request.sent_tokens,
+            last_attempt: !request.arrival.repeatable || request.attempts >= max_attempts,
         });
+        let pool = self.pool(&grant.pool);
+        pool.hold(grant, estimate_tokens);
+        let waiting_of_pool = pool.waiting();
+        let waiting_of_account = pool.waiting_of(&account);
+        self.admission.started(
+            now,
+            &grant.pool,
+            &account,
+            waiting_of_pool,
+            waiting_of_account,
+        );
+    }
+
+    fn progressed(&mut self, attempt: AttemptKey, charged_tokens: u64) {
+        let Some(Attempt { key, grant, .. }) = self.requests.attempt(attempt) else {
+            return;
+        };
+        let Some(request) = self.requests.get(*key) else {
+            return;
+        };
+        let pool = request.arrival.pool.clone();
+        let grant = grant.clone();
+        self.pool(&pool).raise_estimate(&grant, charged_tokens);
     }
 
     fn attempt_ended(
@@ -369,138 +308,197 @@
         end: AttemptEnd,
         actions: &mut Vec<EntryAction>,
     ) {
-        let Some(Attempt { key, grant }) = self.attempts.remove(&attempt) else {
+        let Some(ended) = self.requests.end_attempt(attempt) else {
             return;
         };
-        let request = self
-            .requests
-            .get_mut(&key)
-            .expect("a running request is in the table");
-        let account = request.arrival.account.clone();
-        let pool = request.arrival.pool.clone();
-        let hint_tokens = request.arrival.hint_tokens;
-        let charged_tokens = match end {
-            AttemptEnd::Finished { charged_tokens }
-            | AttemptEnd::Broken { charged_tokens, .. }
-            | AttemptEnd::CallerGone { charged_tokens } => charged_tokens,
-            AttemptEnd::NotStarted => 0,
+        let Some(request) = self.requests.get(ended.key) else {
+            return;
         };
-        self.pool(&pool).release(&grant, &account, charged_tokens);
+        let arrival = request.arrival.clone();
+        let charged_tokens = charge_of(end);
+        let started_ago = now.saturating_sub(ended.started_at);
+        let pool = self.pool(&arrival.pool);
+        let endpoint = pool.release(&ended.grant, &arrival.account, charged_tokens);
+        if let Some(endpoint) = &endpoint {
+            pool.note_result(endpoint, started_ago, end);
+        }
         match end {
             AttemptEnd::Finished { .. } => {
-                self.estimates.learn(&account, hint_tokens, charged_tokens);
-                self.requests.remove(&key);
+                self.estimates
+                    .learn(&arrival.account, arrival.hint_tokens, charged_tokens);
+                self.retries.on_success(now, &arrival.account);
+                self.quarantine.finished(now, arrival.fingerprint);
+                self.requests.remove(ended.key);
             }
             AttemptEnd::CallerGone { .. } => {
-                self.requests.remove(&key);
+                self.quarantine.ended(arrival.fingerprint);
+                self.requests.remove(ended.key);
+            }
+            AttemptEnd::Failed {
+                failure,
+                sent_tokens,
+                ..
+            } => {
+                self.blame(now, &arrival, endpoint.as_ref(), failure);
+                if let Some(request) = self.requests.get_mut(ended.key) {
+                    request.sent_tokens = request.sent_tokens.max(sent_tokens);
+                    request.may_have_run |= failure.may_have_run();
+                }
+                self.after_failure(now, ended.key, failure, actions);
+            }
+        }
+    }
+
+    fn blame(
+        &mut self,
+        now: Duration,
+        arrival: &Arrival,
+        endpoint: Option<&EndpointId>,
+        failure: AttemptFailure,
+    ) {
+        match (endpoint, failure) {
+            (Some(endpoint), AttemptFailure::ConnectionLost) => {
+                let fingerprint = arrival.fingerprint;
+                self.quarantine.connection_lost(now, fingerprint, endpoint);
             }
-            AttemptEnd::NotStarted => self.retry(now, key, RetryReason::NotStarted, actions),
-            AttemptEnd::Broken { sent_tokens, .. } => {
-                let request = self.requests.get_mut(&key).expect("checked above");
-                request.sent_tokens = sent_tokens;
-                request.may_have_run = true;
-                self.retry(now, key, RetryReason::Broken, actions);
+            (Some(endpoint), AttemptFailure::ConnectFailed) => {
+                self.quarantine.ended(arrival.fingerprint);
+                self.quarantine.endpoint_down(now, endpoint);
             }
+            _ => self.quarantine.ended(arrival.fingerprint),
         }
     }
 
-    fn retry(
+    fn after_failure(
         &mut self,
         now: Duration,
         key: RequestKey,
-        reason: RetryReason,
+        failure: AttemptFailure,
         actions: &mut Vec<EntryAction>,
     ) {
-        let request = &self.requests[&key];
-        // A request that may not be repeated and may have run is never sent again: the caller
-        // would see its effect twice. One that certainly did not start may go to another endpoint.
-        let allowed = request.arrival.repeatable || !request.may_have_run;
-        let in_time = now < request.arrival.deadline;
-        if allowed && in_time && request.attempts < self.retry.max_attempts {
-            actions.push(EntryAction::Retried { key, reason });
-            self.enqueue(key, true);
+        let Some(request) = self.requests.get(key) else {
             return;
-        }
-        let outcome = if request.may_have_run {
-            Outcome::Unknown
-        } else {
-            Outcome::NotRun
         };
-        let why = match reason {
-            RetryReason::NotStarted => RefusalReason::NoEndpoint,
-            RetryReason::Broken => RefusalReason::EndpointFailed,
+        let Some(reason) = failure.retry_reason() else {
+            return self.give_up(now, key, RefusalReason::DeadlinePassedRunning, actions);
         };
-        self.requests.remove(&key);
-        actions.push(give_up(key, why, outcome));
+        // A request that may not be repeated and may have run is never sent again: the caller
+        // would see its effect twice. One that certainly did not start may go to another endpoint.
+        let decision = self.retries.may_retry(
+            now,
+            FailedAttempt {
+                account: &request.arrival.account,
+                reason,
+                attempts: request.attempts,
+                repeatable: request.arrival.repeatable,
+                deadline: request.arrival.deadline,
+            },
+        );
+        match decision {
+            RetryDecision::Retry { backoff } => {
+                actions.push(EntryAction::Retried { key, reason });
+                self.requests.put_off(key, now + backoff);
+            }
+            RetryDecision::Denied(_) => {
+                let reason = match failure {
+                    AttemptFailure::ConnectFailed => RefusalReason::NoEndpoint,
+                    AttemptFailure::NotStarted => RefusalReason::EndpointRefused,
+                    _ if request.sent_tokens > 0 => RefusalReason::AnswerIncomplete,
+                    _ => RefusalReason::EndpointFailed,
+                };
+                self.give_up(now, key, reason, actions);
+            }
+        }
     }
 
-    fn drop_waiting(&mut self, key: RequestKey) -> bool {
-        let Some(request) = self.requests.get(&key) else {
-            return false;
-        };
-        let lane = lane_of(&request.arrival);
-        let pool = request.arrival.pool.clone();
-        let deadline = request.arrival.deadline;
-        if !self.pool(&pool).remove_waiting(&lane, key) {
-            return false;
+    /// Takes a request out of wherever it waits.
+    fn take_out(&mut self, now: Duration, key: RequestKey) -> Option<Request> {
+        let request = self.requests.remove(key)?;
+        if request.place == Place::Queued {
+            let lane = request.lane();
+            let pool = self.pool(&request.arrival.pool);
+            if pool.remove_waiting(&lane, key) {
+                let waiting_of_pool = pool.waiting();
+                let waiting_of_account = pool.waiting_of(&lane.account);
+                self.waiting -= 1;
+                self.admission.left(
+                    now,
+                    &request.arrival.pool,
+                    &lane.account,
+                    waiting_of_pool,
+                    waiting_of_account,
+                );
+            }
+        }
+        Some(request)
+    }
+
+    fn caller_gone(&mut self, now: Duration, key: RequestKey) {
+        let waits = |request: &Request| request.place != Place::Running;
+        if self.requests.get(key).is_some_and(waits) {
+            self.take_out(now, key);
         }
-        self.waiting -= 1;
-        self.deadlines.remove(&(deadline, key));
-        self.requests.remove(&key);
-        true
     }
 
-    fn give_up_waiting(
+    fn give_up(
         &mut self,
+        now: Duration,
         key: RequestKey,
         reason: RefusalReason,
         actions: &mut Vec<EntryAction>,
     ) {
-        let may_have_run = self.requests[&key].may_have_run;
-        if self.drop_waiting(key) {
-            let outcome = if may_have_run {
-                Outcome::Unknown
-            } else {
-                Outcome::NotRun
-            };
-            actions.push(give_up(key, reason, outcome));
-        }
+        let Some(request) = self.take_out(now, key) else {
+            return;
+        };
+        let arrival = &request.arrival;
+        let refusal =
+            self.admission
+                .refuse(now, reason, &arrival.pool, &arrival.account, Duration::ZERO);
+        let outcome = if request.may_have_run {
+            Outcome::Unknown
+        } else {
+            Outcome::NotRun
+        };
+        actions.push(give_up(key, refusal, outcome));
     }
 
-    fn expire(&mut self, now: Duration, actions: &mut Vec<EntryAction>) {
-        while let Some((deadline, key)) = self.deadlines.first().copied() {
-            if deadline > now {
-                break;
-            }
-            self.give_up_waiting(key, RefusalReason::DeadlinePassed, actions);
+    fn tick(&mut self, now: Duration, actions: &mut Vec<EntryAction>) {
+        self.quarantine.tick(now);
+        while let Some(key) = self.requests.overdue(now) {
+            self.give_up(now, key, RefusalReason::DeadlinePassed, actions);
+        }
+        while let Some(key) = self.requests.take_due(now) {
+            self.enqueue(now, key, true);
+        }
+        if now >= self.forgot_at + FORGET_INTERVAL {
+            self.forgot_at = now;
+            self.admission.forget_stale(now);
         }
     }
 
-    fn stop(&mut self, actions: &mut Vec<EntryAction>) {
+    fn stop(&mut self, now: Duration, actions: &mut Vec<EntryAction>) {
         self.stopping = true;
-        let waiting: Vec<RequestKey> = self.deadlines.iter().map(|(_, key)| *key).collect();
         // A request that was attempted before is in progress for its caller, who may hold part of
         // the answer: it still gets its next attempt.
-        for key in waiting {
-            if self.requests[&key].attempts == 0 {
-                self.give_up_waiting(key, RefusalReason::Draining, actions);
-            }
+        for key in self.requests.untried() {
+            self.give_up(now, key, RefusalReason::Draining, actions);
         }
     }
 }
 
-fn lane_of(arrival: &Arrival) -> Lane {
-    Lane {
-        account: arrival.account.clone(),
-        class: arrival.class,
+fn charge_of(end: AttemptEnd) -> u64 {
+    match end {
+        AttemptEnd::Finished { charged_tokens, .. }
+        | AttemptEnd::Failed { charged_tokens, .. }
+        | AttemptEnd::CallerGone { charged_tokens } => charged_tokens,
     }
 }
 
-fn give_up(key: RequestKey, reason: RefusalReason, outcome: Outcome) -> EntryAction {
+fn give_up(key: RequestKey, refusal: Refusal, outcome: Outcome) -> EntryAction {
     EntryAction::GiveUp {
         key,
-        reason,
+        reason: refusal.reason,
         outcome,
-        retry_after: reason.offers_retry_after().then_some(DEFAULT_RETRY_AFTER),
+        retry_after: refusal.retry_after,
     }
 }
--- /dev/null
+++ b/crates/coordination/src/entry_events.rs
@@ -0,0 +1,223 @@
+//! What goes into and comes out of [`crate::entry::Entry`].
+
+use std::time::Duration;
+
+use sedgeridge_state::fingerprint::Fingerprint;
+use sedgeridge_state::ids::AccountId;
+use sedgeridge_state::ids::EndpointId;
+use sedgeridge_state::ids::HostId;
+use sedgeridge_state::ids::Member;
+use sedgeridge_state::ids::PoolId;
+use sedgeridge_state::settings::RequestClass;
+
+use crate::breaker::FailureKind;
+use crate::pool_messages::EntryReport;
+use crate::pool_messages::Grant;
+use crate::pool_messages::PrefixHash;
+use crate::quarantine::PoisonNotice;
+use crate::refusal::Outcome;
+use crate::refusal::RefusalReason;
+use crate::retry_budget::RetryReason;
+
+/// Identifies a request within one router run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestKey(pub u64);
+
+/// Identifies an attempt within one router run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptKey(pub u64);
+
+/// A request that a caller sent to this router.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Arrival {
+    /// Identifies the request.
+    pub key: RequestKey,
+    /// The client account.
+    pub account: AccountId,
+    /// The pool that runs it.
+    pub pool: PoolId,
+    /// Rank within the account.
+    pub class: RequestClass,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Rough hint of its cost.
+    pub hint_tokens: u64,
+    /// Prefix of the prompt.
+    pub prefix: Option<PrefixHash>,
+    /// Equal for equal requests of one account.
+    pub fingerprint: Fingerprint,
+    /// Time since the process started by which the answer must be complete.
+    pub deadline: Duration,
+}
+
+/// Why an attempt failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptFailure {
+    /// No connection could be opened: no byte of the request left.
+    ConnectFailed,
+    /// The endpoint refused before it started.
+    NotStarted,
+    /// The endpoint answered with a server error.
+    ServerError,
+    /// The connection was lost.
+    ConnectionLost,
+    /// The answer went silent on an open connection.
+    Silent,
+    /// The deadline passed.
+    DeadlinePassed,
+    /// The answer belongs to another attempt.
+    AnswerCrossed,
+}
+
+impl AttemptFailure {
+    /// Returns the reason of a retry after this failure; none follows a passed deadline.
+    pub(crate) fn retry_reason(self) -> Option<RetryReason> {
+        match self {
+            Self::ConnectFailed => Some(RetryReason::ConnectFailed),
+            Self::NotStarted => Some(RetryReason::NotStarted),
+            Self::ServerError => Some(RetryReason::ServerError),
+            Self::ConnectionLost => Some(RetryReason::ConnectionLost),
+            Self::Silent => Some(RetryReason::StreamSilent),
+            Self::AnswerCrossed => Some(RetryReason::AnswerCrossed),
+            Self::DeadlinePassed => None,
+        }
+    }
+
+    /// Returns what the failure says about the endpoint.
+    pub(crate) fn endpoint_failure(self) -> Option<FailureKind> {
+        match self {
+            Self::ConnectFailed => Some(FailureKind::ConnectFailed),
+            Self::ServerError | Self::AnswerCrossed => Some(FailureKind::ServerError),
+            Self::ConnectionLost => Some(FailureKind::ConnectionLost),
+            Self::Silent => Some(FailureKind::Silent),
+            Self::NotStarted | Self::DeadlinePassed => None,
+        }
+    }
+
+    /// Tells whether the request may have run in the attempt.
+    pub(crate) fn may_have_run(self) -> bool {
+        !matches!(self, Self::ConnectFailed | Self::NotStarted)
+    }
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// The whole answer went to the caller.
+    Finished {
+        /// Service received.
+        charged_tokens: u64,
+        /// Time until the answer began.
+        first_byte: Duration,
+    },
+    /// The attempt failed.
+    Failed {
+        /// Why.
+        failure: AttemptFailure,
+        /// Output tokens that went to the caller over all attempts.
+        sent_tokens: u64,
+        /// Service received in this attempt.
+        charged_tokens: u64,
+    },
+    /// The caller went away.
+    CallerGone {
+        /// Service received.
+        charged_tokens: u64,
+    },
+}
+
+/// What happens to the entry router.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EntryEvent {
+    /// A caller sent a request.
+    Arrived(Arrival),
+    /// A home granted a slot.
+    Granted(Grant),
+    /// A home asks for a full report.
+    FullReportWanted {
+        /// The pool.
+        pool: PoolId,
+    },
+    /// Messages to a home were lost: it is told everything again.
+    HomeResync {
+        /// The host of the home.
+        host: HostId,
+    },
+    /// A pool has another home now; `None` while there is none.
+    HomeChanged {
+        /// The pool.
+        pool: PoolId,
+        /// Its home.
+        home: Option<Member>,
+    },
+    /// An attempt has received this much service so far.
+    Progress {
+        /// The attempt.
+        attempt: AttemptKey,
+        /// Service received.
+        charged_tokens: u64,
+    },
+    /// An attempt ended.
+    AttemptEnded {
+        /// The attempt.
+        attempt: AttemptKey,
+        /// How it ended.
+        end: AttemptEnd,
+    },
+    /// A waiting request's caller went away.
+    CallerGone {
+        /// The request.
+        key: RequestKey,
+    },
+    /// Another router tells about a request that crashes endpoints.
+    Poison(PoisonNotice),
+    /// The router was told to stop: what waits is refused, what runs is finished.
+    StopRequested,
+    /// Time passed.
+    Tick,
+}
+
+/// What the entry router wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EntryAction {
+    /// Run the request on an endpoint.
+    Start {
+        /// The request.
+        key: RequestKey,
+        /// The attempt.
+        attempt: AttemptKey,
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Output tokens that the caller already holds.
+        resume_after_tokens: u64,
+        /// Whether an endpoint's server error goes to the caller, since no attempt follows.
+        last_attempt: bool,
+    },
+    /// Give the caller its final answer now.
+    GiveUp {
+        /// The request.
+        key: RequestKey,
+        /// Why.
+        reason: RefusalReason,
+        /// Whether the request ran.
+        outcome: Outcome,
+        /// When to come back.
+        retry_after: Option<Duration>,
+    },
+    /// An attempt failed and the request waits for another one.
+    Retried {
+        /// The request.
+        key: RequestKey,
+        /// Why.
+        reason: RetryReason,
+    },
+    /// Tell the other routers about a request that crashes endpoints.
+    Announce(PoisonNotice),
+    /// Send a report to the home of its pool.
+    Report {
+        /// The home.
+        to: Member,
+        /// The report.
+        report: EntryReport,
+    },
+}
--- a/crates/coordination/src/entry_pool.rs
+++ b/crates/coordination/src/entry_pool.rs
@@ -3,14 +3,18 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use sedgeridge_state::ids::AccountId;
+use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Member;
 use sedgeridge_state::ids::PoolId;
 use sedgeridge_state::settings::RequestClass;
 
-use crate::entry::RequestKey;
+use crate::attempt_results::AttemptResults;
+use crate::entry_events::AttemptEnd;
+use crate::entry_events::RequestKey;
 use crate::entry_queue::EntryQueue;
 use crate::entry_queue::Lane;
 use crate::pool_messages::Demand;
@@ -39,6 +43,7 @@
     changed_holdings: BTreeSet<GrantId>,
     changed_served: BTreeSet<AccountId>,
     ended: Vec<GrantId>,
+    results: AttemptResults,
 }
 
 impl EntryPool {
@@ -57,6 +62,7 @@
             changed_holdings: BTreeSet::new(),
             changed_served: BTreeSet::new(),
             ended: Vec::new(),
+            results: AttemptResults::default(),
         }
     }
 
@@ -80,6 +86,35 @@
         self.full_wanted = true;
     }
 
+    /// Returns the pool's home.
+    pub fn home(&self) -> Option<&Member> {
+        self.home.as_ref()
+    }
+
+    /// Counts all waiting requests.
+    pub fn waiting(&self) -> u32 {
+        self.queue.waiting()
+    }
+
+    /// Counts the waiting requests of an account that go before a new one of this class.
+    pub fn ahead(&self, account: &AccountId, class: RequestClass) -> u32 {
+        let before = CLASSES.iter().filter(|other| **other <= class);
+        before
+            .map(|other| self.queue.lane_len(&lane(account, *other)))
+            .sum()
+    }
+
+    /// Counts the accounts that wait here, `account` included.
+    pub fn backlogged_accounts_with(&self, account: &AccountId) -> u32 {
+        let others: BTreeSet<&AccountId> = self
+            .queue
+            .lanes()
+            .map(|lane| &lane.account)
+            .filter(|waiting| *waiting != account)
+            .collect();
+        others.len() as u32 + 1
+    }
+
     /// Counts the waiting requests of an account.
     pub fn waiting_of(&self, account: &AccountId) -> u32 {
         CLASSES
@@ -107,15 +142,15 @@
         removed
     }
 
-    /// Chooses the request that a grant is for; a grant that cannot be used is given back.
-    pub fn take_grant(&mut self, grant: &Grant) -> Option<RequestKey> {
+    /// Tells whether a grant counts; one that came before, or from a former home, does not.
+    pub fn accept(&mut self, grant: &Grant) -> bool {
+        // The slot of a former home is no longer its to give, and using it could put two requests
+        // on one slot. The former home frees it with the holdings of this member.
         if self.home.as_ref() != Some(&grant.id.home) {
-            // A grant from a former home: the slot is no longer its to give, and using it could
-            // put two requests on one slot. The former home frees it with this member's holdings.
-            return None;
+            return false;
         }
         if grant.id.sequence <= self.grants_received {
-            return None;
+            return false;
         }
         // `grants_received` acknowledges all grants up to it. A grant lost on a broken connection
         // would be acknowledged with them and hold its slot for ever, so it is given back by name.
@@ -126,14 +161,12 @@
             });
         }
         self.grants_received = grant.id.sequence;
-        let key = self.pop_for(grant);
-        if key.is_none() {
-            self.ended.push(grant.id.clone());
-        }
-        key
+        true
     }
 
-    fn pop_for(&mut self, grant: &Grant) -> Option<RequestKey> {
+    /// Takes the next request that a grant can be used for: of the class meant, or else of the
+    /// account's other class, so that no slot idles while the account waits.
+    pub fn pop_for(&mut self, grant: &Grant) -> Option<RequestKey> {
         let meant = std::iter::once(grant.class);
         let others = CLASSES.into_iter().filter(|class| *class != grant.class);
         for class in meant.chain(others) {
@@ -146,6 +179,11 @@
         None
     }
 
+    /// Gives back a grant that cannot be used.
+    pub fn give_back(&mut self, grant: &Grant) {
+        self.ended.push(grant.id.clone());
+    }
+
     /// Records that a grant is in use.
     pub fn hold(&mut self, grant: &Grant, estimate_tokens: u64) {
         let holding = Holding {
@@ -158,13 +196,46 @@
         self.holdings.insert(grant.id.clone(), holding);
     }
 
-    /// Gives a grant back and adds what was received under it.
-    pub fn release(&mut self, grant: &GrantId, account: &AccountId, charged_tokens: u64) {
-        self.holdings.remove(grant);
+    /// Raises what a grant in use is expected to cost, once it has received more than that.
+    ///
+    /// A request that runs far over its estimate would keep its account at the front of the order
+    /// until it ends, and the account would be served too much meanwhile.
+    pub fn raise_estimate(&mut self, grant: &GrantId, charged_tokens: u64) {
+        let Some(holding) = self.holdings.get_mut(grant) else {
+            return;
+        };
+        if charged_tokens > holding.estimate_tokens {
+            holding.estimate_tokens = charged_tokens + charged_tokens / 2;
+            self.changed_holdings.insert(grant.clone());
+        }
+    }
+
+    /// Ends a grant, adds what was received under it and returns its endpoint.
+    pub fn release(
+        &mut self,
+        grant: &GrantId,
+        account: &AccountId,
+        charged_tokens: u64,
+    ) -> Option<EndpointId> {
+        let holding = self.holdings.remove(grant);
         self.changed_holdings.remove(grant);
         self.ended.push(grant.clone());
         *self.served.entry(account.clone()).or_default() += charged_tokens;
         self.changed_served.insert(account.clone());
+        holding.map(|holding| holding.endpoint)
+    }
+
+    /// Notes what an attempt told about its endpoint.
+    pub fn note_result(&mut self, endpoint: &EndpointId, started_ago: Duration, end: AttemptEnd) {
+        match end {
+            AttemptEnd::Finished { first_byte, .. } => self.results.answered(endpoint, first_byte),
+            AttemptEnd::Failed { failure, .. } => {
+                if let Some(kind) = failure.endpoint_failure() {
+                    self.results.failed(endpoint, kind, started_ago);
+                }
+            }
+            AttemptEnd::CallerGone { .. } => {}
+        }
     }
 
     /// Tells whether the home has something to be told.
@@ -208,6 +279,7 @@
                 .filter_map(|grant| self.holdings.get(grant).cloned())
                 .collect(),
             ended: std::mem::take(&mut self.ended),
+            results: self.results.take(),
             served: served
                 .into_iter()
                 .map(|account| Served {
--- a/crates/coordination/src/entry_queue.rs
+++ b/crates/coordination/src/entry_queue.rs
@@ -6,7 +6,7 @@
 use sedgeridge_state::ids::AccountId;
 use sedgeridge_state::settings::RequestClass;
 
-use crate::entry::RequestKey;
+use crate::entry_events::RequestKey;
 
 /// Where a request waits: its account and its class.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -20,7 +20,7 @@
 /// Requests that wait for a slot of one pool, in arrival order within each lane.
 ///
 /// ```
-/// use sedgeridge_coordination::entry::RequestKey;
+/// use sedgeridge_coordination::entry_events::RequestKey;
 /// use sedgeridge_coordination::entry_queue::{EntryQueue, Lane};
 /// use sedgeridge_state::settings::RequestClass;
 ///
--- /dev/null
+++ b/crates/coordination/src/homed_pool.rs
@@ -0,0 +1,224 @@
+//! A pool whose home stands on this router: the order of its demand, the health of its endpoints
+//! and the schedule by which their load reports are read.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sedgeridge_state::ids::EndpointId;
+use sedgeridge_state::ids::Member;
+use sedgeridge_state::ids::PoolId;
+use sedgeridge_state::settings::FairScope;
+use sedgeridge_state::settings::Settings;
+use sedgeridge_state::settings::millis;
+
+use crate::attempt_results::EndpointResult;
+use crate::breaker::FailureKind;
+use crate::endpoint_health::LeavingSource;
+use crate::endpoint_health::PoolHealth;
+use crate::home_counters::HomeCounters;
+use crate::pool_home::AccountWeight;
+use crate::pool_home::HomeAction;
+use crate::pool_home::HomeEndpoint;
+use crate::pool_home::HomeEvent;
+use crate::pool_home::HostSite;
+use crate::pool_home::PoolHome;
+use crate::slot_budget::Load;
+
+/// One pool homed on this router.
+#[derive(Debug)]
+pub(crate) struct HomedPool {
+    home: PoolHome,
+    health: PoolHealth,
+    report_interval: Duration,
+    endpoints: BTreeMap<EndpointId, Polled>,
+}
+
+/// When an endpoint's load report is read, and what was last told of its slots.
+#[derive(Debug, Clone, Copy)]
+struct Polled {
+    next_read_at: Duration,
+    held: u32,
+}
+
+impl HomedPool {
+    /// Creates the home of `pool` on `member`.
+    pub(crate) fn new(member: Member, pool: PoolId, settings: &Settings) -> Self {
+        Self {
+            home: PoolHome::new(member, pool, settings.fair.clone()),
+            health: PoolHealth::new(settings.health.clone()),
+            report_interval: millis(settings.health.report_interval_ms),
+            endpoints: BTreeMap::new(),
+        }
+    }
+
+    /// Adopts a configuration.
+    pub(crate) fn configure(
+        &mut self,
+        now: Duration,
+        pool: &PoolId,
+        settings: &Settings,
+        actions: &mut Vec<HomeAction>,
+    ) {
+        let endpoints = endpoints_of(pool, settings);
+        let slots: Vec<(EndpointId, u32)> = endpoints
+            .iter()
+            .map(|endpoint| (endpoint.id.clone(), endpoint.slots))
+            .collect();
+        self.health.configure(&slots);
+        self.report_interval = millis(settings.health.report_interval_ms);
+        let mut known = std::mem::take(&mut self.endpoints);
+        for (index, endpoint) in endpoints.iter().enumerate() {
+            let polled = known.remove(&endpoint.id).unwrap_or(Polled {
+                next_read_at: now + self.phase(index, endpoints.len()),
+                held: 0,
+            });
+            self.endpoints.insert(endpoint.id.clone(), polled);
+        }
+        let weights = settings.accounts.iter().map(|account| AccountWeight {
+            account: account.id.clone(),
+            weight: account.weight,
+        });
+        let configured = HomeEvent::Configured {
+            endpoints,
+            weights: weights.collect(),
+        };
+        self.home.handle(now, configured, actions);
+        let sites = settings.hosts.iter().map(|host| HostSite {
+            host: host.id.clone(),
+            site: host.site.clone(),
+        });
+        let sites = HomeEvent::HostSites(sites.collect());
+        self.home.handle(now, sites, actions);
+    }
+
+    /// Takes an event of the order, and what attempts told about endpoints beside it.
+    pub(crate) fn handle(
+        &mut self,
+        now: Duration,
+        event: HomeEvent,
+        actions: &mut Vec<HomeAction>,
+    ) {
+        if let HomeEvent::Report(report) = &event {
+            self.take_results(now, &report.results);
+        }
+        self.home.handle(now, event, actions);
+        self.tell_slots(now, actions);
+    }
+
+    /// Lets time pass and returns the endpoints whose load report is due.
+    pub(crate) fn tick(&mut self, now: Duration, actions: &mut Vec<HomeAction>) -> Vec<EndpointId> {
+        self.note_held(now);
+        self.tell_slots(now, actions);
+        self.home.handle(now, HomeEvent::Tick, actions);
+        let report_interval = self.report_interval;
+        let due = self
+            .endpoints
+            .iter_mut()
+            .filter(|(_, polled)| polled.next_read_at <= now);
+        due.map(|(endpoint, polled)| {
+            polled.next_read_at = now + report_interval;
+            endpoint.clone()
+        })
+        .collect()
+    }
+
+    /// Takes a load report; false when the endpoint is not of this pool.
+    pub(crate) fn load_read(
+        &mut self,
+        now: Duration,
+        endpoint: &EndpointId,
+        load: Option<Load>,
+        actions: &mut Vec<HomeAction>,
+    ) -> bool {
+        if !self.endpoints.contains_key(endpoint) {
+            return false;
+        }
+        match load {
+            Some(load) => self.health.reported(now, endpoint, load),
+            None => self
+                .health
+                .failed(now, endpoint, now, FailureKind::ReportMissing),
+        }
+        self.tell_slots(now, actions);
+        true
+    }
+
+    /// Notes that an endpoint takes no new work.
+    pub(crate) fn set_leaving(
+        &mut self,
+        now: Duration,
+        endpoint: &EndpointId,
+        actions: &mut Vec<HomeAction>,
+    ) {
+        self.health
+            .set_leaving(now, endpoint, LeavingSource::Peer, true);
+        self.tell_slots(now, actions);
+    }
+
+    /// Returns the counters of the order.
+    pub(crate) fn counters(&self) -> &HomeCounters {
+        self.home.counters()
+    }
+
+    /// Spreads the reads of a pool's endpoints over the interval.
+    fn phase(&self, index: usize, endpoints: usize) -> Duration {
+        self.report_interval * index as u32 / endpoints.max(1) as u32
+    }
+
+    fn take_results(&mut self, now: Duration, results: &[EndpointResult]) {
+        for result in results {
+            let first_byte = millis(result.first_byte_ms.into());
+            for _ in 0..result.answered.min(MAX_ANSWERS) {
+                let started_at = now.saturating_sub(first_byte);
+                self.health
+                    .succeeded(now, &result.endpoint, started_at, first_byte);
+            }
+            for failure in &result.failures {
+                let started_at = now.saturating_sub(millis(failure.started_ago_ms.into()));
+                self.health
+                    .failed(now, &result.endpoint, started_at, failure.kind);
+            }
+        }
+    }
+
+    fn note_held(&mut self, now: Duration) {
+        for (endpoint, polled) in &mut self.endpoints {
+            let usage = self.home.slot_usage(endpoint);
+            let held = usage.map_or(0, |usage| usage.occupied);
+            if held != polled.held {
+                polled.held = held;
+                self.health.held(now, endpoint, held);
+            }
+        }
+    }
+
+    fn tell_slots(&mut self, now: Duration, actions: &mut Vec<HomeAction>) {
+        for change in self.health.changes(now) {
+            let event = HomeEvent::EndpointState {
+                endpoint: change.endpoint,
+                usable_slots: change.slots,
+            };
+            self.home.handle(now, event, actions);
+        }
+    }
+}
+
+/// Most answers that one report may claim for one endpoint; a larger claim is absurd and would
+/// only cost time.
+const MAX_ANSWERS: u32 = 1_000;
+
+fn endpoints_of(pool: &PoolId, settings: &Settings) -> Vec<HomeEndpoint> {
+    let share = match settings.fair.scope {
+        // Routers that know nothing of each other split the slots evenly between them.
+        FairScope::Router => settings.hosts.len().max(1) as u32,
+        FairScope::Fleet => 1,
+    };
+    let endpoints = settings.endpoints.iter().filter(|e| e.pool == *pool);
+    endpoints
+        .map(|endpoint| HomeEndpoint {
+            id: endpoint.id.clone(),
+            site: endpoint.site.clone(),
+            slots: endpoint.slots.div_ceil(share),
+        })
+        .collect()
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,28 +4,36 @@
 //! the process started, read from a [`clock::Clock`] at the edge. Iteration order is fixed, so the
 //! same inputs always give the same actions.
 
-pub mod clock;
-pub mod cost_estimate;
-pub mod entry;
-pub mod entry_pool;
-pub mod entry_queue;
-pub mod node;
-pub mod refusal;
-
 pub mod account_ceilings;
+pub mod attempt_results;
 pub mod breaker;
 pub mod claims;
+pub mod clock;
 pub mod config_adoption;
+pub mod cost_estimate;
 pub mod drain_rate;
 pub mod endpoint_health;
+pub mod entry;
+pub mod entry_events;
+pub mod entry_pool;
+pub mod entry_queue;
 pub mod fair_order;
 pub mod home_counters;
 pub mod lease;
 pub mod limits;
 pub mod membership;
+pub mod node;
+pub mod node_events;
+pub mod poison_record;
 pub mod pool_home;
 pub mod pool_messages;
+pub mod quarantine;
+pub mod random;
+pub mod refusal;
+pub mod rendezvous;
+pub mod retry_budget;
 pub mod service_ledger;
+pub mod slot_budget;
 
 mod account_table;
 mod demand_table;
@@ -33,13 +41,9 @@
 mod entry_table;
 mod grant_slots;
 mod home_events;
+mod homed_pool;
 mod prefix_affinity;
 mod report_apply;
 mod report_check;
+mod request_table;
 mod slot_table;
-
-pub mod quarantine;
-pub mod random;
-pub mod rendezvous;
-pub mod retry_budget;
-pub mod slot_budget;
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -1,4 +1,5 @@
-//! One router's decisions as a whole: the entry part and the homes that stand on this router.
+//! One router's decisions as a whole: membership, the entry part, and the homes of the pools that
+//! stand on this router.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -8,95 +9,78 @@
 use sedgeridge_state::ids::PoolId;
 use sedgeridge_state::settings::FairScope;
 use sedgeridge_state::settings::Settings;
+use sedgeridge_state::settings::millis;
 
 use crate::entry::Entry;
-use crate::entry::EntryAction;
-use crate::entry::EntryEvent;
-use crate::pool_home::AccountWeight;
+use crate::entry_events::EntryAction;
+use crate::entry_events::EntryEvent;
+use crate::home_counters::HomeCounters;
+use crate::homed_pool::HomedPool;
+use crate::membership::LiveMember;
+use crate::membership::MemberState;
+use crate::membership::Membership;
+use crate::membership::MembershipAction;
+use crate::membership::MembershipEvent;
+use crate::membership::Notice;
 use crate::pool_home::HomeAction;
-use crate::pool_home::HomeEndpoint;
 use crate::pool_home::HomeEvent;
-use crate::pool_home::PoolHome;
-use crate::pool_messages::EntryReport;
-use crate::pool_messages::Grant;
+use crate::rendezvous::home_of;
 
-/// What one router tells another.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PeerMessage {
-    /// An entry router reports to a home.
-    Report(EntryReport),
-    /// A home grants a slot.
-    Grant(Grant),
-    /// A home asks for a full report.
-    FullReportWanted {
-        /// The pool.
-        pool: PoolId,
-    },
-}
-
-/// What happens to a router.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum NodeEvent {
-    /// Something happens to the entry part.
-    Entry(EntryEvent),
-    /// A message from another router came.
-    Peer {
-        /// The sender.
-        from: Member,
-        /// The message.
-        message: PeerMessage,
-    },
-    /// Messages to another router were lost.
-    PeerReset {
-        /// The other router.
-        host: HostId,
-    },
-    /// Time passed.
-    Tick,
-}
-
-/// What a router wants done.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum NodeAction {
-    /// Something the entry part wants done.
-    Entry(EntryAction),
-    /// Send a message to another router.
-    Send {
-        /// The receiver.
-        to: Member,
-        /// The message.
-        message: PeerMessage,
-    },
-}
+pub use crate::node_events::NodeAction;
+pub use crate::node_events::NodeEvent;
+pub use crate::node_events::NodeLoad;
+pub use crate::node_events::PeerMessage;
 
 /// Longest chain of reports and grants inside one router that one event may cause; each step uses
 /// up a waiting request or a slot, so it ends by itself, and the bound only guards that claim.
 const MAX_LOCAL_ROUNDS: usize = 10_000;
 
 /// All decisions of one router.
+///
+/// ```
+/// use std::time::Duration;
+/// use sedgeridge_coordination::node::{Node, NodeEvent};
+/// use sedgeridge_state::ids::{Incarnation, Member};
+/// use sedgeridge_state::settings::Settings;
+///
+/// let member = Member { host: "router-1".into(), incarnation: Incarnation(1) };
+/// let mut node = Node::new(member, Settings::default(), 42);
+/// let mut actions = Vec::new();
+/// node.handle(Duration::ZERO, NodeEvent::Tick, &mut actions);
+/// assert_eq!(node.load().members, 1);
+/// ```
 #[derive(Debug)]
 pub struct Node {
     member: Member,
     settings: Settings,
+    membership: Membership,
     entry: Entry,
-    homes: BTreeMap<PoolId, PoolHome>,
+    homes: BTreeMap<PoolId, HomedPool>,
+    live: Vec<LiveMember>,
+    reported_at: Duration,
 }
 
 impl Node {
-    /// Creates the router run `member` under a configuration.
-    pub fn new(member: Member, settings: Settings) -> Self {
-        let entry = Entry::new(
-            member.clone(),
-            settings.front.clone(),
-            settings.retry.clone(),
-        );
+    /// Creates the router run `member` under a configuration; `seed` feeds every random choice.
+    pub fn new(member: Member, settings: Settings, seed: u64) -> Self {
+        let hosts: Vec<HostId> = settings.hosts.iter().map(|host| host.id.clone()).collect();
+        let membership = Membership::new(member.clone(), settings.membership.clone(), hosts, seed);
         let mut node = Self {
-            member,
+            entry: Entry::new(member.clone(), &settings, seed.wrapping_add(1)),
+            member: member.clone(),
             settings,
-            entry,
+            membership,
             homes: BTreeMap::new(),
+            live: Vec::new(),
+            reported_at: Duration::ZERO,
         };
-        node.place_homes();
+        if node.settings.fair.scope == FairScope::Router {
+            node.live = vec![LiveMember {
+                member,
+                state: MemberState::Alive,
+            }];
+            node.place_homes(Duration::ZERO, &mut Vec::new(), &mut Vec::new());
+        }
         node
     }
 
@@ -112,70 +96,185 @@
                 let event = EntryEvent::HomeResync { host };
                 self.entry.handle(now, event, &mut entry_actions);
             }
-            NodeEvent::Tick => {
-                self.entry.handle(now, EntryEvent::Tick, &mut entry_actions);
-                self.tick_homes(now, &mut entry_actions, actions);
+            NodeEvent::Membership(message) => {
+                let event = MembershipEvent::MessageReceived(message);
+                self.membership_event(now, event, &mut entry_actions, actions);
+            }
+            NodeEvent::HostList(hosts) => {
+                let event = MembershipEvent::HostList(hosts);
+                self.membership_event(now, event, &mut entry_actions, actions);
+            }
+            NodeEvent::LoadRead { endpoint, load } => {
+                self.for_each_home(now, &mut entry_actions, actions, |home, out| {
+                    home.load_read(now, &endpoint, load, out);
+                });
+            }
+            NodeEvent::DrainEndpoint {
+                endpoint,
+                since_unix_ms,
+            } => {
+                let notice = Notice::EndpointLeaving {
+                    endpoint,
+                    since_unix_ms,
+                };
+                self.take_notice(now, &notice, &mut entry_actions, actions);
+                let event = MembershipEvent::Announce(notice);
+                self.membership_event(now, event, &mut entry_actions, actions);
             }
+            NodeEvent::StopRequested => {
+                let event = MembershipEvent::LeaveRequested;
+                self.membership_event(now, event, &mut entry_actions, actions);
+                self.entry
+                    .handle(now, EntryEvent::StopRequested, &mut entry_actions);
+            }
+            NodeEvent::Tick => self.tick(now, &mut entry_actions, actions),
         }
         self.settle(now, entry_actions, actions);
     }
 
-    /// Counts the requests that wait and those that run here.
+    /// Returns when the next [`NodeEvent::Tick`] is due at the latest.
+    pub fn next_wake(&self) -> Duration {
+        let batch = millis(self.settings.fair.batch_interval_ms);
+        let report = self.entry.has_news().then(|| self.reported_at + batch);
+        let timers = [report, self.entry.next_wake()];
+        let first = timers.into_iter().flatten().min();
+        let membership = self.membership.next_wake();
+        first.map_or(membership, |first| first.min(membership))
+    }
+
+    /// Tells how much this router has in hand.
     pub fn load(&self) -> NodeLoad {
         NodeLoad {
             waiting: self.entry.waiting(),
             running: self.entry.running(),
+            homes: self.homes.len(),
+            members: self.live.len().max(1),
+        }
+    }
+
+    /// Returns the members believed alive.
+    pub fn members(&self) -> &[LiveMember] {
+        &self.live
+    }
+
+    /// Returns the counters of each pool homed here.
+    pub fn home_counters(&self) -> impl Iterator<Item = (&PoolId, &HomeCounters)> {
+        self.homes
+            .iter()
+            .map(|(pool, home)| (pool, home.counters()))
+    }
+
+    fn tick(
+        &mut self,
+        now: Duration,
+        entry_actions: &mut Vec<EntryAction>,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        if now >= self.membership.next_wake() {
+            self.membership_event(now, MembershipEvent::Tick, entry_actions, actions);
         }
+        self.entry.handle(now, EntryEvent::Tick, entry_actions);
+        let mut due = Vec::new();
+        self.for_each_home(now, entry_actions, actions, |home, out| {
+            due.extend(home.tick(now, out));
+        });
+        let reads = due
+            .into_iter()
+            .map(|endpoint| NodeAction::ReadLoad { endpoint });
+        actions.extend(reads);
     }
 
-    fn place_homes(&mut self) {
+    fn membership_event(
+        &mut self,
+        now: Duration,
+        event: MembershipEvent,
+        entry_actions: &mut Vec<EntryAction>,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        let mut wanted = Vec::new();
+        self.membership.handle(now, event, &mut wanted);
+        for action in wanted {
+            match action {
+                MembershipAction::Send { to, message } => {
+                    actions.push(NodeAction::SendMembership { to, message });
+                }
+                MembershipAction::MembersChanged(live) => {
+                    actions.push(NodeAction::MembersChanged(live.clone()));
+                    if self.settings.fair.scope == FairScope::Fleet {
+                        self.live = live;
+                        self.place_homes(now, entry_actions, actions);
+                    }
+                }
+                MembershipAction::NoticeReceived(notice) => {
+                    self.take_notice(now, &notice, entry_actions, actions);
+                }
+                MembershipAction::GenerationSeen { .. } => {}
+                MembershipAction::Outranked { .. } => actions.push(NodeAction::Outranked),
+            }
+        }
+    }
+
+    fn take_notice(
+        &mut self,
+        now: Duration,
+        notice: &Notice,
+        entry_actions: &mut Vec<EntryAction>,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        if let Notice::EndpointLeaving { endpoint, .. } = notice {
+            self.for_each_home(now, entry_actions, actions, |home, out| {
+                home.set_leaving(now, endpoint, out);
+            });
+        }
+    }
+
+    /// Gives each pool its home under the live membership, and starts or ends the homes here.
+    ///
+    /// Leaving members get no homes, so that homes move before their host is gone; only when all
+    /// are leaving do they keep them.
+    fn place_homes(
+        &mut self,
+        now: Duration,
+        entry_actions: &mut Vec<EntryAction>,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        let staying = self.live.iter().filter(|m| m.state == MemberState::Alive);
+        let mut candidates: Vec<Member> = staying.map(|m| m.member.clone()).collect();
+        if candidates.is_empty() {
+            candidates = self.live.iter().map(|m| m.member.clone()).collect();
+        }
         let pools: Vec<PoolId> = self.settings.pools.iter().map(|p| p.id.clone()).collect();
         for pool in pools {
-            let mut home = PoolHome::new(
-                self.member.clone(),
-                pool.clone(),
-                self.settings.fair.clone(),
-            );
-            let mut none = Vec::new();
-            let configured = self.home_configuration(&pool);
-            home.handle(Duration::ZERO, configured, &mut none);
-            let members = HomeEvent::Members(vec![self.member.clone()]);
-            home.handle(Duration::ZERO, members, &mut none);
-            self.homes.insert(pool.clone(), home);
-            let event = EntryEvent::HomeChanged {
-                pool,
-                home: Some(self.member.clone()),
-            };
-            self.entry.handle(Duration::ZERO, event, &mut Vec::new());
+            let home = home_of(&pool, &candidates).cloned();
+            if home.as_ref() == Some(&self.member) {
+                self.start_home(now, &pool, entry_actions, actions);
+            } else {
+                self.homes.remove(&pool);
+            }
+            let event = EntryEvent::HomeChanged { pool, home };
+            self.entry.handle(now, event, entry_actions);
         }
+        let members: Vec<Member> = self.live.iter().map(|m| m.member.clone()).collect();
+        self.for_each_home(now, entry_actions, actions, |home, out| {
+            home.handle(now, HomeEvent::Members(members.clone()), out);
+        });
     }
 
-    fn home_configuration(&self, pool: &PoolId) -> HomeEvent {
-        let share = match self.settings.fair.scope {
-            FairScope::Router => self.settings.hosts.len().max(1) as u32,
-            FairScope::Fleet => 1,
-        };
-        let endpoints = self
-            .settings
-            .endpoints
-            .iter()
-            .filter(|endpoint| endpoint.pool == *pool)
-            .map(|endpoint| HomeEndpoint {
-                id: endpoint.id.clone(),
-                site: endpoint.site.clone(),
-                slots: endpoint.slots.div_ceil(share),
-            })
-            .collect();
-        let weights = self
-            .settings
-            .accounts
-            .iter()
-            .map(|account| AccountWeight {
-                account: account.id.clone(),
-                weight: account.weight,
-            })
-            .collect();
-        HomeEvent::Configured { endpoints, weights }
+    fn start_home(
+        &mut self,
+        now: Duration,
+        pool: &PoolId,
+        entry_actions: &mut Vec<EntryAction>,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        if self.homes.contains_key(pool) {
+            return;
+        }
+        let mut home = HomedPool::new(self.member.clone(), pool.clone(), &self.settings);
+        let mut out = Vec::new();
+        home.configure(now, pool, &self.settings, &mut out);
+        self.homes.insert(pool.clone(), home);
+        self.deliver(now, pool, out, entry_actions, actions);
     }
 
     fn peer(
@@ -188,14 +287,16 @@
     ) {
         match message {
             PeerMessage::Report(report) => {
+                let pool = report.pool.clone();
                 self.home_event(
                     now,
-                    &report.pool.clone(),
+                    &pool,
                     HomeEvent::Report(report),
                     entry_actions,
                     actions,
                 );
             }
+            // A grant counts only from the home that it names.
             PeerMessage::Grant(grant) if grant.id.home == *from => {
                 self.entry
                     .handle(now, EntryEvent::Granted(grant), entry_actions);
@@ -205,94 +306,140 @@
                 let event = EntryEvent::FullReportWanted { pool };
                 self.entry.handle(now, event, entry_actions);
             }
+            PeerMessage::Poison(notice) => {
+                let event = EntryEvent::Poison(notice);
+                self.entry.handle(now, event, entry_actions);
+            }
         }
     }
 
-    fn tick_homes(
+    fn home_event(
+        &mut self,
+        now: Duration,
+        pool: &PoolId,
+        event: HomeEvent,
+        entry_actions: &mut Vec<EntryAction>,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        let Some(home) = self.homes.get_mut(pool) else {
+            return;
+        };
+        let mut out = Vec::new();
+        home.handle(now, event, &mut out);
+        self.deliver(now, pool, out, entry_actions, actions);
+    }
+
+    fn for_each_home(
         &mut self,
         now: Duration,
         entry_actions: &mut Vec<EntryAction>,
         actions: &mut Vec<NodeAction>,
+        mut visit: impl FnMut(&mut HomedPool, &mut Vec<HomeAction>),
     ) {
         let pools: Vec<PoolId> = self.homes.keys().cloned().collect();
         for pool in pools {
-            self.home_event(now, &pool, HomeEvent::Tick, entry_actions, actions);
+            let mut out = Vec::new();
+            if let Some(home) = self.homes.get_mut(&pool) {
+                visit(home, &mut out);
+            }
+            self.deliver(now, &pool, out, entry_actions, actions);
         }
     }
 
-    fn home_event(
+    /// Hands what a home wants done to the entry part here or to the links.
+    fn deliver(
         &mut self,
         now: Duration,
         pool: &PoolId,
-        event: HomeEvent,
+        wanted: Vec<HomeAction>,
         entry_actions: &mut Vec<EntryAction>,
         actions: &mut Vec<NodeAction>,
     ) {
-        let Some(home) = self.homes.get_mut(pool) else {
-            return;
-        };
-        let mut home_actions = Vec::new();
-        home.handle(now, event, &mut home_actions);
-        for action in home_actions {
-            let (to, message) = match action {
-                HomeAction::Grant { to, grant } => (to, PeerMessage::Grant(grant)),
+        for action in wanted {
+            match action {
+                HomeAction::Grant { to, grant } if to == self.member => {
+                    self.entry
+                        .handle(now, EntryEvent::Granted(grant), entry_actions);
+                }
+                HomeAction::AskFull { to } if to == self.member => {
+                    let pool = pool.clone();
+                    let event = EntryEvent::FullReportWanted { pool };
+                    self.entry.handle(now, event, entry_actions);
+                }
+                HomeAction::Grant { to, grant } => {
+                    let message = PeerMessage::Grant(grant);
+                    actions.push(NodeAction::Send { to, message });
+                }
                 HomeAction::AskFull { to } => {
                     let pool = pool.clone();
-                    (to, PeerMessage::FullReportWanted { pool })
+                    let message = PeerMessage::FullReportWanted { pool };
+                    actions.push(NodeAction::Send { to, message });
                 }
-            };
-            if to != self.member {
-                actions.push(NodeAction::Send { to, message });
-                continue;
             }
-            let event = match message {
-                PeerMessage::Grant(grant) => EntryEvent::Granted(grant),
-                PeerMessage::FullReportWanted { pool } => EntryEvent::FullReportWanted { pool },
-                PeerMessage::Report(_) => continue,
-            };
-            self.entry.handle(now, event, entry_actions);
         }
     }
 
     /// Passes reports and grants between the parts of this router until nothing is new.
+    ///
+    /// Reports to a home on this router go at once; those to others are gathered for the batch
+    /// interval, unless none went for that long.
     fn settle(
         &mut self,
         now: Duration,
         mut entry_actions: Vec<EntryAction>,
         actions: &mut Vec<NodeAction>,
     ) {
+        let batch = millis(self.settings.fair.batch_interval_ms);
+        let remote_due = now >= self.reported_at + batch;
         for _ in 0..MAX_LOCAL_ROUNDS {
-            self.entry.report(&mut entry_actions);
+            let own = &self.member;
+            self.entry.report(|home| home == own, &mut entry_actions);
+            if entry_actions.is_empty() {
+                break;
+            }
             let mut next = Vec::new();
-            let mut reported = false;
             for action in entry_actions {
-                match action {
-                    EntryAction::Report { to, report } if to == self.member => {
-                        reported = true;
-                        let pool = report.pool.clone();
-                        let event = HomeEvent::Report(report);
-                        self.home_event(now, &pool, event, &mut next, actions);
-                    }
-                    EntryAction::Report { to, report } => actions.push(NodeAction::Send {
-                        to,
-                        message: PeerMessage::Report(report),
-                    }),
-                    other => actions.push(NodeAction::Entry(other)),
-                }
+                self.entry_action(now, action, &mut next, actions);
             }
             entry_actions = next;
-            if !reported && entry_actions.is_empty() {
-                return;
+        }
+        if remote_due {
+            let mut reports = Vec::new();
+            let own = &self.member;
+            self.entry.report(|home| home != own, &mut reports);
+            if !reports.is_empty() {
+                self.reported_at = now;
+            }
+            for report in reports {
+                self.entry_action(now, report, &mut Vec::new(), actions);
             }
         }
     }
-}
 
-/// How much a router has in hand.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct NodeLoad {
-    /// Requests that wait.
-    pub waiting: u32,
-    /// Requests that run.
-    pub running: usize,
+    fn entry_action(
+        &mut self,
+        now: Duration,
+        action: EntryAction,
+        next: &mut Vec<EntryAction>,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        match action {
+            EntryAction::Report { to, report } if to == self.member => {
+                let pool = report.pool.clone();
+                self.home_event(now, &pool, HomeEvent::Report(report), next, actions);
+            }
+            EntryAction::Report { to, report } => {
+                let message = PeerMessage::Report(report);
+                actions.push(NodeAction::Send { to, message });
+            }
+            EntryAction::Announce(notice) => {
+                let others = self.live.iter().filter(|m| m.member != self.member);
+                actions.extend(others.map(|other| NodeAction::Send {
+                    to: other.member.clone(),
+                    message: PeerMessage::Poison(notice.clone()),
+                }));
+            }
+            other => actions.push(NodeAction::Entry(other)),
+        }
+    }
 }
--- a/crates/coordination/src/pool_messages.rs
+++ b/crates/coordination/src/pool_messages.rs
@@ -10,6 +10,8 @@
 use sedgeridge_state::ids::PoolId;
 use sedgeridge_state::settings::RequestClass;
 
+use crate::attempt_results::EndpointResult;
+
 /// Hash of a prompt's first part; requests with the same hash share cached prefixes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PrefixHash(pub u64);
@@ -41,6 +43,8 @@
     pub ended: Vec<GrantId>,
     /// Service received through this router since it started.
     pub served: Vec<Served>,
+    /// What attempts told about endpoints since the report before.
+    pub results: Vec<EndpointResult>,
 }
 
 /// Requests of one account and class that wait at one entry router.
--- a/crates/coordination/tests/support/mod.rs
+++ b/crates/coordination/tests/support/mod.rs
@@ -44,6 +44,7 @@
         holdings: Vec::new(),
         ended: Vec::new(),
         served: Vec::new(),
+        results: Vec::new(),
     }
 }
 
@@ -286,6 +287,7 @@
             grants_received: state.grants_received,
             demand: demand.collect(),
             served: served.collect(),
+            results: Vec::new(),
             ..report(router, state.sequence, false)
         }
     }
--- /dev/null
+++ b/crates/protocol/src/membership.rs
@@ -0,0 +1,325 @@
+//! Membership messages as CBOR datagrams.
+//!
+//! One-letter names keep a probe in a few dozen bytes; see [`crate::peer`] for the reason.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use sedgeridge_coordination::membership::Body;
+use sedgeridge_coordination::membership::Health;
+use sedgeridge_coordination::membership::MemberRecord;
+use sedgeridge_coordination::membership::Message;
+use sedgeridge_coordination::membership::Notice;
+use sedgeridge_coordination::membership::TableDigest;
+use sedgeridge_coordination::membership::Update;
+use sedgeridge_state::ids::HostId;
+use sedgeridge_state::ids::Incarnation;
+use sedgeridge_state::ids::Member;
+
+use crate::peer::PeerCodecError;
+use crate::peer::from_cbor;
+use crate::peer::to_cbor;
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireMessage {
+    #[serde(rename = "f")]
+    from: WireRecord,
+    #[serde(rename = "g", default, skip_serializing_if = "is_zero")]
+    config_generation: u64,
+    #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
+    updates: Vec<WireUpdate>,
+    #[serde(rename = "n", default, skip_serializing_if = "Vec::is_empty")]
+    notices: Vec<WireNotice>,
+    #[serde(rename = "b")]
+    body: WireBody,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireRecord {
+    #[serde(rename = "h")]
+    host: String,
+    #[serde(rename = "i")]
+    incarnation: u64,
+    #[serde(rename = "r", default, skip_serializing_if = "is_zero")]
+    refutations: u64,
+    #[serde(rename = "l", default, skip_serializing_if = "is_false")]
+    leaving: bool,
+    #[serde(rename = "s", default, skip_serializing_if = "is_alive")]
+    health: WireHealth,
+}
+
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+enum WireHealth {
+    #[default]
+    #[serde(rename = "a")]
+    Alive,
+    #[serde(rename = "s")]
+    Suspect,
+    #[serde(rename = "d")]
+    Dead,
+    #[serde(rename = "l")]
+    Left,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireUpdate {
+    #[serde(rename = "r")]
+    record: WireRecord,
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+    accuser: Option<String>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+enum WireNotice {
+    #[serde(rename = "l")]
+    EndpointLeaving {
+        #[serde(rename = "e")]
+        endpoint: String,
+        #[serde(rename = "s")]
+        since_unix_ms: u64,
+    },
+    #[serde(rename = "q")]
+    Quarantine {
+        #[serde(rename = "f")]
+        fingerprint: u64,
+        #[serde(rename = "x")]
+        expires_in_ms: u64,
+    },
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+enum WireBody {
+    #[serde(rename = "p")]
+    Probe(u64),
+    #[serde(rename = "a")]
+    ProbeAck(u64),
+    #[serde(rename = "i")]
+    IndirectProbe {
+        #[serde(rename = "s")]
+        sequence: u64,
+        #[serde(rename = "t")]
+        target: String,
+    },
+    #[serde(rename = "n")]
+    ProbeNack(u64),
+    #[serde(rename = "g")]
+    Gossip,
+    #[serde(rename = "r")]
+    SyncRequest {
+        #[serde(rename = "m")]
+        members: u32,
+        #[serde(rename = "h")]
+        hash: u64,
+    },
+    #[serde(rename = "t")]
+    SyncTable {
+        #[serde(rename = "r")]
+        records: Vec<WireRecord>,
+        #[serde(rename = "w", default, skip_serializing_if = "is_false")]
+        answer_wanted: bool,
+    },
+    #[serde(rename = "o")]
+    Outranked(u64),
+}
+
+fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
+
+fn is_false(value: &bool) -> bool {
+    !*value
+}
+
+fn is_alive(value: &WireHealth) -> bool {
+    *value == WireHealth::Alive
+}
+
+/// Encodes a membership message.
+///
+/// ```
+/// use sedgeridge_coordination::membership::{Body, Health, MemberRecord, Message};
+/// use sedgeridge_protocol::membership::{decode, encode};
+/// use sedgeridge_state::ids::{Incarnation, Member};
+///
+/// let member = Member { host: "router-1".into(), incarnation: Incarnation(7) };
+/// let from = MemberRecord { member, refutations: 0, leaving: false, health: Health::Alive };
+/// let message = Message {
+///     from,
+///     config_generation: 3,
+///     updates: Vec::new(),
+///     notices: Vec::new(),
+///     body: Body::Probe { sequence: 9 },
+/// };
+/// let bytes = encode(&message);
+/// assert!(bytes.len() < 48);
+/// assert_eq!(decode(&bytes).unwrap(), message);
+/// ```
+pub fn encode(message: &Message) -> Vec<u8> {
+    to_cbor(&WireMessage {
+        from: wire_record(&message.from),
+        config_generation: message.config_generation,
+        updates: message.updates.iter().map(wire_update).collect(),
+        notices: message.notices.iter().map(wire_notice).collect(),
+        body: wire_body(&message.body),
+    })
+}
+
+/// Decodes a membership message.
+///
+/// # Errors
+///
+/// Refuses bytes that are not a membership message.
+pub fn decode(bytes: &[u8]) -> Result<Message, PeerCodecError> {
+    let message: WireMessage = from_cbor(bytes)?;
+    Ok(Message {
+        from: read_record(&message.from),
+        config_generation: message.config_generation,
+        updates: message.updates.iter().map(read_update).collect(),
+        notices: message.notices.iter().map(read_notice).collect(),
+        body: read_body(&message.body),
+    })
+}
+
+fn wire_record(record: &MemberRecord) -> WireRecord {
+    WireRecord {
+        host: record.member.host.as_str().to_owned(),
+        incarnation: record.member.incarnation.0,
+        refutations: record.refutations,
+        leaving: record.leaving,
+        health: match record.health {
+            Health::Alive => WireHealth::Alive,
+            Health::Suspect => WireHealth::Suspect,
+            Health::Dead => WireHealth::Dead,
+            Health::Left => WireHealth::Left,
+        },
+    }
+}
+
+fn read_record(record: &WireRecord) -> MemberRecord {
+    MemberRecord {
+        member: Member {
+            host: HostId::from(record.host.as_str()),
+            incarnation: Incarnation(record.incarnation),
+        },
+        refutations: record.refutations,
+        leaving: record.leaving,
+        health: match record.health {
+            WireHealth::Alive => Health::Alive,
+            WireHealth::Suspect => Health::Suspect,
+            WireHealth::Dead => Health::Dead,
+            WireHealth::Left => Health::Left,
+        },
+    }
+}
+
+fn wire_update(update: &Update) -> WireUpdate {
+    WireUpdate {
+        record: wire_record(&update.record),
+        accuser: update.accuser.as_ref().map(|host| host.as_str().to_owned()),
+    }
+}
+
+fn read_update(update: &WireUpdate) -> Update {
+    Update {
+        record: read_record(&update.record),
+        accuser: update.accuser.as_deref().map(HostId::from),
+    }
+}
+
+fn wire_notice(notice: &Notice) -> WireNotice {
+    match notice {
+        Notice::EndpointLeaving {
+            endpoint,
+            since_unix_ms,
+        } => WireNotice::EndpointLeaving {
+            endpoint: endpoint.as_str().to_owned(),
+            since_unix_ms: *since_unix_ms,
+        },
+        Notice::Quarantine {
+            fingerprint,
+            expires_in_ms,
+        } => WireNotice::Quarantine {
+            fingerprint: *fingerprint,
+            expires_in_ms: *expires_in_ms,
+        },
+    }
+}
+
+fn read_notice(notice: &WireNotice) -> Notice {
+    match notice {
+        WireNotice::EndpointLeaving {
+            endpoint,
+            since_unix_ms,
+        } => Notice::EndpointLeaving {
+            endpoint: endpoint.as_str().into(),
+            since_unix_ms: *since_unix_ms,
+        },
+        WireNotice::Quarantine {
+            fingerprint,
+            expires_in_ms,
+        } => Notice::Quarantine {
+            fingerprint: *fingerprint,
+            expires_in_ms: *expires_in_ms,
+        },
+    }
+}
+
+fn wire_body(body: &Body) -> WireBody {
+    match body {
+        Body::Probe { sequence } => WireBody::Probe(*sequence),
+        Body::ProbeAck { sequence } => WireBody::ProbeAck(*sequence),
+        Body::IndirectProbe { sequence, target } => WireBody::IndirectProbe {
+            sequence: *sequence,
+            target: target.as_str().to_owned(),
+        },
+        Body::ProbeNack { sequence } => WireBody::ProbeNack(*sequence),
+        Body::Gossip => WireBody::Gossip,
+        Body::SyncRequest { digest } => WireBody::SyncRequest {
+            members: digest.members,
+            hash: digest.hash,
+        },
+        Body::SyncTable {
+            records,
+            answer_wanted,
+        } => WireBody::SyncTable {
+            records: records.iter().map(wire_record).collect(),
+            answer_wanted: *answer_wanted,
+        },
+        Body::Outranked { incarnation } => WireBody::Outranked(incarnation.0),
+    }
+}
+
+fn read_body(body: &WireBody) -> Body {
+    match body {
+        WireBody::Probe(sequence) => Body::Probe {
+            sequence: *sequence,
+        },
+        WireBody::ProbeAck(sequence) => Body::ProbeAck {
+            sequence: *sequence,
+        },
+        WireBody::IndirectProbe { sequence, target } => Body::IndirectProbe {
+            sequence: *sequence,
+            target: target.as_str().into(),
+        },
+        WireBody::ProbeNack(sequence) => Body::ProbeNack {
+            sequence: *sequence,
+        },
+        WireBody::Gossip => Body::Gossip,
+        WireBody::SyncRequest { members, hash } => Body::SyncRequest {
+            digest: TableDigest {
+                members: *members,
+                hash: *hash,
+            },
+        },
+        WireBody::SyncTable {
+            records,
+            answer_wanted,
+        } => Body::SyncTable {
+            records: records.iter().map(read_record).collect(),
+            answer_wanted: *answer_wanted,
+        },
+        WireBody::Outranked(incarnation) => Body::Outranked {
+            incarnation: Incarnation(*incarnation),
+        },
+    }
+}
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -4,10 +4,15 @@
 //! the larger part of a small message. Reading turns them into the typed messages of the
 //! `sedgeridge-coordination` crate or refuses them.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 use thiserror::Error;
 
+use sedgeridge_coordination::attempt_results::AttemptFailed;
+use sedgeridge_coordination::attempt_results::EndpointResult;
+use sedgeridge_coordination::breaker::FailureKind;
 use sedgeridge_coordination::node::PeerMessage;
 use sedgeridge_coordination::pool_messages::Demand;
 use sedgeridge_coordination::pool_messages::EntryReport;
@@ -16,6 +21,9 @@
 use sedgeridge_coordination::pool_messages::Holding;
 use sedgeridge_coordination::pool_messages::PrefixHash;
 use sedgeridge_coordination::pool_messages::Served;
+use sedgeridge_coordination::quarantine::PoisonNews;
+use sedgeridge_coordination::quarantine::PoisonNotice;
+use sedgeridge_state::fingerprint::Fingerprint;
 use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Incarnation;
 use sedgeridge_state::ids::Member;
@@ -33,6 +41,9 @@
     /// It names something that cannot be.
     #[error("peer message holds an unknown class {0}")]
     UnknownClass(u8),
+    /// It names a failure that is not known here.
+    #[error("peer message holds an unknown failure {0}")]
+    UnknownFailure(u8),
 }
 
 /// First message on a connection: who speaks.
@@ -52,6 +63,8 @@
     Grant(WireGrant),
     #[serde(rename = "f")]
     FullReportWanted(String),
+    #[serde(rename = "x")]
+    Poison(WirePoison),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -72,6 +85,46 @@
     ended: Vec<WireGrantId>,
     #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
     served: Vec<WireServed>,
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    results: Vec<WireResult>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireResult {
+    #[serde(rename = "e")]
+    endpoint: String,
+    #[serde(rename = "n", default, skip_serializing_if = "is_zero_u32")]
+    answered: u32,
+    #[serde(rename = "b", default, skip_serializing_if = "is_zero_u32")]
+    first_byte_ms: u32,
+    #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
+    failures: Vec<WireFailure>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireFailure {
+    #[serde(rename = "k")]
+    kind: u8,
+    #[serde(rename = "a")]
+    started_ago_ms: u32,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WirePoison {
+    #[serde(rename = "f")]
+    fingerprint: [u8; 16],
+    #[serde(rename = "n")]
+    news: WirePoisonNews,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+enum WirePoisonNews {
+    #[serde(rename = "c")]
+    Crashed { endpoint: String, age_ms: u64 },
+    #[serde(rename = "q")]
+    Quarantined { remaining_ms: u64 },
+    #[serde(rename = "f")]
+    Finished,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -136,6 +189,10 @@
     !*value
 }
 
+fn is_zero_u32(value: &u32) -> bool {
+    *value == 0
+}
+
 fn is_zero(value: &u8) -> bool {
     *value == 0
 }
@@ -181,6 +238,7 @@
         PeerMessage::FullReportWanted { pool } => {
             WireMessage::FullReportWanted(pool.as_str().to_owned())
         }
+        PeerMessage::Poison(notice) => WireMessage::Poison(wire_poison(notice)),
     })
 }
 
@@ -196,16 +254,17 @@
         WireMessage::FullReportWanted(pool) => PeerMessage::FullReportWanted {
             pool: pool.as_str().into(),
         },
+        WireMessage::Poison(notice) => PeerMessage::Poison(read_poison(&notice)),
     })
 }
 
-fn to_cbor(value: &impl Serialize) -> Vec<u8> {
+pub(crate) fn to_cbor(value: &impl Serialize) -> Vec<u8> {
     let mut bytes = Vec::new();
     ciborium::into_writer(value, &mut bytes).expect("plain data always encodes");
     bytes
 }
 
-fn from_cbor<T: for<'de> Deserialize<'de>>(bytes: &[u8]) -> Result<T, PeerCodecError> {
+pub(crate) fn from_cbor<T: for<'de> Deserialize<'de>>(bytes: &[u8]) -> Result<T, PeerCodecError> {
     ciborium::from_reader(bytes).map_err(|error| PeerCodecError::Malformed(error.to_string()))
 }
 
@@ -252,6 +311,7 @@
         holdings: report.holdings.iter().map(wire_holding).collect(),
         ended: report.ended.iter().map(wire_grant_id).collect(),
         served: report.served.iter().map(wire_served).collect(),
+        results: report.results.iter().map(wire_result).collect(),
     }
 }
 
@@ -294,6 +354,8 @@
 fn read_report(report: &WireReport, from: &Member) -> Result<EntryReport, PeerCodecError> {
     let demand: Result<Vec<Demand>, PeerCodecError> =
         report.demand.iter().map(read_demand).collect();
+    let results: Result<Vec<EndpointResult>, PeerCodecError> =
+        report.results.iter().map(read_result).collect();
     Ok(EntryReport {
         from: from.clone(),
         pool: report.pool.as_str().into(),
@@ -304,6 +366,7 @@
         holdings: report.holdings.iter().map(read_holding).collect(),
         ended: report.ended.iter().map(read_grant_id).collect(),
         served: report.served.iter().map(read_served).collect(),
+        results: results?,
     })
 }
 
@@ -345,3 +408,86 @@
         class: read_class(grant.class)?,
     })
 }
+
+fn wire_result(result: &EndpointResult) -> WireResult {
+    WireResult {
+        endpoint: result.endpoint.as_str().to_owned(),
+        answered: result.answered,
+        first_byte_ms: result.first_byte_ms,
+        failures: result
+            .failures
+            .iter()
+            .map(|failure| WireFailure {
+                kind: wire_failure(failure.kind),
+                started_ago_ms: failure.started_ago_ms,
+            })
+            .collect(),
+    }
+}
+
+fn read_result(result: &WireResult) -> Result<EndpointResult, PeerCodecError> {
+    let failures = result.failures.iter().map(|failure| {
+        Ok(AttemptFailed {
+            kind: read_failure(failure.kind)?,
+            started_ago_ms: failure.started_ago_ms,
+        })
+    });
+    Ok(EndpointResult {
+        endpoint: result.endpoint.as_str().into(),
+        answered: result.answered,
+        first_byte_ms: result.first_byte_ms,
+        failures: failures.collect::<Result<_, PeerCodecError>>()?,
+    })
+}
+
+/// Failures by their number on the wire; the order never changes.
+const FAILURES: [FailureKind; 6] = [
+    FailureKind::ConnectFailed,
+    FailureKind::ConnectionLost,
+    FailureKind::TimedOut,
+    FailureKind::ServerError,
+    FailureKind::Silent,
+    FailureKind::ReportMissing,
+];
+
+fn wire_failure(kind: FailureKind) -> u8 {
+    let position = FAILURES.iter().position(|known| *known == kind);
+    position.map_or(u8::MAX, |position| position as u8)
+}
+
+fn read_failure(number: u8) -> Result<FailureKind, PeerCodecError> {
+    let kind = FAILURES.get(usize::from(number)).copied();
+    kind.ok_or(PeerCodecError::UnknownFailure(number))
+}
+
+fn wire_poison(notice: &PoisonNotice) -> WirePoison {
+    WirePoison {
+        fingerprint: notice.fingerprint.0.to_be_bytes(),
+        news: match &notice.news {
+            PoisonNews::Crashed { endpoint, age } => WirePoisonNews::Crashed {
+                endpoint: endpoint.as_str().to_owned(),
+                age_ms: age.as_millis() as u64,
+            },
+            PoisonNews::Quarantined { remaining } => WirePoisonNews::Quarantined {
+                remaining_ms: remaining.as_millis() as u64,
+            },
+            PoisonNews::Finished => WirePoisonNews::Finished,
+        },
+    }
+}
+
+fn read_poison(notice: &WirePoison) -> PoisonNotice {
+    PoisonNotice {
+        fingerprint: Fingerprint(u128::from_be_bytes(notice.fingerprint)),
+        news: match &notice.news {
+            WirePoisonNews::Crashed { endpoint, age_ms } => PoisonNews::Crashed {
+                endpoint: endpoint.as_str().into(),
+                age: Duration::from_millis(*age_ms),
+            },
+            WirePoisonNews::Quarantined { remaining_ms } => PoisonNews::Quarantined {
+                remaining: Duration::from_millis(*remaining_ms),
+            },
+            WirePoisonNews::Finished => PoisonNews::Finished,
+        },
+    }
+}
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -132,7 +132,7 @@
             member.host, member.incarnation.0, host.caller_address
         ),
     );
-    let core = Core::new(clock, member, directory, inputs, peer_sender, status);
+    let core = Core::new(clock, member, directory, inputs, peer_sender, status)?;
     let core = thread::Builder::new()
         .name("core".into())
         .spawn(move || core.run(&inbox))?;
--- /dev/null
+++ b/crates/transport/src/answer_pass.rs
@@ -0,0 +1,250 @@
+//! Passes an endpoint's answer on to the caller: whole, or event by event.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::sync::mpsc::SyncSender;
+use std::time::Duration;
+
+use bytes::Bytes;
+use sedgeridge_coordination::entry_events::AttemptEnd;
+use sedgeridge_coordination::entry_events::AttemptFailure;
+use sedgeridge_protocol::chat::ChatAnswer;
+use sedgeridge_protocol::chat::ChatChunk;
+use sedgeridge_protocol::chat::STREAM_END;
+use sedgeridge_protocol::chat::Usage;
+use sedgeridge_protocol::headers;
+use ureq::Body;
+
+use crate::answer::AnswerPart;
+use crate::call::AnswerForm;
+use crate::core::CoreInput;
+use crate::endpoint_call::AttemptOrder;
+use crate::endpoint_call::body_failure;
+
+/// Largest answer that is held until it is whole.
+const MAX_WHOLE_ANSWER_BYTES: u64 = 16 << 20;
+/// Longest event of a stream.
+const MAX_EVENT_BYTES: u64 = 1 << 20;
+/// Output tokens at which the first progress is told; then at each doubling.
+const FIRST_PROGRESS_TOKENS: u64 = 32;
+
+/// Reads a whole answer and passes it on; a broken one never reaches the caller.
+pub(crate) fn pass_whole(
+    order: &AttemptOrder,
+    response: http::Response<Body>,
+    first_byte: Duration,
+) -> AttemptEnd {
+    let head = head_of(order, &response);
+    let plain_charge = header_u64(&response, headers::CHARGED_TOKENS);
+    let mut body = Vec::new();
+    let reader = response.into_body().into_reader();
+    let read = reader
+        .take(MAX_WHOLE_ANSWER_BYTES + 1)
+        .read_to_end(&mut body);
+    if let Err(error) = read {
+        return whole_failed(order, body_failure(error));
+    }
+    if body.len() as u64 > MAX_WHOLE_ANSWER_BYTES {
+        return whole_failed(order, AttemptFailure::ServerError);
+    }
+    let charged_tokens = match order.call.form {
+        AnswerForm::Plain => plain_charge.unwrap_or(order.call.hint_tokens),
+        AnswerForm::ChatStream | AnswerForm::ChatWhole => {
+            let answer: Option<ChatAnswer> = serde_json::from_slice(&body).ok();
+            answer.map_or(0, |a| charge(order, &a.usage, a.usage.completion_tokens))
+        }
+    };
+    for part in [head, AnswerPart::Chunk(Bytes::from(body)), AnswerPart::End] {
+        if order.answer.blocking_send(part).is_err() {
+            return AttemptEnd::CallerGone { charged_tokens };
+        }
+    }
+    AttemptEnd::Finished {
+        charged_tokens,
+        first_byte,
+    }
+}
+
+/// Passes a stream on event by event, counting output tokens so that it can be resumed.
+pub(crate) fn pass_stream(
+    order: &AttemptOrder,
+    response: http::Response<Body>,
+    first_byte: Duration,
+    core: &SyncSender<CoreInput>,
+) -> AttemptEnd {
+    let first_token = header_u64(&response, headers::FIRST_TOKEN).unwrap_or(0);
+    let mut stream = EventStream::new(order, core);
+    if first_token != order.resume_after_tokens {
+        // The endpoint cannot resume where the caller stands: passing its tokens on would repeat
+        // or skip some of them.
+        return stream.failed(AttemptFailure::AnswerCrossed);
+    }
+    let resumed = order.resume_after_tokens > 0;
+    if !resumed
+        && order
+            .answer
+            .blocking_send(head_of(order, &response))
+            .is_err()
+    {
+        return AttemptEnd::CallerGone { charged_tokens: 0 };
+    }
+    let mut reader = BufReader::new(response.into_body().into_reader());
+    loop {
+        match stream.pass_event(&mut reader) {
+            EventResult::Passed => {}
+            EventResult::Ended => {
+                return AttemptEnd::Finished {
+                    charged_tokens: stream.charged_tokens(),
+                    first_byte,
+                };
+            }
+            EventResult::BrokeOff(failure) => return stream.failed(failure),
+            EventResult::CallerGone => {
+                return AttemptEnd::CallerGone {
+                    charged_tokens: stream.charged_tokens(),
+                };
+            }
+        }
+    }
+}
+
+fn whole_failed(order: &AttemptOrder, failure: AttemptFailure) -> AttemptEnd {
+    AttemptEnd::Failed {
+        failure,
+        sent_tokens: order.resume_after_tokens,
+        charged_tokens: 0,
+    }
+}
+
+fn head_of(order: &AttemptOrder, response: &http::Response<Body>) -> AnswerPart {
+    let content_type = response.headers().get(http::header::CONTENT_TYPE);
+    AnswerPart::Head {
+        status: response.status().as_u16(),
+        content_type: content_type
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or("application/octet-stream")
+            .to_owned(),
+        attempt: order.attempt_id.clone(),
+    }
+}
+
+fn header_u64(response: &http::Response<Body>, name: &str) -> Option<u64> {
+    response.headers().get(name)?.to_str().ok()?.parse().ok()
+}
+
+fn charge(order: &AttemptOrder, usage: &Usage, output_tokens: u64) -> u64 {
+    let uncached_tokens = usage.prompt_tokens.saturating_sub(usage.cached_tokens);
+    uncached_tokens + order.output_token_factor * output_tokens
+}
+
+enum EventResult {
+    Passed,
+    Ended,
+    BrokeOff(AttemptFailure),
+    CallerGone,
+}
+
+struct EventStream<'a> {
+    order: &'a AttemptOrder,
+    core: &'a SyncSender<CoreInput>,
+    output_tokens: u64,
+    next_progress_tokens: u64,
+    usage: Option<Usage>,
+}
+
+impl<'a> EventStream<'a> {
+    fn new(order: &'a AttemptOrder, core: &'a SyncSender<CoreInput>) -> Self {
+        Self {
+            order,
+            core,
+            output_tokens: 0,
+            next_progress_tokens: FIRST_PROGRESS_TOKENS,
+            usage: None,
+        }
+    }
+
+    fn failed(&self, failure: AttemptFailure) -> AttemptEnd {
+        AttemptEnd::Failed {
+            failure,
+            sent_tokens: self.order.resume_after_tokens + self.output_tokens,
+            charged_tokens: self.charged_tokens(),
+        }
+    }
+
+    fn charged_tokens(&self) -> u64 {
+        let usage = self.usage.unwrap_or_default();
+        charge(self.order, &usage, self.output_tokens)
+    }
+
+    /// Reads lines up to the blank one that ends an event, and passes them on together.
+    fn pass_event(&mut self, reader: &mut impl BufRead) -> EventResult {
+        let event = match read_event(reader) {
+            Ok(event) => event,
+            Err(failure) => return EventResult::BrokeOff(failure),
+        };
+        let ended = self.count(&event);
+        let last = ended.then_some(AnswerPart::End);
+        let parts = std::iter::once(AnswerPart::Chunk(Bytes::from(event))).chain(last);
+        for part in parts {
+            if self.order.answer.blocking_send(part).is_err() {
+                return EventResult::CallerGone;
+            }
+        }
+        if ended {
+            // Reads the end of the body, so that the connection can be used again.
+            let _ = reader.read(&mut [0; 1]);
+            return EventResult::Ended;
+        }
+        self.tell_progress();
+        EventResult::Passed
+    }
+
+    /// Counts the tokens of an event; true when it is the last.
+    fn count(&mut self, event: &[u8]) -> bool {
+        let Some(data) = event.strip_prefix(b"data:") else {
+            return false;
+        };
+        let data = data.trim_ascii();
+        if data == STREAM_END.as_bytes() {
+            return true;
+        }
+        if let Ok(chunk) = serde_json::from_slice::<ChatChunk>(data) {
+            let contents = chunk
+                .choices
+                .iter()
+                .filter_map(|c| c.delta.content.as_ref());
+            let tokens: usize = contents.map(|content| content.matches(' ').count()).sum();
+            self.output_tokens += tokens as u64;
+            self.usage = chunk.usage.or(self.usage);
+        }
+        false
+    }
+
+    fn tell_progress(&mut self) {
+        if self.output_tokens >= self.next_progress_tokens {
+            self.next_progress_tokens *= 2;
+            // The estimate is corrected again at the next doubling, so a full ring loses little.
+            let _ = self.core.try_send(CoreInput::Progress {
+                attempt: self.order.attempt,
+                charged_tokens: self.charged_tokens(),
+            });
+        }
+    }
+}
+
+fn read_event(reader: &mut impl BufRead) -> Result<Vec<u8>, AttemptFailure> {
+    let mut event = Vec::new();
+    loop {
+        let start = event.len();
+        let left = MAX_EVENT_BYTES.saturating_sub(start as u64);
+        let read = reader.by_ref().take(left).read_until(b'\n', &mut event);
+        read.map_err(body_failure)?;
+        if event.len() == start || event.last() != Some(&b'\n') {
+            return Err(AttemptFailure::ConnectionLost);
+        }
+        if event[start..].trim_ascii().is_empty() {
+            return Ok(event);
+        }
+    }
+}
--- a/crates/transport/src/clock.rs
+++ b/crates/transport/src/clock.rs
@@ -37,3 +37,12 @@
         .unwrap_or_default();
     Incarnation(since_epoch.as_micros() as u64)
 }
+
+/// Returns the wall-clock time in milliseconds since the Unix epoch, for records that outlive the
+/// process; no decision compares it with another host's clock closely.
+pub fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    since_epoch.as_millis() as u64
+}
--- a/crates/transport/src/core.rs
+++ b/crates/transport/src/core.rs
@@ -1,6 +1,7 @@
 //! The core thread: feeds events to the router's decisions and carries out their actions.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::sync::Arc;
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::RecvTimeoutError;
@@ -8,18 +9,23 @@
 use std::time::Duration;
 
 use metrics::counter;
+use metrics::gauge;
 
 use sedgeridge_coordination::clock::Clock;
-use sedgeridge_coordination::entry::Arrival;
-use sedgeridge_coordination::entry::AttemptEnd;
-use sedgeridge_coordination::entry::AttemptKey;
-use sedgeridge_coordination::entry::EntryAction;
-use sedgeridge_coordination::entry::EntryEvent;
-use sedgeridge_coordination::entry::RequestKey;
+use sedgeridge_coordination::entry_events::Arrival;
+use sedgeridge_coordination::entry_events::AttemptEnd;
+use sedgeridge_coordination::entry_events::AttemptFailure;
+use sedgeridge_coordination::entry_events::AttemptKey;
+use sedgeridge_coordination::entry_events::EntryAction;
+use sedgeridge_coordination::entry_events::EntryEvent;
+use sedgeridge_coordination::entry_events::RequestKey;
+use sedgeridge_coordination::membership::Message;
 use sedgeridge_coordination::node::Node;
 use sedgeridge_coordination::node::NodeAction;
 use sedgeridge_coordination::node::NodeEvent;
 use sedgeridge_coordination::node::PeerMessage;
+use sedgeridge_coordination::slot_budget::Load;
+use sedgeridge_protocol::membership;
 use sedgeridge_protocol::peer::encode;
 use sedgeridge_state::ids::AttemptId;
 use sedgeridge_state::ids::EndpointId;
@@ -30,6 +36,7 @@
 use crate::answer::AnswerSender;
 use crate::answer::GivenUp;
 use crate::call::Call;
+use crate::clock::unix_ms;
 use crate::directory::Directory;
 use crate::endpoint_call::AttemptOrder;
 use crate::endpoint_call::EndpointClients;
@@ -37,6 +44,8 @@
 use crate::endpoint_workers::WorkerId;
 use crate::event_log::LogEvent;
 use crate::event_log::log_info;
+use crate::event_log::log_warn;
+use crate::load_reads::LoadReads;
 use crate::peers::PeerOut;
 use crate::peers::PeerPayload;
 use crate::peers::PeerSender;
@@ -46,7 +55,11 @@
 /// Events that may wait for the core; a full ring refuses new requests.
 pub const CORE_RING_LEN: usize = 8_192;
 /// Longest time between two ticks.
-const TICK: Duration = Duration::from_millis(20);
+const MAX_TICK: Duration = Duration::from_millis(20);
+/// Shortest time between two ticks, so that a late timer cannot keep the thread busy.
+const MIN_TICK: Duration = Duration::from_millis(1);
+/// Time between two updates of the operator pages.
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A request that the front accepted.
 #[derive(Debug)]
@@ -90,15 +103,41 @@
         /// The other router.
         host: HostId,
     },
-    /// Another router sent a datagram.
-    Datagram {
-        /// Its bytes.
-        bytes: Vec<u8>,
+    /// Another router sent a membership message.
+    Membership(Box<Message>),
+    /// An attempt has received this much service so far.
+    Progress {
+        /// The attempt.
+        attempt: AttemptKey,
+        /// Service received.
+        charged_tokens: u64,
+    },
+    /// An endpoint's load report was read, or could not be.
+    LoadRead {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// The report.
+        load: Option<Load>,
+    },
+    /// An operator drains an endpoint.
+    DrainEndpoint {
+        /// The endpoint.
+        endpoint: EndpointId,
     },
     /// The process was told to stop.
     Stop,
 }
 
+/// What the decisions say about an attempt to start.
+#[derive(Debug)]
+struct Start {
+    key: RequestKey,
+    attempt: AttemptKey,
+    endpoint: EndpointId,
+    resume_after_tokens: u64,
+    last_attempt: bool,
+}
+
 /// A request that the core has in hand.
 #[derive(Debug)]
 struct Pending {
@@ -118,6 +157,7 @@
     pending: BTreeMap<RequestKey, Pending>,
     running: BTreeMap<AttemptKey, RequestKey>,
     peers: PeerSender,
+    load_reads: LoadReads,
     status: StatusBoard,
     stopping: bool,
 }
@@ -131,35 +171,44 @@
         inputs: SyncSender<CoreInput>,
         peers: PeerSender,
         status: StatusBoard,
-    ) -> Self {
+    ) -> io::Result<Self> {
         let clients = EndpointClients::new(&directory.settings.health);
-        Self {
+        let load_reads = LoadReads::start(&inputs)?;
+        let seed = member.incarnation.0;
+        Ok(Self {
             clock,
-            node: Node::new(member.clone(), directory.settings.clone()),
+            node: Node::new(member.clone(), directory.settings.clone(), seed),
             member,
             directory,
             workers: EndpointWorkers::new(clients, inputs),
             pending: BTreeMap::new(),
             running: BTreeMap::new(),
             peers,
+            load_reads,
             status,
             stopping: false,
-        }
+        })
     }
 
     /// Runs until it was told to stop and every request has its answer.
     pub fn run(mut self, inputs: &Receiver<CoreInput>) {
-        let mut next_tick = self.clock.now() + TICK;
+        let mut next_publish = Duration::ZERO;
+        let mut last_tick = Duration::ZERO;
         loop {
-            let wait = next_tick.saturating_sub(self.clock.now());
-            match inputs.recv_timeout(wait) {
+            let wake = self.node.next_wake().min(last_tick + MAX_TICK);
+            let wake = wake.max(last_tick + MIN_TICK);
+            match inputs.recv_timeout(wake.saturating_sub(self.clock.now())) {
                 Ok(input) => self.input(input),
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
-            if self.clock.now() >= next_tick {
-                next_tick = self.clock.now() + TICK;
+            let now = self.clock.now();
+            if now >= wake {
+                last_tick = now;
                 self.event(NodeEvent::Tick);
+            }
+            if now >= next_publish {
+                next_publish = now + PUBLISH_INTERVAL;
                 self.publish();
             }
             if self.stopping && self.pending.is_empty() {
@@ -201,14 +250,29 @@
             }
             CoreInput::Peer { from, message } => self.event(NodeEvent::Peer { from, message }),
             CoreInput::PeerReset { host } => self.event(NodeEvent::PeerReset { host }),
-            CoreInput::Datagram { bytes: _ } => {}
+            CoreInput::Membership(message) => self.event(NodeEvent::Membership(*message)),
+            CoreInput::Progress {
+                attempt,
+                charged_tokens,
+            } => self.event(NodeEvent::Entry(EntryEvent::Progress {
+                attempt,
+                charged_tokens,
+            })),
+            CoreInput::LoadRead { endpoint, load } => {
+                self.load_reads.ended(&endpoint);
+                self.event(NodeEvent::LoadRead { endpoint, load });
+            }
+            CoreInput::DrainEndpoint { endpoint } => self.event(NodeEvent::DrainEndpoint {
+                endpoint,
+                since_unix_ms: unix_ms(),
+            }),
             CoreInput::Stop => {
                 self.stopping = true;
                 log_info(
                     LogEvent::StopRequested,
                     format_args!("in_hand={}", self.pending.len()),
                 );
-                self.event(NodeEvent::Entry(EntryEvent::StopRequested));
+                self.event(NodeEvent::StopRequested);
                 self.publish();
             }
         }
@@ -238,7 +302,17 @@
                 attempt,
                 endpoint,
                 resume_after_tokens,
-            }) => self.start(key, attempt, &endpoint, resume_after_tokens),
+                last_attempt,
+            }) => {
+                let start = Start {
+                    key,
+                    attempt,
+                    endpoint,
+                    resume_after_tokens,
+                    last_attempt,
+                };
+                self.start(&start);
+            }
             NodeAction::Entry(EntryAction::GiveUp {
                 key,
                 reason,
@@ -258,44 +332,62 @@
                 let fields = format_args!("request={} reason={}", key.0, reason.as_str());
                 log_info(LogEvent::RequestRetried, fields);
             }
-            NodeAction::Entry(EntryAction::Report { .. }) => {}
+            NodeAction::Entry(EntryAction::Report { .. } | EntryAction::Announce(_)) => {}
+            NodeAction::SendMembership { to, message } => {
+                let payload = PeerPayload::Datagram(membership::encode(&message));
+                // A membership message may be lost; the ring's end is counted like the network's.
+                if self.peers.try_send(PeerOut { to, payload }).is_err() {
+                    counter!("sedgeridge_peer_drops_total", "reason" => "ring_full").increment(1);
+                }
+            }
+            NodeAction::ReadLoad { endpoint } => {
+                if let Some(known) = self.directory.endpoint(&endpoint) {
+                    self.load_reads.ask(&endpoint, known.address);
+                }
+            }
+            NodeAction::MembersChanged(live) => {
+                let names: Vec<&str> = live.iter().map(|m| m.member.host.as_str()).collect();
+                log_info(
+                    LogEvent::MembersChanged,
+                    format_args!("live={} hosts={}", names.len(), names.join(",")),
+                );
+            }
+            NodeAction::Outranked => {
+                log_warn(LogEvent::Outranked, "");
+                self.input(CoreInput::Stop);
+            }
             NodeAction::Send { to, message } => self.send(to, &message),
         }
     }
 
-    fn start(
-        &mut self,
-        key: RequestKey,
-        attempt: AttemptKey,
-        endpoint: &EndpointId,
-        resume_after_tokens: u64,
-    ) {
-        self.running.insert(attempt, key);
-        let order = self.order(key, attempt, endpoint, resume_after_tokens);
-        let started = order.is_some_and(|order| self.workers.start(attempt, order).is_ok());
+    fn start(&mut self, start: &Start) {
+        self.running.insert(start.attempt, start.key);
+        let order = self.order(start);
+        let started = order.is_some_and(|order| self.workers.start(order).is_ok());
         if !started {
-            self.attempt_ended(attempt, AttemptEnd::NotStarted);
+            let end = AttemptEnd::Failed {
+                failure: AttemptFailure::NotStarted,
+                sent_tokens: start.resume_after_tokens,
+                charged_tokens: 0,
+            };
+            self.attempt_ended(start.attempt, end);
         }
     }
 
-    fn order(
-        &self,
-        key: RequestKey,
-        attempt: AttemptKey,
-        endpoint: &EndpointId,
-        resume_after_tokens: u64,
-    ) -> Option<AttemptOrder> {
-        let pending = self.pending.get(&key)?;
-        let endpoint = self.directory.endpoint(endpoint)?;
+    fn order(&self, start: &Start) -> Option<AttemptOrder> {
+        let pending = self.pending.get(&start.key)?;
+        let endpoint = self.directory.endpoint(&start.endpoint)?;
         let attempt_id = AttemptId {
             member: self.member.clone(),
-            sequence: attempt.0,
+            sequence: start.attempt.0,
         };
         Some(AttemptOrder {
+            attempt: start.attempt,
             call: pending.call.clone(),
             address: endpoint.address,
             attempt_id: attempt_id.to_string(),
-            resume_after_tokens,
+            resume_after_tokens: start.resume_after_tokens,
+            last_attempt: start.last_attempt,
             time_left: pending.deadline.saturating_sub(self.clock.now()),
             output_token_factor: self.directory.settings.fair.output_token_factor.into(),
             answer: pending.answer.clone(),
@@ -340,6 +432,18 @@
             stopping: self.stopping,
             waiting: load.waiting,
             running: load.running as u64,
+            homes: load.homes as u64,
+            members: load.members as u64,
         });
+        gauge!("sedgeridge_requests_waiting").set(f64::from(load.waiting));
+        gauge!("sedgeridge_requests_running").set(load.running as f64);
+        gauge!("sedgeridge_members_live").set(load.members as f64);
+        gauge!("sedgeridge_pools_homed").set(load.homes as f64);
+        for (_, counters) in self.node.home_counters() {
+            for (reason, count) in &counters.rejections {
+                counter!("sedgeridge_home_rejections_total", "reason" => reason.label())
+                    .absolute(*count);
+            }
+        }
     }
 }
--- a/crates/transport/src/endpoint_workers.rs
+++ b/crates/transport/src/endpoint_workers.rs
@@ -5,8 +5,6 @@
 use std::sync::mpsc::sync_channel;
 use std::thread;
 
-use sedgeridge_coordination::entry::AttemptKey;
-
 use crate::core::CoreInput;
 use crate::endpoint_call::AttemptOrder;
 use crate::endpoint_call::EndpointClients;
@@ -25,7 +23,7 @@
 pub struct EndpointWorkers {
     clients: EndpointClients,
     core: SyncSender<CoreInput>,
-    workers: Vec<SyncSender<(AttemptKey, AttemptOrder)>>,
+    workers: Vec<SyncSender<AttemptOrder>>,
     idle: Vec<WorkerId>,
 }
 
@@ -45,13 +43,13 @@
     /// # Errors
     ///
     /// Fails when a new thread is needed and cannot be started; the attempt has not begun then.
-    pub fn start(&mut self, attempt: AttemptKey, order: AttemptOrder) -> io::Result<()> {
+    pub fn start(&mut self, order: AttemptOrder) -> io::Result<()> {
         let id = match self.idle.pop() {
             Some(id) => id,
             None => self.spawn()?,
         };
         self.workers[id.0]
-            .send((attempt, order))
+            .send(order)
             .map_err(|_| io::Error::other("endpoint worker has ended"))
     }
 
@@ -62,15 +60,16 @@
 
     fn spawn(&mut self) -> io::Result<WorkerId> {
         let id = WorkerId(self.workers.len());
-        let (orders, inbox) = sync_channel::<(AttemptKey, AttemptOrder)>(1);
+        let (orders, inbox) = sync_channel::<AttemptOrder>(1);
         let clients = self.clients.clone();
         let core = self.core.clone();
         thread::Builder::new()
             .name(format!("endpoint-{}", id.0))
             .stack_size(WORKER_STACK_BYTES)
             .spawn(move || {
-                for (attempt, order) in inbox {
-                    let end = clients.run(&order);
+                for order in inbox {
+                    let attempt = order.attempt;
+                    let end = clients.run(&order, &core);
                     drop(order);
                     let ended = CoreInput::AttemptEnded {
                         attempt,
--- a/crates/transport/src/event_log.rs
+++ b/crates/transport/src/event_log.rs
@@ -47,6 +47,10 @@
     StopRequested = 1002, "stop_requested";
     /// The router has finished what ran and exits.
     RouterStopped = 1003, "router_stopped";
+    /// The live members changed.
+    MembersChanged = 1004, "members_changed";
+    /// A newer run of this host is known to the fleet; this one stops.
+    Outranked = 1005, "outranked";
     /// A listener failed to accept; the router goes on after a pause.
     AcceptFailed = 1101, "accept_failed";
     /// A message from another router was refused; it changed nothing.
--- a/crates/transport/src/front.rs
+++ b/crates/transport/src/front.rs
@@ -26,7 +26,7 @@
 use hyper_util::rt::TokioTimer;
 use metrics::counter;
 use sedgeridge_coordination::clock::Clock;
-use sedgeridge_coordination::entry::RequestKey;
+use sedgeridge_coordination::entry_events::RequestKey;
 use sedgeridge_coordination::refusal::Outcome;
 use sedgeridge_coordination::refusal::RefusalReason;
 use sedgeridge_protocol::headers;
--- a/crates/transport/src/front_request.rs
+++ b/crates/transport/src/front_request.rs
@@ -7,13 +7,14 @@
 use http::HeaderMap;
 use http::Method;
 use http::request::Parts;
-use sedgeridge_coordination::entry::Arrival;
-use sedgeridge_coordination::entry::RequestKey;
+use sedgeridge_coordination::entry_events::Arrival;
+use sedgeridge_coordination::entry_events::RequestKey;
 use sedgeridge_coordination::pool_messages::PrefixHash;
 use sedgeridge_coordination::refusal::RefusalReason;
 use sedgeridge_protocol::chat::CHAT_PATH;
 use sedgeridge_protocol::chat::ChatRequest;
 use sedgeridge_protocol::headers;
+use sedgeridge_state::fingerprint::Fingerprint;
 use sedgeridge_state::ids::AccountId;
 use sedgeridge_state::ids::RequestId;
 use sedgeridge_state::settings::FrontSettings;
@@ -127,6 +128,7 @@
         repeatable: service.repeatable,
         hint_tokens: read.hint_tokens.clamp(1, MAX_HINT_TOKENS),
         prefix: read.prefix,
+        fingerprint: Fingerprint::of(&caller.account, &body),
         deadline: now + deadline(&parts.headers, &directory.settings.front)?,
     };
     let call = Call {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,6 +4,7 @@
 //! (decisions), `endpoint workers` (one attempt each) and `operator` (pages and metrics).
 
 pub mod answer;
+mod answer_pass;
 pub mod call;
 pub mod clock;
 pub mod core;
@@ -14,6 +15,7 @@
 pub mod front;
 pub mod front_body;
 pub mod front_request;
+pub mod load_reads;
 pub mod operator;
 pub mod peer_inbound;
 pub mod peer_link;
--- a/crates/transport/src/peers.rs
+++ b/crates/transport/src/peers.rs
@@ -11,6 +11,7 @@
 use std::sync::mpsc::SyncSender;
 
 use metrics::counter;
+use sedgeridge_protocol::membership;
 use sedgeridge_protocol::peer::MAX_PEER_MESSAGE_BYTES;
 use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Member;
@@ -180,18 +181,27 @@
         match socket.recv_from(&mut buffer).await {
             Ok((len, _)) => {
                 count_bytes("in", len as u64, DATAGRAM_OVERHEAD_BYTES);
-                let datagram = CoreInput::Datagram {
-                    bytes: buffer[..len].to_vec(),
-                };
-                if core.try_send(datagram).is_err() {
-                    counter!("sedgeridge_peer_drops_total", "reason" => "core_full").increment(1);
-                }
+                take_datagram(&buffer[..len], &core);
             }
             Err(error) => log_warn(LogEvent::AcceptFailed, format_args!("udp error={error:?}")),
         }
     }
 }
 
+fn take_datagram(bytes: &[u8], core: &SyncSender<CoreInput>) {
+    let message = match membership::decode(bytes) {
+        Ok(message) => CoreInput::Membership(Box::new(message)),
+        Err(error) => {
+            counter!("sedgeridge_peer_drops_total", "reason" => "malformed").increment(1);
+            let fields = format_args!("datagram error={:?}", error.to_string());
+            return log_warn(LogEvent::PeerMessageRefused, fields);
+        }
+    };
+    if core.try_send(message).is_err() {
+        counter!("sedgeridge_peer_drops_total", "reason" => "core_full").increment(1);
+    }
+}
+
 /// Counts control traffic: its payload, and an estimate of what it costs on the wire.
 pub fn count_bytes(direction: &'static str, payload_bytes: u64, overhead_bytes: u64) {
     counter!("sedgeridge_peer_messages_total", "direction" => direction).increment(1);
--- a/crates/transport/src/status.rs
+++ b/crates/transport/src/status.rs
@@ -18,6 +18,10 @@
     pub waiting: u32,
     /// Requests that run.
     pub running: u64,
+    /// Pools whose home this router is.
+    pub homes: u64,
+    /// Live members of the fleet.
+    pub members: u64,
 }
 
 /// Shared place of the last published status.
