feat(load): lay out the small, luce and malardalen deployments

One command writes the base file, a site overlay each, the processes to start and the load plan with account keys from a fixed seed. Delays between sites are not yet part of the layout.

--- /dev/null
+++ b/crates/load/src/topology.rs
@@ -0,0 +1,331 @@
+//! Writes the files of one deployment: base file, site overlays, processes to start, load plan.
+
+use std::fs;
+use std::io;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+
+use sha2::Digest;
+use sha2::Sha256;
+
+use crate::deployment::AccountDesign;
+use crate::deployment::Deployment;
+use crate::deployment::PoolDesign;
+use crate::deployment::ServiceDesign;
+use crate::ini_text::IniText;
+use crate::options::Override;
+use crate::plan::AccountPlan;
+use crate::plan::EndpointPlan;
+use crate::plan::LOAD_PLAN_FILE;
+use crate::plan::LoadPlan;
+use crate::plan::PoolKind;
+use crate::plan::RouterPlan;
+use crate::plan::ServicePlan;
+
+/// File that lists the processes to start, one a line: name, program, arguments.
+pub const PROCESS_PLAN_FILE: &str = "plan";
+/// File of the settings that hold everywhere.
+pub const BASE_FILE: &str = "base.ini";
+
+/// Account keys are derived from this, so that every run uses the same ones.
+const KEY_SEED: &str = "sedgeridge-load keys 1";
+/// Default of `fair.output_token_factor`, repeated here for the judge of fairness.
+const OUTPUT_TOKEN_FACTOR: u64 = 4;
+/// Time between two output tokens of an engine stand-in.
+const TOKEN_MS: u64 = 20;
+/// Prefill time of an engine stand-in for each uncached input token.
+const PREFILL_US_PER_TOKEN: u64 = 100;
+/// Age of an endpoint's load report.
+const REPORT_LAG_MS: u64 = 200;
+/// Prompt prefixes that an engine stand-in keeps.
+const PREFIX_CACHE_TOKENS: u64 = 2_000;
+/// Mean service time of a plain stand-in.
+const SERVICE_MS: u64 = 50;
+
+/// One process to start.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ProcessPlan {
+    /// Name in the list of process ids.
+    pub name: String,
+    /// Binary of this workspace.
+    pub program: &'static str,
+    /// Its arguments; none holds a space.
+    pub args: Vec<String>,
+}
+
+/// Everything that is written for one deployment.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Topology {
+    /// Settings that hold everywhere.
+    pub base: IniText,
+    /// Overlay of each site.
+    pub overlays: Vec<(String, IniText)>,
+    /// Processes in starting order.
+    pub processes: Vec<ProcessPlan>,
+    /// What the load needs.
+    pub load: LoadPlan,
+}
+
+/// Hands out loopback addresses one after the other.
+#[derive(Debug)]
+struct Addresses {
+    next_port: u16,
+}
+
+impl Addresses {
+    fn take(&mut self) -> SocketAddr {
+        let address = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), self.next_port);
+        self.next_port += 1;
+        address
+    }
+}
+
+impl Topology {
+    /// Lays out a deployment on loopback addresses from `port_base` upwards.
+    ///
+    /// ```
+    /// use std::path::Path;
+    /// use sedgeridge_load::topology::Topology;
+    ///
+    /// let small = "small".parse().unwrap();
+    /// let topology = Topology::new(&small, Path::new("run"), 21_000, &[]);
+    /// assert_eq!(topology.load.routers.len(), 3);
+    /// ```
+    pub fn new(
+        deployment: &Deployment,
+        dir: &Path,
+        port_base: u16,
+        overrides: &[Override],
+    ) -> Self {
+        let mut addresses = Addresses {
+            next_port: port_base,
+        };
+        let load = load_plan(deployment, &mut addresses);
+        let mut topology = Self {
+            base: IniText::default(),
+            overlays: Vec::new(),
+            processes: Vec::new(),
+            load,
+        };
+        topology.write_settings(deployment, &mut addresses);
+        for set in overrides {
+            topology.base.set(&set.section, &set.key, &set.value);
+        }
+        topology.read_back_factor();
+        topology.plan_platform();
+        topology.plan_endpoints();
+        topology.plan_routers(deployment, dir);
+        topology
+    }
+
+    fn write_settings(&mut self, deployment: &Deployment, addresses: &mut Addresses) {
+        let base = &mut self.base;
+        base.set("fleet", "name", deployment.name);
+        base.set("platform", "table_address", &self.load.table_address);
+        for site in &deployment.sites {
+            base.set(&format!("site.{site}"), "region", "region-1");
+            self.overlays.push(((*site).to_owned(), IniText::default()));
+        }
+        for (index, router) in self.load.routers.iter().enumerate() {
+            let section = format!("host.{}", router.name);
+            base.set(&section, "site", site_of(deployment, index));
+            base.set(&section, "caller_address", &router.caller_address);
+            base.set(&section, "peer_address", &addresses.take());
+            base.set(&section, "operator_address", &router.operator_address);
+        }
+        for pool in &deployment.pools {
+            base.set(&format!("pool.{}", pool.name), "kind", kind_name(pool.kind));
+        }
+        for service in &deployment.services {
+            let section = format!("service.{}", service.name);
+            base.set(&section, "pool", service.pool);
+            base.set(&section, "repeatable", &service.repeatable);
+            base.set(&section, "class", service.class);
+        }
+        for (index, endpoint) in self.load.endpoints.iter().enumerate() {
+            let section = format!("endpoint.{}", endpoint.name);
+            base.set(&section, "pool", &endpoint.pool);
+            base.set(&section, "site", site_of(deployment, index));
+            base.set(&section, "address", &endpoint.address);
+            base.set(&section, "slots", &endpoint.slots);
+        }
+        for account in &self.load.accounts {
+            let section = format!("account.{}", account.name);
+            base.set(&section, "weight", &account.weight);
+            base.set(&section, "key_sha256", &sha256_hex(&account.key));
+        }
+    }
+
+    fn read_back_factor(&mut self) {
+        let set = self.base.get("fair", "output_token_factor");
+        if let Some(factor) = set.and_then(|value| value.parse().ok()) {
+            self.load.output_token_factor = factor;
+        }
+    }
+
+    fn plan_platform(&mut self) {
+        self.processes.push(ProcessPlan {
+            name: "table".to_owned(),
+            program: "sedgeridge-standins",
+            args: words(&format!("table --listen {}", self.load.table_address)),
+        });
+    }
+
+    fn plan_endpoints(&mut self) {
+        for endpoint in &self.load.endpoints {
+            let kind = self.load.pool_kind(&endpoint.pool);
+            self.processes.push(ProcessPlan {
+                name: endpoint.name.clone(),
+                program: "sedgeridge-standins",
+                args: endpoint_args(endpoint, kind),
+            });
+        }
+    }
+
+    fn plan_routers(&mut self, deployment: &Deployment, dir: &Path) {
+        let dir = dir.display();
+        for (index, router) in self.load.routers.iter().enumerate() {
+            let site = site_of(deployment, index);
+            let args = format!(
+                "--config {dir}/{BASE_FILE} --overlay {dir}/site-{site}.ini --host {}",
+                router.name
+            );
+            self.processes.push(ProcessPlan {
+                name: router.name.clone(),
+                program: "sedgeridge-router",
+                args: words(&args),
+            });
+        }
+    }
+
+    /// Writes every file into `dir`, which is created when absent.
+    pub fn write(&self, dir: &Path) -> io::Result<()> {
+        fs::create_dir_all(dir)?;
+        fs::write(dir.join(BASE_FILE), self.base.to_string())?;
+        for (site, overlay) in &self.overlays {
+            fs::write(overlay_path(dir, site), overlay.to_string())?;
+        }
+        fs::write(dir.join(PROCESS_PLAN_FILE), self.process_lines())?;
+        let load = serde_json::to_string_pretty(&self.load)?;
+        fs::write(dir.join(LOAD_PLAN_FILE), load)
+    }
+
+    fn process_lines(&self) -> String {
+        let line = |p: &ProcessPlan| format!("{} {} {}\n", p.name, p.program, p.args.join(" "));
+        self.processes.iter().map(line).collect()
+    }
+}
+
+fn overlay_path(dir: &Path, site: &str) -> PathBuf {
+    dir.join(format!("site-{site}.ini"))
+}
+
+fn load_plan(deployment: &Deployment, addresses: &mut Addresses) -> LoadPlan {
+    let table_address = addresses.take();
+    let routers = (1..=deployment.routers).map(|number| RouterPlan {
+        name: format!("router-{number}"),
+        caller_address: addresses.take(),
+        operator_address: addresses.take(),
+    });
+    let routers = routers.collect();
+    let endpoints = deployment.pools.iter().flat_map(pool_endpoints);
+    let endpoints = endpoints.map(|(name, pool)| EndpointPlan {
+        name,
+        pool: pool.name.to_owned(),
+        slots: pool.slots,
+        address: addresses.take(),
+    });
+    let endpoints = endpoints.collect();
+    LoadPlan {
+        deployment: deployment.name.to_owned(),
+        output_token_factor: OUTPUT_TOKEN_FACTOR,
+        routers,
+        endpoints,
+        services: service_plans(deployment),
+        accounts: account_plans(deployment),
+        table_address,
+    }
+}
+
+fn pool_endpoints(pool: &PoolDesign) -> impl Iterator<Item = (String, &PoolDesign)> {
+    (1..=pool.endpoints).map(move |number| (format!("{}-{number}", pool.endpoint_prefix), pool))
+}
+
+fn service_plans(deployment: &Deployment) -> Vec<ServicePlan> {
+    let kind_of = |pool: &str| {
+        let pool = deployment.pools.iter().find(|p| p.name == pool);
+        pool.expect("a service names a pool of its deployment").kind
+    };
+    let plan = |service: &ServiceDesign| ServicePlan {
+        name: service.name.to_owned(),
+        pool: service.pool.to_owned(),
+        kind: kind_of(service.pool),
+        repeatable: service.repeatable,
+    };
+    deployment.services.iter().map(plan).collect()
+}
+
+fn account_plans(deployment: &Deployment) -> Vec<AccountPlan> {
+    let plan = |account: &AccountDesign| AccountPlan {
+        name: account.name.clone(),
+        key: account_key(&account.name),
+        weight: account.weight,
+        spread: account.spread,
+        demands: account.demands.clone(),
+    };
+    deployment.accounts.iter().map(plan).collect()
+}
+
+fn site_of(deployment: &Deployment, index: usize) -> &'static str {
+    deployment.sites[index % deployment.sites.len()]
+}
+
+fn kind_name(kind: PoolKind) -> &'static str {
+    match kind {
+        PoolKind::Model => "model",
+        PoolKind::Plain => "plain",
+    }
+}
+
+fn endpoint_args(endpoint: &EndpointPlan, kind: PoolKind) -> Vec<String> {
+    let EndpointPlan {
+        name,
+        address,
+        slots,
+        ..
+    } = endpoint;
+    let own = match kind {
+        PoolKind::Model => format!(
+            "engine --token-ms {TOKEN_MS} --prefill-us-per-token {PREFILL_US_PER_TOKEN} \
+             --report-lag-ms {REPORT_LAG_MS} --prefix-cache-tokens {PREFIX_CACHE_TOKENS}"
+        ),
+        PoolKind::Plain => format!("plain --service-ms {SERVICE_MS}"),
+    };
+    words(&format!(
+        "{own} --listen {address} --name {name} --slots {slots}"
+    ))
+}
+
+fn words(line: &str) -> Vec<String> {
+    line.split_whitespace().map(str::to_owned).collect()
+}
+
+/// Key of an account, the same in every run.
+fn account_key(account: &str) -> String {
+    let digest = sha256_hex(&format!("{KEY_SEED} {account}"));
+    format!("sk-{}", &digest[..32])
+}
+
+/// SHA-256 in lower-case hexadecimal.
+///
+/// ```
+/// let digest = sedgeridge_load::topology::sha256_hex("");
+/// assert!(digest.starts_with("e3b0c442"));
+/// ```
+pub fn sha256_hex(text: &str) -> String {
+    let digest = Sha256::digest(text.as_bytes());
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
