--- /dev/null
+++ b/crates/load/src/answer_reader.rs
@@ -0,0 +1,152 @@
+//! Reads an answer and judges it against the one right answer.
+
+use std::io;
+use std::io::BufRead;
+use std::io::Read;
+
+use sedgeridge_protocol::chat::ChatAnswer;
+use sedgeridge_protocol::chat::ChatChunk;
+use sedgeridge_protocol::chat::STREAM_END;
+use serde_json::Value;
+
+use crate::history::Ending;
+
+const EVENT_DATA: &str = "data:";
+
+/// What a stream gave.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StreamText {
+    /// All new text in order.
+    pub text: String,
+    /// How it ended.
+    pub end: StreamEnd,
+}
+
+/// How a stream ended.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// With the end marker.
+    Marked,
+    /// With an error event.
+    Error,
+    /// The connection ended in order, but without a marker.
+    #[default]
+    Silent,
+    /// The connection broke or went silent.
+    Broken,
+}
+
+/// Reads server-sent events until the end; `on_text` is called for each new text.
+///
+/// ```
+/// use sedgeridge_load::answer_reader::StreamEnd;
+/// use sedgeridge_load::answer_reader::read_stream;
+///
+/// let read = read_stream("data: [DONE]\n\n".as_bytes(), || ());
+/// assert_eq!(read.end, StreamEnd::Marked);
+/// ```
+pub fn read_stream(mut body: impl BufRead, mut on_text: impl FnMut()) -> StreamText {
+    let mut read = StreamText::default();
+    let mut line = String::new();
+    loop {
+        line.clear();
+        match body.read_line(&mut line) {
+            Ok(0) => return read,
+            Ok(_) => {}
+            Err(_) => {
+                read.end = StreamEnd::Broken;
+                return read;
+            }
+        }
+        let Some(data) = line.strip_prefix(EVENT_DATA) else {
+            continue;
+        };
+        match event(data.trim()) {
+            Event::Text(text) if text.is_empty() => {}
+            Event::Text(text) => {
+                on_text();
+                read.text.push_str(&text);
+            }
+            Event::End => {
+                read.end = StreamEnd::Marked;
+                drain(body);
+                return read;
+            }
+            Event::Error => {
+                read.end = StreamEnd::Error;
+                return read;
+            }
+        }
+    }
+}
+
+/// Reads what follows the marker, so that the connection can be used again.
+fn drain(mut body: impl BufRead) {
+    let _ = io::copy(&mut body, &mut io::sink());
+}
+
+enum Event {
+    Text(String),
+    End,
+    Error,
+}
+
+fn event(data: &str) -> Event {
+    if data == STREAM_END {
+        return Event::End;
+    }
+    match serde_json::from_str::<ChatChunk>(data) {
+        Ok(chunk) => {
+            let deltas = chunk.choices.into_iter().filter_map(|c| c.delta.content);
+            Event::Text(deltas.collect())
+        }
+        Err(_) => Event::Error,
+    }
+}
+
+/// Judges a stream.
+pub fn judge_stream(read: &StreamText, expected: &str) -> Ending {
+    if !expected.starts_with(&read.text) {
+        return Ending::Foreign;
+    }
+    let whole = read.text.len() == expected.len();
+    match (read.end, whole) {
+        (StreamEnd::Marked, true) => Ending::Whole,
+        (StreamEnd::Marked | StreamEnd::Silent, _) => Ending::Short,
+        (StreamEnd::Error, _) => Ending::Partial,
+        (StreamEnd::Broken, _) => Ending::Broken,
+    }
+}
+
+/// Reads and judges an answer that comes at once.
+pub fn judge_chat(body: impl Read, expected: &str) -> Ending {
+    let Ok(text) = io::read_to_string(body) else {
+        return Ending::Broken;
+    };
+    if let Ok(answer) = serde_json::from_str::<ChatAnswer>(&text) {
+        let message: String = answer.choices.into_iter().map(|c| c.message.content).collect();
+        return judge_text(&message, expected);
+    }
+    match serde_json::from_str::<Value>(&text) {
+        Ok(value) if value.get("error").is_some() => Ending::Partial,
+        _ => Ending::Short,
+    }
+}
+
+/// Reads and judges the answer of a plain service.
+pub fn judge_plain(body: impl Read, expected: &str) -> Ending {
+    match io::read_to_string(body) {
+        Ok(text) => judge_text(&text, expected),
+        Err(_) => Ending::Broken,
+    }
+}
+
+fn judge_text(text: &str, expected: &str) -> Ending {
+    if text == expected {
+        Ending::Whole
+    } else if expected.starts_with(text) {
+        Ending::Short
+    } else {
+        Ending::Foreign
+    }
+}
--- /dev/null
+++ b/crates/load/src/history.rs
@@ -0,0 +1,184 @@
+//! Records of one run: what each caller saw and what each endpoint did.
+
+use std::fs;
+use std::fs::File;
+use std::io;
+use std::io::BufWriter;
+use std::io::Write;
+use std::path::Path;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// A span of time in microseconds since the Unix epoch; the end is not part of it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Span {
+    /// First instant.
+    pub start_us: u64,
+    /// Instant after the last.
+    pub end_us: u64,
+}
+
+impl Span {
+    /// Creates a span.
+    pub fn new(start_us: u64, end_us: u64) -> Self {
+        Self { start_us, end_us }
+    }
+
+    /// Length, 0 when the ends are crossed.
+    pub fn length_us(self) -> u64 {
+        self.end_us.saturating_sub(self.start_us)
+    }
+
+    /// The part that both spans cover.
+    ///
+    /// ```
+    /// use sedgeridge_load::history::Span;
+    /// let both = Span::new(0, 10).intersect(Span::new(5, 20));
+    /// assert_eq!(both, Some(Span::new(5, 10)));
+    /// ```
+    pub fn intersect(self, other: Self) -> Option<Self> {
+        let start_us = self.start_us.max(other.start_us);
+        let end_us = self.end_us.min(other.end_us);
+        (start_us < end_us).then_some(Self { start_us, end_us })
+    }
+}
+
+/// Final outcome that the fleet told a caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// The request ran.
+    Ran,
+    /// The request did not run and will not.
+    NotRun,
+    /// Nobody can tell.
+    Unknown,
+}
+
+impl Outcome {
+    /// Reads the value of the outcome header.
+    pub fn from_header(value: &str) -> Option<Self> {
+        match value {
+            "ran" => Some(Self::Ran),
+            "not-run" => Some(Self::NotRun),
+            "unknown" => Some(Self::Unknown),
+            _ => None,
+        }
+    }
+}
+
+/// How a call ended, judged against the one right answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ending {
+    /// The right answer, byte for byte.
+    Whole,
+    /// An answer that is not the beginning of the right one.
+    Foreign,
+    /// The beginning of the right answer, then an end like that of a whole one.
+    Short,
+    /// The beginning of the right answer, then a clear mark that it is partial.
+    Partial,
+    /// An error status.
+    Refused,
+    /// No connection, or one that broke or went silent.
+    Broken,
+}
+
+/// One call as its caller saw it. A repeated request is a new call of the same work.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CallRecord {
+    /// Request id that the caller chose for this call; no other call has it.
+    pub request_id: String,
+    /// Work that the call belongs to: calls of the same work differ only in router and time.
+    pub work: u64,
+    /// The client account.
+    pub account: String,
+    /// The service.
+    pub service: String,
+    /// Host name of the router called.
+    pub router: String,
+    /// Key under which the work may run at most once.
+    pub idempotency_key: Option<String>,
+    /// Whether the caller repeated finished work on purpose.
+    pub repeat: bool,
+    /// When the call was sent.
+    pub sent_at_us: u64,
+    /// When the first part of the answer came.
+    pub first_token_at_us: Option<u64>,
+    /// When the call ended.
+    pub ended_at_us: u64,
+    /// HTTP status, if any came.
+    pub status: Option<u16>,
+    /// Outcome told by the fleet, if any came.
+    pub outcome: Option<Outcome>,
+    /// Reason of a refusal.
+    pub reason: Option<String>,
+    /// How the call ended.
+    pub ending: Ending,
+}
+
+/// One run of a request as its endpoint recorded it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RunRecord {
+    /// Request id that the endpoint was given; empty when it was given none.
+    pub request_id: String,
+    /// The client account; empty when the endpoint was given none.
+    pub account: String,
+    /// The endpoint.
+    pub endpoint: String,
+    /// When it started on a slot.
+    pub started_at_us: u64,
+    /// When it left the slot; absent while it runs.
+    pub ended_at_us: Option<u64>,
+    /// Service tokens for the input that was not in the prefix cache.
+    pub input_charge_tokens: u64,
+    /// Service tokens for the output.
+    pub output_charge_tokens: u64,
+    /// Key under which the work may run at most once.
+    pub idempotency_key: Option<String>,
+}
+
+impl RunRecord {
+    /// Service tokens in all.
+    pub fn charge_tokens(&self) -> u64 {
+        self.input_charge_tokens + self.output_charge_tokens
+    }
+
+    /// Time in a slot; a run that has not ended lasts until `now_us`.
+    pub fn span(&self, now_us: u64) -> Span {
+        Span::new(self.started_at_us, self.ended_at_us.unwrap_or(now_us))
+    }
+}
+
+/// Both sides of one run.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct History {
+    /// Callers' side.
+    pub calls: Vec<CallRecord>,
+    /// Endpoints' side.
+    pub runs: Vec<RunRecord>,
+    /// Time in which load was offered.
+    pub sending: Span,
+    /// The part of `sending` that is judged: without the warm-up.
+    pub steady: Span,
+}
+
+/// Reads records back, one JSON object a line.
+pub fn read_lines<T: DeserializeOwned>(path: &Path) -> io::Result<Vec<T>> {
+    let text = fs::read_to_string(path)?;
+    let records = text.lines().map(serde_json::from_str);
+    Ok(records.collect::<Result<_, _>>()?)
+}
+
+/// Writes records to a file, one JSON object a line.
+pub fn write_lines<T: Serialize>(path: &Path, records: &[T]) -> io::Result<()> {
+    let mut file = BufWriter::new(File::create(path)?);
+    for record in records {
+        serde_json::to_writer(&mut file, record)?;
+        file.write_all(b"\n")?;
+    }
+    file.flush()
+}
--- /dev/null
+++ b/crates/load/src/join.rs
@@ -0,0 +1,134 @@
+//! Joins callers' and endpoints' records and counts what must never happen.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use serde::Serialize;
+
+use crate::history::CallRecord;
+use crate::history::Ending;
+use crate::history::Outcome;
+use crate::history::RunRecord;
+
+/// Work by how it ended for its caller, and violations.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct Counts {
+    /// Pieces of work that callers asked for.
+    pub requests: u64,
+    /// Right answer received.
+    pub answered: u64,
+    /// Last told: not run.
+    pub refused_not_run: u64,
+    /// Last told: unknown whether it ran.
+    pub unknown: u64,
+    /// Ended with a clear mark that the answer is partial.
+    pub partial: u64,
+    /// Ran, and the endpoint answered with an error.
+    pub failed: u64,
+    /// Its caller was never told how it ended.
+    pub lost: u64,
+    /// Work that may not be repeated, that is work with a key, and has more than one run.
+    pub doubled: u64,
+    /// Calls that received something other than the beginning of their answer.
+    pub crossed: u64,
+    /// Calls that received the beginning of their answer as if it were whole.
+    pub truncated: u64,
+    /// Calls told `not-run` that have a run.
+    pub not_run_but_ran: u64,
+    /// Runs of a request that no caller sent.
+    pub unmatched_runs: u64,
+}
+
+impl Counts {
+    /// Whether anything happened that must never happen.
+    pub fn violated(&self) -> bool {
+        let must_be_zero = [
+            self.lost,
+            self.doubled,
+            self.crossed,
+            self.truncated,
+            self.not_run_but_ran,
+        ];
+        must_be_zero.iter().any(|count| *count > 0)
+    }
+}
+
+/// Counts over a whole run.
+pub fn count(calls: &[CallRecord], runs: &[RunRecord]) -> Counts {
+    let mut counts = Counts::default();
+    for calls in by_work(calls).values() {
+        counts.add_work(calls);
+    }
+    let ran: HashSet<&str> = runs.iter().map(|r| r.request_id.as_str()).collect();
+    for call in calls {
+        counts.add_call(call, &ran);
+    }
+    counts.add_runs(calls, runs);
+    counts
+}
+
+fn by_work(calls: &[CallRecord]) -> BTreeMap<u64, Vec<&CallRecord>> {
+    let mut work: BTreeMap<u64, Vec<&CallRecord>> = BTreeMap::new();
+    for call in calls {
+        work.entry(call.work).or_default().push(call);
+    }
+    work
+}
+
+impl Counts {
+    /// Books one piece of work under the best that its caller learnt.
+    fn add_work(&mut self, calls: &[&CallRecord]) {
+        self.requests += 1;
+        if calls.iter().any(|call| call.ending == Ending::Whole) {
+            self.answered += 1;
+            return;
+        }
+        let wanted = calls.iter().filter(|call| !call.repeat);
+        let last = wanted.max_by_key(|call| call.ended_at_us);
+        *self.bucket(last.copied()) += 1;
+    }
+
+    fn bucket(&mut self, last: Option<&CallRecord>) -> &mut u64 {
+        let Some(last) = last else {
+            return &mut self.lost;
+        };
+        match (last.ending, last.outcome) {
+            (Ending::Broken, _) | (_, None) => &mut self.lost,
+            (_, Some(Outcome::NotRun)) => &mut self.refused_not_run,
+            (_, Some(Outcome::Unknown)) => &mut self.unknown,
+            (Ending::Refused, Some(Outcome::Ran)) => &mut self.failed,
+            (_, Some(Outcome::Ran)) => &mut self.partial,
+        }
+    }
+
+    fn add_call(&mut self, call: &CallRecord, ran: &HashSet<&str>) {
+        match call.ending {
+            Ending::Foreign => self.crossed += 1,
+            Ending::Short => self.truncated += 1,
+            Ending::Whole | Ending::Partial | Ending::Refused | Ending::Broken => {}
+        }
+        let told_not_run = call.outcome == Some(Outcome::NotRun);
+        if told_not_run && ran.contains(call.request_id.as_str()) {
+            self.not_run_but_ran += 1;
+        }
+    }
+
+    /// A repeated call has the key of the first one, so runs are counted by account and key.
+    fn add_runs(&mut self, calls: &[CallRecord], runs: &[RunRecord]) {
+        let sent: HashMap<&str, &CallRecord> =
+            calls.iter().map(|c| (c.request_id.as_str(), c)).collect();
+        let mut runs_by_key: HashMap<(&str, &str), u64> = HashMap::new();
+        for run in runs {
+            let call = sent.get(run.request_id.as_str());
+            self.unmatched_runs += u64::from(call.is_none());
+            let key_sent = call.and_then(|call| call.idempotency_key.as_deref());
+            if let Some(key) = key_sent.or(run.idempotency_key.as_deref()) {
+                let account = call.map_or(run.account.as_str(), |call| &call.account);
+                *runs_by_key.entry((account, key)).or_default() += 1;
+            }
+        }
+        let doubled = runs_by_key.values().filter(|runs| **runs > 1).count();
+        self.doubled = doubled as u64;
+    }
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,8 +1,15 @@
 //! Load, history recording and report: what drives a running fleet and judges what it did.
 
+pub mod answer_reader;
+pub mod client;
 pub mod deployment;
+pub mod fairness;
+pub mod history;
 pub mod ini_text;
+pub mod join;
 pub mod options;
 pub mod plan;
 pub mod random;
 pub mod topology;
+pub mod utilisation;
+pub mod work;
--- a/crates/load/src/topology.rs
+++ b/crates/load/src/topology.rs
@@ -114,7 +114,7 @@
         for set in overrides {
             topology.base.set(&set.section, &set.key, &set.value);
         }
-        topology.read_back_factor();
+        topology.read_back_overrides();
         topology.plan_platform();
         topology.plan_endpoints();
         topology.plan_routers(deployment, dir);
@@ -159,11 +159,22 @@
         }
     }
 
-    fn read_back_factor(&mut self) {
-        let set = self.base.get("fair", "output_token_factor");
-        if let Some(factor) = set.and_then(|value| value.parse().ok()) {
+    /// Overrides may change what callers and judges have to know.
+    fn read_back_overrides(&mut self) {
+        let factor = self.base.get("fair", "output_token_factor");
+        if let Some(factor) = factor.and_then(|value| value.parse().ok()) {
             self.load.output_token_factor = factor;
         }
+        for service in &mut self.load.services {
+            let section = format!("service.{}", service.name);
+            service.repeatable = self.base.get(&section, "repeatable") == Some("true");
+        }
+        for account in &mut self.load.accounts {
+            let weight = self.base.get(&format!("account.{}", account.name), "weight");
+            if let Some(weight) = weight.and_then(|value| value.parse().ok()) {
+                account.weight = weight;
+            }
+        }
     }
 
     fn plan_platform(&mut self) {
--- /dev/null
+++ b/crates/load/src/utilisation.rs
@@ -0,0 +1,127 @@
+//! How well the slots of a pool were used.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use crate::fairness::waiting_spans;
+use crate::history::History;
+use crate::history::RunRecord;
+use crate::history::Span;
+use crate::plan::LoadPlan;
+
+/// Slot-time of one pool within a window.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub struct SlotTime {
+    /// All slots over the whole window.
+    pub capacity_us: u64,
+    /// Slots that ran something.
+    pub busy_us: u64,
+    /// Free slots while some request for the pool waited.
+    pub idle_while_waiting_us: u64,
+}
+
+impl SlotTime {
+    /// Busy share of the capacity.
+    pub fn utilisation(&self) -> f64 {
+        share(self.busy_us, self.capacity_us)
+    }
+
+    /// Share of the capacity that was free while work waited.
+    pub fn idle_share_while_waiting(&self) -> f64 {
+        share(self.idle_while_waiting_us, self.capacity_us)
+    }
+
+    /// Adds another pool.
+    pub fn add(&mut self, other: Self) {
+        self.capacity_us += other.capacity_us;
+        self.busy_us += other.busy_us;
+        self.idle_while_waiting_us += other.idle_while_waiting_us;
+    }
+}
+
+fn share(part: u64, whole: u64) -> f64 {
+    if whole == 0 {
+        return 0.0;
+    }
+    part as f64 / whole as f64
+}
+
+/// A change of what runs or waits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Step {
+    Started(usize),
+    Ended(usize),
+    Arrived,
+    Left,
+}
+
+/// Accounts for the slot-time of one pool.
+pub fn pool_slot_time(plan: &LoadPlan, history: &History, pool: &str, window: Span) -> SlotTime {
+    let endpoints: Vec<_> = plan.endpoints.iter().filter(|e| e.pool == pool).collect();
+    let slots: Vec<u32> = endpoints.iter().map(|e| e.slots).collect();
+    let mut steps: BTreeMap<u64, Vec<Step>> = BTreeMap::new();
+    for run in &history.runs {
+        let index = endpoints.iter().position(|e| e.name == run.endpoint);
+        if let Some(index) = index {
+            add_run(&mut steps, run, index, window);
+        }
+    }
+    for (call, span) in waiting_spans(history) {
+        let in_pool = plan.service(&call.service).is_some_and(|s| s.pool == pool);
+        if let Some(span) = span.intersect(window).filter(|_| in_pool) {
+            steps.entry(span.start_us).or_default().push(Step::Arrived);
+            steps.entry(span.end_us).or_default().push(Step::Left);
+        }
+    }
+    sweep(&slots, &steps, window)
+}
+
+fn add_run(steps: &mut BTreeMap<u64, Vec<Step>>, run: &RunRecord, index: usize, window: Span) {
+    if let Some(span) = run.span(window.end_us).intersect(window) {
+        steps
+            .entry(span.start_us)
+            .or_default()
+            .push(Step::Started(index));
+        steps
+            .entry(span.end_us)
+            .or_default()
+            .push(Step::Ended(index));
+    }
+}
+
+fn sweep(slots: &[u32], steps: &BTreeMap<u64, Vec<Step>>, window: Span) -> SlotTime {
+    let total_slots: u64 = slots.iter().map(|s| u64::from(*s)).sum();
+    let mut time = SlotTime {
+        capacity_us: total_slots * window.length_us(),
+        ..SlotTime::default()
+    };
+    let mut running = vec![0i64; slots.len()];
+    let mut waiting = 0i64;
+    let mut last_us = window.start_us;
+    for (&at_us, steps) in steps {
+        let busy = busy_slots(slots, &running);
+        let elapsed_us = at_us - last_us;
+        time.busy_us += busy * elapsed_us;
+        if waiting > 0 {
+            time.idle_while_waiting_us += (total_slots - busy) * elapsed_us;
+        }
+        last_us = at_us;
+        for step in steps {
+            match step {
+                Step::Started(index) => running[*index] += 1,
+                Step::Ended(index) => running[*index] -= 1,
+                Step::Arrived => waiting += 1,
+                Step::Left => waiting -= 1,
+            }
+        }
+    }
+    time
+}
+
+/// An endpoint that was given more than it has slots for is full, not more than full.
+fn busy_slots(slots: &[u32], running: &[i64]) -> u64 {
+    let each = slots.iter().zip(running);
+    each.map(|(slots, running)| (*running).clamp(0, i64::from(*slots)) as u64)
+        .sum()
+}
