feat(load): callers, histories of both sides and the report

Callers keep a few large accounts backlogged, honour Retry-After, and repeat a share of the requests that carry an idempotency key at another router. The report joins their records with the endpoints' ledgers by request id; the computation is pure functions over typed records. The gap between accounts is taken within one pool and over every part of the time in which both waited, which is the strictest reading: a gap that closes again still counts.

--- a/crates/load/src/answer_reader.rs
+++ b/crates/load/src/answer_reader.rs
@@ -124,7 +124,11 @@
         return Ending::Broken;
     };
     if let Ok(answer) = serde_json::from_str::<ChatAnswer>(&text) {
-        let message: String = answer.choices.into_iter().map(|c| c.message.content).collect();
+        let message: String = answer
+            .choices
+            .into_iter()
+            .map(|c| c.message.content)
+            .collect();
         return judge_text(&message, expected);
     }
     match serde_json::from_str::<Value>(&text) {
--- /dev/null
+++ b/crates/load/src/callers.rs
@@ -0,0 +1,265 @@
+//! Callers: threads that ask for work and come back as the fleet tells them to.
+
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::Scope;
+use std::time::Duration;
+use std::time::Instant;
+
+use ureq::Agent;
+
+use crate::client;
+use crate::client::Call;
+use crate::history::CallRecord;
+use crate::history::Ending;
+use crate::history::Outcome;
+use crate::plan::AccountPlan;
+use crate::plan::Demand;
+use crate::plan::LoadPlan;
+use crate::plan::Pace;
+use crate::plan::ServicePlan;
+use crate::random::Random;
+use crate::recorder::Recorder;
+use crate::work;
+use crate::work::Work;
+
+/// Most calls for one piece of work.
+const MAX_CALLS: u32 = 6;
+/// Wait before the next call when the fleet names none.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Longest wait before the next call.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(3);
+/// Most open calls of one open-loop demand.
+const MAX_OPEN_CALLS: usize = 64;
+/// Callers of a closed-loop demand beyond its share of the slots.
+const SPARE_CALLERS: usize = 4;
+/// Share of work with a key that is sent a second time, through another router.
+const REPEAT_SHARE: f64 = 0.2;
+/// Work numbers that each caller has for itself.
+const NUMBERS_PER_CALLER: u64 = 1 << 24;
+/// How far apart callers start, so that they do not all arrive at once.
+const START_SPREAD_MS: u64 = 200;
+
+/// What all callers share.
+#[derive(Debug)]
+pub struct Callers<'a> {
+    /// What they call.
+    pub plan: &'a LoadPlan,
+    /// Their HTTP client.
+    pub agent: Agent,
+    /// Where their records go.
+    pub recorder: &'a Recorder,
+    /// Seed of everything drawn.
+    pub seed: u64,
+    /// Offered load as a multiple of the capacity.
+    pub overload: f64,
+    /// When no new work is sent any more.
+    pub stop_at: Instant,
+}
+
+/// One caller of a demand.
+#[derive(Debug, Clone)]
+struct Caller<'a> {
+    account: &'a AccountPlan,
+    service: &'a ServicePlan,
+    random: Random,
+    first_number: u64,
+    turn: usize,
+}
+
+impl<'a> Callers<'a> {
+    /// Starts every caller of every account.
+    pub fn start<'scope>(&'scope self, scope: &'scope Scope<'scope, '_>) {
+        let mut index = 0;
+        for account in &self.plan.accounts {
+            for demand in &account.demands {
+                let Some(service) = self.plan.service(&demand.service) else {
+                    continue;
+                };
+                let threads = self.caller_threads(account, demand, service);
+                for _ in 0..threads {
+                    let caller = self.caller(index, account, service);
+                    index += 1;
+                    let pace = demand.pace;
+                    scope.spawn(move || self.run(caller, pace));
+                }
+            }
+        }
+    }
+
+    fn caller(&self, index: u64, account: &'a AccountPlan, service: &'a ServicePlan) -> Caller<'a> {
+        let mut random = Random::new(self.seed ^ (index << 32));
+        let turn = random.next_u64() as usize % self.plan.routers.len();
+        Caller {
+            account,
+            service,
+            random,
+            first_number: index * NUMBERS_PER_CALLER,
+            turn,
+        }
+    }
+
+    /// A backlogged account gets callers for its share of the overloaded slots, and some more: its
+    /// waiting requests may not run out while answers travel.
+    fn caller_threads(
+        &self,
+        account: &AccountPlan,
+        demand: &Demand,
+        service: &ServicePlan,
+    ) -> usize {
+        if demand.pace != Pace::Backlogged {
+            return 1;
+        }
+        let slots = f64::from(self.plan.pool_slots(&service.pool));
+        let share = f64::from(account.weight) / self.backlogged_weight(&service.pool);
+        (slots * share * self.overload).ceil() as usize + SPARE_CALLERS
+    }
+
+    fn backlogged_weight(&self, pool: &str) -> f64 {
+        let in_pool = |demand: &Demand| {
+            let service = self.plan.service(&demand.service);
+            demand.pace == Pace::Backlogged && service.is_some_and(|s| s.pool == pool)
+        };
+        let accounts = self.plan.accounts.iter();
+        let backlogged = accounts.filter(|a| a.demands.iter().any(in_pool));
+        backlogged.map(|a| f64::from(a.weight)).sum()
+    }
+
+    fn run(&self, caller: Caller<'a>, pace: Pace) {
+        match pace {
+            Pace::Backlogged => self.closed_loop(caller),
+            Pace::PerSecond(rate_per_s) => self.open_loop(caller, rate_per_s),
+        }
+    }
+
+    fn closed_loop(&self, mut caller: Caller<'a>) {
+        let start_ms = caller.random.between(0, START_SPREAD_MS);
+        self.sleep(Duration::from_millis(start_ms));
+        let mut number = caller.first_number;
+        while self.sending() {
+            self.one_work(&mut caller, number);
+            number += 1;
+        }
+    }
+
+    fn open_loop(&self, mut caller: Caller<'a>, rate_per_s: f64) {
+        let open = AtomicUsize::new(0);
+        let mut number = caller.first_number;
+        thread::scope(|scope| {
+            loop {
+                let gap_s = caller.random.arrival_gap_s(rate_per_s);
+                self.sleep(Duration::from_secs_f64(gap_s));
+                if !self.sending() {
+                    return;
+                }
+                if open.load(Ordering::Relaxed) >= MAX_OPEN_CALLS {
+                    continue;
+                }
+                let mut one = caller.clone();
+                one.random = Random::new(caller.random.next_u64());
+                caller.turn += 1;
+                number += 1;
+                let open = &open;
+                open.fetch_add(1, Ordering::Relaxed);
+                scope.spawn(move || {
+                    self.one_work(&mut one, number);
+                    open.fetch_sub(1, Ordering::Relaxed);
+                });
+            }
+        });
+    }
+
+    fn sending(&self) -> bool {
+        Instant::now() < self.stop_at
+    }
+
+    /// Sleeps, but not beyond the end of sending.
+    fn sleep(&self, time: Duration) {
+        let left = self.stop_at.saturating_duration_since(Instant::now());
+        thread::sleep(time.min(left));
+    }
+
+    fn one_work(&self, caller: &mut Caller<'a>, number: u64) {
+        let Caller {
+            account, service, ..
+        } = *caller;
+        let work = work::draw(&mut caller.random, number, &account.name, service);
+        let repeated = work.idempotency_key.is_some() && caller.random.happens(REPEAT_SHARE);
+        let at_once = repeated && caller.random.happens(0.5);
+        let turn = caller.turn;
+        caller.turn += 1;
+        let repeat = |turn| {
+            let router = turn % self.plan.routers.len();
+            self.call(caller, &work, "repeat", router, true);
+        };
+        thread::scope(|scope| {
+            if at_once {
+                scope.spawn(|| repeat(turn + 1));
+            }
+            self.until_final(caller, &work, turn);
+        });
+        if repeated && !at_once {
+            repeat(turn + 1);
+        }
+    }
+
+    /// Calls until the fleet says how the work ended. A caller whose connection broke goes to the
+    /// next router, as the balancer would send it.
+    fn until_final(&self, caller: &Caller<'a>, work: &Work, turn: usize) {
+        let routers = self.plan.routers.len();
+        let mut router = caller.account.spread.router(turn, routers);
+        for attempt in 1..=MAX_CALLS {
+            let (record, retry_after) =
+                self.call(caller, work, &attempt.to_string(), router, false);
+            match next_step(&record) {
+                NextStep::Done => return,
+                NextStep::OtherRouter => router = (router + 1) % routers,
+                NextStep::ComeBack => {
+                    if !self.sending() {
+                        return;
+                    }
+                }
+            }
+            let wait = retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
+            thread::sleep(wait.min(MAX_RETRY_AFTER));
+        }
+    }
+
+    fn call(
+        &self,
+        caller: &Caller<'a>,
+        work: &Work,
+        attempt: &str,
+        router: usize,
+        repeat: bool,
+    ) -> (CallRecord, Option<Duration>) {
+        let request_id = format!("load-{}-{}-{attempt}", self.seed, work.number);
+        self.recorder.sent();
+        let call = Call {
+            account: caller.account,
+            service: &caller.service.name,
+            router: &self.plan.routers[router],
+            work,
+            request_id: &request_id,
+            repeat,
+        };
+        let result = client::call(&self.agent, call);
+        self.recorder.ended(result.record.clone());
+        (result.record, result.retry_after)
+    }
+}
+
+enum NextStep {
+    Done,
+    ComeBack,
+    OtherRouter,
+}
+
+fn next_step(record: &CallRecord) -> NextStep {
+    match (record.ending, record.outcome) {
+        (Ending::Broken, _) => NextStep::OtherRouter,
+        (Ending::Refused, Some(Outcome::NotRun)) => NextStep::ComeBack,
+        _ => NextStep::Done,
+    }
+}
--- a/crates/load/src/deployment.rs
+++ b/crates/load/src/deployment.rs
@@ -2,7 +2,8 @@
 
 use std::str::FromStr;
 
-use crate::options::OptionError;
+use thiserror::Error;
+
 use crate::plan::Demand;
 use crate::plan::PoolKind;
 use crate::plan::Spread;
@@ -72,15 +73,20 @@
     pub demands: Vec<Demand>,
 }
 
+/// A deployment that does not exist.
+#[derive(Debug, Error, PartialEq, Eq)]
+#[error("--deployment {0}: expected one of small, luce, malardalen")]
+pub struct UnknownDeployment(pub String);
+
 impl FromStr for Deployment {
-    type Err = OptionError;
+    type Err = UnknownDeployment;
 
-    fn from_str(name: &str) -> Result<Self, OptionError> {
+    fn from_str(name: &str) -> Result<Self, UnknownDeployment> {
         match name {
             "small" => Ok(small()),
             "luce" => Ok(luce()),
             "malardalen" => Ok(malardalen()),
-            _ => Err(OptionError::Deployment(name.to_owned())),
+            _ => Err(UnknownDeployment(name.to_owned())),
         }
     }
 }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,15 +1,20 @@
 //! Load, history recording and report: what drives a running fleet and judges what it did.
 
 pub mod answer_reader;
+pub mod callers;
 pub mod client;
+pub mod control_bytes;
 pub mod deployment;
 pub mod fairness;
 pub mod history;
 pub mod ini_text;
 pub mod join;
-pub mod options;
+pub mod ledgers;
 pub mod plan;
 pub mod random;
+pub mod recorder;
+pub mod report;
+pub mod run;
 pub mod topology;
 pub mod utilisation;
 pub mod work;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -6,11 +6,19 @@
 
 use pico_args::Arguments;
 use sedgeridge_load::deployment::Deployment;
-use sedgeridge_load::options::Override;
+use sedgeridge_load::report::Report;
+use sedgeridge_load::run;
+use sedgeridge_load::run::RunOptions;
 use sedgeridge_load::topology::Topology;
+use sedgeridge_state::settings::Override;
 
 /// Exit code of a command line that cannot be used.
 const EXIT_USAGE: u8 = 2;
+/// Exit code of a run in which something happened that must never happen.
+const EXIT_VIOLATED: u8 = 1;
+/// Offered load as a multiple of the capacity, when the command line names none.
+const DEFAULT_OVERLOAD: f64 = 1.3;
+const DEFAULT_SEED: u64 = 1;
 /// First port when the command line names none.
 const DEFAULT_PORT_BASE: u16 = 21_000;
 
@@ -20,7 +28,13 @@
 USAGE:
   sedgeridge-load topology --deployment small|luce|malardalen --dir DIR
                   [--routers N] [--port-base P] [--set section.key=value]...
+  sedgeridge-load run --dir DIR --seconds N [--seed S] [--overload F]
+  sedgeridge-load report --dir DIR
   sedgeridge-load --help | --version
+
+EXIT CODES:
+  0 done   1 work was lost, doubled, crossed, truncated, or ran though called not run
+  2 the command line or a file cannot be used
 ";
 
 fn main() -> ExitCode {
@@ -44,6 +58,8 @@
     }
     match args.subcommand()?.as_deref() {
         Some("topology") => topology(args),
+        Some("run") => run_load(args),
+        Some("report") => report(args),
         Some(other) => Err(format!("unknown command {other}; see --help").into()),
         None => Err("no command; see --help".into()),
     }
@@ -56,13 +72,42 @@
         deployment.routers = routers;
     }
     let port_base = args.opt_value_from_str("--port-base")?;
-    let overrides: Vec<Override> = args.values_from_str("--set")?;
+    let overrides = args.values_from_fn("--set", Override::parse)?;
     finish(args)?;
     let port_base = port_base.unwrap_or(DEFAULT_PORT_BASE);
     Topology::new(&deployment, &dir, port_base, &overrides).write(&dir)?;
     Ok(ExitCode::SUCCESS)
 }
 
+fn run_load(mut args: Arguments) -> Result<ExitCode, Box<dyn Error>> {
+    let options = RunOptions {
+        dir: args.value_from_str("--dir")?,
+        seconds: args.value_from_str("--seconds")?,
+        seed: args.opt_value_from_str("--seed")?.unwrap_or(DEFAULT_SEED),
+        overload: args
+            .opt_value_from_str("--overload")?
+            .unwrap_or(DEFAULT_OVERLOAD),
+    };
+    finish(args)?;
+    print_report(&run::run(&options)?)
+}
+
+fn report(mut args: Arguments) -> Result<ExitCode, Box<dyn Error>> {
+    let dir: PathBuf = args.value_from_str("--dir")?;
+    finish(args)?;
+    print_report(&run::report(&dir)?)
+}
+
+/// Prints a table and, as the last line, one JSON object.
+fn print_report(report: &Report) -> Result<ExitCode, Box<dyn Error>> {
+    println!("\n{report}");
+    println!("{}", serde_json::to_string(report)?);
+    if report.counts.violated() {
+        return Ok(ExitCode::from(EXIT_VIOLATED));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn finish(args: Arguments) -> Result<(), Box<dyn Error>> {
     match args.finish().first() {
         Some(extra) => Err(format!("unknown argument {}", extra.display()).into()),
--- /dev/null
+++ b/crates/load/src/run.rs
@@ -0,0 +1,183 @@
+//! One run: load, records of both sides, report.
+
+use std::fs;
+use std::io;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::callers::Callers;
+use crate::client;
+use crate::client::now_us;
+use crate::control_bytes::PeerBytes;
+use crate::control_bytes::PeerRate;
+use crate::history::CallRecord;
+use crate::history::History;
+use crate::history::Span;
+use crate::history::read_lines;
+use crate::history::write_lines;
+use crate::ledgers;
+use crate::ledgers::LedgerError;
+use crate::plan::LOAD_PLAN_FILE;
+use crate::plan::LoadPlan;
+use crate::recorder::Recorder;
+use crate::report::Report;
+use crate::report::RunName;
+
+/// File of the callers' records within a run's directory.
+const CALLS_FILE: &str = "calls.jsonl";
+/// File of the endpoints' records.
+const RUNS_FILE: &str = "runs.jsonl";
+/// File of what is neither.
+const WINDOW_FILE: &str = "window.json";
+/// Part of the sending time that is not judged, because queues are still filling.
+const WARM_UP_SHARE: f64 = 0.2;
+/// Time for cancelled runs to end before ledgers are read.
+const SETTLE: Duration = Duration::from_millis(500);
+
+/// What to run.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RunOptions {
+    /// Directory with the load plan; records go there too.
+    pub dir: PathBuf,
+    /// Time in which load is offered.
+    pub seconds: u64,
+    /// Seed of the load.
+    pub seed: u64,
+    /// Offered load as a multiple of the capacity.
+    pub overload: f64,
+}
+
+/// Why a run gave no report.
+#[derive(Debug, Error)]
+pub enum RunError {
+    /// A file of the run cannot be read or written.
+    #[error("{0}")]
+    File(#[from] io::Error),
+    /// A file of the run is malformed.
+    #[error("{0}")]
+    Json(#[from] serde_json::Error),
+    /// An endpoint's records cannot be read.
+    #[error("{0}")]
+    Ledger(#[from] LedgerError),
+}
+
+/// What is kept of a run beside both histories.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct Window {
+    seconds: u64,
+    seed: u64,
+    fault: Option<String>,
+    sending: Span,
+    payload_per_node_s: Option<f64>,
+    wire_per_node_s: Option<f64>,
+}
+
+/// Loads the fleet, records what both sides saw, and reports.
+pub fn run(options: &RunOptions) -> Result<Report, RunError> {
+    let plan = read_plan(&options.dir)?;
+    let agent = client::agent();
+    let before = PeerBytes::read(&agent, &plan.routers);
+    let start_us = now_us();
+    let calls = load(options, &plan);
+    let sending = Span::new(start_us, start_us + options.seconds * 1_000_000);
+    let after = PeerBytes::read(&agent, &plan.routers);
+    let rate = before.rate_until(&after);
+    write_lines(&options.dir.join(CALLS_FILE), &calls)?;
+    thread::sleep(SETTLE);
+    let runs = ledgers::read_all(&agent, &plan)?;
+    write_lines(&options.dir.join(RUNS_FILE), &runs)?;
+    let window = Window {
+        seconds: options.seconds,
+        seed: options.seed,
+        fault: None,
+        sending,
+        payload_per_node_s: rate.payload_per_node_s,
+        wire_per_node_s: rate.wire_per_node_s,
+    };
+    let text = serde_json::to_string_pretty(&window)?;
+    fs::write(options.dir.join(WINDOW_FILE), text)?;
+    report(&options.dir)
+}
+
+/// Reports on a run from its records.
+pub fn report(dir: &Path) -> Result<Report, RunError> {
+    let plan = read_plan(dir)?;
+    let window: Window = serde_json::from_str(&fs::read_to_string(dir.join(WINDOW_FILE))?)?;
+    let history = History {
+        calls: read_lines(&dir.join(CALLS_FILE))?,
+        runs: read_lines(&dir.join(RUNS_FILE))?,
+        sending: window.sending,
+        steady: steady(window.sending),
+    };
+    let peers = PeerRate {
+        payload_per_node_s: window.payload_per_node_s,
+        wire_per_node_s: window.wire_per_node_s,
+    };
+    let name = RunName {
+        seconds: window.seconds,
+        seed: window.seed,
+        fault: window.fault,
+    };
+    Ok(Report::new(&plan, &history, name, peers))
+}
+
+fn read_plan(dir: &Path) -> Result<LoadPlan, RunError> {
+    let text = fs::read_to_string(dir.join(LOAD_PLAN_FILE))?;
+    Ok(serde_json::from_str(&text)?)
+}
+
+fn steady(sending: Span) -> Span {
+    let warm_up_us = (sending.length_us() as f64 * WARM_UP_SHARE) as u64;
+    Span::new(sending.start_us + warm_up_us, sending.end_us)
+}
+
+fn load(options: &RunOptions, plan: &LoadPlan) -> Vec<CallRecord> {
+    let recorder = Recorder::default();
+    let callers = Callers {
+        plan,
+        agent: client::agent(),
+        recorder: &recorder,
+        seed: options.seed,
+        overload: options.overload,
+        stop_at: Instant::now() + Duration::from_secs(options.seconds),
+    };
+    let done = AtomicBool::new(false);
+    thread::scope(|scope| {
+        scope.spawn(|| print_progress(&recorder, &done));
+        thread::scope(|callers_scope| callers.start(callers_scope));
+        done.store(true, Ordering::Relaxed);
+    });
+    recorder.into_calls()
+}
+
+/// Prints a line a second until load is done.
+fn print_progress(recorder: &Recorder, done: &AtomicBool) {
+    let start = Instant::now();
+    for second in 1.. {
+        let next = start + Duration::from_secs(second);
+        while Instant::now() < next {
+            if done.load(Ordering::Relaxed) {
+                return;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        let now = recorder.progress();
+        println!(
+            "{second:>4} s  sent {}  answered {}  refused {}  other {}  open {}",
+            now.sent,
+            now.whole,
+            now.refused,
+            now.other,
+            now.open()
+        );
+    }
+}
--- a/crates/load/src/topology.rs
+++ b/crates/load/src/topology.rs
@@ -8,6 +8,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use sedgeridge_state::settings::Override;
 use sha2::Digest;
 use sha2::Sha256;
 
@@ -16,7 +17,6 @@
 use crate::deployment::PoolDesign;
 use crate::deployment::ServiceDesign;
 use crate::ini_text::IniText;
-use crate::options::Override;
 use crate::plan::AccountPlan;
 use crate::plan::EndpointPlan;
 use crate::plan::LOAD_PLAN_FILE;
@@ -112,7 +112,7 @@
         };
         topology.write_settings(deployment, &mut addresses);
         for set in overrides {
-            topology.base.set(&set.section, &set.key, &set.value);
+            topology.base.set(&set.section, &set.key, &*set.value);
         }
         topology.read_back_overrides();
         topology.plan_platform();
@@ -170,7 +170,9 @@
             service.repeatable = self.base.get(&section, "repeatable") == Some("true");
         }
         for account in &mut self.load.accounts {
-            let weight = self.base.get(&format!("account.{}", account.name), "weight");
+            let weight = self
+                .base
+                .get(&format!("account.{}", account.name), "weight");
             if let Some(weight) = weight.and_then(|value| value.parse().ok()) {
                 account.weight = weight;
             }
--- a/crates/load/src/work.rs
+++ b/crates/load/src/work.rs
@@ -80,7 +80,10 @@
     let request = ChatRequest {
         model: service.name.clone(),
         messages: vec![
-            message("system", words(&format!("{account}-{prefix}"), PREFIX_WORDS)),
+            message(
+                "system",
+                words(&format!("{account}-{prefix}"), PREFIX_WORDS),
+            ),
             message("user", format!("work {number} {new_words}")),
         ],
         stream: random.happens(STREAM_SHARE),
--- a/crates/load/tests/topology.rs
+++ b/crates/load/tests/topology.rs
@@ -4,14 +4,17 @@
 use std::path::Path;
 
 use sedgeridge_load::deployment::Deployment;
-use sedgeridge_load::options::Override;
 use sedgeridge_load::topology::Topology;
 use sedgeridge_load::topology::sha256_hex;
+use sedgeridge_state::settings::Override;
 use yare::parameterized;
 
 fn topology(name: &str, overrides: &[&str]) -> Topology {
     let deployment: Deployment = name.parse().expect("known deployment");
-    let overrides: Vec<Override> = overrides.iter().map(|o| o.parse().unwrap()).collect();
+    let overrides: Vec<Override> = overrides
+        .iter()
+        .map(|o| Override::parse(o).unwrap())
+        .collect();
     Topology::new(&deployment, Path::new("run/test"), 21_000, &overrides)
 }
 
@@ -77,13 +80,3 @@
     );
     assert_eq!(topology.load.output_token_factor, 7);
 }
-
-#[parameterized(
-    no_value = { "fair.order" },
-    no_section = { "order=fifo" },
-    empty_key = { "fair.=fifo" },
-    empty_section = { ".order=fifo" },
-)]
-fn refuses_a_malformed_override(text: &str) {
-    assert!(text.parse::<Override>().is_err());
-}
