--- a/crates/load/src/callers.rs
+++ b/crates/load/src/callers.rs
@@ -11,6 +11,7 @@
 
 use crate::client;
 use crate::client::Call;
+use crate::faults::POISON;
 use crate::history::CallRecord;
 use crate::history::Ending;
 use crate::history::Outcome;
@@ -18,6 +19,7 @@
 use crate::plan::Demand;
 use crate::plan::LoadPlan;
 use crate::plan::Pace;
+use crate::plan::PoolKind;
 use crate::plan::ServicePlan;
 use crate::random::Random;
 use crate::recorder::Recorder;
@@ -40,6 +42,10 @@
 const NUMBERS_PER_CALLER: u64 = 1 << 24;
 /// How far apart callers start, so that they do not all arrive at once.
 const START_SPREAD_MS: u64 = 200;
+/// Number of the caller who sends poison; others count from 0.
+const POISON_CALLER: u64 = 1 << 20;
+/// Time between two calls with the same poison.
+const POISON_INTERVAL: Duration = Duration::from_millis(500);
 
 /// What all callers share.
 #[derive(Debug)]
@@ -215,17 +221,33 @@
             match next_step(&record) {
                 NextStep::Done => return,
                 NextStep::OtherRouter => router = (router + 1) % routers,
-                NextStep::ComeBack => {
-                    if !self.sending() {
-                        return;
-                    }
-                }
+                NextStep::ComeBack if !self.sending() => return,
+                NextStep::ComeBack => {}
             }
             let wait = retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
             thread::sleep(wait.min(MAX_RETRY_AFTER));
         }
     }
 
+    /// Sends one poisoned request again and again until the end of sending.
+    pub fn send_poison(&self) {
+        let models = self.plan.services.iter();
+        let mut models = models.filter(|s| s.kind == PoolKind::Model && s.repeatable);
+        let (Some(service), Some(account)) = (models.next(), self.plan.accounts.last()) else {
+            return;
+        };
+        let mut caller = self.caller(POISON_CALLER, account, service);
+        let number = caller.first_number;
+        let work = work::draw_poisoned(&mut caller.random, number, &account.name, service, POISON);
+        let mut attempt = 0;
+        while self.sending() {
+            let router = attempt % self.plan.routers.len();
+            attempt += 1;
+            self.call(&caller, &work, &attempt.to_string(), router, false);
+            self.sleep(POISON_INTERVAL);
+        }
+    }
+
     fn call(
         &self,
         caller: &Caller<'a>,
--- a/crates/load/src/client.rs
+++ b/crates/load/src/client.rs
@@ -81,8 +81,9 @@
         record: blank_record(call),
         retry_after: None,
     };
-    if let Ok(response) = send(agent, call) {
-        take_response(&mut result, response, call);
+    match send(agent, call) {
+        Ok(response) => take_response(&mut result, response, call),
+        Err(error) => result.record.reason = Some(error.to_string()),
     }
     result.record.ended_at_us = now_us();
     result
--- a/crates/load/src/history.rs
+++ b/crates/load/src/history.rs
@@ -114,7 +114,7 @@
     pub status: Option<u16>,
     /// Outcome told by the fleet, if any came.
     pub outcome: Option<Outcome>,
-    /// Reason of a refusal.
+    /// Reason of a refusal, or error of a call that got no response.
     pub reason: Option<String>,
     /// How the call ended.
     pub ending: Ending,
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -3,9 +3,14 @@
 use std::error::Error;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use pico_args::Arguments;
 use sedgeridge_load::deployment::Deployment;
+use sedgeridge_load::faults::FaultName;
+use sedgeridge_load::plan::LoadPlan;
+use sedgeridge_load::ready;
+use sedgeridge_load::ready::Stage;
 use sedgeridge_load::report::Report;
 use sedgeridge_load::run;
 use sedgeridge_load::run::RunOptions;
@@ -19,6 +24,7 @@
 /// Offered load as a multiple of the capacity, when the command line names none.
 const DEFAULT_OVERLOAD: f64 = 1.3;
 const DEFAULT_SEED: u64 = 1;
+const DEFAULT_READY_SECONDS: u64 = 15;
 /// First port when the command line names none.
 const DEFAULT_PORT_BASE: u16 = 21_000;
 
@@ -27,7 +33,8 @@
 
 USAGE:
   sedgeridge-load topology --deployment small|luce|malardalen --dir DIR
-                  [--routers N] [--port-base P] [--set section.key=value]...
+                  [--routers N] [--port-base P] [--fault NAME] [--set section.key=value]...
+  sedgeridge-load wait-ready --dir DIR --stage stand-ins|routers [--seconds N]
   sedgeridge-load run --dir DIR --seconds N [--seed S] [--overload F]
   sedgeridge-load report --dir DIR
   sedgeridge-load --help | --version
@@ -58,6 +65,7 @@
     }
     match args.subcommand()?.as_deref() {
         Some("topology") => topology(args),
+        Some("wait-ready") => wait_ready(args),
         Some("run") => run_load(args),
         Some("report") => report(args),
         Some(other) => Err(format!("unknown command {other}; see --help").into()),
@@ -72,13 +80,30 @@
         deployment.routers = routers;
     }
     let port_base = args.opt_value_from_str("--port-base")?;
+    let fault: Option<FaultName> = args.opt_value_from_str("--fault")?;
     let overrides = args.values_from_fn("--set", Override::parse)?;
     finish(args)?;
     let port_base = port_base.unwrap_or(DEFAULT_PORT_BASE);
-    Topology::new(&deployment, &dir, port_base, &overrides).write(&dir)?;
+    let mut topology = Topology::new(&deployment, &dir, port_base, &overrides);
+    topology.load.fault = fault;
+    topology.write(&dir)?;
     Ok(ExitCode::SUCCESS)
 }
 
+fn wait_ready(mut args: Arguments) -> Result<ExitCode, Box<dyn Error>> {
+    let dir: PathBuf = args.value_from_str("--dir")?;
+    let stage: Stage = args.value_from_str("--stage")?;
+    let seconds = args.opt_value_from_str("--seconds")?;
+    finish(args)?;
+    let timeout = Duration::from_secs(seconds.unwrap_or(DEFAULT_READY_SECONDS));
+    let missing = ready::wait(&LoadPlan::read(&dir)?, stage, timeout);
+    if missing.is_empty() {
+        return Ok(ExitCode::SUCCESS);
+    }
+    let seconds = timeout.as_secs();
+    Err(format!("not ready within {seconds} s: {}", missing.join(", ")).into())
+}
+
 fn run_load(mut args: Arguments) -> Result<ExitCode, Box<dyn Error>> {
     let options = RunOptions {
         dir: args.value_from_str("--dir")?,
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -1,10 +1,15 @@
 //! What the load needs to know of a running deployment, kept in `load.json`.
 
+use std::fs;
+use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::faults::FaultName;
+
 /// File of the [`LoadPlan`] within a run's directory.
 pub const LOAD_PLAN_FILE: &str = "load.json";
 
@@ -25,9 +30,17 @@
     pub accounts: Vec<AccountPlan>,
     /// The table service.
     pub table_address: SocketAddr,
+    /// Fault to bring about.
+    pub fault: Option<FaultName>,
 }
 
 impl LoadPlan {
+    /// Reads the plan of a run from its directory.
+    pub fn read(dir: &Path) -> io::Result<Self> {
+        let text = fs::read_to_string(dir.join(LOAD_PLAN_FILE))?;
+        Ok(serde_json::from_str(&text)?)
+    }
+
     /// What the endpoints of a pool speak.
     pub fn pool_kind(&self, pool: &str) -> PoolKind {
         let service = self.services.iter().find(|s| s.pool == pool);
--- /dev/null
+++ b/crates/load/src/ready.rs
@@ -0,0 +1,76 @@
+//! Waits until the processes of a run can take work.
+
+use std::str::FromStr;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use thiserror::Error;
+
+use crate::client;
+use crate::plan::LoadPlan;
+use crate::plan::RouterPlan;
+use crate::processes::listens;
+
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+const READY_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Which processes to wait for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// The platform and the endpoints.
+    StandIns,
+    /// The routers.
+    Routers,
+}
+
+/// A stage that does not exist.
+#[derive(Debug, Error, PartialEq, Eq)]
+#[error("--stage {0}: expected stand-ins or routers")]
+pub struct UnknownStage(pub String);
+
+impl FromStr for Stage {
+    type Err = UnknownStage;
+
+    fn from_str(name: &str) -> Result<Self, UnknownStage> {
+        match name {
+            "stand-ins" => Ok(Self::StandIns),
+            "routers" => Ok(Self::Routers),
+            _ => Err(UnknownStage(name.to_owned())),
+        }
+    }
+}
+
+/// Waits for a stage; gives the names of those that are not ready in time.
+pub fn wait(plan: &LoadPlan, stage: Stage, timeout: Duration) -> Vec<String> {
+    let give_up = Instant::now() + timeout;
+    loop {
+        let missing = not_ready(plan, stage);
+        if missing.is_empty() || Instant::now() >= give_up {
+            return missing;
+        }
+        thread::sleep(POLL_INTERVAL);
+    }
+}
+
+fn not_ready(plan: &LoadPlan, stage: Stage) -> Vec<String> {
+    match stage {
+        Stage::StandIns => {
+            let endpoints = plan.endpoints.iter().map(|e| (e.name.clone(), e.address));
+            let all = endpoints.chain([("table".to_owned(), plan.table_address)]);
+            let silent = all.filter(|(_, address)| !listens(*address));
+            silent.map(|(name, _)| name).collect()
+        }
+        Stage::Routers => {
+            let waiting = plan.routers.iter().filter(|router| !is_ready(router));
+            waiting.map(|router| router.name.clone()).collect()
+        }
+    }
+}
+
+fn is_ready(router: &RouterPlan) -> bool {
+    let url = format!("http://{}/readyz", router.operator_address);
+    let request = client::agent().get(url).config();
+    let request = request.timeout_global(Some(READY_TIMEOUT)).build();
+    request.call().is_ok_and(|answer| answer.status() == 200)
+}
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -19,6 +19,9 @@
 use crate::client::now_us;
 use crate::control_bytes::PeerBytes;
 use crate::control_bytes::PeerRate;
+use crate::faults;
+use crate::faults::FaultName;
+use crate::faults::Saboteur;
 use crate::history::CallRecord;
 use crate::history::History;
 use crate::history::Span;
@@ -26,8 +29,8 @@
 use crate::history::write_lines;
 use crate::ledgers;
 use crate::ledgers::LedgerError;
-use crate::plan::LOAD_PLAN_FILE;
 use crate::plan::LoadPlan;
+use crate::processes::Processes;
 use crate::recorder::Recorder;
 use crate::report::Report;
 use crate::report::RunName;
@@ -75,7 +78,6 @@
 struct Window {
     seconds: u64,
     seed: u64,
-    fault: Option<String>,
     sending: Span,
     payload_per_node_s: Option<f64>,
     wire_per_node_s: Option<f64>,
@@ -83,11 +85,11 @@
 
 /// Loads the fleet, records what both sides saw, and reports.
 pub fn run(options: &RunOptions) -> Result<Report, RunError> {
-    let plan = read_plan(&options.dir)?;
+    let plan = LoadPlan::read(&options.dir)?;
     let agent = client::agent();
     let before = PeerBytes::read(&agent, &plan.routers);
     let start_us = now_us();
-    let calls = load(options, &plan);
+    let calls = load(options, &plan)?;
     let sending = Span::new(start_us, start_us + options.seconds * 1_000_000);
     let after = PeerBytes::read(&agent, &plan.routers);
     let rate = before.rate_until(&after);
@@ -98,7 +100,6 @@
     let window = Window {
         seconds: options.seconds,
         seed: options.seed,
-        fault: None,
         sending,
         payload_per_node_s: rate.payload_per_node_s,
         wire_per_node_s: rate.wire_per_node_s,
@@ -110,7 +111,7 @@
 
 /// Reports on a run from its records.
 pub fn report(dir: &Path) -> Result<Report, RunError> {
-    let plan = read_plan(dir)?;
+    let plan = LoadPlan::read(dir)?;
     let window: Window = serde_json::from_str(&fs::read_to_string(dir.join(WINDOW_FILE))?)?;
     let history = History {
         calls: read_lines(&dir.join(CALLS_FILE))?,
@@ -125,38 +126,54 @@
     let name = RunName {
         seconds: window.seconds,
         seed: window.seed,
-        fault: window.fault,
+        fault: plan.fault.map(|fault| fault.to_string()),
     };
     Ok(Report::new(&plan, &history, name, peers))
 }
 
-fn read_plan(dir: &Path) -> Result<LoadPlan, RunError> {
-    let text = fs::read_to_string(dir.join(LOAD_PLAN_FILE))?;
-    Ok(serde_json::from_str(&text)?)
-}
-
 fn steady(sending: Span) -> Span {
     let warm_up_us = (sending.length_us() as f64 * WARM_UP_SHARE) as u64;
     Span::new(sending.start_us + warm_up_us, sending.end_us)
 }
 
-fn load(options: &RunOptions, plan: &LoadPlan) -> Vec<CallRecord> {
+fn load(options: &RunOptions, plan: &LoadPlan) -> io::Result<Vec<CallRecord>> {
     let recorder = Recorder::default();
+    let start = Instant::now();
+    let sending = Duration::from_secs(options.seconds);
     let callers = Callers {
         plan,
         agent: client::agent(),
         recorder: &recorder,
         seed: options.seed,
         overload: options.overload,
-        stop_at: Instant::now() + Duration::from_secs(options.seconds),
+        stop_at: start + sending,
+    };
+    let saboteur = Saboteur {
+        plan,
+        processes: Processes::new(&options.dir),
+        agent: client::agent(),
+        start,
+        sending,
     };
+    let steps = plan.fault.map(|fault| faults::steps(fault, plan, sending));
     let done = AtomicBool::new(false);
     thread::scope(|scope| {
         scope.spawn(|| print_progress(&recorder, &done));
-        thread::scope(|callers_scope| callers.start(callers_scope));
+        thread::scope(|load_scope| {
+            callers.start(load_scope);
+            if let Some(steps) = &steps {
+                load_scope.spawn(|| saboteur.carry_out(steps));
+            }
+            if plan.fault == Some(FaultName::Poison) {
+                load_scope.spawn(|| callers.send_poison());
+            }
+        });
         done.store(true, Ordering::Relaxed);
     });
-    recorder.into_calls()
+    if plan.fault.is_some() {
+        saboteur.revive_endpoints()?;
+    }
+    Ok(recorder.into_calls())
 }
 
 /// Prints a line a second until load is done.
--- a/crates/load/src/topology.rs
+++ b/crates/load/src/topology.rs
@@ -116,7 +116,7 @@
         }
         topology.read_back_overrides();
         topology.plan_platform();
-        topology.plan_endpoints();
+        topology.plan_endpoints(dir);
         topology.plan_routers(deployment, dir);
         topology
     }
@@ -187,13 +187,13 @@
         });
     }
 
-    fn plan_endpoints(&mut self) {
+    fn plan_endpoints(&mut self, dir: &Path) {
         for endpoint in &self.load.endpoints {
             let kind = self.load.pool_kind(&endpoint.pool);
             self.processes.push(ProcessPlan {
                 name: endpoint.name.clone(),
                 program: "sedgeridge-standins",
-                args: endpoint_args(endpoint, kind),
+                args: endpoint_args(endpoint, kind, dir),
             });
         }
     }
@@ -260,6 +260,7 @@
         services: service_plans(deployment),
         accounts: account_plans(deployment),
         table_address,
+        fault: None,
     }
 }
 
@@ -303,7 +304,7 @@
     }
 }
 
-fn endpoint_args(endpoint: &EndpointPlan, kind: PoolKind) -> Vec<String> {
+fn endpoint_args(endpoint: &EndpointPlan, kind: PoolKind, dir: &Path) -> Vec<String> {
     let EndpointPlan {
         name,
         address,
@@ -313,12 +314,14 @@
     let own = match kind {
         PoolKind::Model => format!(
             "engine --token-ms {TOKEN_MS} --prefill-us-per-token {PREFILL_US_PER_TOKEN} \
-             --report-lag-ms {REPORT_LAG_MS} --prefix-cache-tokens {PREFIX_CACHE_TOKENS}"
+             --prefix-cache-tokens {PREFIX_CACHE_TOKENS}"
         ),
         PoolKind::Plain => format!("plain --service-ms {SERVICE_MS}"),
     };
+    let dir = dir.display();
     words(&format!(
-        "{own} --listen {address} --name {name} --slots {slots}"
+        "{own} --listen {address} --name {name} --slots {slots} \
+         --report-lag-ms {REPORT_LAG_MS} --ledger-file {dir}/ledger-{name}.jsonl"
     ))
 }
 
--- a/crates/load/src/work.rs
+++ b/crates/load/src/work.rs
@@ -61,41 +61,58 @@
 pub fn draw(random: &mut Random, number: u64, account: &str, service: &ServicePlan) -> Work {
     let idempotency_key = (!service.repeatable).then(|| format!("key-{number}"));
     match service.kind {
-        PoolKind::Model => model_work(random, number, account, service, idempotency_key),
+        PoolKind::Model => {
+            let request = chat_request(random, account, service, &format!("work {number}"));
+            model_work(number, &request, idempotency_key)
+        }
         PoolKind::Plain => plain_work(random, number, account, service, idempotency_key),
     }
 }
 
-fn model_work(
+/// Draws a piece of model work whose request holds a text that crashes engines.
+pub fn draw_poisoned(
     random: &mut Random,
     number: u64,
     account: &str,
     service: &ServicePlan,
-    idempotency_key: Option<String>,
+    poison: &str,
 ) -> Work {
+    let request = chat_request(random, account, service, &format!("{poison} {number}"));
+    model_work(number, &request, None)
+}
+
+fn chat_request(
+    random: &mut Random,
+    account: &str,
+    service: &ServicePlan,
+    subject: &str,
+) -> ChatRequest {
     let prefix = random.between(1, PREFIXES_PER_ACCOUNT);
     let (least, most) = NEW_WORDS;
     let new_words = words("word", random.between(least, most));
     let (least, most) = MAX_TOKENS;
-    let request = ChatRequest {
+    ChatRequest {
         model: service.name.clone(),
         messages: vec![
             message(
                 "system",
                 words(&format!("{account}-{prefix}"), PREFIX_WORDS),
             ),
-            message("user", format!("work {number} {new_words}")),
+            message("user", format!("{subject} {new_words}")),
         ],
         stream: random.happens(STREAM_SHARE),
         max_tokens: Some(random.between(least, most) as u32),
-    };
+    }
+}
+
+fn model_work(number: u64, request: &ChatRequest, idempotency_key: Option<String>) -> Work {
     Work {
         number,
         path: CHAT_PATH.to_owned(),
-        body: serde_json::to_string(&request).expect("a chat request is plain JSON"),
+        body: serde_json::to_string(request).expect("a chat request is plain JSON"),
         stream: request.stream,
         kind: PoolKind::Model,
-        answer: answer::answer_text(&request),
+        answer: answer::answer_text(request),
         idempotency_key,
     }
 }
