--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -12,14 +12,34 @@
 pub mod node;
 pub mod refusal;
 
+pub mod account_ceilings;
+pub mod breaker;
 pub mod claims;
 pub mod config_adoption;
+pub mod drain_rate;
 pub mod endpoint_health;
+pub mod fair_order;
+pub mod home_counters;
 pub mod lease;
 pub mod limits;
 pub mod membership;
 pub mod pool_home;
 pub mod pool_messages;
+pub mod service_ledger;
+
+mod account_table;
+mod demand_table;
+mod entry_record;
+mod entry_table;
+mod grant_slots;
+mod home_events;
+mod prefix_affinity;
+mod report_apply;
+mod report_check;
+mod slot_table;
+
 pub mod quarantine;
+pub mod random;
 pub mod rendezvous;
 pub mod retry_budget;
+pub mod slot_budget;
--- a/crates/transport/src/front_request.rs
+++ b/crates/transport/src/front_request.rs
@@ -116,7 +116,7 @@
     let service = &read.service.service;
     if !service.repeatable && idempotency_key.is_none() {
         let detail = format!("service {} needs the header Idempotency-Key", service.id);
-        return Err(bad(RefusalReason::KeyRequired, detail));
+        return Err(bad(RefusalReason::KeyMissing, detail));
     }
     let content_type = text_header(&parts.headers, http::header::CONTENT_TYPE.as_str())?;
     let arrival = Arrival {
