--- a/crates/load/src/fairness.rs
+++ b/crates/load/src/fairness.rs
@@ -186,11 +186,7 @@
 /// Collects demand and service of every account in every pool.
 pub fn pool_accounts(plan: &LoadPlan, history: &History) -> Vec<PoolAccount> {
     let waiting = waiting_spans(history);
-    let pool_of: HashMap<&str, &str> = plan
-        .endpoints
-        .iter()
-        .map(|e| (e.name.as_str(), e.pool.as_str()))
-        .collect();
+    let runs = runs_by_pool_account(plan, history);
     let mut pools: Vec<&str> = plan.services.iter().map(|s| s.pool.as_str()).collect();
     pools.sort_unstable();
     pools.dedup();
@@ -198,20 +194,43 @@
         .iter()
         .flat_map(|pool| plan.accounts.iter().map(move |account| (*pool, account)));
     let collect = |(pool, account): (&str, &AccountPlan)| {
-        let runs = history.runs.iter().filter(|run| {
-            run.account == account.name && pool_of.get(run.endpoint.as_str()) == Some(&pool)
-        });
-        let now_us = history.sending.end_us;
+        let runs = runs.get(&(pool, account.name.as_str()));
+        let runs = runs.into_iter().flatten().copied();
         PoolAccount {
             account: account.name.clone(),
             pool: pool.to_owned(),
             backlogged: backlogged(plan, &waiting, pool, &account.name),
-            served: ServiceCurve::new(runs, account.weight, now_us),
+            served: ServiceCurve::new(runs, account.weight, history.sending.end_us),
         }
     };
     both.map(collect).collect()
 }
 
+/// A run belongs to the account whose caller sent it, whatever its endpoint was told.
+fn runs_by_pool_account<'a>(
+    plan: &'a LoadPlan,
+    history: &'a History,
+) -> HashMap<(&'a str, &'a str), Vec<&'a RunRecord>> {
+    let calls = history.calls.iter();
+    let callers: HashMap<&str, &str> = calls
+        .map(|call| (call.request_id.as_str(), call.account.as_str()))
+        .collect();
+    let endpoints = plan.endpoints.iter();
+    let pools: HashMap<&str, &str> = endpoints
+        .map(|endpoint| (endpoint.name.as_str(), endpoint.pool.as_str()))
+        .collect();
+    let mut runs: HashMap<(&str, &str), Vec<&RunRecord>> = HashMap::new();
+    for run in &history.runs {
+        let Some(pool) = pools.get(run.endpoint.as_str()) else {
+            continue;
+        };
+        let caller = callers.get(run.request_id.as_str());
+        let account = caller.copied().unwrap_or(&run.account);
+        runs.entry((*pool, account)).or_default().push(run);
+    }
+    runs
+}
+
 fn backlogged(
     plan: &LoadPlan,
     waiting: &[(&CallRecord, Span)],
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -23,6 +23,8 @@
 
 /// Significant digits of recorded times.
 const TIME_DIGITS: u8 = 3;
+/// Longest time told apart; longer ones count as this.
+const LONGEST_TIME_US: u64 = 600_000_000;
 
 /// Everything that one run showed. A figure that was not measured is `null`.
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -166,7 +168,8 @@
 }
 
 fn first_token_times(history: &History, chosen: impl Fn(&CallRecord) -> bool) -> Histogram<u64> {
-    let mut times = Histogram::new(TIME_DIGITS).expect("three digits are in range");
+    let times = Histogram::new_with_bounds(1, LONGEST_TIME_US, TIME_DIGITS);
+    let mut times = times.expect("bounds and digits are in range");
     let calls = history.calls.iter().filter(|call| chosen(call));
     for call in calls.filter(|call| call.ending == Ending::Whole) {
         if let Some(first_us) = call.first_token_at_us {
--- a/crates/load/tests/fairness.rs
+++ b/crates/load/tests/fairness.rs
@@ -118,3 +118,19 @@
     let error = weight_error_percent(&accounts, history.steady).expect("both waited throughout");
     assert!((error - 20.0).abs() < 1e-6, "{error}");
 }
+
+/// The endpoint was told another account, or none; the caller knows who asked.
+#[test]
+fn a_run_belongs_to_the_account_of_its_caller() {
+    let served = CallRecord {
+        account: "c".to_owned(),
+        ..call("r1", 3)
+    };
+    let calls = vec![waits("a", 1, 0, 1_000), waits("c", 2, 0, 1_000), served];
+    let mislabelled = RunRecord {
+        output_charge_tokens: 80,
+        account: String::new(),
+        ..run("r1", 100, 200)
+    };
+    assert!((gap(calls, vec![mislabelled]) - 80.0).abs() < 1e-6);
+}
