--- /dev/null
+++ b/crates/cli/src/config_reference.rs
@@ -0,0 +1,14 @@
+//! `config reference`: prints the reference page of all settings.
+
+use pico_args::Arguments;
+use sedgeridge_state::settings::reference::page;
+
+use crate::arguments::finish;
+use crate::context::Context;
+use crate::error::CommandError;
+
+/// Runs the command.
+pub fn run(arguments: &mut Arguments, _context: &Context) -> Result<String, CommandError> {
+    finish(arguments)?;
+    Ok(page())
+}
--- /dev/null
+++ b/crates/cli/src/dispatch.rs
@@ -0,0 +1,59 @@
+//! Picks the command.
+
+use pico_args::Arguments;
+
+use crate::accounts_list;
+use crate::config_check;
+use crate::config_reference;
+use crate::config_show;
+use crate::context::Context;
+use crate::error::CommandError;
+use crate::help::HELP;
+use crate::sites;
+
+/// Runs the command that the arguments name and gives the text to print.
+///
+/// ```
+/// use pico_args::Arguments;
+/// use sedgeridge_cli::context::Context;
+/// use sedgeridge_cli::dispatch::dispatch;
+/// let arguments = Arguments::from_vec(vec!["--version".into()]);
+/// assert!(dispatch(arguments, &Context::system()).unwrap().starts_with("sedgeridge "));
+/// ```
+pub fn dispatch(mut arguments: Arguments, context: &Context) -> Result<String, CommandError> {
+    if arguments.contains(["-h", "--help"]) {
+        return Ok(HELP.to_owned());
+    }
+    if arguments.contains(["-V", "--version"]) {
+        return Ok(format!("sedgeridge {}\n", env!("CARGO_PKG_VERSION")));
+    }
+    let group = arguments.subcommand()?.unwrap_or_default();
+    let arguments = &mut arguments;
+    match group.as_str() {
+        "" => Err(CommandError::Usage("expected a command".into())),
+        "accounts" => accounts(arguments, context),
+        "config" => config(arguments, context),
+        "sites" => sites::run(arguments, context),
+        other => Err(unknown(other)),
+    }
+}
+
+fn accounts(arguments: &mut Arguments, context: &Context) -> Result<String, CommandError> {
+    match arguments.subcommand()?.unwrap_or_default().as_str() {
+        "list" => accounts_list::run(arguments, context),
+        other => Err(unknown(&format!("accounts {other}"))),
+    }
+}
+
+fn config(arguments: &mut Arguments, context: &Context) -> Result<String, CommandError> {
+    match arguments.subcommand()?.unwrap_or_default().as_str() {
+        "check" => config_check::run(arguments, context),
+        "reference" => config_reference::run(arguments, context),
+        "show" => config_show::run(arguments, context),
+        other => Err(unknown(&format!("config {other}"))),
+    }
+}
+
+fn unknown(command: &str) -> CommandError {
+    CommandError::Usage(format!("unknown command `{}`", command.trim_end()))
+}
--- /dev/null
+++ b/crates/cli/src/findings.rs
@@ -0,0 +1,46 @@
+//! Findings in settings as JSON.
+
+use sedgeridge_state::settings::SettingsError;
+use serde::Serialize;
+
+use crate::arguments::to_json;
+
+#[derive(Debug, Serialize)]
+struct Report<'a> {
+    ok: bool,
+    errors: Vec<Finding<'a>>,
+}
+
+#[derive(Debug, Serialize)]
+struct Finding<'a> {
+    file: &'a str,
+    line: usize,
+    section: &'a str,
+    key: &'a str,
+    message: String,
+    hint: Option<&'a str>,
+}
+
+/// Reports settings that were accepted.
+pub(crate) fn acceptance_json() -> String {
+    to_json(&Report {
+        ok: true,
+        errors: Vec::new(),
+    })
+}
+
+/// Reports every finding in refused settings.
+pub(crate) fn refusal_json(findings: &[SettingsError]) -> String {
+    let errors = findings.iter().map(|finding| Finding {
+        file: &finding.file,
+        line: finding.line,
+        section: &finding.section,
+        key: &finding.key,
+        message: finding.problem.to_string(),
+        hint: finding.hint.as_deref(),
+    });
+    to_json(&Report {
+        ok: false,
+        errors: errors.collect(),
+    })
+}
--- a/crates/state/src/settings.rs
+++ b/crates/state/src/settings.rs
@@ -5,6 +5,7 @@
 
 mod assemble;
 mod checks;
+pub mod effective;
 pub mod error;
 mod layers;
 mod lines;
--- a/crates/state/src/settings/layers.rs
+++ b/crates/state/src/settings/layers.rs
@@ -36,10 +36,12 @@
     pub(super) line: usize,
 }
 
-/// A value and where it was written; `value` is empty when it was refused.
+/// A value and where it was written; `value` is empty when it was refused or stays unset.
 #[derive(Debug)]
 pub(super) struct Entry {
+    /// The section's own place for a default.
     pub(super) place: Place,
+    pub(super) is_default: bool,
     pub(super) value: Option<Value>,
 }
 
@@ -190,7 +192,11 @@
                 None
             }
         };
-        let entry = Entry { place, value };
+        let entry = Entry {
+            place,
+            is_default: false,
+            value,
+        };
         self.sections[position].entries.insert(key.name, entry);
     }
 
@@ -241,6 +247,7 @@
     };
     Some(Entry {
         place: place.clone(),
+        is_default: true,
         value,
     })
 }
--- a/crates/state/src/settings/load.rs
+++ b/crates/state/src/settings/load.rs
@@ -75,6 +75,11 @@
 /// assert_eq!(load_layers(&layers).unwrap().front.max_queue, 512);
 /// ```
 pub fn load_layers(layers: &Layers<'_>) -> Result<Settings, Vec<SettingsError>> {
+    merge(layers).map(|merged| assemble(&merged))
+}
+
+/// Merges and checks all layers.
+pub(super) fn merge(layers: &Layers<'_>) -> Result<Merged, Vec<SettingsError>> {
     let mut merged = Merged::default();
     let base_file: Arc<str> = layers.base.name.into();
     add_text(&mut merged, LayerRole::Base, layers.base);
@@ -89,7 +94,7 @@
     merged.fill_in(&base_file);
     check_relations(&mut merged);
     if merged.errors.is_empty() {
-        return Ok(assemble(&merged));
+        return Ok(merged);
     }
     let overlay_name = layers.overlay.map(|overlay| overlay.name);
     let mut errors = merged.errors;
--- a/crates/state/src/settings/value.rs
+++ b/crates/state/src/settings/value.rs
@@ -1,5 +1,6 @@
 //! Turns the text of one value into a typed value, or says what was expected.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -22,6 +23,18 @@
     Address(SocketAddr),
 }
 
+impl fmt::Display for Value {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Whole(number) => write!(f, "{number}"),
+            Self::Flag(true) => f.write_str("yes"),
+            Self::Flag(false) => f.write_str("no"),
+            Self::Text(text) => f.write_str(text),
+            Self::Address(address) => write!(f, "{address}"),
+        }
+    }
+}
+
 /// What is wrong with a value, and a hint.
 pub(super) type Rejection = (Problem, Option<String>);
 
--- a/crates/transport/src/settings_files.rs
+++ b/crates/transport/src/settings_files.rs
@@ -10,6 +10,8 @@
 use sedgeridge_state::settings::Settings;
 use sedgeridge_state::settings::SettingsError;
 use sedgeridge_state::settings::Source;
+use sedgeridge_state::settings::effective::EffectiveSettings;
+use sedgeridge_state::settings::effective::effective;
 use sedgeridge_state::settings::load_layers;
 use thiserror::Error;
 
@@ -44,6 +46,79 @@
     }
 }
 
+/// The texts of a base file and an overlay, as read.
+#[derive(Debug)]
+pub struct SettingsTexts {
+    base: NamedText,
+    overlay: Option<NamedText>,
+}
+
+#[derive(Debug)]
+struct NamedText {
+    name: String,
+    text: String,
+}
+
+impl SettingsTexts {
+    /// Reads the base file, and the overlay if there is one.
+    ///
+    /// ```
+    /// use std::path::Path;
+    /// use sedgeridge_transport::settings_files::SettingsTexts;
+    /// assert!(SettingsTexts::read(Path::new("no-such.ini"), None).is_err());
+    /// ```
+    pub fn read(base: &Path, overlay: Option<&Path>) -> Result<Self, ReadSettingsError> {
+        Ok(Self {
+            base: read(base)?,
+            overlay: overlay.map(read).transpose()?,
+        })
+    }
+
+    /// Loads the texts, with the overrides above both.
+    ///
+    /// ```no_run
+    /// use std::path::Path;
+    /// use sedgeridge_transport::settings_files::SettingsTexts;
+    /// let texts = SettingsTexts::read(Path::new("base.ini"), None).unwrap();
+    /// let settings = texts.load(&[]).unwrap();
+    /// ```
+    pub fn load(&self, overrides: &[Override]) -> Result<Settings, ReadSettingsError> {
+        load_layers(&self.layers(overrides)).map_err(ReadSettingsError::Refused)
+    }
+
+    /// Writes out every setting in force with its origin.
+    ///
+    /// ```no_run
+    /// use std::path::Path;
+    /// use sedgeridge_transport::settings_files::SettingsTexts;
+    /// let texts = SettingsTexts::read(Path::new("base.ini"), None).unwrap();
+    /// println!("{}", texts.effective(&[]).unwrap());
+    /// ```
+    pub fn effective(
+        &self,
+        overrides: &[Override],
+    ) -> Result<EffectiveSettings, ReadSettingsError> {
+        effective(&self.layers(overrides)).map_err(ReadSettingsError::Refused)
+    }
+
+    fn layers<'a>(&'a self, overrides: &'a [Override]) -> Layers<'a> {
+        Layers {
+            base: self.base.source(),
+            overlay: self.overlay.as_ref().map(NamedText::source),
+            overrides,
+        }
+    }
+}
+
+impl NamedText {
+    fn source(&self) -> Source<'_> {
+        Source {
+            text: &self.text,
+            name: &self.name,
+        }
+    }
+}
+
 /// Reads and loads the base file, the overlay if there is one, and the overrides above both.
 ///
 /// Displaying the error gives every finding with file, line, key and hint.
@@ -58,21 +133,7 @@
     overlay_path: Option<&Path>,
     overrides: &[Override],
 ) -> Result<Settings, ReadSettingsError> {
-    let base_text = read(base_path)?;
-    let base_name = base_path.display().to_string();
-    let overlay = match overlay_path {
-        Some(path) => Some((read(path)?, path.display().to_string())),
-        None => None,
-    };
-    let layers = Layers {
-        base: Source {
-            text: &base_text,
-            name: &base_name,
-        },
-        overlay: overlay.as_ref().map(|(text, name)| Source { text, name }),
-        overrides,
-    };
-    load_layers(&layers).map_err(ReadSettingsError::Refused)
+    SettingsTexts::read(base_path, overlay_path)?.load(overrides)
 }
 
 /// Names the overlay of a site: `site-NAME.ini` beside the base file.
@@ -87,10 +148,14 @@
     base_path.with_file_name(format!("site-{site}.ini"))
 }
 
-fn read(path: &Path) -> Result<String, ReadSettingsError> {
-    fs::read_to_string(path).map_err(|cause| ReadSettingsError::Unreadable {
+fn read(path: &Path) -> Result<NamedText, ReadSettingsError> {
+    let text = fs::read_to_string(path).map_err(|cause| ReadSettingsError::Unreadable {
         path: path.to_owned(),
         cause,
+    })?;
+    Ok(NamedText {
+        name: path.display().to_string(),
+        text,
     })
 }
 
