--- a/crates/state/src/settings/value.rs
+++ b/crates/state/src/settings/value.rs
@@ -1,7 +1,9 @@
 //! Turns the text of one value into a typed value, or says what was expected.
 
 use std::fmt;
+use std::net::IpAddr;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 
 use super::error::Problem;
@@ -61,12 +63,14 @@
 fn check_whole(
     kind: &ValueKind,
     unit: Unit,
-    range: std::ops::RangeInclusive<u64>,
+    range: RangeInclusive<u64>,
     text: &str,
 ) -> Result<Value, Rejection> {
-    let Ok(number) = text.parse::<u64>() else {
-        return Err(reject_number(kind, unit, text));
-    };
+    if text.is_empty() || !text.chars().all(|c| c.is_ascii_digit()) {
+        return Err(reject_number(kind, unit, &range, text));
+    }
+    // Digits alone fail to parse only when there are too many of them.
+    let number = text.parse().unwrap_or(u64::MAX);
     if !range.contains(&number) {
         let nearest = number.clamp(*range.start(), *range.end());
         let problem = Problem::OutOfRange {
@@ -81,7 +85,12 @@
     Ok(Value::Whole(number))
 }
 
-fn reject_number(kind: &ValueKind, unit: Unit, text: &str) -> Rejection {
+fn reject_number(
+    kind: &ValueKind,
+    unit: Unit,
+    range: &RangeInclusive<u64>,
+    text: &str,
+) -> Rejection {
     if let Some(hint) = comment_hint(text) {
         return (wrong_type(kind, text), Some(hint));
     }
@@ -95,6 +104,7 @@
         .zip(unit.factor(suffix))
         .map(|(amount, factor)| amount * factor)
         .filter(|converted| converted.fract() == 0.0)
+        .filter(|converted| (*range.start() as f64..=*range.end() as f64).contains(converted))
         .map(|converted| format!("write {converted}"));
     let carries_unit = amount.is_some() && !suffix.is_empty();
     if !carries_unit {
@@ -155,7 +165,8 @@
     let hint = match stray {
         Some(stray) => Some(format!("`{stray}` is not accepted in a name")),
         None if text.is_empty() => Some("the name is empty".to_owned()),
-        None => None,
+        None if starts_well => Some(format!("a name has at most {MAX_NAME_CHARS} characters")),
+        None => Some("a name begins with a letter or digit".to_owned()),
     };
     let problem = Problem::BadName {
         expected: ValueKind::Name.expected(),
@@ -176,8 +187,11 @@
         )),
         Ok(address) => Ok(Value::Address(address)),
         Err(_) => {
-            let hint = if text.parse::<std::net::IpAddr>().is_ok() {
+            let is_ip = |text: &str| text.parse::<IpAddr>().is_ok();
+            let hint = if is_ip(text) {
                 "add the port, as in 127.0.0.1:8080"
+            } else if text.rsplit_once(':').is_some_and(|(host, _)| is_ip(host)) {
+                "a port is a number from 1 to 65535"
             } else {
                 "host names are not looked up; write an IP number and a port"
             };
