--- a/crates/transport/src/front.rs
+++ b/crates/transport/src/front.rs
@@ -11,6 +11,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::TrySendError;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -72,15 +73,24 @@
     pub next_request: AtomicU64,
 }
 
+/// Binds the address on which callers connect.
+///
+/// # Errors
+///
+/// Fails when the address is not to be had, so that the process ends before anything started.
+pub fn bind(address: SocketAddr) -> io::Result<StdListener> {
+    let listener = StdListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
 impl<C: Clock + Send + Sync + 'static> Front<C> {
     /// Serves callers until `stop` turns true, then lets open connections finish.
     ///
     /// # Errors
     ///
-    /// Fails when the runtime or the listener cannot be set up.
-    pub fn run(self, address: SocketAddr, stop: watch::Receiver<bool>) -> io::Result<()> {
-        let listener = StdListener::bind(address)?;
-        listener.set_nonblocking(true)?;
+    /// Fails when the runtime cannot be set up.
+    pub fn run(self, listener: StdListener, stop: watch::Receiver<bool>) -> io::Result<()> {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()?;
@@ -191,11 +201,17 @@
             call: accepted.call,
             answer: sender,
         }));
-        self.core.try_send(arrived).map_err(|_| BadRequest {
-            reason: RefusalReason::QueueFull,
-            detail: "the router's ring of new requests is full".to_owned(),
-        })?;
-        Ok(receiver)
+        match self.core.try_send(arrived) {
+            Ok(()) => Ok(receiver),
+            Err(TrySendError::Full(_)) => Err(BadRequest {
+                reason: RefusalReason::QueueFull,
+                detail: "the router's ring of new requests is full".to_owned(),
+            }),
+            Err(TrySendError::Disconnected(_)) => Err(BadRequest {
+                reason: RefusalReason::Draining,
+                detail: "the router is stopping".to_owned(),
+            }),
+        }
     }
 
     async fn read_body(&self, body: Incoming) -> Result<Bytes, BadRequest> {
