feat(state): schema rows of the new membership settings

The case of a key unlike any other moved to a section of one key, as its hint lists all keys and so changed with every new one; it is as strict as before.

--- a/crates/state/src/settings/assemble.rs
+++ b/crates/state/src/settings/assemble.rs
@@ -174,6 +174,11 @@
         probe_timeout_ms: section.whole("probe_timeout_ms"),
         indirect_probes: section.count("indirect_probes"),
         suspicion_ms: section.whole("suspicion_ms"),
+        gossip_interval_ms: section.whole("gossip_interval_ms"),
+        gossip_fanout: section.count("gossip_fanout"),
+        sync_interval_ms: section.whole("sync_interval_ms"),
+        rejoin_interval_ms: section.whole("rejoin_interval_ms"),
+        pause_ms: section.whole("pause_ms"),
     }
 }
 
--- a/crates/state/tests/settings_refused.rs
+++ b/crates/state/tests/settings_refused.rs
@@ -60,10 +60,16 @@
         expect("idle_timeout = 5000", "idle_timeout",
             "expected a key of this section, found `idle_timeout`",
             "did you mean `idle_timeout_ms`?") },
-    unlike_any_key = { "scope = fleet", "colour = blue",
-        expect("colour = blue", "colour",
+    unlike_any_key = {
+        "region = catania",
+        "colour = blue",
+        expect(
+            "colour = blue",
+            "colour",
             "expected a key of this section, found `colour`",
-            "known keys: scope, order, endpoint_choice, output_token_factor, batch_interval_ms, grant_timeout_ms") },
+            "known keys: region",
+        )
+    },
     key_twice = { "max_queue = 600", "max_queue = 600\nmax_queue = 700",
         expect("max_queue = 700", "max_queue",
             "expected once, found again after line 5",
