--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod chat;
 pub mod engine;
 pub mod headers;
+pub mod operator;
 pub mod peer;
 pub mod table;
--- /dev/null
+++ b/crates/state/src/config_document.rs
@@ -0,0 +1,172 @@
+//! A whole configuration as data: the base and the overlay of each site, compared and edited by
+//! section.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::settings::Settings;
+use crate::settings::SettingsError;
+use crate::settings::lines::split;
+use crate::settings::load;
+
+/// File name under which findings in an accepted base are reported.
+const BASE_NAME: &str = "(configuration)";
+
+/// Keys and values of one section.
+pub type Pairs = BTreeMap<Arc<str>, Arc<str>>;
+
+/// One layer: its sections by header.
+pub type Layer = BTreeMap<Arc<str>, Pairs>;
+
+/// A whole configuration.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigDocument {
+    /// What holds everywhere.
+    pub base: Layer,
+    /// What differs, by site.
+    pub overlays: BTreeMap<Arc<str>, Layer>,
+}
+
+/// Replaces or removes one section.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SectionEdit {
+    /// Site of the overlay, none for the base.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub site: Option<Arc<str>>,
+    /// Header of the section.
+    pub section: Arc<str>,
+    /// Its keys and values; none removes it.
+    pub pairs: Option<Pairs>,
+}
+
+impl ConfigDocument {
+    /// Makes a document of the texts of a base file and of overlays by site.
+    ///
+    /// The texts must have passed [`load`]; what it refuses is left out here.
+    ///
+    /// ```
+    /// use sedgeridge_state::config_document::ConfigDocument;
+    /// let document = ConfigDocument::from_texts("[fleet]\nname = demo\n", &[]);
+    /// assert_eq!(&*document.base["fleet"]["name"], "demo");
+    /// ```
+    pub fn from_texts(base: &str, overlays: &[(&str, &str)]) -> Self {
+        let overlays = overlays
+            .iter()
+            .map(|(site, text)| (Arc::from(*site), layer_of(text)))
+            .filter(|(_, layer)| !layer.is_empty());
+        Self {
+            base: layer_of(base),
+            overlays: overlays.collect(),
+        }
+    }
+
+    /// Loads the settings of a site; of the base alone when the site has no overlay.
+    ///
+    /// ```
+    /// use sedgeridge_state::config_document::ConfigDocument;
+    /// let document = ConfigDocument::from_texts("[fleet]\nname = demo\n", &[]);
+    /// assert_eq!(document.settings("north").unwrap().fleet.name, "demo");
+    /// ```
+    pub fn settings(&self, site: &str) -> Result<Settings, Vec<SettingsError>> {
+        let base = layer_text(&self.base);
+        let overlay = self.overlays.get(site).map(layer_text);
+        let overlay_name = format!("(configuration of {site})");
+        load(
+            &base,
+            BASE_NAME,
+            overlay.as_ref().map(|text| (&**text, &*overlay_name)),
+        )
+    }
+
+    /// Lists the edits that turn this document into another, in a fixed order.
+    ///
+    /// ```
+    /// use sedgeridge_state::config_document::ConfigDocument;
+    /// let old = ConfigDocument::from_texts("[fleet]\nname = demo\n", &[]);
+    /// let new = ConfigDocument::from_texts("[fleet]\nname = other\n", &[]);
+    /// let mut edited = old.clone();
+    /// edited.apply(&old.edits_to(&new));
+    /// assert_eq!(edited, new);
+    /// ```
+    pub fn edits_to(&self, target: &Self) -> Vec<SectionEdit> {
+        let empty = Layer::new();
+        let mut edits = layer_edits(None, &self.base, &target.base);
+        for (site, layer) in &target.overlays {
+            let before = self.overlays.get(site).unwrap_or(&empty);
+            edits.extend(layer_edits(Some(site), before, layer));
+        }
+        for (site, layer) in &self.overlays {
+            if !target.overlays.contains_key(site) {
+                edits.extend(layer_edits(Some(site), layer, &empty));
+            }
+        }
+        edits
+    }
+
+    /// Applies edits.
+    ///
+    /// ```
+    /// use sedgeridge_state::config_document::ConfigDocument;
+    /// use sedgeridge_state::config_document::SectionEdit;
+    /// let mut document = ConfigDocument::from_texts("[fleet]\nname = demo\n", &[]);
+    /// document.apply(&[SectionEdit { site: None, section: "fleet".into(), pairs: None }]);
+    /// assert!(document.base.is_empty());
+    /// ```
+    pub fn apply(&mut self, edits: &[SectionEdit]) {
+        for edit in edits {
+            let layer = match &edit.site {
+                Some(site) => self.overlays.entry(site.clone()).or_default(),
+                None => &mut self.base,
+            };
+            match &edit.pairs {
+                Some(pairs) => layer.insert(edit.section.clone(), pairs.clone()),
+                None => layer.remove(&edit.section),
+            };
+        }
+        self.overlays.retain(|_, layer| !layer.is_empty());
+    }
+}
+
+fn layer_of(text: &str) -> Layer {
+    let mut layer = Layer::new();
+    let (sections, _) = split(text);
+    for section in sections {
+        let pairs = section.pairs.into_iter();
+        let pairs = pairs.map(|pair| (pair.key, Arc::from(pair.value)));
+        layer.entry(section.name).or_default().extend(pairs);
+    }
+    layer
+}
+
+fn layer_text(layer: &Layer) -> String {
+    let mut text = String::new();
+    for (section, pairs) in layer {
+        // Writing to a string cannot fail.
+        let _ = writeln!(text, "[{section}]");
+        for (key, value) in pairs {
+            let _ = writeln!(text, "{key} = {value}");
+        }
+    }
+    text
+}
+
+fn layer_edits(site: Option<&Arc<str>>, before: &Layer, after: &Layer) -> Vec<SectionEdit> {
+    let edit = |section: &Arc<str>, pairs: Option<&Pairs>| SectionEdit {
+        site: site.cloned(),
+        section: section.clone(),
+        pairs: pairs.cloned(),
+    };
+    let put = after
+        .iter()
+        .filter(|(section, pairs)| before.get(*section) != Some(*pairs))
+        .map(|(section, pairs)| edit(section, Some(pairs)));
+    let removed = before
+        .keys()
+        .filter(|section| !after.contains_key(*section))
+        .map(|section| edit(section, None));
+    put.chain(removed).collect()
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -3,5 +3,7 @@
 //!
 //! This crate does no I/O, starts no threads and reads no clock.
 
+pub mod config_document;
+pub mod config_records;
 pub mod ids;
 pub mod settings;
--- a/crates/state/src/settings.rs
+++ b/crates/state/src/settings.rs
@@ -8,7 +8,7 @@
 pub mod effective;
 pub mod error;
 mod layers;
-mod lines;
+pub(crate) mod lines;
 mod load;
 mod nearest;
 pub mod overrides;
--- a/crates/state/src/settings/lines.rs
+++ b/crates/state/src/settings/lines.rs
@@ -14,27 +14,27 @@
 
 /// One section header and the pairs below it, up to the next header.
 #[derive(Debug)]
-pub(super) struct RawSection {
-    pub(super) name: Arc<str>,
-    pub(super) line: usize,
-    pub(super) pairs: Vec<RawPair>,
+pub(crate) struct RawSection {
+    pub(crate) name: Arc<str>,
+    pub(crate) line: usize,
+    pub(crate) pairs: Vec<RawPair>,
 }
 
 /// One `key = value`.
 #[derive(Debug)]
-pub(super) struct RawPair {
-    pub(super) key: Arc<str>,
-    pub(super) value: String,
-    pub(super) line: usize,
+pub(crate) struct RawPair {
+    pub(crate) key: Arc<str>,
+    pub(crate) value: String,
+    pub(crate) line: usize,
 }
 
 /// A line that could not be placed.
 #[derive(Debug)]
-pub(super) struct BadLine {
-    pub(super) line: usize,
-    pub(super) section: Arc<str>,
-    pub(super) key: Arc<str>,
-    pub(super) problem: Problem,
+pub(crate) struct BadLine {
+    pub(crate) line: usize,
+    pub(crate) section: Arc<str>,
+    pub(crate) key: Arc<str>,
+    pub(crate) problem: Problem,
 }
 
 enum Line {
@@ -45,7 +45,7 @@
 }
 
 /// Splits a text. Sections come in the order of the text, repeated ones included.
-pub(super) fn split(text: &str) -> (Vec<RawSection>, Vec<BadLine>) {
+pub(crate) fn split(text: &str) -> (Vec<RawSection>, Vec<BadLine>) {
     let mut sections: Vec<RawSection> = Vec::new();
     let mut bad_lines = Vec::new();
     let text = text.trim_start_matches('\u{feff}');
