feat(cli): accept configurations by compare-and-set, ask running routers

A change is one conditional transaction; a lost answer is settled by the change id in the row of the wanted generation, and the loser of a race is told which change won.

--- a/crates/cli/src/accounts_list.rs
+++ b/crates/cli/src/accounts_list.rs
@@ -1,4 +1,4 @@
-//! `accounts list`: lists client accounts.
+//! `accounts list`: lists client accounts, from settings files or as one router sees them.
 
 use pico_args::Arguments;
 use sedgeridge_state::settings::AccountSettings;
@@ -10,6 +10,7 @@
 use crate::columns::align;
 use crate::context::Context;
 use crate::error::CommandError;
+use crate::online::run_accounts;
 
 #[derive(Debug, Serialize)]
 struct AccountRow<'a> {
@@ -20,7 +21,10 @@
 }
 
 /// Runs the command.
-pub fn run(arguments: &mut Arguments, _context: &Context) -> Result<String, CommandError> {
+pub fn run(arguments: &mut Arguments, context: &impl Context) -> Result<String, CommandError> {
+    if arguments.clone().contains("--router") {
+        return run_accounts(arguments, context);
+    }
     let json = arguments.contains("--json");
     let files = SettingsArguments::take(arguments)?;
     finish(arguments)?;
--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -1,6 +1,7 @@
 //! Arguments that several commands take.
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use pico_args::Arguments;
@@ -95,6 +96,11 @@
     }
 }
 
+/// Takes the address of the table service.
+pub fn take_table(arguments: &mut Arguments) -> Result<SocketAddr, CommandError> {
+    Ok(arguments.value_from_str("--table")?)
+}
+
 /// Refuses whatever no one has taken.
 pub fn finish(arguments: &mut Arguments) -> Result<(), CommandError> {
     let rest = std::mem::replace(arguments, Arguments::from_vec(Vec::new())).finish();
--- a/crates/cli/src/config_reference.rs
+++ b/crates/cli/src/config_reference.rs
@@ -8,7 +8,7 @@
 use crate::error::CommandError;
 
 /// Runs the command.
-pub fn run(arguments: &mut Arguments, _context: &Context) -> Result<String, CommandError> {
+pub fn run(arguments: &mut Arguments, _context: &impl Context) -> Result<String, CommandError> {
     finish(arguments)?;
     Ok(page())
 }
--- a/crates/cli/src/config_show.rs
+++ b/crates/cli/src/config_show.rs
@@ -9,7 +9,7 @@
 use crate::error::CommandError;
 
 /// Runs the command.
-pub fn run(arguments: &mut Arguments, _context: &Context) -> Result<String, CommandError> {
+pub fn run(arguments: &mut Arguments, _context: &impl Context) -> Result<String, CommandError> {
     let json = arguments.contains("--json");
     if !arguments.contains("--effective") {
         return Err(CommandError::Usage("config show takes --effective".into()));
--- a/crates/cli/src/context.rs
+++ b/crates/cli/src/context.rs
@@ -1,16 +1,57 @@
-//! What a command needs of the outside.
+//! What a command needs of the outside, as traits, so that tests replace it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sedgeridge_protocol::table::Read;
+use sedgeridge_protocol::table::ReadAnswer;
+use sedgeridge_protocol::table::Transact;
+use sedgeridge_protocol::table::TransactAnswer;
+use thiserror::Error;
 
 /// The outside of a command.
-#[derive(Debug)]
-pub struct Context {}
-
-impl Context {
-    /// Makes the context of a real run.
-    ///
-    /// ```
-    /// let context = sedgeridge_cli::context::Context::system();
-    /// ```
-    pub fn system() -> Self {
-        Self {}
-    }
+pub trait Context: TableClient + OperatorPages {
+    /// Makes a name for a change that no other change has.
+    fn new_change_id(&self) -> String;
+
+    /// Waits.
+    fn pause(&self, duration: Duration);
+
+    /// Names who runs the command.
+    fn author(&self) -> String;
+}
+
+/// Calls of the platform's table service.
+pub trait TableClient {
+    /// Runs a transaction.
+    fn transact(
+        &self,
+        table: SocketAddr,
+        transact: &Transact,
+    ) -> Result<TransactAnswer, TableError>;
+
+    /// Reads rows.
+    fn read(&self, table: SocketAddr, read: &Read) -> Result<ReadAnswer, TableError>;
+}
+
+/// Pages that routers serve to operators.
+pub trait OperatorPages {
+    /// Fetches a page of JSON.
+    fn fetch(&self, router: SocketAddr, path: &str) -> Result<String, FetchError>;
 }
+
+/// A call of the table service that gave no result.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum TableError {
+    /// The service did not run the call.
+    #[error("the table service refused: {0}")]
+    Refused(String),
+    /// The answer is missing; a write may have taken effect.
+    #[error("the table service gave no answer: {0}")]
+    Unknown(String),
+}
+
+/// A page that could not be fetched.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{0}")]
+pub struct FetchError(pub String);
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -5,6 +5,9 @@
 use sedgeridge_transport::settings_files::ReadSettingsError;
 use thiserror::Error;
 
+use crate::config_commit::CommitError;
+use crate::config_store::StoreError;
+use crate::context::FetchError;
 use crate::findings::refusal_json;
 
 /// Exit code: the operation was tried and failed.
@@ -32,6 +35,19 @@
     /// The operation was tried and failed.
     #[error("error: {0}")]
     Failed(String),
+    /// A change of the configuration was not accepted, or is not known to be.
+    #[error("error: {0}")]
+    Commit(#[from] CommitError),
+    /// Some hosts do not have a generation in force in time.
+    #[error("error: generation {generation} is not in force on {late} hosts")]
+    Late {
+        /// Every host, for standard output.
+        rows: String,
+        /// The generation.
+        generation: u64,
+        /// Hosts without it.
+        late: usize,
+    },
 }
 
 impl CommandError {
@@ -56,7 +72,7 @@
             Self::Usage(_) | Self::BadInput(_) | Self::Settings { .. } => {
                 ExitCode::from(EXIT_BAD_INPUT)
             }
-            Self::Failed(_) => ExitCode::from(EXIT_FAILED),
+            Self::Failed(_) | Self::Commit(_) | Self::Late { .. } => ExitCode::from(EXIT_FAILED),
         }
     }
 
@@ -72,6 +88,7 @@
                 cause: ReadSettingsError::Refused(findings),
                 json: true,
             } => refusal_json(findings),
+            Self::Late { rows, .. } => rows.clone(),
             _ => String::new(),
         }
     }
@@ -89,6 +106,18 @@
     }
 }
 
+impl From<StoreError> for CommandError {
+    fn from(error: StoreError) -> Self {
+        Self::Failed(error.to_string())
+    }
+}
+
+impl From<FetchError> for CommandError {
+    fn from(error: FetchError) -> Self {
+        Self::Failed(error.to_string())
+    }
+}
+
 fn counted(count: usize) -> String {
     match count {
         1 => "1 error".to_owned(),
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -8,20 +8,39 @@
   sedgeridge COMMAND [ARGUMENTS]
 
 SETTINGS FILES
-  config check FILE          check settings; nothing is started
-  config show --effective FILE
-                             print every setting in force and where it comes from
-  config reference           print the reference page of all settings
-  accounts list FILE         list client accounts
-  sites FILE                 list sites
+  config check FILE            check settings; nothing is started
+  config show --effective FILE print every setting in force and where it comes from
+  config reference             print the reference page of all settings
+  accounts list FILE           list client accounts
+  sites FILE                   list sites
 
   FILE is the base file. Add --site NAME for the overlay site-NAME.ini beside it, or
   --overlay FILE for another one. --set section.key=value overrides both and may be repeated.
 
+ACCEPTED CONFIGURATION
+  config apply FILE            accept the base file and the overlays beside it; --remove also
+                               removes what they lack; --table overrides platform.table_address
+  config head --table IP:PORT  show the generation in force and the change that made it
+  config wait FILE             wait until it is in force on every host of FILE;
+                               --generation N, --timeout-ms N, --table IP:PORT
+  accounts add NAME --key-sha256 DIGITS --table IP:PORT
+                               add a client account; --weight N
+  accounts import CSV --table IP:PORT
+                               add client accounts, all or none; lines name,weight,key_sha256
+
+  Changes take --author NAME, by default the user.
+
+RUNNING ROUTERS
+  status --router IP:PORT         show one router and the members it knows
+  endpoints list --router IP:PORT list endpoints as one router sees them
+  accounts list --router IP:PORT  list active client accounts as one router sees them
+
+  IP:PORT is the router's operator_address.
+
 OPTIONS
-  --json        print JSON (check, show, list, sites)
-  -h, --help    print this text
-  -V, --version print the version
+  --json         print JSON
+  -h, --help     print this text
+  -V, --version  print the version
 
 EXIT CODES
   0  done
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,30 +1,40 @@
 //! The operators' command line.
 //!
 //! Each command has a file, all with the same entry form:
-//! `run(&mut Arguments, &Context) -> Result<String, CommandError>`.
+//! `run(&mut Arguments, &impl Context) -> Result<String, CommandError>`.
 //!
 //! Commands return the text to print. What they need of the outside comes by the
 //! [`context::Context`], so that tests replace it.
 
+pub mod account_csv;
+mod accounts_import;
 mod accounts_list;
 mod arguments;
+mod change;
 mod columns;
+mod config_apply;
 mod config_check;
+pub mod config_commit;
+mod config_head;
 mod config_reference;
 mod config_show;
+pub mod config_store;
+mod config_wait;
 pub mod context;
 pub mod dispatch;
 pub mod error;
 mod findings;
 mod help;
+mod online;
 mod sites;
+pub mod system;
 
 use std::process::ExitCode;
 
 use pico_args::Arguments;
 
-use crate::context::Context;
 use crate::dispatch::dispatch;
+use crate::system::SystemContext;
 
 /// Runs the command that the process was started with, and prints what it gives.
 ///
@@ -32,7 +42,7 @@
 /// let code = sedgeridge_cli::run_from_system();
 /// ```
 pub fn run_from_system() -> ExitCode {
-    let outcome = dispatch(Arguments::from_env(), &Context::system());
+    let outcome = dispatch(Arguments::from_env(), &SystemContext::default());
     match outcome {
         Ok(text) => {
             print(&text);
--- a/crates/cli/src/sites.rs
+++ b/crates/cli/src/sites.rs
@@ -21,7 +21,7 @@
 }
 
 /// Runs the command.
-pub fn run(arguments: &mut Arguments, _context: &Context) -> Result<String, CommandError> {
+pub fn run(arguments: &mut Arguments, _context: &impl Context) -> Result<String, CommandError> {
     let json = arguments.contains("--json");
     let files = SettingsArguments::take(arguments)?;
     finish(arguments)?;
--- /dev/null
+++ b/crates/cli/tests/configuration/fake.rs
@@ -0,0 +1,167 @@
+//! A context in memory: a table that can lose answers after a write took effect, and pages.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sedgeridge_cli::context::Context;
+use sedgeridge_cli::context::FetchError;
+use sedgeridge_cli::context::OperatorPages;
+use sedgeridge_cli::context::TableClient;
+use sedgeridge_cli::context::TableError;
+use sedgeridge_protocol::table::Check;
+use sedgeridge_protocol::table::Read;
+use sedgeridge_protocol::table::ReadAnswer;
+use sedgeridge_protocol::table::Row;
+use sedgeridge_protocol::table::Transact;
+use sedgeridge_protocol::table::TransactAnswer;
+
+/// What happens to one call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing: the call is run and answered.
+    None,
+    /// The call is run, its answer lost.
+    AnswerLost,
+    /// The call never arrives, and the caller can't tell.
+    CallLost,
+    /// The call is refused before it is run.
+    Refused,
+}
+
+/// A context in memory.
+#[derive(Debug, Default)]
+pub struct FakeContext {
+    rows: RefCell<BTreeMap<String, (u64, String)>>,
+    version: Cell<u64>,
+    change_ids: Cell<u64>,
+    /// Faults of the next transactions; none when used up.
+    pub transact_faults: RefCell<VecDeque<Fault>>,
+    /// Faults of the next reads; none when used up.
+    pub read_faults: RefCell<VecDeque<Fault>>,
+    /// Run once after the next transaction, as by another operator.
+    pub rival: RefCell<Option<Transact>>,
+    /// Every transaction that took effect.
+    pub committed: RefCell<Vec<Transact>>,
+    /// Pages by address and path.
+    pub pages: RefCell<BTreeMap<(SocketAddr, String), String>>,
+    /// Pages that replace others at the first pause.
+    pub later_pages: RefCell<BTreeMap<(SocketAddr, String), String>>,
+}
+
+impl FakeContext {
+    /// Counts the rows of the table.
+    pub fn row_count(&self) -> usize {
+        self.rows.borrow().len()
+    }
+
+    /// Runs a transaction without faults.
+    pub fn apply(&self, transact: &Transact) -> TransactAnswer {
+        let mut rows = self.rows.borrow_mut();
+        let version_of = |check: &Check| rows.get(&check.key).map_or(0, |row| row.0);
+        let failed = transact
+            .checks
+            .iter()
+            .filter(|c| version_of(c) != c.version);
+        let failed: Vec<Row> = failed
+            .map(|check| Row {
+                key: check.key.clone(),
+                version: version_of(check),
+                value: rows.get(&check.key).map(|row| row.1.clone()),
+            })
+            .collect();
+        if !failed.is_empty() {
+            return TransactAnswer::Conflict { rows: failed };
+        }
+        let version = self.version.get() + 1;
+        self.version.set(version);
+        for write in &transact.writes {
+            match &write.value {
+                Some(value) => rows.insert(write.key.clone(), (version, value.clone())),
+                None => rows.remove(&write.key),
+            };
+        }
+        self.committed.borrow_mut().push(transact.clone());
+        TransactAnswer::Committed { version }
+    }
+}
+
+impl Context for FakeContext {
+    fn new_change_id(&self) -> String {
+        self.change_ids.set(self.change_ids.get() + 1);
+        format!("change-{}", self.change_ids.get())
+    }
+
+    fn pause(&self, _duration: Duration) {
+        let mut later = self.later_pages.borrow_mut();
+        self.pages.borrow_mut().append(&mut later);
+    }
+
+    fn author(&self) -> String {
+        "tester".to_owned()
+    }
+}
+
+fn lost() -> TableError {
+    TableError::Unknown("lost".to_owned())
+}
+
+fn refused() -> TableError {
+    TableError::Refused("HTTP status 503".to_owned())
+}
+
+impl TableClient for FakeContext {
+    fn transact(
+        &self,
+        _table: SocketAddr,
+        transact: &Transact,
+    ) -> Result<TransactAnswer, TableError> {
+        let fault = self.transact_faults.borrow_mut().pop_front();
+        let answer = match fault.unwrap_or(Fault::None) {
+            Fault::None => Ok(self.apply(transact)),
+            Fault::AnswerLost => {
+                self.apply(transact);
+                Err(lost())
+            }
+            Fault::CallLost => Err(lost()),
+            Fault::Refused => Err(refused()),
+        };
+        if let Some(rival) = self.rival.borrow_mut().take() {
+            self.apply(&rival);
+        }
+        answer
+    }
+
+    fn read(&self, _table: SocketAddr, read: &Read) -> Result<ReadAnswer, TableError> {
+        let fault = self.read_faults.borrow_mut().pop_front();
+        match fault.unwrap_or(Fault::None) {
+            Fault::None => {}
+            Fault::Refused => return Err(refused()),
+            Fault::AnswerLost | Fault::CallLost => return Err(lost()),
+        }
+        let rows = self.rows.borrow();
+        let found = read.keys.iter().filter_map(|key| {
+            let (version, value) = rows.get(key)?;
+            Some(Row {
+                key: key.clone(),
+                version: *version,
+                value: Some(value.clone()),
+            })
+        });
+        Ok(ReadAnswer {
+            rows: found.collect(),
+        })
+    }
+}
+
+impl OperatorPages for FakeContext {
+    fn fetch(&self, router: SocketAddr, path: &str) -> Result<String, FetchError> {
+        let pages = self.pages.borrow();
+        let page = pages.get(&(router, path.to_owned()));
+        page.cloned()
+            .ok_or_else(|| FetchError(format!("http://{router}{path}: connection refused")))
+    }
+}
--- a/crates/state/src/settings.rs
+++ b/crates/state/src/settings.rs
@@ -36,6 +36,9 @@
 pub use topology::RequestClass;
 pub use topology::ServiceSettings;
 pub use topology::SiteSettings;
+pub use value::Rejection;
+pub use value::check_name;
+pub use value::check_setting;
 
 /// Everything that one site's processes need to know, merged and checked.
 #[derive(Debug, Clone, Default, PartialEq)]
--- a/crates/state/src/settings/value.rs
+++ b/crates/state/src/settings/value.rs
@@ -8,6 +8,7 @@
 
 use super::error::Problem;
 use super::nearest::nearest;
+use super::schema;
 use super::schema::Unit;
 use super::schema::ValueKind;
 
@@ -38,7 +39,7 @@
 }
 
 /// What is wrong with a value, and a hint.
-pub(super) type Rejection = (Problem, Option<String>);
+pub type Rejection = (Problem, Option<String>);
 
 /// Checks a text against the kind of value its key takes.
 pub(super) fn check_value(kind: &ValueKind, text: &str) -> Result<Value, Rejection> {
@@ -154,8 +155,34 @@
     }
 }
 
+/// Checks one value against the schema, as when it stood in a base file.
+///
+/// ```
+/// use sedgeridge_state::settings::check_setting;
+/// assert!(check_setting("account", "weight", "3").is_ok());
+/// assert!(check_setting("account", "weight", "0").is_err());
+/// ```
+pub fn check_setting(section: &str, key: &str, text: &str) -> Result<(), Rejection> {
+    let unknown = |problem| (problem, None);
+    let schema = schema::section(section).ok_or_else(|| {
+        let found = section.to_owned();
+        unknown(Problem::UnknownSection { found })
+    })?;
+    let key = schema.key(key).ok_or_else(|| {
+        let found = key.to_owned();
+        unknown(Problem::UnknownKey { found })
+    })?;
+    check_value(&key.kind, text).map(|_| ())
+}
+
 /// Checks the name of a section, or of what a value refers to.
-pub(super) fn check_name(text: &str) -> Result<Arc<str>, Rejection> {
+///
+/// ```
+/// use sedgeridge_state::settings::check_name;
+/// assert!(check_name("crew-07").is_ok());
+/// assert!(check_name("crew 07").is_err());
+/// ```
+pub fn check_name(text: &str) -> Result<Arc<str>, Rejection> {
     let starts_well = text.starts_with(|c: char| c.is_ascii_alphanumeric());
     let accepted = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
     if starts_well && text.len() <= MAX_NAME_CHARS && text.chars().all(accepted) {
--- a/crates/transport/src/settings_files.rs
+++ b/crates/transport/src/settings_files.rs
@@ -101,6 +101,30 @@
         effective(&self.layers(overrides)).map_err(ReadSettingsError::Refused)
     }
 
+    /// Gives the text of the base file.
+    ///
+    /// ```no_run
+    /// use std::path::Path;
+    /// use sedgeridge_transport::settings_files::SettingsTexts;
+    /// let texts = SettingsTexts::read(Path::new("base.ini"), None).unwrap();
+    /// assert!(texts.base_text().contains("[fleet]"));
+    /// ```
+    pub fn base_text(&self) -> &str {
+        &self.base.text
+    }
+
+    /// Gives the text of the overlay, if one was read.
+    ///
+    /// ```no_run
+    /// use std::path::Path;
+    /// use sedgeridge_transport::settings_files::SettingsTexts;
+    /// let texts = SettingsTexts::read(Path::new("base.ini"), None).unwrap();
+    /// assert!(texts.overlay_text().is_none());
+    /// ```
+    pub fn overlay_text(&self) -> Option<&str> {
+        self.overlay.as_ref().map(|overlay| &*overlay.text)
+    }
+
     fn layers<'a>(&'a self, overrides: &'a [Override]) -> Layers<'a> {
         Layers {
             base: self.base.source(),
