--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -12,8 +12,11 @@
 pub mod node;
 pub mod refusal;
 
+pub mod account_ceilings;
+pub mod breaker;
 pub mod claims;
 pub mod config_adoption;
+pub mod drain_rate;
 pub mod endpoint_health;
 pub mod fair_order;
 pub mod home_counters;
@@ -36,5 +39,7 @@
 mod slot_table;
 
 pub mod quarantine;
+pub mod random;
 pub mod rendezvous;
 pub mod retry_budget;
+pub mod slot_budget;
--- a/crates/transport/src/front.rs
+++ b/crates/transport/src/front.rs
@@ -222,7 +222,7 @@
         let Ok(read) = read else {
             let detail = format!("the body took longer than {} ms", limits.header_timeout_ms);
             return Err(BadRequest {
-                reason: RefusalReason::BodyTimeout,
+                reason: RefusalReason::HeaderTimeout,
                 detail,
             });
         };
@@ -289,7 +289,7 @@
             outcome: Outcome::NotRun,
             retry_after: bad
                 .reason
-                .worth_retrying()
+                .offers_retry_after()
                 .then_some(Duration::from_secs(1)),
             detail: bad.detail,
         };
