--- a/crates/coordination/tests/membership_network/mod.rs
+++ b/crates/coordination/tests/membership_network/mod.rs
@@ -76,6 +76,8 @@
     pub nodes: Vec<Node>,
     pub links: Links,
     pub costs: Costs,
+    /// Pairs that can't reach each other, whatever the groups.
+    pub cut_pairs: BTreeSet<(usize, usize)>,
     settings: MembershipSettings,
     index: BTreeMap<HostId, usize>,
     due: BinaryHeap<Reverse<(Duration, u64, usize, Due)>>,
@@ -103,6 +105,7 @@
             nodes: nodes.collect(),
             links,
             costs: Costs::default(),
+            cut_pairs: BTreeSet::new(),
             settings,
             index: hosts.iter().cloned().zip(0..).collect(),
             due: BinaryHeap::new(),
@@ -170,6 +173,13 @@
         self.handle(node, MembershipEvent::Tick);
     }
 
+    /// Lets a frozen host go on: it finds its overdue timer first, then its messages.
+    pub fn resume_timer_first(&mut self, node: usize) {
+        self.nodes[node].frozen = false;
+        self.handle(node, MembershipEvent::Tick);
+        self.resume(node);
+    }
+
     /// Cuts the network into those in `group` and the others.
     pub fn partition(&mut self, group: &BTreeSet<usize>) {
         for (i, node) in self.nodes.iter_mut().enumerate() {
@@ -356,8 +366,9 @@
         let Some(&target) = self.index.get(to) else {
             return;
         };
+        let pair = (from.min(target), from.max(target));
         let cut = self.nodes[from].group != self.nodes[target].group;
-        if cut || self.below(100) < self.links.loss_percent {
+        if cut || self.cut_pairs.contains(&pair) || self.below(100) < self.links.loss_percent {
             return;
         }
         let Range { start, end } = self.links.delay_us;
