--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,7 +6,10 @@
 
 pub mod account_ceilings;
 pub mod attempt_results;
+pub mod backoff;
 pub mod breaker;
+pub mod claim_events;
+pub mod claim_sweep;
 pub mod claims;
 pub mod clock;
 pub mod config_adoption;
@@ -20,6 +23,7 @@
 pub mod fair_order;
 pub mod home_counters;
 pub mod lease;
+pub mod lease_events;
 pub mod limits;
 pub mod membership;
 pub mod node;
@@ -34,6 +38,7 @@
 pub mod retry_budget;
 pub mod service_ledger;
 pub mod slot_budget;
+pub mod store_call;
 
 mod account_table;
 mod demand_table;
@@ -47,3 +52,4 @@
 mod report_check;
 mod request_table;
 mod slot_table;
+mod store_gate;
--- a/crates/transport/src/endpoint_call.rs
+++ b/crates/transport/src/endpoint_call.rs
@@ -142,13 +142,22 @@
 /// Tells what a request that got no answer died of. Only errors that prove that no byte of it left
 /// count as a failed connection.
 fn send_failure(error: &ureq::Error) -> AttemptFailure {
+    if never_sent(error) {
+        AttemptFailure::ConnectFailed
+    } else {
+        read_failure(error)
+    }
+}
+
+/// Tells whether an error proves that no byte of the request left.
+pub(crate) fn never_sent(error: &ureq::Error) -> bool {
     match error {
-        ureq::Error::Io(error) if is_connect_error(error) => AttemptFailure::ConnectFailed,
+        ureq::Error::Io(error) => is_connect_error(error),
         ureq::Error::Timeout(ureq::Timeout::Connect)
         | ureq::Error::HostNotFound
         | ureq::Error::ConnectionFailed
-        | ureq::Error::Http(_) => AttemptFailure::ConnectFailed,
-        other => read_failure(other),
+        | ureq::Error::Http(_) => true,
+        _ => false,
     }
 }
 
