--- a/crates/coordination/src/claims.rs
+++ b/crates/coordination/src/claims.rs
@@ -115,6 +115,18 @@
         self.send_batches(now, actions);
     }
 
+    /// Tells whether no claim is under way and every outcome is on record.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::claim_events::ClaimSettings;
+    /// use sedgeridge_coordination::claims::Claims;
+    ///
+    /// assert!(Claims::new(ClaimSettings::default(), 1_700_000_000_000, 7).is_settled());
+    /// ```
+    pub fn is_settled(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Returns when the next [`ClaimEvent::Tick`] is due.
     ///
     /// ```
--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -18,7 +18,9 @@
 use crate::entry_events::AttemptKey;
 use crate::entry_events::EntryAction;
 use crate::entry_events::EntryEvent;
+use crate::entry_events::GiveUp;
 use crate::entry_events::RequestKey;
+use crate::entry_events::StartAttempt;
 use crate::entry_pool::EntryPool;
 use crate::limits;
 use crate::limits::Admission;
@@ -118,6 +120,17 @@
         actions.extend(notices.into_iter().map(EntryAction::Announce));
     }
 
+    /// Tells whether a request would be refused on arrival, so that nothing is claimed for it.
+    pub fn refusal_of(&mut self, now: Duration, arrival: &Arrival) -> Option<EntryAction> {
+        let refusal = self.admit(now, arrival).err()?;
+        Some(give_up(arrival.key, refusal, Outcome::NotRun))
+    }
+
+    /// Tells whether a request is in hand.
+    pub fn holds(&self, key: RequestKey) -> bool {
+        self.requests.get(key).is_some()
+    }
+
     /// Appends a report for each pool about which something is new and whose home is `wanted`.
     pub fn report(&mut self, wanted: impl Fn(&Member) -> bool, actions: &mut Vec<EntryAction>) {
         let requests = &self.requests;
@@ -269,13 +282,13 @@
         let estimate_tokens = self
             .estimates
             .estimate(&account, request.arrival.hint_tokens);
-        actions.push(EntryAction::Start {
+        actions.push(EntryAction::Start(StartAttempt {
             key,
             attempt,
             endpoint: grant.endpoint.clone(),
             resume_after_tokens: request.sent_tokens,
             last_attempt: !request.arrival.repeatable || request.attempts >= max_attempts,
-        });
+        }));
         let pool = self.pool(&grant.pool);
         pool.hold(grant, estimate_tokens);
         let waiting_of_pool = pool.waiting();
@@ -495,10 +508,10 @@
 }
 
 fn give_up(key: RequestKey, refusal: Refusal, outcome: Outcome) -> EntryAction {
-    EntryAction::GiveUp {
+    EntryAction::GiveUp(GiveUp {
         key,
         reason: refusal.reason,
         outcome,
         retry_after: refusal.retry_after,
-    }
+    })
 }
--- a/crates/coordination/src/entry_events.rs
+++ b/crates/coordination/src/entry_events.rs
@@ -177,33 +177,41 @@
     Tick,
 }
 
+/// An attempt to start.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StartAttempt {
+    /// The request.
+    pub key: RequestKey,
+    /// The attempt.
+    pub attempt: AttemptKey,
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Output tokens that the caller already holds.
+    pub resume_after_tokens: u64,
+    /// Whether an endpoint's server error goes to the caller, since no attempt follows.
+    pub last_attempt: bool,
+}
+
+/// The final answer of a request that is refused or given up.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GiveUp {
+    /// The request.
+    pub key: RequestKey,
+    /// Why.
+    pub reason: RefusalReason,
+    /// Whether the request ran.
+    pub outcome: Outcome,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
 /// What the entry router wants done.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EntryAction {
-    /// Run the request on an endpoint.
-    Start {
-        /// The request.
-        key: RequestKey,
-        /// The attempt.
-        attempt: AttemptKey,
-        /// The endpoint.
-        endpoint: EndpointId,
-        /// Output tokens that the caller already holds.
-        resume_after_tokens: u64,
-        /// Whether an endpoint's server error goes to the caller, since no attempt follows.
-        last_attempt: bool,
-    },
-    /// Give the caller its final answer now.
-    GiveUp {
-        /// The request.
-        key: RequestKey,
-        /// Why.
-        reason: RefusalReason,
-        /// Whether the request ran.
-        outcome: Outcome,
-        /// When to come back.
-        retry_after: Option<Duration>,
-    },
+    /// Run a request on an endpoint.
+    Start(StartAttempt),
+    /// Give a caller its final answer now.
+    GiveUp(GiveUp),
     /// An attempt failed and the request waits for another one.
     Retried {
         /// The request.
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod limits;
 pub mod membership;
 pub mod node;
+pub mod node_claims;
 pub mod node_events;
 pub mod poison_record;
 pub mod pool_home;
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use sedgeridge_state::claim_record::RecordedAnswer;
 use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Member;
 use sedgeridge_state::ids::PoolId;
@@ -11,9 +12,14 @@
 use sedgeridge_state::settings::Settings;
 use sedgeridge_state::settings::millis;
 
+use crate::claim_events::ClaimOutcome;
 use crate::entry::Entry;
+use crate::entry_events::Arrival;
+use crate::entry_events::AttemptEnd;
 use crate::entry_events::EntryAction;
 use crate::entry_events::EntryEvent;
+use crate::entry_events::GiveUp;
+use crate::entry_events::RequestKey;
 use crate::home_counters::HomeCounters;
 use crate::homed_pool::HomedPool;
 use crate::membership::LiveMember;
@@ -22,14 +28,19 @@
 use crate::membership::MembershipAction;
 use crate::membership::MembershipEvent;
 use crate::membership::Notice;
+use crate::node_claims::ClaimKey;
+use crate::node_claims::ClaimStep;
+use crate::node_claims::NodeClaims;
 use crate::pool_home::HomeAction;
 use crate::pool_home::HomeEvent;
+use crate::refusal::Outcome;
 use crate::rendezvous::home_of;
 
 pub use crate::node_events::NodeAction;
 pub use crate::node_events::NodeEvent;
 pub use crate::node_events::NodeLoad;
 pub use crate::node_events::PeerMessage;
+pub use crate::node_events::StorePart;
 
 /// Longest chain of reports and grants inside one router that one event may cause; each step uses
 /// up a waiting request or a slot, so it ends by itself, and the bound only guards that claim.
@@ -55,6 +66,7 @@
     settings: Settings,
     membership: Membership,
     entry: Entry,
+    claims: NodeClaims,
     homes: BTreeMap<PoolId, HomedPool>,
     live: Vec<LiveMember>,
     reported_at: Duration,
@@ -67,6 +79,7 @@
         let membership = Membership::new(member.clone(), settings.membership.clone(), hosts, seed);
         let mut node = Self {
             entry: Entry::new(member.clone(), &settings, seed.wrapping_add(1)),
+            claims: NodeClaims::new(member.clone(), seed.wrapping_add(2)),
             member: member.clone(),
             settings,
             membership,
@@ -88,7 +101,40 @@
     pub fn handle(&mut self, now: Duration, event: NodeEvent, actions: &mut Vec<NodeAction>) {
         let mut entry_actions = Vec::new();
         match event {
-            NodeEvent::Entry(event) => self.entry.handle(now, event, &mut entry_actions),
+            NodeEvent::Arrived { arrival, claim } => {
+                self.arrived(now, arrival, claim, &mut entry_actions, actions);
+            }
+            NodeEvent::CallerGone { key } => {
+                self.caller_gone(now, key, &mut entry_actions, actions);
+            }
+            NodeEvent::Progress {
+                attempt,
+                charged_tokens,
+            } => {
+                let event = EntryEvent::Progress {
+                    attempt,
+                    charged_tokens,
+                };
+                self.entry.handle(now, event, &mut entry_actions);
+            }
+            NodeEvent::AttemptEnded {
+                key,
+                attempt,
+                end,
+                recorded,
+            } => {
+                let event = EntryEvent::AttemptEnded { attempt, end };
+                self.entry.handle(now, event, &mut entry_actions);
+                self.record_end(now, key, end, recorded, &mut entry_actions, actions);
+            }
+            NodeEvent::StoreEnded { part, event } => match part {
+                StorePart::Claims => {
+                    let mut steps = Vec::new();
+                    self.claims.store_ended(now, event, &mut steps);
+                    self.claim_steps(now, steps, &mut entry_actions, actions);
+                }
+                StorePart::Configuration => {}
+            },
             NodeEvent::Peer { from, message } => {
                 self.peer(now, &from, message, &mut entry_actions, actions);
             }
@@ -122,6 +168,9 @@
                 self.membership_event(now, event, &mut entry_actions, actions);
             }
             NodeEvent::StopRequested => {
+                let mut steps = Vec::new();
+                self.claims.give_up_all(now, &mut steps);
+                self.claim_steps(now, steps, &mut entry_actions, actions);
                 let event = MembershipEvent::LeaveRequested;
                 self.membership_event(now, event, &mut entry_actions, actions);
                 self.entry
@@ -136,7 +185,7 @@
     pub fn next_wake(&self) -> Duration {
         let batch = millis(self.settings.fair.batch_interval_ms);
         let report = self.entry.has_news().then(|| self.reported_at + batch);
-        let timers = [report, self.entry.next_wake()];
+        let timers = [report, self.entry.next_wake(), self.claims.next_wake()];
         let first = timers.into_iter().flatten().min();
         let membership = self.membership.next_wake();
         first.map_or(membership, |first| first.min(membership))
@@ -164,6 +213,112 @@
             .map(|(pool, home)| (pool, home.counters()))
     }
 
+    /// Tells whether every outcome of a request that may not be repeated is on record.
+    pub fn is_settled(&self) -> bool {
+        self.claims.is_settled()
+    }
+
+    fn arrived(
+        &mut self,
+        now: Duration,
+        arrival: Arrival,
+        claim: Option<ClaimKey>,
+        entry_actions: &mut Vec<EntryAction>,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        let Some(claim) = claim else {
+            let event = EntryEvent::Arrived(arrival);
+            return self.entry.handle(now, event, entry_actions);
+        };
+        if let Some(refusal) = self.entry.refusal_of(now, &arrival) {
+            entry_actions.push(refusal);
+            return;
+        }
+        let mut steps = Vec::new();
+        self.claims.claim(now, arrival, claim, &mut steps);
+        self.claim_steps(now, steps, entry_actions, actions);
+    }
+
+    fn caller_gone(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        entry_actions: &mut Vec<EntryAction>,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        let mut steps = Vec::new();
+        if !self.claims.give_up(now, key, &mut steps) {
+            let event = EntryEvent::CallerGone { key };
+            self.entry.handle(now, event, entry_actions);
+            if !self.entry.holds(key) {
+                let outcome = ClaimOutcome::NotRun;
+                self.claims.finished(now, key, outcome, &mut steps);
+            }
+        }
+        self.claim_steps(now, steps, entry_actions, actions);
+    }
+
+    /// Puts the end of a claimed request on record, unless another attempt follows.
+    fn record_end(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        end: AttemptEnd,
+        recorded: Option<RecordedAnswer>,
+        entry_actions: &mut Vec<EntryAction>,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        if !self.claims.is_claimed(key) || self.entry.holds(key) {
+            return;
+        }
+        let outcome = match (end, recorded) {
+            (AttemptEnd::Finished { .. }, Some(answer)) => ClaimOutcome::Ran(answer),
+            (AttemptEnd::Finished { .. } | AttemptEnd::CallerGone { .. }, _) => {
+                ClaimOutcome::Unknown
+            }
+            // The entry part gave it up, and `settle` records what it told the caller.
+            (AttemptEnd::Failed { .. }, _) => return,
+        };
+        let mut steps = Vec::new();
+        self.claims.finished(now, key, outcome, &mut steps);
+        self.claim_steps(now, steps, entry_actions, actions);
+    }
+
+    fn claim_steps(
+        &mut self,
+        now: Duration,
+        steps: Vec<ClaimStep>,
+        entry_actions: &mut Vec<EntryAction>,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        for step in steps {
+            match step {
+                ClaimStep::Queue(arrival) => {
+                    let event = EntryEvent::Arrived(arrival);
+                    self.entry.handle(now, event, entry_actions);
+                }
+                ClaimStep::Replay { key, answer } => {
+                    actions.push(NodeAction::Replay { key, answer });
+                }
+                ClaimStep::Refuse {
+                    key,
+                    reason,
+                    outcome,
+                    retry_after,
+                } => actions.push(NodeAction::GiveUp(GiveUp {
+                    key,
+                    reason,
+                    outcome,
+                    retry_after,
+                })),
+                ClaimStep::Store(action) => actions.push(NodeAction::Store {
+                    part: StorePart::Claims,
+                    action,
+                }),
+            }
+        }
+    }
+
     fn tick(
         &mut self,
         now: Duration,
@@ -174,6 +329,9 @@
             self.membership_event(now, MembershipEvent::Tick, entry_actions, actions);
         }
         self.entry.handle(now, EntryEvent::Tick, entry_actions);
+        let mut steps = Vec::new();
+        self.claims.tick(now, &mut steps);
+        self.claim_steps(now, steps, entry_actions, actions);
         let mut due = Vec::new();
         self.for_each_home(now, entry_actions, actions, |home, out| {
             due.extend(home.tick(now, out));
@@ -200,6 +358,8 @@
                 }
                 MembershipAction::MembersChanged(live) => {
                     actions.push(NodeAction::MembersChanged(live.clone()));
+                    let members = live.iter().map(|m| m.member.clone()).collect();
+                    self.claims.members(now, members);
                     if self.settings.fair.scope == FairScope::Fleet {
                         self.live = live;
                         self.place_homes(now, entry_actions, actions);
@@ -439,7 +599,21 @@
                     message: PeerMessage::Poison(notice.clone()),
                 }));
             }
-            other => actions.push(NodeAction::Entry(other)),
+            EntryAction::Start(start) => actions.push(NodeAction::Start(start)),
+            EntryAction::Retried { key, reason } => {
+                actions.push(NodeAction::Retried { key, reason });
+            }
+            EntryAction::GiveUp(give_up) => {
+                let outcome = match give_up.outcome {
+                    Outcome::NotRun => ClaimOutcome::NotRun,
+                    Outcome::Ran | Outcome::Unknown => ClaimOutcome::Unknown,
+                };
+                let key = give_up.key;
+                actions.push(NodeAction::GiveUp(give_up));
+                let mut steps = Vec::new();
+                self.claims.finished(now, key, outcome, &mut steps);
+                self.claim_steps(now, steps, next, actions);
+            }
         }
     }
 }
--- a/crates/coordination/src/node_events.rs
+++ b/crates/coordination/src/node_events.rs
@@ -1,19 +1,28 @@
 //! What goes into and comes out of [`crate::node::Node`].
 
+use sedgeridge_state::claim_record::RecordedAnswer;
 use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Member;
 use sedgeridge_state::ids::PoolId;
 
-use crate::entry_events::EntryAction;
-use crate::entry_events::EntryEvent;
+use crate::entry_events::Arrival;
+use crate::entry_events::AttemptEnd;
+use crate::entry_events::AttemptKey;
+use crate::entry_events::GiveUp;
+use crate::entry_events::RequestKey;
+use crate::entry_events::StartAttempt;
 use crate::membership::ListedHost;
 use crate::membership::LiveMember;
 use crate::membership::Message;
+use crate::node_claims::ClaimKey;
 use crate::pool_messages::EntryReport;
 use crate::pool_messages::Grant;
 use crate::quarantine::PoisonNotice;
+use crate::retry_budget::RetryReason;
 use crate::slot_budget::Load;
+use crate::store_call::StoreAction;
+use crate::store_call::StoreEvent;
 
 /// What one router tells another on their link.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -34,8 +43,43 @@
 /// What happens to a router.
 #[derive(Debug, Clone, PartialEq)]
 pub enum NodeEvent {
-    /// Something happens to the entry part.
-    Entry(EntryEvent),
+    /// A caller sent a request.
+    Arrived {
+        /// The request.
+        arrival: Arrival,
+        /// Its key, if it may not be repeated.
+        claim: Option<ClaimKey>,
+    },
+    /// The caller of a request went away before its answer began.
+    CallerGone {
+        /// The request.
+        key: RequestKey,
+    },
+    /// An attempt has received this much service so far.
+    Progress {
+        /// The attempt.
+        attempt: AttemptKey,
+        /// Service received.
+        charged_tokens: u64,
+    },
+    /// An attempt ended.
+    AttemptEnded {
+        /// The request.
+        key: RequestKey,
+        /// The attempt.
+        attempt: AttemptKey,
+        /// How it ended.
+        end: AttemptEnd,
+        /// The whole answer, if the request may not be repeated.
+        recorded: Option<RecordedAnswer>,
+    },
+    /// A call of the table service ended.
+    StoreEnded {
+        /// Whose call it was.
+        part: StorePart,
+        /// How it ended.
+        event: StoreEvent,
+    },
     /// A message from another router came on its link.
     Peer {
         /// The sender.
@@ -75,8 +119,31 @@
 /// What a router wants done.
 #[derive(Debug, Clone, PartialEq)]
 pub enum NodeAction {
-    /// Something the entry part wants done.
-    Entry(EntryAction),
+    /// Run a request on an endpoint.
+    Start(StartAttempt),
+    /// Give a caller its final answer now.
+    GiveUp(GiveUp),
+    /// Give a caller the answer recorded for its key.
+    Replay {
+        /// The request.
+        key: RequestKey,
+        /// The answer.
+        answer: RecordedAnswer,
+    },
+    /// An attempt failed and the request waits for another one.
+    Retried {
+        /// The request.
+        key: RequestKey,
+        /// Why.
+        reason: RetryReason,
+    },
+    /// Call the table service.
+    Store {
+        /// Whose call it is.
+        part: StorePart,
+        /// The call.
+        action: StoreAction,
+    },
     /// Send a message on the link to another router.
     Send {
         /// The receiver.
@@ -102,6 +169,15 @@
     Outranked,
 }
 
+/// Which part of a router calls the table service; each numbers its own calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StorePart {
+    /// Claims of requests that may not be repeated.
+    Claims,
+    /// Adoption of configurations.
+    Configuration,
+}
+
 /// How much a router has in hand.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NodeLoad {
--- a/crates/transport/src/answer_pass.rs
+++ b/crates/transport/src/answer_pass.rs
@@ -21,6 +21,7 @@
 use crate::core::CoreInput;
 use crate::endpoint_call::AttemptOrder;
 use crate::endpoint_call::body_failure;
+use crate::recorded::Recorder;
 
 /// Largest answer that is held until it is whole.
 const MAX_WHOLE_ANSWER_BYTES: u64 = 16 << 20;
@@ -34,6 +35,7 @@
     order: &AttemptOrder,
     response: http::Response<Body>,
     first_byte: Duration,
+    recorder: &mut Recorder,
 ) -> AttemptEnd {
     let head = head_of(order, &response);
     let plain_charge = header_u64(&response, headers::CHARGED_TOKENS);
@@ -56,7 +58,7 @@
         }
     };
     for part in [head, AnswerPart::Chunk(Bytes::from(body)), AnswerPart::End] {
-        if order.answer.blocking_send(part).is_err() {
+        if pass(order, recorder, part).is_err() {
             return AttemptEnd::CallerGone { charged_tokens };
         }
     }
@@ -72,9 +74,10 @@
     response: http::Response<Body>,
     first_byte: Duration,
     core: &SyncSender<CoreInput>,
+    recorder: &mut Recorder,
 ) -> AttemptEnd {
     let first_token = header_u64(&response, headers::FIRST_TOKEN).unwrap_or(0);
-    let mut stream = EventStream::new(order, core);
+    let mut stream = EventStream::new(order, core, recorder);
     if first_token != order.resume_after_tokens {
         // The endpoint cannot resume where the caller stands: passing its tokens on would repeat
         // or skip some of them.
@@ -109,6 +112,22 @@
     }
 }
 
+/// The caller went away.
+struct CallerGone;
+
+/// Passes a part on to the caller.
+///
+/// A request that may not be repeated runs to its end although its caller is gone: cutting it off
+/// would leave its effect unknown, while its recorded answer serves the caller who comes back.
+fn pass(order: &AttemptOrder, recorder: &mut Recorder, part: AnswerPart) -> Result<(), CallerGone> {
+    recorder.take(&part);
+    let sent = order.answer.blocking_send(part);
+    if sent.is_err() && order.call.repeatable {
+        return Err(CallerGone);
+    }
+    Ok(())
+}
+
 fn whole_failed(order: &AttemptOrder, failure: AttemptFailure) -> AttemptEnd {
     AttemptEnd::Failed {
         failure,
@@ -148,16 +167,22 @@
 struct EventStream<'a> {
     order: &'a AttemptOrder,
     core: &'a SyncSender<CoreInput>,
+    recorder: &'a mut Recorder,
     output_tokens: u64,
     next_progress_tokens: u64,
     usage: Option<Usage>,
 }
 
 impl<'a> EventStream<'a> {
-    fn new(order: &'a AttemptOrder, core: &'a SyncSender<CoreInput>) -> Self {
+    fn new(
+        order: &'a AttemptOrder,
+        core: &'a SyncSender<CoreInput>,
+        recorder: &'a mut Recorder,
+    ) -> Self {
         Self {
             order,
             core,
+            recorder,
             output_tokens: 0,
             next_progress_tokens: FIRST_PROGRESS_TOKENS,
             usage: None,
@@ -187,7 +212,7 @@
         let last = ended.then_some(AnswerPart::End);
         let parts = std::iter::once(AnswerPart::Chunk(Bytes::from(event))).chain(last);
         for part in parts {
-            if self.order.answer.blocking_send(part).is_err() {
+            if pass(self.order, self.recorder, part).is_err() {
                 return EventResult::CallerGone;
             }
         }
--- a/crates/transport/src/core.rs
+++ b/crates/transport/src/core.rs
@@ -16,21 +16,25 @@
 use sedgeridge_coordination::entry_events::AttemptEnd;
 use sedgeridge_coordination::entry_events::AttemptFailure;
 use sedgeridge_coordination::entry_events::AttemptKey;
-use sedgeridge_coordination::entry_events::EntryAction;
-use sedgeridge_coordination::entry_events::EntryEvent;
 use sedgeridge_coordination::entry_events::RequestKey;
+use sedgeridge_coordination::entry_events::StartAttempt;
 use sedgeridge_coordination::membership::Message;
 use sedgeridge_coordination::node::Node;
 use sedgeridge_coordination::node::NodeAction;
 use sedgeridge_coordination::node::NodeEvent;
 use sedgeridge_coordination::node::PeerMessage;
+use sedgeridge_coordination::node::StorePart;
+use sedgeridge_coordination::node_claims::ClaimKey;
 use sedgeridge_coordination::slot_budget::Load;
+use sedgeridge_coordination::store_call::StoreEvent;
 use sedgeridge_protocol::membership;
 use sedgeridge_protocol::peer::encode;
+use sedgeridge_state::claim_record::RecordedAnswer;
 use sedgeridge_state::ids::AttemptId;
 use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Member;
+use sedgeridge_state::settings::millis;
 
 use crate::answer::AnswerPart;
 use crate::answer::AnswerSender;
@@ -39,6 +43,7 @@
 use crate::clock::unix_ms;
 use crate::directory::Directory;
 use crate::endpoint_call::AttemptOrder;
+use crate::endpoint_call::EndedCall;
 use crate::endpoint_call::EndpointClients;
 use crate::endpoint_workers::EndpointWorkers;
 use crate::endpoint_workers::WorkerId;
@@ -49,8 +54,10 @@
 use crate::peers::PeerOut;
 use crate::peers::PeerPayload;
 use crate::peers::PeerSender;
+use crate::recorded::replayed;
 use crate::status::RouterStatus;
 use crate::status::StatusBoard;
+use crate::table_calls::TableCalls;
 
 /// Events that may wait for the core; a full ring refuses new requests.
 pub const CORE_RING_LEN: usize = 8_192;
@@ -58,6 +65,8 @@
 const MAX_TICK: Duration = Duration::from_millis(20);
 /// Shortest time between two ticks, so that a late timer cannot keep the thread busy.
 const MIN_TICK: Duration = Duration::from_millis(1);
+/// Longest time that a stopping router waits for the records of what ran.
+const MAX_RECORD_WAIT: Duration = Duration::from_secs(5);
 /// Time between two updates of the operator pages.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -68,6 +77,8 @@
     pub arrival: Arrival,
     /// For the endpoint.
     pub call: Call,
+    /// Its key, if it may not be repeated.
+    pub claim: Option<ClaimKey>,
     /// Where the answer goes.
     pub answer: AnswerSender,
 }
@@ -87,10 +98,17 @@
         /// The attempt.
         attempt: AttemptKey,
         /// How it ended.
-        end: AttemptEnd,
+        ended: EndedCall,
         /// The worker, idle now.
         worker: WorkerId,
     },
+    /// A call of the table service ended.
+    StoreEnded {
+        /// Whose call it was.
+        part: StorePart,
+        /// How it ended.
+        event: StoreEvent,
+    },
     /// Another router sent a message.
     Peer {
         /// The sender.
@@ -128,16 +146,6 @@
     Stop,
 }
 
-/// What the decisions say about an attempt to start.
-#[derive(Debug)]
-struct Start {
-    key: RequestKey,
-    attempt: AttemptKey,
-    endpoint: EndpointId,
-    resume_after_tokens: u64,
-    last_attempt: bool,
-}
-
 /// A request that the core has in hand.
 #[derive(Debug)]
 struct Pending {
@@ -158,8 +166,10 @@
     running: BTreeMap<AttemptKey, RequestKey>,
     peers: PeerSender,
     load_reads: LoadReads,
+    table: TableCalls,
     status: StatusBoard,
     stopping: bool,
+    answered_at: Option<Duration>,
 }
 
 impl<C: Clock> Core<C> {
@@ -174,6 +184,9 @@
     ) -> io::Result<Self> {
         let clients = EndpointClients::new(&directory.settings.health);
         let load_reads = LoadReads::start(&inputs)?;
+        let platform = &directory.settings.platform;
+        let call_timeout = millis(platform.call_timeout_ms);
+        let table = TableCalls::start(platform.table_address, call_timeout, &inputs)?;
         let seed = member.incarnation.0;
         Ok(Self {
             clock,
@@ -185,8 +198,10 @@
             running: BTreeMap::new(),
             peers,
             load_reads,
+            table,
             status,
             stopping: false,
+            answered_at: None,
         })
     }
 
@@ -211,19 +226,31 @@
                 next_publish = now + PUBLISH_INTERVAL;
                 self.publish();
             }
-            if self.stopping && self.pending.is_empty() {
+            if self.has_finished(now) {
                 self.publish();
                 return;
             }
         }
     }
 
+    /// Tells whether a stopping router may end: every caller has its answer, and every outcome that
+    /// a repeat would ask for is on record. A table that is down does not hold the stop up for
+    /// ever; a repeat of a request without a record is answered as unknown.
+    fn has_finished(&mut self, now: Duration) -> bool {
+        if !self.stopping || !self.pending.is_empty() {
+            return false;
+        }
+        let answered_at = *self.answered_at.get_or_insert(now);
+        self.node.is_settled() || now >= answered_at + MAX_RECORD_WAIT
+    }
+
     fn input(&mut self, input: CoreInput) {
         match input {
             CoreInput::Arrived(new) => {
                 let NewRequest {
                     arrival,
                     call,
+                    claim,
                     answer,
                 } = *new;
                 let pending = Pending {
@@ -232,21 +259,24 @@
                     deadline: arrival.deadline,
                 };
                 self.pending.insert(arrival.key, pending);
-                self.event(NodeEvent::Entry(EntryEvent::Arrived(arrival)));
+                self.event(NodeEvent::Arrived { arrival, claim });
             }
             CoreInput::CallerGone { key } => {
                 if !self.running.values().any(|running| *running == key) {
                     self.pending.remove(&key);
-                    self.event(NodeEvent::Entry(EntryEvent::CallerGone { key }));
+                    self.event(NodeEvent::CallerGone { key });
                 }
             }
             CoreInput::AttemptEnded {
                 attempt,
-                end,
+                ended,
                 worker,
             } => {
                 self.workers.idle(worker);
-                self.attempt_ended(attempt, end);
+                self.attempt_ended(attempt, ended);
+            }
+            CoreInput::StoreEnded { part, event } => {
+                self.event(NodeEvent::StoreEnded { part, event });
             }
             CoreInput::Peer { from, message } => self.event(NodeEvent::Peer { from, message }),
             CoreInput::PeerReset { host } => self.event(NodeEvent::PeerReset { host }),
@@ -254,10 +284,10 @@
             CoreInput::Progress {
                 attempt,
                 charged_tokens,
-            } => self.event(NodeEvent::Entry(EntryEvent::Progress {
+            } => self.event(NodeEvent::Progress {
                 attempt,
                 charged_tokens,
-            })),
+            }),
             CoreInput::LoadRead { endpoint, load } => {
                 self.load_reads.ended(&endpoint);
                 self.event(NodeEvent::LoadRead { endpoint, load });
@@ -278,13 +308,23 @@
         }
     }
 
-    fn attempt_ended(&mut self, attempt: AttemptKey, end: AttemptEnd) {
-        let key = self.running.remove(&attempt);
-        if let (Some(key), AttemptEnd::Finished { .. } | AttemptEnd::CallerGone { .. }) = (key, end)
-        {
+    fn attempt_ended(&mut self, attempt: AttemptKey, ended: EndedCall) {
+        let Some(key) = self.running.remove(&attempt) else {
+            return;
+        };
+        let EndedCall { end, recorded } = ended;
+        if matches!(
+            end,
+            AttemptEnd::Finished { .. } | AttemptEnd::CallerGone { .. }
+        ) {
             self.pending.remove(&key);
         }
-        self.event(NodeEvent::Entry(EntryEvent::AttemptEnded { attempt, end }));
+        self.event(NodeEvent::AttemptEnded {
+            key,
+            attempt,
+            end,
+            recorded,
+        });
     }
 
     fn event(&mut self, event: NodeEvent) {
@@ -297,42 +337,27 @@
 
     fn act(&mut self, action: NodeAction) {
         match action {
-            NodeAction::Entry(EntryAction::Start {
-                key,
-                attempt,
-                endpoint,
-                resume_after_tokens,
-                last_attempt,
-            }) => {
-                let start = Start {
-                    key,
-                    attempt,
-                    endpoint,
-                    resume_after_tokens,
-                    last_attempt,
-                };
-                self.start(&start);
-            }
-            NodeAction::Entry(EntryAction::GiveUp {
-                key,
-                reason,
-                outcome,
-                retry_after,
-            }) => {
+            NodeAction::Start(start) => self.start(&start),
+            NodeAction::GiveUp(give_up) => {
                 let given_up = GivenUp {
-                    reason,
-                    outcome,
-                    retry_after,
+                    reason: give_up.reason,
+                    outcome: give_up.outcome,
+                    retry_after: give_up.retry_after,
                     detail: String::new(),
                 };
-                self.give_up(key, given_up);
+                self.give_up(give_up.key, given_up);
             }
-            NodeAction::Entry(EntryAction::Retried { key, reason }) => {
+            NodeAction::Replay { key, answer } => self.replay(key, &answer),
+            NodeAction::Retried { key, reason } => {
                 counter!("sedgeridge_retries_total", "reason" => reason.as_str()).increment(1);
                 let fields = format_args!("request={} reason={}", key.0, reason.as_str());
                 log_info(LogEvent::RequestRetried, fields);
             }
-            NodeAction::Entry(EntryAction::Report { .. } | EntryAction::Announce(_)) => {}
+            NodeAction::Store { part, action } => {
+                if let Some(event) = self.table.call(part, action) {
+                    self.event(NodeEvent::StoreEnded { part, event });
+                }
+            }
             NodeAction::SendMembership { to, message } => {
                 let payload = PeerPayload::Datagram(membership::encode(&message));
                 // A membership message may be lost; the ring's end is counted like the network's.
@@ -360,7 +385,7 @@
         }
     }
 
-    fn start(&mut self, start: &Start) {
+    fn start(&mut self, start: &StartAttempt) {
         self.running.insert(start.attempt, start.key);
         let order = self.order(start);
         let started = order.is_some_and(|order| self.workers.start(order).is_ok());
@@ -370,11 +395,15 @@
                 sent_tokens: start.resume_after_tokens,
                 charged_tokens: 0,
             };
-            self.attempt_ended(start.attempt, end);
+            let ended = EndedCall {
+                end,
+                recorded: None,
+            };
+            self.attempt_ended(start.attempt, ended);
         }
     }
 
-    fn order(&self, start: &Start) -> Option<AttemptOrder> {
+    fn order(&self, start: &StartAttempt) -> Option<AttemptOrder> {
         let pending = self.pending.get(&start.key)?;
         let endpoint = self.directory.endpoint(&start.endpoint)?;
         let attempt_id = AttemptId {
@@ -394,6 +423,17 @@
         })
     }
 
+    fn replay(&mut self, key: RequestKey, recorded: &RecordedAnswer) {
+        counter!("sedgeridge_replays_total").increment(1);
+        let Some(pending) = self.pending.remove(&key) else {
+            return;
+        };
+        for part in replayed(recorded, pending.call.form) {
+            // The ring is empty and holds more than a replay has parts.
+            let _ = pending.answer.try_send(part);
+        }
+    }
+
     fn give_up(&mut self, key: RequestKey, given_up: GivenUp) {
         let reason = given_up.reason.as_str();
         counter!("sedgeridge_refusals_total", "reason" => reason).increment(1);
--- a/crates/transport/src/endpoint_call.rs
+++ b/crates/transport/src/endpoint_call.rs
@@ -11,6 +11,7 @@
 use sedgeridge_coordination::entry_events::AttemptFailure;
 use sedgeridge_coordination::entry_events::AttemptKey;
 use sedgeridge_protocol::headers;
+use sedgeridge_state::claim_record::RecordedAnswer;
 use sedgeridge_state::settings::HealthSettings;
 use sedgeridge_state::settings::millis;
 use ureq::Agent;
@@ -22,6 +23,7 @@
 use crate::call::AnswerForm;
 use crate::call::Call;
 use crate::core::CoreInput;
+use crate::recorded::Recorder;
 
 /// Time after which an unused connection is not used again: what stands between the two ends may
 /// have forgotten it, and a request sent on it would wait for an answer that never comes.
@@ -54,6 +56,15 @@
     pub answer: AnswerSender,
 }
 
+/// How an attempt ended, with the answer to keep for repeats.
+#[derive(Debug)]
+pub struct EndedCall {
+    /// How it ended.
+    pub end: AttemptEnd,
+    /// The whole answer, if the request may not be repeated.
+    pub recorded: Option<RecordedAnswer>,
+}
+
 /// HTTP clients shared by all workers.
 #[derive(Debug, Clone)]
 pub struct EndpointClients {
@@ -82,7 +93,21 @@
     }
 
     /// Runs one attempt, tells `core` of its progress and returns how it ended.
-    pub fn run(&self, order: &AttemptOrder, core: &SyncSender<CoreInput>) -> AttemptEnd {
+    pub fn run(&self, order: &AttemptOrder, core: &SyncSender<CoreInput>) -> EndedCall {
+        let mut recorder = Recorder::new(order.call.repeatable);
+        let end = self.run_recorded(order, core, &mut recorder);
+        EndedCall {
+            end,
+            recorded: recorder.finish(),
+        }
+    }
+
+    fn run_recorded(
+        &self,
+        order: &AttemptOrder,
+        core: &SyncSender<CoreInput>,
+        recorder: &mut Recorder,
+    ) -> AttemptEnd {
         let started = Instant::now();
         let response = match self.send(order) {
             Ok(response) => response,
@@ -100,9 +125,9 @@
         let first_byte = started.elapsed();
         match order.call.form {
             AnswerForm::ChatStream if response.status().is_success() => {
-                pass_stream(order, response, first_byte, core)
+                pass_stream(order, response, first_byte, core, recorder)
             }
-            _ => pass_whole(order, response, first_byte),
+            _ => pass_whole(order, response, first_byte, recorder),
         }
     }
 
--- a/crates/transport/src/endpoint_workers.rs
+++ b/crates/transport/src/endpoint_workers.rs
@@ -69,14 +69,14 @@
             .spawn(move || {
                 for order in inbox {
                     let attempt = order.attempt;
-                    let end = clients.run(&order, &core);
+                    let ended = clients.run(&order, &core);
                     drop(order);
-                    let ended = CoreInput::AttemptEnded {
+                    let input = CoreInput::AttemptEnded {
                         attempt,
-                        end,
+                        ended,
                         worker: id,
                     };
-                    if core.send(ended).is_err() {
+                    if core.send(input).is_err() {
                         return;
                     }
                 }
--- a/crates/transport/src/front.rs
+++ b/crates/transport/src/front.rs
@@ -199,6 +199,7 @@
         let arrived = CoreInput::Arrived(Box::new(NewRequest {
             arrival: accepted.arrival,
             call: accepted.call,
+            claim: accepted.claim,
             answer: sender,
         }));
         match self.core.try_send(arrived) {
--- a/crates/transport/src/front_request.rs
+++ b/crates/transport/src/front_request.rs
@@ -9,16 +9,19 @@
 use http::request::Parts;
 use sedgeridge_coordination::entry_events::Arrival;
 use sedgeridge_coordination::entry_events::RequestKey;
+use sedgeridge_coordination::node_claims::ClaimKey;
 use sedgeridge_coordination::pool_messages::PrefixHash;
 use sedgeridge_coordination::refusal::RefusalReason;
 use sedgeridge_protocol::chat::CHAT_PATH;
 use sedgeridge_protocol::chat::ChatRequest;
 use sedgeridge_protocol::headers;
+use sedgeridge_state::claim_record::BodyHash;
 use sedgeridge_state::fingerprint::Fingerprint;
 use sedgeridge_state::ids::AccountId;
 use sedgeridge_state::ids::RequestId;
 use sedgeridge_state::settings::FrontSettings;
 use sedgeridge_state::settings::PoolKind;
+use sedgeridge_state::settings::ServiceSettings;
 
 use crate::call::AnswerForm;
 use crate::call::Call;
@@ -65,6 +68,8 @@
     pub arrival: Arrival,
     /// For the endpoint.
     pub call: Call,
+    /// Its key, if it may not be repeated.
+    pub claim: Option<ClaimKey>,
 }
 
 /// Tells who sends a request.
@@ -120,6 +125,13 @@
         return Err(bad(RefusalReason::KeyMissing, detail));
     }
     let content_type = text_header(&parts.headers, http::header::CONTENT_TYPE.as_str())?;
+    let claim = claim_key(
+        &caller.account,
+        service,
+        idempotency_key.as_ref(),
+        &read.path,
+        &body,
+    );
     let arrival = Arrival {
         key,
         account: caller.account.clone(),
@@ -143,7 +155,31 @@
         repeatable: service.repeatable,
         hint_tokens: arrival.hint_tokens,
     };
-    Ok(Accepted { arrival, call })
+    Ok(Accepted {
+        arrival,
+        call,
+        claim,
+    })
+}
+
+/// Makes the claim of a request that may not be repeated. What is asked for is the path as well as
+/// the body: the same key on another path is another request.
+fn claim_key(
+    account: &AccountId,
+    service: &ServiceSettings,
+    idempotency_key: Option<&Arc<str>>,
+    path: &str,
+    body: &[u8],
+) -> Option<ClaimKey> {
+    if service.repeatable {
+        return None;
+    }
+    let asked = [service.id.as_str().as_bytes(), path.as_bytes(), body].join(&0);
+    let Fingerprint(hash) = Fingerprint::of(account, &asked);
+    Some(ClaimKey {
+        idempotency_key: Arc::clone(idempotency_key?),
+        body_hash: BodyHash((hash >> 64) as u64),
+    })
 }
 
 struct ReadCall<'a> {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -20,6 +20,8 @@
 pub mod peer_inbound;
 pub mod peer_link;
 pub mod peers;
+mod recorded;
 pub mod settings_files;
 pub mod status;
 pub mod stop_signal;
+pub mod table_calls;
--- a/crates/transport/src/table_calls.rs
+++ b/crates/transport/src/table_calls.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use metrics::counter;
+use sedgeridge_coordination::node::StorePart;
 use sedgeridge_coordination::store_call::CallId;
 use sedgeridge_coordination::store_call::StoreAction;
 use sedgeridge_coordination::store_call::StoreEvent;
@@ -38,15 +39,6 @@
 /// Calls that may wait for a thread.
 const CALL_RING_LEN: usize = 64;
 
-/// Which part of the router a call belongs to; each numbers its own calls.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StorePart {
-    /// Claims of requests that may not be repeated.
-    Claims,
-    /// Adoption of configurations.
-    Configuration,
-}
-
 /// A call to make.
 #[derive(Debug)]
 struct TableCall {
@@ -105,7 +97,11 @@
     }
 }
 
-fn call_all(client: &TableClient, calls: &Mutex<Receiver<TableCall>>, core: &SyncSender<CoreInput>) {
+fn call_all(
+    client: &TableClient,
+    calls: &Mutex<Receiver<TableCall>>,
+    core: &SyncSender<CoreInput>,
+) {
     loop {
         let next = calls.lock().expect("no caller panics").recv();
         let Ok(TableCall { part, action }) = next else {
@@ -220,7 +216,9 @@
             _ => return StoreResult::Unknown,
         }
         let body = response.body_mut().read_to_vec();
-        let answer = body.ok().and_then(|body| serde_json::from_slice(&body).ok());
+        let answer = body
+            .ok()
+            .and_then(|body| serde_json::from_slice(&body).ok());
         answer.map_or(StoreResult::Unknown, read)
     }
 }
