feat(coordination): quarantine of requests that crash endpoints

A request that crashes each endpoint which runs it, sent again by its caller, takes the batches of the whole pool with it one after another. Its batch mates look as guilty as it does.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod lease;
 pub mod limits;
 pub mod membership;
+pub mod poison_notice;
+pub mod poison_record;
 pub mod pool_home;
 pub mod pool_messages;
 pub mod quarantine;
--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -1,1 +1,375 @@
-//! To be written.
+//! Requests that crash the endpoints which run them.
+//!
+//! A crash takes a whole batch with it, so at first every request of the batch is a suspect. One
+//! that finishes later is cleared. The others run one at a time in each router, among requests that
+//! are no suspects; a crash in which a request was the foremost suspect counts against it. Routers
+//! tell each other what they saw, and a short while passes before judgement, so that two suspects
+//! of two routers in the same crash are told apart. The guilty are refused everywhere, for a time.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use sedgeridge_state::fingerprint::Fingerprint;
+use sedgeridge_state::ids::EndpointId;
+use sedgeridge_state::settings::HealthSettings;
+use sedgeridge_state::settings::millis;
+
+use crate::poison_notice::PoisonNews;
+use crate::poison_notice::PoisonNotice;
+use crate::poison_record::Crash;
+use crate::poison_record::PoisonRecord;
+use crate::poison_record::SAME_CRASH;
+
+/// Most requests that a router keeps records of.
+pub const MAX_RECORDS: usize = 4_096;
+/// Time in which the notices of other routers about the same crash arrive.
+const JUDGE_AFTER: Duration = Duration::from_secs(1);
+/// Quarantine times for which a suspect is remembered.
+const REMEMBERED_TIMES: u32 = 2;
+/// Longest trial of a suspect; the next one may start then.
+const MAX_TRIAL: Duration = Duration::from_secs(600);
+/// Fewest crashes that prove anything: the first blames a whole batch.
+const MIN_CRASHES: u32 = 2;
+/// Quarantine times that a notice may ask for; more is absurd.
+const MAX_NOTICE_TIMES: u32 = 32;
+
+/// Whether a request may start on an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Permit {
+    /// It may.
+    Start,
+    /// It is a suspect and has to wait until another suspect's trial, or its judgement, is over.
+    Wait,
+    /// It is quarantined.
+    Refuse,
+}
+
+/// Suspects, trials and quarantined requests, as one router knows them.
+///
+/// ```
+/// use std::time::Duration;
+/// use sedgeridge_coordination::quarantine::{Permit, Quarantine};
+/// use sedgeridge_state::fingerprint::Fingerprint;
+/// use sedgeridge_state::ids::EndpointId;
+/// use sedgeridge_state::settings::HealthSettings;
+///
+/// let poison = Fingerprint(1);
+/// let mut quarantine = Quarantine::new(HealthSettings::default());
+/// for (second, name) in [(0, "desk-1"), (10, "desk-2")] {
+///     let (now, desk) = (Duration::from_secs(second), EndpointId::from(name));
+///     assert_eq!(quarantine.start(now, poison), Permit::Start);
+///     quarantine.connection_lost(now, poison, &desk);
+///     quarantine.endpoint_down(now, &desk);
+///     quarantine.tick(now + Duration::from_secs(1));
+/// }
+/// assert_eq!(quarantine.start(Duration::from_secs(12), poison), Permit::Refuse);
+/// ```
+#[derive(Debug)]
+pub struct Quarantine {
+    settings: HealthSettings,
+    records: BTreeMap<Fingerprint, PoisonRecord>,
+    lost: BTreeMap<EndpointId, Lost>,
+    down: BTreeMap<EndpointId, Duration>,
+    trial: Option<Trial>,
+    accused: BTreeMap<Fingerprint, Duration>,
+    notices: Vec<PoisonNotice>,
+}
+
+#[derive(Debug)]
+struct Lost {
+    since: Duration,
+    requests: BTreeSet<Fingerprint>,
+}
+
+impl Lost {
+    fn at(since: Duration) -> Self {
+        Self {
+            since,
+            requests: BTreeSet::new(),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Trial {
+    fingerprint: Fingerprint,
+    since: Duration,
+}
+
+impl Quarantine {
+    /// Creates an empty quarantine.
+    pub fn new(settings: HealthSettings) -> Self {
+        Self {
+            settings,
+            records: BTreeMap::new(),
+            lost: BTreeMap::new(),
+            down: BTreeMap::new(),
+            trial: None,
+            accused: BTreeMap::new(),
+            notices: Vec::new(),
+        }
+    }
+
+    /// Adopts changed settings; what is known stays.
+    pub fn configure(&mut self, settings: HealthSettings) {
+        self.settings = settings;
+    }
+
+    /// Tells for how long a request is still refused, if it is.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::quarantine::Quarantine;
+    /// use sedgeridge_state::fingerprint::Fingerprint;
+    /// use sedgeridge_state::settings::HealthSettings;
+    ///
+    /// let quarantine = Quarantine::new(HealthSettings::default());
+    /// assert_eq!(quarantine.refused_for(Duration::ZERO, Fingerprint(1)), None);
+    /// ```
+    pub fn refused_for(&self, now: Duration, fingerprint: Fingerprint) -> Option<Duration> {
+        self.records.get(&fingerprint)?.quarantined_for(now)
+    }
+
+    /// Asks to start a request. A suspect that is let start is on trial until it ends.
+    pub fn start(&mut self, now: Duration, fingerprint: Fingerprint) -> Permit {
+        if self.accused.get(&fingerprint).is_some_and(|at| *at <= now) {
+            self.judge(now, fingerprint);
+        }
+        let Some(record) = self.records.get(&fingerprint) else {
+            return Permit::Start;
+        };
+        if record.quarantined_for(now).is_some() {
+            return Permit::Refuse;
+        }
+        if !record.is_suspect() {
+            return Permit::Start;
+        }
+        let is_on_trial = |trial: &Trial| now.saturating_sub(trial.since) < MAX_TRIAL;
+        if self.accused.contains_key(&fingerprint) || self.trial.as_ref().is_some_and(is_on_trial) {
+            return Permit::Wait;
+        }
+        self.trial = Some(Trial {
+            fingerprint,
+            since: now,
+        });
+        Permit::Start
+    }
+
+    /// Notes that a request ran to its end, which clears it: a poison request never does.
+    pub fn finished(&mut self, now: Duration, fingerprint: Fingerprint) {
+        self.end_trial(fingerprint);
+        let Some(record) = self.records.get_mut(&fingerprint) else {
+            return;
+        };
+        if record.is_suspect() || record.quarantined_for(now).is_some() {
+            record.clear(now);
+            self.accused.remove(&fingerprint);
+            self.tell(fingerprint, PoisonNews::Finished);
+        }
+    }
+
+    /// Notes that a request ended in a way that says nothing about it, such as a cancel.
+    pub fn ended(&mut self, fingerprint: Fingerprint) {
+        self.end_trial(fingerprint);
+    }
+
+    /// Notes that the connection to `endpoint` was lost while it ran a request.
+    ///
+    /// That may be the network's doing. It is held against the request only if the endpoint is then
+    /// found to be down, see [`endpoint_down`](Self::endpoint_down).
+    pub fn connection_lost(
+        &mut self,
+        now: Duration,
+        fingerprint: Fingerprint,
+        endpoint: &EndpointId,
+    ) {
+        self.end_trial(fingerprint);
+        if let Some(at) = self.down_since(now, endpoint) {
+            let endpoint = endpoint.clone();
+            self.blame(now, fingerprint, &Crash { endpoint, at });
+            return;
+        }
+        let lost = self
+            .lost
+            .entry(endpoint.clone())
+            .or_insert_with(|| Lost::at(now));
+        if now.saturating_sub(lost.since) >= SAME_CRASH {
+            *lost = Lost::at(now);
+        }
+        lost.requests.insert(fingerprint);
+    }
+
+    /// Notes that `endpoint` refuses connections or says that it has restarted.
+    pub fn endpoint_down(&mut self, now: Duration, endpoint: &EndpointId) {
+        let lost = self.lost.remove(endpoint);
+        let lost = lost.filter(|lost| now.saturating_sub(lost.since) < SAME_CRASH);
+        let at = lost.as_ref().map_or(now, |lost| lost.since);
+        if self.down_since(now, endpoint).is_none() {
+            self.down.insert(endpoint.clone(), at);
+        }
+        let Some(lost) = lost else { return };
+        let crash = Crash {
+            endpoint: endpoint.clone(),
+            at,
+        };
+        for fingerprint in lost.requests {
+            self.blame(now, fingerprint, &crash);
+        }
+    }
+
+    /// Judges the accused, and drops what is too old to matter. Called every few hundred
+    /// milliseconds.
+    pub fn tick(&mut self, now: Duration) {
+        let due: Vec<_> = self
+            .accused
+            .iter()
+            .filter(|(_, judge_at)| **judge_at <= now)
+            .map(|(fingerprint, _)| *fingerprint)
+            .collect();
+        for fingerprint in due {
+            self.judge(now, fingerprint);
+        }
+        self.lost
+            .retain(|_, lost| now.saturating_sub(lost.since) < SAME_CRASH);
+        self.down
+            .retain(|_, at| now.saturating_sub(*at) < SAME_CRASH);
+        let remembered = self.quarantine_time() * REMEMBERED_TIMES;
+        self.records
+            .retain(|_, record| record.changed_at() + remembered > now);
+    }
+
+    /// Takes what another router tells. A repeated or late notice changes nothing.
+    pub fn on_notice(&mut self, now: Duration, notice: PoisonNotice) {
+        let fingerprint = notice.fingerprint;
+        let most = self.most_crashes();
+        let longest = self.quarantine_time() * MAX_NOTICE_TIMES;
+        match notice.news {
+            PoisonNews::Crashed { endpoint, age } if age <= self.quarantine_time() => {
+                let crash = Crash {
+                    endpoint,
+                    at: now.saturating_sub(age),
+                };
+                let record = self.record(fingerprint);
+                if !record.was_settled_near(crash.at) && record.add(crash, most) {
+                    self.accuse(now, fingerprint);
+                }
+            }
+            PoisonNews::Crashed { .. } => {}
+            PoisonNews::Quarantined { remaining } => {
+                let until = now + remaining.min(longest);
+                self.record(fingerprint).quarantine_until(now, until);
+            }
+            PoisonNews::Finished => {
+                self.record(fingerprint).clear(now);
+                self.accused.remove(&fingerprint);
+            }
+        }
+    }
+
+    /// Takes the notices to be spread to all routers.
+    pub fn take_notices(&mut self) -> Vec<PoisonNotice> {
+        std::mem::take(&mut self.notices)
+    }
+
+    /// Returns how many requests records are kept of.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Tells whether no request is on record.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    fn blame(&mut self, now: Duration, fingerprint: Fingerprint, crash: &Crash) {
+        let most = self.most_crashes();
+        let record = self.record(fingerprint);
+        if !record.add(crash.clone(), most) {
+            return;
+        }
+        self.accuse(now, fingerprint);
+        let news = PoisonNews::Crashed {
+            endpoint: crash.endpoint.clone(),
+            age: now.saturating_sub(crash.at),
+        };
+        self.tell(fingerprint, news);
+    }
+
+    fn accuse(&mut self, now: Duration, fingerprint: Fingerprint) {
+        if self.record(fingerprint).is_accused() {
+            self.accused.insert(fingerprint, now + JUDGE_AFTER);
+        }
+    }
+
+    fn judge(&mut self, now: Duration, fingerprint: Fingerprint) {
+        self.accused.remove(&fingerprint);
+        let most = self.most_crashes();
+        let first = self.quarantine_time();
+        let Some(record) = self.records.get(&fingerprint) else {
+            return;
+        };
+        let is_foremost = |crash: &Crash| self.is_foremost(fingerprint, crash);
+        if record.quarantined_for(now).is_some() || !record.is_guilty(is_foremost, most) {
+            return;
+        }
+        let remaining = self.record(fingerprint).quarantine(now, first);
+        self.tell(fingerprint, PoisonNews::Quarantined { remaining });
+    }
+
+    fn is_foremost(&self, fingerprint: Fingerprint, crash: &Crash) -> bool {
+        let suspicion = |record: &PoisonRecord| record.suspicion_in(crash);
+        let own = self.records.get(&fingerprint).map_or(0, suspicion);
+        self.records
+            .iter()
+            .all(|(other, record)| *other == fingerprint || suspicion(record) < own)
+    }
+
+    // Losses are noticed one after another, some only after the endpoint was found to be down.
+    fn down_since(&self, now: Duration, endpoint: &EndpointId) -> Option<Duration> {
+        let at = *self.down.get(endpoint)?;
+        (now.saturating_sub(at) < SAME_CRASH).then_some(at)
+    }
+
+    fn end_trial(&mut self, fingerprint: Fingerprint) {
+        if self
+            .trial
+            .as_ref()
+            .is_some_and(|trial| trial.fingerprint == fingerprint)
+        {
+            self.trial = None;
+        }
+    }
+
+    fn tell(&mut self, fingerprint: Fingerprint, news: PoisonNews) {
+        self.notices.push(PoisonNotice { fingerprint, news });
+    }
+
+    fn record(&mut self, fingerprint: Fingerprint) -> &mut PoisonRecord {
+        if self.records.len() >= MAX_RECORDS && !self.records.contains_key(&fingerprint) {
+            self.drop_oldest();
+        }
+        self.records.entry(fingerprint).or_default()
+    }
+
+    fn drop_oldest(&mut self) {
+        let oldest = self
+            .records
+            .iter()
+            .min_by_key(|(_, record)| record.changed_at())
+            .map(|(fingerprint, _)| *fingerprint);
+        if let Some(oldest) = oldest {
+            self.records.remove(&oldest);
+            self.accused.remove(&oldest);
+        }
+    }
+
+    fn most_crashes(&self) -> usize {
+        let most = self.settings.poison_after_crashes.max(MIN_CRASHES);
+        usize::try_from(most).unwrap_or(usize::MAX)
+    }
+
+    fn quarantine_time(&self) -> Duration {
+        millis(self.settings.poison_quarantine_ms)
+    }
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -3,5 +3,6 @@
 //!
 //! This crate does no I/O, starts no threads and reads no clock.
 
+pub mod fingerprint;
 pub mod ids;
 pub mod settings;
