--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod node;
 pub mod node_claims;
 pub mod node_events;
+pub mod poison_notice;
 pub mod poison_record;
 pub mod pool_home;
 pub mod pool_messages;
--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -2,9 +2,9 @@
 //!
 //! A crash takes a whole batch with it, so at first every request of the batch is a suspect. One
 //! that finishes later is cleared. The others run one at a time in each router, among requests that
-//! are no suspects; a crash in which a request was the only suspect counts against it. Routers tell
-//! each other what they saw, and a short while passes before judgement, so that two suspects of
-//! two routers in the same crash are told apart. The guilty are refused everywhere, for a time.
+//! are no suspects; a crash in which a request was the foremost suspect counts against it. Routers
+//! tell each other what they saw, and a short while passes before judgement, so that two suspects
+//! of two routers in the same crash are told apart. The guilty are refused everywhere, for a time.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -15,6 +15,8 @@
 use sedgeridge_state::settings::HealthSettings;
 use sedgeridge_state::settings::millis;
 
+use crate::poison_notice::PoisonNews;
+use crate::poison_notice::PoisonNotice;
 use crate::poison_record::Crash;
 use crate::poison_record::PoisonRecord;
 use crate::poison_record::SAME_CRASH;
@@ -32,34 +34,6 @@
 /// Quarantine times that a notice may ask for; more is absurd.
 const MAX_NOTICE_TIMES: u32 = 32;
 
-/// What a router tells the others about a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PoisonNotice {
-    /// The request.
-    pub fingerprint: Fingerprint,
-    /// What is known.
-    pub news: PoisonNews,
-}
-
-/// News about a request. Times are relative, since routers share no clock.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PoisonNews {
-    /// It was in progress on an endpoint that crashed.
-    Crashed {
-        /// The endpoint.
-        endpoint: EndpointId,
-        /// Time since the crash.
-        age: Duration,
-    },
-    /// It is refused.
-    Quarantined {
-        /// Time for which it is.
-        remaining: Duration,
-    },
-    /// It finished.
-    Finished,
-}
-
 /// Whether a request may start on an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Permit {
@@ -159,6 +133,9 @@
 
     /// Asks to start a request. A suspect that is let start is on trial until it ends.
     pub fn start(&mut self, now: Duration, fingerprint: Fingerprint) -> Permit {
+        if self.accused.get(&fingerprint).is_some_and(|at| *at <= now) {
+            self.judge(now, fingerprint);
+        }
         let Some(record) = self.records.get(&fingerprint) else {
             return Permit::Start;
         };
@@ -251,7 +228,6 @@
             .map(|(fingerprint, _)| *fingerprint)
             .collect();
         for fingerprint in due {
-            self.accused.remove(&fingerprint);
             self.judge(now, fingerprint);
         }
         self.lost
@@ -275,14 +251,14 @@
                     at: now.saturating_sub(age),
                 };
                 let record = self.record(fingerprint);
-                if !record.was_cleared_near(crash.at) {
-                    record.add(crash, most);
+                if !record.was_settled_near(crash.at) && record.add(crash, most) {
+                    self.accuse(now, fingerprint);
                 }
             }
             PoisonNews::Crashed { .. } => {}
             PoisonNews::Quarantined { remaining } => {
                 let until = now + remaining.min(longest);
-                self.record(fingerprint).quarantine_until(until);
+                self.record(fingerprint).quarantine_until(now, until);
             }
             PoisonNews::Finished => {
                 self.record(fingerprint).clear(now);
@@ -312,9 +288,7 @@
         if !record.add(crash.clone(), most) {
             return;
         }
-        if record.was_suspect_at(crash) {
-            self.accused.insert(fingerprint, now + JUDGE_AFTER);
-        }
+        self.accuse(now, fingerprint);
         let news = PoisonNews::Crashed {
             endpoint: crash.endpoint.clone(),
             age: now.saturating_sub(crash.at),
@@ -322,31 +296,33 @@
         self.tell(fingerprint, news);
     }
 
-    // The first crash counts although the whole batch was in it. In a later one, the request must
-    // have been the only suspect: without this, innocent requests that were retried beside the
-    // poison would be refused with it.
+    fn accuse(&mut self, now: Duration, fingerprint: Fingerprint) {
+        if self.record(fingerprint).is_accused() {
+            self.accused.insert(fingerprint, now + JUDGE_AFTER);
+        }
+    }
+
     fn judge(&mut self, now: Duration, fingerprint: Fingerprint) {
+        self.accused.remove(&fingerprint);
         let most = self.most_crashes();
         let first = self.quarantine_time();
         let Some(record) = self.records.get(&fingerprint) else {
             return;
         };
-        let counted: Vec<_> = record
-            .crashes()
-            .iter()
-            .filter(|crash| !record.was_suspect_at(crash) || self.is_alone(fingerprint, crash))
-            .collect();
-        if !record.is_guilty(&counted, most) {
+        let is_foremost = |crash: &Crash| self.is_foremost(fingerprint, crash);
+        if record.quarantined_for(now).is_some() || !record.is_guilty(is_foremost, most) {
             return;
         }
         let remaining = self.record(fingerprint).quarantine(now, first);
         self.tell(fingerprint, PoisonNews::Quarantined { remaining });
     }
 
-    fn is_alone(&self, fingerprint: Fingerprint, crash: &Crash) -> bool {
-        !self.records.iter().any(|(other, record)| {
-            *other != fingerprint && record.was_in(crash) && record.was_suspect_at(crash)
-        })
+    fn is_foremost(&self, fingerprint: Fingerprint, crash: &Crash) -> bool {
+        let suspicion = |record: &PoisonRecord| record.suspicion_in(crash);
+        let own = self.records.get(&fingerprint).map_or(0, suspicion);
+        self.records
+            .iter()
+            .all(|(other, record)| *other == fingerprint || suspicion(record) < own)
     }
 
     // Losses are noticed one after another, some only after the endpoint was found to be down.
