test(coordination): fuzz the home of a pool against a naive oracle

Routers lose, repeat and delay messages, restart, leave and rejoin; homes move and forget. After each event the oracle checks whose turn each grant was, that it had a free slot, and that no usable slot idles while work waits; at the end, with faults gone, that nothing is lost for good. The gap between accounts that always wait is checked in a run of its own, the ledger against its definition.

Found and mended on the way: a run that left and rejoined got grant ids again that were still on their way ('a grant came twice'; after the first mend once more at equal times); and a lost grant that a later one acknowledged held its slot, so an entry router whose grants skip a sequence now has to report in full.

--- a/crates/coordination/src/grant_slots.rs
+++ b/crates/coordination/src/grant_slots.rs
@@ -65,6 +65,7 @@
         let record = self.entries.record_mut(key.router);
         record.last_granted += 1;
         let sequence = record.last_granted;
+        self.highest_sequence = self.highest_sequence.max(sequence);
         let held = Held {
             account: key.account,
             class: key.class,
--- a/crates/coordination/src/pool_home.rs
+++ b/crates/coordination/src/pool_home.rs
@@ -62,6 +62,8 @@
     pub(crate) started_at: Option<Duration>,
     pub(crate) granting: bool,
     pub(crate) expiries: VecDeque<Expiry>,
+    /// Highest sequence of any grant given here.
+    pub(crate) highest_sequence: u64,
 }
 
 impl PoolHome {
@@ -109,6 +111,7 @@
             started_at: None,
             granting: false,
             expiries: VecDeque::new(),
+            highest_sequence: 0,
             member,
             pool,
             settings,
--- a/crates/coordination/src/pool_messages.rs
+++ b/crates/coordination/src/pool_messages.rs
@@ -33,11 +33,11 @@
     /// Waiting requests by account and class; `waiting: 0` withdraws.
     pub demand: Vec<Demand>,
     /// Grants in use. A full report lists all; a partial one only changed estimates.
+    ///
+    /// The home charges a grant the head cost last reported. A request whose estimate is another
+    /// one, because several were granted at once, is listed when it is bound.
     pub holdings: Vec<Holding>,
     /// Grants that ended or could not be used.
-    ///
-    /// A grant that never came, seen by a skipped sequence, is listed here in the report that
-    /// acknowledges a later one. Left out, it would occupy its slot until the next full report.
     pub ended: Vec<GrantId>,
     /// Service received through this router since it started.
     pub served: Vec<Served>,
@@ -85,7 +85,11 @@
 pub struct GrantId {
     /// The home that granted.
     pub home: Member,
-    /// Position among the grants of that home to that entry router.
+    /// Position among the grants of that home to that entry router; only ever rises.
+    ///
+    /// Grants arrive in order. When one does not follow the last by one, grants may have been
+    /// lost, and the entry router's next report must be full: the home ends the grants that it
+    /// does not list. Without it a lost grant, acknowledged by a later one, keeps its slot idle.
     pub sequence: u64,
 }
 
--- a/crates/coordination/src/report_apply.rs
+++ b/crates/coordination/src/report_apply.rs
@@ -94,7 +94,7 @@
             record.named_unknown = false;
         }
         if first {
-            self.start_grants(router, report);
+            self.start_grants(now, router, report);
         }
         let resumed = self.demand.suspend(router, false);
         self.touched.extend(resumed);
@@ -117,17 +117,24 @@
         }
     }
 
-    /// Continues the sequence of grants that an earlier stay of this home began.
-    fn start_grants(&mut self, router: usize, report: &EntryReport) {
+    /// Starts the sequence of grants to a run above all that this home may have used before.
+    ///
+    /// A run that left and rejoined, or a home that moved away and back, may find grants of before
+    /// still on their way. If their sequences were used again, one id would stand for two grants
+    /// and the end of one would free the slot of the other. The highest sequence of this stay covers
+    /// a run that rejoins. An earlier stay gave less than one grant a microsecond, so the clock is
+    /// ahead of its sequences.
+    fn start_grants(&mut self, now: Duration, router: usize, report: &EntryReport) {
         let own = report
             .holdings
             .iter()
             .filter(|holding| holding.grant.home == self.member)
             .map(|holding| holding.grant.sequence);
-        let highest = own.fold(report.grants_received, u64::max);
+        let received = own.fold(report.grants_received, u64::max);
+        let clock_us = u64::try_from(now.as_micros()).unwrap_or(u64::MAX);
         let record = self.entries.record_mut(router);
-        record.last_granted = highest;
-        record.grants_received = highest;
+        record.last_granted = received.max(clock_us).max(self.highest_sequence);
+        record.grants_received = received;
     }
 
     fn acknowledge(&mut self, router: usize, grants_received: u64) {
--- /dev/null
+++ b/crates/coordination/tests/home_fuzz/gap.rs
@@ -0,0 +1,194 @@
+//! The gap in service between accounts that are backlogged together.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use proptest::test_runner::TestRng;
+use sedgeridge_coordination::pool_home::AccountWeight;
+use sedgeridge_coordination::pool_home::HomeAction;
+use sedgeridge_coordination::pool_home::HomeEndpoint;
+use sedgeridge_coordination::pool_home::HomeEvent;
+use sedgeridge_coordination::pool_home::PoolHome;
+use sedgeridge_state::ids::AccountId;
+use sedgeridge_state::ids::EndpointId;
+use sedgeridge_state::ids::PoolId;
+use sedgeridge_state::ids::SiteId;
+use sedgeridge_state::settings::FairSettings;
+use sedgeridge_state::settings::RequestClass;
+
+use super::router::Router;
+
+const LARGEST_CHARGE_TOKENS: u64 = 1_000;
+const STEPS: usize = 600;
+
+/// What one run is made of.
+#[derive(Debug, Clone)]
+struct Load {
+    routers: usize,
+    slots: u32,
+    weights: Vec<u32>,
+    /// Whether all requests of one account cost the same, so that the home knows their costs.
+    exact: bool,
+}
+
+fn loads() -> impl Strategy<Value = Load> {
+    let weight = prop_oneof![Just(1u32), Just(2), Just(4)];
+    let weights = prop::collection::vec(weight, 2..6);
+    (1..9usize, 1..9u32, weights, any::<bool>()).prop_map(|(routers, slots, weights, exact)| Load {
+        routers,
+        slots,
+        weights,
+        exact,
+    })
+}
+
+/// Accounts that always wait, each at a router of its own choice.
+#[derive(Debug)]
+struct Race {
+    load: Load,
+    home: PoolHome,
+    routers: Vec<Router>,
+    rng: TestRng,
+}
+
+impl Race {
+    fn new(load: Load, rng: TestRng) -> Self {
+        let home_member = Router::new(0, 1, super::super::home_member(1)).member;
+        let settings = FairSettings::default();
+        let home = PoolHome::new(home_member.clone(), PoolId::from("desk"), settings);
+        let routers = (0..load.routers).map(|index| Router::new(index, 1, home_member.clone()));
+        let mut race = Self {
+            routers: routers.collect(),
+            home,
+            rng,
+            load,
+        };
+        race.start();
+        race
+    }
+
+    fn start(&mut self) {
+        let members = self.routers.iter().map(|router| router.member.clone());
+        let members = members.collect();
+        self.event(HomeEvent::Members(members));
+        let weights = self.load.weights.iter().enumerate();
+        let weights = weights.map(|(index, &weight)| AccountWeight {
+            account: account(index),
+            weight,
+        });
+        let endpoint = HomeEndpoint {
+            id: EndpointId::from("desk-1"),
+            site: SiteId::from("officina"),
+            slots: 0,
+        };
+        self.event(HomeEvent::Configured {
+            endpoints: vec![endpoint],
+            weights: weights.collect(),
+        });
+        for index in 0..self.load.weights.len() {
+            let router = index % self.load.routers;
+            let usual_cost_tokens = self.draw(LARGEST_CHARGE_TOKENS) + 1;
+            for _ in 0..STEPS {
+                let cost_tokens = match self.load.exact {
+                    true => usual_cost_tokens,
+                    false => self.draw(LARGEST_CHARGE_TOKENS) + 1,
+                };
+                let class = RequestClass::Interactive;
+                self.routers[router].arrive(&account(index), class, cost_tokens);
+            }
+        }
+        for router in 0..self.load.routers {
+            self.exchange(router);
+        }
+        self.event(HomeEvent::EndpointState {
+            endpoint: EndpointId::from("desk-1"),
+            usable_slots: self.load.slots,
+        });
+    }
+
+    fn draw(&mut self, below: u64) -> u64 {
+        self.rng.next_u64() % below
+    }
+
+    fn event(&mut self, event: HomeEvent) {
+        let mut actions = Vec::new();
+        self.home.handle(Duration::ZERO, event, &mut actions);
+        for action in actions {
+            let HomeAction::Grant { to, .. } = &action else {
+                continue;
+            };
+            let mut routers = self.routers.iter_mut();
+            let router = routers.find(|router| router.member == *to);
+            router.expect("granted to a member").inbox.push_back(action);
+        }
+    }
+
+    fn exchange(&mut self, router: usize) {
+        self.routers[router].receive();
+        self.routers[router].report(false);
+        while let Some(report) = self.routers[router].outbox.pop_front() {
+            self.event(HomeEvent::Report(report));
+        }
+    }
+
+    fn step(&mut self) {
+        let router = self.draw(self.load.routers as u64) as usize;
+        self.routers[router].receive();
+        let running = self.routers[router].running.len() as u64;
+        if running > 0 {
+            let nth = self.draw(running) as usize;
+            let estimate_tokens = self.routers[router].running[nth].estimate_tokens;
+            let cost_tokens = match self.load.exact {
+                true => estimate_tokens,
+                false => self.draw(LARGEST_CHARGE_TOKENS) + 1,
+            };
+            self.routers[router].finish(nth, cost_tokens);
+        }
+        self.exchange(router);
+    }
+
+    fn spread(&self) -> i128 {
+        let tags = (0..self.load.weights.len()).map(|index| {
+            let tag = self.home.tag_of(&account(index));
+            tag.expect("a configured account").tokens_per_weight()
+        });
+        let tags: Vec<i128> = tags.collect();
+        tags.iter().max().unwrap() - tags.iter().min().unwrap()
+    }
+
+    /// Largest gap while all are backlogged. Whoever is ahead was granted when it was not, so it
+    /// leads by one charge, and by what was mis-estimated of requests then in progress.
+    fn bound(&self) -> i128 {
+        let lightest = i128::from(*self.load.weights.iter().min().unwrap());
+        let one = i128::from(LARGEST_CHARGE_TOKENS) / lightest;
+        let mistakes = match self.load.exact {
+            true => 0,
+            false => i128::from(self.load.slots) * one,
+        };
+        // One more for tags that are rounded down.
+        one + mistakes + 1
+    }
+}
+
+fn account(index: usize) -> AccountId {
+    AccountId::from(format!("a{index}").as_str())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 48,
+        rng_seed: RngSeed::Fixed(4),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn the_gap_stays_under_its_bound(load in loads(), rng in any::<[u8; 32]>()) {
+        let rng = TestRng::from_seed(prop::test_runner::RngAlgorithm::ChaCha, &rng);
+        let mut race = Race::new(load, rng);
+        for _ in 0..STEPS {
+            race.step();
+            prop_assert!(race.spread() <= race.bound(), "{} > {}", race.spread(), race.bound());
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/home_fuzz/oracle.rs
@@ -0,0 +1,379 @@
+//! The home of a pool written as plainly as possible: every question is answered by a scan.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use sedgeridge_coordination::pool_home::HomeAction;
+use sedgeridge_coordination::pool_home::HomeEvent;
+use sedgeridge_coordination::pool_messages::Demand;
+use sedgeridge_coordination::pool_messages::EntryReport;
+use sedgeridge_coordination::pool_messages::Grant;
+use sedgeridge_coordination::pool_messages::GrantId;
+use sedgeridge_state::ids::AccountId;
+use sedgeridge_state::ids::EndpointId;
+use sedgeridge_state::ids::HostId;
+use sedgeridge_state::ids::Member;
+use sedgeridge_state::settings::RequestClass;
+
+const GRANT_TIMEOUT: Duration = Duration::from_millis(1_000);
+const GATHER_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Common multiple of the weights in use: tags are whole numbers.
+pub const WEIGHT_MULTIPLE: i128 = 4;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Stage {
+    Sent(Duration),
+    TimedOut,
+    Acknowledged,
+}
+
+#[derive(Debug, Clone)]
+struct Held {
+    id: GrantId,
+    account: AccountId,
+    class: RequestClass,
+    endpoint: EndpointId,
+    estimate_tokens: u64,
+    stage: Stage,
+}
+
+impl Held {
+    fn counts(&self) -> bool {
+        self.stage != Stage::TimedOut
+    }
+}
+
+#[derive(Debug)]
+struct Record {
+    member: Member,
+    last_sequence: Option<u64>,
+    grants_received: u64,
+    last_granted: u64,
+    suspended: bool,
+    demand: Vec<Demand>,
+    held: Vec<Held>,
+    served_tokens: BTreeMap<AccountId, u64>,
+}
+
+#[derive(Debug)]
+pub struct Oracle {
+    home: Member,
+    started_at: Duration,
+    members_known: bool,
+    granting: bool,
+    weights: BTreeMap<AccountId, u32>,
+    usable: BTreeMap<EndpointId, u32>,
+    records: BTreeMap<HostId, Record>,
+    received_tokens: BTreeMap<AccountId, i128>,
+    lifts: BTreeMap<AccountId, i128>,
+    backlogged: BTreeSet<AccountId>,
+    last_minimum: i128,
+    pub timed_out: bool,
+    pub started_blind: bool,
+}
+
+impl Oracle {
+    pub fn new(home: Member, now: Duration) -> Self {
+        Self {
+            home,
+            started_at: now,
+            members_known: false,
+            granting: false,
+            weights: BTreeMap::new(),
+            usable: BTreeMap::new(),
+            records: BTreeMap::new(),
+            received_tokens: BTreeMap::new(),
+            lifts: BTreeMap::new(),
+            backlogged: BTreeSet::new(),
+            last_minimum: 0,
+            timed_out: false,
+            started_blind: false,
+        }
+    }
+
+    /// Follows an event and checks every grant that the home gave for it.
+    pub fn follow(&mut self, now: Duration, event: &HomeEvent, actions: &[HomeAction]) {
+        self.note_minimum();
+        match event {
+            HomeEvent::Configured { endpoints, weights } => {
+                let endpoints = endpoints.iter();
+                self.usable = endpoints.map(|e| (e.id.clone(), e.slots)).collect();
+                let weights = weights.iter();
+                self.weights = weights.map(|w| (w.account.clone(), w.weight)).collect();
+            }
+            HomeEvent::EndpointState {
+                endpoint,
+                usable_slots,
+            } => {
+                self.usable.insert(endpoint.clone(), *usable_slots);
+            }
+            HomeEvent::Members(members) => self.set_members(members),
+            HomeEvent::Report(report) => self.take(report),
+            HomeEvent::HostSites(_) | HomeEvent::Tick => {}
+        }
+        self.time_out(now);
+        self.update_backlog();
+        self.start(now);
+        for action in actions {
+            if let HomeAction::Grant { to, grant } = action {
+                self.check_grant(now, to, grant);
+            }
+        }
+        self.check_work_conservation();
+    }
+
+    fn set_members(&mut self, members: &[Member]) {
+        self.members_known = true;
+        self.records
+            .retain(|host, _| members.iter().any(|member| member.host == *host));
+        for member in members {
+            let known = self.records.get(&member.host);
+            if known.is_none_or(|known| known.member.incarnation < member.incarnation) {
+                self.records.insert(member.host.clone(), record(member));
+            }
+        }
+    }
+
+    fn take(&mut self, report: &EntryReport) {
+        let Some(known) = self.records.get(&report.from.host) else {
+            return;
+        };
+        if report.from.incarnation < known.member.incarnation {
+            return;
+        }
+        if report.from.incarnation > known.member.incarnation {
+            if !report.full {
+                return;
+            }
+            self.records
+                .insert(report.from.host.clone(), record(&report.from));
+        }
+        let known = &self.records[&report.from.host];
+        let taken = match known.last_sequence {
+            None => report.full,
+            Some(last) => report.sequence == last + 1 || (report.full && report.sequence > last),
+        };
+        if taken {
+            self.apply(report);
+        }
+    }
+
+    fn apply(&mut self, report: &EntryReport) {
+        let known = self.records.get_mut(&report.from.host).unwrap();
+        if known.last_sequence.is_none() {
+            let own = report.holdings.iter().map(|h| &h.grant);
+            let own = own.filter(|id| id.home == self.home).map(|id| id.sequence);
+            known.last_granted = own.fold(report.grants_received, u64::max);
+            known.grants_received = known.last_granted;
+            for served in &report.served {
+                known
+                    .served_tokens
+                    .insert(served.account.clone(), served.total_tokens);
+            }
+        }
+        known.last_sequence = Some(report.sequence);
+        known.suspended = false;
+        known.held.retain(|held| !report.ended.contains(&held.id));
+        known.grants_received = known.grants_received.max(report.grants_received);
+        for held in &mut known.held {
+            if held.id.home == self.home && held.id.sequence <= known.grants_received {
+                held.stage = Stage::Acknowledged;
+            }
+        }
+        for holding in &report.holdings {
+            let estimate_tokens = holding.estimate_tokens.max(1);
+            match known.held.iter_mut().find(|h| h.id == holding.grant) {
+                Some(held) => held.estimate_tokens = estimate_tokens,
+                None => known.held.push(Held {
+                    id: holding.grant.clone(),
+                    account: holding.account.clone(),
+                    class: RequestClass::Interactive,
+                    endpoint: holding.endpoint.clone(),
+                    estimate_tokens,
+                    stage: Stage::Acknowledged,
+                }),
+            }
+        }
+        if report.full {
+            known.held.retain(|held| {
+                held.stage != Stage::Acknowledged
+                    || report.holdings.iter().any(|h| h.grant == held.id)
+            });
+            known.demand.clear();
+        }
+        for demand in &report.demand {
+            known
+                .demand
+                .retain(|d| d.account != demand.account || d.class != demand.class);
+            known.demand.push(demand.clone());
+        }
+        for served in &report.served {
+            let before = known
+                .served_tokens
+                .insert(served.account.clone(), served.total_tokens)
+                .unwrap_or_default();
+            let growth = i128::from(served.total_tokens) - i128::from(before);
+            *self
+                .received_tokens
+                .entry(served.account.clone())
+                .or_default() += growth;
+        }
+    }
+
+    fn time_out(&mut self, now: Duration) {
+        for known in self.records.values_mut() {
+            for held in &mut known.held {
+                if matches!(held.stage, Stage::Sent(at) if at + GRANT_TIMEOUT <= now) {
+                    held.stage = Stage::TimedOut;
+                    known.suspended = true;
+                    self.timed_out = true;
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, now: Duration) {
+        if self.granting || self.weights.is_empty() {
+            return;
+        }
+        let all = self.records.values().all(|r| r.last_sequence.is_some());
+        let all = self.members_known && all;
+        self.granting = all || now >= self.started_at + GATHER_TIMEOUT;
+        self.started_blind = self.granting && !all;
+    }
+
+    fn tag(&self, account: &AccountId) -> i128 {
+        let held = self.records.values().flat_map(|record| &record.held);
+        let in_progress: i128 = held
+            .filter(|held| held.account == *account && held.counts())
+            .map(|held| i128::from(held.estimate_tokens))
+            .sum();
+        let settled = self.received_tokens.get(account).copied().unwrap_or(0);
+        let lift = self.lifts.get(account).copied().unwrap_or(0);
+        let weight = i128::from(self.weights[account]);
+        lift + (settled + in_progress) * WEIGHT_MULTIPLE / weight
+    }
+
+    fn minimum(&self) -> Option<i128> {
+        self.backlogged
+            .iter()
+            .map(|account| self.tag(account))
+            .min()
+    }
+
+    fn note_minimum(&mut self) {
+        self.last_minimum = self.minimum().unwrap_or(self.last_minimum);
+    }
+
+    fn grantable(&self, record: &Record, account: &AccountId, class: RequestClass) -> u32 {
+        let mut demand = record.demand.iter();
+        let demand = demand.find(|d| d.account == *account && d.class == class);
+        let sent = record.held.iter().filter(|held| {
+            matches!(held.stage, Stage::Sent(_)) && held.account == *account && held.class == class
+        });
+        match demand {
+            Some(demand) if !record.suspended => demand.waiting.saturating_sub(sent.count() as u32),
+            _ => 0,
+        }
+    }
+
+    fn has_demand(&self, account: &AccountId, class: RequestClass) -> bool {
+        let mut records = self.records.values();
+        records.any(|record| self.grantable(record, account, class) > 0)
+    }
+
+    fn update_backlog(&mut self) {
+        let now_backlogged: BTreeSet<AccountId> = self
+            .weights
+            .keys()
+            .filter(|account| {
+                self.has_demand(account, RequestClass::Interactive)
+                    || self.has_demand(account, RequestClass::Deferred)
+            })
+            .cloned()
+            .collect();
+        self.backlogged
+            .retain(|account| now_backlogged.contains(account));
+        let floor = self.minimum().unwrap_or(self.last_minimum);
+        for account in now_backlogged.difference(&self.backlogged) {
+            let short = floor - self.tag(account);
+            if short > 0 {
+                *self.lifts.entry(account.clone()).or_default() += short;
+            }
+        }
+        self.backlogged = now_backlogged;
+    }
+
+    pub fn occupied(&self, endpoint: &EndpointId) -> u32 {
+        let held = self.records.values().flat_map(|record| &record.held);
+        held.filter(|held| held.counts() && held.endpoint == *endpoint)
+            .count() as u32
+    }
+
+    pub fn usable(&self, endpoint: &EndpointId) -> u32 {
+        self.usable[endpoint]
+    }
+
+    fn check_grant(&mut self, now: Duration, to: &Member, grant: &Grant) {
+        assert!(self.granting, "granted before the slots in use are known");
+        let next = self
+            .backlogged
+            .iter()
+            .min_by_key(|account| (self.tag(account), (*account).clone()));
+        assert_eq!(
+            Some(&grant.account),
+            next,
+            "not the account with the least tag"
+        );
+        let interactive = self.has_demand(&grant.account, RequestClass::Interactive);
+        assert_eq!(grant.class == RequestClass::Interactive, interactive);
+        let occupied = self.occupied(&grant.endpoint);
+        assert!(occupied < self.usable(&grant.endpoint), "no free slot");
+        let known = &self.records[&to.host];
+        assert_eq!(known.member, *to);
+        assert!(self.grantable(known, &grant.account, grant.class) > 0);
+        let mut demand = known.demand.iter();
+        let demand = demand.find(|d| d.account == grant.account && d.class == grant.class);
+        let estimate_tokens = demand.unwrap().head_cost_tokens.max(1);
+        self.note_minimum();
+        let known = self.records.get_mut(&to.host).unwrap();
+        assert!(grant.id.sequence > known.last_granted);
+        known.last_granted = grant.id.sequence;
+        known.held.push(Held {
+            id: grant.id.clone(),
+            account: grant.account.clone(),
+            class: grant.class,
+            endpoint: grant.endpoint.clone(),
+            estimate_tokens,
+            stage: Stage::Sent(now),
+        });
+        self.update_backlog();
+    }
+
+    fn check_work_conservation(&self) {
+        if !self.granting || self.backlogged.is_empty() {
+            return;
+        }
+        for (endpoint, usable) in &self.usable {
+            assert!(
+                self.occupied(endpoint) >= *usable,
+                "a slot of {endpoint} is idle while work waits"
+            );
+        }
+    }
+}
+
+fn record(member: &Member) -> Record {
+    Record {
+        member: member.clone(),
+        last_sequence: None,
+        grants_received: 0,
+        last_granted: 0,
+        suspended: false,
+        demand: Vec::new(),
+        held: Vec::new(),
+        served_tokens: BTreeMap::new(),
+    }
+}
--- a/crates/coordination/tests/pool_home.rs
+++ b/crates/coordination/tests/pool_home.rs
@@ -176,6 +176,22 @@
     assert_eq!(fleet.grants[1].0, member(1));
 }
 
+// A caller's request ends though another one still runs under the same grant id, so its endpoint
+// runs one request too many. A run left and rejoined while a grant was on its way to it; the home
+// had forgotten the run and started its sequence again.
+#[test]
+fn a_run_that_rejoins_never_gets_a_grant_id_again() {
+    let mut fleet = Fleet::new(2, &[("desk-1", 1)], &[("a", 1)]);
+    fleet.wait(0, "a", 1);
+    fleet.event(HomeEvent::Members(vec![member(1)]));
+    fleet.event(HomeEvent::Members(vec![member(0), member(1)]));
+    let mut rejoined = report(0, 9, true);
+    rejoined.demand.push(demand("a", 1));
+    fleet.send(rejoined);
+    assert_eq!(fleet.grants.len(), 2);
+    assert_ne!(fleet.grants[0].1.id, fleet.grants[1].1.id);
+}
+
 #[parameterized(
     repeated = { 1, false, RejectionReason::RepeatedSequence, false },
     gap = { 3, false, RejectionReason::SequenceGap, true },
