--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -29,6 +29,8 @@
 pub mod node;
 pub mod node_claims;
 pub mod node_events;
+pub mod order_events;
+pub mod orders;
 pub mod poison_notice;
 pub mod poison_record;
 pub mod pool_home;
