fix(state): membership keys stood twice in the schema

A test of the schema's own names now fails on a key that stands twice (seen red before the rows were dropped).

--- a/crates/state/src/settings/schema/general.rs
+++ b/crates/state/src/settings/schema/general.rs
@@ -317,41 +317,6 @@
             Fleet,
             "Lateness of a timer from which on a process takes itself for having been paused.",
         ),
-        key(
-            "gossip_interval_ms",
-            whole(Milliseconds, 1, 60_000),
-            Value("100"),
-            Fleet,
-            "Shortest time between two messages that only carry news.",
-        ),
-        key(
-            "gossip_fanout",
-            whole(Count, 1, 100),
-            Value("3"),
-            Fleet,
-            "Routers told at once of news.",
-        ),
-        key(
-            "sync_interval_ms",
-            whole(Milliseconds, 100, 3_600_000),
-            Value("30000"),
-            Fleet,
-            "Time between comparisons of the whole table with another router.",
-        ),
-        key(
-            "rejoin_interval_ms",
-            whole(Milliseconds, 100, 3_600_000),
-            Value("5000"),
-            Fleet,
-            "Time between attempts to reach routers that are named but not live.",
-        ),
-        key(
-            "pause_ms",
-            whole(Milliseconds, 10, 600_000),
-            Value("1000"),
-            Fleet,
-            "Lateness of a timer from which on this process takes itself for having been paused.",
-        ),
     ],
 };
 
--- a/crates/state/tests/settings_load.rs
+++ b/crates/state/tests/settings/layers.rs
@@ -1,5 +1,7 @@
 //! The loader on good input: defaults, layers, overrides and the schema's own soundness.
 
+use std::collections::BTreeSet;
+
 use sedgeridge_state::settings::FairSettings;
 use sedgeridge_state::settings::FrontSettings;
 use sedgeridge_state::settings::HealthSettings;
@@ -128,3 +130,15 @@
         }
     }
 }
+
+#[test]
+fn names_of_the_schema_stand_once() {
+    let mut sections = BTreeSet::new();
+    for section in SECTIONS {
+        assert!(sections.insert(section.name), "[{}]", section.name);
+        let mut keys = BTreeSet::new();
+        for key in section.keys {
+            assert!(keys.insert(key.name), "[{}] {}", section.name, key.name);
+        }
+    }
+}
--- a/crates/state/tests/settings_refused.rs
+++ b/crates/state/tests/settings/refused.rs
@@ -3,17 +3,16 @@
 //! A case changes one line of a sound base file. The line of the finding is then checked by its
 //! text, so that cases do not depend on line numbers.
 
-mod refusal;
-
-use refusal::BASE;
-use refusal::BASE_NAME;
-use refusal::Expected;
-use refusal::assert_only_finding;
-use refusal::expect;
-use refusal::findings;
 use sedgeridge_state::settings::load;
 use yare::parameterized;
 
+use crate::refusal::BASE;
+use crate::refusal::BASE_NAME;
+use crate::refusal::Expected;
+use crate::refusal::assert_only_finding;
+use crate::refusal::expect;
+use crate::refusal::findings;
+
 #[test]
 fn the_base_of_all_cases_is_sound() {
     assert_eq!(load(BASE, BASE_NAME, None).err(), None);
--- a/crates/state/tests/settings_refused_layers.rs
+++ b/crates/state/tests/settings/refused_layers.rs
@@ -1,18 +1,17 @@
 //! Malformed overlays and overrides, and findings that concern more than one line.
 
-mod refusal;
-
-use refusal::BASE;
-use refusal::BASE_NAME;
-use refusal::Expected;
-use refusal::OVERLAY_NAME;
-use refusal::assert_only_finding;
-use refusal::expect;
-use refusal::findings;
 use sedgeridge_state::settings::Override;
 use sedgeridge_state::settings::OverrideError;
 use yare::parameterized;
 
+use crate::refusal::BASE;
+use crate::refusal::BASE_NAME;
+use crate::refusal::Expected;
+use crate::refusal::OVERLAY_NAME;
+use crate::refusal::assert_only_finding;
+use crate::refusal::expect;
+use crate::refusal::findings;
+
 #[parameterized(
     weight_of_an_account = { "[account.crew-07]\nweight = 5\n",
         expect("weight = 5", "weight",
