--- a/crates/cli/tests/committed_files.rs
+++ b/crates/cli/tests/committed_files.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use sedgeridge_state::config_document::ConfigDocument;
 use sedgeridge_state::settings::Settings;
 use sedgeridge_state::settings::reference;
 use sedgeridge_transport::settings_files::overlay_path;
@@ -58,6 +59,37 @@
     assert_eq!(files, expected_files);
 }
 
+/// The accepted configuration is kept by section, in order of name. Nothing else may differ from
+/// the files it was made of.
+#[parameterized(
+    small = { "small" },
+    luce = { "luce" },
+    malardalen = { "malardalen" },
+)]
+fn an_accepted_configuration_loads_like_its_files(deployment: &str) {
+    let base = root().join("config").join(deployment).join("base.ini");
+    let base_text = fs::read_to_string(&base).unwrap();
+    for site in load(&base, None).sites {
+        let site = site.id.as_str();
+        let overlay = overlay_path(&base, site);
+        let overlay_text = fs::read_to_string(&overlay).unwrap();
+        let document = ConfigDocument::from_texts(&base_text, &[(site, &overlay_text)]);
+        let accepted = document.settings(site).unwrap();
+
+        assert_eq!(in_order(accepted), in_order(load(&base, Some(&overlay))));
+    }
+}
+
+fn in_order(mut settings: Settings) -> Settings {
+    settings.sites.sort_by(|a, b| a.id.cmp(&b.id));
+    settings.hosts.sort_by(|a, b| a.id.cmp(&b.id));
+    settings.pools.sort_by(|a, b| a.id.cmp(&b.id));
+    settings.services.sort_by(|a, b| a.id.cmp(&b.id));
+    settings.endpoints.sort_by(|a, b| a.id.cmp(&b.id));
+    settings.accounts.sort_by(|a, b| a.id.cmp(&b.id));
+    settings
+}
+
 fn load(base: &Path, overlay: Option<&Path>) -> Settings {
     read_settings(base, overlay, &[]).unwrap_or_else(|error| panic!("{error}"))
 }
--- a/crates/cli/tests/configuration/commit.rs
+++ b/crates/cli/tests/configuration/commit.rs
@@ -72,6 +72,18 @@
     }
 }
 
+#[test]
+fn a_change_costs_two_reads_and_one_transaction() {
+    let context = started();
+    for number in 2..=SNAPSHOT_INTERVAL + 1 {
+        let (reads, transactions) = context.calls.get();
+        let next = proposal("ana", &format!("name-{number}"));
+        commit(&context, table(), &accepted(&context), &next).unwrap();
+
+        assert_eq!(context.calls.get(), (reads + 2, transactions + 1));
+    }
+}
+
 /// The operator sees no answer, although the change is in force. It is sent again, and the table
 /// answers with a conflict: with the operator's own change. Reading the generation back shows the
 /// operator's change id, so the change is reported as accepted, and it was made once.
--- a/crates/cli/tests/configuration/fake.rs
+++ b/crates/cli/tests/configuration/fake.rs
@@ -46,6 +46,8 @@
     pub rival: RefCell<Option<Transact>>,
     /// Every transaction that took effect.
     pub committed: RefCell<Vec<Transact>>,
+    /// Reads and transactions called so far.
+    pub calls: Cell<(u64, u64)>,
     /// Pages by address and path.
     pub pages: RefCell<BTreeMap<(SocketAddr, String), String>>,
     /// Pages that replace others at the first pause.
@@ -119,6 +121,8 @@
         _table: SocketAddr,
         transact: &Transact,
     ) -> Result<TransactAnswer, TableError> {
+        let (reads, transactions) = self.calls.get();
+        self.calls.set((reads, transactions + 1));
         let fault = self.transact_faults.borrow_mut().pop_front();
         let answer = match fault.unwrap_or(Fault::None) {
             Fault::None => Ok(self.apply(transact)),
@@ -136,6 +140,8 @@
     }
 
     fn read(&self, _table: SocketAddr, read: &Read) -> Result<ReadAnswer, TableError> {
+        let (reads, transactions) = self.calls.get();
+        self.calls.set((reads + 1, transactions));
         let fault = self.read_faults.borrow_mut().pop_front();
         match fault.unwrap_or(Fault::None) {
             Fault::None => {}
