--- a/crates/coordination/src/entry_events.rs
+++ b/crates/coordination/src/entry_events.rs
@@ -11,10 +11,10 @@
 use sedgeridge_state::settings::RequestClass;
 
 use crate::breaker::FailureKind;
+use crate::poison_notice::PoisonNotice;
 use crate::pool_messages::EntryReport;
 use crate::pool_messages::Grant;
 use crate::pool_messages::PrefixHash;
-use crate::quarantine::PoisonNotice;
 use crate::refusal::Outcome;
 use crate::refusal::RefusalReason;
 use crate::retry_budget::RetryReason;
