--- a/crates/coordination/tests/home_fuzz/router.rs
+++ b/crates/coordination/tests/home_fuzz/router.rs
@@ -184,5 +184,6 @@
         holdings: Vec::new(),
         ended: Vec::new(),
         served: Vec::new(),
+        results: Vec::new(),
     }
 }
