--- a/crates/coordination/src/pool_home.rs
+++ b/crates/coordination/src/pool_home.rs
@@ -1,91 +1,117 @@
 //! The home of a pool: orders the demand of the whole fleet and grants the pool's slots.
+//!
+//! Entry routers report what waits, what runs and what was served. The home charges each account
+//! its settled service and the estimates of what runs, and grants every free slot to the
+//! backlogged account with the least weighted service. It keeps nothing that must last: a new home
+//! starts from full reports.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use sedgeridge_state::ids::AccountId;
 use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::ids::Member;
 use sedgeridge_state::ids::PoolId;
-use sedgeridge_state::ids::SiteId;
 use sedgeridge_state::settings::FairSettings;
+use sedgeridge_state::settings::millis;
 
-use crate::pool_messages::EntryReport;
-use crate::pool_messages::Grant;
-
-/// What happens to the home of a pool.
-#[derive(Debug, Clone, PartialEq)]
-pub enum HomeEvent {
-    /// A configuration is in force.
-    Configured {
-        /// The pool's endpoints.
-        endpoints: Vec<HomeEndpoint>,
-        /// Weights of all client accounts.
-        weights: Vec<AccountWeight>,
-    },
-    /// An entry router reports.
-    Report(EntryReport),
-    /// What is known of an endpoint changed.
-    EndpointState {
-        /// The endpoint.
-        endpoint: EndpointId,
-        /// Slots that may be granted now; 0 while it is ejected or leaving.
-        usable_slots: u32,
-    },
-    /// The members believed alive changed; holdings of the others are freed.
-    Members(Vec<Member>),
-    /// Time passed.
-    Tick,
-}
+use crate::account_table::AccountTable;
+use crate::demand_table::DemandTable;
+use crate::entry_table::EntryTable;
+use crate::fair_order::Tag;
+use crate::home_counters::HomeCounters;
+use crate::rendezvous::seed_of;
+use crate::slot_table::SlotTable;
 
-/// An endpoint as its pool's home sees it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct HomeEndpoint {
-    /// Name of the endpoint.
-    pub id: EndpointId,
-    /// Site it stands in.
-    pub site: SiteId,
-    /// Requests it may run at once.
-    pub slots: u32,
-}
+pub use crate::home_events::AccountWeight;
+pub use crate::home_events::HomeAction;
+pub use crate::home_events::HomeEndpoint;
+pub use crate::home_events::HomeEvent;
+pub use crate::home_events::HostSite;
+pub use crate::home_events::SlotUsage;
 
-/// Share of a client account.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct AccountWeight {
-    /// The client account.
-    pub account: AccountId,
-    /// Share relative to other accounts.
-    pub weight: u32,
-}
+/// Least charge of a request, so that requests estimated at nothing still move the order.
+pub(crate) const MIN_CHARGE_TOKENS: u64 = 1;
+/// Time after which a router with grants in use is asked to list them all.
+const RECONCILE_INTERVAL: Duration = Duration::from_secs(30);
 
-/// What the home of a pool wants done.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum HomeAction {
-    /// Send a grant.
-    Grant {
-        /// The entry router.
-        to: Member,
-        /// The grant.
-        grant: Grant,
-    },
-    /// Ask an entry router for a full report.
-    AskFull {
-        /// The entry router.
-        to: Member,
-    },
+/// A grant whose acknowledgement is due.
+#[derive(Debug)]
+pub(crate) struct Expiry {
+    pub(crate) at: Duration,
+    pub(crate) router: usize,
+    pub(crate) sequence: u64,
 }
 
 /// Orders demand and grants slots.
 #[derive(Debug)]
 pub struct PoolHome {
-    member: Member,
-    pool: PoolId,
-    settings: FairSettings,
+    pub(crate) member: Member,
+    pub(crate) pool: PoolId,
+    pub(crate) settings: FairSettings,
+    pub(crate) accounts: AccountTable,
+    pub(crate) slots: SlotTable,
+    pub(crate) demand: DemandTable,
+    pub(crate) entries: EntryTable,
+    pub(crate) counters: HomeCounters,
+    /// Accounts whose service or demand changed in this event.
+    pub(crate) touched: Vec<usize>,
+    pub(crate) host_sites: Vec<HostSite>,
+    pub(crate) members_known: bool,
+    pub(crate) configured: bool,
+    pub(crate) started_at: Option<Duration>,
+    pub(crate) granting: bool,
+    pub(crate) expiries: VecDeque<Expiry>,
+    /// Highest sequence of any grant given here.
+    pub(crate) highest_sequence: u64,
 }
 
 impl PoolHome {
     /// Creates the home of `pool` on `member`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::pool_home::{HomeAction, HomeEvent, PoolHome};
+    /// use sedgeridge_state::ids::{HostId, Incarnation, Member, PoolId};
+    /// use sedgeridge_state::settings::FairSettings;
+    ///
+    /// let member = Member { host: HostId::from("r1"), incarnation: Incarnation(1) };
+    /// let mut home = PoolHome::new(member.clone(), PoolId::from("desk"), FairSettings::default());
+    /// let mut actions = Vec::new();
+    /// home.handle(Duration::ZERO, HomeEvent::Members(vec![member.clone()]), &mut actions);
+    /// assert_eq!(actions, [HomeAction::AskFull { to: member }]);
+    /// ```
     pub fn new(member: Member, pool: PoolId, settings: FairSettings) -> Self {
+        let seed = seed_of(pool.as_str());
+        Self::with_seed(member, pool, settings, seed)
+    }
+
+    /// Creates a home whose random endpoint choice starts from `seed`.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::pool_home::PoolHome;
+    /// use sedgeridge_state::ids::{HostId, Incarnation, Member, PoolId};
+    /// use sedgeridge_state::settings::FairSettings;
+    ///
+    /// let member = Member { host: HostId::from("r1"), incarnation: Incarnation(1) };
+    /// let home = PoolHome::with_seed(member, PoolId::from("desk"), FairSettings::default(), 7);
+    /// assert_eq!(home.counters().grants, 0);
+    /// ```
+    pub fn with_seed(member: Member, pool: PoolId, settings: FairSettings, seed: u64) -> Self {
         Self {
+            accounts: AccountTable::default(),
+            slots: SlotTable::new(settings.endpoint_choice, seed),
+            demand: DemandTable::new(settings.order),
+            entries: EntryTable::default(),
+            counters: HomeCounters::default(),
+            touched: Vec::new(),
+            host_sites: Vec::new(),
+            members_known: false,
+            configured: false,
+            started_at: None,
+            granting: false,
+            expiries: VecDeque::new(),
+            highest_sequence: 0,
             member,
             pool,
             settings,
@@ -93,14 +119,145 @@
     }
 
     /// Takes one event and appends what is to be done.
+    ///
+    /// `now` never goes back. Reports of hosts outside the last [`HomeEvent::Members`] are not
+    /// taken, and nothing is granted before the first [`HomeEvent::Configured`].
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::pool_home::{HomeEvent, PoolHome};
+    /// use sedgeridge_state::ids::{HostId, Incarnation, Member, PoolId};
+    /// use sedgeridge_state::settings::FairSettings;
+    ///
+    /// let member = Member { host: HostId::from("r1"), incarnation: Incarnation(1) };
+    /// let mut home = PoolHome::new(member, PoolId::from("desk"), FairSettings::default());
+    /// let mut actions = Vec::new();
+    /// home.handle(Duration::from_millis(20), HomeEvent::Tick, &mut actions);
+    /// assert!(actions.is_empty());
+    /// ```
     pub fn handle(&mut self, now: Duration, event: HomeEvent, actions: &mut Vec<HomeAction>) {
-        let _ = (
-            now,
-            event,
-            actions,
-            &self.member,
-            &self.pool,
-            &self.settings,
-        );
+        self.started_at.get_or_insert(now);
+        match event {
+            HomeEvent::Configured { endpoints, weights } => {
+                self.configure(now, &endpoints, &weights, actions);
+            }
+            HomeEvent::HostSites(host_sites) => self.set_host_sites(host_sites),
+            HomeEvent::Report(report) => self.take_report(now, &report, actions),
+            HomeEvent::EndpointState {
+                endpoint,
+                usable_slots,
+            } => {
+                if let Some(endpoint) = self.slots.find(&endpoint) {
+                    self.slots.set_usable(endpoint, usable_slots);
+                }
+            }
+            HomeEvent::Members(members) => self.set_members(now, &members, actions),
+            HomeEvent::Tick => self.reconcile(now, actions),
+        }
+        self.expire_grants(now, actions);
+        self.refresh_touched();
+        self.finish_gathering(now);
+        self.grant_free_slots(now, actions);
+    }
+
+    /// Returns the counters since this home started.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::pool_home::PoolHome;
+    /// use sedgeridge_state::ids::{HostId, Incarnation, Member, PoolId};
+    /// use sedgeridge_state::settings::FairSettings;
+    ///
+    /// let member = Member { host: HostId::from("r1"), incarnation: Incarnation(1) };
+    /// let home = PoolHome::new(member, PoolId::from("desk"), FairSettings::default());
+    /// assert!(home.counters().rejections.is_empty());
+    /// ```
+    pub fn counters(&self) -> &HomeCounters {
+        &self.counters
+    }
+
+    /// Returns how the slots of an endpoint are used, if it is or was configured.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::pool_home::PoolHome;
+    /// use sedgeridge_state::ids::{EndpointId, HostId, Incarnation, Member, PoolId};
+    /// use sedgeridge_state::settings::FairSettings;
+    ///
+    /// let member = Member { host: HostId::from("r1"), incarnation: Incarnation(1) };
+    /// let home = PoolHome::new(member, PoolId::from("desk"), FairSettings::default());
+    /// assert_eq!(home.slot_usage(&EndpointId::from("desk-1")), None);
+    /// ```
+    pub fn slot_usage(&self, endpoint: &EndpointId) -> Option<SlotUsage> {
+        let endpoint = self.slots.find(endpoint)?;
+        Some(self.slots.usage(endpoint))
+    }
+
+    /// Returns the weighted service of an account, if it is or was configured.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::pool_home::PoolHome;
+    /// use sedgeridge_state::ids::{AccountId, HostId, Incarnation, Member, PoolId};
+    /// use sedgeridge_state::settings::FairSettings;
+    ///
+    /// let member = Member { host: HostId::from("r1"), incarnation: Incarnation(1) };
+    /// let home = PoolHome::new(member, PoolId::from("desk"), FairSettings::default());
+    /// assert_eq!(home.tag_of(&AccountId::from("crew-07")), None);
+    /// ```
+    pub fn tag_of(&self, account: &AccountId) -> Option<Tag> {
+        let account = self.accounts.find(account)?;
+        Some(self.accounts.tag(account))
+    }
+
+    fn configure(
+        &mut self,
+        now: Duration,
+        endpoints: &[HomeEndpoint],
+        weights: &[AccountWeight],
+        actions: &mut Vec<HomeAction>,
+    ) {
+        self.slots.configure(endpoints);
+        for account in self.accounts.configure(weights) {
+            self.drop_demand_of(account);
+        }
+        self.configured = true;
+        for router in self.entries.indices() {
+            if std::mem::take(&mut self.entries.record_mut(router).named_unknown) {
+                self.ask_full(now, router, actions);
+            }
+        }
+    }
+
+    /// Asks routers again whose full report is missing or old.
+    fn reconcile(&mut self, now: Duration, actions: &mut Vec<HomeAction>) {
+        for router in self.entries.indices() {
+            let record = self.entries.record(router);
+            let stale = record.holds_any() && now >= record.last_full_at + RECONCILE_INTERVAL;
+            if record.last_sequence.is_none() || stale {
+                self.ask_full(now, router, actions);
+            }
+        }
+    }
+
+    /// Asks for a full report unless one was asked for a moment ago.
+    pub(crate) fn ask_full(&mut self, now: Duration, router: usize, actions: &mut Vec<HomeAction>) {
+        let patience = millis(self.settings.gather_timeout_ms);
+        let record = self.entries.record_mut(router);
+        if record.asked_full_at.is_some_and(|at| now < at + patience) {
+            return;
+        }
+        record.asked_full_at = Some(now);
+        let to = record.member.clone();
+        actions.push(HomeAction::AskFull { to });
+    }
+
+    fn refresh_touched(&mut self) {
+        self.demand.settle();
+        let mut touched = std::mem::take(&mut self.touched);
+        touched.sort_unstable();
+        touched.dedup();
+        let demand = &self.demand;
+        self.accounts
+            .refresh(&touched, |account| demand.is_backlogged(account));
+        touched.clear();
+        self.touched = touched;
     }
 }
--- a/crates/coordination/src/pool_messages.rs
+++ b/crates/coordination/src/pool_messages.rs
@@ -10,6 +10,8 @@
 use sedgeridge_state::ids::PoolId;
 use sedgeridge_state::settings::RequestClass;
 
+use crate::attempt_results::EndpointResult;
+
 /// Hash of a prompt's first part; requests with the same hash share cached prefixes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PrefixHash(pub u64);
@@ -33,11 +35,16 @@
     /// Waiting requests by account and class; `waiting: 0` withdraws.
     pub demand: Vec<Demand>,
     /// Grants in use. A full report lists all; a partial one only changed estimates.
+    ///
+    /// The home charges a grant the head cost last reported. A request whose estimate is another
+    /// one, because several were granted at once, is listed when it is bound.
     pub holdings: Vec<Holding>,
     /// Grants that ended or could not be used.
     pub ended: Vec<GrantId>,
     /// Service received through this router since it started.
     pub served: Vec<Served>,
+    /// What attempts told about endpoints since the report before.
+    pub results: Vec<EndpointResult>,
 }
 
 /// Requests of one account and class that wait at one entry router.
@@ -82,7 +89,11 @@
 pub struct GrantId {
     /// The home that granted.
     pub home: Member,
-    /// Position among the grants of that home to that entry router.
+    /// Position among the grants of that home to that entry router; only ever rises.
+    ///
+    /// Grants arrive in order. When one does not follow the last by one, grants may have been
+    /// lost, and the entry router's next report must be full: the home ends the grants that it
+    /// does not list. Without it a lost grant, acknowledged by a later one, keeps its slot idle.
     pub sequence: u64,
 }
 
