perf(state): load an accepted configuration without a detour by text

Every host loads the whole configuration with each change.

Weighed and left: applying a change to the typed settings by section. It saves more, but every check across sections then needs an incremental form.

--- a/crates/state/src/config_document.rs
+++ b/crates/state/src/config_document.rs
@@ -2,7 +2,6 @@
 //! section.
 
 use std::collections::BTreeMap;
-use std::fmt::Write;
 use std::sync::Arc;
 
 use serde::Deserialize;
@@ -10,8 +9,12 @@
 
 use crate::settings::Settings;
 use crate::settings::SettingsError;
+use crate::settings::lines::LayerRole;
+use crate::settings::lines::RawLayer;
+use crate::settings::lines::RawPair;
+use crate::settings::lines::RawSection;
 use crate::settings::lines::split;
-use crate::settings::load;
+use crate::settings::load_raw;
 
 /// File name under which findings in an accepted base are reported.
 const BASE_NAME: &str = "(configuration)";
@@ -46,7 +49,7 @@
 impl ConfigDocument {
     /// Makes a document of the texts of a base file and of overlays by site.
     ///
-    /// The texts must have passed [`load`]; what it refuses is left out here.
+    /// The texts must have passed [`crate::settings::load`]; what it refuses is left out here.
     ///
     /// ```
     /// use sedgeridge_state::config_document::ConfigDocument;
@@ -72,14 +75,12 @@
     /// assert_eq!(document.settings("north").unwrap().fleet.name, "demo");
     /// ```
     pub fn settings(&self, site: &str) -> Result<Settings, Vec<SettingsError>> {
-        let base = layer_text(&self.base);
-        let overlay = self.overlays.get(site).map(layer_text);
-        let overlay_name = format!("(configuration of {site})");
-        load(
-            &base,
-            BASE_NAME,
-            overlay.as_ref().map(|text| (&**text, &*overlay_name)),
-        )
+        let mut layers = vec![raw_layer(LayerRole::Base, BASE_NAME, &self.base)];
+        if let Some(overlay) = self.overlays.get(site) {
+            let name = format!("(configuration of {site})");
+            layers.push(raw_layer(LayerRole::Overlay, &name, overlay));
+        }
+        load_raw(layers)
     }
 
     /// Lists the edits that turn this document into another, in a fixed order.
@@ -136,22 +137,36 @@
     let (sections, _) = split(text);
     for section in sections {
         let pairs = section.pairs.into_iter();
-        let pairs = pairs.map(|pair| (pair.key, Arc::from(pair.value)));
+        let pairs = pairs.map(|pair| (pair.key, pair.value));
         layer.entry(section.name).or_default().extend(pairs);
     }
     layer
 }
 
-fn layer_text(layer: &Layer) -> String {
-    let mut text = String::new();
-    for (section, pairs) in layer {
-        // Writing to a string cannot fail.
-        let _ = writeln!(text, "[{section}]");
-        for (key, value) in pairs {
-            let _ = writeln!(text, "{key} = {value}");
+/// Makes a layer without a detour by its text, which would be parsed on every host with every
+/// change. Lines are counted as if it was written out.
+fn raw_layer(role: LayerRole, file: &str, layer: &Layer) -> RawLayer {
+    let mut lines = 1..;
+    let mut next_line = || lines.next().expect("lines have no end");
+    let sections = layer.iter().map(|(name, pairs)| {
+        let line = next_line();
+        let pairs = pairs.iter().map(|(key, value)| RawPair {
+            key: key.clone(),
+            value: value.clone(),
+            line: next_line(),
+        });
+        RawSection {
+            name: name.clone(),
+            line,
+            pairs: pairs.collect(),
         }
+    });
+    RawLayer {
+        role,
+        file: file.into(),
+        sections: sections.collect(),
+        bad_lines: Vec::new(),
     }
-    text
 }
 
 fn layer_edits(site: Option<&Arc<str>>, before: &Layer, after: &Layer) -> Vec<SectionEdit> {
--- a/crates/state/src/settings.rs
+++ b/crates/state/src/settings.rs
@@ -26,6 +26,7 @@
 pub use load::Source;
 pub use load::load;
 pub use load::load_layers;
+pub(crate) use load::load_raw;
 pub use overrides::Override;
 pub use overrides::OverrideError;
 pub use topology::AccountSettings;
--- a/crates/state/src/settings/checks.rs
+++ b/crates/state/src/settings/checks.rs
@@ -1,6 +1,7 @@
 //! Checks that need more than one setting: references, unique values, limits that bound others.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use super::error::Problem;
@@ -62,7 +63,15 @@
     }
 }
 
+/// Names of sections by kind. A search of all sections for each reference took most of a load.
+type NamesByKind<'a> = BTreeMap<&'static str, BTreeSet<&'a str>>;
+
 fn check_references(sections: &[MergedSection], findings: &mut Vec<Finding>) {
+    let mut names = NamesByKind::new();
+    for section in sections {
+        let of_kind = names.entry(section.schema.name).or_default();
+        of_kind.insert(&section.id);
+    }
     for section in sections {
         for key in section.schema.keys {
             let ValueKind::Reference(target) = key.kind else {
@@ -74,26 +83,29 @@
             let Some(Value::Text(name)) = &entry.value else {
                 continue;
             };
-            if of_kind(sections, target).any(|s| s.id == *name) {
-                continue;
+            let known = names.get(target);
+            if known.is_none_or(|known| !known.contains(&**name)) {
+                let rejection = unknown_name(target, name, known);
+                findings.push(finding(section, entry, key.name, rejection));
             }
-            let known = || of_kind(sections, target).map(|s| &*s.id);
-            let hint = match nearest(name, known()) {
-                Some(near) => did_you_mean(near),
-                None => match known().next() {
-                    Some(_) => format!("known: {}", known().collect::<Vec<_>>().join(", ")),
-                    None => format!("add a section [{target}.{name}]"),
-                },
-            };
-            let problem = Problem::UnknownName {
-                section: target,
-                found: name.to_string(),
-            };
-            findings.push(finding(section, entry, key.name, (problem, Some(hint))));
         }
     }
 }
 
+fn unknown_name(target: &'static str, name: &str, known: Option<&BTreeSet<&str>>) -> Rejection {
+    let known: Vec<&str> = known.into_iter().flatten().copied().collect();
+    let hint = match nearest(name, known.iter().copied()) {
+        Some(near) => did_you_mean(near),
+        None if known.is_empty() => format!("add a section [{target}.{name}]"),
+        None => format!("known: {}", known.join(", ")),
+    };
+    let problem = Problem::UnknownName {
+        section: target,
+        found: name.to_owned(),
+    };
+    (problem, Some(hint))
+}
+
 fn check_unique_addresses(sections: &[MergedSection], findings: &mut Vec<Finding>) {
     let mut owners = BTreeMap::new();
     for section in sections.iter().filter(|s| s.schema.named) {
--- a/crates/state/src/settings/effective.rs
+++ b/crates/state/src/settings/effective.rs
@@ -9,6 +9,7 @@
 use super::layers::MergedSection;
 use super::load::Layers;
 use super::load::merge;
+use super::load::raw_layers;
 use super::schema::SECTIONS;
 
 /// All sections of one site's settings. Its display is a valid base file.
@@ -53,7 +54,7 @@
 /// assert!(text.starts_with("[fleet]\n# base.ini:2\nname = demo\n"));
 /// ```
 pub fn effective(layers: &Layers<'_>) -> Result<EffectiveSettings, Vec<SettingsError>> {
-    let merged = merge(layers)?;
+    let merged = merge(raw_layers(layers))?;
     let mut sections = Vec::new();
     for schema in SECTIONS {
         let of_kind = merged
--- a/crates/state/src/settings/layers.rs
+++ b/crates/state/src/settings/layers.rs
@@ -6,6 +6,8 @@
 
 use super::error::Problem;
 use super::error::SettingsError;
+use super::lines::LayerRole;
+use super::lines::RawLayer;
 use super::lines::RawPair;
 use super::lines::RawSection;
 use super::nearest::nearest;
@@ -21,14 +23,6 @@
 use super::value::check_value;
 use super::value::did_you_mean;
 
-/// What a layer may set.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum LayerRole {
-    Base,
-    Overlay,
-    Overrides,
-}
-
 /// Where something was written.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Place {
@@ -84,23 +78,29 @@
     }
 
     /// Merges one layer over those before it.
-    pub(super) fn add_layer(&mut self, role: LayerRole, file: &Arc<str>, layer: Vec<RawSection>) {
+    pub(super) fn add_layer(&mut self, layer: RawLayer) {
+        let RawLayer { role, file, .. } = layer;
+        for bad in layer.bad_lines {
+            let place = Place {
+                file: file.clone(),
+                line: bad.line,
+            };
+            self.report(&place, &bad.section, &bad.key, (bad.problem, None));
+        }
         let mut first_lines: HashMap<Arc<str>, usize> = HashMap::new();
-        for raw in layer {
+        for raw in layer.sections {
             let place = Place {
                 file: file.clone(),
                 line: raw.line,
             };
-            if role != LayerRole::Overrides {
-                let first_line = *first_lines.entry(raw.name.clone()).or_insert(raw.line);
-                if first_line != raw.line {
-                    let hint = Some("put the keys of a section below one header".to_owned());
-                    let rejection = (Problem::Repeated { first_line }, hint);
-                    self.report(&place, &raw.name, "", rejection);
-                }
+            let first_line = *first_lines.entry(raw.name.clone()).or_insert(raw.line);
+            if role != LayerRole::Overrides && first_line != raw.line {
+                let hint = Some("put the keys of a section below one header".to_owned());
+                let rejection = (Problem::Repeated { first_line }, hint);
+                self.report(&place, &raw.name, "", rejection);
             }
             if let Some(position) = self.position_for(role, &raw.name, &place) {
-                self.add_pairs(role, file, position, raw);
+                self.add_pairs(role, &file, position, raw);
             }
         }
     }
--- a/crates/state/src/settings/lines.rs
+++ b/crates/state/src/settings/lines.rs
@@ -12,6 +12,23 @@
 
 use super::error::Problem;
 
+/// What a layer may set.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LayerRole {
+    Base,
+    Overlay,
+    Overrides,
+}
+
+/// One layer, split into sections.
+#[derive(Debug)]
+pub(crate) struct RawLayer {
+    pub(crate) role: LayerRole,
+    pub(crate) file: Arc<str>,
+    pub(crate) sections: Vec<RawSection>,
+    pub(crate) bad_lines: Vec<BadLine>,
+}
+
 /// One section header and the pairs below it, up to the next header.
 #[derive(Debug)]
 pub(crate) struct RawSection {
@@ -24,7 +41,7 @@
 #[derive(Debug)]
 pub(crate) struct RawPair {
     pub(crate) key: Arc<str>,
-    pub(crate) value: String,
+    pub(crate) value: Arc<str>,
     pub(crate) line: usize,
 }
 
@@ -97,7 +114,7 @@
         Some((None, pairs)) => match pairs.iter().next() {
             Some((key, value)) => Line::Pair(RawPair {
                 key: key.into(),
-                value: value.to_owned(),
+                value: value.into(),
                 line,
             }),
             None => Line::Bad,
--- a/crates/state/src/settings/load.rs
+++ b/crates/state/src/settings/load.rs
@@ -6,9 +6,9 @@
 use super::assemble::assemble;
 use super::checks::check_relations;
 use super::error::SettingsError;
-use super::layers::LayerRole;
 use super::layers::Merged;
-use super::layers::Place;
+use super::lines::LayerRole;
+use super::lines::RawLayer;
 use super::lines::RawPair;
 use super::lines::RawSection;
 use super::lines::split;
@@ -75,49 +75,57 @@
 /// assert_eq!(load_layers(&layers).unwrap().front.max_queue, 512);
 /// ```
 pub fn load_layers(layers: &Layers<'_>) -> Result<Settings, Vec<SettingsError>> {
+    load_raw(raw_layers(layers))
+}
+
+/// Loads settings from layers that are split already, lowest first.
+pub(crate) fn load_raw(layers: Vec<RawLayer>) -> Result<Settings, Vec<SettingsError>> {
     merge(layers).map(|merged| assemble(&merged))
 }
 
 /// Merges and checks all layers.
-pub(super) fn merge(layers: &Layers<'_>) -> Result<Merged, Vec<SettingsError>> {
+pub(super) fn merge(layers: Vec<RawLayer>) -> Result<Merged, Vec<SettingsError>> {
     let mut merged = Merged::default();
-    let base_file: Arc<str> = layers.base.name.into();
-    add_text(&mut merged, LayerRole::Base, layers.base);
-    if let Some(overlay) = layers.overlay {
-        add_text(&mut merged, LayerRole::Overlay, overlay);
+    let files: Vec<Arc<str>> = layers.iter().map(|layer| layer.file.clone()).collect();
+    for layer in layers {
+        merged.add_layer(layer);
     }
-    merged.add_layer(
-        LayerRole::Overrides,
-        &OVERRIDE_FILE.into(),
-        override_sections(layers.overrides),
-    );
-    merged.fill_in(&base_file);
+    merged.fill_in(&files[0]);
     check_relations(&mut merged);
     if merged.errors.is_empty() {
         return Ok(merged);
     }
-    let overlay_name = layers.overlay.map(|overlay| overlay.name);
+    let rank = |file: &Arc<str>| files.iter().position(|known| known == file);
     let mut errors = merged.errors;
-    errors.sort_by_key(|error| {
-        (
-            layer_rank(&error.file, layers.base.name, overlay_name),
-            error.line,
-        )
-    });
+    errors.sort_by_key(|error| (rank(&error.file), error.line));
     Err(errors)
 }
 
-fn add_text(merged: &mut Merged, role: LayerRole, source: Source<'_>) {
-    let file: Arc<str> = source.name.into();
+/// Splits the texts.
+pub(super) fn raw_layers(layers: &Layers<'_>) -> Vec<RawLayer> {
+    let mut raw = vec![text_layer(LayerRole::Base, layers.base)];
+    raw.extend(
+        layers
+            .overlay
+            .map(|overlay| text_layer(LayerRole::Overlay, overlay)),
+    );
+    raw.push(RawLayer {
+        role: LayerRole::Overrides,
+        file: OVERRIDE_FILE.into(),
+        sections: override_sections(layers.overrides),
+        bad_lines: Vec::new(),
+    });
+    raw
+}
+
+fn text_layer(role: LayerRole, source: Source<'_>) -> RawLayer {
     let (sections, bad_lines) = split(source.text);
-    for bad in bad_lines {
-        let place = Place {
-            file: file.clone(),
-            line: bad.line,
-        };
-        merged.report(&place, &bad.section, &bad.key, (bad.problem, None));
+    RawLayer {
+        role,
+        file: source.name.into(),
+        sections,
+        bad_lines,
     }
-    merged.add_layer(role, &file, sections);
 }
 
 /// Turns each override into a section of one pair; its line is its position.
@@ -128,19 +136,9 @@
         line: index + 1,
         pairs: vec![RawPair {
             key: item.key.clone(),
-            value: item.value.to_string(),
+            value: item.value.clone(),
             line: index + 1,
         }],
     });
     sections.collect()
 }
-
-fn layer_rank(file: &str, base: &str, overlay: Option<&str>) -> usize {
-    if file == base {
-        0
-    } else if Some(file) == overlay {
-        1
-    } else {
-        2
-    }
-}
