--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod fingerprint;
 pub mod ids;
 pub mod lease_record;
+pub mod order_record;
 pub mod settings;
