--- a/crates/cli/src/account_csv.rs
+++ b/crates/cli/src/account_csv.rs
@@ -9,6 +9,7 @@
 use sedgeridge_state::config_document::Layer;
 use sedgeridge_state::config_document::Pairs;
 use sedgeridge_state::settings::Problem;
+use sedgeridge_state::settings::Rejection;
 use sedgeridge_state::settings::SettingsError;
 use sedgeridge_state::settings::check_name;
 use sedgeridge_state::settings::check_setting;
@@ -73,16 +74,24 @@
                 expected: format!("three columns, {HEADER}"),
                 found: format!("{} columns", fields.len()),
             };
-            return self.report(line, "", "", problem, None);
+            return self.report(
+                line,
+                "",
+                "",
+                Rejection {
+                    problem,
+                    hint: None,
+                },
+            );
         };
         let section: Arc<str> = format!("account.{name}").into();
         let before = self.errors.len();
-        if let Err((problem, hint)) = check_name(name) {
-            self.report(line, &section, "name", problem, hint);
+        if let Err(rejection) = check_name(name) {
+            self.report(line, &section, "name", rejection);
         }
         for (key, value) in [("weight", weight), (DIGEST_KEY, digest)] {
-            if let Err((problem, hint)) = check_setting("account", key, value) {
-                self.report(line, &section, key, problem, hint);
+            if let Err(rejection) = check_setting("account", key, value) {
+                self.report(line, &section, key, rejection);
             }
         }
         if self.errors.len() == before {
@@ -92,46 +101,36 @@
 
     fn add_account(&mut self, line: usize, section: &Arc<str>, weight: &str, digest: &str) {
         if self.accepted.contains_key(section) || self.sections.contains_key(section) {
-            let problem = duplicate("account", section);
-            return self.report(line, section, "name", problem, None);
+            return self.report(line, section, "name", duplicate("account", section));
         }
         let owner = self.owners.insert(digest.into(), section.clone());
         if let Some(owner) = owner {
-            self.report(
-                line,
-                section,
-                DIGEST_KEY,
-                duplicate("key hash", &owner),
-                None,
-            );
+            self.report(line, section, DIGEST_KEY, duplicate("key hash", &owner));
         }
         let pairs = [("weight", weight), (DIGEST_KEY, digest)];
         let pairs: Pairs = pairs.map(|(k, v)| (k.into(), v.into())).into();
         self.sections.insert(section.clone(), pairs);
     }
 
-    fn report(
-        &mut self,
-        line: usize,
-        section: &str,
-        key: &str,
-        problem: Problem,
-        hint: Option<String>,
-    ) {
+    fn report(&mut self, line: usize, section: &str, key: &str, rejection: Rejection) {
         self.errors.push(SettingsError {
             file: self.file.clone(),
             line,
             section: section.into(),
             key: key.into(),
-            problem,
-            hint,
+            problem: rejection.problem,
+            hint: rejection.hint,
         });
     }
 }
 
-fn duplicate(what: &'static str, owner: &str) -> Problem {
-    Problem::Duplicate {
+fn duplicate(what: &'static str, owner: &str) -> Rejection {
+    let problem = Problem::Duplicate {
         what,
         owner: owner.to_owned(),
+    };
+    Rejection {
+        problem,
+        hint: None,
     }
 }
--- a/crates/state/src/settings.rs
+++ b/crates/state/src/settings.rs
@@ -21,6 +21,7 @@
 use std::time::Duration;
 
 pub use error::Problem;
+pub use error::Rejection;
 pub use error::SettingsError;
 pub use load::Layers;
 pub use load::Source;
@@ -37,7 +38,6 @@
 pub use topology::RequestClass;
 pub use topology::ServiceSettings;
 pub use topology::SiteSettings;
-pub use value::Rejection;
 pub use value::check_name;
 pub use value::check_setting;
 
--- a/crates/state/src/settings/checks.rs
+++ b/crates/state/src/settings/checks.rs
@@ -5,13 +5,13 @@
 use std::sync::Arc;
 
 use super::error::Problem;
+use super::error::Rejection;
 use super::layers::Entry;
 use super::layers::Merged;
 use super::layers::MergedSection;
 use super::layers::Place;
 use super::nearest::nearest;
 use super::schema::ValueKind;
-use super::value::Rejection;
 use super::value::Value;
 use super::value::did_you_mean;
 
@@ -103,7 +103,7 @@
         section: target,
         found: name.to_owned(),
     };
-    (problem, Some(hint))
+    Rejection::new(problem, hint)
 }
 
 fn check_unique_addresses(sections: &[MergedSection], findings: &mut Vec<Finding>) {
@@ -122,7 +122,12 @@
                     owner: owner.to_string(),
                 };
                 let hint = Some(format!("{address} is `{owner_key}` there"));
-                findings.push(finding(section, entry, key.name, (problem, hint)));
+                findings.push(finding(
+                    section,
+                    entry,
+                    key.name,
+                    Rejection::new(problem, hint),
+                ));
             }
         }
     }
@@ -143,7 +148,12 @@
                 owner: owner.to_string(),
             };
             let hint = Some("two accounts with one key can't be told apart".to_owned());
-            findings.push(finding(section, entry, "key_sha256", (problem, hint)));
+            findings.push(finding(
+                section,
+                entry,
+                "key_sha256",
+                Rejection::new(problem, hint),
+            ));
         }
     }
 }
@@ -162,12 +172,9 @@
                 place: pool.place.clone(),
                 title: pool.title.clone(),
                 key: "",
-                rejection: (
+                rejection: Rejection::new(
                     Problem::EmptyPool,
-                    Some(format!(
-                        "add `pool = {}` to an [endpoint.NAME] section",
-                        pool.id
-                    )),
+                    format!("add `pool = {}` to an [endpoint.NAME] section", pool.id),
                 ),
             });
             continue;
@@ -203,7 +210,7 @@
         Some(Value::Whole(number)) => number.to_string(),
         _ => String::new(),
     };
-    (Problem::OutOfRange { expected, found }, None)
+    Rejection::new(Problem::OutOfRange { expected, found }, None)
 }
 
 fn value<'a>(section: &'a MergedSection, key: &str) -> Option<&'a Value> {
--- a/crates/state/src/settings/error.rs
+++ b/crates/state/src/settings/error.rs
@@ -41,6 +41,25 @@
 
 impl std::error::Error for SettingsError {}
 
+/// Why a value or a name is refused, without the place where it was written.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Rejection {
+    /// What was expected and what was found.
+    pub problem: Problem,
+    /// How it may be put right.
+    pub hint: Option<String>,
+}
+
+impl Rejection {
+    /// Makes a rejection; the hint may be absent.
+    pub(super) fn new(problem: Problem, hint: impl Into<Option<String>>) -> Self {
+        Self {
+            problem,
+            hint: hint.into(),
+        }
+    }
+}
+
 /// What is wrong with a setting.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum Problem {
--- a/crates/state/src/settings/layers.rs
+++ b/crates/state/src/settings/layers.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use super::error::Problem;
+use super::error::Rejection;
 use super::error::SettingsError;
 use super::lines::LayerRole;
 use super::lines::RawLayer;
@@ -17,7 +18,6 @@
 use super::schema::SECTIONS;
 use super::schema::Scope;
 use super::schema::SectionSchema;
-use super::value::Rejection;
 use super::value::Value;
 use super::value::check_name;
 use super::value::check_value;
@@ -65,15 +65,15 @@
         place: &Place,
         section: &Arc<str>,
         key: &str,
-        (problem, hint): Rejection,
+        rejection: Rejection,
     ) {
         self.errors.push(SettingsError {
             file: place.file.clone(),
             line: place.line,
             section: section.clone(),
             key: key.into(),
-            problem,
-            hint,
+            problem: rejection.problem,
+            hint: rejection.hint,
         });
     }
 
@@ -85,7 +85,12 @@
                 file: file.clone(),
                 line: bad.line,
             };
-            self.report(&place, &bad.section, &bad.key, (bad.problem, None));
+            self.report(
+                &place,
+                &bad.section,
+                &bad.key,
+                Rejection::new(bad.problem, None),
+            );
         }
         let mut first_lines: HashMap<Arc<str>, usize> = HashMap::new();
         for raw in layer.sections {
@@ -96,7 +101,7 @@
             let first_line = *first_lines.entry(raw.name.clone()).or_insert(raw.line);
             if role != LayerRole::Overrides && first_line != raw.line {
                 let hint = Some("put the keys of a section below one header".to_owned());
-                let rejection = (Problem::Repeated { first_line }, hint);
+                let rejection = Rejection::new(Problem::Repeated { first_line }, hint);
                 self.report(&place, &raw.name, "", rejection);
             }
             if let Some(position) = self.position_for(role, &raw.name, &place) {
@@ -144,10 +149,8 @@
             section: schema.name,
             found: id.to_owned(),
         };
-        (
-            problem,
-            hint.or_else(|| Some("only the base file adds sections with a name".to_owned())),
-        )
+        let only_base = || "only the base file adds sections with a name".to_owned();
+        Rejection::new(problem, hint.unwrap_or_else(only_base))
     }
 
     fn add_pairs(&mut self, role: LayerRole, file: &Arc<str>, position: usize, raw: RawSection) {
@@ -159,7 +162,7 @@
             };
             if let Some(first_line) = first_lines.get(&pair.key) {
                 let first_line = *first_line;
-                let rejection = (Problem::Repeated { first_line }, None);
+                let rejection = Rejection::new(Problem::Repeated { first_line }, None);
                 self.report(&place, &raw.name, &pair.key, rejection);
                 continue;
             }
@@ -183,7 +186,12 @@
         };
         if role == LayerRole::Overlay && key.scope == Scope::Fleet {
             let hint = Some("it holds at every site; set it in the base file".to_owned());
-            return self.report(&place, title, &pair.key, (Problem::BaseOnly, hint));
+            return self.report(
+                &place,
+                title,
+                &pair.key,
+                Rejection::new(Problem::BaseOnly, hint),
+            );
         }
         let value = match check_value(&key.kind, &pair.value) {
             Ok(value) => Some(value),
@@ -230,7 +238,7 @@
                 &place,
                 &title,
                 key.name,
-                (Problem::Missing { expected }, hint),
+                Rejection::new(Problem::Missing { expected }, hint),
             );
         }
     }
@@ -260,7 +268,7 @@
     };
     let unknown = |hint| {
         let found = title.to_owned();
-        (Problem::UnknownSection { found }, hint)
+        Rejection::new(Problem::UnknownSection { found }, hint)
     };
     let Some(schema) = schema::section(kind) else {
         let near = nearest(kind, SECTIONS.iter().map(|s| s.name));
@@ -287,5 +295,5 @@
         None => format!("known keys: {}", keys().collect::<Vec<_>>().join(", ")),
     };
     let found = name.to_owned();
-    Err((Problem::UnknownKey { found }, Some(hint)))
+    Err(Rejection::new(Problem::UnknownKey { found }, hint))
 }
--- a/crates/state/src/settings/value.rs
+++ b/crates/state/src/settings/value.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use super::error::Problem;
+use super::error::Rejection;
 use super::nearest::nearest;
 use super::schema;
 use super::schema::Unit;
@@ -38,9 +39,6 @@
     }
 }
 
-/// What is wrong with a value, and a hint.
-pub type Rejection = (Problem, Option<String>);
-
 /// Checks a text against the kind of value its key takes.
 pub(super) fn check_value(kind: &ValueKind, text: &str) -> Result<Value, Rejection> {
     match kind {
@@ -78,10 +76,8 @@
             expected: kind.expected(),
             found: text.to_owned(),
         };
-        return Err((
-            problem,
-            Some(format!("the nearest accepted value is {nearest}")),
-        ));
+        let hint = format!("the nearest accepted value is {nearest}");
+        return Err(Rejection::new(problem, hint));
     }
     Ok(Value::Whole(number))
 }
@@ -93,32 +89,34 @@
     text: &str,
 ) -> Rejection {
     if let Some(hint) = comment_hint(text) {
-        return (wrong_type(kind, text), Some(hint));
+        return Rejection::new(wrong_type(kind, text), hint);
     }
     let plain: String = text.chars().filter(|c| !"_,' ".contains(*c)).collect();
-    let digits_end = plain
-        .find(|c: char| !c.is_ascii_digit() && c != '.')
-        .unwrap_or(plain.len());
-    let (number, suffix) = plain.split_at(digits_end);
-    let amount = number.parse::<f64>().ok();
-    let converted = amount
-        .zip(unit.factor(suffix))
-        .map(|(amount, factor)| amount * factor)
-        .filter(|converted| converted.fract() == 0.0)
-        .filter(|converted| (*range.start() as f64..=*range.end() as f64).contains(converted))
-        .map(|converted| format!("write {converted}"));
-    let carries_unit = amount.is_some() && !suffix.is_empty();
+    let (number, suffix) = split_number(&plain);
+    let converted = convert(number, suffix, unit, range).map(|number| format!("write {number}"));
+    let carries_unit = number.parse::<f64>().is_ok() && !suffix.is_empty();
     if !carries_unit {
-        return (wrong_type(kind, text), converted);
+        return Rejection::new(wrong_type(kind, text), converted);
     }
     let problem = Problem::WrongUnit {
         expected: kind.expected(),
         found: text.to_owned(),
     };
-    (
-        problem,
-        converted.or_else(|| Some("the key names the unit; write the number alone".into())),
-    )
+    let number_alone = || "the key names the unit; write the number alone".to_owned();
+    Rejection::new(problem, converted.unwrap_or_else(number_alone))
+}
+
+fn split_number(text: &str) -> (&str, &str) {
+    let is_number = |c: char| c.is_ascii_digit() || c == '.';
+    let end = text.find(|c| !is_number(c)).unwrap_or(text.len());
+    text.split_at(end)
+}
+
+/// Converts a number with a unit, when the result is whole and accepted.
+fn convert(number: &str, suffix: &str, unit: Unit, range: &RangeInclusive<u64>) -> Option<f64> {
+    let converted = number.parse::<f64>().ok()? * unit.factor(suffix)?;
+    let accepted = *range.start() as f64..=*range.end() as f64;
+    (converted.fract() == 0.0 && accepted.contains(&converted)).then_some(converted)
 }
 
 /// Explains a value that ends in what was meant as a comment.
@@ -137,7 +135,8 @@
     }
     let lower = text.to_ascii_lowercase();
     let hint = nearest(&lower, choices.iter().copied()).map(did_you_mean);
-    Err((wrong_type(kind, text), hint.or_else(|| comment_hint(text))))
+    let hint = hint.or_else(|| comment_hint(text));
+    Err(Rejection::new(wrong_type(kind, text), hint))
 }
 
 fn check_flag(kind: &ValueKind, text: &str) -> Result<Value, Rejection> {
@@ -150,7 +149,7 @@
                 "0" | "off" | "n" | "no" | "false" => Some("write no".to_owned()),
                 _ => comment_hint(text),
             };
-            Err((wrong_type(kind, text), hint))
+            Err(Rejection::new(wrong_type(kind, text), hint))
         }
     }
 }
@@ -163,7 +162,7 @@
 /// assert!(check_setting("account", "weight", "0").is_err());
 /// ```
 pub fn check_setting(section: &str, key: &str, text: &str) -> Result<(), Rejection> {
-    let unknown = |problem| (problem, None);
+    let unknown = |problem| Rejection::new(problem, None);
     let schema = schema::section(section).ok_or_else(|| {
         let found = section.to_owned();
         unknown(Problem::UnknownSection { found })
@@ -190,41 +189,33 @@
     }
     let stray = text.chars().find(|c| !accepted(*c));
     let hint = match stray {
-        Some(stray) => Some(format!("`{stray}` is not accepted in a name")),
-        None if text.is_empty() => Some("the name is empty".to_owned()),
-        None if starts_well => Some(format!("a name has at most {MAX_NAME_CHARS} characters")),
-        None => Some("a name begins with a letter or digit".to_owned()),
+        Some(stray) => format!("`{stray}` is not accepted in a name"),
+        None if text.is_empty() => "the name is empty".to_owned(),
+        None if starts_well => format!("a name has at most {MAX_NAME_CHARS} characters"),
+        None => "a name begins with a letter or digit".to_owned(),
     };
     let problem = Problem::BadName {
         expected: ValueKind::Name.expected(),
         found: text.to_owned(),
     };
-    Err((problem, hint))
+    Err(Rejection::new(problem, hint))
 }
 
 fn check_address(kind: &ValueKind, text: &str) -> Result<Value, Rejection> {
-    match text.parse::<SocketAddr>() {
-        Ok(address) if address.port() == 0 => Err((
-            wrong_type(kind, text),
-            Some("port 0 names no port; others must know where to connect".to_owned()),
-        )),
-        Ok(address) if address.ip().is_unspecified() => Err((
-            wrong_type(kind, text),
-            Some("write the address that others connect to".to_owned()),
-        )),
-        Ok(address) => Ok(Value::Address(address)),
-        Err(_) => {
-            let is_ip = |text: &str| text.parse::<IpAddr>().is_ok();
-            let hint = if is_ip(text) {
-                "add the port, as in 127.0.0.1:8080"
-            } else if text.rsplit_once(':').is_some_and(|(host, _)| is_ip(host)) {
-                "a port is a number from 1 to 65535"
-            } else {
-                "host names are not looked up; write an IP number and a port"
-            };
-            Err((wrong_type(kind, text), Some(hint.to_owned())))
+    let is_ip = |text: &str| text.parse::<IpAddr>().is_ok();
+    let hint = match text.parse::<SocketAddr>() {
+        Ok(address) if address.port() == 0 => {
+            "port 0 names no port; others must know where to connect"
         }
-    }
+        Ok(address) if address.ip().is_unspecified() => "write the address that others connect to",
+        Ok(address) => return Ok(Value::Address(address)),
+        Err(_) if is_ip(text) => "add the port, as in 127.0.0.1:8080",
+        Err(_) if text.rsplit_once(':').is_some_and(|(host, _)| is_ip(host)) => {
+            "a port is a number from 1 to 65535"
+        }
+        Err(_) => "host names are not looked up; write an IP number and a port",
+    };
+    Err(Rejection::new(wrong_type(kind, text), hint.to_owned()))
 }
 
 fn check_digest(kind: &ValueKind, text: &str) -> Result<Value, Rejection> {
@@ -241,7 +232,7 @@
         format!("{} digits were found", text.len())
     };
     // The text may be the key itself, which must not reach a terminal or a log.
-    Err((wrong_type(kind, "(not shown)"), Some(hint)))
+    Err(Rejection::new(wrong_type(kind, "(not shown)"), hint))
 }
 
 /// Words the hint that offers a known name.
