--- a/crates/state/src/settings/checks.rs
+++ b/crates/state/src/settings/checks.rs
@@ -1,16 +1,17 @@
 //! Checks that need more than one setting: references, unique values, limits that bound others.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use super::error::Problem;
+use super::error::Rejection;
 use super::layers::Entry;
 use super::layers::Merged;
 use super::layers::MergedSection;
 use super::layers::Place;
 use super::nearest::nearest;
 use super::schema::ValueKind;
-use super::value::Rejection;
 use super::value::Value;
 use super::value::did_you_mean;
 
@@ -62,7 +63,15 @@
     }
 }
 
+/// Names of sections by kind. A search of all sections for each reference took most of a load.
+type NamesByKind<'a> = BTreeMap<&'static str, BTreeSet<&'a str>>;
+
 fn check_references(sections: &[MergedSection], findings: &mut Vec<Finding>) {
+    let mut names = NamesByKind::new();
+    for section in sections {
+        let of_kind = names.entry(section.schema.name).or_default();
+        of_kind.insert(&section.id);
+    }
     for section in sections {
         for key in section.schema.keys {
             let ValueKind::Reference(target) = key.kind else {
@@ -74,26 +83,29 @@
             let Some(Value::Text(name)) = &entry.value else {
                 continue;
             };
-            if of_kind(sections, target).any(|s| s.id == *name) {
-                continue;
+            let known = names.get(target);
+            if known.is_none_or(|known| !known.contains(&**name)) {
+                let rejection = unknown_name(target, name, known);
+                findings.push(finding(section, entry, key.name, rejection));
             }
-            let known = || of_kind(sections, target).map(|s| &*s.id);
-            let hint = match nearest(name, known()) {
-                Some(near) => did_you_mean(near),
-                None => match known().next() {
-                    Some(_) => format!("known: {}", known().collect::<Vec<_>>().join(", ")),
-                    None => format!("add a section [{target}.{name}]"),
-                },
-            };
-            let problem = Problem::UnknownName {
-                section: target,
-                found: name.to_string(),
-            };
-            findings.push(finding(section, entry, key.name, (problem, Some(hint))));
         }
     }
 }
 
+fn unknown_name(target: &'static str, name: &str, known: Option<&BTreeSet<&str>>) -> Rejection {
+    let known: Vec<&str> = known.into_iter().flatten().copied().collect();
+    let hint = match nearest(name, known.iter().copied()) {
+        Some(near) => did_you_mean(near),
+        None if known.is_empty() => format!("add a section [{target}.{name}]"),
+        None => format!("known: {}", known.join(", ")),
+    };
+    let problem = Problem::UnknownName {
+        section: target,
+        found: name.to_owned(),
+    };
+    Rejection::new(problem, hint)
+}
+
 fn check_unique_addresses(sections: &[MergedSection], findings: &mut Vec<Finding>) {
     let mut owners = BTreeMap::new();
     for section in sections.iter().filter(|s| s.schema.named) {
@@ -110,7 +122,12 @@
                     owner: owner.to_string(),
                 };
                 let hint = Some(format!("{address} is `{owner_key}` there"));
-                findings.push(finding(section, entry, key.name, (problem, hint)));
+                findings.push(finding(
+                    section,
+                    entry,
+                    key.name,
+                    Rejection::new(problem, hint),
+                ));
             }
         }
     }
@@ -131,7 +148,12 @@
                 owner: owner.to_string(),
             };
             let hint = Some("two accounts with one key can't be told apart".to_owned());
-            findings.push(finding(section, entry, "key_sha256", (problem, hint)));
+            findings.push(finding(
+                section,
+                entry,
+                "key_sha256",
+                Rejection::new(problem, hint),
+            ));
         }
     }
 }
@@ -150,12 +172,9 @@
                 place: pool.place.clone(),
                 title: pool.title.clone(),
                 key: "",
-                rejection: (
+                rejection: Rejection::new(
                     Problem::EmptyPool,
-                    Some(format!(
-                        "add `pool = {}` to an [endpoint.NAME] section",
-                        pool.id
-                    )),
+                    format!("add `pool = {}` to an [endpoint.NAME] section", pool.id),
                 ),
             });
             continue;
@@ -191,7 +210,7 @@
         Some(Value::Whole(number)) => number.to_string(),
         _ => String::new(),
     };
-    (Problem::OutOfRange { expected, found }, None)
+    Rejection::new(Problem::OutOfRange { expected, found }, None)
 }
 
 fn value<'a>(section: &'a MergedSection, key: &str) -> Option<&'a Value> {
