--- a/crates/coordination/src/account_table.rs
+++ b/crates/coordination/src/account_table.rs
@@ -1,11 +1,10 @@
 //! Accounts as the home of a pool sees them: weight, service, tag, and their place in the order.
 
-use std::collections::BTreeMap;
-
 use sedgeridge_state::ids::AccountId;
 
 use crate::fair_order::FairOrder;
 use crate::fair_order::Tag;
+use crate::name_index::NameIndex;
 use crate::pool_home::AccountWeight;
 use crate::service_ledger::ServiceLedger;
 
@@ -18,7 +17,7 @@
     rank: u32,
     base_tag: Tag,
     /// Service at which the tag was `base_tag`.
-    base_service_tokens: i128,
+    base_service_tokens: i64,
     /// Estimates of grants and holdings that are not settled.
     in_progress_tokens: u64,
     /// Tag under which the account stands in the order, while it is backlogged.
@@ -29,7 +28,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct AccountTable {
     accounts: Vec<Account>,
-    by_id: BTreeMap<AccountId, usize>,
+    by_id: NameIndex<AccountId>,
     by_rank: Vec<usize>,
     order: FairOrder,
     ledger: ServiceLedger,
@@ -61,7 +60,7 @@
     }
 
     fn find_or_add(&mut self, id: &AccountId) -> usize {
-        if let Some(&index) = self.by_id.get(id) {
+        if let Some(index) = self.by_id.find(id) {
             return index;
         }
         let index = self.accounts.len();
@@ -94,7 +93,10 @@
 
     fn rank(&mut self) {
         self.order.clear();
-        self.by_rank = self.by_id.values().copied().collect();
+        self.by_rank = (0..self.accounts.len()).collect();
+        let accounts = &self.accounts;
+        self.by_rank
+            .sort_unstable_by(|left, right| accounts[*left].id.cmp(&accounts[*right].id));
         for (rank, &index) in self.by_rank.iter().enumerate() {
             let account = &mut self.accounts[index];
             account.rank = rank as u32;
@@ -106,7 +108,7 @@
 
     /// Finds an account, also one that is no longer configured.
     pub(crate) fn find(&self, id: &AccountId) -> Option<usize> {
-        self.by_id.get(id).copied()
+        self.by_id.find(id)
     }
 
     pub(crate) fn find_configured(&self, id: &AccountId) -> Option<usize> {
@@ -154,9 +156,10 @@
         account.base_tag.advanced(service_tokens, account.weight)
     }
 
-    fn service_tokens(&self, index: usize) -> i128 {
+    fn service_tokens(&self, index: usize) -> i64 {
         let settled_tokens = self.ledger.received_tokens(index);
-        i128::from(settled_tokens) + i128::from(self.accounts[index].in_progress_tokens)
+        let in_progress_tokens = self.accounts[index].in_progress_tokens;
+        i64::try_from(settled_tokens + in_progress_tokens).unwrap_or(i64::MAX)
     }
 
     fn rebase(&mut self, index: usize, tag: Tag) {
--- a/crates/coordination/src/demand_table.rs
+++ b/crates/coordination/src/demand_table.rs
@@ -104,7 +104,7 @@
 
     pub(crate) fn report(&mut self, key: DemandKey, report: DemandReport) {
         self.cell(key).report = report;
-        self.unsettled.push(key);
+        self.note_unsettled(key);
     }
 
     /// Counts a grant against the reported requests.
@@ -120,7 +120,7 @@
     pub(crate) fn acknowledged(&mut self, key: DemandKey) {
         let cell = self.cell(key);
         cell.unacknowledged = cell.unacknowledged.saturating_sub(1);
-        self.unsettled.push(key);
+        self.note_unsettled(key);
     }
 
     /// Withholds a router's demand, or offers it again; returns the accounts that this concerns.
@@ -223,6 +223,12 @@
         cell.map(|cell| cell.report).unwrap_or_default()
     }
 
+    fn note_unsettled(&mut self, key: DemandKey) {
+        if self.unsettled.last() != Some(&key) {
+            self.unsettled.push(key);
+        }
+    }
+
     fn take_turn(&mut self) -> u64 {
         self.next_turn += 1;
         self.next_turn
--- a/crates/coordination/src/entry_table.rs
+++ b/crates/coordination/src/entry_table.rs
@@ -1,12 +1,11 @@
 //! Entry routers known to the home of a pool, and which of their reports may be taken.
 
-use std::collections::BTreeMap;
-
 use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Member;
 
 use crate::entry_record::EntryRecord;
 use crate::home_counters::RejectionReason;
+use crate::name_index::NameIndex;
 use crate::pool_messages::EntryReport;
 
 /// A report that is not taken.
@@ -30,17 +29,19 @@
 #[derive(Debug, Default)]
 pub(crate) struct EntryTable {
     records: Vec<Option<EntryRecord>>,
-    by_host: BTreeMap<HostId, usize>,
+    by_host: NameIndex<HostId>,
     vacant: Vec<usize>,
 }
 
 impl EntryTable {
     pub(crate) fn find(&self, host: &HostId) -> Option<usize> {
-        self.by_host.get(host).copied()
+        self.by_host.find(host)
     }
 
     pub(crate) fn indices(&self) -> Vec<usize> {
-        self.by_host.values().copied().collect()
+        (0..self.records.len())
+            .filter(|router| self.is_live(*router))
+            .collect()
     }
 
     pub(crate) fn is_live(&self, router: usize) -> bool {
@@ -79,9 +80,8 @@
 
     /// Whether every known router has sent a full report.
     pub(crate) fn all_reported(&self) -> bool {
-        self.by_host
-            .values()
-            .all(|router| self.record(*router).last_sequence.is_some())
+        let mut live = self.records.iter().flatten();
+        live.all(|record| record.last_sequence.is_some())
     }
 
     /// Decides by sender and sequence whether a report is taken.
--- a/crates/coordination/src/fair_order.rs
+++ b/crates/coordination/src/fair_order.rs
@@ -2,12 +2,12 @@
 
 use std::collections::BTreeSet;
 
-/// Fraction bits of a [`Tag`].
-const TAG_FRACTION_BITS: u32 = 16;
+/// Fraction bits of a [`Tag`]. The rest lasts for a century of the service designed for.
+const TAG_FRACTION_BITS: u32 = 8;
 
 /// Weighted service of an account: tokens divided by weight, in fixed point.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Tag(i128);
+pub struct Tag(i64);
 
 impl Tag {
     /// Returns this tag moved on by `service_tokens` at `weight`; negative service moves it back.
@@ -19,8 +19,9 @@
     /// let light = Tag::default().advanced(100, 1);
     /// assert_eq!(heavy, light);
     /// ```
-    pub fn advanced(self, service_tokens: i128, weight: u32) -> Self {
-        Self(self.0 + (service_tokens << TAG_FRACTION_BITS) / i128::from(weight.max(1)))
+    pub fn advanced(self, service_tokens: i64, weight: u32) -> Self {
+        let service = service_tokens.saturating_mul(1 << TAG_FRACTION_BITS);
+        Self(self.0.saturating_add(service / i64::from(weight.max(1))))
     }
 
     /// Returns whole tokens per unit of weight.
@@ -30,7 +31,7 @@
     ///
     /// assert_eq!(Tag::default().advanced(300, 2).tokens_per_weight(), 150);
     /// ```
-    pub fn tokens_per_weight(self) -> i128 {
+    pub fn tokens_per_weight(self) -> i64 {
         self.0 >> TAG_FRACTION_BITS
     }
 }
--- a/crates/coordination/src/report_check.rs
+++ b/crates/coordination/src/report_check.rs
@@ -7,8 +7,9 @@
 const MAX_WAITING: u32 = 1 << 20;
 /// Largest cost of one request.
 const MAX_COST_TOKENS: u64 = 1 << 32;
-/// Largest settled service of one account through one run: a century at the size designed for.
-const MAX_TOTAL_TOKENS: u64 = 1 << 53;
+/// Largest settled service of one account through one run: months of all that the fleet designed
+/// for can give.
+const MAX_TOTAL_TOKENS: u64 = 1 << 46;
 /// Most grants in use at one router.
 const MAX_HOLDINGS: usize = 1 << 16;
 
--- a/crates/coordination/src/service_ledger.rs
+++ b/crates/coordination/src/service_ledger.rs
@@ -9,7 +9,8 @@
 /// counted, so a run that rejoins after a partition is not counted twice.
 #[derive(Debug, Default)]
 pub struct ServiceLedger {
-    runs: BTreeMap<usize, BTreeMap<usize, u64>>,
+    /// Totals by account, for each run.
+    runs: Vec<BTreeMap<usize, u64>>,
     received_tokens: Vec<u64>,
 }
 
@@ -26,7 +27,7 @@
     /// assert_eq!(ledger.received_tokens(7), 30);
     /// ```
     pub fn admit(&mut self, run: usize, totals: impl IntoIterator<Item = (usize, u64)>) {
-        self.runs.insert(run, totals.into_iter().collect());
+        *self.run(run) = totals.into_iter().collect();
     }
 
     /// Raises a counter to `total_tokens` and returns by how much it grew.
@@ -39,8 +40,7 @@
     /// assert_eq!(ledger.merge(0, 7, 20), 0);
     /// ```
     pub fn merge(&mut self, run: usize, account: usize, total_tokens: u64) -> u64 {
-        let counters = self.runs.entry(run).or_default();
-        let counter = counters.entry(account).or_default();
+        let counter = self.run(run).entry(account).or_default();
         let growth_tokens = total_tokens.saturating_sub(*counter);
         *counter += growth_tokens;
         self.add(account, growth_tokens);
@@ -57,7 +57,7 @@
     /// assert_eq!(ledger.total_tokens(0, 7), 30);
     /// ```
     pub fn total_tokens(&self, run: usize, account: usize) -> u64 {
-        let counters = self.runs.get(&run);
+        let counters = self.runs.get(run);
         counters
             .and_then(|counters| counters.get(&account))
             .copied()
@@ -75,7 +75,7 @@
     /// assert_eq!(ledger.received_tokens(7), 30);
     /// ```
     pub fn close(&mut self, run: usize) {
-        self.runs.remove(&run);
+        self.run(run).clear();
     }
 
     /// Returns what an account received through all runs since they were admitted.
@@ -92,10 +92,18 @@
             .unwrap_or_default()
     }
 
+    fn run(&mut self, run: usize) -> &mut BTreeMap<usize, u64> {
+        if self.runs.len() <= run {
+            self.runs.resize_with(run + 1, BTreeMap::new);
+        }
+        &mut self.runs[run]
+    }
+
     fn add(&mut self, account: usize, growth_tokens: u64) {
         if self.received_tokens.len() <= account {
             self.received_tokens.resize(account + 1, 0);
         }
-        self.received_tokens[account] += growth_tokens;
+        let received_tokens = &mut self.received_tokens[account];
+        *received_tokens = received_tokens.saturating_add(growth_tokens);
     }
 }
--- a/crates/coordination/src/slot_table.rs
+++ b/crates/coordination/src/slot_table.rs
@@ -1,12 +1,12 @@
 //! Endpoints of a pool, their slots, and the choice of a free one.
 
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::ids::SiteId;
 use sedgeridge_state::settings::EndpointChoice;
 
+use crate::name_index::NameIndex;
 use crate::pool_home::HomeEndpoint;
 use crate::pool_home::SlotUsage;
 use crate::pool_messages::PrefixHash;
@@ -39,8 +39,8 @@
     choice: EndpointChoice,
     random_state: u64,
     endpoints: Vec<Endpoint>,
-    by_id: BTreeMap<EndpointId, usize>,
-    sites: BTreeMap<SiteId, usize>,
+    by_id: NameIndex<EndpointId>,
+    sites: NameIndex<SiteId>,
     /// Endpoints with a free slot, in no order that matters; drawn from by the random baseline.
     free: Vec<usize>,
     /// (free slots, endpoint) of endpoints with a free slot.
@@ -55,8 +55,8 @@
             choice,
             random_state: seed,
             endpoints: Vec::new(),
-            by_id: BTreeMap::new(),
-            sites: BTreeMap::new(),
+            by_id: NameIndex::default(),
+            sites: NameIndex::default(),
             free: Vec::new(),
             by_free: BTreeSet::new(),
             by_free_at_site: Vec::new(),
@@ -79,7 +79,7 @@
 
     fn configure_one(&mut self, configured: &HomeEndpoint) -> usize {
         let site = self.site(&configured.site);
-        let Some(&index) = self.by_id.get(&configured.id) else {
+        let Some(index) = self.by_id.find(&configured.id) else {
             return self.add(configured, site);
         };
         if self.endpoints[index].site != site {
@@ -109,7 +109,7 @@
 
     /// Returns the index of a site, adding it when it is new.
     pub(crate) fn site(&mut self, id: &SiteId) -> usize {
-        if let Some(&site) = self.sites.get(id) {
+        if let Some(site) = self.sites.find(id) {
             return site;
         }
         let site = self.by_free_at_site.len();
@@ -119,7 +119,7 @@
     }
 
     pub(crate) fn find(&self, id: &EndpointId) -> Option<usize> {
-        self.by_id.get(id).copied()
+        self.by_id.find(id)
     }
 
     pub(crate) fn id(&self, endpoint: usize) -> &EndpointId {
--- a/crates/coordination/tests/home_fuzz/gap.rs
+++ b/crates/coordination/tests/home_fuzz/gap.rs
@@ -148,23 +148,23 @@
         self.exchange(router);
     }
 
-    fn spread(&self) -> i128 {
+    fn spread(&self) -> i64 {
         let tags = (0..self.load.weights.len()).map(|index| {
             let tag = self.home.tag_of(&account(index));
             tag.expect("a configured account").tokens_per_weight()
         });
-        let tags: Vec<i128> = tags.collect();
+        let tags: Vec<i64> = tags.collect();
         tags.iter().max().unwrap() - tags.iter().min().unwrap()
     }
 
     /// Largest gap while all are backlogged. Whoever is ahead was granted when it was not, so it
     /// leads by one charge, and by what was mis-estimated of requests then in progress.
-    fn bound(&self) -> i128 {
-        let lightest = i128::from(*self.load.weights.iter().min().unwrap());
-        let one = i128::from(LARGEST_CHARGE_TOKENS) / lightest;
+    fn bound(&self) -> i64 {
+        let lightest = i64::from(*self.load.weights.iter().min().unwrap());
+        let one = LARGEST_CHARGE_TOKENS as i64 / lightest;
         let mistakes = match self.load.exact {
             true => 0,
-            false => i128::from(self.load.slots) * one,
+            false => i64::from(self.load.slots) * one,
         };
         // One more for tags that are rounded down.
         one + mistakes + 1
