--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -52,6 +52,7 @@
 mod grant_slots;
 mod home_events;
 mod homed_pool;
+mod name_index;
 mod prefix_affinity;
 mod report_apply;
 mod report_check;
