--- a/crates/load/src/fairness.rs
+++ b/crates/load/src/fairness.rs
@@ -244,6 +244,20 @@
     union(own.map(|(_, span)| *span).collect())
 }
 
+impl PoolAccount {
+    /// Weighted service received within a span.
+    pub fn served_within(&self, span: Span) -> f64 {
+        self.served.around(span.end_us).0 - self.served.around(span.start_us).1
+    }
+
+    /// Share of a span in which some request of the account waited.
+    pub fn backlogged_share(&self, span: Span) -> f64 {
+        let waited = intersect(&self.backlogged, &[span]);
+        let waited_us: u64 = waited.iter().map(|part| part.length_us()).sum();
+        waited_us as f64 / span.length_us().max(1) as f64
+    }
+}
+
 /// Largest gap between two accounts over any time in which both waited for the same pool.
 pub fn fairness_gap_tokens(accounts: &[PoolAccount], window: Span) -> f64 {
     let mut gap = 0.0f64;
@@ -283,11 +297,9 @@
 }
 
 fn service_error_percent(one: &PoolAccount, other: &PoolAccount, spans: &[Span]) -> f64 {
-    let served = |curve: &ServiceCurve| -> f64 {
-        let gain = |s: &Span| curve.around(s.end_us).0 - curve.around(s.start_us).1;
-        spans.iter().map(gain).sum()
-    };
-    let (one, other) = (served(&one.served), served(&other.served));
+    let served =
+        |account: &PoolAccount| -> f64 { spans.iter().map(|s| account.served_within(*s)).sum() };
+    let (one, other) = (served(one), served(other));
     let mean = f64::midpoint(one, other);
     if mean == 0.0 {
         return 0.0;
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::control_bytes::PeerRate;
+use crate::fairness::PoolAccount;
 use crate::fairness::fairness_gap_tokens;
 use crate::fairness::pool_accounts;
 use crate::fairness::weight_error_percent;
@@ -23,6 +24,8 @@
 
 /// Significant digits of recorded times.
 const TIME_DIGITS: u8 = 3;
+/// Key that the table of figures leaves to a table of its own.
+const SHARES_KEY: &str = "shares";
 /// Longest time told apart; longer ones count as this.
 const LONGEST_TIME_US: u64 = 600_000_000;
 
@@ -72,6 +75,21 @@
     pub router_added_p99_ms: Option<f64>,
     /// Refused calls by reason.
     pub refusals_by_reason: BTreeMap<String, u64>,
+    /// What each account received in the steady part, pool by pool.
+    pub shares: Vec<AccountShare>,
+}
+
+/// What one account received in one pool.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct AccountShare {
+    /// Name of the pool.
+    pub pool: String,
+    /// Name of the account.
+    pub account: String,
+    /// Service received, divided by the account's weight.
+    pub served_per_weight_tokens: f64,
+    /// Share of the time in which some request of the account waited.
+    pub backlogged_share: f64,
 }
 
 /// What names a run.
@@ -120,10 +138,24 @@
             ttft_light_p99_ms: percentile_ms(&ttft_light, 0.99),
             router_added_p99_ms: None,
             refusals_by_reason: refusals(&history.calls),
+            shares: shares(&accounts, history.steady),
         }
     }
 }
 
+fn shares(accounts: &[PoolAccount], steady: Span) -> Vec<AccountShare> {
+    let share = |account: &PoolAccount| AccountShare {
+        pool: account.pool.clone(),
+        account: account.account.clone(),
+        served_per_weight_tokens: round(account.served_within(steady)),
+        backlogged_share: round(account.backlogged_share(steady)),
+    };
+    let shares = accounts.iter().map(share);
+    shares
+        .filter(|share| share.served_per_weight_tokens > 0.0 || share.backlogged_share > 0.0)
+        .collect()
+}
+
 fn slot_times(plan: &LoadPlan, history: &History) -> BTreeMap<String, SlotTime> {
     let pools = plan.services.iter().map(|s| s.pool.clone());
     let time = |pool: String| {
@@ -198,13 +230,26 @@
 }
 
 impl fmt::Display for Report {
-    /// Prints one figure a line.
+    /// Prints one figure a line, then one account a line.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let value = serde_json::to_value(self).map_err(|_| fmt::Error)?;
         let figures = value.as_object().ok_or(fmt::Error)?;
-        for (name, figure) in figures {
+        for (name, figure) in figures.iter().filter(|(name, _)| *name != SHARES_KEY) {
             writeln!(f, "{name:<32} {figure}")?;
         }
+        writeln!(
+            f,
+            "\nserved per weight, share of the time with work waiting:"
+        )?;
+        for share in &self.shares {
+            let AccountShare {
+                pool,
+                account,
+                served_per_weight_tokens: served,
+                backlogged_share: waited,
+            } = share;
+            writeln!(f, "{pool:<14} {account:<17} {served:>12.1} {waited:>7.3}")?;
+        }
         Ok(())
     }
 }
--- a/crates/load/tests/report.rs
+++ b/crates/load/tests/report.rs
@@ -68,3 +68,19 @@
     let report = report(vec![full("r1", 1), full("r2", 2)], vec![]);
     assert_eq!(report.refusals_by_reason["queue_full"], 2);
 }
+
+#[test]
+fn shares_list_only_accounts_that_wanted_or_got_something() {
+    let waiting = CallRecord {
+        sent_at_us: 0,
+        ended_at_us: 500,
+        ..call("r1", 1)
+    };
+    let report = report(vec![waiting], vec![]);
+    let shares: Vec<_> = report.shares.iter().collect();
+    assert_eq!(shares.len(), 1);
+    assert_eq!(
+        (shares[0].account.as_str(), shares[0].backlogged_share),
+        ("a", 0.5)
+    );
+}
