--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -1,1 +1,517 @@
-//! To be written.
+//! The entry router: keeps its callers' requests, tells each pool's home what waits, and binds a
+//! granted slot to the account's first waiting request.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sedgeridge_state::ids::AccountId;
+use sedgeridge_state::ids::EndpointId;
+use sedgeridge_state::ids::Member;
+use sedgeridge_state::ids::PoolId;
+use sedgeridge_state::settings::Settings;
+
+use crate::account_ceilings::AccountCeilings;
+use crate::cost_estimate::CostEstimates;
+use crate::entry_events::Arrival;
+use crate::entry_events::AttemptEnd;
+use crate::entry_events::AttemptFailure;
+use crate::entry_events::AttemptKey;
+use crate::entry_events::EntryAction;
+use crate::entry_events::EntryEvent;
+use crate::entry_events::GiveUp;
+use crate::entry_events::RequestKey;
+use crate::entry_events::StartAttempt;
+use crate::entry_pool::EntryPool;
+use crate::limits;
+use crate::limits::Admission;
+use crate::limits::Refusal;
+use crate::pool_messages::Grant;
+use crate::quarantine::Permit;
+use crate::quarantine::Quarantine;
+use crate::refusal::Outcome;
+use crate::refusal::RefusalReason;
+use crate::request_table::Attempt;
+use crate::request_table::Place;
+use crate::request_table::Request;
+use crate::request_table::RequestTable;
+use crate::retry_budget::FailedAttempt;
+use crate::retry_budget::RetryBudgets;
+use crate::retry_budget::RetryDecision;
+
+/// Time after which a suspect of crashing endpoints asks again for its trial.
+const TRIAL_PAUSE: Duration = Duration::from_millis(100);
+/// Time between two clean-ups of measurements that nobody needs any more.
+const FORGET_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Keeps the requests of one router's callers.
+#[derive(Debug)]
+pub struct Entry {
+    member: Member,
+    max_attempts: u32,
+    requests: RequestTable,
+    pools: BTreeMap<PoolId, EntryPool>,
+    admission: Admission,
+    ceilings: AccountCeilings,
+    retries: RetryBudgets,
+    quarantine: Quarantine,
+    estimates: CostEstimates,
+    waiting: u32,
+    stopping: bool,
+    forgot_at: Duration,
+}
+
+impl Entry {
+    /// Creates the entry part of the router run `member`; `seed` feeds the jitter.
+    pub fn new(member: Member, settings: &Settings, seed: u64) -> Self {
+        let mut entry = Self {
+            member,
+            max_attempts: settings.retry.max_attempts,
+            requests: RequestTable::default(),
+            pools: BTreeMap::new(),
+            admission: Admission::new(settings.front.clone(), seed),
+            ceilings: AccountCeilings::default(),
+            retries: RetryBudgets::new(settings.retry.clone(), seed.wrapping_add(1)),
+            quarantine: Quarantine::new(settings.health.clone()),
+            estimates: CostEstimates::default(),
+            waiting: 0,
+            stopping: false,
+            forgot_at: Duration::ZERO,
+        };
+        entry.configure(Duration::ZERO, settings);
+        entry
+    }
+
+    /// Adopts a configuration; requests in hand and what was measured stay.
+    pub fn configure(&mut self, now: Duration, settings: &Settings) {
+        self.max_attempts = settings.retry.max_attempts;
+        self.admission.configure(settings.front.clone());
+        self.ceilings.configure(now, &settings.accounts);
+        self.retries.configure(settings.retry.clone());
+        self.quarantine.configure(settings.health.clone());
+    }
+
+    /// Takes one event and appends what is to be done.
+    pub fn handle(&mut self, now: Duration, event: EntryEvent, actions: &mut Vec<EntryAction>) {
+        match event {
+            EntryEvent::Arrived(arrival) => self.arrived(now, arrival, actions),
+            EntryEvent::Granted(grant) => self.granted(now, &grant, actions),
+            EntryEvent::FullReportWanted { pool } => self.pool(&pool).want_full(),
+            EntryEvent::HomeResync { host } => {
+                let homed = self
+                    .pools
+                    .values_mut()
+                    .filter(|pool| pool.is_homed_on(&host));
+                homed.for_each(EntryPool::want_full);
+            }
+            EntryEvent::HomeChanged { pool, home } => self.pool(&pool).set_home(home),
+            EntryEvent::Progress {
+                attempt,
+                charged_tokens,
+            } => self.progressed(attempt, charged_tokens),
+            EntryEvent::AttemptEnded { attempt, end } => {
+                self.attempt_ended(now, attempt, end, actions);
+            }
+            EntryEvent::CallerGone { key } => self.caller_gone(now, key),
+            EntryEvent::Poison(notice) => self.quarantine.on_notice(now, notice),
+            EntryEvent::StopRequested => self.stop(now, actions),
+            EntryEvent::Tick => self.tick(now, actions),
+        }
+        let notices = self.quarantine.take_notices();
+        actions.extend(notices.into_iter().map(EntryAction::Announce));
+    }
+
+    /// Tells whether a request would be refused on arrival, so that nothing is claimed for it.
+    pub fn refusal_of(&mut self, now: Duration, arrival: &Arrival) -> Option<EntryAction> {
+        let refusal = self.admit(now, arrival).err()?;
+        Some(give_up(arrival.key, refusal, Outcome::NotRun))
+    }
+
+    /// Tells whether a request is in hand.
+    pub fn holds(&self, key: RequestKey) -> bool {
+        self.requests.get(key).is_some()
+    }
+
+    /// Appends a report for each pool about which something is new and whose home is `wanted`.
+    pub fn report(&mut self, wanted: impl Fn(&Member) -> bool, actions: &mut Vec<EntryAction>) {
+        let requests = &self.requests;
+        let estimates = &self.estimates;
+        for pool in self.pools.values_mut() {
+            if !pool.home().is_some_and(&wanted) {
+                continue;
+            }
+            let head = |key: RequestKey| {
+                let arrival = &requests.get(key)?.arrival;
+                let cost_tokens = estimates.estimate(&arrival.account, arrival.hint_tokens);
+                Some((cost_tokens, arrival.prefix))
+            };
+            if let Some((to, report)) = pool.report(&self.member, head) {
+                actions.push(EntryAction::Report { to, report });
+            }
+        }
+    }
+
+    /// Tells whether some home has to be told something.
+    pub fn has_news(&self) -> bool {
+        self.pools.values().any(EntryPool::has_news)
+    }
+
+    /// Returns when a put-off request is to be queued again.
+    pub fn next_wake(&self) -> Option<Duration> {
+        self.requests.next_due()
+    }
+
+    /// Counts the requests that wait.
+    pub fn waiting(&self) -> u32 {
+        self.waiting
+    }
+
+    /// Counts the requests that run.
+    pub fn running(&self) -> usize {
+        self.requests.running()
+    }
+
+    /// Counts all requests in hand.
+    pub fn in_hand(&self) -> usize {
+        self.requests.len()
+    }
+
+    fn pool(&mut self, id: &PoolId) -> &mut EntryPool {
+        self.pools
+            .entry(id.clone())
+            .or_insert_with(|| EntryPool::new(id.clone()))
+    }
+
+    fn arrived(&mut self, now: Duration, arrival: Arrival, actions: &mut Vec<EntryAction>) {
+        let key = arrival.key;
+        if let Err(refusal) = self.admit(now, &arrival) {
+            actions.push(give_up(key, refusal, Outcome::NotRun));
+            return;
+        }
+        self.ceilings.started(now, &arrival.account);
+        self.requests.insert(Request::new(arrival));
+        self.enqueue(now, key, false);
+    }
+
+    fn admit(&mut self, now: Duration, arrival: &Arrival) -> Result<(), Refusal> {
+        let refuse = |admission: &mut Admission, reason, earliest| {
+            Err(admission.refuse(now, reason, &arrival.pool, &arrival.account, earliest))
+        };
+        if self.stopping {
+            let reason = RefusalReason::Draining;
+            return refuse(&mut self.admission, reason, Duration::ZERO);
+        }
+        if let Some(left) = self.quarantine.refused_for(now, arrival.fingerprint) {
+            return refuse(&mut self.admission, RefusalReason::Quarantined, left);
+        }
+        let in_progress = self.requests.in_progress(&arrival.account);
+        if let Err(reached) = self.ceilings.check(now, &arrival.account, in_progress) {
+            let earliest = reached.next_start_in.unwrap_or_default();
+            return refuse(&mut self.admission, reached.reason, earliest);
+        }
+        let waiting_of_account = self.waiting_of(&arrival.account);
+        let pool = self.pool(&arrival.pool);
+        let ahead = pool.ahead(&arrival.account, arrival.class);
+        let backlogged_accounts = pool.backlogged_accounts_with(&arrival.account);
+        self.admission.admit(
+            now,
+            limits::Arrival {
+                account: &arrival.account,
+                pool: &arrival.pool,
+                waiting: self.waiting,
+                waiting_of_account,
+                ahead,
+                backlogged_accounts,
+                deadline: arrival.deadline,
+                min_run: Duration::ZERO,
+            },
+        )
+    }
+
+    fn waiting_of(&self, account: &AccountId) -> u32 {
+        let pools = self.pools.values();
+        pools.map(|pool| pool.waiting_of(account)).sum()
+    }
+
+    fn enqueue(&mut self, now: Duration, key: RequestKey, first: bool) {
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        request.place = Place::Queued;
+        let lane = request.lane();
+        let pool = request.arrival.pool.clone();
+        self.admission.queued(now, &pool, &lane.account);
+        self.waiting += 1;
+        self.pool(&pool).enqueue(lane, key, first);
+    }
+
+    fn granted(&mut self, now: Duration, grant: &Grant, actions: &mut Vec<EntryAction>) {
+        if !self.pool(&grant.pool).accept(grant) {
+            return;
+        }
+        while let Some(key) = self.pool(&grant.pool).pop_for(grant) {
+            self.waiting -= 1;
+            let fingerprint = self.requests.get(key).map(|r| r.arrival.fingerprint);
+            let permit = fingerprint.map(|print| self.quarantine.start(now, print));
+            match permit {
+                Some(Permit::Start) => return self.start(now, key, grant, actions),
+                Some(Permit::Wait) => self.requests.put_off(key, now + TRIAL_PAUSE),
+                Some(Permit::Refuse) => {
+                    self.give_up(now, key, RefusalReason::Quarantined, actions);
+                }
+                None => {}
+            }
+        }
+        self.pool(&grant.pool).give_back(grant);
+    }
+
+    fn start(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        grant: &Grant,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let attempt = self.requests.start_attempt(key, grant.id.clone(), now);
+        let max_attempts = self.max_attempts;
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        request.attempts += 1;
+        request.place = Place::Running;
+        let account = request.arrival.account.clone();
+        let estimate_tokens = self
+            .estimates
+            .estimate(&account, request.arrival.hint_tokens);
+        actions.push(EntryAction::Start(StartAttempt {
+            key,
+            attempt,
+            endpoint: grant.endpoint.clone(),
+            resume_after_tokens: request.sent_tokens,
+            last_attempt: !request.arrival.repeatable || request.attempts >= max_attempts,
+        }));
+        let pool = self.pool(&grant.pool);
+        pool.hold(grant, estimate_tokens);
+        let waiting_of_pool = pool.waiting();
+        let waiting_of_account = pool.waiting_of(&account);
+        self.admission.started(
+            now,
+            &grant.pool,
+            &account,
+            waiting_of_pool,
+            waiting_of_account,
+        );
+    }
+
+    fn progressed(&mut self, attempt: AttemptKey, charged_tokens: u64) {
+        let Some(Attempt { key, grant, .. }) = self.requests.attempt(attempt) else {
+            return;
+        };
+        let Some(request) = self.requests.get(*key) else {
+            return;
+        };
+        let pool = request.arrival.pool.clone();
+        let grant = grant.clone();
+        self.pool(&pool).raise_estimate(&grant, charged_tokens);
+    }
+
+    fn attempt_ended(
+        &mut self,
+        now: Duration,
+        attempt: AttemptKey,
+        end: AttemptEnd,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let Some(ended) = self.requests.end_attempt(attempt) else {
+            return;
+        };
+        let Some(request) = self.requests.get(ended.key) else {
+            return;
+        };
+        let arrival = request.arrival.clone();
+        let charged_tokens = charge_of(end);
+        let started_ago = now.saturating_sub(ended.started_at);
+        let pool = self.pool(&arrival.pool);
+        let endpoint = pool.release(&ended.grant, &arrival.account, charged_tokens);
+        if let Some(endpoint) = &endpoint {
+            pool.note_result(endpoint, started_ago, end);
+        }
+        match end {
+            AttemptEnd::Finished { .. } => {
+                self.estimates
+                    .learn(&arrival.account, arrival.hint_tokens, charged_tokens);
+                self.retries.on_success(now, &arrival.account);
+                self.quarantine.finished(now, arrival.fingerprint);
+                self.requests.remove(ended.key);
+            }
+            AttemptEnd::CallerGone { .. } => {
+                self.quarantine.ended(arrival.fingerprint);
+                self.requests.remove(ended.key);
+            }
+            AttemptEnd::Failed {
+                failure,
+                sent_tokens,
+                ..
+            } => {
+                self.blame(now, &arrival, endpoint.as_ref(), failure);
+                if let Some(request) = self.requests.get_mut(ended.key) {
+                    request.sent_tokens = request.sent_tokens.max(sent_tokens);
+                    request.may_have_run |= failure.may_have_run();
+                }
+                self.after_failure(now, ended.key, failure, actions);
+            }
+        }
+    }
+
+    fn blame(
+        &mut self,
+        now: Duration,
+        arrival: &Arrival,
+        endpoint: Option<&EndpointId>,
+        failure: AttemptFailure,
+    ) {
+        match (endpoint, failure) {
+            (Some(endpoint), AttemptFailure::ConnectionLost) => {
+                let fingerprint = arrival.fingerprint;
+                self.quarantine.connection_lost(now, fingerprint, endpoint);
+            }
+            (Some(endpoint), AttemptFailure::ConnectFailed) => {
+                self.quarantine.ended(arrival.fingerprint);
+                self.quarantine.endpoint_down(now, endpoint);
+            }
+            _ => self.quarantine.ended(arrival.fingerprint),
+        }
+    }
+
+    fn after_failure(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        failure: AttemptFailure,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        let Some(reason) = failure.retry_reason() else {
+            return self.give_up(now, key, RefusalReason::DeadlinePassedRunning, actions);
+        };
+        // A request that may not be repeated and may have run is never sent again: the caller
+        // would see its effect twice. One that certainly did not start may go to another endpoint.
+        let decision = self.retries.may_retry(
+            now,
+            FailedAttempt {
+                account: &request.arrival.account,
+                reason,
+                attempts: request.attempts,
+                repeatable: request.arrival.repeatable,
+                deadline: request.arrival.deadline,
+            },
+        );
+        match decision {
+            RetryDecision::Retry { backoff } => {
+                actions.push(EntryAction::Retried { key, reason });
+                self.requests.put_off(key, now + backoff);
+            }
+            RetryDecision::Denied(_) => {
+                let reason = match failure {
+                    AttemptFailure::ConnectFailed => RefusalReason::NoEndpoint,
+                    AttemptFailure::NotStarted => RefusalReason::EndpointRefused,
+                    _ if request.sent_tokens > 0 => RefusalReason::AnswerIncomplete,
+                    _ => RefusalReason::EndpointFailed,
+                };
+                self.give_up(now, key, reason, actions);
+            }
+        }
+    }
+
+    /// Takes a request out of wherever it waits.
+    fn take_out(&mut self, now: Duration, key: RequestKey) -> Option<Request> {
+        let request = self.requests.remove(key)?;
+        if request.place == Place::Queued {
+            let lane = request.lane();
+            let pool = self.pool(&request.arrival.pool);
+            if pool.remove_waiting(&lane, key) {
+                let waiting_of_pool = pool.waiting();
+                let waiting_of_account = pool.waiting_of(&lane.account);
+                self.waiting -= 1;
+                self.admission.left(
+                    now,
+                    &request.arrival.pool,
+                    &lane.account,
+                    waiting_of_pool,
+                    waiting_of_account,
+                );
+            }
+        }
+        Some(request)
+    }
+
+    fn caller_gone(&mut self, now: Duration, key: RequestKey) {
+        let waits = |request: &Request| request.place != Place::Running;
+        if self.requests.get(key).is_some_and(waits) {
+            self.take_out(now, key);
+        }
+    }
+
+    fn give_up(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        reason: RefusalReason,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let Some(request) = self.take_out(now, key) else {
+            return;
+        };
+        let arrival = &request.arrival;
+        let refusal =
+            self.admission
+                .refuse(now, reason, &arrival.pool, &arrival.account, Duration::ZERO);
+        let outcome = if request.may_have_run {
+            Outcome::Unknown
+        } else {
+            Outcome::NotRun
+        };
+        actions.push(give_up(key, refusal, outcome));
+    }
+
+    fn tick(&mut self, now: Duration, actions: &mut Vec<EntryAction>) {
+        self.quarantine.tick(now);
+        while let Some(key) = self.requests.overdue(now) {
+            self.give_up(now, key, RefusalReason::DeadlinePassed, actions);
+        }
+        while let Some(key) = self.requests.take_due(now) {
+            self.enqueue(now, key, true);
+        }
+        if now >= self.forgot_at + FORGET_INTERVAL {
+            self.forgot_at = now;
+            self.admission.forget_stale(now);
+        }
+    }
+
+    fn stop(&mut self, now: Duration, actions: &mut Vec<EntryAction>) {
+        self.stopping = true;
+        // A request that was attempted before is in progress for its caller, who may hold part of
+        // the answer: it still gets its next attempt.
+        for key in self.requests.untried() {
+            self.give_up(now, key, RefusalReason::Draining, actions);
+        }
+    }
+}
+
+fn charge_of(end: AttemptEnd) -> u64 {
+    match end {
+        AttemptEnd::Finished { charged_tokens, .. }
+        | AttemptEnd::Failed { charged_tokens, .. }
+        | AttemptEnd::CallerGone { charged_tokens } => charged_tokens,
+    }
+}
+
+fn give_up(key: RequestKey, refusal: Refusal, outcome: Outcome) -> EntryAction {
+    EntryAction::GiveUp(GiveUp {
+        key,
+        reason: refusal.reason,
+        outcome,
+        retry_after: refusal.retry_after,
+    })
+}
--- a/crates/coordination/src/refusal.rs
+++ b/crates/coordination/src/refusal.rs
@@ -65,6 +65,13 @@
     }
 }
 
+const fn unknown_yet(name: &'static str, status: u16) -> RefusalFacts {
+    RefusalFacts {
+        retry_after: true,
+        ..unknown(name, status)
+    }
+}
+
 /// Why a request got no whole answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum RefusalReason {
@@ -72,6 +79,8 @@
     Unauthorized,
     /// No service has the name asked for.
     UnknownService,
+    /// The path is not served with this method.
+    MethodNotAllowed,
     /// The request does not parse, or a header has a wrong value.
     BadRequest,
     /// The body is larger than the front reads.
@@ -122,9 +131,10 @@
 
 impl RefusalReason {
     /// Every reason, in the order of declaration.
-    pub const ALL: [Self; 25] = [
+    pub const ALL: [Self; 26] = [
         Self::Unauthorized,
         Self::UnknownService,
+        Self::MethodNotAllowed,
         Self::BadRequest,
         Self::BodyTooLarge,
         Self::HeaderTimeout,
@@ -154,6 +164,7 @@
         match self {
             Self::Unauthorized => not_run("unauthorized", 401),
             Self::UnknownService => not_run("unknown_service", 404),
+            Self::MethodNotAllowed => not_run("method_not_allowed", 405),
             Self::BadRequest => not_run("bad_request", 400),
             Self::BodyTooLarge => not_run("body_too_large", 413),
             Self::HeaderTimeout => not_run("header_timeout", 408),
@@ -164,7 +175,7 @@
             Self::ConcurrencyLimited => not_run_yet("concurrency_limited", 429),
             Self::DeadlineUnreachable => not_run_yet("deadline_unreachable", 503),
             Self::DeadlinePassed => not_run_yet("deadline_passed", 504),
-            Self::DeadlinePassedRunning => unknown("deadline_passed_running", 504),
+            Self::DeadlinePassedRunning => unknown_yet("deadline_passed_running", 504),
             Self::Quarantined => not_run("quarantined", 422),
             Self::NoEndpoint => not_run_yet("no_endpoint", 503),
             Self::EndpointRefused => not_run_yet("endpoint_refused", 503),
@@ -173,13 +184,10 @@
             Self::StoreUnavailable => not_run_yet("store_unavailable", 503),
             Self::KeyMissing => not_run("key_missing", 400),
             Self::KeyConflict => not_run("key_conflict", 422),
-            Self::InProgress => RefusalFacts {
-                retry_after: true,
-                ..unknown("in_progress", 409)
-            },
+            Self::InProgress => unknown_yet("in_progress", 409),
             Self::OutcomeUnknown => unknown("outcome_unknown", 502),
-            Self::EndpointFailed => unknown("endpoint_failed", 502),
-            Self::AnswerIncomplete => unknown("answer_incomplete", 502),
+            Self::EndpointFailed => unknown_yet("endpoint_failed", 502),
+            Self::AnswerIncomplete => unknown_yet("answer_incomplete", 502),
         }
     }
 
--- /dev/null
+++ b/crates/router/src/options.rs
@@ -0,0 +1,82 @@
+//! Command line of the router.
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+
+use pico_args::Arguments;
+use thiserror::Error;
+
+/// Exit code for a command line or settings that cannot be used.
+pub const BAD_INPUT: u8 = 2;
+
+const HELP: &str = "\
+sedgeridge-router: takes callers' requests and shares the endpoints fairly between accounts
+
+USAGE:
+    sedgeridge-router --config FILE [--overlay FILE] --host NAME [--set SECTION.KEY=VALUE]...
+
+OPTIONS:
+    --config FILE              base settings, the same at every site
+    --overlay FILE             settings of this site
+    --host NAME                which [host.NAME] this process is
+    --set SECTION.KEY=VALUE    overrides one setting; may be repeated
+    -h, --help                 prints this text
+    -V, --version              prints the version
+
+EXIT CODES:
+    0 stopped on request    1 failed while running    2 bad command line or settings, nothing started";
+
+/// A usable command line.
+#[derive(Debug)]
+pub struct Options {
+    /// Base settings file.
+    pub config: PathBuf,
+    /// Overlay of this site.
+    pub overlay: Option<PathBuf>,
+    /// Name of this host.
+    pub host: String,
+    /// Overrides, as given.
+    pub overrides: Vec<String>,
+}
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub enum Parsed {
+    /// Run the router.
+    Run(Options),
+    /// Print a text and end.
+    Print(String),
+}
+
+/// Why a command line cannot be used.
+#[derive(Debug, Error)]
+pub enum OptionsError {
+    /// An option is missing or malformed.
+    #[error("{0}; see --help")]
+    Malformed(#[from] pico_args::Error),
+    /// Something was given that is no option.
+    #[error("unexpected argument {0:?}; see --help")]
+    Unexpected(OsString),
+}
+
+/// Reads the command line, without the program's name.
+pub fn parse(arguments: Vec<OsString>) -> Result<Parsed, OptionsError> {
+    let mut arguments = Arguments::from_vec(arguments);
+    if arguments.contains(["-h", "--help"]) {
+        return Ok(Parsed::Print(HELP.to_owned()));
+    }
+    if arguments.contains(["-V", "--version"]) {
+        let version = env!("CARGO_PKG_VERSION");
+        return Ok(Parsed::Print(format!("sedgeridge-router {version}")));
+    }
+    let options = Options {
+        config: arguments.value_from_str("--config")?,
+        overlay: arguments.opt_value_from_str("--overlay")?,
+        host: arguments.value_from_str("--host")?,
+        overrides: arguments.values_from_str("--set")?,
+    };
+    match arguments.finish().into_iter().next() {
+        Some(unexpected) => Err(OptionsError::Unexpected(unexpected)),
+        None => Ok(Parsed::Run(options)),
+    }
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -3,6 +3,12 @@
 //!
 //! This crate does no I/O, starts no threads and reads no clock.
 
+pub mod claim_record;
+pub mod config_document;
+pub mod config_records;
+pub mod fields;
 pub mod fingerprint;
 pub mod ids;
+pub mod lease_record;
+pub mod order_record;
 pub mod settings;
