--- a/crates/coordination/src/endpoint_health.rs
+++ b/crates/coordination/src/endpoint_health.rs
@@ -4,6 +4,7 @@
 //! reports say and which endpoints are leaving, and tells how many requests each may hold.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use sedgeridge_state::ids::EndpointId;
@@ -11,16 +12,12 @@
 use sedgeridge_state::settings::millis;
 
 use crate::breaker::AnswerCounts;
-use crate::breaker::Breaker;
 use crate::breaker::FailureKind;
+use crate::pooled_endpoint::PooledEndpoint;
 use crate::slot_budget::Load;
-use crate::slot_budget::SlotBudget;
 
 /// Report intervals after which a load report is stale.
 const STALE_REPORT_INTERVALS: u32 = 4;
-/// Time for which a notice of leaving stands against reports that say otherwise, since they lag.
-const LEAVING_NOTICE_HOLDS: Duration = Duration::from_secs(10);
-
 /// Who says that an endpoint is leaving.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LeavingSource {
@@ -39,77 +36,6 @@
     pub slots: u32,
 }
 
-#[derive(Debug, Default)]
-struct Leaving {
-    by_report: bool,
-    by_peer_at: Option<Duration>,
-    by_host_list: bool,
-}
-
-impl Leaving {
-    fn is_leaving(&self) -> bool {
-        self.by_report || self.by_peer_at.is_some() || self.by_host_list
-    }
-
-    fn reported(&mut self, leaving: bool, figures_at: Duration) {
-        self.by_report = leaving;
-        let outlived = |at: Duration| figures_at > at + LEAVING_NOTICE_HOLDS;
-        if !leaving && self.by_peer_at.is_some_and(outlived) {
-            self.by_peer_at = None;
-        }
-    }
-}
-
-#[derive(Debug)]
-struct Endpoint {
-    breaker: Breaker,
-    budget: SlotBudget,
-    ramp: Option<u32>,
-    leaving: Leaving,
-    reported_at: Option<Duration>,
-    told: Option<u32>,
-}
-
-impl Endpoint {
-    fn new(slots: u32) -> Self {
-        Self {
-            breaker: Breaker::new(),
-            budget: SlotBudget::new(slots),
-            ramp: None,
-            leaving: Leaving::default(),
-            reported_at: None,
-            told: None,
-        }
-    }
-
-    fn is_full_member(&self) -> bool {
-        !self.leaving.is_leaving() && !self.breaker.is_ejected()
-    }
-
-    fn usable_slots(&self, now: Duration, stale_after: Duration) -> u32 {
-        if self.leaving.is_leaving() || self.breaker.open_until().is_some() {
-            return 0;
-        }
-        if self.breaker.is_half_open() {
-            return 1;
-        }
-        let usable = self.budget.usable(now, stale_after);
-        self.ramp.map_or(usable, |ramp| ramp.min(usable))
-    }
-
-    // One more slot for each answer doubles the load in the time of one request: a cold endpoint
-    // is not flooded, and a warm one is soon back at full load.
-    fn climb(&mut self, now: Duration, stale_after: Duration) {
-        let Some(ramp) = self.ramp else { return };
-        if ramp + 1 >= self.budget.usable(now, stale_after) {
-            self.ramp = None;
-            self.breaker.forgive();
-        } else {
-            self.ramp = Some(ramp + 1);
-        }
-    }
-}
-
 /// Health of the endpoints of one pool.
 ///
 /// ```
@@ -133,7 +59,9 @@
 #[derive(Debug)]
 pub struct PoolHealth {
     settings: HealthSettings,
-    endpoints: BTreeMap<EndpointId, Endpoint>,
+    endpoints: BTreeMap<EndpointId, PooledEndpoint>,
+    changed: BTreeSet<EndpointId>,
+    scan_at: Duration,
 }
 
 impl PoolHealth {
@@ -142,6 +70,8 @@
         Self {
             settings,
             endpoints: BTreeMap::new(),
+            changed: BTreeSet::new(),
+            scan_at: Duration::ZERO,
         }
     }
 
@@ -158,18 +88,20 @@
                     endpoint.budget.configure(*slots);
                     endpoint
                 }
-                None => Endpoint {
+                None => PooledEndpoint {
                     ramp: joins.then_some(1),
-                    ..Endpoint::new(*slots)
+                    ..PooledEndpoint::new(*slots)
                 },
             };
             self.endpoints.insert(id.clone(), endpoint);
         }
+        self.scan_at = Duration::ZERO;
     }
 
     /// Adopts changed settings.
     pub fn set_settings(&mut self, settings: HealthSettings) {
         self.settings = settings;
+        self.scan_at = Duration::ZERO;
     }
 
     /// Notes how many requests the fleet holds on an endpoint from now on.
@@ -196,6 +128,7 @@
             endpoint.ramp = Some(1);
         }
         endpoint.climb(now, stale_after);
+        self.note_change(now, id);
     }
 
     /// Counts a failed attempt that began at `started_at`, or a load report that can't be read.
@@ -223,8 +156,8 @@
         let breaker = &mut endpoint.breaker;
         if breaker.failed(now, started_at, kind, settings, others) {
             self.eject(now, id);
+            self.note_change(now, id);
         }
-        self.keep_quota(now);
     }
 
     /// Takes a load report; `load.age` counts from when its figures were true.
@@ -238,7 +171,9 @@
         endpoint.budget.reported(now, load);
         let was_leaving = endpoint.leaving.is_leaving();
         endpoint.leaving.reported(load.leaving, figures_at);
-        if endpoint.leaving.is_leaving() != was_leaving {
+        let turned = endpoint.leaving.is_leaving() != was_leaving;
+        self.note_change(now, id);
+        if turned {
             self.keep_quota(now);
         }
     }
@@ -274,6 +209,7 @@
             LeavingSource::Peer => endpoint.leaving.by_peer_at = leaving.then_some(now),
             LeavingSource::HostList => endpoint.leaving.by_host_list = leaving,
         }
+        self.note_change(now, id);
         self.keep_quota(now);
     }
 
@@ -294,19 +230,19 @@
     /// Ends ejections that are over, and returns the endpoints whose usable slots changed since
     /// the last call. Called after events and at each tick.
     pub fn changes(&mut self, now: Duration) -> Vec<UsableSlots> {
-        for endpoint in self.endpoints.values_mut() {
-            if endpoint.breaker.open_until().is_some_and(|at| at <= now) {
-                endpoint.breaker.half_open(now);
-            }
+        if now >= self.scan_at {
+            self.scan(now);
         }
-        self.keep_quota(now);
         let stale_after = self.stale_after();
         let mut changes = Vec::new();
-        for (id, endpoint) in &mut self.endpoints {
+        for id in std::mem::take(&mut self.changed) {
+            let Some(endpoint) = self.endpoints.get_mut(&id) else {
+                continue;
+            };
             let slots = endpoint.usable_slots(now, stale_after);
             if endpoint.told.replace(slots) != Some(slots) {
                 changes.push(UsableSlots {
-                    endpoint: id.clone(),
+                    endpoint: id,
                     slots,
                 });
             }
@@ -314,6 +250,34 @@
         changes
     }
 
+    // A large pool is not gone through at each event, only when time alone changes an endpoint.
+    fn scan(&mut self, now: Duration) {
+        let stale_after = self.stale_after();
+        for endpoint in self.endpoints.values_mut() {
+            if endpoint.breaker.open_until().is_some_and(|at| at <= now) {
+                endpoint.breaker.half_open(now);
+            }
+        }
+        self.keep_quota(now);
+        self.changed.extend(self.endpoints.keys().cloned());
+        let next_changes = self.endpoints.values();
+        self.scan_at = next_changes
+            .filter_map(|endpoint| endpoint.next_change_at(now, stale_after))
+            .min()
+            .unwrap_or(Duration::MAX);
+    }
+
+    fn note_change(&mut self, now: Duration, id: &EndpointId) {
+        let stale_after = self.stale_after();
+        let Some(endpoint) = self.endpoints.get(id) else {
+            return;
+        };
+        if let Some(at) = endpoint.next_change_at(now, stale_after) {
+            self.scan_at = self.scan_at.min(at);
+        }
+        self.changed.insert(id.clone());
+    }
+
     fn stale_after(&self) -> Duration {
         millis(self.settings.report_interval_ms) * STALE_REPORT_INTERVALS
     }
@@ -339,8 +303,7 @@
         if may_eject {
             endpoint.breaker.open(now, settings);
         } else {
-            endpoint.breaker.close_anyway(now);
-            endpoint.ramp = Some(1);
+            endpoint.throttle(now);
         }
     }
 
@@ -365,11 +328,12 @@
     // all of it. The ones that would return first return at once, slowly.
     fn keep_quota(&mut self, now: Duration) {
         while self.ejected() > self.max_ejected() || !self.takes_work() {
-            let Some(endpoint) = self.first_to_return() else {
+            let Some((id, endpoint)) = self.first_to_return() else {
                 return;
             };
-            endpoint.breaker.close_anyway(now);
-            endpoint.ramp = Some(1);
+            endpoint.throttle(now);
+            let id = id.clone();
+            self.changed.insert(id);
         }
     }
 
@@ -386,10 +350,12 @@
         })
     }
 
-    fn first_to_return(&mut self) -> Option<&mut Endpoint> {
+    fn first_to_return(&mut self) -> Option<(&EndpointId, &mut PooledEndpoint)> {
         self.endpoints
-            .values_mut()
-            .filter(|endpoint| endpoint.breaker.is_ejected())
-            .min_by_key(|endpoint| (endpoint.leaving.is_leaving(), endpoint.breaker.open_until()))
+            .iter_mut()
+            .filter(|(_, endpoint)| endpoint.breaker.is_ejected())
+            .min_by_key(|(_, endpoint)| {
+                (endpoint.leaving.is_leaving(), endpoint.breaker.open_until())
+            })
     }
 }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod poison_record;
 pub mod pool_home;
 pub mod pool_messages;
+mod pooled_endpoint;
 pub mod quarantine;
 pub mod random;
 pub mod refusal;
--- a/crates/coordination/src/slot_budget.rs
+++ b/crates/coordination/src/slot_budget.rs
@@ -159,6 +159,14 @@
         self.learnt.saturating_sub(foreign).max(1)
     }
 
+    /// Returns when work of others stops to be counted unless a report tells of it again.
+    pub fn foreign_until(&self, reports_stale_after: Duration) -> Option<Duration> {
+        let is_counted = self.foreign > 0;
+        self.figures_at
+            .filter(|_| is_counted)
+            .map(|at| at + reports_stale_after)
+    }
+
     fn learn_from(&mut self, load: Load) {
         let most = self.configured.min(load.slots.max(1));
         if load.waiting > 0 {
@@ -185,8 +193,7 @@
     }
 
     fn is_reported(&self, now: Duration, stale_after: Duration) -> bool {
-        self.figures_at
-            .is_some_and(|at| now.saturating_sub(at) <= stale_after)
+        self.figures_at.is_some_and(|at| now < at + stale_after)
     }
 
     fn held_now(&self) -> u32 {
