feat: adoption of accepted configurations wired into the router

Routers start from the table's configuration when platform.configuration = table, take newer generations from peers or the table, and put them in force without touching requests in hand.

--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -8,11 +8,15 @@
 use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Member;
 use sedgeridge_state::ids::PoolId;
+use sedgeridge_state::ids::SiteId;
+use sedgeridge_state::settings::ConfigurationSource;
 use sedgeridge_state::settings::FairScope;
 use sedgeridge_state::settings::Settings;
 use sedgeridge_state::settings::millis;
 
 use crate::claim_events::ClaimOutcome;
+use crate::config_events::ConfigEvent;
+use crate::config_events::Generation;
 use crate::entry::Entry;
 use crate::entry_events::Arrival;
 use crate::entry_events::AttemptEnd;
@@ -31,6 +35,8 @@
 use crate::node_claims::ClaimKey;
 use crate::node_claims::ClaimStep;
 use crate::node_claims::NodeClaims;
+use crate::node_config::ConfigStep;
+use crate::node_config::NodeConfig;
 use crate::pool_home::HomeAction;
 use crate::pool_home::HomeEvent;
 use crate::refusal::Outcome;
@@ -40,7 +46,6 @@
 pub use crate::node_events::NodeEvent;
 pub use crate::node_events::NodeLoad;
 pub use crate::node_events::PeerMessage;
-pub use crate::node_events::StorePart;
 
 /// Longest chain of reports and grants inside one router that one event may cause; each step uses
 /// up a waiting request or a slot, so it ends by itself, and the bound only guards that claim.
@@ -67,6 +72,7 @@
     membership: Membership,
     entry: Entry,
     claims: NodeClaims,
+    config: Option<NodeConfig>,
     homes: BTreeMap<PoolId, HomedPool>,
     live: Vec<LiveMember>,
     reported_at: Duration,
@@ -76,9 +82,18 @@
     /// Creates the router run `member` under a configuration; `seed` feeds every random choice.
     pub fn new(member: Member, settings: Settings, seed: u64) -> Self {
         let hosts: Vec<HostId> = settings.hosts.iter().map(|host| host.id.clone()).collect();
+        let config = match settings.platform.configuration {
+            ConfigurationSource::Files => None,
+            ConfigurationSource::Table => {
+                let host = settings.host(member.host.as_str());
+                let site = host.map_or(SiteId::from(""), |host| host.site.clone());
+                Some(NodeConfig::new(site, seed.wrapping_add(3)))
+            }
+        };
         let membership = Membership::new(member.clone(), settings.membership.clone(), hosts, seed);
         let mut node = Self {
             entry: Entry::new(member.clone(), &settings, seed.wrapping_add(1)),
+            config,
             claims: NodeClaims::new(member.clone(), seed.wrapping_add(2)),
             member: member.clone(),
             settings,
@@ -127,14 +142,16 @@
                 self.entry.handle(now, event, &mut entry_actions);
                 self.record_end(now, key, end, recorded, &mut entry_actions, actions);
             }
-            NodeEvent::StoreEnded { part, event } => match part {
-                StorePart::Claims => {
-                    let mut steps = Vec::new();
-                    self.claims.store_ended(now, event, &mut steps);
-                    self.claim_steps(now, steps, &mut entry_actions, actions);
-                }
-                StorePart::Configuration => {}
-            },
+            NodeEvent::StoreEnded(event) => {
+                let mut steps = Vec::new();
+                self.claims.store_ended(now, event, &mut steps);
+                self.claim_steps(now, steps, &mut entry_actions, actions);
+            }
+            NodeEvent::ConfigRead(event) => {
+                self.config_event(now, &mut entry_actions, actions, |config, steps| {
+                    config.handle(now, event, steps);
+                });
+            }
             NodeEvent::Peer { from, message } => {
                 self.peer(now, &from, message, &mut entry_actions, actions);
             }
@@ -198,6 +215,7 @@
             running: self.entry.running(),
             homes: self.homes.len(),
             members: self.live.len().max(1),
+            generation: self.generation(),
         }
     }
 
@@ -213,6 +231,84 @@
             .map(|(pool, home)| (pool, home.counters()))
     }
 
+    /// Returns the generation of the configuration in force; 0 for the files given at the start.
+    fn generation(&self) -> u64 {
+        let current = self.config.as_ref().and_then(NodeConfig::generation);
+        current.map_or(0, |generation| generation.0)
+    }
+
+    fn config_event(
+        &mut self,
+        now: Duration,
+        entry_actions: &mut Vec<EntryAction>,
+        actions: &mut Vec<NodeAction>,
+        visit: impl FnOnce(&mut NodeConfig, &mut Vec<ConfigStep>),
+    ) {
+        let Some(config) = &mut self.config else {
+            return;
+        };
+        let mut steps = Vec::new();
+        visit(config, &mut steps);
+        for step in steps {
+            match step {
+                ConfigStep::Read(read) => actions.push(NodeAction::ReadConfig(read)),
+                ConfigStep::Send { to, message } => actions.push(NodeAction::Send {
+                    to,
+                    message: PeerMessage::Config(message),
+                }),
+                ConfigStep::Adopt {
+                    generation,
+                    settings,
+                } => {
+                    self.put_in_force(now, &settings, entry_actions, actions);
+                    actions.push(NodeAction::SettingsChanged {
+                        generation,
+                        settings,
+                    });
+                }
+                ConfigStep::Unusable {
+                    generation,
+                    findings,
+                } => actions.push(NodeAction::ConfigUnusable {
+                    generation,
+                    findings,
+                }),
+                ConfigStep::Announce(generation) => {
+                    let event = MembershipEvent::ConfigGeneration(generation.0);
+                    self.membership_event(now, event, entry_actions, actions);
+                }
+                ConfigStep::Ready => actions.push(NodeAction::Ready),
+            }
+        }
+    }
+
+    /// Puts settings in force without touching the requests in hand.
+    fn put_in_force(
+        &mut self,
+        now: Duration,
+        settings: &Settings,
+        entry_actions: &mut Vec<EntryAction>,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        self.settings = settings.clone();
+        self.entry.configure(now, settings);
+        let hosts = settings.hosts.iter().map(|host| host.id.clone()).collect();
+        let event = MembershipEvent::Configured(hosts);
+        self.membership_event(now, event, entry_actions, actions);
+        let known = &settings.pools;
+        self.homes
+            .retain(|pool, _| known.iter().any(|known| known.id == *pool));
+        let pools: Vec<PoolId> = self.homes.keys().cloned().collect();
+        for pool in pools {
+            let mut out = Vec::new();
+            if let Some(home) = self.homes.get_mut(&pool) {
+                home.configure(now, &pool, settings, &mut out);
+            }
+            self.deliver(now, &pool, out, entry_actions, actions);
+        }
+        self.place_homes(now, entry_actions, actions);
+    }
+
     /// Tells whether every outcome of a request that may not be repeated is on record.
     pub fn is_settled(&self) -> bool {
         self.claims.is_settled()
@@ -311,10 +407,7 @@
                     outcome,
                     retry_after,
                 })),
-                ClaimStep::Store(action) => actions.push(NodeAction::Store {
-                    part: StorePart::Claims,
-                    action,
-                }),
+                ClaimStep::Store(action) => actions.push(NodeAction::Store(action)),
             }
         }
     }
@@ -332,6 +425,9 @@
         let mut steps = Vec::new();
         self.claims.tick(now, &mut steps);
         self.claim_steps(now, steps, entry_actions, actions);
+        self.config_event(now, entry_actions, actions, |config, steps| {
+            config.handle(now, ConfigEvent::Tick, steps);
+        });
         let mut due = Vec::new();
         self.for_each_home(now, entry_actions, actions, |home, out| {
             due.extend(home.tick(now, out));
@@ -360,6 +456,11 @@
                     actions.push(NodeAction::MembersChanged(live.clone()));
                     let members = live.iter().map(|m| m.member.clone()).collect();
                     self.claims.members(now, members);
+                    let others = live.iter().map(|m| m.member.clone());
+                    let peers = others.filter(|m| *m != self.member).collect();
+                    self.config_event(now, entry_actions, actions, |config, steps| {
+                        config.set_peers(now, peers, steps);
+                    });
                     if self.settings.fair.scope == FairScope::Fleet {
                         self.live = live;
                         self.place_homes(now, entry_actions, actions);
@@ -368,7 +469,11 @@
                 MembershipAction::NoticeReceived(notice) => {
                     self.take_notice(now, &notice, entry_actions, actions);
                 }
-                MembershipAction::GenerationSeen { .. } => {}
+                MembershipAction::GenerationSeen { generation, from } => {
+                    self.config_event(now, entry_actions, actions, |config, steps| {
+                        config.heard(now, &from, Generation(generation), steps);
+                    });
+                }
                 MembershipAction::Outranked { .. } => actions.push(NodeAction::Outranked),
             }
         }
@@ -466,6 +571,11 @@
                 let event = EntryEvent::FullReportWanted { pool };
                 self.entry.handle(now, event, entry_actions);
             }
+            PeerMessage::Config(message) => {
+                self.config_event(now, entry_actions, actions, |config, steps| {
+                    config.peer_message(now, from, message, steps);
+                });
+            }
             PeerMessage::Poison(notice) => {
                 let event = EntryEvent::Poison(notice);
                 self.entry.handle(now, event, entry_actions);
--- a/crates/coordination/src/node_events.rs
+++ b/crates/coordination/src/node_events.rs
@@ -1,11 +1,15 @@
 //! What goes into and comes out of [`crate::node::Node`].
 
 use sedgeridge_state::claim_record::RecordedAnswer;
+use sedgeridge_state::config_records::ConfigContent;
 use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Member;
 use sedgeridge_state::ids::PoolId;
+use sedgeridge_state::settings::Settings;
 
+use crate::config_events::ConfigEvent;
+use crate::config_events::Generation;
 use crate::entry_events::Arrival;
 use crate::entry_events::AttemptEnd;
 use crate::entry_events::AttemptKey;
@@ -16,6 +20,8 @@
 use crate::membership::LiveMember;
 use crate::membership::Message;
 use crate::node_claims::ClaimKey;
+use crate::node_config::ConfigMessage;
+use crate::node_config::ConfigRead;
 use crate::poison_notice::PoisonNotice;
 use crate::pool_messages::EntryReport;
 use crate::pool_messages::Grant;
@@ -38,6 +44,8 @@
     },
     /// A router tells about a request that crashes endpoints.
     Poison(PoisonNotice),
+    /// Routers tell each other about the configuration.
+    Config(ConfigMessage),
 }
 
 /// What happens to a router.
@@ -74,12 +82,9 @@
         recorded: Option<RecordedAnswer>,
     },
     /// A call of the table service ended.
-    StoreEnded {
-        /// Whose call it was.
-        part: StorePart,
-        /// How it ended.
-        event: StoreEvent,
-    },
+    StoreEnded(StoreEvent),
+    /// A read of the configuration ended.
+    ConfigRead(ConfigEvent<ConfigContent>),
     /// A message from another router came on its link.
     Peer {
         /// The sender.
@@ -138,12 +143,25 @@
         reason: RetryReason,
     },
     /// Call the table service.
-    Store {
-        /// Whose call it is.
-        part: StorePart,
-        /// The call.
-        action: StoreAction,
-    },
+    Store(StoreAction),
+    /// Read the configuration in the table service.
+    ReadConfig(ConfigRead),
+    /// These settings are in force now.
+    SettingsChanged {
+        /// The generation.
+        generation: Generation,
+        /// The settings.
+        settings: Box<Settings>,
+    },
+    /// The content of a generation is not usable here.
+    ConfigUnusable {
+        /// The generation.
+        generation: Generation,
+        /// What is wrong with it.
+        findings: String,
+    },
+    /// A configuration is in force, so requests may come.
+    Ready,
     /// Send a message on the link to another router.
     Send {
         /// The receiver.
@@ -169,15 +187,6 @@
     Outranked,
 }
 
-/// Which part of a router calls the table service; each numbers its own calls.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StorePart {
-    /// Claims of requests that may not be repeated.
-    Claims,
-    /// Adoption of configurations.
-    Configuration,
-}
-
 /// How much a router has in hand.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NodeLoad {
@@ -189,4 +198,6 @@
     pub homes: usize,
     /// Live members of the fleet.
     pub members: usize,
+    /// Generation of the configuration in force; 0 for the files given at the start.
+    pub generation: u64,
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod membership;
 pub mod operator;
 pub mod peer;
+pub mod peer_config;
 pub mod table;
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -10,6 +10,9 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use crate::peer_config::WireConfig;
+use crate::peer_config::read_config;
+use crate::peer_config::wire_config;
 use sedgeridge_coordination::attempt_results::AttemptFailed;
 use sedgeridge_coordination::attempt_results::EndpointResult;
 use sedgeridge_coordination::breaker::FailureKind;
@@ -30,7 +33,7 @@
 use sedgeridge_state::settings::RequestClass;
 
 /// Largest message that is read.
-pub const MAX_PEER_MESSAGE_BYTES: usize = 1 << 20;
+pub const MAX_PEER_MESSAGE_BYTES: usize = 16 << 20;
 
 /// Why a peer message is refused.
 #[derive(Debug, Error)]
@@ -65,6 +68,8 @@
     FullReportWanted(String),
     #[serde(rename = "x")]
     Poison(WirePoison),
+    #[serde(rename = "c")]
+    Config(WireConfig),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -239,6 +244,7 @@
             WireMessage::FullReportWanted(pool.as_str().to_owned())
         }
         PeerMessage::Poison(notice) => WireMessage::Poison(wire_poison(notice)),
+        PeerMessage::Config(message) => WireMessage::Config(wire_config(message)),
     })
 }
 
@@ -255,6 +261,7 @@
             pool: pool.as_str().into(),
         },
         WireMessage::Poison(notice) => PeerMessage::Poison(read_poison(&notice)),
+        WireMessage::Config(message) => PeerMessage::Config(read_config(message)),
     })
 }
 
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -1,14 +1,10 @@
 //! Starts the router's threads and waits for their end.
 
-use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::mpsc::sync_channel;
 use std::thread;
 
-use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Member;
 use sedgeridge_state::settings::HostSettings;
 use sedgeridge_state::settings::Override;
@@ -19,7 +15,7 @@
 use sedgeridge_transport::core::CORE_RING_LEN;
 use sedgeridge_transport::core::Core;
 use sedgeridge_transport::core::CoreInput;
-use sedgeridge_transport::directory::Directory;
+use sedgeridge_transport::directory::SharedDirectory;
 use sedgeridge_transport::event_log::LogEvent;
 use sedgeridge_transport::event_log::log_info;
 use sedgeridge_transport::event_log::start_log;
@@ -95,7 +91,7 @@
         host: host.id.clone(),
         incarnation: incarnation_from_wall_clock(),
     };
-    let directory = Arc::new(Directory::new(settings));
+    let directory = SharedDirectory::new(settings);
     let status = StatusBoard::default();
     let (inputs, inbox) = sync_channel(CORE_RING_LEN);
     let (stop_front, front_stops) = watch::channel(false);
@@ -103,14 +99,13 @@
     let front = Front {
         clock,
         member: member.clone(),
-        directory: Arc::clone(&directory),
+        directory: directory.clone(),
         core: inputs.clone(),
         next_request: AtomicU64::new(0),
     };
     let listener = bind(host.caller_address)?;
     let peers = Peers {
         member: member.clone(),
-        addresses: peer_addresses(&directory.settings, host),
         core: inputs.clone(),
     };
     let sockets = PeerSockets::bind(host.peer_address)?;
@@ -144,10 +139,3 @@
     log_info(LogEvent::RouterStopped, "");
     Ok(())
 }
-
-fn peer_addresses(settings: &Settings, own: &HostSettings) -> BTreeMap<HostId, SocketAddr> {
-    let others = settings.hosts.iter().filter(|host| host.id != own.id);
-    others
-        .map(|host| (host.id.clone(), host.peer_address))
-        .collect()
-}
--- a/crates/state/src/settings.rs
+++ b/crates/state/src/settings.rs
@@ -275,9 +275,21 @@
     }
 }
 
+/// Where the configuration in force comes from.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum ConfigurationSource {
+    /// The files given at the start, until the process ends.
+    #[default]
+    Files,
+    /// The configuration accepted in the table service; the files only say where that is.
+    Table,
+}
+
 /// Section `[platform]`: addresses of the platform's services.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PlatformSettings {
+    /// Where the configuration in force comes from.
+    pub configuration: ConfigurationSource,
     /// The transactional table service.
     pub table_address: Option<SocketAddr>,
     /// The object store.
@@ -293,6 +305,7 @@
 impl Default for PlatformSettings {
     fn default() -> Self {
         Self {
+            configuration: ConfigurationSource::default(),
             table_address: None,
             object_address: None,
             host_list_address: None,
--- a/crates/state/src/settings/assemble.rs
+++ b/crates/state/src/settings/assemble.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use super::AccountSettings;
+use super::ConfigurationSource;
 use super::EndpointChoice;
 use super::EndpointSettings;
 use super::FairScope;
@@ -184,6 +185,13 @@
 
 fn platform(section: &MergedSection) -> PlatformSettings {
     PlatformSettings {
+        configuration: section.choice(
+            "configuration",
+            &[
+                ("files", ConfigurationSource::Files),
+                ("table", ConfigurationSource::Table),
+            ],
+        ),
         table_address: section.optional_address("table_address"),
         object_address: section.optional_address("object_address"),
         host_list_address: section.optional_address("host_list_address"),
--- a/crates/state/src/settings/schema/general.rs
+++ b/crates/state/src/settings/schema/general.rs
@@ -324,8 +324,15 @@
 pub(super) const PLATFORM: SectionSchema = SectionSchema {
     name: "platform",
     named: false,
-    doc: "Addresses of the platform's services.",
+    doc: "The platform's services, and where the configuration in force comes from.",
     keys: &[
+        key(
+            "configuration",
+            Choice(&["files", "table"]),
+            Value("files"),
+            Fleet,
+            "Source of the configuration in force. `files`: the files given at the start, until the end. `table`: the accepted configuration; the files only say where the table is.",
+        ),
         key(
             "table_address",
             Address,
--- /dev/null
+++ b/crates/transport/src/config_reads.rs
@@ -0,0 +1,149 @@
+//! Reads of the accepted configuration, in a thread of their own.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::sync_channel;
+use std::thread;
+use std::time::Duration;
+
+use sedgeridge_coordination::config_events::ConfigEvent;
+use sedgeridge_coordination::config_events::ConfigItem;
+use sedgeridge_coordination::config_events::Generation;
+use sedgeridge_coordination::node_config::ConfigRead;
+use sedgeridge_coordination::store_call::ABSENT;
+use sedgeridge_coordination::store_call::CallId;
+use sedgeridge_coordination::store_call::StoreAction;
+use sedgeridge_coordination::store_call::StoreCheck;
+use sedgeridge_coordination::store_call::StoreQuery;
+use sedgeridge_coordination::store_call::StoreResult;
+use sedgeridge_coordination::store_call::StoreRow;
+use sedgeridge_protocol::peer_config::config_item;
+use sedgeridge_state::config_records::CONFIG_HEAD_KEY;
+use sedgeridge_state::config_records::ConfigChange;
+use sedgeridge_state::config_records::ConfigContent;
+use sedgeridge_state::config_records::ConfigHead;
+use sedgeridge_state::config_records::config_change_key;
+use sedgeridge_state::config_records::snapshot_generation;
+
+use crate::core::CoreInput;
+use crate::table_calls::TableClient;
+
+/// Reads that may wait for the thread.
+const READ_RING_LEN: usize = 16;
+
+/// Ring to the thread that reads the configuration.
+#[derive(Debug)]
+pub struct ConfigReads {
+    ring: SyncSender<ConfigRead>,
+}
+
+impl ConfigReads {
+    /// Starts the thread.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the thread cannot be started.
+    pub fn start(
+        address: Option<SocketAddr>,
+        call_timeout: Duration,
+        core: &SyncSender<CoreInput>,
+    ) -> io::Result<Self> {
+        let (ring, reads) = sync_channel(READ_RING_LEN);
+        let client = TableClient::new(address, call_timeout);
+        let core = core.clone();
+        thread::Builder::new()
+            .name("config-reads".into())
+            .spawn(move || read_all(&client, &reads, &core))?;
+        Ok(Self { ring })
+    }
+
+    /// Starts a read; one that finds no room is left out and ends by its timeout.
+    pub fn read(&self, read: ConfigRead) {
+        let _ = self.ring.try_send(read);
+    }
+}
+
+fn read_all(client: &TableClient, reads: &Receiver<ConfigRead>, core: &SyncSender<CoreInput>) {
+    for read in reads {
+        let event = run(client, &read);
+        if core.send(CoreInput::ConfigRead(event)).is_err() {
+            return;
+        }
+    }
+}
+
+fn run(client: &TableClient, read: &ConfigRead) -> ConfigEvent<ConfigContent> {
+    match read {
+        ConfigRead::Head { call, is_exact } => match read_head(client, *call, *is_exact) {
+            Some(generation) => ConfigEvent::Head {
+                call: *call,
+                generation,
+            },
+            None => ConfigEvent::Failed { call: *call },
+        },
+        ConfigRead::Changes { call, after, up_to } => {
+            match read_changes(client, *call, *after, *up_to) {
+                Some(items) => ConfigEvent::Fetched { call: *call, items },
+                None => ConfigEvent::Failed { call: *call },
+            }
+        }
+    }
+}
+
+/// Reads the generation of the head; the inner value is `None` when nothing was accepted yet.
+///
+/// An exact read is a transaction that could only commit if there were no head: its conflict names
+/// the row that stands now, which a plain read may give as it was some time ago.
+fn read_head(client: &TableClient, call: CallId, is_exact: bool) -> Option<Option<Generation>> {
+    let key: Arc<str> = Arc::from(CONFIG_HEAD_KEY);
+    let action = if is_exact {
+        StoreAction::Transact {
+            call,
+            checks: vec![StoreCheck {
+                key,
+                version: ABSENT,
+            }],
+            writes: Vec::new(),
+        }
+    } else {
+        StoreAction::Read {
+            call,
+            query: StoreQuery::Keys(vec![key]),
+        }
+    };
+    match client.run(&action) {
+        StoreResult::Committed { .. } => Some(None),
+        StoreResult::Conflict { rows } | StoreResult::Rows(rows) => {
+            let Some(value) = rows.first().and_then(|row| row.value.as_ref()) else {
+                return Some(None);
+            };
+            let head: ConfigHead = serde_json::from_str(value).ok()?;
+            Some(Some(Generation(head.generation)))
+        }
+        StoreResult::Unavailable | StoreResult::Unknown => None,
+    }
+}
+
+fn read_changes(
+    client: &TableClient,
+    call: CallId,
+    after: Option<Generation>,
+    up_to: Generation,
+) -> Option<Vec<ConfigItem<ConfigContent>>> {
+    let snapshot = snapshot_generation(up_to.0);
+    let first = after.map_or(snapshot, |after| snapshot.max(after.0 + 1));
+    let keys = (first..=up_to.0).map(|generation| Arc::from(config_change_key(generation)));
+    let query = StoreQuery::Keys(keys.collect());
+    match client.run(&StoreAction::Read { call, query }) {
+        StoreResult::Rows(rows) => rows.iter().map(read_change).collect(),
+        _ => None,
+    }
+}
+
+fn read_change(row: &StoreRow) -> Option<ConfigItem<ConfigContent>> {
+    let change: ConfigChange = serde_json::from_str(row.value.as_ref()?).ok()?;
+    Some(config_item(change.generation, change.content))
+}
--- a/crates/transport/src/core.rs
+++ b/crates/transport/src/core.rs
@@ -12,6 +12,7 @@
 use metrics::gauge;
 
 use sedgeridge_coordination::clock::Clock;
+use sedgeridge_coordination::config_events::ConfigEvent;
 use sedgeridge_coordination::entry_events::Arrival;
 use sedgeridge_coordination::entry_events::AttemptEnd;
 use sedgeridge_coordination::entry_events::AttemptFailure;
@@ -23,17 +24,20 @@
 use sedgeridge_coordination::node::NodeAction;
 use sedgeridge_coordination::node::NodeEvent;
 use sedgeridge_coordination::node::PeerMessage;
-use sedgeridge_coordination::node::StorePart;
 use sedgeridge_coordination::node_claims::ClaimKey;
+use sedgeridge_coordination::refusal::Outcome;
+use sedgeridge_coordination::refusal::RefusalReason;
 use sedgeridge_coordination::slot_budget::Load;
 use sedgeridge_coordination::store_call::StoreEvent;
 use sedgeridge_protocol::membership;
 use sedgeridge_protocol::peer::encode;
 use sedgeridge_state::claim_record::RecordedAnswer;
+use sedgeridge_state::config_records::ConfigContent;
 use sedgeridge_state::ids::AttemptId;
 use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Member;
+use sedgeridge_state::settings::ConfigurationSource;
 use sedgeridge_state::settings::millis;
 
 use crate::answer::AnswerPart;
@@ -41,7 +45,9 @@
 use crate::answer::GivenUp;
 use crate::call::Call;
 use crate::clock::unix_ms;
+use crate::config_reads::ConfigReads;
 use crate::directory::Directory;
+use crate::directory::SharedDirectory;
 use crate::endpoint_call::AttemptOrder;
 use crate::endpoint_call::EndedCall;
 use crate::endpoint_call::EndpointClients;
@@ -65,6 +71,8 @@
 const MAX_TICK: Duration = Duration::from_millis(20);
 /// Shortest time between two ticks, so that a late timer cannot keep the thread busy.
 const MIN_TICK: Duration = Duration::from_millis(1);
+/// When to come back to a router that has no configuration yet.
+const NOT_READY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Longest time that a stopping router waits for the records of what ran.
 const MAX_RECORD_WAIT: Duration = Duration::from_secs(5);
 /// Time between two updates of the operator pages.
@@ -103,12 +111,9 @@
         worker: WorkerId,
     },
     /// A call of the table service ended.
-    StoreEnded {
-        /// Whose call it was.
-        part: StorePart,
-        /// How it ended.
-        event: StoreEvent,
-    },
+    StoreEnded(StoreEvent),
+    /// A read of the configuration ended.
+    ConfigRead(ConfigEvent<ConfigContent>),
     /// Another router sent a message.
     Peer {
         /// The sender.
@@ -161,13 +166,16 @@
     member: Member,
     node: Node,
     directory: Arc<Directory>,
+    shared_directory: SharedDirectory,
     workers: EndpointWorkers,
     pending: BTreeMap<RequestKey, Pending>,
     running: BTreeMap<AttemptKey, RequestKey>,
     peers: PeerSender,
     load_reads: LoadReads,
     table: TableCalls,
+    config_reads: ConfigReads,
     status: StatusBoard,
+    ready: bool,
     stopping: bool,
     answered_at: Option<Duration>,
 }
@@ -177,28 +185,33 @@
     pub fn new(
         clock: C,
         member: Member,
-        directory: Arc<Directory>,
+        shared_directory: SharedDirectory,
         inputs: SyncSender<CoreInput>,
         peers: PeerSender,
         status: StatusBoard,
     ) -> io::Result<Self> {
+        let directory = shared_directory.current();
         let clients = EndpointClients::new(&directory.settings.health);
         let load_reads = LoadReads::start(&inputs)?;
         let platform = &directory.settings.platform;
         let call_timeout = millis(platform.call_timeout_ms);
         let table = TableCalls::start(platform.table_address, call_timeout, &inputs)?;
+        let config_reads = ConfigReads::start(platform.table_address, call_timeout, &inputs)?;
         let seed = member.incarnation.0;
         Ok(Self {
             clock,
             node: Node::new(member.clone(), directory.settings.clone(), seed),
             member,
-            directory,
+            ready: platform.configuration == ConfigurationSource::Files,
+            directory: Arc::clone(&directory),
+            shared_directory,
             workers: EndpointWorkers::new(clients, inputs),
             pending: BTreeMap::new(),
             running: BTreeMap::new(),
             peers,
             load_reads,
             table,
+            config_reads,
             status,
             stopping: false,
             answered_at: None,
@@ -253,6 +266,17 @@
                     claim,
                     answer,
                 } = *new;
+                if !self.ready {
+                    let not_ready = GivenUp {
+                        reason: RefusalReason::NotReady,
+                        outcome: Outcome::NotRun,
+                        retry_after: Some(NOT_READY_RETRY_AFTER),
+                        detail: "no configuration is in force here yet".to_owned(),
+                    };
+                    count_refusal(arrival.key, &not_ready);
+                    let _ = answer.try_send(AnswerPart::GivenUp(not_ready));
+                    return;
+                }
                 let pending = Pending {
                     call,
                     answer,
@@ -275,9 +299,8 @@
                 self.workers.idle(worker);
                 self.attempt_ended(attempt, ended);
             }
-            CoreInput::StoreEnded { part, event } => {
-                self.event(NodeEvent::StoreEnded { part, event });
-            }
+            CoreInput::StoreEnded(event) => self.event(NodeEvent::StoreEnded(event)),
+            CoreInput::ConfigRead(event) => self.event(NodeEvent::ConfigRead(event)),
             CoreInput::Peer { from, message } => self.event(NodeEvent::Peer { from, message }),
             CoreInput::PeerReset { host } => self.event(NodeEvent::PeerReset { host }),
             CoreInput::Membership(message) => self.event(NodeEvent::Membership(*message)),
@@ -353,17 +376,38 @@
                 let fields = format_args!("request={} reason={}", key.0, reason.as_str());
                 log_info(LogEvent::RequestRetried, fields);
             }
-            NodeAction::Store { part, action } => {
-                if let Some(event) = self.table.call(part, action) {
-                    self.event(NodeEvent::StoreEnded { part, event });
+            NodeAction::Store(action) => {
+                if let Some(event) = self.table.call(action) {
+                    self.event(NodeEvent::StoreEnded(event));
                 }
             }
+            NodeAction::ReadConfig(read) => self.config_reads.read(read),
+            NodeAction::SettingsChanged {
+                generation,
+                settings,
+            } => {
+                let accounts = settings.accounts.len();
+                self.directory = self.shared_directory.replace(*settings);
+                log_info(
+                    LogEvent::ConfigAdopted,
+                    format_args!("generation={} accounts={accounts}", generation.0),
+                );
+            }
+            NodeAction::ConfigUnusable {
+                generation,
+                findings,
+            } => log_warn(
+                LogEvent::ConfigUnusable,
+                format_args!("generation={} findings={findings:?}", generation.0),
+            ),
+            NodeAction::Ready => {
+                self.ready = true;
+                self.publish();
+            }
             NodeAction::SendMembership { to, message } => {
-                let payload = PeerPayload::Datagram(membership::encode(&message));
                 // A membership message may be lost; the ring's end is counted like the network's.
-                if self.peers.try_send(PeerOut { to, payload }).is_err() {
-                    counter!("sedgeridge_peer_drops_total", "reason" => "ring_full").increment(1);
-                }
+                let payload = PeerPayload::Datagram(membership::encode(&message));
+                self.send_out(to, payload);
             }
             NodeAction::ReadLoad { endpoint } => {
                 if let Some(known) = self.directory.endpoint(&endpoint) {
@@ -435,16 +479,7 @@
     }
 
     fn give_up(&mut self, key: RequestKey, given_up: GivenUp) {
-        let reason = given_up.reason.as_str();
-        counter!("sedgeridge_refusals_total", "reason" => reason).increment(1);
-        log_info(
-            LogEvent::RequestGivenUp,
-            format_args!(
-                "request={} reason={reason} outcome={}",
-                key.0,
-                given_up.outcome.as_str()
-            ),
-        );
+        count_refusal(key, &given_up);
         if let Some(pending) = self.pending.remove(&key) {
             // A ring that is full belongs to a caller who stopped reading in the middle of a
             // stream; dropping the sender ends the stream without its end mark.
@@ -453,14 +488,28 @@
     }
 
     fn send(&mut self, to: Member, message: &PeerMessage) {
+        let payload = PeerPayload::Stream(encode(message));
+        if !self.send_out(to.host.clone(), payload) {
+            self.event(NodeEvent::PeerReset { host: to.host });
+        }
+    }
+
+    /// Hands a message to the peers thread; false when it is lost.
+    fn send_out(&self, to: HostId, payload: PeerPayload) -> bool {
+        let Some(known) = self.directory.settings.host(to.as_str()) else {
+            counter!("sedgeridge_peer_drops_total", "reason" => "unknown_host").increment(1);
+            return true;
+        };
         let out = PeerOut {
-            to: to.host.clone(),
-            payload: PeerPayload::Stream(encode(message)),
+            address: known.peer_address,
+            to,
+            payload,
         };
-        if self.peers.try_send(out).is_err() {
+        let sent = self.peers.try_send(out).is_ok();
+        if !sent {
             counter!("sedgeridge_peer_drops_total", "reason" => "ring_full").increment(1);
-            self.event(NodeEvent::PeerReset { host: to.host });
         }
+        sent
     }
 
     fn publish(&self) {
@@ -468,12 +517,13 @@
         self.status.publish(RouterStatus {
             host: self.member.host.as_str().to_owned(),
             incarnation: self.member.incarnation.0,
-            ready: !self.stopping,
+            ready: self.ready && !self.stopping,
             stopping: self.stopping,
             waiting: load.waiting,
             running: load.running as u64,
             homes: load.homes as u64,
             members: load.members as u64,
+            generation: load.generation,
         });
         gauge!("sedgeridge_requests_waiting").set(f64::from(load.waiting));
         gauge!("sedgeridge_requests_running").set(load.running as f64);
@@ -487,3 +537,13 @@
         }
     }
 }
+
+fn count_refusal(key: RequestKey, given_up: &GivenUp) {
+    let reason = given_up.reason.as_str();
+    counter!("sedgeridge_refusals_total", "reason" => reason).increment(1);
+    let outcome = given_up.outcome.as_str();
+    log_info(
+        LogEvent::RequestGivenUp,
+        format_args!("request={} reason={reason} outcome={outcome}", key.0),
+    );
+}
--- a/crates/transport/src/directory.rs
+++ b/crates/transport/src/directory.rs
@@ -1,6 +1,8 @@
 //! Looks up accounts by key and services by name, under the configuration in force.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::RwLock;
 
 use sha2::Digest;
 use sha2::Sha256;
@@ -22,6 +24,34 @@
     pub settings: Settings,
 }
 
+/// The directory in force, shared by the threads of a router.
+#[derive(Debug, Clone)]
+pub struct SharedDirectory {
+    current: Arc<RwLock<Arc<Directory>>>,
+}
+
+impl SharedDirectory {
+    /// Puts the first configuration in force.
+    pub fn new(settings: Settings) -> Self {
+        let directory = Arc::new(Directory::new(settings));
+        Self {
+            current: Arc::new(RwLock::new(directory)),
+        }
+    }
+
+    /// Returns the directory in force. A request keeps the one it began with.
+    pub fn current(&self) -> Arc<Directory> {
+        Arc::clone(&self.current.read().expect("no writer panics"))
+    }
+
+    /// Puts another configuration in force.
+    pub fn replace(&self, settings: Settings) -> Arc<Directory> {
+        let directory = Arc::new(Directory::new(settings));
+        *self.current.write().expect("no writer panics") = Arc::clone(&directory);
+        directory
+    }
+}
+
 /// A service and the kind of its pool.
 #[derive(Debug, Clone)]
 pub struct DirectoryService {
--- a/crates/transport/src/event_log.rs
+++ b/crates/transport/src/event_log.rs
@@ -51,6 +51,10 @@
     MembersChanged = 1004, "members_changed";
     /// A newer run of this host is known to the fleet; this one stops.
     Outranked = 1005, "outranked";
+    /// Another generation of the configuration is in force.
+    ConfigAdopted = 1006, "config_adopted";
+    /// A generation cannot be used at this site; the one before it stays in force.
+    ConfigUnusable = 1007, "config_unusable";
     /// A listener failed to accept; the router goes on after a pause.
     AcceptFailed = 1101, "accept_failed";
     /// A message from another router was refused; it changed nothing.
--- a/crates/transport/src/front.rs
+++ b/crates/transport/src/front.rs
@@ -45,6 +45,7 @@
 use crate::core::CoreInput;
 use crate::core::NewRequest;
 use crate::directory::Directory;
+use crate::directory::SharedDirectory;
 use crate::event_log::LogEvent;
 use crate::event_log::log_warn;
 use crate::front_body::FrontBody;
@@ -66,7 +67,7 @@
     /// This router run.
     pub member: Member,
     /// The configuration in force.
-    pub directory: Arc<Directory>,
+    pub directory: SharedDirectory,
     /// Ring to the core.
     pub core: SyncSender<CoreInput>,
     /// Number of requests so far, which also names them.
@@ -104,7 +105,7 @@
     mut stop: watch::Receiver<bool>,
 ) -> io::Result<()> {
     let listener = TcpListener::from_std(listener)?;
-    let max_connections = front.directory.settings.front.max_connections;
+    let max_connections = front.directory.current().settings.front.max_connections;
     let permits = Arc::new(Semaphore::new(max_connections as usize));
     loop {
         let accepted = tokio::select! {
@@ -144,7 +145,7 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let _ = stream.set_nodelay(true);
-    let header_timeout = millis(front.directory.settings.front.header_timeout_ms);
+    let header_timeout = millis(front.directory.current().settings.front.header_timeout_ms);
     let service = service_fn(move |request: http::Request<Incoming>| {
         let front = Arc::clone(&front);
         async move { Ok::<_, Infallible>(front.request(request).await) }
@@ -166,7 +167,7 @@
 
 impl<C: Clock> Front<C> {
     fn shutdown_timeout(&self) -> Duration {
-        millis(self.directory.settings.front.max_deadline_ms) + LAST_BYTES_TIMEOUT
+        millis(self.directory.current().settings.front.max_deadline_ms) + LAST_BYTES_TIMEOUT
     }
 
     async fn request(&self, request: http::Request<Incoming>) -> Response<FrontBody> {
@@ -174,12 +175,13 @@
         let Member { host, incarnation } = &self.member;
         let fallback_id = format!("{host}-{}-{}", incarnation.0, key.0);
         let (parts, body) = request.into_parts();
-        let caller = match identify(&parts, &self.directory, &fallback_id) {
+        let directory = self.directory.current();
+        let caller = match identify(&parts, &directory, &fallback_id) {
             Ok(caller) => caller,
             Err(bad) => return self.refuse_bad(&fallback_id, bad),
         };
         let request_id = caller.request_id.as_str().to_owned();
-        match self.queue(key, &parts, body, caller).await {
+        match self.queue(key, &parts, body, caller, &directory).await {
             Ok(answer) => self.answer(key, &request_id, answer).await,
             Err(bad) => self.refuse_bad(&request_id, bad),
         }
@@ -191,10 +193,11 @@
         parts: &Parts,
         body: Incoming,
         caller: Caller,
+        directory: &Directory,
     ) -> Result<AnswerReceiver, BadRequest> {
-        let body = self.read_body(body).await?;
+        let body = self.read_body(body, directory).await?;
         let now = self.clock.now();
-        let accepted = accept(parts, body, caller, &self.directory, key, now)?;
+        let accepted = accept(parts, body, caller, directory, key, now)?;
         let (sender, receiver) = mpsc::channel(ANSWER_RING_LEN);
         let arrived = CoreInput::Arrived(Box::new(NewRequest {
             arrival: accepted.arrival,
@@ -215,8 +218,8 @@
         }
     }
 
-    async fn read_body(&self, body: Incoming) -> Result<Bytes, BadRequest> {
-        let limits = &self.directory.settings.front;
+    async fn read_body(&self, body: Incoming, directory: &Directory) -> Result<Bytes, BadRequest> {
+        let limits = &directory.settings.front;
         let limited = Limited::new(body, limits.max_body_bytes as usize);
         let body_timeout = millis(limits.header_timeout_ms);
         let read = tokio::time::timeout(body_timeout, limited.collect()).await;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer_pass;
 pub mod call;
 pub mod clock;
+pub mod config_reads;
 pub mod core;
 pub mod directory;
 pub mod endpoint_call;
--- a/crates/transport/src/peers.rs
+++ b/crates/transport/src/peers.rs
@@ -43,6 +43,8 @@
 pub struct PeerOut {
     /// The receiver.
     pub to: HostId,
+    /// Where it listens.
+    pub address: SocketAddr,
     /// The encoded message.
     pub payload: PeerPayload,
 }
@@ -94,8 +96,6 @@
 pub struct Peers {
     /// This router run.
     pub member: Member,
-    /// Where the others listen.
-    pub addresses: BTreeMap<HostId, SocketAddr>,
     /// Ring to the core.
     pub core: SyncSender<CoreInput>,
 }
@@ -122,19 +122,22 @@
         let socket = Arc::new(UdpSocket::from_std(sockets.datagrams)?);
         tokio::spawn(peer_inbound::accept_links(listener, self.core.clone()));
         tokio::spawn(receive_datagrams(Arc::clone(&socket), self.core.clone()));
-        let mut links: BTreeMap<HostId, mpsc::Sender<Vec<u8>>> = BTreeMap::new();
-        while let Some(PeerOut { to, payload }) = outbox.recv().await {
-            let Some(address) = self.addresses.get(&to).copied() else {
-                counter!("sedgeridge_peer_drops_total", "reason" => "unknown_host").increment(1);
-                continue;
-            };
+        let mut links: BTreeMap<HostId, OpenLink> = BTreeMap::new();
+        while let Some(out) = outbox.recv().await {
+            let PeerOut {
+                to,
+                address,
+                payload,
+            } = out;
             match payload {
                 PeerPayload::Datagram(bytes) => send_datagram(&socket, address, &bytes).await,
                 PeerPayload::Stream(bytes) => {
+                    // A host that moved gets a new link; dropping the old one closes it.
+                    links.retain(|host, link| *host != to || link.address == address);
                     let link = links
                         .entry(to.clone())
                         .or_insert_with(|| self.open_link(to.clone(), address));
-                    if link.try_send(bytes).is_err() {
+                    if link.ring.try_send(bytes).is_err() {
                         // The receiver is cut off or slow. What is dropped here is absolute state
                         // that the core sends anew when it hears of the loss.
                         counter!("sedgeridge_peer_drops_total", "reason" => "link_full")
@@ -147,8 +150,8 @@
         Ok(())
     }
 
-    fn open_link(&self, host: HostId, address: SocketAddr) -> mpsc::Sender<Vec<u8>> {
-        let (sender, outbox) = mpsc::channel(LINK_RING_LEN);
+    fn open_link(&self, host: HostId, address: SocketAddr) -> OpenLink {
+        let (ring, outbox) = mpsc::channel(LINK_RING_LEN);
         let link = peer_link::Link {
             member: self.member.clone(),
             host,
@@ -156,10 +159,17 @@
             core: self.core.clone(),
         };
         tokio::spawn(link.run(outbox));
-        sender
+        OpenLink { address, ring }
     }
 }
 
+/// The ring of a link, and where the link leads.
+#[derive(Debug)]
+struct OpenLink {
+    address: SocketAddr,
+    ring: mpsc::Sender<Vec<u8>>,
+}
+
 /// Bounds what one connection may make this router hold.
 pub fn websocket_config() -> WebSocketConfig {
     WebSocketConfig::default()
--- a/crates/transport/src/status.rs
+++ b/crates/transport/src/status.rs
@@ -22,6 +22,8 @@
     pub homes: u64,
     /// Live members of the fleet.
     pub members: u64,
+    /// Generation of the configuration in force; 0 for the files given at the start.
+    pub generation: u64,
 }
 
 /// Shared place of the last published status.
--- a/crates/transport/src/table_calls.rs
+++ b/crates/transport/src/table_calls.rs
@@ -11,7 +11,6 @@
 use std::time::Duration;
 
 use metrics::counter;
-use sedgeridge_coordination::node::StorePart;
 use sedgeridge_coordination::store_call::CallId;
 use sedgeridge_coordination::store_call::StoreAction;
 use sedgeridge_coordination::store_call::StoreEvent;
@@ -39,17 +38,10 @@
 /// Calls that may wait for a thread.
 const CALL_RING_LEN: usize = 64;
 
-/// A call to make.
-#[derive(Debug)]
-struct TableCall {
-    part: StorePart,
-    action: StoreAction,
-}
-
 /// Ring to the threads that call the table service.
 #[derive(Debug)]
 pub struct TableCalls {
-    ring: SyncSender<TableCall>,
+    ring: SyncSender<StoreAction>,
 }
 
 impl TableCalls {
@@ -78,9 +70,9 @@
     }
 
     /// Makes a call; `Some` is its end when there is no room for it, so that it is not made.
-    pub fn call(&self, part: StorePart, action: StoreAction) -> Option<StoreEvent> {
+    pub fn call(&self, action: StoreAction) -> Option<StoreEvent> {
         let call = call_id(&action);
-        let refused = self.ring.try_send(TableCall { part, action }).is_err();
+        let refused = self.ring.try_send(action).is_err();
         refused.then(|| {
             counter!("sedgeridge_table_calls_total", "result" => "no_room").increment(1);
             StoreEvent {
@@ -99,19 +91,19 @@
 
 fn call_all(
     client: &TableClient,
-    calls: &Mutex<Receiver<TableCall>>,
+    calls: &Mutex<Receiver<StoreAction>>,
     core: &SyncSender<CoreInput>,
 ) {
     loop {
         let next = calls.lock().expect("no caller panics").recv();
-        let Ok(TableCall { part, action }) = next else {
+        let Ok(action) = next else {
             return;
         };
         let event = StoreEvent {
             call: call_id(&action),
             result: client.run(&action),
         };
-        if core.send(CoreInput::StoreEnded { part, event }).is_err() {
+        if core.send(CoreInput::StoreEnded(event)).is_err() {
             return;
         }
     }
