--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod chat;
 pub mod engine;
 pub mod headers;
+pub mod ledger;
 pub mod membership;
 pub mod operator;
 pub mod peer;
