fix(protocol): status page agrees with what the router publishes

A trial against a running router failed: the router publishes `members` as a count, the page type had a list of that name. The list is `member_list` now, and a test reads the status that the transport publishes.

--- a/crates/cli/src/online.rs
+++ b/crates/cli/src/online.rs
@@ -96,6 +96,8 @@
         ("stopping", word(status.stopping)),
         ("waiting", status.waiting.to_string()),
         ("running", status.running.to_string()),
+        ("homes", status.homes.to_string()),
+        ("members", status.members.to_string()),
         ("generation", status.config_generation.to_string()),
         ("change", status.config_change_id.clone()),
     ];
@@ -104,8 +106,8 @@
         .map(|(name, value)| vec![name.to_owned(), value])
         .collect();
     let mut text = align(&["field", "value"], &rows);
-    if !status.members.is_empty() {
-        let members = status.members.iter().map(|member| {
+    if !status.member_list.is_empty() {
+        let members = status.member_list.iter().map(|member| {
             vec![
                 member.host.clone(),
                 member.incarnation.to_string(),
--- a/crates/cli/tests/configuration/commands.rs
+++ b/crates/cli/tests/configuration/commands.rs
@@ -102,7 +102,7 @@
     format!(
         r#"{{"host":"a","incarnation":7,"ready":true,"stopping":false,"waiting":2,"running":1,
         "config_generation":{generation},
-        "members":[{{"host":"b","incarnation":9,"state":"suspected"}}]}}"#
+        "members":2,"member_list":[{{"host":"b","incarnation":9,"state":"suspected"}}]}}"#
     )
 }
 
@@ -353,3 +353,20 @@
         .unwrap();
     assert!(accounts.contains("\"service_tokens\": 123456"));
 }
+
+/// The router publishes a type of its own; the command line must be able to read it.
+#[test]
+fn the_status_that_a_router_publishes_is_understood() {
+    let published = sedgeridge_transport::status::RouterStatus {
+        host: "a".to_owned(),
+        members: 3,
+        ..Default::default()
+    };
+    let page = serde_json::to_string(&published).unwrap();
+    let bench = Bench::new();
+    let pages = [(at("127.0.0.1:7003", "/operator/status"), page)];
+    *bench.context.pages.borrow_mut() = pages.into();
+
+    let status = bench.run("status --router 127.0.0.1:7003").unwrap();
+    assert!(status.contains("\nmembers      3\n"), "{status}");
+}
--- a/crates/protocol/src/operator.rs
+++ b/crates/protocol/src/operator.rs
@@ -39,9 +39,15 @@
     /// Change that made this generation.
     #[serde(default)]
     pub config_change_id: String,
+    /// Pools whose home this router is.
+    #[serde(default)]
+    pub homes: u64,
+    /// Live members of the fleet.
+    #[serde(default)]
+    pub members: u64,
     /// The other routers, as this one believes them to be.
     #[serde(default)]
-    pub members: Vec<MemberRow>,
+    pub member_list: Vec<MemberRow>,
 }
 
 /// One other router.
