--- a/crates/coordination/benches/pool_home.rs
+++ b/crates/coordination/benches/pool_home.rs
@@ -160,6 +160,7 @@
                 total_tokens,
             }],
             ended: vec![grant.id],
+            results: Vec::new(),
         }
     }
 }
@@ -192,6 +193,7 @@
         holdings: Vec::new(),
         ended: Vec::new(),
         served: Vec::new(),
+        results: Vec::new(),
     }
 }
 
