--- /dev/null
+++ b/crates/state/src/settings/load.rs
@@ -0,0 +1,144 @@
+//! Loads settings from texts: all of them, or every finding.
+
+use std::sync::Arc;
+
+use super::Settings;
+use super::assemble::assemble;
+use super::checks::check_relations;
+use super::error::SettingsError;
+use super::layers::Merged;
+use super::lines::LayerRole;
+use super::lines::RawLayer;
+use super::lines::RawPair;
+use super::lines::RawSection;
+use super::lines::split;
+use super::overrides::OVERRIDE_FILE;
+use super::overrides::Override;
+
+/// A text and the file name to report findings under.
+#[derive(Debug, Clone, Copy)]
+pub struct Source<'a> {
+    /// Content.
+    pub text: &'a str,
+    /// File name.
+    pub name: &'a str,
+}
+
+/// The layers of one site's settings, lowest first.
+#[derive(Debug, Clone, Copy)]
+pub struct Layers<'a> {
+    /// What holds everywhere.
+    pub base: Source<'a>,
+    /// What differs at the site.
+    pub overlay: Option<Source<'a>>,
+    /// What the command line sets; it may set every key.
+    pub overrides: &'a [Override],
+}
+
+/// Loads a base text and the overlay of one site, each with its file name.
+///
+/// ```
+/// use sedgeridge_state::settings::load;
+/// let settings = load("[fleet]\nname = demo\n", "base.ini", None).unwrap();
+/// assert_eq!(settings.front.max_queue, 4096);
+///
+/// let errors = load("[fleet]\nnam = demo\n", "base.ini", None).unwrap_err();
+/// assert_eq!(errors.len(), 2);
+/// ```
+pub fn load(
+    base_text: &str,
+    base_name: &str,
+    overlay: Option<(&str, &str)>,
+) -> Result<Settings, Vec<SettingsError>> {
+    load_layers(&Layers {
+        base: Source {
+            text: base_text,
+            name: base_name,
+        },
+        overlay: overlay.map(|(text, name)| Source { text, name }),
+        overrides: &[],
+    })
+}
+
+/// Loads settings from all layers.
+///
+/// ```
+/// use sedgeridge_state::settings::Layers;
+/// use sedgeridge_state::settings::Override;
+/// use sedgeridge_state::settings::Source;
+/// use sedgeridge_state::settings::load_layers;
+/// let layers = Layers {
+///     base: Source { text: "[fleet]\nname = demo\n", name: "base.ini" },
+///     overlay: None,
+///     overrides: &[Override::parse("front.max_queue=512").unwrap()],
+/// };
+/// assert_eq!(load_layers(&layers).unwrap().front.max_queue, 512);
+/// ```
+pub fn load_layers(layers: &Layers<'_>) -> Result<Settings, Vec<SettingsError>> {
+    load_raw(raw_layers(layers))
+}
+
+/// Loads settings from layers that are split already, lowest first.
+pub(crate) fn load_raw(layers: Vec<RawLayer>) -> Result<Settings, Vec<SettingsError>> {
+    merge(layers).map(|merged| assemble(&merged))
+}
+
+/// Merges and checks all layers.
+pub(super) fn merge(layers: Vec<RawLayer>) -> Result<Merged, Vec<SettingsError>> {
+    let mut merged = Merged::default();
+    let files: Vec<Arc<str>> = layers.iter().map(|layer| layer.file.clone()).collect();
+    for layer in layers {
+        merged.add_layer(layer);
+    }
+    merged.fill_in(&files[0]);
+    check_relations(&mut merged);
+    if merged.errors.is_empty() {
+        return Ok(merged);
+    }
+    let rank = |file: &Arc<str>| files.iter().position(|known| known == file);
+    let mut errors = merged.errors;
+    errors.sort_by_key(|error| (rank(&error.file), error.line));
+    Err(errors)
+}
+
+/// Splits the texts.
+pub(super) fn raw_layers(layers: &Layers<'_>) -> Vec<RawLayer> {
+    let mut raw = vec![text_layer(LayerRole::Base, layers.base)];
+    raw.extend(
+        layers
+            .overlay
+            .map(|overlay| text_layer(LayerRole::Overlay, overlay)),
+    );
+    raw.push(RawLayer {
+        role: LayerRole::Overrides,
+        file: OVERRIDE_FILE.into(),
+        sections: override_sections(layers.overrides),
+        bad_lines: Vec::new(),
+    });
+    raw
+}
+
+fn text_layer(role: LayerRole, source: Source<'_>) -> RawLayer {
+    let (sections, bad_lines) = split(source.text);
+    RawLayer {
+        role,
+        file: source.name.into(),
+        sections,
+        bad_lines,
+    }
+}
+
+/// Turns each override into a section of one pair; its line is its position.
+fn override_sections(overrides: &[Override]) -> Vec<RawSection> {
+    let numbered = overrides.iter().enumerate();
+    let sections = numbered.map(|(index, item)| RawSection {
+        name: item.section.clone(),
+        line: index + 1,
+        pairs: vec![RawPair {
+            key: item.key.clone(),
+            value: item.value.clone(),
+            line: index + 1,
+        }],
+    });
+    sections.collect()
+}
--- /dev/null
+++ b/crates/transport/src/core.rs
@@ -0,0 +1,549 @@
+//! The core thread: feeds events to the router's decisions and carries out their actions.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::Arc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::RecvTimeoutError;
+use std::sync::mpsc::SyncSender;
+use std::time::Duration;
+
+use metrics::counter;
+use metrics::gauge;
+
+use sedgeridge_coordination::clock::Clock;
+use sedgeridge_coordination::config_events::ConfigEvent;
+use sedgeridge_coordination::entry_events::Arrival;
+use sedgeridge_coordination::entry_events::AttemptEnd;
+use sedgeridge_coordination::entry_events::AttemptFailure;
+use sedgeridge_coordination::entry_events::AttemptKey;
+use sedgeridge_coordination::entry_events::RequestKey;
+use sedgeridge_coordination::entry_events::StartAttempt;
+use sedgeridge_coordination::membership::Message;
+use sedgeridge_coordination::node::Node;
+use sedgeridge_coordination::node::NodeAction;
+use sedgeridge_coordination::node::NodeEvent;
+use sedgeridge_coordination::node::PeerMessage;
+use sedgeridge_coordination::node_claims::ClaimKey;
+use sedgeridge_coordination::refusal::Outcome;
+use sedgeridge_coordination::refusal::RefusalReason;
+use sedgeridge_coordination::slot_budget::Load;
+use sedgeridge_coordination::store_call::StoreEvent;
+use sedgeridge_protocol::membership;
+use sedgeridge_protocol::peer::encode;
+use sedgeridge_state::claim_record::RecordedAnswer;
+use sedgeridge_state::config_records::ConfigContent;
+use sedgeridge_state::ids::AttemptId;
+use sedgeridge_state::ids::EndpointId;
+use sedgeridge_state::ids::HostId;
+use sedgeridge_state::ids::Member;
+use sedgeridge_state::settings::ConfigurationSource;
+use sedgeridge_state::settings::millis;
+
+use crate::answer::AnswerPart;
+use crate::answer::AnswerSender;
+use crate::answer::GivenUp;
+use crate::call::Call;
+use crate::clock::unix_ms;
+use crate::config_reads::ConfigReads;
+use crate::directory::Directory;
+use crate::directory::SharedDirectory;
+use crate::endpoint_call::AttemptOrder;
+use crate::endpoint_call::EndedCall;
+use crate::endpoint_call::EndpointClients;
+use crate::endpoint_workers::EndpointWorkers;
+use crate::endpoint_workers::WorkerId;
+use crate::event_log::LogEvent;
+use crate::event_log::log_info;
+use crate::event_log::log_warn;
+use crate::load_reads::LoadReads;
+use crate::peers::PeerOut;
+use crate::peers::PeerPayload;
+use crate::peers::PeerSender;
+use crate::recorded::replayed;
+use crate::status::RouterStatus;
+use crate::status::StatusBoard;
+use crate::table_calls::TableCalls;
+
+/// Events that may wait for the core; a full ring refuses new requests.
+pub const CORE_RING_LEN: usize = 8_192;
+/// Longest time between two ticks.
+const MAX_TICK: Duration = Duration::from_millis(20);
+/// Shortest time between two ticks, so that a late timer cannot keep the thread busy.
+const MIN_TICK: Duration = Duration::from_millis(1);
+/// When to come back to a router that has no configuration yet.
+const NOT_READY_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Longest time that a stopping router waits for the records of what ran.
+const MAX_RECORD_WAIT: Duration = Duration::from_secs(5);
+/// Time between two updates of the operator pages.
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(100);
+
+/// A request that the front accepted.
+#[derive(Debug)]
+pub struct NewRequest {
+    /// For the decisions.
+    pub arrival: Arrival,
+    /// For the endpoint.
+    pub call: Call,
+    /// Its key, if it may not be repeated.
+    pub claim: Option<ClaimKey>,
+    /// Where the answer goes.
+    pub answer: AnswerSender,
+}
+
+/// What the core thread is told.
+#[derive(Debug)]
+pub enum CoreInput {
+    /// A caller sent a request.
+    Arrived(Box<NewRequest>),
+    /// The caller of a request went away before its answer began.
+    CallerGone {
+        /// The request.
+        key: RequestKey,
+    },
+    /// A worker finished an attempt.
+    AttemptEnded {
+        /// The attempt.
+        attempt: AttemptKey,
+        /// How it ended.
+        ended: EndedCall,
+        /// The worker, idle now.
+        worker: WorkerId,
+    },
+    /// A call of the table service ended.
+    StoreEnded(StoreEvent),
+    /// A read of the configuration ended.
+    ConfigRead(ConfigEvent<ConfigContent>),
+    /// Another router sent a message.
+    Peer {
+        /// The sender.
+        from: Member,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Messages to another router were lost.
+    PeerReset {
+        /// The other router.
+        host: HostId,
+    },
+    /// Another router sent a membership message.
+    Membership(Box<Message>),
+    /// An attempt has received this much service so far.
+    Progress {
+        /// The attempt.
+        attempt: AttemptKey,
+        /// Service received.
+        charged_tokens: u64,
+    },
+    /// An endpoint's load report was read, or could not be.
+    LoadRead {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// The report.
+        load: Option<Load>,
+    },
+    /// An operator drains an endpoint.
+    DrainEndpoint {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
+    /// The process was told to stop.
+    Stop,
+}
+
+/// A request that the core has in hand.
+#[derive(Debug)]
+struct Pending {
+    call: Call,
+    answer: AnswerSender,
+    deadline: Duration,
+}
+
+/// State of the core thread.
+#[derive(Debug)]
+pub struct Core<C> {
+    clock: C,
+    member: Member,
+    node: Node,
+    directory: Arc<Directory>,
+    shared_directory: SharedDirectory,
+    workers: EndpointWorkers,
+    pending: BTreeMap<RequestKey, Pending>,
+    running: BTreeMap<AttemptKey, RequestKey>,
+    peers: PeerSender,
+    load_reads: LoadReads,
+    table: TableCalls,
+    config_reads: ConfigReads,
+    status: StatusBoard,
+    ready: bool,
+    stopping: bool,
+    answered_at: Option<Duration>,
+}
+
+impl<C: Clock> Core<C> {
+    /// Creates the core of one router run.
+    pub fn new(
+        clock: C,
+        member: Member,
+        shared_directory: SharedDirectory,
+        inputs: SyncSender<CoreInput>,
+        peers: PeerSender,
+        status: StatusBoard,
+    ) -> io::Result<Self> {
+        let directory = shared_directory.current();
+        let clients = EndpointClients::new(&directory.settings.health);
+        let load_reads = LoadReads::start(&inputs)?;
+        let platform = &directory.settings.platform;
+        let call_timeout = millis(platform.call_timeout_ms);
+        let table = TableCalls::start(platform.table_address, call_timeout, &inputs)?;
+        let config_reads = ConfigReads::start(platform.table_address, call_timeout, &inputs)?;
+        let seed = member.incarnation.0;
+        Ok(Self {
+            clock,
+            node: Node::new(member.clone(), directory.settings.clone(), seed),
+            member,
+            ready: platform.configuration == ConfigurationSource::Files,
+            directory: Arc::clone(&directory),
+            shared_directory,
+            workers: EndpointWorkers::new(clients, inputs),
+            pending: BTreeMap::new(),
+            running: BTreeMap::new(),
+            peers,
+            load_reads,
+            table,
+            config_reads,
+            status,
+            stopping: false,
+            answered_at: None,
+        })
+    }
+
+    /// Runs until it was told to stop and every request has its answer.
+    pub fn run(mut self, inputs: &Receiver<CoreInput>) {
+        let mut next_publish = Duration::ZERO;
+        let mut last_tick = Duration::ZERO;
+        loop {
+            let wake = self.node.next_wake().min(last_tick + MAX_TICK);
+            let wake = wake.max(last_tick + MIN_TICK);
+            match inputs.recv_timeout(wake.saturating_sub(self.clock.now())) {
+                Ok(input) => self.input(input),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            let now = self.clock.now();
+            if now >= wake {
+                last_tick = now;
+                self.event(NodeEvent::Tick);
+            }
+            if now >= next_publish {
+                next_publish = now + PUBLISH_INTERVAL;
+                self.publish();
+            }
+            if self.has_finished(now) {
+                self.publish();
+                return;
+            }
+        }
+    }
+
+    /// Tells whether a stopping router may end: every caller has its answer, and every outcome that
+    /// a repeat would ask for is on record. A table that is down does not hold the stop up for
+    /// ever; a repeat of a request without a record is answered as unknown.
+    fn has_finished(&mut self, now: Duration) -> bool {
+        if !self.stopping || !self.pending.is_empty() {
+            return false;
+        }
+        let answered_at = *self.answered_at.get_or_insert(now);
+        self.node.is_settled() || now >= answered_at + MAX_RECORD_WAIT
+    }
+
+    fn input(&mut self, input: CoreInput) {
+        match input {
+            CoreInput::Arrived(new) => {
+                let NewRequest {
+                    arrival,
+                    call,
+                    claim,
+                    answer,
+                } = *new;
+                if !self.ready {
+                    let not_ready = GivenUp {
+                        reason: RefusalReason::NotReady,
+                        outcome: Outcome::NotRun,
+                        retry_after: Some(NOT_READY_RETRY_AFTER),
+                        detail: "no configuration is in force here yet".to_owned(),
+                    };
+                    count_refusal(arrival.key, &not_ready);
+                    let _ = answer.try_send(AnswerPart::GivenUp(not_ready));
+                    return;
+                }
+                let pending = Pending {
+                    call,
+                    answer,
+                    deadline: arrival.deadline,
+                };
+                self.pending.insert(arrival.key, pending);
+                self.event(NodeEvent::Arrived { arrival, claim });
+            }
+            CoreInput::CallerGone { key } => {
+                if !self.running.values().any(|running| *running == key) {
+                    self.pending.remove(&key);
+                    self.event(NodeEvent::CallerGone { key });
+                }
+            }
+            CoreInput::AttemptEnded {
+                attempt,
+                ended,
+                worker,
+            } => {
+                self.workers.idle(worker);
+                self.attempt_ended(attempt, ended);
+            }
+            CoreInput::StoreEnded(event) => self.event(NodeEvent::StoreEnded(event)),
+            CoreInput::ConfigRead(event) => self.event(NodeEvent::ConfigRead(event)),
+            CoreInput::Peer { from, message } => self.event(NodeEvent::Peer { from, message }),
+            CoreInput::PeerReset { host } => self.event(NodeEvent::PeerReset { host }),
+            CoreInput::Membership(message) => self.event(NodeEvent::Membership(*message)),
+            CoreInput::Progress {
+                attempt,
+                charged_tokens,
+            } => self.event(NodeEvent::Progress {
+                attempt,
+                charged_tokens,
+            }),
+            CoreInput::LoadRead { endpoint, load } => {
+                self.load_reads.ended(&endpoint);
+                self.event(NodeEvent::LoadRead { endpoint, load });
+            }
+            CoreInput::DrainEndpoint { endpoint } => self.event(NodeEvent::DrainEndpoint {
+                endpoint,
+                since_unix_ms: unix_ms(),
+            }),
+            CoreInput::Stop => {
+                self.stopping = true;
+                log_info(
+                    LogEvent::StopRequested,
+                    format_args!("in_hand={}", self.pending.len()),
+                );
+                self.event(NodeEvent::StopRequested);
+                self.publish();
+            }
+        }
+    }
+
+    fn attempt_ended(&mut self, attempt: AttemptKey, ended: EndedCall) {
+        let Some(key) = self.running.remove(&attempt) else {
+            return;
+        };
+        let EndedCall { end, recorded } = ended;
+        if matches!(
+            end,
+            AttemptEnd::Finished { .. } | AttemptEnd::CallerGone { .. }
+        ) {
+            self.pending.remove(&key);
+        }
+        self.event(NodeEvent::AttemptEnded {
+            key,
+            attempt,
+            end,
+            recorded,
+        });
+    }
+
+    fn event(&mut self, event: NodeEvent) {
+        let mut actions = Vec::new();
+        self.node.handle(self.clock.now(), event, &mut actions);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: NodeAction) {
+        match action {
+            NodeAction::Start(start) => self.start(&start),
+            NodeAction::GiveUp(give_up) => {
+                let given_up = GivenUp {
+                    reason: give_up.reason,
+                    outcome: give_up.outcome,
+                    retry_after: give_up.retry_after,
+                    detail: String::new(),
+                };
+                self.give_up(give_up.key, given_up);
+            }
+            NodeAction::Replay { key, answer } => self.replay(key, &answer),
+            NodeAction::Retried { key, reason } => {
+                counter!("sedgeridge_retries_total", "reason" => reason.as_str()).increment(1);
+                let fields = format_args!("request={} reason={}", key.0, reason.as_str());
+                log_info(LogEvent::RequestRetried, fields);
+            }
+            NodeAction::Store(action) => {
+                if let Some(event) = self.table.call(action) {
+                    self.event(NodeEvent::StoreEnded(event));
+                }
+            }
+            NodeAction::ReadConfig(read) => self.config_reads.read(read),
+            NodeAction::SettingsChanged {
+                generation,
+                settings,
+            } => {
+                let accounts = settings.accounts.len();
+                self.directory = self.shared_directory.replace(*settings);
+                log_info(
+                    LogEvent::ConfigAdopted,
+                    format_args!("generation={} accounts={accounts}", generation.0),
+                );
+            }
+            NodeAction::ConfigUnusable {
+                generation,
+                findings,
+            } => log_warn(
+                LogEvent::ConfigUnusable,
+                format_args!("generation={} findings={findings:?}", generation.0),
+            ),
+            NodeAction::Ready => {
+                self.ready = true;
+                self.publish();
+            }
+            NodeAction::SendMembership { to, message } => {
+                // A membership message may be lost; the ring's end is counted like the network's.
+                let payload = PeerPayload::Datagram(membership::encode(&message));
+                self.send_out(to, payload);
+            }
+            NodeAction::ReadLoad { endpoint } => {
+                if let Some(known) = self.directory.endpoint(&endpoint) {
+                    self.load_reads.ask(&endpoint, known.address);
+                }
+            }
+            NodeAction::MembersChanged(live) => {
+                let names: Vec<&str> = live.iter().map(|m| m.member.host.as_str()).collect();
+                log_info(
+                    LogEvent::MembersChanged,
+                    format_args!("live={} hosts={}", names.len(), names.join(",")),
+                );
+            }
+            NodeAction::Outranked => {
+                log_warn(LogEvent::Outranked, "");
+                self.input(CoreInput::Stop);
+            }
+            NodeAction::Send { to, message } => self.send(to, &message),
+        }
+    }
+
+    fn start(&mut self, start: &StartAttempt) {
+        self.running.insert(start.attempt, start.key);
+        let order = self.order(start);
+        let started = order.is_some_and(|order| self.workers.start(order).is_ok());
+        if !started {
+            let end = AttemptEnd::Failed {
+                failure: AttemptFailure::NotStarted,
+                sent_tokens: start.resume_after_tokens,
+                charged_tokens: 0,
+            };
+            let ended = EndedCall {
+                end,
+                recorded: None,
+            };
+            self.attempt_ended(start.attempt, ended);
+        }
+    }
+
+    fn order(&self, start: &StartAttempt) -> Option<AttemptOrder> {
+        let pending = self.pending.get(&start.key)?;
+        let endpoint = self.directory.endpoint(&start.endpoint)?;
+        let attempt_id = AttemptId {
+            member: self.member.clone(),
+            sequence: start.attempt.0,
+        };
+        Some(AttemptOrder {
+            attempt: start.attempt,
+            call: pending.call.clone(),
+            address: endpoint.address,
+            attempt_id: attempt_id.to_string(),
+            resume_after_tokens: start.resume_after_tokens,
+            last_attempt: start.last_attempt,
+            time_left: pending.deadline.saturating_sub(self.clock.now()),
+            output_token_factor: self.directory.settings.fair.output_token_factor.into(),
+            answer: pending.answer.clone(),
+        })
+    }
+
+    fn replay(&mut self, key: RequestKey, recorded: &RecordedAnswer) {
+        counter!("sedgeridge_replays_total").increment(1);
+        let Some(pending) = self.pending.remove(&key) else {
+            return;
+        };
+        for part in replayed(recorded, pending.call.form) {
+            // The ring is empty and holds more than a replay has parts.
+            let _ = pending.answer.try_send(part);
+        }
+    }
+
+    fn give_up(&mut self, key: RequestKey, given_up: GivenUp) {
+        count_refusal(key, &given_up);
+        if let Some(pending) = self.pending.remove(&key) {
+            // A ring that is full belongs to a caller who stopped reading in the middle of a
+            // stream; dropping the sender ends the stream without its end mark.
+            let _ = pending.answer.try_send(AnswerPart::GivenUp(given_up));
+        }
+    }
+
+    fn send(&mut self, to: Member, message: &PeerMessage) {
+        let payload = PeerPayload::Stream(encode(message));
+        if !self.send_out(to.host.clone(), payload) {
+            self.event(NodeEvent::PeerReset { host: to.host });
+        }
+    }
+
+    /// Hands a message to the peers thread; false when it is lost.
+    fn send_out(&self, to: HostId, payload: PeerPayload) -> bool {
+        let Some(known) = self.directory.settings.host(to.as_str()) else {
+            counter!("sedgeridge_peer_drops_total", "reason" => "unknown_host").increment(1);
+            return true;
+        };
+        let out = PeerOut {
+            address: known.peer_address,
+            to,
+            payload,
+        };
+        let sent = self.peers.try_send(out).is_ok();
+        if !sent {
+            counter!("sedgeridge_peer_drops_total", "reason" => "ring_full").increment(1);
+        }
+        sent
+    }
+
+    fn publish(&self) {
+        let load = self.node.load();
+        self.status.publish(RouterStatus {
+            host: self.member.host.as_str().to_owned(),
+            incarnation: self.member.incarnation.0,
+            ready: self.ready && !self.stopping,
+            stopping: self.stopping,
+            waiting: load.waiting,
+            running: load.running as u64,
+            homes: load.homes as u64,
+            members: load.members as u64,
+            generation: load.generation,
+        });
+        gauge!("sedgeridge_requests_waiting").set(f64::from(load.waiting));
+        gauge!("sedgeridge_requests_running").set(load.running as f64);
+        gauge!("sedgeridge_members_live").set(load.members as f64);
+        gauge!("sedgeridge_pools_homed").set(load.homes as f64);
+        for (_, counters) in self.node.home_counters() {
+            for (reason, count) in &counters.rejections {
+                counter!("sedgeridge_home_rejections_total", "reason" => reason.label())
+                    .absolute(*count);
+            }
+        }
+    }
+}
+
+fn count_refusal(key: RequestKey, given_up: &GivenUp) {
+    let reason = given_up.reason.as_str();
+    counter!("sedgeridge_refusals_total", "reason" => reason).increment(1);
+    let outcome = given_up.outcome.as_str();
+    log_info(
+        LogEvent::RequestGivenUp,
+        format_args!("request={} reason={reason} outcome={outcome}", key.0),
+    );
+}
--- /dev/null
+++ b/crates/transport/src/table_calls.rs
@@ -0,0 +1,234 @@
+//! Calls of the platform's table service, in a few threads of their own.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::sync_channel;
+use std::thread;
+use std::time::Duration;
+
+use metrics::counter;
+use sedgeridge_coordination::store_call::CallId;
+use sedgeridge_coordination::store_call::StoreAction;
+use sedgeridge_coordination::store_call::StoreEvent;
+use sedgeridge_coordination::store_call::StoreQuery;
+use sedgeridge_coordination::store_call::StoreResult;
+use sedgeridge_coordination::store_call::StoreRow;
+use sedgeridge_protocol::table::Check;
+use sedgeridge_protocol::table::READ_PATH;
+use sedgeridge_protocol::table::Read;
+use sedgeridge_protocol::table::ReadAnswer;
+use sedgeridge_protocol::table::Row;
+use sedgeridge_protocol::table::TRANSACT_PATH;
+use sedgeridge_protocol::table::Transact;
+use sedgeridge_protocol::table::TransactAnswer;
+use sedgeridge_protocol::table::Write;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use ureq::Agent;
+
+use crate::core::CoreInput;
+use crate::endpoint_call::never_sent;
+
+/// Threads that call; each holds one call at a time.
+const CALLERS: usize = 6;
+/// Calls that may wait for a thread.
+const CALL_RING_LEN: usize = 64;
+
+/// Ring to the threads that call the table service.
+#[derive(Debug)]
+pub struct TableCalls {
+    ring: SyncSender<StoreAction>,
+}
+
+impl TableCalls {
+    /// Starts the threads.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a thread cannot be started.
+    pub fn start(
+        address: Option<SocketAddr>,
+        call_timeout: Duration,
+        core: &SyncSender<CoreInput>,
+    ) -> io::Result<Self> {
+        let (ring, calls) = sync_channel(CALL_RING_LEN);
+        let calls = Arc::new(Mutex::new(calls));
+        let client = TableClient::new(address, call_timeout);
+        for index in 0..CALLERS {
+            let calls = Arc::clone(&calls);
+            let client = client.clone();
+            let core = core.clone();
+            thread::Builder::new()
+                .name(format!("table-calls-{index}"))
+                .spawn(move || call_all(&client, &calls, &core))?;
+        }
+        Ok(Self { ring })
+    }
+
+    /// Makes a call; `Some` is its end when there is no room for it, so that it is not made.
+    pub fn call(&self, action: StoreAction) -> Option<StoreEvent> {
+        let call = call_id(&action);
+        let refused = self.ring.try_send(action).is_err();
+        refused.then(|| {
+            counter!("sedgeridge_table_calls_total", "result" => "no_room").increment(1);
+            StoreEvent {
+                call,
+                result: StoreResult::Unavailable,
+            }
+        })
+    }
+}
+
+fn call_id(action: &StoreAction) -> CallId {
+    match action {
+        StoreAction::Transact { call, .. } | StoreAction::Read { call, .. } => *call,
+    }
+}
+
+fn call_all(
+    client: &TableClient,
+    calls: &Mutex<Receiver<StoreAction>>,
+    core: &SyncSender<CoreInput>,
+) {
+    loop {
+        let next = calls.lock().expect("no caller panics").recv();
+        let Ok(action) = next else {
+            return;
+        };
+        let event = StoreEvent {
+            call: call_id(&action),
+            result: client.run(&action),
+        };
+        if core.send(CoreInput::StoreEnded(event)).is_err() {
+            return;
+        }
+    }
+}
+
+/// Client of the table service.
+#[derive(Debug, Clone)]
+pub struct TableClient {
+    address: Option<SocketAddr>,
+    agent: Agent,
+}
+
+impl TableClient {
+    /// Creates a client; without an address every call is unavailable.
+    pub fn new(address: Option<SocketAddr>, call_timeout: Duration) -> Self {
+        let agent = Agent::config_builder()
+            .timeout_global(Some(call_timeout))
+            .http_status_as_error(false)
+            .build()
+            .new_agent();
+        Self { address, agent }
+    }
+
+    /// Makes a call and tells how it ended.
+    ///
+    /// Only an end that proves that nothing was written counts as unavailable; every other failure
+    /// is unknown, since the write may have taken effect before its answer was lost.
+    pub fn run(&self, action: &StoreAction) -> StoreResult {
+        let result = match action {
+            StoreAction::Transact { checks, writes, .. } => {
+                let transact = Transact {
+                    checks: checks
+                        .iter()
+                        .map(|check| Check {
+                            key: check.key.to_string(),
+                            version: check.version,
+                        })
+                        .collect(),
+                    writes: writes
+                        .iter()
+                        .map(|write| Write {
+                            key: write.key.to_string(),
+                            value: write.value.as_deref().map(str::to_owned),
+                        })
+                        .collect(),
+                };
+                self.post(TRANSACT_PATH, &transact, |answer| match answer {
+                    TransactAnswer::Committed { version } => StoreResult::Committed { version },
+                    TransactAnswer::Conflict { rows } => StoreResult::Conflict {
+                        rows: rows.into_iter().map(store_row).collect(),
+                    },
+                })
+            }
+            StoreAction::Read { query, .. } => {
+                let read = match query {
+                    StoreQuery::Keys(keys) => Read {
+                        keys: keys.iter().map(ToString::to_string).collect(),
+                        ..Read::default()
+                    },
+                    StoreQuery::Prefix {
+                        prefix,
+                        after_version,
+                    } => Read {
+                        prefix: Some(prefix.to_string()),
+                        after_version: *after_version,
+                        ..Read::default()
+                    },
+                };
+                self.post(READ_PATH, &read, |answer: ReadAnswer| {
+                    StoreResult::Rows(answer.rows.into_iter().map(store_row).collect())
+                })
+            }
+        };
+        counter!("sedgeridge_table_calls_total", "result" => label(&result)).increment(1);
+        result
+    }
+
+    fn post<A: DeserializeOwned>(
+        &self,
+        path: &str,
+        call: &impl Serialize,
+        read: impl Fn(A) -> StoreResult,
+    ) -> StoreResult {
+        let Some(address) = self.address else {
+            return StoreResult::Unavailable;
+        };
+        let body = serde_json::to_vec(call).expect("a table call is plain data");
+        let sent = self
+            .agent
+            .post(format!("http://{address}{path}"))
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .send(&body[..]);
+        let mut response = match sent {
+            Ok(response) => response,
+            Err(error) if never_sent(&error) => return StoreResult::Unavailable,
+            Err(_) => return StoreResult::Unknown,
+        };
+        match response.status().as_u16() {
+            200 => {}
+            // The service refuses over its rate limit and in an outage before it does anything.
+            429 | 503 => return StoreResult::Unavailable,
+            _ => return StoreResult::Unknown,
+        }
+        let body = response.body_mut().read_to_vec();
+        let answer = body
+            .ok()
+            .and_then(|body| serde_json::from_slice(&body).ok());
+        answer.map_or(StoreResult::Unknown, read)
+    }
+}
+
+fn store_row(row: Row) -> StoreRow {
+    StoreRow {
+        key: row.key.into(),
+        version: row.version,
+        value: row.value.map(Into::into),
+    }
+}
+
+fn label(result: &StoreResult) -> &'static str {
+    match result {
+        StoreResult::Committed { .. } => "committed",
+        StoreResult::Conflict { .. } => "conflict",
+        StoreResult::Rows(_) => "rows",
+        StoreResult::Unavailable => "unavailable",
+        StoreResult::Unknown => "unknown",
+    }
+}
