--- a/crates/coordination/src/account_ceilings.rs
+++ b/crates/coordination/src/account_ceilings.rs
@@ -127,6 +127,16 @@
     }
 
     /// Tells whether `account`, with `in_progress` requests in progress, may start one more.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::account_ceilings::AccountCeilings;
+    /// use sedgeridge_state::ids::AccountId;
+    ///
+    /// let mut ceilings = AccountCeilings::default();
+    /// let no_ceiling = AccountId::from("booking");
+    /// assert!(ceilings.check(Duration::ZERO, &no_ceiling, 1_000).is_ok());
+    /// ```
     pub fn check(
         &mut self,
         now: Duration,
--- a/crates/coordination/src/breaker.rs
+++ b/crates/coordination/src/breaker.rs
@@ -63,7 +63,7 @@
 
 /// Recent answers and failures, older ones counting less.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct AnswerCounts {
+pub(crate) struct AnswerCounts {
     answers: f64,
     failures: f64,
     counted_at: Duration,
@@ -79,7 +79,7 @@
     }
 
     /// Adds the counts of another endpoint.
-    pub fn add(&mut self, other: Self) {
+    pub(crate) fn add(&mut self, other: Self) {
         self.answers += other.answers;
         self.failures += other.failures;
     }
@@ -104,7 +104,7 @@
 
 /// Breaker of one endpoint. It says when it wants to open; its pool decides whether it may.
 #[derive(Debug)]
-pub struct Breaker {
+pub(crate) struct Breaker {
     state: State,
     since: Duration,
     cause: Option<FailureKind>,
@@ -116,7 +116,7 @@
 
 impl Breaker {
     /// Creates a closed breaker.
-    pub fn new() -> Self {
+    pub(crate) fn new() -> Self {
         Self {
             state: State::Closed,
             since: Duration::ZERO,
@@ -129,17 +129,17 @@
     }
 
     /// Tells whether the endpoint takes no work or just one request on trial.
-    pub fn is_ejected(&self) -> bool {
+    pub(crate) fn is_ejected(&self) -> bool {
         self.state != State::Closed
     }
 
     /// Tells whether one request on trial may run.
-    pub fn is_half_open(&self) -> bool {
+    pub(crate) fn is_half_open(&self) -> bool {
         self.state == State::HalfOpen
     }
 
     /// Tells when an open breaker turns half-open.
-    pub fn open_until(&self) -> Option<Duration> {
+    pub(crate) fn open_until(&self) -> Option<Duration> {
         match self.state {
             State::Open { until } => Some(until),
             State::Closed | State::HalfOpen => None,
@@ -147,13 +147,13 @@
     }
 
     /// Returns the recent answers and failures.
-    pub fn counts(&self) -> AnswerCounts {
+    pub(crate) fn counts(&self) -> AnswerCounts {
         self.counts
     }
 
     /// Counts a whole answer to a request started at `started_at`; tells whether the breaker
     /// closed by it.
-    pub fn succeeded(&mut self, now: Duration, started_at: Duration) -> bool {
+    pub(crate) fn succeeded(&mut self, now: Duration, started_at: Duration) -> bool {
         self.counts.count(now, false);
         self.request_failures = 0;
         self.report_failures = 0;
@@ -165,7 +165,7 @@
     }
 
     /// Counts a failure; tells whether the breaker wants to open.
-    pub fn failed(
+    pub(crate) fn failed(
         &mut self,
         now: Duration,
         started_at: Duration,
@@ -192,7 +192,7 @@
     }
 
     /// Opens the breaker; each further ejection lasts twice as long.
-    pub fn open(&mut self, now: Duration, settings: &HealthSettings) {
+    pub(crate) fn open(&mut self, now: Duration, settings: &HealthSettings) {
         let doublings = self.ejections.min(MAX_DOUBLINGS);
         let until = now + millis(settings.eject_ms).saturating_mul(1 << doublings);
         self.ejections = self.ejections.saturating_add(1);
@@ -200,12 +200,12 @@
     }
 
     /// Closes the breaker although the endpoint fails, since its pool can't spare it.
-    pub fn close_anyway(&mut self, now: Duration) {
+    pub(crate) fn close_anyway(&mut self, now: Duration) {
         self.change(now, State::Closed);
     }
 
     /// Lets one request try whether the endpoint is back.
-    pub fn half_open(&mut self, now: Duration) {
+    pub(crate) fn half_open(&mut self, now: Duration) {
         if self.open_until().is_some() {
             self.change(now, State::HalfOpen);
         }
@@ -215,7 +215,7 @@
     ///
     /// An endpoint that was ejected because it could not be reached is tried as soon as it reports
     /// again: waiting out the ejection would leave a restarted engine idle.
-    pub fn reported(&mut self, now: Duration, figures_at: Duration) {
+    pub(crate) fn reported(&mut self, now: Duration, figures_at: Duration) {
         self.report_failures = 0;
         let was_unreachable = self.cause.is_some_and(FailureKind::means_unreachable);
         if was_unreachable && figures_at > self.since {
@@ -224,7 +224,7 @@
     }
 
     /// Forgets earlier ejections, once the endpoint carries its full load again.
-    pub fn forgive(&mut self) {
+    pub(crate) fn forgive(&mut self) {
         self.ejections = 0;
     }
 
--- a/crates/coordination/src/drain_rate.rs
+++ b/crates/coordination/src/drain_rate.rs
@@ -58,6 +58,16 @@
     }
 
     /// Notes that the last waiting request left without having run.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::drain_rate::DrainRate;
+    ///
+    /// let mut rate = DrainRate::default();
+    /// rate.queued(Duration::ZERO);
+    /// rate.emptied(Duration::from_secs(1));
+    /// assert!(rate.is_stale(Duration::from_secs(100)));
+    /// ```
     pub fn emptied(&mut self, now: Duration) {
         self.waiting_since = None;
         self.changed_at = now;
--- a/crates/coordination/src/endpoint_health.rs
+++ b/crates/coordination/src/endpoint_health.rs
@@ -161,6 +161,28 @@
     }
 
     /// Takes a load report; `load.age` counts from when its figures were true.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::endpoint_health::PoolHealth;
+    /// use sedgeridge_coordination::slot_budget::Load;
+    /// use sedgeridge_state::ids::EndpointId;
+    /// use sedgeridge_state::settings::HealthSettings;
+    ///
+    /// let desk = EndpointId::from("desk-1");
+    /// let mut health = PoolHealth::new(HealthSettings::default());
+    /// health.configure(&[(desk.clone(), 8)]);
+    /// let load = Load {
+    ///     running: 3,
+    ///     waiting: 0,
+    ///     slots: 8,
+    ///     age: Duration::from_millis(300),
+    ///     leaving: true,
+    /// };
+    /// let now = Duration::from_secs(1);
+    /// health.reported(now, &desk, load);
+    /// assert!(health.is_leaving(&desk));
+    /// ```
     pub fn reported(&mut self, now: Duration, id: &EndpointId, load: Load) {
         let Some(endpoint) = self.endpoints.get_mut(id) else {
             return;
@@ -229,6 +251,20 @@
 
     /// Ends ejections that are over, and returns the endpoints whose usable slots changed since
     /// the last call. Called after events and at each tick.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::endpoint_health::PoolHealth;
+    /// use sedgeridge_state::ids::EndpointId;
+    /// use sedgeridge_state::settings::HealthSettings;
+    ///
+    /// let desk = EndpointId::from("desk-1");
+    /// let mut health = PoolHealth::new(HealthSettings::default());
+    /// health.configure(&[(desk.clone(), 8)]);
+    /// let changes = health.changes(Duration::ZERO);
+    /// assert_eq!((changes[0].endpoint.as_str(), changes[0].slots), ("desk-1", 8));
+    /// assert!(health.changes(Duration::ZERO).is_empty());
+    /// ```
     pub fn changes(&mut self, now: Duration) -> Vec<UsableSlots> {
         if now >= self.scan_at {
             self.scan(now);
--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -7,7 +7,6 @@
 //! of two routers in the same crash are told apart. The guilty are refused everywhere, for a time.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use sedgeridge_state::fingerprint::Fingerprint;
@@ -15,11 +14,11 @@
 use sedgeridge_state::settings::HealthSettings;
 use sedgeridge_state::settings::millis;
 
+use crate::crash_watch::CrashWatch;
 use crate::poison_notice::PoisonNews;
 use crate::poison_notice::PoisonNotice;
 use crate::poison_record::Crash;
 use crate::poison_record::PoisonRecord;
-use crate::poison_record::SAME_CRASH;
 
 /// Most requests that a router keeps records of.
 pub const MAX_RECORDS: usize = 4_096;
@@ -69,28 +68,12 @@
 pub struct Quarantine {
     settings: HealthSettings,
     records: BTreeMap<Fingerprint, PoisonRecord>,
-    lost: BTreeMap<EndpointId, Lost>,
-    down: BTreeMap<EndpointId, Duration>,
+    crashes: CrashWatch,
     trial: Option<Trial>,
     accused: BTreeMap<Fingerprint, Duration>,
     notices: Vec<PoisonNotice>,
 }
 
-#[derive(Debug)]
-struct Lost {
-    since: Duration,
-    requests: BTreeSet<Fingerprint>,
-}
-
-impl Lost {
-    fn at(since: Duration) -> Self {
-        Self {
-            since,
-            requests: BTreeSet::new(),
-        }
-    }
-}
-
 #[derive(Debug)]
 struct Trial {
     fingerprint: Fingerprint,
@@ -103,8 +86,7 @@
         Self {
             settings,
             records: BTreeMap::new(),
-            lost: BTreeMap::new(),
-            down: BTreeMap::new(),
+            crashes: CrashWatch::default(),
             trial: None,
             accused: BTreeMap::new(),
             notices: Vec::new(),
@@ -132,6 +114,23 @@
     }
 
     /// Asks to start a request. A suspect that is let start is on trial until it ends.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::quarantine::{Permit, Quarantine};
+    /// use sedgeridge_state::fingerprint::Fingerprint;
+    /// use sedgeridge_state::ids::EndpointId;
+    /// use sedgeridge_state::settings::HealthSettings;
+    ///
+    /// let (now, desk) = (Duration::from_secs(1), EndpointId::from("desk-1"));
+    /// let (first, second) = (Fingerprint(1), Fingerprint(2));
+    /// let mut quarantine = Quarantine::new(HealthSettings::default());
+    /// quarantine.connection_lost(now, first, &desk);
+    /// quarantine.connection_lost(now, second, &desk);
+    /// quarantine.endpoint_down(now, &desk);
+    /// assert_eq!(quarantine.start(now, first), Permit::Start);
+    /// assert_eq!(quarantine.start(now, second), Permit::Wait);
+    /// ```
     pub fn start(&mut self, now: Duration, fingerprint: Fingerprint) -> Permit {
         if self.accused.get(&fingerprint).is_some_and(|at| *at <= now) {
             self.judge(now, fingerprint);
@@ -157,6 +156,24 @@
     }
 
     /// Notes that a request ran to its end, which clears it: a poison request never does.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::quarantine::{Permit, Quarantine};
+    /// use sedgeridge_state::fingerprint::Fingerprint;
+    /// use sedgeridge_state::ids::EndpointId;
+    /// use sedgeridge_state::settings::HealthSettings;
+    ///
+    /// let (now, desk) = (Duration::from_secs(1), EndpointId::from("desk-1"));
+    /// let (first, second) = (Fingerprint(1), Fingerprint(2));
+    /// let mut quarantine = Quarantine::new(HealthSettings::default());
+    /// quarantine.connection_lost(now, first, &desk);
+    /// quarantine.connection_lost(now, second, &desk);
+    /// quarantine.endpoint_down(now, &desk);
+    /// quarantine.start(now, first);
+    /// quarantine.finished(now, first);
+    /// assert_eq!(quarantine.start(now, second), Permit::Start);
+    /// ```
     pub fn finished(&mut self, now: Duration, fingerprint: Fingerprint) {
         self.end_trial(fingerprint);
         let Some(record) = self.records.get_mut(&fingerprint) else {
@@ -185,36 +202,18 @@
         endpoint: &EndpointId,
     ) {
         self.end_trial(fingerprint);
-        if let Some(at) = self.down_since(now, endpoint) {
-            let endpoint = endpoint.clone();
-            self.blame(now, fingerprint, &Crash { endpoint, at });
-            return;
-        }
-        let lost = self
-            .lost
-            .entry(endpoint.clone())
-            .or_insert_with(|| Lost::at(now));
-        if now.saturating_sub(lost.since) >= SAME_CRASH {
-            *lost = Lost::at(now);
+        if let Some(crash) = self.crashes.connection_lost(now, fingerprint, endpoint) {
+            self.blame(now, fingerprint, &crash);
         }
-        lost.requests.insert(fingerprint);
     }
 
     /// Notes that `endpoint` refuses connections or says that it has restarted.
     pub fn endpoint_down(&mut self, now: Duration, endpoint: &EndpointId) {
-        let lost = self.lost.remove(endpoint);
-        let lost = lost.filter(|lost| now.saturating_sub(lost.since) < SAME_CRASH);
-        let at = lost.as_ref().map_or(now, |lost| lost.since);
-        if self.down_since(now, endpoint).is_none() {
-            self.down.insert(endpoint.clone(), at);
-        }
-        let Some(lost) = lost else { return };
-        let crash = Crash {
-            endpoint: endpoint.clone(),
-            at,
+        let Some(batch) = self.crashes.endpoint_down(now, endpoint) else {
+            return;
         };
-        for fingerprint in lost.requests {
-            self.blame(now, fingerprint, &crash);
+        for fingerprint in batch.requests {
+            self.blame(now, fingerprint, &batch.crash);
         }
     }
 
@@ -230,10 +229,7 @@
         for fingerprint in due {
             self.judge(now, fingerprint);
         }
-        self.lost
-            .retain(|_, lost| now.saturating_sub(lost.since) < SAME_CRASH);
-        self.down
-            .retain(|_, at| now.saturating_sub(*at) < SAME_CRASH);
+        self.crashes.forget_old(now);
         let remembered = self.quarantine_time() * REMEMBERED_TIMES;
         self.records
             .retain(|_, record| record.changed_at() + remembered > now);
@@ -268,6 +264,26 @@
     }
 
     /// Takes the notices to be spread to all routers.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::quarantine::{Permit, Quarantine};
+    /// use sedgeridge_state::fingerprint::Fingerprint;
+    /// use sedgeridge_state::ids::EndpointId;
+    /// use sedgeridge_state::settings::HealthSettings;
+    ///
+    /// let (now, desk) = (Duration::from_secs(1), EndpointId::from("desk-1"));
+    /// let (first, second) = (Fingerprint(1), Fingerprint(2));
+    /// let mut quarantine = Quarantine::new(HealthSettings::default());
+    /// quarantine.connection_lost(now, first, &desk);
+    /// quarantine.connection_lost(now, second, &desk);
+    /// quarantine.endpoint_down(now, &desk);
+    /// let mut peer = Quarantine::new(HealthSettings::default());
+    /// for notice in quarantine.take_notices() {
+    ///     peer.on_notice(now, notice);
+    /// }
+    /// assert_eq!(peer.len(), 2);
+    /// ```
     pub fn take_notices(&mut self) -> Vec<PoisonNotice> {
         std::mem::take(&mut self.notices)
     }
@@ -325,12 +341,6 @@
             .all(|(other, record)| *other == fingerprint || suspicion(record) < own)
     }
 
-    // Losses are noticed one after another, some only after the endpoint was found to be down.
-    fn down_since(&self, now: Duration, endpoint: &EndpointId) -> Option<Duration> {
-        let at = *self.down.get(endpoint)?;
-        (now.saturating_sub(at) < SAME_CRASH).then_some(at)
-    }
-
     fn end_trial(&mut self, fingerprint: Fingerprint) {
         if self
             .trial
--- a/crates/coordination/src/retry_budget.rs
+++ b/crates/coordination/src/retry_budget.rs
@@ -197,7 +197,8 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use sedgeridge_coordination::retry_budget::{FailedAttempt, RetryBudgets, RetryDecision, RetryReason};
+/// use sedgeridge_coordination::retry_budget::{FailedAttempt, RetryBudgets};
+/// use sedgeridge_coordination::retry_budget::{RetryDecision, RetryReason};
 /// use sedgeridge_state::ids::AccountId;
 /// use sedgeridge_state::settings::RetrySettings;
 ///
@@ -328,6 +329,14 @@
     }
 
     /// Drops the budgets of accounts that no longer exist.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::retry_budget::RetryBudgets;
+    /// use sedgeridge_state::settings::RetrySettings;
+    ///
+    /// let mut budgets = RetryBudgets::new(RetrySettings::default(), 1);
+    /// budgets.retain_accounts(|account| account.as_str() != "closed");
+    /// ```
     pub fn retain_accounts(&mut self, exists: impl Fn(&AccountId) -> bool) {
         self.accounts.retain(|account, _| exists(account));
     }
--- a/crates/coordination/src/slot_budget.rs
+++ b/crates/coordination/src/slot_budget.rs
@@ -149,6 +149,24 @@
     }
 
     /// Returns how many requests the fleet may hold on the endpoint; at least one.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::slot_budget::{Load, SlotBudget};
+    ///
+    /// let mut budget = SlotBudget::new(8);
+    /// let not_ours = Load {
+    ///     running: 6,
+    ///     waiting: 0,
+    ///     slots: 8,
+    ///     age: Duration::ZERO,
+    ///     leaving: false,
+    /// };
+    /// let stale_after = Duration::from_secs(1);
+    /// budget.reported(Duration::from_secs(1), not_ours);
+    /// assert_eq!(budget.usable(Duration::from_secs(1), stale_after), 2);
+    /// assert_eq!(budget.usable(Duration::from_secs(9), stale_after), 8);
+    /// ```
     pub fn usable(&self, now: Duration, reports_stale_after: Duration) -> u32 {
         let foreign = if self.is_reported(now, reports_stale_after) {
             self.foreign
