fix(coordination): a home's first grant gives back nothing

Cause: homes begin their grant sequences at their clock in microseconds, so that a home that comes back never reuses one. The entry router took the first grant for the end of a gap from zero and named up to 13,106 "missing" grants in one report (366,797 bytes). Ruled out: full reports (4 in 8 s), datagrams, grants (227 in 8 s, small). Conclusion: the gap is counted only between two grants of the same home, and at most 256 are named.

--- a/crates/coordination/src/entry_pool.rs
+++ b/crates/coordination/src/entry_pool.rs
@@ -28,6 +28,9 @@
 /// Classes in the order in which a grant is used.
 const CLASSES: [RequestClass; 2] = [RequestClass::Interactive, RequestClass::Deferred];
 
+/// Most missing grants that are named one by one; after more, a full report says what is held.
+const MAX_MISSING_GRANTS: u64 = 256;
+
 /// One pool as seen by an entry router.
 #[derive(Debug)]
 pub struct EntryPool {
@@ -152,18 +155,31 @@
         if grant.id.sequence <= self.grants_received {
             return false;
         }
-        // `grants_received` acknowledges all grants up to it. A grant lost on a broken connection
-        // would be acknowledged with them and hold its slot for ever, so it is given back by name.
-        for sequence in self.grants_received + 1..grant.id.sequence {
-            self.ended.push(GrantId {
-                home: grant.id.home.clone(),
-                sequence,
-            });
-        }
+        self.give_back_missing(grant);
         self.grants_received = grant.id.sequence;
         true
     }
 
+    /// Gives back the grants between the last one received and this one.
+    ///
+    /// `grants_received` acknowledges all grants up to it. A grant lost on a broken connection would
+    /// be acknowledged with them and hold its slot until the home compares lists. The first grant of
+    /// a home tells nothing: homes begin their sequences anywhere.
+    fn give_back_missing(&mut self, grant: &Grant) {
+        if self.grants_received == 0 {
+            return;
+        }
+        let missing = self.grants_received + 1..grant.id.sequence;
+        if missing.end.saturating_sub(missing.start) > MAX_MISSING_GRANTS {
+            self.full_wanted = true;
+            return;
+        }
+        self.ended.extend(missing.map(|sequence| GrantId {
+            home: grant.id.home.clone(),
+            sequence,
+        }));
+    }
+
     /// Takes the next request that a grant can be used for: of the class meant, or else of the
     /// account's other class, so that no slot idles while the account waits.
     pub fn pop_for(&mut self, grant: &Grant) -> Option<RequestKey> {
--- a/crates/coordination/src/node_events.rs
+++ b/crates/coordination/src/node_events.rs
@@ -48,6 +48,27 @@
     Config(ConfigMessage),
 }
 
+impl PeerMessage {
+    /// Returns the stable name used in metrics.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::node::PeerMessage;
+    ///
+    /// let message = PeerMessage::FullReportWanted { pool: "desk".into() };
+    /// assert_eq!(message.kind(), "full_report_wanted");
+    /// ```
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Report(report) if report.full => "full_report",
+            Self::Report(_) => "report",
+            Self::Grant(_) => "grant",
+            Self::FullReportWanted { .. } => "full_report_wanted",
+            Self::Poison(_) => "poison",
+            Self::Config(_) => "config",
+        }
+    }
+}
+
 /// What happens to a router.
 #[derive(Debug, Clone, PartialEq)]
 pub enum NodeEvent {
--- a/crates/transport/src/core.rs
+++ b/crates/transport/src/core.rs
@@ -488,6 +488,7 @@
     }
 
     fn send(&mut self, to: Member, message: &PeerMessage) {
+        counter!("sedgeridge_peer_sent_total", "kind" => message.kind()).increment(1);
         let payload = PeerPayload::Stream(encode(message));
         if !self.send_out(to.host.clone(), payload) {
             self.event(NodeEvent::PeerReset { host: to.host });
