--- a/crates/coordination/benches/pool_home.rs
+++ b/crates/coordination/benches/pool_home.rs
@@ -1,8 +1,8 @@
 //! One report to one grant at the home of a pool, at the size designed for.
 
+mod saturated;
+
 use std::cell::RefCell;
-use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use criterion::BatchSize;
@@ -10,212 +10,66 @@
 use criterion::Criterion;
 use criterion::criterion_group;
 use criterion::criterion_main;
-use sedgeridge_coordination::pool_home::AccountWeight;
-use sedgeridge_coordination::pool_home::HomeAction;
-use sedgeridge_coordination::pool_home::HomeEndpoint;
+use saturated::Saturated;
+use saturated::Size;
 use sedgeridge_coordination::pool_home::HomeEvent;
-use sedgeridge_coordination::pool_home::PoolHome;
-use sedgeridge_coordination::pool_messages::Demand;
-use sedgeridge_coordination::pool_messages::EntryReport;
-use sedgeridge_coordination::pool_messages::Grant;
-use sedgeridge_coordination::pool_messages::PrefixHash;
-use sedgeridge_coordination::pool_messages::Served;
-use sedgeridge_state::ids::AccountId;
-use sedgeridge_state::ids::EndpointId;
-use sedgeridge_state::ids::HostId;
-use sedgeridge_state::ids::Incarnation;
-use sedgeridge_state::ids::Member;
-use sedgeridge_state::ids::PoolId;
-use sedgeridge_state::ids::SiteId;
-use sedgeridge_state::settings::FairSettings;
-use sedgeridge_state::settings::RequestClass;
 
 const ROUTERS: usize = 400;
-const SITES: usize = 7;
-const SLOTS: u32 = 4;
-/// Requests of one backlogged account that wait at one router.
-const WAITING: u32 = 50;
-const ROUTERS_PER_ACCOUNT: usize = 4;
-/// Time between two grants at 5,900 requests a second.
-const GRANT_INTERVAL: Duration = Duration::from_micros(169);
-/// Prime, so that consecutive accounts lie far apart.
-const STRIDE: usize = 7_919;
-
-/// Size of a pool.
-#[derive(Debug, Clone, Copy)]
-struct Size {
-    accounts: usize,
-    backlogged: usize,
-    endpoints: usize,
-}
-
-/// A saturated home, and what its entry routers would say next.
-#[derive(Debug)]
-struct Saturated {
-    home: PoolHome,
-    now: Duration,
-    pool: PoolId,
-    members: Vec<Member>,
-    sequences: Vec<u64>,
-    served_tokens: Vec<HashMap<AccountId, u64>>,
-    grants: VecDeque<(usize, Grant)>,
-    actions: Vec<HomeAction>,
-    random_state: u64,
-}
-
-fn member(router: usize) -> Member {
-    Member {
-        host: HostId::from(format!("host-{router:03}").as_str()),
-        incarnation: Incarnation(1),
-    }
-}
-
-fn account(index: usize) -> AccountId {
-    AccountId::from(format!("account-{index:06}").as_str())
-}
-
-fn router_of(to: &Member) -> usize {
-    let digits = to.host.as_str().trim_start_matches("host-");
-    digits.parse().expect("hosts are numbered")
-}
-
-impl Saturated {
-    fn new(size: Size) -> Self {
-        let mut saturated = Self {
-            home: PoolHome::new(member(0), PoolId::from("desk"), FairSettings::default()),
-            now: Duration::ZERO,
-            pool: PoolId::from("desk"),
-            members: (0..ROUTERS).map(member).collect(),
-            sequences: vec![1; ROUTERS],
-            served_tokens: vec![HashMap::new(); ROUTERS],
-            grants: VecDeque::new(),
-            actions: Vec::new(),
-            random_state: 1,
-        };
-        saturated.configure(size);
-        let members = (0..ROUTERS).map(member).collect();
-        saturated.event(HomeEvent::Members(members));
-        for router in 0..ROUTERS {
-            let report = full_report(router, size);
-            saturated.event(HomeEvent::Report(report));
-        }
-        // Past the gather time of routers with nothing to say.
-        saturated.event(HomeEvent::Tick);
-        saturated
-    }
-
-    fn configure(&mut self, size: Size) {
-        let endpoints = (0..size.endpoints).map(|index| HomeEndpoint {
-            id: EndpointId::from(format!("engine-{index:04}").as_str()),
-            site: SiteId::from(format!("site-{}", index % SITES).as_str()),
-            slots: SLOTS,
-        });
-        let weights = (0..size.accounts).map(|index| AccountWeight {
-            account: account(index),
-            weight: 1 + index as u32 % 4,
-        });
-        self.event(HomeEvent::Configured {
-            endpoints: endpoints.collect(),
-            weights: weights.collect(),
-        });
-    }
-
-    fn event(&mut self, event: HomeEvent) {
-        self.actions.clear();
-        self.home.handle(self.now, event, &mut self.actions);
-        for action in self.actions.drain(..) {
-            if let HomeAction::Grant { to, grant } = action {
-                self.grants.push_back((router_of(&to), grant));
-            }
-        }
-    }
-
-    /// The report that ends the oldest grant; a new request took its place in the queue.
-    fn next_report(&mut self) -> EntryReport {
-        self.now += GRANT_INTERVAL;
-        let (router, grant) = self
-            .grants
-            .pop_front()
-            .expect("a saturated pool has grants");
-        self.random_state = self
-            .random_state
-            .wrapping_mul(6_364_136_223_846_793_005)
-            .wrapping_add(1);
-        let cost_tokens = 200 + (self.random_state >> 33) % 1_000;
-        self.sequences[router] += 1;
-        let served = &mut self.served_tokens[router];
-        let total_tokens = served.entry(grant.account.clone()).or_default();
-        *total_tokens += cost_tokens;
-        let total_tokens = *total_tokens;
-        EntryReport {
-            from: self.members[router].clone(),
-            pool: self.pool.clone(),
-            sequence: self.sequences[router],
-            full: false,
-            grants_received: grant.id.sequence,
-            demand: vec![demand(grant.account.clone(), grant.class, cost_tokens)],
-            holdings: Vec::new(),
-            served: vec![Served {
-                account: grant.account,
-                total_tokens,
-            }],
-            ended: vec![grant.id],
-        }
-    }
-}
-
-fn demand(account: AccountId, class: RequestClass, cost_tokens: u64) -> Demand {
-    Demand {
-        account,
-        class,
-        waiting: WAITING,
-        head_cost_tokens: 700,
-        head_prefix: Some(PrefixHash(cost_tokens % 64)),
-    }
-}
-
-fn full_report(router: usize, size: Size) -> EntryReport {
-    let backlogged = (0..size.backlogged).filter(|index| {
-        (0..ROUTERS_PER_ACCOUNT).any(|nth| (index * 13 + nth * 101) % ROUTERS == router)
-    });
-    let demands = backlogged.map(|index| {
-        let id = account(index * STRIDE % size.accounts);
-        demand(id, RequestClass::Interactive, index as u64)
-    });
-    EntryReport {
-        from: member(router),
-        pool: PoolId::from("desk"),
-        sequence: 1,
-        full: true,
-        grants_received: 0,
-        demand: demands.collect(),
-        holdings: Vec::new(),
-        ended: Vec::new(),
-        served: Vec::new(),
+/// Accounts and endpoints.
+const SIZES: [(usize, usize); 4] = [(690, 550), (6_900, 550), (6_900, 2_200), (69_000, 550)];
+/// Reports between two ticks: one tick each 5 ms.
+const REPORTS_PER_TICK: u64 = 30;
+
+fn size(accounts: usize, endpoints: usize) -> Size {
+    Size {
+        accounts,
+        backlogged: accounts / 10,
+        routers: ROUTERS,
+        endpoints,
     }
 }
 
 fn decisions(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("report_to_grant");
-    for (accounts, endpoints) in [(690, 550), (6_900, 550), (6_900, 2_200), (69_000, 550)] {
-        let size = Size {
-            accounts,
-            backlogged: accounts / 10,
-            endpoints,
-        };
+    for (accounts, endpoints) in SIZES {
         let id = BenchmarkId::new(format!("{accounts}_accounts"), endpoints);
         group.bench_function(id, |bencher| {
-            let saturated = RefCell::new(Saturated::new(size));
+            let saturated = RefCell::new(Saturated::new(size(accounts, endpoints)));
+            let mut reports = 0;
             bencher.iter_batched(
-                || saturated.borrow_mut().next_report(),
+                || {
+                    reports += 1;
+                    if reports % REPORTS_PER_TICK == 0 {
+                        saturated.borrow_mut().event(HomeEvent::Tick);
+                    }
+                    saturated.borrow_mut().next_report()
+                },
                 |report| saturated.borrow_mut().event(HomeEvent::Report(report)),
                 BatchSize::PerIteration,
             );
-            let home = &saturated.borrow().home;
-            assert!(
-                home.counters().rejections.is_empty(),
-                "{:?}",
-                home.counters()
+            let counters = saturated.borrow().home.counters().clone();
+            assert!(counters.rejections.is_empty(), "{counters:?}");
+            assert_eq!(counters.timed_out_grants, 0);
+        });
+    }
+    group.finish();
+}
+
+fn ticks(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("tick");
+    for (accounts, endpoints) in SIZES {
+        let id = BenchmarkId::new(format!("{accounts}_accounts"), endpoints);
+        group.bench_function(id, |bencher| {
+            let saturated = RefCell::new(Saturated::new(size(accounts, endpoints)));
+            bencher.iter_batched(
+                || {
+                    for _ in 0..REPORTS_PER_TICK {
+                        let report = saturated.borrow_mut().next_report();
+                        saturated.borrow_mut().event(HomeEvent::Report(report));
+                    }
+                },
+                |()| saturated.borrow_mut().event(HomeEvent::Tick),
+                BatchSize::PerIteration,
             );
         });
     }
@@ -225,6 +79,6 @@
 criterion_group! {
     name = benches;
     config = Criterion::default().sample_size(50).measurement_time(Duration::from_secs(3));
-    targets = decisions
+    targets = decisions, ticks
 }
 criterion_main!(benches);
--- a/crates/coordination/src/home_events.rs
+++ b/crates/coordination/src/home_events.rs
@@ -32,7 +32,7 @@
     },
     /// The members believed alive changed; holdings of the others are freed.
     Members(Vec<Member>),
-    /// Time passed.
+    /// Time passed. Grants are found to be lost here only, so it should come every few milliseconds.
     Tick,
 }
 
--- a/crates/coordination/src/pool_home.rs
+++ b/crates/coordination/src/pool_home.rs
@@ -152,9 +152,11 @@
                 }
             }
             HomeEvent::Members(members) => self.set_members(now, &members, actions),
-            HomeEvent::Tick => self.reconcile(now, actions),
+            HomeEvent::Tick => {
+                self.expire_grants(now, actions);
+                self.reconcile(now, actions);
+            }
         }
-        self.expire_grants(now, actions);
         self.refresh_touched();
         self.finish_gathering(now);
         self.grant_free_slots(now, actions);
--- a/crates/coordination/src/report_apply.rs
+++ b/crates/coordination/src/report_apply.rs
@@ -177,8 +177,11 @@
         if !self.entries.is_live(router) {
             return false;
         }
-        let own = &mut self.entries.record_mut(router).own;
-        let Some(held) = own.get_mut(&sequence) else {
+        let record = self.entries.record_mut(router);
+        if sequence <= record.grants_received {
+            return false;
+        }
+        let Some(held) = record.own.get_mut(&sequence) else {
             return false;
         };
         if held.stage != (GrantStage::Sent { expires_at: at }) {
--- a/crates/coordination/tests/home_fuzz/oracle.rs
+++ b/crates/coordination/tests/home_fuzz/oracle.rs
@@ -111,9 +111,9 @@
             }
             HomeEvent::Members(members) => self.set_members(members),
             HomeEvent::Report(report) => self.take(report),
-            HomeEvent::HostSites(_) | HomeEvent::Tick => {}
+            HomeEvent::HostSites(_) => {}
+            HomeEvent::Tick => self.time_out(now),
         }
-        self.time_out(now);
         self.update_backlog();
         self.start(now);
         for action in actions {
