fix(coordination): ask again for a full report until it comes

A router whose grant timed out is granted nothing until it reports; when the request for a full report was lost too, its callers waited for good. A lost report with none after it had the same symptom: no later one shows the gap. The home now repeats open requests, and asks every router every 30 to 40 s in any case.

--- a/crates/coordination/src/account_table.rs
+++ b/crates/coordination/src/account_table.rs
@@ -128,7 +128,7 @@
     ///
     /// A run that comes back after a partition was served by another home meanwhile. Charging an
     /// hour of that service at once would starve its accounts until all others had caught up.
-    pub(crate) fn admit_run(&mut self, router: usize, totals: Vec<(usize, u64)>) {
+    pub(crate) fn admit_run(&mut self, router: usize, totals: impl Iterator<Item = (usize, u64)>) {
         self.ledger.admit(router, totals);
     }
 
--- a/crates/coordination/src/entry_record.rs
+++ b/crates/coordination/src/entry_record.rs
@@ -38,6 +38,7 @@
     /// Sequence of the last report; `None` until a full one came.
     pub(crate) last_sequence: Option<u64>,
     pub(crate) last_full_at: Duration,
+    /// When a full report was asked for that has not come.
     pub(crate) asked_full_at: Option<Duration>,
     /// Whether its reports named what the configuration here does not know yet.
     pub(crate) named_unknown: bool,
@@ -98,8 +99,4 @@
         });
         own.chain(self.foreign.keys().cloned()).collect()
     }
-
-    pub(crate) fn holds_any(&self) -> bool {
-        !self.own.is_empty() || !self.foreign.is_empty()
-    }
 }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -25,6 +25,7 @@
 mod entry_table;
 mod grant_slots;
 mod home_events;
+mod member_changes;
 mod name_index;
 mod prefix_affinity;
 mod report_apply;
--- a/crates/coordination/src/pool_home.rs
+++ b/crates/coordination/src/pool_home.rs
@@ -21,6 +21,7 @@
 use crate::fair_order::Tag;
 use crate::home_counters::HomeCounters;
 use crate::rendezvous::seed_of;
+use crate::report_apply::ResolvedServed;
 use crate::slot_table::SlotTable;
 
 pub use crate::home_events::AccountWeight;
@@ -32,8 +33,11 @@
 
 /// Least charge of a request, so that requests estimated at nothing still move the order.
 pub(crate) const MIN_CHARGE_TOKENS: u64 = 1;
-/// Time after which a router with grants in use is asked to list them all.
+/// Time after which a router is asked for a full report in any case.
 const RECONCILE_INTERVAL: Duration = Duration::from_secs(30);
+/// Steps by which routers are asked one after the other, and how many steps there are.
+const RECONCILE_STEP: Duration = Duration::from_millis(100);
+const RECONCILE_STEPS: usize = 100;
 
 /// A grant whose acknowledgement is due.
 #[derive(Debug)]
@@ -56,6 +60,7 @@
     pub(crate) counters: HomeCounters,
     /// Accounts whose service or demand changed in this event.
     pub(crate) touched: Vec<usize>,
+    pub(crate) resolved_served: Vec<ResolvedServed>,
     pub(crate) host_sites: Vec<HostSite>,
     pub(crate) members_known: bool,
     pub(crate) configured: bool,
@@ -105,6 +110,7 @@
             entries: EntryTable::default(),
             counters: HomeCounters::default(),
             touched: Vec::new(),
+            resolved_served: Vec::new(),
             host_sites: Vec::new(),
             members_known: false,
             configured: false,
@@ -228,12 +234,16 @@
         }
     }
 
-    /// Asks routers again whose full report is missing or old.
+    /// Asks routers again whose full report has not come, and all of them now and then.
+    ///
+    /// A request lost on its way would leave the demand of a router that has nothing new to say
+    /// unknown here, and its callers waiting. So would a lost report with none after it, which
+    /// shows no gap: the regular request bounds that wait.
     fn reconcile(&mut self, now: Duration, actions: &mut Vec<HomeAction>) {
         for router in self.entries.indices() {
             let record = self.entries.record(router);
-            let stale = record.holds_any() && now >= record.last_full_at + RECONCILE_INTERVAL;
-            if record.last_sequence.is_none() || stale {
+            let stale = now >= record.last_full_at + reconcile_interval(router);
+            if stale || record.asked_full_at.is_some() {
                 self.ask_full(now, router, actions);
             }
         }
@@ -263,3 +273,8 @@
         self.touched = touched;
     }
 }
+
+/// Spreads the requests: a new home hears all routers at once, and would again each time.
+fn reconcile_interval(router: usize) -> Duration {
+    RECONCILE_INTERVAL + RECONCILE_STEP * (router % RECONCILE_STEPS) as u32
+}
--- a/crates/coordination/src/report_apply.rs
+++ b/crates/coordination/src/report_apply.rs
@@ -1,4 +1,4 @@
-//! How the home of a pool takes reports and changes of membership.
+//! How the home of a pool takes reports.
 
 use std::time::Duration;
 
@@ -12,7 +12,6 @@
 use crate::entry_table::Admission;
 use crate::home_counters::RejectionReason;
 use crate::pool_home::HomeAction;
-use crate::pool_home::HostSite;
 use crate::pool_home::MIN_CHARGE_TOKENS;
 use crate::pool_home::PoolHome;
 use crate::pool_messages::Demand;
@@ -21,6 +20,13 @@
 use crate::pool_messages::Holding;
 use crate::report_check::check_counters;
 
+/// Settled service of an account that is known here.
+#[derive(Debug)]
+pub(crate) struct ResolvedServed {
+    account: usize,
+    total_tokens: u64,
+}
+
 impl PoolHome {
     pub(crate) fn take_report(
         &mut self,
@@ -41,7 +47,8 @@
                 return;
             }
         };
-        if let Err(reason) = self.check(report, admission) {
+        let served = self.resolve_served(report);
+        if let Err(reason) = self.check(report, &served, admission) {
             return self.counters.reject(reason);
         }
         let router = match admission {
@@ -51,7 +58,8 @@
                 self.add_router(&report.from)
             }
         };
-        self.apply(now, router, report);
+        self.apply(now, router, report, &served);
+        self.resolved_served = served;
     }
 
     fn ask_full_from(&mut self, now: Duration, from: &Member, actions: &mut Vec<HomeAction>) {
@@ -63,7 +71,12 @@
     }
 
     /// Checks all counters first, so that a refused report changes nothing.
-    fn check(&self, report: &EntryReport, admission: Admission) -> Result<(), RejectionReason> {
+    fn check(
+        &self,
+        report: &EntryReport,
+        served: &[ResolvedServed],
+        admission: Admission,
+    ) -> Result<(), RejectionReason> {
         check_counters(report)?;
         let Admission::Known(router) = admission else {
             return Ok(());
@@ -73,24 +86,44 @@
         if known_run && report.grants_received > record.last_granted {
             return Err(RejectionReason::AbsurdCounter);
         }
-        let went_down = report.served.iter().any(|served| {
-            let account = self.accounts.find(&served.account);
-            account.is_some_and(|account| {
-                served.total_tokens < self.accounts.ledger().total_tokens(router, account)
-            })
-        });
+        let ledger = self.accounts.ledger();
+        let went_down = served
+            .iter()
+            .any(|served| served.total_tokens < ledger.total_tokens(router, served.account));
         if went_down {
             return Err(RejectionReason::ServedWentDown);
         }
         Ok(())
     }
 
-    fn apply(&mut self, now: Duration, router: usize, report: &EntryReport) {
+    /// Finds the accounts of settled service once, in a buffer that is used again.
+    fn resolve_served(&mut self, report: &EntryReport) -> Vec<ResolvedServed> {
+        let mut resolved = std::mem::take(&mut self.resolved_served);
+        resolved.clear();
+        for served in &report.served {
+            if let Some(account) = self.accounts.find(&served.account) {
+                resolved.push(ResolvedServed {
+                    account,
+                    total_tokens: served.total_tokens,
+                });
+            }
+        }
+        resolved
+    }
+
+    fn apply(
+        &mut self,
+        now: Duration,
+        router: usize,
+        report: &EntryReport,
+        served: &[ResolvedServed],
+    ) {
         let first = self.entries.record(router).last_sequence.is_none();
         let record = self.entries.record_mut(router);
         record.last_sequence = Some(report.sequence);
         if report.full {
             record.last_full_at = now;
+            record.asked_full_at = None;
             record.named_unknown = false;
         }
         if first {
@@ -108,7 +141,10 @@
         if report.full {
             self.end_unlisted(router, report);
         }
-        self.apply_served(router, report, first);
+        for _ in served.len()..report.served.len() {
+            self.name_unknown(router, RejectionReason::UnknownAccount);
+        }
+        self.apply_served(router, served, first);
         for demand in &report.demand {
             self.apply_demand(router, demand);
         }
@@ -195,7 +231,7 @@
         true
     }
 
-    fn end(&mut self, router: usize, id: &GrantId) {
+    pub(crate) fn end(&mut self, router: usize, id: &GrantId) {
         let record = self.entries.record_mut(router);
         if let Some(held) = record.remove(&self.member, id) {
             self.free(router, &held, held.stage);
@@ -270,18 +306,16 @@
         }
     }
 
-    fn apply_served(&mut self, router: usize, report: &EntryReport, first: bool) {
-        let mut totals = Vec::new();
-        for served in &report.served {
-            match self.accounts.find(&served.account) {
-                Some(account) => totals.push((account, served.total_tokens)),
-                None => self.name_unknown(router, RejectionReason::UnknownAccount),
-            }
-        }
+    fn apply_served(&mut self, router: usize, served: &[ResolvedServed], first: bool) {
         if first {
+            let totals = served.iter().map(|s| (s.account, s.total_tokens));
             return self.accounts.admit_run(router, totals);
         }
-        for (account, total_tokens) in totals {
+        for &ResolvedServed {
+            account,
+            total_tokens,
+        } in served
+        {
             self.accounts.merge_served(router, account, total_tokens);
             self.touched.push(account);
         }
@@ -323,66 +357,6 @@
         }
         self.touched.push(account);
     }
-
-    pub(crate) fn set_members(
-        &mut self,
-        now: Duration,
-        members: &[Member],
-        actions: &mut Vec<HomeAction>,
-    ) {
-        self.members_known = true;
-        for router in self.entries.indices() {
-            let host = &self.entries.record(router).member.host;
-            if !members.iter().any(|member| member.host == *host) {
-                self.remove_router(router);
-            }
-        }
-        for member in members {
-            self.set_member(now, member, actions);
-        }
-    }
-
-    fn set_member(&mut self, now: Duration, member: &Member, actions: &mut Vec<HomeAction>) {
-        if let Some(router) = self.entries.find(&member.host) {
-            if self.entries.record(router).member.incarnation >= member.incarnation {
-                return;
-            }
-            self.remove_router(router);
-        }
-        let router = self.add_router(member);
-        self.ask_full(now, router, actions);
-    }
-
-    fn add_router(&mut self, member: &Member) -> usize {
-        let host_site = self
-            .host_sites
-            .iter()
-            .find(|known| known.host == member.host);
-        let site = host_site.map(|known| self.slots.site(&known.site));
-        self.entries.add(member, site)
-    }
-
-    /// Frees everything that a run holds: when it is gone its streams are cut.
-    fn remove_router(&mut self, router: usize) {
-        let ids = self.entries.record(router).grant_ids(&self.member);
-        for id in ids {
-            self.end(router, &id);
-        }
-        let waited = self.demand.remove_router(router);
-        self.touched.extend(waited);
-        self.accounts.close_run(router);
-        self.entries.remove(router);
-    }
-
-    pub(crate) fn set_host_sites(&mut self, host_sites: Vec<HostSite>) {
-        for known in &host_sites {
-            let site = self.slots.site(&known.site);
-            if let Some(router) = self.entries.find(&known.host) {
-                self.entries.record_mut(router).site = Some(site);
-            }
-        }
-        self.host_sites = host_sites;
-    }
 }
 
 fn key_of(router: usize, held: &Held) -> DemandKey {
--- a/crates/coordination/tests/home_fuzz/router.rs
+++ b/crates/coordination/tests/home_fuzz/router.rs
@@ -29,6 +29,7 @@
     home: Member,
     sequence: u64,
     grants_received: u64,
+    reported_grants: u64,
     must_send_full: bool,
     served_tokens: BTreeMap<AccountId, u64>,
     changed_queues: BTreeSet<QueueKey>,
@@ -51,6 +52,7 @@
             outbox: VecDeque::new(),
             sequence: 0,
             grants_received: 0,
+            reported_grants: 0,
             must_send_full: true,
             served_tokens: BTreeMap::new(),
             changed_queues: BTreeSet::new(),
@@ -145,6 +147,7 @@
         report.sequence = self.sequence;
         report.full = full;
         report.grants_received = self.grants_received;
+        self.reported_grants = self.grants_received;
         report.demand = demand.collect();
         report.served = served.collect();
         if full {
@@ -168,6 +171,13 @@
         self.must_send_full = true;
     }
 
+    /// Whether a report would say anything that the one before it did not.
+    pub fn has_news(&self) -> bool {
+        let news = !self.next.ended.is_empty() || !self.next.holdings.is_empty();
+        let unacknowledged = self.grants_received != self.reported_grants;
+        news || unacknowledged || self.must_send_full || !self.changed_queues.is_empty()
+    }
+
     pub fn waits(&self) -> bool {
         self.waiting.values().any(|queue| !queue.is_empty())
     }
--- a/crates/coordination/tests/pool_home.rs
+++ b/crates/coordination/tests/pool_home.rs
@@ -176,6 +176,34 @@
     assert_eq!(fleet.grants[1].0, member(1));
 }
 
+// Callers at one router wait for good. A grant to it was lost, so it gets no other until it reports;
+// the request for a full report was lost too, and the router has nothing new to say. The home asks
+// again until the report comes.
+#[test]
+fn an_unanswered_request_for_a_full_report_is_repeated() {
+    let mut fleet = Fleet::new(1, &[("desk-1", 1)], &[("a", 1)]);
+    fleet.wait(0, "a", 2);
+    let ask = [HomeAction::AskFull { to: member(0) }];
+    assert_eq!(fleet.tick(ms(1_000)), ask);
+    assert_eq!(fleet.tick(ms(100)), []);
+    assert_eq!(fleet.tick(ms(200)), ask);
+    let mut answer = report(0, 3, true);
+    answer.demand.push(demand("a", 2));
+    fleet.send(answer);
+    assert_eq!(fleet.grants.len(), 2);
+    assert_eq!(fleet.tick(ms(300)), []);
+}
+
+// Callers at one router wait though a slot is idle. The report of them was lost, and none came after
+// it that would have shown a gap. The home asks every router for a full report now and then.
+#[test]
+fn a_router_with_nothing_new_to_say_is_asked_in_the_end() {
+    let mut fleet = Fleet::new(1, &[("desk-1", 1)], &[("a", 1)]);
+    assert_eq!(fleet.tick(ms(29_000)), []);
+    let ask = [HomeAction::AskFull { to: member(0) }];
+    assert_eq!(fleet.tick(ms(11_000)), ask);
+}
+
 // A caller's request ends though another one still runs under the same grant id, so its endpoint
 // runs one request too many. A run left and rejoined while a grant was on its way to it; the home
 // had forgotten the run and started its sequence again.
--- a/crates/coordination/tests/pool_home_fuzz.rs
+++ b/crates/coordination/tests/pool_home_fuzz.rs
@@ -343,7 +343,9 @@
         while !self.routers[router].running.is_empty() {
             self.routers[router].finish(0, 1);
         }
-        self.routers[router].report(false);
+        if self.routers[router].has_news() {
+            self.routers[router].report(false);
+        }
         while !self.routers[router].outbox.is_empty() {
             self.deliver(router);
         }
