test(coordination): linearizability of the claim register, writes of the dead

Killed routers and coordinators in the fuzz tests now leave their last writes on the way, to arrive at any later time.

News of members asks the claims for nothing any more: the router discards the actions of that event, so a transaction that fell due with it was lost with its claims. Backoff takes the shared seeded generator.

--- a/crates/coordination/src/backoff.rs
+++ b/crates/coordination/src/backoff.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::random::SeededRandom;
+
 const MAX_DOUBLINGS: u32 = 16;
 
 /// Spreads retries, so that hosts which failed together do not return together.
@@ -9,7 +11,7 @@
 pub struct Backoff {
     base: Duration,
     cap: Duration,
-    random_state: u64,
+    random: SeededRandom,
 }
 
 impl Backoff {
@@ -26,7 +28,7 @@
         Self {
             base,
             cap,
-            random_state: seed,
+            random: SeededRandom::new(seed),
         }
     }
 
@@ -71,15 +73,6 @@
     /// ```
     pub fn spread(&mut self, full: Duration) -> Duration {
         let span_us = u64::try_from(full.as_micros()).unwrap_or(u64::MAX);
-        Duration::from_micros(self.next_random() % span_us.saturating_add(1))
-    }
-
-    // SplitMix64.
-    fn next_random(&mut self) -> u64 {
-        self.random_state = self.random_state.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut z = self.random_state;
-        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        z ^ (z >> 31)
+        Duration::from_micros(self.random.below(span_us.saturating_add(1)))
     }
 }
--- a/crates/coordination/src/claim_events.rs
+++ b/crates/coordination/src/claim_events.rs
@@ -75,7 +75,7 @@
         /// How it ended.
         outcome: ClaimOutcome,
     },
-    /// The members believed alive changed.
+    /// The members believed alive changed. Asks for no action, whatever is due.
     Members(Vec<Member>),
     /// A store call ended.
     Store(StoreEvent),
--- a/crates/coordination/src/claims.rs
+++ b/crates/coordination/src/claims.rs
@@ -107,7 +107,10 @@
                 self.give_up(now, &request, ClaimRefusal::GivenUp, actions);
             }
             ClaimEvent::Finished { request, outcome } => self.finish(now, &request, outcome),
-            ClaimEvent::Members(members) => self.alive = members.into_iter().collect(),
+            ClaimEvent::Members(members) => {
+                self.alive = members.into_iter().collect();
+                return;
+            }
             ClaimEvent::Store(event) => self.take_answer(now, event, actions),
             ClaimEvent::Tick => {}
         }
--- a/crates/coordination/tests/claims.rs
+++ b/crates/coordination/tests/claims.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::claim_fleet::ClaimFleet;
 use common::claim_fleet::Told;
 use common::claim_fleet::answer_of;
@@ -231,3 +233,17 @@
     assert_eq!(fleet.told(&request), [slow]);
     fleet.check();
 }
+
+// The membership changes at the moment at which a claim's transaction is due. News of members
+// comes from another part of the router, where a call for the table would be lost: the claim would
+// wait for an answer that never comes. The call is made on the next tick.
+#[test]
+fn news_of_members_asks_for_nothing() {
+    let mut fleet = fleet();
+    fleet.claim(0, KEY, BODY);
+    fleet.now += Duration::from_millis(50);
+    fleet.event(0, ClaimEvent::Members(Vec::new()));
+    assert!(fleet.routers[0].calls.is_empty());
+    fleet.advance(0);
+    assert_eq!(fleet.routers[0].calls.len(), 1);
+}
--- /dev/null
+++ b/crates/coordination/tests/claims_linearizable.rs
@@ -0,0 +1,270 @@
+//! Recorded concurrent runs of the claims, checked for linearizability.
+//!
+//! The register of one idempotency key is free, claimed by a request, or holds its answer. Callers
+//! of three routers use few keys at the same time, the store loses, delays and refuses calls, and
+//! the history of each key is checked by itself, as linearizability is local.
+
+mod common;
+
+use common::claim_fleet::ClaimFleet;
+use common::claim_fleet::Told;
+use common::claim_fleet::answer_of;
+use common::store::Fate;
+use sedgeridge_coordination::claim_events::ClaimEvent;
+use sedgeridge_coordination::claim_events::ClaimSettings;
+use sedgeridge_coordination::random::SeededRandom;
+use sedgeridge_state::ids::RequestId;
+use todc_utils::Action;
+use todc_utils::History;
+use todc_utils::Specification;
+use todc_utils::WGLChecker;
+
+const ROUTERS: u64 = 3;
+const KEYS: u64 = 2;
+const RUNS: u64 = 300;
+const STEPS: u64 = 150;
+const MOST_REQUESTS: usize = 24;
+
+/// What one request did to the register of its key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Operation {
+    /// It claimed the key and was dispatched.
+    Claimed(RequestId),
+    /// It was given the answer of another request.
+    Replayed(RequestId),
+    /// It was refused, or never answered.
+    Nothing,
+    /// It ended without having run.
+    Released(RequestId),
+    /// It ended with an answer.
+    Answered(RequestId),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum Register {
+    Free,
+    Claimed(RequestId),
+    Answered(RequestId),
+}
+
+struct ClaimRegister;
+
+impl Specification for ClaimRegister {
+    type State = Register;
+    type Operation = Operation;
+
+    fn init() -> Register {
+        Register::Free
+    }
+
+    fn apply(operation: &Operation, state: &Register) -> (bool, Register) {
+        match (operation, state) {
+            (Operation::Nothing, _) => (true, state.clone()),
+            (Operation::Claimed(request), Register::Free) => {
+                (true, Register::Claimed(request.clone()))
+            }
+            (Operation::Released(request), Register::Claimed(holder)) if request == holder => {
+                (true, Register::Free)
+            }
+            (Operation::Answered(request), Register::Claimed(holder)) if request == holder => {
+                (true, Register::Answered(request.clone()))
+            }
+            (Operation::Replayed(request), Register::Answered(holder)) if request == holder => {
+                (true, state.clone())
+            }
+            _ => (false, state.clone()),
+        }
+    }
+}
+
+/// Calls and responses in the order in which they happened.
+#[derive(Debug, Default)]
+struct Recorder {
+    /// Key, process and action.
+    actions: Vec<(u32, usize, Action<Operation>)>,
+    processes: usize,
+    /// Requests that were sent and not answered, with their processes.
+    open: Vec<(RequestId, usize)>,
+    /// Operations whose effect may come at any later time.
+    unended: Vec<(u32, usize, Operation)>,
+}
+
+impl Recorder {
+    fn call(&mut self, key: u32, operation: Operation) -> usize {
+        self.processes += 1;
+        let process = self.processes;
+        self.actions.push((key, process, Action::Call(operation)));
+        process
+    }
+
+    fn sent(&mut self, key: u32, request: RequestId) {
+        let process = self.call(key, Operation::Nothing);
+        self.open.push((request, process));
+    }
+
+    /// Notes the answers that came since the last step.
+    fn note_answers(&mut self, fleet: &ClaimFleet) {
+        let open = std::mem::take(&mut self.open);
+        for (request, process) in open {
+            let sent = &fleet.sent[&request];
+            let operation = match sent.told.first() {
+                None => {
+                    self.open.push((request, process));
+                    continue;
+                }
+                Some(Told::Dispatched) => Operation::Claimed(request),
+                Some(Told::Refused(_)) => Operation::Nothing,
+                Some(Told::Replayed(answer)) => {
+                    let mut all = fleet.sent.keys();
+                    let first = all.find(|r| answer_of(r) == *answer);
+                    Operation::Replayed(first.expect("the request that ran").clone())
+                }
+            };
+            self.actions
+                .push((sent.key, process, Action::Response(operation)));
+        }
+    }
+
+    /// Ends the operations that may take effect until the end, and the requests never answered.
+    fn finish(mut self, fleet: &ClaimFleet) -> Self {
+        for (key, process, operation) in std::mem::take(&mut self.unended) {
+            self.actions
+                .push((key, process, Action::Response(operation)));
+        }
+        for (request, process) in std::mem::take(&mut self.open) {
+            let key = fleet.sent[&request].key;
+            self.actions
+                .push((key, process, Action::Response(Operation::Nothing)));
+        }
+        self
+    }
+
+    fn is_linearizable(&self, key: u32) -> bool {
+        let of_key = self.actions.iter().filter(|(k, _, _)| *k == key);
+        let actions: Vec<_> = of_key.map(|(_, p, action)| (*p, action.clone())).collect();
+        actions.is_empty() || WGLChecker::<ClaimRegister>::is_linearizable(renumber(actions))
+    }
+}
+
+/// Numbers processes from 0, as the checker keeps a list by process.
+fn renumber(actions: Vec<(usize, Action<Operation>)>) -> History<Operation> {
+    let mut seen = Vec::new();
+    let numbered = actions.into_iter().map(|(process, action)| {
+        let known = seen.iter().position(|p| *p == process);
+        let number = known.unwrap_or_else(|| {
+            seen.push(process);
+            seen.len() - 1
+        });
+        (number, action)
+    });
+    History::from_actions(numbered.collect())
+}
+
+fn fate(random: &mut SeededRandom) -> Fate {
+    match random.below(10) {
+        0 => Fate::AnswerLost,
+        1 => Fate::CallLost,
+        2 => Fate::RunsLate,
+        3 => Fate::Refused,
+        4 => Fate::Stale(2),
+        _ => Fate::Answered,
+    }
+}
+
+fn record(seed: u64) -> Recorder {
+    let mut random = SeededRandom::new(seed);
+    let mut fleet = ClaimFleet::new(ROUTERS as usize, ClaimSettings::default());
+    let mut recorder = Recorder::default();
+    for _ in 0..STEPS {
+        let router = random.below(ROUTERS) as usize;
+        match random.below(20) {
+            0..5 if fleet.sent.len() < MOST_REQUESTS => {
+                let key = random.below(KEYS) as u32;
+                let request = fleet.claim(router, key, 0);
+                recorder.sent(key, request);
+            }
+            0..14 => fleet.deliver(router, fate(&mut random)),
+            14 => fleet.store.run_late(),
+            15 => fleet.restart(router),
+            16..18 => finish(&mut fleet, &mut recorder, router, random.below(2) as u8),
+            _ => fleet.advance([20, 100, 400][random.below(3) as usize]),
+        }
+        recorder.note_answers(&fleet);
+    }
+    recorder.finish(&fleet)
+}
+
+fn finish(fleet: &mut ClaimFleet, recorder: &mut Recorder, router: usize, kind: u8) {
+    let Some(request) = fleet.routers[router].running.front().cloned() else {
+        return;
+    };
+    let key = fleet.sent[&request].key;
+    let operation = match kind {
+        0 => Operation::Answered(request),
+        _ => Operation::Released(request),
+    };
+    let process = recorder.call(key, operation.clone());
+    recorder.unended.push((key, process, operation));
+    fleet.finish(router, kind);
+}
+
+// Routers are killed, answers lost and writes delayed while callers repeat their keys elsewhere.
+// Whatever they were told must fit one order in which each key was claimed by one at a time, freed
+// only by a holder that did not run, and answered only with the holder's answer.
+#[test]
+fn claims_of_concurrent_callers_are_linearizable() {
+    let mut claimed = 0;
+    let mut replayed = 0;
+    for seed in 0..RUNS {
+        let recorder = record(seed);
+        for (_, _, action) in &recorder.actions {
+            let Action::Response(operation) = action else {
+                continue;
+            };
+            claimed += usize::from(matches!(operation, Operation::Claimed(_)));
+            replayed += usize::from(matches!(operation, Operation::Replayed(_)));
+        }
+        for key in 0..KEYS as u32 {
+            let is_linearizable = recorder.is_linearizable(key);
+            assert!(
+                is_linearizable,
+                "seed {seed}, key {key}: {:#?}",
+                recorder.actions
+            );
+        }
+    }
+    println!("{RUNS} runs: {claimed} claims, {replayed} replays");
+    assert!(claimed > 100 && replayed > 10, "the runs show too little");
+}
+
+// The checker itself refuses a history in which one key was claimed twice.
+#[test]
+fn a_key_claimed_twice_is_not_linearizable() {
+    let mut recorder = Recorder::default();
+    for name in ["request-1", "request-2"] {
+        let process = recorder.call(0, Operation::Nothing);
+        let claimed = Operation::Claimed(RequestId::from(name));
+        recorder
+            .actions
+            .push((0, process, Action::Response(claimed)));
+    }
+    assert!(!recorder.is_linearizable(0));
+}
+
+// A caller that gave up may still be claimed for; nothing is dispatched and the key stays usable.
+#[test]
+fn a_claim_given_up_leaves_no_trace_in_the_history() {
+    let mut fleet = ClaimFleet::new(1, ClaimSettings::default());
+    let mut recorder = Recorder::default();
+    let first = fleet.claim(0, 0, 0);
+    recorder.sent(0, first.clone());
+    fleet.advance(20);
+    fleet.event(0, ClaimEvent::GiveUp(first));
+    recorder.note_answers(&fleet);
+    let second = fleet.claim(0, 0, 0);
+    recorder.sent(0, second);
+    fleet.heal();
+    recorder.note_answers(&fleet);
+    let recorder = recorder.finish(&fleet);
+    assert!(recorder.is_linearizable(0));
+}
--- a/crates/coordination/tests/common/claim_fleet.rs
+++ b/crates/coordination/tests/common/claim_fleet.rs
@@ -204,8 +204,11 @@
         self.event(router, ClaimEvent::Finished { request, outcome });
     }
 
-    /// Kills a router and starts it again with no memory.
+    /// Kills a router and starts it again with no memory. What it sent may still arrive.
     pub fn restart(&mut self, router: usize) {
+        for call in &self.routers[router].calls {
+            self.store.leave_on_the_way(call);
+        }
         let incarnation = self.routers[router].member.incarnation.0 + 1;
         self.any_restart = true;
         self.routers[router] = self.start(router, incarnation);
--- a/crates/coordination/tests/common/lease_fleet.rs
+++ b/crates/coordination/tests/common/lease_fleet.rs
@@ -78,8 +78,11 @@
         }
     }
 
-    /// Kills a host and starts it again with no memory.
+    /// Kills a host and starts it again with no memory. What it sent may still arrive.
     pub fn restart(&mut self, index: usize) {
+        for call in &self.hosts[index].calls {
+            self.store.leave_on_the_way(call);
+        }
         let incarnation = self.hosts[index].member.incarnation.0 + 1;
         self.hosts[index] = self.start(index, incarnation);
     }
--- a/crates/coordination/tests/common/store.rs
+++ b/crates/coordination/tests/common/store.rs
@@ -59,6 +59,13 @@
         }
     }
 
+    /// Keeps a write on its way, as when its sender dies.
+    pub fn leave_on_the_way(&mut self, action: &StoreAction) {
+        if let StoreAction::Transact { checks, writes, .. } = action {
+            self.late.push((checks.clone(), writes.clone()));
+        }
+    }
+
     /// Runs the oldest write that is still on its way.
     pub fn run_late(&mut self) {
         if !self.late.is_empty() {
