test(coordination): an older whole configuration handed over by a peer

The test handed over the newest one, and stayed green with the check for lower generations taken out. It now hands over generation 1 to a router at 3; with the check taken out it is red: "host 0 turned back".

--- a/crates/coordination/tests/config_adoption.rs
+++ b/crates/coordination/tests/config_adoption.rs
@@ -2,11 +2,16 @@
 
 mod common;
 
+use std::sync::Arc;
+
 use common::config_fleet::ConfigFleet;
 use common::store::Fate;
 use sedgeridge_coordination::config_events::ConfigAction;
 use sedgeridge_coordination::config_events::ConfigEvent;
+use sedgeridge_coordination::config_events::ConfigItem;
+use sedgeridge_coordination::config_events::ConfigItemContent;
 use sedgeridge_coordination::config_events::Generation;
+use sedgeridge_coordination::store_call::CallId;
 
 fn fleet_at(generation: usize) -> ConfigFleet {
     let mut fleet = ConfigFleet::new(3);
@@ -67,9 +72,12 @@
     fleet.routers[0].calls.clear();
     fleet.advance(1_000);
     serve(&mut fleet, 0, Fate::Stale(2));
-    let old = fleet.routers[1].adoption.changes_after(Some(Generation(0)));
-    let items = old.expect("the whole configuration first");
-    let call = sedgeridge_coordination::store_call::CallId(u64::MAX);
+    let old = ConfigItem {
+        generation: Generation(1),
+        content: ConfigItemContent::Whole(Arc::new(fleet.accepted[..1].to_vec())),
+    };
+    let items = vec![old];
+    let call = CallId(u64::MAX);
     fleet.event(0, ConfigEvent::Fetched { call, items });
     fleet.check_all_in_force();
 }
