--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -3,7 +3,9 @@
 pub mod chat;
 pub mod engine;
 pub mod headers;
+pub mod ledger;
 pub mod membership;
 pub mod operator;
 pub mod peer;
+pub mod peer_config;
 pub mod table;
--- a/crates/state/src/settings.rs
+++ b/crates/state/src/settings.rs
@@ -21,11 +21,13 @@
 use std::time::Duration;
 
 pub use error::Problem;
+pub use error::Rejection;
 pub use error::SettingsError;
 pub use load::Layers;
 pub use load::Source;
 pub use load::load;
 pub use load::load_layers;
+pub(crate) use load::load_raw;
 pub use overrides::Override;
 pub use overrides::OverrideError;
 pub use topology::AccountSettings;
@@ -36,7 +38,6 @@
 pub use topology::RequestClass;
 pub use topology::ServiceSettings;
 pub use topology::SiteSettings;
-pub use value::Rejection;
 pub use value::check_name;
 pub use value::check_setting;
 
@@ -274,9 +275,21 @@
     }
 }
 
+/// Where the configuration in force comes from.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum ConfigurationSource {
+    /// The files given at the start, until the process ends.
+    #[default]
+    Files,
+    /// The configuration accepted in the table service; the files only say where that is.
+    Table,
+}
+
 /// Section `[platform]`: addresses of the platform's services.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PlatformSettings {
+    /// Where the configuration in force comes from.
+    pub configuration: ConfigurationSource,
     /// The transactional table service.
     pub table_address: Option<SocketAddr>,
     /// The object store.
@@ -292,6 +305,7 @@
 impl Default for PlatformSettings {
     fn default() -> Self {
         Self {
+            configuration: ConfigurationSource::default(),
             table_address: None,
             object_address: None,
             host_list_address: None,
