fix(load): count a free slot only for a request that could use it

Also refuse to start on addresses in use: a process left over from an earlier run would answer in place of the new one.

--- a/crates/load/src/ready.rs
+++ b/crates/load/src/ready.rs
@@ -1,5 +1,6 @@
 //! Waits until the processes of a run can take work.
 
+use std::net::TcpListener;
 use std::str::FromStr;
 use std::thread;
 use std::time::Duration;
@@ -41,6 +42,20 @@
     }
 }
 
+/// Names of the processes whose address is taken before they start. A process left over from an
+/// earlier run would answer in their place, and the figures would be those of both runs mixed.
+pub fn taken_addresses(plan: &LoadPlan) -> Vec<String> {
+    let endpoints = plan.endpoints.iter().map(|e| (&*e.name, e.address));
+    let callers = plan.routers.iter().map(|r| (&*r.name, r.caller_address));
+    let operators = plan.routers.iter().map(|r| (&*r.name, r.operator_address));
+    let all = endpoints.chain(callers).chain(operators);
+    let all = all.chain([("table", plan.table_address)]);
+    let taken = all.filter(|(_, address)| TcpListener::bind(address).is_err());
+    taken
+        .map(|(name, address)| format!("{name} {address}"))
+        .collect()
+}
+
 /// Waits for a stage; gives the names of those that are not ready in time.
 pub fn wait(plan: &LoadPlan, stage: Stage, timeout: Duration) -> Vec<String> {
     let give_up = Instant::now() + timeout;
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -55,8 +55,11 @@
     pub weight_error_percent: Option<f64>,
     /// Busy share of the slots of the overloaded pools in the steady part.
     pub utilisation: f64,
-    /// Share of all slot-time that was free while work for it waited, in the steady part.
+    /// Share of all slot-time that was free though a waiting request could have used it, in the
+    /// steady part.
     pub idle_slot_share_while_waiting: f64,
+    /// The same for each pool.
+    pub idle_slot_share_by_pool: BTreeMap<String, f64>,
     /// Busy share of each pool.
     pub utilisation_by_pool: BTreeMap<String, f64>,
     /// Payload between routers, both directions, mean of the routers.
@@ -126,10 +129,8 @@
             weight_error_percent: weight_error_percent(&accounts, history.steady).map(round),
             utilisation: round(overloaded(plan, &pools).utilisation()),
             idle_slot_share_while_waiting: round(all(&pools).idle_share_while_waiting()),
-            utilisation_by_pool: pools
-                .iter()
-                .map(|(pool, time)| (pool.clone(), round(time.utilisation())))
-                .collect(),
+            idle_slot_share_by_pool: by_pool(&pools, SlotTime::idle_share_while_waiting),
+            utilisation_by_pool: by_pool(&pools, SlotTime::utilisation),
             control_bytes_per_node_s: peers.payload_per_node_s.map(round),
             control_wire_bytes_per_node_s: peers.wire_per_node_s.map(round),
             ttft_p50_ms: percentile_ms(&ttft_all, 0.50),
@@ -165,6 +166,16 @@
     pools.map(time).collect()
 }
 
+fn by_pool(
+    pools: &BTreeMap<String, SlotTime>,
+    figure: fn(&SlotTime) -> f64,
+) -> BTreeMap<String, f64> {
+    let figures = pools.iter();
+    figures
+        .map(|(pool, time)| (pool.clone(), round(figure(time))))
+        .collect()
+}
+
 fn all(pools: &BTreeMap<String, SlotTime>) -> SlotTime {
     sum(pools.values())
 }
--- a/crates/load/src/utilisation.rs
+++ b/crates/load/src/utilisation.rs
@@ -17,7 +17,7 @@
     pub capacity_us: u64,
     /// Slots that ran something.
     pub busy_us: u64,
-    /// Free slots while some request for the pool waited.
+    /// Free slots that a waiting request could have used: one slot for each request.
     pub idle_while_waiting_us: u64,
 }
 
@@ -97,15 +97,14 @@
         ..SlotTime::default()
     };
     let mut running = vec![0i64; slots.len()];
-    let mut waiting = 0i64;
+    let mut waiting = 0u64;
     let mut last_us = window.start_us;
     for (&at_us, steps) in steps {
         let busy = busy_slots(slots, &running);
         let elapsed_us = at_us - last_us;
         time.busy_us += busy * elapsed_us;
-        if waiting > 0 {
-            time.idle_while_waiting_us += (total_slots - busy) * elapsed_us;
-        }
+        let wanted = (total_slots - busy).min(waiting);
+        time.idle_while_waiting_us += wanted * elapsed_us;
         last_us = at_us;
         for step in steps {
             match step {
