feat(state): address of a host's coordinator in the settings

A host runs a coordinator only when [host.*] names coordinator_address. A shared operator_address was weighed: two processes cannot listen on it.

--- a/crates/state/src/settings/assemble.rs
+++ b/crates/state/src/settings/assemble.rs
@@ -206,6 +206,7 @@
         caller_address: section.address("caller_address"),
         peer_address: section.address("peer_address"),
         operator_address: section.address("operator_address"),
+        coordinator_address: section.optional_address("coordinator_address"),
     }
 }
 
--- a/crates/state/src/settings/schema/topology.rs
+++ b/crates/state/src/settings/schema/topology.rs
@@ -1,6 +1,7 @@
 //! Schema of the sections with a name: sites, hosts, endpoints, accounts and so on.
 
 use super::Fallback::Mandatory;
+use super::Fallback::Unset;
 use super::Fallback::Value;
 use super::Scope::Fleet;
 use super::Scope::Site;
@@ -64,6 +65,13 @@
             Site,
             "Where operators and metric collectors connect.",
         ),
+        key(
+            "coordinator_address",
+            Address,
+            Unset,
+            Site,
+            "Where operators of its coordinator connect; a host without it runs no coordinator.",
+        ),
     ],
 };
 
--- a/crates/state/src/settings/topology.rs
+++ b/crates/state/src/settings/topology.rs
@@ -31,6 +31,8 @@
     pub peer_address: SocketAddr,
     /// Where operators and metric collectors connect.
     pub operator_address: SocketAddr,
+    /// Where operators of its coordinator connect; a host without it runs none.
+    pub coordinator_address: Option<SocketAddr>,
 }
 
 /// Section `[pool.NAME]`: endpoints that share the same work.
