feat(coordination): orders written by operators, and drains proved by reports of a later time

The holder reads the rows that changed each second, so an operator's order is taken up at once and an intent missed by a stale first read no longer waits half a minute.

A report with no work counted although its figures could be older than the end of the drain. Reports now carry the time of their figures. Holding back for the longest lag was weighed; the lag has no bound that anybody promises.

--- a/crates/coordination/src/lease.rs
+++ b/crates/coordination/src/lease.rs
@@ -4,6 +4,8 @@
 //! lease over when its own clock has counted a whole term without a renewal. The holder counts its
 //! term from the moment it sent the renewal, so it always stops first.
 
+mod view;
+
 use std::time::Duration;
 
 use sedgeridge_state::ids::Member;
--- /dev/null
+++ b/crates/coordination/src/lease/view.rs
@@ -0,0 +1,37 @@
+//! What others may know of the lease.
+
+use sedgeridge_state::lease_record::LeaseRecord;
+
+use crate::lease::Lease;
+
+impl Lease {
+    /// Returns the lease's record as last read or written, whoever holds it.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::lease::Lease;
+    /// use sedgeridge_coordination::lease_events::LeaseSettings;
+    /// use sedgeridge_state::ids::*;
+    ///
+    /// let member = Member { host: HostId::from("r1"), incarnation: Incarnation(1) };
+    /// assert!(Lease::new(member, LeaseSettings::default(), 7).record().is_none());
+    /// ```
+    pub fn record(&self) -> Option<&LeaseRecord> {
+        let own = self.own.as_ref().map(|(record, _)| record);
+        own.or_else(|| self.seen.as_ref()?.record.as_ref())
+    }
+
+    /// Tells whether a lease that was told to stop has nothing left to give back.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::lease::Lease;
+    /// use sedgeridge_coordination::lease_events::LeaseSettings;
+    /// use sedgeridge_state::ids::*;
+    ///
+    /// let member = Member { host: HostId::from("r1"), incarnation: Incarnation(1) };
+    /// assert!(!Lease::new(member, LeaseSettings::default(), 7).is_given_back());
+    /// ```
+    pub fn is_given_back(&self) -> bool {
+        let is_idle = self.pending.is_none() && self.unsettled.is_none();
+        self.stopping && is_idle && self.own.is_none()
+    }
+}
--- a/crates/coordination/src/order_events.rs
+++ b/crates/coordination/src/order_events.rs
@@ -25,6 +25,8 @@
     pub store_retry_ms: u64,
     /// Time between two reads of all orders.
     pub rescan_interval_ms: u64,
+    /// Time between two reads of the orders that changed.
+    pub poll_interval_ms: u64,
     /// Time after which every router has heard of a drain.
     pub drain_settle_ms: u64,
 }
@@ -37,6 +39,7 @@
             max_order_delay_ms: 5_000,
             store_retry_ms: 1_000,
             rescan_interval_ms: 30_000,
+            poll_interval_ms: 1_000,
             drain_settle_ms: 3_000,
         }
     }
@@ -69,6 +72,13 @@
         serving: bool,
         /// Requests it is running.
         in_progress: u32,
+        /// When this was so; reports lag.
+        as_of: Duration,
+    },
+    /// An endpoint's state is no longer followed, or its report could not be read.
+    EndpointUnknown {
+        /// The endpoint.
+        endpoint: EndpointId,
     },
     /// An engine answered an order, or did not.
     Answered {
--- a/crates/coordination/src/orders.rs
+++ b/crates/coordination/src/orders.rs
@@ -7,7 +7,9 @@
 
 mod job;
 mod pools;
+mod reads;
 mod settle;
+mod view;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -15,7 +17,6 @@
 use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::lease_record::EPOCH_KEY;
 use sedgeridge_state::order_record::EngineOrder;
-use sedgeridge_state::order_record::ORDER_PREFIX;
 use sedgeridge_state::order_record::OrderRecord;
 use sedgeridge_state::order_record::OrderState;
 use sedgeridge_state::order_record::order_key;
@@ -35,13 +36,15 @@
 use crate::store_call::CallId;
 use crate::store_call::StoreAction;
 use crate::store_call::StoreCheck;
-use crate::store_call::StoreQuery;
 use crate::store_call::StoreWrite;
 
+pub use crate::orders::view::OpenOrder;
+
 /// What a call under way is for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Purpose {
     Recover,
+    Poll,
     Write(EndpointId),
     ReadBack(EndpointId),
 }
@@ -57,6 +60,9 @@
     jobs: BTreeMap<EndpointId, Job>,
     next_load_at: Duration,
     recover_at: Duration,
+    poll_at: Duration,
+    /// Highest version among the rows read; a poll leaves out what is not newer.
+    read_version: u64,
     calls: CallCounter,
     pending: BTreeMap<CallId, Purpose>,
 }
@@ -79,6 +85,8 @@
             jobs: BTreeMap::new(),
             next_load_at: Duration::ZERO,
             recover_at: Duration::ZERO,
+            poll_at: Duration::ZERO,
+            read_version: 0,
             calls: CallCounter::default(),
             pending: BTreeMap::new(),
         }
@@ -105,7 +113,9 @@
                 endpoint,
                 serving,
                 in_progress,
-            } => self.pools.report(endpoint, serving, in_progress),
+                as_of,
+            } => self.pools.report(endpoint, serving, in_progress, as_of),
+            OrderEvent::EndpointUnknown { endpoint } => self.pools.forget(&endpoint),
             OrderEvent::Answered {
                 endpoint,
                 number,
@@ -127,17 +137,23 @@
     fn take_lease(&mut self, now: Duration, lease: Option<HeldLease>) {
         let fencing = |lease: Option<HeldLease>| lease.map(|l| l.fencing);
         if fencing(lease) != fencing(self.lease) {
-            self.known = None;
-            self.jobs.clear();
-            self.pending.clear();
+            self.forget_orders(now);
             self.pools.forget_drains();
-            self.recover_at = now;
             // The holder before may have spent the weight store's allowance just now.
             self.next_load_at = now + millis(self.settings.load_interval_ms);
         }
         self.lease = lease;
     }
 
+    /// Has all orders read again before any is given.
+    fn forget_orders(&mut self, read_at: Duration) {
+        self.known = None;
+        self.jobs.clear();
+        self.pending.clear();
+        self.read_version = 0;
+        self.recover_at = read_at;
+    }
+
     fn want(
         &mut self,
         now: Duration,
@@ -249,20 +265,6 @@
         }
     }
 
-    /// Reads all orders, at first and again now and then: the first read may have been stale, and
-    /// an intent that it missed would wait for the next change of holder.
-    fn read_orders(&mut self, now: Duration, actions: &mut Vec<OrderAction>) {
-        if self.recover_at <= now {
-            self.recover_at = now + millis(self.settings.rescan_interval_ms);
-            let call = self.begin(Purpose::Recover);
-            let query = StoreQuery::Prefix {
-                prefix: ORDER_PREFIX.into(),
-                after_version: 0,
-            };
-            actions.push(OrderAction::Store(StoreAction::Read { call, query }));
-        }
-    }
-
     fn begin(&mut self, purpose: Purpose) -> CallId {
         let call = self.calls.next();
         self.pending.insert(call, purpose);
@@ -292,7 +294,7 @@
                 }
             }
             Stage::Draining { settled_at } => {
-                if settled_at <= now && self.pools.is_empty(endpoint) {
+                if settled_at <= now && self.pools.was_empty(endpoint, settled_at) {
                     self.enter(endpoint, Stage::AwaitingSend);
                     self.send(now, endpoint, actions);
                 }
@@ -310,8 +312,10 @@
         let (Some(lease), Some(job)) = (self.lease, self.jobs.get_mut(endpoint)) else {
             return;
         };
-        let checks_fencing = self.pools.get(endpoint).is_some_and(|e| e.checks_fencing);
-        if !checks_fencing && now < lease.unfenced_from {
+        let Some(known) = self.pools.get(endpoint) else {
+            return;
+        };
+        if !known.checks_fencing && now < lease.unfenced_from {
             return;
         }
         if job.record.order.reads_weights() {
--- a/crates/coordination/src/orders/pools.rs
+++ b/crates/coordination/src/orders/pools.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::ids::PoolId;
@@ -13,6 +14,7 @@
 struct Report {
     serving: bool,
     in_progress: u32,
+    as_of: Duration,
 }
 
 /// Endpoints, what they reported, and which of them are drained.
@@ -31,14 +33,36 @@
         self.floors = floors.into_iter().map(|f| (f.pool, f.floor)).collect();
     }
 
-    pub(super) fn report(&mut self, endpoint: EndpointId, serving: bool, in_progress: u32) {
+    pub(super) fn report(
+        &mut self,
+        endpoint: EndpointId,
+        serving: bool,
+        in_progress: u32,
+        as_of: Duration,
+    ) {
         let report = Report {
             serving,
             in_progress,
+            as_of,
         };
         self.reports.insert(endpoint, report);
     }
 
+    /// Forgets an endpoint's report: it counts as neither serving nor idle.
+    pub(super) fn forget(&mut self, endpoint: &EndpointId) {
+        self.reports.remove(endpoint);
+    }
+
+    /// Lists the endpoints of an endpoint's pool, itself included.
+    pub(super) fn pool_of(&self, endpoint: &EndpointId) -> impl Iterator<Item = &EndpointId> {
+        let pool = self.endpoints.get(endpoint).map(|e| &e.pool);
+        let members = self
+            .endpoints
+            .values()
+            .filter(move |e| Some(&e.pool) == pool);
+        members.map(|e| &e.id)
+    }
+
     pub(super) fn get(&self, endpoint: &EndpointId) -> Option<&OrderEndpoint> {
         self.endpoints.get(endpoint)
     }
@@ -71,10 +95,13 @@
         self.drained.clear();
     }
 
-    /// Tells whether the newest report shows no work in progress.
-    pub(super) fn is_empty(&self, endpoint: &EndpointId) -> bool {
+    /// Tells whether a report shows that there was no work in progress at `since` or later.
+    ///
+    /// Reports lag: one that comes after the drain has settled may tell of the time before, when
+    /// routers still sent requests, and an order on the strength of it would cut them off.
+    pub(super) fn was_empty(&self, endpoint: &EndpointId, since: Duration) -> bool {
         let report = self.reports.get(endpoint);
-        report.is_some_and(|r| r.in_progress == 0)
+        report.is_some_and(|r| r.in_progress == 0 && since <= r.as_of)
     }
 
     fn is_serving(&self, endpoint: &EndpointId) -> bool {
--- a/crates/coordination/src/orders/settle.rs
+++ b/crates/coordination/src/orders/settle.rs
@@ -14,9 +14,7 @@
 use crate::orders::Purpose;
 use crate::orders::job::Job;
 use crate::orders::job::Stage;
-use crate::store_call::StoreAction;
 use crate::store_call::StoreEvent;
-use crate::store_call::StoreQuery;
 use crate::store_call::StoreResult;
 use crate::store_call::StoreRow;
 use crate::store_call::find_row;
@@ -29,7 +27,10 @@
         actions: &mut Vec<OrderAction>,
     ) {
         match (self.pending.remove(&event.call), event.result) {
-            (Some(Purpose::Recover), StoreResult::Rows(rows)) => self.take_orders(now, &rows),
+            (Some(Purpose::Recover | Purpose::Poll), StoreResult::Rows(rows)) => {
+                self.take_orders(now, &rows);
+            }
+            (Some(Purpose::Poll), _) => {}
             (Some(Purpose::Recover), _) => {
                 self.recover_at = now + millis(self.settings.store_retry_ms);
             }
@@ -54,10 +55,11 @@
         }
     }
 
-    /// Takes up the orders that earlier holders left open.
+    /// Takes up the orders that earlier holders left open, or that operators wrote.
     fn take_orders(&mut self, now: Duration, rows: &[StoreRow]) {
         let known = self.known.get_or_insert_default();
         for row in rows {
+            self.read_version = self.read_version.max(row.version);
             let Some(record) = row.value.as_deref().and_then(OrderRecord::decode) else {
                 continue;
             };
@@ -119,19 +121,10 @@
             self.take_lease(now, None);
         } else {
             // The orders were read stale.
-            self.jobs.clear();
-            self.pending.clear();
-            self.known = None;
-            self.recover_at = now + millis(self.settings.store_retry_ms);
+            self.forget_orders(now + millis(self.settings.store_retry_ms));
         }
     }
 
-    fn read_row(&mut self, endpoint: &EndpointId, actions: &mut Vec<OrderAction>) {
-        let call = self.begin(Purpose::ReadBack(endpoint.clone()));
-        let query = StoreQuery::Keys(vec![order_key(endpoint)]);
-        actions.push(OrderAction::Store(StoreAction::Read { call, query }));
-    }
-
     /// Settles a write whose answer was lost, if its row stands in the table.
     fn take_own_row(
         &mut self,
--- a/crates/coordination/tests/common/order_bench.rs
+++ b/crates/coordination/tests/common/order_bench.rs
@@ -1,5 +1,6 @@
 //! One coordinator after another that gives orders to three engines of one pool.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -41,6 +42,8 @@
     pub read_backs: Vec<u64>,
     pub ended: Vec<(EndpointId, OrderState)>,
     pub refused: Vec<OrderRefusal>,
+    /// Requests in progress by endpoint, as reported with each step of time.
+    in_progress: BTreeMap<String, u32>,
     checks_fencing: bool,
 }
 
@@ -58,6 +61,7 @@
             read_backs: Vec::new(),
             ended: Vec::new(),
             refused: Vec::new(),
+            in_progress: BTreeMap::new(),
             checks_fencing,
         };
         bench.take_over();
@@ -132,7 +136,9 @@
             endpoint: endpoint.into(),
             serving: true,
             in_progress,
+            as_of: self.now,
         });
+        self.in_progress.insert(endpoint.to_owned(), in_progress);
     }
 
     /// An engine answers the newest order that it was sent.
@@ -163,6 +169,9 @@
     pub fn run(&mut self, for_ms: u64) {
         for _ in 0..for_ms / 100 {
             self.now += Duration::from_millis(100);
+            for (endpoint, in_progress) in self.in_progress.clone() {
+                self.report(&endpoint, in_progress);
+            }
             self.event(OrderEvent::Tick);
             self.deliver_all();
         }
