--- /dev/null
+++ b/crates/coordination/src/coordinator.rs
@@ -0,0 +1,317 @@
+//! One coordinator's decisions as a whole: the lease, the orders to engines and the sweep of
+//! expired claims.
+
+use std::time::Duration;
+
+use sedgeridge_state::ids::EndpointId;
+use sedgeridge_state::ids::Member;
+use sedgeridge_state::lease_record::FencingNumber;
+use sedgeridge_state::lease_record::LeaseRecord;
+use sedgeridge_state::settings::Settings;
+use sedgeridge_state::settings::millis;
+
+use crate::claim_sweep::ClaimSweep;
+use crate::claim_sweep::ClaimSweepEvent;
+use crate::coordinator_events::CoordinatorAction;
+use crate::coordinator_events::CoordinatorEvent;
+use crate::coordinator_events::CoordinatorPart;
+use crate::coordinator_events::CoordinatorSettings;
+use crate::lease::Lease;
+use crate::lease_events::HeldLease;
+use crate::lease_events::LeaseAction;
+use crate::lease_events::LeaseEvent;
+use crate::order_events::OrderAction;
+use crate::order_events::OrderEndpoint;
+use crate::order_events::OrderEvent;
+use crate::order_events::PoolFloor;
+use crate::orders::OpenOrder;
+use crate::orders::Orders;
+use crate::repeats::Repeats;
+use crate::slot_budget::Load;
+use crate::store_call::StoreAction;
+
+/// All decisions of one coordinator.
+///
+/// ```
+/// use std::time::Duration;
+/// use sedgeridge_coordination::coordinator::Coordinator;
+/// use sedgeridge_coordination::coordinator_events::*;
+/// use sedgeridge_state::ids::{Incarnation, Member};
+/// use sedgeridge_state::settings::Settings;
+///
+/// let member = Member { host: "router-1".into(), incarnation: Incarnation(1) };
+/// let settings = CoordinatorSettings::default();
+/// let mut coordinator = Coordinator::new(member, settings, &Settings::default(), 0, 42);
+/// let mut actions = Vec::new();
+/// coordinator.handle(Duration::ZERO, CoordinatorEvent::Tick, &mut actions);
+/// assert_eq!(actions.len(), 1);
+/// assert!(coordinator.held(Duration::ZERO).is_none());
+/// ```
+#[derive(Debug)]
+pub struct Coordinator {
+    settings: CoordinatorSettings,
+    lease: Lease,
+    orders: Orders,
+    sweep: ClaimSweep,
+    drains: Repeats,
+    /// The epoch that orders and sweep know of.
+    epoch: Option<FencingNumber>,
+    followed: Repeats,
+}
+
+impl Coordinator {
+    /// Creates the coordinator of a process that started at this Unix time; `seed` feeds every
+    /// random choice.
+    pub fn new(
+        member: Member,
+        settings: CoordinatorSettings,
+        configuration: &Settings,
+        started_unix_ms: u64,
+        seed: u64,
+    ) -> Self {
+        let sweep_seed = seed.wrapping_add(1);
+        let mut orders = Orders::new(settings.orders.clone());
+        let configured = OrderEvent::Configured {
+            endpoints: engines(configuration),
+            floors: floors(configuration),
+        };
+        orders.handle(Duration::ZERO, configured, &mut Vec::new());
+        Self {
+            lease: Lease::new(member, settings.lease.clone(), seed),
+            orders,
+            sweep: ClaimSweep::new(settings.sweep.clone(), started_unix_ms, sweep_seed),
+            drains: Repeats::default(),
+            epoch: None,
+            followed: Repeats::default(),
+            settings,
+        }
+    }
+
+    /// Takes one event and appends what is to be done.
+    ///
+    /// The lease comes first, so that a process that was paused past its term learns so before
+    /// anything else is decided.
+    pub fn handle(
+        &mut self,
+        now: Duration,
+        event: CoordinatorEvent,
+        actions: &mut Vec<CoordinatorAction>,
+    ) {
+        let (lease, orders, sweep) = route(now, event);
+        self.lease_event(now, lease, actions);
+        self.order_event(now, orders, actions);
+        self.sweep_event(now, sweep, actions);
+        self.announce_drains(now, actions);
+        self.follow_reports(now, actions);
+    }
+
+    /// Returns the lease if an order may be sent at this time; see [`Lease::held`].
+    pub fn held(&self, now: Duration) -> Option<HeldLease> {
+        self.lease.held(now)
+    }
+
+    /// Returns the lease's record as last read or written, whoever holds it.
+    pub fn lease_record(&self) -> Option<&LeaseRecord> {
+        self.lease.record()
+    }
+
+    /// Tells whether a coordinator that was told to stop has given its lease back.
+    pub fn is_stopped(&self) -> bool {
+        self.lease.is_given_back()
+    }
+
+    /// Lists the orders under way.
+    pub fn open_orders(&self) -> impl Iterator<Item = OpenOrder<'_>> {
+        self.orders.open()
+    }
+
+    fn lease_event(
+        &mut self,
+        now: Duration,
+        event: LeaseEvent,
+        actions: &mut Vec<CoordinatorAction>,
+    ) {
+        let mut lease_actions = Vec::new();
+        self.lease.handle(now, event, &mut lease_actions);
+        for action in lease_actions {
+            match action {
+                LeaseAction::Store(action) => actions.push(CoordinatorAction::Store {
+                    part: CoordinatorPart::Lease,
+                    action,
+                }),
+                LeaseAction::Held(held) => self.take_held(now, held, actions),
+                LeaseAction::Lost => self.lose(now, actions),
+            }
+        }
+    }
+
+    fn take_held(&mut self, now: Duration, held: HeldLease, actions: &mut Vec<CoordinatorAction>) {
+        if self.epoch != Some(held.fencing) {
+            self.epoch = Some(held.fencing);
+            actions.push(CoordinatorAction::Held(held));
+        }
+        self.order_event(now, OrderEvent::Lease(Some(held)), actions);
+        self.sweep_event(now, ClaimSweepEvent::Leading(true), actions);
+    }
+
+    fn lose(&mut self, now: Duration, actions: &mut Vec<CoordinatorAction>) {
+        self.epoch = None;
+        actions.push(CoordinatorAction::Lost);
+        self.order_event(now, OrderEvent::Lease(None), actions);
+        self.sweep_event(now, ClaimSweepEvent::Leading(false), actions);
+    }
+
+    fn order_event(
+        &mut self,
+        now: Duration,
+        event: OrderEvent,
+        actions: &mut Vec<CoordinatorAction>,
+    ) {
+        let mut order_actions = Vec::new();
+        self.orders.handle(now, event, &mut order_actions);
+        for action in order_actions {
+            match action {
+                OrderAction::Store(action) => actions.push(CoordinatorAction::Store {
+                    part: CoordinatorPart::Orders,
+                    action,
+                }),
+                OrderAction::Send(order) => actions.push(CoordinatorAction::Send(order)),
+                OrderAction::ReadBack {
+                    endpoint,
+                    number,
+                    order,
+                } => actions.push(CoordinatorAction::ReadBack {
+                    endpoint,
+                    number,
+                    order,
+                }),
+                OrderAction::Ended {
+                    endpoint,
+                    number,
+                    state,
+                } => actions.push(CoordinatorAction::Ended {
+                    endpoint,
+                    number,
+                    state,
+                }),
+                // Drains are announced as long as they last. Orders come from the table only.
+                OrderAction::Drain(_) | OrderAction::Undrain(_) | OrderAction::NotTaken { .. } => {}
+            }
+        }
+    }
+
+    fn sweep_event(
+        &mut self,
+        now: Duration,
+        event: ClaimSweepEvent,
+        actions: &mut Vec<CoordinatorAction>,
+    ) {
+        let mut calls = Vec::new();
+        self.sweep.handle(now, event, &mut calls);
+        let part = CoordinatorPart::Sweep;
+        let store = |action: StoreAction| CoordinatorAction::Store { part, action };
+        actions.extend(calls.into_iter().map(store));
+    }
+
+    /// Tells routers of the drains, again and again.
+    ///
+    /// Routers believe a drain for a time only. A holder that dies in the middle of one thus takes
+    /// no endpoint out of service for good, and no message is needed to end a drain.
+    fn announce_drains(&mut self, now: Duration, actions: &mut Vec<CoordinatorAction>) {
+        self.drains.keep(now, self.orders.drained());
+        let interval = millis(self.settings.drain_repeat_ms);
+        for endpoint in self.drains.take_due(now, interval) {
+            actions.push(CoordinatorAction::AnnounceDrain { endpoint });
+        }
+    }
+
+    /// Reads the load reports that the orders under way need.
+    ///
+    /// An endpoint that is no longer followed is forgotten: its last report would otherwise count
+    /// as serving when the next order comes, hours later, and the pool could fall below its floor.
+    fn follow_reports(&mut self, now: Duration, actions: &mut Vec<CoordinatorAction>) {
+        for endpoint in self.followed.keep(now, &self.orders.followed()) {
+            self.order_event(now, OrderEvent::EndpointUnknown { endpoint }, actions);
+        }
+        let interval = millis(self.settings.report_interval_ms);
+        for endpoint in self.followed.take_due(now, interval) {
+            actions.push(CoordinatorAction::ReadLoad { endpoint });
+        }
+    }
+}
+
+/// Gives each part its event; those that it does not concern get a tick.
+fn route(now: Duration, event: CoordinatorEvent) -> (LeaseEvent, OrderEvent, ClaimSweepEvent) {
+    let mut events = (LeaseEvent::Tick, OrderEvent::Tick, ClaimSweepEvent::Tick);
+    match event {
+        CoordinatorEvent::StoreEnded { part, event } => match part {
+            CoordinatorPart::Lease => events.0 = LeaseEvent::Store(event),
+            CoordinatorPart::Orders => events.1 = OrderEvent::Store(event),
+            CoordinatorPart::Sweep => events.2 = ClaimSweepEvent::Store(event),
+        },
+        CoordinatorEvent::Answered {
+            endpoint,
+            number,
+            answer,
+        } => {
+            events.1 = OrderEvent::Answered {
+                endpoint,
+                number,
+                answer,
+            };
+        }
+        CoordinatorEvent::ReadBack {
+            endpoint,
+            number,
+            in_effect,
+        } => {
+            events.1 = OrderEvent::ReadBack {
+                endpoint,
+                number,
+                in_effect,
+            };
+        }
+        CoordinatorEvent::LoadRead { endpoint, load } => {
+            events.1 = load_event(now, endpoint, load);
+        }
+        CoordinatorEvent::DrainAnnounced { endpoint } => {
+            events.1 = OrderEvent::DrainAnnounced { endpoint };
+        }
+        CoordinatorEvent::StopRequested => events.0 = LeaseEvent::Stop,
+        CoordinatorEvent::Tick => {}
+    }
+    events
+}
+
+fn load_event(now: Duration, endpoint: EndpointId, load: Option<Load>) -> OrderEvent {
+    match load {
+        Some(load) => OrderEvent::EndpointState {
+            endpoint,
+            serving: !load.leaving,
+            in_progress: load.running.saturating_add(load.waiting),
+            as_of: now.saturating_sub(load.age),
+        },
+        None => OrderEvent::EndpointUnknown { endpoint },
+    }
+}
+
+fn engines(settings: &Settings) -> Vec<OrderEndpoint> {
+    let endpoints = settings.endpoints.iter();
+    endpoints
+        .map(|endpoint| OrderEndpoint {
+            id: endpoint.id.clone(),
+            pool: endpoint.pool.clone(),
+            checks_fencing: endpoint.checks_fencing,
+        })
+        .collect()
+}
+
+fn floors(settings: &Settings) -> Vec<PoolFloor> {
+    let pools = settings.pools.iter();
+    pools
+        .map(|pool| PoolFloor {
+            pool: pool.id.clone(),
+            floor: pool.floor,
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/coordination/src/coordinator_events.rs
@@ -0,0 +1,145 @@
+//! What goes into and comes out of [`crate::coordinator::Coordinator`].
+
+use sedgeridge_state::ids::EndpointId;
+use sedgeridge_state::order_record::EngineOrder;
+use sedgeridge_state::order_record::OrderState;
+
+use crate::claim_sweep::ClaimSweepSettings;
+use crate::lease_events::HeldLease;
+use crate::lease_events::LeaseSettings;
+use crate::order_events::EngineAnswer;
+use crate::order_events::OrderSettings;
+use crate::order_events::SendOrder;
+use crate::slot_budget::Load;
+use crate::store_call::StoreAction;
+use crate::store_call::StoreEvent;
+
+/// Times and limits of a coordinator.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CoordinatorSettings {
+    /// Of its lease.
+    pub lease: LeaseSettings,
+    /// Of its orders.
+    pub orders: OrderSettings,
+    /// Of its sweep of expired claims.
+    pub sweep: ClaimSweepSettings,
+    /// Time between two reads of an endpoint's load report while an order needs it.
+    pub report_interval_ms: u64,
+    /// Time between two announcements of the same drain; less than routers believe one for.
+    pub drain_repeat_ms: u64,
+}
+
+impl Default for CoordinatorSettings {
+    fn default() -> Self {
+        Self {
+            lease: LeaseSettings::default(),
+            orders: OrderSettings::default(),
+            sweep: ClaimSweepSettings::default(),
+            report_interval_ms: 500,
+            drain_repeat_ms: 3_000,
+        }
+    }
+}
+
+/// Which part of a coordinator calls the table service; each numbers its own calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CoordinatorPart {
+    /// The lease.
+    Lease,
+    /// Orders to engines.
+    Orders,
+    /// The sweep of expired claims.
+    Sweep,
+}
+
+/// What happens to a coordinator.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CoordinatorEvent {
+    /// A store call ended.
+    StoreEnded {
+        /// Whose call it was.
+        part: CoordinatorPart,
+        /// How it ended.
+        event: StoreEvent,
+    },
+    /// An engine answered an order, or did not.
+    Answered {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// The order's number.
+        number: u64,
+        /// The answer.
+        answer: EngineAnswer,
+    },
+    /// An engine's state was read back.
+    ReadBack {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Number of the order that was asked about.
+        number: u64,
+        /// Whether the order is in effect; none if the engine did not tell.
+        in_effect: Option<bool>,
+    },
+    /// An endpoint's load report was read, or could not be.
+    LoadRead {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// The report.
+        load: Option<Load>,
+    },
+    /// A router took an announced drain.
+    DrainAnnounced {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
+    /// The process stops as planned.
+    StopRequested,
+    /// Time passed.
+    Tick,
+}
+
+/// What a coordinator wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CoordinatorAction {
+    /// Call the table.
+    Store {
+        /// Whose call it is.
+        part: CoordinatorPart,
+        /// The call.
+        action: StoreAction,
+    },
+    /// Send an order to an engine, unless [`SendOrder::not_after`] has come by then.
+    Send(SendOrder),
+    /// Ask an engine whether an order is in effect.
+    ReadBack {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// The order's number.
+        number: u64,
+        /// The order.
+        order: EngineOrder,
+    },
+    /// Read an endpoint's load report.
+    ReadLoad {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
+    /// Tell a router that an endpoint gets no new work; routers pass it on.
+    AnnounceDrain {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
+    /// The lease was taken; renewals are not told.
+    Held(HeldLease),
+    /// The lease is held no more.
+    Lost,
+    /// An order ended.
+    Ended {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// The order's number.
+        number: u64,
+        /// How it ended.
+        state: OrderState,
+    },
+}
--- a/crates/coordination/src/order_events.rs
+++ b/crates/coordination/src/order_events.rs
@@ -27,8 +27,10 @@
     pub rescan_interval_ms: u64,
     /// Time between two reads of the orders that changed.
     pub poll_interval_ms: u64,
-    /// Time after which every router has heard of a drain.
+    /// Time after which every router has heard of a drain that one of them took.
     pub drain_settle_ms: u64,
+    /// Time after which routers may forget a drain that was not announced again.
+    pub drain_lapse_ms: u64,
 }
 
 impl Default for OrderSettings {
@@ -41,6 +43,7 @@
             rescan_interval_ms: 30_000,
             poll_interval_ms: 1_000,
             drain_settle_ms: 3_000,
+            drain_lapse_ms: 9_000,
         }
     }
 }
@@ -75,6 +78,11 @@
         /// When this was so; reports lag.
         as_of: Duration,
     },
+    /// A router took the drain of an endpoint and passes it on.
+    DrainAnnounced {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
     /// An endpoint's state is no longer followed, or its report could not be read.
     EndpointUnknown {
         /// The endpoint.
@@ -142,7 +150,8 @@
 pub enum OrderAction {
     /// Call the table.
     Store(StoreAction),
-    /// Give the endpoint no new work.
+    /// Give the endpoint no new work, until [`OrderAction::Undrain`] or the lease's end; answered
+    /// by [`OrderEvent::DrainAnnounced`] each time a router was told.
     Drain(EndpointId),
     /// Give the endpoint work again.
     Undrain(EndpointId),
--- a/crates/coordination/src/orders.rs
+++ b/crates/coordination/src/orders.rs
@@ -5,6 +5,7 @@
 //! open intents before it takes new orders. Instead of the paper's log there is one row for each
 //! endpoint, replaced by the next order, so nothing has to be invalidated or compacted.
 
+mod drain;
 mod job;
 mod pools;
 mod reads;
@@ -115,6 +116,7 @@
                 in_progress,
                 as_of,
             } => self.pools.report(endpoint, serving, in_progress, as_of),
+            OrderEvent::DrainAnnounced { endpoint } => self.note_announcement(now, &endpoint),
             OrderEvent::EndpointUnknown { endpoint } => self.pools.forget(&endpoint),
             OrderEvent::Answered {
                 endpoint,
@@ -138,7 +140,6 @@
         let fencing = |lease: Option<HeldLease>| lease.map(|l| l.fencing);
         if fencing(lease) != fencing(self.lease) {
             self.forget_orders(now);
-            self.pools.forget_drains();
             // The holder before may have spent the weight store's allowance just now.
             self.next_load_at = now + millis(self.settings.load_interval_ms);
         }
@@ -150,6 +151,7 @@
         self.known = None;
         self.jobs.clear();
         self.pending.clear();
+        self.pools.forget_drains();
         self.read_version = 0;
         self.recover_at = read_at;
     }
@@ -287,14 +289,10 @@
                 self.send(now, endpoint, actions);
             }
             Stage::AwaitingFloor => {
-                if self.pools.try_drain(endpoint) {
-                    actions.push(OrderAction::Drain(endpoint.clone()));
-                    let settled_at = now + millis(self.settings.drain_settle_ms);
-                    self.enter(endpoint, Stage::Draining { settled_at });
-                }
+                self.begin_drain(endpoint, actions);
             }
-            Stage::Draining { settled_at } => {
-                if settled_at <= now && self.pools.was_empty(endpoint, settled_at) {
+            Stage::Draining { announced } => {
+                if self.is_drained(now, endpoint, announced) {
                     self.enter(endpoint, Stage::AwaitingSend);
                     self.send(now, endpoint, actions);
                 }
--- a/crates/coordination/src/orders/job.rs
+++ b/crates/coordination/src/orders/job.rs
@@ -4,6 +4,8 @@
 
 use sedgeridge_state::order_record::OrderRecord;
 
+use crate::orders::drain::Announcement;
+
 /// What a job waits for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Stage {
@@ -13,9 +15,8 @@
     AwaitingFloor,
     /// The endpoint's work in progress to end.
     Draining {
-        /// When every router has heard of the drain. A report of no work before that is no proof:
-        /// a router that has not heard may send a request in between, and it would be cut off.
-        settled_at: Duration,
+        /// Since when routers know; none before the first has taken it.
+        announced: Option<Announcement>,
     },
     /// The lease and the weight store to allow the order.
     AwaitingSend,
--- a/crates/coordination/src/orders/pools.rs
+++ b/crates/coordination/src/orders/pools.rs
@@ -87,6 +87,10 @@
         is_spare || is_idle
     }
 
+    pub(super) fn drained(&self) -> &BTreeSet<EndpointId> {
+        &self.drained
+    }
+
     pub(super) fn undrain(&mut self, endpoint: &EndpointId) {
         self.drained.remove(endpoint);
     }
--- a/crates/coordination/src/orders/view.rs
+++ b/crates/coordination/src/orders/view.rs
@@ -33,6 +33,18 @@
         })
     }
 
+    /// Lists the endpoints that get no new work for the sake of an order.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::order_events::OrderSettings;
+    /// use sedgeridge_coordination::orders::Orders;
+    ///
+    /// assert!(Orders::new(OrderSettings::default()).drained().is_empty());
+    /// ```
+    pub fn drained(&self) -> &BTreeSet<EndpointId> {
+        self.pools.drained()
+    }
+
     /// Lists the endpoints whose load reports are needed: those of the pools that an order under
     /// way takes an endpoint from. Reading all 2,200 of a large fleet would cost more than the
     /// orders.
--- a/crates/coordination/tests/common/order_bench.rs
+++ b/crates/coordination/tests/common/order_bench.rs
@@ -42,6 +42,8 @@
     pub read_backs: Vec<u64>,
     pub ended: Vec<(EndpointId, OrderState)>,
     pub refused: Vec<OrderRefusal>,
+    /// Whether a router can be told of drains.
+    pub routers_reached: bool,
     /// Requests in progress by endpoint, as reported with each step of time.
     in_progress: BTreeMap<String, u32>,
     checks_fencing: bool,
@@ -61,6 +63,7 @@
             read_backs: Vec::new(),
             ended: Vec::new(),
             refused: Vec::new(),
+            routers_reached: true,
             in_progress: BTreeMap::new(),
             checks_fencing,
         };
@@ -169,6 +172,7 @@
     pub fn run(&mut self, for_ms: u64) {
         for _ in 0..for_ms / 100 {
             self.now += Duration::from_millis(100);
+            self.announce_drains();
             for (endpoint, in_progress) in self.in_progress.clone() {
                 self.report(&endpoint, in_progress);
             }
@@ -177,6 +181,14 @@
         }
     }
 
+    fn announce_drains(&mut self) {
+        if self.routers_reached {
+            for endpoint in self.drained.clone() {
+                self.event(OrderEvent::DrainAnnounced { endpoint });
+            }
+        }
+    }
+
     /// Lists the endpoints that were sent orders.
     pub fn ordered(&self) -> Vec<&str> {
         self.sent.iter().map(|o| o.endpoint.as_str()).collect()
--- a/crates/coordination/tests/orders.rs
+++ b/crates/coordination/tests/orders.rs
@@ -216,7 +216,7 @@
 fn an_old_report_of_no_work_is_no_proof() {
     let mut bench = OrderBench::new(true);
     bench.want("desk-1", to_booking());
-    bench.run(100);
+    bench.run(300);
     let reported_at = bench.now;
     bench.now += Duration::from_secs(4);
     bench.event(OrderEvent::EndpointState {
@@ -265,3 +265,41 @@
     assert!(bench.sent.is_empty());
     assert_eq!(bench.orders.open().count(), 1);
 }
+
+// No router can be told of the drain, so all go on sending to the endpoint; in between its report
+// happens to show no work. The order waits until routers know, else it would cut off the request
+// that comes next.
+#[test]
+fn a_drain_that_no_router_heard_of_leads_to_no_order() {
+    let mut bench = OrderBench::new(true);
+    bench.routers_reached = false;
+    bench.want("desk-1", to_booking());
+    bench.run(20_000);
+    assert!(bench.sent.is_empty());
+    bench.routers_reached = true;
+    bench.run(2_000);
+    assert!(bench.sent.is_empty());
+    bench.run(2_000);
+    assert_eq!(bench.ordered(), ["desk-1"]);
+}
+
+// Routers were told of the drain, and then none can be reached for longer than they heed it; the
+// endpoint still works off a long request. Routers send to it again. Its work must end after the
+// next announcement has spread, not before.
+#[test]
+fn a_drain_that_lapsed_starts_again() {
+    let mut bench = OrderBench::new(true);
+    bench.want("desk-1", to_booking());
+    bench.report("desk-1", 1);
+    bench.run(5_000);
+    bench.routers_reached = false;
+    bench.run(10_000);
+    bench.report("desk-1", 0);
+    bench.run(1_000);
+    assert!(bench.sent.is_empty());
+    bench.routers_reached = true;
+    bench.run(1_000);
+    assert!(bench.sent.is_empty());
+    bench.run(3_000);
+    assert_eq!(bench.ordered(), ["desk-1"]);
+}
