feat(coordinator): runtime of the lease holder

sedgeridge-coordinator reads the settings as the router does, so command line and start moved from the router into the transport crate. The table calls, load reads and operator pages became generic over the process that uses them instead of standing twice.

Renewals have a table thread of their own: behind sixty slow order writes a renewal would come too late and the lease would lapse. A router takes drains on POST /operator/endpoints/drain.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,7 +1,9 @@
 //! Border types and codecs: what crosses a process boundary, as typed Rust values.
 
 pub mod chat;
+pub mod coordinator;
 pub mod engine;
+pub mod engine_orders;
 pub mod headers;
 pub mod membership;
 pub mod operator;
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -11,8 +11,6 @@
 use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Member;
 use sedgeridge_state::settings::HostSettings;
-use sedgeridge_state::settings::Override;
-use sedgeridge_state::settings::OverrideError;
 use sedgeridge_state::settings::Settings;
 use sedgeridge_transport::clock::ProcessClock;
 use sedgeridge_transport::clock::incarnation_from_wall_clock;
@@ -22,74 +20,20 @@
 use sedgeridge_transport::directory::Directory;
 use sedgeridge_transport::event_log::LogEvent;
 use sedgeridge_transport::event_log::log_info;
-use sedgeridge_transport::event_log::start_log;
 use sedgeridge_transport::front::Front;
 use sedgeridge_transport::front::bind;
+use sedgeridge_transport::host_start::RunError;
 use sedgeridge_transport::operator::serve_operator_pages;
 use sedgeridge_transport::operator::start_metrics;
 use sedgeridge_transport::peers::PeerSockets;
 use sedgeridge_transport::peers::Peers;
 use sedgeridge_transport::peers::peer_ring;
-use sedgeridge_transport::settings_files::ReadSettingsError;
-use sedgeridge_transport::settings_files::read_settings;
 use sedgeridge_transport::status::StatusBoard;
 use sedgeridge_transport::stop_signal::on_stop_signal;
-use thiserror::Error;
 use tokio::sync::watch;
 
-use crate::options::BAD_INPUT;
-use crate::options::Options;
-
-/// Exit code for a failure while running.
-const FAILED: u8 = 1;
-
-/// Why the router ended with a failure.
-#[derive(Debug, Error)]
-pub enum RunError {
-    /// The settings cannot be used.
-    #[error("settings refused, nothing started\n{0}")]
-    Settings(#[from] ReadSettingsError),
-    /// A `--set` cannot be read.
-    #[error(transparent)]
-    Override(#[from] OverrideError),
-    /// The settings know no host of this name.
-    #[error("--host {0}: the settings have no section [host.{0}]")]
-    UnknownHost(String),
-    /// Something the router needs from the system failed.
-    #[error("{0}")]
-    System(#[from] io::Error),
-}
-
-impl RunError {
-    /// Returns the exit code of the process.
-    pub fn exit_code(&self) -> u8 {
-        match self {
-            Self::Settings(_) | Self::Override(_) | Self::UnknownHost(_) => BAD_INPUT,
-            Self::System(_) => FAILED,
-        }
-    }
-}
-
 /// Runs the router until it is told to stop.
-pub fn run(options: &Options) -> Result<(), RunError> {
-    let settings = settings(options)?;
-    let host = settings.host(&options.host).cloned();
-    let host = host.ok_or_else(|| RunError::UnknownHost(options.host.clone()))?;
-    start_log();
-    serve(settings, &host)?;
-    Ok(())
-}
-
-fn settings(options: &Options) -> Result<Settings, RunError> {
-    let mut overrides = Vec::new();
-    for text in &options.overrides {
-        overrides.push(Override::parse(text)?);
-    }
-    let overlay = options.overlay.as_deref();
-    Ok(read_settings(&options.config, overlay, &overrides)?)
-}
-
-fn serve(settings: Settings, host: &HostSettings) -> io::Result<()> {
+pub fn serve(settings: Settings, host: &HostSettings) -> Result<(), RunError> {
     let clock = ProcessClock::start();
     let member = Member {
         host: host.id.clone(),
@@ -99,7 +43,13 @@
     let status = StatusBoard::default();
     let (inputs, inbox) = sync_channel(CORE_RING_LEN);
     let (stop_front, front_stops) = watch::channel(false);
-    serve_operator_pages(host.operator_address, start_metrics()?, status.clone())?;
+    let drains = Some(inputs.clone());
+    serve_operator_pages(
+        host.operator_address,
+        start_metrics()?,
+        status.clone(),
+        drains,
+    )?;
     let front = Front {
         clock,
         member: member.clone(),
--- a/crates/state/src/order_record.rs
+++ b/crates/state/src/order_record.rs
@@ -37,6 +37,21 @@
     Refused,
 }
 
+impl OrderState {
+    /// Returns the state's name.
+    ///
+    /// ```
+    /// assert_eq!(sedgeridge_state::order_record::OrderState::Done.as_str(), "done");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Intended => "intended",
+            Self::Done => "done",
+            Self::Refused => "refused",
+        }
+    }
+}
+
 /// Row of the newest order to an endpoint; a later order replaces it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OrderRecord {
@@ -44,7 +59,7 @@
     pub endpoint: EndpointId,
     /// Position among the orders to the endpoint.
     pub number: u64,
-    /// Epoch that wrote the row.
+    /// Epoch that wrote the row; 0 if an operator did.
     pub fencing: FencingNumber,
     /// The order.
     pub order: EngineOrder,
@@ -88,7 +103,15 @@
         matches!(self, Self::Load(_))
     }
 
-    fn encode(&self) -> (&'static str, &str) {
+    /// Returns the kind's name and what the order is about.
+    ///
+    /// ```
+    /// use sedgeridge_state::order_record::EngineOrder;
+    ///
+    /// let order = EngineOrder::ChangeRole("booking".into());
+    /// assert_eq!(order.kind_and_subject(), ("change_role", "booking"));
+    /// ```
+    pub fn kind_and_subject(&self) -> (&'static str, &str) {
         match self {
             Self::Load(unit) => ("load", unit),
             Self::Unload(unit) => ("unload", unit),
@@ -98,7 +121,16 @@
         }
     }
 
-    fn decode(kind: &str, subject: &str) -> Option<Self> {
+    /// Reads a kind's name and what the order is about.
+    ///
+    /// ```
+    /// use sedgeridge_state::order_record::EngineOrder;
+    ///
+    /// let order = EngineOrder::from_kind("load", "assistant/v2");
+    /// assert_eq!(order, Some(EngineOrder::Load("assistant/v2".into())));
+    /// assert_eq!(EngineOrder::from_kind("reboot", "now"), None);
+    /// ```
+    pub fn from_kind(kind: &str, subject: &str) -> Option<Self> {
         let order = match kind {
             "load" => Self::Load(subject.into()),
             "unload" => Self::Unload(subject.into()),
@@ -128,12 +160,7 @@
     /// assert_eq!(OrderRecord::decode(&record.encode()), Some(record));
     /// ```
     pub fn encode(&self) -> String {
-        let state = match self.state {
-            OrderState::Intended => "intended",
-            OrderState::Done => "done",
-            OrderState::Refused => "refused",
-        };
-        let (kind, subject) = self.order.encode();
+        let (kind, subject) = self.order.kind_and_subject();
         let mut fields = FieldWriter::default();
         fields
             .put("endpoint", self.endpoint.as_str())
@@ -141,7 +168,7 @@
             .put("fencing", &self.fencing.0.to_string())
             .put("kind", kind)
             .put("subject", subject)
-            .put("state", state);
+            .put("state", self.state.as_str());
         fields.finish()
     }
 
@@ -162,7 +189,7 @@
             endpoint: fields.text("endpoint")?.as_str().into(),
             number: fields.number("number")?,
             fencing: FencingNumber(fields.number("fencing")?),
-            order: EngineOrder::decode(&fields.text("kind")?, &fields.text("subject")?)?,
+            order: EngineOrder::from_kind(&fields.text("kind")?, &fields.text("subject")?)?,
             state,
         })
     }
--- /dev/null
+++ b/crates/transport/src/coordinator_core.rs
@@ -0,0 +1,229 @@
+//! The coordinator's core thread: feeds events to its decisions and carries out their actions.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::RecvTimeoutError;
+use std::sync::mpsc::SyncSender;
+use std::time::Duration;
+
+use metrics::counter;
+use sedgeridge_coordination::clock::Clock;
+use sedgeridge_coordination::coordinator::Coordinator;
+use sedgeridge_coordination::coordinator_events::CoordinatorAction;
+use sedgeridge_coordination::coordinator_events::CoordinatorEvent;
+use sedgeridge_coordination::coordinator_events::CoordinatorPart;
+use sedgeridge_coordination::coordinator_events::CoordinatorSettings;
+use sedgeridge_protocol::coordinator::CoordinatorStatus;
+use sedgeridge_state::ids::EndpointId;
+use sedgeridge_state::ids::Member;
+use sedgeridge_state::order_record::OrderState;
+use sedgeridge_state::settings::millis;
+
+use crate::clock::unix_ms;
+use crate::coordinator_calls::CoordinatorCall;
+use crate::coordinator_calls::CoordinatorCalls;
+use crate::coordinator_status::publish;
+use crate::directory::Directory;
+use crate::event_log::LogEvent;
+use crate::event_log::log_info;
+use crate::event_log::log_warn;
+use crate::load_reads::LoadReads;
+use crate::status::StatusBoard;
+use crate::table_calls::TableCalls;
+use crate::table_calls::TableClient;
+
+/// Events that may wait for the core.
+pub const COORDINATOR_RING_LEN: usize = 1_024;
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(50);
+/// Longest time that a stopping coordinator tries to give its lease back; after it the next holder
+/// waits for the end of the term.
+const MAX_STOP_WAIT: Duration = Duration::from_secs(5);
+/// Threads for the lease's calls. They are its own, so that no other call makes a renewal wait.
+const LEASE_CALLERS: usize = 1;
+/// Threads for the calls of the other parts.
+const TABLE_CALLERS: usize = 4;
+
+/// State of the core thread.
+#[derive(Debug)]
+pub struct CoordinatorCore<C> {
+    clock: C,
+    member: Member,
+    coordinator: Coordinator,
+    directory: Arc<Directory>,
+    lease_table: TableCalls<CoordinatorPart>,
+    table: TableCalls<CoordinatorPart>,
+    load_reads: LoadReads,
+    calls: CoordinatorCalls,
+    status: StatusBoard<CoordinatorStatus>,
+    stopping_since: Option<Duration>,
+    drains_announced: usize,
+}
+
+impl<C: Clock + Clone + Send + 'static> CoordinatorCore<C> {
+    /// Creates the core of one coordinator run and starts the threads that it calls by.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a thread cannot be started.
+    pub fn new(
+        clock: C,
+        member: Member,
+        settings: CoordinatorSettings,
+        directory: Arc<Directory>,
+        inputs: &SyncSender<CoordinatorEvent>,
+        status: StatusBoard<CoordinatorStatus>,
+    ) -> io::Result<Self> {
+        let platform = &directory.settings.platform;
+        let call_timeout = millis(platform.call_timeout_ms);
+        let client = TableClient::new(platform.table_address, call_timeout);
+        let ended = |part, event| CoordinatorEvent::StoreEnded { part, event };
+        let answer_timeout = millis(settings.orders.answer_timeout_ms);
+        let seed = member.incarnation.0;
+        let configuration = &directory.settings;
+        Ok(Self {
+            lease_table: TableCalls::start(&client, LEASE_CALLERS, inputs, ended)?,
+            table: TableCalls::start(&client, TABLE_CALLERS, inputs, ended)?,
+            load_reads: LoadReads::start(inputs, |endpoint, load| CoordinatorEvent::LoadRead {
+                endpoint,
+                load,
+            })?,
+            calls: CoordinatorCalls::start(clock.clone(), answer_timeout, inputs.clone())?,
+            coordinator: Coordinator::new(member.clone(), settings, configuration, unix_ms(), seed),
+            clock,
+            member,
+            directory,
+            status,
+            stopping_since: None,
+            drains_announced: 0,
+        })
+    }
+
+    /// Runs until it was told to stop and the lease is given back.
+    pub fn run(mut self, inputs: &Receiver<CoordinatorEvent>) {
+        loop {
+            let event = match inputs.recv_timeout(TICK) {
+                Ok(event) => event,
+                Err(RecvTimeoutError::Timeout) => CoordinatorEvent::Tick,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            self.take(event);
+            self.publish();
+            if self.has_stopped() {
+                return;
+            }
+        }
+    }
+
+    fn take(&mut self, event: CoordinatorEvent) {
+        match &event {
+            CoordinatorEvent::LoadRead { endpoint, .. } => self.load_reads.ended(endpoint),
+            CoordinatorEvent::StopRequested => {
+                let open = self.coordinator.open_orders().count();
+                log_info(
+                    LogEvent::CoordinatorStopRequested,
+                    format_args!("open_orders={open}"),
+                );
+                self.stopping_since.get_or_insert(self.clock.now());
+            }
+            _ => {}
+        }
+        let mut actions = Vec::new();
+        let now = self.clock.now();
+        self.coordinator.handle(now, event, &mut actions);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn has_stopped(&self) -> bool {
+        let Some(since) = self.stopping_since else {
+            return false;
+        };
+        self.coordinator.is_stopped() || since + MAX_STOP_WAIT <= self.clock.now()
+    }
+
+    fn act(&mut self, action: CoordinatorAction) {
+        match action {
+            CoordinatorAction::Store { part, action } => {
+                let table = match part {
+                    CoordinatorPart::Lease => &self.lease_table,
+                    CoordinatorPart::Orders | CoordinatorPart::Sweep => &self.table,
+                };
+                if let Some(event) = table.call(part, action) {
+                    self.take(CoordinatorEvent::StoreEnded { part, event });
+                }
+            }
+            CoordinatorAction::Send(order) => {
+                if let Some(address) = self.address(&order.endpoint) {
+                    self.calls.call(CoordinatorCall::Order { order, address });
+                }
+            }
+            CoordinatorAction::ReadBack {
+                endpoint,
+                number,
+                order,
+            } => {
+                if let Some(address) = self.address(&endpoint) {
+                    self.calls.call(CoordinatorCall::ReadBack {
+                        endpoint,
+                        number,
+                        order,
+                        address,
+                    });
+                }
+            }
+            CoordinatorAction::ReadLoad { endpoint } => {
+                if let Some(address) = self.address(&endpoint) {
+                    self.load_reads.ask(&endpoint, address);
+                }
+            }
+            CoordinatorAction::AnnounceDrain { endpoint } => {
+                let routers = self.next_routers();
+                self.calls
+                    .call(CoordinatorCall::Drain { endpoint, routers });
+            }
+            CoordinatorAction::Held(held) => log_info(
+                LogEvent::LeaseTaken,
+                format_args!("fencing={}", held.fencing.0),
+            ),
+            CoordinatorAction::Lost => log_warn(LogEvent::LeaseEnded, ""),
+            CoordinatorAction::Ended {
+                endpoint,
+                number,
+                state,
+            } => ended(&endpoint, number, state),
+        }
+    }
+
+    fn address(&self, endpoint: &EndpointId) -> Option<SocketAddr> {
+        Some(self.directory.endpoint(endpoint)?.address)
+    }
+
+    /// Lists the routers, beginning with another one each time, so that one that is down or cut off
+    /// does not miss every announcement and no router takes them all.
+    fn next_routers(&mut self) -> Vec<SocketAddr> {
+        let hosts = &self.directory.settings.hosts;
+        let mut routers: Vec<_> = hosts.iter().map(|h| h.operator_address).collect();
+        routers.rotate_left(self.drains_announced % hosts.len().max(1));
+        self.drains_announced = self.drains_announced.wrapping_add(1);
+        routers
+    }
+
+    fn publish(&self) {
+        let now = self.clock.now();
+        let stopping = self.stopping_since.is_some();
+        publish(&self.status, &self.member, &self.coordinator, now, stopping);
+    }
+}
+
+fn ended(endpoint: &EndpointId, number: u64, state: OrderState) {
+    let result = state.as_str();
+    counter!("sedgeridge_orders_ended_total", "state" => result).increment(1);
+    log_info(
+        LogEvent::OrderEnded,
+        format_args!("endpoint={endpoint} number={number} state={result}"),
+    );
+}
--- a/crates/transport/src/core.rs
+++ b/crates/transport/src/core.rs
@@ -57,7 +57,9 @@
 use crate::recorded::replayed;
 use crate::status::RouterStatus;
 use crate::status::StatusBoard;
+use crate::table_calls::CALLERS;
 use crate::table_calls::TableCalls;
+use crate::table_calls::TableClient;
 
 /// Events that may wait for the core; a full ring refuses new requests.
 pub const CORE_RING_LEN: usize = 8_192;
@@ -166,7 +168,7 @@
     running: BTreeMap<AttemptKey, RequestKey>,
     peers: PeerSender,
     load_reads: LoadReads,
-    table: TableCalls,
+    table: TableCalls<StorePart>,
     status: StatusBoard,
     stopping: bool,
     answered_at: Option<Duration>,
@@ -183,10 +185,16 @@
         status: StatusBoard,
     ) -> io::Result<Self> {
         let clients = EndpointClients::new(&directory.settings.health);
-        let load_reads = LoadReads::start(&inputs)?;
+        let load_reads = LoadReads::start(&inputs, |endpoint, load| CoreInput::LoadRead {
+            endpoint,
+            load,
+        })?;
         let platform = &directory.settings.platform;
         let call_timeout = millis(platform.call_timeout_ms);
-        let table = TableCalls::start(platform.table_address, call_timeout, &inputs)?;
+        let client = TableClient::new(platform.table_address, call_timeout);
+        let table = TableCalls::start(&client, CALLERS, &inputs, |part, event| {
+            CoreInput::StoreEnded { part, event }
+        })?;
         let seed = member.incarnation.0;
         Ok(Self {
             clock,
--- a/crates/transport/src/event_log.rs
+++ b/crates/transport/src/event_log.rs
@@ -59,6 +59,24 @@
     RequestGivenUp = 1201, "request_given_up";
     /// An attempt failed and the request waits for another one.
     RequestRetried = 1202, "request_retried";
+    /// The coordinator has started and tries to take the lease.
+    CoordinatorStarted = 2001, "coordinator_started";
+    /// The coordinator was told to stop; open orders are left to the next holder.
+    CoordinatorStopRequested = 2002, "coordinator_stop_requested";
+    /// The coordinator has given its lease back, or had none, and exits.
+    CoordinatorStopped = 2003, "coordinator_stopped";
+    /// This process took the lease and gives orders.
+    LeaseTaken = 2101, "lease_taken";
+    /// This process holds the lease no more and gives no orders.
+    LeaseEnded = 2102, "lease_ended";
+    /// An engine answered an order, or did not.
+    OrderAnswered = 2201, "order_answered";
+    /// An order ended; no holder takes it up again.
+    OrderEnded = 2202, "order_ended";
+    /// An order was not sent as the lease ends too soon; it stays open.
+    OrderTooLate = 2203, "order_too_late";
+    /// No router took a drain; the order waits for one that does.
+    DrainNotAnnounced = 2204, "drain_not_announced";
 }
 
 impl fmt::Display for LogEvent {
--- a/crates/router/src/options.rs
+++ b/crates/transport/src/host_options.rs
@@ -1,4 +1,4 @@
-//! Command line of the router.
+//! Command line of a process that runs on a host of the settings.
 
 use std::ffi::OsString;
 use std::path::PathBuf;
@@ -9,11 +9,9 @@
 /// Exit code for a command line or settings that cannot be used.
 pub const BAD_INPUT: u8 = 2;
 
-const HELP: &str = "\
-sedgeridge-router: takes callers' requests and shares the endpoints fairly between accounts
-
+const HELP: &str = "
 USAGE:
-    sedgeridge-router --config FILE [--overlay FILE] --host NAME [--set SECTION.KEY=VALUE]...
+    PROGRAM --config FILE [--overlay FILE] --host NAME [--set SECTION.KEY=VALUE]...
 
 OPTIONS:
     --config FILE              base settings, the same at every site
@@ -26,6 +24,15 @@
 EXIT CODES:
     0 stopped on request    1 failed while running    2 bad command line or settings, nothing started";
 
+/// A program and what it does, as its help says.
+#[derive(Debug, Clone, Copy)]
+pub struct Program {
+    /// Its name.
+    pub name: &'static str,
+    /// What it does, in a line.
+    pub purpose: &'static str,
+}
+
 /// A usable command line.
 #[derive(Debug)]
 pub struct Options {
@@ -42,7 +49,7 @@
 /// What the command line asks for.
 #[derive(Debug)]
 pub enum Parsed {
-    /// Run the router.
+    /// Run the process.
     Run(Options),
     /// Print a text and end.
     Print(String),
@@ -60,14 +67,22 @@
 }
 
 /// Reads the command line, without the program's name.
-pub fn parse(arguments: Vec<OsString>) -> Result<Parsed, OptionsError> {
+///
+/// ```
+/// use sedgeridge_transport::host_options::Program;
+/// use sedgeridge_transport::host_options::parse;
+///
+/// let program = Program { name: "sedgeridge-router", purpose: "takes callers' requests" };
+/// assert!(parse(program, vec!["--host".into()]).is_err());
+/// ```
+pub fn parse(program: Program, arguments: Vec<OsString>) -> Result<Parsed, OptionsError> {
     let mut arguments = Arguments::from_vec(arguments);
     if arguments.contains(["-h", "--help"]) {
-        return Ok(Parsed::Print(HELP.to_owned()));
+        return Ok(Parsed::Print(help(program)));
     }
     if arguments.contains(["-V", "--version"]) {
         let version = env!("CARGO_PKG_VERSION");
-        return Ok(Parsed::Print(format!("sedgeridge-router {version}")));
+        return Ok(Parsed::Print(format!("{} {version}", program.name)));
     }
     let options = Options {
         config: arguments.value_from_str("--config")?,
@@ -80,3 +95,8 @@
         None => Ok(Parsed::Run(options)),
     }
 }
+
+fn help(program: Program) -> String {
+    let usage = HELP.replace("PROGRAM", program.name);
+    format!("{}: {}\n{usage}", program.name, program.purpose)
+}
--- /dev/null
+++ b/crates/transport/src/host_start.rs
@@ -0,0 +1,114 @@
+//! Start of a process that runs on a host of the settings, up to its exit code.
+
+use std::env;
+use std::io;
+use std::process::ExitCode;
+
+use sedgeridge_state::settings::HostSettings;
+use sedgeridge_state::settings::Override;
+use sedgeridge_state::settings::OverrideError;
+use sedgeridge_state::settings::Settings;
+use thiserror::Error;
+
+use crate::event_log::start_log;
+use crate::host_options::BAD_INPUT;
+use crate::host_options::Options;
+use crate::host_options::Parsed;
+use crate::host_options::Program;
+use crate::host_options::parse;
+use crate::settings_files::ReadSettingsError;
+use crate::settings_files::read_settings;
+
+/// Exit code for a failure while running.
+const FAILED: u8 = 1;
+
+/// Why the process ended with a failure.
+#[derive(Debug, Error)]
+pub enum RunError {
+    /// The settings cannot be used.
+    #[error("settings refused, nothing started\n{0}")]
+    Settings(#[from] ReadSettingsError),
+    /// A `--set` cannot be read.
+    #[error(transparent)]
+    Override(#[from] OverrideError),
+    /// The settings know no host of this name.
+    #[error("--host {0}: the settings have no section [host.{0}]")]
+    UnknownHost(String),
+    /// The settings give this host no such process.
+    #[error("--host {host}: [host.{host}] has no {key}, so this process does not run there")]
+    NotOnHost {
+        /// The host.
+        host: String,
+        /// The key that would say where it runs.
+        key: &'static str,
+    },
+    /// Something the process needs from the system failed.
+    #[error("{0}")]
+    System(#[from] io::Error),
+}
+
+impl RunError {
+    /// Returns the exit code of the process.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Settings(_)
+            | Self::Override(_)
+            | Self::UnknownHost(_)
+            | Self::NotOnHost { .. } => BAD_INPUT,
+            Self::System(_) => FAILED,
+        }
+    }
+}
+
+/// Reads the command line and the settings and runs `serve` until the process is told to stop.
+///
+/// ```no_run
+/// use sedgeridge_transport::host_options::Program;
+/// use sedgeridge_transport::host_start::run_host;
+///
+/// let program = Program { name: "sedgeridge-router", purpose: "takes callers' requests" };
+/// let code = run_host(program, |_settings, _host| Ok(()));
+/// ```
+pub fn run_host(
+    program: Program,
+    serve: fn(Settings, &HostSettings) -> Result<(), RunError>,
+) -> ExitCode {
+    let options = match parse(program, env::args_os().skip(1).collect()) {
+        Ok(Parsed::Run(options)) => options,
+        Ok(Parsed::Print(text)) => {
+            println!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => {
+            eprintln!("{}: {error}", program.name);
+            return ExitCode::from(BAD_INPUT);
+        }
+    };
+    match run(&options, serve) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{}: {error}", program.name);
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+fn run(
+    options: &Options,
+    serve: fn(Settings, &HostSettings) -> Result<(), RunError>,
+) -> Result<(), RunError> {
+    let settings = settings(options)?;
+    let host = settings.host(&options.host).cloned();
+    let host = host.ok_or_else(|| RunError::UnknownHost(options.host.clone()))?;
+    start_log();
+    serve(settings, &host)
+}
+
+fn settings(options: &Options) -> Result<Settings, RunError> {
+    let mut overrides = Vec::new();
+    for text in &options.overrides {
+        overrides.push(Override::parse(text)?);
+    }
+    let overlay = options.overlay.as_deref();
+    Ok(read_settings(&options.config, overlay, &overrides)?)
+}
--- a/crates/transport/src/load_reads.rs
+++ b/crates/transport/src/load_reads.rs
@@ -18,8 +18,6 @@
 use sedgeridge_state::ids::EndpointId;
 use ureq::Agent;
 
-use crate::core::CoreInput;
-
 /// Threads that read reports; one that hangs on a silent endpoint holds up only a part of them.
 const READERS: usize = 4;
 /// Reads that may wait for a reader; a read that finds no room is left out, the next is soon due.
@@ -42,12 +40,15 @@
 }
 
 impl LoadReads {
-    /// Starts the readers.
+    /// Starts the readers; each end of a read goes to `inputs` by way of `wrap`.
     ///
     /// # Errors
     ///
     /// Fails when a thread cannot be started.
-    pub fn start(core: &SyncSender<CoreInput>) -> io::Result<Self> {
+    pub fn start<I: Send + 'static>(
+        inputs: &SyncSender<I>,
+        wrap: fn(EndpointId, Option<Load>) -> I,
+    ) -> io::Result<Self> {
         let (ring, reads) = sync_channel(READ_RING_LEN);
         let reads = Arc::new(Mutex::new(reads));
         let agent = Agent::config_builder()
@@ -57,11 +58,11 @@
             .new_agent();
         for index in 0..READERS {
             let reads = Arc::clone(&reads);
-            let core = core.clone();
+            let inputs = inputs.clone();
             let agent = agent.clone();
             thread::Builder::new()
                 .name(format!("load-reads-{index}"))
-                .spawn(move || read_all(&agent, &reads, &core))?;
+                .spawn(move || read_all(&agent, &reads, &inputs, wrap))?;
         }
         Ok(Self {
             ring,
@@ -90,7 +91,12 @@
     }
 }
 
-fn read_all(agent: &Agent, reads: &Mutex<Receiver<LoadRead>>, core: &SyncSender<CoreInput>) {
+fn read_all<I>(
+    agent: &Agent,
+    reads: &Mutex<Receiver<LoadRead>>,
+    inputs: &SyncSender<I>,
+    wrap: fn(EndpointId, Option<Load>) -> I,
+) {
     loop {
         let next = reads.lock().expect("no reader panics").recv();
         let Ok(LoadRead { endpoint, address }) = next else {
@@ -99,7 +105,7 @@
         let load = read(agent, address);
         let result = if load.is_some() { "read" } else { "failed" };
         counter!("sedgeridge_load_reads_total", "result" => result).increment(1);
-        if core.send(CoreInput::LoadRead { endpoint, load }).is_err() {
+        if inputs.send(wrap(endpoint, load)).is_err() {
             return;
         }
     }
--- a/crates/transport/src/status.rs
+++ b/crates/transport/src/status.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::sync::RwLock;
 
+use sedgeridge_protocol::coordinator::CoordinatorStatus;
+
 /// A router's state as last published.
 #[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize)]
 pub struct RouterStatus {
@@ -24,20 +26,38 @@
     pub members: u64,
 }
 
+/// What a process tells operators of itself.
+pub trait HostStatus: Clone + serde::Serialize {
+    /// Tells whether the process does its work.
+    fn is_ready(&self) -> bool;
+}
+
+impl HostStatus for RouterStatus {
+    fn is_ready(&self) -> bool {
+        self.ready
+    }
+}
+
+impl HostStatus for CoordinatorStatus {
+    fn is_ready(&self) -> bool {
+        self.ready
+    }
+}
+
 /// Shared place of the last published status.
 #[derive(Debug, Clone, Default)]
-pub struct StatusBoard {
-    status: Arc<RwLock<RouterStatus>>,
+pub struct StatusBoard<S = RouterStatus> {
+    status: Arc<RwLock<S>>,
 }
 
-impl StatusBoard {
+impl<S: Clone> StatusBoard<S> {
     /// Replaces the status.
-    pub fn publish(&self, status: RouterStatus) {
+    pub fn publish(&self, status: S) {
         *self.status.write().expect("no writer panics") = status;
     }
 
     /// Copies the status.
-    pub fn read(&self) -> RouterStatus {
+    pub fn read(&self) -> S {
         self.status.read().expect("no writer panics").clone()
     }
 }
--- a/crates/transport/src/table_calls.rs
+++ b/crates/transport/src/table_calls.rs
@@ -11,7 +11,6 @@
 use std::time::Duration;
 
 use metrics::counter;
-use sedgeridge_coordination::node::StorePart;
 use sedgeridge_coordination::store_call::CallId;
 use sedgeridge_coordination::store_call::StoreAction;
 use sedgeridge_coordination::store_call::StoreEvent;
@@ -31,54 +30,53 @@
 use serde::de::DeserializeOwned;
 use ureq::Agent;
 
-use crate::core::CoreInput;
 use crate::endpoint_call::never_sent;
 
-/// Threads that call; each holds one call at a time.
-const CALLERS: usize = 6;
+/// Threads that call for most uses; each holds one call at a time.
+pub const CALLERS: usize = 6;
 /// Calls that may wait for a thread.
 const CALL_RING_LEN: usize = 64;
 
 /// A call to make.
 #[derive(Debug)]
-struct TableCall {
-    part: StorePart,
+struct TableCall<P> {
+    part: P,
     action: StoreAction,
 }
 
-/// Ring to the threads that call the table service.
+/// Ring to the threads that call the table service for the parts `P` of a process.
 #[derive(Debug)]
-pub struct TableCalls {
-    ring: SyncSender<TableCall>,
+pub struct TableCalls<P> {
+    ring: SyncSender<TableCall<P>>,
 }
 
-impl TableCalls {
-    /// Starts the threads.
+impl<P: Send + 'static> TableCalls<P> {
+    /// Starts the threads; the end of each call goes to `inputs` by way of `wrap`.
     ///
     /// # Errors
     ///
     /// Fails when a thread cannot be started.
-    pub fn start(
-        address: Option<SocketAddr>,
-        call_timeout: Duration,
-        core: &SyncSender<CoreInput>,
+    pub fn start<I: Send + 'static>(
+        client: &TableClient,
+        callers: usize,
+        inputs: &SyncSender<I>,
+        wrap: fn(P, StoreEvent) -> I,
     ) -> io::Result<Self> {
         let (ring, calls) = sync_channel(CALL_RING_LEN);
         let calls = Arc::new(Mutex::new(calls));
-        let client = TableClient::new(address, call_timeout);
-        for index in 0..CALLERS {
+        for index in 0..callers {
             let calls = Arc::clone(&calls);
             let client = client.clone();
-            let core = core.clone();
+            let inputs = inputs.clone();
             thread::Builder::new()
                 .name(format!("table-calls-{index}"))
-                .spawn(move || call_all(&client, &calls, &core))?;
+                .spawn(move || call_all(&client, &calls, &inputs, wrap))?;
         }
         Ok(Self { ring })
     }
 
     /// Makes a call; `Some` is its end when there is no room for it, so that it is not made.
-    pub fn call(&self, part: StorePart, action: StoreAction) -> Option<StoreEvent> {
+    pub fn call(&self, part: P, action: StoreAction) -> Option<StoreEvent> {
         let call = call_id(&action);
         let refused = self.ring.try_send(TableCall { part, action }).is_err();
         refused.then(|| {
@@ -97,10 +95,11 @@
     }
 }
 
-fn call_all(
+fn call_all<P, I>(
     client: &TableClient,
-    calls: &Mutex<Receiver<TableCall>>,
-    core: &SyncSender<CoreInput>,
+    calls: &Mutex<Receiver<TableCall<P>>>,
+    inputs: &SyncSender<I>,
+    wrap: fn(P, StoreEvent) -> I,
 ) {
     loop {
         let next = calls.lock().expect("no caller panics").recv();
@@ -111,7 +110,7 @@
             call: call_id(&action),
             result: client.run(&action),
         };
-        if core.send(CoreInput::StoreEnded { part, event }).is_err() {
+        if inputs.send(wrap(part, event)).is_err() {
             return;
         }
     }
