--- /dev/null
+++ b/crates/coordination/tests/coordinator.rs
@@ -0,0 +1,206 @@
+//! Failures that concern more than one part of a coordinator.
+
+mod common;
+
+use std::time::Duration;
+
+use common::store::Fate;
+use common::store::Store;
+use sedgeridge_coordination::coordinator::Coordinator;
+use sedgeridge_coordination::coordinator_events::CoordinatorAction;
+use sedgeridge_coordination::coordinator_events::CoordinatorEvent;
+use sedgeridge_coordination::coordinator_events::CoordinatorSettings;
+use sedgeridge_coordination::order_events::EngineAnswer;
+use sedgeridge_coordination::order_events::SendOrder;
+use sedgeridge_coordination::slot_budget::Load;
+use sedgeridge_state::ids::EndpointId;
+use sedgeridge_state::ids::Incarnation;
+use sedgeridge_state::ids::Member;
+use sedgeridge_state::lease_record::FencingNumber;
+use sedgeridge_state::order_record::EngineOrder;
+use sedgeridge_state::order_record::OrderRecord;
+use sedgeridge_state::order_record::OrderState;
+use sedgeridge_state::order_record::order_key;
+use sedgeridge_state::settings::EndpointSettings;
+use sedgeridge_state::settings::PoolKind;
+use sedgeridge_state::settings::PoolSettings;
+use sedgeridge_state::settings::Settings;
+
+const STEP: Duration = Duration::from_millis(100);
+
+/// One coordinator, its store, and endpoints whose reports the test sets.
+struct Bench {
+    now: Duration,
+    store: Store,
+    coordinator: Coordinator,
+    /// Endpoints that answer reads of their load.
+    reporting: Vec<&'static str>,
+    sent: Vec<SendOrder>,
+    announced: Vec<(EndpointId, Duration)>,
+    reads: usize,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let member = Member {
+            host: "host-1".into(),
+            incarnation: Incarnation(1),
+        };
+        let settings = CoordinatorSettings::default();
+        Self {
+            now: Duration::ZERO,
+            store: Store::default(),
+            coordinator: Coordinator::new(member, settings, &two_engines(), 0, 7),
+            reporting: vec!["desk-1", "desk-2"],
+            sent: Vec::new(),
+            announced: Vec::new(),
+            reads: 0,
+        }
+    }
+
+    fn event(&mut self, event: CoordinatorEvent) {
+        let mut actions = Vec::new();
+        self.coordinator.handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                CoordinatorAction::Store { part, action } => {
+                    let event = self.store.call(&action, Fate::Answered);
+                    self.event(CoordinatorEvent::StoreEnded { part, event });
+                }
+                CoordinatorAction::Send(order) => self.sent.push(order),
+                CoordinatorAction::AnnounceDrain { endpoint } => {
+                    self.announced.push((endpoint.clone(), self.now));
+                    self.event(CoordinatorEvent::DrainAnnounced { endpoint });
+                }
+                CoordinatorAction::ReadLoad { endpoint } => {
+                    self.reads += 1;
+                    let load = self.load(&endpoint);
+                    self.event(CoordinatorEvent::LoadRead { endpoint, load });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn load(&self, endpoint: &EndpointId) -> Option<Load> {
+        let reports = self.reporting.contains(&endpoint.as_str());
+        reports.then_some(Load {
+            running: 0,
+            waiting: 0,
+            slots: 4,
+            age: Duration::ZERO,
+            leaving: false,
+        })
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            self.event(CoordinatorEvent::Tick);
+        }
+    }
+
+    fn order(&mut self, endpoint: &str, number: u64) {
+        let record = OrderRecord {
+            endpoint: endpoint.into(),
+            number,
+            fencing: FencingNumber(0),
+            order: EngineOrder::ChangeRole("booking".into()),
+            state: OrderState::Intended,
+        };
+        let key = order_key(&endpoint.into());
+        self.store.put(&key, &record.encode());
+    }
+
+    fn obey(&mut self) {
+        let order = self.sent.pop().expect("an order");
+        self.event(CoordinatorEvent::Answered {
+            endpoint: order.endpoint,
+            number: order.number,
+            answer: EngineAnswer::Done,
+        });
+    }
+}
+
+fn two_engines() -> Settings {
+    let endpoint = |id: &str| EndpointSettings {
+        id: id.into(),
+        pool: "desk".into(),
+        site: "north".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        slots: 4,
+        checks_fencing: true,
+    };
+    Settings {
+        pools: vec![PoolSettings {
+            id: "desk".into(),
+            kind: PoolKind::Model,
+            floor: 1,
+        }],
+        endpoints: vec![endpoint("desk-1"), endpoint("desk-2")],
+        ..Settings::default()
+    }
+}
+
+// An order ends and its pool's reports are read no more. Hours later the other engine is gone and
+// an order comes for the first. By the old report the other engine serves, and the order would
+// leave the pool with none; forgotten, it counts only when it reports again.
+#[test]
+fn a_report_of_hours_ago_does_not_count_for_the_floor() {
+    let mut bench = Bench::new();
+    bench.order("desk-1", 1);
+    bench.run(Duration::from_secs(10));
+    bench.obey();
+    bench.run(Duration::from_secs(1));
+    let reads = bench.reads;
+    bench.run(Duration::from_secs(7_200));
+    assert_eq!(bench.reads, reads, "no order under way needs reports");
+    bench.reporting = vec!["desk-1"];
+    bench.order("desk-1", 2);
+    bench.run(Duration::from_secs(60));
+    assert!(bench.sent.is_empty());
+    bench.reporting = vec!["desk-1", "desk-2"];
+    bench.run(Duration::from_secs(10));
+    assert_eq!(bench.sent.len(), 1);
+}
+
+// A drain lasts as long as the engine takes to obey. Routers heed an announcement for ten seconds,
+// so it is repeated; one that was said once would bring new requests to an engine under an order.
+#[test]
+fn a_drain_is_announced_again_until_the_order_ends() {
+    let mut bench = Bench::new();
+    bench.order("desk-1", 1);
+    bench.run(Duration::from_secs(60));
+    let times: Vec<Duration> = bench.announced.iter().map(|(_, at)| *at).collect();
+    assert!(times.len() > 10);
+    assert!(
+        times
+            .windows(2)
+            .all(|pair| pair[1] - pair[0] < Duration::from_secs(9))
+    );
+    bench.obey();
+    let announced = bench.announced.len();
+    bench.run(Duration::from_secs(60));
+    assert_eq!(bench.announced.len(), announced);
+}
+
+// The holder is frozen in the middle of a drain and goes on an hour later. It must not keep the
+// endpoint out of service for an order that another holder has completed by now.
+#[test]
+fn a_holder_frozen_past_its_lease_announces_no_drain() {
+    let mut bench = Bench::new();
+    bench.order("desk-1", 1);
+    bench.reporting = vec!["desk-2"];
+    bench.run(Duration::from_secs(10));
+    let announced = bench.announced.len();
+    assert!(announced > 0);
+    bench.now += Duration::from_secs(3_600);
+    let mut actions = Vec::new();
+    let event = CoordinatorEvent::Tick;
+    bench.coordinator.handle(bench.now, event, &mut actions);
+    let drains =
+        |action: &CoordinatorAction| matches!(action, CoordinatorAction::AnnounceDrain { .. });
+    assert!(!actions.iter().any(drains));
+    assert!(actions.contains(&CoordinatorAction::Lost));
+}
--- /dev/null
+++ b/crates/transport/tests/coordinator/support.rs
@@ -0,0 +1,196 @@
+//! Coordinators that run in threads of the test, on a clock that the test moves.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::sync_channel;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use sedgeridge_coordination::clock::Clock;
+use sedgeridge_coordination::coordinator_events::CoordinatorEvent;
+use sedgeridge_coordination::coordinator_events::CoordinatorSettings;
+use sedgeridge_protocol::coordinator::CoordinatorStatus;
+use sedgeridge_state::ids::Incarnation;
+use sedgeridge_state::ids::Member;
+use sedgeridge_state::lease_record::FencingNumber;
+use sedgeridge_state::lease_record::LEASE_KEY;
+use sedgeridge_state::lease_record::LeaseRecord;
+use sedgeridge_state::order_record::EngineOrder;
+use sedgeridge_state::order_record::OrderRecord;
+use sedgeridge_state::order_record::OrderState;
+use sedgeridge_state::order_record::order_key;
+use sedgeridge_state::settings::EndpointSettings;
+use sedgeridge_state::settings::HostSettings;
+use sedgeridge_state::settings::PoolKind;
+use sedgeridge_state::settings::PoolSettings;
+use sedgeridge_state::settings::Settings;
+use sedgeridge_transport::coordinator_core::COORDINATOR_RING_LEN;
+use sedgeridge_transport::coordinator_core::CoordinatorCore;
+use sedgeridge_transport::directory::Directory;
+use sedgeridge_transport::status::StatusBoard;
+use serde::de::DeserializeOwned;
+use tiny_http::Request;
+
+use crate::engine::FakeEngine;
+use crate::table::FakeTable;
+
+/// Longest real time that a condition may take; only a failure comes near it.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Real time between two looks at a condition.
+const LOOK_INTERVAL: Duration = Duration::from_millis(5);
+/// How far the clock moves between two looks: slowly enough that a thread of a busy machine which
+/// gets no processor for a second does not miss a renewal.
+const STEP_MS: u64 = 20;
+
+pub const ENDPOINT: &str = "desk-1";
+
+/// A clock that the test moves; clones show the same time.
+#[derive(Debug, Clone, Default)]
+pub struct SharedClock {
+    now_ms: Arc<AtomicU64>,
+}
+
+impl SharedClock {
+    pub fn advance(&self, by_ms: u64) {
+        self.now_ms.fetch_add(by_ms, Ordering::SeqCst);
+    }
+}
+
+impl Clock for SharedClock {
+    fn now(&self) -> Duration {
+        Duration::from_millis(self.now_ms.load(Ordering::SeqCst))
+    }
+}
+
+pub fn read_json<T: DeserializeOwned>(request: &mut Request) -> T {
+    serde_json::from_reader(request.as_reader()).unwrap()
+}
+
+/// One table, one engine, and the coordinators that give it orders.
+#[derive(Debug)]
+pub struct Fleet {
+    pub table: FakeTable,
+    pub engine: FakeEngine,
+    settings: Settings,
+}
+
+/// A coordinator that runs in a thread.
+#[derive(Debug)]
+pub struct Process {
+    pub clock: SharedClock,
+    pub status: StatusBoard<CoordinatorStatus>,
+    inputs: SyncSender<CoordinatorEvent>,
+    core: JoinHandle<()>,
+}
+
+impl Fleet {
+    pub fn new(checks_fencing: bool) -> Self {
+        let table = FakeTable::start();
+        let engine = FakeEngine::start(checks_fencing);
+        let mut settings = Settings::default();
+        settings.platform.table_address = Some(table.address);
+        settings.pools.push(PoolSettings {
+            id: "desk".into(),
+            kind: PoolKind::Model,
+            floor: 0,
+        });
+        settings.endpoints.push(EndpointSettings {
+            id: ENDPOINT.into(),
+            pool: "desk".into(),
+            site: "north".into(),
+            address: engine.address,
+            slots: 4,
+            checks_fencing,
+        });
+        settings.hosts.push(HostSettings {
+            id: "host-1".into(),
+            site: "north".into(),
+            caller_address: engine.address,
+            peer_address: engine.address,
+            operator_address: engine.address,
+            coordinator_address: None,
+        });
+        Self {
+            table,
+            engine,
+            settings,
+        }
+    }
+
+    /// Starts a coordinator of a host's first run.
+    pub fn start(&self, host: &str) -> Process {
+        let clock = SharedClock::default();
+        let status = StatusBoard::default();
+        let (inputs, inbox) = sync_channel(COORDINATOR_RING_LEN);
+        let member = Member {
+            host: host.into(),
+            incarnation: Incarnation(1),
+        };
+        let core = CoordinatorCore::new(
+            clock.clone(),
+            member,
+            CoordinatorSettings::default(),
+            Arc::new(Directory::new(self.settings.clone())),
+            &inputs,
+            status.clone(),
+        );
+        let core = core.unwrap();
+        Process {
+            clock,
+            status,
+            inputs,
+            core: thread::spawn(move || core.run(&inbox)),
+        }
+    }
+
+    /// Writes an order as an operator does.
+    pub fn order(&self, order: EngineOrder) {
+        let record = OrderRecord {
+            endpoint: ENDPOINT.into(),
+            number: 1,
+            fencing: FencingNumber(0),
+            order,
+            state: OrderState::Intended,
+        };
+        self.table
+            .put(&order_key(&ENDPOINT.into()), &record.encode());
+    }
+
+    pub fn order_state(&self) -> Option<OrderState> {
+        let value = self.table.value(&order_key(&ENDPOINT.into()))?;
+        Some(OrderRecord::decode(&value)?.state)
+    }
+
+    pub fn lease(&self) -> Option<LeaseRecord> {
+        LeaseRecord::decode(&self.table.value(LEASE_KEY)?)
+    }
+}
+
+impl Process {
+    /// Lets the clock run until a condition holds.
+    pub fn run_until(&self, what: &str, mut condition: impl FnMut() -> bool) {
+        let started = Instant::now();
+        while !condition() {
+            assert!(started.elapsed() < PATIENCE, "never happened: {what}");
+            self.clock.advance(STEP_MS);
+            thread::sleep(LOOK_INTERVAL);
+        }
+    }
+
+    pub fn run_until_holding(&self) {
+        self.run_until("the lease is held", || self.status.read().holding);
+    }
+
+    pub fn stop(&self) {
+        self.inputs.send(CoordinatorEvent::StopRequested).unwrap();
+    }
+
+    pub fn join(self) {
+        self.run_until("the coordinator ends", || self.core.is_finished());
+        self.core.join().unwrap();
+    }
+}
