feat(cli): orders list and orders add

An order is one conditional write of the endpoint's row, so two operators cannot both be told that theirs is accepted, and an answer lost after the write is settled by sending it again. Handing orders to the coordinator's own page was weighed: it would need a search for the holder and a record of its own for lost answers.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -101,6 +101,18 @@
     Ok(arguments.value_from_str("--table")?)
 }
 
+/// Finds the table service: as given, or by the settings.
+pub fn table_of(
+    given: Option<SocketAddr>,
+    settings: &Settings,
+) -> Result<SocketAddr, CommandError> {
+    given.or(settings.platform.table_address).ok_or_else(|| {
+        CommandError::BadInput(
+            "error: no table service: set platform.table_address or give --table".to_owned(),
+        )
+    })
+}
+
 /// Refuses whatever no one has taken.
 pub fn finish(arguments: &mut Arguments) -> Result<(), CommandError> {
     let rest = std::mem::replace(arguments, Arguments::from_vec(Vec::new())).finish();
--- a/crates/cli/src/config_apply.rs
+++ b/crates/cli/src/config_apply.rs
@@ -15,6 +15,7 @@
 use sedgeridge_transport::settings_files::overlay_path;
 
 use crate::arguments::finish;
+use crate::arguments::table_of;
 use crate::arguments::take_file;
 use crate::change::Change;
 use crate::change::ChangeArguments;
@@ -35,11 +36,7 @@
     finish(arguments)?;
     let settings = SettingsTexts::read(&base, None)?.load(&[])?;
     let document = read_document(&base, &settings)?;
-    let table = table.or(settings.platform.table_address).ok_or_else(|| {
-        CommandError::BadInput(
-            "error: no table service: set platform.table_address or give --table".to_owned(),
-        )
-    })?;
+    let table = table_of(table, &settings)?;
     let accepted = read_accepted(context, table)?;
     let edits = accepted.document.edits_to(&document);
     if !remove {
--- a/crates/cli/src/dispatch.rs
+++ b/crates/cli/src/dispatch.rs
@@ -15,6 +15,8 @@
 use crate::help::HELP;
 use crate::online::run_endpoints;
 use crate::online::run_status;
+use crate::orders_add;
+use crate::orders_list;
 use crate::sites;
 
 /// Runs the command that the arguments name and gives the text to print.
@@ -40,6 +42,7 @@
         "accounts" => accounts(arguments, context),
         "config" => config(arguments, context),
         "endpoints" => endpoints(arguments, context),
+        "orders" => orders(arguments, context),
         "sites" => sites::run(arguments, context),
         "status" => run_status(arguments, context),
         other => Err(unknown(other)),
@@ -74,6 +77,14 @@
     }
 }
 
+fn orders(arguments: &mut Arguments, context: &impl Context) -> Result<String, CommandError> {
+    match arguments.subcommand()?.unwrap_or_default().as_str() {
+        "add" => orders_add::run(arguments, context),
+        "list" => orders_list::run(arguments, context),
+        other => Err(unknown(&format!("orders {other}"))),
+    }
+}
+
 fn unknown(command: &str) -> CommandError {
     CommandError::Usage(format!("unknown command `{}`", command.trim_end()))
 }
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -30,6 +30,12 @@
 
   Changes take --author NAME, by default the user.
 
+ORDERS TO ENGINES
+  orders add FILE --endpoint NAME --kind KIND --subject NAME
+                               have the coordinator give an order; KIND is load, unload (a model
+                               or adapter, NAME/VERSION) or change_role (a pool); --table IP:PORT
+  orders list --table IP:PORT  show the newest order to each engine
+
 RUNNING ROUTERS
   status --router IP:PORT         show one router and the members it knows
   endpoints list --router IP:PORT list endpoints as one router sees them
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -26,6 +26,8 @@
 mod findings;
 mod help;
 mod online;
+mod orders_add;
+mod orders_list;
 mod sites;
 pub mod system;
 
--- a/crates/cli/tests/configuration/fake.rs
+++ b/crates/cli/tests/configuration/fake.rs
@@ -149,13 +149,14 @@
             Fault::AnswerLost | Fault::CallLost => return Err(lost()),
         }
         let rows = self.rows.borrow();
-        let found = read.keys.iter().filter_map(|key| {
-            let (version, value) = rows.get(key)?;
-            Some(Row {
-                key: key.clone(),
-                version: *version,
-                value: Some(value.clone()),
-            })
+        let by_prefix = |key: &str| read.prefix.as_ref().is_some_and(|p| key.starts_with(p));
+        let found = rows
+            .iter()
+            .filter(|(key, _)| read.keys.contains(key) || by_prefix(key));
+        let found = found.map(|(key, (version, value))| Row {
+            key: key.clone(),
+            version: *version,
+            value: Some(value.clone()),
         });
         Ok(ReadAnswer {
             rows: found.collect(),
