--- a/crates/transport/src/operator.rs
+++ b/crates/transport/src/operator.rs
@@ -41,6 +41,8 @@
 /// Serves operator pages in a thread of its own. Requests to give an endpoint
 /// no new work go to `drain`; without it the process takes none.
 ///
+/// Returns the address that was bound, where port 0 asked for a free one.
+///
 /// # Errors
 ///
 /// Fails when the address cannot be bound.
@@ -49,8 +51,9 @@
     metrics: PrometheusHandle,
     status: StatusBoard<S>,
     drain: Option<DrainSender>,
-) -> io::Result<()> {
+) -> io::Result<SocketAddr> {
     let server = Server::http(address).map_err(io::Error::other)?;
+    let bound = server.server_addr().to_ip().unwrap_or(address);
     thread::Builder::new()
         .name("operator".into())
         .spawn(move || {
@@ -62,7 +65,7 @@
                 respond(request, page);
             }
         })?;
-    Ok(())
+    Ok(bound)
 }
 
 struct Page {
--- /dev/null
+++ b/crates/transport/tests/operator_pages.rs
@@ -0,0 +1,87 @@
+//! Operator pages over loopback: readiness and requests to drain.
+
+use std::net::SocketAddr;
+use std::sync::OnceLock;
+use std::sync::mpsc::sync_channel;
+
+use metrics_exporter_prometheus::PrometheusHandle;
+use sedgeridge_protocol::coordinator::CoordinatorStatus;
+use sedgeridge_protocol::coordinator::DRAIN_PATH;
+use sedgeridge_transport::core::CoreInput;
+use sedgeridge_transport::operator::DrainSender;
+use sedgeridge_transport::operator::serve_operator_pages;
+use sedgeridge_transport::operator::start_metrics;
+use sedgeridge_transport::status::StatusBoard;
+use ureq::Agent;
+
+const DESK: &str = r#"{"endpoint":"desk-1"}"#;
+
+fn metrics() -> PrometheusHandle {
+    static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
+    HANDLE.get_or_init(|| start_metrics().unwrap()).clone()
+}
+
+fn serve(status: &StatusBoard<CoordinatorStatus>, drain: Option<DrainSender>) -> SocketAddr {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    serve_operator_pages(address, metrics(), status.clone(), drain).unwrap()
+}
+
+fn agent() -> Agent {
+    let config = Agent::config_builder().http_status_as_error(false);
+    config.build().new_agent()
+}
+
+fn post(address: SocketAddr, path: &str, body: &str) -> u16 {
+    let sent = agent().post(format!("http://{address}{path}")).send(body);
+    sent.unwrap().status().as_u16()
+}
+
+fn get(address: SocketAddr, path: &str) -> u16 {
+    let got = agent().get(format!("http://{address}{path}")).call();
+    got.unwrap().status().as_u16()
+}
+
+#[test]
+fn readiness_follows_the_status() {
+    let status = StatusBoard::default();
+    let address = serve(&status, None);
+    assert_eq!(get(address, "/healthz"), 200);
+    assert_eq!(get(address, "/readyz"), 503);
+    status.publish(CoordinatorStatus {
+        ready: true,
+        ..CoordinatorStatus::default()
+    });
+    assert_eq!(get(address, "/readyz"), 200);
+    assert_eq!(get(address, "/operator/status"), 200);
+}
+
+#[test]
+fn a_drain_reaches_the_core() {
+    let (drain, inputs) = sync_channel(1);
+    let address = serve(&StatusBoard::default(), Some(drain));
+    assert_eq!(post(address, DRAIN_PATH, DESK), 202);
+    let CoreInput::DrainEndpoint { endpoint } = inputs.recv().unwrap() else {
+        panic!("expected a drain");
+    };
+    assert_eq!(endpoint.as_str(), "desk-1");
+}
+
+// The router's core is so busy that its ring is full. The coordinator is told that the drain was
+// not taken, and goes on to another router; told otherwise it would count on a drain nobody heeds.
+#[test]
+fn a_drain_without_room_is_not_said_to_be_taken() {
+    let (drain, _inputs) = sync_channel(1);
+    let address = serve(&StatusBoard::default(), Some(drain));
+    assert_eq!(post(address, DRAIN_PATH, DESK), 202);
+    assert_eq!(post(address, DRAIN_PATH, DESK), 503);
+}
+
+#[test]
+fn what_is_no_drain_is_refused() {
+    let (drain, _inputs) = sync_channel(1);
+    let address = serve(&StatusBoard::default(), Some(drain));
+    assert_eq!(post(address, DRAIN_PATH, "desk-1"), 400);
+    assert_eq!(post(address, "/operator/status", DESK), 404);
+    let without = serve(&StatusBoard::default(), None);
+    assert_eq!(post(without, DRAIN_PATH, DESK), 404);
+}
