--- a/crates/transport/src/coordinator_core.rs
+++ b/crates/transport/src/coordinator_core.rs
@@ -15,6 +15,7 @@
 use sedgeridge_coordination::coordinator_events::CoordinatorEvent;
 use sedgeridge_coordination::coordinator_events::CoordinatorPart;
 use sedgeridge_coordination::coordinator_events::CoordinatorSettings;
+use sedgeridge_coordination::store_call::StoreEvent;
 use sedgeridge_protocol::coordinator::CoordinatorStatus;
 use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::ids::Member;
@@ -31,6 +32,7 @@
 use crate::event_log::log_warn;
 use crate::load_reads::LoadReads;
 use crate::status::StatusBoard;
+use crate::table_calls::CALLERS;
 use crate::table_calls::TableCalls;
 use crate::table_calls::TableClient;
 
@@ -43,8 +45,8 @@
 const MAX_STOP_WAIT: Duration = Duration::from_secs(5);
 /// Threads for the lease's calls. They are its own, so that no other call makes a renewal wait.
 const LEASE_CALLERS: usize = 1;
-/// Threads for the calls of the other parts.
-const TABLE_CALLERS: usize = 4;
+/// Threads for the sweep's calls; it makes one at a time.
+const SWEEP_CALLERS: usize = 1;
 
 /// State of the core thread.
 #[derive(Debug)]
@@ -53,8 +55,9 @@
     member: Member,
     coordinator: Coordinator,
     directory: Arc<Directory>,
-    lease_table: TableCalls<CoordinatorPart>,
-    table: TableCalls<CoordinatorPart>,
+    lease_table: TableCalls,
+    order_table: TableCalls,
+    sweep_table: TableCalls,
     load_reads: LoadReads,
     calls: CoordinatorCalls,
     status: StatusBoard<CoordinatorStatus>,
@@ -79,13 +82,19 @@
         let platform = &directory.settings.platform;
         let call_timeout = millis(platform.call_timeout_ms);
         let client = TableClient::new(platform.table_address, call_timeout);
-        let ended = |part, event| CoordinatorEvent::StoreEnded { part, event };
         let answer_timeout = millis(settings.orders.answer_timeout_ms);
         let seed = member.incarnation.0;
         let configuration = &directory.settings;
         Ok(Self {
-            lease_table: TableCalls::start(&client, LEASE_CALLERS, inputs, ended)?,
-            table: TableCalls::start(&client, TABLE_CALLERS, inputs, ended)?,
+            lease_table: TableCalls::start(&client, LEASE_CALLERS, inputs, |event| {
+                ended(CoordinatorPart::Lease, event)
+            })?,
+            order_table: TableCalls::start(&client, CALLERS, inputs, |event| {
+                ended(CoordinatorPart::Orders, event)
+            })?,
+            sweep_table: TableCalls::start(&client, SWEEP_CALLERS, inputs, |event| {
+                ended(CoordinatorPart::Sweep, event)
+            })?,
             load_reads: LoadReads::start(inputs, |endpoint, load| CoordinatorEvent::LoadRead {
                 endpoint,
                 load,
@@ -150,10 +159,11 @@
             CoordinatorAction::Store { part, action } => {
                 let table = match part {
                     CoordinatorPart::Lease => &self.lease_table,
-                    CoordinatorPart::Orders | CoordinatorPart::Sweep => &self.table,
+                    CoordinatorPart::Orders => &self.order_table,
+                    CoordinatorPart::Sweep => &self.sweep_table,
                 };
-                if let Some(event) = table.call(part, action) {
-                    self.take(CoordinatorEvent::StoreEnded { part, event });
+                if let Some(event) = table.call(action) {
+                    self.take(ended(part, event));
                 }
             }
             CoordinatorAction::Send(order) => {
@@ -194,7 +204,7 @@
                 endpoint,
                 number,
                 state,
-            } => ended(&endpoint, number, state),
+            } => log_end(&endpoint, number, state),
         }
     }
 
@@ -219,7 +229,11 @@
     }
 }
 
-fn ended(endpoint: &EndpointId, number: u64, state: OrderState) {
+fn ended(part: CoordinatorPart, event: StoreEvent) -> CoordinatorEvent {
+    CoordinatorEvent::StoreEnded { part, event }
+}
+
+fn log_end(endpoint: &EndpointId, number: u64, state: OrderState) {
     let result = state.as_str();
     counter!("sedgeridge_orders_ended_total", "state" => result).increment(1);
     log_info(
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer_pass;
 pub mod call;
 pub mod clock;
+pub mod config_reads;
 pub mod coordinator_calls;
 pub mod coordinator_core;
 mod coordinator_status;
--- a/crates/transport/src/table_calls.rs
+++ b/crates/transport/src/table_calls.rs
@@ -37,20 +37,13 @@
 /// Calls that may wait for a thread.
 const CALL_RING_LEN: usize = 64;
 
-/// A call to make.
+/// Ring to the threads that call the table service.
 #[derive(Debug)]
-struct TableCall<P> {
-    part: P,
-    action: StoreAction,
+pub struct TableCalls {
+    ring: SyncSender<StoreAction>,
 }
 
-/// Ring to the threads that call the table service for the parts `P` of a process.
-#[derive(Debug)]
-pub struct TableCalls<P> {
-    ring: SyncSender<TableCall<P>>,
-}
-
-impl<P: Send + 'static> TableCalls<P> {
+impl TableCalls {
     /// Starts the threads; the end of each call goes to `inputs` by way of `wrap`.
     ///
     /// # Errors
@@ -60,7 +53,7 @@
         client: &TableClient,
         callers: usize,
         inputs: &SyncSender<I>,
-        wrap: fn(P, StoreEvent) -> I,
+        wrap: fn(StoreEvent) -> I,
     ) -> io::Result<Self> {
         let (ring, calls) = sync_channel(CALL_RING_LEN);
         let calls = Arc::new(Mutex::new(calls));
@@ -76,9 +69,9 @@
     }
 
     /// Makes a call; `Some` is its end when there is no room for it, so that it is not made.
-    pub fn call(&self, part: P, action: StoreAction) -> Option<StoreEvent> {
+    pub fn call(&self, action: StoreAction) -> Option<StoreEvent> {
         let call = call_id(&action);
-        let refused = self.ring.try_send(TableCall { part, action }).is_err();
+        let refused = self.ring.try_send(action).is_err();
         refused.then(|| {
             counter!("sedgeridge_table_calls_total", "result" => "no_room").increment(1);
             StoreEvent {
@@ -95,22 +88,22 @@
     }
 }
 
-fn call_all<P, I>(
+fn call_all<I>(
     client: &TableClient,
-    calls: &Mutex<Receiver<TableCall<P>>>,
+    calls: &Mutex<Receiver<StoreAction>>,
     inputs: &SyncSender<I>,
-    wrap: fn(P, StoreEvent) -> I,
+    wrap: fn(StoreEvent) -> I,
 ) {
     loop {
         let next = calls.lock().expect("no caller panics").recv();
-        let Ok(TableCall { part, action }) = next else {
+        let Ok(action) = next else {
             return;
         };
         let event = StoreEvent {
             call: call_id(&action),
             result: client.run(&action),
         };
-        if inputs.send(wrap(part, event)).is_err() {
+        if inputs.send(wrap(event)).is_err() {
             return;
         }
     }
