feat(coordinator): orders by the accepted configuration

With configuration = table the holder follows the accepted configuration; by the files of its start it would leave orders to endpoints added since open for good, and count floors of old pools.

--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -3,31 +3,35 @@
 
 use std::time::Duration;
 
-use sedgeridge_state::ids::EndpointId;
+use sedgeridge_state::config_records::ConfigContent;
 use sedgeridge_state::ids::Member;
 use sedgeridge_state::lease_record::FencingNumber;
 use sedgeridge_state::lease_record::LeaseRecord;
+use sedgeridge_state::settings::ConfigurationSource;
 use sedgeridge_state::settings::Settings;
 use sedgeridge_state::settings::millis;
 
 use crate::claim_sweep::ClaimSweep;
 use crate::claim_sweep::ClaimSweepEvent;
+use crate::config_events::ConfigEvent;
 use crate::coordinator_events::CoordinatorAction;
 use crate::coordinator_events::CoordinatorEvent;
 use crate::coordinator_events::CoordinatorPart;
 use crate::coordinator_events::CoordinatorSettings;
+use crate::coordinator_input::Events;
+use crate::coordinator_input::configured;
+use crate::coordinator_input::route;
 use crate::lease::Lease;
 use crate::lease_events::HeldLease;
 use crate::lease_events::LeaseAction;
 use crate::lease_events::LeaseEvent;
+use crate::node_config::ConfigStep;
+use crate::node_config::NodeConfig;
 use crate::order_events::OrderAction;
-use crate::order_events::OrderEndpoint;
 use crate::order_events::OrderEvent;
-use crate::order_events::PoolFloor;
 use crate::orders::OpenOrder;
 use crate::orders::Orders;
 use crate::repeats::Repeats;
-use crate::slot_budget::Load;
 use crate::store_call::StoreAction;
 
 /// All decisions of one coordinator.
@@ -57,6 +61,8 @@
     /// The epoch that orders and sweep know of.
     epoch: Option<FencingNumber>,
     followed: Repeats,
+    /// The accepted configuration, unless the files stay in force.
+    config: Option<NodeConfig>,
 }
 
 impl Coordinator {
@@ -70,12 +76,12 @@
         seed: u64,
     ) -> Self {
         let sweep_seed = seed.wrapping_add(1);
+        let config = accepted_config(&member, configuration, seed.wrapping_add(2));
         let mut orders = Orders::new(settings.orders.clone());
-        let configured = OrderEvent::Configured {
-            endpoints: engines(configuration),
-            floors: floors(configuration),
-        };
-        orders.handle(Duration::ZERO, configured, &mut Vec::new());
+        // Until the accepted configuration is read, an order would go by files that may be old.
+        if config.is_none() {
+            orders.handle(Duration::ZERO, configured(configuration), &mut Vec::new());
+        }
         Self {
             lease: Lease::new(member, settings.lease.clone(), seed),
             orders,
@@ -83,6 +89,7 @@
             drains: Repeats::default(),
             epoch: None,
             followed: Repeats::default(),
+            config,
             settings,
         }
     }
@@ -97,8 +104,14 @@
         event: CoordinatorEvent,
         actions: &mut Vec<CoordinatorAction>,
     ) {
-        let (lease, orders, sweep) = route(now, event);
+        let Events {
+            lease,
+            config,
+            orders,
+            sweep,
+        } = route(now, event);
         self.lease_event(now, lease, actions);
+        self.config_event(now, config, actions);
         self.order_event(now, orders, actions);
         self.sweep_event(now, sweep, actions);
         self.announce_drains(now, actions);
@@ -200,6 +213,45 @@
         }
     }
 
+    /// Follows the accepted configuration while this process holds the lease; candidates have no use
+    /// for it, and their reads would cost the table more than the holder's.
+    fn config_event(
+        &mut self,
+        now: Duration,
+        event: ConfigEvent<ConfigContent>,
+        actions: &mut Vec<CoordinatorAction>,
+    ) {
+        let Some(config) = self.config.as_mut().filter(|_| self.epoch.is_some()) else {
+            return;
+        };
+        let mut steps = Vec::new();
+        config.handle(now, event, &mut steps);
+        for step in steps {
+            match step {
+                ConfigStep::Read(read) => actions.push(CoordinatorAction::ReadConfig(read)),
+                ConfigStep::Adopt {
+                    generation,
+                    settings,
+                } => {
+                    self.order_event(now, configured(&settings), actions);
+                    actions.push(CoordinatorAction::Configured {
+                        generation,
+                        settings,
+                    });
+                }
+                ConfigStep::Unusable {
+                    generation,
+                    findings,
+                } => actions.push(CoordinatorAction::ConfigUnusable {
+                    generation,
+                    findings,
+                }),
+                // A coordinator has no peers and takes no requests.
+                ConfigStep::Send { .. } | ConfigStep::Announce(_) | ConfigStep::Ready => {}
+            }
+        }
+    }
+
     fn sweep_event(
         &mut self,
         now: Duration,
@@ -240,78 +292,11 @@
     }
 }
 
-/// Gives each part its event; those that it does not concern get a tick.
-fn route(now: Duration, event: CoordinatorEvent) -> (LeaseEvent, OrderEvent, ClaimSweepEvent) {
-    let mut events = (LeaseEvent::Tick, OrderEvent::Tick, ClaimSweepEvent::Tick);
-    match event {
-        CoordinatorEvent::StoreEnded { part, event } => match part {
-            CoordinatorPart::Lease => events.0 = LeaseEvent::Store(event),
-            CoordinatorPart::Orders => events.1 = OrderEvent::Store(event),
-            CoordinatorPart::Sweep => events.2 = ClaimSweepEvent::Store(event),
-        },
-        CoordinatorEvent::Answered {
-            endpoint,
-            number,
-            answer,
-        } => {
-            events.1 = OrderEvent::Answered {
-                endpoint,
-                number,
-                answer,
-            };
-        }
-        CoordinatorEvent::ReadBack {
-            endpoint,
-            number,
-            in_effect,
-        } => {
-            events.1 = OrderEvent::ReadBack {
-                endpoint,
-                number,
-                in_effect,
-            };
-        }
-        CoordinatorEvent::LoadRead { endpoint, load } => {
-            events.1 = load_event(now, endpoint, load);
-        }
-        CoordinatorEvent::DrainAnnounced { endpoint } => {
-            events.1 = OrderEvent::DrainAnnounced { endpoint };
-        }
-        CoordinatorEvent::StopRequested => events.0 = LeaseEvent::Stop,
-        CoordinatorEvent::Tick => {}
-    }
-    events
-}
-
-fn load_event(now: Duration, endpoint: EndpointId, load: Option<Load>) -> OrderEvent {
-    match load {
-        Some(load) => OrderEvent::EndpointState {
-            endpoint,
-            serving: !load.leaving,
-            in_progress: load.running.saturating_add(load.waiting),
-            as_of: now.saturating_sub(load.age),
-        },
-        None => OrderEvent::EndpointUnknown { endpoint },
+/// Creates the part that follows the accepted configuration, if the settings ask for it.
+fn accepted_config(member: &Member, settings: &Settings, seed: u64) -> Option<NodeConfig> {
+    if settings.platform.configuration != ConfigurationSource::Table {
+        return None;
     }
-}
-
-fn engines(settings: &Settings) -> Vec<OrderEndpoint> {
-    let endpoints = settings.endpoints.iter();
-    endpoints
-        .map(|endpoint| OrderEndpoint {
-            id: endpoint.id.clone(),
-            pool: endpoint.pool.clone(),
-            checks_fencing: endpoint.checks_fencing,
-        })
-        .collect()
-}
-
-fn floors(settings: &Settings) -> Vec<PoolFloor> {
-    let pools = settings.pools.iter();
-    pools
-        .map(|pool| PoolFloor {
-            pool: pool.id.clone(),
-            floor: pool.floor,
-        })
-        .collect()
+    let host = settings.host(member.host.as_str())?;
+    Some(NodeConfig::new(host.site.clone(), seed))
 }
--- a/crates/coordination/src/coordinator_events.rs
+++ b/crates/coordination/src/coordinator_events.rs
@@ -1,12 +1,17 @@
 //! What goes into and comes out of [`crate::coordinator::Coordinator`].
 
+use sedgeridge_state::config_records::ConfigContent;
 use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::order_record::EngineOrder;
 use sedgeridge_state::order_record::OrderState;
+use sedgeridge_state::settings::Settings;
 
 use crate::claim_sweep::ClaimSweepSettings;
+use crate::config_events::ConfigEvent;
+use crate::config_events::Generation;
 use crate::lease_events::HeldLease;
 use crate::lease_events::LeaseSettings;
+use crate::node_config::ConfigRead;
 use crate::order_events::EngineAnswer;
 use crate::order_events::OrderSettings;
 use crate::order_events::SendOrder;
@@ -87,6 +92,8 @@
         /// The report.
         load: Option<Load>,
     },
+    /// A read of the accepted configuration ended.
+    ConfigRead(ConfigEvent<ConfigContent>),
     /// A router took an announced drain.
     DrainAnnounced {
         /// The endpoint.
@@ -99,7 +106,7 @@
 }
 
 /// What a coordinator wants done.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum CoordinatorAction {
     /// Call the table.
     Store {
@@ -129,6 +136,22 @@
         /// The endpoint.
         endpoint: EndpointId,
     },
+    /// Read the accepted configuration.
+    ReadConfig(ConfigRead),
+    /// Another configuration is in force.
+    Configured {
+        /// Its generation.
+        generation: Generation,
+        /// Its settings.
+        settings: Box<Settings>,
+    },
+    /// The content of a generation is not usable here; the settings before it stay in force.
+    ConfigUnusable {
+        /// The generation.
+        generation: Generation,
+        /// What is wrong with it.
+        findings: String,
+    },
     /// The lease was taken; renewals are not told.
     Held(HeldLease),
     /// The lease is held no more.
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod store_call;
 
 mod account_table;
+mod coordinator_input;
 mod demand_table;
 mod entry_record;
 mod entry_table;
--- a/crates/coordination/tests/coordinator.rs
+++ b/crates/coordination/tests/coordinator.rs
@@ -102,11 +102,15 @@
     }
 
     fn order(&mut self, endpoint: &str, number: u64) {
+        self.order_with(endpoint, number, EngineOrder::ChangeRole("booking".into()));
+    }
+
+    fn order_with(&mut self, endpoint: &str, number: u64, order: EngineOrder) {
         let record = OrderRecord {
             endpoint: endpoint.into(),
             number,
             fencing: FencingNumber(0),
-            order: EngineOrder::ChangeRole("booking".into()),
+            order,
             state: OrderState::Intended,
         };
         let key = order_key(&endpoint.into());
@@ -204,3 +208,26 @@
     assert!(!actions.iter().any(drains));
     assert!(actions.contains(&CoordinatorAction::Lost));
 }
+
+// A load waits for the weight store's interval; its pool is drained, nothing else is missing. The
+// holder is frozen until long after its lease. The first thing it does then would be to send: the
+// time for the load has come. It must learn of the lapse first.
+#[test]
+fn a_holder_frozen_with_an_order_due_does_not_send_it() {
+    let mut bench = Bench::new();
+    bench.run(STEP);
+    bench.order_with("desk-1", 1, EngineOrder::Load("assistant/v2".into()));
+    bench.run(Duration::from_secs(8));
+    let waiting = bench
+        .coordinator
+        .open_orders()
+        .next()
+        .map(|open| open.stage);
+    assert_eq!(waiting, Some("awaiting_send"));
+    bench.now += Duration::from_secs(3_600);
+    let mut actions = Vec::new();
+    let event = CoordinatorEvent::Tick;
+    bench.coordinator.handle(bench.now, event, &mut actions);
+    let sends = |action: &CoordinatorAction| matches!(action, CoordinatorAction::Send(_));
+    assert!(!actions.iter().any(sends));
+}
--- a/crates/transport/src/config_reads.rs
+++ b/crates/transport/src/config_reads.rs
@@ -1,13 +1,11 @@
 //! Reads of the accepted configuration, in a thread of their own.
 
 use std::io;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::SyncSender;
 use std::sync::mpsc::sync_channel;
 use std::thread;
-use std::time::Duration;
 
 use sedgeridge_coordination::config_events::ConfigEvent;
 use sedgeridge_coordination::config_events::ConfigItem;
@@ -28,7 +26,6 @@
 use sedgeridge_state::config_records::config_change_key;
 use sedgeridge_state::config_records::snapshot_generation;
 
-use crate::core::CoreInput;
 use crate::table_calls::TableClient;
 
 /// Reads that may wait for the thread.
@@ -41,22 +38,22 @@
 }
 
 impl ConfigReads {
-    /// Starts the thread.
+    /// Starts the thread; the end of each read goes to `inputs` by way of `wrap`.
     ///
     /// # Errors
     ///
     /// Fails when the thread cannot be started.
-    pub fn start(
-        address: Option<SocketAddr>,
-        call_timeout: Duration,
-        core: &SyncSender<CoreInput>,
+    pub fn start<I: Send + 'static>(
+        client: &TableClient,
+        inputs: &SyncSender<I>,
+        wrap: fn(ConfigEvent<ConfigContent>) -> I,
     ) -> io::Result<Self> {
         let (ring, reads) = sync_channel(READ_RING_LEN);
-        let client = TableClient::new(address, call_timeout);
-        let core = core.clone();
+        let client = client.clone();
+        let inputs = inputs.clone();
         thread::Builder::new()
             .name("config-reads".into())
-            .spawn(move || read_all(&client, &reads, &core))?;
+            .spawn(move || read_all(&client, &reads, &inputs, wrap))?;
         Ok(Self { ring })
     }
 
@@ -66,10 +63,15 @@
     }
 }
 
-fn read_all(client: &TableClient, reads: &Receiver<ConfigRead>, core: &SyncSender<CoreInput>) {
+fn read_all<I>(
+    client: &TableClient,
+    reads: &Receiver<ConfigRead>,
+    inputs: &SyncSender<I>,
+    wrap: fn(ConfigEvent<ConfigContent>) -> I,
+) {
     for read in reads {
         let event = run(client, &read);
-        if core.send(CoreInput::ConfigRead(event)).is_err() {
+        if inputs.send(wrap(event)).is_err() {
             return;
         }
     }
--- a/crates/transport/src/coordinator_core.rs
+++ b/crates/transport/src/coordinator_core.rs
@@ -23,6 +23,7 @@
 use sedgeridge_state::settings::millis;
 
 use crate::clock::unix_ms;
+use crate::config_reads::ConfigReads;
 use crate::coordinator_calls::CoordinatorCall;
 use crate::coordinator_calls::CoordinatorCalls;
 use crate::coordinator_status::publish;
@@ -58,6 +59,7 @@
     lease_table: TableCalls,
     order_table: TableCalls,
     sweep_table: TableCalls,
+    config_reads: ConfigReads,
     load_reads: LoadReads,
     calls: CoordinatorCalls,
     status: StatusBoard<CoordinatorStatus>,
@@ -95,6 +97,7 @@
             sweep_table: TableCalls::start(&client, SWEEP_CALLERS, inputs, |event| {
                 ended(CoordinatorPart::Sweep, event)
             })?,
+            config_reads: ConfigReads::start(&client, inputs, CoordinatorEvent::ConfigRead)?,
             load_reads: LoadReads::start(inputs, |endpoint, load| CoordinatorEvent::LoadRead {
                 endpoint,
                 load,
@@ -195,6 +198,24 @@
                 self.calls
                     .call(CoordinatorCall::Drain { endpoint, routers });
             }
+            CoordinatorAction::ReadConfig(read) => self.config_reads.read(read),
+            CoordinatorAction::Configured {
+                generation,
+                settings,
+            } => {
+                self.directory = Arc::new(Directory::new(*settings));
+                log_info(
+                    LogEvent::ConfigAdopted,
+                    format_args!("generation={}", generation.0),
+                );
+            }
+            CoordinatorAction::ConfigUnusable {
+                generation,
+                findings,
+            } => log_warn(
+                LogEvent::ConfigUnusable,
+                format_args!("generation={} findings={findings:?}", generation.0),
+            ),
             CoordinatorAction::Held(held) => log_info(
                 LogEvent::LeaseTaken,
                 format_args!("fencing={}", held.fencing.0),
--- a/crates/transport/src/core.rs
+++ b/crates/transport/src/core.rs
@@ -202,7 +202,7 @@
         let call_timeout = millis(platform.call_timeout_ms);
         let client = TableClient::new(platform.table_address, call_timeout);
         let table = TableCalls::start(&client, CALLERS, &inputs, CoreInput::StoreEnded)?;
-        let config_reads = ConfigReads::start(platform.table_address, call_timeout, &inputs)?;
+        let config_reads = ConfigReads::start(&client, &inputs, CoreInput::ConfigRead)?;
         let seed = member.incarnation.0;
         Ok(Self {
             clock,
