--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -7,7 +7,6 @@
 use sedgeridge_state::ids::Member;
 use sedgeridge_state::lease_record::FencingNumber;
 use sedgeridge_state::lease_record::LeaseRecord;
-use sedgeridge_state::settings::ConfigurationSource;
 use sedgeridge_state::settings::Settings;
 use sedgeridge_state::settings::millis;
 
@@ -76,7 +75,7 @@
         seed: u64,
     ) -> Self {
         let sweep_seed = seed.wrapping_add(1);
-        let config = accepted_config(&member, configuration, seed.wrapping_add(2));
+        let config = NodeConfig::of_host(&member.host, configuration, seed.wrapping_add(2));
         let mut orders = Orders::new(settings.orders.clone());
         // Until the accepted configuration is read, an order would go by files that may be old.
         if config.is_none() {
@@ -291,12 +290,3 @@
         }
     }
 }
-
-/// Creates the part that follows the accepted configuration, if the settings ask for it.
-fn accepted_config(member: &Member, settings: &Settings, seed: u64) -> Option<NodeConfig> {
-    if settings.platform.configuration != ConfigurationSource::Table {
-        return None;
-    }
-    let host = settings.host(member.host.as_str())?;
-    Some(NodeConfig::new(host.site.clone(), seed))
-}
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -8,8 +8,6 @@
 use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Member;
 use sedgeridge_state::ids::PoolId;
-use sedgeridge_state::ids::SiteId;
-use sedgeridge_state::settings::ConfigurationSource;
 use sedgeridge_state::settings::FairScope;
 use sedgeridge_state::settings::Settings;
 use sedgeridge_state::settings::millis;
@@ -82,14 +80,7 @@
     /// Creates the router run `member` under a configuration; `seed` feeds every random choice.
     pub fn new(member: Member, settings: Settings, seed: u64) -> Self {
         let hosts: Vec<HostId> = settings.hosts.iter().map(|host| host.id.clone()).collect();
-        let config = match settings.platform.configuration {
-            ConfigurationSource::Files => None,
-            ConfigurationSource::Table => {
-                let host = settings.host(member.host.as_str());
-                let site = host.map_or(SiteId::from(""), |host| host.site.clone());
-                Some(NodeConfig::new(site, seed.wrapping_add(3)))
-            }
-        };
+        let config = NodeConfig::of_host(&member.host, &settings, seed.wrapping_add(3));
         let membership = Membership::new(member.clone(), settings.membership.clone(), hosts, seed);
         let mut node = Self {
             entry: Entry::new(member.clone(), &settings, seed.wrapping_add(1)),
--- a/crates/coordination/src/node_config.rs
+++ b/crates/coordination/src/node_config.rs
@@ -8,6 +8,7 @@
 use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Member;
 use sedgeridge_state::ids::SiteId;
+use sedgeridge_state::settings::ConfigurationSource;
 use sedgeridge_state::settings::Settings;
 
 use crate::config_adoption::ConfigAdoption;
@@ -96,7 +97,7 @@
 }
 
 impl NodeConfig {
-    pub(crate) fn new(site: SiteId, seed: u64) -> Self {
+    fn new(site: SiteId, seed: u64) -> Self {
         Self {
             adoption: ConfigAdoption::new(ConfigAdoptionSettings::default(), seed),
             document: ConfigDocument::default(),
@@ -105,6 +106,18 @@
         }
     }
 
+    /// Creates the configuration of a process on a host, unless the files stay in force.
+    pub(crate) fn of_host(host: &HostId, files: &Settings, seed: u64) -> Option<Self> {
+        match files.platform.configuration {
+            ConfigurationSource::Files => None,
+            ConfigurationSource::Table => {
+                let host = files.host(host.as_str());
+                let site = host.map_or(SiteId::from(""), |host| host.site.clone());
+                Some(Self::new(site, seed))
+            }
+        }
+    }
+
     /// Returns the generation in force.
     pub(crate) fn generation(&self) -> Option<Generation> {
         self.adoption.current()
--- a/crates/coordination/tests/coordinator.rs
+++ b/crates/coordination/tests/coordinator.rs
@@ -2,17 +2,25 @@
 
 mod common;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use common::store::Fate;
 use common::store::Store;
+use sedgeridge_coordination::config_events::ConfigEvent;
+use sedgeridge_coordination::config_events::ConfigItem;
+use sedgeridge_coordination::config_events::ConfigItemContent;
+use sedgeridge_coordination::config_events::Generation;
 use sedgeridge_coordination::coordinator::Coordinator;
 use sedgeridge_coordination::coordinator_events::CoordinatorAction;
 use sedgeridge_coordination::coordinator_events::CoordinatorEvent;
 use sedgeridge_coordination::coordinator_events::CoordinatorSettings;
+use sedgeridge_coordination::node_config::ConfigRead;
 use sedgeridge_coordination::order_events::EngineAnswer;
 use sedgeridge_coordination::order_events::SendOrder;
 use sedgeridge_coordination::slot_budget::Load;
+use sedgeridge_state::config_document::ConfigDocument;
+use sedgeridge_state::config_records::ConfigContent;
 use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::ids::Incarnation;
 use sedgeridge_state::ids::Member;
@@ -21,11 +29,37 @@
 use sedgeridge_state::order_record::OrderRecord;
 use sedgeridge_state::order_record::OrderState;
 use sedgeridge_state::order_record::order_key;
+use sedgeridge_state::settings::ConfigurationSource;
 use sedgeridge_state::settings::EndpointSettings;
+use sedgeridge_state::settings::HostSettings;
 use sedgeridge_state::settings::PoolKind;
 use sedgeridge_state::settings::PoolSettings;
 use sedgeridge_state::settings::Settings;
 
+const ACCEPTED: &str = "\
+[fleet]
+name = demo
+[site.north]
+[host.host-1]
+site = north
+caller_address = 127.0.0.1:2
+peer_address = 127.0.0.1:3
+operator_address = 127.0.0.1:4
+[pool.desk]
+floor = 1
+[endpoint.desk-8]
+pool = desk
+site = north
+address = 127.0.0.1:8
+slots = 4
+checks_fencing = yes
+[endpoint.desk-9]
+pool = desk
+site = north
+address = 127.0.0.1:9
+slots = 4
+checks_fencing = yes
+";
 const STEP: Duration = Duration::from_millis(100);
 
 /// One coordinator, its store, and endpoints whose reports the test sets.
@@ -38,23 +72,22 @@
     sent: Vec<SendOrder>,
     announced: Vec<(EndpointId, Duration)>,
     reads: usize,
+    /// The accepted configuration, if there is one.
+    accepted: Option<ConfigDocument>,
 }
 
 impl Bench {
     fn new() -> Self {
-        let member = Member {
-            host: "host-1".into(),
-            incarnation: Incarnation(1),
-        };
         let settings = CoordinatorSettings::default();
         Self {
             now: Duration::ZERO,
             store: Store::default(),
-            coordinator: Coordinator::new(member, settings, &two_engines(), 0, 7),
+            coordinator: Coordinator::new(member(), settings, &two_engines(), 0, 7),
             reporting: vec!["desk-1", "desk-2"],
             sent: Vec::new(),
             announced: Vec::new(),
             reads: 0,
+            accepted: None,
         }
     }
 
@@ -77,11 +110,32 @@
                     let load = self.load(&endpoint);
                     self.event(CoordinatorEvent::LoadRead { endpoint, load });
                 }
+                CoordinatorAction::ReadConfig(read) => self.read_config(&read),
                 _ => {}
             }
         }
     }
 
+    fn read_config(&mut self, read: &ConfigRead) {
+        let event = match (read, &self.accepted) {
+            (ConfigRead::Head { call, .. }, accepted) => ConfigEvent::Head {
+                call: *call,
+                generation: accepted.as_ref().map(|_| Generation(1)),
+            },
+            (ConfigRead::Changes { call, .. }, Some(document)) => ConfigEvent::Fetched {
+                call: *call,
+                items: vec![ConfigItem {
+                    generation: Generation(1),
+                    content: ConfigItemContent::Whole(Arc::new(ConfigContent::Snapshot(
+                        document.clone(),
+                    ))),
+                }],
+            },
+            (ConfigRead::Changes { call, .. }, None) => ConfigEvent::Failed { call: *call },
+        };
+        self.event(CoordinatorEvent::ConfigRead(event));
+    }
+
     fn load(&self, endpoint: &EndpointId) -> Option<Load> {
         let reports = self.reporting.contains(&endpoint.as_str());
         reports.then_some(Load {
@@ -127,6 +181,13 @@
     }
 }
 
+fn member() -> Member {
+    Member {
+        host: "host-1".into(),
+        incarnation: Incarnation(1),
+    }
+}
+
 fn two_engines() -> Settings {
     let endpoint = |id: &str| EndpointSettings {
         id: id.into(),
@@ -231,3 +292,45 @@
     let sends = |action: &CoordinatorAction| matches!(action, CoordinatorAction::Send(_));
     assert!(!actions.iter().any(sends));
 }
+
+// The files of the holder's start know no desk-9; the accepted configuration does. The order goes
+// by what is accepted. By the files it would stay open until somebody starts the holder again.
+#[test]
+fn an_order_goes_by_the_accepted_configuration() {
+    let mut bench = Bench::new();
+    let mut files = two_engines();
+    files.platform.configuration = ConfigurationSource::Table;
+    files.hosts.push(HostSettings {
+        id: "host-1".into(),
+        site: "north".into(),
+        caller_address: "127.0.0.1:2".parse().expect("an address"),
+        peer_address: "127.0.0.1:3".parse().expect("an address"),
+        operator_address: "127.0.0.1:4".parse().expect("an address"),
+        coordinator_address: None,
+    });
+    let settings = CoordinatorSettings::default();
+    bench.coordinator = Coordinator::new(member(), settings, &files, 0, 7);
+    bench.reporting = vec!["desk-8", "desk-9"];
+    bench.accepted = Some(ConfigDocument::from_texts(ACCEPTED, &[]));
+    bench.order("desk-9", 1);
+    bench.order("desk-1", 1);
+    bench.run(Duration::from_secs(20));
+    let ordered: Vec<&str> = bench.sent.iter().map(|o| o.endpoint.as_str()).collect();
+    assert_eq!(ordered, ["desk-9"]);
+}
+
+// A candidate does not hold the lease. It reads no configuration: on every host of a large fleet
+// these reads would take the table from the routers.
+#[test]
+fn a_candidate_reads_no_configuration() {
+    let mut files = two_engines();
+    files.platform.configuration = ConfigurationSource::Table;
+    let settings = CoordinatorSettings::default();
+    let mut coordinator = Coordinator::new(member(), settings, &files, 0, 7);
+    let mut actions = Vec::new();
+    for step in 0..100 {
+        coordinator.handle(STEP * step, CoordinatorEvent::Tick, &mut actions);
+    }
+    let reads = |action: &CoordinatorAction| matches!(action, CoordinatorAction::ReadConfig(_));
+    assert!(!actions.iter().any(reads));
+}
