fix: quarantine, breaker trials and drain rates see what really happened

Found by reading the wiring against the parts' contracts: - a crash counted for the quarantine only when a later attempt found the endpoint down, which never happens once the home ejects it: after a lost connection one fresh connection is tried at once; - requests put off or refused at a grant left the queue unseen by the drain rate; - answers told the breaker a start that was too late, so an old one could end a trial; - a quarantine now travels as a membership notice, so that routers that start later have it.

--- a/crates/coordination/benches/membership_slope.rs
+++ b/crates/coordination/benches/membership_slope.rs
@@ -17,6 +17,7 @@
 use membership_network::reports::Costs;
 use sedgeridge_coordination::membership::MembershipEvent;
 use sedgeridge_coordination::membership::Notice;
+use sedgeridge_state::fingerprint::Fingerprint;
 use sedgeridge_state::settings::MembershipSettings;
 
 const DEFAULT_COUNTS: [usize; 5] = [25, 50, 100, 200, 400];
@@ -174,7 +175,7 @@
         let origin = fingerprint as usize % network.nodes.len();
         let told_at = network.now;
         let notice = Notice::Quarantine {
-            fingerprint,
+            fingerprint: Fingerprint(fingerprint.into()),
             expires_in_ms: 60_000,
         };
         network.handle(origin, MembershipEvent::Announce(notice.clone()));
--- a/crates/coordination/src/attempt_results.rs
+++ b/crates/coordination/src/attempt_results.rs
@@ -16,6 +16,9 @@
     pub answered: u32,
     /// Mean time until they began.
     pub first_byte_ms: u32,
+    /// Longest time since the attempt of one of them began: an answer to an attempt from before an
+    /// ejection says nothing about the endpoint's health after it.
+    pub started_ago_ms: u32,
     /// Failures, each with the time since its attempt began.
     pub failures: Vec<AttemptFailed>,
 }
@@ -42,14 +45,21 @@
 struct Gathered {
     answered: u32,
     first_byte_sum: Duration,
+    started_ago: Duration,
     failures: Vec<AttemptFailed>,
 }
 
 impl AttemptResults {
-    pub(crate) fn answered(&mut self, endpoint: &EndpointId, first_byte: Duration) {
+    pub(crate) fn answered(
+        &mut self,
+        endpoint: &EndpointId,
+        first_byte: Duration,
+        started_ago: Duration,
+    ) {
         let gathered = self.endpoints.entry(endpoint.clone()).or_default();
         gathered.answered += 1;
         gathered.first_byte_sum += first_byte;
+        gathered.started_ago = gathered.started_ago.max(started_ago);
     }
 
     pub(crate) fn failed(
@@ -75,6 +85,7 @@
                 endpoint,
                 answered: gathered.answered,
                 first_byte_ms: millis_u32(first_byte),
+                started_ago_ms: millis_u32(gathered.started_ago),
                 failures: gathered.failures,
             }
         });
--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -2,6 +2,7 @@
 //! granted slot to the account's first waiting request.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use sedgeridge_state::ids::AccountId;
@@ -87,6 +88,8 @@
         self.admission.configure(settings.front.clone());
         self.ceilings.configure(now, &settings.accounts);
         self.retries.configure(settings.retry.clone());
+        let known: BTreeSet<&AccountId> = settings.accounts.iter().map(|a| &a.id).collect();
+        self.retries.retain_accounts(|id| known.contains(id));
         self.quarantine.configure(settings.health.clone());
     }
 
@@ -254,8 +257,12 @@
             let permit = fingerprint.map(|print| self.quarantine.start(now, print));
             match permit {
                 Some(Permit::Start) => return self.start(now, key, grant, actions),
-                Some(Permit::Wait) => self.requests.put_off(key, now + TRIAL_PAUSE),
+                Some(Permit::Wait) => {
+                    self.requests.put_off(key, now + TRIAL_PAUSE);
+                    self.note_left(now, &grant.pool, &grant.account);
+                }
                 Some(Permit::Refuse) => {
+                    self.note_left(now, &grant.pool, &grant.account);
                     self.give_up(now, key, RefusalReason::Quarantined, actions);
                 }
                 None => {}
@@ -374,6 +381,11 @@
                 let fingerprint = arrival.fingerprint;
                 self.quarantine.connection_lost(now, fingerprint, endpoint);
             }
+            (Some(endpoint), AttemptFailure::Crashed) => {
+                let fingerprint = arrival.fingerprint;
+                self.quarantine.connection_lost(now, fingerprint, endpoint);
+                self.quarantine.endpoint_down(now, endpoint);
+            }
             (Some(endpoint), AttemptFailure::ConnectFailed) => {
                 self.quarantine.ended(arrival.fingerprint);
                 self.quarantine.endpoint_down(now, endpoint);
@@ -424,23 +436,23 @@
         }
     }
 
+    /// Tells the measurement of the drain rate that a request left the queue without running.
+    fn note_left(&mut self, now: Duration, pool: &PoolId, account: &AccountId) {
+        let view = self.pool(pool);
+        let waiting_of_pool = view.waiting();
+        let waiting_of_account = view.waiting_of(account);
+        self.admission
+            .left(now, pool, account, waiting_of_pool, waiting_of_account);
+    }
+
     /// Takes a request out of wherever it waits.
     fn take_out(&mut self, now: Duration, key: RequestKey) -> Option<Request> {
         let request = self.requests.remove(key)?;
         if request.place == Place::Queued {
             let lane = request.lane();
-            let pool = self.pool(&request.arrival.pool);
-            if pool.remove_waiting(&lane, key) {
-                let waiting_of_pool = pool.waiting();
-                let waiting_of_account = pool.waiting_of(&lane.account);
+            if self.pool(&request.arrival.pool).remove_waiting(&lane, key) {
                 self.waiting -= 1;
-                self.admission.left(
-                    now,
-                    &request.arrival.pool,
-                    &lane.account,
-                    waiting_of_pool,
-                    waiting_of_account,
-                );
+                self.note_left(now, &request.arrival.pool, &lane.account);
             }
         }
         Some(request)
--- a/crates/coordination/src/entry_events.rs
+++ b/crates/coordination/src/entry_events.rs
@@ -61,6 +61,8 @@
     ServerError,
     /// The connection was lost.
     ConnectionLost,
+    /// The connection was lost, and the endpoint refuses new ones.
+    Crashed,
     /// The answer went silent on an open connection.
     Silent,
     /// The deadline passed.
@@ -76,7 +78,7 @@
             Self::ConnectFailed => Some(RetryReason::ConnectFailed),
             Self::NotStarted => Some(RetryReason::NotStarted),
             Self::ServerError => Some(RetryReason::ServerError),
-            Self::ConnectionLost => Some(RetryReason::ConnectionLost),
+            Self::ConnectionLost | Self::Crashed => Some(RetryReason::ConnectionLost),
             Self::Silent => Some(RetryReason::StreamSilent),
             Self::AnswerCrossed => Some(RetryReason::AnswerCrossed),
             Self::DeadlinePassed => None,
@@ -88,7 +90,7 @@
         match self {
             Self::ConnectFailed => Some(FailureKind::ConnectFailed),
             Self::ServerError | Self::AnswerCrossed => Some(FailureKind::ServerError),
-            Self::ConnectionLost => Some(FailureKind::ConnectionLost),
+            Self::ConnectionLost | Self::Crashed => Some(FailureKind::ConnectionLost),
             Self::Silent => Some(FailureKind::Silent),
             Self::NotStarted | Self::DeadlinePassed => None,
         }
--- a/crates/coordination/src/entry_pool.rs
+++ b/crates/coordination/src/entry_pool.rs
@@ -244,7 +244,9 @@
     /// Notes what an attempt told about its endpoint.
     pub fn note_result(&mut self, endpoint: &EndpointId, started_ago: Duration, end: AttemptEnd) {
         match end {
-            AttemptEnd::Finished { first_byte, .. } => self.results.answered(endpoint, first_byte),
+            AttemptEnd::Finished { first_byte, .. } => {
+                self.results.answered(endpoint, first_byte, started_ago);
+            }
             AttemptEnd::Failed { failure, .. } => {
                 if let Some(kind) = failure.endpoint_failure() {
                     self.results.failed(endpoint, kind, started_ago);
--- a/crates/coordination/src/homed_pool.rs
+++ b/crates/coordination/src/homed_pool.rs
@@ -64,6 +64,7 @@
             .iter()
             .map(|endpoint| (endpoint.id.clone(), endpoint.slots))
             .collect();
+        self.health.set_settings(settings.health.clone());
         self.health.configure(&slots);
         self.report_interval = millis(settings.health.report_interval_ms);
         let mut known = std::mem::take(&mut self.endpoints);
@@ -168,8 +169,8 @@
     fn take_results(&mut self, now: Duration, results: &[EndpointResult]) {
         for result in results {
             let first_byte = millis(result.first_byte_ms.into());
+            let started_at = now.saturating_sub(millis(result.started_ago_ms.into()));
             for _ in 0..result.answered.min(MAX_ANSWERS) {
-                let started_at = now.saturating_sub(first_byte);
                 self.health
                     .succeeded(now, &result.endpoint, started_at, first_byte);
             }
--- a/crates/coordination/src/membership/dissemination.rs
+++ b/crates/coordination/src/membership/dissemination.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 
+use sedgeridge_state::fingerprint::Fingerprint;
 use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::ids::HostId;
 
@@ -31,7 +32,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum NoticeKey {
     Leaving(EndpointId),
-    Quarantine(u64),
+    Quarantine(Fingerprint),
 }
 
 impl From<&Notice> for NoticeKey {
--- a/crates/coordination/src/membership/messages.rs
+++ b/crates/coordination/src/membership/messages.rs
@@ -1,5 +1,6 @@
 //! What the members of the fleet tell each other.
 
+use sedgeridge_state::fingerprint::Fingerprint;
 use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Incarnation;
@@ -100,7 +101,7 @@
     /// A request that crashes endpoints is refused.
     Quarantine {
         /// Identifies the request.
-        fingerprint: u64,
+        fingerprint: Fingerprint,
         /// Time the quarantine still lasts when the message is sent.
         expires_in_ms: u64,
     },
--- a/crates/coordination/src/membership/table_sync.rs
+++ b/crates/coordination/src/membership/table_sync.rs
@@ -74,7 +74,7 @@
     for key in notices.keys() {
         match key {
             NoticeKey::Leaving(endpoint) => hash.add(endpoint.as_str().as_bytes()),
-            NoticeKey::Quarantine(fingerprint) => hash.add(&fingerprint.to_le_bytes()),
+            NoticeKey::Quarantine(fingerprint) => hash.add(&fingerprint.0.to_le_bytes()),
         }
     }
     hash.0
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -35,6 +35,8 @@
 use crate::node_claims::NodeClaims;
 use crate::node_config::ConfigStep;
 use crate::node_config::NodeConfig;
+use crate::poison_notice::PoisonNews;
+use crate::poison_notice::PoisonNotice;
 use crate::pool_home::HomeAction;
 use crate::pool_home::HomeEvent;
 use crate::refusal::Outcome;
@@ -477,10 +479,24 @@
         entry_actions: &mut Vec<EntryAction>,
         actions: &mut Vec<NodeAction>,
     ) {
-        if let Notice::EndpointLeaving { endpoint, .. } = notice {
-            self.for_each_home(now, entry_actions, actions, |home, out| {
-                home.set_leaving(now, endpoint, out);
-            });
+        match notice {
+            Notice::EndpointLeaving { endpoint, .. } => {
+                self.for_each_home(now, entry_actions, actions, |home, out| {
+                    home.set_leaving(now, endpoint, out);
+                });
+            }
+            Notice::Quarantine {
+                fingerprint,
+                expires_in_ms,
+            } => {
+                let event = EntryEvent::Poison(PoisonNotice {
+                    fingerprint: *fingerprint,
+                    news: PoisonNews::Quarantined {
+                        remaining: millis(*expires_in_ms),
+                    },
+                });
+                self.entry.handle(now, event, entry_actions);
+            }
         }
     }
 
@@ -693,6 +709,18 @@
                 let message = PeerMessage::Report(report);
                 actions.push(NodeAction::Send { to, message });
             }
+            EntryAction::Announce(PoisonNotice {
+                fingerprint,
+                news: PoisonNews::Quarantined { remaining },
+            }) => {
+                // A quarantine also has to reach routers that start later, so it goes the way of
+                // notices that are kept and compared.
+                let event = MembershipEvent::Announce(Notice::Quarantine {
+                    fingerprint,
+                    expires_in_ms: remaining.as_millis() as u64,
+                });
+                self.membership_event(now, event, next, actions);
+            }
             EntryAction::Announce(notice) => {
                 let others = self.live.iter().filter(|m| m.member != self.member);
                 actions.extend(others.map(|other| NodeAction::Send {
--- a/crates/coordination/tests/membership.rs
+++ b/crates/coordination/tests/membership.rs
@@ -9,6 +9,7 @@
 use sedgeridge_coordination::membership::MemberState;
 use sedgeridge_coordination::membership::MembershipEvent;
 use sedgeridge_coordination::membership::Notice;
+use sedgeridge_state::fingerprint::Fingerprint;
 use sedgeridge_state::ids::EndpointId;
 use yare::parameterized;
 
@@ -94,7 +95,7 @@
             since_unix_ms: 1_800_000_000_500,
         },
         Notice::Quarantine {
-            fingerprint: 99,
+            fingerprint: Fingerprint(99),
             expires_in_ms: 60_000,
         },
     ];
@@ -112,7 +113,7 @@
     let mut network = Network::settled(10, Links::default(), 5);
     network.kill(9);
     let notice = Notice::Quarantine {
-        fingerprint: 99,
+        fingerprint: Fingerprint(99),
         expires_in_ms: 60_000,
     };
     network.handle(3, MembershipEvent::Announce(notice));
--- a/crates/coordination/tests/membership_network/encoding.rs
+++ b/crates/coordination/tests/membership_network/encoding.rs
@@ -31,6 +31,9 @@
         + body(&message.body)
 }
 
+/// Sixteen numbers of up to two bytes, and the head of the list.
+const FINGERPRINT_BYTES: u64 = 33;
+
 fn update(update: &Update) -> u64 {
     let accuser = update.accuser.as_ref();
     list(2) + 2 * KEY + record(&update.record) + accuser.map_or(FLAG, |host| text(host.as_str()))
@@ -47,10 +50,7 @@
             endpoint,
             since_unix_ms,
         } => text(endpoint.as_str()) + number(*since_unix_ms),
-        Notice::Quarantine {
-            fingerprint,
-            expires_in_ms,
-        } => number(*fingerprint) + number(*expires_in_ms),
+        Notice::Quarantine { expires_in_ms, .. } => FINGERPRINT_BYTES + number(*expires_in_ms),
     };
     list(3) + 3 * KEY + FLAG + fields
 }
--- a/crates/coordination/tests/membership_rejections.rs
+++ b/crates/coordination/tests/membership_rejections.rs
@@ -15,6 +15,7 @@
 use sedgeridge_coordination::membership::Notice;
 use sedgeridge_coordination::membership::Rejection;
 use sedgeridge_coordination::membership::Update;
+use sedgeridge_state::fingerprint::Fingerprint;
 use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Incarnation;
@@ -119,7 +120,7 @@
 
 fn endless_quarantine() -> Notice {
     Notice::Quarantine {
-        fingerprint: 1,
+        fingerprint: Fingerprint(1),
         expires_in_ms: u64::MAX,
     }
 }
--- a/crates/protocol/src/membership.rs
+++ b/crates/protocol/src/membership.rs
@@ -6,12 +6,14 @@
 use serde::Serialize;
 
 use sedgeridge_coordination::membership::Body;
+use sedgeridge_coordination::membership::DIGEST_PARTS;
 use sedgeridge_coordination::membership::Health;
 use sedgeridge_coordination::membership::MemberRecord;
 use sedgeridge_coordination::membership::Message;
 use sedgeridge_coordination::membership::Notice;
 use sedgeridge_coordination::membership::TableDigest;
 use sedgeridge_coordination::membership::Update;
+use sedgeridge_state::fingerprint::Fingerprint;
 use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Incarnation;
 use sedgeridge_state::ids::Member;
@@ -81,7 +83,7 @@
     #[serde(rename = "q")]
     Quarantine {
         #[serde(rename = "f")]
-        fingerprint: u64,
+        fingerprint: [u8; 16],
         #[serde(rename = "x")]
         expires_in_ms: u64,
     },
@@ -105,23 +107,26 @@
     #[serde(rename = "g")]
     Gossip,
     #[serde(rename = "r")]
-    SyncRequest {
-        #[serde(rename = "m")]
-        members: u32,
-        #[serde(rename = "h")]
-        hash: u64,
-    },
+    SyncRequest(WireDigest),
     #[serde(rename = "t")]
     SyncTable {
         #[serde(rename = "r")]
         records: Vec<WireRecord>,
-        #[serde(rename = "w", default, skip_serializing_if = "is_false")]
-        answer_wanted: bool,
+        #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+        answer_wanted: Option<WireDigest>,
     },
     #[serde(rename = "o")]
     Outranked(u64),
 }
 
+#[derive(Debug, Serialize, Deserialize)]
+struct WireDigest {
+    #[serde(rename = "p")]
+    parts: Vec<u32>,
+    #[serde(rename = "n")]
+    notices: u32,
+}
+
 fn is_zero(value: &u64) -> bool {
     *value == 0
 }
@@ -176,7 +181,7 @@
         config_generation: message.config_generation,
         updates: message.updates.iter().map(read_update).collect(),
         notices: message.notices.iter().map(read_notice).collect(),
-        body: read_body(&message.body),
+        body: read_body(&message.body)?,
     })
 }
 
@@ -239,7 +244,7 @@
             fingerprint,
             expires_in_ms,
         } => WireNotice::Quarantine {
-            fingerprint: *fingerprint,
+            fingerprint: fingerprint.0.to_be_bytes(),
             expires_in_ms: *expires_in_ms,
         },
     }
@@ -258,7 +263,7 @@
             fingerprint,
             expires_in_ms,
         } => Notice::Quarantine {
-            fingerprint: *fingerprint,
+            fingerprint: Fingerprint(u128::from_be_bytes(*fingerprint)),
             expires_in_ms: *expires_in_ms,
         },
     }
@@ -274,23 +279,20 @@
         },
         Body::ProbeNack { sequence } => WireBody::ProbeNack(*sequence),
         Body::Gossip => WireBody::Gossip,
-        Body::SyncRequest { digest } => WireBody::SyncRequest {
-            members: digest.members,
-            hash: digest.hash,
-        },
+        Body::SyncRequest { digest } => WireBody::SyncRequest(wire_digest(digest)),
         Body::SyncTable {
             records,
             answer_wanted,
         } => WireBody::SyncTable {
             records: records.iter().map(wire_record).collect(),
-            answer_wanted: *answer_wanted,
+            answer_wanted: answer_wanted.as_ref().map(wire_digest),
         },
         Body::Outranked { incarnation } => WireBody::Outranked(incarnation.0),
     }
 }
 
-fn read_body(body: &WireBody) -> Body {
-    match body {
+fn read_body(body: &WireBody) -> Result<Body, PeerCodecError> {
+    Ok(match body {
         WireBody::Probe(sequence) => Body::Probe {
             sequence: *sequence,
         },
@@ -305,21 +307,34 @@
             sequence: *sequence,
         },
         WireBody::Gossip => Body::Gossip,
-        WireBody::SyncRequest { members, hash } => Body::SyncRequest {
-            digest: TableDigest {
-                members: *members,
-                hash: *hash,
-            },
+        WireBody::SyncRequest(digest) => Body::SyncRequest {
+            digest: read_digest(digest)?,
         },
         WireBody::SyncTable {
             records,
             answer_wanted,
         } => Body::SyncTable {
             records: records.iter().map(read_record).collect(),
-            answer_wanted: *answer_wanted,
+            answer_wanted: answer_wanted.as_ref().map(read_digest).transpose()?,
         },
         WireBody::Outranked(incarnation) => Body::Outranked {
             incarnation: Incarnation(*incarnation),
         },
+    })
+}
+
+fn wire_digest(digest: &TableDigest) -> WireDigest {
+    WireDigest {
+        parts: digest.parts.to_vec(),
+        notices: digest.notices,
     }
 }
+
+fn read_digest(digest: &WireDigest) -> Result<TableDigest, PeerCodecError> {
+    let parts: Result<[u32; DIGEST_PARTS], _> = digest.parts.as_slice().try_into();
+    let parts = parts.map_err(|_| PeerCodecError::WrongDigest(digest.parts.len()))?;
+    Ok(TableDigest {
+        parts: Box::new(parts),
+        notices: digest.notices,
+    })
+}
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -47,6 +47,9 @@
     /// It names a failure that is not known here.
     #[error("peer message holds an unknown failure {0}")]
     UnknownFailure(u8),
+    /// It summarises a member table in another number of parts.
+    #[error("membership digest has {0} parts")]
+    WrongDigest(usize),
 }
 
 /// First message on a connection: who speaks.
@@ -102,6 +105,8 @@
     answered: u32,
     #[serde(rename = "b", default, skip_serializing_if = "is_zero_u32")]
     first_byte_ms: u32,
+    #[serde(rename = "s", default, skip_serializing_if = "is_zero_u32")]
+    started_ago_ms: u32,
     #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
     failures: Vec<WireFailure>,
 }
@@ -421,6 +426,7 @@
         endpoint: result.endpoint.as_str().to_owned(),
         answered: result.answered,
         first_byte_ms: result.first_byte_ms,
+        started_ago_ms: result.started_ago_ms,
         failures: result
             .failures
             .iter()
@@ -443,6 +449,7 @@
         endpoint: result.endpoint.as_str().into(),
         answered: result.answered,
         first_byte_ms: result.first_byte_ms,
+        started_ago_ms: result.started_ago_ms,
         failures: failures.collect::<Result<_, PeerCodecError>>()?,
     })
 }
--- a/crates/transport/src/endpoint_call.rs
+++ b/crates/transport/src/endpoint_call.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::sync::mpsc::SyncSender;
 use std::time::Duration;
 use std::time::Instant;
@@ -70,6 +71,7 @@
 pub struct EndpointClients {
     pooled: Agent,
     unpooled: Agent,
+    connect_timeout: Duration,
 }
 
 impl EndpointClients {
@@ -89,19 +91,35 @@
         Self {
             pooled: config().build().new_agent(),
             unpooled: config().max_idle_connections(0).build().new_agent(),
+            connect_timeout: millis(health.connect_timeout_ms),
         }
     }
 
     /// Runs one attempt, tells `core` of its progress and returns how it ended.
     pub fn run(&self, order: &AttemptOrder, core: &SyncSender<CoreInput>) -> EndedCall {
         let mut recorder = Recorder::new(order.call.repeatable);
-        let end = self.run_recorded(order, core, &mut recorder);
+        let mut end = self.run_recorded(order, core, &mut recorder);
+        if let AttemptEnd::Failed { failure, .. } = &mut end
+            && *failure == AttemptFailure::ConnectionLost
+            && self.refuses_connections(order.address)
+        {
+            *failure = AttemptFailure::Crashed;
+        }
         EndedCall {
             end,
             recorded: recorder.finish(),
         }
     }
 
+    /// Tells whether an endpoint that lost a connection refuses new ones.
+    ///
+    /// A request that crashes each endpoint which runs it is known by this only: the home ejects the
+    /// endpoint at once, so that no later attempt would find it down.
+    fn refuses_connections(&self, address: SocketAddr) -> bool {
+        let connected = TcpStream::connect_timeout(&address, self.connect_timeout);
+        connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused)
+    }
+
     fn run_recorded(
         &self,
         order: &AttemptOrder,
