test(coordination): show that each membership safeguard is needed

The tests of the broken path and of the wall clock stayed green at first and were made stricter: no refutation may be needed, and the stop may be planned.

--- a/crates/coordination/tests/membership_faults.rs
+++ b/crates/coordination/tests/membership_faults.rs
@@ -129,7 +129,8 @@
 }
 
 // Callers notice nothing: the member whose direct path to one other is broken stays a member.
-// A probe finds no direct answer, others are asked to probe, and their answers come back.
+// A probe finds no direct answer, others are asked to probe, and their answers come back in time,
+// so that nobody is even suspected and has to refute.
 #[test]
 fn a_broken_path_between_two_hosts_costs_neither() {
     for seed in SEEDS {
@@ -137,6 +138,8 @@
         network.cut_pairs.insert((1, 2));
         network.run(Duration::from_secs(120));
         assert_eq!(losses(&network), 0, "seed {seed}");
+        let refutations: u64 = network.nodes.iter().map(|n| n.reports.refutations).sum();
+        assert_eq!(refutations, 0, "seed {seed}: suspected");
     }
 }
 
@@ -175,12 +178,22 @@
 
 // An operator sees the router say that it must restart; without that it would serve alone for good.
 // The wall clock went back over a restart, so the new run has the lower incarnation and its
-// messages are dropped as those of the old run. The answer to them names the higher incarnation.
-#[test]
-fn a_host_whose_clock_went_back_is_told() {
+// messages are dropped as those of the old run. The answer to them names the higher incarnation;
+// after a planned stop nothing else would, as nobody probes or suspects a host that said good-bye.
+#[parameterized(
+    killed = { false },
+    stopped = { true },
+)]
+fn a_host_whose_clock_went_back_is_told(planned_stop: bool) {
     let mut network = Network::settled(9, Links::default(), 77);
     let Incarnation(first) = network.nodes[3].incarnation;
+    if planned_stop {
+        network.handle(3, MembershipEvent::LeaveRequested);
+        network.run(Duration::from_secs(2));
+        network.handle(3, MembershipEvent::LeaveFinished);
+    }
     network.kill(3);
+    network.run(Duration::from_secs(2));
     network.start_with_incarnation(3, Incarnation(first - 5_000_000));
     network.run(Duration::from_secs(3));
     let outranked = &network.nodes[3].reports.outranked;
--- a/crates/coordination/tests/membership_network/mod.rs
+++ b/crates/coordination/tests/membership_network/mod.rs
@@ -363,6 +363,7 @@
 
     fn send(&mut self, from: usize, to: &HostId, message: Message) {
         self.count(from, &message);
+        self.nodes[from].reports.refutations = message.from.refutations;
         let Some(&target) = self.index.get(to) else {
             return;
         };
--- a/crates/coordination/tests/membership_network/reports.rs
+++ b/crates/coordination/tests/membership_network/reports.rs
@@ -21,6 +21,8 @@
     pub notices: Vec<(Duration, Notice)>,
     /// Incarnations above the own one that were heard of.
     pub outranked: Vec<Incarnation>,
+    /// Highest refutation count that the host gave itself.
+    pub refutations: u64,
     /// Number of hosts lost while they ran and could be reached.
     pub losses: u64,
 }
