feat(coordination): one grant covers the short requests that run within its span

An entry router now counts short requests in bundles, uses a grant for the next ones of the same account, and tells the home lazily what no work waits for. The home is unchanged: a bundle is one demand with the bundle's cost. Weighed: queueing one request ahead in the endpoint (its order is out of the fleet's hands), push of slots to routers by quota (idle when demand moves), nothing.

--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -10,6 +10,7 @@
 use sedgeridge_state::ids::Member;
 use sedgeridge_state::ids::PoolId;
 use sedgeridge_state::settings::Settings;
+use sedgeridge_state::settings::millis;
 
 use crate::account_ceilings::AccountCeilings;
 use crate::cost_estimate::CostEstimates;
@@ -23,10 +24,13 @@
 use crate::entry_events::RequestKey;
 use crate::entry_events::StartAttempt;
 use crate::entry_pool::EntryPool;
+use crate::entry_pool::HeadFacts;
+use crate::entry_pool::Urgency;
 use crate::limits;
 use crate::limits::Admission;
 use crate::limits::Refusal;
 use crate::pool_messages::Grant;
+use crate::pool_messages::GrantId;
 use crate::quarantine::Permit;
 use crate::quarantine::Quarantine;
 use crate::refusal::Outcome;
@@ -49,6 +53,7 @@
 pub struct Entry {
     member: Member,
     max_attempts: u32,
+    grant_span: Duration,
     requests: RequestTable,
     pools: BTreeMap<PoolId, EntryPool>,
     admission: Admission,
@@ -67,6 +72,7 @@
         let mut entry = Self {
             member,
             max_attempts: settings.retry.max_attempts,
+            grant_span: millis(settings.fair.grant_span_ms),
             requests: RequestTable::default(),
             pools: BTreeMap::new(),
             admission: Admission::new(settings.front.clone(), seed),
@@ -85,6 +91,10 @@
     /// Adopts a configuration; requests in hand and what was measured stay.
     pub fn configure(&mut self, now: Duration, settings: &Settings) {
         self.max_attempts = settings.retry.max_attempts;
+        self.grant_span = millis(settings.fair.grant_span_ms);
+        for pool in self.pools.values_mut() {
+            pool.set_grant_span(self.grant_span);
+        }
         self.admission.configure(settings.front.clone());
         self.ceilings.configure(now, &settings.accounts);
         self.retries.configure(settings.retry.clone());
@@ -135,17 +145,24 @@
     }
 
     /// Appends a report for each pool about which something is new and whose home is `wanted`.
-    pub fn report(&mut self, wanted: impl Fn(&Member) -> bool, actions: &mut Vec<EntryAction>) {
+    pub fn report(
+        &mut self,
+        wanted: impl Fn(&Member, Urgency) -> bool,
+        actions: &mut Vec<EntryAction>,
+    ) {
         let requests = &self.requests;
         let estimates = &self.estimates;
         for pool in self.pools.values_mut() {
-            if !pool.home().is_some_and(&wanted) {
+            let urgency = pool.urgency();
+            if !pool.home().is_some_and(|home| wanted(home, urgency)) {
                 continue;
             }
             let head = |key: RequestKey| {
                 let arrival = &requests.get(key)?.arrival;
-                let cost_tokens = estimates.estimate(&arrival.account, arrival.hint_tokens);
-                Some((cost_tokens, arrival.prefix))
+                Some(HeadFacts {
+                    cost_tokens: estimates.estimate(&arrival.account, arrival.hint_tokens),
+                    prefix: arrival.prefix,
+                })
             };
             if let Some((to, report)) = pool.report(&self.member, head) {
                 actions.push(EntryAction::Report { to, report });
@@ -153,9 +170,13 @@
         }
     }
 
-    /// Tells whether some home has to be told something.
-    pub fn has_news(&self) -> bool {
-        self.pools.values().any(EntryPool::has_news)
+    /// Tells how soon some home other than `own` has to be told something.
+    pub fn urgency(&self, own: &Member) -> Urgency {
+        let remote = self.pools.values().filter(|pool| pool.home() != Some(own));
+        remote
+            .map(EntryPool::urgency)
+            .max()
+            .unwrap_or(Urgency::None)
     }
 
     /// Returns when a put-off request is to be queued again.
@@ -181,7 +202,7 @@
     fn pool(&mut self, id: &PoolId) -> &mut EntryPool {
         self.pools
             .entry(id.clone())
-            .or_insert_with(|| EntryPool::new(id.clone()))
+            .or_insert_with(|| EntryPool::new(id.clone(), self.grant_span))
     }
 
     fn arrived(&mut self, now: Duration, arrival: Arrival, actions: &mut Vec<EntryAction>) {
@@ -252,33 +273,83 @@
             return;
         }
         while let Some(key) = self.pool(&grant.pool).pop_for(grant) {
-            self.waiting -= 1;
-            let fingerprint = self.requests.get(key).map(|r| r.arrival.fingerprint);
-            let permit = fingerprint.map(|print| self.quarantine.start(now, print));
-            match permit {
-                Some(Permit::Start) => return self.start(now, key, grant, actions),
-                Some(Permit::Wait) => {
-                    self.requests.put_off(key, now + TRIAL_PAUSE);
-                    self.note_left(now, &grant.pool, &grant.account);
-                }
-                Some(Permit::Refuse) => {
-                    self.note_left(now, &grant.pool, &grant.account);
-                    self.give_up(now, key, RefusalReason::Quarantined, actions);
-                }
-                None => {}
+            if self.may_start(now, key, actions) {
+                let cost_tokens = self.cost_of(key);
+                self.pool(&grant.pool).hold(now, grant, cost_tokens);
+                return self.start(now, key, &grant.id, &grant.endpoint, actions);
             }
         }
         self.pool(&grant.pool).give_back(grant);
     }
 
+    /// Uses a grant again for the next request that it covers, or ends it.
+    fn go_on(
+        &mut self,
+        now: Duration,
+        pool: &PoolId,
+        grant: &GrantId,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        while let Some((key, endpoint)) = self.pool(pool).next_of_grant(now, grant) {
+            if self.may_start(now, key, actions) {
+                return self.start(now, key, grant, &endpoint, actions);
+            }
+        }
+        self.pool(pool).release(grant);
+    }
+
+    /// Decides about a request that was taken from its queue; one that may not start now is put off
+    /// or given up.
+    fn may_start(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        actions: &mut Vec<EntryAction>,
+    ) -> bool {
+        self.waiting -= 1;
+        let Some(request) = self.requests.get(key) else {
+            return false;
+        };
+        let pool = request.arrival.pool.clone();
+        let account = request.arrival.account.clone();
+        let permit = self.quarantine.start(now, request.arrival.fingerprint);
+        if permit == Permit::Start {
+            return true;
+        }
+        self.note_left(now, &pool, &account);
+        if permit == Permit::Wait {
+            self.requests.put_off(key, now + TRIAL_PAUSE);
+        } else {
+            self.forget_place(key);
+            self.give_up(now, key, RefusalReason::Quarantined, actions);
+        }
+        false
+    }
+
+    /// Marks a request that is in no queue any more.
+    fn forget_place(&mut self, key: RequestKey) {
+        if let Some(request) = self.requests.get_mut(key) {
+            request.place = Place::Running;
+        }
+    }
+
+    fn cost_of(&self, key: RequestKey) -> u64 {
+        self.requests.get(key).map_or(1, |request| {
+            let arrival = &request.arrival;
+            self.estimates
+                .estimate(&arrival.account, arrival.hint_tokens)
+        })
+    }
+
     fn start(
         &mut self,
         now: Duration,
         key: RequestKey,
-        grant: &Grant,
+        grant: &GrantId,
+        endpoint: &EndpointId,
         actions: &mut Vec<EntryAction>,
     ) {
-        let attempt = self.requests.start_attempt(key, grant.id.clone(), now);
+        let attempt = self.requests.start_attempt(key, grant.clone(), now);
         let max_attempts = self.max_attempts;
         let Some(request) = self.requests.get_mut(key) else {
             return;
@@ -286,27 +357,19 @@
         request.attempts += 1;
         request.place = Place::Running;
         let account = request.arrival.account.clone();
-        let estimate_tokens = self
-            .estimates
-            .estimate(&account, request.arrival.hint_tokens);
+        let pool = request.arrival.pool.clone();
         actions.push(EntryAction::Start(StartAttempt {
             key,
             attempt,
-            endpoint: grant.endpoint.clone(),
+            endpoint: endpoint.clone(),
             resume_after_tokens: request.sent_tokens,
             last_attempt: !request.arrival.repeatable || request.attempts >= max_attempts,
         }));
-        let pool = self.pool(&grant.pool);
-        pool.hold(grant, estimate_tokens);
-        let waiting_of_pool = pool.waiting();
-        let waiting_of_account = pool.waiting_of(&account);
-        self.admission.started(
-            now,
-            &grant.pool,
-            &account,
-            waiting_of_pool,
-            waiting_of_account,
-        );
+        let view = self.pool(&pool);
+        let waiting_of_pool = view.waiting();
+        let waiting_of_account = view.waiting_of(&account);
+        self.admission
+            .started(now, &pool, &account, waiting_of_pool, waiting_of_account);
     }
 
     fn progressed(&mut self, attempt: AttemptKey, charged_tokens: u64) {
@@ -338,10 +401,16 @@
         let charged_tokens = charge_of(end);
         let started_ago = now.saturating_sub(ended.started_at);
         let pool = self.pool(&arrival.pool);
-        let endpoint = pool.release(&ended.grant, &arrival.account, charged_tokens);
+        let endpoint = pool.settle(&ended.grant, &arrival.account, charged_tokens);
         if let Some(endpoint) = &endpoint {
             pool.note_result(endpoint, started_ago, end);
         }
+        if matches!(end, AttemptEnd::Finished { .. }) {
+            pool.learn_run_time(&arrival.account, started_ago);
+            self.go_on(now, &arrival.pool, &ended.grant, actions);
+        } else {
+            pool.release(&ended.grant);
+        }
         match end {
             AttemptEnd::Finished { .. } => {
                 self.estimates
--- a/crates/coordination/src/entry_pool.rs
+++ b/crates/coordination/src/entry_pool.rs
@@ -17,6 +17,8 @@
 use crate::entry_events::RequestKey;
 use crate::entry_queue::EntryQueue;
 use crate::entry_queue::Lane;
+use crate::held_grants::HeldGrant;
+use crate::held_grants::HeldGrants;
 use crate::pool_messages::Demand;
 use crate::pool_messages::EntryReport;
 use crate::pool_messages::Grant;
@@ -24,51 +26,95 @@
 use crate::pool_messages::Holding;
 use crate::pool_messages::PrefixHash;
 use crate::pool_messages::Served;
+use crate::run_times::RunTimes;
 
 /// Classes in the order in which a grant is used.
 const CLASSES: [RequestClass; 2] = [RequestClass::Interactive, RequestClass::Deferred];
-
 /// Most missing grants that are named one by one; after more, a full report says what is held.
 const MAX_MISSING_GRANTS: u64 = 256;
 
+/// How soon the home has to be told what is new.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Urgency {
+    /// Nothing is new.
+    None,
+    /// A slot or a waiting request is not touched by it: with the next urgent news, or after the
+    /// report interval.
+    Lazy,
+    /// Work may wait, or a slot idle, until the home knows.
+    Urgent,
+}
+
+/// What the home was last told of a lane, and the grants for it that came since.
+#[derive(Debug, Clone, Copy, Default)]
+struct Told {
+    waiting: u32,
+    granted: u32,
+}
+
+/// Cost and prefix of a waiting request.
+#[derive(Debug, Clone, Copy)]
+pub struct HeadFacts {
+    /// What it is expected to cost.
+    pub cost_tokens: u64,
+    /// Prefix of its prompt.
+    pub prefix: Option<PrefixHash>,
+}
+
 /// One pool as seen by an entry router.
 #[derive(Debug)]
 pub struct EntryPool {
     id: PoolId,
     home: Option<Member>,
     queue: EntryQueue,
-    holdings: BTreeMap<GrantId, Holding>,
+    held: HeldGrants,
     served: BTreeMap<AccountId, u64>,
+    run_times: RunTimes,
+    grant_span: Duration,
     grants_received: u64,
     sequence: u64,
     full_wanted: bool,
+    urgent: bool,
+    contended: bool,
+    told: BTreeMap<Lane, Told>,
     changed_lanes: BTreeSet<Lane>,
-    changed_holdings: BTreeSet<GrantId>,
     changed_served: BTreeSet<AccountId>,
     ended: Vec<GrantId>,
+    unacknowledged: bool,
     results: AttemptResults,
 }
 
 impl EntryPool {
-    /// Creates the view of a pool that has no home yet.
-    pub fn new(id: PoolId) -> Self {
+    /// Creates the view of a pool that has no home yet. A grant covers what runs within
+    /// `grant_span`, and one request at least.
+    pub fn new(id: PoolId, grant_span: Duration) -> Self {
         Self {
             id,
             home: None,
             queue: EntryQueue::default(),
-            holdings: BTreeMap::new(),
+            held: HeldGrants::default(),
             served: BTreeMap::new(),
+            run_times: RunTimes::default(),
+            grant_span,
             grants_received: 0,
             sequence: 0,
             full_wanted: false,
+            urgent: false,
+            contended: false,
+            told: BTreeMap::new(),
             changed_lanes: BTreeSet::new(),
-            changed_holdings: BTreeSet::new(),
             changed_served: BTreeSet::new(),
             ended: Vec::new(),
+            unacknowledged: false,
             results: AttemptResults::default(),
         }
     }
 
+    /// Adopts a changed span of a grant.
+    pub fn set_grant_span(&mut self, grant_span: Duration) {
+        self.grant_span = grant_span;
+    }
+
     /// Names the pool's home; another one than before is told everything.
     pub fn set_home(&mut self, home: Option<Member>) {
         if self.home != home {
@@ -79,16 +125,16 @@
         }
     }
 
-    /// Tells whether the pool's home stands on a host.
-    pub fn is_homed_on(&self, host: &HostId) -> bool {
-        self.home.as_ref().is_some_and(|home| home.host == *host)
-    }
-
     /// Makes the next report a full one.
     pub fn want_full(&mut self) {
         self.full_wanted = true;
     }
 
+    /// Tells whether the pool's home stands on a host.
+    pub fn is_homed_on(&self, host: &HostId) -> bool {
+        self.home.as_ref().is_some_and(|home| home.host == *host)
+    }
+
     /// Returns the pool's home.
     pub fn home(&self) -> Option<&Member> {
         self.home.as_ref()
@@ -128,19 +174,19 @@
 
     /// Adds a waiting request, as the first of its lane when it was served in part before.
     pub fn enqueue(&mut self, lane: Lane, key: RequestKey, first: bool) {
-        self.changed_lanes.insert(lane.clone());
         if first {
-            self.queue.push_front(lane, key);
+            self.queue.push_front(lane.clone(), key);
         } else {
-            self.queue.push_back(lane, key);
+            self.queue.push_back(lane.clone(), key);
         }
+        self.lane_changed(lane);
     }
 
     /// Takes a waiting request out.
     pub fn remove_waiting(&mut self, lane: &Lane, key: RequestKey) -> bool {
         let removed = self.queue.remove(lane, key);
         if removed {
-            self.changed_lanes.insert(lane.clone());
+            self.lane_changed(lane.clone());
         }
         removed
     }
@@ -157,6 +203,13 @@
         }
         self.give_back_missing(grant);
         self.grants_received = grant.id.sequence;
+        self.unacknowledged = true;
+        self.contended = grant.contended;
+        let lane = lane(&grant.account, grant.class);
+        if let Some(told) = self.told.get_mut(&lane) {
+            told.granted += 1;
+        }
+        self.changed_lanes.insert(lane);
         true
     }
 
@@ -183,12 +236,20 @@
     /// Takes the next request that a grant can be used for: of the class meant, or else of the
     /// account's other class, so that no slot idles while the account waits.
     pub fn pop_for(&mut self, grant: &Grant) -> Option<RequestKey> {
-        let meant = std::iter::once(grant.class);
         let others = CLASSES.into_iter().filter(|class| *class != grant.class);
-        for class in meant.chain(others) {
-            let lane = lane(&grant.account, class);
+        let classes = std::iter::once(grant.class).chain(others);
+        self.pop_of(&grant.account, classes)
+    }
+
+    fn pop_of(
+        &mut self,
+        account: &AccountId,
+        classes: impl Iterator<Item = RequestClass>,
+    ) -> Option<RequestKey> {
+        for class in classes {
+            let lane = lane(account, class);
             if let Some(key) = self.queue.pop(&lane) {
-                self.changed_lanes.insert(lane);
+                self.lane_changed(lane);
                 return Some(key);
             }
         }
@@ -198,47 +259,86 @@
     /// Gives back a grant that cannot be used.
     pub fn give_back(&mut self, grant: &Grant) {
         self.ended.push(grant.id.clone());
+        self.urgent = true;
     }
 
-    /// Records that a grant is in use.
-    pub fn hold(&mut self, grant: &Grant, estimate_tokens: u64) {
+    /// Records that a grant is in use. `cost_tokens` is what one of its requests is expected to
+    /// cost.
+    pub fn hold(&mut self, now: Duration, grant: &Grant, cost_tokens: u64) {
+        let requests = self.run_times.bundle_size(&grant.account, self.grant_span);
+        let left = (requests - 1).min(self.unreserved(&grant.account));
         let holding = Holding {
             grant: grant.id.clone(),
             endpoint: grant.endpoint.clone(),
             account: grant.account.clone(),
-            estimate_tokens,
+            estimate_tokens: cost_tokens * u64::from(left + 1),
         };
-        self.changed_holdings.insert(grant.id.clone());
-        self.holdings.insert(grant.id.clone(), holding);
+        self.held.insert(HeldGrant {
+            holding,
+            left,
+            until: now + self.grant_span,
+        });
+        self.held.mark_changed(&grant.id);
+        for class in CLASSES {
+            self.lane_changed(lane(&grant.account, class));
+        }
     }
 
-    /// Raises what a grant in use is expected to cost, once it has received more than that.
+    /// Takes the next request that a grant in use still covers, with the endpoint that runs it.
+    pub fn next_of_grant(
+        &mut self,
+        now: Duration,
+        grant: &GrantId,
+    ) -> Option<(RequestKey, EndpointId)> {
+        let holding = &self.held.get_mut(grant)?.holding;
+        let (account, endpoint) = (holding.account.clone(), holding.endpoint.clone());
+        if !self.held.take_next(now, grant) {
+            return None;
+        }
+        let key = self.pop_of(&account, CLASSES.into_iter())?;
+        Some((key, endpoint))
+    }
+
+    /// Raises what a grant in use is expected to cost, once its request has received more than that.
     ///
     /// A request that runs far over its estimate would keep its account at the front of the order
     /// until it ends, and the account would be served too much meanwhile.
     pub fn raise_estimate(&mut self, grant: &GrantId, charged_tokens: u64) {
-        let Some(holding) = self.holdings.get_mut(grant) else {
+        let Some(held) = self.held.get_mut(grant) else {
             return;
         };
-        if charged_tokens > holding.estimate_tokens {
-            holding.estimate_tokens = charged_tokens + charged_tokens / 2;
-            self.changed_holdings.insert(grant.clone());
+        if charged_tokens > held.holding.estimate_tokens {
+            held.holding.estimate_tokens = charged_tokens + charged_tokens / 2;
+            self.held.mark_changed(grant);
         }
     }
 
-    /// Ends a grant, adds what was received under it and returns its endpoint.
-    pub fn release(
+    /// Adds what a request received under a grant, and returns the endpoint that served it.
+    pub fn settle(
         &mut self,
         grant: &GrantId,
         account: &AccountId,
         charged_tokens: u64,
     ) -> Option<EndpointId> {
-        let holding = self.holdings.remove(grant);
-        self.changed_holdings.remove(grant);
-        self.ended.push(grant.clone());
         *self.served.entry(account.clone()).or_default() += charged_tokens;
         self.changed_served.insert(account.clone());
-        holding.map(|holding| holding.endpoint)
+        let holding = &mut self.held.get_mut(grant)?.holding;
+        holding.estimate_tokens = holding.estimate_tokens.saturating_sub(charged_tokens);
+        let endpoint = holding.endpoint.clone();
+        self.held.mark_changed(grant);
+        Some(endpoint)
+    }
+
+    /// Ends a grant.
+    pub fn release(&mut self, grant: &GrantId) {
+        let held = self.held.remove(grant);
+        self.ended.push(grant.clone());
+        self.urgent |= self.contended;
+        if let Some(held) = held {
+            for class in CLASSES {
+                self.lane_changed(lane(&held.holding.account, class));
+            }
+        }
     }
 
     /// Notes what an attempt told about its endpoint.
@@ -250,40 +350,56 @@
             AttemptEnd::Failed { failure, .. } => {
                 if let Some(kind) = failure.endpoint_failure() {
                     self.results.failed(endpoint, kind, started_ago);
+                    self.urgent = true;
                 }
             }
             AttemptEnd::CallerGone { .. } => {}
         }
     }
 
-    /// Tells whether the home has something to be told.
-    pub fn has_news(&self) -> bool {
-        self.home.is_some()
-            && (self.full_wanted
-                || !self.changed_lanes.is_empty()
-                || !self.ended.is_empty()
-                || !self.changed_holdings.is_empty()
-                || !self.changed_served.is_empty())
+    /// Learns how long a request of an account ran.
+    pub fn learn_run_time(&mut self, account: &AccountId, run: Duration) {
+        self.run_times.learn(account, run);
     }
 
-    /// Makes the report that the home is due, if any. `head` gives the expected cost and the
-    /// prefix of a waiting request.
+    /// Tells how soon the home has to be told something.
+    pub fn urgency(&self) -> Urgency {
+        if self.home.is_none() {
+            return Urgency::None;
+        }
+        if self.urgent || self.full_wanted {
+            return Urgency::Urgent;
+        }
+        let lazy = !self.changed_lanes.is_empty()
+            || !self.ended.is_empty()
+            || !self.changed_served.is_empty()
+            || self.held.has_changes()
+            || self.unacknowledged;
+        if lazy { Urgency::Lazy } else { Urgency::None }
+    }
+
+    /// Makes the report that the home is due, if any. `head` gives the facts of a waiting request.
     pub fn report(
         &mut self,
         from: &Member,
-        head: impl Fn(RequestKey) -> Option<(u64, Option<PrefixHash>)>,
+        head: impl Fn(RequestKey) -> Option<HeadFacts>,
     ) -> Option<(Member, EntryReport)> {
-        if !self.has_news() {
+        if self.urgency() == Urgency::None {
             return None;
         }
         let home = self.home.clone()?;
         self.sequence += 1;
+        self.urgent = false;
+        self.unacknowledged = false;
         let full = std::mem::take(&mut self.full_wanted);
         if full {
             self.mark_all_changed();
         }
         let lanes = std::mem::take(&mut self.changed_lanes);
-        let holdings = std::mem::take(&mut self.changed_holdings);
+        let demand: Vec<Demand> = lanes.iter().map(|lane| self.demand(lane, &head)).collect();
+        let demand = demand.into_iter().zip(&lanes);
+        let demand = demand.filter_map(|(demand, lane)| self.tell(demand, lane, full));
+        let demand = demand.collect();
         let served = std::mem::take(&mut self.changed_served);
         let report = EntryReport {
             from: from.clone(),
@@ -291,11 +407,8 @@
             sequence: self.sequence,
             full,
             grants_received: self.grants_received,
-            demand: lanes.iter().map(|lane| self.demand(lane, &head)).collect(),
-            holdings: holdings
-                .iter()
-                .filter_map(|grant| self.holdings.get(grant).cloned())
-                .collect(),
+            demand,
+            holdings: self.held.take_changes(),
             ended: std::mem::take(&mut self.ended),
             results: self.results.take(),
             served: served
@@ -310,24 +423,70 @@
     }
 
     fn mark_all_changed(&mut self) {
+        self.told.clear();
         self.changed_lanes.extend(self.queue.lanes().cloned());
-        self.changed_holdings.extend(self.holdings.keys().cloned());
+        self.held.mark_all_changed();
         self.changed_served.extend(self.served.keys().cloned());
     }
 
-    fn demand(
-        &self,
-        lane: &Lane,
-        head: &impl Fn(RequestKey) -> Option<(u64, Option<PrefixHash>)>,
-    ) -> Demand {
-        let (head_cost_tokens, head_prefix) =
-            self.queue.head(lane).and_then(head).unwrap_or((0, None));
+    /// Notes what the home is told of a lane; leaves out what it knows already.
+    fn tell(&mut self, demand: Demand, lane: &Lane, full: bool) -> Option<Demand> {
+        let known = self.told.get(lane).copied().unwrap_or_default();
+        if !full && known.waiting == 0 && demand.waiting == 0 {
+            return None;
+        }
+        if demand.waiting == 0 {
+            self.told.remove(lane);
+        } else {
+            let told = Told {
+                waiting: demand.waiting,
+                granted: 0,
+            };
+            self.told.insert(lane.clone(), told);
+        }
+        Some(demand)
+    }
+
+    /// Notes that a lane changed. It is urgent when the home believes that nothing waits there.
+    fn lane_changed(&mut self, lane: Lane) {
+        let told = self.told.get(&lane).copied().unwrap_or_default();
+        if told.waiting <= told.granted && self.unreserved_of(&lane) > 0 {
+            self.urgent = true;
+        }
+        self.changed_lanes.insert(lane);
+    }
+
+    /// Counts the waiting requests of an account that no grant in use covers.
+    fn unreserved(&self, account: &AccountId) -> u32 {
+        self.waiting_of(account)
+            .saturating_sub(self.held.reserved_of(account))
+    }
+
+    /// Counts the waiting requests of a lane that no grant in use covers. Grants cover the
+    /// interactive requests of their account first.
+    fn unreserved_of(&self, lane: &Lane) -> u32 {
+        let mut reserved = self.held.reserved_of(&lane.account);
+        for class in CLASSES {
+            let len = self.queue.lane_len(&self::lane(&lane.account, class));
+            if class == lane.class {
+                return len.saturating_sub(reserved);
+            }
+            reserved = reserved.saturating_sub(len);
+        }
+        0
+    }
+
+    fn demand(&self, lane: &Lane, head: &impl Fn(RequestKey) -> Option<HeadFacts>) -> Demand {
+        let waiting = self.unreserved_of(lane);
+        let requests = self.run_times.bundle_size(&lane.account, self.grant_span);
+        let facts = self.queue.head(lane).and_then(head);
+        let cost_tokens = facts.map_or(0, |facts| facts.cost_tokens);
         Demand {
             account: lane.account.clone(),
             class: lane.class,
-            waiting: self.queue.lane_len(lane),
-            head_cost_tokens,
-            head_prefix,
+            waiting: waiting.div_ceil(requests),
+            head_cost_tokens: cost_tokens * u64::from(requests.min(waiting)),
+            head_prefix: facts.and_then(|facts| facts.prefix),
         }
     }
 }
--- a/crates/coordination/src/grant_slots.rs
+++ b/crates/coordination/src/grant_slots.rs
@@ -95,6 +95,7 @@
             endpoint: self.slots.id(endpoint).clone(),
             account: self.accounts.id(key.account).clone(),
             class: key.class,
+            contended: self.next_demand().is_some() || !self.slots.any_free(),
         };
         HomeAction::Grant { to, grant }
     }
--- /dev/null
+++ b/crates/coordination/src/held_grants.rs
@@ -0,0 +1,95 @@
+//! The grants that an entry router uses, and what is left of each.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use sedgeridge_state::ids::AccountId;
+
+use crate::pool_messages::GrantId;
+use crate::pool_messages::Holding;
+
+/// A grant in use: it covers a few short requests of one account, one after the other.
+#[derive(Debug)]
+pub(crate) struct HeldGrant {
+    /// What the home is told of it.
+    pub(crate) holding: Holding,
+    /// Requests that it still covers beside the one that runs.
+    pub(crate) left: u32,
+    /// Time from which on it covers no further request.
+    pub(crate) until: Duration,
+}
+
+/// Grants in use, by id, and the requests that they still cover, by account.
+#[derive(Debug, Default)]
+pub(crate) struct HeldGrants {
+    grants: BTreeMap<GrantId, HeldGrant>,
+    reserved: BTreeMap<AccountId, u32>,
+    changed: BTreeSet<GrantId>,
+}
+
+impl HeldGrants {
+    pub(crate) fn insert(&mut self, held: HeldGrant) {
+        let account = held.holding.account.clone();
+        *self.reserved.entry(account).or_default() += held.left;
+        self.grants.insert(held.holding.grant.clone(), held);
+    }
+
+    pub(crate) fn get_mut(&mut self, id: &GrantId) -> Option<&mut HeldGrant> {
+        self.grants.get_mut(id)
+    }
+
+    pub(crate) fn remove(&mut self, id: &GrantId) -> Option<HeldGrant> {
+        let held = self.grants.remove(id)?;
+        self.unreserve(&held.holding.account, held.left);
+        self.changed.remove(id);
+        Some(held)
+    }
+
+    /// Takes one further request from a grant; false when it covers none any more.
+    pub(crate) fn take_next(&mut self, now: Duration, id: &GrantId) -> bool {
+        let Some(held) = self.grants.get_mut(id) else {
+            return false;
+        };
+        if held.left == 0 || now >= held.until {
+            return false;
+        }
+        held.left -= 1;
+        let account = held.holding.account.clone();
+        self.unreserve(&account, 1);
+        true
+    }
+
+    /// Counts the waiting requests of an account that grants in use still cover.
+    pub(crate) fn reserved_of(&self, account: &AccountId) -> u32 {
+        self.reserved.get(account).copied().unwrap_or(0)
+    }
+
+    /// Notes that the home knows an estimate that is no longer right.
+    pub(crate) fn mark_changed(&mut self, id: &GrantId) {
+        self.changed.insert(id.clone());
+    }
+
+    pub(crate) fn mark_all_changed(&mut self) {
+        self.changed.extend(self.grants.keys().cloned());
+    }
+
+    pub(crate) fn has_changes(&self) -> bool {
+        !self.changed.is_empty()
+    }
+
+    pub(crate) fn take_changes(&mut self) -> Vec<Holding> {
+        let changed = std::mem::take(&mut self.changed);
+        let held = changed.iter().filter_map(|id| self.grants.get(id));
+        held.map(|held| held.holding.clone()).collect()
+    }
+
+    fn unreserve(&mut self, account: &AccountId, requests: u32) {
+        if let Some(reserved) = self.reserved.get_mut(account) {
+            *reserved -= requests;
+            if *reserved == 0 {
+                self.reserved.remove(account);
+            }
+        }
+    }
+}
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -41,6 +41,7 @@
 use crate::pool_home::HomeEvent;
 use crate::refusal::Outcome;
 use crate::rendezvous::home_of;
+use crate::report_schedule::ReportSchedule;
 
 pub use crate::node_events::NodeAction;
 pub use crate::node_events::NodeEvent;
@@ -75,13 +76,17 @@
     config: Option<NodeConfig>,
     homes: BTreeMap<PoolId, HomedPool>,
     live: Vec<LiveMember>,
-    reported_at: Duration,
+    schedule: ReportSchedule,
 }
 
 impl Node {
     /// Creates the router run `member` under a configuration; `seed` feeds every random choice.
     pub fn new(member: Member, settings: Settings, seed: u64) -> Self {
         let hosts: Vec<HostId> = settings.hosts.iter().map(|host| host.id.clone()).collect();
+        let schedule = ReportSchedule::new(
+            millis(settings.fair.batch_interval_ms),
+            millis(settings.fair.report_interval_ms),
+        );
         let config = NodeConfig::of_host(&member.host, &settings, seed.wrapping_add(3));
         let membership = Membership::new(member.clone(), settings.membership.clone(), hosts, seed);
         let mut node = Self {
@@ -93,7 +98,7 @@
             membership,
             homes: BTreeMap::new(),
             live: Vec::new(),
-            reported_at: Duration::ZERO,
+            schedule,
         };
         if node.settings.fair.scope == FairScope::Router {
             node.live = vec![LiveMember {
@@ -193,8 +198,7 @@
 
     /// Returns when the next [`NodeEvent::Tick`] is due at the latest.
     pub fn next_wake(&self) -> Duration {
-        let batch = millis(self.settings.fair.batch_interval_ms);
-        let report = self.entry.has_news().then(|| self.reported_at + batch);
+        let report = self.schedule.next_wake(self.entry.urgency(&self.member));
         let timers = [report, self.entry.next_wake(), self.claims.next_wake()];
         let first = timers.into_iter().flatten().min();
         let membership = self.membership.next_wake();
@@ -284,6 +288,10 @@
         actions: &mut Vec<NodeAction>,
     ) {
         self.settings = settings.clone();
+        self.schedule.configure(
+            millis(settings.fair.batch_interval_ms),
+            millis(settings.fair.report_interval_ms),
+        );
         self.entry.configure(now, settings);
         let hosts = settings.hosts.iter().map(|host| host.id.clone()).collect();
         let event = MembershipEvent::Configured(hosts);
@@ -666,11 +674,9 @@
         mut entry_actions: Vec<EntryAction>,
         actions: &mut Vec<NodeAction>,
     ) {
-        let batch = millis(self.settings.fair.batch_interval_ms);
-        let remote_due = now >= self.reported_at + batch;
         for _ in 0..MAX_LOCAL_ROUNDS {
             let own = &self.member;
-            self.entry.report(|home| home == own, &mut entry_actions);
+            self.entry.report(|home, _| home == own, &mut entry_actions);
             if entry_actions.is_empty() {
                 break;
             }
@@ -680,16 +686,22 @@
             }
             entry_actions = next;
         }
-        if remote_due {
-            let mut reports = Vec::new();
-            let own = &self.member;
-            self.entry.report(|home| home != own, &mut reports);
-            if !reports.is_empty() {
-                self.reported_at = now;
-            }
-            for report in reports {
-                self.entry_action(now, report, &mut Vec::new(), actions);
-            }
+        self.report_to_others(now, actions);
+    }
+
+    fn report_to_others(&mut self, now: Duration, actions: &mut Vec<NodeAction>) {
+        let urgency = self.entry.urgency(&self.member);
+        self.schedule.note(now, urgency);
+        let Some(least) = self.schedule.due(now, urgency) else {
+            return;
+        };
+        let own = &self.member;
+        let mut reports = Vec::new();
+        let wanted = |home: &Member, urgency| home != own && urgency >= least;
+        self.entry.report(wanted, &mut reports);
+        self.schedule.sent(now, least);
+        for report in reports {
+            self.entry_action(now, report, &mut Vec::new(), actions);
         }
     }
 
--- a/crates/coordination/src/pool_messages.rs
+++ b/crates/coordination/src/pool_messages.rs
@@ -48,13 +48,16 @@
 }
 
 /// Requests of one account and class that wait at one entry router.
+///
+/// Short requests are counted in bundles: a grant covers as many of them, one after the other, as
+/// run within the grant span. The home need not know the size of a bundle, only its cost.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Demand {
     /// The client account.
     pub account: AccountId,
     /// Rank within the account.
     pub class: RequestClass,
-    /// Requests that wait.
+    /// Bundles of requests that wait.
     pub waiting: u32,
     /// Estimated cost of the first one.
     pub head_cost_tokens: u64,
@@ -110,4 +113,6 @@
     pub account: AccountId,
     /// Rank of the request meant.
     pub class: RequestClass,
+    /// Whether others wait for slots of the pool, so that this one is missed when it idles.
+    pub contended: bool,
 }
--- /dev/null
+++ b/crates/coordination/src/run_times.rs
@@ -0,0 +1,48 @@
+//! How long the requests of each client account run, to size the bundles that one grant covers.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sedgeridge_state::ids::AccountId;
+
+/// Weight of the past against the newest run, as a divisor.
+const LEARNING_DIVISOR: u32 = 8;
+/// Most requests that one grant covers.
+const MAX_BUNDLE: u32 = 32;
+
+/// Mean run time of each account's requests in one pool.
+///
+/// ```
+/// use std::time::Duration;
+/// use sedgeridge_coordination::run_times::RunTimes;
+///
+/// let mut times = RunTimes::default();
+/// let desk = "desk".into();
+/// let span = Duration::from_millis(200);
+/// assert_eq!(times.bundle_size(&desk, span), 1);
+/// times.learn(&desk, Duration::from_millis(20));
+/// assert_eq!(times.bundle_size(&desk, span), 10);
+/// assert_eq!(times.bundle_size(&desk, Duration::ZERO), 1);
+/// ```
+#[derive(Debug, Default)]
+pub struct RunTimes {
+    means: BTreeMap<AccountId, Duration>,
+}
+
+impl RunTimes {
+    /// Learns from a request that ran to its end.
+    pub fn learn(&mut self, account: &AccountId, run: Duration) {
+        let mean = self.means.entry(account.clone()).or_insert(run);
+        *mean = (*mean * (LEARNING_DIVISOR - 1) + run) / LEARNING_DIVISOR;
+    }
+
+    /// Returns how many requests of an account run within `span`, one after the other; one while
+    /// nothing is known.
+    pub fn bundle_size(&self, account: &AccountId, span: Duration) -> u32 {
+        let Some(mean) = self.means.get(account) else {
+            return 1;
+        };
+        let runs = span.as_micros() / mean.as_micros().max(1);
+        u32::try_from(runs).unwrap_or(u32::MAX).clamp(1, MAX_BUNDLE)
+    }
+}
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -193,6 +193,8 @@
     account: String,
     #[serde(rename = "c", default, skip_serializing_if = "is_zero")]
     class: u8,
+    #[serde(rename = "w", default, skip_serializing_if = "is_false")]
+    contended: bool,
 }
 
 fn is_false(value: &bool) -> bool {
@@ -360,6 +362,7 @@
         endpoint: grant.endpoint.as_str().to_owned(),
         account: grant.account.as_str().to_owned(),
         class: wire_class(grant.class),
+        contended: grant.contended,
     }
 }
 
@@ -418,6 +421,7 @@
         endpoint: grant.endpoint.as_str().into(),
         account: grant.account.as_str().into(),
         class: read_class(grant.class)?,
+        contended: grant.contended,
     })
 }
 
--- a/crates/state/src/settings.rs
+++ b/crates/state/src/settings.rs
@@ -158,6 +158,11 @@
     pub output_token_factor: u32,
     /// Longest time peer messages are gathered into one.
     pub batch_interval_ms: u64,
+    /// Longest time that news wait on which no work waits.
+    pub report_interval_ms: u64,
+    /// Time in which one grant may be used for further short requests of its account; 0 makes every
+    /// grant cover one request.
+    pub grant_span_ms: u64,
     /// Time after which an unused grant returns to its home.
     pub grant_timeout_ms: u64,
     /// Longest time a new home of a pool waits for full reports before it grants.
@@ -172,6 +177,8 @@
             endpoint_choice: EndpointChoice::default(),
             output_token_factor: 4,
             batch_interval_ms: 5,
+            report_interval_ms: 200,
+            grant_span_ms: 200,
             grant_timeout_ms: 1_000,
             gather_timeout_ms: 300,
         }
--- a/crates/state/src/settings/assemble.rs
+++ b/crates/state/src/settings/assemble.rs
@@ -143,6 +143,8 @@
         ),
         output_token_factor: section.count("output_token_factor"),
         batch_interval_ms: section.whole("batch_interval_ms"),
+        report_interval_ms: section.whole("report_interval_ms"),
+        grant_span_ms: section.whole("grant_span_ms"),
         grant_timeout_ms: section.whole("grant_timeout_ms"),
         gather_timeout_ms: section.whole("gather_timeout_ms"),
     }
--- a/crates/state/src/settings/schema/general.rs
+++ b/crates/state/src/settings/schema/general.rs
@@ -136,6 +136,20 @@
             Fleet,
             "Longest time peer messages are gathered into one.",
         ),
+        key(
+            "report_interval_ms",
+            whole(Milliseconds, 1, 10_000),
+            Value("200"),
+            Fleet,
+            "Longest time that news wait on which no work waits.",
+        ),
+        key(
+            "grant_span_ms",
+            whole(Milliseconds, 0, 10_000),
+            Value("200"),
+            Fleet,
+            "Time in which one grant may be used for further short requests of its account; 0 makes every grant cover one request.",
+        ),
         key(
             "grant_timeout_ms",
             whole(Milliseconds, 10, 60_000),
