--- a/crates/coordination/src/account_table.rs
+++ b/crates/coordination/src/account_table.rs
@@ -3,6 +3,7 @@
 use sedgeridge_state::ids::AccountId;
 
 use crate::fair_order::FairOrder;
+use crate::fair_order::Place;
 use crate::fair_order::Tag;
 use crate::name_index::NameIndex;
 use crate::pool_home::AccountWeight;
@@ -29,7 +30,6 @@
 pub(crate) struct AccountTable {
     accounts: Vec<Account>,
     by_id: NameIndex<AccountId>,
-    by_rank: Vec<usize>,
     order: FairOrder,
     ledger: ServiceLedger,
 }
@@ -93,15 +93,14 @@
 
     fn rank(&mut self) {
         self.order.clear();
-        self.by_rank = (0..self.accounts.len()).collect();
+        let mut by_rank: Vec<usize> = (0..self.accounts.len()).collect();
         let accounts = &self.accounts;
-        self.by_rank
-            .sort_unstable_by(|left, right| accounts[*left].id.cmp(&accounts[*right].id));
-        for (rank, &index) in self.by_rank.iter().enumerate() {
+        by_rank.sort_unstable_by(|left, right| accounts[*left].id.cmp(&accounts[*right].id));
+        for (rank, index) in by_rank.into_iter().enumerate() {
             let account = &mut self.accounts[index];
             account.rank = rank as u32;
             if let Some(tag) = account.listed_tag {
-                self.order.insert(tag, account.rank);
+                self.order.insert(place(tag, account.rank, index));
             }
         }
     }
@@ -201,15 +200,23 @@
             return;
         }
         if let Some(listed) = listed {
-            self.order.remove(listed, account.rank);
+            self.order.remove(place(listed, account.rank, index));
         }
         if let Some(tag) = tag {
-            self.order.insert(tag, account.rank);
+            self.order.insert(place(tag, account.rank, index));
         }
     }
 
     /// Returns the backlogged account with the least tag.
     pub(crate) fn next(&self) -> Option<usize> {
-        self.order.first().map(|rank| self.by_rank[rank as usize])
+        self.order.first().map(|account| account as usize)
+    }
+}
+
+fn place(tag: Tag, rank: u32, index: usize) -> Place {
+    Place {
+        tag,
+        rank,
+        account: index as u32,
     }
 }
--- a/crates/coordination/src/fair_order.rs
+++ b/crates/coordination/src/fair_order.rs
@@ -36,49 +36,61 @@
     }
 }
 
+/// An account in the order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place {
+    /// Weighted service.
+    pub tag: Tag,
+    /// Breaks ties between equal tags.
+    pub rank: u32,
+    /// The account.
+    pub account: u32,
+}
+
 /// Backlogged accounts, ordered by tag and then by rank.
 #[derive(Debug, Default)]
 pub struct FairOrder {
-    entries: BTreeSet<(Tag, u32)>,
+    entries: BTreeSet<Place>,
     last_minimum: Tag,
 }
 
 impl FairOrder {
-    /// Adds an account by its rank.
+    /// Adds an account.
     ///
     /// ```
-    /// use sedgeridge_coordination::fair_order::{FairOrder, Tag};
+    /// use sedgeridge_coordination::fair_order::{FairOrder, Place, Tag};
     ///
     /// let mut order = FairOrder::default();
-    /// order.insert(Tag::default().advanced(10, 1), 0);
-    /// order.insert(Tag::default().advanced(5, 1), 1);
+    /// order.insert(Place { tag: Tag::default().advanced(10, 1), rank: 0, account: 0 });
+    /// order.insert(Place { tag: Tag::default().advanced(5, 1), rank: 1, account: 1 });
     /// assert_eq!(order.first(), Some(1));
     /// ```
-    pub fn insert(&mut self, tag: Tag, rank: u32) {
-        self.entries.insert((tag, rank));
+    pub fn insert(&mut self, place: Place) {
+        self.entries.insert(place);
     }
 
-    /// Removes an account; `tag` must be the one that it was added with.
+    /// Removes an account; `place` must be the one that it was added with.
     ///
     /// ```
-    /// use sedgeridge_coordination::fair_order::{FairOrder, Tag};
+    /// use sedgeridge_coordination::fair_order::{FairOrder, Place, Tag};
     ///
     /// let mut order = FairOrder::default();
-    /// order.insert(Tag::default(), 0);
-    /// order.remove(Tag::default(), 0);
+    /// let place = Place { tag: Tag::default(), rank: 0, account: 0 };
+    /// order.insert(place);
+    /// order.remove(place);
     /// assert_eq!(order.first(), None);
     /// ```
-    pub fn remove(&mut self, tag: Tag, rank: u32) {
-        self.entries.remove(&(tag, rank));
+    pub fn remove(&mut self, place: Place) {
+        self.entries.remove(&place);
     }
 
-    /// Returns the rank of the account that is served next.
+    /// Returns the account that is served next.
     ///
     /// ```
     /// assert_eq!(sedgeridge_coordination::fair_order::FairOrder::default().first(), None);
     /// ```
     pub fn first(&self) -> Option<u32> {
-        self.entries.first().map(|(_, rank)| *rank)
+        self.entries.first().map(|place| place.account)
     }
 
     /// Returns the least tag that a newly backlogged account may start with.
@@ -88,26 +100,26 @@
     /// starve the others.
     ///
     /// ```
-    /// use sedgeridge_coordination::fair_order::{FairOrder, Tag};
+    /// use sedgeridge_coordination::fair_order::{FairOrder, Place, Tag};
     ///
     /// let mut order = FairOrder::default();
     /// let tag = Tag::default().advanced(7, 1);
-    /// order.insert(tag, 0);
+    /// order.insert(Place { tag, rank: 0, account: 0 });
     /// assert_eq!(order.floor(), tag);
     /// ```
     pub fn floor(&self) -> Tag {
         self.entries
             .first()
-            .map_or(self.last_minimum, |(tag, _)| *tag)
+            .map_or(self.last_minimum, |place| place.tag)
     }
 
     /// Forgets all accounts but keeps the floor.
     ///
     /// ```
-    /// use sedgeridge_coordination::fair_order::{FairOrder, Tag};
+    /// use sedgeridge_coordination::fair_order::{FairOrder, Place, Tag};
     ///
     /// let mut order = FairOrder::default();
-    /// order.insert(Tag::default(), 3);
+    /// order.insert(Place { tag: Tag::default(), rank: 3, account: 0 });
     /// order.clear();
     /// assert_eq!(order.first(), None);
     /// ```
@@ -119,12 +131,13 @@
     /// Remembers the minimum; called before changes that may leave no account backlogged.
     ///
     /// ```
-    /// use sedgeridge_coordination::fair_order::{FairOrder, Tag};
+    /// use sedgeridge_coordination::fair_order::{FairOrder, Place, Tag};
     ///
     /// let mut order = FairOrder::default();
-    /// order.insert(Tag::default().advanced(3, 1), 0);
+    /// let place = Place { tag: Tag::default().advanced(3, 1), rank: 0, account: 0 };
+    /// order.insert(place);
     /// order.note_minimum();
-    /// order.remove(Tag::default().advanced(3, 1), 0);
+    /// order.remove(place);
     /// assert_eq!(order.floor(), Tag::default().advanced(3, 1));
     /// ```
     pub fn note_minimum(&mut self) {
