test(coordination): fuzz changes of configuration at the home of a pool

Accounts are removed, put back and reweighted, endpoints get other slots, between all other faults. Found on the way, by reading: an account removed and put back before its routers heard of either stayed without demand until the next regular full report; the home now asks for one at once.

--- a/crates/coordination/src/pool_home.rs
+++ b/crates/coordination/src/pool_home.rs
@@ -223,15 +223,15 @@
         actions: &mut Vec<HomeAction>,
     ) {
         self.slots.configure(endpoints);
-        for account in self.accounts.configure(weights) {
-            self.drop_demand_of(account);
-        }
-        self.configured = true;
         for router in self.entries.indices() {
             if std::mem::take(&mut self.entries.record_mut(router).named_unknown) {
                 self.ask_full(now, router, actions);
             }
         }
+        for account in self.accounts.configure(weights) {
+            self.drop_demand_of(account);
+        }
+        self.configured = true;
     }
 
     /// Asks routers again whose full report has not come, and all of them now and then.
--- a/crates/coordination/src/report_apply.rs
+++ b/crates/coordination/src/report_apply.rs
@@ -351,9 +351,12 @@
         }
     }
 
+    /// Drops the demand of an account that is no longer configured. Should it come back before its
+    /// routers heard of either, they have nothing new to say: they are asked for full reports then.
     pub(crate) fn drop_demand_of(&mut self, account: usize) {
         for key in self.demand.keys_of_account(account) {
             self.demand.report(key, DemandReport::default());
+            self.entries.record_mut(key.router).named_unknown = true;
         }
         self.touched.push(account);
     }
--- a/crates/coordination/tests/home_fuzz/oracle.rs
+++ b/crates/coordination/tests/home_fuzz/oracle.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use sedgeridge_coordination::pool_home::AccountWeight;
 use sedgeridge_coordination::pool_home::HomeAction;
 use sedgeridge_coordination::pool_home::HomeEvent;
 use sedgeridge_coordination::pool_messages::Demand;
@@ -63,7 +64,9 @@
     started_at: Duration,
     members_known: bool,
     granting: bool,
+    configured: BTreeSet<AccountId>,
     weights: BTreeMap<AccountId, u32>,
+    slots: BTreeMap<EndpointId, u32>,
     usable: BTreeMap<EndpointId, u32>,
     records: BTreeMap<HostId, Record>,
     received_tokens: BTreeMap<AccountId, i128>,
@@ -81,7 +84,9 @@
             started_at: now,
             members_known: false,
             granting: false,
+            configured: BTreeSet::new(),
             weights: BTreeMap::new(),
+            slots: BTreeMap::new(),
             usable: BTreeMap::new(),
             records: BTreeMap::new(),
             received_tokens: BTreeMap::new(),
@@ -98,10 +103,13 @@
         self.note_minimum();
         match event {
             HomeEvent::Configured { endpoints, weights } => {
-                let endpoints = endpoints.iter();
-                self.usable = endpoints.map(|e| (e.id.clone(), e.slots)).collect();
-                let weights = weights.iter();
-                self.weights = weights.map(|w| (w.account.clone(), w.weight)).collect();
+                for endpoint in endpoints {
+                    let before = self.slots.insert(endpoint.id.clone(), endpoint.slots);
+                    if before != Some(endpoint.slots) {
+                        self.usable.insert(endpoint.id.clone(), endpoint.slots);
+                    }
+                }
+                self.configure(weights);
             }
             HomeEvent::EndpointState {
                 endpoint,
@@ -124,6 +132,23 @@
         self.check_work_conservation();
     }
 
+    /// A weight counts for service from now on: the tag stays.
+    fn configure(&mut self, weights: &[AccountWeight]) {
+        self.configured = weights.iter().map(|w| w.account.clone()).collect();
+        for weight in weights {
+            let known = self.weights.contains_key(&weight.account);
+            let before = known.then(|| self.tag(&weight.account));
+            self.weights.insert(weight.account.clone(), weight.weight);
+            let after = self.tag(&weight.account);
+            let kept = before.unwrap_or(after) - after;
+            *self.lifts.entry(weight.account.clone()).or_default() += kept;
+        }
+        for record in self.records.values_mut() {
+            let configured = &self.configured;
+            record.demand.retain(|d| configured.contains(&d.account));
+        }
+    }
+
     fn set_members(&mut self, members: &[Member]) {
         self.members_known = true;
         self.records
@@ -207,7 +232,9 @@
             known
                 .demand
                 .retain(|d| d.account != demand.account || d.class != demand.class);
-            known.demand.push(demand.clone());
+            if self.configured.contains(&demand.account) {
+                known.demand.push(demand.clone());
+            }
         }
         for served in &report.served {
             let before = known
--- a/crates/coordination/tests/pool_home.rs
+++ b/crates/coordination/tests/pool_home.rs
@@ -7,6 +7,8 @@
 use sedgeridge_coordination::home_counters::RejectionReason;
 use sedgeridge_coordination::pool_home::HomeAction;
 use sedgeridge_coordination::pool_home::HomeEvent;
+use sedgeridge_coordination::pool_messages::Demand;
+use sedgeridge_coordination::pool_messages::PrefixHash;
 use sedgeridge_coordination::rendezvous::home_of;
 use sedgeridge_state::ids::PoolId;
 use sedgeridge_state::settings::EndpointChoice;
@@ -287,6 +289,75 @@
     assert_eq!(actions, [HomeAction::AskFull { to: member(0) }]);
 }
 
+// Callers of an account wait for good. An operator removed it by mistake and put it back before its
+// routers heard of either, so these have nothing new to say; the home had dropped their demand.
+#[test]
+fn an_account_put_back_is_asked_for() {
+    let mut fleet = Fleet::new(1, &[("desk-1", 0)], &[("a", 1)]);
+    fleet.tick(ms(1_000));
+    fleet.wait(0, "a", 1);
+    assert_eq!(fleet.configure(&[("desk-1", 0)], &[]), []);
+    let actions = fleet.configure(&[("desk-1", 0)], &[("a", 1)]);
+    assert_eq!(actions, [HomeAction::AskFull { to: member(0) }]);
+}
+
+#[test]
+fn a_new_weight_counts_from_now_on() {
+    let mut fleet = Fleet::new(1, &[("desk-1", 1)], &[("a", 1), ("b", 1)]);
+    fleet.usable("desk-1", 0);
+    fleet.wait(0, "a", 60);
+    fleet.wait(0, "b", 60);
+    fleet.usable("desk-1", 1);
+    fleet.run(40, 100);
+    fleet.configure(&[("desk-1", 1)], &[("a", 1), ("b", 4)]);
+    let order = fleet.run_one_by_one(20, 100);
+    assert_eq!(order.iter().filter(|account| *account == "b").count(), 16);
+}
+
+// Prompts of "a" share a prefix that desk-1 holds, and "a" was served more than "b". So "b" goes
+// first, then "a" to desk-1 while it is free, and elsewhere rather than wait for it.
+#[test]
+fn affinity_chooses_the_endpoint_and_not_the_account() {
+    let mut fleet = Fleet::new(1, &[("desk-1", 1), ("desk-2", 2)], &[("a", 1), ("b", 1)]);
+    fleet.usable("desk-2", 0);
+    let warm = |account: &str, waiting: u32| Demand {
+        head_prefix: Some(PrefixHash(7)),
+        ..demand(account, waiting)
+    };
+    let mut first = report(0, 2, false);
+    first.demand = vec![warm("a", 1)];
+    fleet.send(first);
+    let mut ended = report(0, 3, false);
+    ended.grants_received = fleet.grants[0].1.id.sequence;
+    ended.ended = vec![fleet.grants[0].1.id.clone()];
+    ended.demand = vec![warm("a", 0)];
+    fleet.send(ended);
+    fleet.usable("desk-2", 2);
+
+    let mut both = report(0, 4, false);
+    both.grants_received = fleet.grants[0].1.id.sequence;
+    both.demand = vec![warm("a", 2), demand("b", 1)];
+    both.served = vec![support::served("a", 1_000)];
+    fleet.send(both);
+    let granted = fleet.grants[1..].iter();
+    let granted: Vec<_> = granted
+        .map(|(_, grant)| (grant.account.as_str(), grant.endpoint.as_str()))
+        .collect();
+    assert_eq!(granted, [("b", "desk-2"), ("a", "desk-1"), ("a", "desk-2")]);
+}
+
+#[test]
+fn an_endpoint_that_shrank_gets_no_grant_above_its_slots() {
+    let mut fleet = Fleet::new(1, &[("desk-1", 3)], &[("a", 1)]);
+    fleet.wait(0, "a", 9);
+    assert_eq!(fleet.grants.len(), 3);
+    fleet.usable("desk-1", 1);
+    fleet.run(2, 100);
+    assert_eq!(fleet.grants.len(), 1);
+    fleet.usable("desk-1", 2);
+    assert_eq!(fleet.grants.len(), 2);
+}
+
 #[test]
 fn a_home_moves_only_when_its_host_leaves() {
     let members: Vec<_> = (0..50).map(member).collect();
--- a/crates/coordination/tests/pool_home_fuzz.rs
+++ b/crates/coordination/tests/pool_home_fuzz.rs
@@ -60,6 +60,8 @@
     Leave(usize),
     Rejoin(usize),
     Usable(usize, u32),
+    Weight(usize, Option<u32>),
+    Slots(usize, u32),
     Tick(u64),
     Rehome,
     ForgetHome,
@@ -81,6 +83,7 @@
         let router = 0..ROUTERS;
         let account = 0..ACCOUNTS.len();
         let nth = 0..3usize;
+        let weight = prop_oneof![Just(None), Just(Some(1)), Just(Some(2)), Just(Some(4))];
         let cost = 0..=MAX_COST_TOKENS;
         let class = prop_oneof![
             Just(RequestClass::Interactive),
@@ -104,6 +107,8 @@
             1 => router.clone().prop_map(Step::Leave),
             2 => router.prop_map(Step::Rejoin),
             1 => (0..ENDPOINTS.len(), 0..4u32).prop_map(|(e, n)| Step::Usable(e, n)),
+            1 => (0..ACCOUNTS.len(), weight).prop_map(|(a, w)| Step::Weight(a, w)),
+            1 => (0..ENDPOINTS.len(), 0..4u32).prop_map(|(e, n)| Step::Slots(e, n)),
             3 => (0..600u64).prop_map(Step::Tick),
             1 => Just(Step::Rehome),
             1 => Just(Step::ForgetHome),
@@ -124,6 +129,8 @@
     routers: Vec<Router>,
     is_member: [bool; ROUTERS],
     delivered: Vec<EntryReport>,
+    weights: [Option<u32>; ACCOUNTS.len()],
+    slots: [u32; ENDPOINTS.len()],
     /// Whether slots may rightly be over-admitted: a grant timed out, a member left or usable
     /// slots shrank.
     disturbed: bool,
@@ -165,6 +172,8 @@
             home_member: member,
             is_member: [true; ROUTERS],
             delivered: Vec::new(),
+            weights: ACCOUNTS.map(|(_, weight)| Some(weight)),
+            slots: ENDPOINTS.map(|(_, slots)| slots),
             disturbed: false,
         };
         world.start_home();
@@ -172,20 +181,27 @@
     }
 
     fn start_home(&mut self) {
-        let endpoints = ENDPOINTS.map(|(id, slots)| HomeEndpoint {
-            id: EndpointId::from(id),
+        self.weights = ACCOUNTS.map(|(_, weight)| Some(weight));
+        self.slots = ENDPOINTS.map(|(_, slots)| slots);
+        self.configure();
+        self.tell_members();
+    }
+
+    fn configure(&mut self) {
+        let endpoints = (0..ENDPOINTS.len()).map(|index| HomeEndpoint {
+            id: endpoint(index),
             site: SiteId::from("officina"),
-            slots,
+            slots: self.slots[index],
         });
-        let weights = ACCOUNTS.map(|(account, weight)| AccountWeight {
-            account: AccountId::from(account),
-            weight,
+        let endpoints = endpoints.collect();
+        let weights = (0..ACCOUNTS.len()).filter_map(|index| {
+            self.weights[index].map(|weight| AccountWeight {
+                account: account(index),
+                weight,
+            })
         });
-        self.event(&HomeEvent::Configured {
-            endpoints: endpoints.to_vec(),
-            weights: weights.to_vec(),
-        });
-        self.tell_members();
+        let weights = weights.collect();
+        self.event(&HomeEvent::Configured { endpoints, weights });
     }
 
     fn tell_members(&mut self) {
@@ -258,6 +274,15 @@
             }
             Step::Rejoin(r) => self.set_member(r, true),
             Step::Usable(index, slots) => self.set_usable(index, slots),
+            Step::Weight(a, weight) => {
+                self.weights[a] = weight;
+                self.configure();
+            }
+            Step::Slots(index, slots) => {
+                self.disturbed |= slots < self.oracle.usable(&endpoint(index));
+                self.slots[index] = slots;
+                self.configure();
+            }
             Step::Tick(by_ms) => {
                 self.now += Duration::from_millis(by_ms);
                 self.event(&HomeEvent::Tick);
@@ -319,7 +344,7 @@
     /// With all faults gone, all work must be served and all slots become free.
     fn quiesce(mut self) {
         self.is_member = [true; ROUTERS];
-        self.tell_members();
+        self.start_home();
         for (index, (_, slots)) in ENDPOINTS.iter().enumerate() {
             self.set_usable(index, *slots);
         }
