--- a/crates/coordination/tests/home_fuzz/oracle.rs
+++ b/crates/coordination/tests/home_fuzz/oracle.rs
@@ -7,57 +7,25 @@
 use sedgeridge_coordination::pool_home::AccountWeight;
 use sedgeridge_coordination::pool_home::HomeAction;
 use sedgeridge_coordination::pool_home::HomeEvent;
-use sedgeridge_coordination::pool_messages::Demand;
 use sedgeridge_coordination::pool_messages::EntryReport;
 use sedgeridge_coordination::pool_messages::Grant;
-use sedgeridge_coordination::pool_messages::GrantId;
 use sedgeridge_state::ids::AccountId;
 use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Member;
 use sedgeridge_state::settings::RequestClass;
 
+use super::record::Held;
+use super::record::Record;
+use super::record::Stage;
+use super::record::record;
+
 const GRANT_TIMEOUT: Duration = Duration::from_millis(1_000);
 const GATHER_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Common multiple of the weights in use: tags are whole numbers.
 pub const WEIGHT_MULTIPLE: i128 = 4;
 
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum Stage {
-    Sent(Duration),
-    TimedOut,
-    Acknowledged,
-}
-
-#[derive(Debug, Clone)]
-struct Held {
-    id: GrantId,
-    account: AccountId,
-    class: RequestClass,
-    endpoint: EndpointId,
-    estimate_tokens: u64,
-    stage: Stage,
-}
-
-impl Held {
-    fn counts(&self) -> bool {
-        self.stage != Stage::TimedOut
-    }
-}
-
-#[derive(Debug)]
-struct Record {
-    member: Member,
-    last_sequence: Option<u64>,
-    grants_received: u64,
-    last_granted: u64,
-    suspended: bool,
-    demand: Vec<Demand>,
-    held: Vec<Held>,
-    served_tokens: BTreeMap<AccountId, u64>,
-}
-
 #[derive(Debug)]
 pub struct Oracle {
     home: Member,
@@ -391,16 +359,3 @@
         }
     }
 }
-
-fn record(member: &Member) -> Record {
-    Record {
-        member: member.clone(),
-        last_sequence: None,
-        grants_received: 0,
-        last_granted: 0,
-        suspended: false,
-        demand: Vec::new(),
-        held: Vec::new(),
-        served_tokens: BTreeMap::new(),
-    }
-}
