--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,34 +4,66 @@
 //! the process started, read from a [`clock::Clock`] at the edge. Iteration order is fixed, so the
 //! same inputs always give the same actions.
 
-pub mod clock;
-pub mod entry;
-
+pub mod account_ceilings;
+pub mod attempt_results;
+pub mod backoff;
+pub mod breaker;
+pub mod claim_events;
+pub mod claim_sweep;
 pub mod claims;
+pub mod clock;
 pub mod config_adoption;
+pub mod config_events;
+pub mod coordinator;
+pub mod coordinator_events;
+pub mod cost_estimate;
+pub mod drain_rate;
 pub mod endpoint_health;
+pub mod entry;
+pub mod entry_events;
+pub mod entry_pool;
+pub mod entry_queue;
 pub mod fair_order;
 pub mod home_counters;
 pub mod lease;
+pub mod lease_events;
 pub mod limits;
 pub mod membership;
+pub mod node;
+pub mod node_claims;
+pub mod node_config;
+pub mod node_events;
+pub mod order_events;
+pub mod orders;
+pub mod poison_notice;
 pub mod pool_home;
 pub mod pool_messages;
+pub mod quarantine;
+pub mod random;
+pub mod refusal;
+pub mod rendezvous;
+pub mod retry_budget;
 pub mod service_ledger;
+pub mod slot_budget;
+pub mod store_call;
 
 mod account_table;
+mod coordinator_input;
+mod crash_watch;
 mod demand_table;
 mod entry_record;
 mod entry_table;
 mod grant_slots;
 mod home_events;
+mod homed_pool;
 mod member_changes;
 mod name_index;
+mod poison_record;
+mod pooled_endpoint;
 mod prefix_affinity;
+mod repeats;
 mod report_apply;
 mod report_check;
+mod request_table;
 mod slot_table;
-
-pub mod quarantine;
-pub mod rendezvous;
-pub mod retry_budget;
+mod store_gate;
--- /dev/null
+++ b/crates/router/src/run.rs
@@ -0,0 +1,91 @@
+//! Starts the router's threads and waits for their end.
+
+use std::io;
+use std::sync::atomic::AtomicU64;
+use std::sync::mpsc::sync_channel;
+use std::thread;
+
+use sedgeridge_state::ids::Member;
+use sedgeridge_state::settings::HostSettings;
+use sedgeridge_state::settings::Settings;
+use sedgeridge_transport::clock::ProcessClock;
+use sedgeridge_transport::clock::incarnation_from_wall_clock;
+use sedgeridge_transport::core::CORE_RING_LEN;
+use sedgeridge_transport::core::Core;
+use sedgeridge_transport::core::CoreInput;
+use sedgeridge_transport::directory::SharedDirectory;
+use sedgeridge_transport::event_log::LogEvent;
+use sedgeridge_transport::event_log::log_info;
+use sedgeridge_transport::front::Front;
+use sedgeridge_transport::front::bind;
+use sedgeridge_transport::host_start::RunError;
+use sedgeridge_transport::operator::serve_operator_pages;
+use sedgeridge_transport::operator::start_metrics;
+use sedgeridge_transport::peers::PeerSockets;
+use sedgeridge_transport::peers::Peers;
+use sedgeridge_transport::peers::peer_ring;
+use sedgeridge_transport::status::StatusBoard;
+use sedgeridge_transport::stop_signal::on_stop_signal;
+use tokio::sync::watch;
+
+/// Runs the router until it is told to stop.
+pub fn serve(settings: Settings, host: &HostSettings) -> Result<(), RunError> {
+    let clock = ProcessClock::start();
+    let member = Member {
+        host: host.id.clone(),
+        incarnation: incarnation_from_wall_clock(),
+    };
+    let directory = SharedDirectory::new(settings);
+    let status = StatusBoard::default();
+    let (inputs, inbox) = sync_channel(CORE_RING_LEN);
+    let (stop_front, front_stops) = watch::channel(false);
+    let drains = Some(inputs.clone());
+    serve_operator_pages(
+        host.operator_address,
+        start_metrics()?,
+        status.clone(),
+        drains,
+    )?;
+    let front = Front {
+        clock,
+        member: member.clone(),
+        directory: directory.clone(),
+        core: inputs.clone(),
+        next_request: AtomicU64::new(0),
+    };
+    let listener = bind(host.caller_address)?;
+    let peers = Peers {
+        member: member.clone(),
+        core: inputs.clone(),
+    };
+    let sockets = PeerSockets::bind(host.peer_address)?;
+    let (peer_sender, peer_outbox) = peer_ring();
+    thread::Builder::new()
+        .name("peers".into())
+        .spawn(move || peers.run(sockets, peer_outbox))?;
+    let front = thread::Builder::new()
+        .name("front".into())
+        .spawn(move || front.run(listener, front_stops))?;
+    let on_stop = inputs.clone();
+    on_stop_signal(move || {
+        let _ = on_stop.send(CoreInput::Stop);
+    })?;
+    log_info(
+        LogEvent::RouterStarted,
+        format_args!(
+            "host={} incarnation={} callers={}",
+            member.host, member.incarnation.0, host.caller_address
+        ),
+    );
+    let core = Core::new(clock, member, directory, inputs, peer_sender, status)?;
+    let core = thread::Builder::new()
+        .name("core".into())
+        .spawn(move || core.run(&inbox))?;
+    core.join().map_err(|_| io::Error::other("core panicked"))?;
+    let _ = stop_front.send(true);
+    front
+        .join()
+        .map_err(|_| io::Error::other("front panicked"))??;
+    log_info(LogEvent::RouterStopped, "");
+    Ok(())
+}
--- /dev/null
+++ b/crates/transport/src/settings_files.rs
@@ -0,0 +1,189 @@
+//! Reads the settings files of one site.
+
+use std::fs;
+use std::io;
+use std::path::Path;
+use std::path::PathBuf;
+
+use sedgeridge_state::settings::Layers;
+use sedgeridge_state::settings::Override;
+use sedgeridge_state::settings::Settings;
+use sedgeridge_state::settings::SettingsError;
+use sedgeridge_state::settings::Source;
+use sedgeridge_state::settings::effective::EffectiveSettings;
+use sedgeridge_state::settings::effective::effective;
+use sedgeridge_state::settings::load_layers;
+use thiserror::Error;
+
+/// Why settings could not be read.
+#[derive(Debug, Error)]
+pub enum ReadSettingsError {
+    /// A file could not be read.
+    #[error("{}: error: {cause}", path.display())]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        cause: io::Error,
+    },
+    /// The files were read, and their content refused.
+    #[error("{}", list(.0))]
+    Refused(Vec<SettingsError>),
+}
+
+impl ReadSettingsError {
+    /// Counts the findings.
+    ///
+    /// ```
+    /// use sedgeridge_transport::settings_files::ReadSettingsError;
+    /// assert_eq!(ReadSettingsError::Refused(Vec::new()).count(), 0);
+    /// ```
+    pub fn count(&self) -> usize {
+        match self {
+            Self::Unreadable { .. } => 1,
+            Self::Refused(findings) => findings.len(),
+        }
+    }
+}
+
+/// The texts of a base file and an overlay, as read.
+#[derive(Debug)]
+pub struct SettingsTexts {
+    base: NamedText,
+    overlay: Option<NamedText>,
+}
+
+#[derive(Debug)]
+struct NamedText {
+    name: String,
+    text: String,
+}
+
+impl SettingsTexts {
+    /// Reads the base file, and the overlay if there is one.
+    ///
+    /// ```
+    /// use std::path::Path;
+    /// use sedgeridge_transport::settings_files::SettingsTexts;
+    /// assert!(SettingsTexts::read(Path::new("no-such.ini"), None).is_err());
+    /// ```
+    pub fn read(base: &Path, overlay: Option<&Path>) -> Result<Self, ReadSettingsError> {
+        Ok(Self {
+            base: read(base)?,
+            overlay: overlay.map(read).transpose()?,
+        })
+    }
+
+    /// Loads the texts, with the overrides above both.
+    ///
+    /// ```no_run
+    /// use std::path::Path;
+    /// use sedgeridge_transport::settings_files::SettingsTexts;
+    /// let texts = SettingsTexts::read(Path::new("base.ini"), None).unwrap();
+    /// let settings = texts.load(&[]).unwrap();
+    /// ```
+    pub fn load(&self, overrides: &[Override]) -> Result<Settings, ReadSettingsError> {
+        load_layers(&self.layers(overrides)).map_err(ReadSettingsError::Refused)
+    }
+
+    /// Writes out every setting in force with its origin.
+    ///
+    /// ```no_run
+    /// use std::path::Path;
+    /// use sedgeridge_transport::settings_files::SettingsTexts;
+    /// let texts = SettingsTexts::read(Path::new("base.ini"), None).unwrap();
+    /// println!("{}", texts.effective(&[]).unwrap());
+    /// ```
+    pub fn effective(
+        &self,
+        overrides: &[Override],
+    ) -> Result<EffectiveSettings, ReadSettingsError> {
+        effective(&self.layers(overrides)).map_err(ReadSettingsError::Refused)
+    }
+
+    /// Gives the text of the base file.
+    ///
+    /// ```no_run
+    /// use std::path::Path;
+    /// use sedgeridge_transport::settings_files::SettingsTexts;
+    /// let texts = SettingsTexts::read(Path::new("base.ini"), None).unwrap();
+    /// assert!(texts.base_text().contains("[fleet]"));
+    /// ```
+    pub fn base_text(&self) -> &str {
+        &self.base.text
+    }
+
+    /// Gives the text of the overlay, if one was read.
+    ///
+    /// ```no_run
+    /// use std::path::Path;
+    /// use sedgeridge_transport::settings_files::SettingsTexts;
+    /// let texts = SettingsTexts::read(Path::new("base.ini"), None).unwrap();
+    /// assert!(texts.overlay_text().is_none());
+    /// ```
+    pub fn overlay_text(&self) -> Option<&str> {
+        self.overlay.as_ref().map(|overlay| &*overlay.text)
+    }
+
+    fn layers<'a>(&'a self, overrides: &'a [Override]) -> Layers<'a> {
+        Layers {
+            base: self.base.source(),
+            overlay: self.overlay.as_ref().map(NamedText::source),
+            overrides,
+        }
+    }
+}
+
+impl NamedText {
+    fn source(&self) -> Source<'_> {
+        Source {
+            text: &self.text,
+            name: &self.name,
+        }
+    }
+}
+
+/// Reads and loads the base file, the overlay if there is one, and the overrides above both.
+///
+/// Displaying the error gives every finding with file, line, key and hint.
+///
+/// ```
+/// use std::path::Path;
+/// use sedgeridge_transport::settings_files::read_settings;
+/// assert!(read_settings(Path::new("no-such.ini"), None, &[]).is_err());
+/// ```
+pub fn read_settings(
+    base_path: &Path,
+    overlay_path: Option<&Path>,
+    overrides: &[Override],
+) -> Result<Settings, ReadSettingsError> {
+    SettingsTexts::read(base_path, overlay_path)?.load(overrides)
+}
+
+/// Names the overlay of a site: `site-NAME.ini` beside the base file.
+///
+/// ```
+/// use std::path::Path;
+/// use sedgeridge_transport::settings_files::overlay_path;
+/// let path = overlay_path(Path::new("config/base.ini"), "magazzino");
+/// assert_eq!(path, Path::new("config/site-magazzino.ini"));
+/// ```
+pub fn overlay_path(base_path: &Path, site: &str) -> PathBuf {
+    base_path.with_file_name(format!("site-{site}.ini"))
+}
+
+fn read(path: &Path) -> Result<NamedText, ReadSettingsError> {
+    let text = fs::read_to_string(path).map_err(|cause| ReadSettingsError::Unreadable {
+        path: path.to_owned(),
+        cause,
+    })?;
+    Ok(NamedText {
+        name: path.display().to_string(),
+        text,
+    })
+}
+
+fn list(findings: &[SettingsError]) -> String {
+    let lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
