fix(coordination): an entry router keeps its report sequence when homes change and change back

The sequence now goes on for the life of the run. - A lost first grant of a home was acknowledged by the second and held its slot until the next regular full report, 30 to 40 s. The first grant that is seen now makes the next report full, which costs one full report for each home and entry router.

Weighed for the first: accepting a lower sequence in a full report; a late repeated report could then bring back old demand.

--- a/crates/coordination/src/entry_pool.rs
+++ b/crates/coordination/src/entry_pool.rs
@@ -70,11 +70,14 @@
     }
 
     /// Names the pool's home; another one than before is told everything.
+    ///
+    /// The sequence of reports goes on: this view of the members may have changed and changed back
+    /// while the home never knew. It would drop all reports up to its last sequence, and the callers
+    /// here would wait for as long.
     pub fn set_home(&mut self, home: Option<Member>) {
         if self.home != home {
             self.home = home;
             self.grants_received = 0;
-            self.sequence = 0;
             self.full_wanted = true;
         }
     }
@@ -164,9 +167,11 @@
     ///
     /// `grants_received` acknowledges all grants up to it. A grant lost on a broken connection would
     /// be acknowledged with them and hold its slot until the home compares lists. The first grant of
-    /// a home tells nothing: homes begin their sequences anywhere.
+    /// a home does not tell whether others were lost, as homes begin their sequences anywhere; a
+    /// full report does.
     fn give_back_missing(&mut self, grant: &Grant) {
         if self.grants_received == 0 {
+            self.full_wanted = true;
             return;
         }
         let missing = self.grants_received + 1..grant.id.sequence;
--- /dev/null
+++ b/crates/coordination/tests/entry_pool_and_home.rs
@@ -0,0 +1,113 @@
+//! An entry router's view of a pool and the pool's home, together.
+
+use std::time::Duration;
+
+use sedgeridge_coordination::entry_events::RequestKey;
+use sedgeridge_coordination::entry_pool::EntryPool;
+use sedgeridge_coordination::entry_queue::Lane;
+use sedgeridge_coordination::pool_home::AccountWeight;
+use sedgeridge_coordination::pool_home::HomeAction;
+use sedgeridge_coordination::pool_home::HomeEndpoint;
+use sedgeridge_coordination::pool_home::HomeEvent;
+use sedgeridge_coordination::pool_home::PoolHome;
+use sedgeridge_coordination::pool_messages::Grant;
+use sedgeridge_state::ids::AccountId;
+use sedgeridge_state::ids::EndpointId;
+use sedgeridge_state::ids::HostId;
+use sedgeridge_state::ids::Incarnation;
+use sedgeridge_state::ids::Member;
+use sedgeridge_state::ids::PoolId;
+use sedgeridge_state::ids::SiteId;
+use sedgeridge_state::settings::FairSettings;
+use sedgeridge_state::settings::RequestClass;
+
+fn member(host: &str) -> Member {
+    Member {
+        host: HostId::from(host),
+        incarnation: Incarnation(1),
+    }
+}
+
+fn home() -> PoolHome {
+    let mut home = PoolHome::new(
+        member("home"),
+        PoolId::from("desk"),
+        FairSettings::default(),
+    );
+    let endpoint = HomeEndpoint {
+        id: EndpointId::from("desk-1"),
+        site: SiteId::from("officina"),
+        slots: 2,
+    };
+    let weight = AccountWeight {
+        account: AccountId::from("a"),
+        weight: 1,
+    };
+    let configured = HomeEvent::Configured {
+        endpoints: vec![endpoint],
+        weights: vec![weight],
+    };
+    let members = HomeEvent::Members(vec![member("entry")]);
+    for event in [configured, members] {
+        home.handle(Duration::ZERO, event, &mut Vec::new());
+    }
+    home
+}
+
+fn wait(entry: &mut EntryPool, key: RequestKey) {
+    let lane = Lane {
+        account: AccountId::from("a"),
+        class: RequestClass::Interactive,
+    };
+    entry.enqueue(lane, key, false);
+}
+
+/// Brings a report to the home and returns the grants that it gives.
+fn exchange(entry: &mut EntryPool, home: &mut PoolHome) -> Vec<Grant> {
+    let mut actions = Vec::new();
+    if let Some((_, report)) = entry.report(&member("entry"), |_| Some((100, None))) {
+        home.handle(Duration::ZERO, HomeEvent::Report(report), &mut actions);
+    }
+    let grants = actions.into_iter().filter_map(|action| match action {
+        HomeAction::Grant { grant, .. } => Some(grant),
+        HomeAction::AskFull { .. } => None,
+    });
+    grants.collect()
+}
+
+// Callers at one router wait for good though slots are idle. The router suspected the home, turned
+// to another and came back, while the home never knew. If the router began its sequence of reports
+// again, the home would drop them as repeated.
+#[test]
+fn a_home_that_was_suspected_takes_the_reports_that_follow() {
+    let mut home = home();
+    let mut entry = EntryPool::new(PoolId::from("desk"));
+    entry.set_home(Some(member("home")));
+    for _ in 0..3 {
+        entry.want_full();
+        exchange(&mut entry, &mut home);
+    }
+    entry.set_home(Some(member("other")));
+    entry.set_home(Some(member("home")));
+    wait(&mut entry, RequestKey(1));
+    assert_eq!(exchange(&mut entry, &mut home).len(), 1);
+    assert!(home.counters().rejections.is_empty());
+}
+
+// A slot idles for half a minute while callers wait. The first grant of a new home was lost with a
+// connection that was not up yet, and the second one, which arrived, acknowledged both. The entry
+// router must report in full after the first grant that it sees.
+#[test]
+fn a_first_grant_that_was_lost_gives_its_slot_back() {
+    let mut home = home();
+    let mut entry = EntryPool::new(PoolId::from("desk"));
+    entry.set_home(Some(member("home")));
+    wait(&mut entry, RequestKey(1));
+    wait(&mut entry, RequestKey(2));
+    let grants = exchange(&mut entry, &mut home);
+    assert_eq!(grants.len(), 2);
+    assert!(entry.accept(&grants[1]));
+    assert!(entry.pop_for(&grants[1]).is_some());
+    entry.hold(&grants[1], 100);
+    assert_eq!(exchange(&mut entry, &mut home).len(), 1);
+}
