--- a/crates/coordination/src/order_events.rs
+++ b/crates/coordination/src/order_events.rs
@@ -25,8 +25,12 @@
     pub store_retry_ms: u64,
     /// Time between two reads of all orders.
     pub rescan_interval_ms: u64,
-    /// Time after which every router has heard of a drain.
+    /// Time between two reads of the orders that changed.
+    pub poll_interval_ms: u64,
+    /// Time after which every router has heard of a drain that one of them took.
     pub drain_settle_ms: u64,
+    /// Time after which routers may forget a drain that was not announced again.
+    pub drain_lapse_ms: u64,
 }
 
 impl Default for OrderSettings {
@@ -37,7 +41,9 @@
             max_order_delay_ms: 5_000,
             store_retry_ms: 1_000,
             rescan_interval_ms: 30_000,
+            poll_interval_ms: 1_000,
             drain_settle_ms: 3_000,
+            drain_lapse_ms: 9_000,
         }
     }
 }
@@ -69,6 +75,18 @@
         serving: bool,
         /// Requests it is running.
         in_progress: u32,
+        /// When this was so; reports lag.
+        as_of: Duration,
+    },
+    /// A router took the drain of an endpoint and passes it on.
+    DrainAnnounced {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
+    /// An endpoint's state is no longer followed, or its report could not be read.
+    EndpointUnknown {
+        /// The endpoint.
+        endpoint: EndpointId,
     },
     /// An engine answered an order, or did not.
     Answered {
@@ -132,7 +150,8 @@
 pub enum OrderAction {
     /// Call the table.
     Store(StoreAction),
-    /// Give the endpoint no new work.
+    /// Give the endpoint no new work, until [`OrderAction::Undrain`] or the lease's end; answered
+    /// by [`OrderEvent::DrainAnnounced`] each time a router was told.
     Drain(EndpointId),
     /// Give the endpoint work again.
     Undrain(EndpointId),
