feat(load): relays between sites, and the fault site-cut

A site's overlay names a relay in place of each process at another site, so requests, links and datagrams between sites take the delay of the deployment. The relay passed on connections only; routers probe each other by datagrams to the same address and would have lost sight of every other site, so it now passes datagrams on too, with the same delay, cut and block. site-cut cuts one site off from the others and heals the cut. Planning of processes and carrying out of faults moved to modules of their own.

--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -86,6 +86,9 @@
     let port_base = port_base.unwrap_or(DEFAULT_PORT_BASE);
     let mut topology = Topology::new(&deployment, &dir, port_base, &overrides);
     topology.load.fault = fault;
+    if fault == Some(FaultName::SiteCut) && topology.load.links.is_empty() {
+        return Err("--fault site-cut: needs a deployment with more than one site".into());
+    }
     let taken = ready::taken_addresses(&topology.load);
     if !taken.is_empty() {
         return Err(format!("addresses in use: {}", taken.join(", ")).into());
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -28,6 +28,8 @@
     pub services: Vec<ServicePlan>,
     /// Client accounts with their keys.
     pub accounts: Vec<AccountPlan>,
+    /// Links between sites.
+    pub links: Vec<LinkPlan>,
     /// The table service.
     pub table_address: SocketAddr,
     /// Fault to bring about.
@@ -70,6 +72,23 @@
     pub operator_address: SocketAddr,
 }
 
+/// A relay that stands for the way from one site to one process at another site.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LinkPlan {
+    /// Name of the relay.
+    pub name: String,
+    /// Site on the near side.
+    pub from_site: String,
+    /// Site of the process on the far side.
+    pub to_site: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it takes orders.
+    pub control_address: SocketAddr,
+    /// The process that it leads to.
+    pub target: SocketAddr,
+}
+
 /// What the endpoints of a pool speak.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/crates/load/src/processes.rs
+++ b/crates/load/src/processes.rs
@@ -13,7 +13,7 @@
 use std::process::Stdio;
 use std::time::Duration;
 
-use crate::topology::PROCESS_PLAN_FILE;
+use crate::process_plan::PROCESS_PLAN_FILE;
 
 /// File of process ids, one a line: name, id. The last line of a name counts.
 pub const PIDS_FILE: &str = "pids";
--- a/crates/load/src/ready.rs
+++ b/crates/load/src/ready.rs
@@ -72,7 +72,12 @@
     match stage {
         Stage::StandIns => {
             let endpoints = plan.endpoints.iter().map(|e| (e.name.clone(), e.address));
-            let all = endpoints.chain([("table".to_owned(), plan.table_address)]);
+            let links = plan
+                .links
+                .iter()
+                .map(|l| (l.name.clone(), l.control_address));
+            let all = endpoints.chain(links);
+            let all = all.chain([("table".to_owned(), plan.table_address)]);
             let silent = all.filter(|(_, address)| !listens(*address));
             silent.map(|(name, _)| name).collect()
         }
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -21,7 +21,6 @@
 use crate::control_bytes::PeerRate;
 use crate::faults;
 use crate::faults::FaultName;
-use crate::faults::Saboteur;
 use crate::history::CallRecord;
 use crate::history::History;
 use crate::history::Span;
@@ -34,6 +33,7 @@
 use crate::recorder::Recorder;
 use crate::report::Report;
 use crate::report::RunName;
+use crate::saboteur::Saboteur;
 
 /// File of the callers' records within a run's directory.
 const CALLS_FILE: &str = "calls.jsonl";
--- a/crates/load/src/topology.rs
+++ b/crates/load/src/topology.rs
@@ -20,41 +20,20 @@
 use crate::plan::AccountPlan;
 use crate::plan::EndpointPlan;
 use crate::plan::LOAD_PLAN_FILE;
+use crate::plan::LinkPlan;
 use crate::plan::LoadPlan;
 use crate::plan::PoolKind;
 use crate::plan::RouterPlan;
 use crate::plan::ServicePlan;
-
-/// File that lists the processes to start, one a line: name, program, arguments.
-pub const PROCESS_PLAN_FILE: &str = "plan";
-/// File of the settings that hold everywhere.
-pub const BASE_FILE: &str = "base.ini";
+use crate::process_plan;
+use crate::process_plan::BASE_FILE;
+use crate::process_plan::PROCESS_PLAN_FILE;
+use crate::process_plan::ProcessPlan;
 
 /// Account keys are derived from this, so that every run uses the same ones.
 const KEY_SEED: &str = "sedgeridge-load keys 1";
 /// Default of `fair.output_token_factor`, repeated here for the judge of fairness.
 const OUTPUT_TOKEN_FACTOR: u64 = 4;
-/// Time between two output tokens of an engine stand-in.
-const TOKEN_MS: u64 = 20;
-/// Prefill time of an engine stand-in for each uncached input token.
-const PREFILL_US_PER_TOKEN: u64 = 100;
-/// Age of an endpoint's load report.
-const REPORT_LAG_MS: u64 = 200;
-/// Prompt prefixes that an engine stand-in keeps.
-const PREFIX_CACHE_TOKENS: u64 = 2_000;
-/// Mean service time of a plain stand-in.
-const SERVICE_MS: u64 = 50;
-
-/// One process to start.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ProcessPlan {
-    /// Name in the list of process ids.
-    pub name: String,
-    /// Binary of this workspace.
-    pub program: &'static str,
-    /// Its arguments; none holds a space.
-    pub args: Vec<String>,
-}
 
 /// Everything that is written for one deployment.
 #[derive(Debug, Clone, PartialEq)]
@@ -115,9 +94,10 @@
             topology.base.set(&set.section, &set.key, &*set.value);
         }
         topology.read_back_overrides();
-        topology.plan_platform();
-        topology.plan_endpoints(dir);
-        topology.plan_routers(deployment, dir);
+        if deployment.link_delay_us > 0 {
+            topology.lay_links(&mut addresses);
+        }
+        topology.plan_processes(deployment, dir);
         topology
     }
 
@@ -179,39 +159,53 @@
         }
     }
 
-    fn plan_platform(&mut self) {
-        self.processes.push(ProcessPlan {
-            name: "table".to_owned(),
-            program: "sedgeridge-standins",
-            args: words(&format!("table --listen {}", self.load.table_address)),
-        });
-    }
-
-    fn plan_endpoints(&mut self, dir: &Path) {
-        for endpoint in &self.load.endpoints {
-            let kind = self.load.pool_kind(&endpoint.pool);
-            self.processes.push(ProcessPlan {
-                name: endpoint.name.clone(),
-                program: "sedgeridge-standins",
-                args: endpoint_args(endpoint, kind, dir),
-            });
+    /// Every site reaches the processes of other sites through relays: its overlay names the
+    /// relay in place of the process.
+    fn lay_links(&mut self, addresses: &mut Addresses) {
+        let hosts = self.load.routers.iter().map(|r| format!("host.{}", r.name));
+        let hosts = hosts.map(|section| (section, "peer_address"));
+        let endpoints = self
+            .load
+            .endpoints
+            .iter()
+            .map(|e| format!("endpoint.{}", e.name));
+        let endpoints = endpoints.map(|section| (section, "address"));
+        let targets: Vec<(String, &str)> = hosts.chain(endpoints).collect();
+        for (site, overlay) in &mut self.overlays {
+            for (section, key) in &targets {
+                let to_site = self.base.get(section, "site").unwrap_or_default();
+                let target = self.base.get(section, key).and_then(|a| a.parse().ok());
+                let Some(target) = target.filter(|_| to_site != site) else {
+                    continue;
+                };
+                let link = LinkPlan {
+                    name: format!("link-{site}-{section}"),
+                    from_site: site.clone(),
+                    to_site: to_site.to_owned(),
+                    address: addresses.take(),
+                    control_address: addresses.take(),
+                    target,
+                };
+                overlay.set(section, key, &link.address);
+                self.load.links.push(link);
+            }
         }
     }
 
-    fn plan_routers(&mut self, deployment: &Deployment, dir: &Path) {
-        let dir = dir.display();
-        for (index, router) in self.load.routers.iter().enumerate() {
+    fn plan_processes(&mut self, deployment: &Deployment, dir: &Path) {
+        let load = &self.load;
+        let links = load.links.iter();
+        let links = links.map(|link| process_plan::link(link, deployment.link_delay_us));
+        let endpoints = load.endpoints.iter().map(|endpoint| {
+            let kind = load.pool_kind(&endpoint.pool);
+            process_plan::endpoint(endpoint, kind, dir)
+        });
+        let routers = load.routers.iter().enumerate().map(|(index, router)| {
             let site = site_of(deployment, index);
-            let args = format!(
-                "--config {dir}/{BASE_FILE} --overlay {dir}/site-{site}.ini --host {}",
-                router.name
-            );
-            self.processes.push(ProcessPlan {
-                name: router.name.clone(),
-                program: "sedgeridge-router",
-                args: words(&args),
-            });
-        }
+            process_plan::router(router, site, dir)
+        });
+        self.processes.push(process_plan::table(load));
+        self.processes.extend(links.chain(endpoints).chain(routers));
     }
 
     /// Writes every file into `dir`, which is created when absent.
@@ -260,6 +254,7 @@
         services: service_plans(deployment),
         accounts: account_plans(deployment),
         table_address,
+        links: Vec::new(),
         fault: None,
     }
 }
@@ -304,31 +299,6 @@
     }
 }
 
-fn endpoint_args(endpoint: &EndpointPlan, kind: PoolKind, dir: &Path) -> Vec<String> {
-    let EndpointPlan {
-        name,
-        address,
-        slots,
-        ..
-    } = endpoint;
-    let own = match kind {
-        PoolKind::Model => format!(
-            "engine --token-ms {TOKEN_MS} --prefill-us-per-token {PREFILL_US_PER_TOKEN} \
-             --prefix-cache-tokens {PREFIX_CACHE_TOKENS}"
-        ),
-        PoolKind::Plain => format!("plain --service-ms {SERVICE_MS}"),
-    };
-    let dir = dir.display();
-    words(&format!(
-        "{own} --listen {address} --name {name} --slots {slots} \
-         --report-lag-ms {REPORT_LAG_MS} --ledger-file {dir}/ledger-{name}.jsonl"
-    ))
-}
-
-fn words(line: &str) -> Vec<String> {
-    line.split_whitespace().map(str::to_owned).collect()
-}
-
 /// Key of an account, the same in every run.
 fn account_key(account: &str) -> String {
     let digest = sha256_hex(&format!("{KEY_SEED} {account}"));
--- a/crates/load/tests/support/mod.rs
+++ b/crates/load/tests/support/mod.rs
@@ -21,6 +21,7 @@
         "endpoints": [endpoint("e1"), endpoint("e2")],
         "services": [{"name": "s", "pool": "p", "kind": "model", "repeatable": true}],
         "accounts": [account("a", 1), account("b", 2), account("c", 1)],
+        "links": [],
         "table_address": "127.0.0.1:1",
     });
     serde_json::from_value(plan).expect("a load plan")
--- a/crates/load/tests/topology.rs
+++ b/crates/load/tests/topology.rs
@@ -80,3 +80,24 @@
     );
     assert_eq!(topology.load.output_token_factor, 7);
 }
+
+/// A site's own processes are reached directly, those of other sites through one relay each.
+#[parameterized(
+    small = { "small", 0 },
+    luce = { "luce", 36 },
+    malardalen = { "malardalen", 84 },
+)]
+fn other_sites_are_reached_through_relays(name: &str, links: usize) {
+    let topology = topology(name, &[]);
+    assert_eq!(topology.load.links.len(), links);
+    for link in &topology.load.links {
+        assert_ne!(link.from_site, link.to_site);
+        let (_, overlay) = topology
+            .overlays
+            .iter()
+            .find(|(site, _)| *site == link.from_site)
+            .expect("the site has an overlay");
+        assert!(overlay.to_string().contains(&link.address.to_string()));
+        assert!(topology.base.to_string().contains(&link.target.to_string()));
+    }
+}
--- a/crates/standins/src/configs/relay.rs
+++ b/crates/standins/src/configs/relay.rs
@@ -41,9 +41,9 @@
 impl CommandLine for RelayConfig {
     fn help() -> String {
         format!(
-            "A TCP relay that stands for a network link.\n\n\
+            "A relay of connections and datagrams that stands for a network link.\n\n\
              sedgeridge-standins relay --to IP:PORT [OPTIONS]\n\n{COMMON_OPTIONS}\
-             \x20 --to IP:PORT       where connections lead to\n\
+             \x20 --to IP:PORT       where connections and datagrams lead to\n\
              \x20 --control IP:PORT  address that takes orders [default: 127.0.0.1:0]\n\
              \x20 --delay-ms X       delay of each byte, one way [default: 0]\n"
         )
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod rate_limit;
 pub mod refusal;
 pub mod relay;
+pub mod relay_datagrams;
 pub mod relay_state;
 pub mod reply;
 pub mod server;
--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -1,4 +1,4 @@
-//! `relay`: a TCP relay that stands for a network link and can delay, cut, block or silence it.
+//! `relay`: a relay that stands for a network link and can delay, cut, block or silence it.
 //!
 //! It uses threads and not the runtime of the other stand-ins, because link delays of half a
 //! millisecond are below the resolution of that runtime's timers.
@@ -22,6 +22,7 @@
 
 use crate::configs::relay::RelayConfig;
 use crate::refusal::Refusal;
+use crate::relay_datagrams;
 use crate::relay_state::RelayOrder;
 use crate::relay_state::RelayState;
 use crate::reply;
@@ -69,6 +70,7 @@
     let listener = TcpListener::bind(config.listen)?;
     let address = listener.local_addr()?;
     let state = Arc::new(RelayState::new(config.delay_ms));
+    relay_datagrams::spawn(address, to, &state)?;
     let control = spawn_control(config.control, Arc::clone(&state))?;
     let accepting = Arc::clone(&state);
     thread::Builder::new()
--- a/crates/standins/src/relay_state.rs
+++ b/crates/standins/src/relay_state.rs
@@ -21,9 +21,9 @@
         /// The delay.
         delay_ms: f64,
     },
-    /// Close all connections and new ones at once, until healed.
+    /// Close all connections and new ones at once, and lose datagrams, until healed.
     Cut,
-    /// Hold all bytes back until healed.
+    /// Hold all bytes back, and lose datagrams, until healed.
     Block,
     /// Swallow all bytes of the connections that are open now; new ones work.
     Silence,
@@ -108,6 +108,12 @@
         self.lock().cut
     }
 
+    /// Whether datagrams that arrive now are lost.
+    pub fn loses_datagrams(&self) -> bool {
+        let inner = self.lock();
+        inner.cut || inner.blocked
+    }
+
     /// The delay of bytes that arrive now.
     pub fn delay(&self) -> Duration {
         self.lock().delay
--- a/crates/standins/tests/relay.rs
+++ b/crates/standins/tests/relay.rs
@@ -1,4 +1,4 @@
-//! The relay between two ends of a TCP connection.
+//! The relay between two ends of a link.
 
 mod common;
 
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::net::UdpSocket;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -128,3 +129,45 @@
         assert_eq!(refused.status(), 400, "{body}");
     }
 }
+
+fn relay_to(to: SocketAddr) -> Relay {
+    let config = RelayConfig {
+        to: Some(to),
+        delay_ms: 20.0,
+        ..RelayConfig::default()
+    };
+    relay::spawn(&config).unwrap()
+}
+
+#[test]
+fn datagrams_arrive_whole_and_after_the_delay() {
+    let receiver = UdpSocket::bind("127.0.0.1:0").unwrap();
+    receiver.set_read_timeout(Some(LONG)).unwrap();
+    let relay = relay_to(receiver.local_addr().unwrap());
+    let sent = Instant::now();
+    let sender = UdpSocket::bind("127.0.0.1:0").unwrap();
+    sender.send_to(b"probe", relay.address()).unwrap();
+    let mut buffer = [0; 16];
+    let (size, _) = receiver.recv_from(&mut buffer).unwrap();
+    assert_eq!(&buffer[..size], b"probe");
+    assert!(sent.elapsed() >= Duration::from_millis(20));
+}
+
+/// A cut that let datagrams through would leave two sites each other's live members, though no
+/// connection between them works.
+#[test]
+fn a_cut_loses_datagrams_until_healed() {
+    let receiver = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let relay = relay_to(receiver.local_addr().unwrap());
+    let sender = UdpSocket::bind("127.0.0.1:0").unwrap();
+    order(relay.control(), r#"{"link":"cut"}"#);
+    sender.send_to(b"lost", relay.address()).unwrap();
+    receiver.set_read_timeout(Some(SHORT)).unwrap();
+    let mut buffer = [0; 16];
+    assert!(receiver.recv_from(&mut buffer).is_err());
+    order(relay.control(), r#"{"link":"heal"}"#);
+    sender.send_to(b"passed", relay.address()).unwrap();
+    receiver.set_read_timeout(Some(LONG)).unwrap();
+    let (size, _) = receiver.recv_from(&mut buffer).unwrap();
+    assert_eq!(&buffer[..size], b"passed");
+}
