--- a/crates/transport/src/core.rs
+++ b/crates/transport/src/core.rs
@@ -63,7 +63,9 @@
 use crate::recorded::replayed;
 use crate::status::RouterStatus;
 use crate::status::StatusBoard;
+use crate::table_calls::CALLERS;
 use crate::table_calls::TableCalls;
+use crate::table_calls::TableClient;
 
 /// Events that may wait for the core; a full ring refuses new requests.
 pub const CORE_RING_LEN: usize = 8_192;
@@ -192,11 +194,15 @@
     ) -> io::Result<Self> {
         let directory = shared_directory.current();
         let clients = EndpointClients::new(&directory.settings.health);
-        let load_reads = LoadReads::start(&inputs)?;
+        let load_reads = LoadReads::start(&inputs, |endpoint, load| CoreInput::LoadRead {
+            endpoint,
+            load,
+        })?;
         let platform = &directory.settings.platform;
         let call_timeout = millis(platform.call_timeout_ms);
-        let table = TableCalls::start(platform.table_address, call_timeout, &inputs)?;
-        let config_reads = ConfigReads::start(platform.table_address, call_timeout, &inputs)?;
+        let client = TableClient::new(platform.table_address, call_timeout);
+        let table = TableCalls::start(&client, CALLERS, &inputs, CoreInput::StoreEnded)?;
+        let config_reads = ConfigReads::start(&client, &inputs, CoreInput::ConfigRead)?;
         let seed = member.incarnation.0;
         Ok(Self {
             clock,
@@ -488,6 +494,7 @@
     }
 
     fn send(&mut self, to: Member, message: &PeerMessage) {
+        counter!("sedgeridge_peer_sent_total", "kind" => message.kind()).increment(1);
         let payload = PeerPayload::Stream(encode(message));
         if !self.send_out(to.host.clone(), payload) {
             self.event(NodeEvent::PeerReset { host: to.host });
