feat(coordination): endpoints serve until shortly before the turn of their load

Loads take turns at the weight store. Every endpoint with a load was drained at once and stood idle until its turn; ten loads would have kept the tenth out of service for over a minute. Draining one at a time was weighed, but one long request would then hold up all loads.

The row of an ended order now names the epoch that wrote it; it kept the 0 of the operator.

The test of the frozen holder over loopback stayed green with every look at the clock taken out: its order was not due when the holder went on. Its order now is.

--- a/crates/coordination/src/orders.rs
+++ b/crates/coordination/src/orders.rs
@@ -60,6 +60,7 @@
     known: Option<BTreeMap<EndpointId, (OrderRecord, u64)>>,
     jobs: BTreeMap<EndpointId, Job>,
     next_load_at: Duration,
+    next_load_drain_at: Duration,
     recover_at: Duration,
     poll_at: Duration,
     /// Highest version among the rows read; a poll leaves out what is not newer.
@@ -85,6 +86,7 @@
             known: None,
             jobs: BTreeMap::new(),
             next_load_at: Duration::ZERO,
+            next_load_drain_at: Duration::ZERO,
             recover_at: Duration::ZERO,
             poll_at: Duration::ZERO,
             read_version: 0,
@@ -142,6 +144,7 @@
             self.forget_orders(now);
             // The holder before may have spent the weight store's allowance just now.
             self.next_load_at = now + millis(self.settings.load_interval_ms);
+            self.next_load_drain_at = now;
         }
         self.lease = lease;
     }
@@ -252,8 +255,9 @@
     }
 
     fn end(&mut self, now: Duration, endpoint: &EndpointId, state: OrderState) {
-        if let Some(job) = self.jobs.get_mut(endpoint) {
+        if let (Some(lease), Some(job)) = (self.lease, self.jobs.get_mut(endpoint)) {
             job.record.state = state;
+            job.record.fencing = lease.fencing;
             job.stage = Stage::WritingEnd;
             job.write_at = Some(now);
         }
@@ -289,7 +293,7 @@
                 self.send(now, endpoint, actions);
             }
             Stage::AwaitingFloor => {
-                self.begin_drain(endpoint, actions);
+                self.begin_drain(now, endpoint, actions);
             }
             Stage::Draining { announced } => {
                 if self.is_drained(now, endpoint, announced) {
--- a/crates/coordination/src/orders/drain.rs
+++ b/crates/coordination/src/orders/drain.rs
@@ -17,13 +17,38 @@
 }
 
 impl Orders {
-    pub(super) fn begin_drain(&mut self, endpoint: &EndpointId, actions: &mut Vec<OrderAction>) {
+    pub(super) fn begin_drain(
+        &mut self,
+        now: Duration,
+        endpoint: &EndpointId,
+        actions: &mut Vec<OrderAction>,
+    ) {
+        let job = self.jobs.get(endpoint);
+        let is_load = job.is_some_and(|job| job.record.order.reads_weights());
+        if is_load && now < self.load_drain_at() {
+            return;
+        }
         if self.pools.try_drain(endpoint) {
+            if is_load {
+                self.next_load_drain_at = now + millis(self.settings.load_interval_ms);
+            }
             actions.push(OrderAction::Drain(endpoint.clone()));
             self.enter(endpoint, Stage::Draining { announced: None });
         }
     }
 
+    /// Returns when an endpoint may be drained for a load: as late as the weight store's next turn
+    /// allows, and one a turn.
+    ///
+    /// Drained at once, every endpoint with a load ahead of its turn would stand idle; ten loads
+    /// would take the tenth out of service for over a minute. A drain that takes long does not hold
+    /// up the loads after it.
+    fn load_drain_at(&self) -> Duration {
+        let settle = millis(self.settings.drain_settle_ms);
+        let before_turn = self.next_load_at.saturating_sub(settle);
+        before_turn.max(self.next_load_drain_at)
+    }
+
     /// Notes that a router took the drain.
     ///
     /// Time counts from here and not from the decision to drain: while no router can be reached,
--- a/crates/coordination/tests/coordinator.rs
+++ b/crates/coordination/tests/coordinator.rs
@@ -156,15 +156,11 @@
     }
 
     fn order(&mut self, endpoint: &str, number: u64) {
-        self.order_with(endpoint, number, EngineOrder::ChangeRole("booking".into()));
-    }
-
-    fn order_with(&mut self, endpoint: &str, number: u64, order: EngineOrder) {
         let record = OrderRecord {
             endpoint: endpoint.into(),
             number,
             fencing: FencingNumber(0),
-            order,
+            order: EngineOrder::ChangeRole("booking".into()),
             state: OrderState::Intended,
         };
         let key = order_key(&endpoint.into());
@@ -270,15 +266,17 @@
     assert!(actions.contains(&CoordinatorAction::Lost));
 }
 
-// A load waits for the weight store's interval; its pool is drained, nothing else is missing. The
-// holder is frozen until long after its lease. The first thing it does then would be to send: the
-// time for the load has come. It must learn of the lapse first.
+// The engine ignores fencing numbers, so its order waits until none of an earlier holder can be on
+// its way; the engine is drained, nothing else is missing. The holder is frozen until long after
+// its lease. The first thing it does then would be to send. It must learn of the lapse first.
 #[test]
 fn a_holder_frozen_with_an_order_due_does_not_send_it() {
     let mut bench = Bench::new();
-    bench.run(STEP);
-    bench.order_with("desk-1", 1, EngineOrder::Load("assistant/v2".into()));
-    bench.run(Duration::from_secs(8));
+    let mut settings = two_engines();
+    settings.endpoints[0].checks_fencing = false;
+    bench.coordinator = Coordinator::new(member(), CoordinatorSettings::default(), &settings, 0, 7);
+    bench.order("desk-1", 1);
+    bench.run(Duration::from_millis(4_500));
     let waiting = bench
         .coordinator
         .open_orders()
--- a/crates/coordination/tests/orders.rs
+++ b/crates/coordination/tests/orders.rs
@@ -246,6 +246,14 @@
     bench.store.put("order/desk-2", &record.encode());
     bench.run(6_000);
     assert_eq!(bench.ordered(), ["desk-2"]);
+    bench.answer(EngineAnswer::Done);
+    bench.deliver_all();
+    let row = bench
+        .store
+        .value("order/desk-2")
+        .and_then(OrderRecord::decode);
+    let ended = row.map(|record| (record.state, record.fencing));
+    assert_eq!(ended, Some((OrderState::Done, FencingNumber(1))));
 }
 
 // An operator orders an endpoint that the holder's configuration does not know. It is not sent,
@@ -303,3 +311,21 @@
     bench.run(3_000);
     assert_eq!(bench.ordered(), ["desk-1"]);
 }
+
+// Loads on two engines are wanted at once; the floor would allow one to be drained, and the weight
+// store has just been used. The engine goes on serving until shortly before the load's turn. At
+// once drained it would stand idle for the whole interval, and callers would wait.
+#[test]
+fn an_engine_serves_until_shortly_before_its_load() {
+    let mut bench = OrderBench::new(true);
+    bench.run(LOAD_INTERVAL_MS);
+    bench.want("desk-1", load());
+    bench.run(4_000);
+    bench.answer(EngineAnswer::Done);
+    bench.run(100);
+    bench.want("desk-2", load());
+    bench.run(4_000);
+    assert!(bench.drained.is_empty(), "its turn is six seconds away");
+    bench.run(6_000);
+    assert_eq!(bench.ordered(), ["desk-1", "desk-2"]);
+}
--- a/crates/transport/tests/coordinator/main.rs
+++ b/crates/transport/tests/coordinator/main.rs
@@ -77,31 +77,29 @@
     assert!(fleet.engine.lock().orders.is_empty());
 }
 
-// A holder with an order that waits for work in progress is frozen for an hour. Another host takes
-// the lease over and completes the order. The first goes on: its first event finds the lease
-// lapsed, so the engine hears of the order from the second host only.
+// The engine ignores fencing numbers, so its order waits until none of an earlier holder can be on
+// its way. All else is done when the holder is frozen for an hour. Another host takes the lease over
+// and completes the order. The first goes on, and the order in its hands is due: its clock tells it
+// that the lease has lapsed, so the engine hears of the order from the second host only.
 #[test]
 fn a_holder_frozen_past_its_lease_gives_no_order() {
-    let fleet = Fleet::new(false);
-    let first = fleet.start("host-1");
-    first.run_until_holding();
-    fleet.engine.lock().running = 1;
+    let mut fleet = Fleet::new(false);
+    fleet.coordinators.lease.max_order_delay_ms = 9_000;
     fleet.order(to_booking());
-    first.run_until("the order is drained for", || {
+    let first = fleet.start("host-1");
+    first.run_until("the order is due next", || {
         let orders = first.status.read().orders;
-        orders
-            .first()
-            .is_some_and(|order| order.stage == "draining")
+        let stage = orders.first().map(|order| order.stage.clone());
+        stage.as_deref() == Some("awaiting_send")
     });
     let second = fleet.start("host-2");
-    second.run_until_holding();
-    fleet.engine.lock().running = 0;
     second.run_until("the order is recorded", || {
         fleet.order_state() == Some(OrderState::Done)
     });
     first.clock.advance(3_600_000);
-    first.run_until("the first learns of the lapse", || {
-        !first.status.read().holding
+    first.run_until("the first learns of the new holder", || {
+        let lease = first.status.read().lease;
+        lease.is_some_and(|lease| lease.fencing == 2)
     });
     let obeyed = fleet.engine.obeyed();
     assert!(!obeyed.is_empty());
--- a/crates/transport/tests/coordinator/support.rs
+++ b/crates/transport/tests/coordinator/support.rs
@@ -75,6 +75,8 @@
 pub struct Fleet {
     pub table: FakeTable,
     pub engine: FakeEngine,
+    /// Times and limits of the coordinators that are started next.
+    pub coordinators: CoordinatorSettings,
     settings: Settings,
 }
 
@@ -117,6 +119,7 @@
         Self {
             table,
             engine,
+            coordinators: CoordinatorSettings::default(),
             settings,
         }
     }
@@ -133,7 +136,7 @@
         let core = CoordinatorCore::new(
             clock.clone(),
             member,
-            CoordinatorSettings::default(),
+            self.coordinators.clone(),
             Arc::new(Directory::new(self.settings.clone())),
             &inputs,
             status.clone(),
