--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod operator;
 pub mod peer;
 pub mod peer_config;
+pub mod platform;
 pub mod table;
