fix(coordination): a late copy of an order no longer undoes the next one

An engine that checks fencing numbers was taken to be done at its first answer. If the answer came after the order had been sent again, the next order could go out and the copy arrive after it, with the same number. An order that was sent twice is now read back first. And an order could wait in the ring while engines that hang held all threads, longer than the time after which it counts as arrived; it now grows stale after half of that. Numbers for each order were weighed, but engines have no field for them.

Red before the change: an_order_that_was_sent_twice_is_read_back_before_it_ends: assertion failed: bench.ended.is_empty(); an_order_that_waits_in_the_ring_is_not_sent_late: assertion failed: bench.sent[0].not_after < bench.now + 5 s.

New: a fuzz of three coordinators and four engines, 300 cases.

--- a/crates/coordination/src/order_events.rs
+++ b/crates/coordination/src/order_events.rs
@@ -19,7 +19,8 @@
     pub load_interval_ms: u64,
     /// Time after which an unanswered order is sent again.
     pub answer_timeout_ms: u64,
-    /// Longest time an order is on its way; after it an engine's state is read back.
+    /// Longest time from the decision to send an order to its arrival; after it an engine's state
+    /// is read back.
     pub max_order_delay_ms: u64,
     /// Time between two tries of a failed store call.
     pub store_retry_ms: u64,
--- a/crates/coordination/src/orders.rs
+++ b/crates/coordination/src/orders.rs
@@ -194,6 +194,7 @@
             version: last.map_or(0, |(_, version)| *version),
             stage: Stage::WritingIntent,
             write_at: Some(now),
+            sends: 0,
         };
         self.jobs.insert(endpoint, job);
     }
@@ -211,11 +212,15 @@
         if !matches!(job.stage, Stage::Sent { .. }) {
             return;
         }
+        let is_only_copy = job.sends == 1;
         let checks_fencing = self.pools.get(endpoint).is_some_and(|e| e.checks_fencing);
         let at = now + millis(self.settings.max_order_delay_ms);
         match answer {
-            EngineAnswer::Done if checks_fencing => self.end(now, endpoint, OrderState::Done),
-            // An older holder's order may still be on its way to an engine that would obey it.
+            EngineAnswer::Done if checks_fencing && is_only_copy => {
+                self.end(now, endpoint, OrderState::Done);
+            }
+            // An older holder's order, or another copy of this one, may still be on its way to an
+            // engine that would obey it, and undo the next order.
             EngineAnswer::Done => self.enter(endpoint, Stage::AwaitingReadBack { at }),
             EngineAnswer::Refused => self.end(now, endpoint, OrderState::Refused),
             EngineAnswer::OldFencing => self.take_lease(now, None),
@@ -327,13 +332,16 @@
             self.next_load_at = now + millis(self.settings.load_interval_ms);
         }
         let repeat_at = now + millis(self.settings.answer_timeout_ms);
+        // Half of the longest delay is for the process itself, half for the way.
+        let stale_at = now + millis(self.settings.max_order_delay_ms / 2);
         job.stage = Stage::Sent { repeat_at };
+        job.sends += 1;
         actions.push(OrderAction::Send(SendOrder {
             endpoint: endpoint.clone(),
             number: job.record.number,
             order: job.record.order.clone(),
             fencing: lease.fencing,
-            not_after: lease.deadline,
+            not_after: lease.deadline.min(stale_at),
         }));
     }
 
--- a/crates/coordination/src/orders/job.rs
+++ b/crates/coordination/src/orders/job.rs
@@ -43,4 +43,6 @@
     pub(super) stage: Stage,
     /// When the next write may be tried, unless one is under way.
     pub(super) write_at: Option<Duration>,
+    /// How often this process sent the order.
+    pub(super) sends: u32,
 }
--- a/crates/coordination/src/orders/settle.rs
+++ b/crates/coordination/src/orders/settle.rs
@@ -74,6 +74,7 @@
                     version: row.version,
                     stage: Stage::AwaitingFloor,
                     write_at: Some(now),
+                    sends: 0,
                 };
                 self.jobs.insert(endpoint.clone(), job);
             }
--- /dev/null
+++ b/crates/coordination/tests/coordinator_fuzz.rs
@@ -0,0 +1,148 @@
+//! Three coordinators order four engines, two of which ignore fencing numbers. Any process may be
+//! paused or killed at any step, calls and answers are lost or late, and operators go on ordering.
+//!
+//! Against the oracle that each engine ends as its newest order says; and in between no order is
+//! sent after a lapse, after a later holder's, or before the weight store's turn.
+
+mod common;
+
+use common::coordinator_fleet::CALM;
+use common::coordinator_fleet::CoordinatorFleet;
+use common::coordinator_fleet::ENGINES;
+use common::coordinator_fleet::Network;
+use common::store::Fate;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+use proptest_state_machine::prop_state_machine;
+use sedgeridge_state::order_record::EngineOrder;
+
+const HOSTS: usize = 3;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Advance { by_ms: u64 },
+    Deliver { host: usize, fate: Fate },
+    RunLate,
+    Pause { host: usize },
+    Resume { host: usize },
+    Restart { host: usize },
+    Order { endpoint: usize, order: EngineOrder },
+    Network(Network),
+    Run { for_ms: u64 },
+}
+
+#[derive(Debug, Clone)]
+struct Oracle;
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        6 => Just(Fate::Answered),
+        2 => Just(Fate::AnswerLost),
+        1 => Just(Fate::CallLost),
+        1 => Just(Fate::RunsLate),
+        1 => Just(Fate::Refused),
+        1 => (1..4_usize).prop_map(Fate::Stale),
+    ]
+}
+
+fn order() -> impl Strategy<Value = EngineOrder> {
+    prop_oneof![
+        3 => (0..3).prop_map(|n| EngineOrder::ChangeRole(format!("pool-{n}").as_str().into())),
+        1 => (0..3).prop_map(|n| EngineOrder::Load(format!("assistant/v{n}").into())),
+    ]
+}
+
+fn network() -> impl Strategy<Value = Network> {
+    let answer_ms = prop_oneof![
+        3 => Just(Some(10_u64)),
+        1 => Just(None),
+        1 => (0..40_000_u64).prop_map(Some),
+    ];
+    let network = (0..4_900_u64, answer_ms, prop::bool::weighted(0.8));
+    network.prop_map(|(order_ms, answer_ms, is_reached)| Network {
+        order_ms,
+        answer_ms,
+        is_reached,
+    })
+}
+
+impl ReferenceStateMachine for Oracle {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_: &()) -> BoxedStrategy<Step> {
+        let host = 0..HOSTS;
+        prop_oneof![
+            4 => prop_oneof![Just(100_u64), Just(1_000), Just(3_000), Just(9_000), Just(12_000)]
+                .prop_map(|by_ms| Step::Advance { by_ms }),
+            8 => (host.clone(), fate()).prop_map(|(host, fate)| Step::Deliver { host, fate }),
+            1 => Just(Step::RunLate),
+            1 => host.clone().prop_map(|host| Step::Pause { host }),
+            2 => host.clone().prop_map(|host| Step::Resume { host }),
+            1 => host.prop_map(|host| Step::Restart { host }),
+            4 => (0..ENGINES.len(), order())
+                .prop_map(|(endpoint, order)| Step::Order { endpoint, order }),
+            3 => network().prop_map(Step::Network),
+            8 => prop_oneof![Just(1_000_u64), Just(5_000), Just(14_000), Just(31_000)]
+                .prop_map(|for_ms| Step::Run { for_ms }),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+struct Fleet;
+
+impl StateMachineTest for Fleet {
+    type SystemUnderTest = CoordinatorFleet;
+    type Reference = Oracle;
+
+    fn init_test((): &()) -> CoordinatorFleet {
+        CoordinatorFleet::new(HOSTS)
+    }
+
+    fn apply(mut fleet: CoordinatorFleet, (): &(), step: Step) -> CoordinatorFleet {
+        match step {
+            Step::Advance { by_ms } => fleet.advance(by_ms),
+            Step::Deliver { host, fate } => fleet.deliver(host, fate),
+            Step::RunLate => fleet.store.run_late(),
+            Step::Pause { host } => fleet.hosts[host].paused = true,
+            Step::Resume { host } => fleet.resume(host),
+            Step::Restart { host } => fleet.restart(host),
+            Step::Order { endpoint, order } => fleet.order(ENGINES[endpoint], order),
+            Step::Network(network) => fleet.network = network,
+            Step::Run { for_ms } => fleet.run(for_ms),
+        }
+        fleet
+    }
+
+    // Once all works again, every order ends and is in effect.
+    fn teardown(mut fleet: CoordinatorFleet, (): ()) {
+        fleet.network = CALM;
+        for host in 0..HOSTS {
+            fleet.resume(host);
+        }
+        fleet.run(180_000);
+        fleet.check_ended();
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(Config {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn engines_end_as_their_newest_orders_say(sequential 1..80 => Fleet);
+}
--- a/crates/coordination/tests/orders.rs
+++ b/crates/coordination/tests/orders.rs
@@ -329,3 +329,36 @@
     bench.run(6_000);
     assert_eq!(bench.ordered(), ["desk-1", "desk-2"]);
 }
+
+// An engine's answer comes so late that the order has been sent again; the second copy is still on
+// its way. Ended at once, the order would be followed by the operator's next one, and then the copy
+// would arrive and undo that: its fencing number is the same. So the order stays open until the copy
+// must have arrived, and the engine's state is read.
+#[test]
+fn an_order_that_was_sent_twice_is_read_back_before_it_ends() {
+    let mut bench = OrderBench::new(true);
+    bench.want("desk-1", to_booking());
+    bench.run(4_000);
+    bench.run(30_000);
+    assert_eq!(bench.ordered(), ["desk-1", "desk-1"]);
+    bench.answer(EngineAnswer::Done);
+    bench.run(4_500);
+    assert!(bench.ended.is_empty());
+    bench.run(1_000);
+    read_back(&mut bench, true);
+    bench.deliver_all();
+    assert_eq!(bench.ended, [("desk-1".into(), OrderState::Done)]);
+}
+
+// Engines hang over orders and hold every thread that sends, so an order waits in the ring. Sent
+// half a minute later it would arrive after the holder has counted it as arrived, and undo a later
+// order. It carries a time after which it is not sent, well before that.
+#[test]
+fn an_order_that_waits_in_the_ring_is_not_sent_late() {
+    let mut bench = OrderBench::new(true);
+    bench.want("desk-1", to_booking());
+    while bench.sent.is_empty() {
+        bench.run(100);
+    }
+    assert!(bench.sent[0].not_after < bench.now + Duration::from_secs(5));
+}
