test(coordination): planned stops in the fuzz of coordinators

Without them every change of holder took a whole term, and the weight store's turn across holders was never at stake.

--- a/crates/coordination/tests/coordinator_fuzz.rs
+++ b/crates/coordination/tests/coordinator_fuzz.rs
@@ -1,5 +1,5 @@
 //! Three coordinators order four engines, two of which ignore fencing numbers. Any process may be
-//! paused or killed at any step, calls and answers are lost or late, and operators go on ordering.
+//! paused, stopped or killed at any step, calls and answers are lost or late, and operators go on ordering.
 //!
 //! Against the oracle that each engine ends as its newest order says; and in between no order is
 //! sent after a lapse, after a later holder's, or before the weight store's turn.
@@ -17,6 +17,7 @@
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
+use sedgeridge_coordination::coordinator_events::CoordinatorEvent;
 use sedgeridge_state::order_record::EngineOrder;
 
 const HOSTS: usize = 3;
@@ -29,6 +30,7 @@
     Pause { host: usize },
     Resume { host: usize },
     Restart { host: usize },
+    Stop { host: usize },
     Order { endpoint: usize, order: EngineOrder },
     Network(Network),
     Run { for_ms: u64 },
@@ -86,7 +88,8 @@
             1 => Just(Step::RunLate),
             1 => host.clone().prop_map(|host| Step::Pause { host }),
             2 => host.clone().prop_map(|host| Step::Resume { host }),
-            1 => host.prop_map(|host| Step::Restart { host }),
+            2 => host.clone().prop_map(|host| Step::Restart { host }),
+            2 => host.prop_map(|host| Step::Stop { host }),
             4 => (0..ENGINES.len(), order())
                 .prop_map(|(endpoint, order)| Step::Order { endpoint, order }),
             3 => network().prop_map(Step::Network),
@@ -117,6 +120,7 @@
             Step::Pause { host } => fleet.hosts[host].paused = true,
             Step::Resume { host } => fleet.resume(host),
             Step::Restart { host } => fleet.restart(host),
+            Step::Stop { host } => fleet.event(host, CoordinatorEvent::StopRequested),
             Step::Order { endpoint, order } => fleet.order(ENGINES[endpoint], order),
             Step::Network(network) => fleet.network = network,
             Step::Run { for_ms } => fleet.run(for_ms),
@@ -128,7 +132,7 @@
     fn teardown(mut fleet: CoordinatorFleet, (): ()) {
         fleet.network = CALM;
         for host in 0..HOSTS {
-            fleet.resume(host);
+            fleet.restart(host);
         }
         fleet.run(180_000);
         fleet.check_ended();
