fix(transport): refuse malformed requests with the field, the finding and what is expected

A table of 98 malformed requests found several that were accepted or unclear: headers given twice (the first one won), ids and keys with spaces or tabs, numbers with a sign, encoded bodies whose encoding was not passed on, requests that name another server, dot segments (plain or encoded) in the path of a plain service, TRACE and CONNECT, chat bodies of another media type, and lists of fields in place of objects. The parser's own type errors gave a position but no field; a second look at a refused body now names it. Errors repeat at most 64 characters of a wrong value and never a key.

--- a/crates/protocol/src/chat.rs
+++ b/crates/protocol/src/chat.rs
@@ -3,6 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::object_only::objects;
+
 /// Path of the chat-completions call.
 pub const CHAT_PATH: &str = "/v1/chat/completions";
 /// Data of the event that ends a stream.
@@ -14,6 +16,7 @@
     /// The model service asked for.
     pub model: String,
     /// The conversation so far.
+    #[serde(deserialize_with = "objects")]
     pub messages: Vec<ChatMessage>,
     /// Whether the answer comes as server-sent events.
     #[serde(default)]
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod headers;
 pub mod ledger;
 pub mod membership;
+mod object_only;
 pub mod operator;
 pub mod peer;
 pub mod peer_config;
--- a/crates/transport/src/front_request.rs
+++ b/crates/transport/src/front_request.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::HeaderMap;
 use http::Method;
 use http::request::Parts;
 use sedgeridge_coordination::entry_events::Arrival;
@@ -19,12 +18,19 @@
 use sedgeridge_state::fingerprint::Fingerprint;
 use sedgeridge_state::ids::AccountId;
 use sedgeridge_state::ids::RequestId;
-use sedgeridge_state::settings::FrontSettings;
 use sedgeridge_state::settings::PoolKind;
 use sedgeridge_state::settings::ServiceSettings;
 
 use crate::call::AnswerForm;
 use crate::call::Call;
+use crate::caller_headers::account_of;
+use crate::caller_headers::check_encoding;
+use crate::caller_headers::deadline;
+use crate::caller_headers::id_header;
+use crate::caller_headers::number_header;
+use crate::caller_headers::shown;
+use crate::caller_headers::text_header;
+use crate::chat_body::read_chat_body;
 use crate::directory::Directory;
 use crate::directory::DirectoryService;
 
@@ -36,8 +42,6 @@
 const DEFAULT_OUTPUT_TOKENS: u64 = 128;
 /// Largest cost hint that is believed.
 const MAX_HINT_TOKENS: u64 = 10_000_000;
-/// Longest name of a request or key that is accepted.
-const MAX_ID_BYTES: usize = 128;
 /// Rough length of one input token.
 const BYTES_PER_TOKEN: usize = 6;
 /// Part of the first messages that requests with the same cached prefix share.
@@ -83,13 +87,10 @@
     fallback_id: &str,
 ) -> Result<Caller, BadRequest> {
     let account = account_of(&parts.headers, directory)?;
-    let request_id = match text_header(&parts.headers, headers::REQUEST_ID)? {
-        Some(id) => checked_id(id, headers::REQUEST_ID)?,
-        None => fallback_id,
-    };
+    let request_id = id_header(&parts.headers, headers::REQUEST_ID)?;
     Ok(Caller {
         account,
-        request_id: RequestId::from(request_id),
+        request_id: RequestId::from(request_id.unwrap_or(fallback_id)),
     })
 }
 
@@ -106,22 +107,25 @@
     key: RequestKey,
     now: Duration,
 ) -> Result<Accepted, BadRequest> {
+    check_target(parts)?;
+    check_encoding(&parts.headers)?;
     let path = parts.uri.path();
     let read = if path == CHAT_PATH {
         read_chat(parts, &body, directory)?
     } else if let Some(rest) = path.strip_prefix(PLAIN_PREFIX) {
         read_plain(parts, rest, directory)?
     } else {
-        let detail = format!("no such path; services are at {CHAT_PATH} and {PLAIN_PREFIX}NAME/");
+        let found = shown(path);
+        let detail = format!("path: found {found}, expected {CHAT_PATH} or {PLAIN_PREFIX}NAME/");
         return Err(bad(RefusalReason::UnknownService, detail));
     };
-    let idempotency_key = match text_header(&parts.headers, headers::IDEMPOTENCY_KEY)? {
-        Some(key) => Some(Arc::from(checked_id(key, headers::IDEMPOTENCY_KEY)?)),
-        None => None,
-    };
+    let idempotency_key = id_header(&parts.headers, headers::IDEMPOTENCY_KEY)?;
+    let idempotency_key: Option<Arc<str>> = idempotency_key.map(Arc::from);
     let service = &read.service.service;
     if !service.repeatable && idempotency_key.is_none() {
-        let detail = format!("service {} needs the header Idempotency-Key", service.id);
+        let name = headers::IDEMPOTENCY_KEY;
+        let service = &service.id;
+        let detail = format!("{name}: found none, expected a key: {service} may not be repeated");
         return Err(bad(RefusalReason::KeyMissing, detail));
     }
     let content_type = text_header(&parts.headers, http::header::CONTENT_TYPE.as_str())?;
@@ -162,6 +166,31 @@
     })
 }
 
+/// Refuses a request that names another server, as a forward proxy gets them: whoever sent it does
+/// not mean this fleet, and must not get its answer.
+fn check_target(parts: &Parts) -> Result<(), BadRequest> {
+    if parts.uri.authority().is_none() {
+        return Ok(());
+    }
+    let found = shown(&parts.uri.to_string());
+    let detail = format!("request target: found {found}, expected a path without a server");
+    Err(bad(RefusalReason::BadRequest, detail))
+}
+
+/// Refuses a path that an endpoint may resolve to one above its own. The key of a non-repeatable
+/// request covers the path as written, so two spellings of one path would be two requests.
+fn check_path(path: &str) -> Result<(), BadRequest> {
+    let decoded = path.to_ascii_lowercase().replace("%2e", ".");
+    let decoded = decoded.replace("%2f", "/").replace("%5c", "/");
+    let mut segments = decoded.split(['/', '\\']);
+    if !segments.any(|segment| [".", ".."].contains(&segment)) {
+        return Ok(());
+    }
+    let found = shown(path);
+    let detail = format!("path: found {found}, expected no `.` or `..` segment");
+    Err(bad(RefusalReason::BadRequest, detail))
+}
+
 /// Makes the claim of a request that may not be repeated. What is asked for is the path as well as
 /// the body: the same key on another path is another request.
 fn claim_key(
@@ -196,12 +225,11 @@
     directory: &'a Directory,
 ) -> Result<ReadCall<'a>, BadRequest> {
     if parts.method != Method::POST {
-        let detail = format!("{CHAT_PATH} takes POST, not {}", parts.method);
+        let found = shown(parts.method.as_str());
+        let detail = format!("method: found {found}, expected POST on {CHAT_PATH}");
         return Err(bad(RefusalReason::MethodNotAllowed, detail));
     }
-    let request: ChatRequest = serde_json::from_slice(body)
-        .map_err(|error| bad(RefusalReason::BadRequest, format!("body: {error}")))?;
-    check_chat(&request)?;
+    let request = read_chat_body(&parts.headers, body)?;
     let service = find(directory, &request.model, PoolKind::Model)?;
     let input_tokens = body.len() / BYTES_PER_TOKEN;
     let output_tokens = request.max_tokens.map_or(DEFAULT_OUTPUT_TOKENS, u64::from);
@@ -219,34 +247,19 @@
     })
 }
 
-fn check_chat(request: &ChatRequest) -> Result<(), BadRequest> {
-    if request.messages.is_empty() {
-        let detail = "messages: at least one message is expected".to_owned();
-        return Err(bad(RefusalReason::BadRequest, detail));
-    }
-    if request.max_tokens == Some(0) {
-        let detail = "max_tokens: a number above 0 is expected".to_owned();
-        return Err(bad(RefusalReason::BadRequest, detail));
-    }
-    for (index, message) in request.messages.iter().enumerate() {
-        if !["system", "user", "assistant"].contains(&message.role.as_str()) {
-            let role = &message.role;
-            let detail = format!(
-                "messages[{index}].role: {role:?} found, system, user or assistant expected"
-            );
-            return Err(bad(RefusalReason::BadRequest, detail));
-        }
-    }
-    Ok(())
-}
-
 fn read_plain<'a>(
     parts: &Parts,
     rest: &str,
     directory: &'a Directory,
 ) -> Result<ReadCall<'a>, BadRequest> {
+    if [Method::CONNECT, Method::TRACE].contains(&parts.method) {
+        let found = &parts.method;
+        let detail = format!("method: found {found}, expected one that services take");
+        return Err(bad(RefusalReason::MethodNotAllowed, detail));
+    }
     let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
     let service = find(directory, name, PoolKind::Plain)?;
+    check_path(path)?;
     let query = parts.uri.query().map_or(String::new(), |q| format!("?{q}"));
     let hint = number_header(&parts.headers, headers::COST_HINT_TOKENS)?;
     Ok(ReadCall {
@@ -267,66 +280,16 @@
         .service(name)
         .filter(|service| service.kind == kind)
         .ok_or_else(|| {
-            let detail = format!("no service named {name:?} of this kind");
+            let (field, kind) = match kind {
+                PoolKind::Model => ("model", "model"),
+                PoolKind::Plain => ("path", "plain"),
+            };
+            let found = shown(name);
+            let detail = format!("{field}: found {found}, expected the name of a {kind} service");
             bad(RefusalReason::UnknownService, detail)
         })
 }
 
-fn account_of(map: &HeaderMap, directory: &Directory) -> Result<AccountId, BadRequest> {
-    let value = text_header(map, http::header::AUTHORIZATION.as_str())?;
-    let key = value.and_then(|value| value.strip_prefix("Bearer "));
-    let account = key.and_then(|key| directory.account_of_key(key.trim()));
-    account.cloned().ok_or_else(|| {
-        let detail = "the header Authorization: Bearer KEY with a known key is expected";
-        bad(RefusalReason::Unauthorized, detail.to_owned())
-    })
-}
-
-fn deadline(map: &HeaderMap, front: &FrontSettings) -> Result<Duration, BadRequest> {
-    let asked = number_header(map, headers::DEADLINE_MS)?;
-    let deadline_ms = asked.unwrap_or(front.default_deadline_ms);
-    if deadline_ms == 0 || deadline_ms > front.max_deadline_ms {
-        let detail = format!(
-            "{}: {deadline_ms} found, 1 to {} expected",
-            headers::DEADLINE_MS,
-            front.max_deadline_ms
-        );
-        return Err(bad(RefusalReason::BadRequest, detail));
-    }
-    Ok(Duration::from_millis(deadline_ms))
-}
-
-fn text_header<'a>(map: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, BadRequest> {
-    let Some(value) = map.get(name) else {
-        return Ok(None);
-    };
-    let text = value.to_str();
-    let text = text.map_err(|_| {
-        let detail = format!("{name}: visible ASCII text is expected");
-        bad(RefusalReason::BadRequest, detail)
-    })?;
-    Ok(Some(text))
-}
-
-fn number_header(map: &HeaderMap, name: &str) -> Result<Option<u64>, BadRequest> {
-    let Some(text) = text_header(map, name)? else {
-        return Ok(None);
-    };
-    let number = text.parse().map_err(|_| {
-        let detail = format!("{name}: {text:?} found, a whole number expected");
-        bad(RefusalReason::BadRequest, detail)
-    })?;
-    Ok(Some(number))
-}
-
-fn checked_id<'a>(id: &'a str, name: &str) -> Result<&'a str, BadRequest> {
-    if id.is_empty() || id.len() > MAX_ID_BYTES {
-        let detail = format!("{name}: 1 to {MAX_ID_BYTES} characters are expected");
-        return Err(bad(RefusalReason::BadRequest, detail));
-    }
-    Ok(id)
-}
-
 /// Hashes the first part of the conversation (64-bit FNV-1a).
 fn prefix_of(request: &ChatRequest) -> PrefixHash {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
@@ -338,6 +301,6 @@
     }))
 }
 
-fn bad(reason: RefusalReason, detail: String) -> BadRequest {
+pub(crate) fn bad(reason: RefusalReason, detail: String) -> BadRequest {
     BadRequest { reason, detail }
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod answer;
 mod answer_pass;
 pub mod call;
+mod caller_headers;
+mod chat_body;
 pub mod clock;
 pub mod config_reads;
 pub mod coordinator_calls;
--- /dev/null
+++ b/crates/transport/tests/support/mod.rs
@@ -0,0 +1,49 @@
+//! A small configuration: a model service, a plain one, one that may not be repeated, one account.
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use sedgeridge_state::settings::AccountSettings;
+use sedgeridge_state::settings::PoolKind;
+use sedgeridge_state::settings::PoolSettings;
+use sedgeridge_state::settings::RequestClass;
+use sedgeridge_state::settings::ServiceSettings;
+use sedgeridge_state::settings::Settings;
+use sedgeridge_transport::directory::key_sha256;
+
+/// The header value that account `crew-07` sends.
+pub const KEY: &str = "Bearer crew-key";
+/// The one host.
+pub const HOST: &str = "router-1";
+
+pub fn settings() -> Settings {
+    let pool = |id: &str, kind| PoolSettings {
+        id: id.into(),
+        kind,
+        floor: 0,
+    };
+    let service = |id: &str, pool: &str, repeatable| ServiceSettings {
+        id: id.into(),
+        pool: pool.into(),
+        repeatable,
+        class: RequestClass::default(),
+    };
+    let account = AccountSettings {
+        id: "crew-07".into(),
+        weight: 1,
+        key_sha256: key_sha256("crew-key"),
+        max_in_progress: 0,
+        max_requests_per_s: 0,
+    };
+    Settings {
+        pools: vec![
+            pool("engines", PoolKind::Model),
+            pool("booking", PoolKind::Plain),
+        ],
+        services: vec![
+            service("desk", "engines", true),
+            service("stock", "booking", true),
+            service("deposit", "booking", false),
+        ],
+        accounts: vec![account],
+        ..Settings::default()
+    }
+}
