feat(transport): header, idle and read limits of callers' connections, each told and counted

The HTTP library's header timeout closed without an answer and also ended idle kept connections, so that front.idle_timeout_ms was without effect; a caller that stopped reading held its endpoint's slot for as long as its connection stood. Connections beyond the limit were dropped without a word.

Reads and writes of a connection are now watched: an unfinished head gets 408, an unused or idle connection closes without an answer, one whose writes are blocked for the idle time closes without the end mark, and one too many gets 503 with Retry-After (64 at a time).

--- /dev/null
+++ b/crates/transport/src/caller_connection.rs
@@ -0,0 +1,124 @@
+//! One caller's connection: served by hyper, closed by the front's own limits.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use http::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use metrics::counter;
+use sedgeridge_coordination::clock::Clock;
+use sedgeridge_coordination::refusal::RefusalReason;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::connection_activity::Activity;
+use crate::connection_activity::ActivityLimits;
+use crate::connection_activity::CloseReason;
+use crate::connection_activity::GuardedBody;
+use crate::connection_activity::WatchedStream;
+use crate::front::Front;
+
+/// Answer to a request head that did not end in time. The HTTP library closes such a connection
+/// without a word, so it is written past it.
+const HEADER_TIMEOUT_ANSWER: &str = "HTTP/1.1 408 Request Timeout\r\n\
+    content-type: application/json\r\n\
+    x-sedgeridge-outcome: not-run\r\n\
+    x-sedgeridge-reason: header_timeout\r\n\
+    connection: close\r\n";
+
+/// Whether a connection is one too many.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Admission {
+    /// Its requests are served.
+    Served,
+    /// Its first request is refused and it is closed.
+    OverLimit,
+}
+
+/// What happens to a connection.
+enum Event {
+    Ended(hyper::Result<()>),
+    Stopped,
+    CheckDue,
+}
+
+/// Serves a connection until its caller, its limits or a stop end it.
+pub(crate) async fn serve_connection<C: Clock + Send + Sync + 'static>(
+    front: Arc<Front<C>>,
+    stream: TcpStream,
+    admission: Admission,
+    mut stop: watch::Receiver<bool>,
+) {
+    let _ = stream.set_nodelay(true);
+    let limits = ActivityLimits::new(&front.directory.current().settings.front);
+    let activity = Activity::new();
+    let watched = WatchedStream::new(stream, activity.clone());
+    let service_activity = activity.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let front = Arc::clone(&front);
+        let guard = service_activity.begin_request();
+        async move {
+            let response = front.request(request, admission).await;
+            Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, guard)))
+        }
+    });
+    let mut connection = http1::Builder::new().serve_connection(watched, service);
+    let mut stopping = false;
+    let reason = loop {
+        let event = tokio::select! {
+            ended = &mut connection => Event::Ended(ended),
+            _ = stop.wait_for(|stop| *stop), if !stopping => Event::Stopped,
+            () = sleep(limits.check_interval()) => Event::CheckDue,
+        };
+        match event {
+            Event::Ended(ended) => return count_parse_error(ended),
+            Event::Stopped => {
+                stopping = true;
+                Pin::new(&mut connection).graceful_shutdown();
+            }
+            Event::CheckDue => {
+                if let Some(reason) = activity.close_reason(&limits) {
+                    break reason;
+                }
+            }
+        }
+    };
+    counter!("sedgeridge_connections_closed_total", "reason" => reason.label()).increment(1);
+    if reason == CloseReason::HeaderTimeout {
+        answer_header_timeout(&connection.into_parts().io.into_inner());
+    }
+}
+
+/// Counts requests that are not HTTP; the HTTP library has answered them with a bare 400 or 431.
+fn count_parse_error(ended: hyper::Result<()>) {
+    if ended.is_err_and(|error| error.is_parse()) {
+        count_refusal(RefusalReason::BadRequest);
+    }
+}
+
+fn answer_header_timeout(stream: &TcpStream) {
+    count_refusal(RefusalReason::HeaderTimeout);
+    let body = serde_json::json!({
+        "error": {
+            "type": RefusalReason::HeaderTimeout.as_str(),
+            "message": "the request head did not end in time",
+            "outcome": "not-run",
+        }
+    });
+    let body = body.to_string();
+    let answer = format!(
+        "{HEADER_TIMEOUT_ANSWER}content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    // Nothing was written since the head began, so there is room; a caller who is gone loses
+    // nothing.
+    let _ = stream.try_write(answer.as_bytes());
+}
+
+fn count_refusal(reason: RefusalReason) {
+    counter!("sedgeridge_refusals_total", "reason" => reason.as_str()).increment(1);
+}
--- a/crates/transport/src/front.rs
+++ b/crates/transport/src/front.rs
@@ -3,7 +3,6 @@
 //! It runs in one thread on a current-thread runtime, so that a caller who sends half a header or
 //! reads slowly costs a socket and a little memory, not a thread.
 
-use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::net::TcpListener as StdListener;
@@ -15,16 +14,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
 use http::Response;
+use http::header::CONNECTION;
 use http::request::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use metrics::counter;
+use metrics::gauge;
 use sedgeridge_coordination::clock::Clock;
 use sedgeridge_coordination::entry_events::RequestKey;
 use sedgeridge_coordination::refusal::Outcome;
@@ -33,7 +32,6 @@
 use sedgeridge_state::ids::Member;
 use sedgeridge_state::settings::millis;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -42,6 +40,8 @@
 use crate::answer::AnswerPart;
 use crate::answer::AnswerReceiver;
 use crate::answer::GivenUp;
+use crate::caller_connection::Admission;
+use crate::caller_connection::serve_connection;
 use crate::core::CoreInput;
 use crate::core::NewRequest;
 use crate::directory::Directory;
@@ -56,6 +56,8 @@
 
 /// Pause after a failed accept, for instance when no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Connections beyond the limit that are told so; still more are closed without an answer.
+const MAX_REFUSING_CONNECTIONS: usize = 64;
 /// Longest time for open connections to finish after the core has answered every request.
 const LAST_BYTES_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -107,6 +109,7 @@
     let listener = TcpListener::from_std(listener)?;
     let max_connections = front.directory.current().settings.front.max_connections;
     let permits = Arc::new(Semaphore::new(max_connections as usize));
+    let refusals = Arc::new(Semaphore::new(MAX_REFUSING_CONNECTIONS));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -120,14 +123,21 @@
                 continue;
             }
         };
-        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
-            counter!("sedgeridge_refusals_total", "reason" => "too_many_connections").increment(1);
+        let admitted = Arc::clone(&permits).try_acquire_owned();
+        let admission = match admitted {
+            Ok(_) => Admission::Served,
+            Err(_) => Admission::OverLimit,
+        };
+        let Ok(permit) = admitted.or_else(|_| Arc::clone(&refusals).try_acquire_owned()) else {
+            count_refusal(RefusalReason::TooManyConnections);
             continue;
         };
         let front = Arc::clone(&front);
         let stop = stop.clone();
         tokio::spawn(async move {
-            connection(front, stream, stop).await;
+            gauge!("sedgeridge_connections_open").increment(1.0);
+            serve_connection(front, stream, admission, stop).await;
+            gauge!("sedgeridge_connections_open").decrement(1.0);
             drop(permit);
         });
     }
@@ -139,43 +149,25 @@
     Ok(())
 }
 
-async fn connection<C: Clock + Send + Sync + 'static>(
-    front: Arc<Front<C>>,
-    stream: TcpStream,
-    mut stop: watch::Receiver<bool>,
-) {
-    let _ = stream.set_nodelay(true);
-    let header_timeout = millis(front.directory.current().settings.front.header_timeout_ms);
-    let service = service_fn(move |request: http::Request<Incoming>| {
-        let front = Arc::clone(&front);
-        async move { Ok::<_, Infallible>(front.request(request).await) }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(header_timeout)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let stopped = tokio::select! {
-        _ = connection.as_mut() => false,
-        _ = stop.wait_for(|stop| *stop) => true,
-    };
-    if stopped {
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
-    }
-}
-
 impl<C: Clock> Front<C> {
     fn shutdown_timeout(&self) -> Duration {
         millis(self.directory.current().settings.front.max_deadline_ms) + LAST_BYTES_TIMEOUT
     }
 
-    async fn request(&self, request: http::Request<Incoming>) -> Response<FrontBody> {
+    /// Gives a request its answer, or the beginning of it.
+    pub(crate) async fn request(
+        &self,
+        request: Request<Incoming>,
+        admission: Admission,
+    ) -> Response<FrontBody> {
         let key = RequestKey(self.next_request.fetch_add(1, Ordering::Relaxed));
         let Member { host, incarnation } = &self.member;
         let fallback_id = format!("{host}-{}-{}", incarnation.0, key.0);
         let (parts, body) = request.into_parts();
         let directory = self.directory.current();
+        if admission == Admission::OverLimit {
+            return self.refuse_connection(&fallback_id, body, &directory).await;
+        }
         let caller = match identify(&parts, &directory, &fallback_id) {
             Ok(caller) => caller,
             Err(bad) => return self.refuse_bad(&fallback_id, bad),
@@ -187,6 +179,26 @@
         }
     }
 
+    /// Refuses a connection too many. Its body is read first: closing a socket that holds unread
+    /// bytes resets it, and the caller could lose the answer.
+    async fn refuse_connection(
+        &self,
+        request_id: &str,
+        body: Incoming,
+        directory: &Directory,
+    ) -> Response<FrontBody> {
+        let _ = self.read_body(body, directory).await;
+        let max = directory.settings.front.max_connections;
+        let bad = BadRequest {
+            reason: RefusalReason::TooManyConnections,
+            detail: format!("connections: found more than {max}, the most that are served"),
+        };
+        let mut response = self.refuse_bad(request_id, bad);
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+        response
+    }
+
     async fn queue(
         &self,
         key: RequestKey,
@@ -224,7 +236,8 @@
         let body_timeout = millis(limits.header_timeout_ms);
         let read = tokio::time::timeout(body_timeout, limited.collect()).await;
         let Ok(read) = read else {
-            let detail = format!("the body took longer than {} ms", limits.header_timeout_ms);
+            let timeout_ms = limits.header_timeout_ms;
+            let detail = format!("body: found no end, expected it within {timeout_ms} ms");
             return Err(BadRequest {
                 reason: RefusalReason::HeaderTimeout,
                 detail,
@@ -234,7 +247,7 @@
             Ok(body) => Ok(body.to_bytes()),
             Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(BadRequest {
                 reason: RefusalReason::BodyTooLarge,
-                detail: format!("at most {} bytes are accepted", limits.max_body_bytes),
+                detail: format!("body: expected at most {} bytes", limits.max_body_bytes),
             }),
             Err(error) => Err(BadRequest {
                 reason: RefusalReason::BadRequest,
@@ -286,8 +299,7 @@
     }
 
     fn refuse_bad(&self, request_id: &str, bad: BadRequest) -> Response<FrontBody> {
-        let reason = bad.reason.as_str();
-        counter!("sedgeridge_refusals_total", "reason" => reason).increment(1);
+        count_refusal(bad.reason);
         let given_up = GivenUp {
             reason: bad.reason,
             outcome: Outcome::NotRun,
@@ -318,6 +330,10 @@
     }
 }
 
+fn count_refusal(reason: RefusalReason) {
+    counter!("sedgeridge_refusals_total", "reason" => reason.as_str()).increment(1);
+}
+
 fn refusal(request_id: &str, given_up: &GivenUp) -> Response<FrontBody> {
     let reason = given_up.reason.as_str();
     let outcome = given_up.outcome.as_str();
@@ -330,6 +346,10 @@
         .header(headers::REQUEST_ID, request_id)
         .header(headers::OUTCOME, outcome)
         .header(headers::REASON, reason);
+    if given_up.reason == RefusalReason::Draining {
+        // A caller that keeps its connection would come back to the host that is going.
+        response = response.header(CONNECTION, "close");
+    }
     if let Some(retry_after) = given_up.retry_after {
         let seconds = retry_after.as_secs_f64().ceil().max(1.0) as u64;
         response = response.header(http::header::RETRY_AFTER, seconds);
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -6,10 +6,12 @@
 pub mod answer;
 mod answer_pass;
 pub mod call;
+mod caller_connection;
 mod caller_headers;
 mod chat_body;
 pub mod clock;
 pub mod config_reads;
+mod connection_activity;
 pub mod coordinator_calls;
 pub mod coordinator_core;
 mod coordinator_status;
--- a/crates/transport/tests/support/mod.rs
+++ b/crates/transport/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A small configuration: a model service, a plain one, one that may not be repeated, one account.
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod front_bench;
+
 use sedgeridge_state::settings::AccountSettings;
 use sedgeridge_state::settings::PoolKind;
 use sedgeridge_state::settings::PoolSettings;
