feat(operators): endpoint and account pages, endpoints drain

The command line asked for pages that routers did not serve, and read the generation of the configuration under another name than routers published. Routers now publish the protocol's own types: status with the site and the live members, every endpoint (health, usable and held slots and the last load report where its pool is homed), and the active accounts by pool. `endpoints drain` asks a router, which now refuses an endpoint that the configuration does not have. The status no longer has a change id, which nothing ever set.

--- a/crates/cli/src/context.rs
+++ b/crates/cli/src/context.rs
@@ -38,6 +38,9 @@
 pub trait OperatorPages {
     /// Fetches a page of JSON.
     fn fetch(&self, router: SocketAddr, path: &str) -> Result<String, FetchError>;
+
+    /// Sends JSON to a page.
+    fn post(&self, router: SocketAddr, path: &str, body: &str) -> Result<(), FetchError>;
 }
 
 /// A call of the table service that gave no result.
--- a/crates/cli/src/dispatch.rs
+++ b/crates/cli/src/dispatch.rs
@@ -13,6 +13,7 @@
 use crate::context::Context;
 use crate::error::CommandError;
 use crate::help::HELP;
+use crate::online::run_drain;
 use crate::online::run_endpoints;
 use crate::online::run_status;
 use crate::orders_add;
@@ -72,6 +73,7 @@
 
 fn endpoints(arguments: &mut Arguments, context: &impl Context) -> Result<String, CommandError> {
     match arguments.subcommand()?.unwrap_or_default().as_str() {
+        "drain" => run_drain(arguments, context),
         "list" => run_endpoints(arguments, context),
         other => Err(unknown(&format!("endpoints {other}"))),
     }
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -39,6 +39,8 @@
 RUNNING ROUTERS
   status --router IP:PORT         show one router and the members it knows
   endpoints list --router IP:PORT list endpoints as one router sees them
+  endpoints drain NAME --router IP:PORT
+                                  give an endpoint no new work
   accounts list --router IP:PORT  list active client accounts as one router sees them
 
   IP:PORT is the router's operator_address.
--- a/crates/cli/src/online.rs
+++ b/crates/cli/src/online.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 
 use pico_args::Arguments;
+use sedgeridge_protocol::coordinator::DRAIN_PATH;
+use sedgeridge_protocol::coordinator::DrainRequest;
 use sedgeridge_protocol::operator::ACCOUNTS_PATH;
 use sedgeridge_protocol::operator::AccountRow;
 use sedgeridge_protocol::operator::AccountsPage;
@@ -48,11 +50,32 @@
     }
     let header = [
         "endpoint", "pool", "site", "address", "state", "slots", "running", "waiting", "age_ms",
+        "usable", "held", "home",
     ];
     let rows: Vec<Vec<String>> = page.endpoints.iter().map(endpoint_cells).collect();
     Ok(align(&header, &rows))
 }
 
+/// Runs `endpoints drain`.
+pub fn run_drain(
+    arguments: &mut Arguments,
+    pages: &impl OperatorPages,
+) -> Result<String, CommandError> {
+    let router: SocketAddr = arguments.value_from_str("--router")?;
+    let endpoint: String = arguments.free_from_str().map_err(|error| match error {
+        pico_args::Error::MissingArgument => CommandError::Usage("expected an endpoint".into()),
+        other => other.into(),
+    })?;
+    finish(arguments)?;
+    let request = DrainRequest { endpoint };
+    let body = serde_json::to_string(&request).expect("a request is plain data");
+    pages.post(router, DRAIN_PATH, &body)?;
+    Ok(format!(
+        "{} takes no new work; the other routers are told\n",
+        request.endpoint
+    ))
+}
+
 /// Runs `accounts list --router`.
 pub fn run_accounts(
     arguments: &mut Arguments,
@@ -63,7 +86,14 @@
     if json {
         return Ok(to_json(&page.accounts));
     }
-    let header = ["account", "weight", "waiting", "running", "service_tokens"];
+    let header = [
+        "account",
+        "pool",
+        "weight",
+        "waiting",
+        "running",
+        "service_tokens",
+    ];
     let rows: Vec<Vec<String>> = page.accounts.iter().map(account_cells).collect();
     Ok(align(&header, &rows))
 }
@@ -99,7 +129,6 @@
         ("homes", status.homes.to_string()),
         ("members", status.members.to_string()),
         ("generation", status.config_generation.to_string()),
-        ("change", status.config_change_id.clone()),
     ];
     let rows: Vec<Vec<String>> = rows
         .into_iter()
@@ -135,12 +164,16 @@
         row.running.to_string(),
         row.waiting.to_string(),
         age.unwrap_or_else(|| "-".to_owned()),
+        row.usable_slots.to_string(),
+        row.occupied_slots.to_string(),
+        row.home.clone(),
     ]
 }
 
 fn account_cells(row: &AccountRow) -> Vec<String> {
     vec![
         row.account.clone(),
+        row.pool.clone(),
         row.weight.to_string(),
         row.waiting.to_string(),
         row.running.to_string(),
@@ -162,5 +195,6 @@
         EndpointState::Serving => "serving",
         EndpointState::Ejected => "ejected",
         EndpointState::Leaving => "leaving",
+        EndpointState::HomedElsewhere => "homed_elsewhere",
     }
 }
--- a/crates/cli/src/system.rs
+++ b/crates/cli/src/system.rs
@@ -76,11 +76,11 @@
         table: SocketAddr,
         transact: &Transact,
     ) -> Result<TransactAnswer, TableError> {
-        self.post(table, TRANSACT_PATH, transact)
+        self.call_table(table, TRANSACT_PATH, transact)
     }
 
     fn read(&self, table: SocketAddr, read: &Read) -> Result<ReadAnswer, TableError> {
-        self.post(table, READ_PATH, read)
+        self.call_table(table, READ_PATH, read)
     }
 }
 
@@ -95,10 +95,26 @@
         }
         answer.body_mut().read_to_string().map_err(failed)
     }
+
+    fn post(&self, router: SocketAddr, path: &str, body: &str) -> Result<(), FetchError> {
+        let url = format!("http://{router}{path}");
+        let sent = self.agent.post(&url).send(body);
+        let mut answer = sent.map_err(|error| FetchError(format!("{url}: {error}")))?;
+        let status = answer.status();
+        if status.is_success() {
+            return Ok(());
+        }
+        let said = answer.body_mut().read_to_string().unwrap_or_default();
+        let said = said.trim_end();
+        Err(FetchError(format!(
+            "{url}: HTTP status {}: {said}",
+            status.as_u16()
+        )))
+    }
 }
 
 impl SystemContext {
-    fn post<T: DeserializeOwned>(
+    fn call_table<T: DeserializeOwned>(
         &self,
         table: SocketAddr,
         path: &str,
--- a/crates/cli/tests/config_linearizable/table.rs
+++ b/crates/cli/tests/config_linearizable/table.rs
@@ -157,6 +157,10 @@
     fn fetch(&self, _router: SocketAddr, path: &str) -> Result<String, FetchError> {
         Err(FetchError(path.to_owned()))
     }
+
+    fn post(&self, _router: SocketAddr, path: &str, _body: &str) -> Result<(), FetchError> {
+        Err(FetchError(path.to_owned()))
+    }
 }
 
 impl Context for Operator {
--- a/crates/cli/tests/configuration/commands.rs
+++ b/crates/cli/tests/configuration/commands.rs
@@ -370,3 +370,28 @@
     let status = bench.run("status --router 127.0.0.1:7003").unwrap();
     assert!(status.contains("\nmembers      3\n"), "{status}");
 }
+
+#[test]
+fn a_drain_is_sent_to_the_router() {
+    let bench = Bench::new();
+    let said = bench.run("endpoints drain desk-1 --router 127.0.0.1:7003");
+    assert!(said.unwrap().starts_with("desk-1 takes no new work"));
+    let posted = bench.context.posted.borrow();
+    let [(router, path, body)] = &posted[..] else {
+        panic!("expected one call, found {posted:?}");
+    };
+    assert_eq!(router.to_string(), "127.0.0.1:7003");
+    assert_eq!(path, "/operator/endpoints/drain");
+    assert_eq!(body, r#"{"endpoint":"desk-1"}"#);
+}
+
+#[test]
+fn a_drain_without_an_endpoint_is_refused() {
+    let bench = Bench::new();
+    assert!(
+        bench
+            .run("endpoints drain --router 127.0.0.1:7003")
+            .is_err()
+    );
+    assert!(bench.context.posted.borrow().is_empty());
+}
--- a/crates/cli/tests/configuration/fake.rs
+++ b/crates/cli/tests/configuration/fake.rs
@@ -50,6 +50,8 @@
     pub calls: Cell<(u64, u64)>,
     /// Pages by address and path.
     pub pages: RefCell<BTreeMap<(SocketAddr, String), String>>,
+    /// What was sent: address, path and body.
+    pub posted: RefCell<Vec<(SocketAddr, String, String)>>,
     /// Pages that replace others at the first pause.
     pub later_pages: RefCell<BTreeMap<(SocketAddr, String), String>>,
 }
@@ -171,4 +173,10 @@
         page.cloned()
             .ok_or_else(|| FetchError(format!("http://{router}{path}: connection refused")))
     }
+
+    fn post(&self, router: SocketAddr, path: &str, body: &str) -> Result<(), FetchError> {
+        let posted = (router, path.to_owned(), body.to_owned());
+        self.posted.borrow_mut().push(posted);
+        Ok(())
+    }
 }
--- a/crates/coordination/src/endpoint_health.rs
+++ b/crates/coordination/src/endpoint_health.rs
@@ -13,6 +13,8 @@
 
 use crate::breaker::AnswerCounts;
 use crate::breaker::FailureKind;
+use crate::node_view::EndpointCondition;
+use crate::node_view::ReportView;
 use crate::pooled_endpoint::PooledEndpoint;
 use crate::slot_budget::Load;
 
@@ -189,6 +191,7 @@
         };
         let figures_at = now.saturating_sub(load.age);
         endpoint.reported_at = Some(now);
+        endpoint.report = Some((figures_at, load));
         endpoint.breaker.reported(now, figures_at);
         endpoint.budget.reported(now, load);
         let was_leaving = endpoint.leaving.is_leaving();
@@ -249,6 +252,34 @@
             .map_or(0, |endpoint| endpoint.usable_slots(now, self.stale_after()))
     }
 
+    /// Tells what is believed of an endpoint.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::endpoint_health::PoolHealth;
+    /// use sedgeridge_coordination::node_view::EndpointCondition;
+    /// use sedgeridge_state::ids::EndpointId;
+    /// use sedgeridge_state::settings::HealthSettings;
+    ///
+    /// let desk = EndpointId::from("desk-1");
+    /// let mut health = PoolHealth::new(HealthSettings::default());
+    /// health.configure(&[(desk.clone(), 8)]);
+    /// assert_eq!(health.condition(&desk), EndpointCondition::Serving);
+    /// ```
+    pub fn condition(&self, id: &EndpointId) -> EndpointCondition {
+        match self.endpoints.get(id) {
+            Some(endpoint) if endpoint.leaving.is_leaving() => EndpointCondition::Leaving,
+            Some(endpoint) if endpoint.breaker.is_ejected() => EndpointCondition::Ejected,
+            _ => EndpointCondition::Serving,
+        }
+    }
+
+    /// Returns the last load report of an endpoint.
+    pub(crate) fn report(&self, now: Duration, id: &EndpointId) -> Option<ReportView> {
+        let (figures_at, load) = self.endpoints.get(id)?.report?;
+        let age = now.saturating_sub(figures_at);
+        Some(ReportView { load, age })
+    }
+
     /// Ends ejections that are over, and returns the endpoints whose usable slots changed since
     /// the last call. Called after events and at each tick.
     ///
--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -123,6 +123,11 @@
         actions.extend(notices.into_iter().map(EntryAction::Announce));
     }
 
+    /// Lists the pools.
+    pub(crate) fn pools(&self) -> impl Iterator<Item = &EntryPool> {
+        self.pools.values()
+    }
+
     /// Tells whether a request would be refused on arrival, so that nothing is claimed for it.
     pub fn refusal_of(&mut self, now: Duration, arrival: &Arrival) -> Option<EntryAction> {
         let refusal = self.admit(now, arrival).err()?;
--- a/crates/coordination/src/entry_pool.rs
+++ b/crates/coordination/src/entry_pool.rs
@@ -17,6 +17,7 @@
 use crate::entry_events::RequestKey;
 use crate::entry_queue::EntryQueue;
 use crate::entry_queue::Lane;
+use crate::node_view::AccountView;
 use crate::pool_messages::Demand;
 use crate::pool_messages::EntryReport;
 use crate::pool_messages::Grant;
@@ -126,6 +127,40 @@
             .sum()
     }
 
+    /// Returns the pool.
+    pub(crate) fn id(&self) -> &PoolId {
+        &self.id
+    }
+
+    /// Lists the accounts that wait, run or were served.
+    pub(crate) fn account_views(&self) -> Vec<AccountView> {
+        let mut views = BTreeMap::new();
+        for lane in self.queue.lanes() {
+            self.view_of(&mut views, &lane.account).waiting += self.queue.lane_len(lane);
+        }
+        for holding in self.holdings.values() {
+            self.view_of(&mut views, &holding.account).running += 1;
+        }
+        for (account, served_tokens) in &self.served {
+            self.view_of(&mut views, account).served_tokens = *served_tokens;
+        }
+        views.into_values().collect()
+    }
+
+    fn view_of<'a>(
+        &self,
+        views: &'a mut BTreeMap<AccountId, AccountView>,
+        account: &AccountId,
+    ) -> &'a mut AccountView {
+        views.entry(account.clone()).or_insert_with(|| AccountView {
+            account: account.clone(),
+            pool: self.id.clone(),
+            waiting: 0,
+            running: 0,
+            served_tokens: 0,
+        })
+    }
+
     /// Adds a waiting request, as the first of its lane when it was served in part before.
     pub fn enqueue(&mut self, lane: Lane, key: RequestKey, first: bool) {
         self.changed_lanes.insert(lane.clone());
--- a/crates/coordination/src/homed_pool.rs
+++ b/crates/coordination/src/homed_pool.rs
@@ -22,6 +22,7 @@
 use crate::pool_home::HomeEvent;
 use crate::pool_home::HostSite;
 use crate::pool_home::PoolHome;
+use crate::pool_home::SlotUsage;
 use crate::slot_budget::Load;
 
 /// One pool homed on this router.
@@ -156,6 +157,21 @@
         self.tell_slots(now, actions);
     }
 
+    /// Lists the endpoints.
+    pub(crate) fn endpoints(&self) -> impl Iterator<Item = &EndpointId> {
+        self.endpoints.keys()
+    }
+
+    /// Returns the health of the endpoints.
+    pub(crate) fn health(&self) -> &PoolHealth {
+        &self.health
+    }
+
+    /// Returns how the slots of an endpoint are used.
+    pub(crate) fn slot_usage(&self, endpoint: &EndpointId) -> Option<SlotUsage> {
+        self.home.slot_usage(endpoint)
+    }
+
     /// Returns the counters of the order.
     pub(crate) fn counters(&self) -> &HomeCounters {
         self.home.counters()
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod node_claims;
 pub mod node_config;
 pub mod node_events;
+pub mod node_view;
 pub mod order_events;
 pub mod orders;
 pub mod poison_notice;
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -70,10 +70,10 @@
     member: Member,
     settings: Settings,
     membership: Membership,
-    entry: Entry,
+    pub(crate) entry: Entry,
     claims: NodeClaims,
     config: Option<NodeConfig>,
-    homes: BTreeMap<PoolId, HomedPool>,
+    pub(crate) homes: BTreeMap<PoolId, HomedPool>,
     live: Vec<LiveMember>,
     reported_at: Duration,
 }
--- a/crates/coordination/src/pooled_endpoint.rs
+++ b/crates/coordination/src/pooled_endpoint.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::breaker::Breaker;
+use crate::slot_budget::Load;
 use crate::slot_budget::SlotBudget;
 
 /// Time for which a notice of leaving stands against reports that say otherwise, since they lag.
@@ -39,6 +40,8 @@
     pub(crate) ramp: Option<u32>,
     pub(crate) leaving: Leaving,
     pub(crate) reported_at: Option<Duration>,
+    /// The last report and when its figures were taken.
+    pub(crate) report: Option<(Duration, Load)>,
     /// Slots last told.
     pub(crate) told: Option<u32>,
 }
@@ -51,6 +54,7 @@
             ramp: None,
             leaving: Leaving::default(),
             reported_at: None,
+            report: None,
             told: None,
         }
     }
--- a/crates/protocol/src/operator.rs
+++ b/crates/protocol/src/operator.rs
@@ -36,9 +36,6 @@
     /// Generation of the configuration in force; 0 when it comes from files.
     #[serde(default)]
     pub config_generation: u64,
-    /// Change that made this generation.
-    #[serde(default)]
-    pub config_change_id: String,
     /// Pools whose home this router is.
     #[serde(default)]
     pub homes: u64,
@@ -106,6 +103,15 @@
     /// Age of that report; absent when there is none.
     #[serde(default)]
     pub report_age_ms: Option<u64>,
+    /// Requests that the fleet may hold on it now.
+    #[serde(default)]
+    pub usable_slots: u32,
+    /// Requests that the fleet holds on it.
+    #[serde(default)]
+    pub occupied_slots: u32,
+    /// Host that is the home of its pool; empty when there is none.
+    #[serde(default)]
+    pub home: String,
 }
 
 /// What a router believes of an endpoint.
@@ -118,26 +124,31 @@
     Ejected,
     /// It finishes its work and takes no more.
     Leaving,
+    /// Only the home of its pool knows; the router asked is not.
+    HomedElsewhere,
 }
 
 /// One router's view of the client accounts that are active.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AccountsPage {
-    /// In order of name.
+    /// In order of pool and name.
     pub accounts: Vec<AccountRow>,
 }
 
-/// One client account.
+/// One client account's requests for one pool.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AccountRow {
     /// The account.
     pub account: String,
     /// Share relative to other accounts.
     pub weight: u32,
+    /// The pool.
+    #[serde(default)]
+    pub pool: String,
     /// Its requests that wait in this router.
     pub waiting: u64,
     /// Its requests that this router runs.
     pub running: u64,
-    /// Service received across the fleet, as far as this router knows.
+    /// Service that it received through this router since that started.
     pub service_tokens: u64,
 }
--- a/crates/transport/src/core.rs
+++ b/crates/transport/src/core.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use metrics::counter;
-use metrics::gauge;
 
 use sedgeridge_coordination::clock::Clock;
 use sedgeridge_coordination::config_events::ConfigEvent;
@@ -61,7 +60,8 @@
 use crate::peers::PeerPayload;
 use crate::peers::PeerSender;
 use crate::recorded::replayed;
-use crate::status::RouterStatus;
+use crate::router_pages::Phase;
+use crate::router_pages::RouterPublisher;
 use crate::status::StatusBoard;
 use crate::table_calls::CALLERS;
 use crate::table_calls::TableCalls;
@@ -176,7 +176,7 @@
     load_reads: LoadReads,
     table: TableCalls,
     config_reads: ConfigReads,
-    status: StatusBoard,
+    publisher: RouterPublisher,
     ready: bool,
     stopping: bool,
     answered_at: Option<Duration>,
@@ -203,6 +203,7 @@
         let client = TableClient::new(platform.table_address, call_timeout);
         let table = TableCalls::start(&client, CALLERS, &inputs, CoreInput::StoreEnded)?;
         let config_reads = ConfigReads::start(&client, &inputs, CoreInput::ConfigRead)?;
+        let publisher = RouterPublisher::new(member.clone(), status);
         let seed = member.incarnation.0;
         Ok(Self {
             clock,
@@ -218,7 +219,7 @@
             load_reads,
             table,
             config_reads,
-            status,
+            publisher,
             stopping: false,
             answered_at: None,
         })
@@ -519,29 +520,14 @@
         sent
     }
 
-    fn publish(&self) {
-        let load = self.node.load();
-        self.status.publish(RouterStatus {
-            host: self.member.host.as_str().to_owned(),
-            incarnation: self.member.incarnation.0,
-            ready: self.ready && !self.stopping,
+    fn publish(&mut self) {
+        let phase = Phase {
+            ready: self.ready,
             stopping: self.stopping,
-            waiting: load.waiting,
-            running: load.running as u64,
-            homes: load.homes as u64,
-            members: load.members as u64,
-            generation: load.generation,
-        });
-        gauge!("sedgeridge_requests_waiting").set(f64::from(load.waiting));
-        gauge!("sedgeridge_requests_running").set(load.running as f64);
-        gauge!("sedgeridge_members_live").set(load.members as f64);
-        gauge!("sedgeridge_pools_homed").set(load.homes as f64);
-        for (_, counters) in self.node.home_counters() {
-            for (reason, count) in &counters.rejections {
-                counter!("sedgeridge_home_rejections_total", "reason" => reason.label())
-                    .absolute(*count);
-            }
-        }
+        };
+        let settings = &self.directory.settings;
+        let now = self.clock.now();
+        self.publisher.publish(now, &self.node, settings, phase);
     }
 }
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod peer_link;
 pub mod peers;
 mod recorded;
+mod router_pages;
 pub mod settings_files;
 pub mod status;
 pub mod stop_signal;
--- a/crates/transport/src/operator.rs
+++ b/crates/transport/src/operator.rs
@@ -59,7 +59,7 @@
         .spawn(move || {
             for mut request in server.incoming_requests() {
                 let page = match request.method() {
-                    Method::Post => take_drain(&mut request, drain.as_ref()),
+                    Method::Post => take_drain(&mut request, drain.as_ref(), &status),
                     _ => page(request.url(), &metrics, &status),
                 };
                 respond(request, page);
@@ -74,7 +74,11 @@
     body: String,
 }
 
-fn take_drain(request: &mut Request, drain: Option<&DrainSender>) -> Page {
+fn take_drain<S: HostStatus>(
+    request: &mut Request,
+    drain: Option<&DrainSender>,
+    status: &StatusBoard<S>,
+) -> Page {
     let Some(drain) = drain.filter(|_| request.url() == DRAIN_PATH) else {
         return text(404, "no such page\n");
     };
@@ -82,6 +86,9 @@
     let Ok(DrainRequest { endpoint }) = serde_json::from_reader(body) else {
         return text(400, "expected {\"endpoint\": NAME}\n");
     };
+    if !status.read().knows_endpoint(&endpoint) {
+        return text(404, "no such endpoint\n");
+    }
     let endpoint = EndpointId::from(endpoint.as_str());
     match drain.try_send(CoreInput::DrainEndpoint { endpoint }) {
         Ok(()) => text(202, "draining\n"),
@@ -95,12 +102,14 @@
         "/readyz" if status.read().is_ready() => text(200, "ready\n"),
         "/readyz" => text(503, "not ready\n"),
         "/metrics" => text(200, &metrics.render()),
-        "/operator/status" => Page {
-            status: 200,
-            content_type: "application/json",
-            body: serde_json::to_string(&status.read()).expect("a status is plain data"),
+        path => match status.read().page(path) {
+            Some(body) => Page {
+                status: 200,
+                content_type: "application/json",
+                body,
+            },
+            None => text(404, "no such page\n"),
         },
-        _ => text(404, "no such page\n"),
     }
 }
 
--- /dev/null
+++ b/crates/transport/src/router_pages.rs
@@ -0,0 +1,183 @@
+//! Makes a router's operator pages and gauges from snapshots of its decisions.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use metrics::counter;
+use metrics::gauge;
+use sedgeridge_coordination::membership::LiveMember;
+use sedgeridge_coordination::membership::MemberState as LiveState;
+use sedgeridge_coordination::node::Node;
+use sedgeridge_coordination::node_view::AccountView;
+use sedgeridge_coordination::node_view::EndpointCondition;
+use sedgeridge_coordination::node_view::EndpointView;
+use sedgeridge_protocol::operator::AccountRow;
+use sedgeridge_protocol::operator::AccountsPage;
+use sedgeridge_protocol::operator::EndpointRow;
+use sedgeridge_protocol::operator::EndpointState;
+use sedgeridge_protocol::operator::EndpointsPage;
+use sedgeridge_protocol::operator::MemberRow;
+use sedgeridge_protocol::operator::MemberState;
+use sedgeridge_protocol::operator::RouterStatus;
+use sedgeridge_state::ids::Member;
+use sedgeridge_state::settings::EndpointSettings;
+use sedgeridge_state::settings::Settings;
+
+use crate::status::RouterPages;
+use crate::status::StatusBoard;
+
+/// Time between two updates of the lists, which take longer to make than the rest.
+const LISTS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Publishes the pages of one router.
+#[derive(Debug)]
+pub(crate) struct RouterPublisher {
+    member: Member,
+    board: StatusBoard,
+    last: RouterPages,
+    lists_due_at: Duration,
+}
+
+/// Whether the router takes requests.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Phase {
+    pub(crate) ready: bool,
+    pub(crate) stopping: bool,
+}
+
+impl RouterPublisher {
+    /// Creates a publisher for the router run `member`.
+    pub(crate) fn new(member: Member, board: StatusBoard) -> Self {
+        Self {
+            member,
+            board,
+            last: RouterPages::default(),
+            lists_due_at: Duration::ZERO,
+        }
+    }
+
+    /// Publishes the router's state as it is now.
+    pub(crate) fn publish(
+        &mut self,
+        now: Duration,
+        node: &Node,
+        settings: &Settings,
+        phase: Phase,
+    ) {
+        if now >= self.lists_due_at {
+            self.lists_due_at = now + LISTS_INTERVAL;
+            self.make_lists(now, node, settings);
+        }
+        let load = node.load();
+        let status = &mut self.last.status;
+        status.ready = phase.ready && !phase.stopping;
+        status.stopping = phase.stopping;
+        status.waiting = load.waiting.into();
+        status.running = load.running as u64;
+        status.homes = load.homes as u64;
+        status.members = load.members as u64;
+        status.config_generation = load.generation;
+        self.board.publish(self.last.clone());
+        gauge!("sedgeridge_requests_waiting").set(f64::from(load.waiting));
+        gauge!("sedgeridge_requests_running").set(load.running as f64);
+        gauge!("sedgeridge_members_live").set(load.members as f64);
+        gauge!("sedgeridge_pools_homed").set(load.homes as f64);
+        for (_, counters) in node.home_counters() {
+            for (reason, count) in &counters.rejections {
+                counter!("sedgeridge_home_rejections_total", "reason" => reason.label())
+                    .absolute(*count);
+            }
+        }
+    }
+
+    fn make_lists(&mut self, now: Duration, node: &Node, settings: &Settings) {
+        let host = settings.host(self.member.host.as_str());
+        self.last.status = RouterStatus {
+            host: self.member.host.to_string(),
+            site: host.map_or_else(String::new, |host| host.site.to_string()),
+            incarnation: self.member.incarnation.0,
+            member_list: node.members().iter().map(member_row).collect(),
+            ..RouterStatus::default()
+        };
+        self.last.endpoints = Arc::new(endpoints_page(now, node, settings));
+        self.last.accounts = Arc::new(accounts_page(node, settings));
+    }
+}
+
+fn member_row(live: &LiveMember) -> MemberRow {
+    MemberRow {
+        host: live.member.host.to_string(),
+        incarnation: live.member.incarnation.0,
+        state: match live.state {
+            LiveState::Alive => MemberState::Live,
+            LiveState::Leaving => MemberState::Leaving,
+        },
+    }
+}
+
+fn endpoints_page(now: Duration, node: &Node, settings: &Settings) -> EndpointsPage {
+    let views = node.endpoint_views(now);
+    let views: BTreeMap<&str, &EndpointView> = views
+        .iter()
+        .map(|view| (view.endpoint.as_str(), view))
+        .collect();
+    let rows = settings.endpoints.iter().map(|endpoint| {
+        let home = node.home_of_pool(&endpoint.pool).unwrap_or_default();
+        endpoint_row(endpoint, home, views.get(endpoint.id.as_str()).copied())
+    });
+    EndpointsPage {
+        endpoints: rows.collect(),
+    }
+}
+
+fn endpoint_row(
+    endpoint: &EndpointSettings,
+    home: &str,
+    view: Option<&EndpointView>,
+) -> EndpointRow {
+    let report = view.and_then(|view| view.report);
+    EndpointRow {
+        endpoint: endpoint.id.to_string(),
+        pool: endpoint.pool.to_string(),
+        site: endpoint.site.to_string(),
+        address: endpoint.address,
+        state: view.map_or(EndpointState::HomedElsewhere, |view| {
+            state_of(view.condition)
+        }),
+        slots: endpoint.slots,
+        running: report.map_or(0, |report| report.load.running),
+        waiting: report.map_or(0, |report| report.load.waiting),
+        report_age_ms: report.map(|report| report.age.as_millis() as u64),
+        usable_slots: view.map_or(0, |view| view.usable_slots),
+        occupied_slots: view.map_or(0, |view| view.occupied_slots),
+        home: home.to_owned(),
+    }
+}
+
+fn state_of(condition: EndpointCondition) -> EndpointState {
+    match condition {
+        EndpointCondition::Serving => EndpointState::Serving,
+        EndpointCondition::Ejected => EndpointState::Ejected,
+        EndpointCondition::Leaving => EndpointState::Leaving,
+    }
+}
+
+fn accounts_page(node: &Node, settings: &Settings) -> AccountsPage {
+    let weights: BTreeMap<&str, u32> = settings
+        .accounts
+        .iter()
+        .map(|account| (account.id.as_str(), account.weight))
+        .collect();
+    let row = |view: AccountView| AccountRow {
+        weight: weights.get(view.account.as_str()).copied().unwrap_or(0),
+        account: view.account.to_string(),
+        pool: view.pool.to_string(),
+        waiting: view.waiting.into(),
+        running: view.running.into(),
+        service_tokens: view.served_tokens,
+    };
+    AccountsPage {
+        accounts: node.account_views().into_iter().map(row).collect(),
+    }
+}
--- a/crates/transport/src/status.rs
+++ b/crates/transport/src/status.rs
@@ -1,42 +1,58 @@
-//! What the core publishes for operator pages.
+//! What a process publishes for its operator pages.
 
 use std::sync::Arc;
 use std::sync::RwLock;
 
 use sedgeridge_protocol::coordinator::CoordinatorStatus;
+use sedgeridge_protocol::operator::ACCOUNTS_PATH;
+use sedgeridge_protocol::operator::AccountsPage;
+use sedgeridge_protocol::operator::ENDPOINTS_PATH;
+use sedgeridge_protocol::operator::EndpointsPage;
+use sedgeridge_protocol::operator::STATUS_PATH;
+use serde::Serialize;
 
-/// A router's state as last published.
-#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize)]
-pub struct RouterStatus {
-    /// The host.
-    pub host: String,
-    /// Which run of the host this is.
-    pub incarnation: u64,
-    /// Whether new requests are welcome.
-    pub ready: bool,
-    /// Whether the router is stopping.
-    pub stopping: bool,
-    /// Requests that wait.
-    pub waiting: u32,
-    /// Requests that run.
-    pub running: u64,
-    /// Pools whose home this router is.
-    pub homes: u64,
-    /// Live members of the fleet.
-    pub members: u64,
-    /// Generation of the configuration in force; 0 for the files given at the start.
-    pub generation: u64,
+pub use sedgeridge_protocol::operator::RouterStatus;
+
+/// A router's pages as last published.
+#[derive(Debug, Clone, Default)]
+pub struct RouterPages {
+    /// The router itself.
+    pub status: RouterStatus,
+    /// The endpoints.
+    pub endpoints: Arc<EndpointsPage>,
+    /// The active client accounts.
+    pub accounts: Arc<AccountsPage>,
 }
 
 /// What a process tells operators of itself.
-pub trait HostStatus: Clone + serde::Serialize {
+pub trait HostStatus: Clone {
     /// Tells whether the process does its work.
     fn is_ready(&self) -> bool;
+
+    /// Renders a page of JSON; `None` when there is no such page.
+    fn page(&self, path: &str) -> Option<String>;
+
+    /// Tells whether the configuration has an endpoint of this name.
+    fn knows_endpoint(&self, name: &str) -> bool;
 }
 
-impl HostStatus for RouterStatus {
+impl HostStatus for RouterPages {
     fn is_ready(&self) -> bool {
-        self.ready
+        self.status.ready
+    }
+
+    fn page(&self, path: &str) -> Option<String> {
+        match path {
+            STATUS_PATH => Some(json(&self.status)),
+            ENDPOINTS_PATH => Some(json(&*self.endpoints)),
+            ACCOUNTS_PATH => Some(json(&*self.accounts)),
+            _ => None,
+        }
+    }
+
+    fn knows_endpoint(&self, name: &str) -> bool {
+        let rows = &self.endpoints.endpoints;
+        rows.iter().any(|row| row.endpoint == name)
     }
 }
 
@@ -44,11 +60,24 @@
     fn is_ready(&self) -> bool {
         self.ready
     }
+
+    fn page(&self, path: &str) -> Option<String> {
+        (path == STATUS_PATH).then(|| json(self))
+    }
+
+    /// A coordinator lists no endpoints, so it rules none out.
+    fn knows_endpoint(&self, _name: &str) -> bool {
+        true
+    }
+}
+
+fn json(page: &impl Serialize) -> String {
+    serde_json::to_string(page).expect("a page is plain data")
 }
 
-/// Shared place of the last published status.
+/// Shared place of what was published last.
 #[derive(Debug, Clone, Default)]
-pub struct StatusBoard<S = RouterStatus> {
+pub struct StatusBoard<S = RouterPages> {
     status: Arc<RwLock<S>>,
 }
 
