feat(router): poll of the platform's host list, also for endpoints that leave

platform.host_list_address was read from the settings and never used. A thread now reads the list every 2 s; routers on it go to membership, endpoints on it to the health of their pool. A list that cannot be read, or that lacks an endpoint, changes nothing, since it lags.

--- a/crates/coordination/src/homed_pool.rs
+++ b/crates/coordination/src/homed_pool.rs
@@ -16,6 +16,8 @@
 use crate::endpoint_health::LeavingSource;
 use crate::endpoint_health::PoolHealth;
 use crate::home_counters::HomeCounters;
+use crate::membership::HostHint;
+use crate::membership::ListedHost;
 use crate::pool_home::AccountWeight;
 use crate::pool_home::HomeAction;
 use crate::pool_home::HomeEndpoint;
@@ -157,6 +159,27 @@
         self.tell_slots(now, actions);
     }
 
+    /// Takes what the platform's list says of the endpoints on it.
+    ///
+    /// The list lags. An endpoint that is not on it keeps what was said of it last: it may have
+    /// joined, or be gone, since the list was made.
+    pub(crate) fn take_host_list(
+        &mut self,
+        now: Duration,
+        hosts: &[ListedHost],
+        actions: &mut Vec<HomeAction>,
+    ) {
+        for listed in hosts {
+            let endpoint = EndpointId::from(listed.host.as_str());
+            if self.endpoints.contains_key(&endpoint) {
+                let leaving = listed.hint == HostHint::Leaving;
+                self.health
+                    .set_leaving(now, &endpoint, LeavingSource::HostList, leaving);
+            }
+        }
+        self.tell_slots(now, actions);
+    }
+
     /// Lists the endpoints.
     pub(crate) fn endpoints(&self) -> impl Iterator<Item = &EndpointId> {
         self.endpoints.keys()
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -24,6 +24,7 @@
 use crate::entry_events::RequestKey;
 use crate::home_counters::HomeCounters;
 use crate::homed_pool::HomedPool;
+use crate::membership::ListedHost;
 use crate::membership::LiveMember;
 use crate::membership::MemberState;
 use crate::membership::Membership;
@@ -157,7 +158,14 @@
                 self.membership_event(now, event, &mut entry_actions, actions);
             }
             NodeEvent::HostList(hosts) => {
-                let event = MembershipEvent::HostList(hosts);
+                self.for_each_home(now, &mut entry_actions, actions, |home, out| {
+                    home.take_host_list(now, &hosts, out);
+                });
+                // The list names the hosts of endpoints as well; those are no members.
+                let settings = &self.settings;
+                let is_router = |listed: &ListedHost| settings.host(listed.host.as_str()).is_some();
+                let routers = hosts.into_iter().filter(is_router).collect();
+                let event = MembershipEvent::HostList(routers);
                 self.membership_event(now, event, &mut entry_actions, actions);
             }
             NodeEvent::LoadRead { endpoint, load } => {
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -51,12 +51,17 @@
 impl Router {
     /// Starts a router before one engine; `front` holds further lines of the section `[front]`.
     pub fn start(name: &str, engine: SocketAddr, front: &str) -> Self {
+        Self::start_on_platform(name, engine, front, "")
+    }
+
+    /// The same with further lines of the section `[platform]`.
+    pub fn start_on_platform(name: &str, engine: SocketAddr, front: &str, platform: &str) -> Self {
         let callers = free_address();
         let operators = free_address();
         let peers = free_address();
         let text = format!(
             "[fleet]\nname = test\n[platform]\ntable_address = 127.0.0.1:9\n\
-             [front]\n{front}\n[site.local]\nregion = local\n\
+             {platform}\n[front]\n{front}\n[site.local]\nregion = local\n\
              [host.router-1]\nsite = local\ncaller_address = {callers}\npeer_address = {peers}\n\
              operator_address = {operators}\n[pool.engines]\nkind = model\n\
              [service.desk]\npool = engines\nrepeatable = yes\n\
--- a/crates/transport/src/core.rs
+++ b/crates/transport/src/core.rs
@@ -18,6 +18,7 @@
 use sedgeridge_coordination::entry_events::AttemptKey;
 use sedgeridge_coordination::entry_events::RequestKey;
 use sedgeridge_coordination::entry_events::StartAttempt;
+use sedgeridge_coordination::membership::ListedHost;
 use sedgeridge_coordination::membership::Message;
 use sedgeridge_coordination::node::Node;
 use sedgeridge_coordination::node::NodeAction;
@@ -55,6 +56,7 @@
 use crate::event_log::LogEvent;
 use crate::event_log::log_info;
 use crate::event_log::log_warn;
+use crate::host_list_reads::start_host_list_reads;
 use crate::load_reads::LoadReads;
 use crate::peers::PeerOut;
 use crate::peers::PeerPayload;
@@ -103,6 +105,8 @@
         /// The request.
         key: RequestKey,
     },
+    /// The platform's list of hosts was read.
+    HostList(Vec<ListedHost>),
     /// A worker finished an attempt.
     AttemptEnded {
         /// The attempt.
@@ -203,6 +207,9 @@
         let client = TableClient::new(platform.table_address, call_timeout);
         let table = TableCalls::start(&client, CALLERS, &inputs, CoreInput::StoreEnded)?;
         let config_reads = ConfigReads::start(&client, &inputs, CoreInput::ConfigRead)?;
+        if let Some(address) = platform.host_list_address {
+            start_host_list_reads(address, call_timeout, &inputs, CoreInput::HostList)?;
+        }
         let publisher = RouterPublisher::new(member.clone(), status);
         let seed = member.incarnation.0;
         Ok(Self {
@@ -322,6 +329,7 @@
                 self.load_reads.ended(&endpoint);
                 self.event(NodeEvent::LoadRead { endpoint, load });
             }
+            CoreInput::HostList(hosts) => self.event(NodeEvent::HostList(hosts)),
             CoreInput::DrainEndpoint { endpoint } => self.event(NodeEvent::DrainEndpoint {
                 endpoint,
                 since_unix_ms: unix_ms(),
--- /dev/null
+++ b/crates/transport/src/host_list_reads.rs
@@ -0,0 +1,82 @@
+//! Reads the platform's list of live and leaving hosts in a thread of its own.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::mpsc::SyncSender;
+use std::thread;
+use std::time::Duration;
+
+use metrics::counter;
+use sedgeridge_coordination::membership::HostHint;
+use sedgeridge_coordination::membership::ListedHost;
+use sedgeridge_protocol::platform::HOSTS_PATH;
+use sedgeridge_protocol::platform::Host;
+use sedgeridge_protocol::platform::HostList;
+use sedgeridge_protocol::platform::HostState;
+use sedgeridge_state::ids::HostId;
+use ureq::Agent;
+
+/// Time between two reads.
+const READ_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Starts the thread; each list that could be read goes to `inputs` by way of `wrap`.
+///
+/// A list that cannot be read changes nothing: what it said last stays believed, since an outage
+/// of the platform says nothing about a host.
+///
+/// # Errors
+///
+/// Fails when the thread cannot be started.
+pub fn start_host_list_reads<I: Send + 'static>(
+    address: SocketAddr,
+    call_timeout: Duration,
+    inputs: &SyncSender<I>,
+    wrap: fn(Vec<ListedHost>) -> I,
+) -> io::Result<()> {
+    let inputs = inputs.clone();
+    let agent = Agent::config_builder()
+        .timeout_global(Some(call_timeout))
+        .build()
+        .new_agent();
+    thread::Builder::new()
+        .name("host-list".into())
+        .spawn(move || read_all(&agent, address, &inputs, wrap))?;
+    Ok(())
+}
+
+fn read_all<I>(
+    agent: &Agent,
+    address: SocketAddr,
+    inputs: &SyncSender<I>,
+    wrap: fn(Vec<ListedHost>) -> I,
+) {
+    loop {
+        let list = read(agent, address);
+        let result = if list.is_some() { "read" } else { "failed" };
+        counter!("sedgeridge_host_list_reads_total", "result" => result).increment(1);
+        if let Some(list) = list
+            && inputs.send(wrap(list)).is_err()
+        {
+            return;
+        }
+        thread::sleep(READ_INTERVAL);
+    }
+}
+
+fn read(agent: &Agent, address: SocketAddr) -> Option<Vec<ListedHost>> {
+    let url = format!("http://{address}{HOSTS_PATH}");
+    let mut response = agent.get(url).call().ok()?;
+    let body = response.body_mut().read_to_vec().ok()?;
+    let list: HostList = serde_json::from_slice(&body).ok()?;
+    Some(list.hosts.iter().map(listed_host).collect())
+}
+
+fn listed_host(host: &Host) -> ListedHost {
+    ListedHost {
+        host: HostId::from(host.name.as_str()),
+        hint: match host.state {
+            HostState::Live => HostHint::Live,
+            HostState::Leaving => HostHint::Leaving,
+        },
+    }
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod front;
 pub mod front_body;
 pub mod front_request;
+pub mod host_list_reads;
 pub mod host_options;
 pub mod host_start;
 pub mod load_reads;
