--- a/crates/coordination/src/held_grants.rs
+++ b/crates/coordination/src/held_grants.rs
@@ -39,6 +39,10 @@
         self.grants.get_mut(id)
     }
 
+    pub(crate) fn holdings(&self) -> impl Iterator<Item = &Holding> {
+        self.grants.values().map(|held| &held.holding)
+    }
+
     pub(crate) fn remove(&mut self, id: &GrantId) -> Option<HeldGrant> {
         let held = self.grants.remove(id)?;
         self.unreserve(&held.holding.account, held.left);
