--- a/crates/coordination/examples/embed.rs
+++ b/crates/coordination/examples/embed.rs
@@ -72,7 +72,12 @@
     let mut node = Node::new(member, settings, SEED);
     let mut callers = BTreeMap::new();
     let mut events = Vec::new();
-    for (key, account) in [(1, "crew-07"), (2, "crew-07"), (3, "crew-08"), (4, "crew-08")] {
+    for (key, account) in [
+        (1, "crew-07"),
+        (2, "crew-07"),
+        (3, "crew-08"),
+        (4, "crew-08"),
+    ] {
         callers.insert(RequestKey(key), account);
         events.push(NodeEvent::Arrived {
             arrival: arrival(key, account),
@@ -90,7 +95,10 @@
         }
         for action in actions {
             if let NodeAction::Start(start) = action {
-                println!("{now:?}: {} runs on {}", callers[&start.key], start.endpoint);
+                println!(
+                    "{now:?}: {} runs on {}",
+                    callers[&start.key], start.endpoint
+                );
                 answered.push(callers[&start.key]);
                 events.push(NodeEvent::AttemptEnded {
                     key: start.key,
