--- /dev/null
+++ b/crates/slopes/src/design.rs
@@ -0,0 +1,129 @@
+//! Settings of a fleet of any size, in the proportions of the size to design for.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use sedgeridge_state::ids::AccountId;
+use sedgeridge_state::ids::EndpointId;
+use sedgeridge_state::ids::HostId;
+use sedgeridge_state::ids::PoolId;
+use sedgeridge_state::ids::SiteId;
+use sedgeridge_state::settings::AccountSettings;
+use sedgeridge_state::settings::EndpointSettings;
+use sedgeridge_state::settings::HostSettings;
+use sedgeridge_state::settings::PoolKind;
+use sedgeridge_state::settings::PoolSettings;
+use sedgeridge_state::settings::Settings;
+use sedgeridge_state::settings::SiteSettings;
+
+use crate::target;
+
+/// Data centres.
+pub const SITES: usize = 7;
+/// Regions.
+pub const REGIONS: usize = 2;
+/// Requests that an engine runs at once: a tenth less than the peak needs, so that accounts wait.
+pub const SLOTS: u32 = 28;
+
+/// How large a fleet is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FleetSize {
+    /// Routers.
+    pub nodes: usize,
+    /// Model engines.
+    pub endpoints: usize,
+    /// Client accounts.
+    pub accounts: usize,
+    /// Requests a second.
+    pub requests_per_s: usize,
+}
+
+impl FleetSize {
+    /// Returns the fleet with this many routers, all else in proportion.
+    ///
+    /// ```
+    /// use sedgeridge_slopes::design::FleetSize;
+    ///
+    /// assert_eq!(FleetSize::of_nodes(400).accounts, 6_900);
+    /// assert_eq!(FleetSize::of_nodes(40).endpoints, 220);
+    /// ```
+    pub fn of_nodes(nodes: usize) -> Self {
+        let part = |whole: f64| (whole * nodes as f64 / target::NODES).round() as usize;
+        Self {
+            nodes,
+            endpoints: part(target::ENDPOINTS),
+            accounts: part(target::ACCOUNTS),
+            requests_per_s: part(target::REQUESTS_PER_S),
+        }
+    }
+}
+
+/// Names the host at a position.
+pub fn host_id(index: usize) -> HostId {
+    HostId::from(format!("router-{index:03}").as_str())
+}
+
+/// Names the pool at a position.
+pub fn pool_id(index: usize) -> PoolId {
+    PoolId::from(format!("model-{index}").as_str())
+}
+
+/// Names the endpoint at a position.
+pub fn endpoint_id(index: usize) -> EndpointId {
+    EndpointId::from(format!("engine-{index:04}").as_str())
+}
+
+/// Names the account at a position.
+pub fn account_id(index: usize) -> AccountId {
+    AccountId::from(format!("account-{index:05}").as_str())
+}
+
+/// Names the site of whatever stands at a position.
+pub fn site_id(index: usize) -> SiteId {
+    SiteId::from(format!("site-{}", index % SITES).as_str())
+}
+
+/// Makes the settings of a fleet; addresses are placeholders on which nothing listens.
+pub fn settings(size: FleetSize) -> Settings {
+    let pools = target::POOLS as usize;
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 9));
+    let sites = (0..SITES).map(|index| SiteSettings {
+        id: site_id(index),
+        region: format!("region-{}", index % REGIONS),
+    });
+    let hosts = (0..size.nodes).map(|index| HostSettings {
+        id: host_id(index),
+        site: site_id(index),
+        caller_address: address,
+        peer_address: address,
+        operator_address: address,
+    });
+    let pool_settings = (0..pools).map(|index| PoolSettings {
+        id: pool_id(index),
+        kind: PoolKind::Model,
+        floor: 0,
+    });
+    let endpoints = (0..size.endpoints).map(|index| EndpointSettings {
+        id: endpoint_id(index),
+        pool: pool_id(index % pools),
+        site: site_id(index),
+        address,
+        slots: SLOTS,
+        checks_fencing: true,
+    });
+    let accounts = (0..size.accounts).map(|index| AccountSettings {
+        id: account_id(index),
+        weight: 1,
+        key_sha256: format!("{index:064x}"),
+        max_in_progress: 0,
+        max_requests_per_s: 0,
+    });
+    Settings {
+        sites: sites.collect(),
+        hosts: hosts.collect(),
+        pools: pool_settings.collect(),
+        endpoints: endpoints.collect(),
+        accounts: accounts.collect(),
+        ..Settings::default()
+    }
+}
--- /dev/null
+++ b/crates/slopes/src/fit.rs
@@ -0,0 +1,112 @@
+//! Least squares through measured points: a line, or the curve that fits better.
+
+/// How a measured quantity grows with the size `n`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Shape {
+    /// `a + b n`.
+    Linear,
+    /// `a + b n log2 n`.
+    LogLinear,
+    /// `a + b n²`.
+    Quadratic,
+    /// `a + b log2 n`.
+    Logarithmic,
+}
+
+/// Shapes in the order in which they are preferred.
+const SHAPES: [Shape; 4] = [
+    Shape::Linear,
+    Shape::LogLinear,
+    Shape::Logarithmic,
+    Shape::Quadratic,
+];
+/// A line is taken unless another shape halves its largest residual, or this one is small.
+const GOOD_RESIDUAL: f64 = 0.05;
+
+impl Shape {
+    /// Returns what the factor `b` multiplies.
+    pub fn term(self, n: f64) -> f64 {
+        let log = n.max(1.0).log2();
+        match self {
+            Self::Linear => n,
+            Self::LogLinear => n * log,
+            Self::Logarithmic => log,
+            Self::Quadratic => n * n,
+        }
+    }
+
+    /// Returns the term as text.
+    pub fn formula(self) -> &'static str {
+        match self {
+            Self::Linear => "n",
+            Self::LogLinear => "n log2 n",
+            Self::Logarithmic => "log2 n",
+            Self::Quadratic => "n^2",
+        }
+    }
+}
+
+/// A curve through points.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Fit {
+    /// Its shape.
+    pub shape: Shape,
+    /// Value at a term of zero.
+    pub intercept: f64,
+    /// Factor of the term.
+    pub slope: f64,
+    /// Largest distance of a point from the curve, as a part of the mean value.
+    pub largest_residual: f64,
+}
+
+impl Fit {
+    /// Fits every shape and takes the line unless another is clearly better.
+    ///
+    /// ```
+    /// use sedgeridge_slopes::fit::{Fit, Shape};
+    ///
+    /// let fit = Fit::best(&[(1.0, 3.0), (2.0, 5.0), (4.0, 9.0), (8.0, 17.0)]);
+    /// assert_eq!(fit.shape, Shape::Linear);
+    /// assert!((fit.at(100.0) - 201.0).abs() < 1e-6);
+    /// ```
+    pub fn best(points: &[(f64, f64)]) -> Self {
+        let line = Self::of(Shape::Linear, points);
+        if line.largest_residual <= GOOD_RESIDUAL {
+            return line;
+        }
+        let fits = SHAPES.iter().map(|shape| Self::of(*shape, points));
+        fits.fold(line, |best, fit| {
+            let clearly_better = fit.largest_residual < best.largest_residual / 2.0;
+            if clearly_better { fit } else { best }
+        })
+    }
+
+    /// Fits one shape.
+    pub fn of(shape: Shape, points: &[(f64, f64)]) -> Self {
+        let count = points.len().max(1) as f64;
+        let terms = || points.iter().map(|(n, _)| shape.term(*n));
+        let mean_term = terms().sum::<f64>() / count;
+        let mean = points.iter().map(|(_, value)| value).sum::<f64>() / count;
+        let spread: f64 = terms().map(|term| (term - mean_term).powi(2)).sum();
+        let joint: f64 = terms()
+            .zip(points)
+            .map(|(term, (_, value))| (term - mean_term) * (value - mean))
+            .sum();
+        let slope = if spread > 0.0 { joint / spread } else { 0.0 };
+        let mut fit = Self {
+            shape,
+            intercept: mean - slope * mean_term,
+            slope,
+            largest_residual: 0.0,
+        };
+        let residuals = points.iter().map(|(n, value)| (value - fit.at(*n)).abs());
+        let scale = mean.abs().max(f64::MIN_POSITIVE);
+        fit.largest_residual = residuals.fold(0.0, f64::max) / scale;
+        fit
+    }
+
+    /// Returns the value of the curve at a size.
+    pub fn at(&self, n: f64) -> f64 {
+        self.intercept + self.slope * self.shape.term(n)
+    }
+}
--- /dev/null
+++ b/crates/slopes/src/lib.rs
@@ -0,0 +1,14 @@
+//! Measures what each role costs at several sizes and draws the slopes out to the size to design
+//! for.
+
+pub mod design;
+pub mod fit;
+pub mod fleet;
+pub mod meter;
+pub mod random;
+pub mod roles;
+pub mod runner;
+pub mod sample;
+pub mod series;
+pub mod svg;
+pub mod target;
--- /dev/null
+++ b/crates/slopes/src/roles/fleet.rs
@@ -0,0 +1,232 @@
+//! Entry routers, homes of pools and membership, together in a simulated fleet.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use sedgeridge_transport::peers::DATAGRAM_OVERHEAD_BYTES;
+use sedgeridge_transport::peers::STREAM_OVERHEAD_BYTES;
+
+use crate::design::FleetSize;
+use crate::fleet::Fleet;
+use crate::fleet::SimulatedNode;
+use crate::fleet::costs::Work;
+use crate::meter;
+use crate::roles::Bench;
+use crate::roles::Metric;
+use crate::roles::Point;
+use crate::sample::Sample;
+use crate::target;
+
+/// Time for the members to find each other.
+const JOIN_TIME: Duration = Duration::from_secs(5);
+/// Time until every slot is taken and the first requests have ended.
+const FILL_TIME: Duration = Duration::from_secs(14);
+/// Time measured.
+const MEASURED_TIME: Duration = Duration::from_secs(10);
+const QUICK_MEASURED_TIME: Duration = Duration::from_secs(4);
+/// Routers of the bench that changes the request rate.
+const RATE_NODES: usize = 40;
+
+const METRICS: &[Metric] = &[
+    metric("entry_cpu_us", "entry: processor time a request, us"),
+    metric("entry_messages", "entry: messages sent a node and second"),
+    metric(
+        "entry_payload",
+        "entry: payload sent a node and second, bytes",
+    ),
+    metric(
+        "entry_wire",
+        "entry: sent on the wire a node and second, bytes",
+    ),
+    metric(
+        "home_cpu_us",
+        "endpoint home: processor time a request of its pool, us",
+    ),
+    metric(
+        "home_messages",
+        "endpoint home: grants sent a pool and second",
+    ),
+    metric(
+        "home_wire_out",
+        "endpoint home: sent on the wire a pool and second, bytes",
+    ),
+    metric(
+        "home_wire_in",
+        "endpoint home: received on the wire a pool and second, bytes",
+    ),
+    metric(
+        "home_load_reads",
+        "endpoint home: load reports read a pool and second",
+    ),
+    metric(
+        "home_load_cpu_us",
+        "endpoint home: decisions on a load report, us each",
+    ),
+    metric(
+        "timer_cpu_ms",
+        "timers of a node that is no home: processor time a second, ms",
+    ),
+    metric(
+        "home_timer_cpu_ms",
+        "timers of a pool's home: processor time a pool and second, ms",
+    ),
+    metric(
+        "member_cpu_us",
+        "membership: processor time a node and second, us",
+    ),
+    metric(
+        "member_messages",
+        "membership: messages sent a node and second",
+    ),
+    metric(
+        "member_payload",
+        "membership: payload sent a node and second, bytes",
+    ),
+    metric(
+        "member_wire",
+        "membership: sent on the wire a node and second, bytes",
+    ),
+    metric(
+        "memory_kb",
+        "memory a node, endpoints and callers included, KB",
+    ),
+];
+
+const fn metric(name: &'static str, title: &'static str) -> Metric {
+    Metric { name, title }
+}
+
+/// A fleet in the proportions of the size to design for.
+pub const NODES: Bench = Bench {
+    name: "fleet-nodes",
+    size_title: "nodes, all else in proportion",
+    sizes: &[25, 50, 100, 200, 400],
+    quick_sizes: &[16, 24, 32, 48],
+    target: target::NODES,
+    metrics: METRICS,
+    measure: measure_nodes,
+};
+
+/// A fleet of fixed size under more and more requests.
+pub const REQUESTS: Bench = Bench {
+    name: "fleet-requests",
+    size_title: "requests a node and second, 40 nodes",
+    sizes: &[2, 4, 8, 14, 20],
+    quick_sizes: &[2, 4, 8, 14],
+    target: target::REQUESTS_PER_S / target::NODES,
+    metrics: METRICS,
+    measure: measure_requests,
+};
+
+fn measure_nodes(point: Point) -> Sample {
+    measure(FleetSize::of_nodes(point.size as usize), point)
+}
+
+fn measure_requests(point: Point) -> Sample {
+    let size = FleetSize {
+        requests_per_s: RATE_NODES * point.size as usize,
+        ..FleetSize::of_nodes(RATE_NODES)
+    };
+    measure(size, point)
+}
+
+fn measure(size: FleetSize, point: Point) -> Sample {
+    let memory_before = meter::resident_bytes();
+    let mut fleet = Fleet::new(size, point.seed);
+    fleet.run(JOIN_TIME);
+    fleet.open();
+    fleet.run(FILL_TIME);
+    fleet.reset_costs();
+    let time = if point.quick {
+        QUICK_MEASURED_TIME
+    } else {
+        MEASURED_TIME
+    };
+    let (begin, begin_cpu) = (Instant::now(), meter::main_thread_time());
+    fleet.run(time);
+    // Other processes share the cores, so spans of wall-clock time are cut down to the part in
+    // which this thread ran.
+    let cpu = (meter::main_thread_time() - begin_cpu).as_secs_f64();
+    let ran = (cpu / begin.elapsed().as_secs_f64()).min(1.0);
+    let memory = meter::resident_bytes().saturating_sub(memory_before);
+    let view = View {
+        fleet: &fleet,
+        seconds: time.as_secs_f64(),
+        ran,
+    };
+    let mut sample = view.sample();
+    sample.set("memory_kb", memory as f64 / 1_024.0 / size.nodes as f64);
+    sample
+}
+
+/// A fleet after a run, and how its sums become rates.
+struct View<'a> {
+    fleet: &'a Fleet,
+    seconds: f64,
+    ran: f64,
+}
+
+impl View<'_> {
+    fn sample(&self) -> Sample {
+        let mut sample = Sample::default();
+        let counts = self.fleet.callers.counts;
+        let requests = (counts.ended as f64).max(1.0);
+        let nodes = self.fleet.nodes.len() as f64;
+        let rate = |total: f64, by: f64| total / by / self.seconds;
+        let sent = |work| self.total(|n| n.costs.sent_of(work).messages as f64);
+        let payload = |work| self.total(|n| n.costs.sent_of(work).payload_bytes as f64);
+        let wire =
+            |work, overhead| self.total(|n| n.costs.sent_of(work).wire_bytes(overhead) as f64);
+        let stream = STREAM_OVERHEAD_BYTES;
+        sample.set("entry_cpu_us", self.micros(Work::Entry) / requests);
+        sample.set("entry_messages", rate(sent(Work::Entry), nodes));
+        sample.set("entry_payload", rate(payload(Work::Entry), nodes));
+        sample.set("entry_wire", rate(wire(Work::Entry, stream), nodes));
+        let pools = target::POOLS;
+        sample.set("home_cpu_us", self.micros(Work::Home) / requests);
+        sample.set("home_messages", rate(sent(Work::Home), pools));
+        sample.set("home_wire_out", rate(wire(Work::Home, stream), pools));
+        let received = self.total(|n| n.costs.received_of(Work::Home).wire_bytes(stream) as f64);
+        sample.set("home_wire_in", rate(received, pools));
+        let reads = self.total(|n| n.costs.load_reads as f64);
+        sample.set("home_load_reads", rate(reads, pools));
+        sample.set(
+            "home_load_cpu_us",
+            self.micros(Work::LoadReports) / reads.max(1.0),
+        );
+        let idle_nodes = self.count(|n| n.node.load().homes == 0);
+        let idle = self.timer_micros(|n| n.node.load().homes == 0) / idle_nodes.max(1.0);
+        let homes = self.timer_micros(|n| n.node.load().homes > 0);
+        sample.set("timer_cpu_ms", rate(idle / 1e3, 1.0));
+        sample.set("home_timer_cpu_ms", rate(homes / 1e3, pools));
+        sample.set("member_cpu_us", rate(self.micros(Work::Membership), nodes));
+        sample.set("member_messages", rate(sent(Work::Membership), nodes));
+        sample.set("member_payload", rate(payload(Work::Membership), nodes));
+        let datagrams = wire(Work::Membership, DATAGRAM_OVERHEAD_BYTES);
+        sample.set("member_wire", rate(datagrams, nodes));
+        sample.set("arrived", counts.arrived as f64);
+        sample.set("ended", counts.ended as f64);
+        sample.set("refused", counts.refused as f64);
+        sample
+    }
+
+    fn total(&self, value: impl Fn(&SimulatedNode) -> f64) -> f64 {
+        self.fleet.nodes.iter().map(value).sum()
+    }
+
+    fn count(&self, is_meant: impl Fn(&SimulatedNode) -> bool) -> f64 {
+        self.fleet.nodes.iter().filter(|n| is_meant(n)).count() as f64
+    }
+
+    fn micros(&self, work: Work) -> f64 {
+        self.total(|n| n.costs.time_of(work).as_secs_f64()) * 1e6 * self.ran
+    }
+
+    fn timer_micros(&self, is_meant: impl Fn(&SimulatedNode) -> bool) -> f64 {
+        let meant = self.fleet.nodes.iter().filter(|n| is_meant(n));
+        let time: f64 = meant
+            .map(|n| n.costs.time_of(Work::Timers).as_secs_f64())
+            .sum();
+        time * 1e6 * self.ran
+    }
+}
--- /dev/null
+++ b/crates/slopes/src/roles/mod.rs
@@ -0,0 +1,52 @@
+//! What is measured: one module for each role or group of roles.
+
+pub mod fleet;
+
+use crate::sample::Sample;
+
+/// One measurement to run.
+#[derive(Debug, Clone, Copy)]
+pub struct Point {
+    /// The size.
+    pub size: u64,
+    /// Feeds every random choice.
+    pub seed: u64,
+    /// Whether a rough figure is enough.
+    pub quick: bool,
+}
+
+/// One quantity that a bench measures.
+#[derive(Debug, Clone, Copy)]
+pub struct Metric {
+    /// Name in a [`Sample`].
+    pub name: &'static str,
+    /// What it is, with its unit.
+    pub title: &'static str,
+}
+
+/// A bench: runs at several sizes, each in a process of its own.
+#[derive(Debug, Clone, Copy)]
+pub struct Bench {
+    /// Name on the command line and of the plots.
+    pub name: &'static str,
+    /// What the size counts.
+    pub size_title: &'static str,
+    /// Sizes to measure.
+    pub sizes: &'static [u64],
+    /// Sizes of a trial.
+    pub quick_sizes: &'static [u64],
+    /// Size to which the slope is drawn out.
+    pub target: f64,
+    /// What it measures.
+    pub metrics: &'static [Metric],
+    /// Measures one point.
+    pub measure: fn(Point) -> Sample,
+}
+
+/// Every bench, in the order of the page.
+pub const BENCHES: &[&Bench] = &[&fleet::NODES, &fleet::REQUESTS];
+
+/// Finds a bench by its name.
+pub fn find(name: &str) -> Option<&'static Bench> {
+    BENCHES.iter().find(|bench| bench.name == name).copied()
+}
--- /dev/null
+++ b/crates/slopes/src/runner.rs
@@ -0,0 +1,95 @@
+//! Runs each point in a process of its own, so that the memory of one is not the next one's.
+
+use std::env;
+use std::io;
+use std::process::Command;
+
+use thiserror::Error;
+
+use crate::fit::Fit;
+use crate::roles::Bench;
+use crate::roles::Metric;
+use crate::roles::Point;
+use crate::sample::Sample;
+use crate::series::Series;
+
+/// Why a bench gave no series.
+#[derive(Debug, Error)]
+pub enum RunError {
+    /// The process of a point cannot be started.
+    #[error("cannot start the run of a point: {0}")]
+    Start(#[from] io::Error),
+    /// The process of a point failed.
+    #[error("{bench} at {size} failed: {message}")]
+    Failed {
+        /// The bench.
+        bench: &'static str,
+        /// The size.
+        size: u64,
+        /// What it said.
+        message: String,
+    },
+}
+
+/// Runs a bench at all its sizes, one after another.
+///
+/// # Errors
+///
+/// Fails when a point cannot be run.
+pub fn run_bench(bench: &'static Bench, seed: u64, quick: bool) -> Result<Vec<Series>, RunError> {
+    let sizes = if quick {
+        bench.quick_sizes
+    } else {
+        bench.sizes
+    };
+    let mut samples = Vec::new();
+    for size in sizes {
+        let point = Point {
+            size: *size,
+            seed,
+            quick,
+        };
+        samples.push((*size as f64, run_point(bench, point)?));
+    }
+    let series = bench.metrics.iter();
+    Ok(series
+        .filter_map(|metric| series_of(bench, *metric, &samples))
+        .collect())
+}
+
+fn run_point(bench: &'static Bench, point: Point) -> Result<Sample, RunError> {
+    let mut command = Command::new(env::current_exe()?);
+    command.arg("point").args(["--bench", bench.name]);
+    command.args(["--size", &point.size.to_string()]);
+    command.args(["--seed", &point.seed.to_string()]);
+    if point.quick {
+        command.arg("--quick");
+    }
+    let output = command.output()?;
+    if !output.status.success() {
+        return Err(RunError::Failed {
+            bench: bench.name,
+            size: point.size,
+            message: String::from_utf8_lossy(&output.stderr).into_owned(),
+        });
+    }
+    let sample = Sample::from_lines(&String::from_utf8_lossy(&output.stdout));
+    eprintln!("{} at {}:\n{}", bench.name, point.size, sample.to_lines());
+    Ok(sample)
+}
+
+fn series_of(bench: &Bench, metric: Metric, samples: &[(f64, Sample)]) -> Option<Series> {
+    let points: Vec<(f64, f64)> = samples
+        .iter()
+        .filter_map(|(size, sample)| Some((*size, sample.get(metric.name)?)))
+        .collect();
+    (!points.is_empty()).then(|| Series {
+        bench: bench.name,
+        metric: metric.name,
+        title: metric.title,
+        size_title: bench.size_title,
+        fit: Fit::best(&points),
+        points,
+        target: bench.target,
+    })
+}
--- a/crates/transport/src/peers.rs
+++ b/crates/transport/src/peers.rs
@@ -33,7 +33,7 @@
 /// Largest datagram that is read.
 const MAX_DATAGRAM_BYTES: usize = 64 << 10;
 /// What a UDP datagram costs on the wire beside its payload (IPv4 and UDP headers).
-const DATAGRAM_OVERHEAD_BYTES: u64 = 28;
+pub const DATAGRAM_OVERHEAD_BYTES: u64 = 28;
 /// What a WebSocket message costs on the wire beside its payload when it travels alone: IPv4 and
 /// TCP headers with timestamps, the frame header and the segment that acknowledges it.
 pub const STREAM_OVERHEAD_BYTES: u64 = 52 + 8 + 52;
