--- a/crates/slopes/src/lib.rs
+++ b/crates/slopes/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod design;
 pub mod fit;
 pub mod fleet;
+pub mod memory_table;
 pub mod meter;
 pub mod random;
 pub mod roles;
--- a/crates/slopes/src/meter.rs
+++ b/crates/slopes/src/meter.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::time::Duration;
+use std::time::Instant;
 
 /// Returns the processor time of the main thread, or zero where it cannot be told.
 pub fn main_thread_time() -> Duration {
@@ -18,3 +19,51 @@
     let kb = line.and_then(|line| line.split_whitespace().nth(1));
     kb.and_then(|kb| kb.parse::<u64>().ok()).unwrap_or(0) * BYTES_PER_KB
 }
+
+/// Processor time below which the kernel's figure is too coarse to scale by.
+const MIN_SCALED: Duration = Duration::from_millis(100);
+
+/// Adds up short spans of work.
+///
+/// The kernel tells processor time in steps of some milliseconds, so spans are taken from the wall
+/// clock. Other processes share the cores: the sum is cut down to the part of the whole time in
+/// which this thread ran.
+#[derive(Debug)]
+pub struct Stopwatch {
+    begin: Instant,
+    begin_cpu: Duration,
+    spans: Duration,
+}
+
+impl Stopwatch {
+    /// Starts the whole time.
+    pub fn start() -> Self {
+        Self {
+            begin: Instant::now(),
+            begin_cpu: main_thread_time(),
+            spans: Duration::ZERO,
+        }
+    }
+
+    /// Runs one piece of work.
+    pub fn time<T>(&mut self, work: impl FnOnce() -> T) -> T {
+        let begin = Instant::now();
+        let result = work();
+        self.spans += begin.elapsed();
+        result
+    }
+
+    /// Returns the part of the whole time in which this thread ran.
+    pub fn ran(&self) -> f64 {
+        let cpu = main_thread_time() - self.begin_cpu;
+        if cpu < MIN_SCALED {
+            return 1.0;
+        }
+        (cpu.as_secs_f64() / self.begin.elapsed().as_secs_f64()).min(1.0)
+    }
+
+    /// Returns the processor time of all pieces, in microseconds.
+    pub fn micros(&self) -> f64 {
+        self.spans.as_secs_f64() * 1e6 * self.ran()
+    }
+}
--- /dev/null
+++ b/crates/slopes/src/roles/claims.rs
@@ -0,0 +1,196 @@
+//! Claims of requests that may not be repeated: transactions against the table.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sedgeridge_coordination::claim_events::ClaimAction;
+use sedgeridge_coordination::claim_events::ClaimEvent;
+use sedgeridge_coordination::claim_events::ClaimOutcome;
+use sedgeridge_coordination::claim_events::ClaimRequest;
+use sedgeridge_coordination::claim_events::ClaimSettings;
+use sedgeridge_coordination::claims::Claims;
+use sedgeridge_coordination::store_call::StoreEvent;
+use sedgeridge_state::claim_record::BodyHash;
+use sedgeridge_state::claim_record::RecordedAnswer;
+use sedgeridge_state::claim_record::RecordedBody;
+use sedgeridge_state::ids::AttemptId;
+use sedgeridge_state::ids::Incarnation;
+use sedgeridge_state::ids::Member;
+use sedgeridge_state::ids::RequestId;
+
+use crate::design;
+use crate::memory_table::MemoryTable;
+use crate::meter::Stopwatch;
+use crate::random::Random;
+use crate::roles::Bench;
+use crate::roles::Metric;
+use crate::roles::Point;
+use crate::sample::Sample;
+
+const STARTED_UNIX_MS: u64 = 1_800_000_000_000;
+/// Assumption: time of one call of the table service.
+const TABLE_DELAY: Duration = Duration::from_millis(5);
+/// Assumption: time a plain service takes for one request.
+const SERVICE_TIME: Duration = Duration::from_millis(50);
+/// Assumption: size of an answer that is kept for repeats.
+const ANSWER_BYTES: usize = 200;
+const MEASURED_TIME: Duration = Duration::from_secs(1_200);
+const QUICK_MEASURED_TIME: Duration = Duration::from_secs(120);
+const TICK: Duration = Duration::from_millis(5);
+
+/// Claims of one router.
+pub const RATE: Bench = Bench {
+    name: "claims-rate",
+    size_title: "claims a router and second",
+    sizes: &[1, 2, 4, 8, 16, 32, 64],
+    quick_sizes: &[1, 2, 4, 8],
+    target: 1.0,
+    metrics: &[
+        Metric {
+            name: "transactions",
+            title: "claims: transactions a router and second",
+        },
+        Metric {
+            name: "rows",
+            title: "claims: rows written a router and second",
+        },
+        Metric {
+            name: "call_bytes",
+            title: "claims: bodies sent to the table a router and second, bytes",
+        },
+        Metric {
+            name: "cpu_us",
+            title: "claims: processor time a router and second, us",
+        },
+    ],
+    measure,
+};
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Arrival,
+    Answer(usize),
+    Ended(RequestId),
+    Tick,
+}
+
+/// One router's claims, and the table.
+struct Router {
+    claims: Claims,
+    table: MemoryTable,
+    now: Duration,
+    queue: BinaryHeap<Reverse<(Duration, u64, Due)>>,
+    answers: Vec<Option<StoreEvent>>,
+    sequence: u64,
+    watch: Stopwatch,
+    random: Random,
+}
+
+fn measure(point: Point) -> Sample {
+    let time = if point.quick {
+        QUICK_MEASURED_TIME
+    } else {
+        MEASURED_TIME
+    };
+    let mut router = Router {
+        claims: Claims::new(ClaimSettings::default(), STARTED_UNIX_MS, point.seed),
+        table: MemoryTable::default(),
+        now: Duration::ZERO,
+        queue: BinaryHeap::new(),
+        answers: Vec::new(),
+        sequence: 0,
+        watch: Stopwatch::start(),
+        random: Random::new(point.seed),
+    };
+    router.schedule(Duration::ZERO, Due::Arrival);
+    router.schedule(Duration::ZERO, Due::Tick);
+    router.run(time, point.size as f64);
+    let seconds = time.as_secs_f64();
+    let mut sample = Sample::default();
+    sample.set("transactions", router.table.transactions as f64 / seconds);
+    sample.set("rows", router.table.rows_written as f64 / seconds);
+    sample.set("call_bytes", router.table.call_bytes as f64 / seconds);
+    sample.set("cpu_us", router.watch.micros() / seconds);
+    sample
+}
+
+impl Router {
+    fn run(&mut self, time: Duration, rate_per_s: f64) {
+        while let Some(Reverse((at, _, due))) = self.queue.pop() {
+            if at > time {
+                return;
+            }
+            self.now = at;
+            match due {
+                Due::Arrival => {
+                    let pause = self.random.exponential(rate_per_s);
+                    self.schedule(at + Duration::from_secs_f64(pause), Due::Arrival);
+                    let claim = self.claim();
+                    self.event(ClaimEvent::Claim(claim));
+                }
+                Due::Answer(index) => {
+                    let answer = self.answers[index].take();
+                    self.event(ClaimEvent::Store(answer.expect("an answer comes once")));
+                }
+                Due::Ended(request) => {
+                    let body = RecordedBody::Inline(Arc::from("x".repeat(ANSWER_BYTES)));
+                    let answer = RecordedAnswer { status: 200, body };
+                    let outcome = ClaimOutcome::Ran(answer);
+                    self.event(ClaimEvent::Finished { request, outcome });
+                }
+                Due::Tick => {
+                    if self.claims.next_wake().is_some_and(|wake| wake <= at) {
+                        self.event(ClaimEvent::Tick);
+                    }
+                    self.schedule(at + TICK, Due::Tick);
+                }
+            }
+        }
+    }
+
+    fn claim(&mut self) -> ClaimRequest {
+        let key = self.sequence;
+        ClaimRequest {
+            request: RequestId::from(key.to_string().as_str()),
+            account: design::account_id(self.random.below(6_900) as usize),
+            idempotency_key: Arc::from(format!("deposit-{key:012}")),
+            body_hash: BodyHash(self.random.any()),
+            attempt: AttemptId {
+                member: Member {
+                    host: design::host_id(0),
+                    incarnation: Incarnation(STARTED_UNIX_MS * 1_000),
+                },
+                sequence: key,
+            },
+        }
+    }
+
+    fn event(&mut self, event: ClaimEvent) {
+        let mut actions = Vec::new();
+        let (claims, now) = (&mut self.claims, self.now);
+        self.watch.time(|| claims.handle(now, event, &mut actions));
+        for action in actions {
+            match action {
+                ClaimAction::Store(call) => {
+                    let answer = self.table.call(&call);
+                    self.answers.push(Some(answer));
+                    let index = self.answers.len() - 1;
+                    self.schedule(self.now + TABLE_DELAY, Due::Answer(index));
+                }
+                ClaimAction::Dispatch(request) => {
+                    self.schedule(self.now + SERVICE_TIME, Due::Ended(request));
+                }
+                ClaimAction::Replay { .. } | ClaimAction::Refuse { .. } => {
+                    unreachable!("keys are new and the table answers")
+                }
+            }
+        }
+    }
+
+    fn schedule(&mut self, at: Duration, due: Due) {
+        self.sequence += 1;
+        self.queue.push(Reverse((at, self.sequence, due)));
+    }
+}
--- a/crates/slopes/src/roles/fleet.rs
+++ b/crates/slopes/src/roles/fleet.rs
@@ -1,7 +1,6 @@
 //! Entry routers, homes of pools and membership, together in a simulated fleet.
 
 use std::time::Duration;
-use std::time::Instant;
 
 use sedgeridge_transport::peers::DATAGRAM_OVERHEAD_BYTES;
 use sedgeridge_transport::peers::STREAM_OVERHEAD_BYTES;
@@ -11,6 +10,7 @@
 use crate::fleet::SimulatedNode;
 use crate::fleet::costs::Work;
 use crate::meter;
+use crate::meter::Stopwatch;
 use crate::roles::Bench;
 use crate::roles::Metric;
 use crate::roles::Point;
@@ -142,12 +142,9 @@
     } else {
         MEASURED_TIME
     };
-    let (begin, begin_cpu) = (Instant::now(), meter::main_thread_time());
+    let watch = Stopwatch::start();
     fleet.run(time);
-    // Other processes share the cores, so spans of wall-clock time are cut down to the part in
-    // which this thread ran.
-    let cpu = (meter::main_thread_time() - begin_cpu).as_secs_f64();
-    let ran = (cpu / begin.elapsed().as_secs_f64()).min(1.0);
+    let ran = watch.ran();
     let memory = meter::resident_bytes().saturating_sub(memory_before);
     let view = View {
         fleet: &fleet,
--- a/crates/slopes/src/roles/mod.rs
+++ b/crates/slopes/src/roles/mod.rs
@@ -1,6 +1,12 @@
 //! What is measured: one module for each role or group of roles.
 
+pub mod claims;
+pub mod config;
+pub mod coordinator;
 pub mod fleet;
+pub mod home;
+pub mod load_reports;
+pub mod tools;
 
 use crate::sample::Sample;
 
@@ -44,7 +50,18 @@
 }
 
 /// Every bench, in the order of the page.
-pub const BENCHES: &[&Bench] = &[&fleet::NODES, &fleet::REQUESTS];
+pub const BENCHES: &[&Bench] = &[
+    &fleet::NODES,
+    &fleet::REQUESTS,
+    &home::ACCOUNTS,
+    &home::TAKEOVER,
+    &load_reports::READS,
+    &config::ACCOUNTS,
+    &claims::RATE,
+    &coordinator::LEASE,
+    &coordinator::ORDERS,
+    &tools::NODES,
+];
 
 /// Finds a bench by its name.
 pub fn find(name: &str) -> Option<&'static Bench> {
