--- a/crates/slopes/src/fleet/mod.rs
+++ b/crates/slopes/src/fleet/mod.rs
@@ -2,15 +2,18 @@
 //! links, endpoints and callers that are made up.
 
 pub mod costs;
+pub mod faults;
 pub mod load;
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
 use std::time::Duration;
 use std::time::Instant;
 
 use sedgeridge_coordination::entry_events::AttemptEnd;
+use sedgeridge_coordination::entry_events::AttemptFailure;
 use sedgeridge_coordination::entry_events::AttemptKey;
 use sedgeridge_coordination::entry_events::RequestKey;
 use sedgeridge_coordination::entry_events::StartAttempt;
@@ -41,6 +44,11 @@
 const MAX_TICK: Duration = Duration::from_millis(20);
 /// Time a message is under way.
 const LINK_DELAY: Duration = Duration::from_micros(500);
+/// Time after which a link to a host that is not reached is reported lost.
+const RESET_DELAY: Duration = Duration::from_millis(500);
+/// Time after which a connection to an endpoint that is not reached is given up, the default of
+/// `health.connect_timeout_ms`.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time a load report is under way.
 const LOAD_READ_DELAY: Duration = Duration::from_millis(2);
 
@@ -50,9 +58,10 @@
     Wake,
     Stream { from: usize, bytes: Vec<u8> },
     Datagram(Vec<u8>),
+    Reset(HostId),
     Arrival,
     Progress(AttemptKey, u64),
-    Ended(RequestKey, AttemptKey, EndpointId, AttemptEnd),
+    Ended(RequestKey, AttemptKey, Option<EndpointId>, AttemptEnd),
     LoadRead(EndpointId),
 }
 
@@ -64,6 +73,8 @@
     /// What they cost since the last [`Fleet::reset_costs`].
     pub costs: Costs,
     member: Member,
+    is_running: bool,
+    side: u8,
     last_tick: Duration,
     wake_at: Duration,
 }
@@ -81,6 +92,9 @@
     due: BTreeMap<u64, (usize, Due)>,
     sequence: u64,
     running: BTreeMap<EndpointId, u32>,
+    lost_links: BTreeSet<(usize, usize)>,
+    size: FleetSize,
+    seed: u64,
 }
 
 impl Fleet {
@@ -96,6 +110,8 @@
                 node: Node::new(member.clone(), settings.clone(), seed + index as u64),
                 costs: Costs::default(),
                 member,
+                is_running: true,
+                side: 0,
                 last_tick: Duration::ZERO,
                 wake_at: Duration::ZERO,
             }
@@ -109,6 +125,9 @@
             due: BTreeMap::new(),
             sequence: 0,
             running: BTreeMap::new(),
+            lost_links: BTreeSet::new(),
+            size,
+            seed,
         };
         for index in 0..size.nodes {
             fleet.schedule(Duration::ZERO, index, Due::Wake);
@@ -148,6 +167,12 @@
     }
 
     fn step(&mut self, node: usize, due: Due) {
+        if let Due::Ended(_, _, Some(endpoint), _) = &due {
+            *self.running.entry(endpoint.clone()).or_default() -= 1;
+        }
+        if !self.nodes[node].is_running && !matches!(due, Due::Arrival) {
+            return;
+        }
         match due {
             Due::Wake => self.wake(node),
             Due::Arrival => self.arrival(),
@@ -168,6 +193,10 @@
                 costs.received(Work::Membership, bytes.len(), begin.elapsed());
                 self.event(node, Work::Membership, NodeEvent::Membership(message));
             }
+            Due::Reset(host) => {
+                self.lost_links.remove(&(node, self.index[&host]));
+                self.event(node, Work::Entry, NodeEvent::PeerReset { host });
+            }
             Due::Progress(attempt, charged_tokens) => {
                 let event = NodeEvent::Progress {
                     attempt,
@@ -175,8 +204,7 @@
                 };
                 self.event(node, Work::Entry, event);
             }
-            Due::Ended(key, attempt, endpoint, end) => {
-                *self.running.entry(endpoint).or_default() -= 1;
+            Due::Ended(key, attempt, _, end) => {
                 self.callers.counts.ended += 1;
                 let event = NodeEvent::AttemptEnded {
                     key,
@@ -196,7 +224,10 @@
             arrival,
             claim: None,
         };
-        self.event(node, Work::Entry, event);
+        // The balancer sends no callers to a host that is down.
+        if self.nodes[node].is_running {
+            self.event(node, Work::Entry, event);
+        }
         let next = self.now + self.callers.pause();
         self.schedule(next, 0, Due::Arrival);
     }
@@ -209,10 +240,8 @@
             age: LOAD_READ_DELAY,
             leaving: false,
         };
-        let event = NodeEvent::LoadRead {
-            endpoint,
-            load: Some(load),
-        };
+        let load = self.reaches_endpoint(node, &endpoint).then_some(load);
+        let event = NodeEvent::LoadRead { endpoint, load };
         self.event(node, Work::LoadReports, event);
     }
 
@@ -248,22 +277,16 @@
         match action {
             NodeAction::Start(start) => self.start(node, &start),
             NodeAction::GiveUp(_) => self.callers.counts.refused += 1,
-            NodeAction::Send { to, message } => {
-                let begin = Instant::now();
-                let bytes = peer::encode(&message);
-                let costs = &mut self.nodes[node].costs;
-                costs.sent(work_of(&message).sender(), bytes.len(), begin.elapsed());
-                let target = self.index[&to.host];
-                let due = Due::Stream { from: node, bytes };
-                self.schedule(self.now + LINK_DELAY, target, due);
-            }
+            NodeAction::Send { to, message } => self.send(node, to.host, &message),
             NodeAction::SendMembership { to, message } => {
                 let begin = Instant::now();
                 let bytes = membership::encode(&message);
                 let costs = &mut self.nodes[node].costs;
                 costs.sent(Work::Membership, bytes.len(), begin.elapsed());
                 let target = self.index[&to];
-                self.schedule(self.now + LINK_DELAY, target, Due::Datagram(bytes));
+                if self.reaches(node, target) {
+                    self.schedule(self.now + LINK_DELAY, target, Due::Datagram(bytes));
+                }
             }
             NodeAction::ReadLoad { endpoint } => {
                 self.nodes[node].costs.load_reads += 1;
@@ -273,7 +296,34 @@
         }
     }
 
+    fn send(&mut self, node: usize, to: HostId, message: &PeerMessage) {
+        let target = self.index[&to];
+        if !self.reaches(node, target) {
+            // As on a real link, one loss is reported however many messages it took.
+            if self.lost_links.insert((node, target)) {
+                self.schedule(self.now + RESET_DELAY, node, Due::Reset(to));
+            }
+            return;
+        }
+        let begin = Instant::now();
+        let bytes = peer::encode(message);
+        let costs = &mut self.nodes[node].costs;
+        costs.sent(work_of(message).sender(), bytes.len(), begin.elapsed());
+        let due = Due::Stream { from: node, bytes };
+        self.schedule(self.now + LINK_DELAY, target, due);
+    }
+
     fn start(&mut self, node: usize, start: &StartAttempt) {
+        if !self.reaches_endpoint(node, &start.endpoint) {
+            let end = AttemptEnd::Failed {
+                failure: AttemptFailure::ConnectFailed,
+                sent_tokens: 0,
+                charged_tokens: 0,
+            };
+            let due = Due::Ended(start.key, start.attempt, None, end);
+            self.schedule(self.now + CONNECT_TIMEOUT, node, due);
+            return;
+        }
         *self.running.entry(start.endpoint.clone()).or_default() += 1;
         let service = self.callers.service();
         for (after, charged_tokens) in service.progress() {
@@ -289,7 +339,8 @@
             charged_tokens,
             first_byte: load::FIRST_TOKEN,
         };
-        let due = Due::Ended(start.key, start.attempt, start.endpoint.clone(), end);
+        let endpoint = Some(start.endpoint.clone());
+        let due = Due::Ended(start.key, start.attempt, endpoint, end);
         self.schedule(self.now + duration, node, due);
     }
 
--- a/crates/slopes/src/meter.rs
+++ b/crates/slopes/src/meter.rs
@@ -14,10 +14,7 @@
 /// Returns the resident memory of this process, or 0 where it cannot be told.
 pub fn resident_bytes() -> u64 {
     const BYTES_PER_KB: u64 = 1_024;
-    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-    let kb = line.and_then(|line| line.split_whitespace().nth(1));
-    kb.and_then(|kb| kb.parse::<u64>().ok()).unwrap_or(0) * BYTES_PER_KB
+    status_of(std::process::id(), "VmRSS:") * BYTES_PER_KB
 }
 
 /// Processor time below which the kernel's figure is too coarse to scale by.
@@ -67,3 +64,23 @@
         self.spans.as_secs_f64() * 1e6 * self.ran()
     }
 }
+
+/// Returns the processor time of all threads of a process.
+pub fn process_time(id: u32) -> Duration {
+    let Ok(threads) = fs::read_dir(format!("/proc/{id}/task")) else {
+        return Duration::ZERO;
+    };
+    let run_ns = threads.flatten().filter_map(|thread| {
+        let schedstat = fs::read_to_string(thread.path().join("schedstat")).ok()?;
+        schedstat.split_whitespace().next()?.parse::<u64>().ok()
+    });
+    Duration::from_nanos(run_ns.sum())
+}
+
+/// Returns a number from the status page of a process, or 0 where it cannot be told.
+pub fn status_of(id: u32, field: &str) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with(field));
+    let value = line.and_then(|line| line.split_whitespace().nth(1));
+    value.and_then(|value| value.parse().ok()).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/slopes/src/roles/data_path.rs
@@ -0,0 +1,234 @@
+//! The data path: a real router process between real callers and a stand-in engine.
+
+use std::fs;
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use sedgeridge_protocol::chat::CHAT_PATH;
+
+use crate::design;
+use crate::meter;
+use crate::roles::Bench;
+use crate::roles::Metric;
+use crate::roles::Point;
+use crate::sample::Sample;
+use crate::target;
+
+/// Key of the one caller, and its SHA-256 as the settings want it.
+const KEY: &str = "slopes-key";
+const KEY_SHA256: &str = "8f3e59899bc98dd41da0d3af38a16ce6d47ac9e21aea0b47969015274bb34eeb";
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+const POLL: Duration = Duration::from_millis(50);
+/// Time until all streams are open.
+const OPEN_TIME: Duration = Duration::from_secs(4);
+const MEASURED_TIME: Duration = Duration::from_secs(8);
+/// So many that no stream ends while it is measured: at least a quarter of them is generated.
+const MAX_TOKENS: u32 = 4_000;
+const SLOTS: u32 = 400;
+/// Callers that send one short request after another.
+const CALLERS: u64 = 8;
+
+/// Streams open at one router.
+pub const STREAMS: Bench = Bench {
+    name: "data-streams",
+    size_title: "streams open at one router, a token each 42 ms",
+    sizes: &[20, 40, 80, 160],
+    quick_sizes: &[10, 20, 30, 40],
+    target: target::TOKENS_PER_S * target::TOKEN_INTERVAL_MS / 1_000.0 / target::NODES,
+    metrics: &[
+        Metric {
+            name: "memory_kb",
+            title: "data path: memory of the router process, KB",
+        },
+        Metric {
+            name: "threads",
+            title: "data path: threads of the router process",
+        },
+        Metric {
+            name: "cpu_ms",
+            title: "data path: processor time of the router process a second, ms",
+        },
+    ],
+    measure: measure_streams,
+};
+
+/// Short requests through one router.
+pub const REQUESTS: Bench = Bench {
+    name: "data-requests",
+    size_title: "requests through one router, one token each, 8 callers",
+    sizes: &[500, 1_000, 2_000, 4_000],
+    quick_sizes: &[200, 400, 800, 1_600],
+    target: 1_000.0,
+    metrics: &[Metric {
+        name: "cpu_ms",
+        title: "data path: processor time of the router process, ms",
+    }],
+    measure: measure_requests,
+};
+
+fn measure_streams(point: Point) -> Sample {
+    let rig = Rig::start(target::TOKEN_INTERVAL_MS).expect("router and engine start");
+    let body = chat_body(MAX_TOKENS);
+    for _ in 0..point.size {
+        let stream = rig.send(&body).expect("the router takes the request");
+        thread::spawn(move || drain(stream));
+    }
+    thread::sleep(OPEN_TIME);
+    let id = rig.router.id();
+    let begin = (Instant::now(), meter::process_time(id));
+    thread::sleep(MEASURED_TIME);
+    let cpu = meter::process_time(id) - begin.1;
+    let seconds = begin.0.elapsed().as_secs_f64();
+    let mut sample = Sample::default();
+    sample.set("cpu_ms", cpu.as_secs_f64() * 1e3 / seconds);
+    sample.set("memory_kb", meter::status_of(id, "VmRSS:") as f64);
+    sample.set("threads", meter::status_of(id, "Threads:") as f64);
+    sample
+}
+
+fn measure_requests(point: Point) -> Sample {
+    let rig = Rig::start(1.0).expect("router and engine start");
+    let body = chat_body(1);
+    let id = rig.router.id();
+    let begin = meter::process_time(id);
+    thread::scope(|scope| {
+        for _ in 0..CALLERS {
+            scope.spawn(|| {
+                for _ in 0..point.size / CALLERS {
+                    let stream = rig.send(&body).expect("the router takes the request");
+                    assert!(drain(stream) > 0, "every request has an answer");
+                }
+            });
+        }
+    });
+    let cpu = meter::process_time(id) - begin;
+    let mut sample = Sample::default();
+    sample.set("cpu_ms", cpu.as_secs_f64() * 1e3);
+    sample
+}
+
+fn drain(mut stream: TcpStream) -> usize {
+    let mut buffer = [0; 16 << 10];
+    let mut total = 0;
+    while let Ok(len @ 1..) = stream.read(&mut buffer) {
+        total += len;
+    }
+    total
+}
+
+fn chat_body(max_tokens: u32) -> String {
+    format!(
+        "{{\"model\":\"model-0\",\"stream\":true,\"max_tokens\":{max_tokens},\
+         \"messages\":[{{\"role\":\"user\",\"content\":\"a lens and a light\"}}]}}"
+    )
+}
+
+/// One router before one engine, as processes of their own.
+struct Rig {
+    router: Child,
+    engine: Child,
+    callers: SocketAddr,
+    settings: PathBuf,
+}
+
+impl Rig {
+    fn start(token_ms: f64) -> io::Result<Self> {
+        let [engine_at, callers, peers, operators] = free_addresses()?;
+        let engine = program("sedgeridge-standins")?
+            .args(["engine", "--listen", &engine_at.to_string()])
+            .args(["--slots", &SLOTS.to_string()])
+            .args(["--token-ms", &token_ms.to_string()])
+            .spawn()?;
+        let text = format!(
+            "[fleet]\nname = slopes\n[site.a]\n[host.r1]\nsite = a\ncaller_address = {callers}\n\
+             peer_address = {peers}\noperator_address = {operators}\n[pool.model-0]\nkind = model\n\
+             [service.model-0]\npool = model-0\nrepeatable = yes\n[endpoint.e1]\npool = model-0\n\
+             site = a\naddress = {engine_at}\nslots = {SLOTS}\nchecks_fencing = yes\n\
+             [account.{}]\nkey_sha256 = {KEY_SHA256}\n",
+            design::account_id(0)
+        );
+        let file = format!("sedgeridge-slopes-{}.ini", std::process::id());
+        let settings = std::env::temp_dir().join(file);
+        fs::write(&settings, text)?;
+        let router = program("sedgeridge-router")?
+            .arg("--config")
+            .arg(&settings)
+            .args(["--host", "r1"])
+            .spawn()?;
+        let rig = Self {
+            router,
+            engine,
+            callers,
+            settings,
+        };
+        rig.wait()?;
+        Ok(rig)
+    }
+
+    /// Waits until a request is answered.
+    fn wait(&self) -> io::Result<()> {
+        let begin = Instant::now();
+        loop {
+            let answered = self.send(&chat_body(1)).map(drain);
+            match answered {
+                Ok(1..) => return Ok(()),
+                Err(error) if begin.elapsed() > READY_TIMEOUT => return Err(error),
+                _ => thread::sleep(POLL),
+            }
+        }
+    }
+
+    fn send(&self, body: &str) -> io::Result<TcpStream> {
+        let mut stream = TcpStream::connect(self.callers)?;
+        let head = format!(
+            "POST {CHAT_PATH} HTTP/1.1\r\nHost: router\r\nAuthorization: Bearer {KEY}\r\n\
+             Content-Type: application/json\r\nConnection: close\r\n\
+             x-sedgeridge-deadline-ms: 300000\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        stream.write_all(head.as_bytes())?;
+        Ok(stream)
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        for child in [&mut self.router, &mut self.engine] {
+            // It may have ended by itself, which is as good.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+/// Names a program that stands beside this one.
+fn program(name: &str) -> io::Result<Command> {
+    let path = std::env::current_exe()?.with_file_name(name);
+    let mut command = Command::new(path);
+    command.stdin(Stdio::null()).stdout(Stdio::null());
+    command.stderr(Stdio::null());
+    Ok(command)
+}
+
+fn free_addresses() -> io::Result<[SocketAddr; 4]> {
+    let listen = |_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+    let listeners = [0; 4].map(listen);
+    let mut addresses = [SocketAddr::from((Ipv4Addr::LOCALHOST, 0)); 4];
+    for (address, listener) in addresses.iter_mut().zip(listeners) {
+        *address = listener?.local_addr()?;
+    }
+    Ok(addresses)
+}
--- /dev/null
+++ b/crates/slopes/src/roles/failures.rs
@@ -0,0 +1,231 @@
+//! Failures of hosts, data centres and the links between regions, in a simulated fleet.
+
+use std::time::Duration;
+
+use crate::design;
+use crate::design::FleetSize;
+use crate::fleet::Fleet;
+use crate::roles::Bench;
+use crate::roles::Metric;
+use crate::roles::Point;
+use crate::sample::Sample;
+use crate::target;
+
+const JOIN_TIME: Duration = Duration::from_secs(5);
+const FILL_TIME: Duration = Duration::from_secs(14);
+const AGREE_LIMIT: Duration = Duration::from_secs(60);
+/// Time of a cut that is simulated; nothing changes in it after the sides have settled.
+const CUT_TIME: Duration = Duration::from_secs(30);
+const STEP: Duration = Duration::from_millis(20);
+/// Time over which the traffic before and after a failure is compared.
+const WINDOW: Duration = Duration::from_secs(15);
+
+const METRICS: &[Metric] = &[
+    Metric {
+        name: "agree_s",
+        title: "time until every host holds the failed ones for dead, s",
+    },
+    Metric {
+        name: "grant_gap_s",
+        title: "longest time without a grant in one pool, s",
+    },
+    Metric {
+        name: "extra_messages",
+        title: "messages more than without the failure, fleet, in 15 s",
+    },
+    Metric {
+        name: "extra_kb",
+        title: "payload more than without the failure, fleet, in 15 s, KB",
+    },
+    Metric {
+        name: "back_s",
+        title: "time until every host knows the restarted ones, s",
+    },
+];
+
+/// The home of a pool fails.
+pub const HOST: Bench = Bench {
+    name: "failure-host",
+    size_title: "nodes; the home of a pool fails",
+    sizes: &[25, 50, 100, 200],
+    quick_sizes: &[16, 24, 32, 48],
+    target: target::NODES,
+    metrics: METRICS,
+    measure: measure_host,
+};
+
+/// A data centre fails.
+pub const SITE: Bench = Bench {
+    name: "failure-site",
+    size_title: "nodes; a seventh of them fails at once",
+    sizes: &[25, 50, 100, 200],
+    quick_sizes: &[16, 24, 32, 48],
+    target: target::NODES,
+    metrics: METRICS,
+    measure: measure_site,
+};
+
+/// Regions lose each other.
+pub const REGION: Bench = Bench {
+    name: "failure-region",
+    size_title: "nodes; two regions lose each other",
+    sizes: &[25, 50, 100, 200],
+    quick_sizes: &[16, 24, 32, 48],
+    target: target::NODES,
+    metrics: &[
+        Metric {
+            name: "cut_agree_s",
+            title: "time until each side holds the other for dead, s",
+        },
+        Metric {
+            name: "cut_running",
+            title: "requests at the engines in the cut, times those before it",
+        },
+        Metric {
+            name: "cut_kb",
+            title: "payload in the cut, times that before it",
+        },
+        Metric {
+            name: "heal_agree_s",
+            title: "time from the heal until all agree, s",
+        },
+        Metric {
+            name: "heal_extra_kb",
+            title: "payload more than without the cut, 15 s after the heal, KB",
+        },
+        Metric {
+            name: "heal_settled_s",
+            title: "time from the heal until the engines run no more than before, s",
+        },
+    ],
+    measure: measure_region,
+};
+
+fn filled(point: Point) -> Fleet {
+    let size = FleetSize::of_nodes(point.size as usize);
+    let mut fleet = Fleet::new(size, point.seed);
+    fleet.run(JOIN_TIME);
+    fleet.open();
+    fleet.run(FILL_TIME);
+    fleet
+}
+
+/// Runs for the window and returns what was sent in it.
+fn sent_in_window(fleet: &mut Fleet) -> (f64, f64) {
+    fleet.reset_costs();
+    fleet.run(WINDOW);
+    let (messages, bytes) = fleet.sent();
+    (messages as f64, bytes as f64)
+}
+
+fn measure_host(point: Point) -> Sample {
+    let mut fleet = filled(point);
+    let home = fleet.home_of(&design::pool_id(0));
+    fail(&mut fleet, &[home.expect("a pool has a home")])
+}
+
+fn measure_site(point: Point) -> Sample {
+    let mut fleet = filled(point);
+    let home = fleet.home_of(&design::pool_id(0));
+    let site = home.expect("a pool has a home") % design::SITES;
+    let hosts: Vec<usize> = (0..point.size as usize)
+        .filter(|host| host % design::SITES == site)
+        .collect();
+    fail(&mut fleet, &hosts)
+}
+
+fn fail(fleet: &mut Fleet, hosts: &[usize]) -> Sample {
+    let before = sent_in_window(fleet);
+    fleet.reset_costs();
+    fleet.kill(hosts);
+    let mut agreed_after = None;
+    let mut gap = Gap::new();
+    let mut time = Duration::ZERO;
+    while time < WINDOW {
+        fleet.run(STEP);
+        time += STEP;
+        gap.look(fleet, time);
+        if agreed_after.is_none() && fleet.agrees() {
+            agreed_after = Some(time);
+        }
+    }
+    let (messages, bytes) = fleet.sent();
+    let mut sample = Sample::default();
+    let agreed_after = agreed_after.unwrap_or_else(|| time + fleet.run_until_agreed(AGREE_LIMIT));
+    sample.set("agree_s", agreed_after.as_secs_f64());
+    sample.set("grant_gap_s", gap.longest.as_secs_f64());
+    sample.set("extra_messages", messages as f64 - before.0);
+    sample.set("extra_kb", (bytes as f64 - before.1) / 1_024.0);
+    fleet.restart(hosts);
+    let back = fleet.run_until_agreed(AGREE_LIMIT);
+    sample.set("back_s", back.as_secs_f64());
+    sample
+}
+
+/// The longest time in which one pool had no grant.
+struct Gap {
+    last: Vec<(u64, Duration)>,
+    longest: Duration,
+}
+
+impl Gap {
+    fn new() -> Self {
+        Self {
+            last: vec![(0, Duration::ZERO); target::POOLS as usize],
+            longest: Duration::ZERO,
+        }
+    }
+
+    fn look(&mut self, fleet: &Fleet, now: Duration) {
+        let grants = fleet.grants();
+        for (index, (last, at)) in self.last.iter_mut().enumerate() {
+            let pool = design::pool_id(index);
+            let grants = grants.get(&pool).copied().unwrap_or(0);
+            // A new home counts from zero.
+            if grants != *last && grants > 0 {
+                self.longest = self.longest.max(now - *at);
+                (*last, *at) = (grants, now);
+            }
+        }
+    }
+}
+
+fn measure_region(point: Point) -> Sample {
+    let mut fleet = filled(point);
+    let before = sent_in_window(&mut fleet);
+    let running_before = fleet.requests_running() as f64;
+    let region: Vec<usize> = (0..point.size as usize)
+        .filter(|host| host % design::SITES % design::REGIONS == 1)
+        .collect();
+    fleet.cut(&region);
+    let cut_agreed = fleet.run_until_agreed(AGREE_LIMIT);
+    fleet.run(CUT_TIME.saturating_sub(cut_agreed));
+    let during = sent_in_window(&mut fleet);
+    let mut sample = Sample::default();
+    sample.set("cut_agree_s", cut_agreed.as_secs_f64());
+    let running = fleet.requests_running() as f64;
+    sample.set("cut_running", running / running_before);
+    sample.set("cut_kb", during.1 / before.1);
+    fleet.reset_costs();
+    fleet.heal();
+    let (mut agreed, mut settled) = (None, None);
+    let mut time = Duration::ZERO;
+    while time < WINDOW {
+        fleet.run(STEP);
+        time += STEP;
+        if agreed.is_none() && fleet.agrees() {
+            agreed = Some(time);
+        }
+        if settled.is_none() && fleet.requests_running() as f64 <= running_before * 1.02 {
+            settled = Some(time);
+        }
+    }
+    let bytes = fleet.sent().1 as f64;
+    let agreed = agreed.unwrap_or_else(|| time + fleet.run_until_agreed(AGREE_LIMIT));
+    sample.set("heal_agree_s", agreed.as_secs_f64());
+    sample.set("heal_extra_kb", (bytes - before.1) / 1_024.0);
+    if let Some(settled) = settled {
+        sample.set("heal_settled_s", settled.as_secs_f64());
+    }
+    sample
+}
--- a/crates/slopes/src/roles/mod.rs
+++ b/crates/slopes/src/roles/mod.rs
@@ -3,6 +3,8 @@
 pub mod claims;
 pub mod config;
 pub mod coordinator;
+pub mod data_path;
+pub mod failures;
 pub mod fleet;
 pub mod home;
 pub mod load_reports;
@@ -61,6 +63,11 @@
     &coordinator::LEASE,
     &coordinator::ORDERS,
     &tools::NODES,
+    &data_path::STREAMS,
+    &data_path::REQUESTS,
+    &failures::HOST,
+    &failures::SITE,
+    &failures::REGION,
 ];
 
 /// Finds a bench by its name.
