--- a/crates/slopes/src/design.rs
+++ b/crates/slopes/src/design.rs
@@ -97,6 +97,7 @@
         caller_address: address,
         peer_address: address,
         operator_address: address,
+        coordinator_address: None,
     });
     let pool_settings = (0..pools).map(|index| PoolSettings {
         id: pool_id(index),
--- a/crates/slopes/src/roles/coordinator.rs
+++ b/crates/slopes/src/roles/coordinator.rs
@@ -193,6 +193,7 @@
                 endpoint: design::endpoint_id(index),
                 serving: true,
                 in_progress: 0,
+                as_of: Duration::ZERO,
             });
         }
         holder.event(OrderEvent::Lease(Some(HeldLease {
@@ -208,12 +209,18 @@
     fn order(&mut self, endpoint: EndpointId) {
         self.open += 1;
         self.event(OrderEvent::Want {
-            endpoint,
+            endpoint: endpoint.clone(),
             order: EngineOrder::Unload("adapter-v7".into()),
         });
         while self.open > 0 {
             self.now += TICK;
             self.ticks += 1;
+            self.event(OrderEvent::EndpointState {
+                endpoint: endpoint.clone(),
+                serving: true,
+                in_progress: 0,
+                as_of: self.now,
+            });
             self.event(OrderEvent::Tick);
             assert!(self.now < FAR, "an order ends before the lease");
         }
--- a/crates/slopes/src/roles/failures.rs
+++ b/crates/slopes/src/roles/failures.rs
@@ -30,12 +30,12 @@
         title: "longest time without a grant in one pool, s",
     },
     Metric {
-        name: "extra_messages",
-        title: "messages more than without the failure, fleet, in 15 s",
+        name: "messages_ratio",
+        title: "messages of the fleet in the 15 s after it, times those before",
     },
     Metric {
-        name: "extra_kb",
-        title: "payload more than without the failure, fleet, in 15 s, KB",
+        name: "payload_ratio",
+        title: "payload of the fleet in the 15 s after it, times that before",
     },
     Metric {
         name: "back_s",
@@ -154,8 +154,8 @@
     let agreed_after = agreed_after.unwrap_or_else(|| time + fleet.run_until_agreed(AGREE_LIMIT));
     sample.set("agree_s", agreed_after.as_secs_f64());
     sample.set("grant_gap_s", gap.longest.as_secs_f64());
-    sample.set("extra_messages", messages as f64 - before.0);
-    sample.set("extra_kb", (bytes as f64 - before.1) / 1_024.0);
+    sample.set("messages_ratio", messages as f64 / before.0);
+    sample.set("payload_ratio", bytes as f64 / before.1);
     fleet.restart(hosts);
     let back = fleet.run_until_agreed(AGREE_LIMIT);
     sample.set("back_s", back.as_secs_f64());
