--- a/crates/slopes/src/fleet/mod.rs
+++ b/crates/slopes/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! A whole fleet in one thread on simulated time: the routers' real decisions and codecs, with
 //! links, endpoints and callers that are made up.
 
+pub mod config;
 pub mod costs;
 pub mod faults;
 pub mod load;
@@ -12,6 +13,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use sedgeridge_coordination::config_events::ConfigEvent;
 use sedgeridge_coordination::entry_events::AttemptEnd;
 use sedgeridge_coordination::entry_events::AttemptFailure;
 use sedgeridge_coordination::entry_events::AttemptKey;
@@ -24,13 +26,16 @@
 use sedgeridge_coordination::slot_budget::Load;
 use sedgeridge_protocol::membership;
 use sedgeridge_protocol::peer;
+use sedgeridge_state::config_records::ConfigContent;
 use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Incarnation;
 use sedgeridge_state::ids::Member;
+use sedgeridge_state::settings::Settings;
 
 use crate::design;
 use crate::design::FleetSize;
+use crate::fleet::config::ConfigTable;
 use crate::fleet::costs::Costs;
 use crate::fleet::costs::Work;
 use crate::fleet::load::Callers;
@@ -63,6 +68,7 @@
     Progress(AttemptKey, u64),
     Ended(RequestKey, AttemptKey, Option<EndpointId>, AttemptEnd),
     LoadRead(EndpointId),
+    ConfigRead(Box<ConfigEvent<ConfigContent>>),
 }
 
 /// One router and what it cost.
@@ -84,6 +90,8 @@
 pub struct Fleet {
     /// The routers.
     pub nodes: Vec<SimulatedNode>,
+    /// The accepted configuration, for hosts that follow it.
+    pub config: ConfigTable,
     /// Requests that came and ended since the last [`Self::reset_costs`].
     pub callers: Callers,
     now: Duration,
@@ -100,7 +108,11 @@
 impl Fleet {
     /// Creates a fleet in which every host starts now.
     pub fn new(size: FleetSize, seed: u64) -> Self {
-        let settings = design::settings(size);
+        Self::with_settings(size, design::settings(size), seed)
+    }
+
+    /// Creates a fleet under these settings.
+    pub fn with_settings(size: FleetSize, settings: Settings, seed: u64) -> Self {
         let nodes = (0..size.nodes).map(|index| {
             let member = Member {
                 host: design::host_id(index),
@@ -119,6 +131,7 @@
         let mut fleet = Self {
             nodes: nodes.collect(),
             callers: Callers::new(size, seed),
+            config: ConfigTable::default(),
             now: Duration::ZERO,
             index: (0..size.nodes).map(|n| (design::host_id(n), n)).collect(),
             queue: BinaryHeap::new(),
@@ -215,6 +228,9 @@
                 self.event(node, Work::Entry, event);
             }
             Due::LoadRead(endpoint) => self.load_read(node, endpoint),
+            Due::ConfigRead(event) => {
+                self.event(node, Work::Configuration, NodeEvent::ConfigRead(*event));
+            }
         }
     }
 
@@ -292,6 +308,8 @@
                 self.nodes[node].costs.load_reads += 1;
                 self.schedule(self.now + LOAD_READ_DELAY, node, Due::LoadRead(endpoint));
             }
+            NodeAction::ReadConfig(read) => self.read_config(node, &read),
+            NodeAction::SettingsChanged { generation, .. } => self.note_in_force(node, generation),
             _ => {}
         }
     }
--- a/crates/slopes/src/roles/claims.rs
+++ b/crates/slopes/src/roles/claims.rs
@@ -28,6 +28,7 @@
 use crate::roles::Metric;
 use crate::roles::Point;
 use crate::sample::Sample;
+use crate::target;
 
 const STARTED_UNIX_MS: u64 = 1_800_000_000_000;
 /// Assumption: time of one call of the table service.
@@ -43,10 +44,10 @@
 /// Claims of one router.
 pub const RATE: Bench = Bench {
     name: "claims-rate",
-    size_title: "claims a router and second",
-    sizes: &[1, 2, 4, 8, 16, 32, 64],
-    quick_sizes: &[1, 2, 4, 8],
-    target: 1.0,
+    size_title: "claims a router and 10 seconds",
+    sizes: &[5, 10, 20, 40, 80, 160],
+    quick_sizes: &[10, 20, 40, 80],
+    target: target::CLAIMED_PERCENT / 10.0 * target::REQUESTS_PER_S / target::NODES,
     metrics: &[
         Metric {
             name: "transactions",
@@ -106,7 +107,7 @@
     };
     router.schedule(Duration::ZERO, Due::Arrival);
     router.schedule(Duration::ZERO, Due::Tick);
-    router.run(time, point.size as f64);
+    router.run(time, point.size as f64 / 10.0);
     let seconds = time.as_secs_f64();
     let mut sample = Sample::default();
     sample.set("transactions", router.table.transactions as f64 / seconds);
--- a/crates/slopes/src/roles/config.rs
+++ b/crates/slopes/src/roles/config.rs
@@ -6,7 +6,6 @@
 
 use sedgeridge_coordination::config_events::ConfigEvent;
 use sedgeridge_coordination::config_events::ConfigItem;
-use sedgeridge_coordination::config_events::ConfigItemContent;
 use sedgeridge_coordination::config_events::Generation;
 use sedgeridge_coordination::node::Node;
 use sedgeridge_coordination::node::NodeAction;
@@ -16,6 +15,7 @@
 use sedgeridge_coordination::node_config::ConfigRead;
 use sedgeridge_coordination::store_call::CallId;
 use sedgeridge_protocol::peer;
+use sedgeridge_protocol::peer_config::config_item;
 use sedgeridge_state::config_document::ConfigDocument;
 use sedgeridge_state::config_document::SectionEdit;
 use sedgeridge_state::config_records::ConfigContent;
@@ -82,7 +82,7 @@
     let memory = meter::resident_bytes().saturating_sub(before);
     follower.watch = Stopwatch::start();
     for generation in 2..2 + CHANGES {
-        follower.follow(generation, delta(generation));
+        follower.follow(generation, weight_change(generation));
     }
     let cpu_ms = follower.watch.micros() / 1e3;
     let mut sample = Sample::default();
@@ -90,7 +90,7 @@
     sample.set("node_memory_kb", memory as f64 / 1_024.0);
     let whole = message_bytes(ConfigMessage::Changes {
         call: CallId(1),
-        items: vec![item(1, whole(&document))],
+        items: vec![config_item(1, whole(&document))],
     });
     sample.set("whole_kb", whole as f64 / 1_024.0);
     let asked = message_bytes(ConfigMessage::ChangesWanted {
@@ -99,7 +99,7 @@
     });
     let told = message_bytes(ConfigMessage::Changes {
         call: CallId(1),
-        items: vec![item(2, delta(2))],
+        items: vec![config_item(2, weight_change(2))],
     });
     sample.set(
         "delta_wire",
@@ -136,7 +136,7 @@
 
     /// Brings one generation in force.
     fn follow(&mut self, generation: u64, content: ConfigContent) {
-        let change = item(generation, content);
+        let change = config_item(generation, content);
         for _ in 0..MAX_POLLS {
             self.now += POLL_TIME;
             if self.poll(&change) {
@@ -181,25 +181,12 @@
     }
 }
 
-fn item(generation: u64, content: ConfigContent) -> ConfigItem<ConfigContent> {
-    let is_whole = matches!(content, ConfigContent::Snapshot(_));
-    let content = Arc::new(content);
-    ConfigItem {
-        generation: Generation(generation),
-        content: if is_whole {
-            ConfigItemContent::Whole(content)
-        } else {
-            ConfigItemContent::Delta(content)
-        },
-    }
-}
-
 fn whole(document: &ConfigDocument) -> ConfigContent {
     ConfigContent::Snapshot(document.clone())
 }
 
 /// Makes the change of one account's weight.
-fn delta(generation: u64) -> ConfigContent {
+pub fn weight_change(generation: u64) -> ConfigContent {
     let key = format!("f{generation:063x}");
     let weight = (1 + generation % 4).to_string();
     let pairs = [("key_sha256", key), ("weight", weight)];
--- a/crates/slopes/src/roles/coordinator.rs
+++ b/crates/slopes/src/roles/coordinator.rs
@@ -246,6 +246,9 @@
                         number: order.number,
                         answer: EngineAnswer::Done,
                     }),
+                    OrderAction::Drain(endpoint) => {
+                        events.push(OrderEvent::DrainAnnounced { endpoint });
+                    }
                     OrderAction::Ended { .. } => self.open -= 1,
                     _ => {}
                 }
--- a/crates/slopes/src/roles/mod.rs
+++ b/crates/slopes/src/roles/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod claims;
 pub mod config;
+pub mod config_spread;
 pub mod coordinator;
 pub mod data_path;
 pub mod failures;
@@ -59,6 +60,7 @@
     &home::TAKEOVER,
     &load_reports::READS,
     &config::ACCOUNTS,
+    &config_spread::SPREAD,
     &claims::RATE,
     &coordinator::LEASE,
     &coordinator::ORDERS,
--- a/crates/slopes/src/target.rs
+++ b/crates/slopes/src/target.rs
@@ -12,6 +12,8 @@
 pub const POOLS: f64 = 4.0;
 /// Requests a second at the peak.
 pub const REQUESTS_PER_S: f64 = 5_900.0;
+/// Assumption: part of the requests that may not be repeated, in percent.
+pub const CLAIMED_PERCENT: f64 = 5.0;
 /// Tokens generated a second at the peak.
 pub const TOKENS_PER_S: f64 = 1_600_000.0;
 /// Time between two tokens of a stream, in milliseconds.
