--- /dev/null
+++ b/crates/slopes/src/figures.rs
@@ -0,0 +1,53 @@
+//! All measured series, and the figures that follow from them.
+
+use crate::roles;
+use crate::roles::Bench;
+use crate::series::Series;
+
+/// Series of one run of the command.
+#[derive(Debug, Default)]
+pub struct Figures {
+    series: Vec<Series>,
+}
+
+impl Figures {
+    /// Adds the series of a bench.
+    pub fn extend(&mut self, series: Vec<Series>) {
+        self.series.extend(series);
+    }
+
+    /// Returns all series, in the order of the benches.
+    pub fn all(&self) -> &[Series] {
+        &self.series
+    }
+
+    /// Returns a metric at the size to design for, or not a number if it was not measured.
+    pub fn at(&self, bench: &Bench, metric: &str) -> f64 {
+        self.find(bench, metric).map_or(f64::NAN, Series::at_target)
+    }
+
+    /// Returns how much a metric grows with one more of what the size counts.
+    pub fn slope(&self, bench: &Bench, metric: &str) -> f64 {
+        let series = self.find(bench, metric);
+        series.map_or(f64::NAN, |s| s.fit.at(s.target + 1.0) - s.fit.at(s.target))
+    }
+
+    /// Returns the largest and the smallest value that was measured.
+    pub fn range(&self, bench: &Bench, metric: &str) -> (f64, f64) {
+        let values = self.find(bench, metric).map_or(&[][..], |s| &s.points);
+        values.iter().fold((f64::MAX, f64::MIN), |(low, high), p| {
+            (low.min(p.1), high.max(p.1))
+        })
+    }
+
+    /// Tells whether every bench has run, so that the page can be written whole.
+    pub fn is_complete(&self) -> bool {
+        let has = |bench: &&&Bench| self.series.iter().any(|s| s.bench == bench.name);
+        roles::BENCHES.iter().filter(has).count() == roles::BENCHES.len()
+    }
+
+    fn find(&self, bench: &Bench, metric: &str) -> Option<&Series> {
+        let mut series = self.series.iter();
+        series.find(|s| s.bench == bench.name && s.metric == metric)
+    }
+}
--- a/crates/slopes/src/lib.rs
+++ b/crates/slopes/src/lib.rs
@@ -2,11 +2,16 @@
 //! for.
 
 pub mod design;
+pub mod figures;
 pub mod fit;
 pub mod fleet;
 pub mod memory_table;
 pub mod meter;
+pub mod page;
+pub mod page_failures;
+pub mod page_overs;
 pub mod random;
+pub mod role_rows;
 pub mod roles;
 pub mod runner;
 pub mod sample;
--- a/crates/slopes/src/main.rs
+++ b/crates/slopes/src/main.rs
@@ -1,13 +1,19 @@
 //! `sedgeridge-slopes`: measures every slope and writes the figures of the capacity page.
 
 use std::error::Error;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use pico_args::Arguments;
+use sedgeridge_slopes::figures::Figures;
+use sedgeridge_slopes::page;
 use sedgeridge_slopes::roles;
 use sedgeridge_slopes::roles::Bench;
 use sedgeridge_slopes::roles::Point;
 use sedgeridge_slopes::runner;
+use sedgeridge_slopes::svg;
 
 /// Exit code of a command line that cannot be used, or a run that failed.
 const EXIT_FAILED: u8 = 2;
@@ -17,9 +23,12 @@
 sedgeridge-slopes: what each role costs against size, measured on this machine
 
 USAGE:
-  sedgeridge-slopes [--quick] [--seed S] [--bench NAME]...
+  sedgeridge-slopes [--quick] [--seed S] [--docs DIR] [--bench NAME]...
   sedgeridge-slopes point --bench NAME --size N [--seed S] [--quick]
   sedgeridge-slopes --help | --version
+
+  --docs DIR   rewrite DIR/capacity/*.svg and, when all benches ran, DIR/CAPACITY.md
+  --quick      few, small sizes: for a trial, never for the page
 ";
 
 fn main() -> ExitCode {
@@ -63,6 +72,7 @@
 fn all(mut args: Arguments) -> Result<(), Box<dyn Error>> {
     let quick = args.contains("--quick");
     let seed = args.opt_value_from_str("--seed")?.unwrap_or(DEFAULT_SEED);
+    let docs: Option<PathBuf> = args.opt_value_from_str("--docs")?;
     let chosen = args.values_from_fn("--bench", bench)?;
     finish(args)?;
     let benches = if chosen.is_empty() {
@@ -70,16 +80,34 @@
     } else {
         chosen
     };
+    let mut figures = Figures::default();
     for bench in benches {
-        for series in runner::run_bench(bench, seed, quick)? {
-            println!(
-                "{}: {:?} -> {}",
-                series.title,
-                series.fit,
-                series.at_target()
-            );
-        }
+        figures.extend(runner::run_bench(bench, seed, quick)?);
+    }
+    for series in figures.all() {
+        let at_target = series.at_target();
+        println!("{}/{}: {at_target}", series.bench, series.metric);
+    }
+    match docs {
+        Some(docs) => write_docs(&docs, &figures, seed),
+        None => Ok(()),
+    }
+}
+
+/// Rewrites the plots, and the page if every bench has run.
+fn write_docs(docs: &Path, figures: &Figures, seed: u64) -> Result<(), Box<dyn Error>> {
+    let plots = docs.join("capacity");
+    fs::create_dir_all(&plots)?;
+    for series in figures.all() {
+        fs::write(plots.join(series.file_name()), svg::draw(series))?;
+    }
+    if !figures.is_complete() {
+        eprintln!("sedgeridge-slopes: some benches were left out, the page stays as it is");
+        return Ok(());
     }
+    let file = docs.join("CAPACITY.md");
+    let page = fs::read_to_string(&file)?;
+    fs::write(&file, page::rewrite(&page, figures, seed)?)?;
     Ok(())
 }
 
--- /dev/null
+++ b/crates/slopes/src/page_failures.rs
@@ -0,0 +1,91 @@
+//! What moves when something fails, from the measured slopes.
+
+use std::fmt::Write;
+
+use crate::figures::Figures;
+use crate::roles::Bench;
+use crate::roles::config;
+use crate::roles::failures;
+use crate::roles::home;
+use crate::svg::short;
+use crate::target;
+
+/// Hosts that fail on an ordinary day.
+const FAILURES_PER_DAY: f64 = 18.0;
+/// Hosts that are restarted or replaced on an ordinary day.
+const RESTARTS_PER_DAY: f64 = 130.0;
+const SITES: f64 = 7.0;
+
+/// Writes the table of failures.
+pub fn failure_table(figures: &Figures) -> String {
+    let mut text = String::from(
+        "| failure | how often | what moves | traffic | time |\n| --- | --- | --- | --- | --- |\n",
+    );
+    let streams = target::streams() / target::NODES;
+    let seen = |bench| range(figures, bench, "agree_s");
+    let gap = |bench| range(figures, bench, "grant_gap_s");
+    let home_share = target::POOLS / target::NODES;
+    let _ = writeln!(
+        text,
+        "| a host fails, home of no pool | {:.1} a day | its {streams:.0} streams break; nothing else moves | membership only | held for dead everywhere as in the next row |",
+        FAILURES_PER_DAY * (1.0 - home_share)
+    );
+    let _ = writeln!(
+        text,
+        "| a host fails, home of a pool | {:.2} a day | its {streams:.0} streams break; the order of one pool: {} | {} x the payload before, in 15 s | held for dead everywhere after {} s; no grant in the pool for {} s |",
+        FAILURES_PER_DAY * home_share,
+        takeover(figures),
+        range(figures, &failures::HOST, "payload_ratio"),
+        seen(&failures::HOST),
+        gap(&failures::HOST)
+    );
+    let joins = figures.at(&config::ACCOUNTS, "whole_kb");
+    let _ = writeln!(
+        text,
+        "| a host is restarted or replaced | {RESTARTS_PER_DAY:.0} a day, {:.1} of them homes | the whole configuration from a peer: {} KB, {} MB a day in the fleet | membership; a home as above | known everywhere after {} s |",
+        RESTARTS_PER_DAY * home_share,
+        short(joins),
+        short(joins * RESTARTS_PER_DAY / 1_024.0),
+        range(figures, &failures::HOST, "back_s"),
+    );
+    let hosts = target::NODES / SITES;
+    let _ = writeln!(
+        text,
+        "| a data centre fails | a few times a year | {hosts:.0} hosts, {:.0} endpoints, {} streams; each pool whose home stood there | {} x the payload before, in 15 s | held for dead everywhere after {} s; no grant in a pool for {} s; back: known after {} s |",
+        target::ENDPOINTS / SITES,
+        short(streams * hosts),
+        range(figures, &failures::SITE, "payload_ratio"),
+        seen(&failures::SITE),
+        gap(&failures::SITE),
+        range(figures, &failures::SITE, "back_s"),
+    );
+    let region = |metric| range(figures, &failures::REGION, metric);
+    let _ = writeln!(
+        text,
+        "| regions lose each other | now and then, for an hour | each side homes all four pools and grants its own engines | {} x the payload before; {} KB more in the 15 s after the heal | each side settled after {} s; engines run {} x the requests before; all agree {} s after the heal, engines run no more than before after {} s |",
+        region("cut_kb"),
+        region("heal_extra_kb"),
+        region("cut_agree_s"),
+        region("cut_running"),
+        region("heal_agree_s"),
+        region("heal_settled_s"),
+    );
+    text.push_str("\nRanges are over the measured sizes, one run each: 50 to 400 nodes, for regions 25 to 200.\n");
+    text
+}
+
+fn takeover(figures: &Figures) -> String {
+    format!(
+        "400 questions and 400 full reports, {} KB on the wire, {} ms of processor time",
+        short(figures.at(&home::TAKEOVER, "wire_kb")),
+        short(figures.at(&home::TAKEOVER, "cpu_ms"))
+    )
+}
+
+fn range(figures: &Figures, bench: &Bench, metric: &str) -> String {
+    let (low, high) = figures.range(bench, metric);
+    if low > high {
+        return "not settled in the run".to_owned();
+    }
+    format!("{} to {}", short(low), short(high))
+}
--- /dev/null
+++ b/crates/slopes/src/role_rows.rs
@@ -0,0 +1,267 @@
+//! What each role costs at the size to design for, from the measured slopes.
+
+use crate::figures::Figures;
+use crate::roles::claims;
+use crate::roles::config;
+use crate::roles::config_spread;
+use crate::roles::coordinator;
+use crate::roles::data_path;
+use crate::roles::fleet;
+use crate::roles::home;
+use crate::roles::load_reports;
+use crate::roles::tools;
+use crate::target;
+
+const KB: f64 = 1_024.0;
+/// Ticks a second of a coordinator.
+const COORDINATOR_TICKS_PER_S: f64 = 20.0;
+
+/// One role.
+#[derive(Debug, Clone)]
+pub struct RoleRow {
+    /// Its name.
+    pub role: &'static str,
+    /// Who has it.
+    pub place: &'static str,
+    /// What it keeps.
+    pub state: String,
+    /// Messages sent by one node a second.
+    pub messages_per_s: f64,
+    /// Payload sent by one node a second.
+    pub payload_bytes_per_s: f64,
+    /// Bytes sent on the wire by one node a second.
+    pub wire_bytes_per_s: f64,
+    /// Part of a core, in percent.
+    pub core_percent: f64,
+    /// Memory of one node.
+    pub memory_kb: f64,
+    /// Module that carries it today.
+    pub module: &'static str,
+}
+
+/// Returns the rows in the order of the page.
+pub fn role_rows(figures: &Figures) -> Vec<RoleRow> {
+    vec![
+        entry(figures),
+        endpoint_home(figures),
+        account_home(figures),
+        load_reading(figures),
+        membership(figures),
+        configuration(figures),
+        claim_rows(figures),
+        coordinating(figures),
+        operators(figures),
+    ]
+}
+
+fn entry(f: &Figures) -> RoleRow {
+    let at = |metric| f.at(&fleet::NODES, metric);
+    let requests_per_s = target::REQUESTS_PER_S / target::NODES;
+    let micros = at("entry_cpu_us") * requests_per_s + at("timer_cpu_ms") * 1e3;
+    RoleRow {
+        role: "entry router",
+        place: "every node",
+        state: format!(
+            "settings, limits, queues and {:.0} requests under way",
+            target::streams() / target::NODES
+        ),
+        messages_per_s: at("entry_messages"),
+        payload_bytes_per_s: at("entry_payload"),
+        wire_bytes_per_s: at("entry_wire"),
+        core_percent: percent(micros),
+        memory_kb: at("memory_kb"),
+        module: "`entry`, `entry_pool`",
+    }
+}
+
+fn endpoint_home(f: &Figures) -> RoleRow {
+    let at = |metric| f.at(&fleet::NODES, metric);
+    let requests_per_s = target::REQUESTS_PER_S / target::POOLS;
+    let micros = at("home_cpu_us") * requests_per_s + at("home_timer_cpu_ms") * 1e3;
+    let stream_overhead = sedgeridge_transport::peers::STREAM_OVERHEAD_BYTES as f64;
+    RoleRow {
+        role: "endpoint home",
+        place: "4 nodes, one pool each",
+        state: format!(
+            "550 endpoints and the grants of {:.0} requests",
+            target::streams() / target::POOLS
+        ),
+        messages_per_s: at("home_messages"),
+        payload_bytes_per_s: at("home_wire_out") - at("home_messages") * stream_overhead,
+        wire_bytes_per_s: at("home_wire_out"),
+        core_percent: percent(micros),
+        memory_kb: f.at(&home::TAKEOVER, "memory_kb"),
+        module: "`pool_home`, `homed_pool`",
+    }
+}
+
+fn account_home(f: &Figures) -> RoleRow {
+    RoleRow {
+        role: "account home",
+        place: "the pool's home keeps the account order",
+        state: format!(
+            "6,900 accounts, {:.2} KB for each one more",
+            f.slope(&home::ACCOUNTS, "memory_kb")
+        ),
+        messages_per_s: 0.0,
+        payload_bytes_per_s: 0.0,
+        wire_bytes_per_s: 0.0,
+        core_percent: 0.0,
+        memory_kb: f.at(&home::ACCOUNTS, "memory_kb"),
+        module: "`account_table`, `service_ledger`; its messages and time are the endpoint home's",
+    }
+}
+
+fn load_reading(f: &Figures) -> RoleRow {
+    let at = |metric| f.at(&load_reports::READS, metric);
+    let reads_per_s = f.at(&fleet::NODES, "home_load_reads");
+    let decisions_us = f.at(&fleet::NODES, "home_load_cpu_us") * reads_per_s;
+    let segment_bytes = load_reports::SEGMENT_OVERHEAD_BYTES as f64 * 2.0;
+    let wire = at("sent_wire_kb") * KB;
+    RoleRow {
+        role: "endpoint home: load reports",
+        place: "4 nodes, one pool each",
+        state: "slot budget and health of 550 endpoints (in the row above)".to_owned(),
+        messages_per_s: reads_per_s,
+        payload_bytes_per_s: wire - reads_per_s * segment_bytes,
+        wire_bytes_per_s: wire,
+        core_percent: percent(at("cpu_ms") * 1e3 + decisions_us),
+        memory_kb: 0.0,
+        module: "`load_reads`, `endpoint_health`",
+    }
+}
+
+fn membership(f: &Figures) -> RoleRow {
+    let at = |metric| f.at(&fleet::NODES, metric);
+    RoleRow {
+        role: "membership",
+        place: "every node",
+        state: "400 members (in the entry router's row)".to_owned(),
+        messages_per_s: at("member_messages"),
+        payload_bytes_per_s: at("member_payload"),
+        wire_bytes_per_s: at("member_wire"),
+        core_percent: percent(at("member_cpu_us")),
+        memory_kb: 0.0,
+        module: "`membership`",
+    }
+}
+
+fn configuration(f: &Figures) -> RoleRow {
+    let changes_per_s = target::CHANGES_PER_DAY / target::DAY_SECONDS;
+    let wire = f.at(&config_spread::SPREAD, "peer_wire") * changes_per_s;
+    let micros = f.at(&config::ACCOUNTS, "adopt_cpu_ms") * 1e3 * changes_per_s;
+    let messages = 2.0 * changes_per_s;
+    let overhead = sedgeridge_transport::peers::STREAM_OVERHEAD_BYTES as f64;
+    RoleRow {
+        role: "configuration adoption",
+        place: "every node",
+        state: "document, settings and the last 64 changes".to_owned(),
+        messages_per_s: messages,
+        payload_bytes_per_s: wire - messages * overhead,
+        wire_bytes_per_s: wire,
+        core_percent: percent(micros),
+        memory_kb: f.at(&config::ACCOUNTS, "node_memory_kb"),
+        module: "`config_adoption`, `node_config`",
+    }
+}
+
+fn claim_rows(f: &Figures) -> RoleRow {
+    let at = |metric| f.at(&claims::RATE, metric);
+    RoleRow {
+        role: "claims",
+        place: "every node",
+        state: "open claims only; outcomes are rows of the table".to_owned(),
+        messages_per_s: at("transactions"),
+        payload_bytes_per_s: at("call_bytes"),
+        wire_bytes_per_s: f64::NAN,
+        core_percent: percent(at("cpu_us")),
+        memory_kb: f64::NAN,
+        module: "`claims`, `node_claims`",
+    }
+}
+
+fn coordinating(f: &Figures) -> RoleRow {
+    let lease = |metric| f.at(&coordinator::LEASE, metric);
+    let orders = |metric| f.at(&coordinator::ORDERS, metric);
+    RoleRow {
+        role: "coordinator",
+        place: "one holder; 7 candidates assumed, one a data centre",
+        state: "newest order of each of 2,200 engines".to_owned(),
+        messages_per_s: (lease("reads") + lease("writes")) / lease_candidates(),
+        payload_bytes_per_s: f64::NAN,
+        wire_bytes_per_s: f64::NAN,
+        core_percent: percent(orders("tick_cpu_us") * COORDINATOR_TICKS_PER_S),
+        memory_kb: orders("memory_kb"),
+        module: "`lease`, `orders`",
+    }
+}
+
+fn lease_candidates() -> f64 {
+    coordinator::LEASE.target
+}
+
+fn operators(f: &Figures) -> RoleRow {
+    RoleRow {
+        role: "operators' tools",
+        place: "an operator's machine; a page of each router when asked",
+        state: format!("base file of {:.0} KB", f.at(&tools::NODES, "file_kb")),
+        messages_per_s: 0.0,
+        payload_bytes_per_s: 0.0,
+        wire_bytes_per_s: 0.0,
+        core_percent: 0.0,
+        memory_kb: f.at(&tools::NODES, "load_memory_kb"),
+        module: "`sedgeridge` command line",
+    }
+}
+
+/// Returns what a node spends in total: a node that is no home, and one that is home of a pool.
+pub fn node_totals(rows: &[RoleRow]) -> [(&'static str, RoleRow); 2] {
+    let everywhere = |row: &&RoleRow| row.place == "every node";
+    let homes = |row: &&RoleRow| row.place.starts_with("4 nodes") || everywhere(row);
+    [
+        (
+            "a node that is no home",
+            sum(rows.iter().filter(everywhere)),
+        ),
+        (
+            "a node that is home of a pool",
+            sum(rows.iter().filter(homes)),
+        ),
+    ]
+}
+
+fn sum<'a>(rows: impl Iterator<Item = &'a RoleRow>) -> RoleRow {
+    let known = |value: f64| if value.is_nan() { 0.0 } else { value };
+    let mut total = RoleRow {
+        role: "",
+        place: "",
+        state: String::new(),
+        messages_per_s: 0.0,
+        payload_bytes_per_s: 0.0,
+        wire_bytes_per_s: 0.0,
+        core_percent: 0.0,
+        memory_kb: 0.0,
+        module: "",
+    };
+    for row in rows {
+        total.messages_per_s += known(row.messages_per_s);
+        total.payload_bytes_per_s += known(row.payload_bytes_per_s);
+        total.wire_bytes_per_s += known(row.wire_bytes_per_s);
+        total.core_percent += known(row.core_percent);
+        total.memory_kb += known(row.memory_kb);
+    }
+    total
+}
+
+/// Returns what the data path costs a node: processor in percent of a core, memory in KB, threads.
+pub fn data_path_of(f: &Figures) -> (f64, f64, f64) {
+    let at = |metric| f.at(&data_path::STREAMS, metric);
+    let per_request_ms = f.slope(&data_path::REQUESTS, "cpu_ms");
+    let requests_per_s = target::REQUESTS_PER_S / target::NODES;
+    let millis = at("cpu_ms") + per_request_ms * requests_per_s;
+    (percent(millis * 1e3), at("memory_kb"), at("threads"))
+}
+
+fn percent(micros_per_s: f64) -> f64 {
+    micros_per_s / 1e6 * 100.0
+}
--- a/crates/slopes/src/roles/failures.rs
+++ b/crates/slopes/src/roles/failures.rs
@@ -47,7 +47,7 @@
 pub const HOST: Bench = Bench {
     name: "failure-host",
     size_title: "nodes; the home of a pool fails",
-    sizes: &[25, 50, 100, 200],
+    sizes: &[50, 100, 200, 400],
     quick_sizes: &[16, 24, 32, 48],
     target: target::NODES,
     metrics: METRICS,
@@ -58,7 +58,7 @@
 pub const SITE: Bench = Bench {
     name: "failure-site",
     size_title: "nodes; a seventh of them fails at once",
-    sizes: &[25, 50, 100, 200],
+    sizes: &[50, 100, 200, 400],
     quick_sizes: &[16, 24, 32, 48],
     target: target::NODES,
     metrics: METRICS,
--- a/crates/slopes/src/roles/load_reports.rs
+++ b/crates/slopes/src/roles/load_reports.rs
@@ -28,7 +28,7 @@
 /// Reads a second that a pool of 550 endpoints takes at the default `health.report_interval_ms`.
 const READS_PER_POOL: f64 = target::ENDPOINTS / target::POOLS * 4.0;
 /// IPv4 and TCP headers with timestamps of one segment.
-const SEGMENT_OVERHEAD_BYTES: u64 = 52;
+pub const SEGMENT_OVERHEAD_BYTES: u64 = 52;
 const TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Load reports read one after another from one endpoint.
--- /dev/null
+++ b/crates/slopes/tests/fleet.rs
@@ -0,0 +1,78 @@
+//! The simulated fleet: same seed, same messages; work is done; failures are seen.
+
+use std::time::Duration;
+
+use sedgeridge_slopes::design;
+use sedgeridge_slopes::design::FleetSize;
+use sedgeridge_slopes::fleet::Fleet;
+
+const NODES: usize = 8;
+const SEED: u64 = 7;
+const JOIN_TIME: Duration = Duration::from_secs(5);
+
+fn joined(seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(FleetSize::of_nodes(NODES), seed);
+    fleet.run(JOIN_TIME);
+    assert!(fleet.agrees(), "all hosts started together");
+    fleet
+}
+
+fn loaded(seed: u64) -> Fleet {
+    let mut fleet = joined(seed);
+    fleet.open();
+    fleet.run(Duration::from_secs(14));
+    fleet
+}
+
+#[test]
+fn the_same_seed_sends_the_same_messages() {
+    let sent = [SEED, SEED, SEED + 1].map(|seed| loaded(seed).sent());
+    assert_eq!(sent[0], sent[1]);
+    assert_ne!(sent[0], sent[2]);
+}
+
+#[test]
+fn requests_fill_the_slots_and_end() {
+    let mut fleet = loaded(SEED);
+    fleet.run(Duration::from_secs(10));
+    let counts = fleet.callers.counts;
+    assert!(counts.ended > 0 && counts.refused == 0, "{counts:?}");
+    let slots = FleetSize::of_nodes(NODES).endpoints as u64 * u64::from(design::SLOTS);
+    let running = fleet.requests_running();
+    assert!(running <= slots, "{running} of {slots}");
+    assert!(running * 10 > slots * 8, "{running} of {slots}");
+}
+
+/// The home of a pool is killed. The other hosts hold it for dead, another host becomes the home
+/// and grants again; the killed host comes back with no memory and is known to all.
+#[test]
+fn a_killed_home_is_replaced_and_comes_back() {
+    let mut fleet = loaded(SEED);
+    let pool = design::pool_id(0);
+    let home = fleet.home_of(&pool).expect("a pool has a home");
+    fleet.kill(&[home]);
+    fleet.run_until_agreed(Duration::from_secs(30));
+    assert!(fleet.agrees());
+    let next = fleet.home_of(&pool).expect("a pool has a home again");
+    assert_ne!(next, home);
+    let before = fleet.grants()[&pool];
+    fleet.run(Duration::from_secs(5));
+    assert!(fleet.grants()[&pool] > before, "the new home grants");
+    fleet.restart(&[home]);
+    fleet.run_until_agreed(Duration::from_secs(30));
+    assert!(fleet.agrees());
+}
+
+/// Two regions lose each other and find each other again: each side holds the other for dead, and
+/// after the heal all agree.
+#[test]
+fn regions_part_and_meet_again() {
+    let mut fleet = joined(SEED);
+    fleet.cut(&[1, 3, 5]);
+    assert!(!fleet.agrees());
+    fleet.run_until_agreed(Duration::from_secs(60));
+    assert!(fleet.agrees());
+    fleet.heal();
+    fleet.run_until_agreed(Duration::from_secs(60));
+    assert!(fleet.agrees());
+}
