--- a/crates/coordination/tests/entry_pool_and_home.rs
+++ b/crates/coordination/tests/entry_pool_and_home.rs
@@ -4,6 +4,7 @@
 
 use sedgeridge_coordination::entry_events::RequestKey;
 use sedgeridge_coordination::entry_pool::EntryPool;
+use sedgeridge_coordination::entry_pool::HeadFacts;
 use sedgeridge_coordination::entry_queue::Lane;
 use sedgeridge_coordination::pool_home::AccountWeight;
 use sedgeridge_coordination::pool_home::HomeAction;
@@ -54,6 +55,11 @@
     home
 }
 
+const FACTS: HeadFacts = HeadFacts {
+    cost_tokens: 100,
+    prefix: None,
+};
+
 fn wait(entry: &mut EntryPool, key: RequestKey) {
     let lane = Lane {
         account: AccountId::from("a"),
@@ -65,7 +71,7 @@
 /// Brings a report to the home and returns the grants that it gives.
 fn exchange(entry: &mut EntryPool, home: &mut PoolHome) -> Vec<Grant> {
     let mut actions = Vec::new();
-    if let Some((_, report)) = entry.report(&member("entry"), |_| Some((100, None))) {
+    if let Some((_, report)) = entry.report(&member("entry"), |_| Some(FACTS)) {
         home.handle(Duration::ZERO, HomeEvent::Report(report), &mut actions);
     }
     let grants = actions.into_iter().filter_map(|action| match action {
@@ -81,7 +87,7 @@
 #[test]
 fn a_home_that_was_suspected_takes_the_reports_that_follow() {
     let mut home = home();
-    let mut entry = EntryPool::new(PoolId::from("desk"));
+    let mut entry = EntryPool::new(PoolId::from("desk"), Duration::ZERO);
     entry.set_home(Some(member("home")));
     for _ in 0..3 {
         entry.want_full();
@@ -100,7 +106,7 @@
 #[test]
 fn a_first_grant_that_was_lost_gives_its_slot_back() {
     let mut home = home();
-    let mut entry = EntryPool::new(PoolId::from("desk"));
+    let mut entry = EntryPool::new(PoolId::from("desk"), Duration::ZERO);
     entry.set_home(Some(member("home")));
     wait(&mut entry, RequestKey(1));
     wait(&mut entry, RequestKey(2));
@@ -108,6 +114,6 @@
     assert_eq!(grants.len(), 2);
     assert!(entry.accept(&grants[1]));
     assert!(entry.pop_for(&grants[1]).is_some());
-    entry.hold(&grants[1], 100);
+    entry.hold(Duration::ZERO, &grants[1], 100);
     assert_eq!(exchange(&mut entry, &mut home).len(), 1);
 }
--- a/crates/state/src/settings/schema/general.rs
+++ b/crates/state/src/settings/schema/general.rs
@@ -313,7 +313,7 @@
         key(
             "sync_interval_ms",
             whole(Milliseconds, 100, 3_600_000),
-            Value("30000"),
+            Value("5000"),
             Fleet,
             "Time between comparisons of the whole table with another router.",
         ),
