--- a/crates/load/src/fairness.rs
+++ b/crates/load/src/fairness.rs
@@ -6,6 +6,8 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 
+use serde::Serialize;
+
 use crate::history::CallRecord;
 use crate::history::History;
 use crate::history::RunRecord;
@@ -260,16 +262,49 @@
 
 /// Largest gap between two accounts over any time in which both waited for the same pool.
 pub fn fairness_gap_tokens(accounts: &[PoolAccount], window: Span) -> f64 {
-    let mut gap = 0.0f64;
+    let gaps = worst_pairs(accounts, window).into_iter();
+    gaps.map(|pair| pair.gap_tokens).fold(0.0, f64::max)
+}
+
+/// The two accounts of a pool with the largest gap.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct WorstPair {
+    /// The pool.
+    pub pool: String,
+    /// Largest gap over any time in which both accounts waited.
+    pub gap_tokens: f64,
+    /// The accounts.
+    pub accounts: [String; 2],
+    /// Start of the time, from the start of the window.
+    pub from_ms: u64,
+    /// Length of the time.
+    pub length_ms: u64,
+}
+
+/// Finds the largest gap of each pool in which two accounts waited together.
+pub fn worst_pairs(accounts: &[PoolAccount], window: Span) -> Vec<WorstPair> {
+    let mut worst: BTreeMap<&str, WorstPair> = BTreeMap::new();
     for (index, one) in accounts.iter().enumerate() {
         let others = accounts[index + 1..].iter();
         for other in others.filter(|other| other.pool == one.pool) {
             for span in common_backlog(one, other, window) {
-                gap = gap.max(curve_gap(&one.served, &other.served, span));
+                let gap_tokens = curve_gap(&one.served, &other.served, span);
+                let known = worst.get(one.pool.as_str());
+                if known.is_some_and(|known| known.gap_tokens >= gap_tokens) {
+                    continue;
+                }
+                let pair = WorstPair {
+                    pool: one.pool.clone(),
+                    gap_tokens,
+                    accounts: [one.account.clone(), other.account.clone()],
+                    from_ms: (span.start_us - window.start_us) / 1_000,
+                    length_ms: span.length_us() / 1_000,
+                };
+                worst.insert(&one.pool, pair);
             }
         }
     }
-    gap
+    worst.into_values().collect()
 }
 
 fn common_backlog(one: &PoolAccount, other: &PoolAccount, window: Span) -> Vec<Span> {
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -8,9 +8,11 @@
 
 use crate::control_bytes::PeerRate;
 use crate::fairness::PoolAccount;
+use crate::fairness::WorstPair;
 use crate::fairness::fairness_gap_tokens;
 use crate::fairness::pool_accounts;
 use crate::fairness::weight_error_percent;
+use crate::fairness::worst_pairs;
 use crate::history::CallRecord;
 use crate::history::Ending;
 use crate::history::History;
@@ -49,6 +51,8 @@
     pub fairness_gap_q2_tokens: f64,
     /// The same within the last quarter of the sending time.
     pub fairness_gap_q4_tokens: f64,
+    /// Pair of accounts with the largest gap of each pool, in the steady part.
+    pub fairness_gap_by_pool: Vec<WorstPair>,
     /// Largest charge of a single run.
     pub largest_charge_tokens: u64,
     /// Largest deviation from equal weighted service of accounts that waited together.
@@ -125,6 +129,7 @@
             fairness_gap_tokens: round(gap(history.steady)),
             fairness_gap_q2_tokens: round(gap(quarter(history.sending, 1))),
             fairness_gap_q4_tokens: round(gap(quarter(history.sending, 3))),
+            fairness_gap_by_pool: worst_pairs(&accounts, history.steady),
             largest_charge_tokens: charges.max().unwrap_or(0),
             weight_error_percent: weight_error_percent(&accounts, history.steady).map(round),
             utilisation: round(overloaded(plan, &pools).utilisation()),
