fix(coordination): an account waits as long as one of its requests does

Cause: requests that a running grant would come to were taken out of the reported demand, so the home saw the account leave and rejoin the backlog every few milliseconds and lifted its tag each time: it lost what it was owed. Found by the worst pair of each pool: only accounts of the plain pools drifted. Ruled out: wrong charges (router and ledger agree up to a constant factor), weights, estimates.

--- a/crates/coordination/src/entry_pool.rs
+++ b/crates/coordination/src/entry_pool.rs
@@ -306,7 +306,7 @@
     /// cost.
     pub fn hold(&mut self, now: Duration, grant: &Grant, cost_tokens: u64) {
         let requests = self.run_times.bundle_size(&grant.account, self.grant_span);
-        let left = (requests - 1).min(self.unreserved(&grant.account));
+        let left = (requests - 1).min(self.waiting_of(&grant.account));
         let holding = Holding {
             grant: grant.id.clone(),
             endpoint: grant.endpoint.clone(),
@@ -315,13 +315,10 @@
         };
         self.held.insert(HeldGrant {
             holding,
-            left,
+            left: requests - 1,
             until: now + self.grant_span,
         });
         self.held.mark_changed(&grant.id);
-        for class in CLASSES {
-            self.lane_changed(lane(&grant.account, class));
-        }
     }
 
     /// Takes the next request that a grant in use still covers, with the endpoint that runs it.
@@ -371,14 +368,9 @@
 
     /// Ends a grant.
     pub fn release(&mut self, grant: &GrantId) {
-        let held = self.held.remove(grant);
+        self.held.remove(grant);
         self.ended.push(grant.clone());
         self.urgent |= self.contended;
-        if let Some(held) = held {
-            for class in CLASSES {
-                self.lane_changed(lane(&held.holding.account, class));
-            }
-        }
     }
 
     /// Notes what an attempt told about its endpoint.
@@ -490,34 +482,16 @@
     /// Notes that a lane changed. It is urgent when the home believes that nothing waits there.
     fn lane_changed(&mut self, lane: Lane) {
         let told = self.told.get(&lane).copied().unwrap_or_default();
-        if told.waiting <= told.granted && self.unreserved_of(&lane) > 0 {
+        if told.waiting <= told.granted && self.queue.lane_len(&lane) > 0 {
             self.urgent = true;
         }
         self.changed_lanes.insert(lane);
     }
 
-    /// Counts the waiting requests of an account that no grant in use covers.
-    fn unreserved(&self, account: &AccountId) -> u32 {
-        self.waiting_of(account)
-            .saturating_sub(self.held.reserved_of(account))
-    }
-
-    /// Counts the waiting requests of a lane that no grant in use covers. Grants cover the
-    /// interactive requests of their account first.
-    fn unreserved_of(&self, lane: &Lane) -> u32 {
-        let mut reserved = self.held.reserved_of(&lane.account);
-        for class in CLASSES {
-            let len = self.queue.lane_len(&self::lane(&lane.account, class));
-            if class == lane.class {
-                return len.saturating_sub(reserved);
-            }
-            reserved = reserved.saturating_sub(len);
-        }
-        0
-    }
-
+    /// Counts a lane in bundles. Requests that grants in use will come to are counted as well: an
+    /// account that seems to wait for nothing meanwhile would lose what it is owed each time.
     fn demand(&self, lane: &Lane, head: &impl Fn(RequestKey) -> Option<HeadFacts>) -> Demand {
-        let waiting = self.unreserved_of(lane);
+        let waiting = self.queue.lane_len(lane);
         let requests = self.run_times.bundle_size(&lane.account, self.grant_span);
         let facts = self.queue.head(lane).and_then(head);
         let cost_tokens = facts.map_or(0, |facts| facts.cost_tokens);
--- a/crates/coordination/src/held_grants.rs
+++ b/crates/coordination/src/held_grants.rs
@@ -4,8 +4,6 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use sedgeridge_state::ids::AccountId;
-
 use crate::pool_messages::GrantId;
 use crate::pool_messages::Holding;
 
@@ -20,18 +18,15 @@
     pub(crate) until: Duration,
 }
 
-/// Grants in use, by id, and the requests that they still cover, by account.
+/// Grants in use, by id.
 #[derive(Debug, Default)]
 pub(crate) struct HeldGrants {
     grants: BTreeMap<GrantId, HeldGrant>,
-    reserved: BTreeMap<AccountId, u32>,
     changed: BTreeSet<GrantId>,
 }
 
 impl HeldGrants {
     pub(crate) fn insert(&mut self, held: HeldGrant) {
-        let account = held.holding.account.clone();
-        *self.reserved.entry(account).or_default() += held.left;
         self.grants.insert(held.holding.grant.clone(), held);
     }
 
@@ -43,11 +38,9 @@
         self.grants.values().map(|held| &held.holding)
     }
 
-    pub(crate) fn remove(&mut self, id: &GrantId) -> Option<HeldGrant> {
-        let held = self.grants.remove(id)?;
-        self.unreserve(&held.holding.account, held.left);
+    pub(crate) fn remove(&mut self, id: &GrantId) {
+        self.grants.remove(id);
         self.changed.remove(id);
-        Some(held)
     }
 
     /// Takes one further request from a grant; false when it covers none any more.
@@ -59,16 +52,9 @@
             return false;
         }
         held.left -= 1;
-        let account = held.holding.account.clone();
-        self.unreserve(&account, 1);
         true
     }
 
-    /// Counts the waiting requests of an account that grants in use still cover.
-    pub(crate) fn reserved_of(&self, account: &AccountId) -> u32 {
-        self.reserved.get(account).copied().unwrap_or(0)
-    }
-
     /// Notes that the home knows an estimate that is no longer right.
     pub(crate) fn mark_changed(&mut self, id: &GrantId) {
         self.changed.insert(id.clone());
@@ -87,13 +73,4 @@
         let held = changed.iter().filter_map(|id| self.grants.get(id));
         held.map(|held| held.holding.clone()).collect()
     }
-
-    fn unreserve(&mut self, account: &AccountId, requests: u32) {
-        if let Some(reserved) = self.reserved.get_mut(account) {
-            *reserved -= requests;
-            if *reserved == 0 {
-                self.reserved.remove(account);
-            }
-        }
-    }
 }
