fix(transport): one head for each answer, and a record with its status

The head is now remembered across attempts, and a head in the wrong place makes the partial mark. Cause 2: the head of a stream went past the recorder, so a recorded stream had status 0, and a request that may not be repeated was cut off when its caller left.

--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -144,6 +144,13 @@
         Some(give_up(arrival.key, refusal, Outcome::NotRun))
     }
 
+    /// Tells whether a request in hand may have run.
+    pub fn may_have_run(&self, key: RequestKey) -> bool {
+        self.requests
+            .get(key)
+            .is_some_and(|request| request.may_have_run)
+    }
+
     /// Tells whether a request is in hand.
     pub fn holds(&self, key: RequestKey) -> bool {
         self.requests.get(key).is_some()
@@ -368,6 +375,7 @@
             attempt,
             endpoint: endpoint.clone(),
             resume_after_tokens: request.sent_tokens,
+            head_sent: request.head_sent,
             last_attempt: !request.arrival.repeatable || request.attempts >= max_attempts,
         }));
         let view = self.pool(&pool);
@@ -431,12 +439,14 @@
             AttemptEnd::Failed {
                 failure,
                 sent_tokens,
+                head_sent,
                 ..
             } => {
                 self.blame(now, &arrival, endpoint.as_ref(), failure);
                 if let Some(request) = self.requests.get_mut(ended.key) {
                     request.sent_tokens = request.sent_tokens.max(sent_tokens);
                     request.may_have_run |= failure.may_have_run();
+                    request.head_sent |= head_sent;
                 }
                 self.after_failure(now, ended.key, failure, actions);
             }
@@ -502,7 +512,7 @@
                 let reason = match failure {
                     AttemptFailure::ConnectFailed => RefusalReason::NoEndpoint,
                     AttemptFailure::NotStarted => RefusalReason::EndpointRefused,
-                    _ if request.sent_tokens > 0 => RefusalReason::AnswerIncomplete,
+                    _ if request.head_sent => RefusalReason::AnswerIncomplete,
                     _ => RefusalReason::EndpointFailed,
                 };
                 self.give_up(now, key, reason, actions);
--- a/crates/coordination/src/entry_events.rs
+++ b/crates/coordination/src/entry_events.rs
@@ -120,6 +120,8 @@
         sent_tokens: u64,
         /// Service received in this attempt.
         charged_tokens: u64,
+        /// Whether the head of the answer went to the caller, in this attempt or an earlier one.
+        head_sent: bool,
     },
     /// The caller went away.
     CallerGone {
@@ -190,6 +192,8 @@
     pub endpoint: EndpointId,
     /// Output tokens that the caller already holds.
     pub resume_after_tokens: u64,
+    /// Whether the caller already holds the head of the answer.
+    pub head_sent: bool,
     /// Whether an endpoint's server error goes to the caller, since no attempt follows.
     pub last_attempt: bool,
 }
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -353,10 +353,14 @@
     ) {
         let mut steps = Vec::new();
         if !self.claims.give_up(now, key, &mut steps) {
+            let outcome = if self.entry.may_have_run(key) {
+                ClaimOutcome::Unknown
+            } else {
+                ClaimOutcome::NotRun
+            };
             let event = EntryEvent::CallerGone { key };
             self.entry.handle(now, event, entry_actions);
             if !self.entry.holds(key) {
-                let outcome = ClaimOutcome::NotRun;
                 self.claims.finished(now, key, outcome, &mut steps);
             }
         }
--- a/crates/coordination/src/request_table.rs
+++ b/crates/coordination/src/request_table.rs
@@ -19,6 +19,7 @@
     pub(crate) attempts: u32,
     pub(crate) sent_tokens: u64,
     pub(crate) may_have_run: bool,
+    pub(crate) head_sent: bool,
     pub(crate) place: Place,
 }
 
@@ -40,6 +41,7 @@
             attempts: 0,
             sent_tokens: 0,
             may_have_run: false,
+            head_sent: false,
             place: Place::Queued,
         }
     }
--- a/crates/slopes/src/fleet/mod.rs
+++ b/crates/slopes/src/fleet/mod.rs
@@ -337,6 +337,7 @@
                 failure: AttemptFailure::ConnectFailed,
                 sent_tokens: 0,
                 charged_tokens: 0,
+                head_sent: false,
             };
             let due = Due::Ended(start.key, start.attempt, None, end);
             self.schedule(self.now + CONNECT_TIMEOUT, node, due);
--- a/crates/transport/src/answer_pass.rs
+++ b/crates/transport/src/answer_pass.rs
@@ -83,15 +83,12 @@
         // or skip some of them.
         return stream.failed(AttemptFailure::AnswerCrossed);
     }
-    let resumed = order.resume_after_tokens > 0;
-    if !resumed
-        && order
-            .answer
-            .blocking_send(head_of(order, &response))
-            .is_err()
-    {
+    // An attempt may break between the head and the first token; its successor must not send a
+    // second head, which would end the caller's stream as if it were whole.
+    if !order.head_sent && pass(order, stream.recorder, head_of(order, &response)).is_err() {
         return AttemptEnd::CallerGone { charged_tokens: 0 };
     }
+    stream.head_sent = true;
     let mut reader = BufReader::new(response.into_body().into_reader());
     loop {
         match stream.pass_event(&mut reader) {
@@ -133,6 +130,7 @@
         failure,
         sent_tokens: order.resume_after_tokens,
         charged_tokens: 0,
+        head_sent: order.head_sent,
     }
 }
 
@@ -168,6 +166,7 @@
     order: &'a AttemptOrder,
     core: &'a SyncSender<CoreInput>,
     recorder: &'a mut Recorder,
+    head_sent: bool,
     output_tokens: u64,
     next_progress_tokens: u64,
     usage: Option<Usage>,
@@ -183,6 +182,7 @@
             order,
             core,
             recorder,
+            head_sent: order.head_sent,
             output_tokens: 0,
             next_progress_tokens: FIRST_PROGRESS_TOKENS,
             usage: None,
@@ -194,6 +194,7 @@
             failure,
             sent_tokens: self.order.resume_after_tokens + self.output_tokens,
             charged_tokens: self.charged_tokens(),
+            head_sent: self.head_sent,
         }
     }
 
--- a/crates/transport/src/core.rs
+++ b/crates/transport/src/core.rs
@@ -453,6 +453,7 @@
                 failure: AttemptFailure::NotStarted,
                 sent_tokens: start.resume_after_tokens,
                 charged_tokens: 0,
+                head_sent: start.head_sent,
             };
             let ended = EndedCall {
                 end,
@@ -475,6 +476,7 @@
             address: endpoint.address,
             attempt_id: attempt_id.to_string(),
             resume_after_tokens: start.resume_after_tokens,
+            head_sent: start.head_sent,
             last_attempt: start.last_attempt,
             time_left: pending.deadline.saturating_sub(self.clock.now()),
             output_token_factor: self.directory.settings.fair.output_token_factor.into(),
--- a/crates/transport/src/endpoint_call.rs
+++ b/crates/transport/src/endpoint_call.rs
@@ -47,6 +47,8 @@
     pub attempt_id: String,
     /// Output tokens that the caller already holds.
     pub resume_after_tokens: u64,
+    /// Whether the caller already holds the head of the answer.
+    pub head_sent: bool,
     /// Whether a server error is passed on, since no attempt follows.
     pub last_attempt: bool,
     /// Time left until the request's deadline.
@@ -137,7 +139,10 @@
         if !belongs_to(&response, &order.attempt_id) {
             return failed(order, AttemptFailure::AnswerCrossed);
         }
-        if response.status().is_server_error() && !order.last_attempt {
+        let status = response.status();
+        // A caller that holds the head of a stream cannot be given another status.
+        let unusable = order.head_sent && !status.is_success();
+        if unusable || status.is_server_error() && !order.last_attempt {
             return failed(order, AttemptFailure::ServerError);
         }
         let first_byte = started.elapsed();
@@ -241,5 +246,6 @@
         failure,
         sent_tokens: order.resume_after_tokens,
         charged_tokens: 0,
+        head_sent: order.head_sent,
     }
 }
--- a/crates/transport/src/front_body.rs
+++ b/crates/transport/src/front_body.rs
@@ -67,9 +67,10 @@
 fn frame_of(part: Option<AnswerPart>) -> (Option<Bytes>, bool) {
     match part {
         Some(AnswerPart::Chunk(bytes)) => (Some(bytes), false),
-        Some(AnswerPart::End | AnswerPart::Head { .. }) => (None, true),
+        Some(AnswerPart::End) => (None, true),
         Some(AnswerPart::GivenUp(given_up)) => (Some(partial_mark(&given_up)), true),
-        None => (Some(partial_mark(&cut_off())), true),
+        // A sender that went away, or a part that cannot follow: the answer is not whole.
+        Some(AnswerPart::Head { .. }) | None => (Some(partial_mark(&cut_off())), true),
     }
 }
 
