--- /dev/null
+++ b/crates/transport/src/metric_catalogue.rs
@@ -0,0 +1,261 @@
+//! The page docs/METRICS.md: every counter and gauge with its labels.
+
+use std::fmt::Write;
+
+use sedgeridge_coordination::refusal::RefusalReason;
+use sedgeridge_coordination::retry_budget::RetryReason;
+
+const INTRODUCTION: &str = "\
+# Metrics
+
+Made from the code; `cargo run -p sedgeridge-transport --example catalogue -- metrics` prints it
+anew. `/metrics` on a process's operator address serves them as text for Prometheus. A counter that
+has never counted is absent.
+
+| metric | kind | label | values | meaning |
+| --- | --- | --- | --- | --- |
+";
+
+/// What a metric is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Counter,
+    Gauge,
+}
+
+/// A metric of the catalogue.
+#[derive(Debug)]
+pub struct Metric {
+    /// Its name.
+    pub name: &'static str,
+    kind: Kind,
+    label: &'static str,
+    values: Values,
+    meaning: &'static str,
+}
+
+#[derive(Debug)]
+enum Values {
+    Fixed(&'static str),
+    RefusalReasons,
+    RetryReasons,
+}
+
+const fn gauge(name: &'static str, meaning: &'static str) -> Metric {
+    Metric {
+        name,
+        kind: Kind::Gauge,
+        label: "",
+        values: Values::Fixed(""),
+        meaning,
+    }
+}
+
+const fn counter(
+    name: &'static str,
+    label: &'static str,
+    values: Values,
+    meaning: &'static str,
+) -> Metric {
+    Metric {
+        name,
+        kind: Kind::Counter,
+        label,
+        values,
+        meaning,
+    }
+}
+
+/// Every metric, by name.
+pub const METRICS: &[Metric] = &[
+    counter(
+        "sedgeridge_answers_total",
+        "",
+        Values::Fixed(""),
+        "answers that began",
+    ),
+    counter(
+        "sedgeridge_connections_closed_total",
+        "reason",
+        Values::Fixed("header_timeout, idle, never_used, not_reading"),
+        "callers' connections that the router closed by its limits",
+    ),
+    gauge(
+        "sedgeridge_connections_open",
+        "callers' connections, those that are refused included",
+    ),
+    counter(
+        "sedgeridge_coordinator_calls_total",
+        "result",
+        Values::Fixed("no_room"),
+        "calls of the coordinator that found its ring full",
+    ),
+    counter(
+        "sedgeridge_drain_announcements_total",
+        "result",
+        Values::Fixed("told, failed"),
+        "drains that the coordinator asked routers for",
+    ),
+    counter(
+        "sedgeridge_home_rejections_total",
+        "reason",
+        Values::Fixed(
+            "wrong_pool, not_a_member, older_incarnation, repeated_sequence, sequence_gap, \
+             unknown_run, absurd_counter, served_went_down, unknown_account, unknown_endpoint",
+        ),
+        "reports of entry routers, or items of them, that a pool's home did not take",
+    ),
+    counter(
+        "sedgeridge_host_list_reads_total",
+        "result",
+        Values::Fixed("read, failed"),
+        "reads of the platform's host list",
+    ),
+    gauge(
+        "sedgeridge_lease_fencing_number",
+        "fencing number of the lease as last read",
+    ),
+    gauge(
+        "sedgeridge_lease_held",
+        "1 on the coordinator that holds the lease, else 0",
+    ),
+    counter(
+        "sedgeridge_load_reads_total",
+        "result",
+        Values::Fixed("read, failed, no_room"),
+        "reads of endpoints' load reports",
+    ),
+    gauge(
+        "sedgeridge_members_live",
+        "members believed live, this one included",
+    ),
+    counter(
+        "sedgeridge_orders_ended_total",
+        "state",
+        Values::Fixed("intended, done, refused"),
+        "orders to engines that ended",
+    ),
+    gauge("sedgeridge_orders_open", "orders under way"),
+    counter(
+        "sedgeridge_orders_sent_total",
+        "result",
+        Values::Fixed("done, old_fencing, refused, unknown"),
+        "orders sent to engines",
+    ),
+    counter(
+        "sedgeridge_peer_bytes_total",
+        "direction",
+        Values::Fixed("in, out"),
+        "bytes of messages between routers, without headers",
+    ),
+    counter(
+        "sedgeridge_peer_drops_total",
+        "reason",
+        Values::Fixed(
+            "core_full, link_broken, link_down, link_full, malformed, ring_full, unknown_host",
+        ),
+        "messages between routers that were lost or refused here",
+    ),
+    counter(
+        "sedgeridge_peer_messages_total",
+        "direction",
+        Values::Fixed("in, out"),
+        "messages between routers",
+    ),
+    counter(
+        "sedgeridge_peer_sent_total",
+        "kind",
+        Values::Fixed("report, full_report, full_report_wanted, grant, poison, config"),
+        "messages to other routers on their links",
+    ),
+    counter(
+        "sedgeridge_peer_wire_bytes_total",
+        "direction",
+        Values::Fixed("in, out"),
+        "bytes of messages between routers, with an estimate of the headers",
+    ),
+    gauge("sedgeridge_pools_homed", "pools whose home this router is"),
+    counter(
+        "sedgeridge_refusals_total",
+        "reason",
+        Values::RefusalReasons,
+        "requests that got no whole answer",
+    ),
+    counter(
+        "sedgeridge_replays_total",
+        "",
+        Values::Fixed(""),
+        "repeats that got the answer on record",
+    ),
+    gauge("sedgeridge_requests_running", "requests that run"),
+    gauge("sedgeridge_requests_waiting", "requests that wait"),
+    counter(
+        "sedgeridge_retries_total",
+        "reason",
+        Values::RetryReasons,
+        "attempts that failed and are followed by another",
+    ),
+    counter(
+        "sedgeridge_table_calls_total",
+        "result",
+        Values::Fixed("committed, conflict, rows, unavailable, unknown, no_room"),
+        "calls of the table service",
+    ),
+];
+
+/// Returns the page.
+///
+/// ```
+/// use sedgeridge_transport::metric_catalogue::metrics_page;
+///
+/// assert!(metrics_page().contains("| `queue_full` | 503 | not-run | yes |"));
+/// ```
+pub fn metrics_page() -> String {
+    let mut page = INTRODUCTION.to_owned();
+    for metric in METRICS {
+        let kind = match metric.kind {
+            Kind::Counter => "counter",
+            Kind::Gauge => "gauge",
+        };
+        let values = match metric.values {
+            Values::Fixed(values) => values.to_owned(),
+            Values::RefusalReasons => "see below".to_owned(),
+            Values::RetryReasons => RetryReason::ALL.map(RetryReason::as_str).join(", "),
+        };
+        let Metric {
+            name,
+            label,
+            meaning,
+            ..
+        } = metric;
+        writeln!(
+            page,
+            "| `{name}` | {kind} | {label} | {values} | {meaning} |"
+        )
+        .expect("a string takes all text");
+    }
+    page.push_str(&refusals());
+    page
+}
+
+fn refusals() -> String {
+    let mut table = "\n## Refusal reasons\n\n\
+        The header `x-sedgeridge-reason` carries the same name. The outcome is the one that the\n\
+        reason has by itself; a request of which an attempt may have run is told `unknown`.\n\n\
+        | reason | status | outcome | Retry-After |\n| --- | --- | --- | --- |\n"
+        .to_owned();
+    for reason in RefusalReason::ALL {
+        let (status, outcome) = (reason.status(), reason.outcome().as_str());
+        let retry_after = if reason.offers_retry_after() {
+            "yes"
+        } else {
+            "no"
+        };
+        writeln!(
+            table,
+            "| `{reason}` | {status} | {outcome} | {retry_after} |"
+        )
+        .expect("a string takes all text");
+    }
+    table
+}
--- /dev/null
+++ b/crates/transport/tests/catalogues.rs
@@ -0,0 +1,82 @@
+//! The pages of log events and metrics agree with the code.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use sedgeridge_transport::event_catalogue::events_page;
+use sedgeridge_transport::event_log::LogEvent;
+use sedgeridge_transport::metric_catalogue::METRICS;
+use sedgeridge_transport::metric_catalogue::metrics_page;
+
+fn crates() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("..")
+}
+
+fn committed(name: &str) -> String {
+    let path = crates().join("../docs").join(name);
+    fs::read_to_string(path).unwrap()
+}
+
+#[test]
+fn the_page_of_events_is_that_of_the_code() {
+    let command = "cargo run -p sedgeridge-transport --example catalogue -- events";
+    let page = events_page();
+    assert!(
+        committed("EVENTS.md") == page,
+        "docs/EVENTS.md differs from `{command}`"
+    );
+    for event in LogEvent::ALL {
+        let row = format!("| E{} | `{}` |", event.code(), event.label());
+        assert!(page.contains(&row), "{row}");
+    }
+}
+
+#[test]
+fn the_page_of_metrics_is_that_of_the_code() {
+    let command = "cargo run -p sedgeridge-transport --example catalogue -- metrics";
+    assert!(
+        committed("METRICS.md") == metrics_page(),
+        "docs/METRICS.md differs from `{command}`"
+    );
+}
+
+#[test]
+fn numbers_and_names_of_events_are_unique() {
+    let codes: BTreeSet<u16> = LogEvent::ALL.iter().map(|event| event.code()).collect();
+    let labels: BTreeSet<&str> = LogEvent::ALL.iter().map(|event| event.label()).collect();
+    assert_eq!(
+        (codes.len(), labels.len()),
+        (LogEvent::ALL.len(), LogEvent::ALL.len())
+    );
+}
+
+#[test]
+fn every_metric_in_the_sources_is_in_the_catalogue_and_none_else() {
+    let mut found = BTreeSet::new();
+    for entry in fs::read_dir(crates()).unwrap() {
+        collect_metrics(&entry.unwrap().path().join("src"), &mut found);
+    }
+    let listed: BTreeSet<String> = METRICS.iter().map(|m| m.name.to_owned()).collect();
+    assert_eq!(found, listed);
+}
+
+fn collect_metrics(path: &Path, found: &mut BTreeSet<String>) {
+    let Ok(entries) = fs::read_dir(path) else {
+        return;
+    };
+    for entry in entries {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            collect_metrics(&path, found);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            let text = fs::read_to_string(&path).unwrap();
+            for kind in ["counter!(", "gauge!(", "histogram!("] {
+                let uses = text.split(kind).skip(1);
+                let names = uses.filter_map(|use_| use_.trim_start().strip_prefix('"'));
+                found.extend(names.filter_map(|name| Some(name.split_once('"')?.0.to_owned())));
+            }
+        }
+    }
+}
