perf(transport): no look-up thread for servers named by their address

The HTTP client's resolver starts a thread for each request with a timeout, although every server here is named by its IP address and connections are kept. An own resolver parses the address.

--- a/crates/transport/src/coordinator_calls.rs
+++ b/crates/transport/src/coordinator_calls.rs
@@ -26,6 +26,7 @@
 use serde::Serialize;
 use ureq::Agent;
 
+use crate::address_agent::address_agent;
 use crate::event_log::LogEvent;
 use crate::event_log::log_info;
 use crate::event_log::log_warn;
@@ -127,13 +128,14 @@
 /// Each call opens a connection of its own: one that is kept may have gone silent, and an order
 /// on it would arrive long after it was sent, or never.
 fn agent(timeout: Duration) -> Agent {
-    Agent::config_builder()
-        .timeout_connect(Some(CONNECT_TIMEOUT))
-        .timeout_global(Some(timeout))
-        .max_idle_connections(0)
-        .http_status_as_error(false)
-        .build()
-        .new_agent()
+    address_agent(
+        Agent::config_builder()
+            .timeout_connect(Some(CONNECT_TIMEOUT))
+            .timeout_global(Some(timeout))
+            .max_idle_connections(0)
+            .http_status_as_error(false)
+            .build(),
+    )
 }
 
 impl<C: Clock> Caller<C> {
--- a/crates/transport/src/endpoint_call.rs
+++ b/crates/transport/src/endpoint_call.rs
@@ -18,6 +18,7 @@
 use ureq::Agent;
 use ureq::Body;
 
+use crate::address_agent::address_agent;
 use crate::answer::AnswerSender;
 use crate::answer_pass::pass_stream;
 use crate::answer_pass::pass_whole;
@@ -89,8 +90,8 @@
                 .max_idle_connections_per_host(MAX_IDLE_CONNECTIONS_PER_ENDPOINT)
         };
         Self {
-            pooled: config().build().new_agent(),
-            unpooled: config().max_idle_connections(0).build().new_agent(),
+            pooled: address_agent(config().build()),
+            unpooled: address_agent(config().max_idle_connections(0).build()),
             connect_timeout: millis(health.connect_timeout_ms),
         }
     }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each duty has a thread of its own, and bounded rings join them: `front` (callers), `core`
 //! (decisions), `endpoint workers` (one attempt each) and `operator` (pages and metrics).
 
+mod address_agent;
 pub mod answer;
 mod answer_pass;
 pub mod call;
--- a/crates/transport/src/load_reads.rs
+++ b/crates/transport/src/load_reads.rs
@@ -18,6 +18,8 @@
 use sedgeridge_state::ids::EndpointId;
 use ureq::Agent;
 
+use crate::address_agent::address_agent;
+
 /// Threads that read reports; one that hangs on a silent endpoint holds up only a part of them.
 const READERS: usize = 4;
 /// Reads that may wait for a reader; a read that finds no room is left out, the next is soon due.
@@ -51,11 +53,12 @@
     ) -> io::Result<Self> {
         let (ring, reads) = sync_channel(READ_RING_LEN);
         let reads = Arc::new(Mutex::new(reads));
-        let agent = Agent::config_builder()
-            .timeout_global(Some(READ_TIMEOUT))
-            .http_status_as_error(true)
-            .build()
-            .new_agent();
+        let agent = address_agent(
+            Agent::config_builder()
+                .timeout_global(Some(READ_TIMEOUT))
+                .http_status_as_error(true)
+                .build(),
+        );
         for index in 0..READERS {
             let reads = Arc::clone(&reads);
             let inputs = inputs.clone();
--- a/crates/transport/src/table_calls.rs
+++ b/crates/transport/src/table_calls.rs
@@ -30,6 +30,7 @@
 use serde::de::DeserializeOwned;
 use ureq::Agent;
 
+use crate::address_agent::address_agent;
 use crate::endpoint_call::never_sent;
 
 /// Threads that call for most uses; each holds one call at a time.
@@ -119,11 +120,12 @@
 impl TableClient {
     /// Creates a client; without an address every call is unavailable.
     pub fn new(address: Option<SocketAddr>, call_timeout: Duration) -> Self {
-        let agent = Agent::config_builder()
-            .timeout_global(Some(call_timeout))
-            .http_status_as_error(false)
-            .build()
-            .new_agent();
+        let agent = address_agent(
+            Agent::config_builder()
+                .timeout_global(Some(call_timeout))
+                .http_status_as_error(false)
+                .build(),
+        );
         Self { address, agent }
     }
 
