test(router): independent callers in the benchmark of added time

With equal hold times the callers fell into step and sent all at once, so the figures were those of their own queue. Hold times now vary from half to one and a half of the mean, by a fixed seed.

--- a/crates/router/benches/added_time/engine.rs
+++ b/crates/router/benches/added_time/engine.rs
@@ -16,21 +16,50 @@
 
 const STEP: &str = r#""object":"chat.completion.chunk","choices":[{"index":0,"delta""#;
 
-/// Starts an engine with this many slots that holds each request for `service_time`. Times are
-/// told in microseconds since `epoch`.
+/// Starts an engine with this many slots that holds requests for `service_time` on average, from
+/// half to one and a half of it. Times are told in microseconds since `epoch`.
+///
+/// Were all held equally long, callers who wait for their answers would fall into step and send
+/// all at once, which measures their queue.
 pub fn start(slots: u32, service_time: Duration, epoch: Instant) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("an address");
     thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
+        for (seed, stream) in (1..).zip(listener.incoming().flatten()) {
             let _ = stream.set_nodelay(true);
-            thread::spawn(move || serve(stream, slots, service_time, epoch));
+            let hold_times = HoldTimes {
+                mean: service_time,
+                state: seed,
+            };
+            thread::spawn(move || serve(stream, slots, hold_times, epoch));
         }
     });
     address
 }
 
-fn serve(mut stream: TcpStream, slots: u32, service_time: Duration, epoch: Instant) -> Option<()> {
+/// Hold times from half to one and a half of their mean (64-bit linear congruential generator).
+#[derive(Debug)]
+struct HoldTimes {
+    mean: Duration,
+    state: u64,
+}
+
+impl HoldTimes {
+    fn next(&mut self) -> Duration {
+        const MULTIPLIER: u64 = 6_364_136_223_846_793_005;
+        const INCREMENT: u64 = 1_442_695_040_888_963_407;
+        self.state = self.state.wrapping_mul(MULTIPLIER).wrapping_add(INCREMENT);
+        let fraction = (self.state >> 32) as f64 / f64::from(u32::MAX);
+        self.mean.mul_f64(0.5 + fraction)
+    }
+}
+
+fn serve(
+    mut stream: TcpStream,
+    slots: u32,
+    mut hold_times: HoldTimes,
+    epoch: Instant,
+) -> Option<()> {
     let mut reader = BufReader::new(stream.try_clone().ok()?);
     loop {
         let mut first = String::new();
@@ -46,7 +75,10 @@
             write_whole(&mut stream, "", &load).ok()?;
             continue;
         }
-        thread::sleep(service_time);
+        let hold_time = hold_times.next();
+        if !hold_time.is_zero() {
+            thread::sleep(hold_time);
+        }
         let wants_stream = String::from_utf8_lossy(&body).contains(r#""stream":true"#);
         if wants_stream {
             write_stream(&mut stream, &attempt, epoch).ok()?;
--- a/crates/router/benches/added_time/main.rs
+++ b/crates/router/benches/added_time/main.rs
@@ -21,7 +21,7 @@
 /// Slots of the engine; half as many callers make half load.
 const SLOTS: u32 = 16;
 const CALLERS: usize = 8;
-/// Time for which the engine holds a request.
+/// Mean time for which the engine holds a request.
 const SERVICE_TIME: Duration = Duration::from_millis(20);
 const CALLS_EACH: usize = 1_000;
 const WARM_UP_CALLS: usize = 50;
