--- /dev/null
+++ b/crates/slopes/src/fleet/mod.rs
@@ -0,0 +1,381 @@
+//! A whole fleet in one thread on simulated time: the routers' real decisions and codecs, with
+//! links, endpoints and callers that are made up.
+
+pub mod config;
+pub mod costs;
+pub mod faults;
+pub mod load;
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+use std::time::Instant;
+
+use sedgeridge_coordination::config_events::ConfigEvent;
+use sedgeridge_coordination::entry_events::AttemptEnd;
+use sedgeridge_coordination::entry_events::AttemptFailure;
+use sedgeridge_coordination::entry_events::AttemptKey;
+use sedgeridge_coordination::entry_events::RequestKey;
+use sedgeridge_coordination::entry_events::StartAttempt;
+use sedgeridge_coordination::node::Node;
+use sedgeridge_coordination::node::NodeAction;
+use sedgeridge_coordination::node::NodeEvent;
+use sedgeridge_coordination::node::PeerMessage;
+use sedgeridge_coordination::slot_budget::Load;
+use sedgeridge_protocol::membership;
+use sedgeridge_protocol::peer;
+use sedgeridge_state::config_records::ConfigContent;
+use sedgeridge_state::ids::EndpointId;
+use sedgeridge_state::ids::HostId;
+use sedgeridge_state::ids::Incarnation;
+use sedgeridge_state::ids::Member;
+use sedgeridge_state::settings::Settings;
+
+use crate::design;
+use crate::design::FleetSize;
+use crate::fleet::config::ConfigTable;
+use crate::fleet::costs::Costs;
+use crate::fleet::costs::Work;
+use crate::fleet::load::Callers;
+use crate::fleet::load::Service;
+
+/// Microseconds since the epoch at which every host starts.
+const START_UNIX_US: u64 = 1_800_000_000_000_000;
+/// Least time between two ticks of a router, as in its core.
+const MIN_TICK: Duration = Duration::from_millis(1);
+/// Most time between two ticks of a router, as in its core.
+const MAX_TICK: Duration = Duration::from_millis(20);
+/// Time a message is under way.
+const LINK_DELAY: Duration = Duration::from_micros(500);
+/// Time after which a link to a host that is not reached is reported lost.
+const RESET_DELAY: Duration = Duration::from_millis(500);
+/// Time after which a connection to an endpoint that is not reached is given up, the default of
+/// `health.connect_timeout_ms`.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time a load report is under way.
+const LOAD_READ_DELAY: Duration = Duration::from_millis(2);
+
+/// What happens to a router next.
+#[derive(Debug)]
+enum Due {
+    Wake,
+    Stream { from: usize, bytes: Vec<u8> },
+    Datagram(Vec<u8>),
+    Reset(HostId),
+    Arrival,
+    Progress(AttemptKey, u64),
+    Ended(RequestKey, AttemptKey, Option<EndpointId>, AttemptEnd),
+    LoadRead(EndpointId),
+    ConfigRead(Box<ConfigEvent<ConfigContent>>),
+}
+
+/// One router and what it cost.
+#[derive(Debug)]
+pub struct SimulatedNode {
+    /// Its decisions.
+    pub node: Node,
+    /// What they cost since the last [`Fleet::reset_costs`].
+    pub costs: Costs,
+    member: Member,
+    is_running: bool,
+    side: u8,
+    last_tick: Duration,
+    wake_at: Duration,
+}
+
+/// Routers, the links between them, their endpoints and their callers.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The routers.
+    pub nodes: Vec<SimulatedNode>,
+    /// The accepted configuration, for hosts that follow it.
+    pub config: ConfigTable,
+    /// Requests that came and ended since the last [`Self::reset_costs`].
+    pub callers: Callers,
+    now: Duration,
+    index: BTreeMap<HostId, usize>,
+    queue: BinaryHeap<Reverse<(Duration, u64)>>,
+    due: BTreeMap<u64, (usize, Due)>,
+    sequence: u64,
+    running: BTreeMap<EndpointId, u32>,
+    lost_links: BTreeSet<(usize, usize)>,
+    size: FleetSize,
+    seed: u64,
+}
+
+impl Fleet {
+    /// Creates a fleet in which every host starts now.
+    pub fn new(size: FleetSize, seed: u64) -> Self {
+        Self::with_settings(size, design::settings(size), seed)
+    }
+
+    /// Creates a fleet under these settings.
+    pub fn with_settings(size: FleetSize, settings: Settings, seed: u64) -> Self {
+        let nodes = (0..size.nodes).map(|index| {
+            let member = Member {
+                host: design::host_id(index),
+                incarnation: Incarnation(START_UNIX_US + index as u64),
+            };
+            SimulatedNode {
+                node: Node::new(member.clone(), settings.clone(), seed + index as u64),
+                costs: Costs::default(),
+                member,
+                is_running: true,
+                side: 0,
+                last_tick: Duration::ZERO,
+                wake_at: Duration::ZERO,
+            }
+        });
+        let mut fleet = Self {
+            nodes: nodes.collect(),
+            callers: Callers::new(size, seed),
+            config: ConfigTable::default(),
+            now: Duration::ZERO,
+            index: (0..size.nodes).map(|n| (design::host_id(n), n)).collect(),
+            queue: BinaryHeap::new(),
+            due: BTreeMap::new(),
+            sequence: 0,
+            running: BTreeMap::new(),
+            lost_links: BTreeSet::new(),
+            size,
+            seed,
+        };
+        for index in 0..size.nodes {
+            fleet.schedule(Duration::ZERO, index, Due::Wake);
+        }
+        fleet
+    }
+
+    /// Lets callers send from now on.
+    pub fn open(&mut self) {
+        self.schedule(self.now, 0, Due::Arrival);
+    }
+
+    /// Forgets what was counted so far.
+    pub fn reset_costs(&mut self) {
+        for node in &mut self.nodes {
+            node.costs = Costs::default();
+        }
+        self.callers.counts = load::Counts::default();
+    }
+
+    /// Runs for `time`.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some(Reverse((at, _))) = self.queue.peek() {
+            if *at > end {
+                break;
+            }
+            let Some(Reverse((at, id))) = self.queue.pop() else {
+                break;
+            };
+            self.now = at;
+            if let Some((node, due)) = self.due.remove(&id) {
+                self.step(node, due);
+            }
+        }
+        self.now = end;
+    }
+
+    fn step(&mut self, node: usize, due: Due) {
+        if let Due::Ended(_, _, Some(endpoint), _) = &due {
+            *self.running.entry(endpoint.clone()).or_default() -= 1;
+        }
+        if !self.nodes[node].is_running && !matches!(due, Due::Arrival) {
+            return;
+        }
+        match due {
+            Due::Wake => self.wake(node),
+            Due::Arrival => self.arrival(),
+            Due::Stream { from, bytes } => {
+                let sender = self.nodes[from].member.clone();
+                let begin = Instant::now();
+                let message = peer::decode(&bytes, &sender).expect("routers send what they read");
+                let work = work_of(&message);
+                let decoding = begin.elapsed();
+                self.nodes[node].costs.received(work, bytes.len(), decoding);
+                let from = sender;
+                self.event(node, work, NodeEvent::Peer { from, message });
+            }
+            Due::Datagram(bytes) => {
+                let begin = Instant::now();
+                let message = membership::decode(&bytes).expect("routers send what they read");
+                let costs = &mut self.nodes[node].costs;
+                costs.received(Work::Membership, bytes.len(), begin.elapsed());
+                self.event(node, Work::Membership, NodeEvent::Membership(message));
+            }
+            Due::Reset(host) => {
+                self.lost_links.remove(&(node, self.index[&host]));
+                self.event(node, Work::Entry, NodeEvent::PeerReset { host });
+            }
+            Due::Progress(attempt, charged_tokens) => {
+                let event = NodeEvent::Progress {
+                    attempt,
+                    charged_tokens,
+                };
+                self.event(node, Work::Entry, event);
+            }
+            Due::Ended(key, attempt, _, end) => {
+                self.callers.counts.ended += 1;
+                let event = NodeEvent::AttemptEnded {
+                    key,
+                    attempt,
+                    end,
+                    recorded: None,
+                };
+                self.event(node, Work::Entry, event);
+            }
+            Due::LoadRead(endpoint) => self.load_read(node, endpoint),
+            Due::ConfigRead(event) => {
+                self.event(node, Work::Configuration, NodeEvent::ConfigRead(*event));
+            }
+        }
+    }
+
+    fn arrival(&mut self) {
+        let (node, arrival) = self.callers.next(self.now);
+        let event = NodeEvent::Arrived {
+            arrival,
+            claim: None,
+        };
+        // The balancer sends no callers to a host that is down.
+        if self.nodes[node].is_running {
+            self.event(node, Work::Entry, event);
+        }
+        let next = self.now + self.callers.pause();
+        self.schedule(next, 0, Due::Arrival);
+    }
+
+    fn load_read(&mut self, node: usize, endpoint: EndpointId) {
+        let load = Load {
+            running: self.running.get(&endpoint).copied().unwrap_or(0),
+            waiting: 0,
+            slots: design::SLOTS,
+            age: LOAD_READ_DELAY,
+            leaving: false,
+        };
+        let load = self.reaches_endpoint(node, &endpoint).then_some(load);
+        let event = NodeEvent::LoadRead { endpoint, load };
+        self.event(node, Work::LoadReports, event);
+    }
+
+    /// Lets a router look at its timers as its core does.
+    fn wake(&mut self, node: usize) {
+        let simulated = &mut self.nodes[node];
+        if simulated.wake_at > self.now {
+            return;
+        }
+        simulated.last_tick = self.now;
+        self.event(node, Work::Timers, NodeEvent::Tick);
+    }
+
+    fn event(&mut self, node: usize, work: Work, event: NodeEvent) {
+        let simulated = &mut self.nodes[node];
+        let mut actions = Vec::new();
+        let begin = Instant::now();
+        simulated.node.handle(self.now, event, &mut actions);
+        let next_wake = simulated.node.next_wake();
+        simulated.costs.handled(work, begin.elapsed());
+        let wake = next_wake.min(simulated.last_tick + MAX_TICK);
+        let wake = wake.max(simulated.last_tick + MIN_TICK).max(self.now);
+        if wake != simulated.wake_at {
+            simulated.wake_at = wake;
+            self.schedule(wake, node, Due::Wake);
+        }
+        for action in actions {
+            self.act(node, action);
+        }
+    }
+
+    fn act(&mut self, node: usize, action: NodeAction) {
+        match action {
+            NodeAction::Start(start) => self.start(node, &start),
+            NodeAction::GiveUp(_) => self.callers.counts.refused += 1,
+            NodeAction::Send { to, message } => self.send(node, to.host, &message),
+            NodeAction::SendMembership { to, message } => {
+                let begin = Instant::now();
+                let bytes = membership::encode(&message);
+                let costs = &mut self.nodes[node].costs;
+                costs.sent(Work::Membership, bytes.len(), begin.elapsed());
+                let target = self.index[&to];
+                if self.reaches(node, target) {
+                    self.schedule(self.now + LINK_DELAY, target, Due::Datagram(bytes));
+                }
+            }
+            NodeAction::ReadLoad { endpoint } => {
+                self.nodes[node].costs.load_reads += 1;
+                self.schedule(self.now + LOAD_READ_DELAY, node, Due::LoadRead(endpoint));
+            }
+            NodeAction::ReadConfig(read) => self.read_config(node, &read),
+            NodeAction::SettingsChanged { generation, .. } => self.note_in_force(node, generation),
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, node: usize, to: HostId, message: &PeerMessage) {
+        let target = self.index[&to];
+        if !self.reaches(node, target) {
+            // As on a real link, one loss is reported however many messages it took.
+            if self.lost_links.insert((node, target)) {
+                self.schedule(self.now + RESET_DELAY, node, Due::Reset(to));
+            }
+            return;
+        }
+        let begin = Instant::now();
+        let bytes = peer::encode(message);
+        let costs = &mut self.nodes[node].costs;
+        costs.sent(work_of(message).sender(), bytes.len(), begin.elapsed());
+        let due = Due::Stream { from: node, bytes };
+        self.schedule(self.now + LINK_DELAY, target, due);
+    }
+
+    fn start(&mut self, node: usize, start: &StartAttempt) {
+        if !self.reaches_endpoint(node, &start.endpoint) {
+            let end = AttemptEnd::Failed {
+                failure: AttemptFailure::ConnectFailed,
+                sent_tokens: 0,
+                charged_tokens: 0,
+            };
+            let due = Due::Ended(start.key, start.attempt, None, end);
+            self.schedule(self.now + CONNECT_TIMEOUT, node, due);
+            return;
+        }
+        *self.running.entry(start.endpoint.clone()).or_default() += 1;
+        let service = self.callers.service();
+        for (after, charged_tokens) in service.progress() {
+            let due = Due::Progress(start.attempt, charged_tokens);
+            self.schedule(self.now + after, node, due);
+        }
+        let Service {
+            duration,
+            charged_tokens,
+            ..
+        } = service;
+        let end = AttemptEnd::Finished {
+            charged_tokens,
+            first_byte: load::FIRST_TOKEN,
+        };
+        let endpoint = Some(start.endpoint.clone());
+        let due = Due::Ended(start.key, start.attempt, endpoint, end);
+        self.schedule(self.now + duration, node, due);
+    }
+
+    fn schedule(&mut self, at: Duration, node: usize, due: Due) {
+        self.sequence += 1;
+        self.queue.push(Reverse((at, self.sequence)));
+        self.due.insert(self.sequence, (node, due));
+    }
+}
+
+/// Returns which part of the receiver a message is for.
+fn work_of(message: &PeerMessage) -> Work {
+    match message {
+        PeerMessage::Report(_) => Work::Home,
+        PeerMessage::Config(_) => Work::Configuration,
+        PeerMessage::Grant(_) | PeerMessage::FullReportWanted { .. } | PeerMessage::Poison(_) => {
+            Work::Entry
+        }
+    }
+}
--- /dev/null
+++ b/crates/slopes/src/lib.rs
@@ -0,0 +1,20 @@
+//! Measures what each role costs at several sizes and draws the slopes out to the size to design
+//! for.
+
+pub mod design;
+pub mod figures;
+pub mod fit;
+pub mod fleet;
+pub mod memory_table;
+pub mod meter;
+pub mod page;
+pub mod page_failures;
+pub mod page_overs;
+pub mod random;
+pub mod role_rows;
+pub mod roles;
+pub mod runner;
+pub mod sample;
+pub mod series;
+pub mod svg;
+pub mod target;
--- /dev/null
+++ b/crates/slopes/src/main.rs
@@ -0,0 +1,123 @@
+//! `sedgeridge-slopes`: measures every slope and writes the figures of the capacity page.
+
+use std::error::Error;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use pico_args::Arguments;
+use sedgeridge_slopes::figures::Figures;
+use sedgeridge_slopes::page;
+use sedgeridge_slopes::roles;
+use sedgeridge_slopes::roles::Bench;
+use sedgeridge_slopes::roles::Point;
+use sedgeridge_slopes::runner;
+use sedgeridge_slopes::svg;
+
+/// Exit code of a command line that cannot be used, or a run that failed.
+const EXIT_FAILED: u8 = 2;
+const DEFAULT_SEED: u64 = 20_261_202;
+
+const HELP: &str = "\
+sedgeridge-slopes: what each role costs against size, measured on this machine
+
+USAGE:
+  sedgeridge-slopes [--quick] [--seed S] [--docs DIR] [--bench NAME]...
+  sedgeridge-slopes point --bench NAME --size N [--seed S] [--quick]
+  sedgeridge-slopes --help | --version
+
+  --docs DIR   rewrite DIR/capacity/*.svg and, when all benches ran, DIR/CAPACITY.md
+  --quick      few, small sizes: for a trial, never for the page
+";
+
+fn main() -> ExitCode {
+    match run(Arguments::from_env()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("sedgeridge-slopes: {error}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+fn run(mut args: Arguments) -> Result<(), Box<dyn Error>> {
+    if args.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return Ok(());
+    }
+    if args.contains("--version") {
+        println!("sedgeridge-slopes {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    match args.subcommand()?.as_deref() {
+        Some("point") => point(args),
+        None => all(args),
+        Some(other) => Err(format!("unknown command {other}; see --help").into()),
+    }
+}
+
+fn point(mut args: Arguments) -> Result<(), Box<dyn Error>> {
+    let bench = args.value_from_fn("--bench", bench)?;
+    let point = Point {
+        size: args.value_from_str("--size")?,
+        seed: args.opt_value_from_str("--seed")?.unwrap_or(DEFAULT_SEED),
+        quick: args.contains("--quick"),
+    };
+    finish(args)?;
+    print!("{}", (bench.measure)(point).to_lines());
+    Ok(())
+}
+
+fn all(mut args: Arguments) -> Result<(), Box<dyn Error>> {
+    let quick = args.contains("--quick");
+    let seed = args.opt_value_from_str("--seed")?.unwrap_or(DEFAULT_SEED);
+    let docs: Option<PathBuf> = args.opt_value_from_str("--docs")?;
+    let chosen = args.values_from_fn("--bench", bench)?;
+    finish(args)?;
+    let benches = if chosen.is_empty() {
+        roles::BENCHES.to_vec()
+    } else {
+        chosen
+    };
+    let mut figures = Figures::default();
+    for bench in benches {
+        figures.extend(runner::run_bench(bench, seed, quick)?);
+    }
+    for series in figures.all() {
+        let at_target = series.at_target();
+        println!("{}/{}: {at_target}", series.bench, series.metric);
+    }
+    match docs {
+        Some(docs) => write_docs(&docs, &figures, seed),
+        None => Ok(()),
+    }
+}
+
+/// Rewrites the plots, and the page if every bench has run.
+fn write_docs(docs: &Path, figures: &Figures, seed: u64) -> Result<(), Box<dyn Error>> {
+    let plots = docs.join("capacity");
+    fs::create_dir_all(&plots)?;
+    for series in figures.all() {
+        fs::write(plots.join(series.file_name()), svg::draw(series))?;
+    }
+    if !figures.is_complete() {
+        eprintln!("sedgeridge-slopes: some benches were left out, the page stays as it is");
+        return Ok(());
+    }
+    let file = docs.join("CAPACITY.md");
+    let page = fs::read_to_string(&file)?;
+    fs::write(&file, page::rewrite(&page, figures, seed)?)?;
+    Ok(())
+}
+
+fn bench(name: &str) -> Result<&'static Bench, String> {
+    roles::find(name).ok_or_else(|| format!("unknown bench {name}"))
+}
+
+fn finish(args: Arguments) -> Result<(), Box<dyn Error>> {
+    match args.finish().first() {
+        Some(extra) => Err(format!("unknown argument {}", extra.display()).into()),
+        None => Ok(()),
+    }
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -20,7 +20,6 @@
 pub mod directory;
 pub mod endpoint_call;
 pub mod endpoint_workers;
-pub mod event_catalogue;
 pub mod event_log;
 pub mod front;
 pub mod front_body;
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -8,8 +8,7 @@
 const INTRODUCTION: &str = "\
 # Metrics
 
-Made from the code; `cargo run -p sedgeridge-transport --example catalogue -- metrics` prints it
-anew. `/metrics` on a process's operator address serves them as text for Prometheus. A counter that
+Made from the code; `cargo run -p sedgeridge-transport --example catalogue` prints it anew. `/metrics` on a process's operator address serves them as text for Prometheus. A counter that
 has never counted is absent.
 
 | metric | kind | label | values | meaning |
--- a/crates/transport/tests/catalogues.rs
+++ b/crates/transport/tests/docs_metrics.rs
@@ -1,12 +1,10 @@
-//! The pages of log events and metrics agree with the code.
+//! The page of metrics agrees with the code.
 
 use std::collections::BTreeSet;
 use std::fs;
 use std::path::Path;
 use std::path::PathBuf;
 
-use sedgeridge_transport::event_catalogue::events_page;
-use sedgeridge_transport::event_log::LogEvent;
 use sedgeridge_transport::metric_catalogue::METRICS;
 use sedgeridge_transport::metric_catalogue::metrics_page;
 
@@ -19,39 +17,15 @@
     fs::read_to_string(path).unwrap()
 }
 
-#[test]
-fn the_page_of_events_is_that_of_the_code() {
-    let command = "cargo run -p sedgeridge-transport --example catalogue -- events";
-    let page = events_page();
-    assert!(
-        committed("EVENTS.md") == page,
-        "docs/EVENTS.md differs from `{command}`"
-    );
-    for event in LogEvent::ALL {
-        let row = format!("| E{} | `{}` |", event.code(), event.label());
-        assert!(page.contains(&row), "{row}");
-    }
-}
-
 #[test]
 fn the_page_of_metrics_is_that_of_the_code() {
-    let command = "cargo run -p sedgeridge-transport --example catalogue -- metrics";
+    let command = "cargo run -p sedgeridge-transport --example catalogue";
     assert!(
         committed("METRICS.md") == metrics_page(),
         "docs/METRICS.md differs from `{command}`"
     );
 }
 
-#[test]
-fn numbers_and_names_of_events_are_unique() {
-    let codes: BTreeSet<u16> = LogEvent::ALL.iter().map(|event| event.code()).collect();
-    let labels: BTreeSet<&str> = LogEvent::ALL.iter().map(|event| event.label()).collect();
-    assert_eq!(
-        (codes.len(), labels.len()),
-        (LogEvent::ALL.len(), LogEvent::ALL.len())
-    );
-}
-
 #[test]
 fn every_metric_in_the_sources_is_in_the_catalogue_and_none_else() {
     let mut found = BTreeSet::new();
