--- a/crates/coordination/src/orders.rs
+++ b/crates/coordination/src/orders.rs
@@ -60,6 +60,7 @@
     known: Option<BTreeMap<EndpointId, (OrderRecord, u64)>>,
     jobs: BTreeMap<EndpointId, Job>,
     next_load_at: Duration,
+    next_load_drain_at: Duration,
     recover_at: Duration,
     poll_at: Duration,
     /// Highest version among the rows read; a poll leaves out what is not newer.
@@ -85,6 +86,7 @@
             known: None,
             jobs: BTreeMap::new(),
             next_load_at: Duration::ZERO,
+            next_load_drain_at: Duration::ZERO,
             recover_at: Duration::ZERO,
             poll_at: Duration::ZERO,
             read_version: 0,
@@ -106,6 +108,8 @@
     /// assert!(actions.is_empty());
     /// ```
     pub fn handle(&mut self, now: Duration, event: OrderEvent, actions: &mut Vec<OrderAction>) {
+        let lapse = millis(self.settings.drain_lapse_ms);
+        self.pools.set_now(now, lapse);
         match event {
             OrderEvent::Configured { endpoints, floors } => self.pools.configure(endpoints, floors),
             OrderEvent::Lease(lease) => self.take_lease(now, lease),
@@ -142,6 +146,7 @@
             self.forget_orders(now);
             // The holder before may have spent the weight store's allowance just now.
             self.next_load_at = now + millis(self.settings.load_interval_ms);
+            self.next_load_drain_at = now;
         }
         self.lease = lease;
     }
@@ -191,6 +196,7 @@
             version: last.map_or(0, |(_, version)| *version),
             stage: Stage::WritingIntent,
             write_at: Some(now),
+            sends: 0,
         };
         self.jobs.insert(endpoint, job);
     }
@@ -208,11 +214,15 @@
         if !matches!(job.stage, Stage::Sent { .. }) {
             return;
         }
+        let is_only_copy = job.sends == 1;
         let checks_fencing = self.pools.get(endpoint).is_some_and(|e| e.checks_fencing);
         let at = now + millis(self.settings.max_order_delay_ms);
         match answer {
-            EngineAnswer::Done if checks_fencing => self.end(now, endpoint, OrderState::Done),
-            // An older holder's order may still be on its way to an engine that would obey it.
+            EngineAnswer::Done if checks_fencing && is_only_copy => {
+                self.end(now, endpoint, OrderState::Done);
+            }
+            // An older holder's order, or another copy of this one, may still be on its way to an
+            // engine that would obey it, and undo the next order.
             EngineAnswer::Done => self.enter(endpoint, Stage::AwaitingReadBack { at }),
             EngineAnswer::Refused => self.end(now, endpoint, OrderState::Refused),
             EngineAnswer::OldFencing => self.take_lease(now, None),
@@ -252,8 +262,9 @@
     }
 
     fn end(&mut self, now: Duration, endpoint: &EndpointId, state: OrderState) {
-        if let Some(job) = self.jobs.get_mut(endpoint) {
+        if let (Some(lease), Some(job)) = (self.lease, self.jobs.get_mut(endpoint)) {
             job.record.state = state;
+            job.record.fencing = lease.fencing;
             job.stage = Stage::WritingEnd;
             job.write_at = Some(now);
         }
@@ -289,7 +300,7 @@
                 self.send(now, endpoint, actions);
             }
             Stage::AwaitingFloor => {
-                self.begin_drain(endpoint, actions);
+                self.begin_drain(now, endpoint, actions);
             }
             Stage::Draining { announced } => {
                 if self.is_drained(now, endpoint, announced) {
@@ -323,13 +334,16 @@
             self.next_load_at = now + millis(self.settings.load_interval_ms);
         }
         let repeat_at = now + millis(self.settings.answer_timeout_ms);
+        // Half of the longest delay is for the process itself, half for the way.
+        let stale_at = now + millis(self.settings.max_order_delay_ms / 2);
         job.stage = Stage::Sent { repeat_at };
+        job.sends += 1;
         actions.push(OrderAction::Send(SendOrder {
             endpoint: endpoint.clone(),
             number: job.record.number,
             order: job.record.order.clone(),
             fencing: lease.fencing,
-            not_after: lease.deadline,
+            not_after: lease.deadline.min(stale_at),
         }));
     }
 
--- a/crates/transport/src/core.rs
+++ b/crates/transport/src/core.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use metrics::counter;
-use metrics::gauge;
 
 use sedgeridge_coordination::clock::Clock;
 use sedgeridge_coordination::config_events::ConfigEvent;
@@ -19,6 +18,7 @@
 use sedgeridge_coordination::entry_events::AttemptKey;
 use sedgeridge_coordination::entry_events::RequestKey;
 use sedgeridge_coordination::entry_events::StartAttempt;
+use sedgeridge_coordination::membership::ListedHost;
 use sedgeridge_coordination::membership::Message;
 use sedgeridge_coordination::node::Node;
 use sedgeridge_coordination::node::NodeAction;
@@ -56,12 +56,14 @@
 use crate::event_log::LogEvent;
 use crate::event_log::log_info;
 use crate::event_log::log_warn;
+use crate::host_list_reads::start_host_list_reads;
 use crate::load_reads::LoadReads;
 use crate::peers::PeerOut;
 use crate::peers::PeerPayload;
 use crate::peers::PeerSender;
 use crate::recorded::replayed;
-use crate::status::RouterStatus;
+use crate::router_pages::Phase;
+use crate::router_pages::RouterPublisher;
 use crate::status::StatusBoard;
 use crate::table_calls::CALLERS;
 use crate::table_calls::TableCalls;
@@ -103,6 +105,8 @@
         /// The request.
         key: RequestKey,
     },
+    /// The platform's list of hosts was read.
+    HostList(Vec<ListedHost>),
     /// A worker finished an attempt.
     AttemptEnded {
         /// The attempt.
@@ -176,7 +180,7 @@
     load_reads: LoadReads,
     table: TableCalls,
     config_reads: ConfigReads,
-    status: StatusBoard,
+    publisher: RouterPublisher,
     ready: bool,
     stopping: bool,
     answered_at: Option<Duration>,
@@ -203,6 +207,10 @@
         let client = TableClient::new(platform.table_address, call_timeout);
         let table = TableCalls::start(&client, CALLERS, &inputs, CoreInput::StoreEnded)?;
         let config_reads = ConfigReads::start(&client, &inputs, CoreInput::ConfigRead)?;
+        if let Some(address) = platform.host_list_address {
+            start_host_list_reads(address, call_timeout, &inputs, CoreInput::HostList)?;
+        }
+        let publisher = RouterPublisher::new(member.clone(), status);
         let seed = member.incarnation.0;
         Ok(Self {
             clock,
@@ -218,7 +226,7 @@
             load_reads,
             table,
             config_reads,
-            status,
+            publisher,
             stopping: false,
             answered_at: None,
         })
@@ -321,6 +329,7 @@
                 self.load_reads.ended(&endpoint);
                 self.event(NodeEvent::LoadRead { endpoint, load });
             }
+            CoreInput::HostList(hosts) => self.event(NodeEvent::HostList(hosts)),
             CoreInput::DrainEndpoint { endpoint } => self.event(NodeEvent::DrainEndpoint {
                 endpoint,
                 since_unix_ms: unix_ms(),
@@ -519,29 +528,14 @@
         sent
     }
 
-    fn publish(&self) {
-        let load = self.node.load();
-        self.status.publish(RouterStatus {
-            host: self.member.host.as_str().to_owned(),
-            incarnation: self.member.incarnation.0,
-            ready: self.ready && !self.stopping,
+    fn publish(&mut self) {
+        let phase = Phase {
+            ready: self.ready,
             stopping: self.stopping,
-            waiting: load.waiting,
-            running: load.running as u64,
-            homes: load.homes as u64,
-            members: load.members as u64,
-            generation: load.generation,
-        });
-        gauge!("sedgeridge_requests_waiting").set(f64::from(load.waiting));
-        gauge!("sedgeridge_requests_running").set(load.running as f64);
-        gauge!("sedgeridge_members_live").set(load.members as f64);
-        gauge!("sedgeridge_pools_homed").set(load.homes as f64);
-        for (_, counters) in self.node.home_counters() {
-            for (reason, count) in &counters.rejections {
-                counter!("sedgeridge_home_rejections_total", "reason" => reason.label())
-                    .absolute(*count);
-            }
-        }
+        };
+        let settings = &self.directory.settings;
+        let now = self.clock.now();
+        self.publisher.publish(now, &self.node, settings, phase);
     }
 }
 
