--- a/crates/coordination/tests/orders.rs
+++ b/crates/coordination/tests/orders.rs
@@ -157,7 +157,8 @@
 }
 
 // Two of three endpoints are ordered to other roles at once; the pool's floor is two.
-// The second drain waits until the first endpoint is back, so callers always find two.
+// The second drain waits until the first endpoint is back, so callers always find two. Routers
+// heed the first drain for up to 9 s after its last announcement, so it is not back before that.
 #[test]
 fn drains_never_take_a_pool_below_its_floor() {
     let mut bench = OrderBench::new(true);
@@ -166,10 +167,29 @@
     bench.run(20_000);
     assert_eq!(bench.drained, ["desk-1".into()]);
     bench.answer(EngineAnswer::Done);
+    bench.run(8_900);
+    assert!(bench.drained.is_empty());
     bench.run(4_000);
     assert_eq!(bench.drained, ["desk-2".into()]);
 }
 
+// The holder drained one endpoint and stops; the next one takes over at once and finds intents for
+// two. Routers still heed the drain, so the other endpoint stays in service until that has lapsed.
+#[test]
+fn the_next_holder_counts_drains_that_routers_still_heed() {
+    let mut bench = OrderBench::new(true);
+    bench.want("desk-2", to_booking());
+    bench.run(1_000);
+    assert_eq!(bench.drained, ["desk-2".into()]);
+    bench.want("desk-1", to_booking());
+    bench.run(1_000);
+    bench.take_over();
+    bench.run(8_900);
+    assert!(bench.drained.is_empty());
+    bench.run(1_000);
+    assert_eq!(bench.drained, ["desk-1".into()]);
+}
+
 // The endpoint still runs requests, and a router that has not heard of the drain may send more.
 // The order waits for both; sent earlier, it would cut answers off.
 #[test]
@@ -246,6 +266,14 @@
     bench.store.put("order/desk-2", &record.encode());
     bench.run(6_000);
     assert_eq!(bench.ordered(), ["desk-2"]);
+    bench.answer(EngineAnswer::Done);
+    bench.deliver_all();
+    let row = bench
+        .store
+        .value("order/desk-2")
+        .and_then(OrderRecord::decode);
+    let ended = row.map(|record| (record.state, record.fencing));
+    assert_eq!(ended, Some((OrderState::Done, FencingNumber(1))));
 }
 
 // An operator orders an endpoint that the holder's configuration does not know. It is not sent,
@@ -303,3 +331,54 @@
     bench.run(3_000);
     assert_eq!(bench.ordered(), ["desk-1"]);
 }
+
+// Loads on two engines are wanted at once; the floor would allow one to be drained, and the weight
+// store has just been used. The engine goes on serving until shortly before the load's turn. At
+// once drained it would stand idle for the whole interval, and callers would wait.
+#[test]
+fn an_engine_serves_until_shortly_before_its_load() {
+    let mut bench = OrderBench::new(true);
+    bench.run(LOAD_INTERVAL_MS);
+    bench.want("desk-1", load());
+    bench.run(4_000);
+    bench.answer(EngineAnswer::Done);
+    bench.run(100);
+    bench.want("desk-2", load());
+    bench.run(4_000);
+    assert!(bench.drained.is_empty(), "its turn is six seconds away");
+    bench.run(6_000);
+    assert_eq!(bench.ordered(), ["desk-1", "desk-2"]);
+}
+
+// An engine's answer comes so late that the order has been sent again; the second copy is still on
+// its way. Ended at once, the order would be followed by the operator's next one, and then the copy
+// would arrive and undo that: its fencing number is the same. So the order stays open until the copy
+// must have arrived, and the engine's state is read.
+#[test]
+fn an_order_that_was_sent_twice_is_read_back_before_it_ends() {
+    let mut bench = OrderBench::new(true);
+    bench.want("desk-1", to_booking());
+    bench.run(4_000);
+    bench.run(30_000);
+    assert_eq!(bench.ordered(), ["desk-1", "desk-1"]);
+    bench.answer(EngineAnswer::Done);
+    bench.run(4_500);
+    assert!(bench.ended.is_empty());
+    bench.run(1_000);
+    read_back(&mut bench, true);
+    bench.deliver_all();
+    assert_eq!(bench.ended, [("desk-1".into(), OrderState::Done)]);
+}
+
+// Engines hang over orders and hold every thread that sends, so an order waits in the ring. Sent
+// half a minute later it would arrive after the holder has counted it as arrived, and undo a later
+// order. It carries a time after which it is not sent, well before that.
+#[test]
+fn an_order_that_waits_in_the_ring_is_not_sent_late() {
+    let mut bench = OrderBench::new(true);
+    bench.want("desk-1", to_booking());
+    while bench.sent.is_empty() {
+        bench.run(100);
+    }
+    assert!(bench.sent[0].not_after < bench.now + Duration::from_secs(5));
+}
