--- a/crates/slopes/src/roles/tools.rs
+++ b/crates/slopes/src/roles/tools.rs
@@ -103,7 +103,6 @@
         waiting: 100,
         running: 168,
         config_generation: 11_000,
-        config_change_id: "0123456789abcdef".to_owned(),
         homes: 1,
         members: size.nodes as u64,
         member_list: members.collect(),
@@ -122,6 +121,9 @@
         running: 27,
         waiting: 0,
         report_age_ms: Some(180),
+        usable_slots: design::SLOTS,
+        occupied_slots: 27,
+        home: design::host_id(0).to_string(),
     });
     EndpointsPage {
         endpoints: endpoints.collect(),
@@ -132,6 +134,7 @@
     let accounts = (0..size.accounts).map(|index| AccountRow {
         account: design::account_id(index).to_string(),
         weight: 1,
+        pool: design::pool_id(index % target::POOLS as usize).to_string(),
         waiting: 3,
         running: 10,
         service_tokens: 1_000_000,
