--- a/crates/slopes/src/fleet/faults.rs
+++ b/crates/slopes/src/fleet/faults.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use sedgeridge_coordination::node::Node;
+use sedgeridge_coordination::node::NodeEvent;
 use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::ids::Incarnation;
 use sedgeridge_state::ids::Member;
@@ -13,6 +14,7 @@
 use crate::fleet::Due;
 use crate::fleet::Fleet;
 use crate::fleet::START_UNIX_US;
+use crate::fleet::costs::Work;
 
 /// Step in which the fleet is looked at.
 const STEP: Duration = Duration::from_millis(20);
@@ -39,6 +41,11 @@
         }
     }
 
+    /// Tells a host to stop: it leaves the fleet and finishes its requests.
+    pub fn stop(&mut self, host: usize) {
+        self.event(host, Work::Timers, NodeEvent::StopRequested);
+    }
+
     /// Starts hosts again, with no memory of what they knew.
     pub fn restart(&mut self, hosts: &[usize]) {
         let settings = design::settings(self.size);
--- a/crates/slopes/src/page_failures.rs
+++ b/crates/slopes/src/page_failures.rs
@@ -42,10 +42,11 @@
     let joins = figures.at(&config::ACCOUNTS, "whole_kb");
     let _ = writeln!(
         text,
-        "| a host is restarted or replaced | {RESTARTS_PER_DAY:.0} a day, {:.1} of them homes | the whole configuration from a peer: {} KB, {} MB a day in the fleet | membership; a home as above | known everywhere after {} s |",
+        "| a host is restarted or replaced | {RESTARTS_PER_DAY:.0} a day, {:.1} of them homes | the whole configuration from a peer: {} KB, {} MB a day in the fleet | membership; a home as above | told to stop, as planned: no grant in the home's pool for {} s; started again: known everywhere after {} s |",
         RESTARTS_PER_DAY * home_share,
         short(joins),
         short(joins * RESTARTS_PER_DAY / 1_024.0),
+        range(figures, &failures::HOST, "planned_gap_s"),
         range(figures, &failures::HOST, "back_s"),
     );
     let hosts = target::NODES / SITES;
--- a/crates/slopes/src/roles/failures.rs
+++ b/crates/slopes/src/roles/failures.rs
@@ -17,6 +17,10 @@
 /// Time of a cut that is simulated; nothing changes in it after the sides have settled.
 const CUT_TIME: Duration = Duration::from_secs(30);
 const STEP: Duration = Duration::from_millis(20);
+/// Time for homes that moved to settle.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
+/// Time for which a planned stop is watched.
+const PLANNED_WINDOW: Duration = Duration::from_secs(10);
 /// Time over which the traffic before and after a failure is compared.
 const WINDOW: Duration = Duration::from_secs(15);
 
@@ -41,6 +45,10 @@
         name: "back_s",
         title: "time until every host knows the restarted ones, s",
     },
+    Metric {
+        name: "planned_gap_s",
+        title: "longest time without a grant in one pool, its home told to stop, s",
+    },
 ];
 
 /// The home of a pool fails.
@@ -159,9 +167,27 @@
     fleet.restart(hosts);
     let back = fleet.run_until_agreed(AGREE_LIMIT);
     sample.set("back_s", back.as_secs_f64());
+    fleet.run(SETTLE_TIME);
+    let planned_gap = planned_stop(fleet);
+    sample.set("planned_gap_s", planned_gap.as_secs_f64());
     sample
 }
 
+/// Tells the home of a pool to stop and returns the longest time without a grant in one pool.
+fn planned_stop(fleet: &mut Fleet) -> Duration {
+    let home = fleet.home_of(&design::pool_id(0));
+    let mut gap = Gap::new();
+    gap.look(fleet, Duration::ZERO);
+    fleet.stop(home.expect("a pool has a home"));
+    let mut time = Duration::ZERO;
+    while time < PLANNED_WINDOW {
+        fleet.run(STEP);
+        time += STEP;
+        gap.look(fleet, time);
+    }
+    gap.longest
+}
+
 /// The longest time in which one pool had no grant.
 struct Gap {
     last: Vec<(u64, Duration)>,
