--- a/crates/slopes/src/roles/tools.rs
+++ b/crates/slopes/src/roles/tools.rs
@@ -118,12 +118,12 @@
         address: SocketAddr::from((Ipv4Addr::new(10, 2, 100, 100), 9_000)),
         state: EndpointState::Serving,
         slots: design::SLOTS,
-        running: 27,
-        waiting: 0,
-        report_age_ms: Some(180),
         usable_slots: design::SLOTS,
         occupied_slots: 27,
         home: design::host_id(0).to_string(),
+        running: 27,
+        waiting: 0,
+        report_age_ms: Some(180),
     });
     EndpointsPage {
         endpoints: endpoints.collect(),
