--- a/crates/slopes/src/role_rows.rs
+++ b/crates/slopes/src/role_rows.rs
@@ -14,6 +14,7 @@
 use crate::roles::data_path;
 use crate::roles::fleet;
 use crate::roles::home;
+use crate::roles::home_endpoints;
 use crate::roles::load_reports;
 use crate::roles::tools;
 use crate::svg::short;
@@ -124,8 +125,10 @@
         role: "endpoint home",
         place: "4 nodes, one pool each",
         state: format!(
-            "550 endpoints and the grants of {:.0} requests",
-            target::streams() / target::POOLS
+            "550 endpoints, {} KB for each one more; the grants of {:.0} requests, {} KB for each",
+            short(f.slope(&home_endpoints::ENDPOINTS, "memory_kb")),
+            target::streams() / target::POOLS,
+            short(f.slope(&home::TAKEOVER, "memory_kb"))
         ),
         messages_per_s: Measured(at("home_messages")),
         payload_bytes_per_s: Measured(at("home_wire_out") - at("home_messages") * stream_overhead),
@@ -177,7 +180,10 @@
     RoleRow {
         role: "membership",
         place: "every node",
-        state: "400 members (in the entry router's row)".to_owned(),
+        state: format!(
+            "400 members; a node's memory grows by {} KB with each node and its share of all else (in the entry router's row)",
+            short(f.slope(&fleet::NODES, "memory_kb"))
+        ),
         messages_per_s: Measured(at("member_messages")),
         payload_bytes_per_s: Measured(at("member_payload")),
         wire_bytes_per_s: Measured(at("member_wire")),
--- a/crates/slopes/src/roles/mod.rs
+++ b/crates/slopes/src/roles/mod.rs
@@ -8,6 +8,7 @@
 pub mod failures;
 pub mod fleet;
 pub mod home;
+pub mod home_endpoints;
 pub mod load_reports;
 pub mod tools;
 
@@ -58,6 +59,7 @@
     &fleet::REQUESTS,
     &home::ACCOUNTS,
     &home::TAKEOVER,
+    &home_endpoints::ENDPOINTS,
     &load_reports::READS,
     &config::ACCOUNTS,
     &config_spread::SPREAD,
