--- a/crates/slopes/src/roles/tools.rs
+++ b/crates/slopes/src/roles/tools.rs
@@ -134,7 +134,7 @@
     let accounts = (0..size.accounts).map(|index| AccountRow {
         account: design::account_id(index).to_string(),
         weight: 1,
-        pool: design::pool_id(0).to_string(),
+        pool: design::pool_id(index % target::POOLS as usize).to_string(),
         waiting: 3,
         running: 10,
         service_tokens: 1_000_000,
