perf(coordination): reports carry less

A grant is named again only when its cost turned out otherwise than told, and whole answers of endpoints wait for the next lazy report; failures do not.

--- a/crates/coordination/src/attempt_results.rs
+++ b/crates/coordination/src/attempt_results.rs
@@ -77,6 +77,14 @@
         }
     }
 
+    pub(crate) fn is_empty(&self) -> bool {
+        self.endpoints.is_empty()
+    }
+
+    pub(crate) fn has_failures(&self) -> bool {
+        self.endpoints.values().any(|g| !g.failures.is_empty())
+    }
+
     pub(crate) fn take(&mut self) -> Vec<EndpointResult> {
         let gathered = std::mem::take(&mut self.endpoints);
         let results = gathered.into_iter().map(|(endpoint, gathered)| {
--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -156,9 +156,11 @@
         self.requests.get(key).is_some()
     }
 
-    /// Appends a report for each pool about which something is new and whose home is `wanted`.
+    /// Appends a report for each pool about which something is new and whose home is `wanted`; with
+    /// news of what urgency at least, also decides whether results of attempts go along.
     pub fn report(
         &mut self,
+        least: Urgency,
         wanted: impl Fn(&Member, Urgency) -> bool,
         actions: &mut Vec<EntryAction>,
     ) {
@@ -176,7 +178,7 @@
                     prefix: arrival.prefix,
                 })
             };
-            if let Some((to, report)) = pool.report(&self.member, head) {
+            if let Some((to, report)) = pool.report(&self.member, least, head) {
                 actions.push(EntryAction::Report { to, report });
             }
         }
--- a/crates/coordination/src/entry_pool.rs
+++ b/crates/coordination/src/entry_pool.rs
@@ -13,6 +13,7 @@
 use sedgeridge_state::settings::RequestClass;
 
 use crate::attempt_results::AttemptResults;
+use crate::attempt_results::EndpointResult;
 use crate::entry_events::AttemptEnd;
 use crate::entry_events::RequestKey;
 use crate::entry_queue::EntryQueue;
@@ -33,6 +34,8 @@
 const CLASSES: [RequestClass; 2] = [RequestClass::Interactive, RequestClass::Deferred];
 /// Most missing grants that are named one by one; after more, a full report says what is held.
 const MAX_MISSING_GRANTS: u64 = 256;
+/// Part of a cost by which it may be off without the home being told.
+const COST_TOLERANCE_DIVISOR: u64 = 8;
 
 /// How soon the home has to be told what is new.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -51,6 +54,7 @@
 struct Told {
     waiting: u32,
     granted: u32,
+    cost_tokens: u64,
 }
 
 /// Cost and prefix of a waiting request.
@@ -307,18 +311,25 @@
     pub fn hold(&mut self, now: Duration, grant: &Grant, cost_tokens: u64) {
         let requests = self.run_times.bundle_size(&grant.account, self.grant_span);
         let left = (requests - 1).min(self.waiting_of(&grant.account));
+        let estimate_tokens = cost_tokens * u64::from(left + 1);
         let holding = Holding {
             grant: grant.id.clone(),
             endpoint: grant.endpoint.clone(),
             account: grant.account.clone(),
-            estimate_tokens: cost_tokens * u64::from(left + 1),
+            estimate_tokens,
         };
         self.held.insert(HeldGrant {
             holding,
             left: requests - 1,
             until: now + self.grant_span,
         });
-        self.held.mark_changed(&grant.id);
+        // The home charged the cost that it was told with the demand. Naming each grant again would
+        // be a third of all control traffic, so only a cost that turned out otherwise does.
+        let told = self.told.get(&lane(&grant.account, grant.class));
+        let told_tokens = told.map_or(0, |told| told.cost_tokens);
+        if estimate_tokens.abs_diff(told_tokens) > told_tokens / COST_TOLERANCE_DIVISOR {
+            self.held.mark_changed(&grant.id);
+        }
     }
 
     /// Takes the next request that a grant in use still covers, with the endpoint that runs it.
@@ -406,6 +417,7 @@
             || !self.ended.is_empty()
             || !self.changed_served.is_empty()
             || self.held.has_changes()
+            || !self.results.is_empty()
             || self.unacknowledged;
         if lazy { Urgency::Lazy } else { Urgency::None }
     }
@@ -414,6 +426,7 @@
     pub fn report(
         &mut self,
         from: &Member,
+        least: Urgency,
         head: impl Fn(RequestKey) -> Option<HeadFacts>,
     ) -> Option<(Member, EntryReport)> {
         if self.urgency() == Urgency::None {
@@ -442,7 +455,7 @@
             demand,
             holdings: self.held.take_changes(),
             ended: std::mem::take(&mut self.ended),
-            results: self.results.take(),
+            results: self.results_for(least),
             served: served
                 .into_iter()
                 .map(|account| Served {
@@ -454,6 +467,16 @@
         Some((home, report))
     }
 
+    /// Takes the results if they are due: whole answers can wait for the next lazy report, failures
+    /// cannot.
+    fn results_for(&mut self, least: Urgency) -> Vec<EndpointResult> {
+        if least == Urgency::Lazy || self.results.has_failures() {
+            self.results.take()
+        } else {
+            Vec::new()
+        }
+    }
+
     fn mark_all_changed(&mut self) {
         self.told.clear();
         self.changed_lanes.extend(self.queue.lanes().cloned());
@@ -473,6 +496,7 @@
             let told = Told {
                 waiting: demand.waiting,
                 granted: 0,
+                cost_tokens: demand.head_cost_tokens,
             };
             self.told.insert(lane.clone(), told);
         }
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -22,6 +22,7 @@
 use crate::entry_events::EntryEvent;
 use crate::entry_events::GiveUp;
 use crate::entry_events::RequestKey;
+use crate::entry_pool::Urgency;
 use crate::home_counters::HomeCounters;
 use crate::homed_pool::HomedPool;
 use crate::membership::ListedHost;
@@ -688,7 +689,8 @@
     ) {
         for _ in 0..MAX_LOCAL_ROUNDS {
             let own = &self.member;
-            self.entry.report(|home, _| home == own, &mut entry_actions);
+            self.entry
+                .report(Urgency::Lazy, |home, _| home == own, &mut entry_actions);
             if entry_actions.is_empty() {
                 break;
             }
@@ -710,7 +712,7 @@
         let own = &self.member;
         let mut reports = Vec::new();
         let wanted = |home: &Member, urgency| home != own && urgency >= least;
-        self.entry.report(wanted, &mut reports);
+        self.entry.report(least, wanted, &mut reports);
         self.schedule.sent(now, least);
         for report in reports {
             self.entry_action(now, report, &mut Vec::new(), actions);
--- a/crates/coordination/tests/entry_pool_and_home.rs
+++ b/crates/coordination/tests/entry_pool_and_home.rs
@@ -5,6 +5,7 @@
 use sedgeridge_coordination::entry_events::RequestKey;
 use sedgeridge_coordination::entry_pool::EntryPool;
 use sedgeridge_coordination::entry_pool::HeadFacts;
+use sedgeridge_coordination::entry_pool::Urgency;
 use sedgeridge_coordination::entry_queue::Lane;
 use sedgeridge_coordination::pool_home::AccountWeight;
 use sedgeridge_coordination::pool_home::HomeAction;
@@ -71,7 +72,7 @@
 /// Brings a report to the home and returns the grants that it gives.
 fn exchange(entry: &mut EntryPool, home: &mut PoolHome) -> Vec<Grant> {
     let mut actions = Vec::new();
-    if let Some((_, report)) = entry.report(&member("entry"), |_| Some(FACTS)) {
+    if let Some((_, report)) = entry.report(&member("entry"), Urgency::Lazy, |_| Some(FACTS)) {
         home.handle(Duration::ZERO, HomeEvent::Report(report), &mut actions);
     }
     let grants = actions.into_iter().filter_map(|action| match action {
