--- a/crates/transport/src/endpoint_call.rs
+++ b/crates/transport/src/endpoint_call.rs
@@ -18,6 +18,7 @@
 use ureq::Agent;
 use ureq::Body;
 
+use crate::address_agent::address_agent;
 use crate::answer::AnswerSender;
 use crate::answer_pass::pass_stream;
 use crate::answer_pass::pass_whole;
@@ -47,6 +48,8 @@
     pub attempt_id: String,
     /// Output tokens that the caller already holds.
     pub resume_after_tokens: u64,
+    /// Whether the caller already holds the head of the answer.
+    pub head_sent: bool,
     /// Whether a server error is passed on, since no attempt follows.
     pub last_attempt: bool,
     /// Time left until the request's deadline.
@@ -89,8 +92,8 @@
                 .max_idle_connections_per_host(MAX_IDLE_CONNECTIONS_PER_ENDPOINT)
         };
         Self {
-            pooled: config().build().new_agent(),
-            unpooled: config().max_idle_connections(0).build().new_agent(),
+            pooled: address_agent(config().build()),
+            unpooled: address_agent(config().max_idle_connections(0).build()),
             connect_timeout: millis(health.connect_timeout_ms),
         }
     }
@@ -137,7 +140,10 @@
         if !belongs_to(&response, &order.attempt_id) {
             return failed(order, AttemptFailure::AnswerCrossed);
         }
-        if response.status().is_server_error() && !order.last_attempt {
+        let status = response.status();
+        // A caller that holds the head of a stream cannot be given another status.
+        let unusable = order.head_sent && !status.is_success();
+        if unusable || status.is_server_error() && !order.last_attempt {
             return failed(order, AttemptFailure::ServerError);
         }
         let first_byte = started.elapsed();
@@ -241,5 +247,6 @@
         failure,
         sent_tokens: order.resume_after_tokens,
         charged_tokens: 0,
+        head_sent: order.head_sent,
     }
 }
--- a/crates/transport/tests/docs_metrics.rs
+++ b/crates/transport/tests/docs_metrics.rs
@@ -1,43 +1,56 @@
-//! The operators' pages name every metric that is published.
+//! The page of metrics agrees with the code.
 
 use std::collections::BTreeSet;
 use std::fs;
 use std::path::Path;
+use std::path::PathBuf;
 
-const SOURCES: &str = "src";
-const PAGES: [&str; 2] = ["../../docs/OPERATIONS.md", "../../docs/coordinator.md"];
-const PREFIX: &str = "sedgeridge_";
+use sedgeridge_transport::metric_catalogue::METRICS;
+use sedgeridge_transport::metric_catalogue::metrics_page;
 
-/// An operator finds a counter that rises and no page that says what it means.
-#[test]
-fn every_metric_is_on_a_page() {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
-    let pages = PAGES.map(|page| read(&root.join(page))).concat();
-    let named = names_between(&pages, '`');
-    let published = published(&root.join(SOURCES));
-    assert!(published.len() > 10, "metrics are named by literals");
-    let missing: Vec<&String> = published.difference(&named).collect();
-    assert!(missing.is_empty(), "on no page: {missing:?}");
+fn crates() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("..")
 }
 
-fn published(folder: &Path) -> BTreeSet<String> {
-    let sources = fs::read_dir(folder).unwrap();
-    let sources = sources.map(|entry| read(&entry.unwrap().path()));
-    sources
-        .flat_map(|source| names_between(&source, '"'))
-        .collect()
+fn committed(name: &str) -> String {
+    let path = crates().join("../docs").join(name);
+    fs::read_to_string(path).unwrap()
 }
 
-/// Returns the metric names that begin right after a delimiter, up to their labels.
-fn names_between(text: &str, delimiter: char) -> BTreeSet<String> {
-    let parts = text.split(delimiter);
-    let names = parts.filter(|part| part.starts_with(PREFIX));
-    let is_name = |c: char| c.is_ascii_lowercase() || c == '_';
-    names
-        .map(|name| name.chars().take_while(|c| is_name(*c)).collect())
-        .collect()
+#[test]
+fn the_page_of_metrics_is_that_of_the_code() {
+    let command = "cargo run -p sedgeridge-transport --example catalogue";
+    assert!(
+        committed("METRICS.md") == metrics_page(),
+        "docs/METRICS.md differs from `{command}`"
+    );
+}
+
+#[test]
+fn every_metric_in_the_sources_is_in_the_catalogue_and_none_else() {
+    let mut found = BTreeSet::new();
+    for entry in fs::read_dir(crates()).unwrap() {
+        collect_metrics(&entry.unwrap().path().join("src"), &mut found);
+    }
+    let listed: BTreeSet<String> = METRICS.iter().map(|m| m.name.to_owned()).collect();
+    assert_eq!(found, listed);
 }
 
-fn read(path: &Path) -> String {
-    fs::read_to_string(path).unwrap_or_else(|error| panic!("{}: {error}", path.display()))
+fn collect_metrics(path: &Path, found: &mut BTreeSet<String>) {
+    let Ok(entries) = fs::read_dir(path) else {
+        return;
+    };
+    for entry in entries {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            collect_metrics(&path, found);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            let text = fs::read_to_string(&path).unwrap();
+            for kind in ["counter!(", "gauge!(", "histogram!("] {
+                let uses = text.split(kind).skip(1);
+                let names = uses.filter_map(|use_| use_.trim_start().strip_prefix('"'));
+                found.extend(names.filter_map(|name| Some(name.split_once('"')?.0.to_owned())));
+            }
+        }
+    }
 }
