--- a/crates/slopes/src/roles/failures.rs
+++ b/crates/slopes/src/roles/failures.rs
@@ -17,6 +17,10 @@
 /// Time of a cut that is simulated; nothing changes in it after the sides have settled.
 const CUT_TIME: Duration = Duration::from_secs(30);
 const STEP: Duration = Duration::from_millis(20);
+/// Time for homes that moved to settle.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
+/// Time for which a planned stop is watched.
+const PLANNED_WINDOW: Duration = Duration::from_secs(10);
 /// Time over which the traffic before and after a failure is compared.
 const WINDOW: Duration = Duration::from_secs(15);
 
@@ -41,6 +45,10 @@
         name: "back_s",
         title: "time until every host knows the restarted ones, s",
     },
+    Metric {
+        name: "planned_gap_s",
+        title: "longest time without a grant in one pool, its home told to stop, s",
+    },
 ];
 
 /// The home of a pool fails.
@@ -94,8 +102,8 @@
             title: "payload more than without the cut, 15 s after the heal, KB",
         },
         Metric {
-            name: "heal_settled_s",
-            title: "time from the heal until the engines run no more than before, s",
+            name: "heal_running",
+            title: "most requests at the engines in the 15 s after the heal, times those before the cut",
         },
     ],
     measure: measure_region,
@@ -159,9 +167,27 @@
     fleet.restart(hosts);
     let back = fleet.run_until_agreed(AGREE_LIMIT);
     sample.set("back_s", back.as_secs_f64());
+    fleet.run(SETTLE_TIME);
+    let planned_gap = planned_stop(fleet);
+    sample.set("planned_gap_s", planned_gap.as_secs_f64());
     sample
 }
 
+/// Tells the home of a pool to stop and returns the longest time without a grant in one pool.
+fn planned_stop(fleet: &mut Fleet) -> Duration {
+    let home = fleet.home_of(&design::pool_id(0));
+    let mut gap = Gap::new();
+    gap.look(fleet, Duration::ZERO);
+    fleet.stop(home.expect("a pool has a home"));
+    let mut time = Duration::ZERO;
+    while time < PLANNED_WINDOW {
+        fleet.run(STEP);
+        time += STEP;
+        gap.look(fleet, time);
+    }
+    gap.longest
+}
+
 /// The longest time in which one pool had no grant.
 struct Gap {
     last: Vec<(u64, Duration)>,
@@ -208,7 +234,8 @@
     sample.set("cut_kb", during.1 / before.1);
     fleet.reset_costs();
     fleet.heal();
-    let (mut agreed, mut settled) = (None, None);
+    let mut agreed = None;
+    let mut most_running: f64 = 0.0;
     let mut time = Duration::ZERO;
     while time < WINDOW {
         fleet.run(STEP);
@@ -216,16 +243,12 @@
         if agreed.is_none() && fleet.agrees() {
             agreed = Some(time);
         }
-        if settled.is_none() && fleet.requests_running() as f64 <= running_before * 1.02 {
-            settled = Some(time);
-        }
+        most_running = most_running.max(fleet.requests_running() as f64);
     }
     let bytes = fleet.sent().1 as f64;
     let agreed = agreed.unwrap_or_else(|| time + fleet.run_until_agreed(AGREE_LIMIT));
     sample.set("heal_agree_s", agreed.as_secs_f64());
     sample.set("heal_extra_kb", (bytes - before.1) / 1_024.0);
-    if let Some(settled) = settled {
-        sample.set("heal_settled_s", settled.as_secs_f64());
-    }
+    sample.set("heal_running", most_running / running_before);
     sample
 }
