--- a/crates/router/benches/added_time/fleet.rs
+++ b/crates/router/benches/added_time/fleet.rs
@@ -27,8 +27,9 @@
     child: Child,
 }
 
-/// Starts routers before one engine, and waits until they know each other.
-pub fn start(routers: usize, engine: SocketAddr, slots: u32) -> Vec<Router> {
+/// Starts routers before one engine, and waits until they know each other. Each override is a
+/// `section.key=value`.
+pub fn start(routers: usize, engine: SocketAddr, slots: u32, overrides: &[String]) -> Vec<Router> {
     let mut settings = format!(
         "[fleet]\nname = bench\n[platform]\ntable_address = 127.0.0.1:9\n\
          [site.local]\nregion = local\n[pool.engines]\nkind = model\n\
@@ -55,7 +56,7 @@
         .map(|(index, [callers, _, operators])| Router {
             callers: *callers,
             operators: *operators,
-            child: spawn(&file, index),
+            child: spawn(&file, index, overrides),
         })
         .collect();
     for router in &routers {
@@ -64,10 +65,11 @@
     routers
 }
 
-fn spawn(settings: &PathBuf, index: usize) -> Child {
+fn spawn(settings: &PathBuf, index: usize, overrides: &[String]) -> Child {
     Command::new(env!("CARGO_BIN_EXE_sedgeridge-router"))
         .args(["--host", &format!("router-{index}"), "--config"])
         .arg(settings)
+        .args(overrides.iter().flat_map(|value| ["--set", value]))
         .stderr(Stdio::null())
         .spawn()
         .expect("the router starts")
--- a/crates/router/benches/added_time/main.rs
+++ b/crates/router/benches/added_time/main.rs
@@ -2,7 +2,8 @@
 //!
 //! Callers ask an engine directly and through a router at the same time, in one run on one
 //! machine, so that both meet the same conditions. Run with
-//! `cargo bench -p sedgeridge-router --bench added_time`.
+//! `cargo bench -p sedgeridge-router --bench added_time`; settings to override come after `--`, as
+//! in `-- fair.grant_span_ms=1`.
 
 mod client;
 mod engine;
@@ -32,10 +33,11 @@
 type Figures = Histogram<u64>;
 
 fn main() {
+    let overrides = overrides();
     let epoch = Instant::now();
     let engine = engine::start(SLOTS, SERVICE_TIME, epoch);
     for routers in [1, 3] {
-        let fleet = fleet::start(routers, engine, SLOTS);
+        let fleet = fleet::start(routers, engine, SLOTS, &overrides);
         let entry = fleet.iter().find(|r| routers == 1 || !r.is_home());
         let entry = entry.expect("a router that is not the home").callers;
         println!(
@@ -66,7 +68,13 @@
             },
         );
     }
-    watch_memory(epoch);
+    watch_memory(epoch, &overrides);
+}
+
+/// Returns the `section.key=value` arguments; `cargo bench` adds options of its own.
+fn overrides() -> Vec<String> {
+    let arguments = std::env::args().skip(1);
+    arguments.filter(|text| !text.starts_with('-')).collect()
 }
 
 /// Measures both ways at once and prints them with their differences.
@@ -133,9 +141,9 @@
 }
 
 /// Reads a router's memory over many requests.
-fn watch_memory(epoch: Instant) {
+fn watch_memory(epoch: Instant, overrides: &[String]) {
     let engine = engine::start(SLOTS, Duration::ZERO, epoch);
-    let fleet = fleet::start(1, engine, SLOTS);
+    let fleet = fleet::start(1, engine, SLOTS, overrides);
     let router = &fleet[0];
     ask_all(router.callers, MEMORY_CALLS / 20);
     println!("memory of a router, resident kilobytes");
