--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each duty has a thread of its own, and bounded rings join them: `front` (callers), `core`
 //! (decisions), `endpoint workers` (one attempt each) and `operator` (pages and metrics).
 
+mod address_agent;
 pub mod answer;
 mod answer_pass;
 pub mod call;
@@ -27,6 +28,7 @@
 pub mod host_options;
 pub mod host_start;
 pub mod load_reads;
+pub mod metric_catalogue;
 pub mod operator;
 pub mod peer_inbound;
 pub mod peer_link;
