--- /dev/null
+++ b/crates/coordination/src/node/homes.rs
@@ -0,0 +1,190 @@
+//! Membership, and the homes of pools that it places on this router.
+
+use std::time::Duration;
+
+use sedgeridge_state::ids::Member;
+use sedgeridge_state::ids::PoolId;
+use sedgeridge_state::settings::FairScope;
+use sedgeridge_state::settings::millis;
+
+use crate::config_events::Generation;
+use crate::entry_events::EntryEvent;
+use crate::homed_pool::HomedPool;
+use crate::membership::MemberState;
+use crate::membership::MembershipAction;
+use crate::membership::MembershipEvent;
+use crate::membership::Notice;
+use crate::node::Node;
+use crate::node::Outbox;
+use crate::node_events::NodeAction;
+use crate::node_events::PeerMessage;
+use crate::poison_notice::PoisonNews;
+use crate::poison_notice::PoisonNotice;
+use crate::pool_home::HomeAction;
+use crate::pool_home::HomeEvent;
+use crate::rendezvous::home_of;
+
+impl Node {
+    pub(super) fn membership_event(
+        &mut self,
+        now: Duration,
+        event: MembershipEvent,
+        out: &mut Outbox,
+    ) {
+        let mut wanted = Vec::new();
+        self.membership.handle(now, event, &mut wanted);
+        for action in wanted {
+            match action {
+                MembershipAction::Send { to, message } => {
+                    out.actions.push(NodeAction::SendMembership { to, message });
+                }
+                MembershipAction::MembersChanged(live) => {
+                    out.actions.push(NodeAction::MembersChanged(live.clone()));
+                    let members = live.iter().map(|m| m.member.clone()).collect();
+                    self.claims.members(now, members);
+                    let others = live.iter().map(|m| m.member.clone());
+                    let peers = others.filter(|m| *m != self.member).collect();
+                    self.config_event(now, out, |config, steps| {
+                        config.set_peers(now, peers, steps);
+                    });
+                    if self.settings.fair.scope == FairScope::Fleet {
+                        self.live = live;
+                        self.place_homes(now, out);
+                    }
+                }
+                MembershipAction::NoticeReceived(notice) => {
+                    self.take_notice(now, &notice, out);
+                }
+                MembershipAction::GenerationSeen { generation, from } => {
+                    self.config_event(now, out, |config, steps| {
+                        config.heard(now, &from, Generation(generation), steps);
+                    });
+                }
+                MembershipAction::Outranked { .. } => out.actions.push(NodeAction::Outranked),
+            }
+        }
+    }
+
+    pub(super) fn take_notice(&mut self, now: Duration, notice: &Notice, out: &mut Outbox) {
+        match notice {
+            Notice::EndpointLeaving { endpoint, .. } => {
+                self.for_each_home(now, out, |home, out| {
+                    home.set_leaving(now, endpoint, out);
+                });
+            }
+            Notice::Quarantine {
+                fingerprint,
+                expires_in_ms,
+            } => {
+                let event = EntryEvent::Poison(PoisonNotice {
+                    fingerprint: *fingerprint,
+                    news: PoisonNews::Quarantined {
+                        remaining: millis(*expires_in_ms),
+                    },
+                });
+                self.entry.handle(now, event, &mut out.entry);
+            }
+        }
+    }
+
+    /// Gives each pool its home under the live membership, and starts or ends the homes here.
+    ///
+    /// Leaving members get no homes, so that homes move before their host is gone; only when all
+    /// are leaving do they keep them.
+    pub(super) fn place_homes(&mut self, now: Duration, out: &mut Outbox) {
+        let staying = self.live.iter().filter(|m| m.state == MemberState::Alive);
+        let mut candidates: Vec<Member> = staying.map(|m| m.member.clone()).collect();
+        if candidates.is_empty() {
+            candidates = self.live.iter().map(|m| m.member.clone()).collect();
+        }
+        let pools: Vec<PoolId> = self.settings.pools.iter().map(|p| p.id.clone()).collect();
+        for pool in pools {
+            let home = home_of(&pool, &candidates).cloned();
+            if home.as_ref() == Some(&self.member) {
+                self.start_home(now, &pool, out);
+            } else {
+                self.homes.remove(&pool);
+            }
+            let event = EntryEvent::HomeChanged { pool, home };
+            self.entry.handle(now, event, &mut out.entry);
+        }
+        let members: Vec<Member> = self.live.iter().map(|m| m.member.clone()).collect();
+        self.for_each_home(now, out, |home, out| {
+            home.handle(now, HomeEvent::Members(members.clone()), out);
+        });
+    }
+
+    pub(super) fn start_home(&mut self, now: Duration, pool: &PoolId, out: &mut Outbox) {
+        if self.homes.contains_key(pool) {
+            return;
+        }
+        let mut home = HomedPool::new(self.member.clone(), pool.clone(), &self.settings);
+        let mut wanted = Vec::new();
+        home.configure(now, pool, &self.settings, &mut wanted);
+        self.homes.insert(pool.clone(), home);
+        self.deliver(now, pool, wanted, out);
+    }
+
+    pub(super) fn home_event(
+        &mut self,
+        now: Duration,
+        pool: &PoolId,
+        event: HomeEvent,
+        out: &mut Outbox,
+    ) {
+        let Some(home) = self.homes.get_mut(pool) else {
+            return;
+        };
+        let mut wanted = Vec::new();
+        home.handle(now, event, &mut wanted);
+        self.deliver(now, pool, wanted, out);
+    }
+
+    pub(super) fn for_each_home(
+        &mut self,
+        now: Duration,
+        out: &mut Outbox,
+        mut visit: impl FnMut(&mut HomedPool, &mut Vec<HomeAction>),
+    ) {
+        let pools: Vec<PoolId> = self.homes.keys().cloned().collect();
+        for pool in pools {
+            let mut wanted = Vec::new();
+            if let Some(home) = self.homes.get_mut(&pool) {
+                visit(home, &mut wanted);
+            }
+            self.deliver(now, &pool, wanted, out);
+        }
+    }
+
+    /// Hands what a home wants done to the entry part here or to the links.
+    pub(super) fn deliver(
+        &mut self,
+        now: Duration,
+        pool: &PoolId,
+        wanted: Vec<HomeAction>,
+        out: &mut Outbox,
+    ) {
+        for action in wanted {
+            match action {
+                HomeAction::Grant { to, grant } if to == self.member => {
+                    self.entry
+                        .handle(now, EntryEvent::Granted(grant), &mut out.entry);
+                }
+                HomeAction::AskFull { to } if to == self.member => {
+                    let pool = pool.clone();
+                    let event = EntryEvent::FullReportWanted { pool };
+                    self.entry.handle(now, event, &mut out.entry);
+                }
+                HomeAction::Grant { to, grant } => {
+                    let message = PeerMessage::Grant(grant);
+                    out.actions.push(NodeAction::Send { to, message });
+                }
+                HomeAction::AskFull { to } => {
+                    let pool = pool.clone();
+                    let message = PeerMessage::FullReportWanted { pool };
+                    out.actions.push(NodeAction::Send { to, message });
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/node/peers.rs
@@ -0,0 +1,138 @@
+//! Reports and grants between the parts of this router and those of others.
+
+use std::time::Duration;
+
+use sedgeridge_state::ids::Member;
+
+use crate::claim_events::ClaimOutcome;
+use crate::entry_events::EntryAction;
+use crate::entry_events::EntryEvent;
+use crate::entry_pool::Urgency;
+use crate::membership::MembershipEvent;
+use crate::membership::Notice;
+use crate::node::MAX_LOCAL_ROUNDS;
+use crate::node::Node;
+use crate::node::Outbox;
+use crate::node_events::NodeAction;
+use crate::node_events::PeerMessage;
+use crate::poison_notice::PoisonNews;
+use crate::poison_notice::PoisonNotice;
+use crate::pool_home::HomeEvent;
+use crate::refusal::Outcome;
+
+impl Node {
+    pub(super) fn peer(
+        &mut self,
+        now: Duration,
+        from: &Member,
+        message: PeerMessage,
+        out: &mut Outbox,
+    ) {
+        match message {
+            PeerMessage::Report(report) => {
+                let pool = report.pool.clone();
+                self.home_event(now, &pool, HomeEvent::Report(report), out);
+            }
+            // A grant counts only from the home that it names.
+            PeerMessage::Grant(grant) if grant.id.home == *from => {
+                self.entry
+                    .handle(now, EntryEvent::Granted(grant), &mut out.entry);
+            }
+            PeerMessage::Grant(_) => {}
+            PeerMessage::FullReportWanted { pool } => {
+                let event = EntryEvent::FullReportWanted { pool };
+                self.entry.handle(now, event, &mut out.entry);
+            }
+            PeerMessage::Config(message) => {
+                self.config_event(now, out, |config, steps| {
+                    config.peer_message(now, from, message, steps);
+                });
+            }
+            PeerMessage::Poison(notice) => {
+                let event = EntryEvent::Poison(notice);
+                self.entry.handle(now, event, &mut out.entry);
+            }
+        }
+    }
+
+    /// Passes reports and grants between the parts of this router until nothing is new.
+    ///
+    /// Reports to a home on this router go at once; those to others wait for their time.
+    pub(super) fn settle(&mut self, now: Duration, out: &mut Outbox) {
+        for _ in 0..MAX_LOCAL_ROUNDS {
+            let own = &self.member;
+            self.entry
+                .report(Urgency::Lazy, |home, _| home == own, &mut out.entry);
+            if out.entry.is_empty() {
+                break;
+            }
+            for action in std::mem::take(&mut out.entry) {
+                self.entry_action(now, action, out);
+            }
+        }
+        self.report_to_others(now, out);
+    }
+
+    pub(super) fn report_to_others(&mut self, now: Duration, out: &mut Outbox) {
+        let urgency = self.entry.urgency(&self.member);
+        self.schedule.note(now, urgency);
+        let Some(least) = self.schedule.due(now, urgency) else {
+            return;
+        };
+        let own = &self.member;
+        let mut reports = Vec::new();
+        let wanted = |home: &Member, urgency| home != own && urgency >= least;
+        self.entry.report(least, wanted, &mut reports);
+        self.schedule.sent(now, least);
+        for report in reports {
+            self.entry_action(now, report, out);
+        }
+    }
+
+    pub(super) fn entry_action(&mut self, now: Duration, action: EntryAction, out: &mut Outbox) {
+        match action {
+            EntryAction::Report { to, report } if to == self.member => {
+                let pool = report.pool.clone();
+                self.home_event(now, &pool, HomeEvent::Report(report), out);
+            }
+            EntryAction::Report { to, report } => {
+                let message = PeerMessage::Report(report);
+                out.actions.push(NodeAction::Send { to, message });
+            }
+            EntryAction::Announce(PoisonNotice {
+                fingerprint,
+                news: PoisonNews::Quarantined { remaining },
+            }) => {
+                // A quarantine also has to reach routers that start later, so it goes the way of
+                // notices that are kept and compared.
+                let event = MembershipEvent::Announce(Notice::Quarantine {
+                    fingerprint,
+                    expires_in_ms: remaining.as_millis() as u64,
+                });
+                self.membership_event(now, event, out);
+            }
+            EntryAction::Announce(notice) => {
+                let others = self.live.iter().filter(|m| m.member != self.member);
+                out.actions.extend(others.map(|other| NodeAction::Send {
+                    to: other.member.clone(),
+                    message: PeerMessage::Poison(notice.clone()),
+                }));
+            }
+            EntryAction::Start(start) => out.actions.push(NodeAction::Start(start)),
+            EntryAction::Retried { key, reason } => {
+                out.actions.push(NodeAction::Retried { key, reason });
+            }
+            EntryAction::GiveUp(give_up) => {
+                let outcome = match give_up.outcome {
+                    Outcome::NotRun => ClaimOutcome::NotRun,
+                    Outcome::Ran | Outcome::Unknown => ClaimOutcome::Unknown,
+                };
+                let key = give_up.key;
+                out.actions.push(NodeAction::GiveUp(give_up));
+                let mut steps = Vec::new();
+                self.claims.finished(now, key, outcome, &mut steps);
+                self.claim_steps(now, steps, out);
+            }
+        }
+    }
+}
