feat(load): quickstart follows the accepted configuration

Cause: runs read their configuration from files, so adoption through the table was in no load run. Not run in this commit: cargo test of the whole workspace.

--- a/crates/load/src/topology.rs
+++ b/crates/load/src/topology.rs
@@ -105,6 +105,7 @@
         let base = &mut self.base;
         base.set("fleet", "name", deployment.name);
         base.set("platform", "table_address", &self.load.table_address);
+        base.set("platform", "configuration", "table");
         for site in &deployment.sites {
             base.set(&format!("site.{site}"), "region", "region-1");
             self.overlays.push(((*site).to_owned(), IniText::default()));
--- a/crates/load/tests/topology.rs
+++ b/crates/load/tests/topology.rs
@@ -81,6 +81,19 @@
     assert_eq!(topology.load.output_token_factor, 7);
 }
 
+#[parameterized(
+    accepted = { &[], "table" },
+    of_files = { &["platform.configuration=files"], "files" },
+)]
+fn routers_follow_the_accepted_configuration_unless_told_otherwise(
+    overrides: &[&str],
+    source: &str,
+) {
+    let topology = topology("small", overrides);
+    let found = topology.base.get("platform", "configuration");
+    assert_eq!(found, Some(source));
+}
+
 /// A site's own processes are reached directly, those of other sites through one relay each.
 #[parameterized(
     small = { "small", 0 },
