--- a/crates/load/src/callers.rs
+++ b/crates/load/src/callers.rs
@@ -44,6 +44,10 @@
 const START_SPREAD_MS: u64 = 200;
 /// Number of the caller who sends poison; others count from 0.
 const POISON_CALLER: u64 = 1 << 20;
+/// Number of the first caller of a flood.
+const FLOOD_CALLER: u64 = 1 << 19;
+/// Callers of a flood for each slot of the pool.
+const FLOOD_CALLERS_PER_SLOT: u64 = 4;
 /// Time between two calls with the same poison.
 const POISON_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -62,6 +66,8 @@
     pub overload: f64,
     /// When no new work is sent any more.
     pub stop_at: Instant,
+    /// Length of sending.
+    pub sending: Duration,
 }
 
 /// One caller of a demand.
@@ -142,13 +148,43 @@
     fn closed_loop(&self, mut caller: Caller<'a>) {
         let start_ms = caller.random.between(0, START_SPREAD_MS);
         self.sleep(Duration::from_millis(start_ms));
+        self.work_until(&mut caller, self.stop_at);
+    }
+
+    fn work_until(&self, caller: &mut Caller<'a>, end: Instant) {
         let mut number = caller.first_number;
-        while self.sending() {
-            self.one_work(&mut caller, number);
+        while Instant::now() < end {
+            self.one_work(caller, number);
             number += 1;
         }
     }
 
+    /// Has the first large account send many times its share for the middle third of the run.
+    pub fn flood<'scope>(&'scope self, scope: &'scope Scope<'scope, '_>) {
+        let accounts = self.plan.accounts.iter();
+        let mut large = accounts.flat_map(|account| {
+            let demands = account.demands.iter();
+            let backlogged = demands.filter(|demand| demand.pace == Pace::Backlogged);
+            backlogged.map(move |demand| (account, demand))
+        });
+        let Some((account, demand)) = large.next() else {
+            return;
+        };
+        let Some(service) = self.plan.service(&demand.service) else {
+            return;
+        };
+        let callers = FLOOD_CALLERS_PER_SLOT * u64::from(self.plan.pool_slots(&service.pool));
+        let third = self.sending / 3;
+        for index in 0..callers {
+            let mut caller = self.caller(FLOOD_CALLER + index, account, service);
+            scope.spawn(move || {
+                let begin = self.stop_at - 2 * third;
+                thread::sleep(begin.saturating_duration_since(Instant::now()));
+                self.work_until(&mut caller, self.stop_at - third);
+            });
+        }
+    }
+
     fn open_loop(&self, mut caller: Caller<'a>, rate_per_s: f64) {
         let open = AtomicUsize::new(0);
         let mut number = caller.first_number;
--- /dev/null
+++ b/crates/load/src/config_watch.rs
@@ -0,0 +1,187 @@
+//! Watches which generation of the configuration each router has in force.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use sedgeridge_protocol::operator::RouterStatus;
+use sedgeridge_protocol::operator::STATUS_PATH;
+use ureq::Agent;
+
+use crate::client::now_us;
+use crate::fault_figures::FaultFigures;
+use crate::operators::ChangeOutcome;
+use crate::plan::RouterPlan;
+
+/// Time between two looks at a router; in-force times are late by at most this and the answer.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What one look at a router showed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Sighting {
+    /// When.
+    pub at_us: u64,
+    /// Host of the router.
+    pub host: String,
+    /// Generation that it has in force.
+    pub generation: u64,
+}
+
+/// Sightings of every router so far.
+#[derive(Debug, Default)]
+pub struct ConfigWatch {
+    sightings: Mutex<Vec<Sighting>>,
+}
+
+impl ConfigWatch {
+    /// Looks at one router until told to stop. A router that is not ready may have no
+    /// configuration yet, so it is not judged.
+    pub fn watch(&self, agent: &Agent, router: &RouterPlan, done: &AtomicBool) {
+        while !done.load(Ordering::Relaxed) {
+            if let Some(status) = status(agent, router).filter(|status| status.ready) {
+                self.lock().push(Sighting {
+                    at_us: now_us(),
+                    host: router.name.clone(),
+                    generation: status.config_generation,
+                });
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    /// Whether every router was seen with this generation or a later one.
+    pub fn in_force_everywhere(&self, routers: &[RouterPlan], generation: u64) -> bool {
+        let sightings = self.lock();
+        let there: HashSet<&str> = sightings
+            .iter()
+            .filter(|s| s.generation >= generation)
+            .map(|s| s.host.as_str())
+            .collect();
+        routers.iter().all(|r| there.contains(r.name.as_str()))
+    }
+
+    /// Takes the sightings out, in order of time.
+    pub fn into_sightings(self) -> Vec<Sighting> {
+        let sightings = self.sightings.into_inner();
+        let mut sightings = sightings.unwrap_or_else(PoisonError::into_inner);
+        sightings.sort_by_key(|s| s.at_us);
+        sightings
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Sighting>> {
+        // Only whole sightings are pushed, so a panic elsewhere leaves nothing half done.
+        self.sightings
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn status(agent: &Agent, router: &RouterPlan) -> Option<RouterStatus> {
+    let url = format!("http://{}{STATUS_PATH}", router.operator_address);
+    let request = agent.get(url).config();
+    let request = request.timeout_global(Some(STATUS_TIMEOUT)).build();
+    let text = request.call().ok()?.body_mut().read_to_string().ok()?;
+    serde_json::from_str(&text).ok()
+}
+
+/// Changes of one run and what routers made of them.
+#[derive(Debug, Clone, Copy)]
+pub struct ConfigRecord<'a> {
+    /// How the changes ended for their operators.
+    pub outcomes: &'a [ChangeOutcome],
+    /// Sightings in order of time.
+    pub sightings: &'a [Sighting],
+    /// Every router.
+    pub routers: &'a [RouterPlan],
+    /// When a cut was healed, if there was one.
+    pub healed_at_us: Option<u64>,
+}
+
+impl ConfigRecord<'_> {
+    /// Works out the figures of the configuration.
+    pub fn figures(&self) -> FaultFigures {
+        let mut figures = FaultFigures {
+            config_reversions: Some(reversions(self.sightings)),
+            ..FaultFigures::default()
+        };
+        if self.outcomes.is_empty() {
+            return figures;
+        }
+        let accepted = self.accepted();
+        let generations: HashSet<u64> = accepted.iter().map(|(g, _)| *g).collect();
+        let count = |wanted: fn(&ChangeOutcome) -> bool| {
+            Some(self.outcomes.iter().filter(|o| wanted(o)).count() as u64)
+        };
+        figures.config_changes = Some(accepted.len() as u64);
+        figures.config_conflicts = count(|o| *o == ChangeOutcome::Conflict);
+        figures.config_failures = count(|o| matches!(o, ChangeOutcome::Failed(_)));
+        figures.config_won_twice = Some((accepted.len() - generations.len()) as u64);
+        let from_acceptance = self.times(&accepted, 0);
+        let missing = from_acceptance.iter().filter(|t| t.is_none()).count();
+        figures.config_not_in_force = Some(missing as u64);
+        figures.config_in_force_p99_ms = p99_ms(from_acceptance);
+        if let Some(healed_at_us) = self.healed_at_us {
+            let times = self.times(&accepted, healed_at_us);
+            figures.config_in_force_after_heal_p99_ms = p99_ms(times);
+        }
+        figures
+    }
+
+    fn accepted(&self) -> Vec<(u64, u64)> {
+        let accepted = self.outcomes.iter().filter_map(|outcome| match outcome {
+            ChangeOutcome::Accepted {
+                generation,
+                told_at_us,
+            } => Some((*generation, *told_at_us)),
+            ChangeOutcome::Conflict | ChangeOutcome::Failed(_) => None,
+        });
+        accepted.collect()
+    }
+
+    /// Time of each change at each router, from its acceptance or `not_before_us`.
+    fn times(&self, accepted: &[(u64, u64)], not_before_us: u64) -> Vec<Option<u64>> {
+        let mut times = Vec::new();
+        for (generation, told_at_us) in accepted {
+            for router in self.routers {
+                let seen = self.sightings.iter().find(|s| {
+                    s.host == router.name && s.generation >= *generation && s.at_us >= *told_at_us
+                });
+                let from_us = (*told_at_us).max(not_before_us);
+                times.push(seen.map(|s| s.at_us.saturating_sub(from_us)));
+            }
+        }
+        times
+    }
+}
+
+/// Counts falls of the generation at any one host, restarts included.
+///
+/// ```
+/// use sedgeridge_load::config_watch::Sighting;
+/// use sedgeridge_load::config_watch::reversions;
+/// let seen = |generation| Sighting { at_us: 0, host: "router-1".into(), generation };
+/// assert_eq!(reversions(&[seen(1), seen(2), seen(1), seen(1)]), 1);
+/// ```
+pub fn reversions(sightings: &[Sighting]) -> u64 {
+    let mut last: HashMap<&str, u64> = HashMap::new();
+    let mut falls = 0;
+    for sighting in sightings {
+        let before = last.insert(&sighting.host, sighting.generation);
+        falls += u64::from(before.is_some_and(|before| before > sighting.generation));
+    }
+    falls
+}
+
+fn p99_ms(times: Vec<Option<u64>>) -> Option<f64> {
+    let mut times_us: Vec<u64> = times.into_iter().flatten().collect();
+    times_us.sort_unstable();
+    let rank = (times_us.len() as f64 * 0.99).ceil() as usize;
+    let time_us = times_us.get(rank.checked_sub(1)?)?;
+    Some(*time_us as f64 / 1_000.0)
+}
--- /dev/null
+++ b/crates/load/src/fault_figures.rs
@@ -0,0 +1,80 @@
+//! What a run with faults shows beside the figures of every run.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::history::RunRecord;
+
+/// Time after a load report says `leaving` from which on no run may start.
+pub const LEAVING_GRACE_US: u64 = 3_000_000;
+
+/// Figures of faults; absent when the run had no fault that they are about.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct FaultFigures {
+    /// Runs that endpoints started later than the grace time after they reported as leaving.
+    pub runs_after_leaving: Option<u64>,
+    /// Changes of the configuration that were accepted during the run.
+    pub config_changes: Option<u64>,
+    /// Changes that lost against another one.
+    pub config_conflicts: Option<u64>,
+    /// Changes that failed in any other way.
+    pub config_failures: Option<u64>,
+    /// Generations that more than one operator was told to have made.
+    pub config_won_twice: Option<u64>,
+    /// Time from the acceptance until a router has the generation in force.
+    pub config_in_force_p99_ms: Option<f64>,
+    /// The same, counted from the end of the cut for changes that were accepted before it.
+    pub config_in_force_after_heal_p99_ms: Option<f64>,
+    /// Pairs of router and change that never came into force.
+    pub config_not_in_force: Option<u64>,
+    /// Times at which a ready router had a lower generation in force than before.
+    pub config_reversions: Option<u64>,
+    /// Orders to engines that the command line accepted.
+    pub orders_accepted: Option<u64>,
+    /// Orders to engines that the command line did not accept.
+    pub orders_failed: Option<u64>,
+    /// Accepted orders that took effect.
+    pub orders_in_effect: Option<u64>,
+    /// Orders that took effect after a newer one or under an older fencing number than one seen.
+    pub orders_wrong: Option<u64>,
+}
+
+impl FaultFigures {
+    /// Whether anything happened that must never happen.
+    ///
+    /// ```
+    /// use sedgeridge_load::fault_figures::FaultFigures;
+    /// assert!(!FaultFigures::default().violated());
+    /// ```
+    pub fn violated(&self) -> bool {
+        let must_be_zero = [
+            self.runs_after_leaving,
+            self.config_won_twice,
+            self.config_not_in_force,
+            self.config_reversions,
+            self.orders_wrong,
+        ];
+        must_be_zero.into_iter().flatten().any(|count| count > 0)
+    }
+}
+
+/// Counts runs that started too late after their endpoint reported as leaving.
+///
+/// ```
+/// use std::collections::BTreeMap;
+/// use sedgeridge_load::fault_figures::runs_after_leaving;
+/// assert_eq!(runs_after_leaving(&[], &BTreeMap::new()), None);
+/// ```
+pub fn runs_after_leaving(runs: &[RunRecord], left_at_us: &BTreeMap<String, u64>) -> Option<u64> {
+    if left_at_us.is_empty() {
+        return None;
+    }
+    let late = runs.iter().filter(|run| {
+        let left_at_us = left_at_us.get(&run.endpoint);
+        left_at_us.is_some_and(|left| run.started_at_us > left + LEAVING_GRACE_US)
+    });
+    Some(late.count() as u64)
+}
--- a/crates/load/src/faults.rs
+++ b/crates/load/src/faults.rs
@@ -1,103 +1,32 @@
 //! Faults that can be brought about during a run: tables of timed actions.
 
-use std::fmt;
-use std::str::FromStr;
 use std::time::Duration;
 
 use sedgeridge_standins::faults::Fault;
 use sedgeridge_standins::faults::FaultOrder;
 use sedgeridge_standins::relay_state::RelayOrder;
-use serde::Deserialize;
-use serde::Serialize;
-use thiserror::Error;
 
+use crate::fault_name::FaultName;
 use crate::plan::EndpointPlan;
 use crate::plan::LoadPlan;
+use crate::plan::PoolKind;
 use crate::processes::Signal;
 
 /// Text in a request that crashes an endpoint once the endpoint is told so.
 pub const POISON: &str = "poison-pill";
 
+/// Operators who add an account at the same time.
+const RACING_OPERATORS: usize = 4;
+/// When they do so.
+const RACE_TIMES: [f64; 4] = [0.2, 0.35, 0.5, 0.65];
+/// When orders to engines are given; the third comes while the holder of the lease is frozen.
+const ORDER_TIMES: [f64; 6] = [0.08, 0.14, 0.25, 0.45, 0.6, 0.7];
+
 /// Share of answers that get lost.
 const LOST_ANSWER_PROBABILITY: f64 = 0.05;
 /// Share of the table service's answers that get lost.
 const LOST_TABLE_ANSWER_PROBABILITY: f64 = 0.2;
 
-/// A fault by its name on the command line.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum FaultName {
-    /// One router is killed and comes back with no memory.
-    RouterKill,
-    /// One router is frozen for longer than a stream may be idle, then runs on.
-    RouterFreeze,
-    /// One endpoint of each pool is killed and comes back.
-    EngineCrash,
-    /// One request crashes every engine that runs it, and its caller sends it again.
-    Poison,
-    /// The table service answers nothing but 503.
-    TableDown,
-    /// Endpoints and the table service do the work, but some answers are lost.
-    LostAnswers,
-    /// One site is cut off from the others, then the cut heals.
-    SiteCut,
-}
-
-impl FaultName {
-    /// Every fault.
-    pub const ALL: [Self; 7] = [
-        Self::RouterKill,
-        Self::RouterFreeze,
-        Self::EngineCrash,
-        Self::Poison,
-        Self::TableDown,
-        Self::LostAnswers,
-        Self::SiteCut,
-    ];
-
-    /// Name on the command line.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::RouterKill => "router-kill",
-            Self::RouterFreeze => "router-freeze",
-            Self::EngineCrash => "engine-crash",
-            Self::Poison => "poison",
-            Self::TableDown => "table-down",
-            Self::LostAnswers => "lost-answers",
-            Self::SiteCut => "site-cut",
-        }
-    }
-}
-
-impl fmt::Display for FaultName {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.as_str())
-    }
-}
-
-/// A fault that does not exist.
-#[derive(Debug, Error, PartialEq, Eq)]
-#[error("--fault {0}: expected one of {known}", known = known_names())]
-pub struct UnknownFault(pub String);
-
-fn known_names() -> String {
-    FaultName::ALL.map(FaultName::as_str).join(", ")
-}
-
-impl FromStr for FaultName {
-    type Err = UnknownFault;
-
-    /// ```
-    /// use sedgeridge_load::faults::FaultName;
-    /// assert_eq!("poison".parse(), Ok(FaultName::Poison));
-    /// assert!("sabotage".parse::<FaultName>().is_err());
-    /// ```
-    fn from_str(name: &str) -> Result<Self, UnknownFault> {
-        let known = Self::ALL.into_iter().find(|fault| fault.as_str() == name);
-        known.ok_or_else(|| UnknownFault(name.to_owned()))
-    }
-}
-
 /// One action of a fault.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
@@ -111,10 +40,27 @@
     Links(String, RelayOrder),
     /// Start crashed engines again, and give them the same order, until the end of the run.
     ReviveEngines(FaultOrder),
+    /// Tell an endpoint to report that it is leaving, and note when.
+    Leave(String),
+    /// Run changes of the configuration at the same time, through the operators' command line.
+    Changes(Vec<ConfigChange>),
+    /// Give an engine the order of this number through the operators' command line.
+    Order(String, u64),
+    /// Signal the coordinator that holds the lease, or the one that was signalled before.
+    SignalHolder(Signal),
+}
+
+/// A change of the configuration by one operator.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ConfigChange {
+    /// `accounts add` of this name.
+    AddAccount(String),
+    /// `config apply` of the files with one more account of this name.
+    ApplyFiles(String),
 }
 
 /// Stand-ins that are told to misbehave.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Target {
     /// The table service.
     Table,
@@ -122,6 +68,8 @@
     Endpoints,
     /// Every model engine.
     Engines,
+    /// One endpoint.
+    Endpoint(String),
 }
 
 /// An action at a part of the sending time.
@@ -150,6 +98,12 @@
         FaultName::TableDown => table_down(sending),
         FaultName::LostAnswers => lost_answers(sending),
         FaultName::SiteCut => site_cut(plan),
+        FaultName::Flood => Vec::new(),
+        FaultName::EndpointLeave => endpoint_leave(plan),
+        FaultName::SilentConnection => silent_connection(plan),
+        FaultName::OperatorRace => operator_race(),
+        FaultName::ConfigUnderPartition => config_under_partition(plan),
+        FaultName::LeaseFreeze => lease_freeze(plan),
     }
 }
 
@@ -170,12 +124,7 @@
 }
 
 fn engine_crash(plan: &LoadPlan) -> Vec<Step> {
-    let mut crashed: Vec<&EndpointPlan> = Vec::new();
-    for endpoint in &plan.endpoints {
-        if crashed.iter().all(|known| known.pool != endpoint.pool) {
-            crashed.push(endpoint);
-        }
-    }
+    let crashed = one_of_each_pool(plan);
     let kill = |e: &&EndpointPlan| step(0.35, Action::Signal(e.name.clone(), Signal::Kill));
     let start = |e: &&EndpointPlan| step(0.6, Action::Start(e.name.clone()));
     let kills = crashed.iter().map(kill);
@@ -226,6 +175,76 @@
     ]
 }
 
+fn endpoint_leave(plan: &LoadPlan) -> Vec<Step> {
+    let leaving = one_of_each_pool(plan).into_iter();
+    leaving
+        .map(|endpoint| step(0.3, Action::Leave(endpoint.name.clone())))
+        .collect()
+}
+
+fn silent_connection(plan: &LoadPlan) -> Vec<Step> {
+    let silence = |target| Action::Misbehave(target, FaultOrder::new(Fault::Silence));
+    let endpoints = one_of_each_pool(plan).into_iter();
+    let endpoints = endpoints.map(|e| step(0.3, silence(Target::Endpoint(e.name.clone()))));
+    let site = plan.links.last().map(|link| link.from_site.clone());
+    let links = site.map(|site| step(0.45, Action::Links(site, RelayOrder::Silence)));
+    let table = step(0.6, silence(Target::Table));
+    endpoints.chain(links).chain([table]).collect()
+}
+
+/// The first round has both kinds of change; files refuse to remove accounts added by command, so
+/// the later rounds have only one kind.
+fn operator_race() -> Vec<Step> {
+    let round = |index: usize, at_fraction| {
+        let add = |operator| ConfigChange::AddAccount(format!("race-{index}-{operator}"));
+        let mut changes: Vec<ConfigChange> = (1..=RACING_OPERATORS).map(add).collect();
+        if index == 0 {
+            changes.push(ConfigChange::ApplyFiles("race-files".to_owned()));
+        }
+        step(at_fraction, Action::Changes(changes))
+    };
+    let times = RACE_TIMES.iter().enumerate();
+    times.map(|(index, at)| round(index, *at)).collect()
+}
+
+fn config_under_partition(plan: &LoadPlan) -> Vec<Step> {
+    let change = |name: &str| Action::Changes(vec![ConfigChange::AddAccount(name.to_owned())]);
+    let mut steps = site_cut(plan);
+    steps.push(step(0.4, change("during-cut-1")));
+    steps.push(step(0.5, change("during-cut-2")));
+    steps.push(step(0.7, change("after-cut")));
+    steps.sort_by(|a, b| a.at_fraction.total_cmp(&b.at_fraction));
+    steps
+}
+
+/// Orders are withdrawals of adapters that no engine has: they change nothing that the load needs,
+/// and the weight store's interval between loads does not bound them.
+fn lease_freeze(plan: &LoadPlan) -> Vec<Step> {
+    let engines = plan.endpoints.iter();
+    let engines = engines.filter(|e| plan.pool_kind(&e.pool) == PoolKind::Model);
+    let engines: Vec<&EndpointPlan> = engines.collect();
+    let order = |(index, at): (usize, &f64)| {
+        let engine = &engines[index % engines.len()];
+        step(*at, Action::Order(engine.name.clone(), index as u64 + 1))
+    };
+    let mut steps: Vec<Step> = ORDER_TIMES.iter().enumerate().map(order).collect();
+    steps.push(step(0.15, Action::SignalHolder(Signal::Stop)));
+    steps.push(step(0.65, Action::SignalHolder(Signal::Continue)));
+    steps.sort_by(|a, b| a.at_fraction.total_cmp(&b.at_fraction));
+    steps
+}
+
+/// The first endpoint of each pool.
+fn one_of_each_pool(plan: &LoadPlan) -> Vec<&EndpointPlan> {
+    let mut chosen: Vec<&EndpointPlan> = Vec::new();
+    for endpoint in &plan.endpoints {
+        if chosen.iter().all(|known| known.pool != endpoint.pool) {
+            chosen.push(endpoint);
+        }
+    }
+    chosen
+}
+
 fn share_ms(sending: Duration, share: f64) -> u64 {
     sending.mul_f64(share).as_millis() as u64
 }
--- a/crates/load/src/ledgers.rs
+++ b/crates/load/src/ledgers.rs
@@ -4,6 +4,7 @@
 
 use sedgeridge_protocol::ledger::LEDGER_PATH;
 use sedgeridge_protocol::ledger::LedgerRecord;
+use sedgeridge_protocol::ledger::OrderRecord;
 use sedgeridge_protocol::ledger::RunRecord as EndpointRun;
 use thiserror::Error;
 use ureq::Agent;
@@ -53,6 +54,25 @@
     Ok(runs)
 }
 
+/// Reads the orders that all endpoints received, each endpoint's in order of time.
+pub fn read_orders(agent: &Agent, plan: &LoadPlan) -> Result<Vec<OrderRecord>, LedgerError> {
+    let mut orders = Vec::new();
+    for endpoint in &plan.endpoints {
+        let text = read(agent, endpoint)?;
+        for line in text.lines().filter(|line| !line.is_empty()) {
+            let record = serde_json::from_str(line);
+            let record = record.map_err(|error| LedgerError::Malformed {
+                endpoint: endpoint.name.clone(),
+                error,
+            })?;
+            if let LedgerRecord::Order(order) = record {
+                orders.push(order);
+            }
+        }
+    }
+    Ok(orders)
+}
+
 fn read(agent: &Agent, endpoint: &EndpointPlan) -> Result<String, LedgerError> {
     let url = format!("http://{}{LEDGER_PATH}", endpoint.address);
     let request = agent.get(url).config();
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -7,7 +7,7 @@
 
 use pico_args::Arguments;
 use sedgeridge_load::deployment::Deployment;
-use sedgeridge_load::faults::FaultName;
+use sedgeridge_load::fault_name::FaultNames;
 use sedgeridge_load::plan::LoadPlan;
 use sedgeridge_load::ready;
 use sedgeridge_load::ready::Stage;
@@ -33,14 +33,14 @@
 
 USAGE:
   sedgeridge-load topology --deployment small|luce|malardalen --dir DIR
-                  [--routers N] [--port-base P] [--fault NAME] [--set section.key=value]...
+                  [--routers N] [--port-base P] [--fault NAME[+NAME]...] [--set section.key=value]...
   sedgeridge-load wait-ready --dir DIR --stage stand-ins|routers [--seconds N]
   sedgeridge-load run --dir DIR --seconds N [--seed S] [--overload F]
   sedgeridge-load report --dir DIR
   sedgeridge-load --help | --version
 
 EXIT CODES:
-  0 done   1 work was lost, doubled, crossed, truncated, or ran though called not run
+  0 done   1 something happened that must never happen (docs/LOAD.md)
   2 the command line or a file cannot be used
 ";
 
@@ -80,15 +80,18 @@
         deployment.routers = routers;
     }
     let port_base = args.opt_value_from_str("--port-base")?;
-    let fault: Option<FaultName> = args.opt_value_from_str("--fault")?;
+    let faults: Option<FaultNames> = args.opt_value_from_str("--fault")?;
     let overrides = args.values_from_fn("--set", Override::parse)?;
     finish(args)?;
     let port_base = port_base.unwrap_or(DEFAULT_PORT_BASE);
     let mut topology = Topology::new(&deployment, &dir, port_base, &overrides);
-    topology.load.fault = fault;
-    if fault == Some(FaultName::SiteCut) && topology.load.links.is_empty() {
-        return Err("--fault site-cut: needs a deployment with more than one site".into());
+    let faults = faults.unwrap_or_default();
+    if topology.load.links.is_empty()
+        && let Some(fault) = faults.0.iter().find(|fault| fault.needs_links())
+    {
+        return Err(format!("--fault {fault}: needs a deployment with more than one site").into());
     }
+    topology.bring_about(faults, &dir);
     let taken = ready::taken_addresses(&topology.load);
     if !taken.is_empty() {
         return Err(format!("addresses in use: {}", taken.join(", ")).into());
@@ -134,7 +137,7 @@
 fn print_report(report: &Report) -> Result<ExitCode, Box<dyn Error>> {
     println!("\n{report}");
     println!("{}", serde_json::to_string(report)?);
-    if report.counts.violated() {
+    if report.violated() {
         return Ok(ExitCode::from(EXIT_VIOLATED));
     }
     Ok(ExitCode::SUCCESS)
--- /dev/null
+++ b/crates/load/src/operators.rs
@@ -0,0 +1,181 @@
+//! Operators: real processes of the command line that change the configuration or order engines.
+
+use std::fs;
+use std::io;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Output;
+use std::process::Stdio;
+
+use crate::client::now_us;
+use crate::faults::ConfigChange;
+use crate::process_plan::BASE_FILE;
+use crate::topology::sha256_hex;
+
+const COMMAND_LINE: &str = "sedgeridge";
+/// Begins the answer to an accepted change; the generation follows.
+const ACCEPTED: &str = "accepted as generation ";
+/// Begins the answer to a change that lost against another one.
+const CONFLICT: &str = "conflict:";
+/// Names what orders are about; the number of the order follows.
+pub const ORDER_SUBJECT: &str = "adapter-";
+
+/// How a change of the configuration ended for its operator.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ChangeOutcome {
+    /// It is the configuration now.
+    Accepted {
+        /// Generation that it became.
+        generation: u64,
+        /// When its operator was told.
+        told_at_us: u64,
+    },
+    /// Another change was first.
+    Conflict,
+    /// Anything else that the command line said.
+    Failed(String),
+}
+
+impl ChangeOutcome {
+    /// Reads what the command line printed.
+    ///
+    /// ```
+    /// use sedgeridge_load::operators::ChangeOutcome;
+    /// let accepted = ChangeOutcome::read("accepted as generation 7, change a: b\n", "", 5);
+    /// assert_eq!(accepted, ChangeOutcome::Accepted { generation: 7, told_at_us: 5 });
+    /// ```
+    pub fn read(stdout: &str, stderr: &str, told_at_us: u64) -> Self {
+        let digits = stdout.strip_prefix(ACCEPTED);
+        let digits = digits.and_then(|rest| rest.split(',').next());
+        if let Some(generation) = digits.and_then(|digits| digits.parse().ok()) {
+            return Self::Accepted {
+                generation,
+                told_at_us,
+            };
+        }
+        match stderr.contains(CONFLICT) {
+            true => Self::Conflict,
+            false => Self::Failed(stderr.trim().to_owned()),
+        }
+    }
+}
+
+/// Starts the command line for one run.
+#[derive(Debug, Clone)]
+pub struct Operators {
+    dir: PathBuf,
+    table_address: SocketAddr,
+}
+
+impl Operators {
+    /// Operators of the run in a directory.
+    pub fn new(dir: &Path, table_address: SocketAddr) -> Self {
+        Self {
+            dir: dir.to_owned(),
+            table_address,
+        }
+    }
+
+    /// Makes all changes at the same time, a process for each.
+    pub fn change(&self, changes: &[ConfigChange]) -> io::Result<Vec<ChangeOutcome>> {
+        let commands = changes.iter().map(|change| self.change_args(change));
+        let commands: Vec<Vec<String>> = commands.collect::<io::Result<_>>()?;
+        let children = commands.iter().map(|args| start(args));
+        let children: Vec<Child> = children.collect::<io::Result<_>>()?;
+        let waits: Vec<_> = children
+            .into_iter()
+            .map(|child| std::thread::spawn(move || outcome(child)))
+            .collect();
+        waits
+            .into_iter()
+            .map(|wait| wait.join().expect("reading an outcome does not panic"))
+            .collect()
+    }
+
+    /// Orders an engine to withdraw an adapter; gives whether the order was accepted.
+    pub fn order(&self, endpoint: &str, number: u64) -> io::Result<bool> {
+        let base = self.dir.join(BASE_FILE).display().to_string();
+        let subject = format!("{ORDER_SUBJECT}{number}");
+        let args = [
+            "orders",
+            "add",
+            &base,
+            "--endpoint",
+            endpoint,
+            "--kind",
+            "unload",
+            "--subject",
+            &subject,
+        ];
+        let output = start(&args.map(str::to_owned))?.wait_with_output()?;
+        print!("{}", text(&output.stderr));
+        Ok(output.status.success())
+    }
+
+    fn change_args(&self, change: &ConfigChange) -> io::Result<Vec<String>> {
+        let table = self.table_address.to_string();
+        let args = match change {
+            ConfigChange::AddAccount(name) => vec![
+                "accounts".to_owned(),
+                "add".to_owned(),
+                name.clone(),
+                "--key-sha256".to_owned(),
+                sha256_hex(name),
+                "--table".to_owned(),
+                table,
+            ],
+            ConfigChange::ApplyFiles(account) => {
+                let base = self.copy_with_account(account)?.display().to_string();
+                vec!["config".to_owned(), "apply".to_owned(), base]
+            }
+        };
+        Ok(args)
+    }
+
+    /// Copies the settings files beside a base file that has one more account.
+    fn copy_with_account(&self, account: &str) -> io::Result<PathBuf> {
+        let copy = self.dir.join(account);
+        fs::create_dir_all(&copy)?;
+        for file in fs::read_dir(&self.dir)? {
+            let file = file?;
+            if file.path().extension().is_some_and(|e| e == "ini") {
+                fs::copy(file.path(), copy.join(file.file_name()))?;
+            }
+        }
+        let base = copy.join(BASE_FILE);
+        let mut text = fs::OpenOptions::new().append(true).open(&base)?;
+        let digest = sha256_hex(account);
+        writeln!(
+            text,
+            "\n[account.{account}]\nweight = 1\nkey_sha256 = {digest}"
+        )?;
+        Ok(base)
+    }
+}
+
+fn start(args: &[String]) -> io::Result<Child> {
+    let binaries = std::env::current_exe()?;
+    Command::new(binaries.with_file_name(COMMAND_LINE))
+        .args(args)
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+}
+
+fn outcome(child: Child) -> io::Result<ChangeOutcome> {
+    let Output { stdout, stderr, .. } = child.wait_with_output()?;
+    Ok(ChangeOutcome::read(
+        &text(&stdout),
+        &text(&stderr),
+        now_us(),
+    ))
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::faults::FaultName;
+use crate::fault_name::FaultNames;
 
 /// File of the [`LoadPlan`] within a run's directory.
 pub const LOAD_PLAN_FILE: &str = "load.json";
@@ -32,8 +32,12 @@
     pub links: Vec<LinkPlan>,
     /// The table service.
     pub table_address: SocketAddr,
-    /// Fault to bring about.
-    pub fault: Option<FaultName>,
+    /// Coordinators, started only for the faults that are about them.
+    #[serde(default)]
+    pub coordinators: Vec<CoordinatorPlan>,
+    /// Faults to bring about.
+    #[serde(default)]
+    pub faults: FaultNames,
 }
 
 impl LoadPlan {
@@ -72,6 +76,19 @@
     pub operator_address: SocketAddr,
 }
 
+/// One coordinator process.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CoordinatorPlan {
+    /// Name of the process.
+    pub name: String,
+    /// Host that it runs on.
+    pub host: String,
+    /// Its site.
+    pub site: String,
+    /// Where its pages are.
+    pub address: SocketAddr,
+}
+
 /// A relay that stands for the way from one site to one process at another site.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LinkPlan {
--- a/crates/load/src/process_plan.rs
+++ b/crates/load/src/process_plan.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 
+use crate::plan::CoordinatorPlan;
 use crate::plan::EndpointPlan;
 use crate::plan::LinkPlan;
 use crate::plan::LoadPlan;
@@ -15,6 +16,7 @@
 
 const STAND_INS: &str = "sedgeridge-standins";
 const ROUTER: &str = "sedgeridge-router";
+const COORDINATOR: &str = "sedgeridge-coordinator";
 /// Time between two output tokens of an engine stand-in.
 const TOKEN_MS: u64 = 20;
 /// Prefill time of an engine stand-in for each uncached input token.
@@ -102,3 +104,13 @@
     );
     ProcessPlan::new(&router.name, ROUTER, &args)
 }
+
+/// A coordinator on the host of a router.
+pub fn coordinator(coordinator: &CoordinatorPlan, dir: &Path) -> ProcessPlan {
+    let CoordinatorPlan {
+        name, host, site, ..
+    } = coordinator;
+    let dir = dir.display();
+    let args = format!("--config {dir}/{BASE_FILE} --overlay {dir}/site-{site}.ini --host {host}");
+    ProcessPlan::new(name, COORDINATOR, &args)
+}
--- a/crates/load/src/ready.rs
+++ b/crates/load/src/ready.rs
@@ -48,7 +48,9 @@
     let endpoints = plan.endpoints.iter().map(|e| (&*e.name, e.address));
     let callers = plan.routers.iter().map(|r| (&*r.name, r.caller_address));
     let operators = plan.routers.iter().map(|r| (&*r.name, r.operator_address));
+    let coordinators = plan.coordinators.iter().map(|c| (&*c.name, c.address));
     let all = endpoints.chain(callers).chain(operators);
+    let all = all.chain(coordinators);
     let all = all.chain([("table", plan.table_address)]);
     let taken = all.filter(|(_, address)| TcpListener::bind(address).is_err());
     taken
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -13,6 +13,7 @@
 use crate::fairness::pool_accounts;
 use crate::fairness::weight_error_percent;
 use crate::fairness::worst_pairs;
+use crate::fault_figures::FaultFigures;
 use crate::history::CallRecord;
 use crate::history::Ending;
 use crate::history::History;
@@ -40,11 +41,14 @@
     pub seconds: u64,
     /// Seed of the load.
     pub seed: u64,
-    /// Fault that was brought about.
+    /// Faults that were brought about.
     pub fault: Option<String>,
     /// Work by how it ended, and violations.
     #[serde(flatten)]
     pub counts: Counts,
+    /// What only runs with faults show.
+    #[serde(flatten)]
+    pub faults: FaultFigures,
     /// Largest fairness gap in the steady part.
     pub fairness_gap_tokens: f64,
     /// The same within the second quarter of the sending time.
@@ -100,14 +104,16 @@
 }
 
 /// What names a run.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct RunName {
     /// Time in which load was offered.
     pub seconds: u64,
     /// Seed of the load.
     pub seed: u64,
-    /// Fault that was brought about.
+    /// Faults that were brought about.
     pub fault: Option<String>,
+    /// What only runs with faults show.
+    pub faults: FaultFigures,
 }
 
 impl Report {
@@ -126,6 +132,7 @@
             seed: name.seed,
             fault: name.fault,
             counts: count(&history.calls, &history.runs),
+            faults: name.faults,
             fairness_gap_tokens: round(gap(history.steady)),
             fairness_gap_q2_tokens: round(gap(quarter(history.sending, 1))),
             fairness_gap_q4_tokens: round(gap(quarter(history.sending, 3))),
@@ -147,6 +154,11 @@
             shares: shares(&accounts, history.steady),
         }
     }
+
+    /// Whether anything happened that must never happen.
+    pub fn violated(&self) -> bool {
+        self.counts.violated() || self.faults.violated()
+    }
 }
 
 fn shares(accounts: &[PoolAccount], steady: Span) -> Vec<AccountShare> {
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -7,27 +7,39 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
+use std::thread::Scope;
 use std::time::Duration;
 use std::time::Instant;
 
 use serde::Deserialize;
 use serde::Serialize;
 use thiserror::Error;
+use ureq::Agent;
 
 use crate::callers::Callers;
 use crate::client;
 use crate::client::now_us;
+use crate::config_watch::ConfigRecord;
+use crate::config_watch::ConfigWatch;
 use crate::control_bytes::PeerBytes;
 use crate::control_bytes::PeerRate;
+use crate::fault_figures::FaultFigures;
+use crate::fault_figures::runs_after_leaving;
+use crate::fault_log::FaultLog;
+use crate::fault_log::FaultNotes;
+use crate::fault_name::FaultName;
 use crate::faults;
-use crate::faults::FaultName;
 use crate::history::CallRecord;
 use crate::history::History;
+use crate::history::RunRecord;
 use crate::history::Span;
 use crate::history::read_lines;
 use crate::history::write_lines;
 use crate::ledgers;
 use crate::ledgers::LedgerError;
+use crate::operators::ChangeOutcome;
+use crate::operators::Operators;
+use crate::order_check;
 use crate::plan::LoadPlan;
 use crate::processes::Processes;
 use crate::recorder::Recorder;
@@ -43,6 +55,8 @@
 const WINDOW_FILE: &str = "window.json";
 /// Part of the sending time that is not judged, because queues are still filling.
 const WARM_UP_SHARE: f64 = 0.2;
+/// Longest wait for a change to come into force after the load.
+const IN_FORCE_PATIENCE: Duration = Duration::from_secs(10);
 /// Time for cancelled runs to end before ledgers are read.
 const SETTLE: Duration = Duration::from_millis(500);
 
@@ -81,6 +95,8 @@
     sending: Span,
     payload_per_node_s: Option<f64>,
     wire_per_node_s: Option<f64>,
+    #[serde(default)]
+    faults: FaultFigures,
 }
 
 /// Loads the fleet, records what both sides saw, and reports.
@@ -89,7 +105,9 @@
     let agent = client::agent();
     let before = PeerBytes::read(&agent, &plan.routers);
     let start_us = now_us();
-    let calls = load(options, &plan)?;
+    let log = FaultLog::default();
+    let watch = ConfigWatch::default();
+    let calls = load(options, &plan, &log, &watch)?;
     let sending = Span::new(start_us, start_us + options.seconds * 1_000_000);
     let after = PeerBytes::read(&agent, &plan.routers);
     let rate = before.rate_until(&after);
@@ -97,12 +115,15 @@
     thread::sleep(SETTLE);
     let runs = ledgers::read_all(&agent, &plan)?;
     write_lines(&options.dir.join(RUNS_FILE), &runs)?;
+    let notes = log.notes().clone();
+    let faults = fault_figures(&agent, &plan, &notes, &runs, watch)?;
     let window = Window {
         seconds: options.seconds,
         seed: options.seed,
         sending,
         payload_per_node_s: rate.payload_per_node_s,
         wire_per_node_s: rate.wire_per_node_s,
+        faults,
     };
     let text = serde_json::to_string_pretty(&window)?;
     fs::write(options.dir.join(WINDOW_FILE), text)?;
@@ -126,7 +147,8 @@
     let name = RunName {
         seconds: window.seconds,
         seed: window.seed,
-        fault: plan.fault.map(|fault| fault.to_string()),
+        fault: (!plan.faults.is_empty()).then(|| plan.faults.to_string()),
+        faults: window.faults,
     };
     Ok(Report::new(&plan, &history, name, peers))
 }
@@ -136,7 +158,42 @@
     Span::new(sending.start_us + warm_up_us, sending.end_us)
 }
 
-fn load(options: &RunOptions, plan: &LoadPlan) -> io::Result<Vec<CallRecord>> {
+fn fault_figures(
+    agent: &Agent,
+    plan: &LoadPlan,
+    notes: &FaultNotes,
+    runs: &[RunRecord],
+    watch: ConfigWatch,
+) -> Result<FaultFigures, LedgerError> {
+    if plan.faults.is_empty() {
+        return Ok(FaultFigures::default());
+    }
+    let sightings = watch.into_sightings();
+    let record = ConfigRecord {
+        outcomes: &notes.changes,
+        sightings: &sightings,
+        routers: &plan.routers,
+        healed_at_us: notes.healed_at_us,
+    };
+    let mut figures = record.figures();
+    figures.runs_after_leaving = runs_after_leaving(runs, &notes.left_at_us);
+    if !notes.orders.is_empty() {
+        let orders = order_check::count(&ledgers::read_orders(agent, plan)?);
+        let accepted = notes.orders.iter().filter(|accepted| **accepted).count();
+        figures.orders_accepted = Some(accepted as u64);
+        figures.orders_failed = Some((notes.orders.len() - accepted) as u64);
+        figures.orders_in_effect = Some(orders.in_effect);
+        figures.orders_wrong = Some(orders.wrong);
+    }
+    Ok(figures)
+}
+
+fn load(
+    options: &RunOptions,
+    plan: &LoadPlan,
+    log: &FaultLog,
+    watch: &ConfigWatch,
+) -> io::Result<Vec<CallRecord>> {
     let recorder = Recorder::default();
     let start = Instant::now();
     let sending = Duration::from_secs(options.seconds);
@@ -147,6 +204,7 @@
         seed: options.seed,
         overload: options.overload,
         stop_at: start + sending,
+        sending,
     };
     let saboteur = Saboteur {
         plan,
@@ -154,28 +212,66 @@
         agent: client::agent(),
         start,
         sending,
+        operators: Operators::new(&options.dir, plan.table_address),
+        log,
     };
-    let steps = plan.fault.map(|fault| faults::steps(fault, plan, sending));
     let done = AtomicBool::new(false);
     thread::scope(|scope| {
         scope.spawn(|| print_progress(&recorder, &done));
+        if !plan.faults.is_empty() {
+            let (agent, done) = (&saboteur.agent, &done);
+            for router in &plan.routers {
+                scope.spawn(move || watch.watch(agent, router, done));
+            }
+        }
         thread::scope(|load_scope| {
             callers.start(load_scope);
-            if let Some(steps) = &steps {
-                load_scope.spawn(|| saboteur.carry_out(steps));
-            }
-            if plan.fault == Some(FaultName::Poison) {
-                load_scope.spawn(|| callers.send_poison());
-            }
+            start_faults(load_scope, plan, &saboteur, &callers);
         });
+        await_configuration(plan, &log.notes().changes, watch);
         done.store(true, Ordering::Relaxed);
     });
-    if plan.fault.is_some() {
+    if !plan.faults.is_empty() {
         saboteur.revive_endpoints()?;
     }
     Ok(recorder.into_calls())
 }
 
+/// Faults of one run act side by side, so each has its own thread.
+fn start_faults<'scope>(
+    scope: &'scope Scope<'scope, '_>,
+    plan: &LoadPlan,
+    saboteur: &'scope Saboteur<'scope>,
+    callers: &'scope Callers<'scope>,
+) {
+    for fault in &plan.faults.0 {
+        let steps = faults::steps(*fault, plan, saboteur.sending);
+        scope.spawn(move || saboteur.carry_out(&steps));
+        match fault {
+            FaultName::Poison => {
+                scope.spawn(|| callers.send_poison());
+            }
+            FaultName::Flood => callers.flood(scope),
+            _ => {}
+        }
+    }
+}
+
+/// Gives routers time to put the last accepted change in force.
+fn await_configuration(plan: &LoadPlan, changes: &[ChangeOutcome], watch: &ConfigWatch) {
+    let generations = changes.iter().filter_map(|change| match change {
+        ChangeOutcome::Accepted { generation, .. } => Some(*generation),
+        ChangeOutcome::Conflict | ChangeOutcome::Failed(_) => None,
+    });
+    let Some(last) = generations.max() else {
+        return;
+    };
+    let give_up = Instant::now() + IN_FORCE_PATIENCE;
+    while !watch.in_force_everywhere(&plan.routers, last) && Instant::now() < give_up {
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
 /// Prints a line a second until load is done.
 fn print_progress(recorder: &Recorder, done: &AtomicBool) {
     let start = Instant::now();
--- a/crates/load/src/saboteur.rs
+++ b/crates/load/src/saboteur.rs
@@ -6,21 +6,30 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use sedgeridge_protocol::coordinator::CoordinatorStatus;
+use sedgeridge_protocol::operator::STATUS_PATH;
 use sedgeridge_standins::control::CONTROL_PATH;
+use sedgeridge_standins::faults::Fault;
 use sedgeridge_standins::faults::FaultOrder;
 use sedgeridge_standins::relay_state::RelayOrder;
 use serde::Serialize;
 use thiserror::Error;
 use ureq::Agent;
 
+use crate::client::now_us;
+use crate::fault_log::FaultLog;
 use crate::faults::Action;
+use crate::faults::ConfigChange;
 use crate::faults::Step;
 use crate::faults::Target;
+use crate::operators::Operators;
+use crate::plan::CoordinatorPlan;
 use crate::plan::EndpointPlan;
 use crate::plan::LinkPlan;
 use crate::plan::LoadPlan;
 use crate::plan::PoolKind;
 use crate::processes::Processes;
+use crate::processes::Signal;
 use crate::processes::listens;
 
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -54,6 +63,10 @@
     pub start: Instant,
     /// Length of sending.
     pub sending: Duration,
+    /// Operators at the command line.
+    pub operators: Operators,
+    /// What was done.
+    pub log: &'a FaultLog,
 }
 
 impl Saboteur<'_> {
@@ -72,24 +85,85 @@
     fn act(&self, action: &Action) -> Result<(), ActionError> {
         match action {
             Action::Signal(name, signal) => self.processes.signal(name, *signal)?,
-            Action::Start(name) => self.processes.start(name)?,
-            Action::Misbehave(target, order) => self.misbehave(*target, order)?,
+            Action::Start(name) => self.start_again(name)?,
+            Action::Misbehave(target, order) => self.misbehave(target, order)?,
             Action::Links(site, order) => self.order_links(site, order)?,
             Action::ReviveEngines(order) => self.revive_engines(order)?,
+            Action::Leave(name) => self.leave(name)?,
+            Action::Changes(changes) => self.change(changes)?,
+            Action::Order(endpoint, number) => {
+                let accepted = self.operators.order(endpoint, *number)?;
+                self.log.notes().orders.push(accepted);
+            }
+            Action::SignalHolder(signal) => self.signal_holder(*signal)?,
+        }
+        Ok(())
+    }
+
+    /// Another fault of the same run may have started the endpoint already; a second process would
+    /// write into the first one's ledger before it finds the address taken.
+    fn start_again(&self, name: &str) -> io::Result<()> {
+        let endpoint = self.plan.endpoints.iter().find(|e| e.name == name);
+        if endpoint.is_some_and(|e| listens(e.address)) {
+            return Ok(());
+        }
+        self.processes.start(name)
+    }
+
+    fn leave(&self, name: &str) -> Result<(), ureq::Error> {
+        let order = FaultOrder::new(Fault::Leaving);
+        self.misbehave(&Target::Endpoint(name.to_owned()), &order)?;
+        let left_at_us = &mut self.log.notes().left_at_us;
+        left_at_us.insert(name.to_owned(), now_us());
+        Ok(())
+    }
+
+    fn change(&self, changes: &[ConfigChange]) -> io::Result<()> {
+        let outcomes = self.operators.change(changes)?;
+        for outcome in &outcomes {
+            println!("fault: {outcome:?}");
         }
+        self.log.notes().changes.extend(outcomes);
         Ok(())
     }
 
-    fn misbehave(&self, target: Target, order: &FaultOrder) -> Result<(), ureq::Error> {
+    fn signal_holder(&self, signal: Signal) -> io::Result<()> {
+        let frozen = self.log.notes().frozen_holder.clone();
+        let holder = frozen.or_else(|| self.lease_holder());
+        let holder = holder.ok_or_else(|| io::Error::other("no coordinator holds the lease"))?;
+        self.processes.signal(&holder, signal)?;
+        self.log.notes().frozen_holder = Some(holder);
+        Ok(())
+    }
+
+    fn lease_holder(&self) -> Option<String> {
+        let holds = |coordinator: &&CoordinatorPlan| {
+            let url = format!("http://{}{STATUS_PATH}", coordinator.address);
+            let request = self.agent.get(url).config();
+            let request = request.timeout_global(Some(CONTROL_TIMEOUT)).build();
+            let page = request
+                .call()
+                .and_then(|mut r| r.body_mut().read_to_string());
+            let status = page.ok().and_then(|text| serde_json::from_str(&text).ok());
+            status.is_some_and(|status: CoordinatorStatus| status.holding)
+        };
+        let holder = self.plan.coordinators.iter().find(holds);
+        holder.map(|coordinator| coordinator.name.clone())
+    }
+
+    /// Orders every target; one that does not answer keeps none of the others from theirs.
+    fn misbehave(&self, target: &Target, order: &FaultOrder) -> Result<(), ureq::Error> {
         let addresses: Vec<_> = match target {
             Target::Table => vec![self.plan.table_address],
             Target::Endpoints => self.plan.endpoints.iter().map(|e| e.address).collect(),
             Target::Engines => self.engines().map(|e| e.address).collect(),
+            Target::Endpoint(name) => {
+                let named = self.plan.endpoints.iter().filter(|e| e.name == *name);
+                named.map(|e| e.address).collect()
+            }
         };
-        for address in addresses {
-            self.order(address, order)?;
-        }
-        Ok(())
+        let orders = addresses.into_iter().map(|a| self.order(a, order));
+        orders.fold(Ok(()), Result::and)
     }
 
     fn order_links(&self, site: &str, order: &RelayOrder) -> Result<(), ureq::Error> {
@@ -97,6 +171,9 @@
         for link in self.plan.links.iter().filter(touches) {
             self.order(link.control_address, order)?;
         }
+        if *order == RelayOrder::Heal {
+            self.log.notes().healed_at_us = Some(now_us());
+        }
         Ok(())
     }
 
--- a/crates/load/src/topology.rs
+++ b/crates/load/src/topology.rs
@@ -16,8 +16,11 @@
 use crate::deployment::Deployment;
 use crate::deployment::PoolDesign;
 use crate::deployment::ServiceDesign;
+use crate::fault_name::FaultName;
+use crate::fault_name::FaultNames;
 use crate::ini_text::IniText;
 use crate::plan::AccountPlan;
+use crate::plan::CoordinatorPlan;
 use crate::plan::EndpointPlan;
 use crate::plan::LOAD_PLAN_FILE;
 use crate::plan::LinkPlan;
@@ -32,6 +35,8 @@
 
 /// Account keys are derived from this, so that every run uses the same ones.
 const KEY_SEED: &str = "sedgeridge-load keys 1";
+/// Hosts that may run a coordinator.
+const COORDINATORS: usize = 2;
 /// Default of `fair.output_token_factor`, repeated here for the judge of fairness.
 const OUTPUT_TOKEN_FACTOR: u64 = 4;
 
@@ -90,6 +95,7 @@
             load,
         };
         topology.write_settings(deployment, &mut addresses);
+        topology.lay_coordinators(deployment, &mut addresses);
         for set in overrides {
             topology.base.set(&set.section, &set.key, &*set.value);
         }
@@ -140,6 +146,31 @@
         }
     }
 
+    fn lay_coordinators(&mut self, deployment: &Deployment, addresses: &mut Addresses) {
+        let hosts = self.load.routers.iter().take(COORDINATORS).enumerate();
+        for (index, router) in hosts {
+            let address = addresses.take();
+            let section = format!("host.{}", router.name);
+            self.base.set(&section, "coordinator_address", &address);
+            self.load.coordinators.push(CoordinatorPlan {
+                name: format!("coordinator-{}", index + 1),
+                host: router.name.clone(),
+                site: site_of(deployment, index).to_owned(),
+                address,
+            });
+        }
+    }
+
+    /// Names the faults of the run, and adds the processes that only they need.
+    pub fn bring_about(&mut self, faults: FaultNames, dir: &Path) {
+        if faults.contains(FaultName::LeaseFreeze) {
+            let coordinators = self.load.coordinators.iter();
+            let coordinators = coordinators.map(|c| process_plan::coordinator(c, dir));
+            self.processes.extend(coordinators);
+        }
+        self.load.faults = faults;
+    }
+
     /// Overrides may change what callers and judges have to know.
     fn read_back_overrides(&mut self) {
         let factor = self.base.get("fair", "output_token_factor");
@@ -161,7 +192,7 @@
     }
 
     /// Every site reaches the processes of other sites through relays: its overlay names the
-    /// relay in place of the process.
+    /// relay in place of the process. The table service stands at the first site.
     fn lay_links(&mut self, addresses: &mut Addresses) {
         let hosts = self.load.routers.iter().map(|r| format!("host.{}", r.name));
         let hosts = hosts.map(|section| (section, "peer_address"));
@@ -171,10 +202,12 @@
             .iter()
             .map(|e| format!("endpoint.{}", e.name));
         let endpoints = endpoints.map(|section| (section, "address"));
-        let targets: Vec<(String, &str)> = hosts.chain(endpoints).collect();
+        let table = ("platform".to_owned(), "table_address");
+        let targets: Vec<(String, &str)> = hosts.chain(endpoints).chain([table]).collect();
+        let platform_site = self.overlays[0].0.clone();
         for (site, overlay) in &mut self.overlays {
             for (section, key) in &targets {
-                let to_site = self.base.get(section, "site").unwrap_or_default();
+                let to_site = self.base.get(section, "site").unwrap_or(&platform_site);
                 let target = self.base.get(section, key).and_then(|a| a.parse().ok());
                 let Some(target) = target.filter(|_| to_site != site) else {
                     continue;
@@ -256,7 +289,8 @@
         accounts: account_plans(deployment),
         table_address,
         links: Vec::new(),
-        fault: None,
+        coordinators: Vec::new(),
+        faults: FaultNames::default(),
     }
 }
 
--- a/crates/load/tests/faults.rs
+++ b/crates/load/tests/faults.rs
@@ -7,8 +7,9 @@
 use std::time::Duration;
 
 use sedgeridge_load::deployment::Deployment;
+use sedgeridge_load::fault_name::FaultName;
+use sedgeridge_load::fault_name::FaultNames;
 use sedgeridge_load::faults::Action;
-use sedgeridge_load::faults::FaultName;
 use sedgeridge_load::faults::steps;
 use sedgeridge_load::processes::PIDS_FILE;
 use sedgeridge_load::processes::Processes;
@@ -44,8 +45,20 @@
         let steps = steps(fault, &load, SENDING);
         let count =
             |wanted: fn(&Action) -> bool| steps.iter().filter(|s| wanted(&s.action)).count();
-        let gone = count(|a| matches!(a, Action::Signal(_, Signal::Kill | Signal::Stop)));
-        let back = count(|a| matches!(a, Action::Signal(_, Signal::Continue) | Action::Start(_)));
+        let gone = count(|a| {
+            matches!(
+                a,
+                Action::Signal(_, Signal::Kill | Signal::Stop) | Action::SignalHolder(Signal::Stop)
+            )
+        });
+        let back = count(|a| {
+            matches!(
+                a,
+                Action::Signal(_, Signal::Continue)
+                    | Action::Start(_)
+                    | Action::SignalHolder(Signal::Continue)
+            )
+        });
         assert_eq!(gone, back, "{fault}");
     }
 }
@@ -59,6 +72,27 @@
     }
 }
 
+#[test]
+fn two_faults_are_named_with_a_plus() {
+    let both: FaultNames = "router-kill+table-down".parse().expect("known faults");
+    assert_eq!(both.0, [FaultName::RouterKill, FaultName::TableDown]);
+    assert!("router-kill+".parse::<FaultNames>().is_err());
+}
+
+/// Coordinators run only where a fault is about them: each one reads the lease every second.
+#[parameterized(
+    about_them = { "poison+lease-freeze", 2 },
+    not_about_them = { "poison", 0 },
+)]
+fn coordinators_run_only_for_their_fault(faults: &str, expected: usize) {
+    let mut topology = topology("small");
+    let faults = faults.parse().expect("known faults");
+    topology.bring_about(faults, Path::new("run/test"));
+    let programs = topology.processes.iter().map(|p| p.program);
+    let coordinators = programs.filter(|p| *p == "sedgeridge-coordinator");
+    assert_eq!(coordinators.count(), expected);
+}
+
 fn run_dir(name: &str) -> PathBuf {
     let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     fs::create_dir_all(&dir).expect("the directory of test files can be written");
--- a/crates/load/tests/report.rs
+++ b/crates/load/tests/report.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use sedgeridge_load::control_bytes::PeerRate;
+use sedgeridge_load::fault_figures::FaultFigures;
 use sedgeridge_load::history::CallRecord;
 use sedgeridge_load::history::Outcome;
 use sedgeridge_load::history::RunRecord;
@@ -19,6 +20,7 @@
         seconds: 1,
         seed: 1,
         fault: None,
+        faults: FaultFigures::default(),
     };
     Report::new(&plan(), &history(calls, runs), name, PeerRate::default())
 }
--- a/crates/load/tests/topology.rs
+++ b/crates/load/tests/topology.rs
@@ -94,11 +94,12 @@
     assert_eq!(found, Some(source));
 }
 
-/// A site's own processes are reached directly, those of other sites through one relay each.
+/// A site's own processes are reached directly, those of other sites through one relay each. The
+/// table service stands at the first site.
 #[parameterized(
     small = { "small", 0 },
-    luce = { "luce", 36 },
-    malardalen = { "malardalen", 84 },
+    luce = { "luce", 38 },
+    malardalen = { "malardalen", 87 },
 )]
 fn other_sites_are_reached_through_relays(name: &str, links: usize) {
     let topology = topology(name, &[]);
