fix(coordination): the end of a short grant is told at once; one generator of random numbers

Cause: ends of grants waited for the next lazy report (200 ms) when nobody else waited, so at half load the slots of 10 ms requests seemed occupied and callers waited beside free slots. Ruled out: the batch interval alone (5 -> 1 ms; it was a part, and its default is 1 ms now), the span. SplitMix64 stood in three places and stands in one.

--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -309,7 +309,7 @@
                 return self.start(now, key, grant, &endpoint, actions);
             }
         }
-        self.pool(pool).release(grant);
+        self.pool(pool).release(now, grant);
     }
 
     /// Decides about a request that was taken from its queue; one that may not start now is put off
@@ -424,7 +424,7 @@
             pool.learn_run_time(&arrival.account, started_ago);
             self.go_on(now, &arrival.pool, &ended.grant, actions);
         } else {
-            pool.release(&ended.grant);
+            pool.release(now, &ended.grant);
         }
         match end {
             AttemptEnd::Finished { .. } => {
--- a/crates/coordination/src/entry_pool.rs
+++ b/crates/coordination/src/entry_pool.rs
@@ -34,6 +34,8 @@
 const CLASSES: [RequestClass; 2] = [RequestClass::Interactive, RequestClass::Deferred];
 /// Most missing grants that are named one by one; after more, a full report says what is held.
 const MAX_MISSING_GRANTS: u64 = 256;
+/// Time in use from which on the end of a grant may be told late, as a small part of it.
+const LONG_GRANT: Duration = Duration::from_secs(2);
 /// Part of a cost by which it may be off without the home being told.
 const COST_TOLERANCE_DIVISOR: u64 = 8;
 
@@ -321,6 +323,7 @@
         self.held.insert(HeldGrant {
             holding,
             left: requests - 1,
+            since: now,
             until: now + self.grant_span,
         });
         // The home charged the cost that it was told with the demand. Naming each grant again would
@@ -377,11 +380,14 @@
         Some(endpoint)
     }
 
-    /// Ends a grant.
-    pub fn release(&mut self, grant: &GrantId) {
-        self.held.remove(grant);
+    /// Ends a grant. The home is told at once when others wait for slots, or when the grant was
+    /// short: slots of short grants told of late would seem occupied most of the time, and callers
+    /// would wait at half load.
+    pub fn release(&mut self, now: Duration, grant: &GrantId) {
+        let held = self.held.remove(grant);
+        let was_long = held.is_some_and(|held| now >= held.since + LONG_GRANT);
         self.ended.push(grant.clone());
-        self.urgent |= self.contended;
+        self.urgent |= self.contended || !was_long;
     }
 
     /// Notes what an attempt told about its endpoint.
--- a/crates/coordination/src/held_grants.rs
+++ b/crates/coordination/src/held_grants.rs
@@ -14,6 +14,8 @@
     pub(crate) holding: Holding,
     /// Requests that it still covers beside the one that runs.
     pub(crate) left: u32,
+    /// When it came into use.
+    pub(crate) since: Duration,
     /// Time from which on it covers no further request.
     pub(crate) until: Duration,
 }
@@ -38,9 +40,9 @@
         self.grants.values().map(|held| &held.holding)
     }
 
-    pub(crate) fn remove(&mut self, id: &GrantId) {
-        self.grants.remove(id);
+    pub(crate) fn remove(&mut self, id: &GrantId) -> Option<HeldGrant> {
         self.changed.remove(id);
+        self.grants.remove(id)
     }
 
     /// Takes one further request from a grant; false when it covers none any more.
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -17,7 +17,6 @@
 mod notice_board;
 mod probe_schedule;
 mod prober;
-mod random;
 mod receive;
 mod rejections;
 mod suspicion;
@@ -31,6 +30,7 @@
 use sedgeridge_state::settings::MembershipSettings;
 use sedgeridge_state::settings::millis;
 
+use crate::random::SeededRandom;
 use admission::Admission;
 use dissemination::Dissemination;
 use member_table::MemberTable;
@@ -39,7 +39,6 @@
 use notice_board::NoticeBoard;
 use prober::Outgoing;
 use prober::Prober;
-use random::SeededRandom;
 
 pub use events::HostHint;
 pub use events::ListedHost;
@@ -106,7 +105,7 @@
     ) -> Self {
         let mut random = SeededRandom::new(seed);
         let prober = Prober::new(&settings, &mut random);
-        let sync_phase_ms = random.below(settings.sync_interval_ms as usize) as u64;
+        let sync_phase_ms = random.index(settings.sync_interval_ms as usize) as u64;
         let admission = Admission::new(member.host.clone(), hosts);
         Self {
             own: MemberRecord {
--- a/crates/coordination/src/membership/probe_schedule.rs
+++ b/crates/coordination/src/membership/probe_schedule.rs
@@ -5,7 +5,7 @@
 
 use sedgeridge_state::ids::HostId;
 
-use super::random::SeededRandom;
+use crate::random::SeededRandom;
 
 /// The order of probes.
 #[derive(Debug, Default)]
@@ -20,7 +20,7 @@
         if self.order.contains(host) {
             return;
         }
-        let place = self.position + random.below(self.order.len() - self.position + 1);
+        let place = self.position + random.index(self.order.len() - self.position + 1);
         self.order.insert(place, host.clone());
     }
 
--- a/crates/coordination/src/membership/prober.rs
+++ b/crates/coordination/src/membership/prober.rs
@@ -12,7 +12,7 @@
 use super::member_table::MemberTable;
 use super::messages::Body;
 use super::probe_schedule::ProbeSchedule;
-use super::random::SeededRandom;
+use crate::random::SeededRandom;
 
 /// Worst local health; times are stretched by at most this plus one.
 const MAX_LOCAL_HEALTH: u32 = 7;
@@ -63,7 +63,7 @@
     /// Creates a prober whose first probe falls at a random point of the first interval, so that
     /// hosts that start together do not probe in step.
     pub(crate) fn new(settings: &MembershipSettings, random: &mut SeededRandom) -> Self {
-        let phase_ms = random.below(settings.probe_interval_ms as usize) as u64;
+        let phase_ms = random.index(settings.probe_interval_ms as usize) as u64;
         Self {
             interval: millis(settings.probe_interval_ms),
             timeout: millis(settings.probe_timeout_ms),
--- a/crates/coordination/src/membership/timers.rs
+++ b/crates/coordination/src/membership/timers.rs
@@ -108,7 +108,7 @@
         let interval = millis(self.settings.rejoin_interval_ms);
         self.next_rejoin_at = now + if alone { JOIN_INTERVAL } else { interval };
         let contacts = if alone { JOIN_CONTACTS } else { 1 };
-        if self.random.below(live + 1) >= missing.len() * REJOIN_CONTACTS {
+        if self.random.index(live + 1) >= missing.len() * REJOIN_CONTACTS {
             return;
         }
         self.random.choose(&mut missing, contacts);
--- a/crates/coordination/src/rendezvous.rs
+++ b/crates/coordination/src/rendezvous.rs
@@ -14,6 +14,7 @@
 /// ```
 /// use sedgeridge_coordination::rendezvous::home_of;
 /// use sedgeridge_state::ids::{HostId, Incarnation, Member, PoolId};
+use crate::random::mix;
 ///
 /// let member = |host: &str| Member { host: HostId::from(host), incarnation: Incarnation(1) };
 /// let pool = PoolId::from("desk");
@@ -30,7 +31,8 @@
 
 fn score(pool: &PoolId, member: &Member) -> u64 {
     let hash = stable_hash(FNV_OFFSET, pool.as_str().as_bytes());
-    // The separator keeps ("ab", "c") and ("a", "bc") apart.
+    // FNV alone leaves the high bits of names that differ in their last byte alike, which would
+    // give one host most pools, so the result is mixed. The separator keeps ("ab", "c") and ("a", "bc") apart.
     let hash = stable_hash(hash, &[0]);
     mix(stable_hash(hash, member.host.as_str().as_bytes()))
 }
@@ -42,14 +44,6 @@
     })
 }
 
-/// Finaliser of SplitMix64. FNV alone leaves the high bits of names that differ in their last
-/// byte alike, which would give one host most pools.
-pub(crate) fn mix(mut hash: u64) -> u64 {
-    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    hash ^ (hash >> 31)
-}
-
 /// Derives a seed from a name.
 pub(crate) fn seed_of(name: &str) -> u64 {
     mix(stable_hash(FNV_OFFSET, name.as_bytes()))
--- a/crates/coordination/src/slot_table.rs
+++ b/crates/coordination/src/slot_table.rs
@@ -11,10 +11,7 @@
 use crate::pool_home::SlotUsage;
 use crate::pool_messages::PrefixHash;
 use crate::prefix_affinity::PrefixAffinity;
-use crate::rendezvous::mix;
-
-/// Increment of SplitMix64.
-const SPLIT_MIX_STEP: u64 = 0x9e37_79b9_7f4a_7c15;
+use crate::random::SeededRandom;
 
 #[derive(Debug)]
 struct Endpoint {
@@ -37,7 +34,7 @@
 #[derive(Debug)]
 pub(crate) struct SlotTable {
     choice: EndpointChoice,
-    random_state: u64,
+    random: SeededRandom,
     endpoints: Vec<Endpoint>,
     by_id: NameIndex<EndpointId>,
     sites: NameIndex<SiteId>,
@@ -53,7 +50,7 @@
     pub(crate) fn new(choice: EndpointChoice, seed: u64) -> Self {
         Self {
             choice,
-            random_state: seed,
+            random: SeededRandom::new(seed),
             endpoints: Vec::new(),
             by_id: NameIndex::default(),
             sites: NameIndex::default(),
@@ -190,9 +187,8 @@
         if self.free.is_empty() {
             return None;
         }
-        self.random_state = self.random_state.wrapping_add(SPLIT_MIX_STEP);
-        let position = mix(self.random_state) % self.free.len() as u64;
-        Some(self.free[position as usize])
+        let position = self.random.index(self.free.len());
+        Some(self.free[position])
     }
 
     /// Changes an endpoint and keeps the indices of free slots in step.
--- a/crates/coordination/tests/entry_pool_and_home.rs
+++ b/crates/coordination/tests/entry_pool_and_home.rs
@@ -118,3 +118,29 @@
     entry.hold(Duration::ZERO, &grants[1], 100);
     assert_eq!(exchange(&mut entry, &mut home).len(), 1);
 }
+
+// Callers wait at half load although slots are free. Grants of short requests were told as ended
+// only with the next lazy report, so their slots seemed occupied most of the time. The end of a
+// short grant must be told at once; that of a long one may wait when nobody misses the slot.
+#[test]
+fn the_end_of_a_short_grant_is_told_at_once() {
+    let mut home = home();
+    let mut entry = EntryPool::new(PoolId::from("desk"), Duration::ZERO);
+    entry.set_home(Some(member("home")));
+    for (ran, expected) in [
+        (Duration::from_millis(20), Urgency::Urgent),
+        (Duration::from_secs(10), Urgency::Lazy),
+    ] {
+        wait(&mut entry, RequestKey(1));
+        let grants = exchange(&mut entry, &mut home);
+        let grant = &grants[0];
+        assert!(!grant.contended);
+        assert!(entry.accept(grant));
+        assert!(entry.pop_for(grant).is_some());
+        entry.hold(Duration::ZERO, grant, 100);
+        exchange(&mut entry, &mut home);
+        entry.release(ran, &grant.id);
+        assert_eq!(entry.urgency(), expected, "after {ran:?}");
+        exchange(&mut entry, &mut home);
+    }
+}
--- a/crates/state/src/settings.rs
+++ b/crates/state/src/settings.rs
@@ -176,7 +176,7 @@
             order: QueueOrder::default(),
             endpoint_choice: EndpointChoice::default(),
             output_token_factor: 4,
-            batch_interval_ms: 5,
+            batch_interval_ms: 1,
             report_interval_ms: 200,
             grant_span_ms: 200,
             grant_timeout_ms: 1_000,
--- a/crates/state/src/settings/schema/general.rs
+++ b/crates/state/src/settings/schema/general.rs
@@ -132,7 +132,7 @@
         key(
             "batch_interval_ms",
             whole(Milliseconds, 1, 1_000),
-            Value("5"),
+            Value("1"),
             Fleet,
             "Longest time peer messages are gathered into one.",
         ),
