--- a/crates/slopes/src/main.rs
+++ b/crates/slopes/src/main.rs
@@ -81,8 +81,8 @@
         chosen
     };
     let mut figures = Figures::default();
-    for bench in benches {
-        figures.extend(runner::run_bench(bench, seed, quick)?);
+    for series in runner::run_all(&benches, seed, quick)? {
+        figures.extend(series);
     }
     for series in figures.all() {
         let at_target = series.at_target();
--- a/crates/slopes/src/roles/claims.rs
+++ b/crates/slopes/src/roles/claims.rs
@@ -66,6 +66,7 @@
             title: "claims: processor time a router and second, us",
         },
     ],
+    is_timed: true,
     measure,
 };
 
--- a/crates/slopes/src/roles/config.rs
+++ b/crates/slopes/src/roles/config.rs
@@ -67,6 +67,7 @@
             title: "configuration: one change from peer to peer on the wire, both ways, bytes",
         },
     ],
+    is_timed: true,
     measure,
 };
 
--- a/crates/slopes/src/roles/config_spread.rs
+++ b/crates/slopes/src/roles/config_spread.rs
@@ -54,6 +54,7 @@
             title: "configuration: sent on the wire between peers, node and change, bytes",
         },
     ],
+    is_timed: true,
     measure,
 };
 
--- a/crates/slopes/src/roles/coordinator.rs
+++ b/crates/slopes/src/roles/coordinator.rs
@@ -56,6 +56,7 @@
             title: "coordinator: renewals of the lease, fleet and second",
         },
     ],
+    is_timed: true,
     measure: measure_lease,
 };
 
@@ -88,6 +89,7 @@
             title: "coordinator: rows that a new holder reads, one order to each engine, KB",
         },
     ],
+    is_timed: true,
     measure: measure_orders,
 };
 
--- a/crates/slopes/src/roles/data_path.rs
+++ b/crates/slopes/src/roles/data_path.rs
@@ -61,6 +61,7 @@
             title: "data path: processor time of the router process a second, ms",
         },
     ],
+    is_timed: true,
     measure: measure_streams,
 };
 
@@ -75,6 +76,7 @@
         name: "cpu_ms",
         title: "data path: processor time of the router process, ms",
     }],
+    is_timed: true,
     measure: measure_requests,
 };
 
--- a/crates/slopes/src/roles/failures.rs
+++ b/crates/slopes/src/roles/failures.rs
@@ -59,6 +59,7 @@
     quick_sizes: &[16, 24, 32, 48],
     target: target::NODES,
     metrics: METRICS,
+    is_timed: false,
     measure: measure_host,
 };
 
@@ -70,6 +71,7 @@
     quick_sizes: &[16, 24, 32, 48],
     target: target::NODES,
     metrics: METRICS,
+    is_timed: false,
     measure: measure_site,
 };
 
@@ -110,6 +112,7 @@
             title: "most requests at the engines in the 15 s after the heal, times those before the cut",
         },
     ],
+    is_timed: false,
     measure: measure_region,
 };
 
--- a/crates/slopes/src/roles/fleet.rs
+++ b/crates/slopes/src/roles/fleet.rs
@@ -104,6 +104,7 @@
     quick_sizes: &[16, 24, 32, 48],
     target: target::NODES,
     metrics: METRICS,
+    is_timed: true,
     measure: measure_nodes,
 };
 
@@ -115,6 +116,7 @@
     quick_sizes: &[2, 4, 8, 12],
     target: target::REQUESTS_PER_S / target::NODES,
     metrics: METRICS,
+    is_timed: true,
     measure: measure_requests,
 };
 
--- a/crates/slopes/src/roles/home.rs
+++ b/crates/slopes/src/roles/home.rs
@@ -49,6 +49,7 @@
         name: "memory_kb",
         title: "account home (the pool's home): memory, KB",
     }],
+    is_timed: true,
     measure: measure_accounts,
 };
 
@@ -73,6 +74,7 @@
             title: "new home: memory after it, KB",
         },
     ],
+    is_timed: true,
     measure: measure_takeover,
 };
 
--- a/crates/slopes/src/roles/home_endpoints.rs
+++ b/crates/slopes/src/roles/home_endpoints.rs
@@ -41,6 +41,7 @@
             title: "endpoint home: decisions on one load report, all endpoints idle, us",
         },
     ],
+    is_timed: true,
     measure,
 };
 
--- a/crates/slopes/src/roles/load_reports.rs
+++ b/crates/slopes/src/roles/load_reports.rs
@@ -52,6 +52,7 @@
             title: "load reports: answers received on the wire, KB",
         },
     ],
+    is_timed: true,
     measure,
 };
 
--- a/crates/slopes/src/roles/mod.rs
+++ b/crates/slopes/src/roles/mod.rs
@@ -49,6 +49,9 @@
     pub target: f64,
     /// What it measures.
     pub metrics: &'static [Metric],
+    /// Whether it measures processor time or memory, which other work on the machine disturbs;
+    /// counts and simulated times are the same however busy the machine is.
+    pub is_timed: bool,
     /// Measures one point.
     pub measure: fn(Point) -> Sample,
 }
--- a/crates/slopes/src/roles/tools.rs
+++ b/crates/slopes/src/roles/tools.rs
@@ -59,6 +59,7 @@
             title: "tools: memory of the file, the document and the settings, KB",
         },
     ],
+    is_timed: true,
     measure,
 };
 
--- a/crates/slopes/src/runner.rs
+++ b/crates/slopes/src/runner.rs
@@ -3,6 +3,7 @@
 use std::env;
 use std::io;
 use std::process::Command;
+use std::thread;
 
 use thiserror::Error;
 
@@ -31,6 +32,33 @@
     },
 }
 
+/// Runs benches: those that measure time or memory one after another, then the others at once.
+///
+/// # Errors
+///
+/// Fails when a point cannot be run.
+pub fn run_all(
+    benches: &[&'static Bench],
+    seed: u64,
+    quick: bool,
+) -> Result<Vec<Vec<Series>>, RunError> {
+    let (timed, counted): (Vec<_>, Vec<_>) = benches.iter().partition(|bench| bench.is_timed);
+    let mut all = Vec::new();
+    for bench in timed {
+        all.push(run_bench(bench, seed, quick)?);
+    }
+    let counted: Result<Vec<_>, RunError> = thread::scope(|scope| {
+        let runs: Vec<_> = counted
+            .into_iter()
+            .map(|bench| scope.spawn(move || run_bench(bench, seed, quick)))
+            .collect();
+        let ended = runs.into_iter();
+        ended.map(|run| run.join().expect("a run ends")).collect()
+    });
+    all.extend(counted?);
+    Ok(all)
+}
+
 /// Runs a bench at all its sizes, one after another.
 ///
 /// # Errors
