fix(load): deployments have a floor for orders, and engines of both kinds

Ruled out: a fault of the coordinator; it kept the floor that it was given. Left: the default floor stays 0, and a request whose deadline is nearer than the time of a run is started and breaks off as partial.

--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -127,6 +127,9 @@
     pub slots: u32,
     /// Where it listens itself, without any delay between sites.
     pub address: SocketAddr,
+    /// Whether it refuses orders with an old fencing number.
+    #[serde(default)]
+    pub checks_fencing: bool,
 }
 
 /// One service.
--- a/crates/load/src/process_plan.rs
+++ b/crates/load/src/process_plan.rs
@@ -78,12 +78,17 @@
         name,
         address,
         slots,
+        checks_fencing,
         ..
     } = endpoint;
+    let fencing = match checks_fencing {
+        true => "",
+        false => "--ignore-fencing",
+    };
     let own = match kind {
         PoolKind::Model => format!(
             "engine --token-ms {TOKEN_MS} --prefill-us-per-token {PREFILL_US_PER_TOKEN} \
-             --prefix-cache-tokens {PREFIX_CACHE_TOKENS}"
+             --prefix-cache-tokens {PREFIX_CACHE_TOKENS} {fencing}"
         ),
         PoolKind::Plain => format!("plain --service-ms {SERVICE_MS}"),
     };
--- a/crates/load/src/topology.rs
+++ b/crates/load/src/topology.rs
@@ -124,7 +124,10 @@
             base.set(&section, "operator_address", &router.operator_address);
         }
         for pool in &deployment.pools {
-            base.set(&format!("pool.{}", pool.name), "kind", kind_name(pool.kind));
+            let section = format!("pool.{}", pool.name);
+            base.set(&section, "kind", kind_name(pool.kind));
+            // Orders to all engines of a pool at once would else leave none serving.
+            base.set(&section, "floor", &pool.endpoints.div_ceil(2));
         }
         for service in &deployment.services {
             let section = format!("service.{}", service.name);
@@ -138,6 +141,9 @@
             base.set(&section, "site", site_of(deployment, index));
             base.set(&section, "address", &endpoint.address);
             base.set(&section, "slots", &endpoint.slots);
+            if endpoint.checks_fencing {
+                base.set(&section, "checks_fencing", "yes");
+            }
         }
         for account in &self.load.accounts {
             let section = format!("account.{}", account.name);
@@ -273,12 +279,15 @@
     });
     let routers = routers.collect();
     let endpoints = deployment.pools.iter().flat_map(pool_endpoints);
-    let endpoints = endpoints.map(|(name, pool)| EndpointPlan {
-        name,
-        pool: pool.name.to_owned(),
-        slots: pool.slots,
-        address: addresses.take(),
-    });
+    let endpoints = endpoints
+        .enumerate()
+        .map(|(index, (name, pool))| EndpointPlan {
+            name,
+            pool: pool.name.to_owned(),
+            slots: pool.slots,
+            address: addresses.take(),
+            checks_fencing: index % 2 == 0,
+        });
     let endpoints = endpoints.collect();
     LoadPlan {
         deployment: deployment.name.to_owned(),
--- a/crates/load/tests/topology.rs
+++ b/crates/load/tests/topology.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 
 use sedgeridge_load::deployment::Deployment;
+use sedgeridge_load::process_plan::ProcessPlan;
 use sedgeridge_load::topology::Topology;
 use sedgeridge_load::topology::sha256_hex;
 use sedgeridge_state::settings::Override;
@@ -94,6 +95,20 @@
     assert_eq!(found, Some(source));
 }
 
+/// Orders drain the engines that they are for. Without a floor, orders to all engines of a pool at
+/// once leave no engine serving until the drains have lapsed.
+#[test]
+fn every_pool_has_a_floor_and_both_kinds_of_engines() {
+    let topology = topology("small", &[]);
+    assert_eq!(topology.base.get("pool.engines", "floor"), Some("2"));
+    assert_eq!(topology.base.get("pool.orders", "floor"), Some("1"));
+    let checking = topology.load.endpoints.iter().filter(|e| e.checks_fencing);
+    assert_eq!(checking.count(), 3);
+    let ignores = |p: &&ProcessPlan| p.args.iter().any(|a| a == "--ignore-fencing");
+    let ignoring = topology.processes.iter().filter(ignores);
+    assert_eq!(ignoring.count(), 2);
+}
+
 /// A site's own processes are reached directly, those of other sites through one relay each. The
 /// table service stands at the first site.
 #[parameterized(
