--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -1,12 +1,13 @@
 //! The entry router: keeps its callers' requests, tells each pool's home what waits, and binds a
 //! granted slot to the account's first waiting request.
 
+mod attempts;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use sedgeridge_state::ids::AccountId;
-use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::ids::Member;
 use sedgeridge_state::ids::PoolId;
 use sedgeridge_state::settings::Settings;
@@ -16,32 +17,25 @@
 use crate::cost_estimate::CostEstimates;
 use crate::entry_events::Arrival;
 use crate::entry_events::AttemptEnd;
-use crate::entry_events::AttemptFailure;
-use crate::entry_events::AttemptKey;
 use crate::entry_events::EntryAction;
 use crate::entry_events::EntryEvent;
 use crate::entry_events::GiveUp;
 use crate::entry_events::RequestKey;
-use crate::entry_events::StartAttempt;
 use crate::entry_pool::EntryPool;
 use crate::entry_pool::HeadFacts;
 use crate::entry_pool::Urgency;
 use crate::limits;
 use crate::limits::Admission;
 use crate::limits::Refusal;
-use crate::pool_messages::Grant;
-use crate::pool_messages::GrantId;
-use crate::quarantine::Permit;
 use crate::quarantine::Quarantine;
 use crate::refusal::Outcome;
 use crate::refusal::RefusalReason;
-use crate::request_table::Attempt;
 use crate::request_table::Place;
 use crate::request_table::Request;
 use crate::request_table::RequestTable;
-use crate::retry_budget::FailedAttempt;
 use crate::retry_budget::RetryBudgets;
-use crate::retry_budget::RetryDecision;
+use crate::retry_budget::RetryDenial;
+use crate::retry_budget::RetryReason;
 
 /// Time after which a suspect of crashing endpoints asks again for its trial.
 const TRIAL_PAUSE: Duration = Duration::from_millis(100);
@@ -193,6 +187,13 @@
             .unwrap_or(Urgency::None)
     }
 
+    /// Returns how often each failure was followed by a retry, or why it was not.
+    pub fn retry_counts(
+        &self,
+    ) -> impl Iterator<Item = (RetryReason, Option<RetryDenial>, u64)> + '_ {
+        self.retries.counts()
+    }
+
     /// Returns when a put-off request is to be queued again.
     pub fn next_wake(&self) -> Option<Duration> {
         self.requests.next_due()
@@ -252,7 +253,7 @@
         let backlogged_accounts = pool.backlogged_accounts_with(&arrival.account);
         self.admission.admit(
             now,
-            limits::Arrival {
+            limits::AdmissionRequest {
                 account: &arrival.account,
                 pool: &arrival.pool,
                 waiting: self.waiting,
@@ -282,246 +283,6 @@
         self.pool(&pool).enqueue(lane, key, first);
     }
 
-    fn granted(&mut self, now: Duration, grant: &Grant, actions: &mut Vec<EntryAction>) {
-        if !self.pool(&grant.pool).accept(grant) {
-            return;
-        }
-        while let Some(key) = self.pool(&grant.pool).pop_for(grant) {
-            if self.may_start(now, key, actions) {
-                let cost_tokens = self.cost_of(key);
-                self.pool(&grant.pool).hold(now, grant, cost_tokens);
-                return self.start(now, key, &grant.id, &grant.endpoint, actions);
-            }
-        }
-        self.pool(&grant.pool).give_back(grant);
-    }
-
-    /// Uses a grant again for the next request that it covers, or ends it.
-    fn go_on(
-        &mut self,
-        now: Duration,
-        pool: &PoolId,
-        grant: &GrantId,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        while let Some((key, endpoint)) = self.pool(pool).next_of_grant(now, grant) {
-            if self.may_start(now, key, actions) {
-                return self.start(now, key, grant, &endpoint, actions);
-            }
-        }
-        self.pool(pool).release(now, grant);
-    }
-
-    /// Decides about a request that was taken from its queue; one that may not start now is put off
-    /// or given up.
-    fn may_start(
-        &mut self,
-        now: Duration,
-        key: RequestKey,
-        actions: &mut Vec<EntryAction>,
-    ) -> bool {
-        self.waiting -= 1;
-        let Some(request) = self.requests.get(key) else {
-            return false;
-        };
-        let pool = request.arrival.pool.clone();
-        let account = request.arrival.account.clone();
-        let permit = self.quarantine.start(now, request.arrival.fingerprint);
-        if permit == Permit::Start {
-            return true;
-        }
-        self.note_left(now, &pool, &account);
-        if permit == Permit::Wait {
-            self.requests.put_off(key, now + TRIAL_PAUSE);
-        } else {
-            self.forget_place(key);
-            self.give_up(now, key, RefusalReason::Quarantined, actions);
-        }
-        false
-    }
-
-    /// Marks a request that is in no queue any more.
-    fn forget_place(&mut self, key: RequestKey) {
-        if let Some(request) = self.requests.get_mut(key) {
-            request.place = Place::Running;
-        }
-    }
-
-    fn cost_of(&self, key: RequestKey) -> u64 {
-        self.requests.get(key).map_or(1, |request| {
-            let arrival = &request.arrival;
-            self.estimates
-                .estimate(&arrival.account, arrival.hint_tokens)
-        })
-    }
-
-    fn start(
-        &mut self,
-        now: Duration,
-        key: RequestKey,
-        grant: &GrantId,
-        endpoint: &EndpointId,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        let attempt = self.requests.start_attempt(key, grant.clone(), now);
-        let max_attempts = self.max_attempts;
-        let Some(request) = self.requests.get_mut(key) else {
-            return;
-        };
-        request.attempts += 1;
-        request.place = Place::Running;
-        let account = request.arrival.account.clone();
-        let pool = request.arrival.pool.clone();
-        actions.push(EntryAction::Start(StartAttempt {
-            key,
-            attempt,
-            endpoint: endpoint.clone(),
-            resume_after_tokens: request.sent_tokens,
-            head_sent: request.head_sent,
-            last_attempt: !request.arrival.repeatable || request.attempts >= max_attempts,
-        }));
-        let view = self.pool(&pool);
-        let waiting_of_pool = view.waiting();
-        let waiting_of_account = view.waiting_of(&account);
-        self.admission
-            .started(now, &pool, &account, waiting_of_pool, waiting_of_account);
-    }
-
-    fn progressed(&mut self, attempt: AttemptKey, charged_tokens: u64) {
-        let Some(Attempt { key, grant, .. }) = self.requests.attempt(attempt) else {
-            return;
-        };
-        let Some(request) = self.requests.get(*key) else {
-            return;
-        };
-        let pool = request.arrival.pool.clone();
-        let grant = grant.clone();
-        self.pool(&pool).raise_estimate(&grant, charged_tokens);
-    }
-
-    fn attempt_ended(
-        &mut self,
-        now: Duration,
-        attempt: AttemptKey,
-        end: AttemptEnd,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        let Some(ended) = self.requests.end_attempt(attempt) else {
-            return;
-        };
-        let Some(request) = self.requests.get(ended.key) else {
-            return;
-        };
-        let arrival = request.arrival.clone();
-        let charged_tokens = charge_of(end);
-        let started_ago = now.saturating_sub(ended.started_at);
-        let pool = self.pool(&arrival.pool);
-        let endpoint = pool.settle(&ended.grant, &arrival.account, charged_tokens);
-        if let Some(endpoint) = &endpoint {
-            pool.note_result(endpoint, started_ago, end);
-        }
-        if matches!(end, AttemptEnd::Finished { .. }) {
-            pool.learn_run_time(&arrival.account, started_ago);
-            self.go_on(now, &arrival.pool, &ended.grant, actions);
-        } else {
-            pool.release(now, &ended.grant);
-        }
-        match end {
-            AttemptEnd::Finished { .. } => {
-                self.estimates
-                    .learn(&arrival.account, arrival.hint_tokens, charged_tokens);
-                self.retries.on_success(now, &arrival.account);
-                self.quarantine.finished(now, arrival.fingerprint);
-                self.requests.remove(ended.key);
-            }
-            AttemptEnd::CallerGone { .. } => {
-                self.quarantine.ended(arrival.fingerprint);
-                self.requests.remove(ended.key);
-            }
-            AttemptEnd::Failed {
-                failure,
-                sent_tokens,
-                head_sent,
-                ..
-            } => {
-                self.blame(now, &arrival, endpoint.as_ref(), failure);
-                if let Some(request) = self.requests.get_mut(ended.key) {
-                    request.sent_tokens = request.sent_tokens.max(sent_tokens);
-                    request.may_have_run |= failure.may_have_run();
-                    request.head_sent |= head_sent;
-                }
-                self.after_failure(now, ended.key, failure, actions);
-            }
-        }
-    }
-
-    fn blame(
-        &mut self,
-        now: Duration,
-        arrival: &Arrival,
-        endpoint: Option<&EndpointId>,
-        failure: AttemptFailure,
-    ) {
-        match (endpoint, failure) {
-            (Some(endpoint), AttemptFailure::ConnectionLost) => {
-                let fingerprint = arrival.fingerprint;
-                self.quarantine.connection_lost(now, fingerprint, endpoint);
-            }
-            (Some(endpoint), AttemptFailure::Crashed) => {
-                let fingerprint = arrival.fingerprint;
-                self.quarantine.connection_lost(now, fingerprint, endpoint);
-                self.quarantine.endpoint_down(now, endpoint);
-            }
-            (Some(endpoint), AttemptFailure::ConnectFailed) => {
-                self.quarantine.ended(arrival.fingerprint);
-                self.quarantine.endpoint_down(now, endpoint);
-            }
-            _ => self.quarantine.ended(arrival.fingerprint),
-        }
-    }
-
-    fn after_failure(
-        &mut self,
-        now: Duration,
-        key: RequestKey,
-        failure: AttemptFailure,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        let Some(request) = self.requests.get(key) else {
-            return;
-        };
-        let Some(reason) = failure.retry_reason() else {
-            return self.give_up(now, key, RefusalReason::DeadlinePassedRunning, actions);
-        };
-        // A request that may not be repeated and may have run is never sent again: the caller
-        // would see its effect twice. One that certainly did not start may go to another endpoint.
-        let decision = self.retries.may_retry(
-            now,
-            FailedAttempt {
-                account: &request.arrival.account,
-                reason,
-                attempts: request.attempts,
-                repeatable: request.arrival.repeatable,
-                deadline: request.arrival.deadline,
-            },
-        );
-        match decision {
-            RetryDecision::Retry { backoff } => {
-                actions.push(EntryAction::Retried { key, reason });
-                self.requests.put_off(key, now + backoff);
-            }
-            RetryDecision::Denied(_) => {
-                let reason = match failure {
-                    AttemptFailure::ConnectFailed => RefusalReason::NoEndpoint,
-                    AttemptFailure::NotStarted => RefusalReason::EndpointRefused,
-                    _ if request.head_sent => RefusalReason::AnswerIncomplete,
-                    _ => RefusalReason::EndpointFailed,
-                };
-                self.give_up(now, key, reason, actions);
-            }
-        }
-    }
-
     /// Tells the measurement of the drain rate that a request left the queue without running.
     fn note_left(&mut self, now: Duration, pool: &PoolId, account: &AccountId) {
         let view = self.pool(pool);
--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -23,7 +23,7 @@
 
 /// A request that asks to join the queue.
 #[derive(Debug, Clone, Copy)]
-pub struct Arrival<'a> {
+pub struct AdmissionRequest<'a> {
     /// The client account.
     pub account: &'a AccountId,
     /// Pool that runs the service.
@@ -61,7 +61,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use sedgeridge_coordination::limits::{Admission, Arrival};
+/// use sedgeridge_coordination::limits::{Admission, AdmissionRequest};
 /// use sedgeridge_coordination::refusal::RefusalReason;
 /// use sedgeridge_state::ids::{AccountId, PoolId};
 /// use sedgeridge_state::settings::FrontSettings;
@@ -69,7 +69,7 @@
 /// let account = AccountId::from("crew-07");
 /// let pool = PoolId::from("desk");
 /// let mut admission = Admission::new(FrontSettings::default(), 1);
-/// let arrival = Arrival {
+/// let arrival = AdmissionRequest {
 ///     account: &account,
 ///     pool: &pool,
 ///     waiting: 4_096,
@@ -109,7 +109,7 @@
 
     /// Decides whether a request may wait; an admitted one is reported with
     /// [`queued`](Self::queued).
-    pub fn admit(&mut self, now: Duration, arrival: Arrival<'_>) -> Result<(), Refusal> {
+    pub fn admit(&mut self, now: Duration, arrival: AdmissionRequest<'_>) -> Result<(), Refusal> {
         let Some(reason) = self.refusal_reason(now, arrival) else {
             return Ok(());
         };
@@ -218,13 +218,13 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use sedgeridge_coordination::limits::{Admission, Arrival};
+    /// use sedgeridge_coordination::limits::{Admission, AdmissionRequest};
     /// use sedgeridge_state::ids::{AccountId, PoolId};
     /// use sedgeridge_state::settings::FrontSettings;
     ///
     /// let (pool, account) = (PoolId::from("desk"), AccountId::from("crew-07"));
     /// let admission = Admission::new(FrontSettings::default(), 1);
-    /// let arrival = Arrival {
+    /// let arrival = AdmissionRequest {
     ///     account: &account,
     ///     pool: &pool,
     ///     waiting: 0,
@@ -236,13 +236,17 @@
     /// };
     /// assert_eq!(admission.estimated_wait(Duration::ZERO, arrival), None);
     /// ```
-    pub fn estimated_wait(&self, now: Duration, arrival: Arrival<'_>) -> Option<Duration> {
+    pub fn estimated_wait(&self, now: Duration, arrival: AdmissionRequest<'_>) -> Option<Duration> {
         let gap = self.account_gap(now, arrival)?;
         let wait = gap.saturating_mul(arrival.ahead.saturating_add(1));
         Some(wait.min(MAX_WAIT))
     }
 
-    fn refusal_reason(&self, now: Duration, arrival: Arrival<'_>) -> Option<RefusalReason> {
+    fn refusal_reason(
+        &self,
+        now: Duration,
+        arrival: AdmissionRequest<'_>,
+    ) -> Option<RefusalReason> {
         if arrival.deadline <= now + arrival.min_run {
             return Some(RefusalReason::DeadlineUnreachable);
         }
@@ -264,7 +268,7 @@
     }
 
     // An account that was not seen waiting yet is expected to get an equal part of its pool.
-    fn account_gap(&self, now: Duration, arrival: Arrival<'_>) -> Option<Duration> {
+    fn account_gap(&self, now: Duration, arrival: AdmissionRequest<'_>) -> Option<Duration> {
         let key = (arrival.pool.clone(), arrival.account.clone());
         let own = self.accounts.get(&key).and_then(|q| q.rate.gap(now));
         own.or_else(|| {
--- a/crates/coordination/src/membership/rejections.rs
+++ b/crates/coordination/src/membership/rejections.rs
@@ -75,3 +75,28 @@
         self.counts.iter().map(|(reason, count)| (*reason, *count))
     }
 }
+
+impl Rejection {
+    /// Returns the stable name, used in metric labels.
+    ///
+    /// ```
+    /// use sedgeridge_coordination::membership::Rejection;
+    ///
+    /// assert_eq!(Rejection::OwnName.as_str(), "own_name");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::UnknownSender => "unknown_sender",
+            Self::UnknownSubject => "unknown_subject",
+            Self::StaleIncarnation => "stale_incarnation",
+            Self::AbsurdIncarnation => "absurd_incarnation",
+            Self::AbsurdRefutations => "absurd_refutations",
+            Self::AbsurdGeneration => "absurd_generation",
+            Self::AbsurdNotice => "absurd_notice",
+            Self::OwnName => "own_name",
+            Self::SelfAccusation => "self_accusation",
+            Self::Oversized => "oversized",
+            Self::SyncTooOften => "sync_too_often",
+        }
+    }
+}
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -28,9 +28,12 @@
 use crate::membership::Membership;
 use crate::membership::MembershipEvent;
 use crate::membership::Notice;
+use crate::membership::Rejections;
 use crate::node_claims::NodeClaims;
 use crate::node_config::NodeConfig;
 use crate::report_schedule::ReportSchedule;
+use crate::retry_budget::RetryDenial;
+use crate::retry_budget::RetryReason;
 
 pub use crate::node_events::NodeAction;
 pub use crate::node_events::NodeEvent;
@@ -228,6 +231,18 @@
         &self.live
     }
 
+    /// Returns how often each failure was followed by a retry, or why it was not.
+    pub fn retry_counts(
+        &self,
+    ) -> impl Iterator<Item = (RetryReason, Option<RetryDenial>, u64)> + '_ {
+        self.entry.retry_counts()
+    }
+
+    /// Returns what membership refused.
+    pub fn membership_rejections(&self) -> &Rejections {
+        self.membership.rejections()
+    }
+
     /// Returns the counters of each pool homed here.
     pub fn home_counters(&self) -> impl Iterator<Item = (&PoolId, &HomeCounters)> {
         self.homes
--- a/crates/coordination/src/refusal.rs
+++ b/crates/coordination/src/refusal.rs
@@ -213,7 +213,8 @@
         self.facts().status
     }
 
-    /// Tells whether the refused request ran.
+    /// Tells whether a refused request ran that was never attempted; after an attempt that may have
+    /// run, the answer says "unknown" whatever the reason.
     ///
     /// ```
     /// use sedgeridge_coordination::refusal::{Outcome, RefusalReason};
--- a/crates/coordination/tests/limits.rs
+++ b/crates/coordination/tests/limits.rs
@@ -11,7 +11,7 @@
 use sedgeridge_coordination::account_ceilings::AccountCeilings;
 use sedgeridge_coordination::drain_rate::DrainRate;
 use sedgeridge_coordination::limits::Admission;
-use sedgeridge_coordination::limits::Arrival;
+use sedgeridge_coordination::limits::AdmissionRequest;
 use sedgeridge_coordination::refusal::RefusalReason;
 use sedgeridge_state::ids::AccountId;
 use sedgeridge_state::ids::PoolId;
@@ -56,7 +56,7 @@
 
     fn arrive(&mut self, now: Duration, patience: Duration) -> Result<(), RefusalReason> {
         let waiting = u32::try_from(self.deadlines.len()).unwrap();
-        let arrival = Arrival {
+        let arrival = AdmissionRequest {
             account: &self.account,
             pool: &self.pool,
             waiting,
@@ -97,7 +97,7 @@
 )]
 fn refuses(waiting: u32, of_account: u32, deadline: Duration, reason: RefusalReason) {
     let (account, pool) = (AccountId::from("crew-07"), PoolId::from("desk"));
-    let arrival = Arrival {
+    let arrival = AdmissionRequest {
         account: &account,
         pool: &pool,
         waiting,
--- a/crates/transport/src/event_log.rs
+++ b/crates/transport/src/event_log.rs
@@ -59,6 +59,8 @@
     AcceptFailed = 1101, "accept_failed";
     /// A message from another router was refused; it changed nothing.
     PeerMessageRefused = 1102, "peer_message_refused";
+    /// A datagram could not be received; the next one may be.
+    DatagramFailed = 1103, "datagram_failed";
     /// A request was refused or given up.
     RequestGivenUp = 1201, "request_given_up";
     /// An attempt failed and the request waits for another one.
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,6 +1,6 @@
 //! Sockets, threads, logs and metrics around the decisions of the `sedgeridge-coordination` crate.
 //!
-//! Each duty has a thread of its own, and bounded rings join them: `front` (callers), `core`
+//! docs/ARCHITECTURE.md names every thread and ring. Each duty has a thread of its own, and bounded rings join them: `front` (callers), `core`
 //! (decisions), `endpoint workers` (one attempt each) and `operator` (pages and metrics).
 
 mod address_agent;
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -95,6 +95,12 @@
         Values::Fixed("told, failed"),
         "drains that the coordinator asked routers for",
     ),
+    counter(
+        "sedgeridge_home_grants_total",
+        "result",
+        Values::Fixed("given, timed_out, late"),
+        "grants of the pools homed here; timed out when not acknowledged, late when in use after that",
+    ),
     counter(
         "sedgeridge_home_rejections_total",
         "reason",
@@ -128,6 +134,16 @@
         "sedgeridge_members_live",
         "members believed live, this one included",
     ),
+    counter(
+        "sedgeridge_membership_rejections_total",
+        "reason",
+        Values::Fixed(
+            "unknown_sender, unknown_subject, stale_incarnation, absurd_incarnation, \
+             absurd_refutations, absurd_generation, absurd_notice, own_name, self_accusation, \
+             oversized, sync_too_often",
+        ),
+        "membership messages, or parts of them, that were refused and changed nothing",
+    ),
     counter(
         "sedgeridge_orders_ended_total",
         "state",
@@ -188,6 +204,14 @@
     ),
     gauge("sedgeridge_requests_running", "requests that run"),
     gauge("sedgeridge_requests_waiting", "requests that wait"),
+    counter(
+        "sedgeridge_retries_denied_total",
+        "reason",
+        Values::Fixed(
+            "not_repeatable, attempts_used, deadline_near, account_budget, router_budget",
+        ),
+        "failed attempts after which no other was made",
+    ),
     counter(
         "sedgeridge_retries_total",
         "reason",
--- a/crates/transport/src/peers.rs
+++ b/crates/transport/src/peers.rs
@@ -193,7 +193,7 @@
                 count_bytes("in", len as u64, DATAGRAM_OVERHEAD_BYTES);
                 take_datagram(&buffer[..len], &core);
             }
-            Err(error) => log_warn(LogEvent::AcceptFailed, format_args!("udp error={error:?}")),
+            Err(error) => log_warn(LogEvent::DatagramFailed, format_args!("error={error:?}")),
         }
     }
 }
--- a/crates/transport/src/router_pages.rs
+++ b/crates/transport/src/router_pages.rs
@@ -83,12 +83,7 @@
         gauge!("sedgeridge_requests_running").set(load.running as f64);
         gauge!("sedgeridge_members_live").set(load.members as f64);
         gauge!("sedgeridge_pools_homed").set(load.homes as f64);
-        for (_, counters) in node.home_counters() {
-            for (reason, count) in &counters.rejections {
-                counter!("sedgeridge_home_rejections_total", "reason" => reason.label())
-                    .absolute(*count);
-            }
-        }
+        count_decisions(node);
     }
 
     fn make_lists(&mut self, now: Duration, node: &Node, settings: &Settings) {
@@ -181,3 +176,36 @@
         accounts: node.account_views().into_iter().map(row).collect(),
     }
 }
+
+/// Publishes the counters that the decisions keep.
+fn count_decisions(node: &Node) {
+    let mut rejections = BTreeMap::new();
+    let (mut grants, mut timed_out, mut late) = (0, 0, 0);
+    for (_, counters) in node.home_counters() {
+        for (reason, count) in &counters.rejections {
+            *rejections.entry(reason.label()).or_default() += count;
+        }
+        grants += counters.grants;
+        timed_out += counters.timed_out_grants;
+        late += counters.late_grants;
+    }
+    for (reason, count) in rejections {
+        counter!("sedgeridge_home_rejections_total", "reason" => reason).absolute(count);
+    }
+    for (result, count) in [("given", grants), ("timed_out", timed_out), ("late", late)] {
+        counter!("sedgeridge_home_grants_total", "result" => result).absolute(count);
+    }
+    for (reason, count) in node.membership_rejections().iter() {
+        counter!("sedgeridge_membership_rejections_total", "reason" => reason.as_str())
+            .absolute(count);
+    }
+    let mut denials = BTreeMap::new();
+    for (_, denial, count) in node.retry_counts() {
+        if let Some(denial) = denial {
+            *denials.entry(denial.as_str()).or_default() += count;
+        }
+    }
+    for (reason, count) in denials {
+        counter!("sedgeridge_retries_denied_total", "reason" => reason).absolute(count);
+    }
+}
