--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -11,5 +11,7 @@
 pub mod operator;
 pub mod peer;
 pub mod peer_config;
+mod peer_poison;
+mod peer_report;
 pub mod platform;
 pub mod table;
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -4,34 +4,28 @@
 //! the larger part of a small message. Reading turns them into the typed messages of the
 //! `sedgeridge-coordination` crate or refuses them.
 
-use std::time::Duration;
-
 use serde::Deserialize;
 use serde::Serialize;
 use thiserror::Error;
 
-use crate::peer_config::WireConfig;
-use crate::peer_config::read_config;
-use crate::peer_config::wire_config;
-use sedgeridge_coordination::attempt_results::AttemptFailed;
-use sedgeridge_coordination::attempt_results::EndpointResult;
-use sedgeridge_coordination::breaker::FailureKind;
 use sedgeridge_coordination::node::PeerMessage;
-use sedgeridge_coordination::poison_notice::PoisonNews;
-use sedgeridge_coordination::poison_notice::PoisonNotice;
-use sedgeridge_coordination::pool_messages::Demand;
-use sedgeridge_coordination::pool_messages::EntryReport;
 use sedgeridge_coordination::pool_messages::Grant;
 use sedgeridge_coordination::pool_messages::GrantId;
-use sedgeridge_coordination::pool_messages::Holding;
-use sedgeridge_coordination::pool_messages::PrefixHash;
-use sedgeridge_coordination::pool_messages::Served;
-use sedgeridge_state::fingerprint::Fingerprint;
 use sedgeridge_state::ids::HostId;
 use sedgeridge_state::ids::Incarnation;
 use sedgeridge_state::ids::Member;
 use sedgeridge_state::settings::RequestClass;
 
+use crate::peer_config::WireConfig;
+use crate::peer_config::read_config;
+use crate::peer_config::wire_config;
+use crate::peer_poison::WirePoison;
+use crate::peer_poison::read_poison;
+use crate::peer_poison::wire_poison;
+use crate::peer_report::WireReport;
+use crate::peer_report::read_report;
+use crate::peer_report::wire_report;
+
 /// Largest message that is read.
 pub const MAX_PEER_MESSAGE_BYTES: usize = 16 << 20;
 
@@ -76,103 +70,7 @@
 }
 
 #[derive(Debug, Serialize, Deserialize)]
-struct WireReport {
-    #[serde(rename = "p")]
-    pool: String,
-    #[serde(rename = "s")]
-    sequence: u64,
-    #[serde(rename = "f", default, skip_serializing_if = "is_false")]
-    full: bool,
-    #[serde(rename = "g")]
-    grants_received: u64,
-    #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
-    demand: Vec<WireDemand>,
-    #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
-    holdings: Vec<WireHolding>,
-    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
-    ended: Vec<WireGrantId>,
-    #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
-    served: Vec<WireServed>,
-    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
-    results: Vec<WireResult>,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct WireResult {
-    #[serde(rename = "e")]
-    endpoint: String,
-    #[serde(rename = "n", default, skip_serializing_if = "is_zero_u32")]
-    answered: u32,
-    #[serde(rename = "b", default, skip_serializing_if = "is_zero_u32")]
-    first_byte_ms: u32,
-    #[serde(rename = "s", default, skip_serializing_if = "is_zero_u32")]
-    started_ago_ms: u32,
-    #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
-    failures: Vec<WireFailure>,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct WireFailure {
-    #[serde(rename = "k")]
-    kind: u8,
-    #[serde(rename = "a")]
-    started_ago_ms: u32,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct WirePoison {
-    #[serde(rename = "f")]
-    fingerprint: [u8; 16],
-    #[serde(rename = "n")]
-    news: WirePoisonNews,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-enum WirePoisonNews {
-    #[serde(rename = "c")]
-    Crashed { endpoint: String, age_ms: u64 },
-    #[serde(rename = "q")]
-    Quarantined { remaining_ms: u64 },
-    #[serde(rename = "f")]
-    Finished,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct WireDemand {
-    #[serde(rename = "a")]
-    account: String,
-    #[serde(rename = "c", default, skip_serializing_if = "is_zero")]
-    class: u8,
-    #[serde(rename = "n")]
-    waiting: u32,
-    #[serde(rename = "k")]
-    head_cost_tokens: u64,
-    #[serde(rename = "x", default, skip_serializing_if = "Option::is_none")]
-    head_prefix: Option<u64>,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct WireHolding {
-    #[serde(rename = "g")]
-    grant: WireGrantId,
-    #[serde(rename = "e")]
-    endpoint: String,
-    #[serde(rename = "a")]
-    account: String,
-    #[serde(rename = "k")]
-    estimate_tokens: u64,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct WireServed {
-    #[serde(rename = "a")]
-    account: String,
-    #[serde(rename = "k")]
-    total_tokens: u64,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct WireGrantId {
+pub(crate) struct WireGrantId {
     #[serde(rename = "h")]
     host: String,
     #[serde(rename = "i")]
@@ -197,15 +95,15 @@
     contended: bool,
 }
 
-fn is_false(value: &bool) -> bool {
+pub(crate) fn is_false(value: &bool) -> bool {
     !*value
 }
 
-fn is_zero_u32(value: &u32) -> bool {
+pub(crate) fn is_zero_u32(value: &u32) -> bool {
     *value == 0
 }
 
-fn is_zero(value: &u8) -> bool {
+pub(crate) fn is_zero(value: &u8) -> bool {
     *value == 0
 }
 
@@ -282,14 +180,14 @@
     ciborium::from_reader(bytes).map_err(|error| PeerCodecError::Malformed(error.to_string()))
 }
 
-fn wire_class(class: RequestClass) -> u8 {
+pub(crate) fn wire_class(class: RequestClass) -> u8 {
     match class {
         RequestClass::Interactive => 0,
         RequestClass::Deferred => 1,
     }
 }
 
-fn read_class(class: u8) -> Result<RequestClass, PeerCodecError> {
+pub(crate) fn read_class(class: u8) -> Result<RequestClass, PeerCodecError> {
     match class {
         0 => Ok(RequestClass::Interactive),
         1 => Ok(RequestClass::Deferred),
@@ -297,7 +195,7 @@
     }
 }
 
-fn wire_grant_id(id: &GrantId) -> WireGrantId {
+pub(crate) fn wire_grant_id(id: &GrantId) -> WireGrantId {
     WireGrantId {
         host: id.home.host.as_str().to_owned(),
         incarnation: id.home.incarnation.0,
@@ -305,7 +203,7 @@
     }
 }
 
-fn read_grant_id(id: &WireGrantId) -> GrantId {
+pub(crate) fn read_grant_id(id: &WireGrantId) -> GrantId {
     GrantId {
         home: Member {
             host: HostId::from(id.host.as_str()),
@@ -315,46 +213,6 @@
     }
 }
 
-fn wire_report(report: &EntryReport) -> WireReport {
-    WireReport {
-        pool: report.pool.as_str().to_owned(),
-        sequence: report.sequence,
-        full: report.full,
-        grants_received: report.grants_received,
-        demand: report.demand.iter().map(wire_demand).collect(),
-        holdings: report.holdings.iter().map(wire_holding).collect(),
-        ended: report.ended.iter().map(wire_grant_id).collect(),
-        served: report.served.iter().map(wire_served).collect(),
-        results: report.results.iter().map(wire_result).collect(),
-    }
-}
-
-fn wire_demand(demand: &Demand) -> WireDemand {
-    WireDemand {
-        account: demand.account.as_str().to_owned(),
-        class: wire_class(demand.class),
-        waiting: demand.waiting,
-        head_cost_tokens: demand.head_cost_tokens,
-        head_prefix: demand.head_prefix.map(|prefix| prefix.0),
-    }
-}
-
-fn wire_holding(holding: &Holding) -> WireHolding {
-    WireHolding {
-        grant: wire_grant_id(&holding.grant),
-        endpoint: holding.endpoint.as_str().to_owned(),
-        account: holding.account.as_str().to_owned(),
-        estimate_tokens: holding.estimate_tokens,
-    }
-}
-
-fn wire_served(served: &Served) -> WireServed {
-    WireServed {
-        account: served.account.as_str().to_owned(),
-        total_tokens: served.total_tokens,
-    }
-}
-
 fn wire_grant(grant: &Grant) -> WireGrant {
     WireGrant {
         sequence: grant.id.sequence,
@@ -366,51 +224,6 @@
     }
 }
 
-fn read_report(report: &WireReport, from: &Member) -> Result<EntryReport, PeerCodecError> {
-    let demand: Result<Vec<Demand>, PeerCodecError> =
-        report.demand.iter().map(read_demand).collect();
-    let results: Result<Vec<EndpointResult>, PeerCodecError> =
-        report.results.iter().map(read_result).collect();
-    Ok(EntryReport {
-        from: from.clone(),
-        pool: report.pool.as_str().into(),
-        sequence: report.sequence,
-        full: report.full,
-        grants_received: report.grants_received,
-        demand: demand?,
-        holdings: report.holdings.iter().map(read_holding).collect(),
-        ended: report.ended.iter().map(read_grant_id).collect(),
-        served: report.served.iter().map(read_served).collect(),
-        results: results?,
-    })
-}
-
-fn read_demand(demand: &WireDemand) -> Result<Demand, PeerCodecError> {
-    Ok(Demand {
-        account: demand.account.as_str().into(),
-        class: read_class(demand.class)?,
-        waiting: demand.waiting,
-        head_cost_tokens: demand.head_cost_tokens,
-        head_prefix: demand.head_prefix.map(PrefixHash),
-    })
-}
-
-fn read_holding(holding: &WireHolding) -> Holding {
-    Holding {
-        grant: read_grant_id(&holding.grant),
-        endpoint: holding.endpoint.as_str().into(),
-        account: holding.account.as_str().into(),
-        estimate_tokens: holding.estimate_tokens,
-    }
-}
-
-fn read_served(served: &WireServed) -> Served {
-    Served {
-        account: served.account.as_str().into(),
-        total_tokens: served.total_tokens,
-    }
-}
-
 fn read_grant(grant: &WireGrant, from: &Member) -> Result<Grant, PeerCodecError> {
     Ok(Grant {
         id: GrantId {
@@ -424,88 +237,3 @@
         contended: grant.contended,
     })
 }
-
-fn wire_result(result: &EndpointResult) -> WireResult {
-    WireResult {
-        endpoint: result.endpoint.as_str().to_owned(),
-        answered: result.answered,
-        first_byte_ms: result.first_byte_ms,
-        started_ago_ms: result.started_ago_ms,
-        failures: result
-            .failures
-            .iter()
-            .map(|failure| WireFailure {
-                kind: wire_failure(failure.kind),
-                started_ago_ms: failure.started_ago_ms,
-            })
-            .collect(),
-    }
-}
-
-fn read_result(result: &WireResult) -> Result<EndpointResult, PeerCodecError> {
-    let failures = result.failures.iter().map(|failure| {
-        Ok(AttemptFailed {
-            kind: read_failure(failure.kind)?,
-            started_ago_ms: failure.started_ago_ms,
-        })
-    });
-    Ok(EndpointResult {
-        endpoint: result.endpoint.as_str().into(),
-        answered: result.answered,
-        first_byte_ms: result.first_byte_ms,
-        started_ago_ms: result.started_ago_ms,
-        failures: failures.collect::<Result<_, PeerCodecError>>()?,
-    })
-}
-
-/// Failures by their number on the wire; the order never changes.
-const FAILURES: [FailureKind; 6] = [
-    FailureKind::ConnectFailed,
-    FailureKind::ConnectionLost,
-    FailureKind::TimedOut,
-    FailureKind::ServerError,
-    FailureKind::Silent,
-    FailureKind::ReportMissing,
-];
-
-fn wire_failure(kind: FailureKind) -> u8 {
-    let position = FAILURES.iter().position(|known| *known == kind);
-    position.map_or(u8::MAX, |position| position as u8)
-}
-
-fn read_failure(number: u8) -> Result<FailureKind, PeerCodecError> {
-    let kind = FAILURES.get(usize::from(number)).copied();
-    kind.ok_or(PeerCodecError::UnknownFailure(number))
-}
-
-fn wire_poison(notice: &PoisonNotice) -> WirePoison {
-    WirePoison {
-        fingerprint: notice.fingerprint.0.to_be_bytes(),
-        news: match &notice.news {
-            PoisonNews::Crashed { endpoint, age } => WirePoisonNews::Crashed {
-                endpoint: endpoint.as_str().to_owned(),
-                age_ms: age.as_millis() as u64,
-            },
-            PoisonNews::Quarantined { remaining } => WirePoisonNews::Quarantined {
-                remaining_ms: remaining.as_millis() as u64,
-            },
-            PoisonNews::Finished => WirePoisonNews::Finished,
-        },
-    }
-}
-
-fn read_poison(notice: &WirePoison) -> PoisonNotice {
-    PoisonNotice {
-        fingerprint: Fingerprint(u128::from_be_bytes(notice.fingerprint)),
-        news: match &notice.news {
-            WirePoisonNews::Crashed { endpoint, age_ms } => PoisonNews::Crashed {
-                endpoint: endpoint.as_str().into(),
-                age: Duration::from_millis(*age_ms),
-            },
-            WirePoisonNews::Quarantined { remaining_ms } => PoisonNews::Quarantined {
-                remaining: Duration::from_millis(*remaining_ms),
-            },
-            WirePoisonNews::Finished => PoisonNews::Finished,
-        },
-    }
-}
--- /dev/null
+++ b/crates/protocol/src/peer_poison.rs
@@ -0,0 +1,59 @@
+//! News of requests that crash endpoints; part of [`crate::peer`].
+
+use std::time::Duration;
+
+use sedgeridge_coordination::poison_notice::PoisonNews;
+use sedgeridge_coordination::poison_notice::PoisonNotice;
+use sedgeridge_state::fingerprint::Fingerprint;
+use serde::Deserialize;
+use serde::Serialize;
+
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct WirePoison {
+    #[serde(rename = "f")]
+    fingerprint: [u8; 16],
+    #[serde(rename = "n")]
+    news: WirePoisonNews,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum WirePoisonNews {
+    #[serde(rename = "c")]
+    Crashed { endpoint: String, age_ms: u64 },
+    #[serde(rename = "q")]
+    Quarantined { remaining_ms: u64 },
+    #[serde(rename = "f")]
+    Finished,
+}
+
+pub(crate) fn wire_poison(notice: &PoisonNotice) -> WirePoison {
+    WirePoison {
+        fingerprint: notice.fingerprint.0.to_be_bytes(),
+        news: match &notice.news {
+            PoisonNews::Crashed { endpoint, age } => WirePoisonNews::Crashed {
+                endpoint: endpoint.as_str().to_owned(),
+                age_ms: age.as_millis() as u64,
+            },
+            PoisonNews::Quarantined { remaining } => WirePoisonNews::Quarantined {
+                remaining_ms: remaining.as_millis() as u64,
+            },
+            PoisonNews::Finished => WirePoisonNews::Finished,
+        },
+    }
+}
+
+pub(crate) fn read_poison(notice: &WirePoison) -> PoisonNotice {
+    PoisonNotice {
+        fingerprint: Fingerprint(u128::from_be_bytes(notice.fingerprint)),
+        news: match &notice.news {
+            WirePoisonNews::Crashed { endpoint, age_ms } => PoisonNews::Crashed {
+                endpoint: endpoint.as_str().into(),
+                age: Duration::from_millis(*age_ms),
+            },
+            WirePoisonNews::Quarantined { remaining_ms } => PoisonNews::Quarantined {
+                remaining: Duration::from_millis(*remaining_ms),
+            },
+            WirePoisonNews::Finished => PoisonNews::Finished,
+        },
+    }
+}
