fix(transport): a silent link between routers is replaced in 3 s, not 15

Cause: a link was pinged each 5 s and given up after 11 s of silence, looked at with the pings. Until then every report to a home behind it vanished, and its pools stood still for all routers. Membership goes by datagrams, so nobody was suspected. A link that carried something is now pinged each second and replaced after two pings without an answer; an idle one is pinged each 5 s as before. Pings are counted and not time, so a process that was paused does not break a link that works. Ruled out: stream idle timeout and pooled connections to endpoints; slots of streams that were cut off come back after 5 s, before and after. Tests of sedgeridge-transport and clippy on it pass; the rest of the workspace was not run here.

--- a/crates/transport/src/peer_link.rs
+++ b/crates/transport/src/peer_link.rs
@@ -12,7 +12,6 @@
 use sedgeridge_state::ids::Member;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 use tokio::time::timeout;
@@ -29,13 +28,17 @@
 const SETUP_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Pause after a link failed.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
-/// Time between two pings on a link in use.
-const PING_INTERVAL: Duration = Duration::from_secs(5);
-/// Silence of the other side after which the link is set up anew.
+/// Time between two looks at a link.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Looks between two pings on a link that carries nothing.
+const IDLE_CHECKS: u32 = 5;
+/// Pings without a sign of life after which the link is set up anew.
 ///
 /// A connection can go silent for good while new ones work. Its sender sees no error: writes go
-/// into the socket's buffer. The missing pong shows it, and a new connection mends it.
-const SILENCE_TIMEOUT: Duration = Duration::from_secs(11);
+/// into the socket's buffer, and every pool whose home is at the other end stands still. The
+/// missing pong shows it, and a new connection mends it. Pings are counted and not time, as a
+/// process that was paused has heard nothing for long from a link that works.
+const MAX_UNANSWERED_PINGS: u32 = 2;
 
 type Socket = WebSocketStream<TcpStream>;
 
@@ -104,23 +107,23 @@
         outbox: &mut mpsc::Receiver<Vec<u8>>,
     ) -> Result<(), LinkBroken> {
         send(socket, first).await?;
-        let mut pings = interval(PING_INTERVAL);
-        pings.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut last_heard = Instant::now();
+        let mut checks = interval(CHECK_INTERVAL);
+        checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut pulse = Pulse::default();
         loop {
             tokio::select! {
                 message = outbox.recv() => match message {
-                    Some(message) => send(socket, message).await?,
+                    Some(message) => {
+                        send(socket, message).await?;
+                        pulse.in_use = true;
+                    }
                     None => return Ok(()),
                 },
                 heard = socket.next() => match heard {
-                    Some(Ok(_)) => last_heard = Instant::now(),
+                    Some(Ok(_)) => pulse.unanswered_pings = 0,
                     Some(Err(_)) | None => return Err(LinkBroken),
                 },
-                _ = pings.tick() => {
-                    if last_heard.elapsed() > SILENCE_TIMEOUT {
-                        return Err(LinkBroken);
-                    }
+                _ = checks.tick() => if pulse.wants_ping()? {
                     socket.send(Message::Ping(bytes::Bytes::new())).await.map_err(|_| LinkBroken)?;
                     count_bytes("out", 0, STREAM_OVERHEAD_BYTES);
                 }
@@ -129,6 +132,33 @@
     }
 }
 
+/// Signs of life of one connection.
+#[derive(Debug, Default)]
+struct Pulse {
+    in_use: bool,
+    idle_checks: u32,
+    unanswered_pings: u32,
+}
+
+impl Pulse {
+    /// Tells at each check whether to send a ping.
+    ///
+    /// A link that carries nothing loses nothing by its silence, so it is pinged less often.
+    fn wants_ping(&mut self) -> Result<bool, LinkBroken> {
+        if self.unanswered_pings >= MAX_UNANSWERED_PINGS {
+            return Err(LinkBroken);
+        }
+        self.idle_checks += 1;
+        let in_use = std::mem::take(&mut self.in_use) || self.unanswered_pings > 0;
+        let wanted = in_use || self.idle_checks >= IDLE_CHECKS;
+        if wanted {
+            self.idle_checks = 0;
+            self.unanswered_pings += 1;
+        }
+        Ok(wanted)
+    }
+}
+
 /// The connection of a link ended or went silent.
 #[derive(Debug)]
 struct LinkBroken;
