fix(coordination): a request that cannot end in time is not started

It is now half of the mean run of its account in the pool, at arrival and again at the grant; such a request gets "not run" with Retry-After at once. A request that was attempted goes on. Ruled out: the mean itself, which would refuse requests that often end in time. Red without the check at the grant: a_request_that_cannot_end_in_time_is_not_started, 'assertion failed: !router.started.contains(&RequestKey(101))'.

--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -249,6 +249,7 @@
         }
         let waiting_of_account = self.waiting_of(&arrival.account);
         let pool = self.pool(&arrival.pool);
+        let min_run = pool.least_run(&arrival.account);
         let ahead = pool.ahead(&arrival.account, arrival.class);
         let backlogged_accounts = pool.backlogged_accounts_with(&arrival.account);
         self.admission.admit(
@@ -261,7 +262,7 @@
                 ahead,
                 backlogged_accounts,
                 deadline: arrival.deadline,
-                min_run: Duration::ZERO,
+                min_run,
             },
         )
     }
--- a/crates/coordination/src/entry/attempts.rs
+++ b/crates/coordination/src/entry/attempts.rs
@@ -40,7 +40,7 @@
     }
 
     /// Uses a grant again for the next request that it covers, or ends it.
-    pub(super) fn go_on(
+    fn go_on(
         &mut self,
         now: Duration,
         pool: &PoolId,
@@ -57,7 +57,7 @@
 
     /// Decides about a request that was taken from its queue; one that may not start now is put off
     /// or given up.
-    pub(super) fn may_start(
+    fn may_start(
         &mut self,
         now: Duration,
         key: RequestKey,
@@ -69,7 +69,14 @@
         };
         let pool = request.arrival.pool.clone();
         let account = request.arrival.account.clone();
-        let permit = self.quarantine.start(now, request.arrival.fingerprint);
+        let fingerprint = request.arrival.fingerprint;
+        if self.is_too_late(now, key) {
+            self.note_left(now, &pool, &account);
+            self.forget_place(key);
+            self.give_up(now, key, RefusalReason::DeadlinePassed, actions);
+            return false;
+        }
+        let permit = self.quarantine.start(now, fingerprint);
         if permit == Permit::Start {
             return true;
         }
@@ -83,14 +90,31 @@
         false
     }
 
+    /// Tells whether hardly a request like this one, not attempted yet, ends before its deadline.
+    ///
+    /// Started all the same, it would break off at the deadline: its caller gets half an answer, or
+    /// is told that it may have run, in place of "not run", and the slot's work is for nothing.
+    fn is_too_late(&mut self, now: Duration, key: RequestKey) -> bool {
+        let Some(request) = self.requests.get(key) else {
+            return false;
+        };
+        if request.attempts > 0 {
+            return false;
+        }
+        let deadline = request.arrival.deadline;
+        let account = request.arrival.account.clone();
+        let pool = request.arrival.pool.clone();
+        now + self.pool(&pool).least_run(&account) > deadline
+    }
+
     /// Marks a request that is in no queue any more.
-    pub(super) fn forget_place(&mut self, key: RequestKey) {
+    fn forget_place(&mut self, key: RequestKey) {
         if let Some(request) = self.requests.get_mut(key) {
             request.place = Place::Running;
         }
     }
 
-    pub(super) fn cost_of(&self, key: RequestKey) -> u64 {
+    fn cost_of(&self, key: RequestKey) -> u64 {
         self.requests.get(key).map_or(1, |request| {
             let arrival = &request.arrival;
             self.estimates
@@ -98,7 +122,7 @@
         })
     }
 
-    pub(super) fn start(
+    fn start(
         &mut self,
         now: Duration,
         key: RequestKey,
@@ -156,23 +180,11 @@
             return;
         };
         let arrival = request.arrival.clone();
-        let charged_tokens = charge_of(end);
-        let started_ago = now.saturating_sub(ended.started_at);
-        let pool = self.pool(&arrival.pool);
-        let endpoint = pool.settle(&ended.grant, &arrival.account, charged_tokens);
-        if let Some(endpoint) = &endpoint {
-            pool.note_result(endpoint, started_ago, end);
-        }
-        if matches!(end, AttemptEnd::Finished { .. }) {
-            pool.learn_run_time(&arrival.account, started_ago);
-            self.go_on(now, &arrival.pool, &ended.grant, actions);
-        } else {
-            pool.release(now, &ended.grant);
-        }
+        let endpoint = self.settle(now, &ended, &arrival, end, actions);
         match end {
             AttemptEnd::Finished { .. } => {
                 self.estimates
-                    .learn(&arrival.account, arrival.hint_tokens, charged_tokens);
+                    .learn(&arrival.account, arrival.hint_tokens, charge_of(end));
                 self.retries.on_success(now, &arrival.account);
                 self.quarantine.finished(now, arrival.fingerprint);
                 self.requests.remove(ended.key);
@@ -198,7 +210,31 @@
         }
     }
 
-    pub(super) fn blame(
+    /// Charges what an attempt received, and uses its grant again or ends it. Returns the endpoint.
+    fn settle(
+        &mut self,
+        now: Duration,
+        ended: &Attempt,
+        arrival: &Arrival,
+        end: AttemptEnd,
+        actions: &mut Vec<EntryAction>,
+    ) -> Option<EndpointId> {
+        let ran = now.saturating_sub(ended.started_at);
+        let pool = self.pool(&arrival.pool);
+        let endpoint = pool.settle(&ended.grant, &arrival.account, charge_of(end));
+        if let Some(endpoint) = &endpoint {
+            pool.note_result(endpoint, ran, end);
+        }
+        if matches!(end, AttemptEnd::Finished { .. }) {
+            pool.learn_run_time(&arrival.account, ran);
+            self.go_on(now, &arrival.pool, &ended.grant, actions);
+        } else {
+            pool.release(now, &ended.grant);
+        }
+        endpoint
+    }
+
+    fn blame(
         &mut self,
         now: Duration,
         arrival: &Arrival,
@@ -223,7 +259,7 @@
         }
     }
 
-    pub(super) fn after_failure(
+    fn after_failure(
         &mut self,
         now: Duration,
         key: RequestKey,
--- a/crates/coordination/src/entry_pool.rs
+++ b/crates/coordination/src/entry_pool.rs
@@ -146,6 +146,11 @@
         self.home.as_ref()
     }
 
+    /// Returns a time in which hardly a request of the account runs.
+    pub fn least_run(&self, account: &AccountId) -> Duration {
+        self.run_times.least(account)
+    }
+
     /// Counts all waiting requests.
     pub fn waiting(&self) -> u32 {
         self.queue.waiting()
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,6 +3,17 @@
 //! Each part has one entry form, `part.handle(now, event, &mut actions)`. `now` is the time since
 //! the process started, read from a [`clock::Clock`] at the edge. Iteration order is fixed, so the
 //! same inputs always give the same actions.
+//!
+//! Where to begin: [`node::Node`] is all decisions of one router, and
+//! [`coordinator::Coordinator`] those of the host that gives orders to engines. They are made of
+//!
+//! | part | modules |
+//! | --- | --- |
+//! | callers' requests at one router | [`entry`], [`entry_pool`], [`entry_queue`], [`limits`], [`account_ceilings`], [`drain_rate`], [`cost_estimate`], [`run_times`], [`retry_budget`], [`quarantine`], [`refusal`] |
+//! | order and grants of a pool | [`pool_home`], [`pool_messages`], [`fair_order`], [`service_ledger`], [`rendezvous`], [`report_schedule`] |
+//! | health of a pool's endpoints | [`endpoint_health`], [`breaker`], [`slot_budget`], [`attempt_results`] |
+//! | the fleet's members | [`membership`] |
+//! | what must last | [`claims`], [`claim_sweep`], [`lease`], [`orders`], [`config_adoption`], [`store_call`] |
 
 pub mod account_ceilings;
 pub mod attempt_results;
--- a/crates/coordination/src/run_times.rs
+++ b/crates/coordination/src/run_times.rs
@@ -36,6 +36,23 @@
         *mean = (*mean * (LEARNING_DIVISOR - 1) + run) / LEARNING_DIVISOR;
     }
 
+    /// Returns a time in which hardly a request of the account runs: half of the mean; zero while
+    /// nothing is known.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_coordination::run_times::RunTimes;
+    ///
+    /// let mut times = RunTimes::default();
+    /// times.learn(&"crew-07".into(), Duration::from_secs(4));
+    /// assert_eq!(times.least(&"crew-07".into()), Duration::from_secs(2));
+    /// ```
+    pub fn least(&self, account: &AccountId) -> Duration {
+        self.means
+            .get(account)
+            .map_or(Duration::ZERO, |mean| *mean / 2)
+    }
+
     /// Returns how many requests of an account run within `span`, one after the other; one while
     /// nothing is known.
     pub fn bundle_size(&self, account: &AccountId, span: Duration) -> u32 {
--- a/crates/coordination/tests/node.rs
+++ b/crates/coordination/tests/node.rs
@@ -5,11 +5,13 @@
 
 use sedgeridge_coordination::entry_events::Arrival;
 use sedgeridge_coordination::entry_events::AttemptEnd;
+use sedgeridge_coordination::entry_events::GiveUp;
 use sedgeridge_coordination::entry_events::RequestKey;
 use sedgeridge_coordination::entry_events::StartAttempt;
 use sedgeridge_coordination::node::Node;
 use sedgeridge_coordination::node::NodeAction;
 use sedgeridge_coordination::node::NodeEvent;
+use sedgeridge_coordination::refusal::Outcome;
 use sedgeridge_state::fingerprint::Fingerprint;
 use sedgeridge_state::ids::Incarnation;
 use sedgeridge_state::ids::Member;
@@ -26,6 +28,7 @@
     due: BTreeMap<(Duration, u64), StartAttempt>,
     running_at_most: usize,
     started: Vec<RequestKey>,
+    given_up: Vec<GiveUp>,
 }
 
 impl OneRouter {
@@ -40,6 +43,7 @@
             due: BTreeMap::new(),
             running_at_most: 0,
             started: Vec::new(),
+            given_up: Vec::new(),
         };
         router.advance(Duration::from_secs(1));
         router
@@ -49,15 +53,23 @@
         let mut actions = Vec::new();
         self.node.handle(self.now, event, &mut actions);
         for action in actions {
-            if let NodeAction::Start(start) = action {
-                self.started.push(start.key);
-                self.due.insert((self.now + RUN, start.attempt.0), start);
+            match action {
+                NodeAction::Start(start) => {
+                    self.started.push(start.key);
+                    self.due.insert((self.now + RUN, start.attempt.0), start);
+                }
+                NodeAction::GiveUp(give_up) => self.given_up.push(give_up),
+                _ => {}
             }
         }
         self.running_at_most = self.running_at_most.max(self.due.len());
     }
 
     fn arrive(&mut self, key: u64, account: &str) {
+        self.arrive_with(key, account, Duration::from_secs(60));
+    }
+
+    fn arrive_with(&mut self, key: u64, account: &str, time_left: Duration) {
         let arrival = Arrival {
             key: RequestKey(key),
             account: account.into(),
@@ -67,7 +79,7 @@
             hint_tokens: 10,
             prefix: None,
             fingerprint: Fingerprint(key.into()),
-            deadline: self.now + Duration::from_secs(60),
+            deadline: self.now + time_left,
         };
         self.event(NodeEvent::Arrived {
             arrival,
@@ -192,3 +204,29 @@
     let small = router.started.iter().filter(|key| key.0 >= 1_000).count();
     assert_eq!(small, 20);
 }
+
+/// A caller with a near deadline gets half an answer, or is told that its request may have run: the
+/// request waited until a slot was free, and what was left was less than any such request takes. It
+/// must be given up unstarted, with "not run" and a time to come back.
+#[test]
+fn a_request_that_cannot_end_in_time_is_not_started() {
+    let mut router = OneRouter::new();
+    for key in 0..40 {
+        router.arrive(key, "large");
+    }
+    router.advance(Duration::from_secs(1));
+    router.arrive_with(100, "large", RUN / 4);
+    for key in 200..204 {
+        router.arrive(key, "large");
+    }
+    router.advance(Duration::from_millis(15));
+    router.arrive_with(101, "large", Duration::from_millis(12));
+    router.advance(Duration::from_secs(1));
+    assert!(!router.started.contains(&RequestKey(100)));
+    assert!(!router.started.contains(&RequestKey(101)));
+    assert_eq!(router.given_up.len(), 2);
+    for give_up in &router.given_up {
+        assert_eq!(give_up.outcome, Outcome::NotRun);
+        assert!(give_up.retry_after.is_some());
+    }
+}
