--- a/crates/slopes/src/page_overs.rs
+++ b/crates/slopes/src/page_overs.rs
@@ -48,7 +48,7 @@
     let messages = row.messages_per_s.or_zero() / requests_per_s;
     let payload = figures.at(&fleet::NODES, "entry_payload") / row.messages_per_s.or_zero();
     let line = format!(
-        "| entry router, bytes sent | {} ({} with payload only) | slot retention: the slot of a request that ended is used for the account's next request without asking (in work, not in `main` when this was measured); numbers of the configuration generation in place of names | today {} reports of {} B payload for each request |\n",
+        "| entry router, bytes sent | {} ({} with payload only) | slot retention: the slot of a request that ended is used for the account's next request without asking (not built: today a grant covers further requests only within `fair.grant_span_ms`, and these run 11 s); numbers of the configuration generation in place of names | today {} reports of {} B payload for each request |\n",
         times(row.wire_bytes_per_s.or_zero(), target::BUDGET_BYTES_PER_S),
         times(
             row.payload_bytes_per_s.or_zero(),
