fix(gateway): kept connections end with SIGTERM; two homes a prompt; level from what was given

Cause of LOST: callers went on with kept connections until the end of the grace time. Cause of reads again: a prompt's one home was left whenever another engine was a little freer.

--- a/crates/fleet/src/account_shares.rs
+++ b/crates/fleet/src/account_shares.rs
@@ -145,7 +145,10 @@
         let Some(capacity) = self.capacity_per_s else {
             return f64::INFINITY;
         };
-        let capacity = capacity * self.window.as_secs_f64();
+        // What was really given counts if it is more: cached prompts cost engines less than their
+        // length. Accounts that still ask for more are then cut at one level, not at none.
+        let given = self.totals.values().map(|usage| f64::from(usage.started));
+        let capacity = (capacity * self.window.as_secs_f64()).max(given.sum());
         let asked = self.totals.values().map(|usage| f64::from(usage.asked));
         max_min_level(asked.collect(), capacity)
     }
--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -9,7 +9,7 @@
 use crate::config::EngineSpec;
 use crate::endpoint_load::Load;
 use crate::endpoint_table::Endpoint;
-use crate::placement::home_endpoint;
+use crate::placement::home_endpoints;
 use crate::prompt::Prompt;
 use crate::verdict::Decision;
 use crate::verdict::RefusalReason;
@@ -50,6 +50,9 @@
 
 /// Time that a failing endpoint costs in the comparison, at a failure share of 1.
 const FAILURE_COST_MS: f64 = 400.0;
+/// Cost in the comparison of a shared token that an endpoint does not keep, besides its reading
+/// time: it takes memory from other shared parts, which are read again in turn.
+const REREAD_COST_MS: f64 = 0.03;
 /// Part of the shared tokens that counts as memory of its own: several requests hold them together.
 const SHARED_MEMORY_PART: f64 = 0.3;
 /// Part of the largest answer that counts as memory: answers end early, and grow while they run.
@@ -129,7 +132,7 @@
         Some(self.standing(arrival))
     }
 
-    fn standing(&self, arrival: &Arrival) -> f64 {
+    pub(super) fn standing(&self, arrival: &Arrival) -> f64 {
         let account = arrival.account.as_ref();
         account.map_or(0.0, |account| self.shares.standing(account))
     }
@@ -191,14 +194,15 @@
         let spec = self.services.get(&arrival.service);
         let engine = spec.and_then(|spec| spec.engine);
         let prompt = arrival.prompt.as_ref();
-        let home = prompt
+        let homes = prompt
             .and_then(Prompt::placement_key)
-            .and_then(|key| home_endpoint(key, usable().map(|endpoint| endpoint.key)));
+            .map(|key| home_endpoints(key, usable().map(|endpoint| endpoint.key)))
+            .unwrap_or_default();
         let untried = usable().filter(|endpoint| !pending.tried.contains(&endpoint.key));
         let up = untried.filter(|endpoint| self.records.is_up(now, endpoint.key));
         let candidates = up.filter_map(|endpoint| match (prompt, engine) {
             (Some(prompt), Some(engine)) => {
-                let is_home = home == Some(endpoint.key);
+                let is_home = homes.contains(&Some(endpoint.key));
                 self.engine_candidate(now, endpoint, engine, prompt, is_home)
             }
             _ => self.plain_candidate(endpoint),
@@ -218,6 +222,8 @@
         let key = endpoint.key;
         let total = self.loads.total(key);
         let unread = self.kept.unread_tokens(now, key, prompt, is_home);
+        let own_part = prompt.prompt_tokens.saturating_sub(prompt.shared_tokens());
+        let unread_shared = unread.saturating_sub(own_part);
         let shared = f64::from(prompt.shared_tokens());
         let own = f64::from(prompt.prompt_tokens) - shared;
         let answer = f64::from(prompt.max_output_tokens) * ANSWER_MEMORY_PART;
@@ -238,7 +244,9 @@
         Some(Candidate {
             endpoint: endpoint.clone(),
             load,
-            cost_ms: first_event_ms + self.extra_cost_ms(endpoint),
+            cost_ms: first_event_ms
+                + f64::from(unread_shared) * REREAD_COST_MS
+                + self.extra_cost_ms(endpoint),
             backlog_ms: backlog / self.speeds.tokens_per_ms(key),
             first_event_ms,
         })
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -64,17 +64,31 @@
     }
 }
 
-/// Returns the endpoint on which the fleet places prompts with this key: the same on every host
+/// Endpoints on which the fleet places each prompt. With one, a burst of one prompt has to leave
+/// it and is read again elsewhere; with more, each copy is used too rarely to be kept.
+pub const HOMES: usize = 2;
+
+/// Returns the endpoints on which the fleet places prompts with this key: the same on every host
 /// that knows the same endpoints, and unchanged when another endpoint comes or goes.
 ///
 /// ```
-/// use sedgeridge_fleet::placement::home_endpoint;
+/// use sedgeridge_fleet::placement::home_endpoints;
 ///
-/// let home = home_endpoint(7, [1, 2, 3]);
-/// assert_eq!(home, home_endpoint(7, [3, 2, 1]));
+/// let homes = home_endpoints(7, [1, 2, 3]);
+/// assert_eq!(homes, home_endpoints(7, [3, 2, 1]));
 /// ```
-pub fn home_endpoint(key: u64, endpoints: impl IntoIterator<Item = u64>) -> Option<u64> {
-    endpoints
-        .into_iter()
-        .max_by_key(|endpoint| (pair_hash(key, *endpoint), *endpoint))
+pub fn home_endpoints(
+    key: u64,
+    endpoints: impl IntoIterator<Item = u64>,
+) -> [Option<u64>; HOMES] {
+    let mut best: [Option<(u64, u64)>; HOMES] = [None; HOMES];
+    for endpoint in endpoints {
+        let mut scored = Some((pair_hash(key, endpoint), endpoint));
+        for place in &mut best {
+            if scored > *place {
+                std::mem::swap(place, &mut scored);
+            }
+        }
+    }
+    best.map(|place| place.map(|(_, endpoint)| endpoint))
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -45,10 +45,26 @@
 /// a second try.
 const SECOND_TRY_MARGIN: Duration = Duration::from_millis(30);
 
+/// Time after SIGTERM in which callers may still be led here. The balancer asks each second and
+/// takes two misses.
+const ROTATION_TIME: Duration = Duration::from_millis(2_600);
+/// When a caller should come back after a router that is about to stop refused it: at once, since
+/// it reaches another one.
+const STOPPING_RETRY: Duration = Duration::from_millis(20);
+
+/// Returns the time after SIGTERM in which new requests are still taken.
+pub fn rotation_time(grace: Duration) -> Duration {
+    ROTATION_TIME.min(grace / 2)
+}
+
 /// Answers a request.
 pub async fn answer<W: Wire, C: Clock>(core: Rc<Core<W, C>>, request: Request<Incoming>) -> Answer {
     let received_at = core.now();
     let (head, body) = request.into_parts();
+    if core.stopping_for() > Some(rotation_time(core.settings.grace)) {
+        // It would be cut off by the end of the grace time.
+        return answer::not_run("stopping", STOPPING_RETRY);
+    }
     let facts = match core.wire.request(&head) {
         Ok(facts) => facts,
         Err(error) => return answer::own(StatusCode::BAD_REQUEST, &error.to_string()),
--- a/crates/gateway/src/caller_listener.rs
+++ b/crates/gateway/src/caller_listener.rs
@@ -1,6 +1,7 @@
 //! Accepts callers' connections and serves the requests on them.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -35,28 +36,38 @@
     }
 }
 
+/// Serves one connection. When the process is told to stop, the connection is closed as soon as no
+/// request is in progress on it: a caller that goes on with it would be cut off at the end of the
+/// grace time, and the balancer can only lead new connections elsewhere.
 async fn serve<W: Wire, C: Clock>(core: Rc<Core<W, C>>, stream: TcpStream) {
     if connection::watch(&stream).is_err() {
         return;
     }
-    let idle_timeout = core.idle_timeout.get();
+    let mut stopping = core.stopping.subscribe();
+    let is_kept_open = stopping.borrow_and_update().is_none();
     let service = service_fn(|request| {
         let core = core.clone();
         async move {
             let mut answer = call::answer(core.clone(), request).await;
-            if core.is_stopping.get() {
+            if core.is_stopping() {
                 let close = HeaderValue::from_static("close");
                 answer.headers_mut().insert(header::CONNECTION, close);
             }
             Ok::<_, Infallible>(answer)
         }
     });
-    let served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle_timeout)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+    let mut serving = pin!(
+        http1::Builder::new()
+            .timer(TokioTimer::new())
+            .keep_alive(is_kept_open)
+            .header_read_timeout(core.idle_timeout.get())
+            .serve_connection(TokioIo::new(stream), service)
+    );
     // A caller that leaves, or an answer that was cut, ends the connection with an error that says
-    // nothing new; the request's own end has been counted.
-    drop(served);
+    // nothing new: the request's own end has been counted.
+    tokio::select! {
+        _ = serving.as_mut() => return,
+        _ = stopping.changed() => serving.as_mut().graceful_shutdown(),
+    }
+    let _ = serving.await;
 }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -19,6 +19,7 @@
 use sedgeridge_fleet::verdict::Verdict;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use crate::clock::Clock;
 use crate::endpoint_pool::EndpointPool;
@@ -45,8 +46,8 @@
     pub max_body_bytes: Cell<usize>,
     /// Longest idle time of a caller's connection.
     pub idle_timeout: Cell<Duration>,
-    /// Whether the process is about to stop.
-    pub is_stopping: Cell<bool>,
+    /// When the process was told to stop, if it was.
+    pub stopping: watch::Sender<Option<Duration>>,
     /// Requests that have been read and not yet answered in full.
     pub in_progress: Cell<usize>,
     dispatcher: RefCell<Dispatcher>,
@@ -76,7 +77,7 @@
             routes: RefCell::new(Rc::new(RouteTable::default())),
             max_body_bytes: Cell::new(limits.max_body_bytes),
             idle_timeout: Cell::new(limits.idle_timeout),
-            is_stopping: Cell::new(false),
+            stopping: watch::Sender::new(None),
             in_progress: Cell::new(0),
             dispatcher: RefCell::new(dispatcher),
             waiting: RefCell::new(HashMap::new()),
@@ -154,10 +155,21 @@
         }
     }
 
+    /// Tells whether the process was told to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.borrow().is_some()
+    }
+
+    /// Returns the time since the process was told to stop.
+    pub fn stopping_for(&self) -> Option<Duration> {
+        let since = *self.stopping.borrow();
+        since.map(|since| self.now().saturating_sub(since))
+    }
+
     /// Tells whether the router can serve callers.
     pub fn is_ready(&self) -> bool {
         let has_endpoints = !self.dispatcher.borrow().endpoints().is_empty();
-        !self.is_stopping.get() && self.routes.borrow().version().is_some() && has_endpoints
+        !self.is_stopping() && self.routes.borrow().version().is_some() && has_endpoints
     }
 
     fn await_verdict(&self, id: RequestId) -> VerdictReceiver {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -144,7 +144,7 @@
             let mut report = self
                 .core
                 .with_dispatcher(|dispatcher| dispatcher.report(config, endpoints));
-            report.is_stopping = self.core.is_stopping.get();
+            report.is_stopping = self.core.is_stopping();
             let bytes = report.encode();
             for target in targets {
                 // A report that is lost is made up for by the next one.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -11,6 +11,7 @@
 use tokio::task::spawn_local;
 
 use crate::caller_listener::accept_forever;
+use crate::call::rotation_time;
 use crate::clock::Clock;
 use crate::core::Core;
 use crate::pages::serve_ready;
@@ -21,9 +22,6 @@
 use crate::table_follower::Tables;
 use crate::wire::Wire;
 
-/// Time after SIGTERM in which callers may still be led here. The balancer asks each second and
-/// takes two misses.
-const ROTATION_TIME: Duration = Duration::from_millis(2_600);
 /// Part of the grace time after which the process ends whatever is in progress.
 const GRACE_PART: f64 = 0.94;
 /// Time between looks whether all requests have ended.
@@ -84,12 +82,12 @@
     peers: &Peers<W, C>,
     store: Rc<S>,
 ) {
-    core.is_stopping.set(true);
     let started_at = core.now();
+    core.stopping.send_replace(Some(started_at));
     let entry = peers.entry();
     spawn_local(async move { store.unregister(&entry).await });
     let ends_at = started_at + core.settings.grace.mul_f64(GRACE_PART);
-    let rotated_at = started_at + ROTATION_TIME.min(core.settings.grace / 2);
+    let rotated_at = started_at + rotation_time(core.settings.grace);
     loop {
         tokio::time::sleep(STOP_INTERVAL).await;
         let now = core.now();
