--- a/crates/fleet/src/account_shares.rs
+++ b/crates/fleet/src/account_shares.rs
@@ -1,14 +1,11 @@
 //! Max-min shares of the engines' tokens between client accounts, over the whole fleet.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
-use sedgeridge_state::ids::AccountId;
+use nohash_hasher::IntMap;
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::hashing::stable_hash;
-
 /// Parts into which the window is cut; old use leaves it in steps of this part.
 const BUCKETS: u64 = 8;
 /// Age up to which another host's sums count.
@@ -30,15 +27,15 @@
     }
 }
 
-/// Usage by account in a sliding window: this host's own and what other hosts reported.
+/// Usage by account, named by the hash of its name, in a sliding window: this host's own and what other hosts reported.
 #[derive(Debug)]
 pub struct AccountShares {
     window: Duration,
     capacity_per_s: Option<f64>,
-    own: HashMap<u64, [Usage; BUCKETS as usize]>,
+    own: IntMap<u64, [Usage; BUCKETS as usize]>,
     bucket: u64,
-    reported: HashMap<u64, (Duration, Vec<(u64, Usage)>)>,
-    totals: HashMap<u64, Usage>,
+    reported: IntMap<u64, (Duration, Vec<(u64, Usage)>)>,
+    totals: IntMap<u64, Usage>,
     level: f64,
 }
 
@@ -48,10 +45,10 @@
         Self {
             window,
             capacity_per_s: None,
-            own: HashMap::new(),
+            own: IntMap::default(),
             bucket: 0,
-            reported: HashMap::new(),
-            totals: HashMap::new(),
+            reported: IntMap::default(),
+            totals: IntMap::default(),
             level: f64::INFINITY,
         }
     }
@@ -62,13 +59,13 @@
     }
 
     /// Counts a request that arrived.
-    pub fn on_asked(&mut self, now: Duration, account: &AccountId, tokens: f64) {
+    pub fn on_asked(&mut self, now: Duration, account: u64, tokens: f64) {
         let asked = tokens as u32;
         self.count(now, account, Usage { asked, started: 0 });
     }
 
     /// Counts a request that was sent to an engine.
-    pub fn on_started(&mut self, now: Duration, account: &AccountId, tokens: f64) {
+    pub fn on_started(&mut self, now: Duration, account: u64, tokens: f64) {
         let started = tokens as u32;
         self.count(now, account, Usage { asked: 0, started });
     }
@@ -80,8 +77,12 @@
 
     /// Returns this host's sums over the window, for its report.
     pub fn own(&self) -> Vec<(u64, Usage)> {
-        let sums = self.own.iter().map(|(account, buckets)| (*account, sum(buckets)));
-        sums.filter(|(_, usage)| *usage != Usage::default()).collect()
+        let sums = self
+            .own
+            .iter()
+            .map(|(account, buckets)| (*account, sum(buckets)));
+        sums.filter(|(_, usage)| *usage != Usage::default())
+            .collect()
     }
 
     /// Brings sums and the level up to date. Call it several times a second.
@@ -102,11 +103,11 @@
     }
 
     /// Returns what the account was given, as a multiple of its fair share. Above 1 it has had it.
-    pub fn standing(&self, account: &AccountId) -> f64 {
+    pub fn standing(&self, account: u64) -> f64 {
         if !self.level.is_finite() {
             return 0.0;
         }
-        let used = self.totals.get(&stable_hash(account.as_str()));
+        let used = self.totals.get(&account);
         let started = used.copied().unwrap_or_default().started;
         f64::from(started) / self.level.max(1.0)
     }
@@ -116,14 +117,13 @@
         self.level
     }
 
-    fn count(&mut self, now: Duration, account: &AccountId, usage: Usage) {
+    fn count(&mut self, now: Duration, account: u64, usage: Usage) {
         self.advance(now);
-        let key = stable_hash(account.as_str());
         let slot = (self.bucket % BUCKETS) as usize;
-        let buckets = self.own.entry(key).or_default();
+        let buckets = self.own.entry(account).or_default();
         buckets[slot].add(usage);
         // Counted at once: requests that arrive together must not all see the state before them.
-        self.totals.entry(key).or_default().add(usage);
+        self.totals.entry(account).or_default().add(usage);
     }
 
     fn advance(&mut self, now: Duration) {
@@ -137,7 +137,8 @@
             }
         }
         self.bucket = self.bucket.max(bucket);
-        self.own.retain(|_, buckets| sum(buckets) != Usage::default());
+        self.own
+            .retain(|_, buckets| sum(buckets) != Usage::default());
     }
 
     /// Fills accounts evenly until the capacity is given out: the max-min share.
--- a/crates/fleet/src/arrival.rs
+++ b/crates/fleet/src/arrival.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use sedgeridge_state::fingerprint::Fingerprint;
-use sedgeridge_state::ids::AccountId;
 use sedgeridge_state::ids::ServiceId;
 
 use crate::config::Route;
@@ -19,8 +18,8 @@
 pub struct Arrival {
     /// Its number in this process.
     pub id: RequestId,
-    /// The account that pays, if the route asks for one.
-    pub account: Option<AccountId>,
+    /// Hash of the account that pays, if the route asks for one.
+    pub account: Option<u64>,
     /// Its route.
     pub route: Arc<Route>,
     /// The service that was chosen for it.
--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -36,8 +36,13 @@
 /// Reading speed of an engine against the tokens that it processes in a second with reading and
 /// generating mixed. Engines read in large batches and generate one token a step.
 const READ_SPEED_FACTOR: f64 = 2.0;
-/// Time between two rounds over queues, reports and sums when nothing else happens.
+/// Time between two looks at the queue when nothing else happens.
 const TICK: Duration = Duration::from_millis(20);
+/// Time to the next look at the queue when room may have come free. Looking at each such moment
+/// costs a loaded host most of its processor time.
+const SOON: Duration = Duration::from_millis(5);
+/// Time between two rounds over reports and sums.
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Fixed properties of the host and the bounds that the operator set.
 #[derive(Debug, Clone)]
@@ -64,7 +69,7 @@
     /// An endpoint is listed, or its entry changed.
     EndpointListed(Endpoint),
     /// An endpoint is no longer listed.
-    EndpointGone(Endpoint),
+    EndpointGone(Arc<Endpoint>),
     /// A request has been read.
     Arrived(Box<Arrival>),
     /// The first piece of a request's answer came.
@@ -101,6 +106,7 @@
     queue: Vec<RequestId>,
     hosts: peers::PeerHosts,
     next_tick: Duration,
+    next_upkeep: Duration,
     counts: DispatchCounts,
 }
 
@@ -130,7 +136,7 @@
 /// An attempt in progress.
 #[derive(Debug)]
 struct Attempt {
-    endpoint: Endpoint,
+    endpoint: Arc<Endpoint>,
     load: Load,
     sent_at: Duration,
     unread_ahead: f64,
@@ -156,18 +162,14 @@
             queue: Vec::new(),
             hosts: peers::PeerHosts::default(),
             next_tick: Duration::ZERO,
+            next_upkeep: Duration::ZERO,
             counts: DispatchCounts::default(),
             settings,
         }
     }
 
     /// Takes one event; adds what follows from it to `decisions`.
-    pub fn handle(
-        &mut self,
-        now: Duration,
-        event: DispatchEvent,
-        decisions: &mut Vec<Decision>,
-    ) {
+    pub fn handle(&mut self, now: Duration, event: DispatchEvent, decisions: &mut Vec<Decision>) {
         match event {
             DispatchEvent::Configured(config) => self.on_config(&config),
             DispatchEvent::EndpointListed(endpoint) => self.on_listed(endpoint),
@@ -180,9 +182,8 @@
             }
             DispatchEvent::Abandoned(request) => self.on_abandoned(request),
             DispatchEvent::Reported(report) => self.on_report(now, report),
-            DispatchEvent::Tick => self.on_tick(now),
+            DispatchEvent::Tick => self.on_tick(now, decisions),
         }
-        self.serve_queue(now, decisions);
     }
 
     /// Returns the time of the next [`DispatchEvent::Tick`].
@@ -235,6 +236,8 @@
     fn on_gone(&mut self, endpoint: &Endpoint) {
         self.endpoints.remove(&endpoint.id);
         self.kept.forget_endpoint(endpoint.key);
+        self.speeds.forget(endpoint.key);
+        self.records.forget(endpoint.key);
         self.expect_speed();
     }
 
@@ -242,7 +245,7 @@
         let Some(tokens_per_s) = self.tokens_per_s else {
             return;
         };
-        let is_engine = |endpoint: &&Endpoint| {
+        let is_engine = |endpoint: &&Arc<Endpoint>| {
             let spec = self.services.get(&endpoint.service);
             spec.is_some_and(|spec| spec.engine.is_some())
         };
@@ -251,15 +254,22 @@
         self.speeds.expect(each_per_ms * READ_SPEED_FACTOR);
     }
 
-    fn on_tick(&mut self, now: Duration) {
+    fn on_tick(&mut self, now: Duration, decisions: &mut Vec<Decision>) {
         self.next_tick = now + TICK;
-        self.loads.tick(now);
-        self.shares.tick(now);
-        self.hosts.tick(now);
-        self.quarantine.tick(now);
-        let endpoints = &self.endpoints;
-        let is_listed = |key: u64| endpoints.iter().any(|endpoint| endpoint.key == key);
-        self.speeds.retain(is_listed);
-        self.records.retain(is_listed);
+        if now >= self.next_upkeep {
+            self.next_upkeep = now + UPKEEP_INTERVAL;
+            self.loads.tick(now);
+            self.shares.tick(now);
+            self.hosts.tick(now);
+            self.quarantine.tick(now);
+        }
+        self.serve_queue(now, decisions);
+    }
+
+    /// An engine has finished reading a prompt, so that queued requests may find room.
+    fn look_again_soon(&mut self, now: Duration) {
+        if !self.queue.is_empty() {
+            self.next_tick = self.next_tick.min(now + SOON);
+        }
     }
 }
--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -1,5 +1,6 @@
 //! Which queued request is sent next, where to, and which is refused.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::Dispatcher;
@@ -63,8 +64,8 @@
 const OUTAGE_RETRY: Duration = Duration::from_millis(400);
 
 /// An endpoint that could take a request.
-struct Candidate {
-    endpoint: Endpoint,
+struct Candidate<'a> {
+    endpoint: &'a Arc<Endpoint>,
     load: Load,
     cost_ms: f64,
     backlog_ms: f64,
@@ -73,7 +74,7 @@
 
 /// What becomes of a queued request at this moment.
 enum Placing {
-    Send(Box<Candidate>),
+    Send(Arc<Endpoint>, Load),
     Wait,
     Refuse(RefusalReason),
 }
@@ -91,23 +92,30 @@
             .collect();
         order.sort_by(|(one, _), (other, _)| one.total_cmp(other));
         for (_, id) in order {
-            let Some(pending) = self.requests.get(&id) else {
-                continue;
-            };
-            let is_kept = match self.place(now, pending) {
-                Placing::Send(chosen) => {
-                    let Candidate { endpoint, load, .. } = *chosen;
-                    !self.start(now, id, endpoint, load, decisions)
-                }
-                Placing::Wait => true,
-                Placing::Refuse(reason) => {
-                    self.end_unsent(now, id, reason, decisions);
-                    false
-                }
-            };
-            if is_kept {
-                self.queue.push(id);
+            self.try_place(now, id, decisions);
+        }
+    }
+
+    /// Sends, queues or refuses a request.
+    pub(super) fn try_place(
+        &mut self,
+        now: Duration,
+        id: RequestId,
+        decisions: &mut Vec<Decision>,
+    ) {
+        let Some(pending) = self.requests.get(&id) else {
+            return;
+        };
+        let is_kept = match self.place(now, pending) {
+            Placing::Send(endpoint, load) => !self.start(now, id, endpoint, load, decisions),
+            Placing::Wait => true,
+            Placing::Refuse(reason) => {
+                self.end_unsent(now, id, reason, decisions);
+                false
             }
+        };
+        if is_kept {
+            self.queue.push(id);
         }
     }
 
@@ -133,7 +141,7 @@
     }
 
     pub(super) fn standing(&self, arrival: &Arrival) -> f64 {
-        let account = arrival.account.as_ref();
+        let account = arrival.account;
         account.map_or(0.0, |account| self.shares.standing(account))
     }
 
@@ -143,7 +151,10 @@
             return Placing::Refuse(RefusalReason::OutOfTime);
         }
         let candidates = self.candidates(now, pending);
-        let hold = arrival.route.latency_target.mul_f64(self.settings.admission.hold_part);
+        let hold = arrival
+            .route
+            .latency_target
+            .mul_f64(self.settings.admission.hold_part);
         let is_over = now >= arrival.received_at + hold;
         let Some(best) = candidates else {
             return match is_over {
@@ -152,18 +163,19 @@
             };
         };
         if self.is_admitted(now, pending, &best) {
-            return Placing::Send(Box::new(best));
-        }
-        if !is_over {
-            return Placing::Wait;
+            return Placing::Send(best.endpoint.clone(), best.load);
         }
         if self.standing(arrival) > 1.0 {
+            // Waiting would not help: those that have had less go first.
             return Placing::Refuse(RefusalReason::OverShare);
         }
+        if !is_over {
+            return Placing::Wait;
+        }
         Placing::Refuse(RefusalReason::Overload)
     }
 
-    fn is_admitted(&self, now: Duration, pending: &Pending, best: &Candidate) -> bool {
+    fn is_admitted(&self, now: Duration, pending: &Pending, best: &Candidate<'_>) -> bool {
         let arrival = &pending.arrival;
         let settings = &self.settings.admission;
         if arrival.prompt.is_none() {
@@ -175,9 +187,8 @@
         }
         let left = arrival.target_at().saturating_sub(now);
         let left_ms = left.as_secs_f64() * 1_000.0 * settings.target_part;
-        let is_low = best.first_event_ms > left_ms
-            || arrival.is_second_try
-            || self.standing(arrival) > 1.0;
+        let is_low =
+            best.first_event_ms > left_ms || arrival.is_second_try || self.standing(arrival) > 1.0;
         let part = match is_low {
             true => settings.low_backlog_part,
             false => settings.backlog_part,
@@ -188,17 +199,19 @@
     }
 
     /// Returns the best endpoint that has room.
-    fn candidates(&self, now: Duration, pending: &Pending) -> Option<Candidate> {
+    fn candidates(&self, now: Duration, pending: &Pending) -> Option<Candidate<'_>> {
         let arrival = &pending.arrival;
-        let usable = || self.endpoints.usable(&arrival.service);
+        let usable = self.endpoints.usable(&arrival.service);
         let spec = self.services.get(&arrival.service);
         let engine = spec.and_then(|spec| spec.engine);
         let prompt = arrival.prompt.as_ref();
         let homes = prompt
             .and_then(Prompt::placement_key)
-            .map(|key| home_endpoints(key, usable().map(|endpoint| endpoint.key)))
+            .map(|key| home_endpoints(key, usable.iter().map(|endpoint| endpoint.key)))
             .unwrap_or_default();
-        let untried = usable().filter(|endpoint| !pending.tried.contains(&endpoint.key));
+        let untried = usable
+            .iter()
+            .filter(|endpoint| !pending.tried.contains(&endpoint.key));
         let up = untried.filter(|endpoint| self.records.is_up(now, endpoint.key));
         let candidates = up.filter_map(|endpoint| match (prompt, engine) {
             (Some(prompt), Some(engine)) => {
@@ -210,14 +223,14 @@
         candidates.min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms))
     }
 
-    fn engine_candidate(
+    fn engine_candidate<'a>(
         &self,
         now: Duration,
-        endpoint: &Endpoint,
+        endpoint: &'a Arc<Endpoint>,
         engine: EngineSpec,
         prompt: &Prompt,
         is_home: bool,
-    ) -> Option<Candidate> {
+    ) -> Option<Candidate<'a>> {
         let settings = &self.settings.admission;
         let key = endpoint.key;
         let total = self.loads.total(key);
@@ -242,7 +255,7 @@
         let backlog = f64::from(total.unread_tokens);
         let first_event_ms = self.speeds.first_event_ms(key, backlog + f64::from(unread));
         Some(Candidate {
-            endpoint: endpoint.clone(),
+            endpoint,
             load,
             cost_ms: first_event_ms
                 + f64::from(unread_shared) * REREAD_COST_MS
@@ -252,7 +265,7 @@
         })
     }
 
-    fn plain_candidate(&self, endpoint: &Endpoint) -> Option<Candidate> {
+    fn plain_candidate<'a>(&self, endpoint: &'a Arc<Endpoint>) -> Option<Candidate<'a>> {
         let key = endpoint.key;
         let total = self.loads.total(key);
         let slots = f64::from(endpoint.slots.max(1));
@@ -266,7 +279,7 @@
             ..Load::default()
         };
         Some(Candidate {
-            endpoint: endpoint.clone(),
+            endpoint,
             load,
             cost_ms: answer_ms + self.extra_cost_ms(endpoint),
             backlog_ms: 0.0,
--- a/crates/fleet/src/dispatcher/attempts.rs
+++ b/crates/fleet/src/dispatcher/attempts.rs
@@ -1,5 +1,6 @@
 //! What follows from the ends of attempts.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use sedgeridge_coordination::quarantine::Permit;
@@ -30,7 +31,7 @@
         decisions: &mut Vec<Decision>,
     ) {
         let id = arrival.id;
-        if let Some(account) = arrival.account.as_ref().filter(|_| arrival.prompt.is_some()) {
+        if let Some(account) = arrival.account.filter(|_| arrival.prompt.is_some()) {
             self.shares.on_asked(now, account, arrival.charge());
         }
         if let Some(left) = self.quarantine.refused_for(now, arrival.fingerprint) {
@@ -47,7 +48,7 @@
             attempt: None,
         };
         self.requests.insert(id, pending);
-        self.queue.push(id);
+        self.try_place(now, id, decisions);
     }
 
     /// Sends a queued request to `endpoint`, unless it is suspected of crashing endpoints.
@@ -55,7 +56,7 @@
         &mut self,
         now: Duration,
         id: RequestId,
-        endpoint: Endpoint,
+        endpoint: Arc<Endpoint>,
         load: Load,
         decisions: &mut Vec<Decision>,
     ) -> bool {
@@ -83,7 +84,7 @@
         let arrival = &pending.arrival;
         if let Some(prompt) = &arrival.prompt {
             self.kept.note(now, endpoint.key, prompt);
-            if let Some(account) = arrival.account.as_ref().filter(|_| pending.sends == 1) {
+            if let Some(account) = arrival.account.filter(|_| pending.sends == 1) {
                 self.shares.on_started(now, account, arrival.charge());
             }
         }
@@ -94,8 +95,11 @@
             self.counts.resent += 1;
         }
         self.loads.add_own(endpoint.key, load);
-        let verdict = Verdict::Send(Box::new(endpoint));
-        decisions.push(Decision { request: id, verdict });
+        let verdict = Verdict::Send(endpoint);
+        decisions.push(Decision {
+            request: id,
+            verdict,
+        });
         true
     }
 
@@ -119,6 +123,7 @@
             let took = now.saturating_sub(attempt.sent_at);
             self.speeds.observe(key, attempt.unread_ahead, took);
         }
+        self.look_again_soon(now);
     }
 
     pub(super) fn on_completed(&mut self, now: Duration, id: RequestId) {
@@ -170,15 +175,16 @@
             self.quarantine.endpoint_down(now, &endpoint.id);
         }
         if failure == Failure::ConnectionLost {
-            self.quarantine.connection_lost(now, fingerprint, &endpoint.id);
+            self.quarantine
+                .connection_lost(now, fingerprint, &endpoint.id);
         }
         self.quarantine.ended(fingerprint);
         if failure == Failure::Misdirected {
             // Another run has the address: this one is gone, whatever the list says.
-            self.endpoints.set_leaving(endpoint.key);
+            self.endpoints.set_leaving(&endpoint.id);
         }
         if self.may_send_again(now, id) {
-            self.queue.push(id);
+            self.try_place(now, id, decisions);
         } else {
             self.give_up(now, id, decisions);
         }
@@ -211,12 +217,7 @@
     }
 
     /// Ends a request that was tried: as failed if it may have run, else as refused.
-    pub(super) fn give_up(
-        &mut self,
-        now: Duration,
-        id: RequestId,
-        decisions: &mut Vec<Decision>,
-    ) {
+    pub(super) fn give_up(&mut self, now: Duration, id: RequestId, decisions: &mut Vec<Decision>) {
         let Some(pending) = self.requests.get(&id) else {
             return;
         };
@@ -224,7 +225,10 @@
             let failure = pending.last_failure.unwrap_or(Failure::ConnectionLost);
             self.requests.remove(&id);
             let verdict = Verdict::Fail(failure);
-            decisions.push(Decision { request: id, verdict });
+            decisions.push(Decision {
+                request: id,
+                verdict,
+            });
         } else {
             let reason = match pending.last_failure {
                 Some(Failure::NotConnected) | None => RefusalReason::NoEndpoint,
--- a/crates/fleet/src/endpoint_load.rs
+++ b/crates/fleet/src/endpoint_load.rs
@@ -1,8 +1,8 @@
 //! What the whole fleet has in progress on each endpoint.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
+use nohash_hasher::IntMap;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -45,9 +45,9 @@
 /// Loads by endpoint: this host's own, and those that other hosts last reported.
 #[derive(Debug, Default)]
 pub struct EndpointLoads {
-    own: HashMap<u64, Load>,
-    reported: HashMap<u64, Reported>,
-    others: HashMap<u64, Load>,
+    own: IntMap<u64, Load>,
+    reported: IntMap<u64, Reported>,
+    others: IntMap<u64, Load>,
 }
 
 #[derive(Debug)]
--- a/crates/fleet/src/endpoint_record.rs
+++ b/crates/fleet/src/endpoint_record.rs
@@ -1,9 +1,9 @@
 //! What this host's own requests show of each endpoint.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use crate::verdict::Failure;
+use nohash_hasher::IntMap;
 
 /// First time for which an endpoint that cannot be reached gets no requests.
 const FIRST_DOWN: Duration = Duration::from_millis(250);
@@ -21,7 +21,7 @@
 /// Records by endpoint.
 #[derive(Debug, Default)]
 pub struct EndpointRecords {
-    records: HashMap<u64, EndpointRecord>,
+    records: IntMap<u64, EndpointRecord>,
 }
 
 #[derive(Debug)]
@@ -95,8 +95,8 @@
         record.map_or(ASSUMED_ANSWER_MS, |record| record.answer_ms)
     }
 
-    /// Forgets endpoints that are gone.
-    pub fn retain(&mut self, is_listed: impl Fn(u64) -> bool) {
-        self.records.retain(|endpoint, _| is_listed(*endpoint));
+    /// Forgets an endpoint that is gone.
+    pub fn forget(&mut self, endpoint: u64) {
+        self.records.remove(&endpoint);
     }
 }
--- a/crates/fleet/src/endpoint_table.rs
+++ b/crates/fleet/src/endpoint_table.rs
@@ -1,6 +1,7 @@
 //! The endpoints that the platform lists, by service.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -38,7 +39,8 @@
 /// The listed endpoints.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
-    by_id: BTreeMap<EndpointId, Endpoint>,
+    by_id: BTreeMap<EndpointId, Arc<Endpoint>>,
+    usable: HashMap<ServiceId, Vec<Arc<Endpoint>>>,
 }
 
 impl EndpointTable {
@@ -47,40 +49,42 @@
         let known = self.by_id.get(&endpoint.id);
         // An id names one run, and a run that is leaving does not come back.
         endpoint.is_leaving |= known.is_some_and(|known| known.is_leaving);
-        self.by_id.insert(endpoint.id.clone(), endpoint);
+        let id = endpoint.id.clone();
+        self.by_id.insert(id, Arc::new(endpoint));
+        self.sort_by_service();
     }
 
     /// Removes an entry.
-    pub fn remove(&mut self, id: &EndpointId) -> Option<Endpoint> {
-        self.by_id.remove(id)
+    pub fn remove(&mut self, id: &EndpointId) -> Option<Arc<Endpoint>> {
+        let removed = self.by_id.remove(id);
+        self.sort_by_service();
+        removed
     }
 
     /// Marks an endpoint as leaving; tells whether that was news.
-    pub fn set_leaving(&mut self, key: u64) -> bool {
-        let found = self
-            .by_id
-            .values_mut()
-            .find(|endpoint| endpoint.key == key && !endpoint.is_leaving);
-        found.is_some_and(|endpoint| {
-            endpoint.is_leaving = true;
-            true
-        })
+    pub fn set_leaving(&mut self, id: &EndpointId) -> bool {
+        let Some(known) = self.by_id.get(id).filter(|known| !known.is_leaving) else {
+            return false;
+        };
+        let mut leaving = Endpoint::clone(known);
+        leaving.is_leaving = true;
+        self.put(leaving);
+        true
     }
 
     /// Returns an endpoint.
-    pub fn get(&self, id: &EndpointId) -> Option<&Endpoint> {
+    pub fn get(&self, id: &EndpointId) -> Option<&Arc<Endpoint>> {
         self.by_id.get(id)
     }
 
     /// Iterates over all entries.
-    pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
         self.by_id.values()
     }
 
-    /// Iterates over the endpoints of a service that take new work.
-    pub fn usable<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a Endpoint> + 'a {
-        let is_usable = move |endpoint: &&Endpoint| !endpoint.is_leaving && endpoint.service == *service;
-        self.by_id.values().filter(is_usable)
+    /// Returns the endpoints of a service that take new work, in order of their ids.
+    pub fn usable(&self, service: &ServiceId) -> &[Arc<Endpoint>] {
+        self.usable.get(service).map_or(&[], Vec::as_slice)
     }
 
     /// Returns the number of entries.
@@ -92,4 +96,12 @@
     pub fn is_empty(&self) -> bool {
         self.by_id.is_empty()
     }
+
+    fn sort_by_service(&mut self) {
+        self.usable.clear();
+        for endpoint in self.by_id.values().filter(|endpoint| !endpoint.is_leaving) {
+            let of_service = self.usable.entry(endpoint.service.clone()).or_default();
+            of_service.push(endpoint.clone());
+        }
+    }
 }
--- a/crates/fleet/src/engine_speed.rs
+++ b/crates/fleet/src/engine_speed.rs
@@ -1,8 +1,9 @@
 //! Learns how fast each engine reads prompts, from the time to the first event.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
+use nohash_hasher::IntMap;
+
 /// Time to a first event that no prompt explains: connection, first step, way back.
 const BASE_MS: f64 = 12.0;
 /// Weight that the past keeps at each observation; about 50 requests are remembered.
@@ -16,7 +17,7 @@
 #[derive(Debug, Default)]
 pub struct EngineSpeeds {
     expected: f64,
-    learnt: HashMap<u64, Learnt>,
+    learnt: IntMap<u64, Learnt>,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -54,8 +55,8 @@
         BASE_MS + tokens / self.tokens_per_ms(endpoint)
     }
 
-    /// Forgets endpoints that are gone.
-    pub fn retain(&mut self, is_listed: impl Fn(u64) -> bool) {
-        self.learnt.retain(|endpoint, _| is_listed(*endpoint));
+    /// Forgets an endpoint that is gone.
+    pub fn forget(&mut self, endpoint: u64) {
+        self.learnt.remove(&endpoint);
     }
 }
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -77,10 +77,7 @@
 /// let homes = home_endpoints(7, [1, 2, 3]);
 /// assert_eq!(homes, home_endpoints(7, [3, 2, 1]));
 /// ```
-pub fn home_endpoints(
-    key: u64,
-    endpoints: impl IntoIterator<Item = u64>,
-) -> [Option<u64>; HOMES] {
+pub fn home_endpoints(key: u64, endpoints: impl IntoIterator<Item = u64>) -> [Option<u64>; HOMES] {
     let mut best: [Option<(u64, u64)>; HOMES] = [None; HOMES];
     for endpoint in endpoints {
         let mut scored = Some((pair_hash(key, endpoint), endpoint));
--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -262,9 +262,10 @@
     fn replace(&mut self, now: Duration, rows: Vec<Row>, version: u64) -> Vec<Row> {
         self.changed_version = self.changed_version.max(version);
         let listed: BTreeMap<_, _> = rows.iter().map(|row| (row.key.clone(), ())).collect();
-        let gone = self.rows.values().filter(|row| {
-            row.version <= version && !listed.contains_key(&row.key)
-        });
+        let gone = self
+            .rows
+            .values()
+            .filter(|row| row.version <= version && !listed.contains_key(&row.key));
         let gone: Vec<_> = gone.map(|row| row.key.clone()).collect();
         let mut changed = Vec::new();
         for row in rows {
--- a/crates/fleet/src/verdict.rs
+++ b/crates/fleet/src/verdict.rs
@@ -1,5 +1,6 @@
 //! What is decided about a request, and how its attempts end.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::arrival::RequestId;
@@ -18,7 +19,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Verdict {
     /// Send it to this endpoint.
-    Send(Box<Endpoint>),
+    Send(Arc<Endpoint>),
     /// Answer that it has not run and never will.
     Refuse {
         /// Why.
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -16,6 +16,7 @@
 use sedgeridge_fleet::config::Route;
 use sedgeridge_fleet::dispatcher::DispatchEvent;
 use sedgeridge_fleet::endpoint_table::Endpoint;
+use sedgeridge_fleet::hashing::stable_hash;
 use sedgeridge_fleet::route_table::LookupError;
 use sedgeridge_fleet::route_table::choose_service;
 use sedgeridge_fleet::verdict::Failure;
@@ -90,7 +91,9 @@
         .is_some_and(|left| left + SECOND_TRY_MARGIN < route.timeout);
     let arrival = Arrival {
         id,
-        account: account.clone(),
+        account: account
+            .as_ref()
+            .map(|account| stable_hash(account.as_str())),
         route: route.clone(),
         service,
         received_at,
@@ -148,7 +151,7 @@
                         return pass_on(whole);
                     }
                     Ok(AttemptResult::Stream(answer)) => {
-                        return self.start_stream(*endpoint, answer);
+                        return self.start_stream(endpoint, answer);
                     }
                     Err(failure) => waiting = self.core.attempt_failed(self.id, failure),
                 },
@@ -185,7 +188,7 @@
         Ok(AttemptResult::Whole(whole))
     }
 
-    fn start_stream(self, endpoint: Endpoint, answer: attempt::EndpointAnswer) -> Answer {
+    fn start_stream(self, endpoint: Arc<Endpoint>, answer: attempt::EndpointAnswer) -> Answer {
         let (status, headers) = attempt::caller_headers(&answer.head);
         let pump = stream_pump::StreamPump {
             core: self.core,
@@ -276,7 +279,9 @@
         StatusCode::SERVICE_UNAVAILABLE,
     ];
     match last_answer {
-        Some(whole) if failure == Failure::ServerError && !promises.contains(&whole.head.status) => {
+        Some(whole)
+            if failure == Failure::ServerError && !promises.contains(&whole.head.status) =>
+        {
             pass_on(whole)
         }
         _ => answer::own(StatusCode::BAD_GATEWAY, failure.as_str()),
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -53,6 +53,7 @@
     dispatcher: RefCell<Dispatcher>,
     waiting: RefCell<HashMap<RequestId, oneshot::Sender<Verdict>>>,
     next_request: Cell<u64>,
+    sleeps_until: Cell<Duration>,
     wake: Notify,
 }
 
@@ -82,6 +83,7 @@
             dispatcher: RefCell::new(dispatcher),
             waiting: RefCell::new(HashMap::new()),
             next_request: Cell::new(0),
+            sleeps_until: Cell::new(Duration::ZERO),
             wake: Notify::new(),
         }
     }
@@ -110,6 +112,9 @@
         self.dispatcher
             .borrow_mut()
             .handle(now, event, &mut decisions);
+        if self.dispatcher.borrow().next_tick() < self.sleeps_until.get() {
+            self.wake.notify_one();
+        }
         for Decision { request, verdict } in decisions {
             let waiting = self.waiting.borrow_mut().remove(&request);
             // A caller that has left waits no more; its guard tells the dispatcher.
@@ -145,9 +150,10 @@
         loop {
             let next = self.dispatcher.borrow().next_tick();
             let pause = next.saturating_sub(self.now());
+            self.sleeps_until.set(next);
             tokio::select! {
                 () = tokio::time::sleep(pause) => {}
-                () = self.wake.notified() => {}
+                () = self.wake.notified() => continue,
             }
             self.handle(DispatchEvent::Tick);
             let now = self.now();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -114,7 +114,9 @@
             let listed = store.hosts().await;
             let is_listed = listed.is_some();
             if let Some(hosts) = listed {
-                let addresses = hosts.into_iter().map(|host| (host.host, host.peers_address));
+                let addresses = hosts
+                    .into_iter()
+                    .map(|host| (host.host, host.peers_address));
                 *self.listed.borrow_mut() = addresses.collect();
             }
             let pause = match is_registered && is_listed {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -10,8 +10,8 @@
 use tokio::signal::unix::signal;
 use tokio::task::spawn_local;
 
-use crate::caller_listener::accept_forever;
 use crate::call::rotation_time;
+use crate::caller_listener::accept_forever;
 use crate::clock::Clock;
 use crate::core::Core;
 use crate::pages::serve_ready;
--- a/crates/gateway/src/stream_pump.rs
+++ b/crates/gateway/src/stream_pump.rs
@@ -1,6 +1,7 @@
 //! Passes a stream of events on to its caller, and goes on at another endpoint if one breaks off.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -53,7 +54,7 @@
     /// Starts passing on, and returns the pieces for the caller's answer.
     pub fn start(
         self,
-        endpoint: Endpoint,
+        endpoint: Arc<Endpoint>,
         answer: EndpointAnswer,
     ) -> mpsc::Receiver<Result<Bytes, StreamCut>> {
         let (sender, receiver) = mpsc::channel(STREAM_DEPTH);
@@ -61,7 +62,7 @@
         receiver
     }
 
-    async fn run(mut self, endpoint: Endpoint, answer: EndpointAnswer, pieces: Pieces) {
+    async fn run(mut self, endpoint: Arc<Endpoint>, answer: EndpointAnswer, pieces: Pieces) {
         let left = self.deadline.saturating_sub(self.core.now());
         let passing = timeout(left, self.pass(endpoint, answer, &pieces));
         let is_complete = passing.await.unwrap_or(false);
@@ -76,13 +77,15 @@
     /// Passes events on until the end; returns whether the answer is complete.
     async fn pass(
         &mut self,
-        mut endpoint: Endpoint,
+        mut endpoint: Arc<Endpoint>,
         mut answer: EndpointAnswer,
         pieces: &Pieces,
     ) -> bool {
         let mut splitter = EventSplitter::default();
         loop {
-            let end = self.pass_one(&endpoint, answer, &mut splitter, pieces).await;
+            let end = self
+                .pass_one(&endpoint, answer, &mut splitter, pieces)
+                .await;
             let failure = match end {
                 StreamEnd::Complete => return true,
                 StreamEnd::CallerLeft => return false,
@@ -148,7 +151,7 @@
         &mut self,
         failure: Failure,
         pieces: &Pieces,
-    ) -> Option<(Endpoint, EndpointAnswer)> {
+    ) -> Option<(Arc<Endpoint>, EndpointAnswer)> {
         let mut waiting = self.core.attempt_failed(self.id, failure);
         loop {
             let verdict = tokio::select! {
@@ -164,7 +167,7 @@
                 () = pieces.closed() => return None,
             };
             match sent {
-                Ok(answer) if answer.head.status.is_success() => return Some((*endpoint, answer)),
+                Ok(answer) if answer.head.status.is_success() => return Some((endpoint, answer)),
                 Ok(_) => {
                     waiting = self.core.attempt_failed(self.id, Failure::ServerError);
                 }
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -143,7 +143,7 @@
 
     fn remove_endpoint(&self, id: &str) {
         let id = sedgeridge_state::ids::EndpointId::from(id);
-        let known: Option<Endpoint> = self
+        let known: Option<Arc<Endpoint>> = self
             .core
             .with_dispatcher(|dispatcher| dispatcher.endpoints().get(&id).cloned());
         if let Some(endpoint) = known {
