--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -17,6 +17,9 @@
 /// Shortest silence of the store after which its return opens [`REWRITE_TIME`]. Rows lapse after
 /// three missed heartbeats at the earliest; half of that leaves a margin.
 const MIN_OUTAGE: Duration = Duration::from_millis(1_500);
+/// Time after the store's return in which answers tell of what happened while it was away. What is
+/// removed later was removed on purpose, and counts at once.
+const CATCH_UP_TIME: Duration = Duration::from_millis(400);
 
 /// A row as the store holds it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -93,6 +96,7 @@
     failures: u32,
     not_before: Duration,
     lost_at: Option<Duration>,
+    catch_up_until: Duration,
     rewrite_until: Duration,
     missing: BTreeMap<Arc<str>, u64>,
     random: SeededRandom,
@@ -115,6 +119,7 @@
             failures: 0,
             not_before: Duration::ZERO,
             lost_at: None,
+            catch_up_until: Duration::ZERO,
             rewrite_until: Duration::ZERO,
             missing: BTreeMap::new(),
             random: SeededRandom::new(seed),
@@ -213,6 +218,7 @@
             return;
         };
         if now.saturating_sub(lost_at) >= MIN_OUTAGE {
+            self.catch_up_until = now + CATCH_UP_TIME;
             self.rewrite_until = now + REWRITE_TIME;
         }
     }
@@ -290,7 +296,7 @@
     /// A row that is missing right after an outage may only have lapsed: its writer could not renew
     /// it. Without the delay, every endpoint would be given up at once when the store returns.
     fn miss(&mut self, now: Duration, key: &Arc<str>, version: u64) -> Option<Row> {
-        if now < self.rewrite_until || self.lost_at.is_some() {
+        if now < self.catch_up_until || self.lost_at.is_some() {
             self.missing.insert(key.clone(), version);
             return None;
         }
