--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -44,6 +44,10 @@
     Feed {
         /// The version up to which everything is known.
         after: u64,
+        /// Whether the store keeps the call until there is a change. After an outage it must not:
+        /// the answer could come long after the store is back, and what is removed meanwhile would
+        /// look as if it had lapsed in the outage.
+        is_held: bool,
     },
 }
 
@@ -85,7 +89,7 @@
 /// let answer = StoreAnswer::Rows { rows: Vec::new(), version: 7, has_more: false };
 /// watch.on_answer(Duration::ZERO, answer);
 /// let step = watch.step(Duration::ZERO);
-/// assert_eq!(step, WatchStep::Call(StoreCall::Feed { after: 7 }));
+/// assert_eq!(step, WatchStep::Call(StoreCall::Feed { after: 7, is_held: true }));
 /// ```
 #[derive(Debug)]
 pub struct RowWatch {
@@ -137,6 +141,7 @@
             },
             None => StoreCall::Feed {
                 after: self.fed_version,
+                is_held: self.lost_at.is_none(),
             },
         };
         WatchStep::Call(call)
--- a/crates/fleet/tests/row_watch.rs
+++ b/crates/fleet/tests/row_watch.rs
@@ -61,7 +61,11 @@
     assert_eq!(from.as_deref(), Some("a\0"));
     let changed = watch.on_answer(at(1), rows(vec![row("b", 2)], 6));
     assert_eq!(changed.len(), 2);
-    assert_eq!(watch.step(at(1)), WatchStep::Call(StoreCall::Feed { after: 6 }));
+    let feed = StoreCall::Feed {
+        after: 6,
+        is_held: true,
+    };
+    assert_eq!(watch.step(at(1)), WatchStep::Call(feed));
 }
 
 #[test]
@@ -95,6 +99,12 @@
 fn an_entry_that_is_removed_after_the_outage_goes_at_once() {
     let mut watch = watch_of_two();
     watch.on_answer(at(100), StoreAnswer::Failed);
+    // A call that waits for a change would not tell when the store is back.
+    let catch_up = StoreCall::Feed {
+        after: 2,
+        is_held: false,
+    };
+    assert_eq!(watch.step(at(4_999)), WatchStep::Call(catch_up));
     watch.on_answer(at(5_000), rows(Vec::new(), 3));
     let changed = watch.on_answer(at(6_000), rows(vec![removed("a", 4)], 4));
     assert_eq!(changed, vec![removed("a", 4)]);
