--- a/crates/fleet/src/account_shares.rs
+++ b/crates/fleet/src/account_shares.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Changes the window.
+    pub fn set_window(&mut self, window: Duration) {
+        self.window = window;
+    }
+
     /// Sets the tokens that all engines together process in a second.
     pub fn set_capacity(&mut self, tokens_per_s: Option<f64>) {
         self.capacity_per_s = tokens_per_s;
--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -186,6 +186,14 @@
         }
     }
 
+    /// Takes in changed bounds; what was counted stays.
+    pub fn set_bounds(&mut self, share_window: Duration, resends: ResendLimits) {
+        self.settings.share_window = share_window;
+        self.settings.resends = resends;
+        self.shares.set_window(share_window);
+        self.resends.set_limits(resends);
+    }
+
     /// Returns the time of the next [`DispatchEvent::Tick`].
     pub fn next_tick(&self) -> Duration {
         self.next_tick
--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -60,6 +60,9 @@
 /// time: it takes memory from other shared parts, which are read again in turn. About seven times
 /// the reading time of an idle engine: from there on, spilled prompts stay a tenth of all.
 const REREAD_COST_MS: f64 = 0.1;
+/// Cost in the comparison of each further home of a prompt: below this difference in time all
+/// requests about a subject meet at its first home, which alone then keeps the shared part.
+const NEXT_HOME_COST_MS: f64 = 30.0;
 /// Part of the shared tokens that counts as memory of its own: several requests hold them together.
 const SHARED_MEMORY_PART: f64 = 0.3;
 /// Part of the largest answer that counts as memory: answers end early, and grow while they run.
@@ -221,8 +224,14 @@
         let up = untried.filter(|endpoint| self.records.is_up(now, endpoint.key));
         let candidates = up.filter_map(|endpoint| match (prompt, engine) {
             (Some(prompt), Some(engine)) => {
-                let is_home = homes.contains(&Some(endpoint.key));
-                self.engine_candidate(now, endpoint, engine, prompt, is_home)
+                let home = homes.iter().position(|home| *home == Some(endpoint.key));
+                let candidate =
+                    self.engine_candidate(now, endpoint, engine, prompt, home.is_some());
+                let further_ms = home.map_or(0.0, |rank| rank as f64 * NEXT_HOME_COST_MS);
+                candidate.map(|candidate| Candidate {
+                    cost_ms: candidate.cost_ms + further_ms,
+                    ..candidate
+                })
             }
             _ => self.plain_candidate(endpoint),
         });
--- a/crates/fleet/src/resend_window.rs
+++ b/crates/fleet/src/resend_window.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Changes the bounds.
+    pub fn set_limits(&mut self, limits: ResendLimits) {
+        self.limits = limits;
+    }
+
     /// Counts a request that is sent for the first time.
     pub fn on_request(&mut self, now: Duration, service: &ServiceId) {
         let counted = self.services.entry(service.clone()).or_default();
--- /dev/null
+++ b/crates/fleet/tests/dispatcher.rs
@@ -0,0 +1,260 @@
+//! Failures of single requests: what is sent again, what is refused, and what is neither.
+
+mod support;
+
+use sedgeridge_fleet::config::Repeat;
+use sedgeridge_fleet::dispatcher::DispatchEvent;
+use sedgeridge_fleet::verdict::Failure;
+use sedgeridge_fleet::verdict::RefusalReason;
+use sedgeridge_fleet::verdict::Verdict;
+
+use support::ENGINES;
+use support::Host;
+use support::PLAIN;
+use support::endpoint;
+use support::engine_request;
+use support::plain_request;
+use support::prompt;
+use support::verdict_of;
+
+fn sent_to(verdict: Option<Verdict>) -> String {
+    match verdict {
+        Some(Verdict::Send(endpoint)) => endpoint.id.to_string(),
+        other => panic!("expected a send, got {other:?}"),
+    }
+}
+
+/// The caller sees one charge. Its request may not be repeated; the connection is lost after it was
+/// sent, so it may have run. It must not be sent again, and not be called "not run".
+#[test]
+fn a_request_that_may_have_run_is_not_repeated_and_not_called_unrun() {
+    let mut host = Host::new(1);
+    let (id, verdict) = host.arrive(0, plain_request(0, Repeat::AtMostOnce));
+    sent_to(verdict);
+    let failed = DispatchEvent::AttemptFailed(id, Failure::ConnectionLost);
+    let verdict = verdict_of(id, host.send(10, failed));
+    assert_eq!(verdict, Some(Verdict::Fail(Failure::ConnectionLost)));
+}
+
+/// The caller gets its answer from the second endpoint. The first one is full and says that it did
+/// not run the request, which therefore may go on even if it may not be repeated.
+#[test]
+fn a_request_that_was_turned_away_goes_to_another_endpoint() {
+    let mut host = Host::new(1);
+    let (id, verdict) = host.arrive(0, plain_request(0, Repeat::AtMostOnce));
+    let first = sent_to(verdict);
+    let failed = DispatchEvent::AttemptFailed(id, Failure::TurnedAway);
+    let second = sent_to(verdict_of(id, host.send(10, failed)));
+    assert_ne!(first, second);
+}
+
+/// The caller is told that its request has not run, with a time to come back: both endpoints turned
+/// it away, and the route allows two.
+#[test]
+fn a_request_that_all_allowed_endpoints_turned_away_is_refused() {
+    let mut host = Host::new(1);
+    let (id, _) = host.arrive(0, plain_request(0, Repeat::AtMostOnce));
+    host.send(10, DispatchEvent::AttemptFailed(id, Failure::TurnedAway));
+    let failed = DispatchEvent::AttemptFailed(id, Failure::TurnedAway);
+    match verdict_of(id, host.send(20, failed)) {
+        Some(Verdict::Refuse { reason, .. }) => assert_eq!(reason, RefusalReason::TurnedAway),
+        other => panic!("expected a refusal, got {other:?}"),
+    }
+}
+
+/// The caller's request reaches no more endpoints than its route allows, even if it may be repeated.
+#[test]
+fn a_repeatable_request_stops_at_the_allowed_attempts() {
+    let mut host = Host::new(1);
+    let (id, _) = host.arrive(0, plain_request(0, Repeat::Idempotent));
+    let failed = DispatchEvent::AttemptFailed(id, Failure::ConnectionLost);
+    sent_to(verdict_of(id, host.send(10, failed)));
+    let failed = DispatchEvent::AttemptFailed(id, Failure::ServerError);
+    let verdict = verdict_of(id, host.send(20, failed));
+    assert_eq!(verdict, Some(Verdict::Fail(Failure::ServerError)));
+}
+
+/// Callers of a leaving endpoint's service are led to the other one from that moment, and an entry
+/// written late by the leaving one does not bring it back.
+#[test]
+fn a_leaving_endpoint_gets_nothing_new() {
+    let mut host = Host::new(1);
+    let mut leaving = endpoint(PLAIN, "booking-1");
+    leaving.is_leaving = true;
+    host.send(0, DispatchEvent::EndpointListed(leaving));
+    let late = endpoint(PLAIN, "booking-1");
+    host.send(0, DispatchEvent::EndpointListed(late));
+    for now in 0..8 {
+        let (_, verdict) = host.arrive(now, plain_request(now, Repeat::Idempotent));
+        assert_eq!(sent_to(verdict), "booking-2");
+    }
+}
+
+/// The caller is told soon that nothing can be reached, not at the end of its time.
+#[test]
+fn without_an_endpoint_a_request_is_refused_within_its_latency_target() {
+    let mut host = Host::new(1);
+    for name in ["booking-1", "booking-2"] {
+        let gone = std::sync::Arc::new(endpoint(PLAIN, name));
+        host.send(0, DispatchEvent::EndpointGone(gone));
+    }
+    let (id, verdict) = host.arrive(0, plain_request(0, Repeat::Idempotent));
+    assert_eq!(verdict, None);
+    let (when, verdict) = host.wait(0, id).expect("an end");
+    assert!(when <= 120, "refused after {when} ms");
+    assert!(matches!(
+        verdict,
+        Verdict::Refuse {
+            reason: RefusalReason::NoEndpoint,
+            ..
+        }
+    ));
+}
+
+/// Requests about one subject meet the same engine while it has room, so that it reads the shared
+/// part of their prompts once.
+#[test]
+fn prompts_about_one_subject_meet_one_engine() {
+    let mut host = Host::new(1);
+    let (id, verdict) = host.arrive(0, engine_request(0, 1, prompt(7, 100)));
+    let first = sent_to(verdict);
+    host.send(30, DispatchEvent::FirstPiece(id));
+    let (_, verdict) = host.arrive(40, engine_request(40, 1, prompt(7, 120)));
+    assert_eq!(sent_to(verdict), first);
+}
+
+/// The caller is refused at once, not at the end of its time: both engines have more to read than
+/// the latency target allows.
+#[test]
+fn a_request_that_cannot_be_in_time_is_refused_early() {
+    let mut host = Host::new(1);
+    for own in 0..2 {
+        host.arrive(0, engine_request(0, 1, prompt(own.into(), 60_000 + own)));
+    }
+    let (id, verdict) = host.arrive(0, engine_request(0, 2, prompt(9, 100)));
+    assert_eq!(verdict, None);
+    let (when, verdict) = host.wait(0, id).expect("an end");
+    assert!(when <= 120, "refused after {when} ms");
+    assert!(matches!(
+        verdict,
+        Verdict::Refuse {
+            reason: RefusalReason::Overload,
+            ..
+        }
+    ));
+}
+
+/// An account that floods the engines is refused, and a small one beside it is served in time.
+#[test]
+fn an_account_over_its_share_does_not_keep_a_small_one_waiting() {
+    let mut host = Host::new(1);
+    let mut refused = 0;
+    for step in 0..60_u64 {
+        let now = step * 20;
+        host.send(now, DispatchEvent::Tick);
+        for own in 0..4 {
+            let own = 500 + u32::try_from(step).expect("small") * 4 + own;
+            let (id, verdict) = host.arrive(now, engine_request(now, 1, prompt(1, own)));
+            match verdict {
+                Some(Verdict::Send(_)) => {
+                    host.send(now + 5, DispatchEvent::FirstPiece(id));
+                    host.send(now + 10, DispatchEvent::Completed(id));
+                }
+                Some(_) => refused += 1,
+                None => {
+                    host.send(now, DispatchEvent::Abandoned(id));
+                }
+            }
+        }
+        if step % 10 == 9 {
+            let (id, verdict) = host.arrive(now, engine_request(now, 2, prompt(2, 10)));
+            sent_to(verdict);
+            host.send(now + 10, DispatchEvent::Completed(id));
+        }
+    }
+    assert_eq!(host.dispatcher.unfinished(), 0);
+    assert!(refused < 240, "something of the flood is served: {refused}");
+}
+
+/// Other hosts' work counts: an engine that another host keeps busy is passed over.
+#[test]
+fn the_work_of_other_hosts_counts() {
+    let mut one = Host::new(1);
+    let mut other = Host::new(2);
+    let (_, verdict) = other.arrive(0, engine_request(0, 1, prompt(7, 9_000)));
+    let busy = sent_to(verdict);
+    let report = other.dispatcher.report(0, 0);
+    one.send(5, DispatchEvent::Reported(report));
+    let (_, verdict) = one.arrive(10, engine_request(10, 1, prompt(7, 10)));
+    assert_ne!(sent_to(verdict), busy);
+    let _ = ENGINES;
+}
+
+/// A report that arrives late must not undo a newer one.
+#[test]
+fn an_older_report_changes_nothing() {
+    let mut one = Host::new(1);
+    let mut other = Host::new(2);
+    let idle = other.dispatcher.report(0, 0);
+    let (_, verdict) = other.arrive(0, engine_request(0, 1, prompt(7, 9_000)));
+    let busy = sent_to(verdict);
+    let newer = other.dispatcher.report(0, 0);
+    one.send(5, DispatchEvent::Reported(newer));
+    one.send(6, DispatchEvent::Reported(idle));
+    let (_, verdict) = one.arrive(10, engine_request(10, 1, prompt(7, 10)));
+    assert_ne!(sent_to(verdict), busy);
+}
+
+/// The caller of a request that crashes engines is refused after it crashed two of them, also where
+/// another host saw the crashes.
+#[test]
+fn a_request_that_crashes_engines_is_stopped_on_every_host() {
+    let mut one = Host::new(1);
+    let mut other = Host::new(2);
+    let poison = |now: u64| {
+        let mut arrival = engine_request(now, 1, prompt(7, 10));
+        arrival.fingerprint = sedgeridge_state::fingerprint::Fingerprint(666);
+        arrival
+    };
+    for round in 0..2 {
+        let now = round * 10_000;
+        let (id, verdict) = one.arrive(now, poison(now));
+        let crashed = sent_to(verdict);
+        one.send(
+            now + 10,
+            DispatchEvent::AttemptFailed(id, Failure::ConnectionLost),
+        );
+        one.send(
+            now + 20,
+            DispatchEvent::AttemptFailed(id, Failure::NotConnected),
+        );
+        one.send(now + 30, DispatchEvent::Abandoned(id));
+        let (probe, verdict) = one.arrive(now + 40, engine_request(now + 40, 1, prompt(7, 11)));
+        if sent_to(verdict) == crashed {
+            one.send(
+                now + 50,
+                DispatchEvent::AttemptFailed(probe, Failure::NotConnected),
+            );
+        }
+        one.send(now + 60, DispatchEvent::Abandoned(probe));
+        for later in [1_100, 1_200] {
+            one.send(now + later, DispatchEvent::Tick);
+        }
+        let report = one.dispatcher.report(0, 0);
+        other.send(now + 1_300, DispatchEvent::Reported(report));
+    }
+    for host in [&mut one, &mut other] {
+        host.send(12_500, DispatchEvent::Tick);
+        let (_, verdict) = host.arrive(12_600, poison(12_600));
+        assert!(
+            matches!(
+                verdict,
+                Some(Verdict::Refuse {
+                    reason: RefusalReason::Quarantined,
+                    ..
+                })
+            ),
+            "{verdict:?}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/dispatcher_fuzz.rs
@@ -0,0 +1,205 @@
+//! Random events against an oracle: each request has one end, what may have run is never called
+//! unrun, and no work stays counted once all requests have ended.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use sedgeridge_fleet::arrival::Arrival;
+use sedgeridge_fleet::arrival::RequestId;
+use sedgeridge_fleet::config::Repeat;
+use sedgeridge_fleet::dispatcher::DispatchEvent;
+use sedgeridge_fleet::verdict::Decision;
+use sedgeridge_fleet::verdict::Failure;
+use sedgeridge_fleet::verdict::Verdict;
+
+use support::Host;
+use support::at;
+use support::engine_request;
+use support::plain_request;
+use support::prompt;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Arrive { kind: u8, account: u64, own: u32 },
+    FirstPiece(usize),
+    Complete(usize),
+    Fail(usize, Failure),
+    Leave(usize),
+    Wait(u64),
+}
+
+fn failures() -> impl Strategy<Value = Failure> {
+    prop::sample::select(vec![
+        Failure::NotConnected,
+        Failure::TurnedAway,
+        Failure::Misdirected,
+        Failure::ConnectionLost,
+        Failure::SpoiledAnswer,
+        Failure::ServerError,
+        Failure::TimedOut,
+    ])
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let arrive = (0..4_u8, 1..4_u64, 1..5_000_u32);
+    let step = prop_oneof![
+        4 => arrive.prop_map(|(kind, account, own)| Step::Arrive { kind, account, own }),
+        2 => (0..64_usize).prop_map(Step::FirstPiece),
+        2 => (0..64_usize).prop_map(Step::Complete),
+        2 => (0..64_usize, failures()).prop_map(|(request, failure)| Step::Fail(request, failure)),
+        1 => (0..64_usize).prop_map(Step::Leave),
+        3 => (0..400_u64).prop_map(Step::Wait),
+    ];
+    prop::collection::vec(step, 1..120)
+}
+
+fn arrival(now: u64, kind: u8, account: u64, own: u32) -> Arrival {
+    match kind {
+        0 => plain_request(now, Repeat::AtMostOnce),
+        1 => plain_request(now, Repeat::Idempotent),
+        2 => engine_request(now, account, prompt(account, own)),
+        _ => {
+            let mut request = engine_request(now, account, prompt(account, own));
+            request.route = support::route(support::ENGINES, Repeat::AtMostOnce, 1);
+            request
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Tracked {
+    allows_second_run: bool,
+    max_attempts: u32,
+    sends: u32,
+    may_have_run: bool,
+    is_out: bool,
+}
+
+#[derive(Debug, Default)]
+struct Oracle {
+    open: BTreeMap<RequestId, Tracked>,
+}
+
+impl Oracle {
+    fn arrived(&mut self, id: RequestId, arrival: &Arrival) {
+        let tracked = Tracked {
+            allows_second_run: arrival.route.repeat.allows_second_run(),
+            max_attempts: arrival.route.max_attempts,
+            sends: 0,
+            may_have_run: false,
+            is_out: false,
+        };
+        self.open.insert(id, tracked);
+    }
+
+    fn decided(&mut self, decisions: Vec<Decision>) {
+        for Decision { request, verdict } in decisions {
+            let tracked = self.open.get_mut(&request).expect("decided after its end");
+            assert!(!tracked.is_out, "decided while an attempt is in progress");
+            match verdict {
+                Verdict::Send(_) => {
+                    let may_go_on = !tracked.may_have_run || tracked.allows_second_run;
+                    assert!(may_go_on, "sent again although it may have run");
+                    tracked.sends += 1;
+                    tracked.is_out = true;
+                    assert!(tracked.sends <= tracked.max_attempts);
+                }
+                Verdict::Refuse { .. } => {
+                    assert!(!tracked.may_have_run, "called unrun");
+                    self.open.remove(&request);
+                }
+                Verdict::Fail(_) => {
+                    assert!(tracked.may_have_run, "failed without having run");
+                    self.open.remove(&request);
+                }
+            }
+        }
+    }
+
+    fn out(&self, index: usize) -> Option<RequestId> {
+        let out: Vec<_> = self.open.iter().filter(|(_, t)| t.is_out).collect();
+        let picked = out.get(index.checked_rem(out.len())?)?;
+        Some(*picked.0)
+    }
+
+    fn failed(&mut self, id: RequestId, failure: Failure) {
+        let tracked = self.open.get_mut(&id).expect("in progress");
+        tracked.is_out = false;
+        tracked.may_have_run |= failure.may_have_run();
+        if !failure.was_sent() {
+            tracked.sends -= 1;
+        }
+    }
+}
+
+fn play(steps: Vec<Step>) {
+    let mut host = Host::new(1);
+    let mut oracle = Oracle::default();
+    let mut now = 0;
+    for step in steps {
+        now += 1;
+        let event = match step {
+            Step::Arrive { kind, account, own } => {
+                let mut request = arrival(now, kind, account, own);
+                request.id = RequestId(now);
+                oracle.arrived(request.id, &request);
+                DispatchEvent::Arrived(Box::new(request))
+            }
+            Step::FirstPiece(index) => match oracle.out(index) {
+                Some(id) => DispatchEvent::FirstPiece(id),
+                None => continue,
+            },
+            Step::Complete(index) => match oracle.out(index) {
+                Some(id) => {
+                    oracle.open.remove(&id);
+                    DispatchEvent::Completed(id)
+                }
+                None => continue,
+            },
+            Step::Fail(index, failure) => match oracle.out(index) {
+                Some(id) => {
+                    oracle.failed(id, failure);
+                    DispatchEvent::AttemptFailed(id, failure)
+                }
+                None => continue,
+            },
+            Step::Leave(index) => match oracle.out(index) {
+                Some(id) => {
+                    oracle.open.remove(&id);
+                    DispatchEvent::Abandoned(id)
+                }
+                None => continue,
+            },
+            Step::Wait(millis) => {
+                now += millis;
+                DispatchEvent::Tick
+            }
+        };
+        oracle.decided(host.send(now, event));
+    }
+    // Whatever is queued ends by its deadline, and nothing stays counted.
+    for _ in 0..40 {
+        now += 100;
+        oracle.decided(host.send(now, DispatchEvent::Tick));
+        while let Some(id) = oracle.out(0) {
+            oracle.open.remove(&id);
+            oracle.decided(host.send(now, DispatchEvent::Completed(id)));
+        }
+    }
+    assert!(oracle.open.is_empty(), "without an end: {:?}", oracle.open);
+    assert_eq!(host.dispatcher.unfinished(), 0);
+    assert_eq!(host.dispatcher.queued(), 0);
+    let report = host.dispatcher.report(0, 0);
+    assert!(report.loads.is_empty(), "still counted: {:?}", report.loads);
+    let _ = at(now);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+    #[test]
+    fn every_request_has_one_true_end(steps in steps()) {
+        play(steps);
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/event_stream.rs
@@ -0,0 +1,49 @@
+//! Events arrive in pieces of any size and leave whole.
+
+use proptest::prelude::*;
+use sedgeridge_fleet::event_stream::EventSplitter;
+
+proptest! {
+    /// The caller sees each event once and whole, however the bytes were cut on the way.
+    #[test]
+    fn any_cut_gives_the_same_events(count in 1..12_u64, cuts in prop::collection::vec(1..40_usize, 1..40)) {
+        let whole: String = (1..=count).map(|id| format!("id: {id}\ndata: x{id}\n\n")).collect();
+        let mut splitter = EventSplitter::default();
+        let mut passed = Vec::new();
+        let mut rest = whole.as_bytes();
+        for cut in cuts.into_iter().cycle() {
+            if rest.is_empty() {
+                break;
+            }
+            let (piece, later) = rest.split_at(cut.min(rest.len()));
+            let events = splitter.push(piece);
+            prop_assert!(events.is_empty() || events.ends_with(b"\n\n"));
+            passed.extend(events);
+            rest = later;
+        }
+        prop_assert_eq!(passed, whole.into_bytes());
+        prop_assert_eq!(splitter.last_id(), Some(count));
+        prop_assert_eq!(splitter.events(), count);
+    }
+}
+
+/// The caller must not see the half of event 2 that one endpoint sent before it broke off, or the
+/// stream that goes on elsewhere would repeat it.
+#[test]
+fn the_beginning_of_an_event_is_dropped_before_another_endpoint_goes_on() {
+    let mut splitter = EventSplitter::default();
+    assert_eq!(splitter.push(b"id: 1\n\nid: 2\nda"), b"id: 1\n\n");
+    splitter.drop_partial();
+    assert_eq!(splitter.push(b"id: 2\ndata: b\n\n"), b"id: 2\ndata: b\n\n");
+    assert_eq!(splitter.last_id(), Some(2));
+}
+
+#[test]
+fn an_event_without_an_end_is_noticed() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(&vec![
+        b'x';
+        sedgeridge_fleet::event_stream::MAX_EVENT_BYTES + 1
+    ]);
+    assert!(splitter.is_too_long());
+}
--- /dev/null
+++ b/crates/fleet/tests/shares.rs
@@ -0,0 +1,133 @@
+//! Shares of accounts, budgets of resends and placement, against simple oracles.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use sedgeridge_fleet::account_shares::AccountShares;
+use sedgeridge_fleet::account_shares::max_min_level;
+use sedgeridge_fleet::placement::home_endpoints;
+use sedgeridge_fleet::resend_window::ResendLimits;
+use sedgeridge_fleet::resend_window::ResendWindow;
+use sedgeridge_state::ids::ServiceId;
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+proptest! {
+    /// Nobody gets more than asked, everything fits, and nobody could get more without another
+    /// getting less.
+    #[test]
+    fn the_level_is_max_min_fair(asked in prop::collection::vec(0.0..1_000.0_f64, 1..20), capacity in 1.0..5_000.0_f64) {
+        let level = max_min_level(asked.clone(), capacity);
+        let given: f64 = asked.iter().map(|ask| ask.min(level)).sum();
+        let total: f64 = asked.iter().sum();
+        if level.is_finite() {
+            prop_assert!((given - capacity).abs() < 1e-6 * capacity.max(1.0));
+        } else {
+            prop_assert!(total <= capacity * (1.0 + 1e-9));
+        }
+    }
+
+    /// Hosts that keep to their parts stay within the fleet's bound together, in any window.
+    #[test]
+    fn resends_stay_within_the_bound(events in prop::collection::vec((0..400_u64, any::<bool>(), 0..3_usize), 1..400)) {
+        let limits = ResendLimits { ratio: 0.2, min_extra: 12.0, window: at(10_000) };
+        let service = ServiceId::from("desk");
+        let mut hosts: Vec<_> = (0..3).map(|_| ResendWindow::new(limits)).collect();
+        let (mut requests, mut resends) = (Vec::new(), Vec::new());
+        let mut now = 0;
+        for (pause, is_request, host) in events {
+            now += pause;
+            if is_request {
+                hosts[host].on_request(at(now), &service);
+                requests.push(now);
+            } else if hosts[host].try_resend(at(now), &service, 3) {
+                resends.push(now);
+            }
+            let since = now.saturating_sub(10_000);
+            let recent = |times: &[u64]| times.iter().filter(|time| **time >= since).count() as f64;
+            prop_assert!(recent(&resends) <= 0.2 * recent(&requests) + 12.0);
+        }
+    }
+
+    /// An endpoint that comes or goes moves only prompts that it had or gets.
+    #[test]
+    fn only_what_must_move_moves(keys in prop::collection::vec(any::<u64>(), 1..50), gone in 0..9_u64) {
+        let all: Vec<u64> = (0..9).map(|n| n * 7_919 + 13).collect();
+        let left: Vec<u64> = all.iter().copied().filter(|e| *e != gone * 7_919 + 13).collect();
+        for key in keys {
+            let before = home_endpoints(key, all.iter().copied());
+            let after = home_endpoints(key, left.iter().copied());
+            if !before.contains(&Some(gone * 7_919 + 13)) {
+                prop_assert_eq!(before, after);
+            }
+        }
+    }
+}
+
+/// The small account is served beside the large one: its standing stays low while the large one,
+/// which all hosts serve, is over its share on each of them although no host gave it much.
+#[test]
+fn an_account_that_is_spread_over_hosts_is_seen_as_a_whole() {
+    let mut hosts: Vec<_> = (0..4).map(|_| AccountShares::new(at(4_000))).collect();
+    for (number, host) in hosts.iter_mut().enumerate() {
+        host.set_capacity(Some(1_000.0));
+        for step in 0..10 {
+            host.on_asked(at(step * 100), 1, 400.0);
+            host.on_started(at(step * 100), 1, 300.0);
+        }
+        if number == 0 {
+            host.on_asked(at(900), 2, 500.0);
+            host.on_started(at(900), 2, 200.0);
+        }
+    }
+    let reports: Vec<_> = hosts.iter().map(AccountShares::own).collect();
+    for (number, host) in hosts.iter_mut().enumerate() {
+        for (other, usage) in reports
+            .iter()
+            .enumerate()
+            .filter(|(other, _)| *other != number)
+        {
+            host.on_report(at(1_000), other as u64, usage.clone());
+        }
+        host.tick(at(1_000));
+        assert!(
+            host.standing(1) > 0.9,
+            "host {number}: {}",
+            host.standing(1)
+        );
+        assert!(
+            host.standing(2) < 0.2,
+            "host {number}: {}",
+            host.standing(2)
+        );
+    }
+}
+
+#[test]
+fn old_use_leaves_the_window() {
+    let mut shares = AccountShares::new(at(4_000));
+    shares.set_capacity(Some(100.0));
+    shares.on_asked(at(0), 1, 10_000.0);
+    shares.on_started(at(0), 1, 5_000.0);
+    shares.tick(at(100));
+    assert!(shares.standing(1) >= 1.0);
+    shares.tick(at(5_000));
+    assert!(shares.standing(1) < f64::EPSILON);
+}
+
+/// A host that falls silent must not hold an account's share for ever.
+#[test]
+fn a_silent_hosts_sums_are_dropped() {
+    let mut shares = AccountShares::new(at(4_000));
+    let mut other = AccountShares::new(at(4_000));
+    shares.set_capacity(Some(100.0));
+    other.on_asked(at(0), 1, 10_000.0);
+    other.on_started(at(0), 1, 5_000.0);
+    shares.on_report(at(0), 2, other.own());
+    shares.tick(at(100));
+    assert!(shares.standing(1) > 0.9);
+    shares.tick(at(3_000));
+    assert!(shares.standing(1) < f64::EPSILON);
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -41,6 +41,7 @@
 use crate::core::RequestGuard;
 use crate::core::VerdictReceiver;
 use crate::event_log::LogEvent;
+use crate::event_log::millis;
 use crate::meters;
 use crate::stream_pump;
 use crate::wire::RequestFacts;
@@ -69,7 +70,7 @@
 pub async fn answer<W: Wire, C: Clock>(core: Rc<Core<W, C>>, request: Request<Incoming>) -> Answer {
     let received_at = core.now();
     let (head, body) = request.into_parts();
-    if core.stopping_for() > Some(rotation_time(core.settings.grace)) {
+    if core.stopping_for() > Some(rotation_time(core.bounds.borrow().grace)) {
         // It would be cut off by the end of the grace time.
         return answer::not_run("stopping", STOPPING_RETRY);
     }
@@ -373,10 +374,6 @@
     input
 }
 
-fn millis(time: Duration) -> Value {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX).into()
-}
-
 fn rounded(value: f64) -> Value {
     ((value * 100.0).round() / 100.0).into()
 }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -12,6 +12,7 @@
 use sedgeridge_fleet::dispatcher::Dispatcher;
 use sedgeridge_fleet::dispatcher::DispatcherSettings;
 use sedgeridge_fleet::hashing::stable_hash;
+use sedgeridge_fleet::resend_window::ResendLimits;
 use sedgeridge_fleet::route_table::RouteTable;
 use sedgeridge_fleet::verdict::Basis;
 use sedgeridge_fleet::verdict::Decision;
@@ -34,6 +35,27 @@
 /// A request's wait for what is decided about it.
 pub type VerdictReceiver = oneshot::Receiver<Verdict>;
 
+/// Settings that may change while the process runs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bounds {
+    /// Time between SIGTERM and SIGKILL.
+    pub grace: Duration,
+    /// Window over which accounts share the engines.
+    pub share_window: Duration,
+    /// Bounds of sending a request to a second endpoint.
+    pub resends: ResendLimits,
+}
+
+impl Bounds {
+    fn of(settings: &GatewaySettings) -> Self {
+        Self {
+            grace: settings.grace,
+            share_window: settings.share_window,
+            resends: settings.resends,
+        }
+    }
+}
+
 /// Shared state of one router. Tasks run on one thread and never hold a borrow while they wait.
 #[derive(Debug)]
 pub struct Core<W, C> {
@@ -45,6 +67,8 @@
     pub log: EventLog,
     /// What was set at the start.
     pub settings: GatewaySettings,
+    /// Bounds that may change while the process runs.
+    pub bounds: RefCell<Bounds>,
     /// Connections to endpoints.
     pub pool: RefCell<EndpointPool>,
     /// Routes and keys in force.
@@ -81,6 +105,7 @@
             wire,
             clock,
             log,
+            bounds: RefCell::new(Bounds::of(&settings)),
             settings,
             pool: RefCell::new(EndpointPool::default()),
             routes: RefCell::new(Rc::new(RouteTable::default())),
@@ -106,6 +131,17 @@
         self.log.write(self.now(), event, fields);
     }
 
+    /// Takes in the bounds of changed settings; tells whether any differ.
+    pub fn adopt_bounds(&self, settings: &GatewaySettings) -> bool {
+        let bounds = Bounds::of(settings);
+        if self.bounds.replace(bounds) == bounds {
+            return false;
+        }
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.set_bounds(bounds.share_window, bounds.resends);
+        true
+    }
+
     /// Numbers a new request.
     pub fn next_request(&self) -> RequestId {
         let number = self.next_request.get();
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -37,8 +37,10 @@
     StopRequested = 3002, "gateway_stop_requested";
     /// The router ends.
     Stopped = 3003, "gateway_stopped";
-    /// The router was told to read its settings again.
-    ReloadRequested = 3004, "gateway_reload_requested";
+    /// Changed settings are in force.
+    SettingsAdopted = 3004, "gateway_settings_adopted";
+    /// Changed settings cannot be used; those before stay in force.
+    SettingsUnusable = 3005, "gateway_settings_unusable";
     /// Another configuration is in force.
     ConfigAdopted = 3101, "gateway_config_adopted";
     /// A configuration cannot be read; the one before it stays in force.
@@ -132,8 +134,8 @@
             return;
         };
         let mut line = Map::new();
-        line.insert("at_ms".into(), wall_millis().into());
-        line.insert("up_ms".into(), millis(now).into());
+        line.insert("at_ms".into(), wall_millis());
+        line.insert("up_ms".into(), millis(now));
         line.insert("host".into(), (*self.host).into());
         line.insert("event".into(), format!("E{}", event.code()).into());
         line.insert("name".into(), event.label().into());
@@ -200,11 +202,12 @@
     Logger::builder().sink(queue).build()
 }
 
-fn wall_millis() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, millis)
+/// Returns a time as a field in milliseconds.
+pub fn millis(time: Duration) -> Value {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX).into()
 }
 
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+fn wall_millis() -> Value {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    millis(since.unwrap_or_default())
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,10 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
 use crate::call::rotation_time;
@@ -16,7 +16,7 @@
 use crate::core::Core;
 use crate::event_log::EventLog;
 use crate::event_log::LogEvent;
-use crate::meters;
+use crate::event_log::millis;
 use crate::pages::serve_metrics;
 use crate::pages::serve_ready;
 use crate::peers::Peers;
@@ -26,34 +26,69 @@
 use crate::table_follower::Tables;
 use crate::wire::Wire;
 
+/// Time between looks at the settings, which may change without a word.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(5);
 /// Part of the grace time after which the process ends whatever is in progress.
 const GRACE_PART: f64 = 0.94;
 /// Time between looks whether all requests have ended.
 const STOP_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Serves callers until SIGTERM, then finishes what is in progress.
+/// What a router gets from its surroundings.
+#[derive(Debug)]
+pub struct Context<W, C, S, R> {
+    /// Translates the platform's forms.
+    pub wire: W,
+    /// The process's clock.
+    pub clock: C,
+    /// The platform's store.
+    pub store: S,
+    /// Reads the settings again.
+    pub settings_source: R,
+    /// The process's log.
+    pub log: EventLog,
+    /// What renders the metrics page, if it is served.
+    pub metrics: Option<PrometheusHandle>,
+    /// Notified when the process is told to stop.
+    pub stop: Rc<Notify>,
+    /// Notified when the process is told that its settings changed.
+    pub reload: Rc<Notify>,
+    /// Number of this run of the host; a later run has a higher one.
+    pub run: u64,
+}
+
+/// Reads the settings from where they are kept.
+pub trait SettingsSource: 'static {
+    /// Reads the settings.
+    ///
+    /// # Errors
+    ///
+    /// They cannot be read, or a value is unusable; the text says which.
+    fn read(&self) -> Result<GatewaySettings, String>;
+}
+
+/// Serves callers until the process is told to stop, then finishes what is in progress.
 ///
 /// # Errors
 ///
-/// An address cannot be bound, or signals cannot be watched.
-pub async fn serve<W: Wire, C: Clock, S: Store>(
-    wire: W,
-    clock: C,
-    store: S,
+/// An address cannot be bound.
+pub async fn serve<W: Wire, C: Clock, S: Store, R: SettingsSource>(
+    context: Context<W, C, S, R>,
     settings: GatewaySettings,
-    run: u64,
 ) -> io::Result<()> {
-    let mut stop_signal = signal(SignalKind::terminate())?;
-    let mut reload_signal = signal(SignalKind::hangup())?;
     let callers = TcpListener::bind(settings.callers_address).await?;
     let ready = TcpListener::bind(settings.ready_address).await?;
     let copies = TcpListener::bind(settings.peers_address).await?;
     let reports = Rc::new(UdpSocket::bind(settings.peers_address).await?);
-    let store = Rc::new(store);
-    let metrics = TcpListener::bind(settings.metrics_address).await?;
-    let recorder = meters::install().map_err(io::Error::other)?;
-    let log = EventLog::to_stdout(settings.host.clone()).map_err(io::Error::other)?;
-    let core = Rc::new(Core::new(wire, clock, log, settings, run));
+    let metrics_address = settings.metrics_address;
+    let store = Rc::new(context.store);
+    let core = Core::new(
+        context.wire,
+        context.clock,
+        context.log,
+        settings,
+        context.run,
+    );
+    let core = Rc::new(core);
     let tables = Rc::new(Tables::new(core.clone()));
     let peers = Rc::new(Peers::new(core.clone(), tables.clone()));
 
@@ -73,21 +108,25 @@
     spawn_local(peers.clone().serve_copies(copies));
     spawn_local(serve_ready(core.clone(), ready));
     spawn_local(accept_forever(core.clone(), callers));
-
-    spawn_local(serve_metrics(core.clone(), recorder, metrics));
+    if let Some(recorder) = context.metrics {
+        let metrics = TcpListener::bind(metrics_address).await?;
+        spawn_local(serve_metrics(core.clone(), recorder, metrics));
+    }
     let fields = [
         ("callers", core.settings.callers_address.to_string().into()),
         ("peers", core.settings.peers_address.to_string().into()),
         ("data_centre", (*core.settings.data_centre).into()),
-        ("run", run.into()),
+        ("run", context.run.into()),
     ];
     core.log(LogEvent::Started, &fields);
 
     loop {
         tokio::select! {
-            _ = stop_signal.recv() => break,
-            _ = reload_signal.recv() => core.log(LogEvent::ReloadRequested, &[]),
+            () = context.stop.notified() => break,
+            () = context.reload.notified() => {}
+            () = tokio::time::sleep(SETTINGS_INTERVAL) => {}
         }
+        reload(&core, &context.settings_source);
     }
     let fields = [("in_progress", core.in_progress.get().into())];
     core.log(LogEvent::StopRequested, &fields);
@@ -98,6 +137,27 @@
     Ok(())
 }
 
+/// Takes in changed bounds. Addresses and names hold to the end of the process.
+fn reload<W: Wire, C: Clock, R: SettingsSource>(core: &Core<W, C>, source: &R) {
+    let settings = match source.read() {
+        Ok(settings) => settings,
+        Err(reason) => {
+            core.log(LogEvent::SettingsUnusable, &[("reason", reason.into())]);
+            return;
+        }
+    };
+    if !core.adopt_bounds(&settings) {
+        return;
+    }
+    let fields = [
+        ("grace_ms", millis(settings.grace)),
+        ("share_window_ms", millis(settings.share_window)),
+        ("resend_ratio", settings.resends.ratio.into()),
+        ("resend_min_extra", settings.resends.min_extra.into()),
+    ];
+    core.log(LogEvent::SettingsAdopted, &fields);
+}
+
 async fn stop<W: Wire, C: Clock, S: Store>(
     core: &Rc<Core<W, C>>,
     peers: &Peers<W, C>,
@@ -107,8 +167,8 @@
     core.stopping.send_replace(Some(started_at));
     let entry = peers.entry();
     spawn_local(async move { store.unregister(&entry).await });
-    let ends_at = started_at + core.settings.grace.mul_f64(GRACE_PART);
-    let rotated_at = started_at + rotation_time(core.settings.grace);
+    let ends_at = started_at + core.bounds.borrow().grace.mul_f64(GRACE_PART);
+    let rotated_at = started_at + rotation_time(core.bounds.borrow().grace);
     loop {
         tokio::time::sleep(STOP_INTERVAL).await;
         let now = core.now();
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -17,6 +17,7 @@
 use crate::clock::Clock;
 use crate::core::Core;
 use crate::event_log::LogEvent;
+use crate::event_log::millis;
 use crate::meters;
 use crate::store::Store;
 use crate::store::Table;
@@ -115,11 +116,8 @@
                 self.core.log(LogEvent::StoreLost, &fields);
             }
             (true, Some(since)) => {
-                let away = self.core.now().saturating_sub(since).as_millis();
-                let fields = [
-                    ("table", table.as_str().into()),
-                    ("away_ms", u64::try_from(away).unwrap_or(u64::MAX).into()),
-                ];
+                let away = self.core.now().saturating_sub(since);
+                let fields = [("table", table.as_str().into()), ("away_ms", millis(away))];
                 self.core.log(LogEvent::StoreRegained, &fields);
             }
             _ => {}
--- /dev/null
+++ b/crates/gateway/tests/support/mod.rs
@@ -0,0 +1,420 @@
+//! A router on loopback with scripted endpoints and a store that never fails.
+
+#![allow(dead_code)]
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::HeaderValue;
+use sedgeridge_fleet::config::Account;
+use sedgeridge_fleet::config::CallerLimits;
+use sedgeridge_fleet::config::FleetConfig;
+use sedgeridge_fleet::config::Repeat;
+use sedgeridge_fleet::config::Route;
+use sedgeridge_fleet::config::RouteTarget;
+use sedgeridge_fleet::config::ServiceSpec;
+use sedgeridge_fleet::dispatcher::AdmissionSettings;
+use sedgeridge_fleet::endpoint_table::Endpoint;
+use sedgeridge_fleet::resend_window::ResendLimits;
+use sedgeridge_fleet::row_watch::Row;
+use sedgeridge_fleet::row_watch::StoreAnswer;
+use sedgeridge_fleet::row_watch::StoreCall;
+use sedgeridge_gateway::clock::SteadyClock;
+use sedgeridge_gateway::event_log::EventLog;
+use sedgeridge_gateway::serve::Context;
+use sedgeridge_gateway::serve::SettingsSource;
+use sedgeridge_gateway::serve::serve;
+use sedgeridge_gateway::settings::GatewaySettings;
+use sedgeridge_gateway::store::HostEntry;
+use sedgeridge_gateway::store::Store;
+use sedgeridge_gateway::store::Table;
+use sedgeridge_gateway::wire::AnswerFacts;
+use sedgeridge_gateway::wire::ForwardFacts;
+use sedgeridge_gateway::wire::RequestFacts;
+use sedgeridge_gateway::wire::RunStatus;
+use sedgeridge_gateway::wire::Wire;
+use sedgeridge_gateway::wire::WireError;
+use sedgeridge_state::ids::AccountId;
+use sedgeridge_state::ids::EndpointId;
+use sedgeridge_state::ids::ServiceId;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// Longest time of a test.
+const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Plain names, and a configuration made in the test.
+#[derive(Debug, Clone)]
+pub struct TestWire {
+    pub config: Rc<FleetConfig>,
+    pub endpoints: Rc<BTreeMap<String, Endpoint>>,
+}
+
+fn text(headers: &HeaderMap, name: &str) -> Option<Arc<str>> {
+    headers.get(name)?.to_str().ok().map(Arc::from)
+}
+
+impl Wire for TestWire {
+    fn request(&self, head: &http::request::Parts) -> Result<RequestFacts, WireError> {
+        let headers = &head.headers;
+        Ok(RequestFacts {
+            id: text(headers, "id").ok_or(WireError::Missing("id"))?,
+            key: text(headers, "key"),
+            time_left: text(headers, "time-left-ms")
+                .and_then(|left| left.parse().ok())
+                .map(Duration::from_millis),
+            prompt: None,
+            last_event_id: text(headers, "last-event-id").and_then(|id| id.parse().ok()),
+        })
+    }
+
+    fn forward(&self, headers: &mut HeaderMap, facts: &ForwardFacts<'_>) {
+        headers.remove("key");
+        if let Some(account) = facts.account {
+            let account = HeaderValue::from_str(account.as_str()).expect("ASCII");
+            headers.insert("account", account);
+        }
+        if let Some(id) = facts.last_event_id {
+            headers.insert("last-event-id", HeaderValue::from(id));
+        }
+    }
+
+    fn answer(&self, head: &http::response::Parts) -> AnswerFacts {
+        AnswerFacts {
+            id: text(&head.headers, "id"),
+            is_vouched: head.headers.contains_key("proof"),
+            run: match head.headers.contains_key("not-run") {
+                true => RunStatus::NotRun,
+                false => RunStatus::MayHaveRun,
+            },
+        }
+    }
+
+    fn config(&self, _: &[u8]) -> Result<FleetConfig, WireError> {
+        Ok(FleetConfig::clone(&self.config))
+    }
+
+    fn endpoint(&self, id: &str, _: &[u8]) -> Result<Endpoint, WireError> {
+        let known = self.endpoints.get(id).cloned();
+        known.ok_or(WireError::Missing("endpoint"))
+    }
+
+    fn ready_path(&self) -> &'static str {
+        "/ready"
+    }
+}
+
+/// Answers the list once and then keeps every call.
+#[derive(Debug)]
+pub struct TestStore {
+    endpoints: Vec<String>,
+}
+
+impl Store for TestStore {
+    async fn read(&self, table: Table, call: StoreCall) -> StoreAnswer {
+        if let StoreCall::Feed { .. } = call {
+            return std::future::pending().await;
+        }
+        let row = |key: &str| Row {
+            key: Arc::from(key),
+            version: 1,
+            value: Some(Arc::from(&b"x"[..])),
+        };
+        let rows = match table {
+            Table::Config => vec![row("config")],
+            Table::Endpoints => self.endpoints.iter().map(|id| row(id)).collect(),
+        };
+        StoreAnswer::Rows {
+            rows,
+            version: 1,
+            has_more: false,
+        }
+    }
+
+    async fn register(&self, _: &HostEntry) -> bool {
+        true
+    }
+
+    async fn unregister(&self, _: &HostEntry) -> bool {
+        true
+    }
+
+    async fn hosts(&self) -> Option<Vec<HostEntry>> {
+        Some(Vec::new())
+    }
+}
+
+#[derive(Debug, Clone)]
+pub struct FixedSettings(pub GatewaySettings);
+
+impl SettingsSource for FixedSettings {
+    fn read(&self) -> Result<GatewaySettings, String> {
+        Ok(self.0.clone())
+    }
+}
+
+/// How connections are treated, in the order in which any endpoint accepts them; the last repeats.
+pub type Script = Vec<Vec<Act>>;
+
+/// What an endpoint does on a connection.
+#[derive(Debug, Clone)]
+pub enum Act {
+    /// Reads a request and notes its head and body.
+    Read,
+    /// Sends bytes. `{id}` stands for the id of the last request that was read.
+    Send(String),
+    /// Closes the connection.
+    Close,
+    /// Keeps the connection open and does nothing.
+    Hang,
+}
+
+/// An endpoint's notes.
+#[derive(Debug, Default)]
+pub struct Seen {
+    pub requests: Vec<String>,
+    /// Connections whose other end closed while the endpoint did nothing.
+    pub closed_while_hanging: usize,
+}
+
+/// A running router and its endpoints.
+pub struct Fleet {
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    pub seen: Vec<Rc<RefCell<Seen>>>,
+    pub stop: Rc<Notify>,
+    pub is_stopped: Rc<RefCell<bool>>,
+}
+
+/// Runs a test in a router's event loop.
+pub fn run<F: Future<Output = ()>>(
+    repeat: Repeat,
+    endpoints: usize,
+    script: Script,
+    test: impl FnOnce(Fleet) -> F,
+) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, async move {
+        let fleet = start(repeat, endpoints, script).await;
+        let done = timeout(TEST_TIMEOUT, test(fleet)).await;
+        done.expect("the test ends in time");
+    });
+}
+
+async fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    listener.local_addr().expect("an address")
+}
+
+async fn start(repeat: Repeat, count: usize, script: Script) -> Fleet {
+    let service = ServiceId::from("desk");
+    let mut endpoints = BTreeMap::new();
+    let mut seen = Vec::new();
+    let next = Rc::new(Cell::new(0));
+    for index in 0..count {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let notes = Rc::new(RefCell::new(Seen::default()));
+        seen.push(notes.clone());
+        spawn_local(play(listener, script.clone(), next.clone(), notes));
+        let id = EndpointId::from(format!("desk-{index}").as_str());
+        let endpoint = Endpoint {
+            key: Endpoint::key_of(&id),
+            id: id.clone(),
+            service: service.clone(),
+            address,
+            data_centre: Arc::from("here"),
+            slots: 4,
+            is_leaving: false,
+        };
+        endpoints.insert(id.to_string(), endpoint);
+    }
+    let settings = settings().await;
+    let store = TestStore {
+        endpoints: endpoints.keys().cloned().collect(),
+    };
+    let stop = Rc::new(Notify::new());
+    let context = Context {
+        wire: TestWire {
+            config: Rc::new(config(repeat, service)),
+            endpoints: Rc::new(endpoints),
+        },
+        clock: SteadyClock::start(),
+        store,
+        settings_source: FixedSettings(settings.clone()),
+        log: EventLog::silent(Arc::from("test")),
+        metrics: None,
+        stop: stop.clone(),
+        reload: Rc::new(Notify::new()),
+        run: 1,
+    };
+    let is_stopped = Rc::new(RefCell::new(false));
+    let fleet = Fleet {
+        callers: settings.callers_address,
+        ready: settings.ready_address,
+        seen,
+        stop,
+        is_stopped: is_stopped.clone(),
+    };
+    spawn_local(async move {
+        serve(context, settings).await.expect("the router serves");
+        *is_stopped.borrow_mut() = true;
+    });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    fleet
+}
+
+async fn settings() -> GatewaySettings {
+    GatewaySettings {
+        host: Arc::from("test"),
+        data_centre: Arc::from("here"),
+        callers_address: free_address().await,
+        ready_address: free_address().await,
+        metrics_address: free_address().await,
+        peers_address: free_address().await,
+        first_peers: Vec::new(),
+        grace: Duration::from_secs(4),
+        share_window: Duration::from_secs(4),
+        resends: ResendLimits::default(),
+        admission: AdmissionSettings::default(),
+    }
+}
+
+fn config(repeat: Repeat, service: ServiceId) -> FleetConfig {
+    let route = Route {
+        name: Arc::from("desk"),
+        host: Arc::from("desk.example"),
+        path_prefix: Arc::from("/"),
+        repeat,
+        timeout: Duration::from_millis(1_500),
+        latency_target: Duration::from_millis(300),
+        priority: 1,
+        targets: vec![RouteTarget {
+            service: service.clone(),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        is_public: false,
+    };
+    FleetConfig {
+        version: 1,
+        routes: vec![route],
+        services: BTreeMap::from([(service, ServiceSpec::default())]),
+        accounts: Some(vec![Account {
+            id: AccountId::from("crew-7"),
+            keys: vec![Arc::from("secret")],
+        }]),
+        limits: CallerLimits::default(),
+    }
+}
+
+async fn play(
+    listener: TcpListener,
+    script: Script,
+    next: Rc<Cell<usize>>,
+    seen: Rc<RefCell<Seen>>,
+) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let acts = script[next.get().min(script.len() - 1)].clone();
+        next.set(next.get() + 1);
+        spawn_local(act(stream, acts, seen.clone()));
+    }
+}
+
+async fn act(mut stream: TcpStream, acts: Vec<Act>, seen: Rc<RefCell<Seen>>) {
+    let mut id = String::new();
+    for act in acts {
+        match act {
+            Act::Read => {
+                let Some(request) = read_message(&mut stream).await else {
+                    return;
+                };
+                id = header(&request, "id").unwrap_or_default();
+                seen.borrow_mut().requests.push(request);
+            }
+            Act::Send(bytes) => {
+                let bytes = bytes.replace("{id}", &id);
+                if stream.write_all(bytes.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+            Act::Close => return,
+            Act::Hang => {
+                let mut rest = [0; 64];
+                let read = stream.read(&mut rest).await;
+                if matches!(read, Ok(0) | Err(_)) {
+                    seen.borrow_mut().closed_while_hanging += 1;
+                }
+                return;
+            }
+        }
+    }
+    std::future::pending::<()>().await;
+}
+
+/// Reads a head and, if it names a length, the body.
+pub async fn read_message(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut byte = [0; 1];
+    while !bytes.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).await.ok()?;
+        bytes.push(byte[0]);
+    }
+    let head = String::from_utf8(bytes).ok()?;
+    let length = header(&head, "content-length").and_then(|length| length.parse().ok());
+    let mut body = vec![0; length.unwrap_or(0)];
+    stream.read_exact(&mut body).await.ok()?;
+    Some(head + &String::from_utf8(body).ok()?)
+}
+
+/// Returns a header of a message.
+pub fn header(message: &str, name: &str) -> Option<String> {
+    let head = message.split("\r\n\r\n").next()?;
+    let lines = head.lines().filter_map(|line| line.split_once(':'));
+    let mut found = lines.filter(|(found, _)| found.eq_ignore_ascii_case(name));
+    found.next().map(|(_, value)| value.trim().to_owned())
+}
+
+/// The head of a request.
+pub fn request(id: &str) -> String {
+    format!(
+        "POST /plan HTTP/1.1\r\nHost: desk.example\r\nid: {id}\r\nkey: secret\r\n\
+         Content-Length: 4\r\n\r\nbody"
+    )
+}
+
+/// A whole answer with a length.
+pub fn whole(body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 200 OK\r\nid: {{id}}\r\nproof: p\r\nContent-Length: {length}\r\n\r\n{body}")
+}
+
+/// Sends a request on a new connection and reads the whole answer, to the end of the connection if
+/// `to_end`.
+pub async fn ask(address: SocketAddr, request: &str, to_end: bool) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    if !to_end {
+        return read_message(&mut stream).await.unwrap_or_default();
+    }
+    let mut answer = Vec::new();
+    // A connection that is reset ends what was read like one that is closed.
+    let _ = timeout(Duration::from_secs(3), stream.read_to_end(&mut answer)).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
