--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -123,7 +123,7 @@
         last_event_id: facts.last_event_id,
         may_run_again: route.repeat.allows_second_run(),
     };
-    let guard = RequestGuard::new(core.clone(), id);
+    let guard = RequestGuard::new(core.clone(), id, outgoing.id.clone());
     let waiting = core.arrive(arrival);
     let call = Call {
         core: core.clone(),
@@ -136,18 +136,7 @@
     };
     // The timeout covers everything up to the head of the answer; a stream goes on by itself.
     let left = deadline.saturating_sub(received_at);
-    let request_id = call.outgoing.id.clone();
-    match timeout(left, call.run(waiting)).await {
-        Ok(answer) => answer,
-        Err(_) => {
-            let fields = [
-                ("request", (*request_id).into()),
-                ("after_ms", millis(left)),
-            ];
-            core.log(LogEvent::RequestTimedOut, &fields);
-            answer::own(StatusCode::GATEWAY_TIMEOUT, "out of time")
-        }
-    }
+    call.run(waiting, left).await
 }
 
 struct Call<W: Wire, C: Clock> {
@@ -161,7 +150,19 @@
 }
 
 impl<W: Wire, C: Clock> Call<W, C> {
-    async fn run(mut self, mut waiting: VerdictReceiver) -> Answer {
+    async fn run(mut self, waiting: VerdictReceiver, left: Duration) -> Answer {
+        match timeout(left, self.attempts(waiting)).await {
+            Ok(CallEnd::Answer(answer)) => answer,
+            Ok(CallEnd::Stream(endpoint, answer)) => self.start_stream(endpoint, answer),
+            Err(_) => {
+                self.guard.time_out();
+                answer::own(StatusCode::GATEWAY_TIMEOUT, "out of time")
+            }
+        }
+    }
+
+    /// Sends the request as often as the dispatcher decides.
+    async fn attempts(&mut self, mut waiting: VerdictReceiver) -> CallEnd {
         let mut last_answer = None;
         loop {
             match self.core.verdict(waiting).await {
@@ -170,10 +171,10 @@
                         self.note_first_piece();
                         meters::served(self.route.repeat);
                         self.guard.complete();
-                        return pass_on(whole);
+                        return CallEnd::Answer(pass_on(whole));
                     }
                     Ok(AttemptResult::Stream(answer)) => {
-                        return self.start_stream(endpoint, answer);
+                        return CallEnd::Stream(endpoint, answer);
                     }
                     Err(failure) => {
                         self.log_attempt(&endpoint, failure);
@@ -187,12 +188,12 @@
                 } => {
                     self.guard.settle();
                     self.log_refusal(reason, retry_after, &basis);
-                    return answer::not_run(reason.as_str(), retry_after);
+                    return CallEnd::Answer(answer::not_run(reason.as_str(), retry_after));
                 }
                 Verdict::Fail(failure) => {
                     self.guard.settle();
                     self.log_failure(failure);
-                    return failed(failure, last_answer);
+                    return CallEnd::Answer(failed(failure, last_answer));
                 }
             }
         }
@@ -203,6 +204,10 @@
         endpoint: &Endpoint,
         last_answer: &mut Option<WholeAnswer>,
     ) -> Result<AttemptResult, Failure> {
+        meters::queued(
+            self.route.repeat,
+            self.core.now().saturating_sub(self.received_at),
+        );
         let answer = attempt::send(&self.core, &self.outgoing, endpoint).await?;
         if self.route.repeat.is_stream() && answer.head.status.is_success() {
             return Ok(AttemptResult::Stream(answer));
@@ -300,6 +305,12 @@
     }
 }
 
+/// How the attempts of a request ended.
+enum CallEnd {
+    Answer(Answer),
+    Stream(Arc<Endpoint>, attempt::EndpointAnswer),
+}
+
 enum AttemptResult {
     Whole(WholeAnswer),
     Stream(attempt::EndpointAnswer),
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use sedgeridge_fleet::arrival::Arrival;
@@ -241,39 +242,70 @@
 pub struct RequestGuard<W: Wire, C: Clock> {
     core: Rc<Core<W, C>>,
     id: RequestId,
-    is_settled: bool,
+    name: Arc<str>,
+    end: GuardedEnd,
+}
+
+/// What is known of a guarded request's end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum GuardedEnd {
+    /// The dispatcher knows.
+    Settled,
+    /// Nothing: if the guard is dropped now, the caller has left.
+    Open,
+    /// The time is over.
+    TimedOut,
+    /// A stream could not go on.
+    Cut,
 }
 
 impl<W: Wire, C: Clock> RequestGuard<W, C> {
-    /// Watches over a request that was handed in.
-    pub fn new(core: Rc<Core<W, C>>, id: RequestId) -> Self {
+    /// Watches over a request that was handed in; `name` is its id on the wire.
+    pub fn new(core: Rc<Core<W, C>>, id: RequestId, name: Arc<str>) -> Self {
         core.in_progress.set(core.in_progress.get() + 1);
         Self {
             core,
             id,
-            is_settled: false,
+            name,
+            end: GuardedEnd::Open,
         }
     }
 
     /// Notes that the answer came whole.
     pub fn complete(&mut self) {
-        self.is_settled = true;
+        self.end = GuardedEnd::Settled;
         self.core.handle(DispatchEvent::Completed(self.id));
     }
 
     /// Notes that the dispatcher itself ended the request.
     pub fn settle(&mut self) {
-        self.is_settled = true;
+        self.end = GuardedEnd::Settled;
+    }
+
+    /// Notes that the request's time is over.
+    pub fn time_out(&mut self) {
+        self.end = GuardedEnd::TimedOut;
+    }
+
+    /// Notes that a stream could not go on; the dispatcher knows.
+    pub fn cut(&mut self) {
+        self.end = GuardedEnd::Cut;
     }
 }
 
 impl<W: Wire, C: Clock> Drop for RequestGuard<W, C> {
     fn drop(&mut self) {
         self.core.in_progress.set(self.core.in_progress.get() - 1);
-        if !self.is_settled {
-            meters::ended_early("caller_left_or_cut");
-            self.core.waiting.borrow_mut().remove(&self.id);
-            self.core.handle(DispatchEvent::Abandoned(self.id));
-        }
+        let (reason, event) = match self.end {
+            GuardedEnd::Settled => return,
+            GuardedEnd::Open => ("caller_left", LogEvent::CallerLeft),
+            GuardedEnd::TimedOut => ("timed_out", LogEvent::RequestTimedOut),
+            GuardedEnd::Cut => ("cut", LogEvent::RequestFailed),
+        };
+        meters::ended_early(reason);
+        let fields = [("request", (*self.name).into()), ("reason", reason.into())];
+        self.core.log(event, &fields);
+        self.core.waiting.borrow_mut().remove(&self.id);
+        self.core.handle(DispatchEvent::Abandoned(self.id));
     }
 }
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -9,6 +9,7 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 use sedgeridge_fleet::config::Repeat;
+use sedgeridge_fleet::dispatcher::DispatchCounts;
 
 /// Upper bounds of the buckets of all histograms, in seconds: from a fraction of the shortest
 /// latency target to the longest timeout.
@@ -74,9 +75,37 @@
         .record(time.as_secs_f64());
 }
 
-/// Sets a gauge.
-pub fn set(name: &'static str, value: f64) {
-    gauge!(name).set(value);
+/// Moments of a router, for gauges.
+#[derive(Debug, Clone, Copy)]
+pub struct Moment {
+    /// Version of the configuration in force; 0 for none.
+    pub config_version: u64,
+    /// Endpoints that are listed.
+    pub endpoints: usize,
+    /// Requests that wait for an endpoint.
+    pub queued: usize,
+    /// Requests that have no final answer yet.
+    pub unfinished: usize,
+    /// Hosts that report, this one included.
+    pub hosts: usize,
+    /// Connections that were opened to endpoints.
+    pub connections_opened: u64,
+    /// Log lines that were dropped.
+    pub log_lines_dropped: u64,
+}
+
+/// Sets the gauges.
+pub fn set_gauges(moment: Moment, counts: &DispatchCounts) {
+    gauge!("sedgeridge_gateway_config_version").set(moment.config_version as f64);
+    gauge!("sedgeridge_gateway_endpoints").set(moment.endpoints as f64);
+    gauge!("sedgeridge_gateway_queued").set(moment.queued as f64);
+    gauge!("sedgeridge_gateway_unfinished").set(moment.unfinished as f64);
+    gauge!("sedgeridge_gateway_hosts").set(moment.hosts as f64);
+    gauge!("sedgeridge_gateway_connections_opened").set(moment.connections_opened as f64);
+    gauge!("sedgeridge_gateway_log_lines_dropped").set(moment.log_lines_dropped as f64);
+    gauge!("sedgeridge_gateway_sent").set(counts.sent as f64);
+    gauge!("sedgeridge_gateway_resent").set(counts.resent as f64);
+    gauge!("sedgeridge_gateway_resends_denied").set(counts.resends_denied as f64);
 }
 
 fn kind(repeat: Repeat) -> &'static str {
--- a/crates/gateway/src/pages.rs
+++ b/crates/gateway/src/pages.rs
@@ -19,6 +19,7 @@
 use crate::clock::Clock;
 use crate::core::Core;
 use crate::meters;
+use crate::meters::Moment;
 use crate::wire::Wire;
 
 const METRICS_PATH: &str = "/metrics";
@@ -66,31 +67,19 @@
 }
 
 fn set_gauges<W: Wire, C: Clock>(core: &Core<W, C>) {
-    let version = core.routes.borrow().version().unwrap_or(0);
-    let (endpoints, queued, unfinished, hosts, counts) = core.with_dispatcher(|dispatcher| {
-        (
-            dispatcher.endpoints().len(),
-            dispatcher.queued(),
-            dispatcher.unfinished(),
-            dispatcher.hosts(),
-            dispatcher.counts().clone(),
-        )
+    let (moment, counts) = core.with_dispatcher(|dispatcher| {
+        let moment = Moment {
+            config_version: core.routes.borrow().version().unwrap_or(0),
+            endpoints: dispatcher.endpoints().len(),
+            queued: dispatcher.queued(),
+            unfinished: dispatcher.unfinished(),
+            hosts: dispatcher.hosts(),
+            connections_opened: core.pool.borrow().opened(),
+            log_lines_dropped: core.log.dropped(),
+        };
+        (moment, dispatcher.counts().clone())
     });
-    let opened = core.pool.borrow().opened();
-    for (name, value) in [
-        ("sedgeridge_gateway_config_version", version),
-        ("sedgeridge_gateway_endpoints", endpoints as u64),
-        ("sedgeridge_gateway_queued", queued as u64),
-        ("sedgeridge_gateway_unfinished", unfinished as u64),
-        ("sedgeridge_gateway_hosts", hosts as u64),
-        ("sedgeridge_gateway_sent", counts.sent),
-        ("sedgeridge_gateway_resent", counts.resent),
-        ("sedgeridge_gateway_resends_denied", counts.resends_denied),
-        ("sedgeridge_gateway_connections_opened", opened),
-        ("sedgeridge_gateway_log_lines_dropped", core.log.dropped()),
-    ] {
-        meters::set(name, value as f64);
-    }
+    meters::set_gauges(moment, &counts);
 }
 
 fn not_found() -> Response<Full<Bytes>> {
--- a/crates/gateway/src/stream_pump.rs
+++ b/crates/gateway/src/stream_pump.rs
@@ -70,14 +70,17 @@
     async fn run(mut self, endpoint: Arc<Endpoint>, answer: EndpointAnswer, pieces: Pieces) {
         let left = self.deadline.saturating_sub(self.core.now());
         let passing = timeout(left, self.pass(endpoint, answer, &pieces));
-        let is_complete = passing.await.unwrap_or(false);
-        if is_complete {
-            meters::served(self.repeat);
-            self.guard.complete();
-        } else {
-            // The caller is gone already, or must see that the answer is not complete.
-            let _ = pieces.try_send(Err(StreamCut));
+        match passing.await {
+            Ok(true) => {
+                meters::served(self.repeat);
+                self.guard.complete();
+                return;
+            }
+            Ok(false) => {}
+            Err(_) => self.guard.time_out(),
         }
+        // The caller is gone already, or must see that the answer is not complete.
+        let _ = pieces.try_send(Err(StreamCut));
     }
 
     /// Passes events on until the end; returns whether the answer is complete.
@@ -177,7 +180,7 @@
                 () = pieces.closed() => return None,
             };
             let Verdict::Send(endpoint) = verdict else {
-                self.guard.settle();
+                self.guard.cut();
                 return None;
             };
             let sent = tokio::select! {
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -20,6 +20,7 @@
 enum Kind {
     Counter,
     Gauge,
+    Histogram,
 }
 
 /// A metric of the catalogue.
@@ -50,6 +51,16 @@
     }
 }
 
+const fn histogram(name: &'static str, meaning: &'static str) -> Metric {
+    Metric {
+        name,
+        kind: Kind::Histogram,
+        label: "kind",
+        values: Values::Fixed("idempotent, at_most_once, resumable_stream, stream"),
+        meaning,
+    }
+}
+
 const fn counter(
     name: &'static str,
     label: &'static str,
@@ -95,6 +106,96 @@
         Values::Fixed("told, failed"),
         "drains that the coordinator asked routers for",
     ),
+    counter(
+        "sedgeridge_gateway_attempts_failed_total",
+        "reason",
+        Values::Fixed(
+            "not_connected, turned_away, misdirected, connection_lost, spoiled_answer, server_error, \
+             timed_out",
+        ),
+        "attempts of a router on the users' platform that failed",
+    ),
+    gauge(
+        "sedgeridge_gateway_config_version",
+        "version of the configuration in force",
+    ),
+    gauge(
+        "sedgeridge_gateway_connections_opened",
+        "connections that were opened to endpoints since the start",
+    ),
+    counter(
+        "sedgeridge_gateway_ended_early_total",
+        "reason",
+        Values::Fixed("caller_left, timed_out, cut"),
+        "requests that ended without an answer in full",
+    ),
+    gauge("sedgeridge_gateway_endpoints", "endpoints that are listed"),
+    counter(
+        "sedgeridge_gateway_failed_total",
+        "reason",
+        Values::Fixed("as sedgeridge_gateway_attempts_failed_total"),
+        "requests that failed after they may have run",
+    ),
+    histogram(
+        "sedgeridge_gateway_first_piece_seconds",
+        "time from a request's head to the first piece of its answer",
+    ),
+    gauge(
+        "sedgeridge_gateway_hosts",
+        "hosts that report, this one included",
+    ),
+    gauge(
+        "sedgeridge_gateway_log_lines_dropped",
+        "log lines that were dropped since standard output was not read",
+    ),
+    gauge(
+        "sedgeridge_gateway_queued",
+        "requests that wait for an endpoint",
+    ),
+    histogram(
+        "sedgeridge_gateway_queue_seconds",
+        "time from a request's head to its first send",
+    ),
+    counter(
+        "sedgeridge_gateway_refused_total",
+        "reason",
+        Values::Fixed("over_share, overload, no_endpoint, quarantined, turned_away, out_of_time"),
+        "requests that were refused unrun",
+    ),
+    counter(
+        "sedgeridge_gateway_report_bytes_total",
+        "",
+        Values::Fixed(""),
+        "bytes of reports to other hosts, without headers of datagrams",
+    ),
+    gauge(
+        "sedgeridge_gateway_resends_denied",
+        "sends to a second endpoint that the budget did not allow, since the start",
+    ),
+    gauge(
+        "sedgeridge_gateway_resent",
+        "sends to a second endpoint since the start",
+    ),
+    gauge(
+        "sedgeridge_gateway_sent",
+        "requests that were sent to an endpoint since the start",
+    ),
+    counter(
+        "sedgeridge_gateway_served_total",
+        "kind",
+        Values::Fixed("idempotent, at_most_once, resumable_stream, stream"),
+        "requests that were answered in full",
+    ),
+    counter(
+        "sedgeridge_gateway_store_calls_total",
+        "table, outcome",
+        Values::Fixed("config, endpoints; answered, failed"),
+        "calls to the platform's store that read a table",
+    ),
+    gauge(
+        "sedgeridge_gateway_unfinished",
+        "requests that have no final answer yet",
+    ),
     counter(
         "sedgeridge_home_grants_total",
         "result",
@@ -239,6 +340,7 @@
         let kind = match metric.kind {
             Kind::Counter => "counter",
             Kind::Gauge => "gauge",
+            Kind::Histogram => "histogram",
         };
         let values = match metric.values {
             Values::Fixed(values) => values.to_owned(),
