feat(fleet): few hosts of a large fleet follow the store, the others copy what changed

Reports pack loads and usage as rows of numbers: with names of fields a host of 112 engines filled its datagram and half was left out.

--- a/crates/fleet/src/account_shares.rs
+++ b/crates/fleet/src/account_shares.rs
@@ -3,8 +3,6 @@
 use std::time::Duration;
 
 use nohash_hasher::IntMap;
-use serde::Deserialize;
-use serde::Serialize;
 
 /// Parts into which the window is cut; old use leaves it in steps of this part.
 const BUCKETS: u64 = 8;
@@ -12,7 +10,7 @@
 const MAX_REPORT_AGE: Duration = Duration::from_millis(2_500);
 
 /// What one account asked for and was given in the window, in tokens.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Usage {
     /// Tokens of requests that arrived.
     pub asked: u32,
--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -32,6 +32,7 @@
 use crate::verdict::Failure;
 
 pub use admission::AdmissionSettings;
+pub use peers::StoreRole;
 
 /// Reading speed of an engine against the tokens that it processes in a second with reading and
 /// generating mixed. Engines read in large batches and generate one token a step.
--- a/crates/fleet/src/endpoint_load.rs
+++ b/crates/fleet/src/endpoint_load.rs
@@ -3,15 +3,13 @@
 use std::time::Duration;
 
 use nohash_hasher::IntMap;
-use serde::Deserialize;
-use serde::Serialize;
 
 /// Age up to which another host's report counts. A host that is silent for longer is taken as gone
 /// and its requests with it; short pauses of a host must not free its part of an endpoint.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
 
 /// Work in progress on one endpoint.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Load {
     /// Prompt tokens of requests whose first event has not come.
     pub unread_tokens: u32,
--- a/crates/fleet/src/peer_report.rs
+++ b/crates/fleet/src/peer_report.rs
@@ -39,11 +39,14 @@
     /// Whether the host is about to stop.
     #[serde(rename = "s")]
     pub is_stopping: bool,
+    /// Whether the store answered the host when it last called.
+    #[serde(rename = "f")]
+    pub store_answers: bool,
     /// Its work in progress, by hash of the endpoint's id.
-    #[serde(rename = "l")]
+    #[serde(rename = "l", with = "packed_loads")]
     pub loads: Vec<(u64, Load)>,
     /// Its accounts' usage over the window, by hash of the account's name.
-    #[serde(rename = "u")]
+    #[serde(rename = "u", with = "packed_usage")]
     pub usage: Vec<(u64, Usage)>,
     /// News of requests that crash endpoints.
     #[serde(rename = "p")]
@@ -116,6 +119,65 @@
     }
 }
 
+/// Loads as rows of numbers: names of fields would fill most of the datagram.
+mod packed_loads {
+    use serde::Deserialize;
+    use serde::Deserializer;
+    use serde::Serializer;
+
+    use crate::endpoint_load::Load;
+
+    type Packed = (u64, u32, u32, u32);
+
+    pub fn serialize<S: Serializer>(loads: &[(u64, Load)], to: S) -> Result<S::Ok, S::Error> {
+        to.collect_seq(loads.iter().map(|(key, load)| -> Packed {
+            (*key, load.unread_tokens, load.requests, load.memory_tokens)
+        }))
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<(u64, Load)>, D::Error> {
+        let packed = Vec::<Packed>::deserialize(from)?;
+        let loads = packed
+            .into_iter()
+            .map(|(key, unread_tokens, requests, memory_tokens)| {
+                let load = Load {
+                    unread_tokens,
+                    requests,
+                    memory_tokens,
+                };
+                (key, load)
+            });
+        Ok(loads.collect())
+    }
+}
+
+/// Usage as rows of numbers.
+mod packed_usage {
+    use serde::Deserialize;
+    use serde::Deserializer;
+    use serde::Serializer;
+
+    use crate::account_shares::Usage;
+
+    type Packed = (u64, u32, u32);
+
+    pub fn serialize<S: Serializer>(usage: &[(u64, Usage)], to: S) -> Result<S::Ok, S::Error> {
+        to.collect_seq(
+            usage
+                .iter()
+                .map(|(key, usage)| -> Packed { (*key, usage.asked, usage.started) }),
+        )
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<(u64, Usage)>, D::Error> {
+        let packed = Vec::<Packed>::deserialize(from)?;
+        let usage = packed
+            .into_iter()
+            .map(|(key, asked, started)| (key, Usage { asked, started }));
+        Ok(usage.collect())
+    }
+}
+
 impl From<&PoisonNotice> for CrashNews {
     fn from(notice: &PoisonNotice) -> Self {
         let whole = notice.fingerprint.0;
--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -1,6 +1,7 @@
 //! Follows one table of the platform's store: lists it once, then waits for its changes.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,6 +22,11 @@
 /// removed later was removed on purpose, and counts at once.
 const CATCH_UP_TIME: Duration = Duration::from_millis(400);
 
+/// Time between looks whether a host that copies from others has to follow the store itself.
+const IDLE_INTERVAL: Duration = Duration::from_millis(100);
+/// Removed rows that are remembered, for copies that tell only what changed.
+const MAX_REMOVED: usize = 512;
+
 /// A row as the store holds it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Row {
@@ -32,6 +38,17 @@
     pub value: Option<Arc<[u8]>>,
 }
 
+/// What one host tells another about a table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TableCopy {
+    /// Version of the newest change that it holds.
+    pub version: u64,
+    /// Whether rows that it lacks are gone; else it holds only what changed.
+    pub is_whole: bool,
+    /// The rows; removed ones have no value.
+    pub rows: Vec<Row>,
+}
+
 /// The next call to the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoreCall {
@@ -103,6 +120,9 @@
     catch_up_until: Duration,
     rewrite_until: Duration,
     missing: BTreeMap<Arc<str>, u64>,
+    removed: VecDeque<Row>,
+    removed_before: u64,
+    is_following: bool,
     random: SeededRandom,
 }
 
@@ -126,12 +146,18 @@
             catch_up_until: Duration::ZERO,
             rewrite_until: Duration::ZERO,
             missing: BTreeMap::new(),
+            removed: VecDeque::new(),
+            removed_before: 0,
+            is_following: true,
             random: SeededRandom::new(seed),
         }
     }
 
     /// Returns the next step.
     pub fn step(&self, now: Duration) -> WatchStep {
+        if !self.is_following && self.is_known() {
+            return WatchStep::WaitUntil(now + IDLE_INTERVAL);
+        }
         if now < self.not_before {
             return WatchStep::WaitUntil(self.not_before);
         }
@@ -176,12 +202,48 @@
         }
     }
 
-    /// Takes the rows that another host knows, complete up to `version`. Returns what changed.
-    pub fn on_copy(&mut self, now: Duration, rows: Vec<Row>, version: u64) -> Vec<Row> {
-        if version <= self.changed_version {
+    /// Sets whether this host follows the store. One that does not lives on other hosts' copies.
+    pub fn set_following(&mut self, is_following: bool) {
+        if self.is_following && !is_following {
+            self.lost_at = None;
+            self.failures = 0;
+        }
+        self.is_following = is_following;
+    }
+
+    /// Takes another host's copy. Returns what changed.
+    pub fn on_copy(&mut self, now: Duration, copy: TableCopy) -> Vec<Row> {
+        if copy.version <= self.changed_version {
             return Vec::new();
         }
-        self.replace(now, rows, version)
+        self.fed_version = self.fed_version.max(copy.version);
+        self.listing = None;
+        if copy.is_whole {
+            return self.replace(now, copy.rows, copy.version);
+        }
+        let changed = self.take_changes(now, copy.rows);
+        self.changed_version = self.changed_version.max(copy.version);
+        changed
+    }
+
+    /// Returns a copy for a host that knows everything up to `after`.
+    pub fn copy(&self, after: u64) -> TableCopy {
+        let version = self.changed_version;
+        if after == 0 || after < self.removed_before {
+            let rows = self.rows.values().cloned().collect();
+            return TableCopy {
+                version,
+                is_whole: true,
+                rows,
+            };
+        }
+        let changed = self.rows.values().chain(&self.removed);
+        let changed = changed.filter(|row| row.version > after);
+        TableCopy {
+            version,
+            is_whole: false,
+            rows: changed.cloned().collect(),
+        }
     }
 
     /// Returns rows that went missing while the store was away and whose time is now over.
@@ -314,11 +376,17 @@
             return None;
         }
         self.rows.remove(&key);
-        Some(Row {
+        let removed = Row {
             key,
             version,
             value: None,
-        })
+        };
+        self.removed.push_back(removed.clone());
+        if self.removed.len() > MAX_REMOVED {
+            let forgotten = self.removed.pop_front();
+            self.removed_before = forgotten.map_or(0, |row| row.version);
+        }
+        Some(removed)
     }
 }
 
--- a/crates/fleet/tests/row_watch.rs
+++ b/crates/fleet/tests/row_watch.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sedgeridge_coordination::random::SeededRandom;
 use sedgeridge_fleet::row_watch::Row;
 use sedgeridge_fleet::row_watch::RowWatch;
 use sedgeridge_fleet::row_watch::StoreAnswer;
 use sedgeridge_fleet::row_watch::StoreCall;
+use sedgeridge_fleet::row_watch::TableCopy;
 use sedgeridge_fleet::row_watch::WatchStep;
 
 fn at(millis: u64) -> Duration {
@@ -136,14 +138,85 @@
     }
 }
 
+fn whole(rows: Vec<Row>, version: u64) -> TableCopy {
+    TableCopy {
+        version,
+        is_whole: true,
+        rows,
+    }
+}
+
 /// A host that the store turns away learns of changes from another host's copy, and an older copy
 /// changes nothing: a configuration must never go back.
 #[test]
 fn a_copy_of_another_host_counts_only_if_it_is_newer() {
     let mut watch = watch_of_two();
-    assert!(watch.on_copy(at(10), vec![row("a", 1)], 1).is_empty());
+    assert!(
+        watch
+            .on_copy(at(10), whole(vec![row("a", 1)], 1))
+            .is_empty()
+    );
     assert_eq!(keys(&watch), ["a", "b"]);
-    let changed = watch.on_copy(at(20), vec![row("a", 7)], 7);
+    let changed = watch.on_copy(at(20), whole(vec![row("a", 7)], 7));
     assert_eq!(changed, vec![row("a", 7), removed("b", 7)]);
-    assert!(watch.on_copy(at(30), vec![row("a", 6)], 7).is_empty());
+    assert!(
+        watch
+            .on_copy(at(30), whole(vec![row("a", 6)], 7))
+            .is_empty()
+    );
+}
+
+#[test]
+fn a_copy_tells_only_what_changed_to_a_host_that_knows_the_rest() {
+    let mut followed = watch_of_two();
+    followed.on_answer(at(10), rows(vec![removed("a", 3), row("c", 4)], 4));
+    let mut behind = watch_of_two();
+    let copy = followed.copy(behind.changed_version());
+    assert_eq!(copy.rows, vec![row("c", 4), removed("a", 3)]);
+    behind.on_copy(at(20), copy);
+    assert_eq!(keys(&behind), ["b", "c"]);
+    assert_eq!(behind.changed_version(), 4);
+}
+
+/// A host that copies from others calls the store only until it knows the table, and goes on from
+/// the last copy when it has to follow the store itself.
+#[test]
+fn a_host_that_does_not_follow_makes_no_calls() {
+    let mut watch = RowWatch::new(1);
+    watch.set_following(false);
+    assert!(matches!(watch.step(at(0)), WatchStep::Call(_)));
+    watch.on_answer(at(0), rows(vec![row("a", 1)], 1));
+    assert!(matches!(watch.step(at(10)), WatchStep::WaitUntil(_)));
+    watch.on_copy(at(20), whole(vec![row("a", 1), row("b", 9)], 9));
+    watch.set_following(true);
+    let feed = StoreCall::Feed {
+        after: 9,
+        is_held: true,
+    };
+    assert_eq!(watch.step(at(30)), WatchStep::Call(feed));
+}
+
+/// However often rows are written and removed, a host that only copies ends with the same rows.
+#[test]
+fn copies_keep_two_hosts_equal_through_many_changes() {
+    let mut followed = RowWatch::new(1);
+    let mut copying = RowWatch::new(2);
+    let mut random = SeededRandom::new(7);
+    for version in 1..3_000 {
+        let key = format!("k{}", random.below(40));
+        let change = match random.below(3) {
+            0 => removed(&key, version),
+            _ => row(&key, version),
+        };
+        if version == 1 {
+            followed.on_answer(at(0), rows(vec![row("k0", 1)], 1));
+        } else {
+            followed.on_answer(at(version), rows(vec![change], version));
+        }
+        if random.below(60) == 0 {
+            let copy = followed.copy(copying.changed_version());
+            copying.on_copy(at(version), copy);
+            assert_eq!(keys(&followed), keys(&copying));
+        }
+    }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -14,7 +14,6 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http::Uri;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -22,9 +21,13 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use sedgeridge_coordination::random::SeededRandom;
 use sedgeridge_fleet::dispatcher::DispatchEvent;
+use sedgeridge_fleet::dispatcher::StoreRole;
+use sedgeridge_fleet::hashing::stable_hash;
 use sedgeridge_fleet::peer_report::PeerReport;
 use sedgeridge_fleet::row_watch::Row;
+use sedgeridge_fleet::row_watch::TableCopy;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::net::TcpListener;
@@ -50,11 +53,15 @@
 const INTERVAL_PER_HOST: Duration = Duration::from_millis(12);
 /// Time between looks at the list of hosts. Hosts also learn of each other by reports.
 const LIST_INTERVAL: Duration = Duration::from_secs(10);
+/// The same for each host, so that a large fleet lists no more often than a small one.
+const LIST_INTERVAL_PER_HOST: Duration = Duration::from_millis(1_200);
 /// Time between tries while the store does not answer.
 const LIST_RETRY: Duration = Duration::from_millis(700);
-/// Time for which a copy may be older than another host's before it is fetched from there. The
-/// store itself tells of a change within some ten milliseconds.
-const BEHIND_FOR: Duration = Duration::from_millis(250);
+/// Time for which a host that follows the store may know less than another before it copies from
+/// there. The store itself tells of a change within some ten milliseconds.
+const FOLLOWER_BEHIND_FOR: Duration = Duration::from_millis(250);
+/// Longest pause before a host that lives on copies fetches one, so that not all ask at once.
+const COPY_SPREAD_MS: u64 = 120;
 /// Longest time to fetch a copy.
 const COPY_TIMEOUT: Duration = Duration::from_millis(800);
 /// Longest copy. Tables hold some hundred rows of less than a kilobyte.
@@ -73,6 +80,7 @@
     heard: RefCell<BTreeSet<SocketAddr>>,
     behind: RefCell<BTreeMap<Table, Behind>>,
     hosts: Cell<usize>,
+    random: RefCell<SeededRandom>,
 }
 
 /// A table of which another host knows a newer change.
@@ -82,9 +90,11 @@
     is_fetching: bool,
 }
 
+/// A copy of a table as hosts send it.
 #[derive(Debug, Serialize, Deserialize)]
-struct TableCopy {
+struct CopyMessage {
     version: u64,
+    is_whole: bool,
     rows: Vec<CopiedRow>,
 }
 
@@ -92,12 +102,43 @@
 struct CopiedRow {
     key: String,
     version: u64,
-    value: Vec<u8>,
+    value: Option<Vec<u8>>,
+}
+
+impl From<TableCopy> for CopyMessage {
+    fn from(copy: TableCopy) -> Self {
+        let rows = copy.rows.into_iter().map(|row| CopiedRow {
+            key: row.key.to_string(),
+            version: row.version,
+            value: row.value.map(|value| value.to_vec()),
+        });
+        Self {
+            version: copy.version,
+            is_whole: copy.is_whole,
+            rows: rows.collect(),
+        }
+    }
+}
+
+impl From<CopyMessage> for TableCopy {
+    fn from(message: CopyMessage) -> Self {
+        let rows = message.rows.into_iter().map(|row| Row {
+            key: Arc::from(row.key),
+            version: row.version,
+            value: row.value.map(Arc::from),
+        });
+        Self {
+            version: message.version,
+            is_whole: message.is_whole,
+            rows: rows.collect(),
+        }
+    }
 }
 
 impl<W: Wire, C: Clock> Peers<W, C> {
     /// Creates the state of a host that has heard of no other.
     pub fn new(core: Rc<Core<W, C>>, tables: Rc<Tables<W, C>>) -> Self {
+        let seed = stable_hash(&core.settings.host);
         Self {
             core,
             tables,
@@ -105,6 +146,7 @@
             heard: RefCell::new(BTreeSet::new()),
             behind: RefCell::new(BTreeMap::new()),
             hosts: Cell::new(1),
+            random: RefCell::new(SeededRandom::new(seed)),
         }
     }
 
@@ -124,8 +166,9 @@
                     .map(|host| (host.host, host.peers_address));
                 *self.listed.borrow_mut() = addresses.collect();
             }
+            let hosts = self.hosts.get();
             let pause = match is_registered && is_listed {
-                true => LIST_INTERVAL,
+                true => LIST_INTERVAL.max(LIST_INTERVAL_PER_HOST.saturating_mul(hosts as u32)),
                 false => LIST_RETRY,
             };
             tokio::time::sleep(pause).await;
@@ -145,13 +188,17 @@
         loop {
             let targets = self.targets();
             let interval = INTERVAL_PER_HOST.saturating_mul(targets.len() as u32);
-            tokio::time::sleep(interval.max(MIN_INTERVAL)).await;
+            tokio::select! {
+                () = tokio::time::sleep(interval.max(MIN_INTERVAL)) => {}
+                () = self.tables.news() => {}
+            }
             let config = self.tables.changed_version(Table::Config);
             let endpoints = self.tables.changed_version(Table::Endpoints);
             let mut report = self
                 .core
                 .with_dispatcher(|dispatcher| dispatcher.report(config, endpoints));
             report.is_stopping = self.core.is_stopping();
+            report.store_answers = self.tables.store_answers();
             let bytes = report.encode();
             self.note_hosts();
             meters::report_sent(bytes.len() * targets.len());
@@ -222,26 +269,33 @@
             return;
         }
         let now = self.core.now();
+        let role = self
+            .core
+            .with_dispatcher(|dispatcher| dispatcher.store_role(now));
+        let patience = match role {
+            StoreRole::Copier => Duration::ZERO,
+            StoreRole::FirstFollower | StoreRole::Follower => FOLLOWER_BEHIND_FOR,
+        };
         let behind = all_behind.entry(table).or_insert(Behind {
             since: now,
             is_fetching: false,
         });
-        if behind.is_fetching || now.saturating_sub(behind.since) < BEHIND_FOR {
+        if behind.is_fetching || now.saturating_sub(behind.since) < patience {
             return;
         }
         behind.is_fetching = true;
-        spawn_local(self.clone().fetch(table, from));
+        spawn_local(self.clone().fetch(table, from, role));
     }
 
-    async fn fetch(self: Rc<Self>, table: Table, from: SocketAddr) {
-        let fetched = timeout(COPY_TIMEOUT, fetch_copy(table, from)).await;
+    async fn fetch(self: Rc<Self>, table: Table, from: SocketAddr, role: StoreRole) {
+        if role == StoreRole::Copier {
+            let spread = self.random.borrow_mut().below(COPY_SPREAD_MS);
+            tokio::time::sleep(Duration::from_millis(spread)).await;
+        }
+        let after = self.tables.changed_version(table);
+        let fetched = timeout(COPY_TIMEOUT, fetch_copy(table, after, from)).await;
         if let Ok(Some(copy)) = fetched {
-            let rows = copy.rows.into_iter().map(|row| Row {
-                key: Arc::from(row.key),
-                version: row.version,
-                value: Some(Arc::from(row.value)),
-            });
-            self.tables.take_copy(table, copy.version, rows.collect());
+            self.tables.take_copy(table, copy.into());
         }
         self.behind.borrow_mut().remove(&table);
     }
@@ -256,33 +310,22 @@
                 return page;
             }
         };
-        let (version, rows) = self.tables.copy(table);
-        let rows = rows.iter().filter_map(|row| {
-            let value = row.value.as_ref()?.to_vec();
-            Some(CopiedRow {
-                key: row.key.to_string(),
-                version: row.version,
-                value,
-            })
-        });
-        let copy = TableCopy {
-            version,
-            rows: rows.collect(),
-        };
+        let after = request.uri().query().and_then(|query| query.parse().ok());
+        let copy = CopyMessage::from(self.tables.copy(table, after.unwrap_or(0)));
         let mut bytes = Vec::new();
         ciborium::into_writer(&copy, &mut bytes).expect("a vector takes every byte");
         Response::new(Full::from(bytes))
     }
 }
 
-async fn fetch_copy(table: Table, from: SocketAddr) -> Option<TableCopy> {
+async fn fetch_copy(table: Table, after: u64, from: SocketAddr) -> Option<CopyMessage> {
     let path = match table {
         Table::Config => CONFIG_PATH,
         Table::Endpoints => ENDPOINTS_PATH,
     };
     let mut connection = open_connection(from).await.ok()?;
     let mut request = Request::new(Full::default());
-    *request.uri_mut() = Uri::from_static(path);
+    *request.uri_mut() = format!("{path}?{after}").parse().ok()?;
     let host = from.to_string().parse().ok()?;
     request.headers_mut().insert(http::header::HOST, host);
     let response = connection.send_request(request).await.ok()?;
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -6,13 +6,16 @@
 use std::time::Duration;
 
 use sedgeridge_fleet::dispatcher::DispatchEvent;
+use sedgeridge_fleet::dispatcher::StoreRole;
 use sedgeridge_fleet::endpoint_table::Endpoint;
 use sedgeridge_fleet::hashing::stable_hash;
 use sedgeridge_fleet::route_table::RouteTable;
 use sedgeridge_fleet::row_watch::Row;
 use sedgeridge_fleet::row_watch::RowWatch;
 use sedgeridge_fleet::row_watch::StoreAnswer;
+use sedgeridge_fleet::row_watch::TableCopy;
 use sedgeridge_fleet::row_watch::WatchStep;
+use tokio::sync::Notify;
 
 use crate::clock::Clock;
 use crate::core::Core;
@@ -32,6 +35,7 @@
     core: Rc<Core<W, C>>,
     config: RefCell<RowWatch>,
     endpoints: RefCell<RowWatch>,
+    news: Notify,
 }
 
 impl<W: Wire, C: Clock> Tables<W, C> {
@@ -42,13 +46,21 @@
             core,
             config: RefCell::new(RowWatch::new(seed)),
             endpoints: RefCell::new(RowWatch::new(seed.rotate_left(1))),
+            news: Notify::new(),
         }
     }
 
     /// Follows a table in the store for as long as the process runs.
     pub async fn follow<S: Store>(&self, store: Rc<S>, table: Table) {
         loop {
-            let step = self.watch(table).borrow().step(self.core.now());
+            let now = self.core.now();
+            let role = self
+                .core
+                .with_dispatcher(|dispatcher| dispatcher.store_role(now));
+            let mut watch = self.watch(table).borrow_mut();
+            watch.set_following(role != StoreRole::Copier);
+            let step = watch.step(now);
+            drop(watch);
             match step {
                 WatchStep::WaitUntil(at) => {
                     let pause = at.saturating_sub(self.core.now());
@@ -59,12 +71,26 @@
                     self.note_call(table, &answer);
                     let now = self.core.now();
                     let changed = self.watch(table).borrow_mut().on_answer(now, answer);
+                    if !changed.is_empty() && role == StoreRole::FirstFollower {
+                        self.news.notify_one();
+                    }
                     self.apply(table, changed);
                 }
             }
         }
     }
 
+    /// Waits until a change is known that other hosts should hear of at once.
+    pub async fn news(&self) {
+        self.news.notified().await;
+    }
+
+    /// Tells whether the store answered the last call about each table.
+    pub fn store_answers(&self) -> bool {
+        let answers = |table| self.watch(table).borrow().lost_since().is_none();
+        answers(Table::Config) && answers(Table::Endpoints)
+    }
+
     /// Drops entries that stayed missing after the store's return, for as long as the process runs.
     pub async fn expire_forever(&self) {
         loop {
@@ -82,22 +108,22 @@
         self.watch(table).borrow().changed_version()
     }
 
-    /// Copies the rows of a table, for another host.
-    pub fn copy(&self, table: Table) -> (u64, Vec<Row>) {
-        let watch = self.watch(table).borrow();
-        (watch.changed_version(), watch.rows().cloned().collect())
+    /// Makes a copy for a host that knows everything up to `after`.
+    pub fn copy(&self, table: Table, after: u64) -> TableCopy {
+        self.watch(table).borrow().copy(after)
     }
 
     /// Takes in another host's copy.
-    pub fn take_copy(&self, table: Table, version: u64, rows: Vec<Row>) {
+    pub fn take_copy(&self, table: Table, copy: TableCopy) {
         let now = self.core.now();
         let fields = [
             ("table", table.as_str().into()),
-            ("version", version.into()),
+            ("version", copy.version.into()),
             ("known_version", self.changed_version(table).into()),
+            ("rows", copy.rows.len().into()),
         ];
         self.core.log(LogEvent::CopyTaken, &fields);
-        let changed = self.watch(table).borrow_mut().on_copy(now, rows, version);
+        let changed = self.watch(table).borrow_mut().on_copy(now, copy);
         self.apply(table, changed);
     }
 
