--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -189,7 +189,10 @@
         if is_over_share && is_fresh && now < self.no_room_until {
             return Placing::Refuse(RefusalReason::OverShare, None);
         }
-        let hold = arrival.route.latency_target.mul_f64(self.settings.admission.hold_part);
+        let hold = arrival
+            .route
+            .latency_target
+            .mul_f64(self.settings.admission.hold_part);
         let is_held_long = now >= arrival.received_at + hold;
         let Some(best) = self.best_candidate(now, pending) else {
             return match is_held_long {
--- a/crates/fleet/src/dispatcher/attempts.rs
+++ b/crates/fleet/src/dispatcher/attempts.rs
@@ -275,7 +275,10 @@
             retry_after: self.retry_after(now, &pending.arrival, reason),
             basis: self.basis(now, &pending, best),
         };
-        decisions.push(Decision { request: id, verdict });
+        decisions.push(Decision {
+            request: id,
+            verdict,
+        });
     }
 
     fn basis(&self, now: Duration, pending: &Pending, best: Option<Compared>) -> Basis {
--- a/crates/fleet/src/endpoint_load.rs
+++ b/crates/fleet/src/endpoint_load.rs
@@ -73,25 +73,32 @@
 
     /// Takes another host's report; it replaces the one before.
     pub fn on_report(&mut self, now: Duration, host: u64, loads: Vec<(u64, Load)>) {
-        self.reported.insert(host, Reported { at: now, loads });
-        self.sum_others(now);
+        for (endpoint, load) in &loads {
+            self.others.entry(*endpoint).or_default().add(*load);
+        }
+        let report = Reported { at: now, loads };
+        if let Some(before) = self.reported.insert(host, report) {
+            self.subtract_others(&before);
+        }
     }
 
     /// Forgets a host that said it is leaving.
-    pub fn forget_host(&mut self, now: Duration, host: u64) {
-        self.reported.remove(&host);
-        self.sum_others(now);
+    pub fn forget_host(&mut self, host: u64) {
+        if let Some(report) = self.reported.remove(&host) {
+            self.subtract_others(&report);
+        }
     }
 
     /// Drops reports that are too old.
     pub fn tick(&mut self, now: Duration) {
-        let before = self.reported.len();
-        self.reported
-            .retain(|_, report| now.saturating_sub(report.at) <= MAX_REPORT_AGE);
-        if self.reported.len() != before {
-            self.sum_others(now);
+        let is_old = |report: &Reported| now.saturating_sub(report.at) > MAX_REPORT_AGE;
+        let old = self.reported.iter().filter(|(_, report)| is_old(report));
+        let old: Vec<u64> = old.map(|(host, _)| *host).collect();
+        for host in old {
+            self.forget_host(host);
         }
         self.own.retain(|_, load| !load.is_idle());
+        self.others.retain(|_, load| !load.is_idle());
     }
 
     /// Returns the age of the oldest report that counts.
@@ -110,15 +117,11 @@
         load
     }
 
-    fn sum_others(&mut self, now: Duration) {
-        self.others.clear();
-        for report in self.reported.values() {
-            if now.saturating_sub(report.at) > MAX_REPORT_AGE {
-                continue;
-            }
-            for (endpoint, load) in &report.loads {
-                self.others.entry(*endpoint).or_default().add(*load);
-            }
+    /// The sum is kept by differences: to add all hosts up at each report would cost the square of
+    /// their number.
+    fn subtract_others(&mut self, report: &Reported) {
+        for (endpoint, load) in &report.loads {
+            self.others.entry(*endpoint).or_default().subtract(*load);
         }
     }
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -253,7 +253,11 @@
 
     fn log_refusal(&self, reason: RefusalReason, retry_after: Duration, basis: &Basis) {
         meters::refused(reason.as_str());
-        if !self.core.log.is_wanted(self.core.now(), LogEvent::RequestRefused) {
+        if !self
+            .core
+            .log
+            .is_wanted(self.core.now(), LogEvent::RequestRefused)
+        {
             return;
         }
         let waited = self.core.now().saturating_sub(self.received_at);
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -30,6 +30,8 @@
 use crate::endpoint_pool::EndpointPool;
 use crate::event_log::EventLog;
 use crate::event_log::LogEvent;
+use crate::event_log::millis;
+use crate::loop_lag::LoopLag;
 use crate::meters;
 use crate::settings::GatewaySettings;
 use crate::wire::Wire;
@@ -81,6 +83,8 @@
     pub idle_timeout: Cell<Duration>,
     /// When the process was told to stop, if it was.
     pub stopping: watch::Sender<Option<Duration>>,
+    /// How far the event loop is behind.
+    pub lag: RefCell<LoopLag>,
     /// Connections of callers that are open.
     pub callers: Cell<usize>,
     /// Requests that have been read and not yet answered in full.
@@ -116,6 +120,7 @@
             max_body_bytes: Cell::new(limits.max_body_bytes),
             idle_timeout: Cell::new(limits.idle_timeout),
             stopping: watch::Sender::new(None),
+            lag: RefCell::new(LoopLag::default()),
             callers: Cell::new(0),
             in_progress: Cell::new(0),
             dispatcher: RefCell::new(dispatcher),
@@ -219,6 +224,7 @@
                 () = tokio::time::sleep(pause) => {}
                 () = self.wake.notified() => continue,
             }
+            self.note_lag(next);
             self.handle(DispatchEvent::Tick);
             let now = self.now();
             self.pool.borrow_mut().close_old(now);
@@ -227,7 +233,8 @@
 
     /// Tells whether a caller's connection should end with the answer that is in progress.
     pub fn closes_connections(&self) -> bool {
-        self.is_stopping() || self.callers.get() > self.settings.max_callers
+        let is_crowded = self.callers.get() > self.settings.max_callers;
+        self.is_stopping() || is_crowded || self.lag.borrow().is_swamped()
     }
 
     /// Tells whether the process was told to stop.
@@ -244,7 +251,19 @@
     /// Tells whether the router can serve callers.
     pub fn is_ready(&self) -> bool {
         let has_endpoints = !self.dispatcher.borrow().endpoints().is_empty();
-        !self.is_stopping() && self.routes.borrow().version().is_some() && has_endpoints
+        let can_serve = !self.is_stopping() && !self.lag.borrow().is_swamped();
+        can_serve && self.routes.borrow().version().is_some() && has_endpoints
+    }
+
+    fn note_lag(&self, planned: Duration) {
+        let late = self.now().saturating_sub(planned);
+        let was_swamped = self.lag.borrow().is_swamped();
+        self.lag.borrow_mut().note(late);
+        let is_swamped = self.lag.borrow().is_swamped();
+        if is_swamped != was_swamped {
+            let fields = [("is_swamped", is_swamped.into()), ("late_ms", millis(late))];
+            self.log(LogEvent::LoadChanged, &fields);
+        }
     }
 
     fn await_verdict(&self, id: RequestId) -> VerdictReceiver {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod endpoint_pool;
 pub mod event_log;
 pub mod http_caller;
+pub mod loop_lag;
 pub mod meters;
 pub mod pages;
 pub mod peers;
--- /dev/null
+++ b/crates/gateway/src/loop_lag.rs
@@ -0,0 +1,50 @@
+//! How far the event loop is behind its timers.
+
+use std::time::Duration;
+
+/// Weight of the newest timer; about the last five count.
+const NEWEST_WEIGHT: f64 = 0.2;
+/// Mean lateness from which the host has more to do than its processor share allows. Timers of a
+/// host with room are a few milliseconds late.
+const SWAMPED: Duration = Duration::from_millis(80);
+/// Mean lateness below which it has room again.
+const CALM: Duration = Duration::from_millis(15);
+
+/// Tells a host that cannot keep up.
+///
+/// One caller can bring a small host more than it can read, while others of its data centre have
+/// room. Connections then wait unaccepted until their callers give up. A host that is swamped calls
+/// itself not ready and ends connections with their answers, so that callers come to other hosts.
+///
+/// ```
+/// use std::time::Duration;
+/// use sedgeridge_gateway::loop_lag::LoopLag;
+///
+/// let mut lag = LoopLag::default();
+/// for _ in 0..10 {
+///     lag.note(Duration::from_millis(200));
+/// }
+/// assert!(lag.is_swamped());
+/// ```
+#[derive(Debug, Default)]
+pub struct LoopLag {
+    mean_s: f64,
+    is_swamped: bool,
+}
+
+impl LoopLag {
+    /// Notes how late a timer was.
+    pub fn note(&mut self, late: Duration) {
+        self.mean_s += (late.as_secs_f64() - self.mean_s) * NEWEST_WEIGHT;
+        if self.mean_s >= SWAMPED.as_secs_f64() {
+            self.is_swamped = true;
+        } else if self.mean_s <= CALM.as_secs_f64() {
+            self.is_swamped = false;
+        }
+    }
+
+    /// Tells whether the host has more to do than it can.
+    pub fn is_swamped(&self) -> bool {
+        self.is_swamped
+    }
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -30,6 +30,7 @@
 use sedgeridge_fleet::row_watch::TableCopy;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_bytes::ByteBuf;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
@@ -102,7 +103,7 @@
 struct CopiedRow {
     key: String,
     version: u64,
-    value: Option<Vec<u8>>,
+    value: Option<ByteBuf>,
 }
 
 impl From<TableCopy> for CopyMessage {
@@ -110,7 +111,7 @@
         let rows = copy.rows.into_iter().map(|row| CopiedRow {
             key: row.key.to_string(),
             version: row.version,
-            value: row.value.map(|value| value.to_vec()),
+            value: row.value.map(|value| ByteBuf::from(value.to_vec())),
         });
         Self {
             version: copy.version,
@@ -125,7 +126,7 @@
         let rows = message.rows.into_iter().map(|row| Row {
             key: Arc::from(row.key),
             version: row.version,
-            value: row.value.map(Arc::from),
+            value: row.value.map(|value| Arc::from(value.into_vec())),
         });
         Self {
             version: message.version,
--- a/crates/gateway/src/stream_pump.rs
+++ b/crates/gateway/src/stream_pump.rs
@@ -190,9 +190,13 @@
             match sent {
                 Ok(answer) if answer.head.status.is_success() => return Some((endpoint, answer)),
                 Ok(_) => {
-                    waiting = self.core.attempt_failed(self.id, &self.outgoing, Failure::ServerError);
+                    waiting =
+                        self.core
+                            .attempt_failed(self.id, &self.outgoing, Failure::ServerError);
+                }
+                Err(failure) => {
+                    waiting = self.core.attempt_failed(self.id, &self.outgoing, failure)
                 }
-                Err(failure) => waiting = self.core.attempt_failed(self.id, &self.outgoing, failure),
             }
         }
     }
