--- a/crates/cli/src/dispatch.rs
+++ b/crates/cli/src/dispatch.rs
@@ -12,6 +12,7 @@
 use crate::config_wait;
 use crate::context::Context;
 use crate::error::CommandError;
+use crate::explain;
 use crate::help::HELP;
 use crate::online::run_drain;
 use crate::online::run_endpoints;
@@ -43,6 +44,7 @@
         "accounts" => accounts(arguments, context),
         "config" => config(arguments, context),
         "endpoints" => endpoints(arguments, context),
+        "explain" => explain::run(arguments),
         "orders" => orders(arguments, context),
         "sites" => sites::run(arguments, context),
         "status" => run_status(arguments, context),
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -45,6 +45,10 @@
 
   IP:PORT is the router's operator_address.
 
+LOGS
+  explain ID FILE...           a request's way through the logs of hosts, in order of time, and what
+                               explains its end; FILE holds the JSON lines of sedgeridge-edge
+
 OPTIONS
   --json         print JSON
   -h, --help     print this text
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod context;
 pub mod dispatch;
 pub mod error;
+mod explain;
 mod findings;
 mod help;
 mod online;
