fix(fleet): silence counts against an endpoint; silent endpoints are given up where a second run is allowed

Found by reading: an endpoint that takes requests and never answers got 40 of 40 requests, since callers that leave were no failure. Both tests fail without the mend. Hosts with much work report before their interval is over.

--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -109,6 +109,8 @@
     requests: HashMap<RequestId, Pending>,
     queue: Vec<RequestId>,
     hosts: peers::PeerHosts,
+    /// Requests started since the last report to other hosts.
+    unreported: u32,
     no_room_until: Duration,
     next_tick: Duration,
     next_upkeep: Duration,
@@ -166,6 +168,7 @@
             requests: HashMap::new(),
             queue: Vec::new(),
             hosts: peers::PeerHosts::default(),
+            unreported: 0,
             no_room_until: Duration::ZERO,
             next_tick: Duration::ZERO,
             next_upkeep: Duration::ZERO,
@@ -191,7 +194,7 @@
             DispatchEvent::AttemptFailed(request, failure) => {
                 self.on_attempt_failed(now, request, failure, decisions);
             }
-            DispatchEvent::Abandoned(request) => self.on_abandoned(request),
+            DispatchEvent::Abandoned(request) => self.on_abandoned(now, request),
             DispatchEvent::Reported(report) => self.on_report(now, report),
             DispatchEvent::Tick => self.on_tick(now, decisions),
         }
--- a/crates/fleet/src/dispatcher/attempts.rs
+++ b/crates/fleet/src/dispatcher/attempts.rs
@@ -22,6 +22,9 @@
 /// Most endpoints that may be found unreachable for one request. Nothing was sent to them, so they
 /// do not count as attempts.
 const MAX_UNREACHED: u32 = 3;
+/// Latency targets of silence after which a caller that leaves counts against the endpoint. An
+/// endpoint that takes requests and never answers would otherwise look as good as the others.
+const SILENT_TARGETS: u32 = 2;
 /// Shortest time left with which a request is sent once more.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(30);
 
@@ -108,6 +111,7 @@
         } else {
             self.counts.resent += 1;
         }
+        self.unreported += 1;
         self.loads.add_own(endpoint.key, load);
         let verdict = Verdict::Send(endpoint);
         decisions.push(Decision {
@@ -154,13 +158,19 @@
         }
     }
 
-    pub(super) fn on_abandoned(&mut self, id: RequestId) {
+    pub(super) fn on_abandoned(&mut self, now: Duration, id: RequestId) {
         self.queue.retain(|queued| *queued != id);
         let Some(mut pending) = self.requests.remove(&id) else {
             return;
         };
         if let Some(attempt) = pending.attempt.take() {
             self.loads.subtract_own(attempt.endpoint.key, attempt.load);
+            let silent_for = now.saturating_sub(attempt.sent_at);
+            let patience = pending.arrival.route.latency_target * SILENT_TARGETS;
+            if !attempt.has_first_piece && silent_for > patience {
+                let key = attempt.endpoint.key;
+                self.records.failed(now, key, Failure::TimedOut);
+            }
         }
         if let Some(fingerprint) = pending.arrival.fingerprint {
             self.quarantine.ended(fingerprint);
--- a/crates/fleet/src/dispatcher/peers.rs
+++ b/crates/fleet/src/dispatcher/peers.rs
@@ -126,6 +126,7 @@
         let notices = self.quarantine.take_notices();
         self.hosts.queue_news(&notices);
         self.hosts.reports_made += 1;
+        self.unreported = 0;
         PeerReport {
             host: self.settings.host,
             run: self.settings.run,
@@ -140,6 +141,11 @@
         }
     }
 
+    /// Returns how many requests were started since the last report.
+    pub fn unreported(&self) -> u32 {
+        self.unreported
+    }
+
     /// Returns the number of hosts that report, this one included.
     pub fn hosts(&self) -> usize {
         self.hosts.count()
--- a/crates/fleet/tests/dispatcher.rs
+++ b/crates/fleet/tests/dispatcher.rs
@@ -90,6 +90,25 @@
     }
 }
 
+/// Callers are led away from an endpoint that takes requests and never answers. Each caller there
+/// gives up after a second, and no attempt ends with an error that would tell.
+#[test]
+fn an_endpoint_that_never_answers_loses_its_callers() {
+    let mut host = Host::new(1);
+    let mut mute = 0;
+    for step in 0..40_u64 {
+        let now = step * 1_000;
+        let (id, verdict) = host.arrive(now, plain_request(now, Repeat::AtMostOnce));
+        if sent_to(verdict) == "booking-1" {
+            mute += 1;
+            host.send(now + 900, DispatchEvent::Abandoned(id));
+        } else {
+            host.send(now + 20, DispatchEvent::Completed(id));
+        }
+    }
+    assert!(mute <= 6, "{mute} of 40 requests went to the mute endpoint");
+}
+
 /// The caller is told soon that nothing can be reached, not at the end of its time.
 #[test]
 fn without_an_endpoint_a_request_is_refused_within_its_latency_target() {
--- /dev/null
+++ b/crates/fleet/tests/store_roles.rs
@@ -0,0 +1,112 @@
+//! Which hosts of a fleet follow the platform's store, and when they report.
+
+mod support;
+
+use sedgeridge_fleet::dispatcher::DispatchEvent;
+use sedgeridge_fleet::dispatcher::StoreRole;
+use sedgeridge_fleet::hashing::stable_hash;
+use sedgeridge_fleet::peer_report::PeerReport;
+
+use support::Host;
+use support::at;
+use support::plain_request;
+
+fn fleet(size: u64) -> Vec<Host> {
+    (0..size)
+        .map(|host| Host::new(stable_hash(&host.to_string())))
+        .collect()
+}
+
+/// Every host in `from` reports to every host.
+fn report(fleet: &mut [Host], now: u64, from: std::ops::Range<usize>) {
+    let reports: Vec<PeerReport> = from
+        .map(|host| fleet[host].dispatcher.report(0, 0))
+        .collect();
+    for host in fleet {
+        for report in &reports {
+            host.send(now, DispatchEvent::Reported(report.clone()));
+        }
+    }
+}
+
+fn roles(fleet: &[Host], now: u64) -> Vec<StoreRole> {
+    let role = |host: &Host| host.dispatcher.store_role(at(now));
+    fleet.iter().map(role).collect()
+}
+
+fn followers(roles: &[StoreRole]) -> usize {
+    roles
+        .iter()
+        .filter(|role| **role != StoreRole::Copier)
+        .count()
+}
+
+#[test]
+fn every_host_of_a_small_fleet_follows_the_store() {
+    let mut fleet = fleet(9);
+    report(&mut fleet, 0, 0..9);
+    assert_eq!(followers(&roles(&fleet, 0)), 9);
+}
+
+#[test]
+fn four_hosts_of_a_large_fleet_follow_the_store_and_one_is_first() {
+    let mut fleet = fleet(81);
+    report(&mut fleet, 0, 0..81);
+    let roles = roles(&fleet, 0);
+    assert_eq!(followers(&roles), 4);
+    let first = roles
+        .iter()
+        .filter(|role| **role == StoreRole::FirstFollower);
+    assert_eq!(first.count(), 1);
+}
+
+/// Callers must be served by a new configuration within seconds, also when most of the fleet, all
+/// its followers among them, is killed at one moment: others follow the store as soon as the
+/// followers' silence is noticed.
+#[test]
+fn others_follow_the_store_when_the_followers_fall_silent() {
+    let mut fleet = fleet(81);
+    report(&mut fleet, 0, 0..81);
+    fleet.sort_by_key(|host| host.dispatcher.store_role(at(0)) == StoreRole::Copier);
+    let mut left: Vec<Host> = fleet.drain(4..).collect();
+    assert_eq!(followers(&roles(&left, 0)), 0);
+    for now in [1_000, 2_000, 2_400] {
+        let all = 0..left.len();
+        report(&mut left, now, all);
+    }
+    assert_eq!(followers(&roles(&left, 2_400)), 4);
+}
+
+/// A follower that the store turns away says so, and another one takes its place.
+#[test]
+fn a_host_without_the_store_is_no_follower() {
+    let mut fleet = fleet(81);
+    report(&mut fleet, 0, 0..81);
+    let before = roles(&fleet, 0);
+    let lost = before
+        .iter()
+        .position(|role| *role == StoreRole::FirstFollower)
+        .expect("a first follower");
+    let mut told = fleet[lost].dispatcher.report(0, 0);
+    told.store_answers = false;
+    for host in &mut fleet {
+        host.send(100, DispatchEvent::Reported(told.clone()));
+    }
+    let mut after = roles(&fleet, 100);
+    after.remove(lost);
+    assert_eq!(followers(&after), 4);
+}
+
+#[test]
+fn requests_started_since_the_last_report_are_counted() {
+    let mut host = Host::new(1);
+    for now in 0..5 {
+        host.arrive(
+            now,
+            plain_request(now, sedgeridge_fleet::config::Repeat::Idempotent),
+        );
+    }
+    assert_eq!(host.dispatcher.unreported(), 5);
+    host.dispatcher.report(0, 0);
+    assert_eq!(host.dispatcher.unreported(), 0);
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 use sedgeridge_fleet::arrival::Arrival;
 use sedgeridge_fleet::arrival::RequestId;
+use sedgeridge_fleet::config::Repeat;
 use sedgeridge_fleet::config::Route;
 use sedgeridge_fleet::dispatcher::DispatchEvent;
 use sedgeridge_fleet::endpoint_table::Endpoint;
@@ -49,6 +50,9 @@
 
 /// When a caller should come back while no configuration is known.
 const NO_CONFIG_RETRY: Duration = Duration::from_millis(300);
+/// Latency targets after which a short answer that may be asked for again is given up. Of a hundred
+/// answers of sound endpoints 99 come within two and a half.
+const SILENT_TARGETS: u32 = 3;
 /// Difference by which a caller's time must fall short of the route's timeout to be taken as that of
 /// a second try.
 const SECOND_TRY_MARGIN: Duration = Duration::from_millis(30);
@@ -212,7 +216,13 @@
             self.route.repeat,
             self.core.now().saturating_sub(self.received_at),
         );
-        let answer = attempt::send(&self.core, &self.outgoing, endpoint).await?;
+        let sending = attempt::send(&self.core, &self.outgoing, endpoint);
+        let answer = match self.attempt_limit() {
+            Some(limit) => timeout(limit, sending)
+                .await
+                .map_err(|_| Failure::TimedOut)??,
+            None => sending.await?,
+        };
         if self.route.repeat.is_stream() && answer.head.status.is_success() {
             return Ok(AttemptResult::Stream(answer));
         }
@@ -225,6 +235,14 @@
         Ok(AttemptResult::Whole(whole))
     }
 
+    /// An endpoint may take requests and never answer. Where a second run is allowed and answers are
+    /// short, the caller then gets its answer from another one; streams are left alone, since their
+    /// engines may only be busy.
+    fn attempt_limit(&self) -> Option<Duration> {
+        let is_short = self.route.repeat == Repeat::Idempotent;
+        is_short.then(|| self.route.latency_target * SILENT_TARGETS)
+    }
+
     fn note_first_piece(&self) {
         let after = self.core.now().saturating_sub(self.received_at);
         meters::first_piece(self.route.repeat, after);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -52,6 +52,9 @@
 /// Time between reports for each other host, so that a large fleet's reports stay below a hundred
 /// a second and host.
 const INTERVAL_PER_HOST: Duration = Duration::from_millis(12);
+/// Requests that a host starts before it reports, also before its interval is over. Loads that the
+/// others do not know of are bounded by this for each host, and hosts with little work stay quiet.
+const UNREPORTED_STARTS: u32 = 20;
 /// Time between looks at the list of hosts. Hosts also learn of each other by reports.
 const LIST_INTERVAL: Duration = Duration::from_secs(10);
 /// The same for each host, so that a large fleet lists no more often than a small one.
@@ -186,27 +189,40 @@
 
     /// Sends reports for as long as the process runs.
     pub async fn report_forever(&self, socket: Rc<UdpSocket>) {
+        let mut reported_at = self.core.now();
         loop {
-            let targets = self.targets();
-            let interval = INTERVAL_PER_HOST.saturating_mul(targets.len() as u32);
             tokio::select! {
-                () = tokio::time::sleep(interval.max(MIN_INTERVAL)) => {}
-                () = self.tables.news() => {}
+                () = tokio::time::sleep(MIN_INTERVAL) => {}
+                () = self.tables.news() => reported_at = Duration::ZERO,
             }
-            let config = self.tables.changed_version(Table::Config);
-            let endpoints = self.tables.changed_version(Table::Endpoints);
-            let mut report = self
+            let targets = self.targets();
+            let interval = INTERVAL_PER_HOST.saturating_mul(targets.len() as u32);
+            let elapsed = self.core.now().saturating_sub(reported_at);
+            let unreported = self
                 .core
-                .with_dispatcher(|dispatcher| dispatcher.report(config, endpoints));
-            report.is_stopping = self.core.is_stopping();
-            report.store_answers = self.tables.store_answers();
-            let bytes = report.encode();
-            self.note_hosts();
-            meters::report_sent(bytes.len() * targets.len());
-            for target in targets {
-                // A report that is lost is made up for by the next one.
-                let _ = socket.try_send_to(&bytes, target);
+                .with_dispatcher(|dispatcher| dispatcher.unreported());
+            if elapsed < interval && unreported < UNREPORTED_STARTS {
+                continue;
             }
+            reported_at = self.core.now();
+            self.report(&socket, &targets);
+        }
+    }
+
+    fn report(&self, socket: &UdpSocket, targets: &[SocketAddr]) {
+        let config = self.tables.changed_version(Table::Config);
+        let endpoints = self.tables.changed_version(Table::Endpoints);
+        let mut report = self
+            .core
+            .with_dispatcher(|dispatcher| dispatcher.report(config, endpoints));
+        report.is_stopping = self.core.is_stopping();
+        report.store_answers = self.tables.store_answers();
+        let bytes = report.encode();
+        self.note_hosts();
+        meters::report_sent(bytes.len() * targets.len());
+        for target in targets {
+            // A report that is lost is made up for by the next one.
+            let _ = socket.try_send_to(&bytes, *target);
         }
     }
 
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -89,6 +89,16 @@
     });
 }
 
+/// The caller gets its answer although the first endpoint takes the request and stays silent.
+#[test]
+fn a_silent_endpoint_is_given_up_for_another() {
+    let script = vec![vec![Act::Read, Act::Hang], answers("from the second")];
+    run(Repeat::Idempotent, 2, script, async |fleet| {
+        let answer = ask(fleet.callers, &request("a1"), false).await;
+        assert!(answer.ends_with("from the second"), "{answer}");
+    });
+}
+
 /// The caller must not get another caller's kit list. An endpoint answers with the id of another
 /// request, as it does when an old answer comes late on a connection that is used again.
 #[test]
