--- a/crates/fleet/src/account_shares.rs
+++ b/crates/fleet/src/account_shares.rs
@@ -9,6 +9,14 @@
 /// Age up to which another host's sums count.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(2_500);
 
+/// An account is backlogged if it asked for more than its share and for this much more than it got.
+const BACKLOGGED_RATIO: f64 = 1.3;
+/// Largest ratio between what two backlogged accounts are given. The users hold a ratio of two for
+/// unfair; the rest is for reports that are a second old.
+const MOST_AHEAD: f64 = 1.5;
+/// Part of the share below which a backlogged account holds nobody back: its host may be cut off.
+const LEAST_PART: f64 = 0.4;
+
 /// What one account asked for and was given in the window, in tokens.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Usage {
@@ -35,6 +43,7 @@
     reported: IntMap<u64, (Duration, Vec<(u64, Usage)>)>,
     totals: IntMap<u64, Usage>,
     level: f64,
+    most: f64,
 }
 
 impl AccountShares {
@@ -48,6 +57,7 @@
             reported: IntMap::default(),
             totals: IntMap::default(),
             level: f64::INFINITY,
+            most: f64::INFINITY,
         }
     }
 
@@ -103,6 +113,7 @@
             }
         }
         self.level = self.fair_level();
+        self.most = self.most_beside_backlogged();
     }
 
     /// Returns what the account was given, as a multiple of its fair share. Above 1 it has had it.
@@ -115,6 +126,16 @@
         f64::from(started) / self.level.max(1.0)
     }
 
+    /// Tells whether the account was given so much more than a backlogged one that it has to wait
+    /// even for room that nobody else uses now.
+    ///
+    /// A backlogged account may be held up by its host, which its callers fill. What engines have
+    /// left then goes to accounts on other hosts, and the gap between the two grows without bound.
+    pub fn is_far_ahead(&self, account: u64) -> bool {
+        let used = self.totals.get(&account);
+        used.is_some_and(|usage| f64::from(usage.started) > self.most)
+    }
+
     /// Returns the share at which accounts are cut, in tokens a window; infinite when all fit.
     pub fn level(&self) -> f64 {
         self.level
@@ -144,6 +165,20 @@
             .retain(|_, buckets| sum(buckets) != Usage::default());
     }
 
+    /// Returns the most that an account may have while another one is backlogged.
+    fn most_beside_backlogged(&self) -> f64 {
+        if !self.level.is_finite() {
+            return f64::INFINITY;
+        }
+        let backlogged = self.totals.values().filter(|usage| {
+            let (asked, started) = (f64::from(usage.asked), f64::from(usage.started));
+            asked > self.level && asked > started * BACKLOGGED_RATIO
+        });
+        let least = backlogged.map(|usage| f64::from(usage.started));
+        let least = least.fold(f64::INFINITY, f64::min);
+        least.max(self.level * LEAST_PART) * MOST_AHEAD
+    }
+
     /// Fills accounts evenly until the capacity is given out: the max-min share.
     fn fair_level(&self) -> f64 {
         let Some(capacity) = self.capacity_per_s else {
--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -186,7 +186,9 @@
         }
         let is_over_share = self.standing(arrival) > 1.0;
         let is_fresh = arrival.prompt.is_some() && pending.sends == 0;
-        if is_over_share && is_fresh && now < self.no_room_until {
+        let is_far_ahead = arrival.account.is_some_and(|it| self.shares.is_far_ahead(it));
+        let has_no_room = is_far_ahead || now < self.no_room_until;
+        if is_over_share && is_fresh && has_no_room {
             return Placing::Refuse(RefusalReason::OverShare, None);
         }
         let hold = arrival
--- a/crates/fleet/tests/shares.rs
+++ b/crates/fleet/tests/shares.rs
@@ -131,3 +131,34 @@
     shares.tick(at(3_000));
     assert!(shares.standing(1) < f64::EPSILON);
 }
+
+/// A film crew and the booking desk both ask for far more than there is. The crew's callers fill one
+/// small host, so that it gets little; what engines have left must not all go to the desk.
+#[test]
+fn a_backlogged_account_holds_those_far_ahead_back() {
+    let mut shares = AccountShares::new(at(4_000));
+    shares.set_capacity(Some(1_000.0));
+    for (account, started) in [(1, 1_200.0), (2, 2_000.0), (3, 1_500.0)] {
+        shares.on_asked(at(0), account, 20_000.0);
+        shares.on_started(at(0), account, started);
+    }
+    shares.on_asked(at(0), 4, 100.0);
+    shares.on_started(at(0), 4, 100.0);
+    shares.tick(at(100));
+    assert!(!shares.is_far_ahead(1));
+    assert!(shares.is_far_ahead(2));
+    assert!(!shares.is_far_ahead(3));
+    assert!(!shares.is_far_ahead(4));
+}
+
+/// An account whose host is cut off must not stop the whole fleet.
+#[test]
+fn an_account_that_gets_nothing_holds_nobody_below_a_part_of_the_share() {
+    let mut shares = AccountShares::new(at(4_000));
+    shares.set_capacity(Some(1_000.0));
+    shares.on_asked(at(0), 1, 20_000.0);
+    shares.on_asked(at(0), 2, 20_000.0);
+    shares.on_started(at(0), 2, 1_000.0);
+    shares.tick(at(100));
+    assert!(!shares.is_far_ahead(2));
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -324,6 +324,7 @@
             id: self.id,
             outgoing: self.outgoing,
             repeat: self.route.repeat,
+            has_begun: false,
             deadline: self.deadline,
         };
         let body = AnswerBody::Pieces(pump.start(endpoint, answer));
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -234,7 +234,7 @@
     /// Tells whether a caller's connection should end with the answer that is in progress.
     pub fn closes_connections(&self) -> bool {
         let is_crowded = self.callers.get() > self.settings.max_callers;
-        self.is_stopping() || is_crowded || self.lag.borrow().is_swamped()
+        self.is_stopping() || is_crowded
     }
 
     /// Tells whether the process was told to stop.
--- a/crates/gateway/src/stream_pump.rs
+++ b/crates/gateway/src/stream_pump.rs
@@ -42,6 +42,8 @@
     pub outgoing: Outgoing,
     /// What may be repeated.
     pub repeat: Repeat,
+    /// Whether the first event of the present attempt has come.
+    pub has_begun: bool,
     /// When the stream is cut.
     pub deadline: Duration,
 }
@@ -101,6 +103,7 @@
                 StreamEnd::Broken(failure) => failure,
             };
             splitter.drop_partial();
+            self.has_begun = false;
             self.outgoing.last_event_id = splitter.last_id().or(self.outgoing.last_event_id);
             self.log_break(&endpoint, failure);
             let Some(next) = self.resume(failure, pieces).await else {
@@ -153,7 +156,9 @@
             if events.is_empty() {
                 continue;
             }
-            self.core.handle(DispatchEvent::FirstPiece(self.id));
+            if !std::mem::replace(&mut self.has_begun, true) {
+                self.core.handle(DispatchEvent::FirstPiece(self.id));
+            }
             if pieces.send(Ok(Bytes::from(events))).await.is_err() {
                 return StreamEnd::CallerLeft;
             }
