--- a/crates/fleet/src/account_shares.rs
+++ b/crates/fleet/src/account_shares.rs
@@ -126,8 +126,8 @@
         f64::from(started) / self.level.max(1.0)
     }
 
-    /// Tells whether the account was given so much more than a backlogged one that it has to wait
-    /// even for room that nobody else uses now.
+    /// Tells whether the account was given so much more than a backlogged one that only idle
+    /// engines should take its requests.
     ///
     /// A backlogged account may be held up by its host, which its callers fill. What engines have
     /// left then goes to accounts on other hosts, and the gap between the two grows without bound.
--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -27,6 +27,9 @@
     pub low_backlog_part: f64,
     /// The same for requests that come back after a refusal, most of which are late by then.
     pub second_try_backlog_part: f64,
+    /// Part of an engine's slots up to which it counts as idle. Only idle engines take requests of
+    /// accounts that are far ahead of a backlogged one.
+    pub spare_part: f64,
     /// Part of the latency target that a request may wait for an endpoint.
     pub hold_part: f64,
     /// Part of the latency target by which the first event is expected, or the request waits.
@@ -45,6 +48,7 @@
             backlog_part: 0.4,
             low_backlog_part: 0.01,
             second_try_backlog_part: 0.0,
+            spare_part: 0.25,
             hold_part: 0.3,
             target_part: 0.9,
             memory_part: 0.9,
@@ -83,6 +87,8 @@
     cost_ms: f64,
     backlog_ms: f64,
     first_event_ms: f64,
+    /// Requests in progress as a part of the slots.
+    busy_part: f64,
 }
 
 impl From<Candidate<'_>> for Compared {
@@ -186,9 +192,7 @@
         }
         let is_over_share = self.standing(arrival) > 1.0;
         let is_fresh = arrival.prompt.is_some() && pending.sends == 0;
-        let is_far_ahead = arrival.account.is_some_and(|it| self.shares.is_far_ahead(it));
-        let has_no_room = is_far_ahead || now < self.no_room_until;
-        if is_over_share && is_fresh && has_no_room {
+        if is_over_share && is_fresh && now < self.no_room_until {
             return Placing::Refuse(RefusalReason::OverShare, None);
         }
         let hold = arrival
@@ -224,6 +228,12 @@
             // It has been begun: its caller waits for the rest, and the engine's work is spent.
             return true;
         }
+        let is_far_ahead = arrival
+            .account
+            .is_some_and(|it| self.shares.is_far_ahead(it));
+        if is_far_ahead && best.busy_part > settings.spare_part {
+            return false;
+        }
         let left = arrival.target_at().saturating_sub(now);
         let left_ms = left.as_secs_f64() * 1_000.0 * settings.target_part;
         let is_low =
@@ -307,6 +317,7 @@
                 + self.extra_cost_ms(endpoint),
             backlog_ms: backlog / self.speeds.tokens_per_ms(key),
             first_event_ms,
+            busy_part: f64::from(total.requests) / f64::from(endpoint.slots.max(1)),
         })
     }
 
@@ -329,6 +340,7 @@
             cost_ms: answer_ms + self.extra_cost_ms(endpoint),
             backlog_ms: 0.0,
             first_event_ms: answer_ms,
+            busy_part: depth,
         })
     }
 
