refactor(gateway): a request's reading, its way and its log lines in files of their own

Found on the way: the time for an answer was counted from the end of the body, so that a request whose body came slowly was kept past its route's timeout; and endpoints were told the caller's time where the route's timeout was shorter. Both are one deadline now.

--- a/crates/fleet/tests/dispatcher.rs
+++ b/crates/fleet/tests/dispatcher.rs
@@ -8,7 +8,6 @@
 use sedgeridge_fleet::verdict::RefusalReason;
 use sedgeridge_fleet::verdict::Verdict;
 
-use support::ENGINES;
 use support::Host;
 use support::PLAIN;
 use support::endpoint;
@@ -206,7 +205,6 @@
     one.send(5, DispatchEvent::Reported(report));
     let (_, verdict) = one.arrive(10, engine_request(10, 1, prompt(7, 10)));
     assert_ne!(sent_to(verdict), busy);
-    let _ = ENGINES;
 }
 
 /// A report that arrives late must not undo a newer one.
--- a/crates/fleet/tests/dispatcher_fuzz.rs
+++ b/crates/fleet/tests/dispatcher_fuzz.rs
@@ -15,7 +15,6 @@
 use sedgeridge_fleet::verdict::Verdict;
 
 use support::Host;
-use support::at;
 use support::engine_request;
 use support::plain_request;
 use support::prompt;
@@ -193,7 +192,6 @@
     assert_eq!(host.dispatcher.queued(), 0);
     let report = host.dispatcher.report(0, 0);
     assert!(report.loads.is_empty(), "still counted: {:?}", report.loads);
-    let _ = at(now);
 }
 
 proptest! {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -47,8 +47,8 @@
     pub id: std::sync::Arc<str>,
     /// The account that pays.
     pub account: Option<AccountId>,
-    /// When the caller stops waiting, if it said so.
-    pub caller_deadline: Option<Duration>,
+    /// When the caller stops waiting, or the route's timeout if that is earlier.
+    pub deadline: Duration,
     /// Events up to this one are not wanted again.
     pub last_event_id: Option<u64>,
     /// Whether the request may run a second time.
@@ -228,11 +228,10 @@
     ) -> Request<Full<Bytes>> {
         let now = core.now();
         let mut headers = self.headers.clone();
-        let time_left = self.caller_deadline.map(|at| at.saturating_sub(now));
         let facts = ForwardFacts {
             endpoint,
             account: self.account.as_ref(),
-            time_left,
+            time_left: self.deadline.saturating_sub(now),
             last_event_id: self.last_event_id,
         };
         core.wire.forward(&mut headers, &facts);
--- /dev/null
+++ b/crates/gateway/src/caller_request.rs
@@ -0,0 +1,165 @@
+//! Reads a caller's request: its head, its body, and where it leads.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::StatusCode;
+use http::header;
+use http::request::Parts;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use sedgeridge_fleet::config::Route;
+use sedgeridge_fleet::prompt::Prompt;
+use sedgeridge_fleet::route_table::LookupError;
+use sedgeridge_state::ids::AccountId;
+use tokio::time::timeout;
+
+use crate::answer;
+use crate::answer::Answer;
+use crate::answer::remove_connection_headers;
+use crate::attempt::Outgoing;
+use crate::clock::Clock;
+use crate::core::Core;
+use crate::event_log::LogEvent;
+use crate::wire::RequestFacts;
+use crate::wire::Wire;
+use crate::wire::WireError;
+
+/// When a caller should come back while no configuration is known.
+const NO_CONFIG_RETRY: Duration = Duration::from_millis(300);
+/// Difference by which a caller's time must fall short of the route's timeout to be taken as that of
+/// a second try. It is above what a sound link and a busy host take from the time of a first one.
+const SECOND_TRY_MARGIN: Duration = Duration::from_millis(30);
+/// Time after SIGTERM in which callers may still be led here. The balancer asks each second and
+/// takes two misses.
+const ROTATION_TIME: Duration = Duration::from_millis(2_600);
+/// When a caller should come back after a router that is about to stop refused it: at once, since
+/// it reaches another one.
+const STOPPING_RETRY: Duration = Duration::from_millis(20);
+
+/// A request that was read whole and that a route allows.
+#[derive(Debug)]
+pub struct ReadRequest {
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The request as it goes to endpoints.
+    pub outgoing: Outgoing,
+    /// For model engines: what is asked for.
+    pub prompt: Option<Prompt>,
+    /// Whether its caller has tried before.
+    pub is_second_try: bool,
+    /// When its head had been read.
+    pub received_at: Duration,
+}
+
+/// Returns the time after SIGTERM in which new requests are still taken.
+pub fn rotation_time(grace: Duration) -> Duration {
+    ROTATION_TIME.min(grace / 2)
+}
+
+/// Reads a request.
+///
+/// # Errors
+///
+/// The answer for a request that goes to no endpoint.
+pub async fn read<W: Wire, C: Clock>(
+    core: &Rc<Core<W, C>>,
+    request: Request<Incoming>,
+) -> Result<ReadRequest, Answer> {
+    let received_at = core.now();
+    if core.stopping_for() > Some(rotation_time(core.bounds.borrow().grace)) {
+        // It would be cut off by the end of the grace time.
+        return Err(answer::not_run("stopping", STOPPING_RETRY));
+    }
+    let (head, body) = request.into_parts();
+    let facts = core.wire.request(&head);
+    let facts = facts.map_err(|error| malformed(core, &error))?;
+    let found = look_up(core, &head, &facts);
+    let (route, account) = found.map_err(|error| turned_away(core, &head, &facts, error))?;
+    let allowed = facts.time_left.unwrap_or(route.timeout);
+    let deadline = received_at + allowed.min(route.timeout);
+    let body = read_body(core, body, deadline).await?;
+    let mut headers = head.headers;
+    remove_connection_headers(&mut headers);
+    let outgoing = Outgoing {
+        method: head.method,
+        uri: head.uri,
+        headers,
+        body,
+        id: facts.id,
+        account,
+        deadline,
+        last_event_id: facts.last_event_id,
+        may_run_again: route.repeat.allows_second_run(),
+    };
+    Ok(ReadRequest {
+        is_second_try: allowed + SECOND_TRY_MARGIN < route.timeout,
+        route,
+        outgoing,
+        prompt: facts.prompt,
+        received_at,
+    })
+}
+
+fn look_up<W: Wire, C: Clock>(
+    core: &Rc<Core<W, C>>,
+    head: &Parts,
+    facts: &RequestFacts,
+) -> Result<(Arc<Route>, Option<AccountId>), LookupError> {
+    let routes = core.routes.borrow().clone();
+    let host = head.headers.get(header::HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let route = routes.route(host, head.uri.path())?.clone();
+    let account = routes.account(&route, facts.key.as_deref())?;
+    Ok((route, account))
+}
+
+fn malformed<W: Wire, C: Clock>(core: &Rc<Core<W, C>>, error: &WireError) -> Answer {
+    let reason = error.to_string();
+    let fields = [("reason", reason.as_str().into())];
+    core.log(LogEvent::RequestTurnedAway, &fields);
+    answer::own(StatusCode::BAD_REQUEST, &reason)
+}
+
+fn turned_away<W: Wire, C: Clock>(
+    core: &Rc<Core<W, C>>,
+    head: &Parts,
+    facts: &RequestFacts,
+    error: LookupError,
+) -> Answer {
+    let fields = [
+        ("request", (*facts.id).into()),
+        ("path", head.uri.path().into()),
+        ("reason", error.as_str().into()),
+        ("config_version", core.routes.borrow().version().into()),
+    ];
+    core.log(LogEvent::RequestTurnedAway, &fields);
+    match error {
+        LookupError::NoConfig => answer::not_run("no configuration yet", NO_CONFIG_RETRY),
+        LookupError::NoRoute => answer::own(StatusCode::NOT_FOUND, "no route"),
+        LookupError::UnknownKey => answer::own(StatusCode::UNAUTHORIZED, "unknown key"),
+    }
+}
+
+async fn read_body<W: Wire, C: Clock>(
+    core: &Rc<Core<W, C>>,
+    body: Incoming,
+    deadline: Duration,
+) -> Result<Bytes, Answer> {
+    let limited = Limited::new(body, core.max_body_bytes.get());
+    let left = deadline.saturating_sub(core.now());
+    let Ok(read) = timeout(left, limited.collect()).await else {
+        return Err(answer::own(StatusCode::REQUEST_TIMEOUT, "body too slow"));
+    };
+    match read {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(answer::own(StatusCode::PAYLOAD_TOO_LARGE, "body too long"))
+        }
+        Err(_) => Err(answer::own(StatusCode::BAD_REQUEST, "body cut off")),
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,7 +7,9 @@
 pub mod answer;
 pub mod attempt;
 pub mod call;
+mod call_log;
 pub mod caller_listener;
+pub mod caller_request;
 pub mod clock;
 pub mod connection;
 pub mod core;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -10,8 +10,8 @@
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
-use crate::call::rotation_time;
 use crate::caller_listener::accept_forever;
+use crate::caller_request::rotation_time;
 use crate::clock::Clock;
 use crate::connection;
 use crate::core::Core;
--- a/crates/gateway/src/stream_pump.rs
+++ b/crates/gateway/src/stream_pump.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -44,8 +43,6 @@
     pub repeat: Repeat,
     /// Whether the first event of the present attempt has come.
     pub has_begun: bool,
-    /// When the stream is cut.
-    pub deadline: Duration,
 }
 
 /// Why no more events are passed on.
@@ -70,7 +67,7 @@
     }
 
     async fn run(mut self, endpoint: Arc<Endpoint>, answer: EndpointAnswer, pieces: Pieces) {
-        let left = self.deadline.saturating_sub(self.core.now());
+        let left = self.outgoing.deadline.saturating_sub(self.core.now());
         let passing = timeout(left, self.pass(endpoint, answer, &pieces));
         match passing.await {
             Ok(true) => {
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -34,8 +34,8 @@
     pub endpoint: &'a Endpoint,
     /// The account that pays.
     pub account: Option<&'a AccountId>,
-    /// How long the caller still waits.
-    pub time_left: Option<Duration>,
+    /// How long an answer is waited for.
+    pub time_left: Duration,
     /// Go on after this event.
     pub last_event_id: Option<u64>,
 }
