--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -250,6 +250,25 @@
     });
 }
 
+/// The route's timeout runs from the request's head. A body that came slowly must not move it.
+#[test]
+fn a_slow_body_does_not_move_the_timeout() {
+    let script = vec![vec![Act::Read, Act::Hang]];
+    run(Repeat::AtMostOnce, 1, script, async |fleet| {
+        let mut caller = TcpStream::connect(fleet.callers).await.expect("connected");
+        let whole = request("a1");
+        let (head, body) = whole.split_at(whole.len() - 2);
+        let asked = std::time::Instant::now();
+        caller.write_all(head.as_bytes()).await.expect("sent");
+        tokio::time::sleep(Duration::from_millis(900)).await;
+        caller.write_all(body.as_bytes()).await.expect("sent");
+        let answer = read_message(&mut caller).await.expect("an answer");
+        assert!(answer.starts_with("HTTP/1.1 504"), "{answer}");
+        let took = asked.elapsed();
+        assert!(took < Duration::from_millis(2_000), "{took:?}");
+    });
+}
+
 /// A planned stop cuts off nobody: the request in progress gets its answer, the balancer is told,
 /// an idle kept connection is closed, and the process ends.
 #[test]
