--- a/crates/gateway/src/stream_pump.rs
+++ b/crates/gateway/src/stream_pump.rs
@@ -197,7 +197,7 @@
                             .attempt_failed(self.id, &self.outgoing, Failure::ServerError);
                 }
                 Err(failure) => {
-                    waiting = self.core.attempt_failed(self.id, &self.outgoing, failure)
+                    waiting = self.core.attempt_failed(self.id, &self.outgoing, failure);
                 }
             }
         }
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -57,11 +57,7 @@
             let role = self
                 .core
                 .with_dispatcher(|dispatcher| dispatcher.store_role(now));
-            let mut watch = self.watch(table).borrow_mut();
-            watch.set_following(role != StoreRole::Copier);
-            let step = watch.step(now);
-            drop(watch);
-            match step {
+            match self.next_step(table, now, role) {
                 WatchStep::WaitUntil(at) => {
                     let pause = at.saturating_sub(self.core.now());
                     tokio::time::sleep(pause).await;
@@ -80,6 +76,12 @@
         }
     }
 
+    fn next_step(&self, table: Table, now: Duration, role: StoreRole) -> WatchStep {
+        let mut watch = self.watch(table).borrow_mut();
+        watch.set_following(role != StoreRole::Copier);
+        watch.step(now)
+    }
+
     /// Waits until a change is known that other hosts should hear of at once.
     pub async fn news(&self) {
         self.news.notified().await;
