--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -67,8 +67,8 @@
 /// targets, so that any endpoint that answers goes before one that never does.
 const FAILURE_COST_MS: f64 = 400.0;
 /// Cost in the comparison of a shared token that an endpoint has not cached, besides its reading
-/// time: it takes memory from other shared parts, which are read again in turn. Ten times the
-/// reading time of a busy engine; at 0.03 overloaded days on 18 engines earned 0.58, at 0.1 0.60.
+/// time: it takes memory from other shared parts, which are read again in turn. Eight times the
+/// reading time of a busy engine; overloaded days on 18 engines earned 0.58 at 0.03 and 0.60 at 0.1.
 const REREAD_COST_MS: f64 = 0.1;
 /// Cost in the comparison of each further home of a prompt, a third of the time that reading a usual
 /// shared part takes: below this difference in time all
@@ -82,8 +82,7 @@
 /// shown that engines have no room left over. In a flood the comparison of a hundred engines for each
 /// request uses up a small host's processor, and then everybody waits.
 const NO_ROOM_TIME: Duration = Duration::from_millis(10);
-/// When a caller should come back after overload: about the length of a burst of arrivals. Twice the
-/// time made no difference.
+/// When a caller should come back after overload: about the length of a burst of arrivals.
 const OVERLOAD_RETRY: Duration = Duration::from_millis(2_000);
 /// When a caller should come back where no endpoint could be reached: detection plus restart.
 const OUTAGE_RETRY: Duration = Duration::from_millis(400);
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -48,8 +48,8 @@
 /// Listens on an address; the connections that come in have the same options as those that are
 /// opened here.
 ///
-/// The options are set on the listener, which hands them to its connections: set on each, they took
-/// six of the thirteen system calls of a request that is refused.
+/// The options are set on the listener, which hands them to its connections: set on each, they
+/// would be most of the system calls of a request that is refused (counted in the code).
 ///
 /// # Errors
 ///
