--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -25,7 +25,10 @@
     /// get what engines have left: at 0.15 they took so much reading time that the others' first
     /// events came late, and overloaded days earned 0.41 of their benefit against 0.50 at 0.01.
     pub low_backlog_part: f64,
-    /// The same for requests that come back after a refusal, most of which are late by then.
+    /// The same for requests that come back after a refusal, of accounts that are behind their share.
+    /// Most such requests are late by then. But where an account's callers all come to one host, its
+    /// second tries are half of what it asks; refused while accounts over their share took the idle
+    /// engines, it got less than half of what the best served account got.
     pub second_try_backlog_part: f64,
     /// Part of an engine's slots up to which it counts as idle. Only idle engines take requests of
     /// accounts that are far ahead of a backlogged one. A guess: well below where a batch slows.
@@ -52,7 +55,7 @@
         Self {
             backlog_part: 0.4,
             low_backlog_part: 0.01,
-            second_try_backlog_part: 0.0,
+            second_try_backlog_part: 0.1,
             spare_part: 0.25,
             hold_part: 0.3,
             target_part: 0.9,
@@ -78,6 +81,8 @@
 const SHARED_MEMORY_PART: f64 = 0.3;
 /// Part of the largest answer that counts as memory: answers end early, and grow while they run.
 const ANSWER_MEMORY_PART: f64 = 0.5;
+/// Part of its share below which an account counts as behind it.
+const BEHIND_STANDING: f64 = 0.8;
 /// Time for which accounts over their share are refused without another comparison, once it has
 /// shown that engines have no room left over. In a flood the comparison of a hundred engines for each
 /// request uses up a small host's processor, and then everybody waits.
@@ -243,11 +248,15 @@
         }
         let left = arrival.target_at().saturating_sub(now);
         let left_ms = left.as_secs_f64() * 1_000.0 * settings.target_part;
-        let is_low =
-            best.first_event_ms > left_ms || arrival.is_second_try || self.standing(arrival) > 1.0;
-        let part = match is_low {
-            true => settings.low_backlog_part,
-            false => settings.backlog_part,
+        let standing = self.standing(arrival);
+        let part = if best.first_event_ms > left_ms || standing > 1.0 {
+            settings.low_backlog_part
+        } else if !arrival.is_second_try {
+            settings.backlog_part
+        } else if standing < BEHIND_STANDING {
+            settings.second_try_backlog_part
+        } else {
+            settings.low_backlog_part
         };
         let target = self.shortest_target.get(&arrival.service);
         let target = target.copied().unwrap_or(arrival.route.latency_target);
