--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -270,15 +270,20 @@
         let spec = self.services.get(&arrival.service);
         let engine = spec.and_then(|spec| spec.engine);
         let prompt = arrival.prompt.as_ref();
+        let up: Vec<_> = usable
+            .iter()
+            .filter(|endpoint| self.records.is_up(now, endpoint.key))
+            .collect();
+        // Homes are chosen among the endpoints that work. When the homes of a prompt were down, each
+        // of its requests went to the least busy endpoint and was read anew there.
         let homes = prompt
             .and_then(Prompt::placement_key)
-            .map(|key| home_endpoints(key, usable.iter().map(|endpoint| endpoint.key)))
+            .map(|key| home_endpoints(key, up.iter().map(|endpoint| endpoint.key)))
             .unwrap_or_default();
-        let untried = usable
-            .iter()
+        let untried = up
+            .into_iter()
             .filter(|endpoint| !pending.tried.contains(&endpoint.key));
-        let up = untried.filter(|endpoint| self.records.is_up(now, endpoint.key));
-        let candidates = up.filter_map(|endpoint| match (prompt, engine) {
+        let candidates = untried.filter_map(|endpoint| match (prompt, engine) {
             (Some(prompt), Some(engine)) => {
                 let home = homes.iter().position(|home| *home == Some(endpoint.key));
                 let candidate =
