--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -10,7 +10,8 @@
 use crate::config::EngineSpec;
 use crate::endpoint_load::Load;
 use crate::endpoint_table::Endpoint;
-use crate::placement::home_endpoints;
+use crate::placement::HOMES;
+use crate::placement::places;
 use crate::prompt::Prompt;
 use crate::verdict::Decision;
 use crate::verdict::RefusalReason;
@@ -73,10 +74,14 @@
 /// time: it takes memory from other shared parts, which are read again in turn. Eight times the
 /// reading time of a busy engine; overloaded days on 18 engines earned 0.58 at 0.03 and 0.60 at 0.1.
 const REREAD_COST_MS: f64 = 0.1;
-/// Cost in the comparison of each further home of a prompt, a third of the time that reading a usual
+/// Cost in the comparison of each further place of a prompt, a third of the time that reading a usual
 /// shared part takes: below this difference in time all
 /// requests about a subject meet at its first home, which alone then caches the shared part.
-const NEXT_HOME_COST_MS: f64 = 30.0;
+const NEXT_PLACE_COST_MS: f64 = 30.0;
+/// Shared tokens above which a prompt is read only at its places. Where all slots of a large fleet
+/// are in use, the homes of a prompt are as a rule full, and whichever engine has a slot left would
+/// read its shared part anew.
+const FEW_SHARED_TOKENS: u32 = 2_000;
 /// Part of the shared tokens that counts as memory of its own: several requests hold them together.
 const SHARED_MEMORY_PART: f64 = 0.3;
 /// Part of the largest answer that counts as memory: answers end early, and grow while they run.
@@ -276,19 +281,23 @@
             .collect();
         // Homes are chosen among the endpoints that work. When the homes of a prompt were down, each
         // of its requests went to the least busy endpoint and was read anew there.
-        let homes = prompt
+        let places = prompt
             .and_then(Prompt::placement_key)
-            .map(|key| home_endpoints(key, up.iter().map(|endpoint| endpoint.key)))
+            .map(|key| places(key, up.iter().map(|endpoint| endpoint.key)))
             .unwrap_or_default();
+        let is_bound = prompt.is_some_and(|prompt| prompt.shared_tokens() > FEW_SHARED_TOKENS);
         let untried = up
             .into_iter()
             .filter(|endpoint| !pending.tried.contains(&endpoint.key));
         let candidates = untried.filter_map(|endpoint| match (prompt, engine) {
             (Some(prompt), Some(engine)) => {
-                let home = homes.iter().position(|home| *home == Some(endpoint.key));
-                let candidate =
-                    self.engine_candidate(now, endpoint, engine, prompt, home.is_some());
-                let further_ms = home.map_or(0.0, |rank| rank as f64 * NEXT_HOME_COST_MS);
+                let place = places.iter().position(|place| *place == Some(endpoint.key));
+                if is_bound && place.is_none() {
+                    return None;
+                }
+                let is_home = place.is_some_and(|rank| rank < HOMES);
+                let candidate = self.engine_candidate(now, endpoint, engine, prompt, is_home);
+                let further_ms = place.map_or(0.0, |rank| rank as f64 * NEXT_PLACE_COST_MS);
                 candidate.map(|candidate| Candidate {
                     cost_ms: candidate.cost_ms + further_ms,
                     ..candidate
