--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -69,7 +69,7 @@
 pub const HOMES: usize = 2;
 /// Endpoints that may read a long shared part at all: its homes, and those that stand in for them in
 /// a fixed order when they are full.
-pub const PLACES: usize = 3;
+pub const PLACES: usize = 2;
 
 /// Returns the endpoints on which the fleet places prompts with this key, the homes first: the same on
 /// every host that knows the same endpoints, and unchanged when another endpoint comes or goes.
