--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -81,7 +81,7 @@
 /// Shared tokens above which a prompt is read only at its places. Where all slots of a large fleet
 /// are in use, the homes of a prompt are as a rule full, and whichever engine has a slot left would
 /// read its shared part anew.
-const FEW_SHARED_TOKENS: u32 = 300;
+const FEW_SHARED_TOKENS: u32 = 100;
 /// Part of the shared tokens that counts as memory of its own: several requests hold them together.
 const SHARED_MEMORY_PART: f64 = 0.3;
 /// Part of the largest answer that counts as memory: answers end early, and grow while they run.
