--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -78,10 +78,12 @@
 /// shared part takes: below this difference in time all
 /// requests about a subject meet at its first home, which alone then caches the shared part.
 const NEXT_PLACE_COST_MS: f64 = 30.0;
+/// Part of its slots up to which a further place of a prompt takes it.
+const FURTHER_PLACE_PART: f64 = 0.5;
 /// Shared tokens above which a prompt is read only at its places. Where all slots of a large fleet
 /// are in use, the homes of a prompt are as a rule full, and whichever engine has a slot left would
 /// read its shared part anew.
-const FEW_SHARED_TOKENS: u32 = 100;
+const FEW_SHARED_TOKENS: u32 = 300;
 /// Part of the shared tokens that counts as memory of its own: several requests hold them together.
 const SHARED_MEMORY_PART: f64 = 0.3;
 /// Part of the largest answer that counts as memory: answers end early, and grow while they run.
@@ -296,7 +298,11 @@
                     return None;
                 }
                 let is_home = place.is_some_and(|rank| rank < HOMES);
-                let candidate = self.engine_candidate(now, endpoint, engine, prompt, is_home);
+                let candidate = self
+                    .engine_candidate(now, endpoint, engine, prompt, is_home)
+                    .filter(|candidate| {
+                        !is_bound || place == Some(0) || candidate.busy_part <= FURTHER_PLACE_PART
+                    });
                 let further_ms = place.map_or(0.0, |rank| rank as f64 * NEXT_PLACE_COST_MS);
                 candidate.map(|candidate| Candidate {
                     cost_ms: candidate.cost_ms + further_ms,
