--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -79,7 +79,7 @@
 /// requests about a subject meet at its first home, which alone then caches the shared part.
 const NEXT_PLACE_COST_MS: f64 = 30.0;
 /// Part of its slots up to which a further place of a prompt takes it.
-const FURTHER_PLACE_PART: f64 = 0.5;
+const FURTHER_PLACE_PART: f64 = 0.25;
 /// Shared tokens above which a prompt is read only at its places. Where all slots of a large fleet
 /// are in use, the homes of a prompt are as a rule full, and whichever engine has a slot left would
 /// read its shared part anew.
