--- a/crates/load/src/processes.rs
+++ b/crates/load/src/processes.rs
@@ -33,6 +33,8 @@
     Continue,
     /// Asks a process to stop.
     Terminate,
+    /// Tells a process that its settings changed.
+    Reload,
 }
 
 impl Signal {
@@ -42,6 +44,7 @@
             Self::Stop => "STOP",
             Self::Continue => "CONT",
             Self::Terminate => "TERM",
+            Self::Reload => "HUP",
         }
     }
 }
@@ -62,15 +65,7 @@
 
     /// Sends a signal to the process of this name, by its recorded id.
     pub fn signal(&self, name: &str, signal: Signal) -> io::Result<()> {
-        let pid = self.pid(name)?;
-        let status = Command::new("sh")
-            .args(["-c", "kill -s \"$1\" \"$2\"", "sh"])
-            .args([signal.name(), &pid.to_string()])
-            .status()?;
-        if status.success() {
-            return Ok(());
-        }
-        Err(io::Error::other(format!("cannot signal {name}")))
+        signal_process(self.pid(name)?, signal)
     }
 
     /// Starts a process again as the plan says, and records its new id.
@@ -104,6 +99,24 @@
     }
 }
 
+/// Sends a signal to a process that this program started.
+///
+/// # Errors
+///
+/// There is no such process any more.
+pub fn signal_process(pid: u32, signal: Signal) -> io::Result<()> {
+    let status = Command::new("sh")
+        .args(["-c", "kill -s \"$1\" \"$2\"", "sh"])
+        .args([signal.name(), &pid.to_string()])
+        .stderr(Stdio::null())
+        .status()?;
+    if status.success() {
+        return Ok(());
+    }
+    let signal = signal.name();
+    Err(io::Error::other(format!("cannot send {signal} to {pid}")))
+}
+
 fn line_of<'a>(text: &'a str, name: &str) -> io::Result<&'a str> {
     let mut lines = text.lines().rev();
     let line = lines.find(|line| line.split_whitespace().next() == Some(name));
--- /dev/null
+++ b/crates/soak/src/callers.rs
@@ -0,0 +1,277 @@
+//! Callers: they keep open connections, check each answer, and go elsewhere when a connection ends.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Response;
+use hyper::body::Incoming;
+use sedgeridge_coordination::random::SeededRandom;
+use sedgeridge_gateway::endpoint_pool::EndpointConnection;
+use sedgeridge_gateway::endpoint_pool::open_connection;
+use sedgeridge_platform_standins::caller::CallerTry;
+use sedgeridge_platform_standins::caller::is_vouched;
+use sedgeridge_platform_standins::caller::request;
+use sedgeridge_platform_standins::documents::Kind;
+use sedgeridge_platform_standins::endpoint::STREAM_EVENTS;
+use sedgeridge_platform_standins::endpoint::event_data;
+use sedgeridge_platform_standins::endpoint::whole_answer;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::records::Outcome;
+use crate::records::Record;
+use crate::site::HOST;
+use crate::site::TIMEOUT;
+use crate::site::key;
+use crate::site::path;
+
+/// Time after which a request without a final answer hangs: its own time and room for a busy
+/// machine.
+const HUNG_AFTER: Duration = Duration::from_millis(4_000);
+/// Pause of a caller whose connection could not be opened or was refused.
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
+/// Shortest and longest pause between two requests of a caller.
+const PAUSE_MS: (u64, u64) = (10, 70);
+/// Requests in a hundred that present a revoked key.
+const REVOKED_PERCENT: u64 = 4;
+/// Time after which callers use a new key.
+const KEY_SPREAD: Duration = Duration::from_secs(2);
+
+/// What all callers share with those who steer the run.
+#[derive(Debug)]
+pub struct Shared {
+    /// Start of the run.
+    pub started: Instant,
+    /// Where callers connect, by router.
+    pub addresses: Vec<SocketAddr>,
+    /// Process of each router; 0 while none runs.
+    pub processes: RefCell<Vec<u32>>,
+    /// Whether the balancer takes each router for ready.
+    pub ready: RefCell<Vec<bool>>,
+    /// Newest generation of keys, and since when.
+    pub key: Cell<(u64, Duration)>,
+    /// Whether callers should go on.
+    pub goes_on: Cell<bool>,
+    /// What they saw.
+    pub records: RefCell<Vec<Record>>,
+}
+
+impl Shared {
+    /// Returns the time since the start.
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn draw_router(&self, random: &mut SeededRandom) -> usize {
+        let ready = self.ready.borrow();
+        let ready: Vec<_> = (0..ready.len()).filter(|router| ready[*router]).collect();
+        match ready.is_empty() {
+            true => random.below(self.addresses.len() as u64) as usize,
+            false => ready[random.below(ready.len() as u64) as usize],
+        }
+    }
+}
+
+/// An open connection to a router.
+struct Connection {
+    sender: EndpointConnection,
+    router: usize,
+    process: u32,
+    opened_at: Duration,
+}
+
+/// Runs one caller until the run ends.
+pub async fn run(shared: Rc<Shared>, number: u64, seed: u64) {
+    let mut random = SeededRandom::new(seed ^ number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    let mut connection = None;
+    let mut requests = 0;
+    while shared.goes_on.get() {
+        let Some(open) = ensure_open(&shared, &mut random, &mut connection).await else {
+            sleep(RETRY_PAUSE).await;
+            continue;
+        };
+        requests += 1;
+        let record = ask(&shared, &mut random, open, format!("{number}-{requests}")).await;
+        if !matches!(record.outcome, Outcome::Answered { .. }) {
+            connection = None;
+        }
+        if !record.is_served() {
+            sleep(RETRY_PAUSE).await;
+        }
+        shared.records.borrow_mut().push(record);
+        let (low, high) = PAUSE_MS;
+        sleep(Duration::from_millis(low + random.below(high - low))).await;
+    }
+}
+
+/// Keeps the open connection while it can be used, as callers do until its process is gone.
+async fn ensure_open<'a>(
+    shared: &Shared,
+    random: &mut SeededRandom,
+    connection: &'a mut Option<Connection>,
+) -> Option<&'a mut Connection> {
+    if let Some(open) = connection
+        && open.sender.ready().await.is_err()
+    {
+        *connection = None;
+    }
+    if connection.is_none() {
+        let router = shared.draw_router(random);
+        let process = shared.processes.borrow()[router];
+        let opened_at = shared.now();
+        let sender = open_connection(shared.addresses[router]).await.ok()?;
+        *connection = Some(Connection {
+            sender,
+            router,
+            process,
+            opened_at,
+        });
+    }
+    connection.as_mut()
+}
+
+async fn ask(
+    shared: &Shared,
+    random: &mut SeededRandom,
+    connection: &mut Connection,
+    id: String,
+) -> Record {
+    let kinds = [Kind::Idempotent, Kind::AtMostOnce, Kind::Stream];
+    let kind = kinds[random.below(3) as usize];
+    let (newest, since) = shared.key.get();
+    let is_revoked = newest >= 3 && random.below(100) < REVOKED_PERCENT;
+    let is_spread = shared.now().saturating_sub(since) >= KEY_SPREAD;
+    let generation = match (is_revoked, is_spread) {
+        (true, _) => newest - 2,
+        (false, true) => newest,
+        (false, false) => newest - 1,
+    };
+    let head = CallerTry {
+        id: id.clone(),
+        host: HOST.to_owned(),
+        path: path(kind).to_owned(),
+        key: key(generation),
+        wait_ms: TIMEOUT.as_millis() as u64,
+    };
+    let sent_at = shared.now();
+    let outcome = match request(&head, Full::from(Bytes::from(format!("body of {id}")))) {
+        Ok(request) => {
+            let answered = exchange(&mut connection.sender, request, &id, kind);
+            timeout(HUNG_AFTER, answered).await.unwrap_or(Outcome::Hung)
+        }
+        Err(_) => Outcome::Failed {
+            was_sent: false,
+            wrong: None,
+        },
+    };
+    Record {
+        id,
+        kind,
+        router: connection.router,
+        process: connection.process,
+        connected_at: connection.opened_at,
+        sent_at,
+        ended_at: shared.now(),
+        key: generation,
+        is_revoked,
+        outcome,
+    }
+}
+
+async fn exchange(
+    sender: &mut EndpointConnection,
+    request: hyper::Request<Full<Bytes>>,
+    id: &str,
+    kind: Kind,
+) -> Outcome {
+    let answer = match sender.send_request(request).await {
+        Ok(answer) => answer,
+        Err(error) => {
+            return Outcome::Failed {
+                was_sent: !error.is_canceled(),
+                wrong: None,
+            };
+        }
+    };
+    let status = answer.status().as_u16();
+    let is_vouched = is_vouched(answer.headers());
+    let (is_whole, wrong) = match (status, kind) {
+        (200, Kind::Stream) => read_stream(answer, id).await,
+        (200, Kind::Idempotent | Kind::AtMostOnce) => read_whole(answer, id).await,
+        _ => (answer.into_body().collect().await.is_ok(), None),
+    };
+    match is_whole {
+        true => Outcome::Answered {
+            status,
+            is_vouched,
+            wrong,
+        },
+        false => Outcome::Failed {
+            was_sent: true,
+            wrong,
+        },
+    }
+}
+
+async fn read_whole(answer: Response<Incoming>, id: &str) -> (bool, Option<String>) {
+    let Ok(body) = answer.into_body().collect().await else {
+        return (false, None);
+    };
+    let body = body.to_bytes();
+    let is_right = body == whole_answer(id).as_bytes();
+    let wrong = (!is_right).then(|| format!("{} bytes that are not its answer", body.len()));
+    (true, wrong)
+}
+
+/// Reads events as they come: a stream that breaks off must be right up to there.
+async fn read_stream(answer: Response<Incoming>, id: &str) -> (bool, Option<String>) {
+    let mut body = answer.into_body();
+    let mut text = String::new();
+    let mut next = 0;
+    loop {
+        let frame = match body.frame().await {
+            None => break,
+            Some(Err(_)) => return (false, check_events(&mut text, &mut next, id)),
+            Some(Ok(frame)) => frame,
+        };
+        if let Ok(bytes) = frame.into_data() {
+            text.push_str(&String::from_utf8_lossy(&bytes));
+        }
+        if let Some(wrong) = check_events(&mut text, &mut next, id) {
+            return (true, Some(wrong));
+        }
+    }
+    let is_complete = next == STREAM_EVENTS && text.is_empty();
+    (
+        true,
+        (!is_complete).then(|| format!("ended whole after {next} events")),
+    )
+}
+
+/// Takes whole events off the text; tells what is wrong with one.
+fn check_events(text: &mut String, next: &mut u64, id: &str) -> Option<String> {
+    while let Some(end) = text.find("\n\n") {
+        let event: String = text.drain(..end + 2).collect();
+        let fields: HashMap<_, _> = event
+            .lines()
+            .filter_map(|line| line.split_once(": "))
+            .collect();
+        let number = fields
+            .get("id")
+            .and_then(|number| number.parse::<u64>().ok());
+        let data = fields.get("data").copied().unwrap_or_default();
+        if number != Some(*next) || data != event_data(id, *next) {
+            return Some(format!("{event:?} instead of event {next}"));
+        }
+        *next += 1;
+    }
+    None
+}
