gateway: a stop no longer waits for a reader of the log that has stopped

Cause: the log's thread writes to standard output; at the end the process waited for that thread, which never ends when nobody reads the pipe, until SIGKILL. Requests were served all the time. The log's time of day now follows from the start and the steady clock; it read the system's clock on its own.

--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -6,9 +6,9 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::sync::mpsc;
+use std::thread;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use serde_json::Map;
 use serde_json::Value;
@@ -81,9 +81,13 @@
     RequestTurnedAway = 3307, "gateway_request_turned_away";
 }
 
+/// Longest wait for the last lines: a reader that lives takes them within milliseconds.
+const CLOSE_TIME: Duration = Duration::from_millis(200);
+
 /// Writes events without ever waiting for the reader of standard output.
 pub struct EventLog {
-    logger: Option<Logger>,
+    logger: RefCell<Option<Logger>>,
+    started_at: Duration,
     host: Arc<str>,
     dropped: Arc<AtomicU64>,
     budgets: RefCell<HashMap<u16, Budget>>,
@@ -105,16 +109,19 @@
 }
 
 impl EventLog {
-    /// Opens the log on standard output.
+    /// Opens the log on standard output. `started_at` is the time of day at the start of the process,
+    /// since the epoch; a line's time of day follows from it and the time since, so that a clock that
+    /// is set does not change the order of lines.
     ///
     /// # Errors
     ///
     /// The writing thread cannot be started.
-    pub fn to_stdout(host: Arc<str>) -> spdlog::Result<Self> {
+    pub fn to_stdout(host: Arc<str>, started_at: Duration) -> spdlog::Result<Self> {
         let dropped = Arc::new(AtomicU64::new(0));
         let logger = open_logger(&dropped)?;
         Ok(Self {
-            logger: Some(logger),
+            logger: RefCell::new(Some(logger)),
+            started_at,
             dropped,
             ..Self::silent(host)
         })
@@ -123,7 +130,8 @@
     /// Creates a log that writes nothing.
     pub fn silent(host: Arc<str>) -> Self {
         Self {
-            logger: None,
+            logger: RefCell::new(None),
+            started_at: Duration::ZERO,
             host,
             dropped: Arc::new(AtomicU64::new(0)),
             budgets: RefCell::new(HashMap::new()),
@@ -133,14 +141,15 @@
     /// Writes an event with its fields, unless the event's lines for this second are used up. `now`
     /// is the time since the start of the process.
     pub fn write(&self, now: Duration, event: LogEvent, fields: &[(&'static str, Value)]) {
-        let Some(logger) = &self.logger else {
+        let logger = self.logger.borrow();
+        let Some(logger) = logger.as_ref() else {
             return;
         };
         let Some(left_out) = self.allow(now, event) else {
             return;
         };
         let mut line = Map::new();
-        line.insert("at_ms".into(), wall_millis());
+        line.insert("at_ms".into(), millis(self.started_at + now));
         line.insert("up_ms".into(), millis(now));
         line.insert("host".into(), (*self.host).into());
         line.insert("event".into(), format!("E{}", event.code()).into());
@@ -158,7 +167,7 @@
     /// Tells whether a line of this event would be written now. Lets callers under load spare the
     /// work of making fields that nobody gets; what is left out is counted here.
     pub fn is_wanted(&self, now: Duration, event: LogEvent) -> bool {
-        if self.logger.is_none() {
+        if self.logger.borrow().is_none() {
             return false;
         }
         let mut budgets = self.budgets.borrow_mut();
@@ -175,11 +184,24 @@
         self.dropped.load(Ordering::Relaxed)
     }
 
-    /// Waits until everything is written. Call it before the process ends.
-    pub fn flush(&self) {
-        if let Some(logger) = &self.logger {
-            logger.flush();
-        }
+    /// Writes what is left, for at most [`CLOSE_TIME`], and ends the log. Call it before the process
+    /// ends.
+    ///
+    /// The log's thread ends once it has written all lines, and whoever reads standard output may have
+    /// stopped. To wait for it without an end would keep the process past its grace time; another
+    /// thread waits instead, and ends with the process.
+    pub fn close(&self) {
+        let Some(logger) = self.logger.take() else {
+            return;
+        };
+        let (done, is_done) = mpsc::channel();
+        thread::spawn(move || {
+            drop(logger);
+            // Nobody listens any more if it took too long.
+            let _ = done.send(());
+        });
+        // Lines that are not written by then are lost with the process; nobody reads them.
+        let _ = is_done.recv_timeout(CLOSE_TIME);
     }
 
     /// Takes one line from the event's budget; returns how many were left out before it.
@@ -227,8 +249,3 @@
 pub fn millis(time: Duration) -> Value {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX).into()
 }
-
-fn wall_millis() -> Value {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    millis(since.unwrap_or_default())
-}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -134,7 +134,7 @@
     stop(&core, &peers, store).await;
     let fields = [("in_progress", core.in_progress.get().into())];
     core.log(LogEvent::Stopped, &fields);
-    core.log.flush();
+    core.log.close();
     Ok(())
 }
 
