--- a/crates/fleet/src/dispatcher/peers.rs
+++ b/crates/fleet/src/dispatcher/peers.rs
@@ -224,7 +224,7 @@
             }
             Scope::Fleet => {
                 self.peers.hosts.on_sum(now, report.host);
-                self.on_fleet_sum(now, report);
+                self.on_fleet_sum(now, &report);
             }
         }
     }
@@ -238,7 +238,7 @@
         }
     }
 
-    fn on_fleet_sum(&mut self, now: Duration, report: PeerReport) {
+    fn on_fleet_sum(&mut self, now: Duration, report: &PeerReport) {
         if self.peers.hosts.is_small(now) || !self.peers.view.takes(now, report.hosts) {
             return;
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -22,8 +22,6 @@
     pub metrics_address: SocketAddr,
     /// Where other hosts' reports and questions arrive, over UDP and TCP.
     pub peers_address: SocketAddr,
-    /// Addresses of hosts that may be asked when the store cannot be.
-    pub first_peers: Vec<SocketAddr>,
     /// Connections of callers above which idle ones are given up.
     pub max_callers: usize,
     /// Time between SIGTERM and SIGKILL.
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -288,7 +288,6 @@
         ready_address: free_address().await,
         metrics_address: free_address().await,
         peers_address: free_address().await,
-        first_peers: Vec::new(),
         max_callers: 3,
         grace: Duration::from_secs(4),
         share_window: Duration::from_secs(4),
