--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -28,6 +28,7 @@
 use crate::attempt::WholeAnswer;
 use crate::caller_request;
 use crate::caller_request::ReadRequest;
+use crate::caller_stream::CallerStream;
 use crate::clock::Clock;
 use crate::core::Core;
 use crate::core::RequestGuard;
@@ -43,8 +44,12 @@
 /// of a hundred answers took 1.0 targets on a calm day, 1.6 to 3.3 on days with faults.
 const SILENT_TARGETS: u32 = 3;
 
-/// Answers a request.
-pub async fn answer<W: Wire, C: Clock>(core: Rc<Core<W, C>>, request: Request<Incoming>) -> Answer {
+/// Answers a request of a caller.
+pub async fn answer<W: Wire, C: Clock>(
+    core: Rc<Core<W, C>>,
+    caller: CallerStream,
+    request: Request<Incoming>,
+) -> Answer {
     let read = match caller_request::read(&core, request).await {
         Ok(read) => read,
         Err(answer) => return answer,
@@ -58,6 +63,7 @@
     let waiting = core.arrive(arrival);
     let call = Call {
         core: core.clone(),
+        caller,
         guard,
         route: read.route,
         outgoing: read.outgoing,
@@ -91,6 +97,7 @@
 /// A request that was handed in to the dispatcher.
 pub(crate) struct Call<W: Wire, C: Clock> {
     pub(crate) core: Rc<Core<W, C>>,
+    caller: CallerStream,
     guard: RequestGuard<W, C>,
     pub(crate) route: Arc<Route>,
     pub(crate) outgoing: Outgoing,
@@ -104,6 +111,7 @@
         let left = self.outgoing.deadline.saturating_sub(self.core.now());
         match timeout(left, self.attempts(waiting)).await {
             Ok(CallEnd::Answer(answer)) => answer,
+            Ok(CallEnd::CallerLeft) => answer::own(StatusCode::REQUEST_TIMEOUT, "caller left"),
             Ok(CallEnd::Stream(endpoint, answer)) => self.start_stream(endpoint, answer),
             Err(_) => {
                 self.guard.time_out();
@@ -117,6 +125,7 @@
         let mut last_answer = None;
         loop {
             match self.core.verdict(waiting).await {
+                Verdict::Send(_) if self.caller.has_left() => return CallEnd::CallerLeft,
                 Verdict::Send(endpoint) => match self.attempt(&endpoint, &mut last_answer).await {
                     Ok(AttemptResult::Whole(whole)) => {
                         self.note_first_piece();
@@ -207,6 +216,8 @@
 
 /// How the attempts of a request ended.
 enum CallEnd {
+    /// Nobody waits any more; the guard tells the dispatcher.
+    CallerLeft,
     Answer(Answer),
     Stream(Arc<Endpoint>, attempt::EndpointAnswer),
 }
--- a/crates/gateway/src/caller_listener.rs
+++ b/crates/gateway/src/caller_listener.rs
@@ -16,6 +16,7 @@
 use tokio::task::spawn_local;
 
 use crate::call;
+use crate::caller_stream::CallerStream;
 use crate::clock::Clock;
 use crate::core::Core;
 use crate::wire::Wire;
@@ -55,10 +56,12 @@
 async fn serve<W: Wire, C: Clock>(core: Rc<Core<W, C>>, stream: TcpStream) {
     let mut stopping = core.stopping.subscribe();
     let is_kept_open = stopping.borrow_and_update().is_none();
+    let stream = CallerStream::new(stream);
+    let caller = stream.clone();
     let service = service_fn(|request| {
-        let core = core.clone();
+        let (core, caller) = (core.clone(), caller.clone());
         async move {
-            let mut answer = call::answer(core.clone(), request).await;
+            let mut answer = call::answer(core.clone(), caller, request).await;
             if core.closes_connections() {
                 let close = HeaderValue::from_static("close");
                 answer.headers_mut().insert(header::CONNECTION, close);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod call_log;
 pub mod caller_listener;
 pub mod caller_request;
+pub mod caller_stream;
 pub mod clock;
 pub mod connection;
 pub mod core;
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::io::Write;
 use std::time::Duration;
 
 use sedgeridge_fleet::config::Repeat;
@@ -291,3 +292,24 @@
         assert!(*fleet.is_stopped.borrow());
     });
 }
+
+/// A host has too much to do. Callers whose connections it has not accepted yet give up and close
+/// them; it accepts them later, with the requests still in them. These must not reach an endpoint:
+/// it would work for nobody.
+#[test]
+fn a_request_whose_caller_left_before_it_was_accepted_reaches_no_endpoint() {
+    let script = vec![answers("x")];
+    run(Repeat::AtMostOnce, 1, script, async |fleet| {
+        for number in 0..20 {
+            // All in one step, so that the router's event loop sees only the closed connection.
+            let mut stream = std::net::TcpStream::connect(fleet.callers).expect("a connection");
+            let request = request(&format!("a{number}"));
+            stream.write_all(request.as_bytes()).expect("sent");
+            drop(stream);
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        assert_eq!(total_requests(&fleet), 0);
+        let answer = ask(fleet.callers, &request("b1"), false).await;
+        assert!(answer.ends_with('x'), "{answer}");
+    });
+}
