--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -6,8 +6,8 @@
 use serde::Serialize;
 
 /// Shortest and longest time between the beginnings of two faults. Most faults last longer, so that
-/// two or three overlap as a rule.
-const GAP_MS: (u64, u64) = (100, 900);
+/// four or five overlap as a rule.
+const GAP_MS: (u64, u64) = (60, 500);
 /// Shortest and longest time of a fault.
 const LENGTH_MS: (u64, u64) = (150, 3_000);
 /// Longest delay of a slow link, store or endpoint.
@@ -118,18 +118,18 @@
 fn draw_fault(random: &mut SeededRandom, targets: Targets) -> Fault {
     let router = random.below(targets.routers);
     let endpoint = random.below(targets.endpoints);
-    match random.below(16) {
+    match random.below(20) {
         0 | 1 => Fault::Kill(router),
         2 | 3 => Fault::Stop(router),
         4 => Fault::Pause(router),
         5 => Fault::Reload(router),
         6 => Fault::CallersLink(router, draw_link_fault(random)),
         7 | 8 => Fault::StoreLink(router, draw_link_fault(random)),
-        9 | 10 => Fault::EndpointLink(endpoint, draw_link_fault(random)),
-        11 => Fault::Store(draw_server_fault(random)),
-        12 => Fault::StoreForgets,
-        13 => Fault::Endpoint(endpoint, draw_server_fault(random)),
-        14 => Fault::Leave(endpoint),
+        9..=12 => Fault::EndpointLink(endpoint, draw_link_fault(random)),
+        13 => Fault::Store(draw_server_fault(random)),
+        14 => Fault::StoreForgets,
+        15..=17 => Fault::Endpoint(endpoint, draw_server_fault(random)),
+        18 => Fault::Leave(endpoint),
         _ => Fault::ChangeKeys,
     }
 }
