--- a/crates/gateway/src/caller_listener.rs
+++ b/crates/gateway/src/caller_listener.rs
@@ -12,13 +12,13 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 
 use crate::call;
 use crate::caller_stream::CallerStream;
 use crate::clock::Clock;
 use crate::core::Core;
-use crate::meters;
 use crate::wire::Wire;
 
 /// Pause after each new connection while the host cannot keep up. Without it a flood of connections,
@@ -29,14 +29,9 @@
 /// Accepts connections for as long as the process runs.
 pub async fn accept_forever<W: Wire, C: Clock>(core: Rc<Core<W, C>>, listener: TcpListener) {
     loop {
-        let caller = CallerStream::new(core.accept(&listener).await);
-        let is_overloaded = core.lag.borrow().is_overloaded();
-        if is_overloaded && caller.left_before_accepted() {
-            meters::ended_early("left_before_accepted");
-            continue;
-        }
-        spawn_local(serve_counted(core.clone(), caller));
-        if is_overloaded {
+        let stream = core.accept(&listener).await;
+        spawn_local(serve_counted(core.clone(), stream));
+        if core.lag.borrow().is_overloaded() {
             tokio::time::sleep(OVERLOADED_ACCEPT_PAUSE).await;
         }
     }
@@ -49,19 +44,20 @@
 /// connection; above [`GatewaySettings::max_callers`] each answer therefore ends its connection.
 ///
 /// [`GatewaySettings::max_callers`]: crate::settings::GatewaySettings::max_callers
-async fn serve_counted<W: Wire, C: Clock>(core: Rc<Core<W, C>>, caller: CallerStream) {
+async fn serve_counted<W: Wire, C: Clock>(core: Rc<Core<W, C>>, stream: TcpStream) {
     core.callers.set(core.callers.get() + 1);
-    serve(core.clone(), caller).await;
+    serve(core.clone(), stream).await;
     core.callers.set(core.callers.get() - 1);
 }
 
 /// Serves one connection. When the process is told to stop, the connection is closed as soon as no
 /// request is in progress on it: a caller that goes on with it would be cut off at the end of the
 /// grace time, and the balancer can only lead new connections elsewhere.
-async fn serve<W: Wire, C: Clock>(core: Rc<Core<W, C>>, caller: CallerStream) {
+async fn serve<W: Wire, C: Clock>(core: Rc<Core<W, C>>, stream: TcpStream) {
     let mut stopping = core.stopping.subscribe();
     let is_kept_open = stopping.borrow_and_update().is_none();
-    let stream = TokioIo::new(caller.clone());
+    let stream = CallerStream::new(stream);
+    let caller = stream.clone();
     let service = service_fn(|request| {
         let (core, caller) = (core.clone(), caller.clone());
         async move {
@@ -78,7 +74,7 @@
             .timer(TokioTimer::new())
             .keep_alive(is_kept_open)
             .header_read_timeout(core.idle_timeout.get())
-            .serve_connection(stream, service)
+            .serve_connection(TokioIo::new(stream), service)
     );
     // A caller that leaves, or an answer that was cut, ends the connection with an error that says
     // nothing new: the request's own end has been counted.
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -293,8 +293,9 @@
     });
 }
 
-/// Callers whose connections have not been accepted yet give up and close them, with the requests
-/// still in them. These must not reach an endpoint: it would work for nobody.
+/// A host has too much to do. Callers whose connections it has not accepted yet give up and close
+/// them; it accepts them later, with the requests still in them. These must not reach an endpoint:
+/// it would work for nobody.
 #[test]
 fn a_request_whose_caller_left_before_it_was_accepted_reaches_no_endpoint() {
     let script = vec![answers("x")];
