--- a/crates/fleet/tests/dispatcher.rs
+++ b/crates/fleet/tests/dispatcher.rs
@@ -194,32 +194,38 @@
     assert!(refused < 240, "something of the flood is served: {refused}");
 }
 
+/// Gives an engine of a host much to read; returns the engine.
+fn keep_engine_busy(host: &mut Host) -> String {
+    let (_, verdict) = host.arrive(0, engine_request(0, 1, prompt(7, 9_000)));
+    sent_to(verdict)
+}
+
+/// Sends a short prompt about the same subject; returns its engine.
+fn engine_for_short_prompt(host: &mut Host) -> String {
+    let (_, verdict) = host.arrive(10, engine_request(10, 1, prompt(7, 10)));
+    sent_to(verdict)
+}
+
 /// Other hosts' work counts: an engine that another host keeps busy is passed over.
 #[test]
 fn the_work_of_other_hosts_counts() {
-    let mut one = Host::new(1);
-    let mut other = Host::new(2);
-    let (_, verdict) = other.arrive(0, engine_request(0, 1, prompt(7, 9_000)));
-    let busy = sent_to(verdict);
+    let (mut one, mut other) = (Host::new(1), Host::new(2));
+    let busy = keep_engine_busy(&mut other);
     let report = other.dispatcher.report(support::live());
     one.send(5, DispatchEvent::Reported(report));
-    let (_, verdict) = one.arrive(10, engine_request(10, 1, prompt(7, 10)));
-    assert_ne!(sent_to(verdict), busy);
+    assert_ne!(engine_for_short_prompt(&mut one), busy);
 }
 
 /// A report that arrives late must not undo a newer one.
 #[test]
 fn an_older_report_changes_nothing() {
-    let mut one = Host::new(1);
-    let mut other = Host::new(2);
+    let (mut one, mut other) = (Host::new(1), Host::new(2));
     let idle = other.dispatcher.report(support::live());
-    let (_, verdict) = other.arrive(0, engine_request(0, 1, prompt(7, 9_000)));
-    let busy = sent_to(verdict);
+    let busy = keep_engine_busy(&mut other);
     let newer = other.dispatcher.report(support::live());
     one.send(5, DispatchEvent::Reported(newer));
     one.send(6, DispatchEvent::Reported(idle));
-    let (_, verdict) = one.arrive(10, engine_request(10, 1, prompt(7, 10)));
-    assert_ne!(sent_to(verdict), busy);
+    assert_ne!(engine_for_short_prompt(&mut one), busy);
 }
 
 /// The caller of a request that crashes engines is refused after it crashed two of them, also where
