--- a/crates/fleet/tests/relays.rs
+++ b/crates/fleet/tests/relays.rs
@@ -241,6 +241,25 @@
     assert_eq!(fleet.known(), vec![30; 30]);
 }
 
+/// A host is frozen for some seconds. It finds that no relay has sent it a sum for long, and suspects
+/// them all. They are sent its report once more before, answer, and are heard: it knows the fleet's
+/// work again within a second.
+#[test]
+fn a_host_that_was_frozen_is_back_within_a_second() {
+    let mut fleet = Fleet::new(81, 1);
+    fleet.run(3_000);
+    for host in 0..81 {
+        fleet.start(host);
+    }
+    fleet.run(1_000);
+    let frozen = fleet.hosts[5].0;
+    fleet.lost.insert(frozen);
+    fleet.run(4_000);
+    fleet.lost.clear();
+    fleet.run(1_000);
+    assert_eq!(fleet.known()[5], 81);
+}
+
 /// Datagrams are lost. What a host believes differs from the truth by less than a twentieth at any
 /// moment once work has been steady for a while.
 #[test]
