fleet, platform: an endpoint's run is named by id and start; entries of other writers name none

Cause: the table took an id for one run. An endpoint that started again under its id kept the leaving mark, the cache, the speed, the failures and the backlog of the run before; a late entry of the earlier run replaced that of the later one.

--- a/crates/fleet/examples/report_bytes.rs
+++ b/crates/fleet/examples/report_bytes.rs
@@ -136,7 +136,8 @@
 fn endpoint(number: u64) -> Endpoint {
     let id = EndpointId::from(format!("engine-{number}").as_str());
     Endpoint {
-        key: Endpoint::key_of(&id),
+        key: Endpoint::key_of(&id, None),
+        started_at_ms: None,
         id,
         service: ServiceId::from(SERVICE),
         address: ([127, 0, 0, 1], 9).into(),
--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -273,18 +273,24 @@
     }
 
     fn on_listed(&mut self, endpoint: Endpoint) {
-        self.endpoints.put(endpoint);
+        if let Some(earlier_run) = self.endpoints.put(endpoint) {
+            self.forget_run(&earlier_run);
+        }
         self.expect_speed();
     }
 
     fn on_gone(&mut self, endpoint: &Endpoint) {
         self.endpoints.remove(&endpoint.id);
-        self.cached.forget_endpoint(endpoint.key);
-        self.speeds.forget(endpoint.key);
-        self.records.forget(endpoint.key);
+        self.forget_run(endpoint);
         self.expect_speed();
     }
 
+    fn forget_run(&mut self, run: &Endpoint) {
+        self.cached.forget_endpoint(run.key);
+        self.speeds.forget(run.key);
+        self.records.forget(run.key);
+    }
+
     fn expect_speed(&mut self) {
         let Some(tokens_per_s) = self.tokens_per_s else {
             return;
--- a/crates/fleet/src/dispatcher/attempts.rs
+++ b/crates/fleet/src/dispatcher/attempts.rs
@@ -200,18 +200,18 @@
         }
         self.loads.subtract_own(endpoint.key, attempt.load);
         if self.records.failed(now, endpoint.key, failure) {
-            self.quarantine.endpoint_down(now, &endpoint.id);
+            self.quarantine.endpoint_down(now, &endpoint.run_name());
         }
         if let Some(fingerprint) = fingerprint {
             if failure == Failure::ConnectionLost {
-                self.quarantine
-                    .connection_lost(now, fingerprint, &endpoint.id);
+                let run = endpoint.run_name();
+                self.quarantine.connection_lost(now, fingerprint, &run);
             }
             self.quarantine.ended(fingerprint);
         }
         if failure == Failure::Misdirected {
             // Another run has the address: this one is gone, whatever the list says.
-            self.endpoints.set_leaving(&endpoint.id);
+            self.endpoints.set_leaving(&endpoint);
         }
         if self.may_send_again(now, id) {
             self.try_place(now, id, decisions);
--- a/crates/fleet/src/endpoint_table.rs
+++ b/crates/fleet/src/endpoint_table.rs
@@ -8,14 +8,18 @@
 use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::ids::ServiceId;
 
+use crate::hashing::pair_hash;
 use crate::hashing::stable_hash;
 
-/// One run of an endpoint. A restart has a new id.
+/// One run of an endpoint. A restart may keep the id; it then has a later start.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Endpoint {
     /// Its id, which callers of the endpoint can ask it to check.
     pub id: EndpointId,
-    /// The id's hash, by which hosts name the endpoint to one another.
+    /// Start of this run in Unix milliseconds, where the endpoint states it.
+    pub started_at_ms: Option<u64>,
+    /// Hash of id and start, by which hosts name the run to one another: what an earlier run had
+    /// cached or in progress says nothing of this one.
     pub key: u64,
     /// The service it runs.
     pub service: ServiceId,
@@ -30,9 +34,28 @@
 }
 
 impl Endpoint {
-    /// Returns the hash of an id.
-    pub fn key_of(id: &EndpointId) -> u64 {
-        stable_hash(id.as_str())
+    /// Returns the hash of a run.
+    ///
+    /// ```
+    /// use sedgeridge_fleet::endpoint_table::Endpoint;
+    /// use sedgeridge_state::ids::EndpointId;
+    ///
+    /// let id = EndpointId::from("desk-1");
+    /// assert_ne!(Endpoint::key_of(&id, Some(5)), Endpoint::key_of(&id, Some(6)));
+    /// ```
+    pub fn key_of(id: &EndpointId, started_at_ms: Option<u64>) -> u64 {
+        let id = stable_hash(id.as_str());
+        started_at_ms.map_or(id, |started_at_ms| pair_hash(id, started_at_ms))
+    }
+
+    /// Returns a name that no other run has, for records of what runs crashed.
+    pub fn run_name(&self) -> EndpointId {
+        match self.started_at_ms {
+            Some(started_at_ms) => {
+                EndpointId::from(format!("{}@{started_at_ms}", self.id).as_str())
+            }
+            None => self.id.clone(),
+        }
     }
 }
 
@@ -44,14 +67,23 @@
 }
 
 impl EndpointTable {
-    /// Takes in a new or changed entry.
-    pub fn put(&mut self, mut endpoint: Endpoint) {
+    /// Takes in a new or changed entry. Returns the earlier run that it replaces.
+    ///
+    /// An entry of a run before the known one changes nothing: it was on its way when the endpoint
+    /// restarted. One that states no start counts as earlier than any that does.
+    pub fn put(&mut self, mut endpoint: Endpoint) -> Option<Arc<Endpoint>> {
         let known = self.by_id.get(&endpoint.id);
-        // An id names one run, and a run that is leaving does not come back.
-        endpoint.is_leaving |= known.is_some_and(|known| known.is_leaving);
+        if known.is_some_and(|known| known.started_at_ms > endpoint.started_at_ms) {
+            return None;
+        }
+        let same_run = known.filter(|known| known.key == endpoint.key);
+        // A run that is leaving does not come back.
+        endpoint.is_leaving |= same_run.is_some_and(|known| known.is_leaving);
+        let key = endpoint.key;
         let id = endpoint.id.clone();
-        self.by_id.insert(id, Arc::new(endpoint));
+        let before = self.by_id.insert(id, Arc::new(endpoint));
         self.sort_by_service();
+        before.filter(|before| before.key != key)
     }
 
     /// Removes an entry.
@@ -61,9 +93,11 @@
         removed
     }
 
-    /// Marks an endpoint as leaving; tells whether that was news.
-    pub fn set_leaving(&mut self, id: &EndpointId) -> bool {
-        let Some(known) = self.by_id.get(id).filter(|known| !known.is_leaving) else {
+    /// Marks a run as leaving; tells whether that was news. A later run under the same id stays.
+    pub fn set_leaving(&mut self, run: &Endpoint) -> bool {
+        let known = self.by_id.get(&run.id);
+        let known = known.filter(|known| known.key == run.key && !known.is_leaving);
+        let Some(known) = known else {
             return false;
         };
         let mut leaving = Endpoint::clone(known);
--- /dev/null
+++ b/crates/fleet/tests/endpoint_runs.rs
@@ -0,0 +1,110 @@
+//! Endpoints that start again under the id that they had.
+
+mod support;
+
+use std::sync::Arc;
+
+use sedgeridge_fleet::config::Repeat;
+use sedgeridge_fleet::dispatcher::DispatchEvent;
+use sedgeridge_fleet::endpoint_table::Endpoint;
+use sedgeridge_fleet::endpoint_table::EndpointTable;
+use sedgeridge_fleet::verdict::Failure;
+use sedgeridge_fleet::verdict::Verdict;
+use sedgeridge_state::ids::ServiceId;
+
+use support::ENGINES;
+use support::Host;
+use support::PLAIN;
+use support::endpoint;
+use support::engine_request;
+use support::plain_request;
+use support::prompt;
+
+fn run(service: &str, name: &str, started_at_ms: Option<u64>) -> Endpoint {
+    let first = endpoint(service, name);
+    Endpoint {
+        key: Endpoint::key_of(&first.id, started_at_ms),
+        started_at_ms,
+        ..first
+    }
+}
+
+fn only(service: &str, name: &str, started_at_ms: Option<u64>) -> Host {
+    let mut host = Host::new(1);
+    for known in ["desk-1", "desk-2", "booking-1", "booking-2"] {
+        let kind = match known.starts_with("desk") {
+            true => ENGINES,
+            false => PLAIN,
+        };
+        let gone = Arc::new(endpoint(kind, known));
+        host.send(0, DispatchEvent::EndpointGone(gone));
+    }
+    let listed = run(service, name, started_at_ms);
+    host.send(0, DispatchEvent::EndpointListed(listed));
+    host
+}
+
+/// Callers are served by an endpoint again after its restart. Its earlier run had announced that it
+/// leaves; the next one has the same id and a later start, and takes requests.
+#[test]
+fn a_restart_under_the_same_id_ends_the_leaving() {
+    let mut host = only(PLAIN, "booking-1", Some(1_000));
+    let mut leaving = run(PLAIN, "booking-1", Some(1_000));
+    leaving.is_leaving = true;
+    host.send(10, DispatchEvent::EndpointListed(leaving));
+    let restarted = run(PLAIN, "booking-1", Some(2_000));
+    host.send(20, DispatchEvent::EndpointListed(restarted));
+    let (_, verdict) = host.arrive(30, plain_request(30, Repeat::Idempotent));
+    assert!(matches!(verdict, Some(Verdict::Send(_))), "{verdict:?}");
+}
+
+/// Callers are not sent to a run that is over. An entry of the earlier run, written before the
+/// restart, arrives after that of the later run, from the store or from another host.
+#[test]
+fn a_late_entry_of_an_earlier_run_changes_nothing() {
+    let mut table = EndpointTable::default();
+    table.put(run(PLAIN, "booking-1", Some(2_000)));
+    for started_at_ms in [Some(1_000), None] {
+        let mut late = run(PLAIN, "booking-1", started_at_ms);
+        late.is_leaving = true;
+        assert_eq!(table.put(late), None);
+    }
+    let usable = table.usable(&ServiceId::from(PLAIN));
+    assert_eq!(usable[0].started_at_ms, Some(2_000));
+}
+
+/// Callers are sent to the restarted endpoint although an answer of the earlier run comes late: a
+/// request that had been sent to that run is told that the run is gone.
+#[test]
+fn news_of_an_earlier_run_does_not_end_the_later_one() {
+    let mut host = only(PLAIN, "booking-1", Some(1_000));
+    let (id, verdict) = host.arrive(0, plain_request(0, Repeat::Idempotent));
+    assert!(matches!(verdict, Some(Verdict::Send(_))), "{verdict:?}");
+    let restarted = run(PLAIN, "booking-1", Some(2_000));
+    host.send(10, DispatchEvent::EndpointListed(restarted));
+    host.send(20, DispatchEvent::AttemptFailed(id, Failure::Misdirected));
+    let (_, verdict) = host.arrive(30, plain_request(30, Repeat::Idempotent));
+    assert!(matches!(verdict, Some(Verdict::Send(_))), "{verdict:?}");
+}
+
+/// The caller's prompt is counted as unread at the restarted engine. Its cache is empty, and work
+/// that was sent to the earlier run says nothing of its backlog.
+#[test]
+fn a_restarted_engine_has_nothing_cached_and_nothing_in_progress() {
+    let mut host = only(ENGINES, "desk-1", Some(1_000));
+    host.arrive(0, engine_request(0, 1, prompt(7, 100)));
+    let before = run(ENGINES, "desk-1", Some(1_000));
+    let after = run(ENGINES, "desk-1", Some(2_000));
+    assert_eq!(host.dispatcher.endpoint_load(before.key).requests, 1);
+    host.send(10, DispatchEvent::EndpointListed(after.clone()));
+    assert!(host.dispatcher.endpoint_load(after.key).is_idle());
+}
+
+/// A caller's request that crashes every engine is stopped although one engine keeps its id: each
+/// crash is one of another run.
+#[test]
+fn crashes_of_two_runs_have_two_names() {
+    let before = run(ENGINES, "desk-1", Some(1_000));
+    let after = run(ENGINES, "desk-1", Some(2_000));
+    assert_ne!(before.run_name(), after.run_name());
+}
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -87,7 +87,8 @@
 pub fn endpoint(service: &str, name: &str) -> Endpoint {
     let id = EndpointId::from(name);
     Endpoint {
-        key: Endpoint::key_of(&id),
+        key: Endpoint::key_of(&id, None),
+        started_at_ms: None,
         id,
         service: ServiceId::from(service),
         address: "127.0.0.1:9".parse().expect("an address"),
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -53,6 +53,11 @@
         .increment(1);
 }
 
+/// Counts a row of the platform's store that cannot be read.
+pub fn unusable(table: &'static str) {
+    counter!("sedgeridge_gateway_unusable_rows_total", "table" => table).increment(1);
+}
+
 /// Counts the bytes of a report to other hosts.
 pub fn report_sent(bytes: usize) {
     counter!("sedgeridge_gateway_report_bytes_total").increment(bytes as u64);
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -181,6 +181,7 @@
                     ("reason", error.to_string().into()),
                 ];
                 self.core.log(LogEvent::ConfigUnusable, &fields);
+                meters::unusable(Table::Config.as_str());
                 return;
             }
         };
@@ -224,6 +225,10 @@
                     ("reason", error.to_string().into()),
                 ];
                 self.core.log(LogEvent::EndpointUnusable, &fields);
+                meters::unusable(Table::Endpoints.as_str());
+                // Whoever wrote it, the endpoint's own entry is overwritten: nothing says any more
+                // that it takes requests.
+                self.remove_endpoint(&row.key);
             }
         }
     }
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -313,3 +313,22 @@
         assert!(answer.ends_with('x'), "{answer}");
     });
 }
+
+/// Callers are answered by the second endpoint only. Another writer puts bytes that cannot be read
+/// where the first one's entry stood: nothing says any more that the first one takes requests, and
+/// the entry of the second one still holds.
+#[test]
+fn an_entry_that_cannot_be_read_names_no_endpoint() {
+    let answers: Vec<Act> = (0..8).flat_map(|_| answers("x")).collect();
+    let script = vec![answers];
+    run(Repeat::Idempotent, 2, script, async |fleet| {
+        fleet.overwrite.notify_one();
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        for number in 0..8 {
+            let answer = ask(fleet.callers, &request(&format!("a{number}")), false).await;
+            assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        }
+        assert_eq!(fleet.seen[0].borrow().requests.len(), 0);
+        assert_eq!(fleet.seen[1].borrow().requests.len(), 8);
+    });
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -107,7 +107,10 @@
         Ok(FleetConfig::clone(&self.config))
     }
 
-    fn endpoint(&self, id: &str, _: &[u8]) -> Result<Endpoint, WireError> {
+    fn endpoint(&self, id: &str, document: &[u8]) -> Result<Endpoint, WireError> {
+        if document == UNREADABLE {
+            return Err(WireError::Missing("service"));
+        }
         let known = self.endpoints.get(id).cloned();
         known.ok_or(WireError::Missing("endpoint"))
     }
@@ -117,16 +120,20 @@
     }
 }
 
-/// Answers the list once and then keeps every call.
+/// An entry that no endpoint wrote.
+const UNREADABLE: &[u8] = b"\xff{";
+
+/// Answers the list once and then keeps every call, but for one change that a test may make.
 #[derive(Debug)]
 pub struct TestStore {
     endpoints: Vec<String>,
+    overwritten: Rc<Notify>,
 }
 
 impl Store for TestStore {
     async fn read(&self, table: Table, call: StoreCall) -> StoreAnswer {
         if let StoreCall::Feed { .. } = call {
-            return std::future::pending().await;
+            return self.change(table).await;
         }
         let row = |key: &str| Row {
             key: Arc::from(key),
@@ -157,6 +164,26 @@
     }
 }
 
+impl TestStore {
+    /// Waits until the first endpoint's entry is overwritten.
+    async fn change(&self, table: Table) -> StoreAnswer {
+        if table == Table::Config {
+            return std::future::pending().await;
+        }
+        self.overwritten.notified().await;
+        let row = Row {
+            key: Arc::from(self.endpoints[0].as_str()),
+            version: 2,
+            value: Some(Arc::from(UNREADABLE)),
+        };
+        StoreAnswer::Rows {
+            rows: vec![row],
+            version: 2,
+            has_more: false,
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 pub struct FixedSettings(pub GatewaySettings);
 
@@ -195,6 +222,8 @@
     pub callers: SocketAddr,
     pub ready: SocketAddr,
     pub seen: Vec<Rc<RefCell<Seen>>>,
+    /// Makes another writer overwrite the first endpoint's entry.
+    pub overwrite: Rc<Notify>,
     pub stop: Rc<Notify>,
     pub is_stopped: Rc<RefCell<bool>>,
 }
@@ -235,7 +264,8 @@
         spawn_local(play(listener, script.clone(), next.clone(), notes));
         let id = EndpointId::from(format!("desk-{index}").as_str());
         let endpoint = Endpoint {
-            key: Endpoint::key_of(&id),
+            key: Endpoint::key_of(&id, None),
+            started_at_ms: None,
             id: id.clone(),
             service: service.clone(),
             address,
@@ -246,8 +276,10 @@
         endpoints.insert(id.to_string(), endpoint);
     }
     let settings = settings().await;
+    let overwrite = Rc::new(Notify::new());
     let store = TestStore {
         endpoints: endpoints.keys().cloned().collect(),
+        overwritten: overwrite.clone(),
     };
     let stop = Rc::new(Notify::new());
     let context = Context {
@@ -269,6 +301,7 @@
         callers: settings.callers_address,
         ready: settings.ready_address,
         seen,
+        overwrite,
         stop,
         is_stopped: is_stopped.clone(),
     };
