fleet: a store that answers nobody is called by few hosts

A follower that is turned away counts out and the next host takes its place, is turned away too and goes on asking, until all 73 do; and each asked about both tables. Change: at most eight hosts that are turned away go on (store_followers), one more each half second, so that a store that answers a few is still found; while neither table is answered about, only the configuration is asked for. Test: few_hosts_call_a_store_that_ answers_nobody.

--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -35,11 +35,11 @@
 use crate::verdict::Decision;
 use crate::verdict::Failure;
 
+pub use crate::store_followers::StoreRole;
 pub use admission::AdmissionSettings;
 pub use peers::Addressee;
 pub use peers::HostState;
 pub use peers::OutgoingReport;
-pub use peers::StoreRole;
 
 /// Reading speed of an engine against the tokens that it processes in a second with reading and
 /// generating mixed. Engines read in large batches and generate one token a step.
--- a/crates/fleet/src/dispatcher/peers.rs
+++ b/crates/fleet/src/dispatcher/peers.rs
@@ -14,11 +14,10 @@
 use crate::peer_schedule::PeerSchedule;
 use crate::relay::FleetView;
 use crate::relay::Relay;
+use crate::store_followers::StoreFollowers;
+use crate::store_followers::StoreRole;
 use crate::work_sums::WorkSums;
 
-/// Hosts of a large fleet that follow the store. Calls are paid for; four of them are rarely lost
-/// at once, and others take over when they fall silent.
-const FOLLOWERS: usize = 4;
 /// Reports in which news of a crash is repeated, so that lost datagrams matter little.
 const NEWS_REPEATS: u32 = 4;
 /// Most news in one report.
@@ -29,17 +28,6 @@
 /// Source of the work that sums over the fleet hold. Hosts' hashes are other numbers but by chance.
 const FLEET_SOURCE: u64 = 0;
 
-/// A host's part in following the platform's store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StoreRole {
-    /// It follows the store, and tells the others of a change at once.
-    FirstFollower,
-    /// It follows the store.
-    Follower,
-    /// It copies changes from hosts that know them.
-    Copier,
-}
-
 /// What a host's reports tell about it besides its work.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct HostState {
@@ -83,6 +71,7 @@
 #[derive(Debug)]
 pub(super) struct PeerLinks {
     hosts: PeerHosts,
+    store_followers: StoreFollowers,
     relay: Relay,
     view: FleetView,
     schedule: PeerSchedule,
@@ -96,6 +85,7 @@
     pub(super) fn new(own: ListedHost) -> Self {
         Self {
             hosts: PeerHosts::new(own),
+            store_followers: StoreFollowers::default(),
             relay: Relay::default(),
             view: FleetView::default(),
             schedule: PeerSchedule::default(),
@@ -108,6 +98,8 @@
 
     pub(super) fn tick(&mut self, now: Duration) {
         self.hosts.tick(now);
+        let failing = self.hosts.failing_at_store(now);
+        self.store_followers.tick(now, failing);
         self.relay.tick(now);
     }
 
@@ -158,11 +150,8 @@
         if self.peers.hosts.is_small(now) {
             return StoreRole::Follower;
         }
-        match self.peers.hosts.follower_rank(now) {
-            0 => StoreRole::FirstFollower,
-            rank if rank < FOLLOWERS => StoreRole::Follower,
-            _ => StoreRole::Copier,
-        }
+        let before = self.peers.hosts.followers_before(now);
+        self.peers.store_followers.role(now, before)
     }
 
     /// Returns the reports that are due. Call it some ten times a second.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod return_time;
 pub mod route_table;
 pub mod row_watch;
+pub mod store_followers;
 pub mod verdict;
 pub mod work_sums;
--- a/crates/fleet/src/peer_hosts.rs
+++ b/crates/fleet/src/peer_hosts.rs
@@ -6,6 +6,7 @@
 
 use crate::hashing::pair_hash;
 use crate::peer_report::PeerReport;
+use crate::store_followers::HostsBefore;
 
 /// Largest fleet in which each host reports to each other one, and follows the store itself.
 pub const SMALL_FLEET: usize = 12;
@@ -54,6 +55,18 @@
     hosts: IntMap<u64, PeerHost>,
 }
 
+/// What a host says of its calls to the platform's store.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum StoreAccess {
+    /// It is about to stop, or nothing was heard.
+    #[default]
+    Unused,
+    /// Its last call was answered, or it makes none.
+    Answered,
+    /// Its last call was not answered.
+    Failing,
+}
+
 #[derive(Debug, Default)]
 struct PeerHost {
     data_centre: u64,
@@ -61,7 +74,7 @@
     run: u64,
     number: u64,
     heard_at: Option<Duration>,
-    follows_store: bool,
+    store_access: StoreAccess,
     /// Whether it may serve as a relay: it neither stops nor has too much to do.
     may_relay: bool,
     /// Since when sums are expected from it.
@@ -108,7 +121,11 @@
         host.data_centre = report.data_centre;
         host.heard_at = Some(now);
         host.suspected_until = None;
-        host.follows_store = !report.is_stopping && report.store_answers;
+        host.store_access = match (report.is_stopping, report.store_answers) {
+            (true, _) => StoreAccess::Unused,
+            (false, true) => StoreAccess::Answered,
+            (false, false) => StoreAccess::Failing,
+        };
         host.may_relay = !report.is_stopping && !report.is_busy;
         true
     }
@@ -159,14 +176,31 @@
         others
     }
 
-    /// Tells how many live hosts come before this one in the choice of followers.
-    pub fn follower_rank(&self, now: Duration) -> usize {
+    /// Returns the live hosts that come before this one in the choice of followers.
+    pub fn followers_before(&self, now: Duration) -> HostsBefore {
         let own_score = pair_hash(FOLLOWER_SALT, self.own.host);
-        let before = self.hosts.iter().filter(|(host, known)| {
-            let is_live = known.follows_store && known.is_heard(now, FOLLOWER_SILENCE);
-            is_live && pair_hash(FOLLOWER_SALT, **host) < own_score
+        let mut before = HostsBefore::default();
+        for (host, known) in &self.hosts {
+            if pair_hash(FOLLOWER_SALT, *host) >= own_score
+                || !known.is_heard(now, FOLLOWER_SILENCE)
+            {
+                continue;
+            }
+            match known.store_access {
+                StoreAccess::Answered => before.answered += 1,
+                StoreAccess::Failing => before.failing += 1,
+                StoreAccess::Unused => {}
+            }
+        }
+        before
+    }
+
+    /// Returns the number of live hosts that the store does not answer.
+    pub fn failing_at_store(&self, now: Duration) -> usize {
+        let failing = self.hosts.values().filter(|host| {
+            host.store_access == StoreAccess::Failing && host.is_heard(now, FOLLOWER_SILENCE)
         });
-        before.count()
+        failing.count()
     }
 
     /// Chooses the relays of a data centre; this host may be one of them. All hosts choose alike as
--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -278,6 +278,11 @@
         self.lost_at
     }
 
+    /// Tells whether the last call failed.
+    pub fn is_lost(&self) -> bool {
+        self.lost_at.is_some()
+    }
+
     fn note_success(&mut self, now: Duration) {
         self.failures = 0;
         self.not_before = now;
--- /dev/null
+++ b/crates/fleet/src/store_followers.rs
@@ -0,0 +1,76 @@
+//! Which hosts of a large fleet call the platform's store.
+
+use std::time::Duration;
+
+/// Hosts of a large fleet that follow the store. Calls are paid for; four of them are rarely lost
+/// at once, and others take over when they fall silent.
+const FOLLOWERS: usize = 4;
+/// Hosts that the store turns away and that still call it. A store that turns away a third of the
+/// hosts leaves one of twelve an answer but for one time in 300,000. Without a bound a store that
+/// is away for 8 s is called by every host in turn: 2,100 calls of 73 hosts, in a day of 3,300.
+const MOST_FAILING: usize = 8;
+/// Time after which one more host tries, as long as so many are turned away: a store may turn away
+/// nearly all hosts, and each of the others then finds it within a part of that time.
+const NEXT_TRY: Duration = Duration::from_millis(500);
+
+/// Live hosts that come before this one in the choice of followers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct HostsBefore {
+    /// Those that the store answers, as far as they know.
+    pub answered: usize,
+    /// Those that it does not answer.
+    pub failing: usize,
+}
+
+/// A host's part in following the platform's store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreRole {
+    /// It follows the store, and tells the others of a change at once.
+    FirstFollower,
+    /// It follows the store.
+    Follower,
+    /// It copies changes from hosts that know them.
+    Copier,
+}
+
+/// How long the store has turned away as many hosts as may try.
+#[derive(Debug, Default)]
+pub struct StoreFollowers {
+    turned_away_since: Option<Duration>,
+}
+
+impl StoreFollowers {
+    /// Takes in how many live hosts the store does not answer. Call it several times a second.
+    pub fn tick(&mut self, now: Duration, failing: usize) {
+        match failing >= MOST_FAILING {
+            true => _ = self.turned_away_since.get_or_insert(now),
+            false => self.turned_away_since = None,
+        }
+    }
+
+    /// Returns the part of a host.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_fleet::store_followers::{HostsBefore, StoreFollowers, StoreRole};
+    ///
+    /// let followers = StoreFollowers::default();
+    /// let before = HostsBefore { answered: 0, failing: 1 };
+    /// assert_eq!(followers.role(Duration::ZERO, before), StoreRole::FirstFollower);
+    /// let before = HostsBefore { answered: 4, failing: 0 };
+    /// assert_eq!(followers.role(Duration::ZERO, before), StoreRole::Copier);
+    /// ```
+    pub fn role(&self, now: Duration, before: HostsBefore) -> StoreRole {
+        let turned_away_for = self
+            .turned_away_since
+            .map(|since| now.saturating_sub(since));
+        let further = turned_away_for.unwrap_or_default().as_millis() / NEXT_TRY.as_millis();
+        let may_try = before.failing < FOLLOWERS + MOST_FAILING + further as usize;
+        match before.answered {
+            _ if !may_try => StoreRole::Copier,
+            0 => StoreRole::FirstFollower,
+            answered if answered < FOLLOWERS => StoreRole::Follower,
+            _ => StoreRole::Copier,
+        }
+    }
+}
--- a/crates/fleet/tests/store_roles.rs
+++ b/crates/fleet/tests/store_roles.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use sedgeridge_fleet::dispatcher::DispatchEvent;
+use sedgeridge_fleet::dispatcher::HostState;
 use sedgeridge_fleet::dispatcher::StoreRole;
 use sedgeridge_fleet::hashing::stable_hash;
 use sedgeridge_fleet::peer_report::PeerReport;
@@ -97,6 +98,39 @@
     assert_eq!(followers(&after), 4);
 }
 
+/// While the store answers nobody, each host that took a follower's place would be turned away in
+/// turn and go on asking: all hosts would call a store that is away. Twelve do, and one more each half
+/// second, so that a store that turned nearly all away would still be found.
+#[test]
+fn few_hosts_call_a_store_that_answers_nobody() {
+    let mut fleet = fleet(73);
+    report(&mut fleet, 0, 0..73);
+    let mut calling = Vec::new();
+    for now in (100..=8_000_u64).step_by(100) {
+        let failing: Vec<bool> = roles(&fleet, now)
+            .iter()
+            .map(|role| *role != StoreRole::Copier)
+            .collect();
+        calling.push(failing.iter().filter(|is_failing| **is_failing).count());
+        for index in 0..fleet.len() {
+            let state = HostState {
+                store_answers: !failing[index],
+                ..HostState::default()
+            };
+            let report = fleet[index].dispatcher.report(state);
+            for host in &mut fleet {
+                host.send(now, DispatchEvent::Reported(report.clone()));
+            }
+        }
+        for host in &mut fleet {
+            host.send(now, DispatchEvent::Tick);
+        }
+    }
+    assert!(calling[10] <= 14, "{calling:?}");
+    assert!(calling.iter().max() <= Some(&30), "{calling:?}");
+    assert!(calling.last() > calling.get(20), "{calling:?}");
+}
+
 #[test]
 fn requests_started_since_the_last_report_are_counted() {
     let mut host = Host::new(1);
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -29,6 +29,10 @@
 /// Time between looks for entries whose time is over.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time between looks whether a store that answered about no table answers about the configuration.
+/// The calls about that table find the store's return; a second series would cost as much again.
+const LOST_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The host's copies of the tables.
 #[derive(Debug)]
 pub struct Tables<W, C> {
@@ -79,6 +83,9 @@
     fn next_step(&self, table: Table, now: Duration, role: StoreRole) -> WatchStep {
         let mut watch = self.watch(table).borrow_mut();
         watch.set_following(role != StoreRole::Copier);
+        if table == Table::Endpoints && watch.is_lost() && self.config.borrow().is_lost() {
+            return WatchStep::WaitUntil(now + LOST_INTERVAL);
+        }
         watch.step(now)
     }
 
@@ -89,8 +96,8 @@
 
     /// Tells whether the store answered the last call about each table.
     pub fn store_answers(&self) -> bool {
-        let answers = |table| self.watch(table).borrow().lost_since().is_none();
-        answers(Table::Config) && answers(Table::Endpoints)
+        let is_lost = |table| self.watch(table).borrow().is_lost();
+        !is_lost(Table::Config) && !is_lost(Table::Endpoints)
     }
 
     /// Drops entries that stayed missing after the store's return, for as long as the process runs.
