stand-ins: a relay's port is free for connections and datagrams

Ruled out: the routers' own ports, which are fixed on addresses of their own. Now both are drawn together, again while one is taken.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod relay_state;
 pub mod reply;
 pub mod server;
+pub mod shared_port;
 pub mod table;
 pub mod table_store;
 pub mod weights;
--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -31,6 +31,7 @@
 use crate::server::Call;
 use crate::server::Running;
 use crate::server::Service;
+use crate::shared_port;
 
 /// Pieces on their way in one direction of a connection; more is left to the sender's TCP.
 const PIECES_ON_THE_WAY: usize = 256;
@@ -67,10 +68,10 @@
     let Some(to) = config.to else {
         return Err(io::Error::other("the relay has no target"));
     };
-    let listener = TcpListener::bind(config.listen)?;
+    let (listener, datagrams) = shared_port::bind(config.listen)?;
     let address = listener.local_addr()?;
     let state = Arc::new(RelayState::new(config.delay_ms));
-    relay_datagrams::spawn(address, to, &state)?;
+    relay_datagrams::spawn(datagrams, to, &state)?;
     let control = spawn_control(config.control, Arc::clone(&state))?;
     let accepting = Arc::clone(&state);
     thread::Builder::new()
--- a/crates/standins/src/relay_datagrams.rs
+++ b/crates/standins/src/relay_datagrams.rs
@@ -30,8 +30,7 @@
 }
 
 /// Starts the threads that pass datagrams on.
-pub fn spawn(listen: SocketAddr, to: SocketAddr, state: &Arc<RelayState>) -> io::Result<()> {
-    let socket = UdpSocket::bind(listen)?;
+pub fn spawn(socket: UdpSocket, to: SocketAddr, state: &Arc<RelayState>) -> io::Result<()> {
     socket.set_read_timeout(Some(STOP_POLL))?;
     let sending = socket.try_clone()?;
     let (sender, receiver) = sync_channel(DATAGRAMS_ON_THE_WAY);
