fleet: an account 1.6 times ahead of a backlogged one waits, however idle the engines

Change: from 1.6 times on it gets nothing while the other is backlogged. Tests: an_account_waits_when_it_is_too_far_ahead_of_a_backlogged_one; is_far_ahead became lead, its checks hold as they were.

--- a/crates/fleet/src/account_shares.rs
+++ b/crates/fleet/src/account_shares.rs
@@ -16,9 +16,25 @@
 /// each other late. At 1.5 one account on 69 hosts got 3.0 to 3.4 times as much as another in six
 /// seconds.
 const MOST_AHEAD: f64 = 1.2;
+/// The same from which an account gets nothing, however idle the engines. A fleet of 69 hosts in which
+/// idle engines still took such accounts gave one of them 2.3 to 2.5 times as much as a backlogged one
+/// in six seconds, in three plays of three of one day; with this bound no play of one did, at the same
+/// benefit. At 1.5 accounts of equal size hold each other back in a burst.
+const LARGEST_LEAD: f64 = 1.6;
 /// Part of the share below which a backlogged account holds nobody back: its host may be cut off.
 const LEAST_PART: f64 = 0.5;
 
+/// How much more an account was given than a backlogged one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lead {
+    /// No account is backlogged, or the difference is small.
+    Even,
+    /// So much that only idle engines should take its requests.
+    Far,
+    /// So much that it has to wait for the other one.
+    TooFar,
+}
+
 /// What one account asked for and was given in the window, in tokens.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Usage {
@@ -52,7 +68,8 @@
     reported: IntMap<u64, (Duration, Vec<(u64, Usage)>)>,
     totals: IntMap<u64, Usage>,
     level: f64,
-    most: f64,
+    /// What the backlogged account that was given least has; infinite if none is backlogged.
+    least: f64,
 }
 
 impl AccountShares {
@@ -66,7 +83,7 @@
             reported: IntMap::default(),
             totals: IntMap::default(),
             level: f64::INFINITY,
-            most: f64::INFINITY,
+            least: f64::INFINITY,
         }
     }
 
@@ -122,7 +139,7 @@
             }
         }
         self.level = self.fair_level();
-        self.most = self.most_beside_backlogged();
+        self.least = self.least_backlogged();
     }
 
     /// Returns what the account was given, as a multiple of its fair share. Above 1 it has had it.
@@ -135,14 +152,20 @@
         f64::from(started) / self.level.max(1.0)
     }
 
-    /// Tells whether the account was given so much more than a backlogged one that only idle
-    /// engines should take its requests.
+    /// Tells how far the account is ahead of the backlogged one that was given least.
     ///
     /// A backlogged account may be held up by its host, which its callers fill. What engines have
     /// left then goes to accounts on other hosts, and the gap between the two grows without bound.
-    pub fn is_far_ahead(&self, account: u64) -> bool {
-        let used = self.totals.get(&account);
-        used.is_some_and(|usage| f64::from(usage.started) > self.most)
+    pub fn lead(&self, account: u64) -> Lead {
+        let used = self.totals.get(&account).copied().unwrap_or_default();
+        let started = f64::from(used.started);
+        if started > self.least * LARGEST_LEAD {
+            Lead::TooFar
+        } else if started > self.least * MOST_AHEAD {
+            Lead::Far
+        } else {
+            Lead::Even
+        }
     }
 
     /// Returns the share at which accounts are cut, in tokens a window; infinite when all fit.
@@ -174,8 +197,9 @@
             .retain(|_, buckets| sum(buckets) != Usage::default());
     }
 
-    /// Returns the most that an account may have while another one is backlogged.
-    fn most_beside_backlogged(&self) -> f64 {
+    /// Returns what the backlogged account that was given least has, or part of the share if that is
+    /// more.
+    fn least_backlogged(&self) -> f64 {
         if !self.level.is_finite() {
             return f64::INFINITY;
         }
@@ -185,7 +209,7 @@
         });
         let least = backlogged.map(|usage| f64::from(usage.started));
         let least = least.fold(f64::INFINITY, f64::min);
-        least.max(self.level * LEAST_PART) * MOST_AHEAD
+        least.max(self.level * LEAST_PART)
     }
 
     /// Fills accounts evenly until the capacity is given out: the max-min share.
--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -5,6 +5,7 @@
 
 use super::Dispatcher;
 use super::Pending;
+use crate::account_shares::Lead;
 use crate::arrival::Arrival;
 use crate::arrival::RequestId;
 use crate::config::EngineSpec;
@@ -243,18 +244,18 @@
             // It has been begun: its caller waits for the rest, and the engine's work is spent.
             return true;
         }
-        let is_far_ahead = arrival
-            .account
-            .is_some_and(|it| self.shares.is_far_ahead(it));
-        if is_far_ahead && best.busy_part > settings.spare_part {
-            return false;
+        let lead = arrival.account.map(|account| self.shares.lead(account));
+        match lead.unwrap_or(Lead::Even) {
+            Lead::TooFar => return false,
+            Lead::Far if best.busy_part > settings.spare_part => return false,
+            Lead::Far | Lead::Even => {}
         }
         best.backlog_ms <= self.allowed_backlog_ms(now, arrival, best.first_event_ms)
     }
 
     /// Returns the backlog up to which an engine is given this request. Callers that come back after
-    /// a refusal are not told from others: time budgets of one route differ by more than what a
-    /// refused caller has used up, so that most first tries were taken for second ones.
+    /// a refusal count like others: time budgets of one route differ by more than what a refused
+    /// caller has used up, so that the time left does not tell who has tried before.
     fn allowed_backlog_ms(&self, now: Duration, arrival: &Arrival, first_event_ms: f64) -> f64 {
         let settings = &self.settings.admission;
         let left = arrival.target_at().saturating_sub(now);
--- a/crates/fleet/tests/shares.rs
+++ b/crates/fleet/tests/shares.rs
@@ -4,6 +4,7 @@
 
 use proptest::prelude::*;
 use sedgeridge_fleet::account_shares::AccountShares;
+use sedgeridge_fleet::account_shares::Lead;
 use sedgeridge_fleet::account_shares::max_min_level;
 use sedgeridge_fleet::placement::home_endpoints;
 use sedgeridge_fleet::resend_window::ResendLimits;
@@ -145,10 +146,10 @@
     shares.on_asked(at(0), 4, 100.0);
     shares.on_started(at(0), 4, 100.0);
     shares.tick(at(100));
-    assert!(!shares.is_far_ahead(1));
-    assert!(shares.is_far_ahead(2));
-    assert!(!shares.is_far_ahead(3));
-    assert!(!shares.is_far_ahead(4));
+    assert_eq!(shares.lead(1), Lead::Even);
+    assert_ne!(shares.lead(2), Lead::Even);
+    assert_eq!(shares.lead(3), Lead::Even);
+    assert_eq!(shares.lead(4), Lead::Even);
 }
 
 /// An account whose host is cut off must not stop the whole fleet.
@@ -160,5 +161,27 @@
     shares.on_asked(at(0), 2, 20_000.0);
     shares.on_started(at(0), 2, 1_000.0);
     shares.tick(at(100));
-    assert!(!shares.is_far_ahead(2));
+    assert_eq!(shares.lead(2), Lead::Even);
+}
+
+/// Callers of one account are held up by their host and wait all the time; what engines have left goes
+/// to another account, which other hosts serve, until it has 2.5 times as much. Beyond 1.6 times as much
+/// it waits, however idle the engines are; when nobody is backlogged it does not.
+#[test]
+fn an_account_waits_when_it_is_too_far_ahead_of_a_backlogged_one() {
+    let (backlogged, rival) = (1, 2);
+    let lead_at = |given: f64, asked: f64| {
+        let mut shares = AccountShares::new(at(4_000));
+        shares.set_capacity(Some(500.0));
+        shares.on_asked(at(0), backlogged, asked);
+        shares.on_started(at(0), backlogged, 1_000.0);
+        shares.on_asked(at(0), rival, 6_000.0);
+        shares.on_started(at(0), rival, given);
+        shares.tick(at(100));
+        shares.lead(rival)
+    };
+    assert_eq!(lead_at(1_100.0, 5_000.0), Lead::Even);
+    assert_eq!(lead_at(1_400.0, 5_000.0), Lead::Far);
+    assert_eq!(lead_at(1_700.0, 5_000.0), Lead::TooFar);
+    assert_eq!(lead_at(1_700.0, 1_000.0), Lead::Even);
 }
--- a/crates/fleet/tests/support/load_play.rs
+++ b/crates/fleet/tests/support/load_play.rs
@@ -62,20 +62,20 @@
 #[derive(Debug, Clone)]
 pub struct Load {
     pub hosts: usize,
-    /// Callers' first tries in a second, by account: from, to, and how many. All requests of an
-    /// account may come to one host.
     pub accounts: Vec<AccountLoad>,
     pub length_ms: u64,
     pub returns: Returns,
     pub seed: u64,
 }
 
+/// Callers' first tries of one account.
 #[derive(Debug, Clone, Copy)]
 pub struct AccountLoad {
     pub account: u64,
     pub per_s: u64,
     pub from_ms: u64,
     pub to_ms: u64,
+    /// The host that all its callers reach; any host if there is none.
     pub only_host: Option<usize>,
 }
 
