--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -196,6 +196,12 @@
         "sedgeridge_gateway_unfinished",
         "requests that have no final answer yet",
     ),
+    counter(
+        "sedgeridge_gateway_unusable_rows_total",
+        "table",
+        Values::Fixed("config, endpoints"),
+        "rows of the platform's store that cannot be read; an endpoint's row then names no endpoint, a configuration leaves the one in force",
+    ),
     counter(
         "sedgeridge_home_grants_total",
         "result",
