gateway: callers' connections, idle ones to endpoints and resident memory are on the metrics page

The incident's hypotheses could not be told apart: the page had neither the open connections of callers nor the process's memory. No decision changes.

--- a/crates/gateway/src/endpoint_pool.rs
+++ b/crates/gateway/src/endpoint_pool.rs
@@ -75,6 +75,11 @@
         self.idle.retain(|_, idle| !idle.is_empty());
     }
 
+    /// Returns how many connections wait for their next request.
+    pub fn idle(&self) -> usize {
+        self.idle.values().map(Vec::len).sum()
+    }
+
     /// Counts a connection that was opened.
     pub fn note_opened(&mut self) {
         self.opened += 1;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod meters;
 pub mod pages;
 pub mod peers;
+pub mod resident_memory;
 pub mod serve;
 pub mod settings;
 pub mod store;
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -95,6 +95,12 @@
     pub hosts: usize,
     /// Connections that were opened to endpoints.
     pub connections_opened: u64,
+    /// Connections to endpoints that wait for their next request.
+    pub connections_idle: usize,
+    /// Connections of callers that are open.
+    pub callers: usize,
+    /// Memory of the process; `None` where the system does not tell.
+    pub resident_bytes: Option<u64>,
     /// Log lines that were dropped.
     pub log_lines_dropped: u64,
 }
@@ -107,6 +113,11 @@
     gauge!("sedgeridge_gateway_unfinished").set(moment.unfinished as f64);
     gauge!("sedgeridge_gateway_hosts").set(moment.hosts as f64);
     gauge!("sedgeridge_gateway_connections_opened").set(moment.connections_opened as f64);
+    gauge!("sedgeridge_gateway_connections_idle").set(moment.connections_idle as f64);
+    gauge!("sedgeridge_gateway_callers").set(moment.callers as f64);
+    if let Some(bytes) = moment.resident_bytes {
+        gauge!("sedgeridge_gateway_resident_bytes").set(bytes as f64);
+    }
     gauge!("sedgeridge_gateway_log_lines_dropped").set(moment.log_lines_dropped as f64);
     gauge!("sedgeridge_gateway_sent").set(counts.sent as f64);
     gauge!("sedgeridge_gateway_resent").set(counts.resent as f64);
--- a/crates/gateway/src/pages.rs
+++ b/crates/gateway/src/pages.rs
@@ -20,6 +20,7 @@
 use crate::core::Core;
 use crate::meters;
 use crate::meters::Moment;
+use crate::resident_memory::resident_bytes;
 use crate::wire::Wire;
 
 const METRICS_PATH: &str = "/metrics";
@@ -78,6 +79,9 @@
             unfinished: dispatcher.unfinished(),
             hosts: dispatcher.hosts(now),
             connections_opened: core.pool.borrow().opened(),
+            connections_idle: core.pool.borrow().idle(),
+            callers: core.callers.get(),
+            resident_bytes: resident_bytes(std::process::id()),
             log_lines_dropped: core.log.dropped(),
         };
         (moment, dispatcher.counts().clone())
--- a/crates/soak/src/routers.rs
+++ b/crates/soak/src/routers.rs
@@ -12,6 +12,7 @@
 use std::process::Command;
 use std::process::Stdio;
 
+use sedgeridge_gateway::resident_memory::resident_bytes;
 use sedgeridge_load::processes::Signal;
 use sedgeridge_load::processes::signal_process;
 use sedgeridge_platform_standins::documents::CALLERS_PORT;
@@ -144,11 +145,7 @@
 
     /// Returns the memory of the process in kilobytes, 0 if it does not run.
     pub fn memory_kb(&self) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.process()));
-        let status = status.unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let number = line.and_then(|line| line.split_whitespace().next());
-        number.and_then(|number| number.parse().ok()).unwrap_or(0)
+        resident_bytes(self.process()).unwrap_or(0) / 1_024
     }
 
     fn settings_path(&self) -> PathBuf {
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -115,10 +115,18 @@
         ),
         "attempts of a router on the users' platform that failed",
     ),
+    gauge(
+        "sedgeridge_gateway_callers",
+        "connections of callers that are open",
+    ),
     gauge(
         "sedgeridge_gateway_config_version",
         "version of the configuration in force",
     ),
+    gauge(
+        "sedgeridge_gateway_connections_idle",
+        "connections to endpoints that wait for their next request",
+    ),
     gauge(
         "sedgeridge_gateway_connections_opened",
         "connections that were opened to endpoints since the start",
@@ -176,6 +184,10 @@
         "sedgeridge_gateway_resent",
         "sends to a second endpoint since the start",
     ),
+    gauge(
+        "sedgeridge_gateway_resident_bytes",
+        "memory of the process, as the system tells it",
+    ),
     gauge(
         "sedgeridge_gateway_sent",
         "requests that were sent to an endpoint since the start",
