--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -9,10 +9,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use http::HeaderMap;
 use http::HeaderValue;
+use metrics_exporter_prometheus::PrometheusHandle;
 use sedgeridge_fleet::config::Account;
 use sedgeridge_fleet::config::CallerLimits;
 use sedgeridge_fleet::config::FleetConfig;
@@ -28,6 +30,7 @@
 use sedgeridge_fleet::row_watch::StoreCall;
 use sedgeridge_gateway::clock::SteadyClock;
 use sedgeridge_gateway::event_log::EventLog;
+use sedgeridge_gateway::meters;
 use sedgeridge_gateway::serve::Context;
 use sedgeridge_gateway::serve::SettingsSource;
 use sedgeridge_gateway::serve::serve;
@@ -291,7 +294,7 @@
         store,
         settings_source: FixedSettings(settings.clone()),
         log: EventLog::silent(Arc::from("test")),
-        metrics: None,
+        metrics: recorder(),
         stop: stop.clone(),
         reload: Rc::new(Notify::new()),
         run: 1,
@@ -313,6 +316,12 @@
     fleet
 }
 
+/// The recorder of the test's process, which all its routers share.
+fn recorder() -> Option<PrometheusHandle> {
+    static RECORDER: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
+    RECORDER.get_or_init(|| meters::install().ok()).clone()
+}
+
 async fn settings() -> GatewaySettings {
     GatewaySettings {
         host: Arc::from("test"),
