gateway: memory follows requests in progress, not open connections; bodies, idle connections and samples are bounded

Cause of the incident: each caller's connection kept its HTTP state between requests, with buffers as large as the largest body that it ever carried, and nothing compared what is held with the memory limit of the process. The host that the largest accounts reach was killed at 88 MB with requests in progress.

- Between requests only the socket is kept; the HTTP state is made anew for the next request.
- Requests in progress hold counted memory, bodies included, half of the limit that the settings name; what has no room is refused at once, unrun, after its body was read and forgotten, since a reset would destroy the answer.
The host is not ready while little is left.
- Idle connections to endpoints are bounded in all, connections of the balancer, of operators and of other hosts that ask nothing are closed, samples of histograms are folded every second.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod engine_speed;
 pub mod event_stream;
 pub mod hashing;
+pub mod memory_budget;
 pub mod peer_hosts;
 pub mod peer_report;
 pub mod peer_schedule;
--- /dev/null
+++ b/crates/fleet/src/memory_budget.rs
@@ -0,0 +1,81 @@
+//! What requests in progress may hold of a host's memory.
+
+/// Part of the process's memory that requests in progress may hold. The rest is for what does not
+/// follow from requests: about 10 MB of program and tables, kept connections, and bytes that wait
+/// unread in sockets, up to 12 MB where a thousand callers wait to be accepted.
+const REQUESTS_PART: f64 = 0.5;
+/// Part of it from which the host asks for no more callers. What is on its way still finds room.
+const SHORT_PART: f64 = 0.8;
+/// Part of the process's memory that idle connections to endpoints may hold.
+const IDLE_PART: f64 = 0.1;
+/// Memory of a connection to an endpoint: two buffers of 8 KB and its task.
+const CONNECTION_BYTES: u64 = 20 * 1_024;
+/// Memory of a request without its body: connections of its caller and to an endpoint with two buffers of
+/// 8 KB or more each, headers and tasks. 600 streams in progress with bodies of 12 KB took 62 KB each.
+pub const REQUEST_BYTES: u64 = 56 * 1_024;
+
+/// Counts what requests in progress hold, and tells whether another one fits.
+///
+/// A process that grows over its memory limit is killed, and all its requests get no answer. Nothing
+/// else on a host knows of the limit, and no number of requests is safe, since callers choose the
+/// length of bodies. Counting bytes before they are read is enough: what is refused was not read.
+///
+/// ```
+/// use sedgeridge_fleet::memory_budget::MemoryBudget;
+///
+/// let mut budget = MemoryBudget::new(88_000_000);
+/// assert!(budget.take(40_000_000));
+/// assert!(!budget.take(10_000_000));
+/// budget.give_back(40_000_000);
+/// assert!(budget.take(10_000_000));
+/// ```
+#[derive(Debug)]
+pub struct MemoryBudget {
+    process_bytes: u64,
+    held_bytes: u64,
+}
+
+impl MemoryBudget {
+    /// Creates the budget of a process that may have `process_bytes` of memory.
+    pub fn new(process_bytes: u64) -> Self {
+        Self {
+            process_bytes,
+            held_bytes: 0,
+        }
+    }
+
+    /// Takes memory if there is room; tells whether it was taken.
+    pub fn take(&mut self, bytes: u64) -> bool {
+        let held_bytes = self.held_bytes.saturating_add(bytes);
+        let fits = held_bytes <= self.requests_bytes();
+        if fits {
+            self.held_bytes = held_bytes;
+        }
+        fits
+    }
+
+    /// Gives memory back that was taken.
+    pub fn give_back(&mut self, bytes: u64) {
+        self.held_bytes = self.held_bytes.saturating_sub(bytes);
+    }
+
+    /// Returns what is held, in bytes.
+    pub fn held_bytes(&self) -> u64 {
+        self.held_bytes
+    }
+
+    /// Tells whether there is hardly any room left.
+    pub fn is_short(&self) -> bool {
+        self.held_bytes as f64 > self.requests_bytes() as f64 * SHORT_PART
+    }
+
+    /// Returns how many idle connections to endpoints are kept at most.
+    pub fn most_idle_connections(&self) -> usize {
+        let bytes = self.process_bytes as f64 * IDLE_PART;
+        (bytes / CONNECTION_BYTES as f64) as usize
+    }
+
+    fn requests_bytes(&self) -> u64 {
+        (self.process_bytes as f64 * REQUESTS_PART) as u64
+    }
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -59,7 +59,7 @@
     };
     let id = core.next_request();
     let arrival = arrival_of(&core, id, service, &read);
-    let guard = RequestGuard::new(core.clone(), id, read.outgoing.id.clone());
+    let guard = RequestGuard::new(core.clone(), id, read.outgoing.id.clone(), read.memory);
     let waiting = core.arrive(arrival);
     let call = Call {
         core: core.clone(),
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -4,19 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Request;
 use http::StatusCode;
 use http::header;
 use http::request::Parts;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use sedgeridge_fleet::config::Route;
+use sedgeridge_fleet::memory_budget::REQUEST_BYTES;
 use sedgeridge_fleet::prompt::Prompt;
 use sedgeridge_fleet::route_table::LookupError;
 use sedgeridge_state::ids::AccountId;
-use tokio::time::timeout;
 
 use crate::answer;
 use crate::answer::Answer;
@@ -25,6 +22,11 @@
 use crate::clock::Clock;
 use crate::core::Core;
 use crate::event_log::LogEvent;
+use crate::event_log::millis;
+use crate::held_memory::HeldMemory;
+use crate::meters;
+use crate::request_body;
+use crate::request_body::BodyError;
 use crate::wire::RequestFacts;
 use crate::wire::Wire;
 use crate::wire::WireError;
@@ -37,6 +39,9 @@
 /// When a caller should come back after a router that is about to stop refused it: at once, since
 /// it reaches another one.
 const STOPPING_RETRY: Duration = Duration::from_millis(20);
+/// When a caller should come back after a host without memory refused it. It reaches another host, and
+/// requests that end here make room within some tens of milliseconds.
+const NO_MEMORY_RETRY: Duration = Duration::from_millis(50);
 
 /// A request that was read whole and that a route allows.
 #[derive(Debug)]
@@ -49,6 +54,8 @@
     pub prompt: Option<Prompt>,
     /// When its head had been read.
     pub received_at: Duration,
+    /// Memory that it holds.
+    pub memory: HeldMemory,
 }
 
 /// Returns the time after SIGTERM in which new requests are still taken.
@@ -77,7 +84,11 @@
     let (route, account) = found.map_err(|error| turned_away(core, &head, &facts, error))?;
     let allowed = facts.time_left.unwrap_or(route.timeout);
     let deadline = received_at + allowed.min(route.timeout);
-    let body = read_body(core, body, deadline).await?;
+    let memory = core.memory.hold(REQUEST_BYTES);
+    let mut memory = memory.ok_or_else(|| no_memory(core, &facts))?;
+    let left = deadline.saturating_sub(core.now());
+    let body = request_body::read(body, core.max_body_bytes.get(), left, &mut memory).await;
+    let body = body.map_err(|error| unread(core, &facts, &error))?;
     let mut headers = head.headers;
     remove_connection_headers(&mut headers);
     let outgoing = Outgoing {
@@ -96,6 +107,7 @@
         outgoing,
         prompt: facts.prompt,
         received_at,
+        memory,
     })
 }
 
@@ -139,21 +151,32 @@
     }
 }
 
-async fn read_body<W: Wire, C: Clock>(
+fn unread<W: Wire, C: Clock>(
     core: &Rc<Core<W, C>>,
-    body: Incoming,
-    deadline: Duration,
-) -> Result<Bytes, Answer> {
-    let limited = Limited::new(body, core.max_body_bytes.get());
-    let left = deadline.saturating_sub(core.now());
-    let Ok(read) = timeout(left, limited.collect()).await else {
-        return Err(answer::own(StatusCode::REQUEST_TIMEOUT, "body too slow"));
+    facts: &RequestFacts,
+    error: &BodyError,
+) -> Answer {
+    let status = match error {
+        BodyError::NoMemory => return no_memory(core, facts),
+        BodyError::TooSlow => StatusCode::REQUEST_TIMEOUT,
+        BodyError::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyError::CutOff => StatusCode::BAD_REQUEST,
     };
-    match read {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(answer::own(StatusCode::PAYLOAD_TOO_LARGE, "body too long"))
-        }
-        Err(_) => Err(answer::own(StatusCode::BAD_REQUEST, "body cut off")),
+    answer::own(status, &error.to_string())
+}
+
+fn no_memory<W: Wire, C: Clock>(core: &Rc<Core<W, C>>, facts: &RequestFacts) -> Answer {
+    const REASON: &str = "no_memory";
+    meters::refused(REASON);
+    if core.log.is_wanted(core.now(), LogEvent::RequestRefused) {
+        let fields = [
+            ("request", (*facts.id).into()),
+            ("reason", REASON.into()),
+            ("retry_after_ms", millis(NO_MEMORY_RETRY)),
+            ("held_bytes", core.memory.held_bytes().into()),
+            ("in_progress", core.in_progress.get().into()),
+        ];
+        core.log(LogEvent::RequestRefused, &fields);
     }
+    answer::not_run(REASON, NO_MEMORY_RETRY)
 }
--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -1,13 +1,17 @@
 //! A caller's connection, which can be asked whether its caller has left.
 
+use std::cell::Cell;
 use std::cell::RefCell;
+use std::future::poll_fn;
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 
+use bytes::Bytes;
 use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -15,26 +19,85 @@
 use tokio::net::TcpStream;
 
 /// A connection that the server reads and writes while others look at it.
+///
+/// It follows whether a request is under way, so that what is needed for one is given up between two.
 #[derive(Debug, Clone)]
 pub struct CallerStream {
-    stream: Rc<RefCell<TcpStream>>,
+    inner: Rc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    stream: RefCell<TcpStream>,
+    /// Bytes that were read before and belong to the next request.
+    unread: RefCell<Bytes>,
+    /// Whether a request's head is read in part, or its answer is not complete.
+    is_busy: Cell<bool>,
+    /// Whether the caller takes no more bytes at the moment.
+    is_write_blocked: Cell<bool>,
+}
+
+/// A request on a connection, until its answer has been handed over whole.
+#[derive(Debug)]
+pub struct BusyGuard {
+    stream: CallerStream,
+}
+
+impl Drop for BusyGuard {
+    fn drop(&mut self) {
+        self.stream.inner.is_busy.set(false);
+    }
 }
 
 impl CallerStream {
     /// Takes over a connection.
     pub fn new(stream: TcpStream) -> Self {
+        let inner = Inner {
+            stream: RefCell::new(stream),
+            unread: RefCell::new(Bytes::new()),
+            is_busy: Cell::new(false),
+            is_write_blocked: Cell::new(false),
+        };
         Self {
-            stream: Rc::new(RefCell::new(stream)),
+            inner: Rc::new(inner),
+        }
+    }
+
+    /// Notes that a request has been read, until the guard is dropped.
+    pub fn begin_request(&self) -> BusyGuard {
+        self.inner.is_busy.set(true);
+        BusyGuard {
+            stream: self.clone(),
         }
     }
 
+    /// Tells whether no request is under way: all that was read has been answered, and all of the
+    /// answer was written.
+    pub fn is_between_requests(&self) -> bool {
+        !self.inner.is_busy.get() && !self.inner.is_write_blocked.get()
+    }
+
+    /// Takes back bytes that were read and not used; they are read again.
+    pub fn put_back(&self, bytes: &[u8]) {
+        *self.inner.unread.borrow_mut() = Bytes::copy_from_slice(bytes);
+    }
+
+    /// Waits until the caller sends something or closes.
+    ///
+    /// # Errors
+    ///
+    /// The connection is broken.
+    pub async fn readable(&self) -> io::Result<()> {
+        poll_fn(|context| self.inner.stream.borrow().poll_read_ready(context)).await
+    }
+
     /// Tells whether the caller has closed the connection.
     ///
     /// The server learns of this from the event loop, which is behind on a host that has too much to
     /// do: connections are accepted after their callers gave up, and their requests would go to
     /// endpoints that work for nobody. This asks the system, with one call.
     pub fn has_left(&self) -> bool {
-        let stream = self.stream.borrow();
+        let stream = self.inner.stream.borrow();
         let mut next = [MaybeUninit::uninit()];
         match SockRef::from(&*stream).peek(&mut next) {
             Ok(waiting) => waiting == 0,
@@ -49,7 +112,27 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.stream.borrow_mut()).poll_read(context, buffer)
+        let filled_before = buffer.filled().len();
+        let mut unread = self.inner.unread.borrow_mut();
+        if unread.is_empty() {
+            let mut stream = self.inner.stream.borrow_mut();
+            ready!(Pin::new(&mut *stream).poll_read(context, buffer))?;
+        } else {
+            let length = unread.len().min(buffer.remaining());
+            buffer.put_slice(&unread.split_to(length));
+        }
+        if buffer.filled().len() > filled_before {
+            self.inner.is_busy.set(true);
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl CallerStream {
+    /// Notes whether a write found no room.
+    fn note_write<T>(&self, written: Poll<T>) -> Poll<T> {
+        self.inner.is_write_blocked.set(written.is_pending());
+        written
     }
 }
 
@@ -59,7 +142,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.stream.borrow_mut()).poll_write(context, bytes)
+        let written = Pin::new(&mut *self.inner.stream.borrow_mut()).poll_write(context, bytes);
+        self.note_write(written)
     }
 
     fn poll_write_vectored(
@@ -67,18 +151,20 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(context, slices)
+        let mut stream = self.inner.stream.borrow_mut();
+        let written = Pin::new(&mut *stream).poll_write_vectored(context, slices);
+        self.note_write(written)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.borrow().is_write_vectored()
+        self.inner.stream.borrow().is_write_vectored()
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(context)
+        Pin::new(&mut *self.inner.stream.borrow_mut()).poll_flush(context)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(context)
+        Pin::new(&mut *self.inner.stream.borrow_mut()).poll_shutdown(context)
     }
 }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -13,6 +13,7 @@
 use sedgeridge_fleet::dispatcher::Dispatcher;
 use sedgeridge_fleet::dispatcher::DispatcherSettings;
 use sedgeridge_fleet::hashing::stable_hash;
+use sedgeridge_fleet::memory_budget::MemoryBudget;
 use sedgeridge_fleet::resend_window::ResendLimits;
 use sedgeridge_fleet::route_table::RouteTable;
 use sedgeridge_fleet::verdict::Basis;
@@ -33,6 +34,8 @@
 use crate::event_log::EventLog;
 use crate::event_log::LogEvent;
 use crate::event_log::millis;
+use crate::held_memory::HeldMemory;
+use crate::held_memory::SharedMemory;
 use crate::loop_lag::LoopLag;
 use crate::meters;
 use crate::settings::GatewaySettings;
@@ -82,10 +85,16 @@
     pub pool: RefCell<EndpointPool>,
     /// Routes and keys in force.
     pub routes: RefCell<Rc<RouteTable>>,
+    /// Longest head of a request.
+    pub max_header_bytes: Cell<usize>,
     /// Longest body that is read from a caller.
     pub max_body_bytes: Cell<usize>,
     /// Longest idle time of a caller's connection.
     pub idle_timeout: Cell<Duration>,
+    /// Longest time for the head of a request.
+    pub header_timeout: Cell<Duration>,
+    /// Memory of requests in progress.
+    pub memory: SharedMemory,
     /// When the process was told to stop, if it was.
     pub stopping: watch::Sender<Option<Duration>>,
     /// How far the event loop is behind.
@@ -114,16 +123,20 @@
             admission: settings.admission.clone(),
         });
         let limits = sedgeridge_fleet::config::CallerLimits::default();
+        let budget = MemoryBudget::new(settings.memory_bytes);
         Self {
             wire,
             clock,
             log,
             bounds: RefCell::new(Bounds::of(&settings)),
             settings,
-            pool: RefCell::new(EndpointPool::default()),
+            pool: RefCell::new(EndpointPool::new(budget.most_idle_connections())),
             routes: RefCell::new(Rc::new(RouteTable::default())),
+            max_header_bytes: Cell::new(limits.max_header_bytes),
             max_body_bytes: Cell::new(limits.max_body_bytes),
             idle_timeout: Cell::new(limits.idle_timeout),
+            header_timeout: Cell::new(limits.header_timeout),
+            memory: SharedMemory::new(budget),
             stopping: watch::Sender::new(None),
             lag: RefCell::new(LoopLag::default()),
             callers: Cell::new(0),
@@ -271,7 +284,8 @@
     /// Tells whether the router can serve callers.
     pub fn is_ready(&self) -> bool {
         let has_endpoints = !self.dispatcher.borrow().endpoints().is_empty();
-        let can_serve = !self.is_stopping() && !self.lag.borrow().is_overloaded();
+        let has_room = !self.lag.borrow().is_overloaded() && !self.memory.is_short();
+        let can_serve = !self.is_stopping() && has_room;
         can_serve && self.routes.borrow().version().is_some() && has_endpoints
     }
 
@@ -304,6 +318,7 @@
     id: RequestId,
     name: Arc<str>,
     end: GuardedEnd,
+    _memory: HeldMemory,
 }
 
 /// What is known of a guarded request's end.
@@ -320,14 +335,15 @@
 }
 
 impl<W: Wire, C: Clock> RequestGuard<W, C> {
-    /// Watches over a request that was handed in; `name` is its id on the wire.
-    pub fn new(core: Rc<Core<W, C>>, id: RequestId, name: Arc<str>) -> Self {
+    /// Watches over a request that was handed in and holds `memory`; `name` is its id on the wire.
+    pub fn new(core: Rc<Core<W, C>>, id: RequestId, name: Arc<str>, memory: HeldMemory) -> Self {
         core.in_progress.set(core.in_progress.get() + 1);
         Self {
             core,
             id,
             name,
             end: GuardedEnd::Open,
+            _memory: memory,
         }
     }
 
--- a/crates/gateway/src/endpoint_pool.rs
+++ b/crates/gateway/src/endpoint_pool.rs
@@ -19,15 +19,20 @@
 /// Time for which an idle connection is used again, where the endpoint names none.
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
 /// Most idle connections to one endpoint.
-const MAX_IDLE: usize = 16;
+pub const MAX_IDLE: usize = 16;
 
 /// A connection on which one request at a time can be sent.
 pub type EndpointConnection = SendRequest<Full<Bytes>>;
 
 /// Idle connections by address.
-#[derive(Debug, Default)]
+///
+/// There are at most [`MAX_IDLE`] to each address and `most_idle` in all. A fleet has hundreds of endpoints, and
+/// each idle connection holds its buffers: without the second bound they alone would fill the memory
+/// of a small host.
+#[derive(Debug)]
 pub struct EndpointPool {
     idle: HashMap<SocketAddr, Vec<Idle>>,
+    most_idle: usize,
     opened: u64,
 }
 
@@ -38,6 +43,15 @@
 }
 
 impl EndpointPool {
+    /// Creates a pool that keeps at most `most_idle` connections.
+    pub fn new(most_idle: usize) -> Self {
+        Self {
+            idle: HashMap::new(),
+            most_idle,
+            opened: 0,
+        }
+    }
+
     /// Takes the connection that was used last, if one is open.
     pub fn take(&mut self, now: Duration, address: SocketAddr) -> Option<EndpointConnection> {
         let idle = self.idle.get_mut(&address)?;
@@ -59,8 +73,11 @@
     ) {
         // Half of the endpoint's timeout, or a request could cross its close on the way.
         let usable_for = keep_alive.map_or(DEFAULT_IDLE, |timeout| timeout / 2);
+        if connection.is_closed() || self.idle() >= self.most_idle {
+            return;
+        }
         let idle = self.idle.entry(address).or_default();
-        if connection.is_closed() || idle.len() >= MAX_IDLE {
+        if idle.len() >= MAX_IDLE {
             return;
         }
         let until = now + usable_for.min(DEFAULT_IDLE);
--- /dev/null
+++ b/crates/gateway/src/held_memory.rs
@@ -0,0 +1,75 @@
+//! Memory that requests in progress hold, counted until they end.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use sedgeridge_fleet::memory_budget::MemoryBudget;
+
+/// A process's budget, which all its requests share.
+#[derive(Debug, Clone)]
+pub struct SharedMemory {
+    budget: Rc<RefCell<MemoryBudget>>,
+}
+
+impl SharedMemory {
+    /// Shares a budget.
+    pub fn new(budget: MemoryBudget) -> Self {
+        Self {
+            budget: Rc::new(RefCell::new(budget)),
+        }
+    }
+
+    /// Takes memory for a request; `None` if there is no room.
+    ///
+    /// ```
+    /// use sedgeridge_fleet::memory_budget::MemoryBudget;
+    /// use sedgeridge_gateway::held_memory::SharedMemory;
+    ///
+    /// let memory = SharedMemory::new(MemoryBudget::new(100_000));
+    /// let held = memory.hold(40_000).unwrap();
+    /// assert!(memory.hold(40_000).is_none());
+    /// drop(held);
+    /// assert!(memory.hold(40_000).is_some());
+    /// ```
+    pub fn hold(&self, bytes: u64) -> Option<HeldMemory> {
+        let is_taken = self.budget.borrow_mut().take(bytes);
+        is_taken.then(|| HeldMemory {
+            shared: self.clone(),
+            bytes,
+        })
+    }
+
+    /// Returns what is held, in bytes.
+    pub fn held_bytes(&self) -> u64 {
+        self.budget.borrow().held_bytes()
+    }
+
+    /// Tells whether there is hardly any room left.
+    pub fn is_short(&self) -> bool {
+        self.budget.borrow().is_short()
+    }
+}
+
+/// Memory of one request, given back when the request ends in whatever way.
+#[derive(Debug)]
+pub struct HeldMemory {
+    shared: SharedMemory,
+    bytes: u64,
+}
+
+impl HeldMemory {
+    /// Takes more for the same request; tells whether there was room.
+    pub fn grow(&mut self, bytes: u64) -> bool {
+        let is_taken = self.shared.budget.borrow_mut().take(bytes);
+        if is_taken {
+            self.bytes += bytes;
+        }
+        is_taken
+    }
+}
+
+impl Drop for HeldMemory {
+    fn drop(&mut self) {
+        self.shared.budget.borrow_mut().give_back(self.bytes);
+    }
+}
--- a/crates/gateway/src/http_caller.rs
+++ b/crates/gateway/src/http_caller.rs
@@ -17,6 +17,7 @@
 
 use crate::clock::Clock;
 use crate::endpoint_pool::EndpointPool;
+use crate::endpoint_pool::MAX_IDLE;
 use crate::endpoint_pool::open_connection;
 
 /// Longest body of an answer.
@@ -59,7 +60,7 @@
         Self {
             address,
             clock,
-            pool: RefCell::new(EndpointPool::default()),
+            pool: RefCell::new(EndpointPool::new(MAX_IDLE)),
         }
     }
 
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -99,6 +99,8 @@
     pub connections_idle: usize,
     /// Connections of callers that are open.
     pub callers: usize,
+    /// Memory that requests in progress hold.
+    pub held_bytes: u64,
     /// Memory of the process; `None` where the system does not tell.
     pub resident_bytes: Option<u64>,
     /// Log lines that were dropped.
@@ -115,6 +117,7 @@
     gauge!("sedgeridge_gateway_connections_opened").set(moment.connections_opened as f64);
     gauge!("sedgeridge_gateway_connections_idle").set(moment.connections_idle as f64);
     gauge!("sedgeridge_gateway_callers").set(moment.callers as f64);
+    gauge!("sedgeridge_gateway_held_bytes").set(moment.held_bytes as f64);
     if let Some(bytes) = moment.resident_bytes {
         gauge!("sedgeridge_gateway_resident_bytes").set(bytes as f64);
     }
--- /dev/null
+++ b/crates/gateway/src/page_server.rs
@@ -0,0 +1,54 @@
+//! Serves small pages to the balancer, to operators and to other hosts.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+use crate::clock::Clock;
+use crate::core::Core;
+use crate::wire::Wire;
+
+/// Time after which a connection without a question is closed. The balancer asks each second.
+///
+/// A connection may be forgotten on the way without a word, and whoever asked opens another. Each that
+/// stays holds some 12 KB: at one a second they would fill a small host's memory within two hours.
+const QUESTION_TIMEOUT: Duration = Duration::from_secs(6);
+
+/// A page.
+pub type Page = Response<Full<Bytes>>;
+
+/// Answers each question with what `page` makes of it, for as long as the process runs.
+pub async fn serve_pages<W: Wire, C: Clock>(
+    core: Rc<Core<W, C>>,
+    listener: TcpListener,
+    page: impl Fn(&Request<Incoming>) -> Page + Clone + 'static,
+) {
+    loop {
+        let stream = core.accept(&listener).await;
+        let page = page.clone();
+        let service = service_fn(move |request| {
+            let page = page(&request);
+            async move { Ok::<_, Infallible>(page) }
+        });
+        spawn_local(async move {
+            let serving = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(QUESTION_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service);
+            // Whoever got no answer asks again.
+            drop(serving.await);
+        });
+    }
+}
--- a/crates/gateway/src/pages.rs
+++ b/crates/gateway/src/pages.rs
@@ -1,45 +1,33 @@
 //! The pages for the balancer and for operators.
 
-use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::Duration;
 
-use bytes::Bytes;
 use http::Request;
 use http::Response;
 use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
-use tokio::task::spawn_local;
 
 use crate::clock::Clock;
 use crate::core::Core;
 use crate::meters;
 use crate::meters::Moment;
+use crate::page_server::Page;
+use crate::page_server::serve_pages;
 use crate::resident_memory::resident_bytes;
 use crate::wire::Wire;
 
 const METRICS_PATH: &str = "/metrics";
+/// Time between two foldings of samples, of which a thousand requests leave 32 KB.
+const FOLD_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Answers the balancer for as long as the process runs.
 pub async fn serve_ready<W: Wire, C: Clock>(core: Rc<Core<W, C>>, listener: TcpListener) {
-    loop {
-        let stream = core.accept(&listener).await;
-        let core = core.clone();
-        let service = service_fn(move |request| {
-            let page = ready_page(&core, &request);
-            async move { Ok::<_, Infallible>(page) }
-        });
-        spawn_local(async move {
-            let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            // The balancer asks again in a second; there is nothing to do about one lost question.
-            drop(serving.await);
-        });
-    }
+    let asked = core.clone();
+    serve_pages(core, listener, move |request| ready_page(&asked, request)).await;
 }
 
 /// Serves the metrics page for as long as the process runs.
@@ -48,24 +36,25 @@
     recorder: PrometheusHandle,
     listener: TcpListener,
 ) {
+    let asked = core.clone();
+    let page = move |request: &Request<Incoming>| match request.uri().path() {
+        METRICS_PATH => {
+            set_gauges(&asked);
+            Response::new(Full::from(recorder.render()))
+        }
+        _ => not_found(),
+    };
+    serve_pages(core, listener, page).await;
+}
+
+/// Folds the samples of histograms into their buckets, for as long as the process runs.
+///
+/// The recorder keeps every sample until somebody reads the page. Where nobody does the process grew by
+/// 16 bytes a sample, two samples a request, until it was killed at its memory limit.
+pub async fn fold_samples_forever(recorder: PrometheusHandle) {
     loop {
-        let stream = core.accept(&listener).await;
-        let (core, recorder) = (core.clone(), recorder.clone());
-        let service = service_fn(move |request: Request<Incoming>| {
-            let page = match request.uri().path() {
-                METRICS_PATH => {
-                    set_gauges(&core);
-                    Response::new(Full::from(recorder.render()))
-                }
-                _ => not_found(),
-            };
-            async move { Ok::<_, Infallible>(page) }
-        });
-        spawn_local(async move {
-            let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            // Whoever reads metrics asks again.
-            drop(serving.await);
-        });
+        tokio::time::sleep(FOLD_INTERVAL).await;
+        recorder.run_upkeep();
     }
 }
 
@@ -81,6 +70,7 @@
             connections_opened: core.pool.borrow().opened(),
             connections_idle: core.pool.borrow().idle(),
             callers: core.callers.get(),
+            held_bytes: core.memory.held_bytes(),
             resident_bytes: resident_bytes(std::process::id()),
             log_lines_dropped: core.log.dropped(),
         };
@@ -89,16 +79,13 @@
     meters::set_gauges(moment, &counts);
 }
 
-fn not_found() -> Response<Full<Bytes>> {
+fn not_found() -> Page {
     let mut page = Response::new(Full::default());
     *page.status_mut() = StatusCode::NOT_FOUND;
     page
 }
 
-fn ready_page<W: Wire, C: Clock>(
-    core: &Core<W, C>,
-    request: &Request<Incoming>,
-) -> Response<Full<Bytes>> {
+fn ready_page<W: Wire, C: Clock>(core: &Core<W, C>, request: &Request<Incoming>) -> Page {
     let status = match request.uri().path() {
         path if path != core.wire.ready_path() => StatusCode::NOT_FOUND,
         _ if core.is_ready() => StatusCode::OK,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,13 +4,11 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -18,9 +16,6 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use sedgeridge_coordination::random::SeededRandom;
 use sedgeridge_fleet::dispatcher::Addressee;
 use sedgeridge_fleet::dispatcher::DispatchEvent;
@@ -47,6 +42,8 @@
 use crate::endpoint_pool::open_connection;
 use crate::event_log::LogEvent;
 use crate::meters;
+use crate::page_server::Page;
+use crate::page_server::serve_pages;
 use crate::store::HostEntry;
 use crate::store::Store;
 use crate::store::Table;
@@ -266,19 +263,8 @@
 
     /// Gives other hosts copies of the tables, for as long as the process runs.
     pub async fn serve_copies(self: Rc<Self>, listener: TcpListener) {
-        loop {
-            let stream = self.core.accept(&listener).await;
-            let peers = self.clone();
-            let service = service_fn(move |request| {
-                let page = peers.copy_page(&request);
-                async move { Ok::<_, Infallible>(page) }
-            });
-            spawn_local(async move {
-                let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-                // A host that got no copy asks again.
-                drop(serving.await);
-            });
-        }
+        let core = self.core.clone();
+        serve_pages(core, listener, move |request| self.copy_page(request)).await;
     }
 
     fn note_hosts(&self) {
@@ -334,7 +320,7 @@
         self.behind.borrow_mut().remove(&table);
     }
 
-    fn copy_page(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    fn copy_page(&self, request: &Request<Incoming>) -> Page {
         let table = match request.uri().path() {
             CONFIG_PATH => Table::Config,
             ENDPOINTS_PATH => Table::Endpoints,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use metrics_exporter_prometheus::PrometheusHandle;
-use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
@@ -18,6 +17,7 @@
 use crate::event_log::EventLog;
 use crate::event_log::LogEvent;
 use crate::event_log::millis;
+use crate::pages::fold_samples_forever;
 use crate::pages::serve_metrics;
 use crate::pages::serve_ready;
 use crate::peers::Peers;
@@ -77,8 +77,8 @@
     settings: GatewaySettings,
 ) -> io::Result<()> {
     let callers = connection::listen(settings.callers_address).await?;
-    let ready = TcpListener::bind(settings.ready_address).await?;
-    let copies = TcpListener::bind(settings.peers_address).await?;
+    let ready = connection::listen(settings.ready_address).await?;
+    let copies = connection::listen(settings.peers_address).await?;
     let reports = Rc::new(UdpSocket::bind(settings.peers_address).await?);
     let metrics_address = settings.metrics_address;
     let store = Rc::new(context.store);
@@ -110,7 +110,8 @@
     spawn_local(serve_ready(core.clone(), ready));
     spawn_local(accept_forever(core.clone(), callers));
     if let Some(recorder) = context.metrics {
-        let metrics = TcpListener::bind(metrics_address).await?;
+        let metrics = connection::listen(metrics_address).await?;
+        spawn_local(fold_samples_forever(recorder.clone()));
         spawn_local(serve_metrics(core.clone(), recorder, metrics));
     }
     let fields = [
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -24,6 +24,8 @@
     pub peers_address: SocketAddr,
     /// Connections of callers above which idle ones are given up.
     pub max_callers: usize,
+    /// Memory that the process may have. With more it is killed.
+    pub memory_bytes: u64,
     /// Time between SIGTERM and SIGKILL.
     pub grace: Duration,
     /// Window over which accounts share the engines.
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -204,8 +204,11 @@
         self.core.log(LogEvent::ConfigAdopted, &fields);
         let table = Rc::new(RouteTable::new(&config));
         *self.core.routes.borrow_mut() = table;
+        let max_header_bytes = config.limits.max_header_bytes;
+        self.core.max_header_bytes.set(max_header_bytes);
         self.core.max_body_bytes.set(config.limits.max_body_bytes);
         self.core.idle_timeout.set(config.limits.idle_timeout);
+        self.core.header_timeout.set(config.limits.header_timeout);
         let config = Arc::new(config);
         self.core.handle(DispatchEvent::Configured(config));
     }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -331,6 +331,7 @@
         metrics_address: free_address().await,
         peers_address: free_address().await,
         max_callers: 3,
+        memory_bytes: 64 << 20,
         grace: Duration::from_secs(4),
         share_window: Duration::from_secs(4),
         resends: ResendLimits::default(),
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -148,6 +148,10 @@
         "sedgeridge_gateway_first_piece_seconds",
         "time from a request's head to the first piece of its answer",
     ),
+    gauge(
+        "sedgeridge_gateway_held_bytes",
+        "memory that requests in progress hold, their bodies included",
+    ),
     gauge(
         "sedgeridge_gateway_hosts",
         "hosts that report, this one included",
@@ -167,7 +171,9 @@
     counter(
         "sedgeridge_gateway_refused_total",
         "reason",
-        Values::Fixed("over_share, overload, no_endpoint, quarantined, turned_away, out_of_time"),
+        Values::Fixed(
+            "over_share, overload, no_endpoint, quarantined, turned_away, out_of_time, no_memory",
+        ),
         "requests that were refused unrun",
     ),
     counter(
