--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -42,6 +42,10 @@
 const PAUSE_MS: (u64, u64) = (10, 70);
 /// Requests in a hundred that present a revoked key.
 const REVOKED_PERCENT: u64 = 4;
+/// Every so many requests of a caller have a long body, as long as the longest usual prompt: a router's
+/// memory follows the longest bodies, not the mean ones.
+const LONG_BODY_EVERY: u64 = 8;
+const LONG_BODY_BYTES: usize = 64 * 1024;
 /// Time after which callers use a new key.
 const KEY_SPREAD: Duration = Duration::from_secs(2);
 
@@ -99,7 +103,8 @@
             continue;
         };
         requests += 1;
-        let record = ask(&shared, &mut random, open, format!("{number}-{requests}")).await;
+        let id = format!("{number}-{requests}");
+        let record = ask(&shared, &mut random, open, id, body(requests)).await;
         if !matches!(record.outcome, Outcome::Answered { .. }) {
             connection = None;
         }
@@ -138,11 +143,19 @@
     connection.as_mut()
 }
 
+fn body(request: u64) -> Bytes {
+    match request % LONG_BODY_EVERY {
+        0 => Bytes::from(vec![b'x'; LONG_BODY_BYTES]),
+        _ => Bytes::from_static(b"body"),
+    }
+}
+
 async fn ask<C: Clock>(
     shared: &Shared<C>,
     random: &mut SeededRandom,
     connection: &mut Connection,
     id: String,
+    body: Bytes,
 ) -> Record {
     let kinds = [Kind::Idempotent, Kind::AtMostOnce, Kind::Stream];
     let kind = kinds[random.below(3) as usize];
@@ -162,7 +175,7 @@
         wait_ms: TIMEOUT.as_millis() as u64,
     };
     let sent_at = shared.now();
-    let outcome = match request(&head, Full::from(Bytes::from(format!("body of {id}")))) {
+    let outcome = match request(&head, Full::from(body)) {
         Ok(request) => {
             let answered = exchange(&mut connection.sender, request, &id, kind);
             timeout(HUNG_AFTER, answered).await.unwrap_or(Outcome::Hung)
