fleet: accounts over their share leave memory for others; soak: routers are measured before a start

- A host's memory could be filled by the flood of one account, and callers of other accounts there were refused for want of memory.
Accounts that have had their share find room for 0.85 of what requests may hold.

--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -248,6 +248,11 @@
         self.loads.total(endpoint)
     }
 
+    /// Tells whether an account has had more than its share of the fleet.
+    pub fn is_over_share(&self, account: u64) -> bool {
+        self.shares.standing(account) > 1.0
+    }
+
     /// Returns how many requests wait for an endpoint.
     pub fn queued(&self) -> usize {
         self.queue.len()
--- a/crates/fleet/src/memory_budget.rs
+++ b/crates/fleet/src/memory_budget.rs
@@ -4,8 +4,11 @@
 /// follow from requests: about 10 MB of program and tables, kept connections, and bytes that wait
 /// unread in sockets, up to 12 MB where a thousand callers wait to be accepted.
 const REQUESTS_PART: f64 = 0.5;
-/// Part of it from which the host asks for no more callers. What is on its way still finds room.
-const SHORT_PART: f64 = 0.8;
+/// Part of it from which the host asks for no more callers; what is on its way still finds room.
+const SHORT_PART: f64 = 0.7;
+/// Part of it that accounts that have had their share may fill. The rest is for everybody else: the callers of
+/// one large account, who all reach one host, would otherwise shut out the others there.
+const OVER_SHARE_PART: f64 = 0.85;
 /// Part of the process's memory that idle connections to endpoints may hold.
 const IDLE_PART: f64 = 0.1;
 /// Memory of a connection to an endpoint: two buffers of 8 KB and its task.
@@ -14,6 +17,15 @@
 /// 8 KB or more each, headers and tasks. 600 streams in progress with bodies of 12 KB took 62 KB each.
 pub const REQUEST_BYTES: u64 = 56 * 1_024;
 
+/// Who asks for memory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Asker {
+    /// An account that has had its share of the fleet, and more than that.
+    OverShare,
+    /// Any other account.
+    WithinShare,
+}
+
 /// Counts what requests in progress hold, and tells whether another one fits.
 ///
 /// A process that grows over its memory limit is killed, and all its requests get no answer. Nothing
@@ -21,13 +33,13 @@
 /// length of bodies. Counting bytes before they are read is enough: what is refused was not read.
 ///
 /// ```
-/// use sedgeridge_fleet::memory_budget::MemoryBudget;
+/// use sedgeridge_fleet::memory_budget::{Asker, MemoryBudget};
 ///
 /// let mut budget = MemoryBudget::new(88_000_000);
-/// assert!(budget.take(40_000_000));
-/// assert!(!budget.take(10_000_000));
+/// assert!(budget.take(40_000_000, Asker::WithinShare));
+/// assert!(!budget.take(10_000_000, Asker::WithinShare));
 /// budget.give_back(40_000_000);
-/// assert!(budget.take(10_000_000));
+/// assert!(budget.take(10_000_000, Asker::WithinShare));
 /// ```
 #[derive(Debug)]
 pub struct MemoryBudget {
@@ -45,9 +57,13 @@
     }
 
     /// Takes memory if there is room; tells whether it was taken.
-    pub fn take(&mut self, bytes: u64) -> bool {
+    pub fn take(&mut self, bytes: u64, asker: Asker) -> bool {
         let held_bytes = self.held_bytes.saturating_add(bytes);
-        let fits = held_bytes <= self.requests_bytes();
+        let most_bytes = match asker {
+            Asker::OverShare => self.requests_bytes(OVER_SHARE_PART),
+            Asker::WithinShare => self.requests_bytes(1.0),
+        };
+        let fits = held_bytes <= most_bytes;
         if fits {
             self.held_bytes = held_bytes;
         }
@@ -71,7 +87,7 @@
 
     /// Tells whether there is hardly any room left.
     pub fn is_short(&self) -> bool {
-        self.held_bytes as f64 > self.requests_bytes() as f64 * SHORT_PART
+        self.held_bytes > self.requests_bytes(SHORT_PART)
     }
 
     /// Returns how many idle connections to endpoints are kept at most.
@@ -80,7 +96,8 @@
         (bytes / CONNECTION_BYTES as f64) as usize
     }
 
-    fn requests_bytes(&self) -> u64 {
-        (self.process_bytes as f64 * REQUESTS_PART) as u64
+    /// Returns a part of what requests may hold.
+    fn requests_bytes(&self, part: f64) -> u64 {
+        (self.process_bytes as f64 * REQUESTS_PART * part) as u64
     }
 }
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -10,6 +10,8 @@
 use http::request::Parts;
 use hyper::body::Incoming;
 use sedgeridge_fleet::config::Route;
+use sedgeridge_fleet::hashing::stable_hash;
+use sedgeridge_fleet::memory_budget::Asker;
 use sedgeridge_fleet::memory_budget::REQUEST_BYTES;
 use sedgeridge_fleet::prompt::Prompt;
 use sedgeridge_fleet::route_table::LookupError;
@@ -84,7 +86,9 @@
     let (route, account) = found.map_err(|error| turned_away(core, &head, &facts, error))?;
     let allowed = facts.time_left.unwrap_or(route.timeout);
     let deadline = received_at + allowed.min(route.timeout);
-    let memory = core.memory.hold(REQUEST_BYTES);
+    let memory = core
+        .memory
+        .hold(REQUEST_BYTES, asker(core, account.as_ref()));
     let mut memory = memory.ok_or_else(|| no_memory(core, &facts))?;
     let left = deadline.saturating_sub(core.now());
     let body = request_body::read(body, core.max_body_bytes.get(), left, &mut memory).await;
@@ -151,6 +155,17 @@
     }
 }
 
+fn asker<W: Wire, C: Clock>(core: &Core<W, C>, account: Option<&AccountId>) -> Asker {
+    let account = account.map(|account| stable_hash(account.as_str()));
+    let is_over = account.is_some_and(|account| {
+        core.with_dispatcher(|dispatcher| dispatcher.is_over_share(account))
+    });
+    match is_over {
+        true => Asker::OverShare,
+        false => Asker::WithinShare,
+    }
+}
+
 fn unread<W: Wire, C: Clock>(
     core: &Rc<Core<W, C>>,
     facts: &RequestFacts,
--- a/crates/gateway/src/held_memory.rs
+++ b/crates/gateway/src/held_memory.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
+use sedgeridge_fleet::memory_budget::Asker;
 use sedgeridge_fleet::memory_budget::MemoryBudget;
 
 /// A process's budget, which all its requests share.
@@ -22,20 +23,21 @@
     /// Takes memory for a request; `None` if there is no room.
     ///
     /// ```
-    /// use sedgeridge_fleet::memory_budget::MemoryBudget;
+    /// use sedgeridge_fleet::memory_budget::{Asker, MemoryBudget};
     /// use sedgeridge_gateway::held_memory::SharedMemory;
     ///
     /// let memory = SharedMemory::new(MemoryBudget::new(100_000));
-    /// let held = memory.hold(40_000).unwrap();
-    /// assert!(memory.hold(40_000).is_none());
+    /// let held = memory.hold(40_000, Asker::WithinShare).unwrap();
+    /// assert!(memory.hold(40_000, Asker::WithinShare).is_none());
     /// drop(held);
-    /// assert!(memory.hold(40_000).is_some());
+    /// assert!(memory.hold(40_000, Asker::WithinShare).is_some());
     /// ```
-    pub fn hold(&self, bytes: u64) -> Option<HeldMemory> {
-        let is_taken = self.budget.borrow_mut().take(bytes);
+    pub fn hold(&self, bytes: u64, asker: Asker) -> Option<HeldMemory> {
+        let is_taken = self.budget.borrow_mut().take(bytes, asker);
         is_taken.then(|| HeldMemory {
             shared: self.clone(),
             bytes,
+            asker,
         })
     }
 
@@ -55,6 +57,7 @@
 pub struct HeldMemory {
     shared: SharedMemory,
     bytes: u64,
+    asker: Asker,
 }
 
 impl HeldMemory {
@@ -66,7 +69,7 @@
 
     /// Takes more for the same request; tells whether there was room.
     pub fn grow(&mut self, bytes: u64) -> bool {
-        let is_taken = self.shared.budget.borrow_mut().take(bytes);
+        let is_taken = self.shared.budget.borrow_mut().take(bytes, self.asker);
         if is_taken {
             self.bytes += bytes;
         }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -303,10 +303,12 @@
             {
                 self.evidence.own_exits.push((index, exit.seen));
             }
+            // Before the start: for a moment after it the system tells this process's own memory for that
+            // of its child, 46 to 56 MB where a router has 8.
+            self.evidence.memory_kb = self.evidence.memory_kb.max(router.memory_kb());
             if self.is_meant_to_run[index] {
                 router.start()?;
             }
-            self.evidence.memory_kb = self.evidence.memory_kb.max(router.memory_kb());
             self.shared.processes.borrow_mut()[index] = router.process();
         }
         for index in 0..self.routers.len() {
