operator pages: silent, endless and slow clients cost a bounded amount; histograms are summed up

The operator pages of the router and the coordinator were served by a library that starts a thread for each open connection, reads a header line as long as it comes, and sets no timeout; pages were written by one thread, so that one client that does not read held up readiness. The metrics recorder keeps every sample of a histogram until the page is read or its upkeep is called, and nothing called it.

Mend. hyper on the operator thread: one request a connection, 5 s for all of it, 64 connections at a time (more wait in the system's queue), heads of 8 KiB, pages that wait for their readers within 4 MiB (else 503). Upkeep each second.

Ruled out: that a router's memory grew by samples today. No product source of these roles records a histogram (`histogram!` is not used in transport, router, coordinator or coordination); the first one to do so would have.

--- a/crates/transport/src/operator.rs
+++ b/crates/transport/src/operator.rs
@@ -1,29 +1,69 @@
 //! Operator pages: health, readiness, metrics and status.
+//!
+//! One thread serves them on a current-thread runtime. Each connection carries one request and has
+//! [`CONNECTION_TIMEOUT`] for all of it, so that clients that stay silent, send without end or do not
+//! read cost a bounded number of sockets and buffers, and hold nobody up.
 
+mod pages;
+
+use std::convert::Infallible;
 use std::io;
-use std::io::Read;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::mpsc::SyncSender;
 use std::thread;
+use std::time::Duration;
 
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
-use sedgeridge_protocol::coordinator::DRAIN_PATH;
-use sedgeridge_protocol::coordinator::DrainRequest;
-use sedgeridge_state::ids::EndpointId;
-use tiny_http::Header;
-use tiny_http::Method;
-use tiny_http::Request;
-use tiny_http::Response;
-use tiny_http::Server;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+use tokio::time::timeout;
 
+use crate::byte_budget::ByteBudget;
 use crate::core::CoreInput;
+use crate::event_log::LogEvent;
+use crate::event_log::log_warn;
+use crate::operator::pages::Pages;
+use crate::operator::pages::too_busy;
 use crate::status::HostStatus;
 use crate::status::StatusBoard;
 
 /// Where requests to drain an endpoint go.
 pub type DrainSender = SyncSender<CoreInput>;
 
+/// Largest body that is read; requests to drain are short.
+const MAX_BODY_BYTES: usize = 4_096;
+/// Most open connections; further ones wait in the system's queue until one is closed. Enough for
+/// monitoring, a balancer's checks and a few operators at a time.
+const MAX_CONNECTIONS: usize = 64;
+/// Longest life of a connection; a page of the largest fleet takes less than a second.
+const CONNECTION_TIMEOUT: Duration = Duration::from_secs(5);
+/// Most bytes that the buffer of a connection grows to, and so the longest head.
+const MAX_BUFFER_BYTES: usize = 8 << 10;
+/// Most bytes of pages that wait for their readers. The largest page at the size designed for, that of
+/// the accounts with all of them active, has 714 KB.
+const MAX_HELD_PAGE_BYTES: u64 = 4 << 20;
+/// Time between two sums of what histograms recorded. Samples are kept one by one until then.
+const METRICS_UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Pause after a failed accept, for instance when no file descriptor is free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Installs the metrics recorder of this process.
 ///
 /// # Errors
@@ -35,9 +75,6 @@
         .map_err(io::Error::other)
 }
 
-/// Largest body that is read; requests to drain are short.
-const MAX_BODY_BYTES: u64 = 4_096;
-
 /// Serves operator pages in a thread of its own. Requests to give an endpoint
 /// no new work go to `drain`; without it the process takes none.
 ///
@@ -52,80 +89,114 @@
     status: StatusBoard<S>,
     drain: Option<DrainSender>,
 ) -> io::Result<SocketAddr> {
-    let server = Server::http(address).map_err(io::Error::other)?;
-    let bound = server.server_addr().to_ip().unwrap_or(address);
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    let bound = listener.local_addr()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let upkeep = metrics.clone();
+    let pages = Pages {
+        metrics,
+        status,
+        drain,
+    };
     thread::Builder::new()
         .name("operator".into())
         .spawn(move || {
-            for mut request in server.incoming_requests() {
-                let page = match request.method() {
-                    Method::Post => take_drain(&mut request, drain.as_ref(), &status),
-                    _ => page(request.url(), &metrics, &status),
-                };
-                respond(request, page);
-            }
+            runtime.block_on(async {
+                tokio::spawn(sum_up_metrics(upkeep));
+                accept_all(listener, Arc::new(pages)).await
+            })
         })?;
     Ok(bound)
 }
 
-struct Page {
-    status: u16,
-    content_type: &'static str,
-    body: String,
+/// Sums up what histograms recorded, also when nobody reads the metrics: else each sample would be
+/// kept until somebody does, and memory would grow with time until the process is ended for it.
+async fn sum_up_metrics(metrics: PrometheusHandle) {
+    let mut due = interval(METRICS_UPKEEP_INTERVAL);
+    due.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        due.tick().await;
+        metrics.run_upkeep();
+    }
 }
 
-fn take_drain<S: HostStatus>(
-    request: &mut Request,
-    drain: Option<&DrainSender>,
-    status: &StatusBoard<S>,
-) -> Page {
-    let Some(drain) = drain.filter(|_| request.url() == DRAIN_PATH) else {
-        return text(404, "no such page\n");
-    };
-    let body = request.as_reader().take(MAX_BODY_BYTES);
-    let Ok(DrainRequest { endpoint }) = serde_json::from_reader(body) else {
-        return text(400, "expected {\"endpoint\": NAME}\n");
-    };
-    if !status.read().knows_endpoint(&endpoint) {
-        return text(404, "no such endpoint\n");
-    }
-    let endpoint = EndpointId::from(endpoint.as_str());
-    match drain.try_send(CoreInput::DrainEndpoint { endpoint }) {
-        Ok(()) => text(202, "draining\n"),
-        Err(_) => text(503, "too busy\n"),
+async fn accept_all<S: HostStatus + Send + Sync + 'static>(
+    listener: std::net::TcpListener,
+    pages: Arc<Pages<S>>,
+) -> io::Result<()> {
+    let listener = TcpListener::from_std(listener)?;
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let held_pages = ByteBudget::new(MAX_HELD_PAGE_BYTES);
+    loop {
+        let permit = Arc::clone(&permits).acquire_owned().await;
+        let permit = permit.expect("the semaphore is never closed");
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let connection = serve_connection(stream, Arc::clone(&pages), held_pages.clone());
+                tokio::spawn(async move {
+                    // Whoever takes longer is cut off; there is nobody to tell.
+                    let _ = timeout(CONNECTION_TIMEOUT, connection).await;
+                    drop(permit);
+                });
+            }
+            Err(error) => {
+                log_warn(
+                    LogEvent::AcceptFailed,
+                    format_args!("operator error={error:?}"),
+                );
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
     }
 }
 
-fn page<S: HostStatus>(url: &str, metrics: &PrometheusHandle, status: &StatusBoard<S>) -> Page {
-    match url {
-        "/healthz" => text(200, "ok\n"),
-        "/readyz" if status.read().is_ready() => text(200, "ready\n"),
-        "/readyz" => text(503, "not ready\n"),
-        "/metrics" => text(200, &metrics.render()),
-        path => match status.read().page(path) {
-            Some(body) => Page {
-                status: 200,
-                content_type: "application/json",
-                body,
-            },
-            None => text(404, "no such page\n"),
-        },
-    }
+async fn serve_connection<S: HostStatus + Send + Sync + 'static>(
+    stream: TcpStream,
+    pages: Arc<Pages<S>>,
+    held_pages: ByteBudget,
+) {
+    let service = service_fn(|request| {
+        let pages = Arc::clone(&pages);
+        let held_pages = held_pages.clone();
+        async move { Ok::<_, Infallible>(answer(request, &pages, &held_pages).await) }
+    });
+    // A client that goes away in the middle concerns nobody else.
+    let _ = http1::Builder::new()
+        .keep_alive(false)
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
 }
 
-fn text(status: u16, body: &str) -> Page {
-    Page {
-        status,
-        content_type: "text/plain; charset=utf-8",
-        body: body.to_owned(),
+async fn answer<S: HostStatus>(
+    request: Request<Incoming>,
+    pages: &Pages<S>,
+    held_pages: &ByteBudget,
+) -> Response<Full<Bytes>> {
+    let (parts, body) = request.into_parts();
+    let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
+    let body = body.ok().map(|body| body.to_bytes());
+    let page = pages.answer(&parts.method, parts.uri.path(), body.as_ref());
+    match held_pages.reserve(page.body.len() as u64) {
+        Some(room) => response(
+            page.status,
+            page.content_type,
+            room.bind(page.body.into_bytes()),
+        ),
+        None => {
+            let page = too_busy();
+            response(page.status, page.content_type, Bytes::from(page.body))
+        }
     }
 }
 
-fn respond(request: Request, page: Page) {
-    let header = Header::from_bytes("Content-Type", page.content_type);
-    let header = header.expect("content types are constants");
-    let response = Response::from_string(page.body)
-        .with_status_code(page.status)
-        .with_header(header);
-    let _ = request.respond(response);
+fn response(status: StatusCode, content_type: &'static str, body: Bytes) -> Response<Full<Bytes>> {
+    Response::builder()
+        .status(status)
+        .header(CONTENT_TYPE, content_type)
+        .body(Full::new(body))
+        .expect("status and content type are constants")
 }
--- /dev/null
+++ b/crates/transport/tests/operator_limits.rs
@@ -0,0 +1,142 @@
+//! Operator pages under clients that stay silent, send without end or do not read.
+
+mod support;
+
+use std::fs;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+
+use metrics::histogram;
+use sedgeridge_protocol::coordinator::CoordinatorStatus;
+use sedgeridge_transport::operator::serve_operator_pages;
+use sedgeridge_transport::status::StatusBoard;
+use support::front_bench::PATIENCE;
+use support::front_bench::metrics;
+use support::resident::resident_bytes;
+
+const MIB: u64 = 1 << 20;
+
+/// The tests look at the memory and threads of their common process, so they run one by one.
+fn alone() -> MutexGuard<'static, ()> {
+    static ALONE: Mutex<()> = Mutex::new(());
+    ALONE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn serve() -> SocketAddr {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let status = StatusBoard::<CoordinatorStatus>::default();
+    serve_operator_pages(address, metrics().clone(), status, None).unwrap()
+}
+
+fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.set_write_timeout(Some(PATIENCE)).unwrap();
+    stream
+}
+
+fn answer(stream: &mut TcpStream) -> String {
+    let mut text = String::new();
+    let _ = stream.read_to_string(&mut text);
+    text
+}
+
+fn get(address: SocketAddr, path: &str) -> String {
+    let mut stream = connect(address);
+    write!(
+        stream,
+        "GET {path} HTTP/1.1\r\nhost: desk\r\nconnection: close\r\n\r\n"
+    )
+    .unwrap();
+    answer(&mut stream)
+}
+
+fn threads() -> usize {
+    fs::read_dir("/proc/self/task").unwrap().count()
+}
+
+// A monitoring system opens a connection for each poll and loses them behind a router that went
+// down: none is ever closed. Each of them holds a thread and its memory, until the process is ended
+// for want of it and its callers lose their answers. Readiness must be told all the while, and the
+// silent connections must be closed.
+#[test]
+fn silent_connections_hold_no_thread_and_are_closed() {
+    let _alone = alone();
+    let address = serve();
+    assert!(get(address, "/healthz").starts_with("HTTP/1.1 200"));
+    let before = threads();
+    let mut silent: Vec<_> = (0..100).map(|_| connect(address)).collect();
+    assert!(get(address, "/healthz").starts_with("HTTP/1.1 200"));
+    assert!(
+        threads() <= before,
+        "{} threads, {before} before",
+        threads()
+    );
+    for stream in &mut silent {
+        let closed = stream.read(&mut [0]);
+        assert!(closed.is_ok_and(|read| read == 0), "still open");
+    }
+}
+
+// A client sends a header line that does not end. It is read into memory as long as it comes.
+#[test]
+fn a_head_without_end_is_not_held() {
+    let _alone = alone();
+    let address = serve();
+    let before = resident_bytes();
+    let mut stream = connect(address);
+    stream
+        .write_all(b"GET /healthz HTTP/1.1\r\nx-long: ")
+        .unwrap();
+    let part = vec![b'a'; MIB as usize];
+    for _ in 0..64 {
+        if stream.write_all(&part).is_err() {
+            break;
+        }
+    }
+    thread::sleep(Duration::from_millis(200));
+    let grown = resident_bytes().saturating_sub(before);
+    assert!(grown < 4 * MIB, "{grown} bytes more are resident");
+}
+
+// A client asks for the metrics and does not read the answer. Every other page waits behind it:
+// readiness is not told, and the host is taken for down.
+#[test]
+fn a_client_that_does_not_read_holds_nobody_up() {
+    let _alone = alone();
+    let address = serve();
+    for label in 0..20_000 {
+        metrics::counter!("sedgeridge_refusals_total", "reason" => format!("{label:0>400}"))
+            .increment(1);
+    }
+    let mut silent = connect(address);
+    silent
+        .write_all(b"GET /metrics HTTP/1.1\r\nhost: desk\r\n\r\n")
+        .unwrap();
+    thread::sleep(Duration::from_millis(500));
+    assert!(get(address, "/healthz").starts_with("HTTP/1.1 200"));
+}
+
+// Nobody reads the metrics of a process. The samples of its histograms are kept until somebody
+// does, so that its memory grows with each of them, for ever.
+#[test]
+fn samples_are_summed_up_though_nobody_reads_them() {
+    let _alone = alone();
+    serve();
+    let before = resident_bytes();
+    for _ in 0..6 {
+        for sample in 0..1_000_000 {
+            histogram!("sedgeridge_test_seconds").record(f64::from(sample));
+        }
+        thread::sleep(Duration::from_millis(1_500));
+    }
+    let grown = resident_bytes().saturating_sub(before);
+    assert!(grown < 32 * MIB, "{grown} bytes more are resident");
+}
