answers: those that are held for slow callers are bounded in bytes

Whole answers (up to 16 MiB each) were read into memory by as many workers as run, and the ring to a caller holds 32 parts of up to 1 MiB: bounded by number, not by size.

Tests (`held_answers.rs`), run on the code before the mend: "12 answers of 4 MiB are held" while nobody reads (all of them), and "32 parts are held" of a stream whose events have 900 KB (29 MB for one stalled caller). Third test, that a stalled stream ends with its caller, was green before and is green after.

Whole answers share 16 MiB; an answer for which there is no room stays at its endpoint, unread, until there is or its deadline passes, since it has run and must not be lost for want of room. One whose length was not told and that outgrows the room gives up after 2 s, as two of them could wait for each other. Each stream has 1 MiB for events that wait for its own caller, so that no caller waits for another one's. After: 4 of 12 answers held at a time, all 12 delivered whole; the stalled stream holds one event and loses none of 40.

Ruled out: one shared budget for streams too; one caller who stops reading would have held up all others.

--- a/crates/transport/src/answer_pass.rs
+++ b/crates/transport/src/answer_pass.rs
@@ -2,6 +2,7 @@
 
 use std::io::BufRead;
 use std::io::BufReader;
+use std::io::ErrorKind;
 use std::io::Read;
 use std::sync::mpsc::SyncSender;
 use std::time::Duration;
@@ -17,16 +18,17 @@
 use ureq::Body;
 
 use crate::answer::AnswerPart;
+use crate::answer_room::EventRoom;
+use crate::answer_room::MAX_EVENT_BYTES;
+use crate::answer_room::WholeRoom;
 use crate::call::AnswerForm;
 use crate::core::CoreInput;
 use crate::endpoint_call::AttemptOrder;
 use crate::endpoint_call::body_failure;
 use crate::recorded::Recorder;
 
-/// Largest answer that is held until it is whole.
-const MAX_WHOLE_ANSWER_BYTES: u64 = 16 << 20;
-/// Longest event of a stream.
-const MAX_EVENT_BYTES: u64 = 1 << 20;
+/// Bytes of a whole answer that are read at a time.
+const READ_BYTES: usize = 16 << 10;
 /// Output tokens at which the first progress is told; then at each doubling.
 const FIRST_PROGRESS_TOKENS: u64 = 32;
 
@@ -35,21 +37,15 @@
     order: &AttemptOrder,
     response: http::Response<Body>,
     first_byte: Duration,
+    room: &WholeRoom<'_>,
     recorder: &mut Recorder,
 ) -> AttemptEnd {
     let head = head_of(order, &response);
     let plain_charge = header_u64(&response, headers::CHARGED_TOKENS);
-    let mut body = Vec::new();
-    let reader = response.into_body().into_reader();
-    let read = reader
-        .take(MAX_WHOLE_ANSWER_BYTES + 1)
-        .read_to_end(&mut body);
-    if let Err(error) = read {
-        return whole_failed(order, body_failure(error));
-    }
-    if body.len() as u64 > MAX_WHOLE_ANSWER_BYTES {
-        return whole_failed(order, AttemptFailure::ServerError);
-    }
+    let body = match read_whole(response, room) {
+        Ok(body) => body,
+        Err(failure) => return whole_failed(order, failure),
+    };
     let charged_tokens = match order.call.form {
         AnswerForm::Plain => plain_charge.unwrap_or(order.call.hint_tokens),
         AnswerForm::ChatStream | AnswerForm::ChatWhole => {
@@ -57,7 +53,7 @@
             answer.map_or(0, |a| charge(order, &a.usage, a.usage.completion_tokens))
         }
     };
-    for part in [head, AnswerPart::Chunk(Bytes::from(body)), AnswerPart::End] {
+    for part in [head, AnswerPart::Chunk(body), AnswerPart::End] {
         if pass(order, recorder, part).is_err() {
             return AttemptEnd::CallerGone { charged_tokens };
         }
@@ -68,6 +64,23 @@
     }
 }
 
+fn read_whole(
+    response: http::Response<Body>,
+    room: &WholeRoom<'_>,
+) -> Result<Bytes, AttemptFailure> {
+    let mut held = room.buffer(response.body().content_length())?;
+    let mut reader = response.into_body().into_reader();
+    let mut part = [0; READ_BYTES];
+    loop {
+        match reader.read(&mut part) {
+            Ok(0) => return Ok(held.finish()),
+            Ok(read) => room.push(&mut held, &part[..read])?,
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(error) => return Err(body_failure(error)),
+        }
+    }
+}
+
 /// Passes a stream on event by event, counting output tokens so that it can be resumed.
 pub(crate) fn pass_stream(
     order: &AttemptOrder,
@@ -166,6 +179,7 @@
     order: &'a AttemptOrder,
     core: &'a SyncSender<CoreInput>,
     recorder: &'a mut Recorder,
+    room: EventRoom,
     head_sent: bool,
     output_tokens: u64,
     next_progress_tokens: u64,
@@ -182,6 +196,7 @@
             order,
             core,
             recorder,
+            room: EventRoom::new(),
             head_sent: order.head_sent,
             output_tokens: 0,
             next_progress_tokens: FIRST_PROGRESS_TOKENS,
@@ -211,7 +226,8 @@
         };
         let ended = self.count(&event);
         let last = ended.then_some(AnswerPart::End);
-        let parts = std::iter::once(AnswerPart::Chunk(Bytes::from(event))).chain(last);
+        let event = self.room.hold(event, &self.order.answer);
+        let parts = std::iter::once(AnswerPart::Chunk(event)).chain(last);
         for part in parts {
             if pass(self.order, self.recorder, part).is_err() {
                 return EventResult::CallerGone;
--- a/crates/transport/src/byte_budget.rs
+++ b/crates/transport/src/byte_budget.rs
@@ -66,13 +66,8 @@
         true
     }
 
-    /// Returns how many bytes are reserved.
-    pub fn held_bytes(&self) -> u64 {
-        self.held_bytes
-    }
-
     /// Grows until at least this many bytes are reserved; false when there are not as many left.
-    pub fn grow_to(&mut self, bytes: u64) -> bool {
+    fn grow_to(&mut self, bytes: u64) -> bool {
         self.grow(bytes.saturating_sub(self.held_bytes))
     }
 
@@ -104,6 +99,71 @@
     }
 }
 
+/// Bytes that come part by part, into memory that is reserved before it is used.
+///
+/// ```
+/// use sedgeridge_transport::byte_budget::ByteBudget;
+/// use sedgeridge_transport::byte_budget::HeldBuffer;
+///
+/// let budget = ByteBudget::new(8);
+/// let mut buffer = HeldBuffer::reserve(&budget, 0).expect("nothing is needed yet");
+/// assert!(buffer.push(b"lens "));
+/// assert!(!buffer.push(b"case"));
+/// assert!(buffer.push(b"es"));
+/// assert_eq!(&buffer.finish()[..], b"lens es");
+/// ```
+#[derive(Debug)]
+pub struct HeldBuffer {
+    bytes: Vec<u8>,
+    reservation: Reservation,
+}
+
+impl HeldBuffer {
+    /// Reserves what is known to come; `None` when there is no room for it.
+    pub fn reserve(budget: &ByteBudget, expected_bytes: u64) -> Option<Self> {
+        let reservation = budget.reserve(expected_bytes)?;
+        Some(Self {
+            bytes: Vec::with_capacity(expected_bytes as usize),
+            reservation,
+        })
+    }
+
+    /// Copies a part; false when there is no room for it, and nothing changes.
+    pub fn push(&mut self, part: &[u8]) -> bool {
+        let capacity = self.bytes.capacity();
+        let needed = self.bytes.len() + part.len();
+        if needed > capacity {
+            // Doubling saves copies; the last bytes of the budget are used all the same.
+            let doubled = needed.max(capacity * 2);
+            let sizes = [doubled, needed];
+            let room = sizes
+                .into_iter()
+                .find(|size| self.reservation.grow_to(*size as u64));
+            let Some(room) = room else {
+                return false;
+            };
+            self.bytes.reserve_exact(room - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(part);
+        true
+    }
+
+    /// Returns how many bytes have come.
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Tells whether none have come.
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    /// Returns the bytes; their memory is given back when their last holder drops them.
+    pub fn finish(self) -> Bytes {
+        self.reservation.bind(self.bytes)
+    }
+}
+
 struct HeldBytes {
     bytes: Vec<u8>,
     _reservation: Reservation,
--- a/crates/transport/src/endpoint_call.rs
+++ b/crates/transport/src/endpoint_call.rs
@@ -22,6 +22,9 @@
 use crate::answer::AnswerSender;
 use crate::answer_pass::pass_stream;
 use crate::answer_pass::pass_whole;
+use crate::answer_room::MAX_HELD_ANSWER_BYTES;
+use crate::answer_room::WholeRoom;
+use crate::byte_budget::ByteBudget;
 use crate::call::AnswerForm;
 use crate::call::Call;
 use crate::core::CoreInput;
@@ -75,6 +78,7 @@
     pooled: Agent,
     unpooled: Agent,
     connect_timeout: Duration,
+    held_answers: ByteBudget,
 }
 
 impl EndpointClients {
@@ -95,6 +99,7 @@
             pooled: address_agent(config().build()),
             unpooled: address_agent(config().max_idle_connections(0).build()),
             connect_timeout: millis(health.connect_timeout_ms),
+            held_answers: ByteBudget::new(MAX_HELD_ANSWER_BYTES),
         }
     }
 
@@ -151,7 +156,13 @@
             AnswerForm::ChatStream if response.status().is_success() => {
                 pass_stream(order, response, first_byte, core, recorder)
             }
-            _ => pass_whole(order, response, first_byte, recorder),
+            _ => {
+                let room = WholeRoom {
+                    budget: &self.held_answers,
+                    deadline: started + order.time_left,
+                };
+                pass_whole(order, response, first_byte, &room, recorder)
+            }
         }
     }
 
--- a/crates/transport/src/front_reading.rs
+++ b/crates/transport/src/front_reading.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout;
 
 use crate::byte_budget::ByteBudget;
-use crate::byte_budget::Reservation;
+use crate::byte_budget::HeldBuffer;
 use crate::front_request::BadRequest;
 use crate::front_request::bad;
 
@@ -49,50 +49,18 @@
 ) -> Result<Bytes, BadRequest> {
     let told_bytes = body.size_hint().lower().min(limits.max_body_bytes);
     let mut body = Limited::new(body, limits.max_body_bytes as usize);
-    let mut held = budget.reserve(told_bytes).map(HeldBody::new);
+    let mut held = HeldBuffer::reserve(budget, told_bytes);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| unreadable(&*error, limits))?;
         if let Ok(data) = frame.into_data() {
-            held = held.and_then(|held| held.with(&data));
-        }
-    }
-    held.map(HeldBody::finish).ok_or_else(no_room)
-}
-
-/// What has been read of a body, and the memory set aside for it.
-struct HeldBody {
-    bytes: Vec<u8>,
-    reservation: Reservation,
-}
-
-impl HeldBody {
-    fn new(reservation: Reservation) -> Self {
-        Self {
-            bytes: Vec::with_capacity(reservation.held_bytes() as usize),
-            reservation,
-        }
-    }
-
-    /// Copies a part; `None` when there is no room for it, which frees what was held.
-    ///
-    /// A part shares the connection's read buffer. Kept, it would hold all of that buffer, which is
-    /// not what was reserved.
-    fn with(mut self, data: &[u8]) -> Option<Self> {
-        let bytes = self.bytes.len() + data.len();
-        if bytes > self.bytes.capacity() {
-            let room_bytes = bytes.max(self.bytes.capacity() * 2);
-            if !self.reservation.grow_to(room_bytes as u64) {
-                return None;
+            // A copy: a part shares the connection's read buffer and would hold all of it, which is not
+            // what was reserved.
+            if !held.as_mut().is_some_and(|held| held.push(&data)) {
+                held = None;
             }
-            self.bytes.reserve_exact(room_bytes - self.bytes.len());
         }
-        self.bytes.extend_from_slice(data);
-        Some(self)
-    }
-
-    fn finish(self) -> Bytes {
-        self.reservation.bind(self.bytes)
     }
+    held.map(HeldBuffer::finish).ok_or_else(no_room)
 }
 
 fn no_end(body_timeout: Duration) -> BadRequest {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -6,6 +6,7 @@
 mod address_agent;
 pub mod answer;
 mod answer_pass;
+mod answer_room;
 pub mod byte_budget;
 pub mod call;
 mod caller_connection;
