reads: answers of endpoints, the platform and the table are bounded by what a true one has

Reports, lists and states were read whole up to the client library's 10 MiB, by four to eight threads at a time.

A read that is refused counts as failed (`sedgeridge_load_reads_total`, `sedgeridge_host_list_reads_total`), as any that cannot be read.

Mend. 16 KiB for a load report, 64 KiB for an engine's state, 2 MiB for the list of hosts, 8 MiB for an answer of the table. The last two figures are derived, not measured; the engine's state and the table have no test of their own.

--- a/crates/transport/src/coordinator_calls.rs
+++ b/crates/transport/src/coordinator_calls.rs
@@ -45,6 +45,9 @@
 /// Most routers tried for one drain, so that a partition does not hold a thread for long.
 const MAX_DRAIN_TRIES: usize = 6;
 
+/// Longest state of an engine; a true one names what the engine serves.
+const MAX_STATE_BYTES: u64 = 64 << 10;
+
 /// A call to make.
 #[derive(Debug)]
 pub enum CoordinatorCall {
@@ -211,7 +214,8 @@
     fn read_back(&self, order: &EngineOrder, address: SocketAddr) -> Option<bool> {
         let url = format!("http://{address}{ORDERS_PATH}");
         let mut response = self.short.get(url).call().ok()?;
-        let body = response.body_mut().read_to_vec().ok()?;
+        let body = response.body_mut().with_config().limit(MAX_STATE_BYTES);
+        let body = body.read_to_vec().ok()?;
         let state: EngineState = serde_json::from_slice(&body).ok()?;
         is_in_effect(order, &state)
     }
--- a/crates/transport/src/host_list_reads.rs
+++ b/crates/transport/src/host_list_reads.rs
@@ -22,6 +22,9 @@
 /// Time between two reads.
 const READ_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Longest list: 400 hosts and 2,200 endpoints of some 100 bytes each, eight times over.
+const MAX_LIST_BYTES: u64 = 2 << 20;
+
 /// Starts the thread; each list that could be read goes to `inputs` by way of `wrap`.
 ///
 /// A list that cannot be read changes nothing: what it said last stays believed, since an outage
@@ -66,7 +69,8 @@
 fn read(agent: &Agent, address: SocketAddr) -> Option<Vec<ListedHost>> {
     let url = format!("http://{address}{HOSTS_PATH}");
     let mut response = agent.get(url).call().ok()?;
-    let body = response.body_mut().read_to_vec().ok()?;
+    let body = response.body_mut().with_config().limit(MAX_LIST_BYTES);
+    let body = body.read_to_vec().ok()?;
     let list: HostList = serde_json::from_slice(&body).ok()?;
     Some(list.hosts.iter().map(listed_host).collect())
 }
--- a/crates/transport/src/load_reads.rs
+++ b/crates/transport/src/load_reads.rs
@@ -28,6 +28,10 @@
 /// Longest time for one read.
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Longest report; a true one has some 80 bytes. An endpoint that sends more, up to the library's 10 MiB,
+/// would take as much of its home's memory.
+const MAX_REPORT_BYTES: u64 = 16 << 10;
+
 /// A report to read.
 #[derive(Debug)]
 struct LoadRead {
@@ -118,7 +122,8 @@
 fn read(agent: &Agent, address: SocketAddr) -> Option<Load> {
     let url = format!("http://{address}{LOAD_PATH}");
     let mut response = agent.get(url).call().ok()?;
-    let body = response.body_mut().read_to_vec().ok()?;
+    let body = response.body_mut().with_config().limit(MAX_REPORT_BYTES);
+    let body = body.read_to_vec().ok()?;
     let report: LoadReport = serde_json::from_slice(&body).ok()?;
     Some(Load {
         running: report.running,
--- a/crates/transport/src/table_calls.rs
+++ b/crates/transport/src/table_calls.rs
@@ -39,6 +39,10 @@
 /// Calls that may wait for a thread.
 const CALL_RING_LEN: usize = 64;
 
+/// Longest answer that is read: a whole configuration of the size designed for has 1 MB as a message, a
+/// transaction of 128 claims some 2 MB of recorded answers.
+const MAX_ANSWER_BYTES: u64 = 8 << 20;
+
 /// Ring to the threads that call the table service.
 #[derive(Debug)]
 pub struct TableCalls {
@@ -210,7 +214,8 @@
             429 | 503 => return StoreResult::Unavailable,
             _ => return StoreResult::Unknown,
         }
-        let body = response.body_mut().read_to_vec();
+        let body = response.body_mut().with_config().limit(MAX_ANSWER_BYTES);
+        let body = body.read_to_vec();
         let answer = body
             .ok()
             .and_then(|body| serde_json::from_slice(&body).ok());
--- a/crates/transport/tests/support/attempts.rs
+++ b/crates/transport/tests/support/attempts.rs
@@ -44,14 +44,24 @@
     address
 }
 
-/// Reads a request whose body ends with `}`; false when there is none.
+/// Makes an answer that is whole.
+pub fn answer_of(text: &str) -> String {
+    let length = text.len();
+    format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{text}")
+}
+
+/// Reads a GET, or a request whose body ends with `}`; false when there is none.
 fn read_request(stream: &mut TcpStream) -> bool {
     let mut buffer = [0; 4_096];
+    let mut is_get = false;
     loop {
-        match stream.read(&mut buffer) {
+        let read = match stream.read(&mut buffer) {
             Ok(0) | Err(_) => return false,
-            Ok(read) if buffer[..read].ends_with(b"}") => return true,
-            Ok(_) => {}
+            Ok(read) => &buffer[..read],
+        };
+        is_get |= read.starts_with(b"GET ");
+        if read.ends_with(b"}") || is_get && read.ends_with(b"\r\n\r\n") {
+            return true;
         }
     }
 }
