peers: messages that wait for silent routers are bounded in bytes

Cause. 256 messages of up to 16 MiB could wait for each link until it is given up, one to two seconds after its router went silent.

All links share 16 MiB, the largest message. What finds no room is dropped and counted as `link_full`, and the state is sent anew, as before. `peer_link.rs` sends `Bytes` in place of `Vec<u8>`; its checks are unchanged.

Open: links that other routers open to this one are bounded by time and message, not in number.

--- a/crates/transport/src/peer_link.rs
+++ b/crates/transport/src/peer_link.rs
@@ -4,6 +4,7 @@
 use std::sync::mpsc::SyncSender;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use metrics::counter;
@@ -57,7 +58,7 @@
 
 impl Link {
     /// Runs until `outbox` is closed.
-    pub async fn run(self, mut outbox: mpsc::Receiver<Vec<u8>>) {
+    pub async fn run(self, mut outbox: mpsc::Receiver<Bytes>) {
         let mut lost = false;
         while let Some(first) = outbox.recv().await {
             let Some(mut socket) = self.connect().await else {
@@ -103,8 +104,8 @@
     async fn pass_on(
         &self,
         socket: &mut Socket,
-        first: Vec<u8>,
-        outbox: &mut mpsc::Receiver<Vec<u8>>,
+        first: Bytes,
+        outbox: &mut mpsc::Receiver<Bytes>,
     ) -> Result<(), LinkBroken> {
         send(socket, first).await?;
         let mut checks = interval(CHECK_INTERVAL);
@@ -124,7 +125,7 @@
                     Some(Err(_)) | None => return Err(LinkBroken),
                 },
                 _ = checks.tick() => if pulse.wants_ping()? {
-                    socket.send(Message::Ping(bytes::Bytes::new())).await.map_err(|_| LinkBroken)?;
+                    socket.send(Message::Ping(Bytes::new())).await.map_err(|_| LinkBroken)?;
                     count_bytes("out", 0, STREAM_OVERHEAD_BYTES);
                 }
             }
@@ -163,7 +164,7 @@
 #[derive(Debug)]
 struct LinkBroken;
 
-async fn send(socket: &mut Socket, message: Vec<u8>) -> Result<(), LinkBroken> {
+async fn send(socket: &mut Socket, message: Bytes) -> Result<(), LinkBroken> {
     count_bytes("out", message.len() as u64, STREAM_OVERHEAD_BYTES);
     let sent = timeout(SETUP_TIMEOUT, socket.send(Message::binary(message))).await;
     match sent {
--- a/crates/transport/src/peers.rs
+++ b/crates/transport/src/peers.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::sync::mpsc::SyncSender;
 
+use bytes::Bytes;
 use metrics::counter;
 use sedgeridge_protocol::membership;
 use sedgeridge_protocol::peer::MAX_PEER_MESSAGE_BYTES;
@@ -20,6 +21,7 @@
 use tokio::sync::mpsc;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
+use crate::byte_budget::ByteBudget;
 use crate::core::CoreInput;
 use crate::event_log::LogEvent;
 use crate::event_log::log_warn;
@@ -30,6 +32,10 @@
 const PEER_RING_LEN: usize = 4_096;
 /// Messages that may wait for one link.
 const LINK_RING_LEN: usize = 256;
+/// Most bytes of messages that wait for all links together: the largest message, or thousands of usual
+/// ones. Rings bounded by number alone let each router that goes silent cost hundreds of whole reports
+/// until its link is given up.
+const MAX_LINK_BYTES: u64 = MAX_PEER_MESSAGE_BYTES as u64;
 /// Largest datagram that is read.
 const MAX_DATAGRAM_BYTES: usize = 64 << 10;
 /// What a UDP datagram costs on the wire beside its payload (IPv4 and UDP headers).
@@ -123,6 +129,7 @@
         tokio::spawn(peer_inbound::accept_links(listener, self.core.clone()));
         tokio::spawn(receive_datagrams(Arc::clone(&socket), self.core.clone()));
         let mut links: BTreeMap<HostId, OpenLink> = BTreeMap::new();
+        let waiting = ByteBudget::new(MAX_LINK_BYTES);
         while let Some(out) = outbox.recv().await {
             let PeerOut {
                 to,
@@ -137,7 +144,10 @@
                     let link = links
                         .entry(to.clone())
                         .or_insert_with(|| self.open_link(to.clone(), address));
-                    if link.ring.try_send(bytes).is_err() {
+                    let room = waiting.reserve(bytes.len() as u64);
+                    let sent =
+                        room.is_some_and(|room| link.ring.try_send(room.bind(bytes)).is_ok());
+                    if !sent {
                         // The receiver is cut off or slow. What is dropped here is absolute state
                         // that the core sends anew when it hears of the loss.
                         counter!("sedgeridge_peer_drops_total", "reason" => "link_full")
@@ -167,7 +177,7 @@
 #[derive(Debug)]
 struct OpenLink {
     address: SocketAddr,
-    ring: mpsc::Sender<Vec<u8>>,
+    ring: mpsc::Sender<Bytes>,
 }
 
 /// Bounds what one connection may make this router hold.
--- a/crates/transport/tests/peer_link.rs
+++ b/crates/transport/tests/peer_link.rs
@@ -4,6 +4,7 @@
 use std::sync::mpsc::sync_channel;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::StreamExt;
 use sedgeridge_state::ids::Incarnation;
 use sedgeridge_state::ids::Member;
@@ -55,16 +56,22 @@
             core,
         };
         let running = tokio::spawn(link.run(messages));
-        outbox.send(b"before".to_vec()).await.expect("room");
+        outbox
+            .send(Bytes::from_static(b"before"))
+            .await
+            .expect("room");
         let mut first = accept(&listener).await;
         heard(&mut first).await;
         assert_eq!(heard(&mut first).await, b"before");
         // From here on nobody reads the first connection, so no pong is sent, and it stays open.
-        outbox.send(b"lost".to_vec()).await.expect("room");
+        outbox
+            .send(Bytes::from_static(b"lost"))
+            .await
+            .expect("room");
         let again = timeout(PATIENCE, async {
             let sender = outbox.clone();
             let reports = tokio::spawn(async move {
-                while sender.send(b"after".to_vec()).await.is_ok() {
+                while sender.send(Bytes::from_static(b"after")).await.is_ok() {
                     tokio::time::sleep(Duration::from_millis(200)).await;
                 }
             });
