--- a/crates/transport/src/table_calls.rs
+++ b/crates/transport/src/table_calls.rs
@@ -39,9 +39,9 @@
 /// Calls that may wait for a thread.
 const CALL_RING_LEN: usize = 64;
 
-/// Longest answer that is read: a whole configuration of the size designed for has 1 MB as a message, a
-/// transaction of 128 claims some 2 MB of recorded answers.
-const MAX_ANSWER_BYTES: u64 = 8 << 20;
+/// Longest answer that is read, that of the client library. A whole configuration of the size designed for
+/// has 1 MB as a message; the first sweep of claims reads their whole index, whose size is not known.
+const MAX_ANSWER_BYTES: u64 = 10 << 20;
 
 /// Ring to the threads that call the table service.
 #[derive(Debug)]
