front: one client account cannot take all memory for bodies

The budget for bodies was given to whoever came first: one account that floods a router with long requests had those of all others refused.

Tests (`held_bodies.rs`). `one_account_cannot_take_all_memory_for_bodies`, red without the accounts' parts: 503 `queue_full` where 429 `account_queue_full` is due, and another account's request refused with it. The earlier test now counts exactly what two accounts may hold (red without the parts: 3 and 0 requests where 2 and 1 are due) in place of "fewer than 60".

`front.max_held_body_bytes_per_account` (8 MiB), a part of `front.max_held_body_bytes`. `max_body_bytes` may be at most that, so that a site whose largest body is above 8 MiB has to raise both; its settings are refused with that hint otherwise. A chunked body, whose length is not told, may be refused as `queue_full` though it is its account that has no room.

--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -8,7 +8,6 @@
 use sedgeridge_state::ids::Member;
 use sedgeridge_state::settings::HostSettings;
 use sedgeridge_state::settings::Settings;
-use sedgeridge_transport::byte_budget::ByteBudget;
 use sedgeridge_transport::clock::ProcessClock;
 use sedgeridge_transport::clock::incarnation_from_wall_clock;
 use sedgeridge_transport::core::CORE_RING_LEN;
@@ -19,6 +18,7 @@
 use sedgeridge_transport::event_log::log_info;
 use sedgeridge_transport::front::Front;
 use sedgeridge_transport::front::bind;
+use sedgeridge_transport::held_bodies::HeldBodies;
 use sedgeridge_transport::host_start::RunError;
 use sedgeridge_transport::operator::serve_operator_pages;
 use sedgeridge_transport::operator::start_metrics;
@@ -36,7 +36,7 @@
         host: host.id.clone(),
         incarnation: incarnation_from_wall_clock(),
     };
-    let held_bodies = ByteBudget::new(settings.front.max_held_body_bytes);
+    let held_bodies = HeldBodies::new(&settings.front);
     let directory = SharedDirectory::new(settings);
     let status = StatusBoard::default();
     let (inputs, inbox) = sync_channel(CORE_RING_LEN);
--- a/crates/state/src/settings.rs
+++ b/crates/state/src/settings.rs
@@ -86,6 +86,8 @@
     pub max_body_bytes: u64,
     /// Most bytes of request bodies that one router holds at a time.
     pub max_held_body_bytes: u64,
+    /// Most bytes of request bodies of one client account that one router holds at a time.
+    pub max_held_body_bytes_per_account: u64,
     /// Time a caller has to send a whole request head.
     pub header_timeout_ms: u64,
     /// Time an idle kept-alive connection stays open.
@@ -107,6 +109,7 @@
         Self {
             max_body_bytes: 1 << 20,
             max_held_body_bytes: 16 << 20,
+            max_held_body_bytes_per_account: 8 << 20,
             header_timeout_ms: 5_000,
             idle_timeout_ms: 60_000,
             max_connections: 2_048,
--- a/crates/state/src/settings/assemble.rs
+++ b/crates/state/src/settings/assemble.rs
@@ -115,6 +115,7 @@
     FrontSettings {
         max_body_bytes: section.whole("max_body_bytes"),
         max_held_body_bytes: section.whole("max_held_body_bytes"),
+        max_held_body_bytes_per_account: section.whole("max_held_body_bytes_per_account"),
         header_timeout_ms: section.whole("header_timeout_ms"),
         idle_timeout_ms: section.whole("idle_timeout_ms"),
         max_connections: section.count("max_connections"),
--- a/crates/state/src/settings/checks.rs
+++ b/crates/state/src/settings/checks.rs
@@ -19,7 +19,12 @@
 const UPPER_LIMITS: &[(&str, &str, &str)] = &[
     ("front", "default_deadline_ms", "max_deadline_ms"),
     ("front", "max_queue_per_account", "max_queue"),
-    ("front", "max_body_bytes", "max_held_body_bytes"),
+    ("front", "max_body_bytes", "max_held_body_bytes_per_account"),
+    (
+        "front",
+        "max_held_body_bytes_per_account",
+        "max_held_body_bytes",
+    ),
     ("membership", "probe_timeout_ms", "probe_interval_ms"),
 ];
 
--- a/crates/state/src/settings/schema/general.rs
+++ b/crates/state/src/settings/schema/general.rs
@@ -41,7 +41,7 @@
             whole(Bytes, 1_024, 1_073_741_824),
             Value("1048576"),
             Site,
-            "Largest request body that is read; at most `max_held_body_bytes`.",
+            "Largest request body that is read; at most `max_held_body_bytes_per_account`.",
         ),
         key(
             "max_held_body_bytes",
@@ -50,6 +50,13 @@
             Site,
             "Most bytes of request bodies that one router holds at a time, in requests that wait or run; what finds no room is refused. A quarter of the process's memory leaves room for answers and connections. Read at the start.",
         ),
+        key(
+            "max_held_body_bytes_per_account",
+            whole(Bytes, 1_024, 17_179_869_184),
+            Value("8388608"),
+            Site,
+            "Most bytes of request bodies of one client account that one router holds at a time; at most `max_held_body_bytes`. Read at the start.",
+        ),
         key(
             "header_timeout_ms",
             whole(Milliseconds, 10, 600_000),
--- a/crates/transport/src/byte_budget.rs
+++ b/crates/transport/src/byte_budget.rs
@@ -23,47 +23,107 @@
 /// ```
 #[derive(Debug, Clone)]
 pub struct ByteBudget {
-    free_bytes: Arc<AtomicU64>,
+    pool: Arc<Pool>,
+}
+
+#[derive(Debug)]
+struct Pool {
+    free_bytes: AtomicU64,
+    /// What this is a part of.
+    whole: Option<Arc<Pool>>,
 }
 
 impl ByteBudget {
     /// Creates a budget of which nothing is held.
     pub fn new(max_bytes: u64) -> Self {
+        Self::within(max_bytes, None)
+    }
+
+    /// Creates a budget whose bytes count against this one too: one holder's part.
+    ///
+    /// ```
+    /// use sedgeridge_transport::byte_budget::ByteBudget;
+    ///
+    /// let whole = ByteBudget::new(100);
+    /// let part = whole.part(60);
+    /// let held = part.reserve(60).expect("all of the part is free");
+    /// assert!(part.reserve(1).is_none());
+    /// assert!(whole.reserve(41).is_none());
+    /// drop(held);
+    /// assert!(whole.reserve(100).is_some());
+    /// ```
+    pub fn part(&self, max_bytes: u64) -> Self {
+        Self::within(max_bytes, Some(Arc::clone(&self.pool)))
+    }
+
+    fn within(max_bytes: u64, whole: Option<Arc<Pool>>) -> Self {
         Self {
-            free_bytes: Arc::new(AtomicU64::new(max_bytes)),
+            pool: Arc::new(Pool {
+                free_bytes: AtomicU64::new(max_bytes),
+                whole,
+            }),
         }
     }
 
     /// Reserves bytes before they are held; `None` when there are not as many left.
     pub fn reserve(&self, bytes: u64) -> Option<Reservation> {
         let mut reservation = Reservation {
-            free_bytes: Arc::clone(&self.free_bytes),
+            pool: Arc::clone(&self.pool),
             held_bytes: 0,
         };
         reservation.grow(bytes).then_some(reservation)
     }
+
+    /// Returns how many bytes are left, those of the whole not looked at.
+    pub fn free_bytes(&self) -> u64 {
+        self.pool.free_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Tells whether somebody holds a part of it, or another handle of it.
+    pub fn is_in_use(&self) -> bool {
+        Arc::strong_count(&self.pool) > 1
+    }
+}
+
+impl Pool {
+    fn take(&self, bytes: u64) -> bool {
+        let take = |free_bytes: u64| free_bytes.checked_sub(bytes);
+        let taken = self
+            .free_bytes
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
+        if taken.is_err() {
+            return false;
+        }
+        let fits = self.whole.as_ref().is_none_or(|whole| whole.take(bytes));
+        if !fits {
+            self.free_bytes.fetch_add(bytes, Ordering::Relaxed);
+        }
+        fits
+    }
+
+    fn give_back(&self, bytes: u64) {
+        self.free_bytes.fetch_add(bytes, Ordering::Relaxed);
+        if let Some(whole) = &self.whole {
+            whole.give_back(bytes);
+        }
+    }
 }
 
 /// A part of a budget; it is given back when this is dropped.
 #[derive(Debug)]
 pub struct Reservation {
-    free_bytes: Arc<AtomicU64>,
+    pool: Arc<Pool>,
     held_bytes: u64,
 }
 
 impl Reservation {
     /// Reserves further bytes; false when there are not as many left, and nothing changes.
     pub fn grow(&mut self, bytes: u64) -> bool {
-        let taken =
-            self.free_bytes
-                .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |free_bytes| {
-                    free_bytes.checked_sub(bytes)
-                });
-        if taken.is_err() {
-            return false;
+        let taken = self.pool.take(bytes);
+        if taken {
+            self.held_bytes += bytes;
         }
-        self.held_bytes += bytes;
-        true
+        taken
     }
 
     /// Grows until at least this many bytes are reserved; false when there are not as many left.
@@ -94,8 +154,7 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.free_bytes
-            .fetch_add(self.held_bytes, Ordering::Relaxed);
+        self.pool.give_back(self.held_bytes);
     }
 }
 
--- a/crates/transport/src/front.rs
+++ b/crates/transport/src/front.rs
@@ -38,7 +38,6 @@
 use crate::answer::AnswerPart;
 use crate::answer::AnswerReceiver;
 use crate::answer::GivenUp;
-use crate::byte_budget::ByteBudget;
 use crate::caller_connection::Admission;
 use crate::caller_connection::serve_connection;
 use crate::core::CoreInput;
@@ -54,6 +53,7 @@
 use crate::front_request::Caller;
 use crate::front_request::accept;
 use crate::front_request::identify;
+use crate::held_bodies::HeldBodies;
 
 /// Pause after a failed accept, for instance when no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -76,7 +76,7 @@
     /// Number of requests so far, which also names them.
     pub next_request: AtomicU64,
     /// Memory for the bodies of requests that wait and run.
-    pub held_bodies: ByteBudget,
+    pub held_bodies: HeldBodies,
 }
 
 /// Binds the address on which callers connect.
@@ -210,7 +210,8 @@
         caller: Caller,
         directory: &Directory,
     ) -> Result<AnswerReceiver, BadRequest> {
-        let body = read_body(body, &self.held_bodies, &directory.settings.front).await?;
+        let room = self.held_bodies.of_account(&caller.account);
+        let body = read_body(body, &room, &directory.settings.front).await?;
         let now = self.clock.now();
         let accepted = accept(parts, body, caller, directory, key, now)?;
         let (sender, receiver) = mpsc::channel(ANSWER_RING_LEN);
--- a/crates/transport/src/front_reading.rs
+++ b/crates/transport/src/front_reading.rs
@@ -60,7 +60,8 @@
             }
         }
     }
-    held.map(HeldBuffer::finish).ok_or_else(no_room)
+    held.map(HeldBuffer::finish)
+        .ok_or_else(|| no_room(told_bytes, budget))
 }
 
 fn no_end(body_timeout: Duration) -> BadRequest {
@@ -78,7 +79,12 @@
     bad(RefusalReason::BadRequest, format!("body: {error}"))
 }
 
-fn no_room() -> BadRequest {
+/// Tells whether the account or the router has no room: only the former is the caller's own doing.
+fn no_room(told_bytes: u64, account: &ByteBudget) -> BadRequest {
+    if account.free_bytes() < told_bytes.max(1) {
+        let detail = "the router holds as many bytes of this account's requests as it may";
+        return bad(RefusalReason::AccountQueueFull, detail.to_owned());
+    }
     let detail = "the router holds as many bytes of requests as it may";
     bad(RefusalReason::QueueFull, detail.to_owned())
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod front_body;
 mod front_reading;
 pub mod front_request;
+pub mod held_bodies;
 pub mod host_list_reads;
 pub mod host_options;
 pub mod host_start;
--- a/crates/transport/tests/held_bodies.rs
+++ b/crates/transport/tests/held_bodies.rs
@@ -2,11 +2,16 @@
 
 mod support;
 
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::mpsc::TryRecvError;
 
 use sedgeridge_state::settings::FrontSettings;
 use sedgeridge_transport::core::CoreInput;
 use sedgeridge_transport::core::NewRequest;
+use support::KEY;
+use support::OTHER_KEY;
 use support::front_bench::CHAT;
 use support::front_bench::Connection;
 use support::front_bench::FrontBench;
@@ -19,20 +24,28 @@
 /// Together far more than the router may hold.
 const CALLERS: usize = 60;
 
-fn long_chat() -> String {
+fn long_chat(key: &str) -> String {
     let text = "lens ".repeat(BODY_BYTES / 5);
     let body = format!(r#"{{"model":"desk","messages":[{{"role":"user","content":"{text}"}}]}}"#);
-    chat_request(&body)
+    chat_request(&body).replace(KEY, key)
 }
 
 fn refusals() -> u64 {
-    count_of("sedgeridge_refusals_total{reason=\"queue_full\"}")
+    let counts = ["queue_full", "account_queue_full"]
+        .map(|reason| count_of(&format!("sedgeridge_refusals_total{{reason=\"{reason}\"}}")));
+    counts.iter().sum()
+}
+
+/// The tests count refusals of their common process, so they run one by one.
+fn alone() -> MutexGuard<'static, ()> {
+    static ALONE: Mutex<()> = Mutex::new(());
+    ALONE.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// Sends a long request; `None` when it was refused.
-fn ask(bench: &FrontBench, caller: &mut Connection) -> Option<NewRequest> {
+fn ask(bench: &FrontBench, caller: &mut Connection, key: &str) -> Option<NewRequest> {
     let before = refusals();
-    caller.send(&long_chat());
+    caller.send(&long_chat(key));
     let mut arrived = None;
     wait_until("a request or a refusal", || {
         match bench.core.try_recv() {
@@ -45,23 +58,36 @@
     arrived
 }
 
-// Callers send long requests faster than endpoints take them, and lose all answers when the router's
-// process is ended for want of memory. Queues are bounded by the number of requests only: with
-// bodies of a megabyte, a queue that is far from full holds more than the process may have. The
-// request that finds no room is refused at once, not run, with a time to come back.
+/// Sends long requests until one is refused; returns those that wait, and the refusal.
+fn fill(bench: &FrontBench, key: &str) -> (Vec<NewRequest>, String) {
+    let mut waiting = Vec::new();
+    for _ in 0..CALLERS {
+        let mut caller = bench.connect();
+        let Some(new) = ask(bench, &mut caller, key) else {
+            return (waiting, caller.read_until("\"outcome\":\"not-run\""));
+        };
+        // The caller goes on waiting as long as its request does.
+        std::mem::forget(caller);
+        waiting.push(new);
+    }
+    panic!("{} long requests wait", waiting.len());
+}
+
+// Callers of many accounts send long requests faster than endpoints take them, and lose all answers
+// when the router's process is ended for want of memory. Queues are bounded by the number of requests
+// only: with bodies of a megabyte, a queue that is far from full holds more than the process may have.
+// The request that finds no room is refused at once, not run, with a time to come back.
 #[test]
 fn bodies_beyond_what_may_be_held_are_refused_with_a_time_to_come_back() {
-    let bench = FrontBench::start(FrontSettings::default());
-    let mut callers: Vec<Connection> = (0..CALLERS).map(|_| bench.connect()).collect();
-    let mut waiting = Vec::new();
-    let refused = callers.iter_mut().find_map(|caller| {
-        let new = ask(&bench, caller);
-        let refused = new.is_none().then_some(caller);
-        waiting.extend(new);
-        refused
+    let _alone = alone();
+    let bench = FrontBench::start(FrontSettings {
+        max_held_body_bytes: 3 << 20,
+        max_held_body_bytes_per_account: 2 << 20,
+        ..FrontSettings::default()
     });
-    let refused = refused.unwrap_or_else(|| panic!("{} long requests wait", waiting.len()));
-    let answer = refused.read_until("\"outcome\":\"not-run\"");
+    let (first, _) = fill(&bench, KEY);
+    let (second, answer) = fill(&bench, OTHER_KEY);
+    assert_eq!((first.len(), second.len()), (2, 1));
     assert_refused(&answer, 503, "queue_full");
     assert!(answer.contains("retry-after: 1\r\n"), "{answer}");
 
@@ -69,6 +95,20 @@
     let mut short = bench.connect();
     short.send(&chat_request(CHAT));
     drop(bench.arrived());
+    drop(first);
+    assert!(ask(&bench, &mut bench.connect(), OTHER_KEY).is_some());
+}
+
+// One account floods the router with long requests, and callers of all others are refused: memory for
+// bodies was given to whoever came first. The flood is refused beyond its part, as its own fault.
+#[test]
+fn one_account_cannot_take_all_memory_for_bodies() {
+    let _alone = alone();
+    let bench = FrontBench::start(FrontSettings::default());
+    let (waiting, answer) = fill(&bench, KEY);
+    assert_refused(&answer, 429, "account_queue_full");
+    assert!(answer.contains("retry-after: 1\r\n"), "{answer}");
+    assert!(ask(&bench, &mut bench.connect(), OTHER_KEY).is_some());
     drop(waiting);
-    assert!(ask(&bench, &mut bench.connect()).is_some());
+    assert!(ask(&bench, &mut bench.connect(), KEY).is_some());
 }
--- a/crates/transport/tests/support/front_bench.rs
+++ b/crates/transport/tests/support/front_bench.rs
@@ -20,13 +20,13 @@
 use sedgeridge_state::settings::FrontSettings;
 use sedgeridge_state::settings::Settings;
 use sedgeridge_transport::answer::AnswerPart;
-use sedgeridge_transport::byte_budget::ByteBudget;
 use sedgeridge_transport::clock::ProcessClock;
 use sedgeridge_transport::core::CoreInput;
 use sedgeridge_transport::core::NewRequest;
 use sedgeridge_transport::directory::SharedDirectory;
 use sedgeridge_transport::front::Front;
 use sedgeridge_transport::front::bind;
+use sedgeridge_transport::held_bodies::HeldBodies;
 use sedgeridge_transport::operator::start_metrics;
 use tokio::sync::watch;
 
@@ -77,7 +77,7 @@
 impl FrontBench {
     pub fn start(limits: FrontSettings) -> Self {
         metrics();
-        let held_bodies = ByteBudget::new(limits.max_held_body_bytes);
+        let held_bodies = HeldBodies::new(&limits);
         let directory = SharedDirectory::new(Settings {
             front: limits,
             ..settings()
--- a/crates/transport/tests/support/mod.rs
+++ b/crates/transport/tests/support/mod.rs
@@ -1,4 +1,4 @@
-//! A small configuration: a model service, a plain one, one that may not be repeated, one account.
+//! A small configuration: a model service, a plain one, one that may not be repeated, two accounts.
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod attempts;
@@ -15,6 +15,8 @@
 
 /// The header value that account `crew-07` sends.
 pub const KEY: &str = "Bearer crew-key";
+/// The header value that account `crew-08` sends.
+pub const OTHER_KEY: &str = "Bearer other-key";
 /// The one host.
 pub const HOST: &str = "router-1";
 
@@ -30,10 +32,10 @@
         repeatable,
         class: RequestClass::default(),
     };
-    let account = AccountSettings {
-        id: "crew-07".into(),
+    let account = |id: &str, key: &str| AccountSettings {
+        id: id.into(),
         weight: 1,
-        key_sha256: key_sha256("crew-key"),
+        key_sha256: key_sha256(key),
         max_in_progress: 0,
         max_requests_per_s: 0,
     };
@@ -47,7 +49,10 @@
             service("stock", "booking", true),
             service("deposit", "booking", false),
         ],
-        accounts: vec![account],
+        accounts: vec![
+            account("crew-07", "crew-key"),
+            account("crew-08", "other-key"),
+        ],
         ..Settings::default()
     }
 }
