tests of memory: two races of their own are out; the reading of bodies is named request_body

`one_account_cannot_take_all_memory_for_bodies` failed once, in the fourth run of its present form: "expected a request, found CallerGone". Traced: the test dropped a caller's connection at the end of a statement, and the front told its core so before the next request arrived, as it should.

`silent_connections_hold_no_thread...` compared threads of the whole test process exactly; the harness may start up to four for the other tests meanwhile.

--- a/crates/transport/src/front.rs
+++ b/crates/transport/src/front.rs
@@ -47,13 +47,13 @@
 use crate::event_log::LogEvent;
 use crate::event_log::log_warn;
 use crate::front_body::FrontBody;
-use crate::front_reading::discard_body;
-use crate::front_reading::read_body;
 use crate::front_request::BadRequest;
 use crate::front_request::Caller;
 use crate::front_request::accept;
 use crate::front_request::identify;
 use crate::held_bodies::HeldBodies;
+use crate::request_body::discard_body;
+use crate::request_body::read_body;
 
 /// Pause after a failed accept, for instance when no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
--- a/crates/transport/tests/held_bodies.rs
+++ b/crates/transport/tests/held_bodies.rs
@@ -96,7 +96,8 @@
     short.send(&chat_request(CHAT));
     drop(bench.arrived());
     drop(first);
-    assert!(ask(&bench, &mut bench.connect(), OTHER_KEY).is_some());
+    let mut again = bench.connect();
+    assert!(ask(&bench, &mut again, OTHER_KEY).is_some());
 }
 
 // One account floods the router with long requests, and callers of all others are refused: memory for
@@ -108,7 +109,8 @@
     let (waiting, answer) = fill(&bench, KEY);
     assert_refused(&answer, 429, "account_queue_full");
     assert!(answer.contains("retry-after: 1\r\n"), "{answer}");
-    assert!(ask(&bench, &mut bench.connect(), OTHER_KEY).is_some());
+    let (mut other, mut again) = (bench.connect(), bench.connect());
+    assert!(ask(&bench, &mut other, OTHER_KEY).is_some());
     drop(waiting);
-    assert!(ask(&bench, &mut bench.connect(), KEY).is_some());
+    assert!(ask(&bench, &mut again, KEY).is_some());
 }
--- a/crates/transport/tests/operator_limits.rs
+++ b/crates/transport/tests/operator_limits.rs
@@ -22,6 +22,9 @@
 use support::resident::resident_bytes;
 
 const MIB: u64 = 1 << 20;
+const CONNECTIONS: usize = 100;
+/// Threads that the test harness may start for the other tests meanwhile.
+const TEST_THREADS: usize = 4;
 
 /// The tests look at the memory and threads of their common process, so they run one by one.
 fn alone() -> MutexGuard<'static, ()> {
@@ -72,13 +75,10 @@
     let address = serve();
     assert!(get(address, "/healthz").starts_with("HTTP/1.1 200"));
     let before = threads();
-    let mut silent: Vec<_> = (0..100).map(|_| connect(address)).collect();
+    let mut silent: Vec<_> = (0..CONNECTIONS).map(|_| connect(address)).collect();
     assert!(get(address, "/healthz").starts_with("HTTP/1.1 200"));
-    assert!(
-        threads() <= before,
-        "{} threads, {before} before",
-        threads()
-    );
+    let more = threads().saturating_sub(before);
+    assert!(more <= TEST_THREADS, "{more} more threads");
     for stream in &mut silent {
         let closed = stream.read(&mut [0]);
         assert!(closed.is_ok_and(|read| read == 0), "still open");
