fleet: hosts of a fleet of 13 to 300 hear of each other's work sooner

Relays now send a sum each 1 ms for each host (50 to 300 ms), members a report twice as often. A host of 81 sends 40 KB/s in place of 14, one of 400 as much as before. Test: new work is known by 81 hosts within 300 ms; red on the schedule before.

--- a/crates/fleet/src/dispatcher/peers.rs
+++ b/crates/fleet/src/dispatcher/peers.rs
@@ -22,9 +22,9 @@
 const NEWS_REPEATS: u32 = 4;
 /// Most news in one report.
 const MAX_NEWS: usize = 8;
-/// Own reports that are kept to be taken out of sums again. Reports are 100 ms apart or more, and
+/// Own reports that are kept to be taken out of sums again. Reports are 50 ms apart or more, and
 /// relays count them for 2.5 s.
-const KEPT_REPORTS: usize = 26;
+const KEPT_REPORTS: usize = 51;
 /// Source of the work that sums over the fleet hold. Hosts' hashes are other numbers but by chance.
 const FLEET_SOURCE: u64 = 0;
 
@@ -295,7 +295,8 @@
         state: HostState,
         due: &mut Vec<OutgoingReport>,
     ) {
-        if !self.peers.schedule.takes_member_report(now) {
+        let hosts = self.hosts(now);
+        if !self.peers.schedule.takes_member_report(now, hosts) {
             return;
         }
         let own = self.settings.host;
@@ -308,7 +309,8 @@
 
     /// Adds the sums of a relay, and goes by them itself.
     fn add_sums(&mut self, now: Duration, state: HostState, due: &mut Vec<OutgoingReport>) {
-        if !self.peers.schedule.takes_sums(now) {
+        let hosts = self.hosts(now);
+        if !self.peers.schedule.takes_sums(now, hosts) {
             return;
         }
         let own_data_centre = self.own_data_centre();
--- a/crates/fleet/src/peer_schedule.rs
+++ b/crates/fleet/src/peer_schedule.rs
@@ -1,5 +1,6 @@
 //! When a host reports what to whom.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 /// Shortest time between two reports in a small fleet. An engine gets about three requests meanwhile.
@@ -7,14 +8,20 @@
 /// Time between reports for each other host of a small fleet, so that they stay below a hundred a
 /// second and host.
 const REPORT_INTERVAL_PER_HOST: Duration = Duration::from_millis(12);
-/// Time between two reports to the relays of a large fleet: half of a relay's interval.
-const MEMBER_INTERVAL: Duration = Duration::from_millis(150);
 /// Requests that a host starts before it reports, also before its interval is over. Loads that the
 /// others do not know of are bounded by this for each host, and hosts with little work stay quiet.
 const UNREPORTED_STARTS: u32 = 20;
-/// Time between two sums of one relay. Two relays take turns by chance, so that a host gets a sum
-/// each 150 ms on average.
-const RELAY_INTERVAL: Duration = Duration::from_millis(300);
+/// Time between two sums of one relay for each host of the fleet, so that a relay of any size sends a few
+/// hundred sums a second. Work that a host does not know of yet draws its requests to engines that only
+/// seem idle: mean worth of three days of failures on 60 engines and 73 hosts was 0.526 with a sum
+/// each 300 ms and a report each 200 ms, 0.571 with half of these times and 0.585 with a quarter.
+const RELAY_INTERVAL_PER_HOST: Duration = Duration::from_millis(1);
+/// Bounds of that time. Hosts look each 50 ms whether reports are due; in the largest fleets bytes
+/// matter more, since each sum holds more engines.
+const RELAY_INTERVALS: RangeInclusive<Duration> =
+    Duration::from_millis(50)..=Duration::from_millis(300);
+/// Shortest time between two reports to the relays.
+const MIN_MEMBER_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest time between signs of life of a host that follows the store: others take its place when
 /// it is silent for three of them.
 const FOLLOWER_PRESENCE_INTERVAL: Duration = Duration::from_millis(700);
@@ -56,14 +63,15 @@
         self.takes_own(now, interval.max(MIN_REPORT_INTERVAL))
     }
 
-    /// Tells whether a report to the relays is due, and plans the next one.
-    pub fn takes_member_report(&mut self, now: Duration) -> bool {
-        self.takes_own(now, MEMBER_INTERVAL)
+    /// Tells whether a report to the relays is due, and plans the next one. There are two for each sum.
+    pub fn takes_member_report(&mut self, now: Duration, hosts: usize) -> bool {
+        let interval = relay_interval(hosts) / 2;
+        self.takes_own(now, interval.max(MIN_MEMBER_INTERVAL))
     }
 
     /// Tells whether a relay's sums are due, and plans the next ones.
-    pub fn takes_sums(&mut self, now: Duration) -> bool {
-        take(&mut self.sums_at, now, RELAY_INTERVAL)
+    pub fn takes_sums(&mut self, now: Duration, hosts: usize) -> bool {
+        take(&mut self.sums_at, now, relay_interval(hosts))
     }
 
     /// Tells whether a sign of life is due, and plans the next one.
@@ -83,6 +91,13 @@
     }
 }
 
+/// Returns the time between two sums of one relay in a fleet of that many hosts.
+fn relay_interval(hosts: usize) -> Duration {
+    let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+    let interval = RELAY_INTERVAL_PER_HOST.saturating_mul(hosts);
+    interval.clamp(*RELAY_INTERVALS.start(), *RELAY_INTERVALS.end())
+}
+
 fn take(due_at: &mut Duration, now: Duration, interval: Duration) -> bool {
     let is_due = now >= *due_at;
     if is_due {
--- a/crates/fleet/tests/relays.rs
+++ b/crates/fleet/tests/relays.rs
@@ -166,6 +166,22 @@
     assert_eq!(fleet.known(), vec![81; 81]);
 }
 
+/// Callers' first events come late although most engines are idle: for as long as hosts do not know of
+/// each other's new work, they send theirs to the same engine. Each piece of work is known everywhere,
+/// also in other data centres, a moment after it has begun; with reports each 150 ms and sums each
+/// 300 ms it took 750 ms.
+#[test]
+fn new_work_is_known_everywhere_within_300_ms() {
+    let mut fleet = Fleet::new(81, 1);
+    fleet.run(3_000);
+    for started in 1..=40 {
+        fleet.start(started as usize);
+        fleet.run(300);
+        assert_eq!(fleet.known(), vec![started; 81]);
+        fleet.run(STEP_MS);
+    }
+}
+
 /// Each host counts its own new work at once, and what it finished no more: sums that a relay made
 /// a moment ago hold the host's work as it was then, and must not bring it back.
 #[test]
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -54,7 +54,7 @@
 use crate::wire::Wire;
 
 /// Time between looks whether reports are due.
-const POLL_INTERVAL: Duration = Duration::from_millis(100);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between looks at the list of hosts. Hosts also learn of each other by reports.
 const LIST_INTERVAL: Duration = Duration::from_secs(10);
 /// The same for each host, so that a large fleet lists no more often than a small one.
