--- a/crates/fleet/src/dispatcher/peers.rs
+++ b/crates/fleet/src/dispatcher/peers.rs
@@ -22,9 +22,9 @@
 const NEWS_REPEATS: u32 = 4;
 /// Most news in one report.
 const MAX_NEWS: usize = 8;
-/// Own reports that are kept to be taken out of sums again. Reports are 100 ms apart or more, and
+/// Own reports that are kept to be taken out of sums again. Reports are 50 ms apart or more, and
 /// relays count them for 2.5 s.
-const KEPT_REPORTS: usize = 26;
+const KEPT_REPORTS: usize = 51;
 /// Source of the work that sums over the fleet hold. Hosts' hashes are other numbers but by chance.
 const FLEET_SOURCE: u64 = 0;
 
@@ -295,7 +295,8 @@
         state: HostState,
         due: &mut Vec<OutgoingReport>,
     ) {
-        if !self.peers.schedule.takes_member_report(now) {
+        let hosts = self.hosts(now);
+        if !self.peers.schedule.takes_member_report(now, hosts) {
             return;
         }
         let own = self.settings.host;
@@ -308,7 +309,8 @@
 
     /// Adds the sums of a relay, and goes by them itself.
     fn add_sums(&mut self, now: Duration, state: HostState, due: &mut Vec<OutgoingReport>) {
-        if !self.peers.schedule.takes_sums(now) {
+        let hosts = self.hosts(now);
+        if !self.peers.schedule.takes_sums(now, hosts) {
             return;
         }
         let own_data_centre = self.own_data_centre();
@@ -333,15 +335,25 @@
         let own_usage = self.shares.own();
 
         let mut sum = self.peers.relay.members_sum();
-        let mut report = self.blank_report(state, Scope::DataCentre);
-        let mut of_data_centre = sum.work.clone();
-        of_data_centre.add(&own_loads, &own_usage);
-        report.hosts = sum.hosts + 1;
-        report.loads = of_data_centre.loads();
-        report.usage = of_data_centre.usage();
-        let to = relays_elsewhere.iter().copied();
-        let to = to.map(Addressee::from).collect();
-        due.push(OutgoingReport { report, to });
+        let hosts = self.hosts(now);
+        let own = self.settings.host;
+        let relays = self.peers.hosts.relays(now, self.own_data_centre());
+        let rank = relays.iter().position(|relay| *relay == own);
+        if self
+            .peers
+            .schedule
+            .takes_sum_elsewhere(hosts, rank.unwrap_or(0))
+        {
+            let mut report = self.blank_report(state, Scope::DataCentre);
+            let mut of_data_centre = sum.work.clone();
+            of_data_centre.add(&own_loads, &own_usage);
+            report.hosts = sum.hosts + 1;
+            report.loads = of_data_centre.loads();
+            report.usage = of_data_centre.usage();
+            let to = relays_elsewhere.iter().copied();
+            let to = to.map(Addressee::from).collect();
+            due.push(OutgoingReport { report, to });
+        }
 
         self.peers.relay.add_data_centres(&mut sum);
         if self.peers.view.takes(now, sum.hosts + 1) {
