metrics: a refusal's log line tells what the account asked and what holds others back

Decisions are unchanged.

Hypotheses, written before any change of logic: 1. Usage counts what was placed, not what ran: an attempt that found no connection is charged twice. The small host is not seen as backlogged. Sums between hosts are wrong or missing. What an account was given leaves the window all at once, four seconds after a burst; all hosts then see room at the same time and begin 4 M tokens within a second, and again four seconds later. Two such bursts lie in six seconds, and the engines' backlogs of each refuse the account that gets its part evenly.

--- a/crates/fleet/src/account_shares.rs
+++ b/crates/fleet/src/account_shares.rs
@@ -152,6 +152,21 @@
         f64::from(started) / self.level.max(1.0)
     }
 
+    /// Returns what the account asked for, as a multiple of its fair share.
+    pub fn asked(&self, account: u64) -> f64 {
+        let used = self.totals.get(&account).copied().unwrap_or_default();
+        f64::from(used.asked) / self.level.max(1.0)
+    }
+
+    /// Returns what the backlogged account that holds others back was given, as a multiple of its
+    /// fair share; infinite if no account is backlogged.
+    pub fn least_standing(&self) -> f64 {
+        match self.level.is_finite() {
+            true => self.least / self.level.max(1.0),
+            false => f64::INFINITY,
+        }
+    }
+
     /// Tells how far the account is ahead of the backlogged one that was given least.
     ///
     /// A backlogged account may be held up by its host, which its callers fill. What engines have
--- a/crates/fleet/src/dispatcher/attempts.rs
+++ b/crates/fleet/src/dispatcher/attempts.rs
@@ -293,8 +293,11 @@
     }
 
     fn basis(&self, now: Duration, pending: &Pending, best: Option<Compared>) -> Basis {
+        let account = pending.arrival.account;
         Basis {
             standing: self.standing(&pending.arrival),
+            asked: account.map_or(0.0, |account| self.shares.asked(account)),
+            least_standing: self.shares.least_standing(),
             queued: self.queue.len(),
             hosts: self.hosts(now),
             oldest_report: self.loads.oldest_report(now),
--- a/crates/fleet/src/verdict.rs
+++ b/crates/fleet/src/verdict.rs
@@ -38,6 +38,11 @@
 pub struct Basis {
     /// What the account was given, as a multiple of its fair share.
     pub standing: f64,
+    /// What the account asked for, as a multiple of its fair share.
+    pub asked: f64,
+    /// What the backlogged account that holds others back was given, as a multiple of its fair
+    /// share; infinite if no account is backlogged.
+    pub least_standing: f64,
     /// Requests that waited on this host.
     pub queued: usize,
     /// Hosts whose reports counted, this one included.
--- a/crates/gateway/src/call_log.rs
+++ b/crates/gateway/src/call_log.rs
@@ -61,6 +61,8 @@
             ("retry_after_ms", millis(retry_after)),
             ("waited_ms", millis(waited)),
             ("standing", rounded(basis.standing)),
+            ("asked", rounded(basis.asked)),
+            ("least_standing", rounded(basis.least_standing)),
             ("queued", basis.queued.into()),
             ("hosts", basis.hosts.into()),
             ("oldest_report_ms", millis(basis.oldest_report)),
