fleet: a request that did not run is not charged to its account

Cause (hypothesis 1): an attempt that found no connection, was turned away or met another endpoint stayed charged, and the next one was charged again where nothing had been sent. Read in the code and shown by an_account_is_charged_once_for_what_ran_and_not_for_what_did_not, which fails before (4,840 tokens charged in place of 2,420); an_account_is_charged_once_for_a_request_that_ran_twice holds before and after. Requests whose callers leave between the decision and the send are still charged.

--- a/crates/fleet/src/account_shares.rs
+++ b/crates/fleet/src/account_shares.rs
@@ -148,6 +148,25 @@
         self.guess_unseen(account);
     }
 
+    /// Takes back a request that was sent at `started_at` and did not run. The sums follow with the
+    /// next tick.
+    ///
+    /// While engines are lost, a request may find no connection at one after another. Charged for
+    /// each try, its account would be refused as over its share for work that nobody did.
+    pub fn on_not_run(&mut self, now: Duration, started_at: Duration, account: u64, tokens: f64) {
+        self.advance(now);
+        let bucket = self.bucket_at(started_at);
+        let has_left = bucket + BUCKETS <= self.bucket;
+        if let Some(buckets) = self.own.get_mut(&account).filter(|_| !has_left) {
+            let started = tokens as u32;
+            buckets[(bucket % BUCKETS) as usize].subtract(Usage { asked: 0, started });
+        }
+        let is_it = |it: &Started| (it.at, it.account, it.tokens) == (started_at, account, tokens);
+        if let Some(index) = self.recent.iter().position(is_it) {
+            self.recent.remove(index);
+        }
+    }
+
     /// Takes another host's sums over its window.
     pub fn on_report(&mut self, now: Duration, host: u64, usage: Vec<(u64, Usage)>) {
         self.reported.insert(host, (now, usage));
@@ -235,8 +254,7 @@
     }
 
     fn advance(&mut self, now: Duration) {
-        let length = self.window.as_millis() as u64 / BUCKETS;
-        let bucket = now.as_millis() as u64 / length.max(1);
+        let bucket = self.bucket_at(now);
         let steps = bucket.saturating_sub(self.bucket).min(BUCKETS);
         for step in 1..=steps {
             let slot = ((self.bucket + step) % BUCKETS) as usize;
@@ -249,6 +267,11 @@
             .retain(|_, buckets| buckets.iter().any(|used| *used != Usage::default()));
     }
 
+    fn bucket_at(&self, at: Duration) -> u64 {
+        let length = self.window.as_millis() as u64 / BUCKETS;
+        at.as_millis() as u64 / length.max(1)
+    }
+
     /// Sums up use by its age. The newest counts twice and the oldest hardly, so that steady use has
     /// the same sum as if all counted once.
     fn faded(&self, buckets: &[Usage; BUCKETS as usize]) -> Usage {
--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -144,6 +144,8 @@
     unreached: u32,
     tried: Vec<u64>,
     may_have_run: bool,
+    /// Whether it counts as begun for its account.
+    is_charged: bool,
     last_failure: Option<Failure>,
     attempt: Option<Attempt>,
 }
--- a/crates/fleet/src/dispatcher/attempts.rs
+++ b/crates/fleet/src/dispatcher/attempts.rs
@@ -59,6 +59,7 @@
             unreached: 0,
             tried: Vec::new(),
             may_have_run: false,
+            is_charged: false,
             last_failure: None,
             attempt: None,
         };
@@ -101,8 +102,9 @@
         let arrival = &pending.arrival;
         if let Some(prompt) = &arrival.prompt {
             self.cached.note(now, endpoint.key, prompt);
-            if let Some(account) = arrival.account.filter(|_| pending.sends == 1) {
+            if let Some(account) = arrival.account.filter(|_| !pending.is_charged) {
                 self.shares.on_started(now, account, arrival.charge());
+                pending.is_charged = true;
             }
         }
         if pending.sends == 1 {
@@ -198,6 +200,14 @@
             pending.sends -= 1;
             pending.unreached += 1;
         }
+        if !pending.may_have_run && std::mem::take(&mut pending.is_charged) {
+            let arrival = &pending.arrival;
+            if let Some(account) = arrival.account {
+                let tokens = arrival.charge();
+                self.shares
+                    .on_not_run(now, attempt.sent_at, account, tokens);
+            }
+        }
         self.loads.subtract_own(endpoint.key, attempt.load);
         if self.records.failed(now, endpoint.key, failure) {
             self.quarantine.endpoint_down(now, &endpoint.run_name());
--- a/crates/fleet/tests/dispatcher.rs
+++ b/crates/fleet/tests/dispatcher.rs
@@ -273,3 +273,52 @@
         assert_eq!(refusal(verdict), RefusalReason::Quarantined);
     }
 }
+
+/// Tokens that the host reports as begun for an account.
+fn begun(host: &mut Host, account: u64) -> u32 {
+    let usage = host.dispatcher.report(support::live()).usage;
+    let of_account = usage.iter().filter(|(key, _)| *key == account);
+    of_account.map(|(_, usage)| usage.started).sum()
+}
+
+/// Engines are lost, and the callers of one account at one host are refused as over their share,
+/// though hardly any of their requests ran.
+/// Connections to the lost engines fail, and each request is sent to the next one. If each send counts
+/// as begun, the account is charged several times for one run, and for none where all of them fail.
+#[test]
+fn an_account_is_charged_once_for_what_ran_and_not_for_what_did_not() {
+    let account = 7;
+    for failure in [
+        Failure::NotConnected,
+        Failure::TurnedAway,
+        Failure::Misdirected,
+    ] {
+        let mut host = Host::new(1);
+        let (id, verdict) = host.arrive(0, engine_request(0, account, prompt(7, 10)));
+        sent_to(verdict);
+        let once = begun(&mut host, account);
+        assert!(once > 0);
+        let verdict = verdict_of(id, host.send(10, DispatchEvent::AttemptFailed(id, failure)));
+        sent_to(verdict);
+        assert_eq!(begun(&mut host, account), once, "{failure:?}");
+        let verdict = verdict_of(id, host.send(20, DispatchEvent::AttemptFailed(id, failure)));
+        assert!(!matches!(verdict, Some(Verdict::Send(_))), "{verdict:?}");
+        assert_eq!(begun(&mut host, account), 0, "{failure:?}");
+    }
+}
+
+/// A request that may have run is charged, and its second run is not charged again.
+#[test]
+fn an_account_is_charged_once_for_a_request_that_ran_twice() {
+    let account = 7;
+    let mut host = Host::new(1);
+    let (id, verdict) = host.arrive(0, engine_request(0, account, prompt(7, 10)));
+    sent_to(verdict);
+    let once = begun(&mut host, account);
+    let lost = DispatchEvent::AttemptFailed(id, Failure::ConnectionLost);
+    sent_to(verdict_of(id, host.send(10, lost)));
+    assert_eq!(begun(&mut host, account), once);
+    let turned_away = DispatchEvent::AttemptFailed(id, Failure::TurnedAway);
+    host.send(20, turned_away);
+    assert_eq!(begun(&mut host, account), once);
+}
