--- a/crates/fleet/src/account_shares.rs
+++ b/crates/fleet/src/account_shares.rs
@@ -1,10 +1,13 @@
 //! Max-min shares of the engines' tokens between client accounts, over the whole fleet.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use nohash_hasher::IntMap;
 
+use crate::unseen_begins::Begin;
+use crate::unseen_begins::UNSEEN_SPAN;
+use crate::unseen_begins::UnseenBegins;
+
 /// Parts into which the window is cut. Use fades in as many steps.
 ///
 /// Use that counts in full until its window ends leaves a gap that all hosts see at the same time and
@@ -13,9 +16,6 @@
 /// account that one host serves, which got a quarter to a third as much in six seconds. Use that
 /// fades leaves no gap.
 const BUCKETS: u64 = 8;
-/// Time for which what this host began stands for what others began besides: about the time until
-/// they have heard of it by way of the relays.
-const UNSEEN_SPAN: Duration = Duration::from_millis(400);
 /// Age up to which another host's sums count.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(2_500);
 
@@ -77,15 +77,8 @@
     }
 }
 
-/// A request that this host sent to an engine.
-#[derive(Debug, Clone, Copy)]
-struct Started {
-    at: Duration,
-    account: u64,
-    tokens: f64,
-}
-
-/// Usage by account, named by the hash of its name, in a sliding window in which use fades: this host's own and what other hosts reported.
+/// Usage by account, named by the hash of its name, in a sliding window in which use fades: this
+/// host's own and what other hosts reported.
 #[derive(Debug)]
 pub struct AccountShares {
     window: Duration,
@@ -94,10 +87,7 @@
     bucket: u64,
     reported: IntMap<u64, (Duration, Vec<(u64, Usage)>)>,
     totals: IntMap<u64, Usage>,
-    /// What this host began within [`UNSEEN_SPAN`], by account, oldest first.
-    recent: VecDeque<Started>,
-    /// Tokens that other hosts probably began and have not told of, by account.
-    unseen: IntMap<u64, f64>,
+    unseen: UnseenBegins,
     level: f64,
     /// What the backlogged account that was given least has; infinite if none is backlogged.
     least: f64,
@@ -113,8 +103,7 @@
             bucket: 0,
             reported: IntMap::default(),
             totals: IntMap::default(),
-            recent: VecDeque::new(),
-            unseen: IntMap::default(),
+            unseen: UnseenBegins::default(),
             level: f64::INFINITY,
             least: f64::INFINITY,
         }
@@ -140,8 +129,9 @@
     pub fn on_started(&mut self, now: Duration, account: u64, tokens: f64) {
         let started = tokens as u32;
         self.count(now, account, Usage { asked: 0, started });
-        self.recent.push_back(Started {
-            at: now,
+        let at = now;
+        self.unseen.begin(Begin {
+            at,
             account,
             tokens,
         });
@@ -161,10 +151,12 @@
             let started = tokens as u32;
             buckets[(bucket % BUCKETS) as usize].subtract(Usage { asked: 0, started });
         }
-        let is_it = |it: &Started| (it.at, it.account, it.tokens) == (started_at, account, tokens);
-        if let Some(index) = self.recent.iter().position(is_it) {
-            self.recent.remove(index);
-        }
+        let at = started_at;
+        self.unseen.take_back(Begin {
+            at,
+            account,
+            tokens,
+        });
     }
 
     /// Takes another host's sums over its window.
@@ -198,7 +190,9 @@
         }
         self.level = self.fair_level();
         self.least = self.least_backlogged();
-        self.guess_all_unseen(now);
+        for account in self.unseen.tick(now) {
+            self.guess_unseen(account);
+        }
     }
 
     /// Returns what the account was given, as a multiple of its fair share. Above 1 it has had it.
@@ -291,44 +285,19 @@
     /// Returns what the account was given by all hosts, as far as this one knows or guesses.
     fn given(&self, account: u64) -> f64 {
         let known = self.totals.get(&account).copied().unwrap_or_default();
-        let unseen = self.unseen.get(&account).copied().unwrap_or_default();
-        f64::from(known.started) + unseen
+        f64::from(known.started) + self.unseen.tokens(account)
     }
 
-    fn guess_all_unseen(&mut self, now: Duration) {
-        let is_old = |started: &Started| now.saturating_sub(started.at) > UNSEEN_SPAN;
-        while self.recent.front().is_some_and(is_old) {
-            self.recent.pop_front();
-        }
-        self.unseen.clear();
-        let mut accounts: Vec<u64> = self.recent.iter().map(|started| started.account).collect();
-        accounts.sort_unstable();
-        accounts.dedup();
-        for account in accounts {
-            self.guess_unseen(account);
-        }
-    }
-
-    /// Guesses what other hosts began for the account and have not told of: as much as this one, by
-    /// what they are asked for, and no more than that.
-    ///
-    /// When an account that asks everywhere comes below its share, all hosts see it at the same time.
-    /// If each goes by what it knows, together they begin several times what there is room for
-    /// before they hear of each other, and an account that one host serves finds the engines full.
-    /// A host that expects the others to do as it does stops after its own part of the room. In plays
-    /// of 40 hosts the one account got at most 1.8 times as much as the other in six seconds, and
-    /// 2.3 times without the guess.
+    /// Guesses what other hosts began for the account: as much as this one by what they are asked
+    /// for, and no more than that.
     fn guess_unseen(&mut self, account: u64) {
         let own = self.own.get(&account);
         let own_asked = own.map_or(0, |buckets| self.faded(buckets).asked);
         let total = self.totals.get(&account).copied().unwrap_or_default();
         let others_asked = f64::from(total.asked.saturating_sub(own_asked));
-        let recent = self.recent.iter();
-        let recent = recent.filter(|started| started.account == account);
-        let began: f64 = recent.map(|started| started.tokens).sum();
-        let guess = began * others_asked / f64::from(own_asked.max(1));
+        let ratio = others_asked / f64::from(own_asked.max(1));
         let asked_meanwhile = others_asked * UNSEEN_SPAN.as_secs_f64() / self.window.as_secs_f64();
-        self.unseen.insert(account, guess.min(asked_meanwhile));
+        self.unseen.guess(account, ratio, asked_meanwhile);
     }
 
     /// Returns what the backlogged account that was given least has, or part of the share if that is
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,5 +24,6 @@
 pub mod route_table;
 pub mod row_watch;
 pub mod store_followers;
+pub mod unseen_begins;
 pub mod verdict;
 pub mod work_sums;
--- a/crates/fleet/tests/fair_begins.rs
+++ b/crates/fleet/tests/fair_begins.rs
@@ -19,7 +19,7 @@
 /// Time until all hosts have heard of the flood. What they begin before that cannot be held back.
 const NOTICED_MS: u64 = 1_000;
 /// Largest ratio of what the two accounts may get in a span. The worst of three plays was 2.9 while
-/// what was begun left the window at once, 2.3 with use that fades, and 1.8 since each host guesses
+/// what was begun left the window at once, 2.3 with use that fades, and 1.7 since each host guesses
 /// what the others begin.
 const MOST_APART: f64 = 1.9;
 
