gateway: one connection's requests have a module of their own; tests: addresses that nothing else takes

A port that was drawn and released was taken before the router bound it ("Address already in use", 2 of 18 tests once, beside load): each test process has a loopback address of its own.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod attempt;
 pub mod call;
 mod call_log;
+mod caller_connection;
 pub mod caller_listener;
 pub mod caller_request;
 pub mod caller_stream;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -10,6 +10,8 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::OnceLock;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::HeaderMap;
@@ -249,9 +251,13 @@
     });
 }
 
-async fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    listener.local_addr().expect("an address")
+/// Returns an address that nothing else uses: a port that was drawn and released is taken by any connection
+/// on the machine before the router binds it.
+fn free_address() -> SocketAddr {
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(20_000);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+    SocketAddr::from(([127, 200, high, low], port))
 }
 
 async fn start(repeat: Repeat, count: usize, script: Script) -> Fleet {
@@ -278,7 +284,7 @@
         };
         endpoints.insert(id.to_string(), endpoint);
     }
-    let settings = settings().await;
+    let settings = settings();
     let overwrite = Rc::new(Notify::new());
     let store = TestStore {
         endpoints: endpoints.keys().cloned().collect(),
@@ -322,14 +328,14 @@
     RECORDER.get_or_init(|| meters::install().ok()).clone()
 }
 
-async fn settings() -> GatewaySettings {
+fn settings() -> GatewaySettings {
     GatewaySettings {
         host: Arc::from("test"),
         data_centre: Arc::from("here"),
-        callers_address: free_address().await,
-        ready_address: free_address().await,
-        metrics_address: free_address().await,
-        peers_address: free_address().await,
+        callers_address: free_address(),
+        ready_address: free_address(),
+        metrics_address: free_address(),
+        peers_address: free_address(),
         max_callers: 3,
         memory_bytes: 64 << 20,
         grace: Duration::from_secs(4),
