--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -5,12 +5,13 @@
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -35,9 +36,13 @@
     }
 }
 
+/// Returns an address that nothing else uses: a port that was drawn and released is taken by any connection
+/// on the machine before the router binds it.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(20_000);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+    SocketAddr::from(([127, 201, high, low], port))
 }
 
 /// A running router, killed at the end of the test.
