fleet: a removal that another host tells counts at once, and copies tell all that their maker knows of removals

Ruled out: pauses of standbys, relays that take turns, failed fetches; the copies were there within 0.2 s. Of the same class and mended with it: copies lacked entries that their maker still kept; hosts that had just listed gave copies without earlier removals; a host that began to follow at the end of an outage took what had lapsed for removed. When to fetch a copy is decided in the fleet crate now (table_news). Tried and dropped: standbys that tell of a change at once (no difference).

--- a/crates/fleet/examples/report_bytes.rs
+++ b/crates/fleet/examples/report_bytes.rs
@@ -68,6 +68,8 @@
             host.handle(now, DispatchEvent::Tick, &mut Vec::new());
             let state = HostState {
                 store_answers: true,
+                store_lost_for: Duration::ZERO,
+                store_answered_ago: None,
                 ..HostState::default()
             };
             for outgoing in host.reports_due(now, state) {
--- a/crates/fleet/src/dispatcher/peers.rs
+++ b/crates/fleet/src/dispatcher/peers.rs
@@ -11,11 +11,13 @@
 use crate::peer_report::CrashNews;
 use crate::peer_report::PeerReport;
 use crate::peer_report::Scope;
+use crate::peer_report::to_millis;
 use crate::peer_schedule::PeerSchedule;
 use crate::relay::FleetView;
 use crate::relay::Relay;
 use crate::store_followers::StoreFollowers;
 use crate::store_followers::StoreRole;
+use crate::store_outage::StoreOutage;
 use crate::work_sums::WorkSums;
 
 /// Reports in which news of a crash is repeated, so that lost datagrams matter little.
@@ -41,6 +43,10 @@
     pub is_busy: bool,
     /// Whether the store answered the host when it last called.
     pub store_answers: bool,
+    /// For how long it has not answered; zero if it does.
+    pub store_lost_for: Duration,
+    /// How long ago it last answered; `None` if the host does not call it.
+    pub store_answered_ago: Option<Duration>,
 }
 
 /// A report, and who should get it.
@@ -72,6 +78,7 @@
 pub(super) struct PeerLinks {
     hosts: PeerHosts,
     store_followers: StoreFollowers,
+    store_outage: StoreOutage,
     relay: Relay,
     view: FleetView,
     schedule: PeerSchedule,
@@ -86,6 +93,7 @@
         Self {
             hosts: PeerHosts::new(own),
             store_followers: StoreFollowers::default(),
+            store_outage: StoreOutage::default(),
             relay: Relay::default(),
             view: FleetView::default(),
             schedule: PeerSchedule::default(),
@@ -100,6 +108,8 @@
         self.hosts.tick(now);
         let failing = self.hosts.failing_at_store(now);
         self.store_followers.tick(now, failing);
+        self.store_outage
+            .tick(now, self.hosts.reports_of_store(now));
         self.relay.tick(now);
     }
 
@@ -154,6 +164,12 @@
         self.peers.store_followers.role(now, before)
     }
 
+    /// Returns since when the store answers no host, if it is away or has just come back. A host that begins
+    /// to follow it then must not take what it lacks for removed.
+    pub fn store_lost_since(&self) -> Option<Duration> {
+        self.peers.store_outage.since()
+    }
+
     /// Returns the reports that are due. Call it some ten times a second.
     pub fn reports_due(&mut self, now: Duration, state: HostState) -> Vec<OutgoingReport> {
         if self.must_hasten(state) {
@@ -396,6 +412,8 @@
             is_stopping: state.is_stopping,
             is_busy: state.is_busy,
             store_answers: state.store_answers,
+            store_lost_ms: to_millis(state.store_lost_for),
+            store_answered_ms: state.store_answered_ago.map(to_millis),
             ..PeerReport::default()
         }
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,6 +25,8 @@
 pub mod route_table;
 pub mod row_watch;
 pub mod store_followers;
+pub mod store_outage;
+pub mod table_news;
 pub mod unseen_begins;
 pub mod verdict;
 pub mod work_sums;
--- a/crates/fleet/src/peer_hosts.rs
+++ b/crates/fleet/src/peer_hosts.rs
@@ -7,6 +7,7 @@
 use crate::hashing::pair_hash;
 use crate::peer_report::PeerReport;
 use crate::store_followers::HostsBefore;
+use crate::store_outage::StoreReports;
 
 /// Largest fleet in which each host reports to each other one, and follows the store itself.
 pub const SMALL_FLEET: usize = 12;
@@ -75,6 +76,10 @@
     number: u64,
     heard_at: Option<Duration>,
     store_access: StoreAccess,
+    /// Since when the store does not answer it, if its last call failed.
+    store_lost_at: Option<Duration>,
+    /// When the store last answered it, if it calls the store.
+    store_answered_at: Option<Duration>,
     /// Whether it may serve as a relay: it neither stops nor has too much to do.
     may_relay: bool,
     /// Since when sums are expected from it.
@@ -126,6 +131,11 @@
             (false, true) => StoreAccess::Answered,
             (false, false) => StoreAccess::Failing,
         };
+        let lost_for = Duration::from_millis(report.store_lost_ms);
+        let lost_at = now.saturating_sub(lost_for);
+        host.store_lost_at = (!report.store_answers).then_some(lost_at);
+        let answered_ago = report.store_answered_ms.map(Duration::from_millis);
+        host.store_answered_at = answered_ago.map(|ago| now.saturating_sub(ago));
         host.may_relay = !report.is_stopping && !report.is_busy;
         true
     }
@@ -203,6 +213,17 @@
         failing.count()
     }
 
+    /// Sums up what live hosts report of the store.
+    pub fn reports_of_store(&self, now: Duration) -> StoreReports {
+        let heard = self.hosts.values();
+        let heard = heard.filter(|host| host.is_heard(now, FOLLOWER_SILENCE));
+        let failing = heard.clone();
+        StoreReports {
+            lost_at: failing.filter_map(|host| host.store_lost_at).min(),
+            answered_at: heard.filter_map(|host| host.store_answered_at).max(),
+        }
+    }
+
     /// Chooses the relays of a data centre; this host may be one of them. All hosts choose alike as
     /// far as they know the same hosts.
     pub fn relays(&self, now: Duration, data_centre: u64) -> Vec<u64> {
--- a/crates/fleet/src/peer_report.rs
+++ b/crates/fleet/src/peer_report.rs
@@ -80,6 +80,12 @@
     /// Whether the store answered the host when it last called.
     #[serde(rename = "f")]
     pub store_answers: bool,
+    /// For how long the store has not answered the host, in milliseconds; 0 if it does.
+    #[serde(rename = "g", default)]
+    pub store_lost_ms: u64,
+    /// How long ago the store last answered the host, in milliseconds; `None` if it does not call.
+    #[serde(rename = "a", default)]
+    pub store_answered_ms: Option<u64>,
     /// Work in progress, by hash of the endpoint's id.
     #[serde(rename = "l", with = "packed_loads")]
     pub loads: Vec<(u64, Load)>,
@@ -280,6 +286,7 @@
     }
 }
 
-fn to_millis(time: Duration) -> u64 {
+/// Returns whole milliseconds.
+pub(crate) fn to_millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -1,6 +1,7 @@
 //! Follows one table of the platform's store: lists it once, then waits for its changes.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,6 +27,9 @@
 const IDLE_INTERVAL: Duration = Duration::from_millis(100);
 /// Removed rows that are remembered, for copies that tell only what changed.
 const MAX_REMOVED: usize = 512;
+/// Gaps that are remembered. A host reads the whole table when it starts and when the store forgets its
+/// history, some times a day.
+const MAX_GAPS: usize = 16;
 
 /// A row as the store holds it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -47,6 +51,19 @@
     pub is_whole: bool,
     /// The rows; removed ones have no value.
     pub rows: Vec<Row>,
+    /// Rows among those known that may only have lapsed.
+    pub lapsing: Vec<LapsingRow>,
+}
+
+/// A row that the store lacked when it came back from an outage. Its writer may still write it again.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LapsingRow {
+    /// Its key.
+    pub key: Arc<str>,
+    /// Version of the store as of which it was missing.
+    pub version: u64,
+    /// Time that its writer has left.
+    pub remaining: Duration,
 }
 
 /// The next call to the store.
@@ -117,16 +134,34 @@
     failures: u32,
     not_before: Duration,
     lost_at: Option<Duration>,
+    answered_at: Option<Duration>,
     catch_up_until: Duration,
     rewrite_until: Duration,
-    missing: BTreeMap<Arc<str>, u64>,
+    lapsing: BTreeMap<Arc<str>, Lapsing>,
+    copied_at: Option<Duration>,
     removed: VecDeque<Row>,
     removed_before: u64,
+    gaps: VecDeque<Gap>,
     is_following: bool,
     feed_pause: Duration,
     random: SeededRandom,
 }
 
+/// Until when a missing row stays in use.
+#[derive(Debug, Clone, Copy)]
+struct Lapsing {
+    version: u64,
+    until: Duration,
+}
+
+/// Versions that were passed over when the whole table was read: what was written and removed again in
+/// between is not known.
+#[derive(Debug, Clone, Copy)]
+struct Gap {
+    from: u64,
+    to: u64,
+}
+
 #[derive(Debug, Default)]
 struct Listing {
     from: Option<Arc<str>>,
@@ -144,11 +179,14 @@
             failures: 0,
             not_before: Duration::ZERO,
             lost_at: None,
+            answered_at: None,
             catch_up_until: Duration::ZERO,
             rewrite_until: Duration::ZERO,
-            missing: BTreeMap::new(),
+            lapsing: BTreeMap::new(),
+            copied_at: None,
             removed: VecDeque::new(),
             removed_before: 0,
+            gaps: VecDeque::new(),
             is_following: true,
             feed_pause: Duration::ZERO,
             random: SeededRandom::new(seed),
@@ -189,7 +227,7 @@
                     None => {
                         self.fed_version = self.fed_version.max(version);
                         self.pause_after(now, &rows);
-                        self.take_changes(now, rows)
+                        self.take_changes(rows, self.lapse_end(now))
                     }
                 }
             }
@@ -206,11 +244,19 @@
     }
 
     /// Sets whether this host follows the store. One that does not lives on other hosts' copies.
-    pub fn set_following(&mut self, is_following: bool) {
+    ///
+    /// A host that begins to follow may do so in the middle of an outage, `lost_since`, or right at its end.
+    /// Without that moment it takes the entries that lapsed for removed, tells the others so, and the
+    /// fleet has no endpoint left until they are written again.
+    pub fn set_following(&mut self, is_following: bool, lost_since: Option<Duration>) {
         if self.is_following && !is_following {
+            self.answered_at = None;
             self.lost_at = None;
             self.failures = 0;
         }
+        if !self.is_following && is_following && self.is_known() {
+            self.lost_at = lost_since;
+        }
         self.is_following = is_following;
     }
 
@@ -220,52 +266,97 @@
     }
 
     /// Takes another host's copy. Returns what changed.
+    ///
+    /// A removal that it tells counts at once, also while the store turns this host away: the host that
+    /// made the copy has already told what was removed from what may only have lapsed. Held back until
+    /// the store answers here again, a removal came into force up to eight seconds late, and requests
+    /// went on to endpoints that had left.
     pub fn on_copy(&mut self, now: Duration, copy: TableCopy) -> Vec<Row> {
         if copy.version <= self.changed_version {
             return Vec::new();
         }
         self.fed_version = self.fed_version.max(copy.version);
         self.listing = None;
-        if copy.is_whole {
-            return self.replace(now, copy.rows, copy.version);
-        }
-        let changed = self.take_changes(now, copy.rows);
+        self.copied_at = Some(now);
+        let changed = match copy.is_whole {
+            true => self.replace(copy.rows, copy.version, None),
+            false => self.take_changes(copy.rows, None),
+        };
         self.changed_version = self.changed_version.max(copy.version);
+        for row in copy.lapsing {
+            self.note_lapsing(row.key, row.version, now + row.remaining);
+        }
         changed
     }
 
     /// Returns a copy for a host that knows everything up to `after`.
-    pub fn copy(&self, after: u64) -> TableCopy {
-        let version = self.changed_version;
-        if after == 0 || after < self.removed_before {
-            let rows = self.rows.values().cloned().collect();
-            return TableCopy {
-                version,
-                is_whole: true,
-                rows,
-            };
-        }
-        let changed = self.rows.values().chain(&self.removed);
+    pub fn copy(&self, now: Duration, after: u64) -> TableCopy {
+        let is_whole = self.lacks_removals(after);
+        let after = if is_whole { 0 } else { after };
+        let removed = self.removed.iter().filter(|_| !is_whole);
+        let changed = self.rows.values().chain(removed);
         let changed = changed.filter(|row| row.version > after);
         TableCopy {
-            version,
-            is_whole: false,
+            version: self.changed_version,
+            is_whole,
             rows: changed.cloned().collect(),
+            lapsing: self.lapsing_after(now, after),
         }
     }
 
+    /// Tells whether rows were removed after a version that this host has not heard of. A host that has just
+    /// started knows of none before its first list; a copy of only what changed would leave endpoints
+    /// that left in use at whoever takes it, for good.
+    fn lacks_removals(&self, after: u64) -> bool {
+        let is_within = |gap: &Gap| gap.from < after && after < gap.to;
+        after == 0 || after < self.removed_before || self.gaps.iter().any(is_within)
+    }
+
+    fn note_gap(&mut self, from: u64, to: u64) {
+        self.gaps.push_back(Gap { from, to });
+        if self.gaps.len() > MAX_GAPS {
+            let forgotten = self.gaps.pop_front();
+            let to = forgotten.map_or(0, |gap| gap.to);
+            self.removed_before = self.removed_before.max(to);
+        }
+    }
+
+    /// Returns the rows that went missing after a version. Without them a host that lives on copies would
+    /// take their version for known, and never hear that they are gone.
+    fn lapsing_after(&self, now: Duration, after: u64) -> Vec<LapsingRow> {
+        let lapsing = self.lapsing.iter();
+        let lapsing = lapsing.filter(|(_, lapsing)| lapsing.version > after);
+        let to_row = |(key, lapsing): (&Arc<str>, &Lapsing)| LapsingRow {
+            key: key.clone(),
+            version: lapsing.version,
+            remaining: lapsing.until.saturating_sub(now),
+        };
+        lapsing.map(to_row).collect()
+    }
+
     /// Returns rows that went missing while the store was away and whose time is now over.
     pub fn expired(&mut self, now: Duration) -> Vec<Row> {
-        if self.missing.is_empty() || now < self.rewrite_until || self.lost_at.is_some() {
+        if self.lapsing.is_empty() || self.is_cut_off() {
             return Vec::new();
         }
-        let missing = std::mem::take(&mut self.missing);
-        let removed = missing.into_iter();
+        let over = self.lapsing.iter();
+        let over = over.filter(|(_, lapsing)| lapsing.until <= now);
+        let over: Vec<_> = over
+            .map(|(key, lapsing)| (key.clone(), lapsing.version))
+            .collect();
+        let removed = over.into_iter();
         removed
             .filter_map(|(key, version)| self.remove(key, version))
             .collect()
     }
 
+    /// Tells whether nothing was heard of the table since the store fell silent: it may be away for all,
+    /// so that rows could not be written again. A newer copy shows that it serves others.
+    fn is_cut_off(&self) -> bool {
+        let has_copy_since = |lost_at| self.copied_at.is_some_and(|at| at >= lost_at);
+        self.lost_at.is_some_and(|at| !has_copy_since(at))
+    }
+
     /// Returns the known rows.
     pub fn rows(&self) -> impl Iterator<Item = &Row> {
         self.rows.values()
@@ -286,6 +377,11 @@
         self.lost_at
     }
 
+    /// Returns when a call was last answered.
+    pub fn answered_at(&self) -> Option<Duration> {
+        self.answered_at
+    }
+
     /// Tells whether the last call failed.
     pub fn is_lost(&self) -> bool {
         self.lost_at.is_some()
@@ -294,6 +390,7 @@
     fn note_success(&mut self, now: Duration) {
         self.failures = 0;
         self.not_before = now;
+        self.answered_at = Some(now);
         let Some(lost_at) = self.lost_at.take() else {
             return;
         };
@@ -337,42 +434,50 @@
             return Vec::new();
         }
         self.fed_version = version;
-        self.replace(now, listing.rows, version)
+        self.replace(listing.rows, version, self.lapse_end(now))
     }
 
-    fn take_changes(&mut self, now: Duration, rows: Vec<Row>) -> Vec<Row> {
+    /// Returns until when rows stay in use that the store lacks now. A row that is missing right after an
+    /// outage may only have lapsed: its writer could not renew it. Without the delay, every endpoint
+    /// would be given up at once when the store returns.
+    fn lapse_end(&self, now: Duration) -> Option<Duration> {
+        (now < self.catch_up_until).then_some(self.rewrite_until)
+    }
+
+    fn take_changes(&mut self, rows: Vec<Row>, lapse_end: Option<Duration>) -> Vec<Row> {
         let mut changed = Vec::new();
         for row in rows {
             self.changed_version = self.changed_version.max(row.version);
             if row.value.is_some() {
                 changed.extend(self.put(row));
             } else {
-                changed.extend(self.miss(now, &row.key, row.version));
+                changed.extend(self.miss(row.key, row.version, lapse_end));
             }
         }
         changed
     }
 
-    fn replace(&mut self, now: Duration, rows: Vec<Row>, version: u64) -> Vec<Row> {
+    fn replace(&mut self, rows: Vec<Row>, version: u64, lapse_end: Option<Duration>) -> Vec<Row> {
+        self.note_gap(self.changed_version, version);
         self.changed_version = self.changed_version.max(version);
-        let listed: BTreeMap<_, _> = rows.iter().map(|row| (row.key.clone(), ())).collect();
+        let listed: BTreeSet<_> = rows.iter().map(|row| row.key.clone()).collect();
         let gone = self
             .rows
             .values()
-            .filter(|row| row.version <= version && !listed.contains_key(&row.key));
+            .filter(|row| row.version <= version && !listed.contains(&row.key));
         let gone: Vec<_> = gone.map(|row| row.key.clone()).collect();
         let mut changed = Vec::new();
         for row in rows {
             changed.extend(self.put(row));
         }
         for key in gone {
-            changed.extend(self.miss(now, &key, version));
+            changed.extend(self.miss(key, version, lapse_end));
         }
         changed
     }
 
     fn put(&mut self, row: Row) -> Option<Row> {
-        self.missing.remove(&row.key);
+        self.lapsing.remove(&row.key);
         let known = self.rows.get(&row.key);
         if known.is_some_and(|known| known.version >= row.version) {
             return None;
@@ -381,14 +486,21 @@
         Some(row)
     }
 
-    /// A row that is missing right after an outage may only have lapsed: its writer could not renew
-    /// it. Without the delay, every endpoint would be given up at once when the store returns.
-    fn miss(&mut self, now: Duration, key: &Arc<str>, version: u64) -> Option<Row> {
-        if now < self.catch_up_until || self.lost_at.is_some() {
-            self.missing.insert(key.clone(), version);
-            return None;
+    fn miss(&mut self, key: Arc<str>, version: u64, lapse_end: Option<Duration>) -> Option<Row> {
+        match lapse_end {
+            Some(until) => {
+                self.note_lapsing(key, version, until);
+                None
+            }
+            None => self.remove(key, version),
+        }
+    }
+
+    fn note_lapsing(&mut self, key: Arc<str>, version: u64, until: Duration) {
+        let known = self.rows.get(&key);
+        if known.is_some_and(|known| known.version <= version) {
+            self.lapsing.insert(key, Lapsing { version, until });
         }
-        self.remove(key.clone(), version)
     }
 
     fn remove(&mut self, key: Arc<str>, version: u64) -> Option<Row> {
@@ -397,6 +509,7 @@
             return None;
         }
         self.rows.remove(&key);
+        self.lapsing.remove(&key);
         let removed = Row {
             key,
             version,
@@ -405,7 +518,8 @@
         self.removed.push_back(removed.clone());
         if self.removed.len() > MAX_REMOVED {
             let forgotten = self.removed.pop_front();
-            self.removed_before = forgotten.map_or(0, |row| row.version);
+            let before = forgotten.map_or(0, |row| row.version);
+            self.removed_before = self.removed_before.max(before);
         }
         Some(removed)
     }
--- a/crates/fleet/tests/row_watch.rs
+++ b/crates/fleet/tests/row_watch.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use sedgeridge_coordination::random::SeededRandom;
+use sedgeridge_fleet::row_watch::LapsingRow;
 use sedgeridge_fleet::row_watch::Row;
 use sedgeridge_fleet::row_watch::RowWatch;
 use sedgeridge_fleet::row_watch::StoreAnswer;
@@ -143,6 +144,7 @@
         version,
         is_whole: true,
         rows,
+        lapsing: Vec::new(),
     }
 }
 
@@ -171,24 +173,119 @@
     let mut followed = watch_of_two();
     followed.on_answer(at(10), rows(vec![removed("a", 3), row("c", 4)], 4));
     let mut behind = watch_of_two();
-    let copy = followed.copy(behind.changed_version());
+    let copy = followed.copy(at(20), behind.changed_version());
     assert_eq!(copy.rows, vec![row("c", 4), removed("a", 3)]);
     behind.on_copy(at(20), copy);
     assert_eq!(keys(&behind), ["b", "c"]);
     assert_eq!(behind.changed_version(), 4);
 }
 
+/// The caller is served by an endpoint that left long ago. The store turns one host away for eight seconds
+/// and serves the others; an endpoint's entry is removed meanwhile. The host copies the removal from another
+/// one within a tenth of a second, and must not keep the endpoint until the store answers it again.
+#[test]
+fn a_removal_in_a_copy_counts_while_the_store_turns_the_host_away() {
+    let mut turned_away = watch_of_two();
+    turned_away.on_answer(at(100), StoreAnswer::Failed);
+    let mut served = watch_of_two();
+    served.on_answer(at(2_000), rows(vec![removed("a", 3)], 3));
+    let copy = served.copy(at(2_050), turned_away.changed_version());
+    let changed = turned_away.on_copy(at(2_050), copy);
+    assert_eq!(changed, vec![removed("a", 3)]);
+    assert_eq!(keys(&turned_away), ["b"]);
+}
+
+/// The caller is served by an endpoint that left. It leaves while the store is away; the followers keep its
+/// entry for the time in which it could be written again. A host that copies from them takes their version
+/// for known, so that a copy must tell it which entries are about to go.
+#[test]
+fn a_copy_tells_of_entries_that_may_have_lapsed() {
+    let mut following = watch_of_two();
+    let mut copying = watch_of_two();
+    following.on_answer(at(100), StoreAnswer::Failed);
+    following.on_answer(at(5_000), rows(vec![removed("a", 3), removed("b", 4)], 4));
+    let copy = following.copy(at(5_300), copying.changed_version());
+    let lapsing = LapsingRow {
+        key: Arc::from("a"),
+        version: 3,
+        remaining: at(2_000),
+    };
+    assert_eq!(copy.lapsing.first(), Some(&lapsing));
+    assert!(copying.on_copy(at(5_300), copy).is_empty());
+
+    following.on_answer(at(6_000), rows(vec![row("b", 5)], 5));
+    copying.on_copy(at(6_050), following.copy(at(6_050), 4));
+    assert!(copying.expired(at(7_200)).is_empty());
+    assert_eq!(copying.expired(at(7_300)), vec![removed("a", 3)]);
+    assert_eq!(following.expired(at(7_300)), vec![removed("a", 3)]);
+    assert_eq!(keys(&copying), ["b"]);
+}
+
+/// The caller is served by an endpoint that left. A host has just started and read the whole table, an
+/// endpoint's removal in it; the others hear of its newer version and copy from it. It never knew of the
+/// endpoint, so that a copy of only what changed would leave it in use at them.
+#[test]
+fn a_host_that_has_just_started_gives_whole_copies() {
+    let mut started = RowWatch::new(2);
+    started.on_answer(at(0), rows(vec![row("b", 2), row("c", 5)], 5));
+    let mut copying = watch_of_two();
+    let copy = started.copy(at(10), copying.changed_version());
+    assert!(copy.is_whole);
+    let changed = copying.on_copy(at(10), copy);
+    assert_eq!(changed, vec![row("c", 5), removed("a", 5)]);
+
+    started.on_answer(at(20), rows(vec![row("d", 6)], 6));
+    let next = started.copy(at(20), copying.changed_version());
+    assert!(!next.is_whole, "the copying host lacks nothing since");
+}
+
+/// All endpoints vanish though all live. A host begins to follow the store in the middle of an outage, less
+/// than a second before its end, since those before it got no answer. What it lacks then may have lapsed in
+/// the whole outage, not only in the part in which it asked.
+#[test]
+fn a_host_that_begins_to_follow_in_an_outage_waits_for_lapsed_entries() {
+    let mut watch = watch_of_two();
+    watch.set_following(false, None);
+    watch.set_following(true, Some(at(1_000)));
+    watch.on_answer(at(4_500), StoreAnswer::Failed);
+    let changed = watch.on_answer(at(5_000), rows(vec![removed("a", 3)], 3));
+    assert!(changed.is_empty());
+    assert_eq!(watch.expired(at(7_300)), vec![removed("a", 3)]);
+}
+
+/// A host that the store turns away right after an outage learns from others' copies that the store is back.
+/// What may have lapsed goes when its time is over, also if the store still turns this host away.
+#[test]
+fn an_entry_that_lapsed_goes_in_time_on_a_host_that_is_turned_away_again() {
+    let mut watch = watch_of_two();
+    watch.on_answer(at(100), StoreAnswer::Failed);
+    watch.on_answer(at(5_000), rows(vec![removed("a", 3)], 3));
+    watch.on_answer(at(5_500), StoreAnswer::Failed);
+    assert!(
+        watch.expired(at(7_400)).is_empty(),
+        "the store may be away for all"
+    );
+    let newer = TableCopy {
+        version: 4,
+        is_whole: false,
+        rows: vec![row("c", 4)],
+        lapsing: Vec::new(),
+    };
+    watch.on_copy(at(7_500), newer);
+    assert_eq!(watch.expired(at(7_600)), vec![removed("a", 3)]);
+}
+
 /// A host that copies from others calls the store only until it knows the table, and goes on from
 /// the last copy when it has to follow the store itself.
 #[test]
 fn a_host_that_does_not_follow_makes_no_calls() {
     let mut watch = RowWatch::new(1);
-    watch.set_following(false);
+    watch.set_following(false, None);
     assert!(matches!(watch.step(at(0)), WatchStep::Call(_)));
     watch.on_answer(at(0), rows(vec![row("a", 1)], 1));
     assert!(matches!(watch.step(at(10)), WatchStep::WaitUntil(_)));
     watch.on_copy(at(20), whole(vec![row("a", 1), row("b", 9)], 9));
-    watch.set_following(true);
+    watch.set_following(true, None);
     let feed = StoreCall::Feed {
         after: 9,
         is_held: true,
@@ -214,7 +311,7 @@
             followed.on_answer(at(version), rows(vec![change], version));
         }
         if random.below(60) == 0 {
-            let copy = followed.copy(copying.changed_version());
+            let copy = followed.copy(at(version), copying.changed_version());
             copying.on_copy(at(version), copy);
             assert_eq!(keys(&followed), keys(&copying));
         }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -27,6 +26,7 @@
 use sedgeridge_fleet::peer_hosts::ListedHost;
 use sedgeridge_fleet::peer_report::PeerReport;
 use sedgeridge_fleet::peer_report::set_included;
+use sedgeridge_fleet::row_watch::LapsingRow;
 use sedgeridge_fleet::row_watch::Row;
 use sedgeridge_fleet::row_watch::TableCopy;
 use serde::Deserialize;
@@ -58,9 +58,6 @@
 const LIST_INTERVAL_PER_HOST: Duration = Duration::from_millis(1_200);
 /// Time between tries while the store does not answer.
 const LIST_RETRY: Duration = Duration::from_millis(700);
-/// Time for which a host that follows the store may know less than another before it copies from
-/// there. The store itself tells of a change within some ten milliseconds.
-const FOLLOWER_BEHIND_FOR: Duration = Duration::from_millis(250);
 /// Longest pause before a host that lives on copies fetches one, so that not all ask at once.
 const COPY_SPREAD_MS: u64 = 120;
 /// Longest time to fetch a copy.
@@ -80,24 +77,17 @@
     tables: Rc<Tables<W, C>>,
     /// Addresses by hash of the host's name.
     addresses: RefCell<HashMap<u64, SocketAddr>>,
-    behind: RefCell<BTreeMap<Table, Behind>>,
     hosts: Cell<usize>,
     random: RefCell<SeededRandom>,
 }
 
-/// A table of which another host knows a newer change.
-#[derive(Debug, Clone, Copy)]
-struct Behind {
-    since: Duration,
-    is_fetching: bool,
-}
-
 /// A copy of a table as hosts send it.
 #[derive(Debug, Serialize, Deserialize)]
 struct CopyMessage {
     version: u64,
     is_whole: bool,
     rows: Vec<CopiedRow>,
+    lapsing: Vec<CopiedLapsingRow>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -107,6 +97,13 @@
     value: Option<ByteBuf>,
 }
 
+#[derive(Debug, Serialize, Deserialize)]
+struct CopiedLapsingRow {
+    key: String,
+    version: u64,
+    remaining_ms: u64,
+}
+
 impl From<TableCopy> for CopyMessage {
     fn from(copy: TableCopy) -> Self {
         let rows = copy.rows.into_iter().map(|row| CopiedRow {
@@ -114,10 +111,16 @@
             version: row.version,
             value: row.value.map(|value| ByteBuf::from(value.to_vec())),
         });
+        let lapsing = copy.lapsing.into_iter().map(|row| CopiedLapsingRow {
+            key: row.key.to_string(),
+            version: row.version,
+            remaining_ms: u64::try_from(row.remaining.as_millis()).unwrap_or(u64::MAX),
+        });
         Self {
             version: copy.version,
             is_whole: copy.is_whole,
             rows: rows.collect(),
+            lapsing: lapsing.collect(),
         }
     }
 }
@@ -129,10 +132,16 @@
             version: row.version,
             value: row.value.map(|value| Arc::from(value.into_vec())),
         });
+        let lapsing = message.lapsing.into_iter().map(|row| LapsingRow {
+            key: Arc::from(row.key),
+            version: row.version,
+            remaining: Duration::from_millis(row.remaining_ms),
+        });
         Self {
             version: message.version,
             is_whole: message.is_whole,
             rows: rows.collect(),
+            lapsing: lapsing.collect(),
         }
     }
 }
@@ -145,7 +154,6 @@
             core,
             tables,
             addresses: RefCell::new(HashMap::new()),
-            behind: RefCell::new(BTreeMap::new()),
             hosts: Cell::new(1),
             random: RefCell::new(SeededRandom::new(seed)),
         }
@@ -221,6 +229,8 @@
             is_stopping: self.core.is_stopping(),
             is_busy: self.core.lag.borrow().is_overloaded(),
             store_answers: self.tables.store_answers(),
+            store_lost_for: self.tables.store_lost_for(),
+            store_answered_ago: self.tables.store_answered_ago(),
         }
     }
 
@@ -293,38 +303,15 @@
         }
     }
 
-    /// Fetches a copy from a host that has known a newer change for a while.
-    ///
-    /// The store may turn this host away while it serves the others and the operator. Without the
-    /// copy, callers here would be served by old routes and keys, and endpoints that left.
+    /// Fetches a copy from a host that knows a newer change.
     fn compare(self: &Rc<Self>, table: Table, version: u64, from: SocketAddr) {
-        let mut all_behind = self.behind.borrow_mut();
-        if version <= self.tables.changed_version(table) {
-            return;
-        }
-        let now = self.core.now();
-        let role = self
-            .core
-            .with_dispatcher(|dispatcher| dispatcher.store_role(now));
-        let patience = match role {
-            StoreRole::Copier => Duration::ZERO,
-            StoreRole::FirstFollower | StoreRole::Follower | StoreRole::Standby => {
-                FOLLOWER_BEHIND_FOR
-            }
-        };
-        let behind = all_behind.entry(table).or_insert(Behind {
-            since: now,
-            is_fetching: false,
-        });
-        if behind.is_fetching || now.saturating_sub(behind.since) < patience {
-            return;
+        if self.tables.takes_copy(table, version) {
+            spawn_local(self.clone().fetch(table, from));
         }
-        behind.is_fetching = true;
-        spawn_local(self.clone().fetch(table, from, role));
     }
 
-    async fn fetch(self: Rc<Self>, table: Table, from: SocketAddr, role: StoreRole) {
-        if role == StoreRole::Copier {
+    async fn fetch(self: Rc<Self>, table: Table, from: SocketAddr) {
+        if self.tables.role(self.core.now()) == StoreRole::Copier {
             let spread = self.random.borrow_mut().below(COPY_SPREAD_MS);
             tokio::time::sleep(Duration::from_millis(spread)).await;
         }
@@ -333,7 +320,7 @@
         if let Ok(Some(copy)) = fetched {
             self.tables.take_copy(table, copy.into());
         }
-        self.behind.borrow_mut().remove(&table);
+        self.tables.on_fetched(table);
     }
 
     fn copy_page(&self, request: &Request<Incoming>) -> Page {
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -15,6 +15,7 @@
 use sedgeridge_fleet::row_watch::StoreAnswer;
 use sedgeridge_fleet::row_watch::TableCopy;
 use sedgeridge_fleet::row_watch::WatchStep;
+use sedgeridge_fleet::table_news::TableNews;
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
@@ -39,6 +40,8 @@
     core: Rc<Core<W, C>>,
     config: RefCell<RowWatch>,
     endpoints: RefCell<RowWatch>,
+    config_news: RefCell<TableNews>,
+    endpoints_news: RefCell<TableNews>,
     news: Notify,
 }
 
@@ -50,6 +53,8 @@
             core,
             config: RefCell::new(RowWatch::new(seed)),
             endpoints: RefCell::new(RowWatch::new(seed.rotate_left(1))),
+            config_news: RefCell::default(),
+            endpoints_news: RefCell::default(),
             news: Notify::new(),
         }
     }
@@ -58,9 +63,7 @@
     pub async fn follow<S: Store>(&self, store: Rc<S>, table: Table) {
         loop {
             let now = self.core.now();
-            let role = self
-                .core
-                .with_dispatcher(|dispatcher| dispatcher.store_role(now));
+            let role = self.role(now);
             match self.next_step(table, now, role) {
                 WatchStep::WaitUntil(at) => {
                     let pause = at.saturating_sub(self.core.now());
@@ -82,7 +85,10 @@
 
     fn next_step(&self, table: Table, now: Duration, role: StoreRole) -> WatchStep {
         let mut watch = self.watch(table).borrow_mut();
-        watch.set_following(role.is_following());
+        let lost_since = self
+            .core
+            .with_dispatcher(|dispatcher| dispatcher.store_lost_since());
+        watch.set_following(role.is_following(), lost_since);
         watch.set_feed_pause(role.feed_pause());
         if table == Table::Endpoints && watch.is_lost() && self.config.borrow().is_lost() {
             return WatchStep::WaitUntil(now + LOST_INTERVAL);
@@ -90,11 +96,49 @@
         watch.step(now)
     }
 
+    /// Takes in that another host knows a version of a table, and tells whether to fetch its copy.
+    pub fn takes_copy(&self, table: Table, heard: u64) -> bool {
+        let now = self.core.now();
+        let known = self.changed_version(table);
+        let role = self.role(now);
+        let mut news = self.news_of(table).borrow_mut();
+        news.takes_copy(now, known, heard, role)
+    }
+
+    /// Notes that a fetch of another host's copy has ended.
+    pub fn on_fetched(&self, table: Table) {
+        self.news_of(table).borrow_mut().on_fetched();
+    }
+
+    /// Returns the part that this host takes in following the store.
+    pub fn role(&self, now: Duration) -> StoreRole {
+        self.core
+            .with_dispatcher(|dispatcher| dispatcher.store_role(now))
+    }
+
     /// Waits until a change is known that other hosts should hear of at once.
     pub async fn news(&self) {
         self.news.notified().await;
     }
 
+    /// Returns how long ago the store last answered a call.
+    pub fn store_answered_ago(&self) -> Option<Duration> {
+        let answered_at = |table| self.watch(table).borrow().answered_at();
+        let at = answered_at(Table::Config).into_iter();
+        let at = at.chain(answered_at(Table::Endpoints)).max();
+        at.map(|at| self.core.now().saturating_sub(at))
+    }
+
+    /// Returns for how long the store has not answered a call about one of the tables.
+    pub fn store_lost_for(&self) -> Duration {
+        let lost_since = |table| self.watch(table).borrow().lost_since();
+        let since = lost_since(Table::Config).into_iter();
+        let since = since.chain(lost_since(Table::Endpoints)).min();
+        since.map_or(Duration::ZERO, |since| {
+            self.core.now().saturating_sub(since)
+        })
+    }
+
     /// Tells whether the store answered the last call about each table.
     pub fn store_answers(&self) -> bool {
         let is_lost = |table| self.watch(table).borrow().is_lost();
@@ -120,7 +164,8 @@
 
     /// Makes a copy for a host that knows everything up to `after`.
     pub fn copy(&self, table: Table, after: u64) -> TableCopy {
-        self.watch(table).borrow().copy(after)
+        let now = self.core.now();
+        self.watch(table).borrow().copy(now, after)
     }
 
     /// Takes in another host's copy.
@@ -167,6 +212,13 @@
         }
     }
 
+    fn news_of(&self, table: Table) -> &RefCell<TableNews> {
+        match table {
+            Table::Config => &self.config_news,
+            Table::Endpoints => &self.endpoints_news,
+        }
+    }
+
     fn apply(&self, table: Table, changed: Vec<Row>) {
         for row in changed {
             match table {
