--- /dev/null
+++ b/crates/fleet/examples/decision_time.rs
@@ -0,0 +1,196 @@
+//! Processor time of one host's decisions, by the number of engines.
+//!
+//! `cargo run --release -p sedgeridge-fleet --example decision_time`
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use sedgeridge_fleet::arrival::Arrival;
+use sedgeridge_fleet::arrival::RequestId;
+use sedgeridge_fleet::config::CallerLimits;
+use sedgeridge_fleet::config::EngineSpec;
+use sedgeridge_fleet::config::FleetConfig;
+use sedgeridge_fleet::config::Repeat;
+use sedgeridge_fleet::config::Route;
+use sedgeridge_fleet::config::RouteTarget;
+use sedgeridge_fleet::config::ServiceSpec;
+use sedgeridge_fleet::dispatcher::AdmissionSettings;
+use sedgeridge_fleet::dispatcher::DispatchEvent;
+use sedgeridge_fleet::dispatcher::Dispatcher;
+use sedgeridge_fleet::dispatcher::DispatcherSettings;
+use sedgeridge_fleet::endpoint_table::Endpoint;
+use sedgeridge_fleet::prompt::Prompt;
+use sedgeridge_fleet::prompt::PromptPart;
+use sedgeridge_fleet::resend_window::ResendLimits;
+use sedgeridge_fleet::verdict::Failure;
+use sedgeridge_state::ids::EndpointId;
+use sedgeridge_state::ids::ServiceId;
+
+const ENGINES: [u64; 5] = [9, 60, 112, 204, 2_200];
+const SERVICE: &str = "desk";
+const SLOTS: u32 = 12;
+const ACCOUNTS: u64 = 60;
+const ARRIVALS: u64 = 20_000;
+/// Time between two arrivals.
+const STEP: Duration = Duration::from_micros(500);
+/// Shared tokens of a prompt that goes to its homes only, and of one that goes anywhere.
+const SHARED_TOKENS: [u32; 2] = [600, 200];
+
+fn main() {
+    println!("engines  shared tokens  us an arrival  queued  us a look at the queue");
+    for engines in ENGINES {
+        for shared in SHARED_TOKENS {
+            let (arrival_us, queued, look_us) = measure(engines, shared);
+            println!("{engines:7}  {shared:13}  {arrival_us:13.2}  {queued:6}  {look_us:22.1}");
+        }
+    }
+}
+
+/// Offers far more than the engines take, so that requests wait and are refused.
+fn measure(engines: u64, shared: u32) -> (f64, usize, f64) {
+    let mut host = host(engines);
+    let mut decisions = Vec::new();
+    // A past of a few failures, as every host has it.
+    for request in 0..engines {
+        let arrival = arrival(request, Duration::ZERO, shared);
+        host.handle(
+            Duration::ZERO,
+            DispatchEvent::Arrived(Box::new(arrival)),
+            &mut decisions,
+        );
+        let failed = DispatchEvent::AttemptFailed(RequestId(request), Failure::ConnectionLost);
+        host.handle(Duration::ZERO, failed, &mut decisions);
+    }
+    let begun = Instant::now();
+    let mut now = Duration::ZERO;
+    for request in 0..ARRIVALS {
+        now += STEP;
+        let arrival = arrival(engines + request, now, shared);
+        decisions.clear();
+        host.handle(
+            now,
+            DispatchEvent::Arrived(Box::new(arrival)),
+            &mut decisions,
+        );
+    }
+    let arrival_us = begun.elapsed().as_secs_f64() * 1e6 / ARRIVALS as f64;
+    let queued = host.queued();
+    let begun = Instant::now();
+    const LOOKS: u32 = 10;
+    for look in 0..LOOKS {
+        decisions.clear();
+        let at = now + Duration::from_micros(u64::from(look));
+        host.handle(at, DispatchEvent::Tick, &mut decisions);
+    }
+    let look_us = begun.elapsed().as_secs_f64() * 1e6 / f64::from(LOOKS);
+    (arrival_us, queued, look_us)
+}
+
+fn host(engines: u64) -> Dispatcher {
+    let mut host = Dispatcher::new(DispatcherSettings {
+        host: 1,
+        run: 1,
+        data_centre: Arc::from("dc-0"),
+        share_window: Duration::from_secs(4),
+        resends: ResendLimits {
+            ratio: 0.2,
+            min_extra: 600.0,
+            window: Duration::from_secs(10),
+        },
+        admission: AdmissionSettings::default(),
+    });
+    let mut decisions = Vec::new();
+    let configured = DispatchEvent::Configured(config());
+    host.handle(Duration::ZERO, configured, &mut decisions);
+    for engine in 0..engines {
+        let event = DispatchEvent::EndpointListed(endpoint(engine));
+        host.handle(Duration::ZERO, event, &mut decisions);
+    }
+    host
+}
+
+fn config() -> Arc<FleetConfig> {
+    let spec = ServiceSpec {
+        max_connections: 1_900,
+        engine: Some(EngineSpec {
+            slots: SLOTS,
+            memory_tokens: 486_529,
+        }),
+    };
+    Arc::new(FleetConfig {
+        version: 1,
+        routes: vec![Route::clone(&route())],
+        services: BTreeMap::from([(ServiceId::from(SERVICE), spec)]),
+        accounts: None,
+        limits: CallerLimits {
+            tokens_per_s: Some(5_400_000.0),
+            ..CallerLimits::default()
+        },
+    })
+}
+
+fn route() -> Arc<Route> {
+    Arc::new(Route {
+        name: Arc::from("plan"),
+        host: Arc::from("desk.example"),
+        path_prefix: Arc::from("/"),
+        repeat: Repeat::Stream { resumable: true },
+        timeout: Duration::from_secs(8),
+        latency_target: Duration::from_millis(300),
+        priority: 1,
+        targets: vec![RouteTarget {
+            service: ServiceId::from(SERVICE),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        is_public: false,
+    })
+}
+
+fn endpoint(number: u64) -> Endpoint {
+    let id = EndpointId::from(format!("engine-{number}").as_str());
+    Endpoint {
+        key: Endpoint::key_of(&id, None),
+        started_at_ms: None,
+        id,
+        service: ServiceId::from(SERVICE),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        data_centre: Arc::from(format!("dc-{}", number % 5)),
+        slots: SLOTS,
+        is_leaving: false,
+    }
+}
+
+fn arrival(number: u64, now: Duration, shared: u32) -> Arrival {
+    let subject = number % 3_000;
+    let parts = vec![
+        PromptPart {
+            id: subject % 160,
+            tokens: shared / 2,
+        },
+        PromptPart {
+            id: 10_000 + subject,
+            tokens: shared / 2,
+        },
+        PromptPart {
+            id: 1_000_000 + number,
+            tokens: 600,
+        },
+    ];
+    Arrival {
+        id: RequestId(number),
+        account: Some(number % ACCOUNTS),
+        route: route(),
+        service: ServiceId::from(SERVICE),
+        received_at: now,
+        deadline: now + Duration::from_secs(8),
+        prompt: Some(Prompt {
+            prompt_tokens: shared + 600,
+            max_output_tokens: 300,
+            parts,
+        }),
+        fingerprint: None,
+    }
+}
