--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -210,7 +210,7 @@
                 self.on_attempt_failed(now, request, failure, decisions);
             }
             DispatchEvent::Abandoned(request) => self.on_abandoned(now, request),
-            DispatchEvent::HostsListed(hosts) => self.peers.on_listed(&hosts),
+            DispatchEvent::HostsListed(hosts) => self.peers.on_listed(now, &hosts),
             DispatchEvent::Reported(report) => self.on_report(now, report),
             DispatchEvent::Tick => self.on_tick(now, decisions),
         }
--- a/crates/fleet/src/dispatcher/peers.rs
+++ b/crates/fleet/src/dispatcher/peers.rs
@@ -117,8 +117,8 @@
         self.schedule.on_started();
     }
 
-    pub(super) fn on_listed(&mut self, listed: &[ListedHost]) {
-        if self.hosts.on_listed(listed) {
+    pub(super) fn on_listed(&mut self, now: Duration, listed: &[ListedHost]) {
+        if self.hosts.on_listed(now, listed) {
             self.schedule.hasten();
         }
     }
@@ -156,7 +156,14 @@
 
 impl Dispatcher {
     /// Returns the part that this host takes in following the platform's store.
+    ///
+    /// One that has just started and has not read the list of hosts follows nothing yet: it would take its fleet
+    /// for small. Of 295 hosts that start together each would wait for changes of both tables, 590 of 2,200
+    /// calls up to the first request; calls are bounded a second.
     pub fn store_role(&self, now: Duration) -> StoreRole {
+        if !self.peers.hosts.is_known(now) {
+            return StoreRole::Copier;
+        }
         if self.peers.hosts.is_small(now) {
             return StoreRole::Follower;
         }
--- a/crates/fleet/src/peer_hosts.rs
+++ b/crates/fleet/src/peer_hosts.rs
@@ -18,6 +18,9 @@
 /// Silence after which a host no longer counts as one that follows the store: three signs of life of
 /// a follower.
 const FOLLOWER_SILENCE: Duration = Duration::from_millis(2_300);
+/// Age up to which a host that has not read the list of hosts leaves it to others to follow the store. The list
+/// is read within some ten milliseconds of a start, unless the store is away.
+const LIST_PATIENCE: Duration = Duration::from_millis(1_500);
 /// Silence after which a host that is not listed gets no more reports. Cuts between hosts last some
 /// seconds to a minute; hosts are replaced for good many times a day.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(120);
@@ -54,6 +57,7 @@
 pub struct PeerHosts {
     own: ListedHost,
     hosts: IntMap<u64, PeerHost>,
+    has_list: bool,
 }
 
 /// What a host says of its calls to the platform's store.
@@ -72,6 +76,8 @@
 struct PeerHost {
     data_centre: u64,
     is_listed: bool,
+    /// When it was listed first.
+    listed_at: Duration,
     run: u64,
     number: u64,
     heard_at: Option<Duration>,
@@ -94,11 +100,13 @@
         Self {
             own,
             hosts: IntMap::default(),
+            has_list: false,
         }
     }
 
     /// Takes a new list of the hosts that are registered. Returns whether it names a new one.
-    pub fn on_listed(&mut self, listed: &[ListedHost]) -> bool {
+    pub fn on_listed(&mut self, now: Duration, listed: &[ListedHost]) -> bool {
+        self.has_list = true;
         for host in self.hosts.values_mut() {
             host.is_listed = false;
         }
@@ -107,6 +115,7 @@
             has_new |= !self.hosts.contains_key(&entry.host);
             let host = self.hosts.entry(entry.host).or_insert_with(|| PeerHost {
                 may_relay: true,
+                listed_at: now,
                 ..PeerHost::default()
             });
             host.is_listed = true;
@@ -158,7 +167,13 @@
         let silence = self.presence_interval() * MISSED_PRESENCES;
         let silence = silence.max(MIN_HOST_SILENCE);
         let heard = self.hosts.values();
-        heard.filter(|host| host.is_heard(now, silence)).count() + 1
+        let counted = heard.filter(|host| host.is_heard(now, silence) || host.is_expected(now));
+        counted.count() + 1
+    }
+
+    /// Tells whether this host has had the means to know of the others.
+    pub fn is_known(&self, now: Duration) -> bool {
+        self.has_list || !self.hosts.is_empty() || now >= LIST_PATIENCE
     }
 
     /// Tells whether each host reports to each other one.
@@ -191,9 +206,14 @@
         let own_score = pair_hash(FOLLOWER_SALT, self.own.host);
         let mut before = HostsBefore::default();
         for (host, known) in &self.hosts {
-            if pair_hash(FOLLOWER_SALT, *host) >= own_score
-                || !known.is_heard(now, FOLLOWER_SILENCE)
-            {
+            if pair_hash(FOLLOWER_SALT, *host) >= own_score {
+                continue;
+            }
+            if known.is_expected(now) {
+                before.answered += 1;
+                continue;
+            }
+            if !known.is_heard(now, FOLLOWER_SILENCE) {
                 continue;
             }
             match known.store_access {
@@ -286,6 +306,16 @@
         self.heard_at.is_some_and(is_new)
     }
 
+    /// Tells whether it was listed a moment ago and has not had the time to be heard of.
+    ///
+    /// A host that starts knows of the others by the list first. Without this it takes its fleet for small,
+    /// or itself for the first follower, until it hears of them: 300 hosts that start together each asked the
+    /// store for changes. A host that is listed and dead is passed over after this time.
+    fn is_expected(&self, now: Duration) -> bool {
+        let is_new = now.saturating_sub(self.listed_at) <= FOLLOWER_SILENCE;
+        self.is_listed && self.heard_at.is_none() && is_new
+    }
+
     fn is_suspected(&self, now: Duration) -> bool {
         self.suspected_until.is_some_and(|until| now < until)
     }
--- a/crates/fleet/tests/store_roles.rs
+++ b/crates/fleet/tests/store_roles.rs
@@ -6,6 +6,7 @@
 use sedgeridge_fleet::dispatcher::HostState;
 use sedgeridge_fleet::dispatcher::StoreRole;
 use sedgeridge_fleet::hashing::stable_hash;
+use sedgeridge_fleet::peer_hosts::ListedHost;
 use sedgeridge_fleet::peer_report::PeerReport;
 
 use support::Host;
@@ -146,3 +147,46 @@
     host.dispatcher.report(support::live());
     assert_eq!(host.dispatcher.unreported(), 0);
 }
+
+/// All hosts of a large fleet start together, and each knows of no other yet. The store's calls are bounded a
+/// second and paid for: a host must not take its fleet for small, nor itself for the first follower, before
+/// it has read the list of hosts and the others have had the time to tell of themselves.
+#[test]
+fn hosts_that_start_together_do_not_all_follow_the_store() {
+    let mut fleet = fleet(300);
+    assert_eq!(followers(&roles(&fleet, 10)), 0, "no list is read yet");
+    let listed: Vec<_> = (0..300)
+        .map(|host: u64| ListedHost {
+            host: stable_hash(&host.to_string()),
+            data_centre: stable_hash("here"),
+        })
+        .collect();
+    for host in &mut fleet {
+        host.send(20, DispatchEvent::HostsListed(listed.clone()));
+    }
+    assert_eq!(followers(&roles(&fleet, 30)), 4);
+}
+
+/// The store turns a host away from its start on, so that it never reads the list, and nobody tells it of
+/// changes. It must ask the store itself before long.
+#[test]
+fn a_host_without_a_list_follows_the_store_after_a_while() {
+    let fleet = fleet(1);
+    assert_eq!(followers(&roles(&fleet, 1_400)), 0);
+    assert_eq!(followers(&roles(&fleet, 1_500)), 1);
+}
+
+/// Rows of hosts that were killed stay in the list for a while. A host that starts among them, alone alive, must
+/// not wait for them for long.
+#[test]
+fn listed_hosts_that_are_silent_are_passed_over() {
+    let mut fleet = fleet(1);
+    let dead: Vec<_> = (1..100)
+        .map(|host: u64| ListedHost {
+            host: stable_hash(&host.to_string()),
+            data_centre: stable_hash("here"),
+        })
+        .collect();
+    fleet[0].send(0, DispatchEvent::HostsListed(dead));
+    assert_eq!(followers(&roles(&fleet, 2_400)), 1);
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -164,20 +164,27 @@
         let entry = self.entry();
         let mut is_registered = false;
         loop {
-            if !is_registered {
-                is_registered = store.register(&entry).await;
-            }
-            let listed = store.hosts().await;
-            let is_listed = listed.is_some();
-            if let Some(hosts) = listed {
-                self.take_list(&hosts);
+            is_registered = is_registered || store.register(&entry).await;
+            while !self.list(&*store).await {
+                tokio::time::sleep(LIST_RETRY).await;
             }
-            if is_registered && is_listed {
-                self.wait_between_lists().await;
-            } else {
+            // The store takes some hundred writes a second of one table's part; of hosts that start together
+            // some are turned away, and have no reason to read the list again for that.
+            while !is_registered {
                 tokio::time::sleep(LIST_RETRY).await;
+                is_registered = store.register(&entry).await;
             }
+            self.wait_between_lists().await;
+        }
+    }
+
+    /// Reads the list of hosts; tells whether the store answered.
+    async fn list<S: Store>(&self, store: &S) -> bool {
+        let listed = store.hosts().await;
+        if let Some(hosts) = &listed {
+            self.take_list(hosts);
         }
+        listed.is_some()
     }
 
     /// Waits for the fleet's time between two lists. A host that has just started takes its fleet for
