--- a/crates/fleet/tests/store_roles.rs
+++ b/crates/fleet/tests/store_roles.rs
@@ -19,6 +19,15 @@
         .collect()
 }
 
+/// The entries of hosts in the platform's store.
+fn listed(hosts: std::ops::Range<u64>) -> Vec<ListedHost> {
+    let listed = hosts.map(|host| ListedHost {
+        host: stable_hash(&host.to_string()),
+        data_centre: stable_hash("here"),
+    });
+    listed.collect()
+}
+
 /// Every host in `from` reports to every host.
 fn report(fleet: &mut [Host], now: u64, from: std::ops::Range<usize>) {
     let reports: Vec<PeerReport> = from
@@ -155,14 +164,8 @@
 fn hosts_that_start_together_do_not_all_follow_the_store() {
     let mut fleet = fleet(300);
     assert_eq!(followers(&roles(&fleet, 10)), 0, "no list is read yet");
-    let listed: Vec<_> = (0..300)
-        .map(|host: u64| ListedHost {
-            host: stable_hash(&host.to_string()),
-            data_centre: stable_hash("here"),
-        })
-        .collect();
     for host in &mut fleet {
-        host.send(20, DispatchEvent::HostsListed(listed.clone()));
+        host.send(20, DispatchEvent::HostsListed(listed(0..300)));
     }
     assert_eq!(followers(&roles(&fleet, 30)), 4);
 }
@@ -181,12 +184,6 @@
 #[test]
 fn listed_hosts_that_are_silent_are_passed_over() {
     let mut fleet = fleet(1);
-    let dead: Vec<_> = (1..100)
-        .map(|host: u64| ListedHost {
-            host: stable_hash(&host.to_string()),
-            data_centre: stable_hash("here"),
-        })
-        .collect();
-    fleet[0].send(0, DispatchEvent::HostsListed(dead));
+    fleet[0].send(0, DispatchEvent::HostsListed(listed(1..100)));
     assert_eq!(followers(&roles(&fleet, 2_400)), 1);
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -87,6 +87,8 @@
     version: u64,
     is_whole: bool,
     rows: Vec<CopiedRow>,
+    /// A host of an earlier version tells none.
+    #[serde(default)]
     lapsing: Vec<CopiedLapsingRow>,
 }
 
