--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -310,8 +310,9 @@
 
     /// Tells whether rows were removed after a version that this host has not heard of. A host that has just
     /// started knows of none before its first list; a copy of only what changed would leave endpoints
-    /// that left in use at whoever takes it, for good. The keys of all rows tell what is gone in a
-    /// twentieth of the bytes of the rows themselves: when 300 hosts start together they copy from each other.
+    /// that left in use at whoever takes it, for good. The keys of all rows tell what is gone. With whole rows
+    /// in their place the busiest of 100 hosts with 1,000 endpoints took 22.8 MB, with keys 3.3 MB (peak of
+    /// resident memory, one day each).
     fn lacks_removals(&self, after: u64) -> bool {
         let is_within = |gap: &Gap| gap.from < after && after < gap.to;
         after > 0 && (after < self.removed_before || self.gaps.iter().any(is_within))
