--- /dev/null
+++ b/crates/fleet/tests/support/table_fleet.rs
@@ -0,0 +1,385 @@
+//! A fleet that follows a table of the store: hosts, their reports with loss, copies, and the store.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Host;
+use super::at;
+use super::settings;
+use sedgeridge_coordination::random::SeededRandom;
+use sedgeridge_fleet::dispatcher::DispatchEvent;
+use sedgeridge_fleet::dispatcher::DispatcherSettings;
+use sedgeridge_fleet::dispatcher::HostState;
+use sedgeridge_fleet::dispatcher::StoreRole;
+use sedgeridge_fleet::hashing::stable_hash;
+use sedgeridge_fleet::peer_hosts::ListedHost;
+use sedgeridge_fleet::peer_report::PeerReport;
+use sedgeridge_fleet::row_watch::Row;
+use sedgeridge_fleet::row_watch::RowWatch;
+use sedgeridge_fleet::row_watch::StoreAnswer;
+use sedgeridge_fleet::row_watch::StoreCall;
+use sedgeridge_fleet::row_watch::WatchStep;
+use sedgeridge_fleet::table_news::TableNews;
+
+/// Time between two steps of every host.
+pub const STEP_MS: u64 = 10;
+const HOLD_MS: u64 = 2_500;
+const CALL_TIMEOUT_MS: u64 = 3_200;
+const FETCH_SPREAD_MS: u64 = 120;
+const FETCH_TIMEOUT_MS: u64 = 800;
+const FETCH_MS: u64 = 20;
+/// Endpoints that are listed at the start.
+pub const ENDPOINTS: usize = 20;
+/// Time that the fleet has to find itself before a test begins.
+const START_MS: u64 = 4_000;
+
+/// A table in the platform's store.
+#[derive(Default)]
+pub struct StoreTable {
+    pub version: u64,
+    rows: BTreeMap<String, u64>,
+    /// Removed rows, by the version that removed them.
+    removed: VecDeque<(u64, String)>,
+    /// Changes up to this version are forgotten.
+    pub forgotten: u64,
+    pub is_away: bool,
+    /// Hosts that are turned away.
+    pub refused: BTreeSet<usize>,
+    /// Hosts whose calls get no answer.
+    pub silent: BTreeSet<usize>,
+}
+
+impl StoreTable {
+    pub fn write(&mut self, key: &str) {
+        self.version += 1;
+        self.rows.insert(key.to_owned(), self.version);
+    }
+
+    pub fn remove(&mut self, key: &str) {
+        self.version += 1;
+        self.rows.remove(key);
+        self.removed.push_back((self.version, key.to_owned()));
+    }
+
+    fn list(&self) -> Vec<Row> {
+        let rows = self.rows.iter();
+        rows.map(|(key, version)| row(key, *version, true))
+            .collect()
+    }
+
+    fn changes(&self, after: u64) -> Vec<Row> {
+        let written = self.list().into_iter().filter(|row| row.version > after);
+        let removed = self.removed.iter().filter(|(at, _)| *at > after);
+        let removed = removed.map(|(version, key)| row(key, *version, false));
+        let mut changes: Vec<_> = written.chain(removed).collect();
+        changes.sort_by_key(|row| row.version);
+        changes
+    }
+}
+
+fn row(key: &str, version: u64, is_written: bool) -> Row {
+    Row {
+        key: Arc::from(key),
+        version,
+        value: is_written.then(|| Arc::from(key.as_bytes())),
+    }
+}
+
+pub struct Node {
+    key: u64,
+    host: Host,
+    pub watch: RowWatch,
+    news: TableNews,
+    pub is_frozen: bool,
+    call: Option<(u64, StoreCall)>,
+    fetch: Option<Fetch>,
+    has_news: bool,
+    inbox: VecDeque<(u64, usize, PeerReport)>,
+}
+
+struct Fetch {
+    from: usize,
+    starts_at: u64,
+    ends_at: u64,
+}
+
+pub struct Fleet {
+    pub now: u64,
+    pub nodes: Vec<Node>,
+    index: BTreeMap<u64, usize>,
+    pub store: StoreTable,
+    /// A host that no other reaches.
+    pub cut_off: Option<usize>,
+    random: SeededRandom,
+    loss_percent: u64,
+}
+
+impl Fleet {
+    pub fn new(size: usize) -> Self {
+        let data_centre = |host: usize| format!("dc-{}", host % 5);
+        let key = |host: usize| stable_hash(&format!("host-{host}"));
+        let listed = (0..size).map(|host| ListedHost {
+            host: key(host),
+            data_centre: stable_hash(&data_centre(host)),
+        });
+        let listed: Vec<_> = listed.collect();
+        let nodes = (0..size).map(|index| {
+            let mut host = Host::with(DispatcherSettings {
+                data_centre: Arc::from(data_centre(index)),
+                ..settings(key(index))
+            });
+            host.send(0, DispatchEvent::HostsListed(listed.clone()));
+            Node {
+                key: key(index),
+                host,
+                watch: RowWatch::new(index as u64),
+                news: TableNews::default(),
+                is_frozen: false,
+                call: None,
+                fetch: None,
+                has_news: false,
+                inbox: VecDeque::new(),
+            }
+        });
+        let nodes: Vec<_> = nodes.collect();
+        let index = nodes.iter().enumerate().map(|(at, node)| (node.key, at));
+        let mut store = StoreTable::default();
+        for endpoint in 0..ENDPOINTS {
+            store.write(&name(endpoint));
+        }
+        let mut fleet = Self {
+            now: 0,
+            index: index.collect(),
+            nodes,
+            store,
+            cut_off: None,
+            random: SeededRandom::new(7),
+            loss_percent: 2,
+        };
+        fleet.run_until(START_MS);
+        fleet
+    }
+
+    pub fn run_until(&mut self, end: u64) {
+        while self.now < end {
+            self.now += STEP_MS;
+            for index in 0..self.nodes.len() {
+                if !self.nodes[index].is_frozen {
+                    self.step(index);
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, index: usize) {
+        self.hear(index);
+        self.call_store(index);
+        self.end_fetch(index);
+        let now = at(self.now);
+        let node = &mut self.nodes[index];
+        if self.now.is_multiple_of(50) {
+            node.host.send(self.now, DispatchEvent::Tick);
+        }
+        if self.now.is_multiple_of(200) {
+            node.watch.expired(now);
+        }
+        let has_news = std::mem::take(&mut node.has_news);
+        if has_news {
+            node.host.dispatcher.hasten_reports();
+        }
+        if has_news || (self.now + 10 * index as u64).is_multiple_of(50) {
+            self.report(index);
+        }
+    }
+
+    fn report(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        let now = at(self.now);
+        let ago = |at: Option<Duration>| at.map(|at| now.saturating_sub(at));
+        let state = HostState {
+            endpoints_version: node.watch.changed_version(),
+            store_answers: !node.watch.is_lost(),
+            store_lost_for: ago(node.watch.lost_since()).unwrap_or_default(),
+            store_answered_ago: ago(node.watch.answered_at()),
+            ..HostState::default()
+        };
+        let due = node.host.dispatcher.reports_due(at(self.now), state);
+        for outgoing in due {
+            for addressee in outgoing.to {
+                if self.random.below(100) < self.loss_percent {
+                    continue;
+                }
+                let Some(to) = self.index.get(&addressee.host) else {
+                    continue;
+                };
+                if self.is_cut(index) || self.is_cut(*to) {
+                    continue;
+                }
+                let mut report = outgoing.report.clone();
+                report.included = addressee.included;
+                let arrives = self.now + STEP_MS;
+                self.nodes[*to].inbox.push_back((arrives, index, report));
+            }
+        }
+    }
+
+    fn hear(&mut self, index: usize) {
+        while let Some((from, report)) = self.nodes[index].next_report(self.now) {
+            self.compare(index, from, report.endpoints_version);
+            let node = &mut self.nodes[index];
+            node.host.send(self.now, DispatchEvent::Reported(report));
+        }
+    }
+
+    /// Begins to fetch a copy if the sender knows more.
+    fn compare(&mut self, index: usize, from: usize, heard: u64) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        let role = node.host.dispatcher.store_role(at(now));
+        let known = node.watch.changed_version();
+        if !node.news.takes_copy(at(now), known, heard, role) {
+            return;
+        }
+        let spread = match role {
+            StoreRole::Copier => self.random.below(FETCH_SPREAD_MS),
+            _ => 0,
+        };
+        let takes = match self.nodes[from].is_frozen || self.is_cut(from) || self.is_cut(index) {
+            true => FETCH_TIMEOUT_MS,
+            false => FETCH_MS,
+        };
+        self.nodes[index].fetch = Some(Fetch {
+            from,
+            starts_at: now + spread,
+            ends_at: now + spread + takes,
+        });
+    }
+
+    fn end_fetch(&mut self, index: usize) {
+        let Some(fetch) = &self.nodes[index].fetch else {
+            return;
+        };
+        if fetch.ends_at > self.now {
+            return;
+        }
+        let (from, is_answered) = (fetch.from, fetch.ends_at == fetch.starts_at + FETCH_MS);
+        self.nodes[index].fetch = None;
+        let now = at(self.now);
+        let after = self.nodes[index].watch.changed_version();
+        if is_answered && !self.nodes[from].is_frozen {
+            let copy = self.nodes[from].watch.copy(now, after);
+            self.nodes[index].watch.on_copy(now, copy);
+        }
+        self.nodes[index].news.on_fetched();
+    }
+
+    fn call_store(&mut self, index: usize) {
+        let now = at(self.now);
+        let node = &mut self.nodes[index];
+        if let Some((started, call)) = node.call.take() {
+            let Some(answer) = answer(&self.store, index, self.now - started, &call) else {
+                node.call = Some((started, call));
+                return;
+            };
+            let changed = node.watch.on_answer(now, answer);
+            let role = node.host.dispatcher.store_role(now);
+            if !changed.is_empty() && role == StoreRole::FirstFollower {
+                node.has_news = true;
+            }
+        }
+        let role = node.host.dispatcher.store_role(now);
+        let lost_since = node.host.dispatcher.store_lost_since();
+        node.watch.set_following(role.is_following(), lost_since);
+        node.watch.set_feed_pause(role.feed_pause());
+        if let WatchStep::Call(call) = node.watch.step(now) {
+            node.call = Some((self.now, call));
+        }
+    }
+
+    fn is_cut(&self, host: usize) -> bool {
+        self.cut_off == Some(host)
+    }
+
+    /// Returns the first host that calls the store. In a small fleet all do.
+    pub fn first_caller(&self) -> usize {
+        let calls = |node: &Node| node.host.dispatcher.store_role(at(self.now)).is_following();
+        self.nodes.iter().position(calls).expect("a caller")
+    }
+
+    pub fn first_follower(&self) -> usize {
+        let is_first =
+            |node: &Node| node.host.dispatcher.store_role(at(self.now)) == StoreRole::FirstFollower;
+        self.nodes.iter().position(is_first).expect("a follower")
+    }
+
+    /// Removes an endpoint's entry, and returns after how many milliseconds every host knows.
+    pub fn time_to_know_of_removal(&mut self, key: &str, limit_ms: u64) -> u64 {
+        let all = (0..self.nodes.len()).collect();
+        self.time_for_hosts_to_know(&all, key, limit_ms)
+    }
+
+    /// Removes an endpoint's entry, and returns after how many milliseconds these hosts know.
+    pub fn time_for_hosts_to_know(&mut self, hosts: &Vec<usize>, key: &str, limit_ms: u64) -> u64 {
+        self.store.remove(key);
+        let removed_at = self.now;
+        loop {
+            let live = hosts.iter().map(|host| &self.nodes[*host]);
+            let using = live.filter(|node| !node.is_frozen && node.knows(key));
+            let using = using.count();
+            if using == 0 {
+                return self.now - removed_at;
+            }
+            assert!(
+                self.now < removed_at + limit_ms,
+                "{using} hosts still use it after {limit_ms} ms",
+            );
+            self.run_until(self.now + STEP_MS);
+        }
+    }
+}
+
+impl Node {
+    fn next_report(&mut self, now: u64) -> Option<(usize, PeerReport)> {
+        let (arrives, ..) = self.inbox.front()?;
+        if *arrives > now {
+            return None;
+        }
+        let (_, from, report) = self.inbox.pop_front()?;
+        Some((from, report))
+    }
+
+    pub fn knows(&self, key: &str) -> bool {
+        self.watch.rows().any(|row| &*row.key == key)
+    }
+}
+
+/// Returns the answer to a call that was made `age_ms` ago, once there is one.
+fn answer(store: &StoreTable, host: usize, age_ms: u64, call: &StoreCall) -> Option<StoreAnswer> {
+    if store.silent.contains(&host) {
+        return (age_ms >= CALL_TIMEOUT_MS).then_some(StoreAnswer::Failed);
+    }
+    if store.is_away || store.refused.contains(&host) {
+        return Some(StoreAnswer::Failed);
+    }
+    let (rows, is_held) = match call {
+        StoreCall::List { .. } => (store.list(), false),
+        StoreCall::Feed { after, .. } if *after < store.forgotten => {
+            return Some(StoreAnswer::HistoryGone);
+        }
+        StoreCall::Feed { after, is_held } => (store.changes(*after), *is_held),
+    };
+    let is_over = !rows.is_empty() || !is_held || age_ms >= HOLD_MS;
+    is_over.then_some(StoreAnswer::Rows {
+        rows,
+        version: store.version,
+        has_more: false,
+    })
+}
+
+/// Returns the key of an endpoint.
+pub fn name(endpoint: usize) -> String {
+    format!("endpoint-{endpoint:02}")
+}
