--- a/crates/fleet/tests/refused_hosts.rs
+++ b/crates/fleet/tests/refused_hosts.rs
@@ -62,7 +62,7 @@
         fleet.run_until(fleet.now + leaves_after_ms);
         fleet.store.write("another");
         fleet.run_until(fleet.now + 100);
-        let others = (0..size).filter(|host| *host != cut).collect();
+        let others: Vec<_> = (0..size).filter(|host| *host != cut).collect();
         let took = fleet.time_for_hosts_to_know(&others, &name(0), KNOWN_WITHIN_MS);
         println!("{size} hosts, {leaves_after_ms} ms after the return: {took} ms");
     }
--- a/crates/fleet/tests/support/table_fleet.rs
+++ b/crates/fleet/tests/support/table_fleet.rs
@@ -317,12 +317,12 @@
 
     /// Removes an endpoint's entry, and returns after how many milliseconds every host knows.
     pub fn time_to_know_of_removal(&mut self, key: &str, limit_ms: u64) -> u64 {
-        let all = (0..self.nodes.len()).collect();
+        let all: Vec<_> = (0..self.nodes.len()).collect();
         self.time_for_hosts_to_know(&all, key, limit_ms)
     }
 
     /// Removes an endpoint's entry, and returns after how many milliseconds these hosts know.
-    pub fn time_for_hosts_to_know(&mut self, hosts: &Vec<usize>, key: &str, limit_ms: u64) -> u64 {
+    pub fn time_for_hosts_to_know(&mut self, hosts: &[usize], key: &str, limit_ms: u64) -> u64 {
         self.store.remove(key);
         let removed_at = self.now;
         loop {
