fleet: each host's loss of the store is judged by itself

Callers got "no endpoint" though all lived: some hosts were refused by the store while it served the others; later it answered nobody, and what lapsed was taken for removed by hosts that began to follow it at its end. Cause: the earliest loss of any host stood for the outage, and since others had been answered after it, there seemed to be none. Now each loss is refuted by itself, by two answers of other hosts that are older than the return of a fleet takes. Ruled out: shortening the loss to the last seconds, which a host that was refused all along would still hide.

--- a/crates/fleet/src/dispatcher/peers.rs
+++ b/crates/fleet/src/dispatcher/peers.rs
@@ -49,6 +49,24 @@
     pub store_answered_ago: Option<Duration>,
 }
 
+/// How this host fares with the platform's store.
+#[derive(Debug, Default)]
+struct OwnStore {
+    lost_at: Option<Duration>,
+    answered_at: Option<Duration>,
+}
+
+impl OwnStore {
+    fn new(now: Duration, state: HostState) -> Self {
+        let lost_at = now.saturating_sub(state.store_lost_for);
+        let answered_ago = state.store_answered_ago;
+        Self {
+            lost_at: (!state.store_answers).then_some(lost_at),
+            answered_at: answered_ago.map(|ago| now.saturating_sub(ago)),
+        }
+    }
+}
+
 /// A report, and who should get it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct OutgoingReport {
@@ -79,6 +97,7 @@
     hosts: PeerHosts,
     store_followers: StoreFollowers,
     store_outage: StoreOutage,
+    own_store: OwnStore,
     relay: Relay,
     view: FleetView,
     schedule: PeerSchedule,
@@ -94,6 +113,7 @@
             hosts: PeerHosts::new(own),
             store_followers: StoreFollowers::default(),
             store_outage: StoreOutage::default(),
+            own_store: OwnStore::default(),
             relay: Relay::default(),
             view: FleetView::default(),
             schedule: PeerSchedule::default(),
@@ -108,8 +128,10 @@
         self.hosts.tick(now);
         let failing = self.hosts.failing_at_store(now);
         self.store_followers.tick(now, failing);
-        self.store_outage
-            .tick(now, self.hosts.reports_of_store(now));
+        let mut reports = self.hosts.reports_of_store(now);
+        reports.losses.extend(self.own_store.lost_at);
+        reports.answered_at = reports.answered_at.max(self.own_store.answered_at);
+        self.store_outage.tick(now, reports);
         self.relay.tick(now);
     }
 
@@ -179,6 +201,7 @@
 
     /// Returns the reports that are due. Call it some ten times a second.
     pub fn reports_due(&mut self, now: Duration, state: HostState) -> Vec<OutgoingReport> {
+        self.peers.own_store = OwnStore::new(now, state);
         if self.must_hasten(state) {
             self.peers.schedule.hasten();
         }
--- a/crates/fleet/src/peer_hosts.rs
+++ b/crates/fleet/src/peer_hosts.rs
@@ -239,7 +239,7 @@
         let heard = heard.filter(|host| host.is_heard(now, FOLLOWER_SILENCE));
         let failing = heard.clone();
         StoreReports {
-            lost_at: failing.filter_map(|host| host.store_lost_at).min(),
+            losses: failing.filter_map(|host| host.store_lost_at).collect(),
             answered_at: heard.filter_map(|host| host.store_answered_at).max(),
         }
     }
--- a/crates/fleet/src/store_outage.rs
+++ b/crates/fleet/src/store_outage.rs
@@ -1,19 +1,25 @@
 //! Tells an outage of the platform's store from one that only some hosts see.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Time between the failures of two hosts' calls when the store goes away: an answer that one of them still
 /// got within it says nothing of the time after.
 const ONSET: Duration = Duration::from_millis(250);
-/// Time after the first answer in which a host that begins to follow the store may still be told of what
-/// lapsed in the outage.
-const END: Duration = Duration::from_millis(400);
+/// Longest time between two hosts' first answers when the store is back: a call that goes unanswered, the longest
+/// pause after it, and the way of the report. An answer that is not older may be one of the time after an outage.
+const RETURN_SPREAD: Duration = Duration::from_millis(1_800);
+/// Time after which another answer confirms one. A host whose clock stood still while it was suspended takes its last
+/// answer for a new one.
+const CONFIRMED_AFTER: Duration = Duration::from_millis(100);
+/// Shortest loss that is kept in mind when its host is answered again. A single failed call is no outage.
+const MIN_OUTAGE: Duration = Duration::from_millis(1_500);
 
 /// What the hosts' reports say of the store.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct StoreReports {
-    /// Earliest moment since which it does not answer one of the hosts that call it.
-    pub lost_at: Option<Duration>,
+    /// Since when it does not answer, for each host that calls it in vain.
+    pub losses: Vec<Duration>,
     /// When it last answered any host.
     pub answered_at: Option<Duration>,
 }
@@ -26,40 +32,65 @@
 ///
 /// let seconds = Duration::from_secs;
 /// let mut outage = StoreOutage::default();
-/// let away = StoreReports { lost_at: Some(seconds(5)), answered_at: Some(seconds(4)) };
-/// outage.tick(seconds(6), away);
+/// let losses = vec![seconds(5)];
+/// outage.tick(seconds(6), StoreReports { losses: losses.clone(), answered_at: Some(seconds(4)) });
 /// assert_eq!(outage.since(), Some(seconds(5)));
 ///
-/// let turns_some_away = StoreReports { answered_at: Some(seconds(6)), ..away };
-/// outage.tick(seconds(6), turns_some_away);
-/// outage.tick(seconds(7), turns_some_away);
+/// for now in 6..10 {
+///     let answers_others = StoreReports { losses: losses.clone(), answered_at: Some(seconds(now)) };
+///     outage.tick(seconds(now), answers_others);
+/// }
 /// assert_eq!(outage.since(), None);
 /// ```
 #[derive(Debug, Default)]
 pub struct StoreOutage {
-    since: Option<Duration>,
-    ended_at: Option<Duration>,
+    current: Option<Duration>,
+    kept: Option<Duration>,
+    /// Answers that may be some of the time after an outage.
+    answers: VecDeque<Duration>,
+    /// The newest answer that is older.
+    settled: Option<Duration>,
+    /// The newest answer before it that it confirms.
+    confirmed: Option<Duration>,
 }
 
 impl StoreOutage {
     /// Takes in what hosts report. Call it several times a second.
     pub fn tick(&mut self, now: Duration, reports: StoreReports) {
-        let answered_since = |lost_at| {
-            let answered_at = reports.answered_at;
-            answered_at.is_some_and(|at| at > lost_at + ONSET)
-        };
-        if let Some(lost_at) = reports.lost_at.filter(|at| !answered_since(*at)) {
-            self.since = Some(lost_at);
-            self.ended_at = None;
-            return;
-        }
-        if self.since.is_some() && now > *self.ended_at.get_or_insert(now) + END {
-            *self = Self::default();
-        }
+        self.note_answer(now, reports.answered_at);
+        let losses = reports.losses.into_iter();
+        self.current = losses.filter(|at| !self.is_refuted(*at)).min();
+        let is_long = |lost_at: &Duration| now.saturating_sub(*lost_at) >= MIN_OUTAGE;
+        let kept = self.kept.filter(|at| !self.is_refuted(*at));
+        self.kept = kept.or(self.current.filter(is_long));
     }
 
     /// Returns when the outage began, if it lasts or has just ended.
     pub fn since(&self) -> Option<Duration> {
-        self.since
+        self.kept.or(self.current)
+    }
+
+    fn note_answer(&mut self, now: Duration, answered_at: Option<Duration>) {
+        if let Some(at) = answered_at.filter(|at| self.answers.back() < Some(at)) {
+            self.answers.push_back(at);
+        }
+        let is_settled = |at: &mut Duration| *at + RETURN_SPREAD <= now;
+        while let Some(at) = self.answers.pop_front_if(is_settled) {
+            self.settle(at);
+        }
+    }
+
+    fn settle(&mut self, answered_at: Duration) {
+        let confirmed = self
+            .settled
+            .filter(|at| *at + CONFIRMED_AFTER <= answered_at);
+        self.confirmed = confirmed.or(self.confirmed);
+        self.settled = Some(answered_at);
+    }
+
+    /// Tells whether the store answered another host after it was lost to one. A host that was refused alone must
+    /// not hide that the store went away for all later, so that each loss is judged by itself.
+    fn is_refuted(&self, lost_at: Duration) -> bool {
+        self.confirmed.is_some_and(|at| at > lost_at + ONSET)
     }
 }
