fleet, gateway: a host that the store refused alone takes what is missing at its return for removed

Callers were served by an endpoint 2.03 and 2.05 s after it left (bound 2 s), by a host that the store had answered all along. Cause: a host that was refused for 1.5 s or more took each removal of the 0.4 s after its return for an entry that may have lapsed, kept it for 2.3 s, and its copy told so to hosts that then took the version for known. The host now asks what the fleet's reports say: if others were answered after it was lost, nothing can have lapsed unseen. Ruled out: late or lost reports (copies came in 30 to 80 ms), the host's processor (2 to 3 %).

--- a/crates/fleet/src/dispatcher/peers.rs
+++ b/crates/fleet/src/dispatcher/peers.rs
@@ -17,6 +17,7 @@
 use crate::relay::Relay;
 use crate::store_followers::StoreFollowers;
 use crate::store_followers::StoreRole;
+use crate::store_outage::OutageView;
 use crate::store_outage::StoreOutage;
 use crate::work_sums::WorkSums;
 
@@ -199,6 +200,11 @@
         self.peers.store_outage.since()
     }
 
+    /// Returns what this host may conclude from a loss of the store.
+    pub fn store_outage(&self) -> OutageView {
+        self.peers.store_outage.view()
+    }
+
     /// Returns the reports that are due. Call it some ten times a second.
     pub fn reports_due(&mut self, now: Duration, state: HostState) -> Vec<OutgoingReport> {
         self.peers.own_store = OwnStore::new(now, state);
--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -8,6 +8,8 @@
 
 use sedgeridge_coordination::random::SeededRandom;
 
+use crate::store_outage::OutageView;
+
 /// First pause after a failed call. Short, since a change must be in force within two seconds.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls. Every call is paid for, also one that is refused; a pause of
@@ -146,6 +148,7 @@
     gaps: VecDeque<Gap>,
     is_following: bool,
     feed_pause: Duration,
+    outage: OutageView,
     random: SeededRandom,
 }
 
@@ -191,6 +194,7 @@
             gaps: VecDeque::new(),
             is_following: true,
             feed_pause: Duration::ZERO,
+            outage: OutageView::default(),
             random: SeededRandom::new(seed),
         }
     }
@@ -267,6 +271,11 @@
         self.feed_pause = pause;
     }
 
+    /// Sets what the fleet's reports say of the store. Call it before an answer or a copy is taken.
+    pub fn set_outage(&mut self, outage: OutageView) {
+        self.outage = outage;
+    }
+
     /// Takes another host's copy. Returns what changed.
     ///
     /// A removal that it tells counts at once, also while the store turns this host away: the host that
@@ -398,6 +407,10 @@
         self.lost_at.is_some()
     }
 
+    /// Takes in that the store answers, and after an outage of all begins the time in which rows may have lapsed.
+    ///
+    /// A host that the store refused alone must not: other hosts saw each removal, and what is gone was removed
+    /// on purpose. It would keep an endpoint that left for [`REWRITE_TIME`], and the hosts that copy from it too.
     fn note_success(&mut self, now: Duration) {
         self.failures = 0;
         self.not_before = now;
@@ -405,7 +418,7 @@
         let Some(lost_at) = self.lost_at.take() else {
             return;
         };
-        if now.saturating_sub(lost_at) >= MIN_OUTAGE {
+        if now.saturating_sub(lost_at) >= MIN_OUTAGE && self.outage.may_be_of_all(lost_at) {
             self.catch_up_until = now + CATCH_UP_TIME;
             self.rewrite_until = now + REWRITE_TIME;
         }
--- a/crates/fleet/src/store_outage.rs
+++ b/crates/fleet/src/store_outage.rs
@@ -24,6 +24,30 @@
     pub answered_at: Option<Duration>,
 }
 
+/// What a host may conclude from a loss of the store.
+///
+/// The default knows of no other host, so that each loss may be one of all.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct OutageView {
+    /// When the last long outage of all began.
+    since: Option<Duration>,
+    /// An answer that no outage of all can have followed unseen.
+    confirmed_answer: Option<Duration>,
+}
+
+impl OutageView {
+    /// Tells whether the store may have been away for all hosts in a loss that began at `lost_at`.
+    pub fn may_be_of_all(&self, lost_at: Duration) -> bool {
+        self.since.is_some() || !self.is_refuted(lost_at)
+    }
+
+    /// Tells whether the store answered another host after it was lost to one. A host that was refused alone must
+    /// not hide that the store went away for all later, so that each loss is judged by itself.
+    fn is_refuted(&self, lost_at: Duration) -> bool {
+        self.confirmed_answer.is_some_and(|at| at > lost_at + ONSET)
+    }
+}
+
 /// The last outage in which the store answered no host at all.
 ///
 /// ```
@@ -45,13 +69,11 @@
 #[derive(Debug, Default)]
 pub struct StoreOutage {
     current: Option<Duration>,
-    kept: Option<Duration>,
+    view: OutageView,
     /// Answers that may be some of the time after an outage.
     answers: VecDeque<Duration>,
     /// The newest answer that is older.
     settled: Option<Duration>,
-    /// The newest answer before it that it confirms.
-    confirmed: Option<Duration>,
 }
 
 impl StoreOutage {
@@ -59,15 +81,20 @@
     pub fn tick(&mut self, now: Duration, reports: StoreReports) {
         self.note_answer(now, reports.answered_at);
         let losses = reports.losses.into_iter();
-        self.current = losses.filter(|at| !self.is_refuted(*at)).min();
+        self.current = losses.filter(|at| !self.view.is_refuted(*at)).min();
         let is_long = |lost_at: &Duration| now.saturating_sub(*lost_at) >= MIN_OUTAGE;
-        let kept = self.kept.filter(|at| !self.is_refuted(*at));
-        self.kept = kept.or(self.current.filter(is_long));
+        let kept = self.view.since.filter(|at| !self.view.is_refuted(*at));
+        self.view.since = kept.or(self.current.filter(is_long));
     }
 
     /// Returns when the outage began, if it lasts or has just ended.
     pub fn since(&self) -> Option<Duration> {
-        self.kept.or(self.current)
+        self.view.since.or(self.current)
+    }
+
+    /// Returns what a host may conclude from a loss of its own.
+    pub fn view(&self) -> OutageView {
+        self.view
     }
 
     fn note_answer(&mut self, now: Duration, answered_at: Option<Duration>) {
@@ -81,16 +108,9 @@
     }
 
     fn settle(&mut self, answered_at: Duration) {
-        let confirmed = self
-            .settled
-            .filter(|at| *at + CONFIRMED_AFTER <= answered_at);
-        self.confirmed = confirmed.or(self.confirmed);
+        let is_confirmed = |at: &Duration| *at + CONFIRMED_AFTER <= answered_at;
+        let confirmed = self.settled.filter(is_confirmed);
+        self.view.confirmed_answer = confirmed.or(self.view.confirmed_answer);
         self.settled = Some(answered_at);
     }
-
-    /// Tells whether the store answered another host after it was lost to one. A host that was refused alone must
-    /// not hide that the store went away for all later, so that each loss is judged by itself.
-    fn is_refuted(&self, lost_at: Duration) -> bool {
-        self.confirmed.is_some_and(|at| at > lost_at + ONSET)
-    }
 }
--- a/crates/fleet/tests/refused_hosts.rs
+++ b/crates/fleet/tests/refused_hosts.rs
@@ -21,7 +21,8 @@
 /// all the while. The store refuses some hosts for nine seconds and serves the others. It answers them again, and
 /// right then an endpoint leaves. A host that was refused takes the removal for an entry that lapsed
 /// while the store was away, and keeps the endpoint for the time in which it could be written again; the others
-/// take its copy, the doubt with it, and never ask the store for the removal.
+/// take its copy, the doubt with it, and never ask the store for the removal. The logs of such a moment show it: copies
+/// without rows at a risen version, and the endpoint dropped on every host when the time to write it again is over.
 #[parameterized(
     hosts_of_6 = { 6 },
     hosts_of_81 = { 81 },
--- a/crates/fleet/tests/support/table_fleet.rs
+++ b/crates/fleet/tests/support/table_fleet.rs
@@ -271,7 +271,9 @@
         let after = self.nodes[index].watch.changed_version();
         if is_answered && !self.nodes[from].is_frozen {
             let copy = self.nodes[from].watch.copy(now, after);
-            self.nodes[index].watch.on_copy(now, copy);
+            let node = &mut self.nodes[index];
+            node.watch.set_outage(node.host.dispatcher.store_outage());
+            node.watch.on_copy(now, copy);
         }
         self.nodes[index].news.on_fetched();
     }
@@ -284,6 +286,8 @@
                 node.call = Some((started, call));
                 return;
             };
+            let outage = node.host.dispatcher.store_outage();
+            node.watch.set_outage(outage);
             let changed = node.watch.on_answer(now, answer);
             let role = node.host.dispatcher.store_role(now);
             if !changed.is_empty() && role == StoreRole::FirstFollower {
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -193,6 +193,10 @@
     ) -> Vec<Row> {
         let now = self.core.now();
         let mut watch = self.watch(table).borrow_mut();
+        let outage = self
+            .core
+            .with_dispatcher(|dispatcher| dispatcher.store_outage());
+        watch.set_outage(outage);
         let before = watch.lapsing();
         let changed = change(&mut watch, now);
         if watch.lapsing() > before {
