fleet, gateway: what a copy calls lapsing stays in use only where the store's answers don't refute it

Callers were served by an endpoint that left, by hosts that were never cut off. One host was cut off from the store and from all others; back, it took a removal for an entry that lapsed, having heard of nobody whom the store answered, and those that copied from it kept the endpoint too. Copies now tell since when their maker was without the store, and a host that knows of answers after that takes what is missing for removed. A host that knows nothing better (it has just started, or was cut off too) goes by what it is told, as before.

--- a/crates/fleet/src/peer_report.rs
+++ b/crates/fleet/src/peer_report.rs
@@ -286,7 +286,14 @@
     }
 }
 
-/// Returns whole milliseconds.
-pub(crate) fn to_millis(time: Duration) -> u64 {
+/// Returns whole milliseconds, as hosts send them.
+///
+/// ```
+/// use std::time::Duration;
+/// use sedgeridge_fleet::peer_report::to_millis;
+///
+/// assert_eq!(to_millis(Duration::from_micros(2_900)), 2);
+/// ```
+pub fn to_millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -68,6 +68,8 @@
     pub version: u64,
     /// Time that its writer has left.
     pub remaining: Duration,
+    /// How long ago the outage began in which it may have lapsed.
+    pub lost_for: Duration,
 }
 
 /// The next call to the store.
@@ -140,7 +142,7 @@
     lost_at: Option<Duration>,
     answered_at: Option<Duration>,
     catch_up_until: Duration,
-    rewrite_until: Duration,
+    outage_ended: Option<Lapse>,
     lapsing: BTreeMap<Arc<str>, Lapsing>,
     copied_at: Option<Duration>,
     removed: VecDeque<Row>,
@@ -152,11 +154,20 @@
     random: SeededRandom,
 }
 
-/// Until when a missing row stays in use.
+/// An outage in which rows may have lapsed.
+#[derive(Debug, Clone, Copy)]
+struct Lapse {
+    /// When it began.
+    lost_at: Duration,
+    /// Until when rows are written again.
+    until: Duration,
+}
+
+/// A missing row that stays in use.
 #[derive(Debug, Clone, Copy)]
 struct Lapsing {
     version: u64,
-    until: Duration,
+    lapse: Lapse,
 }
 
 /// Versions that were passed over when the whole table was read: what was written and removed again in
@@ -186,7 +197,7 @@
             lost_at: None,
             answered_at: None,
             catch_up_until: Duration::ZERO,
-            rewrite_until: Duration::ZERO,
+            outage_ended: None,
             lapsing: BTreeMap::new(),
             copied_at: None,
             removed: VecDeque::new(),
@@ -233,7 +244,7 @@
                     None => {
                         self.fed_version = self.fed_version.max(version);
                         self.pause_after(now, &rows);
-                        self.take_changes(rows, self.lapse_end(now))
+                        self.take_changes(rows, self.lapse(now))
                     }
                 }
             }
@@ -282,6 +293,10 @@
     /// made the copy has already told what was removed from what may only have lapsed. Held back until
     /// the store answers here again, a removal came into force up to eight seconds late, and requests
     /// went on to endpoints that had left.
+    ///
+    /// What it calls lapsing stays in use only if this host cannot refute it. A maker that was cut off from the
+    /// others heard of none that the store answered; the version of its copy is taken for known here, so that
+    /// nobody would tell of the removal again.
     pub fn on_copy(&mut self, now: Duration, copy: TableCopy) -> Vec<Row> {
         if copy.version <= self.changed_version {
             return Vec::new();
@@ -289,14 +304,19 @@
         self.fed_version = self.fed_version.max(copy.version);
         self.listing = None;
         self.copied_at = Some(now);
-        let changed = match copy.keys {
+        let mut changed = match copy.keys {
             _ if copy.is_whole => self.replace(copy.rows, copy.version, None),
             Some(keys) => self.take_with_keys(copy.rows, keys, copy.version),
             None => self.take_changes(copy.rows, None),
         };
         self.changed_version = self.changed_version.max(copy.version);
         for row in copy.lapsing {
-            self.note_lapsing(row.key, row.version, now + row.remaining);
+            let lapse = Lapse {
+                lost_at: now.saturating_sub(row.lost_for),
+                until: now + row.remaining,
+            };
+            let lapse = Some(lapse).filter(|it| self.outage.may_be_of_all(it.lost_at));
+            changed.extend(self.miss(row.key, row.version, lapse));
         }
         changed
     }
@@ -344,7 +364,8 @@
         let to_row = |(key, lapsing): (&Arc<str>, &Lapsing)| LapsingRow {
             key: key.clone(),
             version: lapsing.version,
-            remaining: lapsing.until.saturating_sub(now),
+            remaining: lapsing.lapse.until.saturating_sub(now),
+            lost_for: now.saturating_sub(lapsing.lapse.lost_at),
         };
         lapsing.map(to_row).collect()
     }
@@ -355,7 +376,7 @@
             return Vec::new();
         }
         let over = self.lapsing.iter();
-        let over = over.filter(|(_, lapsing)| lapsing.until <= now);
+        let over = over.filter(|(_, lapsing)| lapsing.lapse.until <= now);
         let over: Vec<_> = over
             .map(|(key, lapsing)| (key.clone(), lapsing.version))
             .collect();
@@ -420,7 +441,10 @@
         };
         if now.saturating_sub(lost_at) >= MIN_OUTAGE && self.outage.may_be_of_all(lost_at) {
             self.catch_up_until = now + CATCH_UP_TIME;
-            self.rewrite_until = now + REWRITE_TIME;
+            self.outage_ended = Some(Lapse {
+                lost_at,
+                until: now + REWRITE_TIME,
+            });
         }
     }
 
@@ -458,30 +482,30 @@
             return Vec::new();
         }
         self.fed_version = version;
-        self.replace(listing.rows, version, self.lapse_end(now))
+        self.replace(listing.rows, version, self.lapse(now))
     }
 
-    /// Returns until when rows stay in use that the store lacks now. A row that is missing right after an
+    /// Returns the outage in which rows may have lapsed that the store lacks now. A row that is missing right after an
     /// outage may only have lapsed: its writer could not renew it. Without the delay, every endpoint
     /// would be given up at once when the store returns.
-    fn lapse_end(&self, now: Duration) -> Option<Duration> {
-        (now < self.catch_up_until).then_some(self.rewrite_until)
+    fn lapse(&self, now: Duration) -> Option<Lapse> {
+        self.outage_ended.filter(|_| now < self.catch_up_until)
     }
 
-    fn take_changes(&mut self, rows: Vec<Row>, lapse_end: Option<Duration>) -> Vec<Row> {
+    fn take_changes(&mut self, rows: Vec<Row>, lapse: Option<Lapse>) -> Vec<Row> {
         let mut changed = Vec::new();
         for row in rows {
             self.changed_version = self.changed_version.max(row.version);
             if row.value.is_some() {
                 changed.extend(self.put(row));
             } else {
-                changed.extend(self.miss(row.key, row.version, lapse_end));
+                changed.extend(self.miss(row.key, row.version, lapse));
             }
         }
         changed
     }
 
-    fn replace(&mut self, rows: Vec<Row>, version: u64, lapse_end: Option<Duration>) -> Vec<Row> {
+    fn replace(&mut self, rows: Vec<Row>, version: u64, lapse: Option<Lapse>) -> Vec<Row> {
         self.note_gap(self.changed_version, version);
         self.changed_version = self.changed_version.max(version);
         let listed = rows.iter().map(|row| row.key.clone()).collect();
@@ -491,7 +515,7 @@
             changed.extend(self.put(row));
         }
         for key in gone {
-            changed.extend(self.miss(key, version, lapse_end));
+            changed.extend(self.miss(key, version, lapse));
         }
         changed
     }
@@ -525,20 +549,20 @@
         Some(row)
     }
 
-    fn miss(&mut self, key: Arc<str>, version: u64, lapse_end: Option<Duration>) -> Option<Row> {
-        match lapse_end {
-            Some(until) => {
-                self.note_lapsing(key, version, until);
+    fn miss(&mut self, key: Arc<str>, version: u64, lapse: Option<Lapse>) -> Option<Row> {
+        match lapse {
+            Some(lapse) => {
+                self.note_lapsing(key, version, lapse);
                 None
             }
             None => self.remove(key, version),
         }
     }
 
-    fn note_lapsing(&mut self, key: Arc<str>, version: u64, until: Duration) {
+    fn note_lapsing(&mut self, key: Arc<str>, version: u64, lapse: Lapse) {
         let known = self.rows.get(&key);
         if known.is_some_and(|known| known.version <= version) {
-            self.lapsing.insert(key, Lapsing { version, until });
+            self.lapsing.insert(key, Lapsing { version, lapse });
         }
     }
 
--- a/crates/fleet/tests/row_watch.rs
+++ b/crates/fleet/tests/row_watch.rs
@@ -210,6 +210,7 @@
         key: Arc::from("a"),
         version: 3,
         remaining: at(2_000),
+        lost_for: at(5_200),
     };
     assert_eq!(copy.lapsing.first(), Some(&lapsing));
     assert!(copying.on_copy(at(5_300), copy).is_empty());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -26,6 +26,7 @@
 use sedgeridge_fleet::peer_hosts::ListedHost;
 use sedgeridge_fleet::peer_report::PeerReport;
 use sedgeridge_fleet::peer_report::set_included;
+use sedgeridge_fleet::peer_report::to_millis;
 use sedgeridge_fleet::row_watch::LapsingRow;
 use sedgeridge_fleet::row_watch::Row;
 use sedgeridge_fleet::row_watch::TableCopy;
@@ -106,6 +107,9 @@
     key: String,
     version: u64,
     remaining_ms: u64,
+    /// A host of an earlier version tells none, and is believed.
+    #[serde(default)]
+    lost_ms: u64,
 }
 
 impl From<TableCopy> for CopyMessage {
@@ -118,7 +122,8 @@
         let lapsing = copy.lapsing.into_iter().map(|row| CopiedLapsingRow {
             key: row.key.to_string(),
             version: row.version,
-            remaining_ms: u64::try_from(row.remaining.as_millis()).unwrap_or(u64::MAX),
+            remaining_ms: to_millis(row.remaining),
+            lost_ms: to_millis(row.lost_for),
         });
         Self {
             version: copy.version,
@@ -143,6 +148,7 @@
             key: Arc::from(row.key),
             version: row.version,
             remaining: Duration::from_millis(row.remaining_ms),
+            lost_for: Duration::from_millis(row.lost_ms),
         });
         Self {
             version: message.version,
