--- a/crates/fleet/src/store_outage.rs
+++ b/crates/fleet/src/store_outage.rs
@@ -72,7 +72,7 @@
     view: OutageView,
     /// Answers that may be some of the time after an outage.
     answers: VecDeque<Duration>,
-    /// The newest answer that is older.
+    /// An older answer that a later one is to confirm.
     settled: Option<Duration>,
 }
 
@@ -108,9 +108,13 @@
     }
 
     fn settle(&mut self, answered_at: Duration) {
-        let is_confirmed = |at: &Duration| *at + CONFIRMED_AFTER <= answered_at;
-        let confirmed = self.settled.filter(is_confirmed);
-        self.view.confirmed_answer = confirmed.or(self.view.confirmed_answer);
-        self.settled = Some(answered_at);
+        let Some(earlier) = self.settled else {
+            self.settled = Some(answered_at);
+            return;
+        };
+        if earlier + CONFIRMED_AFTER <= answered_at {
+            self.view.confirmed_answer = Some(earlier);
+            self.settled = Some(answered_at);
+        }
     }
 }
