fleet, gateway: a refused host learns from reports that the store is back

Callers were served by an endpoint that left in an outage, for as long as the store refused a host after it and no row changed: that host held what may have lapsed until it was answered or copied a change. The others' reports tell that they are answered; what lapsed now goes when its time is over.

--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -392,10 +392,12 @@
     }
 
     /// Tells whether nothing was heard of the table since the store fell silent: it may be away for all,
-    /// so that rows could not be written again. A newer copy shows that it serves others.
+    /// so that rows could not be written again. A newer copy shows that it serves others, and so do their
+    /// reports: without them a host that the store refuses keeps what lapsed for as long as no row changes.
     fn is_cut_off(&self) -> bool {
         let has_copy_since = |lost_at| self.copied_at.is_some_and(|at| at >= lost_at);
-        self.lost_at.is_some_and(|at| !has_copy_since(at))
+        let may_be_away = |lost_at| !has_copy_since(lost_at) && self.outage.may_be_of_all(lost_at);
+        self.lost_at.is_some_and(may_be_away)
     }
 
     /// Returns the known rows.
--- a/crates/fleet/tests/support/table_fleet.rs
+++ b/crates/fleet/tests/support/table_fleet.rs
@@ -184,6 +184,7 @@
             node.host.send(self.now, DispatchEvent::Tick);
         }
         if self.now.is_multiple_of(200) {
+            node.watch.set_outage(node.host.dispatcher.store_outage());
             node.watch.expired(now);
         }
         let has_news = std::mem::take(&mut node.has_news);
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -150,9 +150,8 @@
     pub async fn expire_forever(&self) {
         loop {
             tokio::time::sleep(EXPIRY_INTERVAL).await;
-            let now = self.core.now();
             for table in [Table::Config, Table::Endpoints] {
-                let expired = self.watch(table).borrow_mut().expired(now);
+                let expired = self.update(table, None, RowWatch::expired);
                 self.apply(table, expired);
             }
         }
