fleet, gateway: what left at the store's return goes three seconds after it, on every host

Callers were served by an endpoint that left, 3.0 s and more after the store was back, from when on hosts have to keep to it. Each host counted the time in which entries are written again (2.3 s) from its own first answer, up to 0.85 s after the return, and looked each 0.2 s. It now counts 2.1 s from the first answer of any host (at most a pause ago) and drops entries on time: 0.85 + 2.1 + 0.05 s.

--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -17,7 +17,7 @@
 const MAX_PAUSE: Duration = Duration::from_millis(800);
 /// Time after the store's return in which rows that lapsed meanwhile are written again. The
 /// platform promises about two seconds.
-const REWRITE_TIME: Duration = Duration::from_millis(2_300);
+const REWRITE_TIME: Duration = Duration::from_millis(2_100);
 /// Shortest silence of the store after which its return opens [`REWRITE_TIME`]. Rows lapse after
 /// three missed heartbeats at the earliest; half of that leaves a margin.
 const MIN_OUTAGE: Duration = Duration::from_millis(1_500);
@@ -386,6 +386,12 @@
             .collect()
     }
 
+    /// Returns when the time of a missing row is over next.
+    pub fn next_expiry(&self) -> Option<Duration> {
+        let until = self.lapsing.values().map(|lapsing| lapsing.lapse.until);
+        until.min()
+    }
+
     /// Returns how many missing rows stay in use for now.
     pub fn lapsing(&self) -> usize {
         self.lapsing.len()
@@ -445,11 +451,19 @@
             self.catch_up_until = now + CATCH_UP_TIME;
             self.outage_ended = Some(Lapse {
                 lost_at,
-                until: now + REWRITE_TIME,
+                until: self.returned_at(now) + REWRITE_TIME,
             });
         }
     }
 
+    /// Returns when the store came back, as far as this host can know. Others may have been answered earlier in the
+    /// pause of this one; without them an endpoint that left stays in use for as much longer, and past the moment from
+    /// which hosts have to keep to what the store acknowledged. What others say counts for no more than a pause.
+    fn returned_at(&self, now: Duration) -> Duration {
+        let ended_at = self.outage.ended_at().unwrap_or(now);
+        ended_at.clamp(now.saturating_sub(MAX_PAUSE), now)
+    }
+
     /// Puts the next call off after a change. Right after an outage there is no pause: what is asked for
     /// later counts as removed on purpose, and entries that lapsed in the outage would go.
     fn pause_after(&mut self, now: Duration, changes: &[Row]) {
--- a/crates/fleet/src/store_outage.rs
+++ b/crates/fleet/src/store_outage.rs
@@ -31,6 +31,8 @@
 pub struct OutageView {
     /// When the last long outage of all began.
     since: Option<Duration>,
+    /// When the store first answered a host after it.
+    ended_at: Option<Duration>,
     /// An answer that no outage of all can have followed unseen.
     confirmed_answer: Option<Duration>,
 }
@@ -41,6 +43,11 @@
         self.since.is_some() || !self.is_refuted(lost_at)
     }
 
+    /// Returns when the store first answered any host after the last long outage of all.
+    pub fn ended_at(&self) -> Option<Duration> {
+        self.ended_at
+    }
+
     /// Tells whether the store answered another host after it was lost to one. A host that was refused alone must
     /// not hide that the store went away for all later, so that each loss is judged by itself.
     fn is_refuted(&self, lost_at: Duration) -> bool {
@@ -85,6 +92,7 @@
         let is_long = |lost_at: &Duration| now.saturating_sub(*lost_at) >= MIN_OUTAGE;
         let kept = self.view.since.filter(|at| !self.view.is_refuted(*at));
         self.view.since = kept.or(self.current.filter(is_long));
+        self.view.ended_at = self.view.since.and_then(|at| self.first_answer_after(at));
     }
 
     /// Returns when the outage began, if it lasts or has just ended.
@@ -97,6 +105,11 @@
         self.view
     }
 
+    fn first_answer_after(&self, lost_at: Duration) -> Option<Duration> {
+        let answers = self.settled.iter().chain(&self.answers);
+        answers.copied().find(|at| *at > lost_at + ONSET)
+    }
+
     fn note_answer(&mut self, now: Duration, answered_at: Option<Duration>) {
         if let Some(at) = answered_at.filter(|at| self.answers.back() < Some(at)) {
             self.answers.push_back(at);
--- a/crates/fleet/tests/refused_hosts.rs
+++ b/crates/fleet/tests/refused_hosts.rs
@@ -11,6 +11,8 @@
 /// Longest time until all hosts know that an endpoint left, with one fault on the way. Three quarters of the
 /// shortest time in which an endpoint may have to be left alone.
 const KNOWN_WITHIN_MS: u64 = 1_500;
+/// Time after an outage from which on hosts are to keep to what the store acknowledged.
+const STABLE_MS: u64 = 3_000;
 const REFUSED_FOR_MS: u64 = 9_000;
 /// Time in which hosts that were refused are answered again, one after the other.
 const RETURN_MS: u64 = 1_000;
@@ -114,3 +116,22 @@
     let using = fleet.nodes.iter().filter(|node| node.knows(&name(0)));
     assert_eq!(using.count(), 0);
 }
+
+/// The caller is served by an endpoint that left, three seconds and more after the store is back. The endpoint leaves
+/// right at the store's return. Each host keeps it for the time in which entries are written again, counted from its own
+/// first answer, which comes a pause after the return, and drops it at its next look. The time counts from the
+/// first answer of any host.
+#[parameterized(
+    hosts_of_6 = { 6 },
+    hosts_of_81 = { 81 },
+)]
+fn what_left_at_the_stores_return_goes_before_the_fleet_is_stable(size: usize) {
+    for outage_ms in (4_000..5_000).step_by(140) {
+        let mut fleet = Fleet::new(size);
+        fleet.store.is_away = true;
+        fleet.run_until(fleet.now + outage_ms);
+        fleet.store.is_away = false;
+        let took = fleet.time_to_know_of_removal(&name(0), STABLE_MS);
+        println!("{size} hosts, an outage of {outage_ms} ms: {took} ms");
+    }
+}
--- a/crates/fleet/tests/row_watch.rs
+++ b/crates/fleet/tests/row_watch.rs
@@ -209,7 +209,7 @@
     let lapsing = LapsingRow {
         key: Arc::from("a"),
         version: 3,
-        remaining: at(2_000),
+        remaining: at(1_800),
         lost_for: at(5_200),
     };
     assert_eq!(copy.lapsing.first(), Some(&lapsing));
@@ -217,9 +217,9 @@
 
     following.on_answer(at(6_000), rows(vec![row("b", 5)], 5));
     copying.on_copy(at(6_050), following.copy(at(6_050), 4));
-    assert!(copying.expired(at(7_200)).is_empty());
-    assert_eq!(copying.expired(at(7_300)), vec![removed("a", 3)]);
-    assert_eq!(following.expired(at(7_300)), vec![removed("a", 3)]);
+    assert!(copying.expired(at(7_000)).is_empty());
+    assert_eq!(copying.expired(at(7_100)), vec![removed("a", 3)]);
+    assert_eq!(following.expired(at(7_100)), vec![removed("a", 3)]);
     assert_eq!(keys(&copying), ["b"]);
 }
 
--- a/crates/fleet/tests/support/table_fleet.rs
+++ b/crates/fleet/tests/support/table_fleet.rs
@@ -183,7 +183,8 @@
         if self.now.is_multiple_of(50) {
             node.host.send(self.now, DispatchEvent::Tick);
         }
-        if self.now.is_multiple_of(200) {
+        let is_over = node.watch.next_expiry().is_some_and(|at| at <= now);
+        if is_over || self.now.is_multiple_of(200) {
             node.watch.set_outage(node.host.dispatcher.store_outage());
             node.watch.expired(now);
         }
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -30,6 +30,8 @@
 
 /// Time between looks for entries whose time is over.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
+/// The same while the time of an entry is over that may not go yet.
+const MIN_EXPIRY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time between looks whether a store that answered about no table answers about the configuration.
 /// The calls about that table find the store's return; a second series would cost as much again.
@@ -149,7 +151,7 @@
     /// Drops entries that stayed missing after the store's return, for as long as the process runs.
     pub async fn expire_forever(&self) {
         loop {
-            tokio::time::sleep(EXPIRY_INTERVAL).await;
+            tokio::time::sleep(self.time_to_expiry()).await;
             for table in [Table::Config, Table::Endpoints] {
                 let expired = self.update(table, None, RowWatch::expired);
                 self.apply(table, expired);
@@ -157,6 +159,15 @@
         }
     }
 
+    fn time_to_expiry(&self) -> Duration {
+        let next_expiry = |table| self.watch(table).borrow().next_expiry();
+        let next = [Table::Config, Table::Endpoints].into_iter();
+        let next = next.filter_map(next_expiry).min();
+        let time = next.map(|at| at.saturating_sub(self.core.now()));
+        time.unwrap_or(EXPIRY_INTERVAL)
+            .clamp(MIN_EXPIRY_INTERVAL, EXPIRY_INTERVAL)
+    }
+
     /// Returns the version of the newest change that is known.
     pub fn changed_version(&self, table: Table) -> u64 {
         self.watch(table).borrow().changed_version()
