fleet, gateway: a host that the store answers gives it its time for each change

Cause: the time since it was behind was never begun anew after it had caught up without a copy. A host that the store refuses copies at once now; before it waited like one that is answered.

--- a/crates/fleet/src/table_news.rs
+++ b/crates/fleet/src/table_news.rs
@@ -2,46 +2,55 @@
 
 use std::time::Duration;
 
-use crate::store_followers::StoreRole;
-
-/// Time for which a host that follows the store may know less than another before it copies from
+/// Time for which a host that the store answers may know less than another before it copies from
 /// there. The store itself tells of a change within some ten milliseconds.
-const FOLLOWER_BEHIND_FOR: Duration = Duration::from_millis(250);
+const ANSWERED_BEHIND_FOR: Duration = Duration::from_millis(250);
 
 /// Versions of one table that other hosts know.
 ///
 /// ```
 /// use std::time::Duration;
-/// use sedgeridge_fleet::store_followers::StoreRole;
 /// use sedgeridge_fleet::table_news::TableNews;
 ///
 /// let mut news = TableNews::default();
-/// assert!(news.takes_copy(Duration::ZERO, 7, 9, StoreRole::Copier));
-/// assert!(!news.takes_copy(Duration::ZERO, 7, 9, StoreRole::Copier), "one fetch at a time");
+/// assert!(news.takes_copy(Duration::ZERO, 7, 9, false));
+/// assert!(!news.takes_copy(Duration::ZERO, 7, 9, false), "one fetch at a time");
 /// news.on_fetched();
-/// assert!(news.takes_copy(Duration::ZERO, 7, 9, StoreRole::Copier));
+/// assert!(news.takes_copy(Duration::ZERO, 7, 9, false));
 /// ```
 #[derive(Debug, Default)]
 pub struct TableNews {
-    behind_since: Option<Duration>,
+    ahead: Option<Ahead>,
     is_fetching: bool,
 }
 
+/// A version that another host knows and this one does not.
+#[derive(Debug)]
+struct Ahead {
+    version: u64,
+    since: Duration,
+}
+
 impl TableNews {
     /// Takes in that another host knows the version `heard`, and tells whether to fetch its copy now.
     ///
     /// The store may turn this host away while it serves the others and the operator. Without the
-    /// copy, callers here would be served by old routes and keys, and endpoints that left.
-    pub fn takes_copy(&mut self, now: Duration, known: u64, heard: u64, role: StoreRole) -> bool {
+    /// copy, callers here would be served by old routes and keys, and endpoints that left. A host that the store
+    /// answers, `is_answered`, leaves it a moment to tell of the change itself.
+    pub fn takes_copy(&mut self, now: Duration, known: u64, heard: u64, is_answered: bool) -> bool {
+        // A host that has caught up meanwhile waits anew: else it would copy each later change at once.
+        self.ahead.take_if(|ahead| ahead.version <= known);
         if heard <= known {
             return false;
         }
-        let since = *self.behind_since.get_or_insert(now);
-        let patience = match role {
-            StoreRole::Copier => Duration::ZERO,
-            StoreRole::FirstFollower | StoreRole::Follower | StoreRole::Standby => {
-                FOLLOWER_BEHIND_FOR
-            }
+        let ahead = self.ahead.get_or_insert(Ahead {
+            version: heard,
+            since: now,
+        });
+        let since = ahead.since;
+        let patience = match is_answered {
+            true => ANSWERED_BEHIND_FOR,
+            false => Duration::ZERO,
         };
         if self.is_fetching || now.saturating_sub(since) < patience {
             return false;
@@ -53,6 +62,6 @@
     /// Notes that a fetch has ended, with a copy or without one.
     pub fn on_fetched(&mut self) {
         self.is_fetching = false;
-        self.behind_since = None;
+        self.ahead = None;
     }
 }
--- a/crates/fleet/tests/support/table_fleet.rs
+++ b/crates/fleet/tests/support/table_fleet.rs
@@ -242,7 +242,8 @@
         let node = &mut self.nodes[index];
         let role = node.host.dispatcher.store_role(at(now));
         let known = node.watch.changed_version();
-        if !node.news.takes_copy(at(now), known, heard, role) {
+        let is_answered = role.is_following() && !node.watch.is_lost();
+        if !node.news.takes_copy(at(now), known, heard, is_answered) {
             return;
         }
         let spread = match role {
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -103,9 +103,9 @@
     pub fn takes_copy(&self, table: Table, heard: u64) -> bool {
         let now = self.core.now();
         let known = self.changed_version(table);
-        let role = self.role(now);
+        let is_answered = self.role(now).is_following() && !self.watch(table).borrow().is_lost();
         let mut news = self.news_of(table).borrow_mut();
-        news.takes_copy(now, known, heard, role)
+        news.takes_copy(now, known, heard, is_answered)
     }
 
     /// Notes that a fetch of another host's copy has ended.
