--- a/crates/fleet/src/account_shares.rs
+++ b/crates/fleet/src/account_shares.rs
@@ -11,9 +11,8 @@
 /// Parts into which the window is cut. Use fades in as many steps.
 ///
 /// Use that counts in full until its window ends leaves a gap that all hosts see at the same time and
-/// fill before they hear of each other. In a play of 81 hosts one account then began 4 M tokens in a
-/// second and nothing in the next three, again and again; the engines' backlogs meanwhile refused an
-/// account that one host serves, which got a quarter to a third as much in six seconds. Use that
+/// fill before they hear of each other. One account then begins in one second what it is due in several,
+/// again and again; the engines' backlogs meanwhile refuse an account that one host serves. Use that
 /// fades leaves no gap.
 const BUCKETS: u64 = 8;
 /// Age up to which another host's sums count.
@@ -23,13 +22,11 @@
 const BACKLOGGED_RATIO: f64 = 1.3;
 /// Largest ratio between what two backlogged accounts are given. The users hold a ratio of two for
 /// unfair; the rest is for requests that begin unevenly within the window, and for what hosts learn of
-/// each other late. At 1.5 one account on 69 hosts got 3.0 to 3.4 times as much as another in six
-/// seconds.
+/// each other late.
 const MOST_AHEAD: f64 = 1.2;
-/// The same from which an account gets nothing, however idle the engines. A fleet of 69 hosts in which
-/// idle engines still took such accounts gave one of them 2.3 to 2.5 times as much as a backlogged one
-/// in six seconds, in three plays of three of one day; with this bound no play of one did, at the same
-/// benefit. At 1.5 accounts of equal size hold each other back in a burst.
+/// The same from which an account gets nothing, however idle the engines: each host's idle engines add up to
+/// more than twice what a backlogged account gets. Lower, accounts of equal size hold each other back in
+/// a burst.
 const LARGEST_LEAD: f64 = 1.6;
 /// Part of the share below which a backlogged account holds nobody back: its host may be cut off.
 const LEAST_PART: f64 = 0.5;
@@ -198,8 +195,7 @@
     /// Returns what the account was given, as a multiple of its fair share. Above 1 it has had it.
     ///
     /// What other hosts probably began besides does not count here: it would refuse accounts about at
-    /// their share while engines have room. On 73 hosts a day of high load then earned 0.52 of its
-    /// benefit, 0.57 otherwise.
+    /// their share while engines have room.
     pub fn standing(&self, account: u64) -> f64 {
         if !self.level.is_finite() {
             return 0.0;
--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -23,18 +23,16 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct AdmissionSettings {
     /// Backlog of an engine, as a part of the shortest latency target of its routes, up to which it
-    /// is given more to read. Between 0.3 and 0.65 overloaded days earn the same within their noise.
+    /// is given more to read.
     pub backlog_part: f64,
     /// The same for accounts that have had their share, and for requests that are late anyway. They
-    /// get what engines have left: at 0.15 they took so much reading time that the others' first
-    /// events came late, and overloaded days earned 0.41 of their benefit against 0.50 at 0.01.
+    /// get what engines have left: with more they take so much reading time that the others' first
+    /// events come late.
     pub low_backlog_part: f64,
     /// Part of an engine's slots up to which it counts as idle. Only idle engines take requests of
-    /// accounts that are far ahead of a backlogged one. At 0 a calm day on 9 engines refuses 0.31 of its
-    /// requests, at 0.1 0.19.
+    /// accounts that are far ahead of a backlogged one. Without it such accounts are refused on calm days too.
     pub spare_part: f64,
-    /// Part of the latency target that a request may wait for an endpoint. At 0.2 and 0.5 overloaded
-    /// days earn the same or less.
+    /// Part of the latency target that a request may wait for an endpoint.
     pub hold_part: f64,
     /// Part of the latency target by which the first event is expected, or the request counts as
     /// late. The rest is for the way to the caller and the error of the estimate.
@@ -69,20 +67,17 @@
 /// targets, so that any endpoint that answers goes before one that never does.
 const FAILURE_COST_MS: f64 = 400.0;
 /// Cost in the comparison of a shared token that an endpoint has not cached, besides its reading
-/// time: it takes memory from other shared parts, which are read again in turn. Eight times the
-/// reading time of a busy engine; overloaded days on 18 engines earned 0.58 at 0.03 and 0.60 at 0.1.
+/// time: it takes memory from other shared parts, which are read again in turn.
 const REREAD_COST_MS: f64 = 0.1;
 /// Cost in the comparison of each further home of a prompt, a third of the time that reading a usual
 /// shared part takes: below this difference in time all
 /// requests about a subject meet at its first home, which alone then caches the shared part.
 const NEXT_HOME_COST_MS: f64 = 30.0;
-/// Shared tokens above which a prompt is read only at its homes. When all engines were about full,
-/// whichever had a slot left read the shared part anew: 45 M of 205 M tokens that 112 engines read in
-/// a day of failures, and 10 M with this bound and the one below.
+/// Shared tokens above which a prompt is read only at its homes. When all engines are about full,
+/// whichever has a slot left would read the shared part anew.
 const FEW_SHARED_TOKENS: u32 = 300;
-/// Part of its slots up to which the second home takes such a prompt. Mean worth of overloaded days on
-/// 9 and on 18 engines: 0.548 and 0.644 at 0.5, 0.549 and 0.657 at 0.25, 0.564 and 0.668 without a
-/// second home, which refuses 0.21 of a calm day's requests on 9 engines against 0.16.
+/// Part of its slots up to which the second home takes such a prompt. Each home reads the shared part; without a
+/// second one more requests of a calm day are refused.
 const SECOND_HOME_PART: f64 = 0.25;
 /// Part of the shared tokens that counts as memory of its own: several requests hold them together.
 const SHARED_MEMORY_PART: f64 = 0.3;
@@ -129,10 +124,8 @@
     /// room.
     ///
     /// Hosts hear of each other's work some tenths of a second late. Comparing all engines they all
-    /// chose the one that had seemed idle: of 60 engines 5 were sent half of a quarter second's
-    /// short prompts, whose first events then came 400 ms after the predicted moment. Two engines
-    /// by chance are enough to pass over a busy one, and differ from request to request. Mean
-    /// worth of three days of failures on 60 engines and 73 hosts: 0.506 before, 0.526 so.
+    /// choose the one that had seemed idle, whose first events then come late. Two engines by chance are
+    /// enough to pass over a busy one, and differ from request to request.
     Preferred {
         homes: [Option<u64>; HOMES],
         drawn: [Option<u64>; HOMES],
--- a/crates/fleet/src/dispatcher/peers.rs
+++ b/crates/fleet/src/dispatcher/peers.rs
@@ -25,8 +25,8 @@
 const NEWS_REPEATS: u32 = 4;
 /// Most news in one report.
 const MAX_NEWS: usize = 8;
-/// Own reports that are kept to be taken out of sums again. Reports are 50 ms apart or more, and
-/// relays count them for 2.5 s.
+/// Own reports that are kept to be taken out of sums again: as many as a host makes in the time for which relays
+/// count one.
 const KEPT_REPORTS: usize = 51;
 /// Source of the work that sums over the fleet hold. Hosts' hashes are other numbers but by chance.
 const FLEET_SOURCE: u64 = 0;
@@ -181,8 +181,8 @@
     /// Returns the part that this host takes in following the platform's store.
     ///
     /// One that has just started and has not read the list of hosts follows nothing yet: it would take its fleet
-    /// for small. Of 295 hosts that start together each would wait for changes of both tables, 590 of 2,200
-    /// calls up to the first request; calls are bounded a second.
+    /// for small. Of hosts that start together each would wait for changes of both tables; calls are bounded a
+    /// second.
     pub fn store_role(&self, now: Duration) -> StoreRole {
         if !self.peers.hosts.is_known(now) {
             return StoreRole::Copier;
--- a/crates/fleet/src/memory_budget.rs
+++ b/crates/fleet/src/memory_budget.rs
@@ -1,8 +1,7 @@
 //! What requests in progress may hold of a host's memory.
 
 /// Part of the process's memory that requests in progress may hold. The rest is for what does not
-/// follow from requests: about 10 MB of program and tables, kept connections, and bytes that wait
-/// unread in sockets, up to 12 MB where a thousand callers wait to be accepted.
+/// follow from requests: program and tables, kept connections, and bytes that wait unread in sockets.
 const REQUESTS_PART: f64 = 0.5;
 /// Part of it from which the host asks for no more callers; what is on its way still finds room.
 const SHORT_PART: f64 = 0.7;
@@ -11,14 +10,14 @@
 const OVER_SHARE_PART: f64 = 0.85;
 /// Part of the process's memory that idle connections to endpoints may hold.
 const IDLE_PART: f64 = 0.1;
-/// Memory of a connection to an endpoint: two buffers of 8 KB and its task.
+/// Memory of a connection to an endpoint: two buffers and its task.
 const CONNECTION_BYTES: u64 = 20 * 1_024;
 /// Part of the process's memory that heads of requests may hold which have not come whole.
 const HALF_HEADS_PART: f64 = 0.1;
 /// Memory of such a head: two buffers, the one that reads grown to the longest head.
 const HALF_HEAD_BYTES: u64 = 28 * 1_024;
-/// Memory of a request without its body: connections of its caller and to an endpoint with two buffers of
-/// 8 KB or more each, headers and tasks. 600 streams in progress with bodies of 12 KB took 62 KB each.
+/// Memory of a request without its body: connections of its caller and to an endpoint with two buffers
+/// each, headers and tasks.
 pub const REQUEST_BYTES: u64 = 60 * 1_024;
 
 /// Who asks for memory.
--- a/crates/fleet/src/peer_hosts.rs
+++ b/crates/fleet/src/peer_hosts.rs
@@ -309,7 +309,7 @@
     /// Tells whether it was listed a moment ago and has not had the time to be heard of.
     ///
     /// A host that starts knows of the others by the list first. Without this it takes its fleet for small,
-    /// or itself for the first follower, until it hears of them: 300 hosts that start together each asked the
+    /// or itself for the first follower, until it hears of them, and each of the hosts that start together asks the
     /// store for changes. A host that is listed and dead is passed over after this time.
     fn is_expected(&self, now: Duration) -> bool {
         let is_new = now.saturating_sub(self.listed_at) <= FOLLOWER_SILENCE;
--- a/crates/fleet/src/peer_schedule.rs
+++ b/crates/fleet/src/peer_schedule.rs
@@ -13,16 +13,13 @@
 const UNREPORTED_STARTS: u32 = 20;
 /// Time between two sums of one relay for each host of the fleet, so that a relay of any size sends a few
 /// hundred sums a second. Work that a host does not know of yet draws its requests to engines that only
-/// seem idle: mean worth of three days of failures on 60 engines and 73 hosts was 0.526 with a sum
-/// each 300 ms and a report each 200 ms, 0.571 with half of these times and 0.585 with a quarter.
+/// seem idle.
 const RELAY_INTERVAL_PER_HOST: Duration = Duration::from_millis(1);
-/// Bounds of that time. Hosts look each 50 ms whether reports are due; in the largest fleets bytes
-/// matter more, since each sum holds more engines.
+/// Bounds of that time. In the largest fleets bytes matter more, since each sum holds more engines.
 const RELAY_INTERVALS: RangeInclusive<Duration> =
     Duration::from_millis(50)..=Duration::from_millis(300);
 /// Relays of a data centre that take turns in telling other data centres, whose relays hear each of
-/// them. Bytes between data centres are paid for: a day of failures with 73 hosts and 60 engines moved
-/// 0.205 GB when each told every sum, 0.156 GB so.
+/// them. Bytes between data centres are paid for.
 const TURNS: u32 = 2;
 /// Shortest time between two reports to the relays.
 const MIN_MEMBER_INTERVAL: Duration = Duration::from_millis(50);
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -1,8 +1,7 @@
 //! Sums up what hosts of one data centre report, for each other and for other data centres.
 //!
-//! Reports from every host to every other cost a host of 81 some 80 KB/s and a noticeable part of a
-//! small processor, and were then sent about once a second. With relays a host sends its own report
-//! to a few relays of its data centre, relays exchange sums of their data centres, and each host gets
+//! Reports from every host to every other cost bytes and a noticeable part of a small processor, more with
+//! each host. With relays a host sends its own report to a few relays of its data centre, relays exchange sums of their data centres, and each host gets
 //! one sum of the whole fleet.
 
 use std::time::Duration;
--- a/crates/fleet/src/return_time.rs
+++ b/crates/fleet/src/return_time.rs
@@ -36,8 +36,7 @@
 /// A caller that comes back within its latency target is served as if it had never been refused:
 /// engines fall idle within tens of milliseconds, and another host may know of room. One that was
 /// sent away for two seconds is late for certain, and takes engine time from a request that would
-/// still be in time. Mean benefit of overloaded days on 9 engines: 0.59 with two seconds for all,
-/// 0.71 with a tenth to three tenths of the target; 18 engines: 0.65 and 0.71.
+/// still be in time.
 #[derive(Debug, Default)]
 pub struct ReturnTimes {
     refusals: u64,
--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -291,8 +291,8 @@
     ///
     /// A removal that it tells counts at once, also while the store turns this host away: the host that
     /// made the copy has already told what was removed from what may only have lapsed. Held back until
-    /// the store answers here again, a removal came into force up to eight seconds late, and requests
-    /// went on to endpoints that had left.
+    /// the store answers here again, a removal comes into force seconds late, and requests go on to endpoints
+    /// that have left.
     ///
     /// What it calls lapsing stays in use only if this host cannot refute it. A maker that was cut off from the
     /// others heard of none that the store answered; the version of its copy is taken for known here, so that
@@ -339,9 +339,8 @@
 
     /// Tells whether rows were removed after a version that this host has not heard of. A host that has just
     /// started knows of none before its first list; a copy of only what changed would leave endpoints
-    /// that left in use at whoever takes it, for good. The keys of all rows tell what is gone. With whole rows
-    /// in their place the busiest of 100 hosts with 1,000 endpoints took 22.8 MB, with keys 3.3 MB (peak of
-    /// resident memory, one day each).
+    /// that left in use at whoever takes it, for good. The keys of all rows tell what is gone, in a fraction of the
+    /// memory of whole rows.
     fn lacks_removals(&self, after: u64) -> bool {
         let is_within = |gap: &Gap| gap.from < after && after < gap.to;
         after > 0 && (after < self.removed_before || self.gaps.iter().any(is_within))
--- a/crates/fleet/src/store_followers.rs
+++ b/crates/fleet/src/store_followers.rs
@@ -6,18 +6,16 @@
 /// at once, and others take over when they fall silent.
 const FOLLOWERS: usize = 4;
 /// Hosts that the store turns away and that still call it. A store that turns away a third of the
-/// hosts leaves one of twelve an answer but for one time in 300,000. Without a bound a store that
-/// is away for 8 s is called by every host in turn: 2,100 calls of 73 hosts, in a day of 3,300.
+/// hosts nearly always leaves one of so many an answer. Without a bound a store that is away is called by
+/// every host in turn.
 const MOST_FAILING: usize = 8;
 /// Time after which one more host tries, as long as so many are turned away: a store may turn away
 /// nearly all hosts, and each of the others then finds it within a part of that time.
 const NEXT_TRY: Duration = Duration::from_millis(500);
 
-/// Time that a standby lets pass after a change. The store answers a call at each change, and a fleet with
-/// sixty engines sees several changes a second: with a call of each follower for each of them, 73 hosts
-/// made 1,221 and 1,596 calls on two days of failures, and 843 and 1,204 with these pauses. Should
-/// the first follower be killed, what it did not tell is known this much later, within the second or two
-/// that a change may take.
+/// Time that a standby lets pass after a change. The store answers a call at each change, a large fleet sees
+/// several changes a second, and calls are paid for. Should the first follower be killed, what it did not
+/// tell is known this much later, within the second or two that a change may take.
 const STANDBY_PAUSE: Duration = Duration::from_millis(700);
 /// The same for hosts that all follow the store, or do not know yet that they are many: changes that
 /// come in a burst, as when a fleet starts, take one call in place of three.
--- a/crates/fleet/src/unseen_begins.rs
+++ b/crates/fleet/src/unseen_begins.rs
@@ -25,9 +25,7 @@
 /// When an account that asks everywhere comes below its share, all hosts see it at the same time.
 /// If each goes by what it knows, together they begin several times what there is room for
 /// before they hear of each other, and an account that one host serves finds the engines full.
-/// A host that expects the others to do as it does stops after its own part of the room. In plays
-/// of 40 hosts the one account got at most 1.7 times as much as the other in six seconds, and
-/// 2.3 times without the guess.
+/// A host that expects the others to do as it does stops after its own part of the room.
 ///
 /// ```
 /// use std::time::Duration;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -42,8 +42,8 @@
 /// When a caller should come back to a route without a service: some changes of the configuration
 /// later.
 const NO_SERVICE_RETRY: Duration = Duration::from_secs(1);
-/// Latency targets after which a short answer that may be asked for again is given up. The slowest
-/// of a hundred answers took 1.0 targets on a calm day, 1.6 to 3.3 on days with faults.
+/// Latency targets after which a short answer that may be asked for again is given up. The slowest answers of a
+/// sound endpoint come sooner, also on days with faults.
 const SILENT_TARGETS: u32 = 3;
 
 /// The answer to a request, and the memory that it holds until its caller has taken it.
--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -36,15 +36,14 @@
 use crate::wire::Wire;
 
 /// Bytes that a connection reads ahead or keeps back at most: a usual prompt in one read. The library's
-/// own bound is 400 KB, which 200 callers with long bodies take at once, 80 MB.
+/// own bound is so high that some hundred callers with long bodies would fill a small host's memory.
 const MOST_BUFFERED_BYTES: usize = 32 * 1024;
 
 /// Serves one connection until either end closes it.
 ///
 /// Between requests only the socket is kept. The HTTP state of a connection has buffers as large as the
-/// largest body that it ever carried; kept with each open connection they filled the memory
-/// of a host of 88 MB, and the process was killed with requests in progress. With 1,900 kept connections
-/// that each carried 64 KB the process has 110 MB with their buffers, and 13 MB without.
+/// largest body that it ever carried; kept with each open connection they fill the memory
+/// of a small host, and the process is killed with requests in progress.
 pub(crate) async fn serve<W: Wire, C: Clock>(core: Rc<Core<W, C>>, stream: TcpStream) {
     let stream = CallerStream::new(stream);
     let served = Served::default();
@@ -176,8 +175,8 @@
 /// A request's head that has not come whole.
 ///
 /// Nearly all heads come in one piece. Each that does not holds its connection's buffers, and no request is
-/// counted for it: 1,900 heads that never end took 54 MB of a host's 88. Above a tenth of the
-/// memory such connections are closed, unread.
+/// counted for it: heads that never end would fill a small host. Above a part of the memory such connections
+/// are closed, unread.
 struct HalfHead<W: Wire, C: Clock> {
     core: Rc<Core<W, C>>,
 }
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -46,8 +46,7 @@
 const NO_MEMORY_RETRY: Duration = Duration::from_millis(50);
 
 /// Times that the bytes of a request's head are held: as read, decoded, sent on, and in buffers that have
-/// grown for them. Of 340 streams with heads of 12 KB and bodies of 12 KB each took 139 KB of resident memory, of
-/// 590 with short heads 66 KB.
+/// grown for them.
 const HEAD_COPIES: u64 = 7;
 
 /// A request that was read whole and that a route allows.
--- a/crates/gateway/src/endpoint_pool.rs
+++ b/crates/gateway/src/endpoint_pool.rs
@@ -22,7 +22,7 @@
 pub const MAX_IDLE: usize = 16;
 
 /// Bytes that a connection reads ahead or keeps back at most, and the longest head of an answer. The
-/// library's own bound is 400 KB, which each stream with a slow caller would take.
+/// library's own bound is many times higher, and each stream with a slow caller would take it.
 const MOST_BUFFERED_BYTES: usize = 16 * 1024;
 
 /// A connection on which one request at a time can be sent.
--- a/crates/gateway/src/http_caller.rs
+++ b/crates/gateway/src/http_caller.rs
@@ -21,7 +21,7 @@
 use crate::endpoint_pool::open_connection;
 
 /// Longest body of an answer. The store's are of a megabyte at most; three at once, each read and
-/// decoded, must fit beside callers' requests on a host of 88 MB.
+/// decoded, must fit beside callers' requests on the smallest host.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
 /// Why a call has no answer. It may have been done.
--- a/crates/gateway/src/loop_lag.rs
+++ b/crates/gateway/src/loop_lag.rs
@@ -15,8 +15,7 @@
 /// One caller can bring a small host more than it can read, while others of its data centre have
 /// room. Connections then wait unaccepted until their callers give up. A host that is overloaded calls
 /// itself not ready, so that new connections come to other hosts. Open ones stay, and the caller is
-/// spread over several hosts; among 54,000 requests of such a day 18,000
-/// tries found no connection before, and 5,400 to 8,500 with it.
+/// spread over several hosts.
 ///
 /// ```
 /// use std::time::Duration;
--- a/crates/gateway/src/page_server.rs
+++ b/crates/gateway/src/page_server.rs
@@ -23,7 +23,7 @@
 /// Time after which a connection without a question is closed. The balancer asks each second.
 ///
 /// A connection may be forgotten on the way without a word, and whoever asked opens another. Each that
-/// stays holds some 12 KB: at one a second they would fill a small host's memory within two hours.
+/// stays holds memory: at one a second they would fill a small host's within hours.
 const QUESTION_TIMEOUT: Duration = Duration::from_secs(6);
 
 /// A page.
--- a/crates/gateway/src/pages.rs
+++ b/crates/gateway/src/pages.rs
@@ -21,7 +21,7 @@
 use crate::wire::Wire;
 
 const METRICS_PATH: &str = "/metrics";
-/// Time between two foldings of samples, of which a thousand requests leave 32 KB.
+/// Time between two foldings of samples, which take memory with each request.
 const FOLD_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Answers the balancer for as long as the process runs.
--- a/crates/gateway/src/request_body.rs
+++ b/crates/gateway/src/request_body.rs
@@ -39,7 +39,7 @@
 /// Reads a body of at most `most_bytes` and counts it to `memory`.
 ///
 /// Pieces are copied as they come, so that a connection's buffer is used again. To keep the pieces
-/// themselves would keep a buffer of 8 KB for each packet.
+/// themselves would keep a buffer for each packet.
 ///
 /// # Errors
 ///
