fleet, gateway: a host gives as many copies at once as it can give in time

Suspected cause: some 75 hosts ask each of the four that have read the table for a megabyte each, within 0.1 s; the copies share one small host's processor and link, and each fetch runs out of its 0.8 s and begins anew. Copies have a module of their own (table_copies).

--- /dev/null
+++ b/crates/fleet/src/copy_load.rs
@@ -0,0 +1,41 @@
+//! Bounds the copies of tables that a host gives at once.
+
+/// Bytes of copies that are on their way at once. Several copies of a usual table fit, and of the longest one
+/// as many as a small host sends within the time that a fetch may take.
+const MOST_BYTES: u64 = 4 * 1_024 * 1_024;
+
+/// Copies of tables that this host is giving.
+///
+/// After a loss of power all hosts of a fleet start together and ask the few that know the tables. A host that gives
+/// them all at once gives none of them in time: each fetch runs out of time and is begun anew, and
+/// nobody learns of the endpoints.
+///
+/// ```
+/// use sedgeridge_fleet::copy_load::CopyLoad;
+///
+/// let mut load = CopyLoad::default();
+/// assert!(load.takes(4_000_000));
+/// assert!(!load.takes(1_000_000));
+/// load.on_given(4_000_000);
+/// assert!(load.takes(1_000_000));
+/// ```
+#[derive(Debug, Default)]
+pub struct CopyLoad {
+    bytes: u64,
+}
+
+impl CopyLoad {
+    /// Takes a copy of that length, or tells that whoever asks for it should come again.
+    pub fn takes(&mut self, bytes: u64) -> bool {
+        if self.bytes > 0 && self.bytes + bytes > MOST_BYTES {
+            return false;
+        }
+        self.bytes += bytes;
+        true
+    }
+
+    /// Notes that a copy has been given, or was given up.
+    pub fn on_given(&mut self, bytes: u64) {
+        self.bytes = self.bytes.saturating_sub(bytes);
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod account_shares;
 pub mod arrival;
 pub mod config;
+pub mod copy_load;
 pub mod dispatcher;
 pub mod endpoint_load;
 pub mod endpoint_record;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,5 +30,6 @@
 pub mod settings;
 pub mod store;
 pub mod stream_forward;
+pub mod table_copies;
 pub mod table_follower;
 pub mod wire;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,15 +5,9 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use http::Request;
-use http::Response;
-use http::StatusCode;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use sedgeridge_coordination::random::SeededRandom;
 use sedgeridge_fleet::dispatcher::Addressee;
@@ -26,13 +20,6 @@
 use sedgeridge_fleet::peer_hosts::ListedHost;
 use sedgeridge_fleet::peer_report::PeerReport;
 use sedgeridge_fleet::peer_report::set_included;
-use sedgeridge_fleet::peer_report::to_millis;
-use sedgeridge_fleet::row_watch::LapsingRow;
-use sedgeridge_fleet::row_watch::Row;
-use sedgeridge_fleet::row_watch::TableCopy;
-use serde::Deserialize;
-use serde::Serialize;
-use serde_bytes::ByteBuf;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
@@ -40,14 +27,15 @@
 
 use crate::clock::Clock;
 use crate::core::Core;
-use crate::endpoint_pool::open_connection;
 use crate::event_log::LogEvent;
 use crate::meters;
-use crate::page_server::Page;
 use crate::page_server::serve_pages;
 use crate::store::HostEntry;
 use crate::store::Store;
 use crate::store::Table;
+use crate::table_copies::CopyPages;
+use crate::table_copies::Fetched;
+use crate::table_copies::fetch_copy;
 use crate::table_follower::Tables;
 use crate::wire::Wire;
 
@@ -63,13 +51,11 @@
 const COPY_SPREAD_MS: u64 = 120;
 /// Longest time to fetch a copy.
 const COPY_TIMEOUT: Duration = Duration::from_millis(800);
-/// Longest copy. Tables hold some hundred rows of less than a kilobyte, and 2,200 at the size to build
-/// for.
-const MAX_COPY_BYTES: usize = 4 * 1024 * 1024;
+/// Times that a host is asked which gives as many copies as it can, and the longest pause in between.
+const COPY_TRIES: u32 = 3;
+const COPY_BUSY_MS: u64 = 300;
 /// Longest datagram.
 const MAX_DATAGRAM_BYTES: usize = 65_536;
-const CONFIG_PATH: &str = "/config";
-const ENDPOINTS_PATH: &str = "/endpoints";
 
 /// The other hosts, as far as their addresses are known.
 #[derive(Debug)]
@@ -82,86 +68,6 @@
     random: RefCell<SeededRandom>,
 }
 
-/// A copy of a table as hosts send it.
-#[derive(Debug, Serialize, Deserialize)]
-struct CopyMessage {
-    version: u64,
-    is_whole: bool,
-    rows: Vec<CopiedRow>,
-    /// A host of an earlier version tells none.
-    #[serde(default)]
-    lapsing: Vec<CopiedLapsingRow>,
-    #[serde(default)]
-    keys: Option<Vec<String>>,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct CopiedRow {
-    key: String,
-    version: u64,
-    value: Option<ByteBuf>,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct CopiedLapsingRow {
-    key: String,
-    version: u64,
-    remaining_ms: u64,
-    /// A host of an earlier version tells none, and is believed.
-    #[serde(default)]
-    lost_ms: u64,
-}
-
-impl From<TableCopy> for CopyMessage {
-    fn from(copy: TableCopy) -> Self {
-        let rows = copy.rows.into_iter().map(|row| CopiedRow {
-            key: row.key.to_string(),
-            version: row.version,
-            value: row.value.map(|value| ByteBuf::from(value.to_vec())),
-        });
-        let lapsing = copy.lapsing.into_iter().map(|row| CopiedLapsingRow {
-            key: row.key.to_string(),
-            version: row.version,
-            remaining_ms: to_millis(row.remaining),
-            lost_ms: to_millis(row.lost_for),
-        });
-        Self {
-            version: copy.version,
-            is_whole: copy.is_whole,
-            rows: rows.collect(),
-            lapsing: lapsing.collect(),
-            keys: copy
-                .keys
-                .map(|keys| keys.iter().map(ToString::to_string).collect()),
-        }
-    }
-}
-
-impl From<CopyMessage> for TableCopy {
-    fn from(message: CopyMessage) -> Self {
-        let rows = message.rows.into_iter().map(|row| Row {
-            key: Arc::from(row.key),
-            version: row.version,
-            value: row.value.map(|value| Arc::from(value.into_vec())),
-        });
-        let lapsing = message.lapsing.into_iter().map(|row| LapsingRow {
-            key: Arc::from(row.key),
-            version: row.version,
-            remaining: Duration::from_millis(row.remaining_ms),
-            lost_for: Duration::from_millis(row.lost_ms),
-        });
-        Self {
-            version: message.version,
-            is_whole: message.is_whole,
-            rows: rows.collect(),
-            lapsing: lapsing.collect(),
-            keys: message
-                .keys
-                .map(|keys| keys.into_iter().map(Arc::from).collect()),
-        }
-    }
-}
-
 impl<W: Wire, C: Clock> Peers<W, C> {
     /// Creates the state of a host that has heard of no other.
     pub fn new(core: Rc<Core<W, C>>, tables: Rc<Tables<W, C>>) -> Self {
@@ -311,7 +217,9 @@
     /// Gives other hosts copies of the tables, for as long as the process runs.
     pub async fn serve_copies(self: Rc<Self>, listener: TcpListener) {
         let core = self.core.clone();
-        serve_pages(core, listener, move |request| self.copy_page(request)).await;
+        let pages = CopyPages::default();
+        let page = move |request: &Request<Incoming>| pages.page(&self.tables, request);
+        serve_pages(core, listener, page).await;
     }
 
     fn note_hosts(&self) {
@@ -335,47 +243,27 @@
 
     async fn fetch(self: Rc<Self>, table: Table, from: SocketAddr) {
         if self.tables.role(self.core.now()) == StoreRole::Copier {
-            let spread = self.random.borrow_mut().below(COPY_SPREAD_MS);
-            tokio::time::sleep(Duration::from_millis(spread)).await;
+            self.pause_below(COPY_SPREAD_MS).await;
         }
-        let after = self.tables.changed_version(table);
-        let fetched = timeout(COPY_TIMEOUT, fetch_copy(table, after, from)).await;
-        if let Ok(Some(copy)) = fetched {
-            self.tables.take_copy(table, copy.into(), from);
+        for _ in 0..COPY_TRIES {
+            let after = self.tables.changed_version(table);
+            let fetched = timeout(COPY_TIMEOUT, fetch_copy(table, after, from)).await;
+            match fetched {
+                Ok(Fetched::Copy(copy)) => self.tables.take_copy(table, copy, from),
+                Ok(Fetched::Busy) => {
+                    self.pause_below(COPY_BUSY_MS).await;
+                    continue;
+                }
+                // Whoever reports next is asked.
+                Ok(Fetched::Failed) | Err(_) => {}
+            }
+            break;
         }
         self.tables.on_fetched(table);
     }
 
-    fn copy_page(&self, request: &Request<Incoming>) -> Page {
-        let table = match request.uri().path() {
-            CONFIG_PATH => Table::Config,
-            ENDPOINTS_PATH => Table::Endpoints,
-            _ => {
-                let mut page = Response::new(Full::default());
-                *page.status_mut() = StatusCode::NOT_FOUND;
-                return page;
-            }
-        };
-        let after = request.uri().query().and_then(|query| query.parse().ok());
-        let copy = CopyMessage::from(self.tables.copy(table, after.unwrap_or(0)));
-        let mut bytes = Vec::new();
-        ciborium::into_writer(&copy, &mut bytes).expect("a vector takes every byte");
-        Response::new(Full::from(bytes))
+    async fn pause_below(&self, most_ms: u64) {
+        let pause_ms = self.random.borrow_mut().below(most_ms);
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
     }
 }
-
-async fn fetch_copy(table: Table, after: u64, from: SocketAddr) -> Option<CopyMessage> {
-    let path = match table {
-        Table::Config => CONFIG_PATH,
-        Table::Endpoints => ENDPOINTS_PATH,
-    };
-    let mut connection = open_connection(from).await.ok()?;
-    let mut request = Request::new(Full::default());
-    *request.uri_mut() = format!("{path}?{after}").parse().ok()?;
-    let host = from.to_string().parse().ok()?;
-    request.headers_mut().insert(http::header::HOST, host);
-    let response = connection.send_request(request).await.ok()?;
-    let body = Limited::new(response.into_body(), MAX_COPY_BYTES);
-    let bytes = body.collect().await.ok()?.to_bytes();
-    ciborium::from_reader(bytes.as_ref()).ok()
-}
