--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -8,6 +8,7 @@
 
 use sedgeridge_coordination::random::SeededRandom;
 
+use crate::store_outage::MIN_OUTAGE;
 use crate::store_outage::OutageView;
 
 /// First pause after a failed call. Short, since a change must be in force within two seconds.
@@ -18,9 +19,6 @@
 /// Time after the store's return in which rows that lapsed meanwhile are written again. The
 /// platform promises about two seconds.
 const REWRITE_TIME: Duration = Duration::from_millis(2_100);
-/// Shortest silence of the store after which its return opens [`REWRITE_TIME`]. Rows lapse after
-/// three missed heartbeats at the earliest; half of that leaves a margin.
-const MIN_OUTAGE: Duration = Duration::from_millis(1_500);
 /// Time after the store's return in which answers tell of what happened while it was away. What is
 /// removed later was removed on purpose, and counts at once.
 const CATCH_UP_TIME: Duration = Duration::from_millis(400);
--- a/crates/fleet/src/store_outage.rs
+++ b/crates/fleet/src/store_outage.rs
@@ -12,8 +12,9 @@
 /// Time after which another answer confirms one. A host whose clock stood still while it was suspended takes its last
 /// answer for a new one.
 const CONFIRMED_AFTER: Duration = Duration::from_millis(100);
-/// Shortest loss that is kept in mind when its host is answered again. A single failed call is no outage.
-const MIN_OUTAGE: Duration = Duration::from_millis(1_500);
+/// Shortest loss in which entries can have lapsed. They lapse after three missed heartbeats at the earliest; half of
+/// that leaves a margin.
+pub const MIN_OUTAGE: Duration = Duration::from_millis(1_500);
 
 /// What the hosts' reports say of the store.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
