--- a/crates/fleet/src/peer_hosts.rs
+++ b/crates/fleet/src/peer_hosts.rs
@@ -21,8 +21,6 @@
 /// Age up to which a host that has not read the list of hosts leaves it to others to follow the store. The list
 /// is read within some ten milliseconds of a start, unless the store is away.
 const LIST_PATIENCE: Duration = Duration::from_millis(1_500);
-/// Time within which hosts that start together have all started.
-const START_SPREAD: Duration = Duration::from_millis(300);
 /// Silence after which a host that is not listed gets no more reports. Cuts between hosts last some
 /// seconds to a minute; hosts are replaced for good many times a day.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(120);
@@ -173,12 +171,9 @@
         counted.count() + 1
     }
 
-    /// Tells whether this host has had the means and the time to know of the others.
-    ///
-    /// Of hosts that start together the first ones read a list of a few, and would take their fleet for small.
+    /// Tells whether this host has had the means to know of the others.
     pub fn is_known(&self, now: Duration) -> bool {
-        let has_heard = self.has_list || !self.hosts.is_empty();
-        has_heard && now >= START_SPREAD || now >= LIST_PATIENCE
+        self.has_list || !self.hosts.is_empty() || now >= LIST_PATIENCE
     }
 
     /// Tells whether each host reports to each other one.
