--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -51,8 +51,6 @@
 const COPY_SPREAD_MS: u64 = 120;
 /// Longest time to fetch a copy.
 const COPY_TIMEOUT: Duration = Duration::from_millis(800);
-/// A version below that of any table.
-const ANY_VERSION: u64 = 1;
 /// Times that a host is asked which gives as many copies as it can, and the longest pause in between.
 const COPY_TRIES: u32 = 3;
 const COPY_BUSY_MS: u64 = 300;
@@ -66,8 +64,6 @@
     tables: Rc<Tables<W, C>>,
     /// Addresses by hash of the host's name.
     addresses: RefCell<HashMap<u64, SocketAddr>>,
-    /// Other hosts of the data centre, as listed.
-    neighbours: RefCell<Vec<SocketAddr>>,
     hosts: Cell<usize>,
     random: RefCell<SeededRandom>,
 }
@@ -80,14 +76,13 @@
             core,
             tables,
             addresses: RefCell::new(HashMap::new()),
-            neighbours: RefCell::default(),
             hosts: Cell::new(1),
             random: RefCell::new(SeededRandom::new(seed)),
         }
     }
 
     /// Registers this host and looks for others, for as long as the process runs.
-    pub async fn list_forever<S: Store>(self: Rc<Self>, store: Rc<S>) {
+    pub async fn list_forever<S: Store>(&self, store: Rc<S>) {
         let entry = self.entry();
         let mut is_registered = false;
         loop {
@@ -95,7 +90,6 @@
             while !self.list(&*store).await {
                 tokio::time::sleep(LIST_RETRY).await;
             }
-            self.copy_from_anyone();
             // The store takes some hundred writes a second of one table's part; of hosts that start together
             // some are turned away, and have no reason to read the list again for that.
             while !is_registered {
@@ -106,27 +100,6 @@
         }
     }
 
-    /// Asks any host of the data centre for the tables that are not known. In a fleet that runs it knows them, and a
-    /// host that is restarted need not wait for a report.
-    fn copy_from_anyone(self: &Rc<Self>) {
-        let now = self.core.now();
-        if self.tables.role(now).is_following() {
-            return;
-        }
-        let neighbours = self.neighbours.borrow();
-        let count = neighbours.len() as u64;
-        if count == 0 {
-            return;
-        }
-        let drawn = self.random.borrow_mut().below(count);
-        let from = neighbours[drawn as usize];
-        for table in [Table::Config, Table::Endpoints] {
-            if self.tables.changed_version(table) == 0 {
-                self.compare(table, ANY_VERSION, from);
-            }
-        }
-    }
-
     /// Reads the list of hosts; tells whether the store answered.
     async fn list<S: Store>(&self, store: &S) -> bool {
         let listed = store.hosts().await;
@@ -213,12 +186,6 @@
         let addresses = listed.iter().zip(hosts);
         let addresses = addresses.map(|(listed, entry)| (listed.host, entry.peers_address));
         self.addresses.borrow_mut().extend(addresses);
-        let own = &self.core.settings;
-        let is_neighbour =
-            |it: &&HostEntry| it.data_centre == own.data_centre && it.host != own.host;
-        let neighbours = hosts.iter().filter(is_neighbour);
-        let neighbours = neighbours.map(|entry| entry.peers_address).collect();
-        *self.neighbours.borrow_mut() = neighbours;
         self.core.handle(DispatchEvent::HostsListed(listed));
     }
 
