--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -25,11 +25,6 @@
 
 /// Time between looks whether a host that copies from others has to follow the store itself.
 const IDLE_INTERVAL: Duration = Duration::from_millis(100);
-/// The same until the table is known: a host that starts is ready that much later.
-const START_INTERVAL: Duration = Duration::from_millis(20);
-/// Time for which a host that starts and is not to follow the store waits for another host's copy. Those that
-/// follow the store have the table within a tenth of a second.
-const COPY_PATIENCE: Duration = Duration::from_millis(1_000);
 /// Removed rows that are remembered, for copies that tell only what changed.
 const MAX_REMOVED: usize = 512;
 /// Gaps that are remembered. A host reads the whole table when it starts and when the store forgets its
@@ -152,7 +147,6 @@
     removed_before: u64,
     gaps: VecDeque<Gap>,
     is_following: bool,
-    list_from: Duration,
     feed_pause: Duration,
     outage: OutageView,
     random: SeededRandom,
@@ -208,32 +202,17 @@
             removed_before: 0,
             gaps: VecDeque::new(),
             is_following: true,
-            list_from: Duration::ZERO,
             feed_pause: Duration::ZERO,
             outage: OutageView::default(),
             random: SeededRandom::new(seed),
         }
     }
 
-    /// Creates the watch of a host that has just started, and may have others to copy from.
-    ///
-    /// All hosts of a large fleet may start together. If each read the whole table, they would take as many calls of
-    /// the store, which are bounded and paid for, as half a day.
-    pub fn starting(seed: u64, now: Duration) -> Self {
-        Self {
-            list_from: now + COPY_PATIENCE,
-            ..Self::new(seed)
-        }
-    }
-
     /// Returns the next step.
     pub fn step(&self, now: Duration) -> WatchStep {
         if !self.is_following && self.is_known() {
             return WatchStep::WaitUntil(now + IDLE_INTERVAL);
         }
-        if !self.is_following && now < self.list_from {
-            return WatchStep::WaitUntil(self.list_from.min(now + START_INTERVAL));
-        }
         if now < self.not_before {
             return WatchStep::WaitUntil(self.not_before);
         }
--- a/crates/fleet/tests/support/table_fleet.rs
+++ b/crates/fleet/tests/support/table_fleet.rs
@@ -50,8 +50,6 @@
     pub refused: BTreeSet<usize>,
     /// Hosts whose calls get no answer.
     pub silent: BTreeSet<usize>,
-    /// Times that the whole table was read.
-    pub lists: usize,
 }
 
 impl StoreTable {
@@ -120,15 +118,7 @@
 }
 
 impl Fleet {
-    /// Returns a fleet whose hosts know each other and the table.
     pub fn new(size: usize) -> Self {
-        let mut fleet = Self::starting(size);
-        fleet.run_until(START_MS);
-        fleet
-    }
-
-    /// Returns a fleet whose hosts have all started just now, and have read the list of hosts.
-    pub fn starting(size: usize) -> Self {
         let data_centre = |host: usize| format!("dc-{}", host % 5);
         let key = |host: usize| stable_hash(&format!("host-{host}"));
         let listed = (0..size).map(|host| ListedHost {
@@ -145,7 +135,7 @@
             Node {
                 key: key(index),
                 host,
-                watch: RowWatch::starting(index as u64, Duration::ZERO),
+                watch: RowWatch::new(index as u64),
                 news: TableNews::default(),
                 is_frozen: false,
                 call: None,
@@ -160,7 +150,7 @@
         for endpoint in 0..ENDPOINTS {
             store.write(&name(endpoint));
         }
-        Self {
+        let mut fleet = Self {
             now: 0,
             index: index.collect(),
             nodes,
@@ -168,7 +158,9 @@
             cut_off: None,
             random: SeededRandom::new(7),
             loss_percent: 2,
-        }
+        };
+        fleet.run_until(START_MS);
+        fleet
     }
 
     pub fn run_until(&mut self, end: u64) {
@@ -310,7 +302,6 @@
         node.watch.set_following(role.is_following(), lost_since);
         node.watch.set_feed_pause(role.feed_pause());
         if let WatchStep::Call(call) = node.watch.step(now) {
-            self.store.lists += usize::from(matches!(call, StoreCall::List { .. }));
             node.call = Some((self.now, call));
         }
     }
@@ -319,18 +310,10 @@
         self.cut_off == Some(host)
     }
 
-    /// Tells whether a host follows the store.
-    pub fn is_following(&self, host: usize) -> bool {
-        let dispatcher = &self.nodes[host].host.dispatcher;
-        dispatcher.store_role(at(self.now)).is_following()
-    }
-
     /// Returns the first host that calls the store. In a small fleet all do.
     pub fn first_caller(&self) -> usize {
-        let mut hosts = 0..self.nodes.len();
-        hosts
-            .find(|host| self.is_following(*host))
-            .expect("a caller")
+        let calls = |node: &Node| node.host.dispatcher.store_role(at(self.now)).is_following();
+        self.nodes.iter().position(calls).expect("a caller")
     }
 
     pub fn first_follower(&self) -> usize {
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -52,12 +52,10 @@
     /// Creates empty copies.
     pub fn new(core: Rc<Core<W, C>>) -> Self {
         let seed = stable_hash(&core.settings.host);
-        let now = core.now();
-        let watch = |seed| RefCell::new(RowWatch::starting(seed, now));
         Self {
             core,
-            config: watch(seed),
-            endpoints: watch(seed.rotate_left(1)),
+            config: RefCell::new(RowWatch::new(seed)),
+            endpoints: RefCell::new(RowWatch::new(seed.rotate_left(1))),
             config_news: RefCell::default(),
             endpoints_news: RefCell::default(),
             news: Notify::new(),
