fleet, gateway, platform: cold endpoints get few requests from all hosts together, evacuated data centres none

Callers saw endpoints crash that had just come back: the stated rate of a cold endpoint and the operator's evacuations were read by nobody.

Cause: no code. Hosts hear of each other's work up to a second late, and an endpoint that comes back seems idle to all of them at once.

Mend: the first two hosts in rank (rendezvous hash) among those registered in the store send to a cold endpoint, each a quarter of the bound in any second of its own (6 of 26 here); liveness plays no part, so cut fleets choose the same hosts. Cold by its entry, by a later run under its id, by having been unreachable from this host, and after an evacuation. A host that isn't in the list it has read sends nothing. Evacuations are rows of the operator's table and travel as configurations do. Requests for a service whose endpoints are all closed are refused at once.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -19,8 +19,8 @@
 /// Events that end a request.
 const ENDS: [&str; 5] = ["E3301", "E3302", "E3304", "E3305", "E3307"];
 /// Events about what a host depends on.
-const SURROUNDINGS: [&str; 8] = [
-    "E3002", "E3006", "E3102", "E3105", "E3201", "E3202", "E3203", "E3204",
+const SURROUNDINGS: [&str; 10] = [
+    "E3002", "E3006", "E3102", "E3105", "E3106", "E3107", "E3201", "E3202", "E3203", "E3204",
 ];
 
 /// The event of a host's start.
--- a/crates/fleet/examples/decision_time.rs
+++ b/crates/fleet/examples/decision_time.rs
@@ -9,6 +9,7 @@
 
 use sedgeridge_fleet::arrival::Arrival;
 use sedgeridge_fleet::arrival::RequestId;
+use sedgeridge_fleet::cold_start::ColdStartBounds;
 use sedgeridge_fleet::config::CallerLimits;
 use sedgeridge_fleet::config::EngineSpec;
 use sedgeridge_fleet::config::FleetConfig;
@@ -106,6 +107,7 @@
             min_extra: 600.0,
             window: Duration::from_secs(10),
         },
+        cold_starts: ColdStartBounds::default(),
         admission: AdmissionSettings::default(),
     });
     let mut decisions = Vec::new();
@@ -121,6 +123,7 @@
 fn config() -> Arc<FleetConfig> {
     let spec = ServiceSpec {
         max_connections: 1_900,
+        cold_start: None,
         engine: Some(EngineSpec {
             slots: SLOTS,
             memory_tokens: 486_529,
@@ -167,6 +170,7 @@
         data_centre: Arc::from(format!("dc-{}", number % 5)),
         slots: SLOTS,
         is_leaving: false,
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/crates/fleet/examples/report_bytes.rs
+++ b/crates/fleet/examples/report_bytes.rs
@@ -9,6 +9,7 @@
 
 use sedgeridge_fleet::arrival::Arrival;
 use sedgeridge_fleet::arrival::RequestId;
+use sedgeridge_fleet::cold_start::ColdStartBounds;
 use sedgeridge_fleet::config::Repeat;
 use sedgeridge_fleet::config::Route;
 use sedgeridge_fleet::config::RouteTarget;
@@ -118,6 +119,7 @@
         data_centre: Arc::from(data_centre(number)),
         share_window: Duration::from_secs(60),
         resends: ResendLimits::default(),
+        cold_starts: ColdStartBounds::default(),
         admission: AdmissionSettings::default(),
     });
     let mut decisions = Vec::new();
@@ -146,6 +148,7 @@
         data_centre: Arc::from(data_centre(number)),
         slots: 1_000,
         is_leaving: false,
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -7,6 +7,8 @@
 use sedgeridge_state::ids::AccountId;
 use sedgeridge_state::ids::ServiceId;
 
+use crate::cold_start::ColdStart;
+
 /// One complete configuration. A higher version replaces a lower one, never the reverse.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct FleetConfig {
@@ -90,6 +92,8 @@
 pub struct ServiceSpec {
     /// Connections that one endpoint accepts from all routers together.
     pub max_connections: u32,
+    /// Present where endpoints bear few requests in their first seconds.
+    pub cold_start: Option<ColdStart>,
     /// Present for model engines.
     pub engine: Option<EngineSpec>,
 }
--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -5,6 +5,7 @@
 mod peers;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +18,9 @@
 use crate::account_shares::AccountShares;
 use crate::arrival::Arrival;
 use crate::arrival::RequestId;
+use crate::cold_start::ColdEndpoints;
+use crate::cold_start::ColdStart;
+use crate::cold_start::ColdStartBounds;
 use crate::config::FleetConfig;
 use crate::config::ServiceSpec;
 use crate::endpoint_load::EndpointLoads;
@@ -65,6 +69,8 @@
     pub share_window: Duration,
     /// Bounds of sending a request to a second endpoint.
     pub resends: ResendLimits,
+    /// Bounds of requests to endpoints that have just started.
+    pub cold_starts: ColdStartBounds,
     /// Bounds of queueing and of engines' backlogs.
     pub admission: AdmissionSettings,
 }
@@ -78,6 +84,10 @@
     EndpointListed(Endpoint),
     /// An endpoint is no longer listed.
     EndpointGone(Arc<Endpoint>),
+    /// The operator wants nothing more sent to the endpoints of a data centre.
+    Evacuated(Arc<str>),
+    /// The operator has taken an evacuation back.
+    EvacuationEnded(Arc<str>),
     /// A request has been read.
     Arrived(Box<Arrival>),
     /// The first piece of a request's answer came.
@@ -107,6 +117,8 @@
     shortest_target: HashMap<ServiceId, Duration>,
     tokens_per_s: Option<f64>,
     endpoints: EndpointTable,
+    evacuated: BTreeSet<Arc<str>>,
+    cold: ColdEndpoints,
     speeds: EngineSpeeds,
     loads: EndpointLoads,
     records: EndpointRecords,
@@ -172,6 +184,8 @@
             shortest_target: HashMap::new(),
             tokens_per_s: None,
             endpoints: EndpointTable::default(),
+            evacuated: BTreeSet::new(),
+            cold: ColdEndpoints::new(settings.host, settings.cold_starts),
             speeds: EngineSpeeds::default(),
             loads: EndpointLoads::default(),
             records: EndpointRecords::default(),
@@ -196,8 +210,14 @@
     pub fn handle(&mut self, now: Duration, event: DispatchEvent, decisions: &mut Vec<Decision>) {
         match event {
             DispatchEvent::Configured(config) => self.on_config(&config),
-            DispatchEvent::EndpointListed(endpoint) => self.on_listed(endpoint),
+            DispatchEvent::EndpointListed(endpoint) => self.on_listed(now, endpoint),
             DispatchEvent::EndpointGone(endpoint) => self.on_gone(&endpoint),
+            DispatchEvent::Evacuated(data_centre) => {
+                self.evacuated.insert(data_centre);
+            }
+            DispatchEvent::EvacuationEnded(data_centre) => {
+                self.on_evacuation_ended(now, &data_centre);
+            }
             DispatchEvent::Arrived(arrival) => self.on_arrival(now, *arrival, decisions),
             DispatchEvent::FirstPiece(request) => self.on_first_piece(now, request),
             DispatchEvent::Completed(request) => self.on_completed(now, request),
@@ -210,16 +230,25 @@
                 self.on_attempt_failed(now, request, failure, decisions);
             }
             DispatchEvent::Abandoned(request) => self.on_abandoned(now, request),
-            DispatchEvent::HostsListed(hosts) => self.peers.on_listed(now, &hosts),
+            DispatchEvent::HostsListed(hosts) => {
+                self.peers.on_listed(now, &hosts);
+                self.cold.on_hosts(&hosts);
+            }
             DispatchEvent::Reported(report) => self.on_report(now, report),
             DispatchEvent::Tick => self.on_tick(now, decisions),
         }
     }
 
     /// Takes in changed bounds; what was counted stays.
-    pub fn set_bounds(&mut self, share_window: Duration, resends: ResendLimits) {
+    pub fn set_bounds(
+        &mut self,
+        share_window: Duration,
+        resends: ResendLimits,
+        cold_starts: ColdStartBounds,
+    ) {
         self.settings.share_window = share_window;
         self.settings.resends = resends;
+        self.cold.set_bounds(cold_starts);
         self.shares.set_window(share_window);
         self.resends.set_limits(resends);
     }
@@ -245,6 +274,20 @@
         &self.endpoints
     }
 
+    fn is_evacuated(&self, data_centre: &str) -> bool {
+        self.evacuated.contains(data_centre)
+    }
+
+    /// Returns how many data centres the operator has evacuated.
+    pub fn evacuated_data_centres(&self) -> usize {
+        self.evacuated.len()
+    }
+
+    /// Returns how many endpoints are cold, as far as this host knows.
+    pub fn cold_endpoints(&self, now: Duration) -> usize {
+        self.cold.count(now)
+    }
+
     /// Returns the whole fleet's work on an endpoint, as far as this host knows it.
     pub fn endpoint_load(&self, endpoint: u64) -> Load {
         self.loads.total(endpoint)
@@ -282,13 +325,54 @@
         self.expect_speed();
     }
 
-    fn on_listed(&mut self, endpoint: Endpoint) {
-        if let Some(earlier_run) = self.endpoints.put(endpoint) {
-            self.forget_run(&earlier_run);
+    fn on_listed(&mut self, now: Duration, endpoint: Endpoint) {
+        let cold_for = endpoint.cold_for;
+        let id = endpoint.id.clone();
+        let earlier_run = self.endpoints.put(endpoint);
+        if let Some(earlier_run) = &earlier_run {
+            self.forget_run(earlier_run);
+        }
+        if let Some(listed) = self.endpoints.get(&id).cloned() {
+            match self.cold_start_of(&listed) {
+                // It has started a moment ago, even if its entry was written too early to say so.
+                Some(stated) if earlier_run.is_some() => {
+                    let until = now + cold_for.max(stated.lasts);
+                    self.cold.note(listed.key, stated, until);
+                }
+                Some(stated) if !cold_for.is_zero() => {
+                    self.cold.note(listed.key, stated, now + cold_for);
+                }
+                _ => {}
+            }
         }
         self.expect_speed();
     }
 
+    /// Endpoints of a data centre that was evacuated are cold when it is taken back, and their entries say so a
+    /// moment later.
+    fn on_evacuation_ended(&mut self, now: Duration, data_centre: &Arc<str>) {
+        if !self.evacuated.remove(data_centre) {
+            return;
+        }
+        let of_data_centre = self.endpoints.iter();
+        let of_data_centre = of_data_centre.filter(|it| it.data_centre == *data_centre);
+        for endpoint in of_data_centre {
+            if let Some(stated) = self.cold_start_of(endpoint) {
+                self.cold.expect(endpoint.key, stated, now + stated.lasts);
+            }
+        }
+    }
+
+    /// Returns what the endpoint's service states of cold starts, if its endpoints have any.
+    fn cold_start_of(&self, endpoint: &Endpoint) -> Option<ColdStart> {
+        self.services.get(&endpoint.service)?.cold_start
+    }
+
+    /// Tells whether the endpoint may get a request from this host now.
+    fn is_open(&self, now: Duration, endpoint: &Endpoint) -> bool {
+        self.cold.allows(now, endpoint.key) && !self.is_evacuated(&endpoint.data_centre)
+    }
+
     fn on_gone(&mut self, endpoint: &Endpoint) {
         self.endpoints.remove(&endpoint.id);
         self.forget_run(endpoint);
@@ -297,6 +381,7 @@
 
     fn forget_run(&mut self, run: &Endpoint) {
         self.cached.forget_endpoint(run.key);
+        self.cold.forget(run.key);
         self.speeds.forget(run.key);
         self.records.forget(run.key);
     }
@@ -320,6 +405,7 @@
             self.shares.tick(now);
             self.peers.tick(now);
             self.quarantine.tick(now);
+            self.cold.tick(now);
         }
         self.serve_queue(now, decisions);
     }
--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sedgeridge_state::ids::ServiceId;
+
 use super::Dispatcher;
 use super::Pending;
 use crate::account_shares::Lead;
@@ -92,6 +94,8 @@
 const QUARANTINE_RETRY: Duration = Duration::from_millis(2_000);
 /// When a caller should come back where no endpoint could be reached: detection plus restart.
 const OUTAGE_RETRY: Duration = Duration::from_millis(400);
+/// The same where all endpoints are evacuated. Only the operator knows for how long.
+const EVACUATION_RETRY: Duration = Duration::from_secs(2);
 
 /// An endpoint that could take a request.
 struct Candidate<'a> {
@@ -129,6 +133,8 @@
     Preferred {
         homes: [Option<u64>; HOMES],
         drawn: [Option<u64>; HOMES],
+        /// A cold endpoint to which this host is one of the few that send.
+        cold: Option<u64>,
     },
 }
 
@@ -137,8 +143,9 @@
         match self {
             Self::Anywhere => true,
             Self::Homes(homes) => homes.contains(&Some(endpoint)),
-            Self::Preferred { homes, drawn } => {
-                homes.contains(&Some(endpoint)) || drawn.contains(&Some(endpoint))
+            Self::Preferred { homes, drawn, cold } => {
+                let endpoint = Some(endpoint);
+                homes.contains(&endpoint) || drawn.contains(&endpoint) || *cold == endpoint
             }
         }
     }
@@ -253,7 +260,8 @@
             .mul_f64(self.settings.admission.hold_part);
         let is_held_long = now >= arrival.received_at + hold;
         let Some(best) = self.best_candidate(now, pending) else {
-            return match is_held_long {
+            let is_closed = self.closed_until(now, &arrival.service).is_some();
+            return match is_held_long || is_closed {
                 true => Placing::Refuse(RefusalReason::NoEndpoint, None),
                 false => Placing::Wait,
             };
@@ -327,9 +335,10 @@
         };
         // Prompts are placed among the endpoints that work: when the homes of a prompt were down, each
         // of its requests went to the least busy endpoint and was read anew there.
-        let keys = usable.iter().map(|endpoint| endpoint.key);
-        let sound = keys.filter(|endpoint| self.records.is_sound(now, *endpoint));
-        let sound: Vec<_> = sound.collect();
+        let sound = usable.iter().filter(|endpoint| {
+            self.records.is_sound(now, endpoint.key) && self.is_open(now, endpoint)
+        });
+        let sound: Vec<_> = sound.map(|endpoint| endpoint.key).collect();
         let homes = home_endpoints(key, sound.iter().copied());
         // What was tried elsewhere goes on wherever there is room: its caller waits for the rest.
         if pending.sends > 0 {
@@ -339,8 +348,12 @@
             return Places::Homes(homes);
         }
         let draw = pair_hash(self.settings.host, pending.arrival.id.0);
+        let cold = self
+            .cold
+            .open(now)
+            .find(|endpoint| sound.contains(endpoint));
         let drawn = home_endpoints(draw, sound);
-        Places::Preferred { homes, drawn }
+        Places::Preferred { homes, drawn, cold }
     }
 
     fn best_of(&self, now: Duration, pending: &Pending, places: &Places) -> Option<Candidate<'_>> {
@@ -352,6 +365,7 @@
         let untried = usable.iter().filter(|endpoint| {
             places.allow(endpoint.key)
                 && self.records.is_up(now, endpoint.key)
+                && self.is_open(now, endpoint)
                 && !pending.tried.contains(&endpoint.key)
         });
         let candidates = untried.filter_map(|endpoint| match (prompt, engine) {
@@ -453,6 +467,20 @@
         distance + self.records.failure_share(now, endpoint.key) * FAILURE_COST_MS
     }
 
+    /// Returns when this host may send to the service again, if its endpoints are all evacuated or cold and left to
+    /// other hosts. A request that waits for them would wait in vain.
+    fn closed_until(&self, now: Duration, service: &ServiceId) -> Option<Duration> {
+        let usable = self.endpoints.usable(service);
+        let until = usable.iter().map(|endpoint| {
+            if self.is_evacuated(&endpoint.data_centre) {
+                return Some(now + EVACUATION_RETRY);
+            }
+            self.cold.closed_until(now, endpoint.key)
+        });
+        let until: Option<Vec<_>> = until.collect();
+        until?.into_iter().min()
+    }
+
     /// Returns when the caller of a request that is refused now should come back.
     pub(super) fn retry_after(
         &mut self,
@@ -467,9 +495,11 @@
                 self.returns.after_refusal(outlook)
             }
             RefusalReason::Quarantined => QUARANTINE_RETRY,
-            RefusalReason::NoEndpoint | RefusalReason::TurnedAway | RefusalReason::OutOfTime => {
-                OUTAGE_RETRY
+            RefusalReason::NoEndpoint => {
+                let closed_until = self.closed_until(now, &arrival.service);
+                closed_until.map_or(OUTAGE_RETRY, |until| until.saturating_sub(now))
             }
+            RefusalReason::TurnedAway | RefusalReason::OutOfTime => OUTAGE_RETRY,
         };
         // Beyond the caller's own time an answer says nothing.
         wait.min(arrival.deadline.saturating_sub(now))
--- a/crates/fleet/src/dispatcher/attempts.rs
+++ b/crates/fleet/src/dispatcher/attempts.rs
@@ -25,6 +25,8 @@
 /// Latency targets of silence after which a caller that leaves counts against the endpoint. An
 /// endpoint that takes requests and never answers would otherwise look as good as the others.
 const SILENT_TARGETS: u32 = 2;
+/// Time in which an endpoint that is down is no longer listed, or is back. Its entry tells of its return.
+const LAPSE_TIME: Duration = Duration::from_secs(4);
 /// Shortest time left with which a request is sent once more.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(30);
 
@@ -115,6 +117,7 @@
         }
         self.peers.on_started();
         self.loads.add_own(endpoint.key, load);
+        self.cold.on_sent(now, endpoint.key);
         let verdict = Verdict::Send(endpoint);
         decisions.push(Decision {
             request: id,
@@ -211,6 +214,7 @@
         self.loads.subtract_own(endpoint.key, attempt.load);
         if self.records.failed(now, endpoint.key, failure) {
             self.quarantine.endpoint_down(now, &endpoint.run_name());
+            self.expect_cold(now, &endpoint);
         }
         if let Some(fingerprint) = fingerprint {
             if failure == Failure::ConnectionLost {
@@ -230,6 +234,15 @@
         }
     }
 
+    /// An endpoint that was down is cold when it comes back, and its entry says so a moment later. Without this all
+    /// hosts choose it at once, since it seems idle.
+    fn expect_cold(&mut self, now: Duration, endpoint: &Endpoint) {
+        if let Some(stated) = self.cold_start_of(endpoint) {
+            let until = now + LAPSE_TIME + stated.lasts;
+            self.cold.expect(endpoint.key, stated, until);
+        }
+    }
+
     fn may_send_again(&mut self, now: Duration, id: RequestId) -> bool {
         let Some(pending) = self.requests.get(&id) else {
             return false;
--- a/crates/fleet/src/endpoint_table.rs
+++ b/crates/fleet/src/endpoint_table.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::ids::ServiceId;
@@ -31,6 +32,8 @@
     pub slots: u32,
     /// Whether it is about to stop and takes no new work.
     pub is_leaving: bool,
+    /// How long it stays cold, as of its entry.
+    pub cold_for: Duration,
 }
 
 impl Endpoint {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod account_shares;
 pub mod arrival;
+pub mod cold_start;
 pub mod config;
 pub mod copy_load;
 pub mod dispatcher;
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -11,6 +11,7 @@
 
 use sedgeridge_fleet::arrival::Arrival;
 use sedgeridge_fleet::arrival::RequestId;
+use sedgeridge_fleet::cold_start::ColdStartBounds;
 use sedgeridge_fleet::config::CallerLimits;
 use sedgeridge_fleet::config::EngineSpec;
 use sedgeridge_fleet::config::FleetConfig;
@@ -66,10 +67,11 @@
     let engines = ServiceSpec {
         max_connections: 100,
         engine: Some(engine),
+        ..ServiceSpec::default()
     };
     let plain = ServiceSpec {
         max_connections: 100,
-        engine: None,
+        ..ServiceSpec::default()
     };
     let services = [
         (ServiceId::from(ENGINES), engines),
@@ -98,6 +100,7 @@
         data_centre: Arc::from("here"),
         slots: 4,
         is_leaving: false,
+        cold_for: Duration::ZERO,
     }
 }
 
@@ -120,6 +123,7 @@
             min_extra: 10.0,
             window: at(10_000),
         },
+        cold_starts: ColdStartBounds::default(),
         admission: AdmissionSettings::default(),
     }
 }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -9,6 +9,7 @@
 
 use sedgeridge_fleet::arrival::Arrival;
 use sedgeridge_fleet::arrival::RequestId;
+use sedgeridge_fleet::cold_start::ColdStartBounds;
 use sedgeridge_fleet::dispatcher::DispatchEvent;
 use sedgeridge_fleet::dispatcher::Dispatcher;
 use sedgeridge_fleet::dispatcher::DispatcherSettings;
@@ -56,6 +57,8 @@
     pub share_window: Duration,
     /// Bounds of sending a request to a second endpoint.
     pub resends: ResendLimits,
+    /// Bounds of requests to endpoints that have just started.
+    pub cold_starts: ColdStartBounds,
 }
 
 impl Bounds {
@@ -64,6 +67,7 @@
             grace: settings.grace,
             share_window: settings.share_window,
             resends: settings.resends,
+            cold_starts: settings.cold_starts,
         }
     }
 }
@@ -123,6 +127,7 @@
             data_centre: settings.data_centre.clone(),
             share_window: settings.share_window,
             resends: settings.resends,
+            cold_starts: settings.cold_starts,
             admission: settings.admission.clone(),
         });
         let limits = sedgeridge_fleet::config::CallerLimits::default();
@@ -171,7 +176,7 @@
             return false;
         }
         let mut dispatcher = self.dispatcher.borrow_mut();
-        dispatcher.set_bounds(bounds.share_window, bounds.resends);
+        dispatcher.set_bounds(bounds.share_window, bounds.resends, bounds.cold_starts);
         true
     }
 
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -53,6 +53,10 @@
     EndpointGone = 3104, "gateway_endpoint_gone";
     /// An endpoint's entry cannot be read; it gets no requests by it.
     EndpointUnusable = 3105, "gateway_endpoint_unusable";
+    /// The operator wants nothing more sent to the endpoints of a data centre.
+    Evacuated = 3106, "gateway_data_centre_evacuated";
+    /// The operator has taken the evacuation of a data centre back. Its endpoints count as cold.
+    EvacuationEnded = 3107, "gateway_evacuation_ended";
     /// The platform's store gives no answer about a table.
     StoreLost = 3201, "gateway_store_lost";
     /// The platform's store answers about a table again.
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -87,6 +87,10 @@
     pub config_version: u64,
     /// Endpoints that are listed.
     pub endpoints: usize,
+    /// Endpoints that are cold, as far as the host knows.
+    pub endpoints_cold: usize,
+    /// Data centres that the operator has evacuated.
+    pub data_centres_evacuated: usize,
     /// Requests that wait for an endpoint.
     pub queued: usize,
     /// Requests that have no final answer yet.
@@ -111,6 +115,8 @@
 pub fn set_gauges(moment: Moment, counts: &DispatchCounts) {
     gauge!("sedgeridge_gateway_config_version").set(moment.config_version as f64);
     gauge!("sedgeridge_gateway_endpoints").set(moment.endpoints as f64);
+    gauge!("sedgeridge_gateway_endpoints_cold").set(moment.endpoints_cold as f64);
+    gauge!("sedgeridge_gateway_data_centres_evacuated").set(moment.data_centres_evacuated as f64);
     gauge!("sedgeridge_gateway_queued").set(moment.queued as f64);
     gauge!("sedgeridge_gateway_unfinished").set(moment.unfinished as f64);
     gauge!("sedgeridge_gateway_hosts").set(moment.hosts as f64);
--- a/crates/gateway/src/pages.rs
+++ b/crates/gateway/src/pages.rs
@@ -64,6 +64,8 @@
         let moment = Moment {
             config_version: core.routes.borrow().version().unwrap_or(0),
             endpoints: dispatcher.endpoints().len(),
+            endpoints_cold: dispatcher.cold_endpoints(now),
+            data_centres_evacuated: dispatcher.evacuated_data_centres(),
             queued: dispatcher.queued(),
             unfinished: dispatcher.unfinished(),
             hosts: dispatcher.hosts(now),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sedgeridge_fleet::cold_start::ColdStartBounds;
 use sedgeridge_fleet::dispatcher::AdmissionSettings;
 use sedgeridge_fleet::resend_window::ResendLimits;
 
@@ -32,6 +33,8 @@
     pub share_window: Duration,
     /// Bounds of sending a request to a second endpoint.
     pub resends: ResendLimits,
+    /// Bounds of requests to endpoints that have just started.
+    pub cold_starts: ColdStartBounds,
     /// Bounds of queueing and of engines' backlogs.
     pub admission: AdmissionSettings,
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -10,7 +10,7 @@
 /// A table that the product reads.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Table {
-    /// The operator's configuration.
+    /// What the operator wants: the configuration, and which data centres are evacuated.
     Config,
     /// The endpoints.
     Endpoints,
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -261,7 +261,10 @@
     fn apply(&self, table: Table, changed: Vec<Row>) {
         for row in changed {
             match table {
-                Table::Config => self.apply_config(&row),
+                Table::Config => match self.core.wire.evacuated(&row.key) {
+                    Some(data_centre) => self.apply_evacuation(&row, data_centre),
+                    None => self.apply_config(&row),
+                },
                 Table::Endpoints => self.apply_endpoint(&row),
             }
         }
@@ -305,6 +308,22 @@
         self.core.handle(DispatchEvent::Configured(config));
     }
 
+    fn apply_evacuation(&self, row: &Row, data_centre: Arc<str>) {
+        let fields = [
+            ("data_centre", (*data_centre).into()),
+            ("row_version", row.version.into()),
+        ];
+        let (log_event, event) = match row.value {
+            Some(_) => (LogEvent::Evacuated, DispatchEvent::Evacuated(data_centre)),
+            None => (
+                LogEvent::EvacuationEnded,
+                DispatchEvent::EvacuationEnded(data_centre),
+            ),
+        };
+        self.core.log(log_event, &fields);
+        self.core.handle(event);
+    }
+
     fn apply_endpoint(&self, row: &Row) {
         let Some(document) = &row.value else {
             self.remove_endpoint(&row.key);
@@ -316,6 +335,7 @@
                     ("endpoint", (*row.key).into()),
                     ("service", endpoint.service.as_str().into()),
                     ("is_leaving", endpoint.is_leaving.into()),
+                    ("cold_ms", millis(endpoint.cold_for)),
                     ("row_version", row.version.into()),
                 ];
                 self.core.log(LogEvent::EndpointListed, &fields);
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -107,6 +107,10 @@
     /// The document cannot be used.
     fn endpoint(&self, id: &str, document: &[u8]) -> Result<Endpoint, WireError>;
 
+    /// Returns the data centre to whose endpoints nothing is to be sent while this row of the operator's table
+    /// exists; `None` for other rows.
+    fn evacuated(&self, key: &str) -> Option<Arc<str>>;
+
     /// Path on which the balancer asks whether the router is ready.
     fn ready_path(&self) -> &'static str;
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -17,6 +17,7 @@
 use http::HeaderMap;
 use http::HeaderValue;
 use metrics_exporter_prometheus::PrometheusHandle;
+use sedgeridge_fleet::cold_start::ColdStartBounds;
 use sedgeridge_fleet::config::Account;
 use sedgeridge_fleet::config::CallerLimits;
 use sedgeridge_fleet::config::FleetConfig;
@@ -112,6 +113,10 @@
         Ok(FleetConfig::clone(&self.config))
     }
 
+    fn evacuated(&self, _: &str) -> Option<Arc<str>> {
+        None
+    }
+
     fn endpoint(&self, id: &str, document: &[u8]) -> Result<Endpoint, WireError> {
         if document == UNREADABLE {
             return Err(WireError::Missing("service"));
@@ -281,6 +286,7 @@
             data_centre: Arc::from("here"),
             slots: 4,
             is_leaving: false,
+            cold_for: Duration::ZERO,
         };
         endpoints.insert(id.to_string(), endpoint);
     }
@@ -341,6 +347,7 @@
         grace: Duration::from_secs(4),
         share_window: Duration::from_secs(4),
         resends: ResendLimits::default(),
+        cold_starts: ColdStartBounds::default(),
         admission: AdmissionSettings::default(),
     }
 }
--- a/crates/slopes/src/data_paths.rs
+++ b/crates/slopes/src/data_paths.rs
@@ -91,6 +91,7 @@
         data_centre: "dc-0".to_owned(),
         slots: SLOTS,
         is_leaving: false,
+        cold_ms: 0,
     });
     rows.put(ENDPOINTS_TABLE, "e-1", &entry);
 
@@ -128,6 +129,8 @@
             service: "streams".to_owned(),
             timeout_ms: TIMEOUT_MS,
         }],
+        cold_start_s: 0.0,
+        cold_per_s: 0.0,
         accounts: vec![AccountForm {
             name: "crew".to_owned(),
             keys: vec!["secret".to_owned()],
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -136,6 +136,8 @@
         let config = documents::config(&ConfigForm {
             version: newest,
             routes: routes.into(),
+            cold_start_s: 0.0,
+            cold_per_s: 0.0,
             accounts: vec![account],
         });
         self.rows.put(OPERATOR_TABLE, CONFIG_KEY, &config);
@@ -170,6 +172,7 @@
             data_centre: self.data_centre.clone(),
             slots: SLOTS,
             is_leaving,
+            cold_ms: 0,
         });
         rows.put(ENDPOINTS_TABLE, &self.id(), &entry);
     }
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -138,6 +138,14 @@
         "requests that ended without an answer in full",
     ),
     gauge("sedgeridge_gateway_endpoints", "endpoints that are listed"),
+    gauge(
+        "sedgeridge_gateway_endpoints_cold",
+        "endpoints that are cold, as far as this host knows",
+    ),
+    gauge(
+        "sedgeridge_gateway_data_centres_evacuated",
+        "data centres that the operator has evacuated",
+    ),
     counter(
         "sedgeridge_gateway_failed_total",
         "reason",
