fleet, gateway: hosts keep as many idle connections to an endpoint as all of them together may

Callers of bookings got 502 for requests that had not run: endpoints reset connections beyond the number that they accept (530 here), also those on which a request had just been sent, and one that may not be repeated then fails.

Cause: each host kept up to 16 idle connections to each endpoint, 1,248 for 78 hosts; a request that may not be repeated opens a new one each time and leaves it behind. The service's stated bound was read and used by nobody.

Mend: idle connections of all hosts together take half of the stated bound at most; the number of hosts is what this host hears of. 300 hosts before an endpoint of 530 keep none. Ruled out as a mend: another constant, since fleets grow.

--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -30,6 +30,7 @@
 use crate::endpoint_table::EndpointTable;
 use crate::engine_speed::EngineSpeeds;
 use crate::hashing::stable_hash;
+use crate::idle_connections::idle_connections;
 use crate::peer_hosts::ListedHost;
 use crate::peer_report::PeerReport;
 use crate::placement::CachedParts;
@@ -278,6 +279,13 @@
         self.evacuated.contains(data_centre)
     }
 
+    /// Returns how many idle connections this host keeps to each endpoint of a service.
+    pub fn idle_connections(&self, now: Duration, service: &ServiceId) -> usize {
+        let spec = self.services.get(service);
+        let max_connections = spec.map_or(0, |spec| spec.max_connections);
+        idle_connections(max_connections, self.hosts(now))
+    }
+
     /// Returns how many data centres the operator has evacuated.
     pub fn evacuated_data_centres(&self) -> usize {
         self.evacuated.len()
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod engine_speed;
 pub mod event_stream;
 pub mod hashing;
+pub mod idle_connections;
 pub mod memory_budget;
 pub mod peer_hosts;
 pub mod peer_report;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -163,12 +163,14 @@
 ) {
     let core = Rc::clone(core);
     let address = endpoint.address;
+    let service = endpoint.service.clone();
     tokio::task::spawn_local(async move {
         if connection.ready().await.is_ok() {
             let now = core.now();
+            let most = core.with_dispatcher(|it| it.idle_connections(now, &service));
             core.pool
                 .borrow_mut()
-                .put(now, address, connection, keep_alive);
+                .put(now, address, connection, keep_alive, most);
         }
     });
 }
--- a/crates/gateway/src/endpoint_pool.rs
+++ b/crates/gateway/src/endpoint_pool.rs
@@ -18,8 +18,6 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for which an idle connection is used again, where the endpoint names none.
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
-/// Most idle connections to one endpoint.
-pub const MAX_IDLE: usize = 16;
 
 /// Bytes that a connection reads ahead or keeps back at most, and the longest head of an answer. The
 /// library's own bound is many times higher, and each stream with a slow caller would take it.
@@ -30,7 +28,7 @@
 
 /// Idle connections by address.
 ///
-/// There are at most [`MAX_IDLE`] to each address and `most_idle` in all. A fleet has hundreds of endpoints, and
+/// Whoever keeps one says how many there may be to its address, and there are at most `most_idle` in all. A fleet has hundreds of endpoints, and
 /// each idle connection holds its buffers: without the second bound they alone would fill the memory
 /// of a small host.
 #[derive(Debug)]
@@ -67,13 +65,15 @@
         None
     }
 
-    /// Keeps a connection for the next request. `keep_alive` is the endpoint's own idle timeout.
+    /// Keeps a connection for the next request, unless there are `most_to_address` already. `keep_alive` is the
+    /// endpoint's own idle timeout.
     pub fn put(
         &mut self,
         now: Duration,
         address: SocketAddr,
         connection: EndpointConnection,
         keep_alive: Option<Duration>,
+        most_to_address: usize,
     ) {
         // Half of the endpoint's timeout, or a request could cross its close on the way.
         let usable_for = keep_alive.map_or(DEFAULT_IDLE, |timeout| timeout / 2);
@@ -84,7 +84,7 @@
             self.close_oldest();
         }
         let idle = self.idle.entry(address).or_default();
-        if idle.len() >= MAX_IDLE {
+        if idle.len() >= most_to_address {
             return;
         }
         let until = now + usable_for.min(DEFAULT_IDLE);
--- a/crates/gateway/src/http_caller.rs
+++ b/crates/gateway/src/http_caller.rs
@@ -17,9 +17,10 @@
 
 use crate::clock::Clock;
 use crate::endpoint_pool::EndpointPool;
-use crate::endpoint_pool::MAX_IDLE;
 use crate::endpoint_pool::open_connection;
 
+/// Most idle connections.
+const MAX_IDLE: usize = 16;
 /// Longest body of an answer. The store's are of a megabyte at most; three at once, each read and
 /// decoded, must fit beside callers' requests on the smallest host.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
@@ -99,7 +100,7 @@
         if connection.ready().await.is_ok() {
             let now = self.clock.now();
             let mut pool = self.pool.borrow_mut();
-            pool.put(now, self.address, connection, None);
+            pool.put(now, self.address, connection, None, MAX_IDLE);
         }
         let body = body.to_bytes();
         Ok(Reply { status, body })
