fleet: engines that fall idle in a flood are looked at again

Cause: such accounts are refused without a comparison for ten milliseconds after one has shown that engines have nothing left; the refusal without a comparison began those ten milliseconds anew. Ruled out by plays: the part of an engine's slots up to which it counts as idle.

--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -205,7 +205,8 @@
             Placing::Send(endpoint, load) => !self.start(now, id, endpoint, load, decisions),
             Placing::Wait => true,
             Placing::Refuse(reason, best) => {
-                if reason == RefusalReason::OverShare {
+                // A refusal without a comparison shows nothing new.
+                if reason == RefusalReason::OverShare && best.is_some() {
                     self.no_room_until = now + NO_ROOM_TIME;
                 }
                 self.end_unsent(now, id, reason, best, decisions);
