gateway: requests that are refused for their account's share are refused by their first bytes

Cause: a refusal went through the server library's connection, timers, body and tasks. Now the bytes that have come are parsed once, the key's account is looked up, and the answer is written; whatever isn't whole, has a length of its own kind or asks for anything about its connection takes the usual way with its bytes put back. The shutdown call before the close of a connection is gone, the close says the same.

--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -306,6 +306,16 @@
         self.shares.standing(account) > 1.0
     }
 
+    /// Tells whether engines had nothing left for accounts over their share a moment ago.
+    pub fn has_no_room(&self, now: Duration) -> bool {
+        now < self.no_room_until
+    }
+
+    /// Tells whether a new prompt of an account is refused at once, whatever it asks for.
+    pub fn refuses(&self, now: Duration, account: u64) -> bool {
+        self.has_no_room(now) && self.is_over_share(account)
+    }
+
     /// Returns how many requests wait for an endpoint.
     pub fn queued(&self) -> usize {
         self.queue.len()
--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -252,7 +252,7 @@
         }
         let is_over_share = self.standing(arrival) > 1.0;
         let is_fresh = arrival.prompt.is_some() && pending.sends == 0;
-        if is_over_share && is_fresh && now < self.no_room_until {
+        if is_over_share && is_fresh && self.has_no_room(now) {
             return Placing::Refuse(RefusalReason::OverShare, None);
         }
         let hold = arrival
--- a/crates/gateway/src/call_log.rs
+++ b/crates/gateway/src/call_log.rs
@@ -10,6 +10,7 @@
 
 use crate::call::Call;
 use crate::clock::Clock;
+use crate::core::Core;
 use crate::event_log::LogEvent;
 use crate::event_log::millis;
 use crate::meters;
@@ -43,35 +44,13 @@
     }
 
     pub(crate) fn log_refusal(&self, reason: RefusalReason, retry_after: Duration, basis: &Basis) {
-        meters::refused(reason.as_str());
-        if !self
-            .core
-            .log
-            .is_wanted(self.core.now(), LogEvent::RequestRefused)
-        {
-            return;
-        }
-        let waited = self.core.now().saturating_sub(self.received_at);
-        let endpoint = basis.endpoint.as_ref().map(|endpoint| endpoint.id.as_str());
-        let fields = [
-            ("request", (*self.outgoing.id).into()),
-            ("account", self.account_name().into()),
-            ("route", (*self.route.name).into()),
-            ("reason", reason.as_str().into()),
-            ("retry_after_ms", millis(retry_after)),
-            ("waited_ms", millis(waited)),
-            ("standing", rounded(basis.standing)),
-            ("asked", rounded(basis.asked)),
-            ("least_standing", rounded(basis.least_standing)),
-            ("queued", basis.queued.into()),
-            ("hosts", basis.hosts.into()),
-            ("oldest_report_ms", millis(basis.oldest_report)),
-            ("endpoint", endpoint.into()),
-            ("backlog_ms", rounded(basis.backlog_ms)),
-            ("first_piece_ms", rounded(basis.first_piece_ms)),
-            ("config_version", self.core.routes.borrow().version().into()),
-        ];
-        self.core.log(LogEvent::RequestRefused, &fields);
+        let refused = Refused {
+            id: &self.outgoing.id,
+            account: self.account_name(),
+            route: &self.route.name,
+            received_at: self.received_at,
+        };
+        log_refusal(&self.core, &refused, reason, retry_after, basis);
     }
 
     pub(crate) fn log_failure(&self, failure: Failure) {
@@ -91,6 +70,53 @@
     }
 }
 
+/// A request that was refused, for its log line.
+pub(crate) struct Refused<'a> {
+    /// Its id on the wire.
+    pub(crate) id: &'a str,
+    /// The account that pays; empty if there is none.
+    pub(crate) account: &'a str,
+    /// Name of its route.
+    pub(crate) route: &'a str,
+    /// When its head had been read.
+    pub(crate) received_at: Duration,
+}
+
+/// Counts a refusal, and logs it unless enough are logged in this second.
+pub(crate) fn log_refusal<W: Wire, C: Clock>(
+    core: &Core<W, C>,
+    refused: &Refused<'_>,
+    reason: RefusalReason,
+    retry_after: Duration,
+    basis: &Basis,
+) {
+    meters::refused(reason.as_str());
+    if !core.log.is_wanted(core.now(), LogEvent::RequestRefused) {
+        return;
+    }
+    let waited = core.now().saturating_sub(refused.received_at);
+    let endpoint = basis.endpoint.as_ref().map(|endpoint| endpoint.id.as_str());
+    let fields = [
+        ("request", refused.id.into()),
+        ("account", refused.account.into()),
+        ("route", refused.route.into()),
+        ("reason", reason.as_str().into()),
+        ("retry_after_ms", millis(retry_after)),
+        ("waited_ms", millis(waited)),
+        ("standing", rounded(basis.standing)),
+        ("asked", rounded(basis.asked)),
+        ("least_standing", rounded(basis.least_standing)),
+        ("queued", basis.queued.into()),
+        ("hosts", basis.hosts.into()),
+        ("oldest_report_ms", millis(basis.oldest_report)),
+        ("endpoint", endpoint.into()),
+        ("backlog_ms", rounded(basis.backlog_ms)),
+        ("first_piece_ms", rounded(basis.first_piece_ms)),
+        ("config_version", core.routes.borrow().version().into()),
+    ];
+    core.log(LogEvent::RequestRefused, &fields);
+}
+
 fn rounded(value: f64) -> Value {
     ((value * 100.0).round() / 100.0).into()
 }
--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -32,6 +32,8 @@
 use crate::caller_stream::CallerStream;
 use crate::clock::Clock;
 use crate::core::Core;
+use crate::early_refusal::Early;
+use crate::early_refusal::refuse_next;
 use crate::held_memory::HeldMemory;
 use crate::wire::Wire;
 
@@ -47,7 +49,22 @@
 pub(crate) async fn serve<W: Wire, C: Clock>(core: Rc<Core<W, C>>, stream: TcpStream) {
     let stream = CallerStream::new(stream);
     let served = Served::default();
+    // What is refused early is better waited for without a state of its own.
+    if core.refuses_many() && !wait_for_request(&core, &stream, &served).await {
+        return;
+    }
     loop {
+        match refuse_next(&core, &stream) {
+            Early::Passed => {}
+            Early::Close => return,
+            Early::Refused => {
+                served.any.set(true);
+                if !stream.has_unread() && !wait_for_request(&core, &stream, &served).await {
+                    return;
+                }
+                continue;
+            }
+        }
         let exchange = serve_requests(&core, &stream, &served);
         // Not part of this task, which stays as long as the connection.
         if Box::pin(exchange).await == Next::Close {
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -120,7 +120,8 @@
     })
 }
 
-fn look_up<W: Wire, C: Clock>(
+/// Returns the route of a request, and the account that pays.
+pub(crate) fn look_up<W: Wire, C: Clock>(
     core: &Rc<Core<W, C>>,
     head: &Parts,
     facts: &RequestFacts,
--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
+use std::task::Waker;
 use std::task::ready;
 
 use bytes::Bytes;
@@ -111,6 +112,24 @@
         *self.inner.unread.borrow_mut() = Bytes::copy_from_slice(bytes);
     }
 
+    /// Reads what has come, without waiting; `None` if nothing has, or the connection is broken or closed.
+    pub fn read_now(&self, buffer: &mut [u8]) -> Option<usize> {
+        let mut context = Context::from_waker(Waker::noop());
+        let mut buffer = ReadBuf::new(buffer);
+        let mut stream = self.inner.stream.borrow_mut();
+        // Unlike a plain try this notes that nothing more is there, which spares the next reader a call.
+        match Pin::new(&mut *stream).poll_read(&mut context, &mut buffer) {
+            Poll::Ready(Ok(())) if !buffer.filled().is_empty() => Some(buffer.filled().len()),
+            _ => None,
+        }
+    }
+
+    /// Writes a short answer, without waiting; tells whether all of it went out.
+    pub fn write_now(&self, bytes: &[u8]) -> bool {
+        let written = self.inner.stream.borrow().try_write(bytes);
+        written.is_ok_and(|written| written == bytes.len())
+    }
+
     /// Waits until the caller sends something or closes.
     ///
     /// # Errors
@@ -193,7 +212,8 @@
         Pin::new(&mut *self.inner.stream.borrow_mut()).poll_flush(context)
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.inner.stream.borrow_mut()).poll_shutdown(context)
+    /// The connection is closed right afterwards, which tells the caller the same with one system call less.
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -285,6 +285,11 @@
         self.half_heads.get() > self.most_half_heads
     }
 
+    /// Tells whether many requests are refused, so that it pays to look for those that can be refused early.
+    pub fn refuses_many(&self) -> bool {
+        self.dispatcher.borrow().has_no_room(self.now())
+    }
+
     /// Tells whether the process was told to stop.
     pub fn is_stopping(&self) -> bool {
         self.stopping.borrow().is_some()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod clock;
 pub mod connection;
 pub mod core;
+mod early_refusal;
 pub mod endpoint_pool;
 pub mod event_log;
 pub mod held_memory;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -20,6 +20,7 @@
 use sedgeridge_fleet::cold_start::ColdStartBounds;
 use sedgeridge_fleet::config::Account;
 use sedgeridge_fleet::config::CallerLimits;
+use sedgeridge_fleet::config::EngineSpec;
 use sedgeridge_fleet::config::FleetConfig;
 use sedgeridge_fleet::config::Repeat;
 use sedgeridge_fleet::config::Route;
@@ -27,6 +28,7 @@
 use sedgeridge_fleet::config::ServiceSpec;
 use sedgeridge_fleet::dispatcher::AdmissionSettings;
 use sedgeridge_fleet::endpoint_table::Endpoint;
+use sedgeridge_fleet::prompt::Prompt;
 use sedgeridge_fleet::resend_window::ResendLimits;
 use sedgeridge_fleet::row_watch::Row;
 use sedgeridge_fleet::row_watch::StoreAnswer;
@@ -59,6 +61,7 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+const SERVICE: &str = "desk";
 /// Longest time of a test.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -69,6 +72,14 @@
     pub endpoints: Rc<BTreeMap<String, Endpoint>>,
 }
 
+fn prompt(prompt_tokens: u32) -> Prompt {
+    Prompt {
+        prompt_tokens,
+        max_output_tokens: 10,
+        parts: Vec::new(),
+    }
+}
+
 fn text(headers: &HeaderMap, name: &str) -> Option<Arc<str>> {
     headers.get(name)?.to_str().ok().map(Arc::from)
 }
@@ -82,7 +93,9 @@
             time_left: text(headers, "time-left-ms")
                 .and_then(|left| left.parse().ok())
                 .map(Duration::from_millis),
-            prompt: None,
+            prompt: text(headers, "tokens")
+                .and_then(|tokens| tokens.parse().ok())
+                .map(prompt),
             last_event_id: text(headers, "last-event-id").and_then(|id| id.parse().ok()),
         })
     }
@@ -244,13 +257,44 @@
     endpoints: usize,
     script: Script,
     test: impl FnOnce(Fleet) -> F,
+) {
+    let config = config(repeat, ServiceId::from(SERVICE));
+    run_with(config, endpoints, script, test);
+}
+
+/// Runs a test before engines that process `tokens_per_s` together.
+pub fn run_engines<F: Future<Output = ()>>(
+    tokens_per_s: f64,
+    script: Script,
+    test: impl FnOnce(Fleet) -> F,
+) {
+    let repeat = Repeat::Stream { resumable: true };
+    let mut config = config(repeat, ServiceId::from(SERVICE));
+    config.limits.tokens_per_s = Some(tokens_per_s);
+    let engine = EngineSpec {
+        slots: 4,
+        memory_tokens: 100_000,
+    };
+    let spec = ServiceSpec {
+        engine: Some(engine),
+        ..ServiceSpec::default()
+    };
+    config.services.insert(ServiceId::from(SERVICE), spec);
+    run_with(config, 1, script, test);
+}
+
+fn run_with<F: Future<Output = ()>>(
+    config: FleetConfig,
+    endpoints: usize,
+    script: Script,
+    test: impl FnOnce(Fleet) -> F,
 ) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .expect("a runtime");
     LocalSet::new().block_on(&runtime, async move {
-        let fleet = start(repeat, endpoints, script).await;
+        let fleet = start(config, endpoints, script).await;
         let done = timeout(TEST_TIMEOUT, test(fleet)).await;
         done.expect("the test ends in time");
     });
@@ -265,8 +309,8 @@
     SocketAddr::from(([127, 200, high, low], port))
 }
 
-async fn start(repeat: Repeat, count: usize, script: Script) -> Fleet {
-    let service = ServiceId::from("desk");
+async fn start(config: FleetConfig, count: usize, script: Script) -> Fleet {
+    let service = ServiceId::from(SERVICE);
     let mut endpoints = BTreeMap::new();
     let mut seen = Vec::new();
     let next = Rc::new(Cell::new(0));
@@ -299,7 +343,7 @@
     let stop = Rc::new(Notify::new());
     let context = Context {
         wire: TestWire {
-            config: Rc::new(config(repeat, service)),
+            config: Rc::new(config),
             endpoints: Rc::new(endpoints),
         },
         clock: SteadyClock::start(),
@@ -372,14 +416,21 @@
         version: 1,
         routes: vec![route],
         services: BTreeMap::from([(service, ServiceSpec::default())]),
-        accounts: Some(vec![Account {
-            id: AccountId::from("crew-7"),
-            keys: vec![Arc::from("secret")],
-        }]),
+        accounts: Some(vec![
+            account("crew-7", "secret"),
+            account("crew-8", "other"),
+        ]),
         limits: CallerLimits::default(),
     }
 }
 
+fn account(id: &str, key: &str) -> Account {
+    Account {
+        id: AccountId::from(id),
+        keys: vec![Arc::from(key)],
+    }
+}
+
 async fn play(
     listener: TcpListener,
     script: Script,
