fleet, gateway: a host that is behind refuses a part of its prompts at once

Callers of a data centre got late answers or no connection for seconds while most of its hosts were idle: the balancer leads all connections of one client to one host, and what waits there for the processor is late, whoever sent it.

Cause: the host accepted and served in order, paused 5 ms between accepts while it lagged (200 callers a second), and called itself not ready only after its timers were 80 ms late. Now the part of prompts that is refused early, whole and unrun, rises with the lateness of the event loop's timers and falls while they are in time; those callers are told to come back at once and reach another host. The pause is 1 ms.

--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -500,7 +500,9 @@
                 let closed_until = self.closed_until(now, &arrival.service);
                 closed_until.map_or(OUTAGE_RETRY, |until| until.saturating_sub(now))
             }
-            RefusalReason::TurnedAway | RefusalReason::OutOfTime => OUTAGE_RETRY,
+            RefusalReason::TurnedAway | RefusalReason::OutOfTime | RefusalReason::HostBusy => {
+                OUTAGE_RETRY
+            }
         };
         // Beyond the caller's own time an answer says nothing.
         wait.min(arrival.deadline.saturating_sub(now))
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod event_stream;
 pub mod hashing;
 pub mod idle_connections;
+pub mod load_shedding;
 pub mod memory_budget;
 pub mod peer_hosts;
 pub mod peer_report;
--- a/crates/fleet/src/verdict.rs
+++ b/crates/fleet/src/verdict.rs
@@ -72,6 +72,8 @@
     TurnedAway,
     /// The caller's time was over before it could be sent.
     OutOfTime,
+    /// The host has no processor time for it; others may.
+    HostBusy,
 }
 
 impl RefusalReason {
@@ -84,6 +86,7 @@
             Self::Quarantined => "quarantined",
             Self::TurnedAway => "turned_away",
             Self::OutOfTime => "out_of_time",
+            Self::HostBusy => "host_busy",
         }
     }
 }
--- a/crates/gateway/src/caller_listener.rs
+++ b/crates/gateway/src/caller_listener.rs
@@ -15,7 +15,7 @@
 /// Pause after each new connection while the host cannot keep up. Without it a flood of connections,
 /// each read and refused, takes the processor from the requests that were admitted. Callers that
 /// are not accepted come to another host, since this one is not ready meanwhile.
-const OVERLOADED_ACCEPT_PAUSE: Duration = Duration::from_millis(5);
+const OVERLOADED_ACCEPT_PAUSE: Duration = Duration::from_millis(1);
 
 /// Accepts connections for as long as the process runs.
 pub async fn accept_forever<W: Wire, C: Clock>(core: Rc<Core<W, C>>, listener: TcpListener) {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -14,6 +14,7 @@
 use sedgeridge_fleet::dispatcher::Dispatcher;
 use sedgeridge_fleet::dispatcher::DispatcherSettings;
 use sedgeridge_fleet::hashing::stable_hash;
+use sedgeridge_fleet::load_shedding::LoadShedding;
 use sedgeridge_fleet::memory_budget::MemoryBudget;
 use sedgeridge_fleet::resend_window::ResendLimits;
 use sedgeridge_fleet::route_table::RouteTable;
@@ -103,6 +104,8 @@
     pub stopping: watch::Sender<Option<Duration>>,
     /// How far the event loop is behind.
     pub lag: RefCell<LoopLag>,
+    /// Which requests are shed for want of processor time.
+    pub shedding: RefCell<LoadShedding>,
     /// Connections of callers that are open.
     pub callers: Cell<usize>,
     /// Connections of callers on which a part of a request's head has come.
@@ -148,6 +151,7 @@
             memory: SharedMemory::new(budget),
             stopping: watch::Sender::new(None),
             lag: RefCell::new(LoopLag::default()),
+            shedding: RefCell::default(),
             callers: Cell::new(0),
             half_heads: Cell::new(0),
             in_progress: Cell::new(0),
@@ -287,7 +291,7 @@
 
     /// Tells whether many requests are refused, so that it pays to look for those that can be refused early.
     pub fn refuses_many(&self) -> bool {
-        self.dispatcher.borrow().has_no_room(self.now())
+        self.shedding.borrow().is_active() || self.dispatcher.borrow().has_no_room(self.now())
     }
 
     /// Tells whether the process was told to stop.
@@ -313,6 +317,7 @@
         let late = self.now().saturating_sub(planned);
         let was_overloaded = self.lag.borrow().is_overloaded();
         self.lag.borrow_mut().note(late);
+        self.shedding.borrow_mut().on_timer(late);
         let is_overloaded = self.lag.borrow().is_overloaded();
         if is_overloaded != was_overloaded {
             let fields = [
--- a/crates/gateway/src/early_refusal.rs
+++ b/crates/gateway/src/early_refusal.rs
@@ -18,6 +18,8 @@
 use sedgeridge_fleet::dispatcher::DispatchEvent;
 use sedgeridge_fleet::hashing::stable_hash;
 use sedgeridge_fleet::route_table::choose_service;
+use sedgeridge_fleet::verdict::Basis;
+use sedgeridge_fleet::verdict::RefusalReason;
 use sedgeridge_fleet::verdict::Verdict;
 
 use crate::call_log::Refused;
@@ -30,6 +32,8 @@
 
 /// Longest request that is refused early. Longer ones take the usual way.
 const MOST_BYTES: usize = 16 * 1024;
+/// When a caller should come back after a busy host refused it: at once, since it reaches another one.
+const BUSY_RETRY: Duration = Duration::from_millis(20);
 /// Most header fields of such a request.
 const MOST_FIELDS: usize = 48;
 
@@ -133,6 +137,9 @@
         route: &route.name,
         received_at,
     };
+    if core.shedding.borrow_mut().takes_turn() {
+        return Some(shed(core, &refused));
+    }
     let payer = stable_hash(account.as_str());
     if !core.with_dispatcher(|it| it.refuses(received_at, payer)) {
         return None;
@@ -166,6 +173,13 @@
     ))
 }
 
+/// Refuses a request that another host has the time for.
+fn shed<W: Wire, C: Clock>(core: &Rc<Core<W, C>>, refused: &Refused<'_>) -> Vec<u8> {
+    let reason = RefusalReason::HostBusy;
+    log_refusal(core, refused, reason, BUSY_RETRY, &Basis::default());
+    answer(core.closes_connections(), reason.as_str(), BUSY_RETRY)
+}
+
 fn answer(closes: bool, reason: &str, retry_after: Duration) -> Vec<u8> {
     let connection = match closes {
         true => "connection: close\r\n",
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -180,7 +180,7 @@
         "sedgeridge_gateway_refused_total",
         "reason",
         Values::Fixed(
-            "over_share, overload, no_endpoint, quarantined, turned_away, out_of_time, no_memory",
+            "over_share, overload, no_endpoint, quarantined, turned_away, out_of_time, host_busy, no_memory",
         ),
         "requests that were refused unrun",
     ),
