fleet: an endpoint that is listed before the configuration is known is cold by its entry

A host that starts reads the list of endpoints and the configuration at the same time. Endpoints that it listed first were taken for warm, since nothing was known of their service, and got all its requests. Test seen red: cold_starts.rs, an_endpoint_that_is_listed_before_the_configuration_is_cold.

--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -210,7 +210,7 @@
     /// Takes one event; adds what follows from it to `decisions`.
     pub fn handle(&mut self, now: Duration, event: DispatchEvent, decisions: &mut Vec<Decision>) {
         match event {
-            DispatchEvent::Configured(config) => self.on_config(&config),
+            DispatchEvent::Configured(config) => self.on_config(now, &config),
             DispatchEvent::EndpointListed(endpoint) => self.on_listed(now, endpoint),
             DispatchEvent::EndpointGone(endpoint) => self.on_gone(&endpoint),
             DispatchEvent::Evacuated(data_centre) => {
@@ -326,8 +326,9 @@
         self.requests.len()
     }
 
-    fn on_config(&mut self, config: &FleetConfig) {
-        self.services = config.services.clone();
+    fn on_config(&mut self, now: Duration, config: &FleetConfig) {
+        let before = std::mem::replace(&mut self.services, config.services.clone());
+        self.note_cold_of_new_services(now, &before);
         self.tokens_per_s = config.limits.tokens_per_s;
         self.shares.set_capacity(config.limits.tokens_per_s);
         self.shortest_target.clear();
@@ -366,6 +367,23 @@
         self.expect_speed();
     }
 
+    /// A host that starts may list endpoints before it knows what their services state.
+    fn note_cold_of_new_services(
+        &mut self,
+        now: Duration,
+        before: &BTreeMap<ServiceId, ServiceSpec>,
+    ) {
+        let unknown = self.endpoints.iter();
+        let unknown = unknown.filter(|endpoint| !before.contains_key(&endpoint.service));
+        for endpoint in unknown.filter(|endpoint| !endpoint.cold_for.is_zero()) {
+            let spec = self.services.get(&endpoint.service);
+            if let Some(stated) = spec.and_then(|spec| spec.cold_start) {
+                let until = now + endpoint.cold_for;
+                self.cold.note(endpoint.key, stated, until);
+            }
+        }
+    }
+
     /// Endpoints of a data centre that was evacuated are cold when it is taken back, and their entries say so a
     /// moment later.
     fn on_evacuation_ended(&mut self, now: Duration, data_centre: &Arc<str>) {
--- a/crates/fleet/tests/cold_starts.rs
+++ b/crates/fleet/tests/cold_starts.rs
@@ -318,6 +318,24 @@
     assert_eq!(play.refused, play.requests, "nobody waits in vain");
 }
 
+/// Guards against a host that has just started and lists endpoints before it knows the configuration.
+#[test]
+fn an_endpoint_that_is_listed_before_the_configuration_is_cold() {
+    let mut play = Play::new(1, 3);
+    let mut host = Dispatcher::new(DispatcherSettings {
+        cold_starts: BOUNDS,
+        ..settings(1)
+    });
+    let mut none = Vec::new();
+    for endpoint in play.engines.clone() {
+        host.handle(at(0), play.cold(&endpoint), &mut none);
+    }
+    host.handle(at(0), DispatchEvent::Configured(cold_config()), &mut none);
+    play.hosts[0] = host;
+    play.run(0, 500, 100);
+    assert_eq!(play.arrived, BTreeMap::new());
+}
+
 /// Guards against hosts that find an endpoint reachable again before its entry says that it is cold.
 #[parameterized(small = { 6, 9, 200 }, grown = { 78, 30, 1_500 }, large = { 300, 60, 3_000 })]
 fn an_endpoint_that_was_down_is_not_overrun_at_its_return(
