gateway: an early refusal reads a stated length as the server's library does

A length with a sign was taken for a number, and one near the largest number overflowed when the head was added. Such requests take the usual way now. Test: early_refusals.rs, odd_lengths_are_left_to_the_server; the signed one seen red (the overflow ends the connection in a test build, and wraps in a release build: read, not played).

--- a/crates/gateway/src/early_refusal.rs
+++ b/crates/gateway/src/early_refusal.rs
@@ -100,7 +100,7 @@
         let value = HeaderValue::from_bytes(field.value).ok()?;
         head.headers.append(name, value);
     }
-    let length = head_bytes + body_bytes(&head)?;
+    let length = head_bytes.checked_add(body_bytes(&head)?)?;
     let is_whole = length <= bytes.len();
     is_whole.then_some(WholeRequest { head, length })
 }
@@ -119,11 +119,18 @@
     let mut stated = head.headers.get_all(header::CONTENT_LENGTH).iter();
     match (stated.next(), stated.next()) {
         (None, _) => Some(0),
-        (Some(length), None) => length.to_str().ok()?.parse().ok(),
+        (Some(length), None) => read_length(length),
         (Some(_), Some(_)) => None,
     }
 }
 
+/// Reads a length of digits alone, as the server's library does.
+fn read_length(stated: &HeaderValue) -> Option<usize> {
+    let digits = stated.to_str().ok()?;
+    let is_plain = digits.bytes().all(|byte| byte.is_ascii_digit());
+    digits.parse().ok().filter(|_| is_plain)
+}
+
 /// Returns the answer to a request that is refused at once.
 fn refuse<W: Wire, C: Clock>(core: &Rc<Core<W, C>>, head: &Parts) -> Option<Vec<u8>> {
     let received_at = core.now();
--- a/crates/gateway/tests/early_refusals.rs
+++ b/crates/gateway/tests/early_refusals.rs
@@ -130,6 +130,29 @@
     });
 }
 
+/// Guards against a stated length that is read in another way than by the server's library.
+#[parameterized(
+    beyond_all = { "18446744073709551615" },
+    signed = { "+4" },
+    twice = { "4\r\nContent-Length: 5" },
+)]
+fn odd_lengths_are_left_to_the_server(length: &str) {
+    let odd = format!(
+        "POST /plan HTTP/1.1\r\nHost: desk.example\r\nid: x\r\nkey: secret\r\ntokens: 5\r\n\
+         Content-Length: {length}\r\n\r\nbody"
+    );
+    run(async move |fleet| {
+        let mut caller = connect(&fleet).await;
+        send(&mut caller, &engine_request("a", "", "body")).await;
+        refusal(&mut caller).await;
+        send(&mut caller, &odd).await;
+        let answer = timeout(READ_TIMEOUT, read_message(&mut caller)).await;
+        // Closing the connection without a word is an answer too.
+        let answer = answer.expect("an end in time").unwrap_or_default();
+        assert!(!answer.starts_with("HTTP/1.1 503"), "{answer}");
+    });
+}
+
 /// Guards against a caller that asks for the end of the connection and waits for it.
 #[test]
 fn a_connection_that_its_caller_wants_closed_is_closed() {
