fleet: cold and evacuated endpoints, and where requests go, in files of their own; what is known of a cold endpoint only adds up

Moves, but for two things: an entry that is older than what this host has seen of an endpoint no longer shortens the time for which the endpoint counts as cold, and a listed entry counts by what the table keeps of it. The earlier form could take an endpoint that had just been down for warm when a copy of its entry from before came late (read, not seen).

--- a/crates/fleet/src/cold_start.rs
+++ b/crates/fleet/src/cold_start.rs
@@ -117,25 +117,16 @@
         }
     }
 
-    /// Notes that an endpoint is probably cold, until `until` at least.
-    pub fn expect(&mut self, endpoint: u64, stated: ColdStart, until: Duration) {
-        let cold = self.entry(endpoint, stated);
-        cold.until = cold.until.max(until);
-    }
-
-    /// Notes that an endpoint's entry says until when it is cold, which goes before what was expected.
+    /// Notes that an endpoint is cold, or probably is, until `until` at least. What was noted before holds on: an entry
+    /// may be older than what this host has seen of the endpoint.
     pub fn note(&mut self, endpoint: u64, stated: ColdStart, until: Duration) {
-        self.entry(endpoint, stated).until = until;
-    }
-
-    fn entry(&mut self, endpoint: u64, stated: ColdStart) -> &mut ColdEndpoint {
         let most_sent = match self.is_sender(endpoint) {
             true => self.bounds.requests_of_host(stated),
             false => 0,
         };
         let cold = self.endpoints.entry(endpoint).or_default();
+        cold.until = cold.until.max(until);
         cold.most_sent = most_sent;
-        cold
     }
 
     /// Notes that a request was sent.
--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -2,7 +2,9 @@
 
 mod admission;
 mod attempts;
+mod closed;
 mod peers;
+mod places;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -19,7 +21,6 @@
 use crate::arrival::Arrival;
 use crate::arrival::RequestId;
 use crate::cold_start::ColdEndpoints;
-use crate::cold_start::ColdStart;
 use crate::cold_start::ColdStartBounds;
 use crate::config::FleetConfig;
 use crate::config::ServiceSpec;
@@ -275,10 +276,6 @@
         &self.endpoints
     }
 
-    fn is_evacuated(&self, data_centre: &str) -> bool {
-        self.evacuated.contains(data_centre)
-    }
-
     /// Returns how many idle connections this host keeps to each endpoint of a service.
     pub fn idle_connections(&self, now: Duration, service: &ServiceId) -> usize {
         let spec = self.services.get(service);
@@ -345,70 +342,15 @@
     }
 
     fn on_listed(&mut self, now: Duration, endpoint: Endpoint) {
-        let cold_for = endpoint.cold_for;
         let id = endpoint.id.clone();
         let earlier_run = self.endpoints.put(endpoint);
         if let Some(earlier_run) = &earlier_run {
             self.forget_run(earlier_run);
         }
-        if let Some(listed) = self.endpoints.get(&id).cloned() {
-            match self.cold_start_of(&listed) {
-                // It has started a moment ago, even if its entry was written too early to say so.
-                Some(stated) if earlier_run.is_some() => {
-                    let until = now + cold_for.max(stated.lasts);
-                    self.cold.note(listed.key, stated, until);
-                }
-                Some(stated) if !cold_for.is_zero() => {
-                    self.cold.note(listed.key, stated, now + cold_for);
-                }
-                _ => {}
-            }
-        }
+        self.note_cold_start(now, &id, earlier_run.is_some());
         self.expect_speed();
     }
 
-    /// A host that starts may list endpoints before it knows what their services state.
-    fn note_cold_of_new_services(
-        &mut self,
-        now: Duration,
-        before: &BTreeMap<ServiceId, ServiceSpec>,
-    ) {
-        let unknown = self.endpoints.iter();
-        let unknown = unknown.filter(|endpoint| !before.contains_key(&endpoint.service));
-        for endpoint in unknown.filter(|endpoint| !endpoint.cold_for.is_zero()) {
-            let spec = self.services.get(&endpoint.service);
-            if let Some(stated) = spec.and_then(|spec| spec.cold_start) {
-                let until = now + endpoint.cold_for;
-                self.cold.note(endpoint.key, stated, until);
-            }
-        }
-    }
-
-    /// Endpoints of a data centre that was evacuated are cold when it is taken back, and their entries say so a
-    /// moment later.
-    fn on_evacuation_ended(&mut self, now: Duration, data_centre: &Arc<str>) {
-        if !self.evacuated.remove(data_centre) {
-            return;
-        }
-        let of_data_centre = self.endpoints.iter();
-        let of_data_centre = of_data_centre.filter(|it| it.data_centre == *data_centre);
-        for endpoint in of_data_centre {
-            if let Some(stated) = self.cold_start_of(endpoint) {
-                self.cold.expect(endpoint.key, stated, now + stated.lasts);
-            }
-        }
-    }
-
-    /// Returns what the endpoint's service states of cold starts, if its endpoints have any.
-    fn cold_start_of(&self, endpoint: &Endpoint) -> Option<ColdStart> {
-        self.services.get(&endpoint.service)?.cold_start
-    }
-
-    /// Tells whether the endpoint may get a request from this host now.
-    fn is_open(&self, now: Duration, endpoint: &Endpoint) -> bool {
-        self.cold.allows(now, endpoint.key) && !self.is_evacuated(&endpoint.data_centre)
-    }
-
     fn on_gone(&mut self, endpoint: &Endpoint) {
         self.endpoints.remove(&endpoint.id);
         self.forget_run(endpoint);
--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -3,19 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sedgeridge_state::ids::ServiceId;
-
 use super::Dispatcher;
 use super::Pending;
+use super::places::Places;
 use crate::account_shares::Lead;
 use crate::arrival::Arrival;
 use crate::arrival::RequestId;
 use crate::config::EngineSpec;
 use crate::endpoint_load::Load;
 use crate::endpoint_table::Endpoint;
-use crate::hashing::pair_hash;
-use crate::placement::HOMES;
-use crate::placement::home_endpoints;
 use crate::prompt::Prompt;
 use crate::return_time::Outlook;
 use crate::verdict::Decision;
@@ -75,9 +71,6 @@
 /// shared part takes: below this difference in time all
 /// requests about a subject meet at its first home, which alone then caches the shared part.
 const NEXT_HOME_COST_MS: f64 = 30.0;
-/// Shared tokens above which a prompt is read only at its homes. When all engines are about full,
-/// whichever has a slot left would read the shared part anew.
-const FEW_SHARED_TOKENS: u32 = 300;
 /// Part of its slots up to which the second home takes such a prompt. Each home reads the shared part; without a
 /// second one more requests of a calm day are refused.
 const SECOND_HOME_PART: f64 = 0.25;
@@ -94,9 +87,6 @@
 const QUARANTINE_RETRY: Duration = Duration::from_millis(2_000);
 /// When a caller should come back where no endpoint could be reached: detection plus restart.
 const OUTAGE_RETRY: Duration = Duration::from_millis(400);
-/// The same where all endpoints are evacuated. Only the operator knows for how long.
-const EVACUATION_RETRY: Duration = Duration::from_secs(2);
-
 /// An endpoint that could take a request.
 struct Candidate<'a> {
     endpoint: &'a Arc<Endpoint>,
@@ -118,48 +108,6 @@
     }
 }
 
-/// Endpoints where a request should go.
-enum Places {
-    /// Any that has room.
-    Anywhere,
-    /// The homes of its prompt and no other.
-    Homes([Option<u64>; HOMES]),
-    /// The homes of its prompt and two that are drawn for this request, or any other if these have no
-    /// room.
-    ///
-    /// Hosts hear of each other's work some tenths of a second late. Comparing all engines they all
-    /// choose the one that had seemed idle, whose first events then come late. Two engines by chance are
-    /// enough to pass over a busy one, and differ from request to request.
-    Preferred {
-        homes: [Option<u64>; HOMES],
-        drawn: [Option<u64>; HOMES],
-        /// A cold endpoint to which this host is one of the few that send.
-        cold: Option<u64>,
-    },
-}
-
-impl Places {
-    fn allow(&self, endpoint: u64) -> bool {
-        match self {
-            Self::Anywhere => true,
-            Self::Homes(homes) => homes.contains(&Some(endpoint)),
-            Self::Preferred { homes, drawn, cold } => {
-                let endpoint = Some(endpoint);
-                homes.contains(&endpoint) || drawn.contains(&endpoint) || *cold == endpoint
-            }
-        }
-    }
-
-    fn home_rank(&self, endpoint: u64) -> Option<usize> {
-        match self {
-            Self::Anywhere => None,
-            Self::Homes(homes) | Self::Preferred { homes, .. } => {
-                homes.iter().position(|home| *home == Some(endpoint))
-            }
-        }
-    }
-}
-
 /// What becomes of a queued request at this moment.
 enum Placing {
     Send(Arc<Endpoint>, Load),
@@ -327,36 +275,6 @@
         }
     }
 
-    /// Returns where a request should go.
-    fn places(&self, now: Duration, pending: &Pending) -> Places {
-        let usable = self.endpoints.usable(&pending.arrival.service);
-        let prompt = pending.arrival.prompt.as_ref();
-        let Some((prompt, key)) = prompt.and_then(|it| Some((it, it.placement_key()?))) else {
-            return Places::Anywhere;
-        };
-        // Prompts are placed among the endpoints that work: when the homes of a prompt were down, each
-        // of its requests went to the least busy endpoint and was read anew there.
-        let sound = usable.iter().filter(|endpoint| {
-            self.records.is_sound(now, endpoint.key) && self.is_open(now, endpoint)
-        });
-        let sound: Vec<_> = sound.map(|endpoint| endpoint.key).collect();
-        let homes = home_endpoints(key, sound.iter().copied());
-        // What was tried elsewhere goes on wherever there is room: its caller waits for the rest.
-        if pending.sends > 0 {
-            return Places::Anywhere;
-        }
-        if prompt.shared_tokens() > FEW_SHARED_TOKENS {
-            return Places::Homes(homes);
-        }
-        let draw = pair_hash(self.settings.host, pending.arrival.id.0);
-        let cold = self
-            .cold
-            .open(now)
-            .find(|endpoint| sound.contains(endpoint));
-        let drawn = home_endpoints(draw, sound);
-        Places::Preferred { homes, drawn, cold }
-    }
-
     fn best_of(&self, now: Duration, pending: &Pending, places: &Places) -> Option<Candidate<'_>> {
         let arrival = &pending.arrival;
         let usable = self.endpoints.usable(&arrival.service);
@@ -468,20 +386,6 @@
         distance + self.records.failure_share(now, endpoint.key) * FAILURE_COST_MS
     }
 
-    /// Returns when this host may send to the service again, if its endpoints are all evacuated or cold and left to
-    /// other hosts. A request that waits for them would wait in vain.
-    fn closed_until(&self, now: Duration, service: &ServiceId) -> Option<Duration> {
-        let usable = self.endpoints.usable(service);
-        let until = usable.iter().map(|endpoint| {
-            if self.is_evacuated(&endpoint.data_centre) {
-                return Some(now + EVACUATION_RETRY);
-            }
-            self.cold.closed_until(now, endpoint.key)
-        });
-        let until: Option<Vec<_>> = until.collect();
-        until?.into_iter().min()
-    }
-
     /// Returns when the caller of a request that is refused now should come back.
     pub(super) fn retry_after(
         &mut self,
--- a/crates/fleet/src/dispatcher/attempts.rs
+++ b/crates/fleet/src/dispatcher/attempts.rs
@@ -25,8 +25,6 @@
 /// Latency targets of silence after which a caller that leaves counts against the endpoint. An
 /// endpoint that takes requests and never answers would otherwise look as good as the others.
 const SILENT_TARGETS: u32 = 2;
-/// Time in which an endpoint that is down is no longer listed, or is back. Its entry tells of its return.
-const LAPSE_TIME: Duration = Duration::from_secs(4);
 /// Shortest time left with which a request is sent once more.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(30);
 
@@ -234,15 +232,6 @@
         }
     }
 
-    /// An endpoint that was down is cold when it comes back, and its entry says so a moment later. Without this all
-    /// hosts choose it at once, since it seems idle.
-    fn expect_cold(&mut self, now: Duration, endpoint: &Endpoint) {
-        if let Some(stated) = self.cold_start_of(endpoint) {
-            let until = now + LAPSE_TIME + stated.lasts;
-            self.cold.expect(endpoint.key, stated, until);
-        }
-    }
-
     fn may_send_again(&mut self, now: Duration, id: RequestId) -> bool {
         let Some(pending) = self.requests.get(&id) else {
             return false;
