--- a/crates/fleet/src/cold_start.rs
+++ b/crates/fleet/src/cold_start.rs
@@ -104,11 +104,11 @@
         self.bounds = bounds;
     }
 
-    /// Takes in which hosts are registered.
+    /// Takes in which hosts are registered. A host that is a sender no more sends nothing from now on.
     pub fn on_hosts(&mut self, listed: &[ListedHost]) {
         self.hosts = listed.iter().map(|listed| listed.host).collect();
-        let no_longer_sent: Vec<_> = self.endpoints.keys().copied().collect();
-        for endpoint in no_longer_sent {
+        let endpoints: Vec<_> = self.endpoints.keys().copied().collect();
+        for endpoint in endpoints {
             if !self.is_sender(endpoint)
                 && let Some(cold) = self.endpoints.get_mut(&endpoint)
             {
