gateway: what an answer says of its endpoint is logged and counted

No log told whether a host had seen that an endpoint leaves (Server-Leaving) or wants no requests for a while (503 with Retry-After), so that the hypotheses of both incidents could not be told apart. E3108 and E3109, and sedgeridge_gateway_endpoint_notices_total. No decision changes.

--- a/crates/fleet/src/endpoint_table.rs
+++ b/crates/fleet/src/endpoint_table.rs
@@ -163,6 +163,12 @@
         of_service.map_or(&[], |it| it.usable.as_slice())
     }
 
+    /// Tells whether a run is listed and takes new work.
+    pub fn is_usable(&self, run: &Endpoint) -> bool {
+        let known = self.by_id.get(&run.id);
+        known.is_some_and(|known| known.key == run.key && !known.is_leaving)
+    }
+
     /// Returns the number of a service's entries, those of endpoints that leave included.
     pub fn count(&self, service: &ServiceId) -> usize {
         self.by_service.get(service).map_or(0, |it| it.count)
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -25,6 +25,10 @@
 use crate::core::Core;
 use crate::endpoint_pool::EndpointConnection;
 use crate::endpoint_pool::open_connection;
+use crate::event_log::LogEvent;
+use crate::event_log::millis;
+use crate::meters;
+use crate::wire::AnswerFacts;
 use crate::wire::ForwardFacts;
 use crate::wire::RunStatus;
 use crate::wire::Wire;
@@ -125,7 +129,7 @@
         body,
         connection,
     };
-    judge(core, outgoing, answer).await
+    judge(core, outgoing, endpoint, answer).await
 }
 
 /// Reads the rest of a short answer and keeps the connection.
@@ -187,9 +191,13 @@
 async fn judge<W: Wire, C: Clock>(
     core: &Rc<Core<W, C>>,
     outgoing: &Outgoing,
+    endpoint: &Endpoint,
     answer: EndpointAnswer,
 ) -> Result<EndpointAnswer, Failure> {
     let facts = core.wire.answer(&answer.head);
+    if facts.run != RunStatus::Misdirected {
+        log_notices(core, outgoing, endpoint, &facts);
+    }
     // An endpoint may send a second answer to an earlier request, which then stands where the
     // next one is expected.
     if facts.id.as_ref().is_some_and(|id| *id != outgoing.id) {
@@ -208,6 +216,27 @@
     Ok(answer)
 }
 
+/// Logs what an answer says of its endpoint.
+fn log_notices<W: Wire, C: Clock>(
+    core: &Core<W, C>,
+    outgoing: &Outgoing,
+    endpoint: &Endpoint,
+    facts: &AnswerFacts,
+) {
+    let request = ("request", (*outgoing.id).into());
+    let name = ("endpoint", endpoint.id.as_str().into());
+    if facts.is_leaving {
+        meters::endpoint_notice("leaving");
+        let is_listed = core.with_dispatcher(|it| it.endpoints().is_usable(endpoint));
+        let fields = [request, name, ("is_listed", is_listed.into())];
+        core.log(LogEvent::EndpointLeaving, &fields);
+    } else if let Some(pause) = facts.pause {
+        meters::endpoint_notice("pause");
+        let fields = [request, name, ("pause_ms", millis(pause))];
+        core.log(LogEvent::EndpointPaused, &fields);
+    }
+}
+
 impl Outgoing {
     /// Works out what the request asks for, equal when the same request comes again.
     pub fn fingerprint(&self) -> Fingerprint {
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -57,6 +57,10 @@
     Evacuated = 3106, "gateway_data_centre_evacuated";
     /// The operator has taken the evacuation of a data centre back. Its endpoints count as cold.
     EvacuationEnded = 3107, "gateway_evacuation_ended";
+    /// An endpoint's answer says that the endpoint is about to stop.
+    EndpointLeaving = 3108, "gateway_endpoint_leaving";
+    /// An endpoint turned a request away and wants no further ones for a while.
+    EndpointPaused = 3109, "gateway_endpoint_paused";
     /// The platform's store gives no answer about a table.
     StoreLost = 3201, "gateway_store_lost";
     /// The platform's store answers about a table again.
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -42,6 +42,11 @@
     counter!("sedgeridge_gateway_attempts_failed_total", "reason" => reason).increment(1);
 }
 
+/// Counts what an endpoint's answer says of the endpoint itself.
+pub fn endpoint_notice(notice: &'static str) {
+    counter!("sedgeridge_gateway_endpoint_notices_total", "notice" => notice).increment(1);
+}
+
 /// Counts a caller that left, or was cut off by a timeout.
 pub fn ended_early(reason: &'static str) {
     counter!("sedgeridge_gateway_ended_early_total", "reason" => reason).increment(1);
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -49,6 +49,10 @@
     pub is_vouched: bool,
     /// What the answer says of the run.
     pub run: RunStatus,
+    /// Whether the endpoint says that it is about to stop.
+    pub is_leaving: bool,
+    /// How long the endpoint wants no further request from this host.
+    pub pause: Option<Duration>,
 }
 
 /// Whether an endpoint ran a request.
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -119,6 +119,10 @@
                 true => RunStatus::NotRun,
                 false => RunStatus::MayHaveRun,
             },
+            is_leaving: head.headers.contains_key("leaving"),
+            pause: text(&head.headers, "pause-ms")
+                .and_then(|pause| pause.parse().ok())
+                .map(Duration::from_millis),
         }
     }
 
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -115,6 +115,12 @@
         ),
         "attempts of a router on the users' platform that failed",
     ),
+    counter(
+        "sedgeridge_gateway_endpoint_notices_total",
+        "notice",
+        Values::Fixed("leaving, pause"),
+        "answers in which an endpoint said that it is about to stop, or asked for time without requests",
+    ),
     gauge(
         "sedgeridge_gateway_callers",
         "connections of callers that are open",
