--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -230,6 +230,8 @@
     Read,
     /// Sends bytes. `{id}` stands for the id of the last request that was read.
     Send(String),
+    /// Works for a while.
+    Wait(Duration),
     /// Closes the connection.
     Close,
     /// Keeps the connection open and does nothing.
@@ -465,6 +467,7 @@
                     return;
                 }
             }
+            Act::Wait(time) => tokio::time::sleep(time).await,
             Act::Close => return,
             Act::Hang => {
                 let mut rest = [0; 64];
