fleet, gateway: an endpoint that says in an answer that it leaves gets no more requests

Callers: requests reached an engine up to 2,965 ms after the host that sent them had passed on an answer in which the engine said that it leaves; 2,000 are allowed. While the store was away for 13 s nothing else told of it.

Cause: hosts knew of a leaving from the store's entry alone; no code read the answer's header. Evidence: the engine's load does not change after its first such answer, no listing, copy or removal came between, and callers sent both requests more than 2 s later (timeline in docs/incidents).

Now the host that reads the answer's head, of whatever status, takes the run out of use before the answer goes on. The note is kept by run and outlives the entry: one that lapses with the store and comes back as it was would undo it (a_run_that_said_it_leaves_stays_out_of_use_when_it_is_listed_again, red without the note).

--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -24,6 +24,7 @@
 use crate::cold_start::ColdStartBounds;
 use crate::config::FleetConfig;
 use crate::config::ServiceSpec;
+use crate::departures::Departures;
 use crate::endpoint_load::EndpointLoads;
 use crate::endpoint_load::Load;
 use crate::endpoint_record::EndpointRecords;
@@ -86,6 +87,8 @@
     EndpointListed(Endpoint),
     /// An endpoint is no longer listed.
     EndpointGone(Arc<Endpoint>),
+    /// An endpoint said in an answer that it is about to stop.
+    EndpointLeaving(Arc<Endpoint>),
     /// The operator wants nothing more sent to the endpoints of a data centre.
     Evacuated(Arc<str>),
     /// The operator has taken an evacuation back.
@@ -119,6 +122,7 @@
     shortest_target: HashMap<ServiceId, Duration>,
     tokens_per_s: Option<f64>,
     endpoints: EndpointTable,
+    departures: Departures,
     evacuated: BTreeSet<Arc<str>>,
     cold: ColdEndpoints,
     speeds: EngineSpeeds,
@@ -186,6 +190,7 @@
             shortest_target: HashMap::new(),
             tokens_per_s: None,
             endpoints: EndpointTable::default(),
+            departures: Departures::default(),
             evacuated: BTreeSet::new(),
             cold: ColdEndpoints::new(settings.host, settings.cold_starts),
             speeds: EngineSpeeds::default(),
@@ -214,6 +219,7 @@
             DispatchEvent::Configured(config) => self.on_config(now, &config),
             DispatchEvent::EndpointListed(endpoint) => self.on_listed(now, endpoint),
             DispatchEvent::EndpointGone(endpoint) => self.on_gone(&endpoint),
+            DispatchEvent::EndpointLeaving(endpoint) => self.on_leaving(now, &endpoint),
             DispatchEvent::Evacuated(data_centre) => {
                 self.evacuated.insert(data_centre);
             }
@@ -341,8 +347,9 @@
         self.expect_speed();
     }
 
-    fn on_listed(&mut self, now: Duration, endpoint: Endpoint) {
+    fn on_listed(&mut self, now: Duration, mut endpoint: Endpoint) {
         let id = endpoint.id.clone();
+        endpoint.is_leaving |= self.departures.contains(endpoint.key);
         let earlier_run = self.endpoints.put(endpoint);
         if let Some(earlier_run) = &earlier_run {
             self.forget_run(earlier_run);
@@ -351,6 +358,11 @@
         self.expect_speed();
     }
 
+    fn on_leaving(&mut self, now: Duration, endpoint: &Endpoint) {
+        self.departures.note(now, endpoint.key);
+        self.endpoints.set_leaving(endpoint);
+    }
+
     fn on_gone(&mut self, endpoint: &Endpoint) {
         self.endpoints.remove(&endpoint.id);
         self.forget_run(endpoint);
@@ -384,6 +396,7 @@
             self.peers.tick(now);
             self.quarantine.tick(now);
             self.cold.tick(now);
+            self.departures.tick(now);
         }
         self.serve_queue(now, decisions);
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cold_start;
 pub mod config;
 pub mod copy_load;
+pub mod departures;
 pub mod dispatcher;
 pub mod endpoint_load;
 pub mod endpoint_record;
--- a/crates/fleet/tests/endpoint_runs.rs
+++ b/crates/fleet/tests/endpoint_runs.rs
@@ -108,3 +108,35 @@
     let after = run(ENGINES, "desk-1", Some(2_000));
     assert_ne!(before.run_name(), after.run_name());
 }
+
+fn serves(host: &mut Host, now_ms: u64) -> bool {
+    let (_, verdict) = host.arrive(now_ms, plain_request(now_ms, Repeat::Idempotent));
+    matches!(verdict, Some(Verdict::Send(_)))
+}
+
+/// Guards against requests to a leaving endpoint whose entry lapsed and came back as it was before the leaving.
+#[test]
+fn a_run_that_said_it_leaves_stays_out_of_use_when_it_is_listed_again() {
+    let mut host = only(PLAIN, "booking-1", Some(1_000));
+    assert!(serves(&mut host, 0));
+    let left = Arc::new(run(PLAIN, "booking-1", Some(1_000)));
+    host.send(10, DispatchEvent::EndpointLeaving(left.clone()));
+    assert!(!serves(&mut host, 20));
+    host.send(30, DispatchEvent::EndpointListed(Endpoint::clone(&left)));
+    assert!(!serves(&mut host, 40));
+    host.send(50, DispatchEvent::EndpointGone(left.clone()));
+    host.send(60, DispatchEvent::EndpointListed(Endpoint::clone(&left)));
+    assert!(!serves(&mut host, 70));
+    let restarted = run(PLAIN, "booking-1", Some(2_000));
+    host.send(80, DispatchEvent::EndpointListed(restarted));
+    assert!(serves(&mut host, 90));
+}
+
+/// Guards against an answer of an earlier run that takes its successor out of use.
+#[test]
+fn the_last_words_of_an_earlier_run_do_not_count_for_a_later_one() {
+    let mut host = only(PLAIN, "booking-1", Some(2_000));
+    let earlier = Arc::new(run(PLAIN, "booking-1", Some(1_000)));
+    host.send(10, DispatchEvent::EndpointLeaving(earlier));
+    assert!(serves(&mut host, 20));
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! Sends a request to one endpoint and judges the head of its answer.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +16,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use sedgeridge_fleet::dispatcher::DispatchEvent;
 use sedgeridge_fleet::endpoint_table::Endpoint;
 use sedgeridge_fleet::verdict::Failure;
 use sedgeridge_state::fingerprint::Fingerprint;
@@ -48,7 +50,7 @@
     /// Body as received.
     pub body: Bytes,
     /// Identifies the attempt of the caller.
-    pub id: std::sync::Arc<str>,
+    pub id: Arc<str>,
     /// The account that pays.
     pub account: Option<AccountId>,
     /// When the caller stops waiting, or the route's timeout if that is earlier.
@@ -91,7 +93,7 @@
 pub async fn send<W: Wire, C: Clock>(
     core: &Rc<Core<W, C>>,
     outgoing: &Outgoing,
-    endpoint: &Endpoint,
+    endpoint: &Arc<Endpoint>,
 ) -> Result<EndpointAnswer, Failure> {
     let pooled = match outgoing.may_run_again {
         // An endpoint may close an idle connection while the request is on its way, which looks
@@ -191,12 +193,12 @@
 async fn judge<W: Wire, C: Clock>(
     core: &Rc<Core<W, C>>,
     outgoing: &Outgoing,
-    endpoint: &Endpoint,
+    endpoint: &Arc<Endpoint>,
     answer: EndpointAnswer,
 ) -> Result<EndpointAnswer, Failure> {
     let facts = core.wire.answer(&answer.head);
     if facts.run != RunStatus::Misdirected {
-        log_notices(core, outgoing, endpoint, &facts);
+        take_notices(core, outgoing, endpoint, &facts);
     }
     // An endpoint may send a second answer to an earlier request, which then stands where the
     // next one is expected.
@@ -216,20 +218,21 @@
     Ok(answer)
 }
 
-/// Logs what an answer says of its endpoint.
-fn log_notices<W: Wire, C: Clock>(
+/// Passes on what an answer says of its endpoint.
+fn take_notices<W: Wire, C: Clock>(
     core: &Core<W, C>,
     outgoing: &Outgoing,
-    endpoint: &Endpoint,
+    endpoint: &Arc<Endpoint>,
     facts: &AnswerFacts,
 ) {
     let request = ("request", (*outgoing.id).into());
     let name = ("endpoint", endpoint.id.as_str().into());
     if facts.is_leaving {
         meters::endpoint_notice("leaving");
-        let is_listed = core.with_dispatcher(|it| it.endpoints().is_usable(endpoint));
-        let fields = [request, name, ("is_listed", is_listed.into())];
-        core.log(LogEvent::EndpointLeaving, &fields);
+        if core.with_dispatcher(|it| it.endpoints().is_usable(endpoint)) {
+            core.log(LogEvent::EndpointLeaving, &[request, name]);
+        }
+        core.handle(DispatchEvent::EndpointLeaving(endpoint.clone()));
     } else if let Some(pause) = facts.pause {
         meters::endpoint_notice("pause");
         let fields = [request, name, ("pause_ms", millis(pause))];
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -186,7 +186,7 @@
 
     async fn attempt(
         &mut self,
-        endpoint: &Endpoint,
+        endpoint: &Arc<Endpoint>,
         last_answer: &mut Option<WholeAnswer>,
     ) -> Result<AttemptResult, Failure> {
         meters::queued(
