fleet, gateway: an endpoint gets no requests in the time for which it wants none

Callers: requests were spent on engines that turned everything away and had asked for 3 s without requests; they got 9 to 12 from one host in that time where 2 are allowed, and a caller whose route allows one attempt was refused.

Cause: no code read the time that an engine names when it turns a request away. Every such engine was left alone for a fixed 40 ms.

Now the pause is kept by run, apart from the entry (which may lapse and come back), and ends with the time that was named. While it lasts the engine is no place for prompts either.

--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -27,6 +27,7 @@
 use crate::departures::Departures;
 use crate::endpoint_load::EndpointLoads;
 use crate::endpoint_load::Load;
+use crate::endpoint_pauses::EndpointPauses;
 use crate::endpoint_record::EndpointRecords;
 use crate::endpoint_table::Endpoint;
 use crate::endpoint_table::EndpointTable;
@@ -89,6 +90,8 @@
     EndpointGone(Arc<Endpoint>),
     /// An endpoint said in an answer that it is about to stop.
     EndpointLeaving(Arc<Endpoint>),
+    /// An endpoint turned a request away and wants no further ones from this host for a time.
+    EndpointPaused(Arc<Endpoint>, Duration),
     /// The operator wants nothing more sent to the endpoints of a data centre.
     Evacuated(Arc<str>),
     /// The operator has taken an evacuation back.
@@ -123,6 +126,7 @@
     tokens_per_s: Option<f64>,
     endpoints: EndpointTable,
     departures: Departures,
+    pauses: EndpointPauses,
     evacuated: BTreeSet<Arc<str>>,
     cold: ColdEndpoints,
     speeds: EngineSpeeds,
@@ -191,6 +195,7 @@
             tokens_per_s: None,
             endpoints: EndpointTable::default(),
             departures: Departures::default(),
+            pauses: EndpointPauses::default(),
             evacuated: BTreeSet::new(),
             cold: ColdEndpoints::new(settings.host, settings.cold_starts),
             speeds: EngineSpeeds::default(),
@@ -220,6 +225,9 @@
             DispatchEvent::EndpointListed(endpoint) => self.on_listed(now, endpoint),
             DispatchEvent::EndpointGone(endpoint) => self.on_gone(&endpoint),
             DispatchEvent::EndpointLeaving(endpoint) => self.on_leaving(now, &endpoint),
+            DispatchEvent::EndpointPaused(endpoint, pause) => {
+                self.pauses.note(endpoint.key, now.saturating_add(pause));
+            }
             DispatchEvent::Evacuated(data_centre) => {
                 self.evacuated.insert(data_centre);
             }
@@ -397,6 +405,7 @@
             self.quarantine.tick(now);
             self.cold.tick(now);
             self.departures.tick(now);
+            self.pauses.tick(now);
         }
         self.serve_queue(now, decisions);
     }
--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -207,10 +207,12 @@
             .route
             .latency_target
             .mul_f64(self.settings.admission.hold_part);
-        let is_held_long = now >= arrival.received_at + hold;
+        let held_until = arrival.received_at + hold;
+        let is_held_long = now >= held_until;
         let Some(best) = self.best_candidate(now, pending) else {
-            let is_closed = self.closed_until(now, &arrival.service).is_some();
-            return match is_held_long || is_closed {
+            let closed_until = self.closed_until(now, &arrival.service);
+            let waits_in_vain = closed_until.is_some_and(|until| until > held_until);
+            return match is_held_long || waits_in_vain {
                 true => Placing::Refuse(RefusalReason::NoEndpoint, None),
                 false => Placing::Wait,
             };
@@ -400,13 +402,13 @@
                 self.returns.after_refusal(outlook)
             }
             RefusalReason::Quarantined => QUARANTINE_RETRY,
-            RefusalReason::NoEndpoint => {
+            RefusalReason::NoEndpoint | RefusalReason::TurnedAway => {
                 let closed_until = self.closed_until(now, &arrival.service);
-                closed_until.map_or(OUTAGE_RETRY, |until| until.saturating_sub(now))
-            }
-            RefusalReason::TurnedAway | RefusalReason::OutOfTime | RefusalReason::HostBusy => {
-                OUTAGE_RETRY
+                closed_until.map_or(OUTAGE_RETRY, |until| {
+                    self.returns.after_closure(until.saturating_sub(now))
+                })
             }
+            RefusalReason::OutOfTime | RefusalReason::HostBusy => OUTAGE_RETRY,
         };
         // Beyond the caller's own time an answer says nothing.
         wait.min(arrival.deadline.saturating_sub(now))
--- a/crates/fleet/src/dispatcher/closed.rs
+++ b/crates/fleet/src/dispatcher/closed.rs
@@ -1,4 +1,5 @@
-//! Endpoints that get few requests or none for a while: cold ones, and those of evacuated data centres.
+//! Endpoints that get few requests or none for a while: cold ones, those that asked for a pause, and those of evacuated
+//! data centres.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -75,7 +76,9 @@
 
     /// Tells whether the endpoint may get a request from this host now.
     pub(super) fn is_open(&self, now: Duration, endpoint: &Endpoint) -> bool {
-        self.cold.allows(now, endpoint.key) && !self.is_evacuated(&endpoint.data_centre)
+        let is_paused = self.pauses.until(now, endpoint.key).is_some();
+        let is_cut_off = is_paused || self.is_evacuated(&endpoint.data_centre);
+        !is_cut_off && self.cold.allows(now, endpoint.key)
     }
 
     /// An endpoint that was down is cold when it comes back, and its entry says so a moment later. Without this all
@@ -91,17 +94,20 @@
         self.evacuated.contains(data_centre)
     }
 
-    /// Returns when this host may send to the service again, if its endpoints are all evacuated or cold and left to
-    /// other hosts. A request that waits for them would wait in vain.
+    /// Returns when this host may send to the service again, if each of its endpoints is evacuated, wants a pause, or is
+    /// cold and left to other hosts.
     pub(super) fn closed_until(&self, now: Duration, service: &ServiceId) -> Option<Duration> {
         let usable = self.endpoints.usable(service);
-        let until = usable.iter().map(|endpoint| {
-            if self.is_evacuated(&endpoint.data_centre) {
-                return Some(now + EVACUATION_RETRY);
-            }
-            self.cold.closed_until(now, endpoint.key)
-        });
+        let until = usable.iter().map(|it| self.endpoint_closed_until(now, it));
         let until: Option<Vec<_>> = until.collect();
         until?.into_iter().min()
     }
+
+    fn endpoint_closed_until(&self, now: Duration, endpoint: &Endpoint) -> Option<Duration> {
+        if self.is_evacuated(&endpoint.data_centre) {
+            return Some(now + EVACUATION_RETRY);
+        }
+        let cold = self.cold.closed_until(now, endpoint.key);
+        cold.max(self.pauses.until(now, endpoint.key))
+    }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod departures;
 pub mod dispatcher;
 pub mod endpoint_load;
+pub mod endpoint_pauses;
 pub mod endpoint_record;
 pub mod endpoint_table;
 pub mod engine_speed;
--- a/crates/fleet/src/return_time.rs
+++ b/crates/fleet/src/return_time.rs
@@ -6,13 +6,12 @@
 /// connection take about as long; a caller that is back sooner meets the state that refused it.
 const EARLIEST_PART: f64 = 0.1;
 /// Part of the latency target over which callers that are refused at the same time are spread.
-/// Told one moment, they would arrive as a burst and refuse each other. Over a tenth to three tenths
-/// of the target together, overloaded days earn the same whatever the part.
+/// Told one moment, they would arrive as a burst and refuse each other.
 const SPREAD_PART: f64 = 0.2;
 /// Return of a caller that has no chance to be served in time: about the length of a burst of
 /// arrivals. Its answer will be late anyway; before that it would only take the place of another.
 const LATE_RETURN: Duration = Duration::from_millis(2_000);
-/// Spread of such returns, as a part of [`LATE_RETURN`].
+/// Spread of such returns, as a part of the time to them.
 const LATE_SPREAD: f64 = 0.5;
 /// Fractional part of the golden ratio. Its multiples fill the unit interval evenly, however many
 /// are taken.
@@ -72,6 +71,24 @@
         earliest + spread.mul_f64(fraction)
     }
 
+    /// Returns how long a caller should wait for a service none of whose endpoints takes requests before `opens_in`.
+    /// All who are refused until then would otherwise come back at one moment.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_fleet::return_time::ReturnTimes;
+    ///
+    /// let opens_in = Duration::from_secs(2);
+    /// let mut returns = ReturnTimes::default();
+    /// let [one, other] = [(); 2].map(|()| returns.after_closure(opens_in));
+    /// assert!(one >= opens_in && other >= opens_in);
+    /// assert_ne!(one, other);
+    /// ```
+    pub fn after_closure(&mut self, opens_in: Duration) -> Duration {
+        let spread = opens_in.mul_f64(LATE_SPREAD * self.next_fraction());
+        opens_in.saturating_add(spread)
+    }
+
     fn next_fraction(&mut self) -> f64 {
         self.refusals = self.refusals.wrapping_add(1);
         (self.refusals as f64 * GOLDEN_FRACTION).fract()
--- a/crates/fleet/tests/support/load_play.rs
+++ b/crates/fleet/tests/support/load_play.rs
@@ -14,11 +14,13 @@
 use sedgeridge_fleet::config::EngineSpec;
 use sedgeridge_fleet::config::FleetConfig;
 use sedgeridge_fleet::dispatcher::DispatchEvent;
+use sedgeridge_fleet::endpoint_table::Endpoint;
 use sedgeridge_fleet::peer_hosts::ListedHost;
 use sedgeridge_fleet::peer_report::PeerReport;
 use sedgeridge_fleet::prompt::Prompt;
 use sedgeridge_fleet::prompt::PromptPart;
 use sedgeridge_fleet::verdict::Decision;
+use sedgeridge_fleet::verdict::Failure;
 use sedgeridge_fleet::verdict::Verdict;
 use sedgeridge_state::ids::ServiceId;
 
@@ -150,8 +152,26 @@
     }
 }
 
+/// Engines that turn every request away for a time and ask for pauses.
+#[derive(Debug, Clone, Copy)]
+pub struct TurningAway {
+    /// Number of engines, the first ones.
+    pub engines: usize,
+    pub from_ms: u64,
+    pub to_ms: u64,
+    pub pause_ms: u64,
+}
+
+/// What happened at engines that turned requests away.
+#[derive(Debug, Default)]
+pub struct TurnedAway {
+    /// When requests reached each engine from each host, in milliseconds.
+    pub arrived: BTreeMap<(usize, u64), Vec<u64>>,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Step {
+    Refused(usize, RequestId, u64),
     Try(usize),
     FirstEvent(usize, RequestId),
     End(usize, RequestId),
@@ -185,6 +205,8 @@
     random: SeededRandom,
     got: BTreeMap<u64, Got>,
     begun: BTreeMap<u64, Vec<u64>>,
+    turning_away: Option<TurningAway>,
+    turned_away: TurnedAway,
 }
 
 fn play_config(engines: usize) -> Arc<FleetConfig> {
@@ -214,6 +236,14 @@
     play.begun
 }
 
+/// Plays a load to its end while some engines turn every request away.
+pub fn play_turned_away(load: Load, away: TurningAway) -> (BTreeMap<u64, Got>, TurnedAway) {
+    let mut play = Play::new(load);
+    play.turning_away = Some(away);
+    play.run();
+    (play.got, play.turned_away)
+}
+
 /// Sums what all accounts got.
 pub fn total(got: &BTreeMap<u64, Got>) -> Got {
     let mut total = Got::default();
@@ -252,6 +282,8 @@
             random: SeededRandom::new(load.seed),
             got: BTreeMap::new(),
             begun: BTreeMap::new(),
+            turning_away: None,
+            turned_away: TurnedAway::default(),
             load,
         };
         for host in 0..play.hosts.len() {
@@ -297,6 +329,7 @@
                 return;
             }
             match step {
+                Step::Refused(host, id, engine) => self.on_turned_away(now_ms, host, id, engine),
                 Step::Try(caller) => self.on_try(now_ms, caller),
                 Step::FirstEvent(host, id) => self.on_first_event(now_ms, host, id),
                 Step::End(host, id) => self.send(now_ms, host, DispatchEvent::Completed(id)),
@@ -345,6 +378,16 @@
                 let Caller {
                     account, subject, ..
                 } = self.callers[number];
+                if self.turns_away(now_ms, &endpoint) {
+                    let key = (host, endpoint.key);
+                    self.turned_away
+                        .arrived
+                        .entry(key)
+                        .or_default()
+                        .push(now_ms);
+                    self.plan(now_ms + WAY_MS, Step::Refused(host, id, endpoint.key));
+                    return;
+                }
                 self.begun.entry(account).or_default().push(now_ms);
                 let engine = self.engines.get_mut(&endpoint.key).expect("a known engine");
                 let prompts = self.load.prompts;
@@ -363,6 +406,26 @@
         }
     }
 
+    fn turns_away(&self, now_ms: u64, engine: &Endpoint) -> bool {
+        self.turning_away.is_some_and(|away| {
+            let mut engines = (1..=away.engines).map(|number| format!("desk-{number}"));
+            let is_one = engines.any(|name| name == engine.id.as_str());
+            is_one && (away.from_ms..away.to_ms).contains(&now_ms)
+        })
+    }
+
+    fn on_turned_away(&mut self, now_ms: u64, host: usize, id: RequestId, engine: u64) {
+        let pause_ms = self.turning_away.map_or(0, |away| away.pause_ms);
+        let names = (1..=self.load.engines).map(|number| format!("desk-{number}"));
+        let mut engines = names.map(|name| endpoint(ENGINES, &name));
+        let engine = engines.find(|it| it.key == engine);
+        let engine = Arc::new(engine.expect("a known engine"));
+        let paused = DispatchEvent::EndpointPaused(engine, at(pause_ms));
+        self.send(now_ms, host, paused);
+        let failed = DispatchEvent::AttemptFailed(id, Failure::TurnedAway);
+        self.send(now_ms, host, failed);
+    }
+
     fn on_refused(&mut self, now_ms: u64, number: usize, retry_after: Duration) {
         let caller = self.callers[number];
         if caller.tries > 1 {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -237,6 +237,7 @@
         meters::endpoint_notice("pause");
         let fields = [request, name, ("pause_ms", millis(pause))];
         core.log(LogEvent::EndpointPaused, &fields);
+        core.handle(DispatchEvent::EndpointPaused(endpoint.clone(), pause));
     }
 }
 
