fleet, gateway: a host without processor time sheds accounts furthest over their share first

Cause: shedding knew no accounts. Prompts that were shed were not counted as asked for either, so that their account did not count as one that waits. And a host that had just started, late for that reason, shed what no other host had time for.

Now accounts over their share are shed first, the furthest ahead before the others; others only while the host falls further behind although all of the former are shed, or where these are few; among those, the one with most requests. Only a host whose callers ask for half as much again as those of the mean of the others sheds, and none that started less than the stated recovery time ago (bounds.recover_s, which nothing read). What is shed counts as asked for.

--- a/crates/fleet/examples/decision_time.rs
+++ b/crates/fleet/examples/decision_time.rs
@@ -102,6 +102,7 @@
         run: 1,
         data_centre: Arc::from("dc-0"),
         share_window: Duration::from_secs(4),
+        recovery: Duration::from_secs(5),
         resends: ResendLimits {
             ratio: 0.2,
             min_extra: 600.0,
--- a/crates/fleet/examples/report_bytes.rs
+++ b/crates/fleet/examples/report_bytes.rs
@@ -118,6 +118,7 @@
         run: 1,
         data_centre: Arc::from(data_centre(number)),
         share_window: Duration::from_secs(60),
+        recovery: Duration::from_secs(5),
         resends: ResendLimits::default(),
         cold_starts: ColdStartBounds::default(),
         admission: AdmissionSettings::default(),
--- a/crates/fleet/src/account_shares.rs
+++ b/crates/fleet/src/account_shares.rs
@@ -204,6 +204,14 @@
         f64::from(used.started) / self.level.max(1.0)
     }
 
+    /// Returns what all accounts asked of this host and of the whole fleet, in tokens.
+    pub fn asked_here_and_in_all(&self) -> (f64, f64) {
+        let here = self.own().into_iter().map(|(_, usage)| usage);
+        let in_all = self.totals.values().copied();
+        let asked = |usage: Usage| f64::from(usage.asked);
+        (here.map(asked).sum(), in_all.map(asked).sum())
+    }
+
     /// Returns what the account asked for, as a multiple of its fair share.
     pub fn asked(&self, account: u64) -> f64 {
         let used = self.totals.get(&account).copied().unwrap_or_default();
--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -57,6 +57,8 @@
 /// Time to the next look at the queue when room may have come free. Looking at each such moment
 /// costs a loaded host most of its processor time.
 const SOON: Duration = Duration::from_millis(5);
+/// What callers of a flooded host ask for, against callers of the mean of the other hosts.
+const FLOODED_RATIO: f64 = 1.5;
 /// Time between two rounds over reports and sums.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -71,6 +73,8 @@
     pub data_centre: Arc<str>,
     /// Window over which accounts share the engines.
     pub share_window: Duration,
+    /// Time from the start of the process in which a fleet that was restarted serves again.
+    pub recovery: Duration,
     /// Bounds of sending a request to a second endpoint.
     pub resends: ResendLimits,
     /// Bounds of requests to endpoints that have just started.
@@ -259,10 +263,12 @@
     pub fn set_bounds(
         &mut self,
         share_window: Duration,
+        recovery: Duration,
         resends: ResendLimits,
         cold_starts: ColdStartBounds,
     ) {
         self.settings.share_window = share_window;
+        self.settings.recovery = recovery;
         self.settings.resends = resends;
         self.cold.set_bounds(cold_starts);
         self.shares.set_window(share_window);
@@ -312,9 +318,34 @@
         self.loads.total(endpoint)
     }
 
+    /// Returns what an account was given by the fleet, as a multiple of its fair share.
+    pub fn account_standing(&self, account: u64) -> f64 {
+        self.shares.standing(account)
+    }
+
+    /// Tells whether this host's callers ask for much more than those of other hosts do, so that others have the time
+    /// for a part of their requests.
+    ///
+    /// A host that has just started says no. After a restart of the whole fleet all hosts are late, and requests that
+    /// each of them leaves to the others are served by nobody.
+    pub fn is_flooded(&self, now: Duration) -> bool {
+        if now < self.settings.recovery {
+            return false;
+        }
+        let others = self.hosts(now).saturating_sub(1) as f64;
+        let (here, in_all) = self.shares.asked_here_and_in_all();
+        let elsewhere = in_all - here;
+        elsewhere > 0.0 && here * others > elsewhere * FLOODED_RATIO
+    }
+
+    /// Counts a prompt that was left to another host.
+    pub fn on_shed(&mut self, now: Duration, account: u64, tokens: f64) {
+        self.shares.on_asked(now, account, tokens);
+    }
+
     /// Tells whether an account has had more than its share of the fleet.
     pub fn is_over_share(&self, account: u64) -> bool {
-        self.shares.standing(account) > 1.0
+        self.account_standing(account) > 1.0
     }
 
     /// Tells whether engines had nothing left for accounts over their share a moment ago.
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -118,6 +118,7 @@
         run: 1,
         data_centre: Arc::from("here"),
         share_window: at(4_000),
+        recovery: at(5_000),
         resends: ResendLimits {
             ratio: 0.5,
             min_extra: 10.0,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -80,6 +80,9 @@
     };
     let id = core.next_request();
     let arrival = arrival_of(&core, id, service, &read);
+    if let Some(account) = arrival.account.filter(|_| arrival.prompt.is_some()) {
+        core.note_kept(account);
+    }
     let guard = RequestGuard::new(core.clone(), id, read.outgoing.id.clone(), read.memory);
     let waiting = core.arrive(arrival);
     let call = Call {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -16,6 +16,7 @@
 use sedgeridge_fleet::hashing::stable_hash;
 use sedgeridge_fleet::load_shedding::LoadShedding;
 use sedgeridge_fleet::memory_budget::MemoryBudget;
+use sedgeridge_fleet::prompt::Prompt;
 use sedgeridge_fleet::resend_window::ResendLimits;
 use sedgeridge_fleet::route_table::RouteTable;
 use sedgeridge_fleet::verdict::Basis;
@@ -56,6 +57,8 @@
     pub grace: Duration,
     /// Window over which accounts share the engines.
     pub share_window: Duration,
+    /// Time in which a fleet that was restarted serves again.
+    pub recovery: Duration,
     /// Bounds of sending a request to a second endpoint.
     pub resends: ResendLimits,
     /// Bounds of requests to endpoints that have just started.
@@ -67,6 +70,7 @@
         Self {
             grace: settings.grace,
             share_window: settings.share_window,
+            recovery: settings.recovery,
             resends: settings.resends,
             cold_starts: settings.cold_starts,
         }
@@ -129,6 +133,7 @@
             run,
             data_centre: settings.data_centre.clone(),
             share_window: settings.share_window,
+            recovery: settings.recovery,
             resends: settings.resends,
             cold_starts: settings.cold_starts,
             admission: settings.admission.clone(),
@@ -180,7 +185,12 @@
             return false;
         }
         let mut dispatcher = self.dispatcher.borrow_mut();
-        dispatcher.set_bounds(bounds.share_window, bounds.resends, bounds.cold_starts);
+        dispatcher.set_bounds(
+            bounds.share_window,
+            bounds.recovery,
+            bounds.resends,
+            bounds.cold_starts,
+        );
         true
     }
 
@@ -236,6 +246,25 @@
         receiver
     }
 
+    /// Tells whether a prompt of an account is left to another host for want of processor time.
+    pub fn sheds(&self, account: u64) -> bool {
+        let standing = self.with_dispatcher(|it| it.account_standing(account));
+        self.shedding.borrow_mut().takes_turn(account, standing)
+    }
+
+    /// Counts a prompt of an account that is not left to another host.
+    pub fn note_kept(&self, account: u64) {
+        let standing = self.with_dispatcher(|it| it.account_standing(account));
+        self.shedding.borrow_mut().note_kept(account, standing);
+    }
+
+    /// Counts a prompt of an account that was left to another host.
+    pub fn note_shed(&self, account: u64, prompt: &Prompt) {
+        let now = self.now();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.on_shed(now, account, prompt.charge());
+    }
+
     /// Waits for a verdict.
     pub async fn verdict(&self, receiver: VerdictReceiver) -> Verdict {
         let lost = Verdict::Refuse {
@@ -317,7 +346,12 @@
         let late = self.now().saturating_sub(planned);
         let was_overloaded = self.lag.borrow().is_overloaded();
         self.lag.borrow_mut().note(late);
-        self.shedding.borrow_mut().on_timer(late);
+        let now = self.now();
+        let of_callers = match self.with_dispatcher(|it| it.is_flooded(now)) {
+            true => late,
+            false => Duration::ZERO,
+        };
+        self.shedding.borrow_mut().on_timer(now, of_callers);
         let is_overloaded = self.lag.borrow().is_overloaded();
         if is_overloaded != was_overloaded {
             let fields = [
--- a/crates/gateway/src/early_refusal.rs
+++ b/crates/gateway/src/early_refusal.rs
@@ -137,17 +137,18 @@
     let facts = core.wire.request(head).ok()?;
     let (route, account) = look_up(core, head, &facts).ok()?;
     let account = account?;
-    facts.prompt.as_ref()?;
+    let prompt = facts.prompt.as_ref()?;
     let refused = Refused {
         id: &facts.id,
         account: account.as_str(),
         route: &route.name,
         received_at,
     };
-    if core.shedding.borrow_mut().takes_turn() {
+    let payer = stable_hash(account.as_str());
+    if core.sheds(payer) {
+        core.note_shed(payer, prompt);
         return Some(shed(core, &refused));
     }
-    let payer = stable_hash(account.as_str());
     if !core.with_dispatcher(|it| it.refuses(received_at, payer)) {
         return None;
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -154,6 +154,7 @@
     let fields = [
         ("grace_ms", millis(settings.grace)),
         ("share_window_ms", millis(settings.share_window)),
+        ("recovery_ms", millis(settings.recovery)),
         ("resend_ratio", settings.resends.ratio.into()),
         ("resend_min_extra", settings.resends.min_extra.into()),
     ];
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -31,6 +31,8 @@
     pub grace: Duration,
     /// Window over which accounts share the engines.
     pub share_window: Duration,
+    /// Time in which a fleet that was restarted serves again.
+    pub recovery: Duration,
     /// Bounds of sending a request to a second endpoint.
     pub resends: ResendLimits,
     /// Bounds of requests to endpoints that have just started.
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -396,6 +396,7 @@
         memory_bytes: 64 << 20,
         grace: Duration::from_secs(4),
         share_window: Duration::from_secs(4),
+        recovery: Duration::from_secs(5),
         resends: ResendLimits::default(),
         cold_starts: ColdStartBounds::default(),
         admission: AdmissionSettings::default(),
