--- a/crates/fleet/src/load_shedding.rs
+++ b/crates/fleet/src/load_shedding.rs
@@ -91,7 +91,7 @@
 impl LoadShedding {
     /// Notes how late a timer was.
     pub fn on_timer(&mut self, now: Duration, late: Duration) {
-        match late > LATE {
+        match Self::is_late(late) {
             true => self.rise(now, late),
             false => self.fall(),
         }
@@ -101,6 +101,19 @@
         }
     }
 
+    /// Tells whether a timer is so late that requests are shed for it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sedgeridge_fleet::load_shedding::LoadShedding;
+    ///
+    /// assert!(!LoadShedding::is_late(Duration::from_millis(5)));
+    /// assert!(LoadShedding::is_late(Duration::from_millis(50)));
+    /// ```
+    pub fn is_late(late: Duration) -> bool {
+        late > LATE
+    }
+
     /// Tells whether any requests are shed.
     pub fn is_active(&self) -> bool {
         self.over_part > 0.0 || self.within_part > 0.0
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -347,11 +347,13 @@
         let was_overloaded = self.lag.borrow().is_overloaded();
         self.lag.borrow_mut().note(late);
         let now = self.now();
-        let of_callers = match self.with_dispatcher(|it| it.is_flooded(now)) {
+        let is_flooded =
+            LoadShedding::is_late(late) && self.with_dispatcher(|it| it.is_flooded(now));
+        let late_for_callers = match is_flooded {
             true => late,
             false => Duration::ZERO,
         };
-        self.shedding.borrow_mut().on_timer(now, of_callers);
+        self.shedding.borrow_mut().on_timer(now, late_for_callers);
         let is_overloaded = self.lag.borrow().is_overloaded();
         if is_overloaded != was_overloaded {
             let fields = [
