engine speeds: an engine without observations is as fast as the others

One unread prompt of 12,000 tokens counted as a backlog of 3 s and more (once 41,025 ms expected), so that homes with one request in progress got no other, whether or not its account was over its share. It held while hosts met each engine often and the stated throughput was about what engines read. Now: the expected speed is that of all engines this host has seen, and the stated one at the least; bounds and weights as before.

--- a/crates/fleet/src/engine_speed.rs
+++ b/crates/fleet/src/engine_speed.rs
@@ -14,9 +14,26 @@
 const PLAUSIBLE_RATIOS: std::ops::RangeInclusive<f64> = 0.1..=4.0;
 
 /// Reading speeds of endpoints, in prompt tokens per millisecond.
+///
+/// An engine without observations is expected to be as fast as the others, and at least as fast as the stated throughput
+/// implies. Engines may read far faster than that, and in a large fleet a host hardly ever meets an engine twice.
+///
+/// ```
+/// use std::time::Duration;
+/// use sedgeridge_fleet::engine_speed::EngineSpeeds;
+///
+/// let mut speeds = EngineSpeeds::default();
+/// speeds.expect(1.0);
+/// for engine in 0..50 {
+///     speeds.observe(engine, 10_000.0, Duration::from_millis(112));
+/// }
+/// assert!(speeds.tokens_per_ms(1_000) > 80.0);
+/// ```
 #[derive(Debug, Default)]
 pub struct EngineSpeeds {
-    expected_tokens_per_ms: f64,
+    stated_tokens_per_ms: f64,
+    /// Observations of all engines together.
+    all: Observed,
     observed: IntMap<u64, Observed>,
 }
 
@@ -26,27 +43,39 @@
     millis: f64,
 }
 
+impl Observed {
+    fn add(&mut self, tokens: f64, millis: f64) {
+        self.tokens = self.tokens * DECAY_FACTOR + tokens;
+        self.millis = self.millis * DECAY_FACTOR + millis;
+    }
+
+    /// Returns the speed if `expected` counts as observed for [`PRIOR_MS`].
+    fn speed_given(&self, expected: f64) -> f64 {
+        (self.tokens + expected * PRIOR_MS) / (self.millis + PRIOR_MS)
+    }
+}
+
 impl EngineSpeeds {
-    /// Sets the speed that is assumed for an engine without observations.
+    /// Sets the speed that the stated throughput implies.
     pub fn expect(&mut self, tokens_per_ms: f64) {
-        self.expected_tokens_per_ms = tokens_per_ms.max(1.0);
+        self.stated_tokens_per_ms = tokens_per_ms;
     }
 
     /// Records that the first event came `after` the request was sent, with `tokens` to read until then.
     pub fn observe(&mut self, endpoint: u64, tokens: f64, after: Duration) {
         let millis = (after.as_secs_f64() * 1_000.0 - FIXED_FIRST_EVENT_MS).max(1.0);
-        let observed = self.observed.entry(endpoint).or_default();
-        observed.tokens = observed.tokens * DECAY_FACTOR + tokens;
-        observed.millis = observed.millis * DECAY_FACTOR + millis;
+        self.observed
+            .entry(endpoint)
+            .or_default()
+            .add(tokens, millis);
+        self.all.add(tokens, millis);
     }
 
     /// Returns the speed of an endpoint in tokens per millisecond.
     pub fn tokens_per_ms(&self, endpoint: u64) -> f64 {
-        let expected = self.expected_tokens_per_ms.max(1.0);
+        let expected = self.expected_tokens_per_ms();
         let observed = self.observed.get(&endpoint).copied().unwrap_or_default();
-        let tokens = observed.tokens + expected * PRIOR_MS;
-        let speed = tokens / (observed.millis + PRIOR_MS);
-        speed.clamp(
+        observed.speed_given(expected).clamp(
             expected * PLAUSIBLE_RATIOS.start(),
             expected * PLAUSIBLE_RATIOS.end(),
         )
@@ -58,6 +87,11 @@
         FIXED_FIRST_EVENT_MS + tokens / self.tokens_per_ms(endpoint)
     }
 
+    fn expected_tokens_per_ms(&self) -> f64 {
+        let stated = self.stated_tokens_per_ms.max(1.0);
+        self.all.speed_given(stated).max(stated)
+    }
+
     /// Removes the observations of an endpoint that is gone.
     pub fn forget(&mut self, endpoint: u64) {
         self.observed.remove(&endpoint);
