table copies: in parts of bounded size; a host that starts reads one page of a long table

Cause: a table of 9,762 endpoints has twenty pages and some megabytes. Now a copy holds the 2,000 oldest of the changes that the receiver lacks, and the receiver asks again until there are no more. A host that relies on copies waits for one, 1.5 s at most, after the first page of a table that has more; tables of one page are read as before. Followers read on. Tests in row_watch.rs: a_long_table_is_copied_in_parts, a_host_that_relies_on_copies_reads_one_page_of_a_long_table; both red with copies of any size and no wait.

--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -26,6 +26,12 @@
 
 /// Interval at which a host that copies from others checks whether it must follow the store itself.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which a host that relies on copies waits for one after it has read the first page of a
+/// long table. Reading on would take a call for each page, and many hosts start together.
+const MAX_COPY_WAIT: Duration = Duration::from_millis(1_500);
+/// Rows of one copy, unless more were written by one transaction. A host that lacks more of them
+/// asks again, so that the memory and the time of a copy do not depend on the length of the table.
+const MAX_COPIED_ROWS: usize = 2_000;
 /// Number of removed rows that are remembered, for copies that hold only changes.
 const MAX_REMOVED_ROWS: usize = 512;
 /// Number of remembered gaps. A host reads the whole table when it starts and when the store has
@@ -48,9 +54,10 @@
 pub struct TableCopy {
     /// Version of the newest change in the copy.
     pub version: u64,
-    /// Whether the copy holds all rows, so that missing rows are removed; otherwise it holds only
-    /// changes.
+    /// Whether the copy starts from an empty table; otherwise it holds changes.
     pub is_whole: bool,
+    /// Whether the sender knows later changes that the copy does not hold.
+    pub has_more: bool,
     /// The rows; removed rows have no value.
     pub rows: Vec<Row>,
     /// Rows that the sender still uses although they may have lapsed.
@@ -183,6 +190,15 @@
 struct Listing {
     from: Option<Arc<str>>,
     rows: Vec<Row>,
+    first_page_at: Option<Duration>,
+}
+
+impl Listing {
+    /// Returns whether a copy may still replace the pages that have not been read.
+    fn awaits_copy(&self, now: Duration) -> bool {
+        let read_at = self.first_page_at;
+        read_at.is_some_and(|at| now.saturating_sub(at) < MAX_COPY_WAIT)
+    }
 }
 
 impl RowWatch {
@@ -213,7 +229,7 @@
 
     /// Returns the next step.
     pub fn step(&self, now: Duration) -> WatchStep {
-        if !self.is_following && self.is_known() {
+        if !self.is_following && (self.is_known() || self.awaits_copy(now)) {
             return WatchStep::WaitUntil(now + ROLE_CHECK_INTERVAL);
         }
         if now < self.next_call_at {
@@ -231,6 +247,11 @@
         WatchStep::Call(call)
     }
 
+    fn awaits_copy(&self, now: Duration) -> bool {
+        let listing = self.listing.as_ref();
+        listing.is_some_and(|listing| listing.awaits_copy(now))
+    }
+
     /// Handles the result of a call. Returns the changed rows; removed rows have no value.
     pub fn on_answer(&mut self, now: Duration, answer: StoreAnswer) -> Vec<Row> {
         match answer {
@@ -325,18 +346,28 @@
         changed
     }
 
-    /// Returns a copy for a host that knows all changes up to `after`.
+    /// Returns a copy for a host that knows all changes up to `after`: the oldest of the changes that
+    /// it lacks.
     pub fn copy_after(&self, now: Duration, after: u64) -> TableCopy {
         let is_whole = after == 0;
         let lacks_removals = self.lacks_removals_after(after);
         let removed = self.removed.iter().filter(|_| !is_whole && !lacks_removals);
         let changed = self.rows.values().chain(removed);
-        let changed = changed.filter(|row| row.version > after);
+        let mut changed: Vec<_> = changed.filter(|row| row.version > after).collect();
+        let rest = take_oldest(&mut changed, MAX_COPIED_ROWS);
+        let has_more = !rest.is_empty();
+        let last_version = changed.last().map(|row| row.version);
         TableCopy {
-            version: self.changed_version,
+            version: last_version
+                .filter(|_| has_more)
+                .unwrap_or(self.changed_version),
             is_whole,
-            rows: changed.cloned().collect(),
-            lapsing: self.lapsing_after(now, after),
+            has_more,
+            rows: changed.into_iter().cloned().collect(),
+            lapsing: match has_more {
+                true => Vec::new(),
+                false => self.lapsing_after(now, after),
+            },
             keys: lacks_removals.then(|| self.rows.keys().cloned().collect()),
         }
     }
@@ -504,6 +535,7 @@
         version: u64,
         has_more: bool,
     ) -> Vec<Row> {
+        listing.first_page_at.get_or_insert(now);
         listing.from = rows.last().map(|row| next_key(&row.key));
         listing.rows.extend(rows);
         if has_more && listing.from.is_some() {
@@ -632,6 +664,18 @@
     }
 }
 
+/// Keeps the `count` rows with the lowest versions, in order, and returns the others. Rows that one
+/// transaction wrote stay together: a host that knew only some of them would take all for known.
+fn take_oldest<'a>(rows: &mut Vec<&'a Row>, count: usize) -> Vec<&'a Row> {
+    if rows.len() <= count {
+        return Vec::new();
+    }
+    rows.sort_unstable_by_key(|row| row.version);
+    let last_version = rows[count - 1].version;
+    let kept = rows.partition_point(|row| row.version <= last_version);
+    rows.split_off(kept)
+}
+
 /// Returns the first key after `key` in byte order.
 fn next_key(key: &str) -> Arc<str> {
     Arc::from(format!("{key}\0"))
--- a/crates/fleet/tests/row_watch.rs
+++ b/crates/fleet/tests/row_watch.rs
@@ -142,6 +142,7 @@
     TableCopy {
         version,
         is_whole: true,
+        has_more: false,
         rows,
         lapsing: Vec::new(),
         keys: None,
@@ -284,6 +285,7 @@
     let newer = TableCopy {
         version: 4,
         is_whole: false,
+        has_more: false,
         rows: vec![row("c", 4)],
         lapsing: Vec::new(),
         keys: None,
@@ -362,3 +364,67 @@
     watch.on_answer(at(5_010), rows(vec![removed("b", 4)], 4));
     assert_eq!(keys(&watch), ["a", "b"]);
 }
+
+const LONG_TABLE_ROWS: u64 = 9_000;
+
+/// A watch that has listed a table of many rows, three of which each transaction wrote.
+fn watch_of_a_long_table() -> RowWatch {
+    let mut watch = RowWatch::new(1);
+    let listed = (0..LONG_TABLE_ROWS).map(|number| row(&format!("{number:05}"), number / 3 + 1));
+    watch.on_answer(at(0), rows(listed.collect(), LONG_TABLE_ROWS / 3));
+    watch
+}
+
+/// Guards against a table that does not fit into one copy, or takes seconds to send: a host that lacks all of it gets it
+/// in parts, and none is lost between two.
+#[test]
+fn a_long_table_is_copied_in_parts() {
+    let mut sender = watch_of_a_long_table();
+    let mut receiver = RowWatch::new(2);
+    let mut copies = 0;
+    loop {
+        let copy = sender.copy_after(at(10), receiver.changed_version());
+        assert!(copy.rows.len() <= 2_100, "{} rows", copy.rows.len());
+        let has_more = copy.has_more;
+        receiver.on_copy(at(10), copy);
+        copies += 1;
+        if copies == 2 {
+            // An endpoint leaves between two parts.
+            let gone = LONG_TABLE_ROWS / 3 + 1;
+            sender.on_answer(at(10), rows(vec![removed("00001", gone)], gone));
+        }
+        if !has_more {
+            break;
+        }
+    }
+    assert!(copies > 2);
+    assert_eq!(receiver.changed_version(), sender.changed_version());
+    assert!(receiver.rows().eq(sender.rows()), "{copies} copies");
+}
+
+/// Guards against a call for each page of a long table by each of many hosts that start: a host that relies on copies
+/// waits for one after the first page, and reads on if none comes.
+#[test]
+fn a_host_that_relies_on_copies_reads_one_page_of_a_long_table() {
+    let first_page = || StoreAnswer::Rows {
+        rows: vec![row("a", 1)],
+        version: 5,
+        has_more: true,
+    };
+    let mut watch = RowWatch::new(1);
+    watch.set_following(false, None);
+    assert!(matches!(watch.step(at(0)), WatchStep::Call(_)));
+    watch.on_answer(at(0), first_page());
+    assert!(matches!(watch.step(at(10)), WatchStep::WaitUntil(_)));
+    let from = Some(Arc::from("a\0"));
+    let second_page = WatchStep::Call(StoreCall::List { from });
+    assert_eq!(watch.step(at(1_600)), second_page);
+
+    let mut follower = RowWatch::new(1);
+    follower.on_answer(at(0), first_page());
+    assert_eq!(
+        follower.step(at(10)),
+        second_page,
+        "a follower waits for nobody"
+    );
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -197,21 +197,34 @@
         if self.tables.role(self.gateway.now()) == StoreRole::Copier {
             self.random_pause(MAX_FETCH_DELAY_MS).await;
         }
-        for _ in 0..MAX_FETCH_ATTEMPTS {
+        self.fetch_all(table, from).await;
+        self.tables.on_fetched(table);
+    }
+
+    /// Fetches copies until the other host has no more changes.
+    async fn fetch_all(&self, table: Table, from: SocketAddr) {
+        let mut attempts_left = MAX_FETCH_ATTEMPTS;
+        while attempts_left > 0 {
             let after = self.tables.changed_version(table);
             let fetched = timeout(FETCH_TIMEOUT, fetch_copy(table, after, from)).await;
             match fetched {
-                Ok(FetchResult::Copy(copy)) => self.tables.apply_copy(table, copy, from),
+                Ok(FetchResult::Copy(copy)) => {
+                    let is_newer = copy.version > after;
+                    let has_more = copy.has_more;
+                    self.tables.apply_copy(table, copy, from);
+                    if !has_more || !is_newer {
+                        return;
+                    }
+                    attempts_left = MAX_FETCH_ATTEMPTS;
+                }
                 Ok(FetchResult::Busy) => {
+                    attempts_left -= 1;
                     self.random_pause(MAX_BUSY_DELAY_MS).await;
-                    continue;
                 }
                 // The next host that reports a newer change is asked.
-                Ok(FetchResult::Failed) | Err(_) => {}
+                Ok(FetchResult::Failed) | Err(_) => return,
             }
-            break;
         }
-        self.tables.on_fetched(table);
     }
 
     async fn random_pause(&self, max_ms: u64) {
--- a/crates/gateway/src/table_copies.rs
+++ b/crates/gateway/src/table_copies.rs
@@ -33,9 +33,11 @@
 use crate::table_follower::TableFollower;
 use crate::wire::WireFormat;
 
-/// Longest copy. Tables hold some hundred rows of less than a kilobyte, and 2,200 rows at the
-/// design size.
+/// Longest copy. It holds a bounded number of rows, most of which have less than a kilobyte.
 const MAX_COPY_BYTES: usize = 4 * 1024 * 1024;
+/// Largest number of encoded copies of one table: those of a long table in parts, and of the latest
+/// changes.
+const MAX_CACHED_COPIES: usize = 16;
 const CONFIG_PATH: &str = "/config";
 const ENDPOINTS_PATH: &str = "/endpoints";
 const HOSTS_PATH: &str = "/hosts";
@@ -56,6 +58,9 @@
 struct CopyMessage {
     version: u64,
     is_whole: bool,
+    /// Hosts of an earlier version do not send it.
+    #[serde(default)]
+    has_more: bool,
     rows: Vec<CopiedRow>,
     /// Hosts of an earlier version do not send it.
     #[serde(default)]
@@ -98,6 +103,7 @@
         Self {
             version: copy.version,
             is_whole: copy.is_whole,
+            has_more: copy.has_more,
             rows: rows.collect(),
             lapsing: lapsing.collect(),
             keys: copy
@@ -123,6 +129,7 @@
         Self {
             version: message.version,
             is_whole: message.is_whole,
+            has_more: message.has_more,
             rows: rows.collect(),
             lapsing: lapsing.collect(),
             keys: message
@@ -136,15 +143,25 @@
 #[derive(Debug, Clone, Default)]
 pub struct CopyServer {
     load: Arc<Mutex<TableCopyBudget>>,
-    cache: Rc<RefCell<BTreeMap<Table, CachedCopy>>>,
+    cache: Rc<RefCell<BTreeMap<Table, CachedCopies>>>,
 }
 
-/// The last encoded copy of a table. Many hosts ask for the same one at once.
-#[derive(Debug)]
-struct CachedCopy {
-    after: u64,
+/// Encoded copies of one version of a table, by the version that the receiver knows. Many hosts ask
+/// for the same ones at once.
+#[derive(Debug, Default)]
+struct CachedCopies {
     version: u64,
-    bytes: Bytes,
+    encoded: BTreeMap<u64, Bytes>,
+}
+
+impl CachedCopies {
+    /// Drops the copies of an earlier version, and all if there are too many.
+    fn make_room(&mut self, version: u64) {
+        if self.version != version || self.encoded.len() >= MAX_CACHED_COPIES {
+            self.encoded.clear();
+        }
+        self.version = version;
+    }
 }
 
 /// A copy that is being sent to a host. It counts until its last byte is written.
@@ -195,22 +212,18 @@
     ) -> Bytes {
         let version = tables.changed_version(table);
         let mut cache = self.cache.borrow_mut();
-        let cached = cache.get(&table);
-        let cached = cached.filter(|cached| (cached.after, cached.version) == (after, version));
-        if let Some(cached) = cached {
-            return cached.bytes.clone();
+        let cached = cache.entry(table).or_default();
+        let known = cached.encoded.get(&after);
+        if let Some(bytes) = known.filter(|_| cached.version == version) {
+            return bytes.clone();
         }
         let copy = tables.copy(table, after);
         // The remaining time of lapsing rows is different at the next request.
         let is_cacheable = copy.lapsing.is_empty();
         let bytes = encode(copy);
         if is_cacheable {
-            let cached = CachedCopy {
-                after,
-                version,
-                bytes: bytes.clone(),
-            };
-            cache.insert(table, cached);
+            cached.make_room(version);
+            cached.encoded.insert(after, bytes.clone());
         }
         bytes
     }
