table copies: hosts of a large fleet copy from their own data centre

Cause: each host copied a change from the first host that reported it. In a fleet of five data centres four copies of five passed between them, where bytes are paid for, and the first follower was asked by the whole fleet within 120 ms of each change. Now the relays of a data centre copy from anywhere; other hosts wait 400 ms for a host of their own data centre to know the change. Followers that the store does not answer, and all hosts of small fleets, copy at once as before. Tests: few_copies_pass_between_data_centres (81 and 300 hosts; red without the wait), a_host_prefers_copies_of_its_own_data_centre. The bounds of table_spread.rs (1.5 s until all hosts know, with one fault on the way) hold unchanged.

--- a/crates/fleet/src/dispatcher/peers.rs
+++ b/crates/fleet/src/dispatcher/peers.rs
@@ -13,6 +13,7 @@
 use crate::peer_report::Scope;
 use crate::peer_report::to_millis;
 use crate::peer_schedule::PeerSchedule;
+use crate::peer_versions::CopySource;
 use crate::relay::FleetView;
 use crate::relay::Relay;
 use crate::store_followers::FOLLOWER_COUNT;
@@ -205,6 +206,24 @@
         self.peers.store_followers.role(now, before)
     }
 
+    /// Returns how this host is to take a copy of a table from a host of a data centre. `store_answers` tells whether the
+    /// store answers this host's calls about the table.
+    pub fn copy_source(&self, now: Duration, data_centre: u64, store_answers: bool) -> CopySource {
+        let hosts = &self.peers.hosts;
+        let own_data_centre = self.own_data_centre();
+        if store_answers && self.store_role(now).is_following() {
+            return CopySource::BesideStore;
+        }
+        if data_centre == own_data_centre || hosts.is_small_fleet(now) {
+            return CopySource::Preferred;
+        }
+        let relays = hosts.choose_relays(now, own_data_centre);
+        match relays.contains(&self.settings.host) {
+            true => CopySource::Preferred,
+            false => CopySource::Remote,
+        }
+    }
+
     /// Returns the time since which the store has answered no host, if it is unavailable or has just recovered. A host that
     /// starts to follow the store then must not treat entries that are missing there as removed.
     pub fn store_lost_since(&self) -> Option<Duration> {
--- a/crates/fleet/src/peer_versions.rs
+++ b/crates/fleet/src/peer_versions.rs
@@ -1,4 +1,8 @@
 //! Tracks the table versions that other hosts report, and decides when to fetch a copy.
+//!
+//! Followers of the store fetch none while the store answers them. In a large fleet the relays fetch from any host, and
+//! all others wait for a host of their own data centre to know the change. Thus a change passes between two data centres
+//! once, and the first host that knows it is not asked by the whole fleet at the same moment.
 
 use std::time::Duration;
 
@@ -6,17 +10,44 @@
 /// newer version. The store itself delivers a change within some ten milliseconds.
 const STORE_GRACE: Duration = Duration::from_millis(250);
 
+/// Time that a host waits for a host of its own data centre to know a newer version, before it copies from another data
+/// centre. Relays report twice or more in that time.
+const REMOTE_GRACE: Duration = Duration::from_millis(400);
+
+/// Where a copy of a newer version comes from, as seen from this host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CopySource {
+    /// A host to which this one turns at once.
+    Preferred,
+    /// A host of another data centre, while hosts of the own one will soon know the version too.
+    Remote,
+    /// Another host, while the store itself delivers the change.
+    BesideStore,
+}
+
+impl CopySource {
+    /// Returns how long to wait for a better source.
+    fn grace(self) -> Duration {
+        match self {
+            Self::Preferred => Duration::ZERO,
+            Self::Remote => REMOTE_GRACE,
+            Self::BesideStore => STORE_GRACE,
+        }
+    }
+}
+
 /// Newer versions of one table that other hosts know.
 ///
 /// ```
 /// use std::time::Duration;
-/// use sedgeridge_fleet::peer_versions::PeerVersions;
+/// use sedgeridge_fleet::peer_versions::{CopySource, PeerVersions};
 ///
 /// let mut versions = PeerVersions::default();
-/// assert!(versions.try_start_fetch(Duration::ZERO, 7, 9, false));
-/// assert!(!versions.try_start_fetch(Duration::ZERO, 7, 9, false), "one fetch at a time");
+/// assert!(!versions.try_start_fetch(Duration::ZERO, 7, 9, CopySource::Remote));
+/// assert!(versions.try_start_fetch(Duration::ZERO, 7, 9, CopySource::Preferred));
+/// assert!(!versions.try_start_fetch(Duration::ZERO, 7, 9, CopySource::Preferred), "one fetch at a time");
 /// versions.on_fetch_ended();
-/// assert!(versions.try_start_fetch(Duration::ZERO, 7, 9, false));
+/// assert!(versions.try_start_fetch(Duration::ZERO, 7, 9, CopySource::Preferred));
 /// ```
 #[derive(Debug, Default)]
 pub struct PeerVersions {
@@ -37,17 +68,15 @@
     ///
     /// The store may refuse this host while it serves the others and the operator. Without the copy
     /// this host would keep old routes and keys, and endpoints that left. If the store answers this
-    /// host (`store_answers`), the store gets a moment to deliver the change itself.
+    /// host, the store gets a moment to deliver the change itself.
     pub fn try_start_fetch(
         &mut self,
         now: Duration,
         known: u64,
         reported: u64,
-        store_answers: bool,
+        source: CopySource,
     ) -> bool {
-        // The wait restarts after the host has caught up. Otherwise each later change would be
-        // copied at once.
-        self.newer.take_if(|newer| newer.version <= known);
+        self.on_known(known);
         if reported <= known {
             return false;
         }
@@ -56,17 +85,19 @@
             since: now,
         });
         let since = newer.since;
-        let grace = match store_answers {
-            true => STORE_GRACE,
-            false => Duration::ZERO,
-        };
-        if self.is_fetching || now.saturating_sub(since) < grace {
+        if self.is_fetching || now.saturating_sub(since) < source.grace() {
             return false;
         }
         self.is_fetching = true;
         true
     }
 
+    /// Records the version that this host knows. After it has caught up, the wait begins anew with the
+    /// next change. Otherwise each later change would be copied at once.
+    pub fn on_known(&mut self, known: u64) {
+        self.newer.take_if(|newer| newer.version <= known);
+    }
+
     /// Records the end of a fetch, with or without a copy.
     pub fn on_fetch_ended(&mut self) {
         self.is_fetching = false;
--- a/crates/fleet/tests/peer_versions.rs
+++ b/crates/fleet/tests/peer_versions.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use sedgeridge_fleet::peer_versions::CopySource;
 use sedgeridge_fleet::peer_versions::PeerVersions;
 
 fn at(millis: u64) -> Duration {
@@ -14,10 +15,10 @@
 #[test]
 fn a_follower_gives_the_store_its_time_for_each_change() {
     let mut versions = PeerVersions::default();
-    assert!(!versions.try_start_fetch(at(0), 7, 8, true));
-    assert!(!versions.try_start_fetch(at(10), 8, 8, true));
-    assert!(!versions.try_start_fetch(at(5_000), 8, 9, true));
-    assert!(versions.try_start_fetch(at(5_250), 8, 9, true));
+    assert!(!versions.try_start_fetch(at(0), 7, 8, CopySource::BesideStore));
+    assert!(!versions.try_start_fetch(at(10), 8, 8, CopySource::BesideStore));
+    assert!(!versions.try_start_fetch(at(5_000), 8, 9, CopySource::BesideStore));
+    assert!(versions.try_start_fetch(at(5_250), 8, 9, CopySource::BesideStore));
 }
 
 /// Two hosts report the version of a table, and one of them is outdated itself. Its reports come
@@ -26,10 +27,10 @@
 fn reports_of_a_host_that_is_behind_too_change_nothing() {
     let mut versions = PeerVersions::default();
     for now in (0..250).step_by(50) {
-        assert!(!versions.try_start_fetch(at(now), 7, 9, true));
-        assert!(!versions.try_start_fetch(at(now + 10), 7, 7, true));
+        assert!(!versions.try_start_fetch(at(now), 7, 9, CopySource::BesideStore));
+        assert!(!versions.try_start_fetch(at(now + 10), 7, 7, CopySource::BesideStore));
     }
-    assert!(versions.try_start_fetch(at(250), 7, 9, true));
+    assert!(versions.try_start_fetch(at(250), 7, 9, CopySource::BesideStore));
 }
 
 /// The store refuses a host that follows it. Changes reach it only by copies, so it must not wait
@@ -37,5 +38,17 @@
 #[test]
 fn a_host_that_the_store_refuses_copies_at_once() {
     let mut versions = PeerVersions::default();
-    assert!(versions.try_start_fetch(at(0), 7, 8, false));
+    assert!(versions.try_start_fetch(at(0), 7, 8, CopySource::Preferred));
+}
+
+/// Guards against copies that each host of a large fleet fetches from the first one that knows a change. A host leaves
+/// other data centres alone for a while, and turns to one if its own does not know the change by then.
+#[test]
+fn a_host_prefers_copies_of_its_own_data_centre() {
+    let mut versions = PeerVersions::default();
+    assert!(!versions.try_start_fetch(at(0), 7, 8, CopySource::Remote));
+    assert!(versions.try_start_fetch(at(100), 7, 8, CopySource::Preferred));
+    versions.on_fetch_ended();
+    assert!(!versions.try_start_fetch(at(200), 8, 9, CopySource::Remote));
+    assert!(versions.try_start_fetch(at(600), 8, 9, CopySource::Remote));
 }
--- a/crates/fleet/tests/support/table_fleet.rs
+++ b/crates/fleet/tests/support/table_fleet.rs
@@ -150,6 +150,8 @@
     pub host_list: StoreTable,
     /// Host that no other host reaches.
     pub cut_off: Option<usize>,
+    /// Number of copies that were fetched from another data centre.
+    pub remote_fetches: usize,
     random: SeededRandom,
     loss_percent: u64,
 }
@@ -207,6 +209,7 @@
             store,
             host_list: StoreTable::default(),
             cut_off: None,
+            remote_fetches: 0,
             random: SeededRandom::new(7),
             loss_percent: 2,
         }
@@ -283,27 +286,35 @@
 
     fn receive_reports(&mut self, index: usize) {
         while let Some((from, report)) = self.nodes[index].next_report(self.now) {
-            self.fetch_if_newer(index, Table::Endpoints, from, report.endpoints_version);
-            self.fetch_if_newer(index, Table::Hosts, from, report.hosts_version);
+            self.fetch_if_newer(index, Table::Endpoints, from, &report);
+            self.fetch_if_newer(index, Table::Hosts, from, &report);
             let node = &mut self.nodes[index];
             node.host.send(self.now, DispatchEvent::Reported(report));
         }
     }
 
     /// Starts to fetch a copy if the sender knows a newer version.
-    fn fetch_if_newer(&mut self, index: usize, table: Table, from: usize, reported_version: u64) {
+    fn fetch_if_newer(&mut self, index: usize, table: Table, from: usize, report: &PeerReport) {
         let now = self.now;
         let node = &mut self.nodes[index];
         let role = node.host.dispatcher.store_role(at(now));
+        let reported_version = match table {
+            Table::Endpoints => report.endpoints_version,
+            Table::Hosts => report.hosts_version,
+        };
+        let store_answers = !node.table(table).watch.is_store_lost();
+        let dispatcher = &node.host.dispatcher;
+        let source = dispatcher.copy_source(at(now), report.data_centre, store_answers);
         let followed = node.table(table);
         let known = followed.watch.changed_version();
-        let is_answered = role.is_following() && !followed.watch.is_store_lost();
         if !followed
             .peer_versions
-            .try_start_fetch(at(now), known, reported_version, is_answered)
+            .try_start_fetch(at(now), known, reported_version, source)
         {
             return;
         }
+        let is_remote = report.data_centre != stable_hash(&data_centre(index));
+        self.remote_fetches += usize::from(is_remote);
         let delay = match role {
             StoreRole::Copier => self.random.below(MAX_FETCH_DELAY_MS),
             _ => 0,
--- a/crates/fleet/tests/table_spread.rs
+++ b/crates/fleet/tests/table_spread.rs
@@ -151,3 +151,20 @@
         assert!(!node.knows(&name(0)));
     }
 }
+
+/// Guards against changes that each host fetches from another data centre: bytes between data centres are paid for, and
+/// the first host that knows a change would be asked by all others at once. A few relays of each data centre fetch it.
+#[parameterized(
+    hosts_of_81 = { 81 },
+    hosts_of_300 = { 300 },
+)]
+fn few_copies_pass_between_data_centres(size: usize) {
+    let mut fleet = Fleet::new(size);
+    let before = fleet.remote_fetches;
+    fleet.time_to_know_of_removal(&name(0), KNOWN_WITHIN_MS);
+    let fetched = fleet.remote_fetches - before;
+    assert!(
+        fetched <= size / 4,
+        "{fetched} copies from other data centres"
+    );
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -159,9 +159,9 @@
                 }
             };
             self.tables.note_sender(report.host, from);
-            self.fetch_if_newer(Table::Config, report.config_version, from);
-            self.fetch_if_newer(Table::Endpoints, report.endpoints_version, from);
-            self.fetch_if_newer(Table::Hosts, report.hosts_version, from);
+            self.fetch_if_newer(Table::Config, report.config_version, &report, from);
+            self.fetch_if_newer(Table::Endpoints, report.endpoints_version, &report, from);
+            self.fetch_if_newer(Table::Hosts, report.hosts_version, &report, from);
             self.gateway.handle(DispatchEvent::Reported(report));
         }
     }
@@ -186,9 +186,18 @@
         }
     }
 
-    /// Fetches a copy from the host at `from` if it knows a newer change.
-    fn fetch_if_newer(self: &Rc<Self>, table: Table, version: u64, from: SocketAddr) {
-        if self.tables.should_fetch_copy(table, version) {
+    /// Fetches a copy from the sender of a report, at `from`, if it knows a newer change.
+    fn fetch_if_newer(
+        self: &Rc<Self>,
+        table: Table,
+        version: u64,
+        report: &PeerReport,
+        from: SocketAddr,
+    ) {
+        if self
+            .tables
+            .should_fetch_copy(table, version, report.data_centre)
+        {
             spawn_local(self.clone().fetch(table, from));
         }
     }
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -131,15 +131,21 @@
         watch.step(now)
     }
 
-    /// Records that another host knows version `reported_version` of a table. Returns whether to
-    /// fetch its copy.
-    pub fn should_fetch_copy(&self, table: Table, reported_version: u64) -> bool {
+    /// Records that a host of a data centre knows version `reported_version` of a table. Returns
+    /// whether to fetch its copy.
+    pub fn should_fetch_copy(&self, table: Table, reported_version: u64, data_centre: u64) -> bool {
         let now = self.gateway.now();
         let known_version = self.changed_version(table);
-        let store_answers =
-            self.role(now).is_following() && !self.watch(table).borrow().is_store_lost();
         let mut news = self.news_of(table).borrow_mut();
-        news.try_start_fetch(now, known_version, reported_version, store_answers)
+        if reported_version <= known_version {
+            news.on_known(known_version);
+            return false;
+        }
+        let store_answers = !self.watch(table).borrow().is_store_lost();
+        let source = self
+            .gateway
+            .with_dispatcher(|dispatcher| dispatcher.copy_source(now, data_centre, store_answers));
+        news.try_start_fetch(now, known_version, reported_version, source)
     }
 
     /// Records that the fetch of another host's copy has ended.
