registration: retries are spread over seconds

The store takes 200 writes a second in one part of a table, keeps one second of them waiting and turns the rest away; each host came back after 700 ms, and gave a waiting write up after 700 ms too, so that it was made twice.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -18,6 +18,7 @@
 use sedgeridge_fleet::hashing::stable_hash;
 use sedgeridge_fleet::peer_report::PeerReport;
 use sedgeridge_fleet::peer_report::set_included;
+use sedgeridge_fleet::registration_retries::RegistrationRetries;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
@@ -39,8 +40,6 @@
 
 /// Time between checks for due reports.
 const REPORT_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Time between attempts to register while the store does not answer.
-const REGISTER_RETRY_INTERVAL: Duration = Duration::from_millis(700);
 /// Longest random delay before a host that depends on copies fetches one, so that not all ask at
 /// once.
 const MAX_FETCH_DELAY_MS: u64 = 120;
@@ -77,10 +76,10 @@
     /// Registers this host in the host list.
     pub async fn register<S: Store>(&self, store: Rc<S>) {
         let entry = self.entry();
-        // The store accepts some hundred writes a second in one part of a table. When many hosts
-        // start together, some are turned away.
+        let mut retries = RegistrationRetries::default();
         while !store.register(&entry).await {
-            tokio::time::sleep(REGISTER_RETRY_INTERVAL).await;
+            let pause = retries.next_pause(&mut self.random.borrow_mut());
+            tokio::time::sleep(pause).await;
         }
     }
 
