plain endpoints: equal ones are ranked by each host for itself

Cause: among endpoints of the same cost the first of the table was chosen, by all hosts, which see each other's work late. Test: plain_spread.rs, 400 hosts and 60 endpoints: red before (1 of 60 used), green after.

--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -12,6 +12,7 @@
 use crate::config::EngineSpec;
 use crate::endpoint_load::Load;
 use crate::endpoint_table::Endpoint;
+use crate::hashing::pair_hash;
 use crate::prompt::Prompt;
 use crate::retry_delay::RefusedRequest;
 use crate::verdict::Decision;
@@ -310,7 +311,16 @@
             }
             _ => self.plain_candidate(now, endpoint),
         });
-        candidates.min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms))
+        candidates.min_by(|one, other| {
+            let by_cost = one.cost_ms.total_cmp(&other.cost_ms);
+            by_cost.then_with(|| self.own_rank(one).cmp(&self.own_rank(other)))
+        })
+    }
+
+    /// Returns this host's rank of an endpoint among others of the same cost. If all hosts preferred the first of equal
+    /// endpoints, they would send to the same one, since they see each other's work late.
+    fn own_rank(&self, candidate: &Candidate<'_>) -> u64 {
+        pair_hash(self.settings.host, candidate.endpoint.key)
     }
 
     fn engine_candidate<'a>(
