placement: homes from a ring, and only the drawn endpoints are looked at

Cause: each arrival collected all sound endpoints of its service, ranked them twice by hash, and looked at all again for the best.

--- a/crates/fleet/examples/decision_time.rs
+++ b/crates/fleet/examples/decision_time.rs
@@ -29,11 +29,11 @@
 use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::ids::ServiceId;
 
-const ENGINES: [u64; 5] = [9, 60, 112, 204, 2_200];
+const ENGINES: [u64; 6] = [9, 60, 204, 2_200, 9_762, 20_000];
 const SERVICE: &str = "desk";
 const SLOTS: u32 = 12;
 const ACCOUNTS: u64 = 60;
-const ARRIVALS: u64 = 20_000;
+const ARRIVALS: u64 = 6_000;
 /// Time between two arrivals.
 const ARRIVAL_INTERVAL: Duration = Duration::from_micros(500);
 /// Shared tokens of a prompt that goes only to its homes, and of one that goes to any engine.
--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -283,14 +283,32 @@
         pending: &Pending,
         allowed: &AllowedEndpoints,
     ) -> Option<Candidate<'_>> {
+        let service = &pending.arrival.service;
+        let Some(keys) = allowed.keys() else {
+            let usable = self.endpoints.usable(service).iter();
+            return self.best_among(now, pending, allowed, usable);
+        };
+        let listed = keys
+            .into_iter()
+            .filter_map(|key| self.endpoints.get_by_key(key));
+        let usable = listed.filter(|it| it.service == *service && !it.is_leaving);
+        self.best_among(now, pending, allowed, usable)
+    }
+
+    /// Returns the best of some endpoints of the request's service.
+    fn best_among<'a>(
+        &'a self,
+        now: Duration,
+        pending: &Pending,
+        allowed: &AllowedEndpoints,
+        endpoints: impl Iterator<Item = &'a Arc<Endpoint>>,
+    ) -> Option<Candidate<'a>> {
         let arrival = &pending.arrival;
-        let usable = self.endpoints.usable(&arrival.service);
         let spec = self.services.get(&arrival.service);
         let engine = spec.and_then(|spec| spec.engine);
         let prompt = arrival.prompt.as_ref();
-        let untried = usable.iter().filter(|endpoint| {
-            allowed.contains(endpoint.key)
-                && self.records.is_up(now, endpoint.key)
+        let untried = endpoints.filter(|endpoint| {
+            self.records.is_up(now, endpoint.key)
                 && self.is_open(now, endpoint)
                 && !pending.tried_endpoints.contains(&endpoint.key)
         });
--- a/crates/fleet/src/dispatcher/allowed_endpoints.rs
+++ b/crates/fleet/src/dispatcher/allowed_endpoints.rs
@@ -5,8 +5,7 @@
 use super::Dispatcher;
 use super::Pending;
 use crate::hashing::pair_hash;
-use crate::placement::HOMES_PER_PROMPT;
-use crate::placement::home_endpoints;
+use crate::home_ring::Homes;
 
 /// Number of shared tokens above which a prompt is read only at its homes. Otherwise, when all engines are nearly full, any
 /// engine with a free slot would read the shared part again.
@@ -17,7 +16,7 @@
     /// Any endpoint with free capacity.
     Any,
     /// Only the homes of its prompt.
-    Homes([Option<u64>; HOMES_PER_PROMPT]),
+    Homes(Homes),
     /// The homes of its prompt and two endpoints that are drawn for this request, or any other if these have no free
     /// capacity.
     ///
@@ -25,23 +24,27 @@
     /// the one that seems idle, and its first events would be late. Two randomly drawn engines are enough to avoid a busy
     /// one, and differ from request to request.
     Preferred {
-        homes: [Option<u64>; HOMES_PER_PROMPT],
-        drawn: [Option<u64>; HOMES_PER_PROMPT],
+        homes: Homes,
+        drawn: Homes,
         /// A cold endpoint, if this host is one of the few that may send to it.
         cold: Option<u64>,
     },
 }
 
 impl AllowedEndpoints {
-    pub(super) fn contains(&self, endpoint: u64) -> bool {
-        match self {
-            Self::Any => true,
-            Self::Homes(homes) => homes.contains(&Some(endpoint)),
+    /// Returns the keys of the endpoints, each once; `None` for any endpoint.
+    pub(super) fn keys(&self) -> Option<Vec<u64>> {
+        let mut keys: Vec<_> = match self {
+            Self::Any => return None,
+            Self::Homes(homes) => homes.iter().flatten().copied().collect(),
             Self::Preferred { homes, drawn, cold } => {
-                let endpoint = Some(endpoint);
-                homes.contains(&endpoint) || drawn.contains(&endpoint) || *cold == endpoint
+                let keys = homes.iter().chain(drawn).chain([cold]);
+                keys.flatten().copied().collect()
             }
-        }
+        };
+        keys.sort_unstable();
+        keys.dedup();
+        Some(keys)
     }
 
     pub(super) fn home_rank(&self, endpoint: u64) -> Option<usize> {
@@ -57,31 +60,38 @@
 impl Dispatcher {
     /// Returns the endpoints to which a request may go.
     pub(super) fn allowed_endpoints(&self, now: Duration, pending: &Pending) -> AllowedEndpoints {
-        let usable = self.endpoints.usable(&pending.arrival.service);
-        let prompt = pending.arrival.prompt.as_ref();
+        let arrival = &pending.arrival;
+        let prompt = arrival.prompt.as_ref();
         let Some((prompt, key)) = prompt.and_then(|it| Some((it, it.placement_key()?))) else {
             return AllowedEndpoints::Any;
         };
-        // Homes are chosen among the endpoints that work. If the homes of a prompt could be down, each of its requests would
-        // go to the least busy endpoint and be read again there.
-        let sound = usable.iter().filter(|endpoint| {
-            self.records.is_healthy(now, endpoint.key) && self.is_open(now, endpoint)
-        });
-        let sound: Vec<_> = sound.map(|endpoint| endpoint.key).collect();
-        let homes = home_endpoints(key, sound.iter().copied());
         // A request that was sent before may go to any endpoint: its caller waits for the rest.
         if pending.sends > 0 {
             return AllowedEndpoints::Any;
         }
+        let Some(ring) = self.endpoints.home_ring(&arrival.service) else {
+            return AllowedEndpoints::Any;
+        };
+        // Homes are chosen among the endpoints that work. If the homes of a prompt could be down, each of its requests would
+        // go to the least busy endpoint and be read again there.
+        let is_sound = |endpoint| self.is_sound(now, endpoint);
+        let homes = ring.homes(key, is_sound);
         if prompt.shared_tokens() > MAX_SHARED_TOKENS_ANYWHERE {
             return AllowedEndpoints::Homes(homes);
         }
-        let draw = pair_hash(self.settings.host, pending.arrival.id.0);
-        let cold = self
-            .cold
-            .open_endpoints(now)
-            .find(|endpoint| sound.contains(endpoint));
-        let drawn = home_endpoints(draw, sound);
+        let draw = pair_hash(self.settings.host, arrival.id.0);
+        let drawn = ring.homes(draw, is_sound);
+        let cold = self.cold.open_endpoints(now).find(|endpoint| {
+            let listed = self.endpoints.get_by_key(*endpoint);
+            listed.is_some_and(|it| it.service == arrival.service && !it.is_leaving)
+                && self.is_sound(now, *endpoint)
+        });
         AllowedEndpoints::Preferred { homes, drawn, cold }
     }
+
+    /// Returns whether an endpoint works, as far as this host knows, and takes requests now.
+    fn is_sound(&self, now: Duration, endpoint: u64) -> bool {
+        let listed = self.endpoints.get_by_key(endpoint);
+        self.records.is_healthy(now, endpoint) && listed.is_some_and(|it| self.is_open(now, it))
+    }
 }
--- a/crates/fleet/src/endpoint_table.rs
+++ b/crates/fleet/src/endpoint_table.rs
@@ -6,11 +6,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use nohash_hasher::IntMap;
 use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::ids::ServiceId;
 
 use crate::hashing::pair_hash;
 use crate::hashing::stable_hash;
+use crate::home_ring::HomeRing;
 
 /// One run of an endpoint. A restart may keep the id; the new run then has a later start.
 #[derive(Debug, Clone, PartialEq)]
@@ -70,6 +72,7 @@
 #[derive(Debug, Default)]
 pub struct EndpointTable {
     by_id: BTreeMap<EndpointId, Arc<Endpoint>>,
+    by_key: IntMap<u64, Arc<Endpoint>>,
     by_service: HashMap<ServiceId, ServiceEndpoints>,
 }
 
@@ -80,6 +83,8 @@
     count: usize,
     /// Endpoints that take new work, in order of their ids.
     usable: Vec<Arc<Endpoint>>,
+    /// The same endpoints, as homes of prompts.
+    homes: HomeRing,
 }
 
 impl ServiceEndpoints {
@@ -90,13 +95,15 @@
         }
         if let Err(at) = self.position_of(&endpoint.id) {
             self.usable.insert(at, endpoint.clone());
+            self.homes.insert(endpoint.key);
         }
     }
 
     fn remove(&mut self, endpoint: &Endpoint) {
         self.count -= 1;
         if let Ok(at) = self.position_of(&endpoint.id) {
-            self.usable.remove(at);
+            let removed = self.usable.remove(at);
+            self.homes.remove(removed.key);
         }
     }
 
@@ -123,12 +130,14 @@
         let service_endpoints = self.by_service.entry(endpoint.service.clone()).or_default();
         service_endpoints.add(&endpoint);
         self.by_id.insert(endpoint.id.clone(), endpoint.clone());
+        self.by_key.insert(endpoint.key, endpoint.clone());
         replaced.filter(|replaced| replaced.key != endpoint.key)
     }
 
     /// Removes an entry.
     pub fn remove(&mut self, id: &EndpointId) -> Option<Arc<Endpoint>> {
         let removed = self.by_id.remove(id)?;
+        self.by_key.remove(&removed.key);
         if let Some(service_endpoints) = self.by_service.get_mut(&removed.service) {
             service_endpoints.remove(&removed);
         }
@@ -154,6 +163,16 @@
         self.by_id.get(id)
     }
 
+    /// Returns an endpoint by the key of its run.
+    pub fn get_by_key(&self, key: u64) -> Option<&Arc<Endpoint>> {
+        self.by_key.get(&key)
+    }
+
+    /// Returns the ring of a service's endpoints that take new work; `None` if it has none.
+    pub fn home_ring(&self, service: &ServiceId) -> Option<&HomeRing> {
+        self.by_service.get(service).map(|it| &it.homes)
+    }
+
     /// Iterates over all entries.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
         self.by_id.values()
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod engine_speed;
 pub mod event_stream;
 pub mod hashing;
+pub mod home_ring;
 pub mod idle_connections;
 pub mod load_shedding;
 pub mod memory_budget;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -1,9 +1,8 @@
-//! Tracks which prompt parts endpoints have cached, and assigns prompts to home endpoints.
+//! Tracks which prompt parts endpoints have cached.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::hashing::pair_hash;
 use crate::prompt::Prompt;
 
 /// Time after its last use for which a part counts as cached. Engines evict the least recently used parts; under load the
@@ -79,32 +78,3 @@
         read_at.copied()
     }
 }
-
-/// Number of home endpoints of each prompt. With one, a burst of one prompt overflows to other endpoints and is read again
-/// there; with more, each copy is used too rarely to stay cached.
-pub const HOMES_PER_PROMPT: usize = 2;
-
-/// Returns the home endpoints of prompts with this key, by rendezvous hashing. They are the same on every host that knows
-/// the same endpoints, and stay the same when another endpoint is added or removed.
-///
-/// ```
-/// use sedgeridge_fleet::placement::home_endpoints;
-///
-/// let homes = home_endpoints(7, [1, 2, 3]);
-/// assert_eq!(homes, home_endpoints(7, [3, 2, 1]));
-/// ```
-pub fn home_endpoints(
-    key: u64,
-    endpoints: impl IntoIterator<Item = u64>,
-) -> [Option<u64>; HOMES_PER_PROMPT] {
-    let mut best: [Option<(u64, u64)>; HOMES_PER_PROMPT] = [None; HOMES_PER_PROMPT];
-    for endpoint in endpoints {
-        let mut scored = Some((pair_hash(key, endpoint), endpoint));
-        for place in &mut best {
-            if scored > *place {
-                std::mem::swap(place, &mut scored);
-            }
-        }
-    }
-    best.map(|place| place.map(|(_, endpoint)| endpoint))
-}
--- a/crates/fleet/tests/idle_engines.rs
+++ b/crates/fleet/tests/idle_engines.rs
@@ -78,7 +78,10 @@
         end_all(&mut host, 0, &[id]);
     }
     let mut running = BTreeMap::new();
-    for subject in 0..5 {
+    for subject in 0..20 {
+        if running.len() == 2 {
+            break;
+        }
         let prompt = prompt(subject, 9_000);
         let (id, verdict) = host.arrive(0, engine_request(0, MODEST, prompt));
         match verdict {
@@ -90,6 +93,7 @@
             }
         }
     }
+    assert_eq!(running.len(), 2, "each engine runs a request");
     let running: Vec<_> = running.into_values().collect();
     host.send(100, DispatchEvent::Tick);
     let mut sent = 0;
--- a/crates/fleet/tests/shares.rs
+++ b/crates/fleet/tests/shares.rs
@@ -6,7 +6,7 @@
 use sedgeridge_fleet::account_shares::AccountShares;
 use sedgeridge_fleet::account_shares::Lead;
 use sedgeridge_fleet::account_shares::max_min_share;
-use sedgeridge_fleet::placement::home_endpoints;
+use sedgeridge_fleet::home_ring::HomeRing;
 use sedgeridge_fleet::resend_window::ResendLimits;
 use sedgeridge_fleet::resend_window::ResendWindow;
 use sedgeridge_state::ids::ServiceId;
@@ -15,6 +15,12 @@
     Duration::from_millis(millis)
 }
 
+fn ring_of(endpoints: &[u64]) -> HomeRing {
+    let mut ring = HomeRing::default();
+    endpoints.iter().for_each(|endpoint| ring.insert(*endpoint));
+    ring
+}
+
 proptest! {
     /// No account gets more than it requests, all shares fit, and no account could get more without another getting less.
     #[test]
@@ -57,8 +63,8 @@
         let all: Vec<u64> = (0..9).map(|n| n * 7_919 + 13).collect();
         let left: Vec<u64> = all.iter().copied().filter(|e| *e != gone * 7_919 + 13).collect();
         for key in keys {
-            let before = home_endpoints(key, all.iter().copied());
-            let after = home_endpoints(key, left.iter().copied());
+            let before = ring_of(&all).homes(key, |_| true);
+            let after = ring_of(&left).homes(key, |_| true);
             if !before.contains(&Some(gone * 7_919 + 13)) {
                 prop_assert_eq!(before, after);
             }
