reports: a sum that is too long keeps the busiest endpoints and the largest accounts

Cause: a report over 60,000 bytes lost half of its rows, whichever came last in a hash map, again and again until it fitted, and nobody knew. Receivers take such endpoints for idle and such accounts for unused. Now a report holds at most 1,700 endpoints and 1,000 accounts, those with most work; it says how many it leaves out, and a counter on the metrics page adds them up.

--- a/crates/fleet/src/dispatcher/peers.rs
+++ b/crates/fleet/src/dispatcher/peers.rs
@@ -261,8 +261,7 @@
     pub fn report(&mut self, state: HostState) -> PeerReport {
         self.collect_news();
         let mut report = self.blank_report(state, Scope::Own);
-        report.loads = self.loads.own().collect();
-        report.usage = self.shares.own();
+        report.set_work(self.loads.own().collect(), self.shares.own());
         report.crashes = self.peers.take_news();
         self.peers.schedule.on_reported();
         self.peers.keep_report(&report);
@@ -431,8 +430,7 @@
             let mut data_centre_work = sum.work.clone();
             data_centre_work.add(&own_loads, &own_usage);
             report.hosts = sum.hosts + 1;
-            report.loads = data_centre_work.loads();
-            report.usage = data_centre_work.usage();
+            report.set_work(data_centre_work.loads(), data_centre_work.usage());
             let to = relays_elsewhere.iter().copied();
             let to = to.map(ReportRecipient::from).collect();
             due.push(OutgoingReport { report, to });
@@ -445,8 +443,7 @@
         let mut report = self.blank_report(state, Scope::Fleet);
         sum.work.add(&own_loads, &own_usage);
         report.hosts = sum.hosts + 1;
-        report.loads = sum.work.loads();
-        report.usage = sum.work.usage();
+        report.set_work(sum.work.loads(), sum.work.usage());
         let members = self.peers.relay.members();
         let to = members.map(|(host, included)| ReportRecipient { host, included });
         let to = to.collect();
--- a/crates/fleet/src/peer_report.rs
+++ b/crates/fleet/src/peer_report.rs
@@ -1,5 +1,6 @@
 //! Reports that hosts send each other several times a second, one datagram each.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use sedgeridge_coordination::poison_notice::PoisonEvent;
@@ -14,9 +15,13 @@
 use crate::endpoint_load::Load;
 
 /// Longest report, a little below the longest datagram. Sums over a fleet with a hundred endpoints
-/// take three kilobytes; the network layer fragments and reassembles them. A report that lacks rows
-/// is worse than a lost one: receivers take the missing endpoints for idle.
+/// take three kilobytes; the network layer fragments and reassembles them.
 pub const MAX_REPORT_BYTES: usize = 60_000;
+/// Largest number of endpoints in a report. With [`MAX_USAGE_ROWS`] and the longest rows, a report
+/// stays below [`MAX_REPORT_BYTES`].
+pub const MAX_LOAD_ROWS: usize = 1_700;
+/// Largest number of client accounts in a report.
+pub const MAX_USAGE_ROWS: usize = 1_000;
 /// First byte of every report. Another format has another first byte.
 const FORMAT: u8 = 2;
 /// Bytes before the body: the format and [`PeerReport::included`].
@@ -97,6 +102,9 @@
     /// Accounts' usage over the window, by hash of the account's name.
     #[serde(rename = "u", with = "packed_usage")]
     pub usage: Vec<(u64, Usage)>,
+    /// Number of rows that the sender left out of `loads` and `usage`, since there was no room.
+    #[serde(rename = "x", default)]
+    pub left_out: u32,
     /// Notices of requests that crash endpoints.
     #[serde(rename = "p")]
     pub crashes: Vec<CrashNotice>,
@@ -129,7 +137,34 @@
 }
 
 impl PeerReport {
-    /// Encodes the report. Entries that do not fit are dropped, starting with the last ones.
+    /// Sets the work in the report. If there is no room for all rows, those of the least busy endpoints
+    /// and of the accounts that requested least are left out, and counted: receivers take such
+    /// endpoints for idle, and a missing busy one would get everybody's requests.
+    ///
+    /// ```
+    /// use sedgeridge_fleet::endpoint_load::Load;
+    /// use sedgeridge_fleet::peer_report::{MAX_LOAD_ROWS, PeerReport};
+    ///
+    /// let loads = (0..5_000_u32).map(|requests| (0, Load { requests, ..Load::default() }));
+    /// let mut report = PeerReport::default();
+    /// report.set_work(loads.collect(), Vec::new());
+    /// assert_eq!(report.loads.len(), MAX_LOAD_ROWS);
+    /// assert_eq!(report.left_out as usize, 5_000 - MAX_LOAD_ROWS);
+    /// assert_eq!(report.loads[0].1.requests, 4_999);
+    /// ```
+    pub fn set_work(&mut self, mut loads: Vec<(u64, Load)>, mut usage: Vec<(u64, Usage)>) {
+        let rows = loads.len() + usage.len();
+        keep_largest(&mut loads, MAX_LOAD_ROWS, |load| {
+            (load.requests, load.unread_tokens)
+        });
+        keep_largest(&mut usage, MAX_USAGE_ROWS, |usage| usage.requested_tokens);
+        let left_out = rows - loads.len() - usage.len();
+        self.left_out = u32::try_from(left_out).unwrap_or(u32::MAX);
+        self.loads = loads;
+        self.usage = usage;
+    }
+
+    /// Encodes the report. If it is too long, entries are dropped, starting with the last ones.
     ///
     /// ```
     /// use sedgeridge_fleet::peer_report::PeerReport;
@@ -178,6 +213,14 @@
     }
 }
 
+/// Keeps the `count` rows with the largest values, largest first if any is dropped.
+fn keep_largest<T, K: Ord>(rows: &mut Vec<(u64, T)>, count: usize, value: impl Fn(&T) -> K) {
+    if rows.len() > count {
+        rows.sort_unstable_by_key(|(_, row)| Reverse(value(row)));
+        rows.truncate(count);
+    }
+}
+
 /// Sets [`PeerReport::included`] in an encoded report.
 ///
 /// ```
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -68,6 +68,13 @@
     counter!("sedgeridge_gateway_report_bytes_total").increment(bytes as u64);
 }
 
+/// Counts rows that a report to other hosts has no room for.
+pub fn count_rows_left_out(rows: u32) {
+    if rows > 0 {
+        counter!("sedgeridge_gateway_report_rows_left_out_total").increment(u64::from(rows));
+    }
+}
+
 /// Counts a request that was answered in full.
 pub fn count_served(repeat: Repeat) {
     counter!("sedgeridge_gateway_served_total", "kind" => kind_label(repeat)).increment(1);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -129,6 +129,7 @@
     fn send_report(&self, socket: &UdpSocket, outgoing: &OutgoingReport) {
         let mut bytes = outgoing.report.encode();
         meters::count_report_bytes(bytes.len() * outgoing.to.len());
+        meters::count_rows_left_out(outgoing.report.left_out);
         for ReportRecipient { host, included } in &outgoing.to {
             let Some(address) = self.tables.address(*host) else {
                 continue;
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -196,6 +196,12 @@
         Values::Fixed(""),
         "bytes of reports to other hosts, without headers of datagrams",
     ),
+    counter(
+        "sedgeridge_gateway_report_rows_left_out_total",
+        "",
+        Values::Fixed(""),
+        "endpoints and accounts that reports to other hosts had no room for",
+    ),
     gauge(
         "sedgeridge_gateway_resends_denied",
         "sends to a second endpoint that the budget did not allow, since the start",
