resends: a host's part of the fleet's limit is rounded, up on some hosts and down on others

Cause: each host takes an even part of the fleet's allowance and rounds it down. 1,040 over 986 hosts, seven tenths used: 0.74 of a resend in ten seconds, and 0.14 more for each request, so that a host which sees one request of a service in that time may not send it again. Now a host adds a value between 0 and 1, spread evenly over hosts by hash and moving through all values in 1,000 s, before it rounds down: the sum over the fleet stays the same.

--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -208,7 +208,7 @@
             records: EndpointRecords::default(),
             cached: CachedParts::default(),
             shares: AccountShares::new(settings.share_window),
-            resends: ResendWindow::new(settings.resends),
+            resends: ResendWindow::new(settings.resends, settings.host),
             retry_delays: RetryDelays::default(),
             quarantine: Quarantine::new(HealthSettings::default()),
             requests: HashMap::new(),
--- a/crates/fleet/src/resend_window.rs
+++ b/crates/fleet/src/resend_window.rs
@@ -6,9 +6,16 @@
 
 use sedgeridge_state::ids::ServiceId;
 
+use crate::hashing::pair_hash;
+
 /// Fraction of the allowed resends that a host uses. The rest is a margin for hosts that learn late how many hosts the
 /// fleet has.
 const USED_RATIO: f64 = 0.7;
+/// Time in which a host's rounding of its part passes through all values. It is many times the window, so that the
+/// rounding is about the same within one.
+const ROUNDING_PERIOD: Duration = Duration::from_secs(1_000);
+/// Salt that makes the rounding independent of other choices by hash.
+const ROUNDING_SALT: u64 = 0x5f05;
 
 /// Limits that the operator sets.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -36,9 +43,14 @@
 ///
 /// Each host stays within its part of the fleet's limit: the ratio of its own requests, and an even part of the fixed
 /// allowance. The parts add up to the fleet's limit without messages between hosts.
-#[derive(Debug, Default)]
+///
+/// In a large fleet a host's part may be less than one resend. Some hosts round it up and others down, each with the
+/// probability with which the sum over all hosts stays the same. If all rounded down, no host could use its part.
+#[derive(Debug)]
 pub struct ResendWindow {
     limits: ResendLimits,
+    /// Hash of the host's name.
+    host: u64,
     services: HashMap<ServiceId, ServiceCounts>,
 }
 
@@ -49,9 +61,11 @@
 }
 
 impl ResendWindow {
-    pub fn new(limits: ResendLimits) -> Self {
+    /// Creates the window of a host, given the hash of its name.
+    pub fn new(limits: ResendLimits, host: u64) -> Self {
         Self {
             limits,
+            host,
             services: HashMap::new(),
         }
     }
@@ -70,16 +84,25 @@
     /// Tells whether a request may be sent again, in a fleet of `hosts`, and counts the resend if so.
     pub fn try_resend(&mut self, now: Duration, service: &ServiceId, hosts: usize) -> bool {
         let limits = self.limits;
+        let rounded_up_by = self.rounded_up_by(now);
         let counts = self.services.entry(service.clone()).or_default();
         counts.remove_before(now.saturating_sub(limits.window));
         let own_extra = limits.min_extra / hosts.max(1) as f64;
         let allowed = limits.ratio * counts.requested_at.len() as f64 + own_extra;
-        let is_allowed = (counts.resent_at.len() as f64) + 1.0 <= allowed * USED_RATIO;
+        let own_part = allowed * USED_RATIO + rounded_up_by;
+        let is_allowed = (counts.resent_at.len() as f64) + 1.0 <= own_part;
         if is_allowed {
             counts.resent_at.push_back(now);
         }
         is_allowed
     }
+
+    /// Returns what is added to this host's part before it is rounded down: evenly spread over hosts, from 0 to 1.
+    fn rounded_up_by(&self, now: Duration) -> f64 {
+        let own = pair_hash(ROUNDING_SALT, self.host) as f64 / u64::MAX as f64;
+        let periods = now.as_secs_f64() / ROUNDING_PERIOD.as_secs_f64();
+        (own + periods).fract()
+    }
 }
 
 impl ServiceCounts {
--- a/crates/fleet/tests/shares.rs
+++ b/crates/fleet/tests/shares.rs
@@ -40,7 +40,7 @@
     fn resends_stay_within_the_bound(events in prop::collection::vec((0..400_u64, any::<bool>(), 0..3_usize), 1..400)) {
         let limits = ResendLimits { ratio: 0.2, min_extra: 12.0, window: at(10_000) };
         let service = ServiceId::from("desk");
-        let mut hosts: Vec<_> = (0..3).map(|_| ResendWindow::new(limits)).collect();
+        let mut hosts: Vec<_> = (0..3).map(|host| ResendWindow::new(limits, host)).collect();
         let (mut requests, mut resends) = (Vec::new(), Vec::new());
         let mut now = 0;
         for (pause, is_request, host) in events {
