admission: accounts are not compared while the engines have next to nothing to read

Cause: the stated throughput of the fleet is a hundredth of what its engines read, so that accounts are over their share of it while nearly all engines are idle. Now, while the unread tokens of all engines take less than the low backlog limit on average (a hundredth of the shortest latency target), a prompt goes by the usual backlog limit, whatever its account. Everything else is as before, also on idle fleets: a long shared part is still read at its homes only. Test: an_account_over_its_share_is_served_by_idle_engines, red without the rule, green with it.

--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -419,13 +419,17 @@
         let Some(tokens_per_s) = self.tokens_per_s else {
             return;
         };
+        let engines = self.engine_count();
+        let engine_tokens_per_ms = tokens_per_s / 1_000.0 / engines.max(1) as f64;
+        self.speeds.expect(engine_tokens_per_ms * READ_SPEED_FACTOR);
+    }
+
+    fn engine_count(&self) -> usize {
         let engine_services = self.services.iter();
         let engine_services = engine_services.filter(|(_, spec)| spec.engine.is_some());
-        let engines: usize = engine_services
+        engine_services
             .map(|(id, _)| self.endpoints.count(id))
-            .sum();
-        let engine_tokens_per_ms = tokens_per_s / 1_000.0 / engines.max(1) as f64;
-        self.speeds.expect(engine_tokens_per_ms * READ_SPEED_FACTOR);
+            .sum()
     }
 
     fn on_tick(&mut self, now: Duration, decisions: &mut Vec<Decision>) {
--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -239,6 +239,10 @@
             // The request was started before: its caller waits for the rest, and engines have done work for it.
             return true;
         }
+        if self.has_idle_engines(arrival) {
+            let limit_ms = self.target_ms(arrival) * settings.backlog_ratio;
+            return best.backlog_ms <= limit_ms;
+        }
         let lead = arrival.account.map(|account| self.shares.lead(account));
         match lead.unwrap_or(Lead::Small) {
             Lead::TooLarge => return false,
@@ -248,6 +252,22 @@
         best.backlog_ms <= self.allowed_backlog_ms(now, arrival, best.first_event_ms)
     }
 
+    /// Returns whether the engines have so little to read that no account keeps another one waiting. Accounts then need not
+    /// be compared: the stated throughput, by which shares are counted, may be a small part of what the engines can do.
+    fn has_idle_engines(&self, arrival: &Arrival) -> bool {
+        let settings = &self.settings.admission;
+        let tokens_per_ms = self.speeds.expected_tokens_per_ms() * self.engine_count() as f64;
+        let mean_backlog_ms = self.loads.unread_tokens() as f64 / tokens_per_ms.max(1.0);
+        mean_backlog_ms <= self.target_ms(arrival) * settings.low_backlog_ratio
+    }
+
+    /// Returns the shortest latency target of the routes to the request's service, in milliseconds.
+    fn target_ms(&self, arrival: &Arrival) -> f64 {
+        let target = self.shortest_target.get(&arrival.service);
+        let target = target.copied().unwrap_or(arrival.route.latency_target);
+        target.as_secs_f64() * 1_000.0
+    }
+
     /// Returns the backlog up to which an engine gets this request. Callers that retry after a refusal are treated like
     /// others: the time budgets of one route differ by more than the time that a refused caller has used, so the time left
     /// does not tell which caller has tried before.
@@ -260,9 +280,7 @@
             true => settings.backlog_ratio,
             false => settings.low_backlog_ratio,
         };
-        let target = self.shortest_target.get(&arrival.service);
-        let target = target.copied().unwrap_or(arrival.route.latency_target);
-        target.as_secs_f64() * 1_000.0 * ratio
+        self.target_ms(arrival) * ratio
     }
 
     /// Returns the best endpoint with free capacity among those allowed for the request.
--- a/crates/fleet/src/endpoint_load.rs
+++ b/crates/fleet/src/endpoint_load.rs
@@ -46,6 +46,8 @@
     reported: IntMap<u64, HostReport>,
     /// Sum of all reported loads.
     others: IntMap<u64, Load>,
+    /// Unread prompt tokens at all endpoints, as of the last tick.
+    unread_tokens: u64,
 }
 
 #[derive(Debug)]
@@ -99,6 +101,13 @@
         }
         self.own.retain(|_, load| !load.is_idle());
         self.others.retain(|_, load| !load.is_idle());
+        let loads = self.own.values().chain(self.others.values());
+        self.unread_tokens = loads.map(|load| u64::from(load.unread_tokens)).sum();
+    }
+
+    /// Returns the unread prompt tokens at all endpoints together, a moment ago.
+    pub fn unread_tokens(&self) -> u64 {
+        self.unread_tokens
     }
 
     /// Returns the age of the oldest stored report.
--- a/crates/fleet/src/engine_speed.rs
+++ b/crates/fleet/src/engine_speed.rs
@@ -87,7 +87,8 @@
         FIXED_FIRST_EVENT_MS + tokens / self.tokens_per_ms(endpoint)
     }
 
-    fn expected_tokens_per_ms(&self) -> f64 {
+    /// Returns the speed that is expected of an engine without observations.
+    pub fn expected_tokens_per_ms(&self) -> f64 {
         let stated = self.stated_tokens_per_ms.max(1.0);
         self.all.speed_given(stated).max(stated)
     }
--- a/crates/fleet/tests/underused_engines.rs
+++ b/crates/fleet/tests/underused_engines.rs
@@ -8,6 +8,7 @@
 
 use support::ENGINES;
 use support::Host;
+use support::at;
 use support::config;
 use support::endpoint;
 use support::engine_request;
@@ -17,6 +18,8 @@
 /// Throughput that the operator states for all engines together: a hundredth of what they read.
 const STATED_TOKENS_PER_S: f64 = 300_000.0;
 const TOKENS_PER_MS: u64 = 100;
+/// Account that requests most of what the fleet gets.
+const GREEDY: u64 = 7;
 
 /// A host that has sent prompts to many of the engines.
 fn host() -> Host {
@@ -53,3 +56,29 @@
         }
     }
 }
+
+/// Guards against refusals while nearly all engines are idle. An account is far over its share of the stated throughput;
+/// its prompts about one subject meet at its homes, which read one after another, and no other account waits for them.
+#[test]
+fn an_account_over_its_share_is_served_by_idle_engines() {
+    let mut host = host();
+    let now = 8_000;
+    for subject in 200..400 {
+        let (id, verdict) = host.arrive(now, engine_request(now, GREEDY, prompt(subject, 9_000)));
+        assert!(matches!(verdict, Some(Verdict::Send(_))), "{verdict:?}");
+        host.send(now, DispatchEvent::FirstPiece(id));
+        host.send(now, DispatchEvent::Completed(id));
+    }
+    // Other hosts could not serve two accounts, whose tokens count as requested.
+    host.dispatcher.on_shed(at(now), 3, 1_000_000.0);
+    host.dispatcher.on_shed(at(now), 4, 1_000_000.0);
+    host.send(now + 50, DispatchEvent::Tick);
+    assert!(host.dispatcher.is_over_share(GREEDY));
+    for subject in 500..520 {
+        for _ in 0..2 {
+            let arrival = engine_request(now + 50, GREEDY, prompt(subject, 2_000));
+            let (_, verdict) = host.arrive(now + 50, arrival);
+            assert!(matches!(verdict, Some(Verdict::Send(_))), "{verdict:?}");
+        }
+    }
+}
