--- a/crates/fleet/src/dispatcher/peers.rs
+++ b/crates/fleet/src/dispatcher/peers.rs
@@ -211,8 +211,11 @@
     pub fn copy_source(&self, now: Duration, data_centre: u64, store_answers: bool) -> CopySource {
         let hosts = &self.peers.hosts;
         let own_data_centre = self.own_data_centre();
-        if store_answers && self.store_role(now).is_following() {
-            return CopySource::BesideStore;
+        if self.store_role(now).is_following() {
+            return match store_answers {
+                true => CopySource::BesideStore,
+                false => CopySource::Preferred,
+            };
         }
         if data_centre == own_data_centre || hosts.is_small_fleet(now) {
             return CopySource::Preferred;
--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -153,6 +153,8 @@
     last_outage: Option<PastOutage>,
     lapsing: BTreeMap<Arc<str>, Lapsing>,
     last_copy_at: Option<Duration>,
+    /// Whether the last copy was a part, and further parts are to come.
+    is_partial: bool,
     removed: VecDeque<Row>,
     removals_complete_after: u64,
     gaps: VecDeque<VersionGap>,
@@ -217,6 +219,7 @@
             last_outage: None,
             lapsing: BTreeMap::new(),
             last_copy_at: None,
+            is_partial: false,
             removed: VecDeque::new(),
             removals_complete_after: 0,
             gaps: VecDeque::new(),
@@ -265,6 +268,7 @@
                     Some(listing) => self.on_list_page(now, listing, rows, version, has_more),
                     None => {
                         self.feed_version = self.feed_version.max(version);
+                        self.is_partial = false;
                         self.delay_after_changes(now, &rows);
                         self.apply_changes(rows, self.recent_outage(now))
                     }
@@ -329,6 +333,7 @@
         self.feed_version = self.feed_version.max(copy.version);
         self.listing = None;
         self.last_copy_at = Some(now);
+        self.is_partial = copy.has_more;
         let mut changed = match copy.keys {
             _ if copy.is_whole => self.replace_rows(copy.rows, copy.version, None),
             Some(keys) => self.apply_changes_with_keys(copy.rows, keys, copy.version),
@@ -454,6 +459,17 @@
         self.changed_version
     }
 
+    /// Returns the version that other hosts may copy from this one; 0 for none.
+    ///
+    /// A host that has received a part of a table lacks rows that changed after the part's version. A
+    /// host that knows earlier versions of these rows would take them for removed.
+    pub fn offered_version(&self) -> u64 {
+        match self.is_partial {
+            true => 0,
+            false => self.changed_version,
+        }
+    }
+
     /// Returns whether the table has been read at least once.
     pub fn is_known(&self) -> bool {
         self.changed_version > 0
@@ -543,6 +559,7 @@
             return Vec::new();
         }
         self.feed_version = version;
+        self.is_partial = false;
         self.replace_rows(listing.rows, version, self.recent_outage(now))
     }
 
--- a/crates/fleet/tests/row_watch.rs
+++ b/crates/fleet/tests/row_watch.rs
@@ -388,6 +388,8 @@
         let has_more = copy.has_more;
         receiver.on_copy(at(10), copy);
         copies += 1;
+        let offers_copies = receiver.offered_version() > 0;
+        assert_eq!(offers_copies, !has_more, "a part of a table is offered");
         if copies == 2 {
             // An endpoint leaves between two parts.
             let gone = LONG_TABLE_ROWS / 3 + 1;
--- a/crates/fleet/tests/support/table_fleet.rs
+++ b/crates/fleet/tests/support/table_fleet.rs
@@ -257,8 +257,8 @@
         let now = at(self.now);
         let ago = |at: Option<Duration>| at.map(|at| now.saturating_sub(at));
         let state = HostState {
-            endpoints_version: node.endpoints.watch.changed_version(),
-            hosts_version: node.hosts.watch.changed_version(),
+            endpoints_version: node.endpoints.watch.offered_version(),
+            hosts_version: node.hosts.watch.offered_version(),
             store_answers: !node.endpoints.watch.is_store_lost(),
             store_lost_for: ago(node.endpoints.watch.store_lost_since()).unwrap_or_default(),
             store_answered_ago: ago(node.endpoints.watch.store_answered_at()),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -115,9 +115,9 @@
 
     fn host_state(&self) -> HostState {
         HostState {
-            config_version: self.tables.changed_version(Table::Config),
-            endpoints_version: self.tables.changed_version(Table::Endpoints),
-            hosts_version: self.tables.changed_version(Table::Hosts),
+            config_version: self.tables.offered_version(Table::Config),
+            endpoints_version: self.tables.offered_version(Table::Endpoints),
+            hosts_version: self.tables.offered_version(Table::Hosts),
             is_stopping: self.gateway.is_stopping(),
             is_busy: self.gateway.loop_lag.borrow().is_overloaded(),
             store_answers: self.tables.store_answers(),
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -220,6 +220,11 @@
         self.watch(table).borrow().changed_version()
     }
 
+    /// Returns the version that other hosts may copy from this one; 0 for none.
+    pub fn offered_version(&self, table: Table) -> u64 {
+        self.watch(table).borrow().offered_version()
+    }
+
     /// Returns a copy for a host that knows everything up to `after`.
     pub fn copy(&self, table: Table, after: u64) -> TableCopy {
         let now = self.gateway.now();
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -227,7 +227,7 @@
     counter(
         "sedgeridge_gateway_store_calls_total",
         "table, outcome",
-        Values::Fixed("config, endpoints; answered, failed"),
+        Values::Fixed("config, endpoints, hosts; answered, failed"),
         "calls to the platform's store that read a table",
     ),
     gauge(
@@ -237,7 +237,7 @@
     counter(
         "sedgeridge_gateway_unusable_rows_total",
         "table",
-        Values::Fixed("config, endpoints"),
+        Values::Fixed("config, endpoints, hosts"),
         "rows of the platform's store that cannot be read; an endpoint's row then names no endpoint, a configuration leaves the one in force",
     ),
     counter(
