--- a/crates/fleet/tests/store_roles.rs
+++ b/crates/fleet/tests/store_roles.rs
@@ -8,6 +8,7 @@
 use sedgeridge_fleet::hashing::stable_hash;
 use sedgeridge_fleet::peer_hosts::ListedHost;
 use sedgeridge_fleet::peer_report::PeerReport;
+use sedgeridge_fleet::peer_versions::CopySource;
 
 use support::Host;
 use support::at;
@@ -187,3 +188,26 @@
     fleet[0].send(0, DispatchEvent::HostsListed(listed(1..100)));
     assert_eq!(followers(&roles(&fleet, 2_400)), 1);
 }
+
+/// Guards against a follower that waits for its data centre although the store refuses it: others may learn of changes
+/// from it. Hosts that are neither followers nor relays wait.
+#[test]
+fn a_refused_follower_copies_from_any_data_centre_at_once() {
+    let mut fleet = fleet(81);
+    report(&mut fleet, 0, 0..81);
+    let elsewhere = stable_hash("elsewhere");
+    let source =
+        |host: &Host, store_answers| host.dispatcher.copy_source(at(0), elsewhere, store_answers);
+    let is_follower = |host: &&Host| host.dispatcher.store_role(at(0)).is_following();
+    for host in fleet.iter().filter(is_follower) {
+        assert_eq!(source(host, true), CopySource::BesideStore);
+        assert_eq!(source(host, false), CopySource::Preferred);
+    }
+    let waiting = fleet.iter().filter(|host| !is_follower(host));
+    let waiting = waiting.filter(|host| source(host, false) == CopySource::Remote);
+    assert_eq!(
+        waiting.count(),
+        81 - 4 - 2,
+        "all but four followers and two relays"
+    );
+}
