host list: applied when it changes, not at each check

No test: nothing outside the process shows it; all tests pass as before. Two tests get their imports in three groups.

--- a/crates/fleet/tests/registration.rs
+++ b/crates/fleet/tests/registration.rs
@@ -1,8 +1,7 @@
 //! Tests for the registration of many hosts that start together.
 
-use std::collections::BinaryHeap;
-
 use std::cmp::Reverse;
+use std::collections::BinaryHeap;
 
 use sedgeridge_coordination::random::SeededRandom;
 use sedgeridge_fleet::registration_retries::RegistrationRetries;
--- a/crates/fleet/tests/resend_shares.rs
+++ b/crates/fleet/tests/resend_shares.rs
@@ -1,5 +1,7 @@
 //! Tests for the resends of a large fleet, of which each host may make a fraction of one in a window.
 
+use std::time::Duration;
+
 use sedgeridge_coordination::random::SeededRandom;
 use sedgeridge_fleet::hashing::stable_hash;
 use sedgeridge_fleet::resend_window::ResendLimits;
@@ -7,8 +9,6 @@
 use sedgeridge_state::ids::ServiceId;
 use yare::parameterized;
 
-use std::time::Duration;
-
 const WINDOW_MS: u64 = 10_000;
 const RATIO: f64 = 0.2;
 /// Resends beyond the ratio that the fleet may make, for each host.
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -1,5 +1,6 @@
 //! Keeps the host's copies of the platform's tables up to date, and applies their changes.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -54,6 +55,7 @@
     endpoints: FollowedTable,
     hosts: FollowedTable,
     directory: RefCell<HostDirectory>,
+    is_host_list_known: Cell<bool>,
     change_to_announce: Notify,
 }
 
@@ -83,6 +85,7 @@
             endpoints: FollowedTable::new(seed.rotate_left(1)),
             hosts: FollowedTable::new(seed.rotate_left(2)),
             directory: RefCell::default(),
+            is_host_list_known: Cell::new(false),
             change_to_announce: Notify::new(),
         }
     }
@@ -329,7 +332,10 @@
     }
 
     fn apply_hosts(&self, changed: &[Row]) {
-        if !self.hosts.watch.borrow().is_known() {
+        let is_known = self.hosts.watch.borrow().is_known();
+        // Most calls change nothing, and a look at all hosts for each would grow with the fleet.
+        let is_first_list = is_known && !self.is_host_list_known.replace(is_known);
+        if !is_first_list && (changed.is_empty() || !is_known) {
             return;
         }
         let mut directory = self.directory.borrow_mut();
