--- a/crates/fleet/examples/decision_time.rs
+++ b/crates/fleet/examples/decision_time.rs
@@ -29,7 +29,7 @@
 use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::ids::ServiceId;
 
-const ENGINES: [u64; 6] = [9, 60, 204, 2_200, 9_762, 20_000];
+const ENGINE_COUNTS: [u64; 6] = [9, 60, 204, 2_200, 9_762, 20_000];
 const SERVICE: &str = "desk";
 const SLOTS: u32 = 12;
 const ACCOUNTS: u64 = 60;
@@ -41,14 +41,14 @@
 
 fn main() {
     println!("engines  ms to list them");
-    for engines in ENGINES {
+    for engines in ENGINE_COUNTS {
         let started = Instant::now();
         host(engines);
         let list_ms = started.elapsed().as_secs_f64() * 1e3;
         println!("{engines:7}  {list_ms:15.2}");
     }
     println!("engines  shared tokens  us an arrival  queued  us a look at the queue");
-    for engines in ENGINES {
+    for engines in ENGINE_COUNTS {
         for shared in SHARED_TOKENS {
             let (arrival_us, queued, queue_check_us) = measure(engines, shared);
             println!(
--- a/crates/fleet/src/home_ring.rs
+++ b/crates/fleet/src/home_ring.rs
@@ -14,10 +14,10 @@
 /// there; with more, each copy is used too rarely to stay cached.
 pub const HOMES_PER_PROMPT: usize = 2;
 /// Points of a prompt. More points make the shares of endpoints more even, and a decision slower.
-const POINTS: u64 = 16;
+const POINTS_PER_PROMPT: u64 = 16;
 /// Positions of an endpoint. With one, an endpoint right after another one is the home of hardly any
 /// prompt.
-const POSITIONS: u64 = 8;
+const POSITIONS_PER_ENDPOINT: u64 = 8;
 /// Endpoints that are looked at after each point. If most endpoints are down, one that works is still
 /// found, and if all are, a decision takes no longer than that.
 const MAX_STEPS: usize = 32;
@@ -67,7 +67,7 @@
     /// asked about few of them.
     pub fn homes(&self, key: u64, is_usable: impl Fn(u64) -> bool) -> Homes {
         let mut candidates: Vec<Candidate> = Vec::new();
-        for number in 0..POINTS {
+        for number in 0..POINTS_PER_PROMPT {
             let point = pair_hash(key, number);
             candidates.extend(self.following(point, &is_usable).into_iter().flatten());
         }
@@ -98,5 +98,5 @@
 
 /// Returns the positions of an endpoint.
 fn positions(endpoint: u64) -> impl Iterator<Item = u64> {
-    (0..POSITIONS).map(move |number| pair_hash(POSITION_SALT ^ number << 32, endpoint))
+    (0..POSITIONS_PER_ENDPOINT).map(move |number| pair_hash(POSITION_SALT ^ number << 32, endpoint))
 }
--- a/crates/fleet/tests/resend_shares.rs
+++ b/crates/fleet/tests/resend_shares.rs
@@ -10,7 +10,7 @@
 use yare::parameterized;
 
 const WINDOW_MS: u64 = 10_000;
-const RATIO: f64 = 0.2;
+const RESEND_RATIO: f64 = 0.2;
 /// Resends beyond the ratio that the fleet may make, for each host.
 const MIN_EXTRA_PER_HOST: f64 = 1.05;
 const REQUESTS_PER_HOST: u64 = 2;
@@ -24,7 +24,7 @@
 /// Plays one window, in which some requests of each host fail.
 fn play(hosts: u64, failing_percent: u64) -> Counts {
     let limits = ResendLimits {
-        ratio: RATIO,
+        ratio: RESEND_RATIO,
         min_extra: MIN_EXTRA_PER_HOST * hosts as f64,
         window: Duration::from_millis(WINDOW_MS),
     };
@@ -47,7 +47,7 @@
     Counts {
         failed,
         resent,
-        allowed: RATIO * requests + limits.min_extra,
+        allowed: RESEND_RATIO * requests + limits.min_extra,
     }
 }
 
--- a/crates/fleet/tests/underused_engines.rs
+++ b/crates/fleet/tests/underused_engines.rs
@@ -19,7 +19,7 @@
 const STATED_TOKENS_PER_S: f64 = 300_000.0;
 const TOKENS_PER_MS: u64 = 100;
 /// Account that requests most of what the fleet gets.
-const GREEDY: u64 = 7;
+const GREEDY_ACCOUNT: u64 = 7;
 
 /// A host that has sent prompts to many of the engines.
 fn host() -> Host {
@@ -64,7 +64,10 @@
     let mut host = host();
     let now = 8_000;
     for subject in 200..400 {
-        let (id, verdict) = host.arrive(now, engine_request(now, GREEDY, prompt(subject, 9_000)));
+        let (id, verdict) = host.arrive(
+            now,
+            engine_request(now, GREEDY_ACCOUNT, prompt(subject, 9_000)),
+        );
         assert!(matches!(verdict, Some(Verdict::Send(_))), "{verdict:?}");
         host.send(now, DispatchEvent::FirstPiece(id));
         host.send(now, DispatchEvent::Completed(id));
@@ -73,10 +76,10 @@
     host.dispatcher.on_shed(at(now), 3, 1_000_000.0);
     host.dispatcher.on_shed(at(now), 4, 1_000_000.0);
     host.send(now + 50, DispatchEvent::Tick);
-    assert!(host.dispatcher.is_over_share(GREEDY));
+    assert!(host.dispatcher.is_over_share(GREEDY_ACCOUNT));
     for subject in 500..520 {
         for _ in 0..2 {
-            let arrival = engine_request(now + 50, GREEDY, prompt(subject, 2_000));
+            let arrival = engine_request(now + 50, GREEDY_ACCOUNT, prompt(subject, 2_000));
             let (_, verdict) = host.arrive(now + 50, arrival);
             assert!(matches!(verdict, Some(Verdict::Send(_))), "{verdict:?}");
         }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -93,7 +93,7 @@
     let tables = Rc::new(TableFollower::new(gateway.clone()));
     let peers = Rc::new(Peers::new(gateway.clone(), tables.clone()));
 
-    for table in Table::ALL {
+    for table in Table::FOLLOWED {
         let (tables, store) = (tables.clone(), store.clone());
         spawn_local(async move { tables.follow(store, table).await });
     }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -19,8 +19,8 @@
 }
 
 impl Table {
-    /// All tables that routers read.
-    pub const ALL: [Self; 3] = [Self::Config, Self::Endpoints, Self::Hosts];
+    /// The tables that routers follow.
+    pub const FOLLOWED: [Self; 3] = [Self::Config, Self::Endpoints, Self::Hosts];
 
     /// Returns the name for logs and metrics.
     pub fn as_str(self) -> &'static str {
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -203,7 +203,7 @@
     pub async fn expire_forever(&self) {
         loop {
             tokio::time::sleep(self.time_to_expiry()).await;
-            for table in Table::ALL {
+            for table in Table::FOLLOWED {
                 let expired = self.update(table, None, RowWatch::take_expired);
                 self.apply(table, &expired);
             }
@@ -212,7 +212,7 @@
 
     fn time_to_expiry(&self) -> Duration {
         let next_expiry = |table| self.watch(table).borrow().next_expiry();
-        let next = Table::ALL.into_iter().filter_map(next_expiry).min();
+        let next = Table::FOLLOWED.into_iter().filter_map(next_expiry).min();
         let time = next.map(|at| at.saturating_sub(self.gateway.now()));
         time.unwrap_or(MAX_EXPIRY_INTERVAL)
             .clamp(MIN_EXPIRY_INTERVAL, MAX_EXPIRY_INTERVAL)
