store: what an older copy lacks or brings back takes effect after the rewrite window

A host that listed the restored store dropped at once every entry that the copy lacked, and took every entry that had been removed before the loss back into use. Endpoints write both again, within about two seconds; until then callers would have lost endpoints in use and been sent to ones that had left.

Both now wait for the same window as entries that lapse in an outage: missing rows stay in use, rows whose removal is known are held back, and a row that is written or removed again takes effect at once. Copies say which rows are missing from an older copy, since the reports by which a host refutes an outage say nothing about them; a host that learns of the return by a copy gives the rows that only it knew the same time, also between two parts of a long copy.

--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -1,6 +1,7 @@
 //! Keeps a local copy of one table of the platform's store: lists it once, then waits for changes.
 
 mod removals;
+mod returned_rows;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -10,6 +11,7 @@
 use sedgeridge_coordination::random::SeededRandom;
 
 use self::removals::Removals;
+use self::returned_rows::ReturnedRows;
 use crate::store_outage::MIN_OUTAGE;
 use crate::store_outage::OutageView;
 use crate::store_version::StoreVersion;
@@ -75,6 +77,8 @@
     pub remaining: Duration,
     /// Time since the start of the outage in which the row may have lapsed.
     pub outage_age: Duration,
+    /// Whether the row is missing because the store came back from an older copy.
+    pub is_restored: bool,
 }
 
 /// The next call to the store.
@@ -151,6 +155,9 @@
     catch_up_until: Duration,
     last_outage: Option<PastOutage>,
     lapsing: BTreeMap<Arc<str>, Lapsing>,
+    returned: ReturnedRows,
+    /// Last return of the store from an older copy, while its rows are being read.
+    restoration: Option<PastOutage>,
     last_copy_at: Option<Duration>,
     /// Whether the last copy was a part, and further parts are to come.
     is_partial: bool,
@@ -162,13 +169,15 @@
     random: SeededRandom,
 }
 
-/// An outage of the store in which rows may have lapsed.
+/// An outage of the store in which rows may have lapsed, or after which it came back from an older copy.
 #[derive(Debug, Clone, Copy)]
 struct PastOutage {
     /// Start of the outage.
     lost_at: Duration,
     /// End of the time in which writers write their rows again.
     rewrite_until: Duration,
+    /// Whether the store came back from an older copy.
+    is_restored: bool,
 }
 
 /// A missing row that stays in use until the end of the rewrite window.
@@ -210,6 +219,8 @@
             catch_up_until: Duration::ZERO,
             last_outage: None,
             lapsing: BTreeMap::new(),
+            returned: ReturnedRows::default(),
+            restoration: None,
             last_copy_at: None,
             is_partial: false,
             removals: Removals::default(),
@@ -328,13 +339,14 @@
     /// requests would still go to endpoints that have left.
     ///
     /// Rows that the sender lists as lapsing stay in use only if this host cannot rule out a
-    /// fleet-wide outage. A sender that was cut off from the other hosts does not know that the
+    /// fleet-wide outage, or if the store came back from an older copy. A sender that was cut off from the other hosts does not know that the
     /// store answered them. The version of its copy counts as known here, so nobody would report
     /// the removal again.
     pub fn on_copy(&mut self, now: Duration, copy: TableCopy) -> Vec<Row> {
         if copy.version <= self.changed_version {
             return Vec::new();
         }
+        self.note_restoration(now, copy.version);
         self.feed_version = self.feed_version.max(copy.version);
         self.listing = None;
         self.last_copy_at = Some(now);
@@ -342,15 +354,22 @@
         let mut changed = match copy.keys {
             _ if copy.is_whole => self.replace_rows(copy.rows, copy.version, None),
             Some(keys) => self.apply_changes_with_keys(copy.rows, keys, copy.version),
-            None => self.apply_changes(copy.rows, None),
+            None => {
+                let rows = self.hold_back_returned(copy.rows);
+                self.apply_changes(rows, None)
+            }
         };
         self.changed_version = self.changed_version.max(copy.version);
+        self.restoration.take_if(|_| !copy.has_more);
         for row in copy.lapsing {
             let outage = PastOutage {
                 lost_at: now.saturating_sub(row.outage_age),
                 rewrite_until: now + row.remaining,
+                is_restored: row.is_restored,
             };
-            let outage = Some(outage).filter(|it| self.outage_view.may_be_fleet_wide(it.lost_at));
+            let may_return =
+                outage.is_restored || self.outage_view.may_be_fleet_wide(outage.lost_at);
+            let outage = may_return.then_some(outage);
             changed.extend(self.on_missing(row.key, row.version, outage));
         }
         changed
@@ -365,7 +384,8 @@
             .removals
             .iter()
             .filter(|_| !is_whole && !lacks_removals);
-        let changed = self.rows.values().chain(removed);
+        let existing = self.rows.values().chain(self.returned.iter());
+        let changed = existing.chain(removed);
         let mut changed: Vec<_> = changed.filter(|row| row.version > after).collect();
         let rest = take_oldest(&mut changed, MAX_COPIED_ROWS);
         let has_more = !rest.is_empty();
@@ -381,10 +401,16 @@
                 true => Vec::new(),
                 false => self.lapsing_after(now, after),
             },
-            keys: lacks_removals.then(|| self.rows.keys().cloned().collect()),
+            keys: lacks_removals.then(|| self.existing_keys()),
         }
     }
 
+    /// Returns the keys of all rows in the store, as far as this host knows.
+    fn existing_keys(&self) -> Vec<Arc<str>> {
+        let keys = self.rows.keys().chain(self.returned.keys());
+        keys.cloned().collect()
+    }
+
     /// Returns the lapsing rows that went missing after a version. Without them a host that relies
     /// on copies would take their version as known and never learn of the removals.
     fn lapsing_after(&self, now: Duration, after: StoreVersion) -> Vec<LapsingRow> {
@@ -395,15 +421,24 @@
             version: lapsing.version,
             remaining: lapsing.outage.rewrite_until.saturating_sub(now),
             outage_age: now.saturating_sub(lapsing.outage.lost_at),
+            is_restored: lapsing.outage.is_restored,
         };
         lapsing.map(to_row).collect()
     }
 
-    /// Removes and returns the lapsing rows whose rewrite window is over.
+    /// Ends the rewrite windows that are over. Returns the changed rows: lapsing rows are removed, and
+    /// returned rows come into use.
     pub fn take_expired(&mut self, now: Duration) -> Vec<Row> {
-        if self.lapsing.is_empty() || self.is_cut_off() {
+        if self.next_expiry().is_none_or(|at| now < at) || self.is_cut_off() {
             return Vec::new();
         }
+        let mut changed = self.take_lapsed(now);
+        let returned = self.returned.take_expired(now).into_iter();
+        changed.extend(returned.filter_map(|row| self.apply_row(row)));
+        changed
+    }
+
+    fn take_lapsed(&mut self, now: Duration) -> Vec<Row> {
         let expired = self.lapsing.iter();
         let expired = expired.filter(|(_, lapsing)| lapsing.outage.rewrite_until <= now);
         let expired: Vec<_> = expired
@@ -415,13 +450,11 @@
             .collect()
     }
 
-    /// Returns the end of the earliest rewrite window of a lapsing row.
+    /// Returns the end of the earliest rewrite window of a lapsing or returned row.
     pub fn next_expiry(&self) -> Option<Duration> {
-        let until = self
-            .lapsing
-            .values()
-            .map(|lapsing| lapsing.outage.rewrite_until);
-        until.min()
+        let lapsing = self.lapsing.values();
+        let until = lapsing.map(|lapsing| lapsing.outage.rewrite_until);
+        until.chain(self.returned.next_expiry()).min()
     }
 
     /// Returns the number of missing rows that are still in use.
@@ -504,6 +537,7 @@
             self.last_outage = Some(PastOutage {
                 lost_at,
                 rewrite_until: self.returned_at(now) + REWRITE_WINDOW,
+                is_restored: false,
             });
         }
     }
@@ -558,9 +592,24 @@
             self.listing = Some(listing);
             return Vec::new();
         }
+        self.note_restoration(now, version);
         self.feed_version = version;
         self.is_partial = false;
-        self.replace_rows(listing.rows, version, self.recent_outage(now))
+        let changed = self.replace_rows(listing.rows, version, self.recent_outage(now));
+        self.restoration = None;
+        changed
+    }
+
+    /// Records that the store came back from an older copy if a list or copy of a later era is to be
+    /// applied. What the older copy lacks is written again by its writers within the rewrite window.
+    fn note_restoration(&mut self, now: Duration, version: StoreVersion) {
+        if self.is_known() && version.era > self.changed_version.era {
+            self.restoration = Some(PastOutage {
+                lost_at: now,
+                rewrite_until: now + REWRITE_WINDOW,
+                is_restored: true,
+            });
+        }
     }
 
     /// Returns the outage in which rows that are missing now may have lapsed. A row that is missing
@@ -592,17 +641,57 @@
         self.removals.note_gap(self.changed_version, version);
         self.changed_version = self.changed_version.max(version);
         let listed = rows.iter().map(|row| row.key.clone()).collect();
-        let missing = self.rows_missing_from(&listed, version);
-        let mut changed = Vec::new();
-        for row in rows {
-            changed.extend(self.apply_row(row));
-        }
-        for key in missing {
-            changed.extend(self.on_missing(key, version, outage));
-        }
+        let rows = self.hold_back_returned(rows).into_iter();
+        let mut changed: Vec<_> = rows.filter_map(|row| self.apply_row(row)).collect();
+        changed.extend(self.apply_unlisted(&listed, version, outage));
         changed
     }
 
+    /// Handles the known rows that are missing from the keys as of `version`.
+    fn apply_unlisted(
+        &mut self,
+        keys: &BTreeSet<Arc<str>>,
+        version: StoreVersion,
+        outage: Option<PastOutage>,
+    ) -> Vec<Row> {
+        let is_missing = |row: &&Row| row.version <= version && !keys.contains(&row.key);
+        let known = self.rows.values().chain(self.returned.iter());
+        let missing: Vec<_> = known
+            .filter(is_missing)
+            .map(|row| row.key.clone())
+            .collect();
+        let missing = missing.into_iter();
+        missing
+            .filter_map(|key| {
+                let outage = self.restoration_of(&key).or(outage);
+                self.on_missing(key, version, outage)
+            })
+            .collect()
+    }
+
+    /// Returns the return of the store from an older copy that explains why a row is missing.
+    fn restoration_of(&self, key: &str) -> Option<PastOutage> {
+        let lapsing = self.lapsing.get(key).map(|lapsing| lapsing.outage);
+        self.restoration
+            .or(lapsing.filter(|outage| outage.is_restored))
+    }
+
+    /// Holds back rows of an older copy whose removal is known. Returns the other rows.
+    fn hold_back_returned(&mut self, rows: Vec<Row>) -> Vec<Row> {
+        let Some(restoration) = self.restoration else {
+            return rows;
+        };
+        let mut removed = self.removals.keys();
+        removed.extend(self.returned.keys().cloned());
+        let is_returned = |row: &Row| {
+            let is_removed = removed.contains(&row.key) && !self.rows.contains_key(&row.key);
+            is_removed && row.value.is_some()
+        };
+        let (returned, others) = rows.into_iter().partition(is_returned);
+        self.returned.hold(returned, restoration.rewrite_until);
+        others
+    }
+
     /// Applies changes that may lack removals, with the keys of all rows as of `version`.
     fn apply_changes_with_keys(
         &mut self,
@@ -611,24 +700,18 @@
         version: StoreVersion,
     ) -> Vec<Row> {
         self.removals.note_gap(self.changed_version, version);
-        let missing = self.rows_missing_from(&keys.into_iter().collect(), version);
-        let removed = missing.into_iter();
-        let mut changed: Vec<_> = removed
-            .filter_map(|key| self.remove(key, version))
-            .collect();
+        let mut changed = self.apply_unlisted(&keys.into_iter().collect(), version, None);
+        let rows = self.hold_back_returned(rows);
         changed.extend(self.apply_changes(rows, None));
         changed
     }
 
-    /// Returns the known rows that are missing from the keys as of `version`.
-    fn rows_missing_from(&self, keys: &BTreeSet<Arc<str>>, version: StoreVersion) -> Vec<Arc<str>> {
-        let missing = self.rows.values();
-        let missing = missing.filter(|row| row.version <= version && !keys.contains(&row.key));
-        missing.map(|row| row.key.clone()).collect()
-    }
-
     fn apply_row(&mut self, row: Row) -> Option<Row> {
         self.lapsing.remove(&row.key);
+        if self.returned.holds(&row) {
+            return None;
+        }
+        self.returned.drop_row(&row.key, row.version);
         let known = self.rows.get(&row.key);
         if let Some(known) = known.filter(|known| known.version >= row.version) {
             self.outdated_rows += u64::from(known.version > row.version);
@@ -664,6 +747,11 @@
     }
 
     fn remove(&mut self, key: Arc<str>, version: StoreVersion) -> Option<Row> {
+        if self.returned.drop_row(&key, version) {
+            // Hosts that started after the loss use the row.
+            self.removals.note(key, version);
+            return None;
+        }
         let known = self.rows.get(&key)?;
         if known.version > version {
             return None;
--- a/crates/fleet/src/row_watch/removals.rs
+++ b/crates/fleet/src/row_watch/removals.rs
@@ -1,5 +1,6 @@
 //! Remembers which rows were removed, for copies that hold only changes.
 
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -69,4 +70,9 @@
     pub(super) fn iter(&self) -> impl Iterator<Item = &Row> {
         self.rows.iter()
     }
+
+    /// Returns the keys of the remembered rows. Some of them may have been written again.
+    pub(super) fn keys(&self) -> BTreeSet<Arc<str>> {
+        self.rows.iter().map(|row| row.key.clone()).collect()
+    }
 }
--- a/crates/fleet/tests/restored_rows.rs
+++ b/crates/fleet/tests/restored_rows.rs
@@ -184,3 +184,188 @@
     assert_eq!(value(&refused, "a").as_deref(), Some("new"));
     assert_eq!(refused.changed_version(), served.changed_version());
 }
+
+/// Guards against endpoints that are dropped in use because the older copy lacks their entries, which they write again
+/// within two seconds.
+#[test]
+fn an_entry_that_the_older_copy_lacks_stays_until_its_writer_has_had_time() {
+    let mut watch = watch_of_two();
+    let listed = vec![row("a", "a", version(2, 10))];
+    assert!(restore(&mut watch, at(10), listed, 30).is_empty());
+    assert_eq!(keys(&watch), ["a", "b"]);
+    assert!(watch.take_expired(at(2_000)).is_empty());
+    let mut rewritten = restored_copy_of(&watch);
+    let again = rows(vec![row("b", "b", version(2, 31))], version(2, 31));
+    rewritten.on_answer(at(1_000), again);
+    assert!(rewritten.take_expired(at(3_000)).is_empty());
+    assert_eq!(keys(&rewritten), ["a", "b"]);
+    let expired = watch.take_expired(at(3_000));
+    assert_eq!(expired, vec![removed("b", version(2, 30))]);
+}
+
+/// Returns a host that has just started and has a whole copy from another one.
+fn restored_copy_of(watch: &RowWatch) -> RowWatch {
+    let mut started = RowWatch::new(2);
+    let copy = watch.copy_after(at(20), StoreVersion::default());
+    started.on_copy(at(20), copy);
+    started
+}
+
+/// Guards against an entry that is dropped because it leaves right after the return.
+#[test]
+fn an_entry_that_is_removed_after_the_return_is_dropped_at_once() {
+    let mut watch = watch_of_two();
+    restore(&mut watch, at(10), vec![row("a", "a", version(2, 10))], 30);
+    let removal = rows(vec![removed("b", version(2, 32))], version(2, 32));
+    assert_eq!(
+        watch.on_answer(at(500), removal),
+        vec![removed("b", version(2, 32))]
+    );
+}
+
+/// Guards against requests to an endpoint that left: the older copy holds its entry again, and the endpoint or the
+/// platform removes it once more within two seconds.
+#[test]
+fn a_removed_entry_that_the_older_copy_holds_stays_out_of_use_for_a_while() {
+    let mut watch = watch_of_two();
+    let removal = rows(vec![removed("b", version(1, 91))], version(1, 91));
+    watch.on_answer(at(5), removal);
+    let listed = vec![
+        row("a", "a", version(2, 10)),
+        row("b", "b", version(2, 20)),
+        row("c", "c", version(2, 21)),
+    ];
+    let changed = restore(&mut watch, at(10), listed, 30);
+    assert_eq!(changed, vec![row("c", "c", version(2, 21))]);
+    let mut removed_again = restored_copy_of(&watch);
+    assert_eq!(
+        keys(&removed_again),
+        ["a", "b", "c"],
+        "a host that started knows of no removal"
+    );
+    let removal = rows(vec![removed("b", version(2, 33))], version(2, 33));
+    removed_again.on_answer(at(100), removal);
+    assert_eq!(keys(&removed_again), ["a", "c"]);
+
+    assert!(watch.take_expired(at(2_000)).is_empty());
+    let returned = watch.take_expired(at(3_000));
+    assert_eq!(returned, vec![row("b", "b", version(2, 20))]);
+    assert_eq!(keys(&watch), ["a", "b", "c"]);
+}
+
+/// Guards against an endpoint that is kept out of use although it has written its entry again.
+#[test]
+fn a_removed_entry_that_is_written_again_after_the_return_is_in_use_at_once() {
+    let mut watch = watch_of_two();
+    let removal = rows(vec![removed("b", version(1, 91))], version(1, 91));
+    watch.on_answer(at(5), removal);
+    let listed = vec![row("a", "a", version(2, 10)), row("b", "b", version(2, 20))];
+    restore(&mut watch, at(10), listed, 30);
+    let again = row("b", "again", version(2, 31));
+    let changed = watch.on_answer(at(100), rows(vec![again.clone()], version(2, 31)));
+    assert_eq!(changed, vec![again]);
+    assert!(watch.take_expired(at(3_000)).is_empty());
+}
+
+/// Guards against a removal that a host in between does not pass on because it holds the entry back itself.
+#[test]
+fn the_removal_of_a_held_entry_reaches_hosts_that_copy() {
+    let mut watch = watch_of_two();
+    let removal = rows(vec![removed("b", version(1, 91))], version(1, 91));
+    watch.on_answer(at(5), removal);
+    let listed = vec![row("a", "a", version(2, 10)), row("b", "b", version(2, 20))];
+    restore(&mut watch, at(10), listed, 30);
+    let mut copying = restored_copy_of(&watch);
+    let again = rows(vec![removed("b", version(2, 33))], version(2, 33));
+    assert!(watch.on_answer(at(100), again).is_empty());
+    let copy = watch.copy_after(at(110), copying.changed_version());
+    copying.on_copy(at(110), copy);
+    assert_eq!(keys(&copying), ["a"]);
+}
+
+/// Guards against a host that learns of the return from another host and drops entries at once that only it knew.
+#[test]
+fn an_entry_that_a_copy_of_a_later_era_lacks_stays_until_its_writer_has_had_time() {
+    let mut behind = watch_of_two();
+    let mut started = RowWatch::new(2);
+    let listed = vec![row("a", "a", version(2, 10))];
+    started.on_answer(at(10), rows(listed, version(2, 30)));
+    behind.on_copy(at(20), started.copy_after(at(20), behind.changed_version()));
+    assert_eq!(keys(&behind), ["a", "b"]);
+    let later = rows(vec![row("c", "c", version(2, 31))], version(2, 31));
+    started.on_answer(at(30), later);
+    behind.on_copy(at(40), started.copy_after(at(40), behind.changed_version()));
+    assert_eq!(keys(&behind), ["a", "b", "c"]);
+    assert_eq!(
+        behind.take_expired(at(3_000)),
+        vec![removed("b", version(2, 30))]
+    );
+}
+
+/// Guards against entries that are dropped between two parts of a long copy.
+#[test]
+fn entries_stay_in_use_while_a_long_copy_of_a_later_era_is_taken_in_parts() {
+    let names: Vec<String> = (0..5_000).map(|name| format!("{name:04}")).collect();
+    let listed = |era| {
+        let names = names.iter().zip(1..);
+        let rows = names.map(move |(name, number)| row(name, "same", version(era, number)));
+        rows.collect::<Vec<_>>()
+    };
+    let mut behind = RowWatch::new(1);
+    let mut known = listed(1);
+    known.push(row("only-here", "x", version(1, 6_000)));
+    behind.on_answer(at(0), rows(known, version(1, 6_000)));
+    let mut ahead = RowWatch::new(2);
+    ahead.on_answer(at(10), rows(listed(2), version(2, 5_500)));
+    let mut parts = 0;
+    loop {
+        let copy = ahead.copy_after(at(20), behind.changed_version());
+        let has_more = copy.has_more;
+        assert!(behind.on_copy(at(20), copy).is_empty());
+        assert_eq!(behind.rows().count(), names.len() + 1);
+        parts += 1;
+        if !has_more {
+            break;
+        }
+    }
+    assert!(parts > 1, "the copy has parts");
+    assert_eq!(
+        behind.take_expired(at(3_000)).len(),
+        1,
+        "the entry that nobody wrote again"
+    );
+}
+
+/// Guards against an entry that a host drops because the store answered other hosts, which says nothing about a row that
+/// an older copy lacks.
+#[test]
+fn a_copy_says_that_a_missing_entry_is_missing_from_an_older_copy() {
+    let mut watch = watch_of_two();
+    restore(&mut watch, at(10), vec![row("a", "a", version(2, 10))], 30);
+    let mut other = RowWatch::new(3);
+    let early = vec![row("a", "a", version(2, 10)), row("b", "b", version(2, 12))];
+    other.on_answer(at(15), rows(early, version(2, 29)));
+    let copy = watch.copy_after(at(20), other.changed_version());
+    assert!(copy.lapsing[0].is_restored);
+    other.on_copy(at(20), copy);
+    assert_eq!(keys(&other), ["a", "b"]);
+}
+
+/// Guards against a second loss that ends the time of the first one early, or undoes what was learnt since.
+#[test]
+fn a_second_return_gives_writers_their_time_again() {
+    let mut watch = watch_of_two();
+    restore(&mut watch, at(10), vec![row("a", "a", version(2, 10))], 30);
+    watch.on_answer(at(1_500), StoreAnswer::HistoryGone);
+    let listed = vec![row("a", "a", version(3, 10))];
+    assert!(
+        watch
+            .on_answer(at(1_500), rows(listed, version(3, 20)))
+            .is_empty()
+    );
+    assert!(watch.take_expired(at(3_000)).is_empty());
+    assert_eq!(
+        watch.take_expired(at(4_000)),
+        vec![removed("b", version(3, 20))]
+    );
+}
--- a/crates/fleet/tests/row_watch.rs
+++ b/crates/fleet/tests/row_watch.rs
@@ -212,6 +212,7 @@
         version: 3.into(),
         remaining: at(1_800),
         outage_age: at(5_200),
+        is_restored: false,
     };
     assert_eq!(copy.lapsing.first(), Some(&lapsing));
     assert!(copying.on_copy(at(5_300), copy).is_empty());
--- a/crates/gateway/src/table_copies.rs
+++ b/crates/gateway/src/table_copies.rs
@@ -100,6 +100,9 @@
     /// copy arrives; no answer can refute that yet, so the receiver keeps the row as lapsing.
     #[serde(default)]
     lost_ms: u64,
+    /// Whether the store came back without the row. Hosts of an earlier version do not send it.
+    #[serde(default)]
+    is_restored: bool,
 }
 
 impl From<TableCopy> for CopyMessage {
@@ -118,6 +121,7 @@
             era: other_era(row.version),
             remaining_ms: to_millis(row.remaining),
             lost_ms: to_millis(row.outage_age),
+            is_restored: row.is_restored,
         });
         Self {
             version: copy.version.number,
@@ -149,6 +153,7 @@
             version: version(row.era, row.version),
             remaining: Duration::from_millis(row.remaining_ms),
             outage_age: Duration::from_millis(row.lost_ms),
+            is_restored: row.is_restored,
         });
         Self {
             version: version(None, message.version),
