--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -236,6 +236,9 @@
             }
             Fault::Store(fault) => inject_fault(&self.site.store, fault, planned.length)?,
             Fault::StoreForgets => self.site.rows.forget_history(),
+            Fault::CopyStore => self.site.copy_store(),
+            Fault::RestoreStore => self.site.lose_later_rows(),
+            Fault::WriteAgain => self.site.write_again(),
             Fault::Endpoint(endpoint, fault) => {
                 let endpoint = &self.site.endpoints[endpoint as usize];
                 inject_fault(&endpoint.server, fault, planned.length)?;
@@ -274,9 +277,12 @@
             Fault::Leave(endpoint) => {
                 self.site.endpoints[endpoint as usize].relist(&self.site.rows);
             }
+            Fault::RestoreStore => self.site.rows.set_away(false),
             Fault::Reload(_)
             | Fault::Store(_)
             | Fault::StoreForgets
+            | Fault::CopyStore
+            | Fault::WriteAgain
             | Fault::Endpoint(..)
             | Fault::ChangeKeys => {}
         }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -10,6 +10,17 @@
 const FAULT_GAP_MS: (u64, u64) = (60, 500);
 /// Bounds of the duration of a fault.
 const FAULT_DURATION_MS: (u64, u64) = (150, 3_000);
+/// Number of times that the store comes back from an older copy in a run.
+const STORE_RETURNS: u64 = 2;
+/// Bounds of the parts of a return, as percentages of the fault period that the return may take.
+const COPY_AT_PERCENT: (u64, u64) = (0, 20);
+const COPY_AGE_PERCENT: (u64, u64) = (10, 40);
+const AWAY_PERCENT: (u64, u64) = (4, 20);
+const REWRITE_DELAY_PERCENT: (u64, u64) = (0, 20);
+/// Longest time after the store's return until the operator and the endpoints have written again.
+const MAX_REWRITE_DELAY: Duration = Duration::from_millis(1_900);
+/// Makes the store's returns independent of the other faults of a seed.
+const RETURN_SALT: u64 = 0x5e_7a11;
 /// Maximum delay of a slow link, store or endpoint.
 const MAX_DELAY_MS: u64 = 400;
 
@@ -71,6 +82,12 @@
     Store(ServerFault),
     /// The store drops its history.
     StoreForgets,
+    /// A copy of the store is taken.
+    CopyStore,
+    /// The store goes away and comes back from the last copy.
+    RestoreStore,
+    /// The operator and the endpoints write again what the store lost.
+    WriteAgain,
     /// A fault of an endpoint.
     Endpoint(u64, ServerFault),
     /// Marks an endpoint as leaving, then removes it and lists it again under a new id.
@@ -90,7 +107,7 @@
     pub fault: Fault,
 }
 
-/// Plans the faults of a run at random. All end before `end`.
+/// Plans the faults of a run at random, with returns of the store among them. All end before `end`.
 ///
 /// ```
 /// use std::time::Duration;
@@ -109,10 +126,36 @@
         let length = random_duration(&mut random, FAULT_DURATION_MS);
         let fault = random_fault(&mut random, targets);
         if at + length >= end {
-            return planned;
+            break;
         }
         planned.push(PlannedFault { at, length, fault });
     }
+    planned.extend(plan_store_returns(seed, end));
+    planned
+}
+
+/// Plans the times at which the store comes back from an older copy. Each return may begin before the
+/// one before it is over, with a copy from before that one.
+fn plan_store_returns(seed: u64, end: Duration) -> Vec<PlannedFault> {
+    let mut random = SeededRandom::new(seed ^ RETURN_SALT);
+    let period = end / STORE_RETURNS as u32;
+    let mut planned = Vec::new();
+    for number in 0..STORE_RETURNS as u32 {
+        let mut part =
+            |(low, high): (u64, u64)| period * (low + random.below(high - low)) as u32 / 100;
+        let copied_at = period * number + part(COPY_AT_PERCENT);
+        let lost_at = copied_at + part(COPY_AGE_PERCENT);
+        let away = part(AWAY_PERCENT);
+        let rewritten_at = lost_at + away + part(REWRITE_DELAY_PERCENT).min(MAX_REWRITE_DELAY);
+        let steps = [
+            (copied_at, Duration::ZERO, Fault::CopyStore),
+            (lost_at, away, Fault::RestoreStore),
+            (rewritten_at, Duration::ZERO, Fault::WriteAgain),
+        ];
+        let steps = steps.map(|(at, length, fault)| PlannedFault { at, length, fault });
+        planned.extend(steps);
+    }
+    planned
 }
 
 fn random_fault(random: &mut SeededRandom, targets: Targets) -> Fault {
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -1,6 +1,7 @@
 //! The environment of the routers: store, endpoints and operator.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -20,6 +21,7 @@
 use sedgeridge_platform_standins::store::CONFIG_KEY;
 use sedgeridge_platform_standins::store::ENDPOINTS_TABLE;
 use sedgeridge_platform_standins::store::OPERATOR_TABLE;
+use sedgeridge_platform_standins::store::StoreCopy;
 use sedgeridge_platform_standins::store::StoreRows;
 use sedgeridge_standins::server::RunningServer;
 
@@ -61,6 +63,7 @@
     /// The endpoints.
     pub endpoints: Vec<SoakEndpoint>,
     generation: Cell<u64>,
+    copy: RefCell<Option<StoreCopy>>,
 }
 
 /// An endpoint with its link and its entry in the store.
@@ -75,6 +78,7 @@
     data_centre: String,
     index: usize,
     incarnation: Cell<u32>,
+    is_leaving: Cell<bool>,
 }
 
 impl Site {
@@ -93,6 +97,7 @@
             rows,
             runs,
             generation: Cell::new(1),
+            copy: RefCell::new(None),
         };
         for endpoint in &site.endpoints {
             endpoint.put_entry(&site.rows, false);
@@ -117,6 +122,27 @@
         self.write_config();
     }
 
+    /// Takes a copy of the store.
+    pub fn copy_store(&self) {
+        *self.copy.borrow_mut() = Some(self.rows.copy());
+    }
+
+    /// Makes the store unavailable and replaces its rows by those of the last copy.
+    pub fn lose_later_rows(&self) {
+        self.rows.set_away(true);
+        if let Some(copy) = &*self.copy.borrow() {
+            self.rows.restore(copy);
+        }
+    }
+
+    /// Writes what the operator and the endpoints wrote last, wherever the store holds something else.
+    pub fn write_again(&self) {
+        self.write_config();
+        for endpoint in &self.endpoints {
+            endpoint.write_again(&self.rows);
+        }
+    }
+
     fn write_config(&self) {
         let newest = self.generation.get();
         let routes = [
@@ -166,11 +192,13 @@
             data_centre: format!("dc-{}", index / 2 % DATA_CENTRES),
             index,
             incarnation: Cell::new(0),
+            is_leaving: Cell::new(false),
         })
     }
 
     /// Writes the entry of the endpoint to the store.
     pub fn put_entry(&self, rows: &StoreRows, is_leaving: bool) {
+        self.is_leaving.set(is_leaving);
         let entry = documents::endpoint(&EndpointSpec {
             service: self.service.to_owned(),
             address: self.link.address(),
@@ -190,6 +218,17 @@
         self.put_entry(rows, false);
     }
 
+    /// Writes the entry again, and removes those of earlier ids that came back.
+    fn write_again(&self, rows: &StoreRows) {
+        for earlier in 0..self.incarnation.get() {
+            let id = endpoint_id(self.index, earlier);
+            if rows.contains(ENDPOINTS_TABLE, &id) {
+                rows.remove(ENDPOINTS_TABLE, &id);
+            }
+        }
+        self.put_entry(rows, self.is_leaving.get());
+    }
+
     fn id(&self) -> String {
         endpoint_id(self.index, self.incarnation.get())
     }
