--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -279,6 +279,7 @@
                 self.note_success(now);
                 if version.era < self.feed_version.era {
                     // The store answered before it came back, and another host's copy came first.
+                    self.next_call_at = now + FIRST_PAUSE;
                     return Vec::new();
                 }
                 match self.listing.take() {
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -355,7 +355,9 @@
     /// Counts a call, and logs when the store stops answering or answers again.
     fn record_call(&self, table: Table, answer: &StoreAnswer) {
         let is_answered = *answer != StoreAnswer::Failed;
+        let known_era = self.changed_version(table).era;
         let outcome = match answer {
+            StoreAnswer::Rows { version, .. } if version.era < known_era => "outdated",
             StoreAnswer::Rows { .. } => "answered",
             StoreAnswer::HistoryGone => "history_gone",
             StoreAnswer::Failed => "failed",
