store: a held row that a second older copy lacks is dropped

Found by reading: such a row counted as missing, so that it stayed held and came into use at the end of the window though the store did not hold it. The new test of restored_rows.rs fails on the code before.

--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -672,12 +672,10 @@
         version: StoreVersion,
         outage: Option<PastOutage>,
     ) -> Vec<Row> {
-        let is_missing = |row: &&Row| row.version <= version && !keys.contains(&row.key);
-        let known = self.rows.values().chain(self.returned.iter());
-        let missing: Vec<_> = known
-            .filter(is_missing)
-            .map(|row| row.key.clone())
-            .collect();
+        self.returned.retain_listed(keys, version);
+        let known = self.rows.values();
+        let missing = known.filter(|row| row.version <= version && !keys.contains(&row.key));
+        let missing: Vec<_> = missing.map(|row| row.key.clone()).collect();
         let missing = missing.into_iter();
         missing
             .filter_map(|key| {
--- a/crates/fleet/src/row_watch/returned_rows.rs
+++ b/crates/fleet/src/row_watch/returned_rows.rs
@@ -1,6 +1,7 @@
 //! Holds back rows that an older copy of the store brought back.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -44,6 +45,12 @@
         is_older
     }
 
+    /// Drops rows that are missing from the keys as of a version.
+    pub(super) fn retain_listed(&mut self, keys: &BTreeSet<Arc<str>>, version: StoreVersion) {
+        self.rows
+            .retain(|key, row| row.version > version || keys.contains(key));
+    }
+
     /// Takes all rows if the time is over.
     pub(super) fn take_expired(&mut self, now: Duration) -> Vec<Row> {
         if now < self.held_until {
--- a/crates/fleet/tests/restored_rows.rs
+++ b/crates/fleet/tests/restored_rows.rs
@@ -372,3 +372,18 @@
         vec![removed("b", version(3, 20))]
     );
 }
+
+/// Guards against a row that comes into use although the store lost it a second time while it was held back.
+#[test]
+fn a_held_entry_that_a_second_older_copy_lacks_stays_out_of_use() {
+    let mut watch = watch_of_two();
+    let removal = rows(vec![removed("b", version(1, 91))], version(1, 91));
+    watch.on_answer(at(5), removal);
+    let listed = vec![row("a", "a", version(2, 10)), row("b", "b", version(2, 20))];
+    restore(&mut watch, at(10), listed, 30);
+    watch.on_answer(at(500), StoreAnswer::HistoryGone);
+    let listed = vec![row("a", "a", version(3, 10))];
+    watch.on_answer(at(500), rows(listed, version(3, 15)));
+    assert!(watch.take_expired(at(9_000)).is_empty());
+    assert_eq!(keys(&watch), ["a"]);
+}
