--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -1,7 +1,11 @@
 //! Keeps a local copy of one table of the platform's store: lists it once, then waits for changes.
 
+mod copies;
 mod removals;
+mod restoration;
 mod returned_rows;
+mod store_call;
+mod table_copy;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -16,14 +20,21 @@
 use crate::store_outage::OutageView;
 use crate::store_version::StoreVersion;
 
+pub use self::store_call::StoreAnswer;
+pub use self::store_call::StoreCall;
+pub use self::store_call::WatchStep;
+pub use self::table_copy::LapsingRow;
+pub use self::table_copy::Row;
+pub use self::table_copy::TableCopy;
+
 /// First pause after a failed call. It is short because a change must take effect within two
 /// seconds.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls. Every call is paid for, even one that is refused. With this
 /// pause the store's return is still noticed well before entries are judged.
 const MAX_PAUSE: Duration = Duration::from_millis(800);
-/// Time after the store's return in which endpoints and the operator write rows again. The platform promises
-/// about two seconds.
+/// Time after the store's return in which endpoints and the operator write their rows again. The
+/// platform promises about two seconds.
 const REWRITE_WINDOW: Duration = Duration::from_millis(2_100);
 /// Time after the store's return in which a missing row may have lapsed during the outage. A row
 /// that is removed later was removed on purpose, and its removal takes effect at once.
@@ -34,99 +45,6 @@
 /// Time for which a host that relies on copies waits for one after it has read the first page of a
 /// long table. Reading on would take a call for each page, and many hosts start together.
 const MAX_COPY_WAIT: Duration = Duration::from_millis(1_500);
-/// Rows of one copy, unless more were written by one transaction. A host that lacks more of them
-/// asks again, so that the memory and the time of a copy do not depend on the length of the table.
-const MAX_COPIED_ROWS: usize = 2_000;
-/// A row of the table.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Row {
-    /// Its key.
-    pub key: Arc<str>,
-    /// The transaction that wrote it.
-    pub version: StoreVersion,
-    /// Its content; `None` when the row was removed.
-    pub value: Option<Arc<[u8]>>,
-}
-
-/// A copy of a table, or of its changes, that one host sends to another.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct TableCopy {
-    /// Version of the newest change in the copy.
-    pub version: StoreVersion,
-    /// Whether the copy starts from an empty table; otherwise it holds changes.
-    pub is_whole: bool,
-    /// Whether the sender knows later changes that the copy does not hold.
-    pub has_more: bool,
-    /// The rows; removed rows have no value.
-    pub rows: Vec<Row>,
-    /// Rows that the sender still uses although they may have lapsed.
-    pub lapsing: Vec<LapsingRow>,
-    /// Keys of all existing rows, present if `rows` may lack removals.
-    pub keys: Option<Vec<Arc<str>>>,
-}
-
-/// A row that was missing when the store came back from an outage. Its writer may still write it
-/// again.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct LapsingRow {
-    /// Its key.
-    pub key: Arc<str>,
-    /// Version of the store at which the row was missing.
-    pub version: StoreVersion,
-    /// Time left for its writer to write it again.
-    pub remaining: Duration,
-    /// Time since the start of the outage in which the row may have lapsed.
-    pub outage_age: Duration,
-    /// Whether the row is missing because the store came back from an older copy.
-    pub is_restored: bool,
-}
-
-/// The next call to the store.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum StoreCall {
-    /// List rows, starting at a key.
-    List {
-        /// First key to return; `None` for the whole table.
-        from: Option<Arc<str>>,
-    },
-    /// Wait for changes after this version.
-    Feed {
-        /// Version up to which all changes are known.
-        after: StoreVersion,
-        /// Whether the store holds the call open until there is a change. Right after an outage it
-        /// must not: the answer could come long after the store is back, and a row removed in
-        /// between would look as if it had lapsed in the outage.
-        is_long_poll: bool,
-    },
-}
-
-/// Result of a call to the store.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum StoreAnswer {
-    /// Rows as of `version`.
-    Rows {
-        /// Listed rows, or changed rows.
-        rows: Vec<Row>,
-        /// Version of the store when it answered.
-        version: StoreVersion,
-        /// Whether the list continues after the last row.
-        has_more: bool,
-    },
-    /// The store does not have the requested changes: it dropped them, or came back from an older copy.
-    HistoryGone,
-    /// No usable answer.
-    Failed,
-}
-
-/// What the caller does next.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum WatchStep {
-    /// Make a call.
-    Call(StoreCall),
-    /// Wait until this time.
-    WaitUntil(Duration),
-}
-
 /// The known rows of a table and the calls that keep them up to date.
 ///
 /// ```
@@ -350,10 +268,10 @@
     /// waited until the store answers this host again, it would take effect seconds late, and
     /// requests would still go to endpoints that have left.
     ///
-    /// Rows that the sender lists as lapsing stay in use only if this host cannot rule out a
-    /// fleet-wide outage, or if the store came back from an older copy. A sender that was cut off from the other hosts does not know that the
-    /// store answered them. The version of its copy counts as known here, so nobody would report
-    /// the removal again.
+    /// Rows that the sender lists as lapsing stay in use only if the store came back from an older copy
+    /// or this host cannot rule out a fleet-wide outage. A sender that was cut off from the other hosts
+    /// does not know that the store answered them. The version of its copy counts as known here, so
+    /// nobody would report the removal again.
     pub fn on_copy(&mut self, now: Duration, copy: TableCopy) -> Vec<Row> {
         if copy.version <= self.changed_version {
             return Vec::new();
@@ -387,57 +305,6 @@
         changed
     }
 
-    /// Returns a copy for a host that knows all changes up to `after`: the oldest of the changes that
-    /// it lacks.
-    pub fn copy_after(&self, now: Duration, after: StoreVersion) -> TableCopy {
-        let is_whole = after == StoreVersion::default();
-        let lacks_removals = self.removals.are_incomplete_after(after);
-        let removed = self
-            .removals
-            .iter()
-            .filter(|_| !is_whole && !lacks_removals);
-        let existing = self.rows.values().chain(self.returned.iter());
-        let changed = existing.chain(removed);
-        let mut changed: Vec<_> = changed.filter(|row| row.version > after).collect();
-        let rest = take_oldest(&mut changed, MAX_COPIED_ROWS);
-        let has_more = !rest.is_empty();
-        let last_version = changed.last().map(|row| row.version);
-        TableCopy {
-            version: last_version
-                .filter(|_| has_more)
-                .unwrap_or(self.changed_version),
-            is_whole,
-            has_more,
-            rows: changed.into_iter().cloned().collect(),
-            lapsing: match has_more {
-                true => Vec::new(),
-                false => self.lapsing_after(now, after),
-            },
-            keys: lacks_removals.then(|| self.existing_keys()),
-        }
-    }
-
-    /// Returns the keys of all rows in the store, as far as this host knows.
-    fn existing_keys(&self) -> Vec<Arc<str>> {
-        let keys = self.rows.keys().chain(self.returned.keys());
-        keys.cloned().collect()
-    }
-
-    /// Returns the lapsing rows that went missing after a version. Without them a host that relies
-    /// on copies would take their version as known and never learn of the removals.
-    fn lapsing_after(&self, now: Duration, after: StoreVersion) -> Vec<LapsingRow> {
-        let lapsing = self.lapsing.iter();
-        let lapsing = lapsing.filter(|(_, lapsing)| lapsing.version > after);
-        let to_row = |(key, lapsing): (&Arc<str>, &Lapsing)| LapsingRow {
-            key: key.clone(),
-            version: lapsing.version,
-            remaining: lapsing.outage.rewrite_until.saturating_sub(now),
-            outage_age: now.saturating_sub(lapsing.outage.lost_at),
-            is_restored: lapsing.outage.is_restored,
-        };
-        lapsing.map(to_row).collect()
-    }
-
     /// Ends the rewrite windows that are over. Returns the changed rows: lapsing rows are removed, and
     /// returned rows come into use.
     pub fn take_expired(&mut self, now: Duration) -> Vec<Row> {
@@ -618,18 +485,6 @@
         changed
     }
 
-    /// Records that the store came back from an older copy if a list or copy of a later era is to be
-    /// applied. What the older copy lacks is written again by its writers within the rewrite window.
-    fn note_restoration(&mut self, now: Duration, version: StoreVersion) {
-        if self.is_known() && version.era > self.changed_version.era {
-            self.restoration = Some(PastOutage {
-                lost_at: now,
-                rewrite_until: now + self.restoration_window,
-                is_restored: true,
-            });
-        }
-    }
-
     /// Returns the outage in which rows that are missing now may have lapsed. A row that is missing
     /// right after an outage may only have lapsed, because its writer could not renew it. Without
     /// the rewrite window every endpoint would be dropped when the store returns.
@@ -685,29 +540,6 @@
             .collect()
     }
 
-    /// Returns the return of the store from an older copy that explains why a row is missing.
-    fn restoration_of(&self, key: &str) -> Option<PastOutage> {
-        let lapsing = self.lapsing.get(key).map(|lapsing| lapsing.outage);
-        self.restoration
-            .or(lapsing.filter(|outage| outage.is_restored))
-    }
-
-    /// Holds back rows of an older copy whose removal is known. Returns the other rows.
-    fn hold_back_returned(&mut self, rows: Vec<Row>) -> Vec<Row> {
-        let Some(restoration) = self.restoration else {
-            return rows;
-        };
-        let mut removed = self.removals.keys();
-        removed.extend(self.returned.keys().cloned());
-        let is_returned = |row: &Row| {
-            let is_removed = removed.contains(&row.key) && !self.rows.contains_key(&row.key);
-            is_removed && row.value.is_some()
-        };
-        let (returned, others) = rows.into_iter().partition(is_returned);
-        self.returned.hold(returned, restoration.rewrite_until);
-        others
-    }
-
     /// Applies changes that may lack removals, with the keys of all rows as of `version`.
     fn apply_changes_with_keys(
         &mut self,
@@ -778,18 +610,6 @@
     }
 }
 
-/// Keeps the `count` rows with the lowest versions, in order, and returns the others. Rows that one
-/// transaction wrote stay together: a host that knew only some of them would take all for known.
-fn take_oldest<'a>(rows: &mut Vec<&'a Row>, count: usize) -> Vec<&'a Row> {
-    if rows.len() <= count {
-        return Vec::new();
-    }
-    rows.sort_unstable_by_key(|row| row.version);
-    let last_version = rows[count - 1].version;
-    let kept = rows.partition_point(|row| row.version <= last_version);
-    rows.split_off(kept)
-}
-
 /// Returns the first key after `key` in byte order.
 fn next_key(key: &str) -> Arc<str> {
     Arc::from(format!("{key}\0"))
--- /dev/null
+++ b/crates/fleet/src/row_watch/store_call.rs
@@ -0,0 +1,53 @@
+//! Calls to the store about a table, and their results.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Row;
+use crate::store_version::StoreVersion;
+
+/// The next call to the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreCall {
+    /// List rows, starting at a key.
+    List {
+        /// First key to return; `None` for the whole table.
+        from: Option<Arc<str>>,
+    },
+    /// Wait for changes after this version.
+    Feed {
+        /// Version up to which all changes are known.
+        after: StoreVersion,
+        /// Whether the store holds the call open until there is a change. Right after an outage it
+        /// must not: the answer could come long after the store is back, and a row removed in
+        /// between would look as if it had lapsed in the outage.
+        is_long_poll: bool,
+    },
+}
+
+/// Result of a call to the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreAnswer {
+    /// Rows as of `version`.
+    Rows {
+        /// Listed rows, or changed rows.
+        rows: Vec<Row>,
+        /// Version of the store when it answered.
+        version: StoreVersion,
+        /// Whether the list continues after the last row.
+        has_more: bool,
+    },
+    /// The store does not have the requested changes: it dropped them, or came back from an older copy.
+    HistoryGone,
+    /// No usable answer.
+    Failed,
+}
+
+/// What the caller does next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum WatchStep {
+    /// Make a call.
+    Call(StoreCall),
+    /// Wait until this time.
+    WaitUntil(Duration),
+}
