--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,5 +32,6 @@
 pub mod store;
 pub mod stream_forward;
 pub mod table_copies;
+pub mod table_events;
 pub mod table_follower;
 pub mod wire;
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -16,7 +16,6 @@
 use sedgeridge_fleet::route_table::RouteTable;
 use sedgeridge_fleet::row_watch::Row;
 use sedgeridge_fleet::row_watch::RowWatch;
-use sedgeridge_fleet::row_watch::StoreAnswer;
 use sedgeridge_fleet::row_watch::TableCopy;
 use sedgeridge_fleet::row_watch::WatchStep;
 use sedgeridge_fleet::store_version::StoreVersion;
@@ -30,6 +29,8 @@
 use crate::meters;
 use crate::store::Store;
 use crate::store::Table;
+use crate::table_events;
+use crate::table_events::WatchState;
 use crate::wire::WireError;
 use crate::wire::WireFormat;
 
@@ -115,7 +116,8 @@
                 }
                 WatchStep::Call(call) => {
                     let answer = store.read(table, call).await;
-                    self.record_call(table, &answer);
+                    let gateway = &self.gateway;
+                    table_events::record_call(gateway, table, &self.watch(table).borrow(), &answer);
                     let changed =
                         self.update(table, None, |watch, now| watch.on_answer(now, answer));
                     if !changed.is_empty() && role == StoreRole::FirstFollower {
@@ -270,23 +272,12 @@
     /// Applies the copy from the host at `from`.
     pub fn apply_copy(&self, table: Table, copy: TableCopy, from: SocketAddr) {
         let known = self.changed_version(table);
-        let fields = [
-            ("table", table.as_str().into()),
-            ("from", from.to_string().into()),
-            ("era", copy.version.era.into()),
-            ("version", copy.version.number.into()),
-            ("known_era", known.era.into()),
-            ("known_version", known.number.into()),
-            ("rows", copy.rows.len().into()),
-            ("missing", copy.lapsing.len().into()),
-        ];
-        self.gateway.log(LogEvent::CopyTaken, &fields);
+        table_events::record_copy(&self.gateway, table, known, &copy, from);
         let changed = self.update(table, Some(from), |watch, now| watch.on_copy(now, copy));
         self.apply(table, &changed);
     }
 
-    /// Applies `change` to this host's copy of a table, and logs if more missing entries stay in
-    /// use after it. Returns the changed rows.
+    /// Applies `change` to this host's copy of a table. Returns the changed rows.
     fn update(
         &self,
         table: Table,
@@ -299,92 +290,17 @@
             .gateway
             .with_dispatcher(|dispatcher| dispatcher.store_outage());
         watch.set_outage(outage);
-        let before = watch.lapsing_count();
-        let outdated_before = watch.outdated_rows();
         let known = watch.changed_version();
+        let before = WatchState::of(&watch);
         let changed = change(&mut watch, now);
+        let after = WatchState::of(&watch);
+        table_events::record_change(&self.gateway, table, told_by, &before, &after);
         if table == Table::Hosts && watch.changed_version() > known {
             self.host_list_changed.notify_one();
         }
-        if known > StoreVersion::default() && watch.changed_version().era > known.era {
-            self.record_restoration(table, known, watch.changed_version(), told_by);
-        }
-        let outdated = watch.outdated_rows() - outdated_before;
-        if outdated > 0 {
-            let fields = [
-                ("table", table.as_str().into()),
-                ("rows", outdated.into()),
-                ("era", watch.changed_version().era.into()),
-                ("known_version", watch.changed_version().number.into()),
-                ("told_by", told_by.map(|from| from.to_string()).into()),
-            ];
-            self.gateway.log(LogEvent::RowsOutdated, &fields);
-            meters::count_outdated_rows(table.as_str(), outdated);
-        }
-        if watch.lapsing_count() > before {
-            let fields = [
-                ("table", table.as_str().into()),
-                ("missing", watch.lapsing_count().into()),
-                ("version", watch.changed_version().number.into()),
-                ("told_by", told_by.map(|from| from.to_string()).into()),
-            ];
-            self.gateway.log(LogEvent::EntriesMissing, &fields);
-        }
         changed
     }
 
-    fn record_restoration(
-        &self,
-        table: Table,
-        known: StoreVersion,
-        restored: StoreVersion,
-        told_by: Option<SocketAddr>,
-    ) {
-        let fields = [
-            ("table", table.as_str().into()),
-            ("era", restored.era.into()),
-            ("version", restored.number.into()),
-            ("known_era", known.era.into()),
-            ("known_version", known.number.into()),
-            ("told_by", told_by.map(|from| from.to_string()).into()),
-        ];
-        self.gateway.log(LogEvent::StoreRestored, &fields);
-        meters::count_restored_table(table.as_str());
-    }
-
-    /// Counts a call, and logs when the store stops answering or answers again.
-    fn record_call(&self, table: Table, answer: &StoreAnswer) {
-        let is_answered = *answer != StoreAnswer::Failed;
-        let known_era = self.changed_version(table).era;
-        let outcome = match answer {
-            StoreAnswer::Rows { version, .. } if version.era < known_era => "outdated",
-            StoreAnswer::Rows { .. } => "answered",
-            StoreAnswer::HistoryGone => "history_gone",
-            StoreAnswer::Failed => "failed",
-        };
-        meters::count_store_call(table.as_str(), outcome);
-        if *answer == StoreAnswer::HistoryGone {
-            let fields = [
-                ("table", table.as_str().into()),
-                ("known_version", self.changed_version(table).number.into()),
-            ];
-            self.gateway.log(LogEvent::HistoryGone, &fields);
-        }
-        let lost_since = self.watch(table).borrow().store_lost_since();
-        match (is_answered, lost_since) {
-            (false, None) => {
-                let fields = [("table", table.as_str().into())];
-                self.gateway.log(LogEvent::StoreLost, &fields);
-            }
-            (true, Some(since)) => {
-                let away = self.gateway.now().saturating_sub(since);
-                let fields = [("table", table.as_str().into()), ("away_ms", millis(away))];
-                self.gateway.log(LogEvent::StoreRegained, &fields);
-            }
-            _ => {}
-        }
-    }
-
     fn followed(&self, table: Table) -> &FollowedTable {
         match table {
             Table::Config => &self.config,
