soak: versions are given out again far past the loss, and keys change after each return

Another system now writes to the store between copy and loss, and the operator changes keys once the store is back.

--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -151,6 +151,7 @@
             (copied_at, Duration::ZERO, Fault::CopyStore),
             (lost_at, away, Fault::RestoreStore),
             (rewritten_at, Duration::ZERO, Fault::WriteAgain),
+            (rewritten_at, Duration::ZERO, Fault::ChangeKeys),
         ];
         let steps = steps.map(|(at, length, fault)| PlannedFault { at, length, fault });
         planned.extend(steps);
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -24,6 +24,7 @@
 use sedgeridge_platform_standins::store::StoreCopy;
 use sedgeridge_platform_standins::store::StoreRows;
 use sedgeridge_standins::server::RunningServer;
+use serde_json::json;
 
 use crate::links::Link;
 use crate::routers::DATA_CENTRES;
@@ -36,6 +37,10 @@
 const SLOTS: u32 = 16;
 const STREAM_SERVICE: &str = "streams";
 const WHOLE_SERVICE: &str = "answers";
+/// Table of another system that uses the store.
+const OTHER_TABLE: &str = "other";
+/// Writes of the other system that are lost, more than all others of a run.
+const LOST_WRITES: u32 = 300;
 
 /// Returns the path of the route of a kind.
 pub fn path(kind: RouteKind) -> &'static str {
@@ -122,9 +127,14 @@
         self.write_config();
     }
 
-    /// Takes a copy of the store.
+    /// Takes a copy of the store. Then others write to it, and the operator and the endpoints do, so that
+    /// routers know versions which the store gives out again after the loss.
     pub fn copy_store(&self) {
         *self.copy.borrow_mut() = Some(self.rows.copy());
+        for write in 0..LOST_WRITES {
+            self.rows.put(OTHER_TABLE, &write.to_string(), &json!({}));
+        }
+        self.write_again();
     }
 
     /// Makes the store unavailable and replaces its rows by those of the last copy.
