store: rows that an older copy brings back are held for three heartbeats

An endpoint that left may be gone altogether; then only the platform removes its entry again, after three missed heartbeats of 1.2 s, and 2.1 s after the return it would have come back into use. Held for 4 s now; a write or removal still takes effect at once.

--- a/crates/fleet/src/row_watch/restoration.rs
+++ b/crates/fleet/src/row_watch/restoration.rs
@@ -7,6 +7,10 @@
 use super::RowWatch;
 use crate::store_version::StoreVersion;
 
+/// Time for which rows whose removal is known are held back. The platform removes the entry of an
+/// endpoint that is gone after three missed heartbeats, 3.6 s.
+const RETURNED_HOLD: Duration = Duration::from_secs(4);
+
 impl RowWatch {
     /// Records that the store came back from an older copy if a list or copy of a later era is to be
     /// applied. What the older copy lacks is written again by its writers within the rewrite window.
@@ -39,7 +43,9 @@
             is_removed && row.value.is_some()
         };
         let (returned, others) = rows.into_iter().partition(is_returned);
-        self.returned.hold(returned, restoration.rewrite_until);
+        let until = restoration.lost_at + RETURNED_HOLD;
+        self.returned
+            .hold(returned, until.max(restoration.rewrite_until));
         others
     }
 }
--- a/crates/fleet/src/row_watch/returned_rows.rs
+++ b/crates/fleet/src/row_watch/returned_rows.rs
@@ -8,9 +8,9 @@
 use super::Row;
 use crate::store_version::StoreVersion;
 
-/// Rows whose removal was lost with the store's later versions. Their writers remove them again within
-/// the rewrite window; until then an endpoint that left must not come back into use. A row that is
-/// still there after the window is in use again.
+/// Rows whose removal was lost with the store's later versions. Their writers or the platform remove
+/// them again within seconds; until then an endpoint that left must not come back into use. A row that
+/// is still there afterwards is in use again.
 #[derive(Debug, Default)]
 pub(super) struct ReturnedRows {
     rows: BTreeMap<Arc<str>, Row>,
