store: an answer to a call of an earlier era is no continuation of a later one

Found by a new test of restored_fleet.rs (150 hosts, a third of the host list lost): a host had a feed call open at a number of the earlier era when another host's copy told it of the return. The answer came in the later era and was taken as a continuation of the copy, although it was one of the number asked for. Changes between the copy and that number would never have been seen.

The call now makes its result, and changes of a later era than the one asked for count as a history that is gone. The new test of restored_rows.rs fails on the code before.

Also: hosts that lose their entries together register within the window, and the host list stays whole meanwhile.

--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -186,7 +186,7 @@
         listing.is_some_and(|listing| listing.awaits_copy(now))
     }
 
-    /// Handles the result of a call. Returns the changed rows; removed rows have no value.
+    /// Handles the result of a call, which [`StoreCall::answered_with`] makes. Returns the changed rows; removed rows have no value.
     pub fn on_answer(&mut self, now: Duration, answer: StoreAnswer) -> Vec<Row> {
         match answer {
             StoreAnswer::Rows {
@@ -218,14 +218,7 @@
     }
 
     /// Handles changes after the known version.
-    ///
-    /// Changes of a later era are no continuation of the known ones, also if the store has passed the
-    /// known number again: those before that number would never be seen. The table is listed instead.
     fn on_feed(&mut self, now: Duration, rows: Vec<Row>, version: StoreVersion) -> Vec<Row> {
-        if version.era > self.feed_version.era {
-            self.listing = Some(Listing::default());
-            return Vec::new();
-        }
         self.feed_version = self.feed_version.max(version);
         self.is_partial = false;
         self.delay_after_changes(now, &rows);
--- a/crates/fleet/src/row_watch/store_call.rs
+++ b/crates/fleet/src/row_watch/store_call.rs
@@ -25,6 +25,38 @@
     },
 }
 
+impl StoreCall {
+    /// Returns the result of this call for rows that the store sent as of a version.
+    ///
+    /// Changes of a later era are no continuation of those asked for, also if the store has passed the
+    /// number again: the changes before that number would never be seen.
+    ///
+    /// ```
+    /// use sedgeridge_fleet::row_watch::{StoreAnswer, StoreCall};
+    /// use sedgeridge_fleet::store_version::StoreVersion;
+    ///
+    /// let after = StoreVersion { era: 1, number: 90 };
+    /// let call = StoreCall::Feed { after, is_long_poll: true };
+    /// let answer = call.answered_with(Vec::new(), StoreVersion { era: 2, number: 95 }, false);
+    /// assert_eq!(answer, StoreAnswer::HistoryGone);
+    /// ```
+    pub fn answered_with(
+        &self,
+        rows: Vec<Row>,
+        version: StoreVersion,
+        has_more: bool,
+    ) -> StoreAnswer {
+        match self {
+            Self::Feed { after, .. } if after.era < version.era => StoreAnswer::HistoryGone,
+            Self::Feed { .. } | Self::List { .. } => StoreAnswer::Rows {
+                rows,
+                version,
+                has_more,
+            },
+        }
+    }
+}
+
 /// Result of a call to the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoreAnswer {
--- a/crates/fleet/tests/registration.rs
+++ b/crates/fleet/tests/registration.rs
@@ -4,6 +4,7 @@
 use std::collections::BinaryHeap;
 
 use sedgeridge_coordination::random::SeededRandom;
+use sedgeridge_fleet::registration_retries::REGISTRATION_WINDOW;
 use sedgeridge_fleet::registration_retries::RegistrationRetries;
 use yare::parameterized;
 
@@ -23,10 +24,40 @@
 )]
 fn hosts_that_start_together_register_with_few_calls(hosts: u64, max_calls: u64, within_ms: u64) {
     let mut random = SeededRandom::new(1);
-    let mut attempts: BinaryHeap<_> = (0..hosts)
-        .map(|host| Reverse((random.below(START_SPREAD_MS), host)))
+    let first_attempts = (0..hosts).map(|_| random.below(START_SPREAD_MS)).collect();
+    let (calls, ends_ms) = register(&mut random, first_attempts);
+    assert!(calls <= max_calls, "{calls} calls");
+    assert!(ends_ms <= within_ms, "{ends_ms} ms");
+}
+
+/// Guards against hosts that are dropped from every list although they register again after the store has lost the
+/// entries of all of them.
+#[parameterized(
+    hosts_of_80 = { 80, 100 },
+    hosts_of_986 = { 986, 1_500 },
+)]
+fn hosts_that_lose_their_entries_together_register_within_the_window(hosts: u64, max_calls: u64) {
+    let mut random = SeededRandom::new(1);
+    let first_attempts = (0..hosts).map(|_| {
+        let pause = RegistrationRetries::default().next_pause(&mut random);
+        pause.as_millis() as u64
+    });
+    let first_attempts = first_attempts.collect();
+    let (calls, ends_ms) = register(&mut random, first_attempts);
+    assert!(calls <= max_calls, "{calls} calls");
+    let window_ms = REGISTRATION_WINDOW.as_millis() as u64;
+    assert!(ends_ms <= window_ms, "{ends_ms} ms");
+}
+
+/// Registers hosts that first call the store at these times, in milliseconds. Returns the number of calls, and the time at
+/// which the last entry is written.
+fn register(random: &mut SeededRandom, first_attempts: Vec<u64>) -> (u64, u64) {
+    let mut retries: Vec<_> = first_attempts
+        .iter()
+        .map(|_| RegistrationRetries::default())
         .collect();
-    let mut retries: Vec<_> = (0..hosts).map(|_| RegistrationRetries::default()).collect();
+    let attempts = first_attempts.into_iter().zip(0_usize..);
+    let mut attempts: BinaryHeap<_> = attempts.map(Reverse).collect();
     let (mut calls, mut queue_ends_ms) = (0, 0);
     while let Some(Reverse((now_ms, host))) = attempts.pop() {
         calls += 1;
@@ -35,11 +66,9 @@
             queue_ends_ms += 1_000 / WRITES_PER_S;
             continue;
         }
-        let pause = retries[host as usize].next_pause(&mut random);
+        let pause = retries[host].next_pause(random);
         let pause_ms = pause.as_millis() as u64;
         attempts.push(Reverse((now_ms + pause_ms.max(1), host)));
     }
-    assert!(calls <= max_calls, "{calls} calls");
-    assert!(queue_ends_ms <= within_ms, "{queue_ends_ms} ms");
-    println!("{hosts} hosts: {calls} calls, {queue_ends_ms} ms");
+    (calls, queue_ends_ms)
 }
--- a/crates/fleet/tests/restored_fleet.rs
+++ b/crates/fleet/tests/restored_fleet.rs
@@ -7,6 +7,7 @@
 use support::table_fleet::Fleet;
 use support::table_fleet::STEP_MS;
 use support::table_fleet::StoreTable;
+use support::table_fleet::host_name;
 use support::table_fleet::name;
 use yare::parameterized;
 
@@ -16,6 +17,8 @@
 const MAX_KNOWN_MS: u64 = 2_000;
 /// Time in which writers write again what the store lost.
 const REWRITE_MS: u64 = 2_000;
+/// Time over which hosts spread the writes of their lost entries.
+const REGISTRATION_SPREAD_MS: u64 = 5_000;
 /// Rows that are written after the copy was taken, and lost.
 const LOST_ROWS: usize = 30;
 
@@ -147,3 +150,38 @@
         assert_eq!(era, 2, "host {host}");
     }
 }
+
+/// Guards against hosts that divide and rank by a part of the host list while others write their lost entries again.
+#[parameterized(
+    small_fleet = { 6 },
+    hosts_that_copy = { 40 },
+    large_fleet = { 150 },
+)]
+fn the_host_list_stays_whole_while_lost_entries_are_written_again(size: usize) {
+    let mut fleet = Fleet::new(size);
+    let mut copies = Copies::of(&fleet);
+    let lost: Vec<_> = (0..size).step_by(3).map(host_name).collect();
+    for host in &lost {
+        copies.hosts.remove(host);
+    }
+    let followers = fleet.followers();
+    lose_later_rows(&mut fleet, &copies);
+    let returned_at = fleet.now;
+    let write_interval_ms = REGISTRATION_SPREAD_MS / lost.len() as u64;
+    for (host, number) in lost.iter().zip(1..) {
+        fleet.run_until(returned_at + number * write_interval_ms);
+        fleet.host_list.write(host);
+        let known: Vec<_> = fleet
+            .nodes
+            .iter()
+            .map(|node| node.hosts.watch.rows().count())
+            .collect();
+        assert!(known.iter().all(|known| *known == size), "{known:?}");
+    }
+    fleet.run_until(returned_at + 2 * REGISTRATION_SPREAD_MS);
+    for node in &fleet.nodes {
+        assert!(lost.iter().all(|host| node.hosts.watch.is_listed(host)));
+        assert_eq!(node.hosts.watch.lapsing_count(), 0);
+    }
+    assert_eq!(fleet.followers(), followers);
+}
--- a/crates/fleet/tests/restored_rows.rs
+++ b/crates/fleet/tests/restored_rows.rs
@@ -98,8 +98,12 @@
 #[test]
 fn a_feed_answer_of_a_later_era_leads_to_a_new_list() {
     let mut watch = watch_of_two();
-    let later = rows(vec![row("c", "c", version(2, 95))], version(2, 95));
-    assert!(watch.on_answer(at(10), later).is_empty());
+    let WatchStep::Call(call) = watch.step(at(5)) else {
+        panic!("expected a call");
+    };
+    let later = vec![row("c", "c", version(2, 95))];
+    let answer = call.answered_with(later, version(2, 95), false);
+    assert!(watch.on_answer(at(10), answer).is_empty());
     let list = StoreCall::List { from: None };
     assert_eq!(watch.step(at(10)), WatchStep::Call(list));
 }
@@ -387,3 +391,23 @@
     assert!(watch.take_expired(at(9_000)).is_empty());
     assert_eq!(keys(&watch), ["a"]);
 }
+
+/// Guards against changes that are never seen because a call was made before another host told of the return, and answered
+/// after it.
+#[test]
+fn an_answer_to_a_call_of_an_earlier_era_is_no_continuation_of_a_later_one() {
+    let mut ahead = watch_of_two();
+    let listed = vec![row("a", "a", version(2, 10)), row("b", "b", version(2, 20))];
+    restore(&mut ahead, at(10), listed, 50);
+    let mut watch = watch_of_two();
+    let WatchStep::Call(call) = watch.step(at(15)) else {
+        panic!("expected a call");
+    };
+    let copy = ahead.copy_after(at(20), watch.changed_version());
+    watch.on_copy(at(20), copy);
+    let later = vec![row("c", "c", version(2, 95))];
+    let answer = call.answered_with(later, version(2, 95), false);
+    assert!(watch.on_answer(at(30), answer).is_empty());
+    let list = StoreCall::List { from: None };
+    assert_eq!(watch.step(at(30)), WatchStep::Call(list));
+}
--- a/crates/fleet/tests/support/table_fleet.rs
+++ b/crates/fleet/tests/support/table_fleet.rs
@@ -19,6 +19,7 @@
 use sedgeridge_fleet::peer_hosts::ListedHost;
 use sedgeridge_fleet::peer_report::PeerReport;
 use sedgeridge_fleet::peer_versions::PeerVersions;
+use sedgeridge_fleet::registration_retries::REGISTRATION_WINDOW;
 use sedgeridge_fleet::row_watch::Row;
 use sedgeridge_fleet::row_watch::RowWatch;
 use sedgeridge_fleet::row_watch::StoreAnswer;
@@ -149,6 +150,14 @@
             fetch: None,
         }
     }
+
+    fn hosts(seed: u64) -> Self {
+        let watch = RowWatch::new(seed).with_restoration_window(REGISTRATION_WINDOW);
+        Self {
+            watch,
+            ..Self::new(seed)
+        }
+    }
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -210,7 +219,7 @@
                 key,
                 host,
                 endpoints: FollowedTable::new(index as u64),
-                hosts: FollowedTable::new((index + size) as u64),
+                hosts: FollowedTable::hosts((index + size) as u64),
                 is_frozen: false,
                 has_new_change: false,
                 inbox: VecDeque::new(),
@@ -528,11 +537,8 @@
         } => (store.changes(after.number), *is_long_poll),
     };
     let is_over = !rows.is_empty() || !is_long_poll || age_ms >= hold_ms;
-    is_over.then_some(StoreAnswer::Rows {
-        rows,
-        version: store.store_version(store.version),
-        has_more: false,
-    })
+    let version = store.store_version(store.version);
+    is_over.then(|| call.answered_with(rows, version, false))
 }
 
 /// Returns the key of an endpoint.
@@ -540,7 +546,8 @@
     format!("endpoint-{endpoint:02}")
 }
 
-fn host_name(host: usize) -> String {
+/// Returns the name of a host.
+pub fn host_name(host: usize) -> String {
     format!("host-{host}")
 }
 
