row watch: a page of a list that a copy has replaced is not taken for changes

Found by reading, after the fault of calls of an earlier era: another host's copy ends a list in progress while one of its pages is on its way. The page was then handled as the answer to a feed call and moved the feed to its version, past all changes between the copy and the page. Long tables that many hosts list at once, as after the store's return, make that likely.

An answer is now handled together with its call. The new test of restored_rows.rs fails without the check.

--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -186,7 +186,28 @@
         listing.is_some_and(|listing| listing.awaits_copy(now))
     }
 
-    /// Handles the result of a call, which [`StoreCall::answered_with`] makes. Returns the changed rows; removed rows have no value.
+    /// Handles the result of a call, which [`StoreCall::answered_with`] makes. Returns the changed rows;
+    /// removed rows have no value.
+    ///
+    /// A copy that came while the call was open may have replaced the list that the call was part of.
+    /// Taken for changes, the page would move the feed past changes that it does not hold.
+    pub fn on_answer_to(
+        &mut self,
+        now: Duration,
+        call: &StoreCall,
+        answer: StoreAnswer,
+    ) -> Vec<Row> {
+        let is_replaced = matches!(call, StoreCall::List { .. }) && self.listing.is_none();
+        match answer {
+            StoreAnswer::Rows { .. } if is_replaced => {
+                self.note_success(now);
+                Vec::new()
+            }
+            _ => self.on_answer(now, answer),
+        }
+    }
+
+    /// Handles the result of the call that the last step named. Returns the changed rows; removed rows have no value.
     pub fn on_answer(&mut self, now: Duration, answer: StoreAnswer) -> Vec<Row> {
         match answer {
             StoreAnswer::Rows {
--- a/crates/fleet/tests/restored_rows.rs
+++ b/crates/fleet/tests/restored_rows.rs
@@ -411,3 +411,27 @@
     let list = StoreCall::List { from: None };
     assert_eq!(watch.step(at(30)), WatchStep::Call(list));
 }
+
+/// Guards against changes that are never seen because a page of a list counts as changes: another host's copy came while
+/// the page was on its way.
+#[test]
+fn a_page_of_a_list_that_a_copy_has_replaced_changes_nothing() {
+    let mut ahead = watch_of_two();
+    let listed = vec![row("a", "a", version(2, 10)), row("b", "b", version(2, 20))];
+    restore(&mut ahead, at(10), listed, 50);
+    let mut watch = watch_of_two();
+    watch.on_answer(at(15), StoreAnswer::HistoryGone);
+    let WatchStep::Call(call) = watch.step(at(15)) else {
+        panic!("expected a call");
+    };
+    let copy = ahead.copy_after(at(20), watch.changed_version());
+    watch.on_copy(at(20), copy);
+    let page = vec![row("a", "a", version(2, 10))];
+    let answer = call.answered_with(page, version(2, 95), true);
+    assert!(watch.on_answer_to(at(30), &call, answer).is_empty());
+    let feed = StoreCall::Feed {
+        after: version(2, 50),
+        is_long_poll: true,
+    };
+    assert_eq!(watch.step(at(30)), WatchStep::Call(feed));
+}
--- a/crates/fleet/tests/support/table_fleet.rs
+++ b/crates/fleet/tests/support/table_fleet.rs
@@ -400,7 +400,7 @@
             };
             let watch = &mut node.table(table).watch;
             watch.set_outage(outage);
-            is_changed = !watch.on_answer(now, answer).is_empty();
+            is_changed = !watch.on_answer_to(now, &call, answer).is_empty();
             let role = node.host.dispatcher.store_role(now);
             node.has_new_change |= is_changed && role == StoreRole::FirstFollower;
         }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -47,7 +47,7 @@
 /// Calls to the store. A call without an answer may have taken effect.
 pub trait Store: 'static {
     /// Reads a table or waits for its changes.
-    fn read(&self, table: Table, call: StoreCall) -> impl Future<Output = StoreAnswer>;
+    fn read(&self, table: Table, call: &StoreCall) -> impl Future<Output = StoreAnswer>;
 
     /// Writes this host's entry. Returns the store's version with the entry, or `None` if the store did
     /// not acknowledge it.
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -115,11 +115,12 @@
                     tokio::time::sleep(pause).await;
                 }
                 WatchStep::Call(call) => {
-                    let answer = store.read(table, call).await;
+                    let answer = store.read(table, &call).await;
                     let gateway = &self.gateway;
                     table_events::record_call(gateway, table, &self.watch(table).borrow(), &answer);
-                    let changed =
-                        self.update(table, None, |watch, now| watch.on_answer(now, answer));
+                    let changed = self.update(table, None, |watch, now| {
+                        watch.on_answer_to(now, &call, answer)
+                    });
                     if !changed.is_empty() && role == StoreRole::FirstFollower {
                         self.change_to_announce.notify_one();
                     }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -167,7 +167,7 @@
 }
 
 impl Store for TestStore {
-    async fn read(&self, table: Table, call: StoreCall) -> StoreAnswer {
+    async fn read(&self, table: Table, call: &StoreCall) -> StoreAnswer {
         if let StoreCall::Feed { .. } = call {
             return self.change(table).await;
         }
