row watch: changes between two pages of a list are read again

A list of several pages took the version of its last page as known; a change of a row on an earlier page, made between the two, was never seen. Tables of more than 500 rows (endpoints and hosts of large fleets) have several pages, and every host lists them when the store comes back.

--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -108,8 +108,8 @@
 
 #[derive(Debug, Default)]
 struct Listing {
-    /// Era of the pages that have been read.
-    era: Option<u64>,
+    /// Version of the first page.
+    version: Option<StoreVersion>,
     from: Option<Arc<str>>,
     rows: Vec<Row>,
     first_page_at: Option<Duration>,
@@ -479,7 +479,9 @@
         version: StoreVersion,
         has_more: bool,
     ) -> Vec<Row> {
-        if *listing.era.get_or_insert(version.era) != version.era {
+        // Changes between two pages may concern rows of the earlier one. The feed tells of them.
+        let first_version = *listing.version.get_or_insert(version);
+        if first_version.era != version.era {
             // The store came back from an older copy between two pages.
             self.listing = Some(Listing::default());
             return Vec::new();
@@ -491,10 +493,10 @@
             self.listing = Some(listing);
             return Vec::new();
         }
-        self.note_restoration(now, version);
-        self.feed_version = version;
+        self.note_restoration(now, first_version);
+        self.feed_version = first_version;
         self.is_partial = false;
-        let changed = self.replace_rows(listing.rows, version, self.recent_outage(now));
+        let changed = self.replace_rows(listing.rows, first_version, self.recent_outage(now));
         self.restoration = None;
         changed
     }
@@ -528,8 +530,14 @@
         self.removals.note_gap(self.changed_version, version);
         self.changed_version = self.changed_version.max(version);
         let listed = rows.iter().map(|row| row.key.clone()).collect();
-        let rows = self.hold_back_returned(rows).into_iter();
-        let mut changed: Vec<_> = rows.filter_map(|row| self.apply_row(row)).collect();
+        let mut rows = self.hold_back_returned(rows);
+        // Changes after the version come again. Known earlier, they could be copied by a host that then
+        // takes all before them for known.
+        rows.retain(|row| row.version <= version);
+        let mut changed: Vec<_> = rows
+            .into_iter()
+            .filter_map(|row| self.apply_row(row))
+            .collect();
         changed.extend(self.apply_unlisted(&listed, version, outage));
         changed
     }
