registration: a host that stops does not report its entry as lost

Its own removal of the entry counted as a loss in the log (E3212) of a host that took longer to drain than the pause. Found by reading; nothing was written.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -95,13 +95,16 @@
         None
     }
 
-    /// Waits until this host's entry is lost. Many hosts may lose theirs at once, so each waits a random
+    /// Waits until this host's entry is lost, or the host stops. Many hosts may lose theirs at once, so each waits a random
     /// time more, in which the list may turn out to hold the entry after all.
     async fn wait_to_register_again(&self, written_at: StoreVersion) {
         loop {
             self.tables.wait_for_lost_entry(written_at).await;
             self.pause_registration(&mut RegistrationRetries::default())
                 .await;
+            if self.gateway.is_stopping() {
+                return;
+            }
             if self.tables.has_lost_entry(written_at) {
                 break;
             }
