--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -182,6 +182,12 @@
         "sedgeridge_gateway_queue_seconds",
         "time from a request's head to its first send",
     ),
+    counter(
+        "sedgeridge_gateway_outdated_rows_total",
+        "table",
+        Values::Fixed("config, endpoints, hosts"),
+        "rows that were dropped since a later version of them is known",
+    ),
     counter(
         "sedgeridge_gateway_refused_total",
         "reason",
@@ -227,9 +233,15 @@
     counter(
         "sedgeridge_gateway_store_calls_total",
         "table, outcome",
-        Values::Fixed("config, endpoints, hosts; answered, failed"),
+        Values::Fixed("config, endpoints, hosts; answered, failed, history_gone, outdated"),
         "calls to the platform's store that read a table",
     ),
+    counter(
+        "sedgeridge_gateway_tables_restored_total",
+        "table",
+        Values::Fixed("config, endpoints, hosts"),
+        "tables that were read anew because the platform's store came back from an older copy",
+    ),
     gauge(
         "sedgeridge_gateway_unfinished",
         "requests that have no final answer yet",
