table follower: a starting host follows the store as soon as it has the list of hosts

A starting host has no role until it has read the list of hosts, and looked again after up to 100 ms only. The first list now wakes the followers of the other tables.

--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -59,6 +59,8 @@
     hosts: FollowedTable,
     directory: RefCell<HostDirectory>,
     is_host_list_known: Cell<bool>,
+    /// Notified when the first list of hosts gives this host its role in following the store.
+    host_list_known: Notify,
     change_to_announce: Notify,
     host_list_changed: Notify,
 }
@@ -99,6 +101,7 @@
             hosts: FollowedTable::hosts(seed.rotate_left(2)),
             directory: RefCell::default(),
             is_host_list_known: Cell::new(false),
+            host_list_known: Notify::new(),
             change_to_announce: Notify::new(),
             host_list_changed: Notify::new(),
         }
@@ -112,7 +115,10 @@
             match self.next_step(table, now, role) {
                 WatchStep::WaitUntil(at) => {
                     let pause = at.saturating_sub(self.gateway.now());
-                    tokio::time::sleep(pause).await;
+                    tokio::select! {
+                        () = tokio::time::sleep(pause) => {}
+                        () = self.host_list_known.notified() => {}
+                    }
                 }
                 WatchStep::Call(call) => {
                     let answer = store.read(table, &call).await;
@@ -358,6 +364,9 @@
         let listed = directory.listed();
         drop(directory);
         self.gateway.handle(DispatchEvent::HostsListed(listed));
+        if is_first_list {
+            self.host_list_known.notify_waiters();
+        }
     }
 
     fn log_unusable_host(&self, row: &Row, error: &WireError) {
