--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -284,8 +284,8 @@
     ///
     /// Rows that the sender lists as lapsing stay in use only if the store came back from an older copy
     /// or this host cannot rule out a fleet-wide outage. A sender that was cut off from the other hosts
-    /// does not know that the store answered them. The version of its copy counts as known here, so
-    /// nobody would report the removal again.
+    /// does not know that the store answered them. The version of its copy counts as known here, so no
+    /// host would report the removal again.
     pub fn on_copy(&mut self, now: Duration, copy: TableCopy) -> Vec<Row> {
         if copy.version <= self.changed_version {
             return Vec::new();
--- a/crates/fleet/src/row_watch/restoration.rs
+++ b/crates/fleet/src/row_watch/restoration.rs
@@ -1,4 +1,4 @@
-//! What changes when the store comes back from an older copy.
+//! Handling of a store that comes back from an older copy.
 
 use std::time::Duration;
 
--- a/crates/fleet/src/row_watch/store_call.rs
+++ b/crates/fleet/src/row_watch/store_call.rs
@@ -75,7 +75,7 @@
     Failed,
 }
 
-/// What the caller does next.
+/// Next step of the caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum WatchStep {
     /// Make a call.
--- a/crates/fleet/tests/restored_rows_fuzz.rs
+++ b/crates/fleet/tests/restored_rows_fuzz.rs
@@ -14,10 +14,10 @@
 use sedgeridge_fleet::row_watch::WatchStep;
 use sedgeridge_fleet::store_version::StoreVersion;
 
-const HOSTS: usize = 3;
-const KEYS: u64 = 7;
-const HISTORIES: u64 = 3_000;
-const EVENTS: u64 = 120;
+const HOST_COUNT: usize = 3;
+const KEY_COUNT: u64 = 7;
+const HISTORY_COUNT: u64 = 3_000;
+const EVENT_COUNT: u64 = 120;
 /// Rows in one page of a list.
 const PAGE_ROWS: usize = 2;
 /// Longer than any window in which rows stay in use or are held back.
@@ -165,11 +165,11 @@
     copies: &mut Vec<Store>,
     hosts: &mut [Host],
 ) {
-    let host = random.below(HOSTS as u64) as usize;
-    let other = random.below(HOSTS as u64) as usize;
+    let host = random.below(HOST_COUNT as u64) as usize;
+    let other = random.below(HOST_COUNT as u64) as usize;
     match random.below(24) {
-        0..=3 => store.write(random.below(KEYS), Some(random.below(3))),
-        4..=5 => store.write(random.below(KEYS), None),
+        0..=3 => store.write(random.below(KEY_COUNT), Some(random.below(3))),
+        4..=5 => store.write(random.below(KEY_COUNT), None),
         6 => copies.push(store.clone()),
         7 => {
             let copy = random.below(copies.len() as u64) as usize;
@@ -214,17 +214,17 @@
 /// copies and returns of the store.
 #[test]
 fn hosts_know_the_rows_of_the_store_after_any_history() {
-    for seed in 0..HISTORIES {
+    for seed in 0..HISTORY_COUNT {
         let mut random = SeededRandom::new(seed);
         let mut store = Store::default();
         let mut copies = vec![store.clone()];
-        let mut hosts: Vec<_> = (0..HOSTS as u64).map(Host::new).collect();
+        let mut hosts: Vec<_> = (0..HOST_COUNT as u64).map(Host::new).collect();
         let mut now = Duration::ZERO;
-        for _ in 0..EVENTS {
+        for _ in 0..EVENT_COUNT {
             now += Duration::from_millis(random.below(200));
             one_event(&mut random, now, &mut store, &mut copies, &mut hosts);
         }
-        store.write(KEYS, Some(0));
+        store.write(KEY_COUNT, Some(0));
         settle(now, &store, &mut hosts);
         let expected = store.existing().into_iter();
         let expected: BTreeMap<_, _> = expected
