--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -45,6 +45,7 @@
 /// Time for which a host that relies on copies waits for one after it has read the first page of a
 /// long table. Reading on would take a call for each page, and many hosts start together.
 const MAX_COPY_WAIT: Duration = Duration::from_millis(1_500);
+
 /// The known rows of a table and the calls that keep them up to date.
 ///
 /// ```
--- a/crates/fleet/tests/restored_rows.rs
+++ b/crates/fleet/tests/restored_rows.rs
@@ -60,6 +60,14 @@
     watch
 }
 
+/// Returns a watch that knows of the removal of row `b` in era 1.
+fn watch_without_b() -> RowWatch {
+    let mut watch = watch_of_two();
+    let removal = rows(vec![removed("b", version(1, 91))], version(1, 91));
+    watch.on_answer(at(5), removal);
+    watch
+}
+
 /// Lets a watch list the rows of era 2.
 fn restore(watch: &mut RowWatch, now: Duration, listed: Vec<Row>, number: u64) -> Vec<Row> {
     watch.on_answer(now, StoreAnswer::HistoryGone);
@@ -234,9 +242,7 @@
 /// once more, or the platform does after three heartbeats of 1.2 s.
 #[test]
 fn a_removed_entry_that_the_older_copy_holds_stays_out_of_use_for_a_while() {
-    let mut watch = watch_of_two();
-    let removal = rows(vec![removed("b", version(1, 91))], version(1, 91));
-    watch.on_answer(at(5), removal);
+    let mut watch = watch_without_b();
     let listed = vec![
         row("a", "a", version(2, 10)),
         row("b", "b", version(2, 20)),
@@ -263,9 +269,7 @@
 /// Guards against an endpoint that is kept out of use although it has written its entry again.
 #[test]
 fn a_removed_entry_that_is_written_again_after_the_return_is_in_use_at_once() {
-    let mut watch = watch_of_two();
-    let removal = rows(vec![removed("b", version(1, 91))], version(1, 91));
-    watch.on_answer(at(5), removal);
+    let mut watch = watch_without_b();
     let listed = vec![row("a", "a", version(2, 10)), row("b", "b", version(2, 20))];
     restore(&mut watch, at(10), listed, 30);
     let again = row("b", "again", version(2, 31));
@@ -277,9 +281,7 @@
 /// Guards against a removal that a host in between does not pass on because it holds the entry back itself.
 #[test]
 fn the_removal_of_a_held_entry_reaches_hosts_that_copy() {
-    let mut watch = watch_of_two();
-    let removal = rows(vec![removed("b", version(1, 91))], version(1, 91));
-    watch.on_answer(at(5), removal);
+    let mut watch = watch_without_b();
     let listed = vec![row("a", "a", version(2, 10)), row("b", "b", version(2, 20))];
     restore(&mut watch, at(10), listed, 30);
     let mut copying = restored_copy_of(&watch);
@@ -380,9 +382,7 @@
 /// Guards against a row that comes into use although the store lost it a second time while it was held back.
 #[test]
 fn a_held_entry_that_a_second_older_copy_lacks_stays_out_of_use() {
-    let mut watch = watch_of_two();
-    let removal = rows(vec![removed("b", version(1, 91))], version(1, 91));
-    watch.on_answer(at(5), removal);
+    let mut watch = watch_without_b();
     let listed = vec![row("a", "a", version(2, 10)), row("b", "b", version(2, 20))];
     restore(&mut watch, at(10), listed, 30);
     watch.on_answer(at(500), StoreAnswer::HistoryGone);
