--- a/crates/fleet/src/row_watch.rs
+++ b/crates/fleet/src/row_watch.rs
@@ -89,7 +89,8 @@
     random: SeededRandom,
 }
 
-/// An outage of the store in which rows may have lapsed, or after which it came back from an older copy.
+/// An outage of the store in which rows may have lapsed, or after which it came back from an older
+/// copy.
 #[derive(Debug, Clone, Copy)]
 struct PastOutage {
     /// Start of the outage.
@@ -208,7 +209,8 @@
         }
     }
 
-    /// Handles the result of the call that the last step named. Returns the changed rows; removed rows have no value.
+    /// Handles the result of the call that the last step named. Returns the changed rows; removed rows
+    /// have no value.
     pub fn on_answer(&mut self, now: Duration, answer: StoreAnswer) -> Vec<Row> {
         match answer {
             StoreAnswer::Rows {
