--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -3,8 +3,10 @@
 mod admission;
 mod allowed_endpoints;
 mod attempts;
+mod candidates;
 mod closed;
 mod peers;
+mod refusals;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
--- a/crates/fleet/src/dispatcher/attempts.rs
+++ b/crates/fleet/src/dispatcher/attempts.rs
@@ -8,7 +8,7 @@
 use super::Attempt;
 use super::Dispatcher;
 use super::Pending;
-use super::admission::BestEndpoint;
+use super::candidates::BestEndpoint;
 use crate::arrival::Arrival;
 use crate::arrival::RequestId;
 use crate::endpoint_load::Load;
