stop: connections made before the stop are accepted and read before it closes them

Cause: at a stop the front dropped its listener at once, which resets connections that wait to be accepted, and asked hyper to close connections whose bytes it had not read yet. A caller saw a reset, or the end, in place of an answer. The listener stays open for 5 ms (a timer fires only after the runtime has read its sockets), and unused connections are closed as long after the stop. Ruled out: the router's signal handler (it is in place before the router is ready). The exit codes 2 and -1 seen beside copies of the test were copies that shared one settings file; its name has the process id now.

--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -73,7 +73,9 @@
              [endpoint.engine-1]\npool = engines\nsite = local\naddress = {engine}\nslots = 4\n\
              [account.crew-07]\nweight = 1\nkey_sha256 = {KEY_SHA256}\n"
         );
-        let settings = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.ini"));
+        // The name has the process id, as several runs of the tests share the directory.
+        let file = format!("{name}-{}.ini", std::process::id());
+        let settings = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(file);
         fs::write(&settings, text).expect("a settings file");
         let child = Command::new(env!("CARGO_BIN_EXE_sedgeridge-router"))
             .args(["--host", "router-1", "--config"])
--- a/crates/transport/src/caller_connection.rs
+++ b/crates/transport/src/caller_connection.rs
@@ -1,8 +1,10 @@
 //! Serves one caller's connection with hyper and closes it by the front's own limits.
 
 use std::convert::Infallible;
+use std::future::pending;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::Request;
 use hyper::body::Incoming;
@@ -13,7 +15,9 @@
 use sedgeridge_coordination::refusal::RefusalReason;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 
 use crate::connection_activity::Activity;
 use crate::connection_activity::ActivityLimits;
@@ -38,6 +42,10 @@
 /// where they are stored.
 const MAX_BUFFER_BYTES: usize = 8 << 10;
 
+/// Time from the stop until unused connections are closed. The runtime reads the sockets before it fires a timer, so
+/// that a request that arrived before the stop is not closed unread.
+pub(crate) const READ_BEFORE_STOP: Duration = Duration::from_millis(5);
+
 /// Whether a connection is within the limit on connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Admission {
@@ -51,6 +59,7 @@
 enum Event {
     Ended(hyper::Result<()>),
     Stopped,
+    CloseUnused,
     CheckDue,
 }
 
@@ -78,9 +87,12 @@
         .max_buf_size(MAX_BUFFER_BYTES)
         .serve_connection(monitored, service);
     let mut stopping = false;
+    let mut close_unused_at = None;
     let reason = loop {
         let event = tokio::select! {
+            biased;
             ended = &mut connection => Event::Ended(ended),
+            () = wait_until(close_unused_at) => Event::CloseUnused,
             _ = stop.wait_for(|stop| *stop), if !stopping => Event::Stopped,
             () = sleep(limits.check_interval()) => Event::CheckDue,
         };
@@ -88,6 +100,10 @@
             Event::Ended(ended) => return count_parse_error(ended),
             Event::Stopped => {
                 stopping = true;
+                close_unused_at = Some(Instant::now() + READ_BEFORE_STOP);
+            }
+            Event::CloseUnused => {
+                close_unused_at = None;
                 Pin::new(&mut connection).graceful_shutdown();
             }
             Event::CheckDue => {
@@ -103,6 +119,14 @@
     }
 }
 
+/// Waits until a time; for ever if there is none.
+pub(crate) async fn wait_until(at: Option<Instant>) {
+    match at {
+        Some(at) => sleep_until(at).await,
+        None => pending().await,
+    }
+}
+
 /// Counts requests that are not valid HTTP; the HTTP library has answered them with a bare 400 or 431.
 fn count_parse_error(ended: hyper::Result<()>) {
     if ended.is_err_and(|error| error.is_parse()) {
--- a/crates/transport/src/front.rs
+++ b/crates/transport/src/front.rs
@@ -33,13 +33,16 @@
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::answer::ANSWER_CHANNEL_LEN;
 use crate::answer::AnswerPart;
 use crate::answer::AnswerReceiver;
 use crate::answer::Refusal;
 use crate::caller_connection::Admission;
+use crate::caller_connection::READ_BEFORE_STOP;
 use crate::caller_connection::serve_connection;
+use crate::caller_connection::wait_until;
 use crate::core::CoreInput;
 use crate::core::NewRequest;
 use crate::directory::Directory;
@@ -113,10 +116,18 @@
     let max_connections = front.directory.current().settings.front.max_connections;
     let permits = Arc::new(Semaphore::new(max_connections as usize));
     let refusals = Arc::new(Semaphore::new(MAX_REFUSING_CONNECTIONS));
+    let mut close_at = None;
     loop {
+        // Connections that were made before the stop are still accepted. Closing the listener resets them.
+        let may_accept = close_at.is_none_or(|at| Instant::now() < at);
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => break,
+            biased;
+            accepted = listener.accept(), if may_accept => accepted,
+            () = wait_until(close_at) => break,
+            _ = stop.wait_for(|stop| *stop), if close_at.is_none() => {
+                close_at = Some(Instant::now() + READ_BEFORE_STOP);
+                continue;
+            }
         };
         let stream = match accepted {
             Ok((stream, _)) => stream,
