gateway: requests wait a moment for a starting host's first configuration

Cause: after the loss of all hosts callers' requests arrive in the first milliseconds of each process. A request waits for a tenth of its caller's time, at most 300 ms, in the first two seconds of the process. Test seen red with the wait at zero (503), green with it.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -10,12 +10,15 @@
 use http::request::Parts;
 use hyper::body::Incoming;
 use sedgeridge_fleet::config::Route;
+use sedgeridge_fleet::first_config_wait::FIRST_CONFIG_RETRY_DELAY;
+use sedgeridge_fleet::first_config_wait::first_config_wait;
 use sedgeridge_fleet::hashing::stable_hash;
 use sedgeridge_fleet::memory_budget::REQUEST_OVERHEAD_BYTES;
 use sedgeridge_fleet::memory_budget::Requester;
 use sedgeridge_fleet::prompt::Prompt;
 use sedgeridge_fleet::route_table::LookupError;
 use sedgeridge_state::ids::AccountId;
+use tokio::time::timeout;
 
 use crate::attempt::OutgoingRequest;
 use crate::clock::Clock;
@@ -33,8 +36,6 @@
 use crate::wire::WireError;
 use crate::wire::WireFormat;
 
-/// `Retry-After` while no configuration is known.
-const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Time after SIGTERM in which the balancer may still send callers here. It asks each second and
 /// removes a host after two misses.
 const OUT_OF_ROTATION_TIME: Duration = Duration::from_millis(2_600);
@@ -89,12 +90,13 @@
     let (head, body) = request.into_parts();
     let metadata = gateway.wire.parse_request(&head);
     let metadata = metadata.map_err(|error| reject_malformed(gateway, &error))?;
+    wait_for_first_config(gateway, &head, &metadata).await;
     let found = find_route(gateway, &head, &metadata);
     let (route, account) =
         found.map_err(|error| reject_unroutable(gateway, &head, &metadata, error))?;
     let allowed = metadata.time_left.unwrap_or(route.timeout);
     let deadline = received_at + allowed.min(route.timeout);
-    let bytes = REQUEST_OVERHEAD_BYTES + HEAD_COPIES * head_bytes(&head);
+    let bytes = unread_request_bytes(&head);
     let Some(mut memory) = gateway.memory.hold(bytes, asker(gateway, account.as_ref())) else {
         request_body::discard(body).await;
         return Err(reject_no_memory(gateway, &metadata));
@@ -124,6 +126,27 @@
     })
 }
 
+/// Waits for the first configuration, if none is known and the host has just started. A request for which there is no
+/// memory does not wait.
+async fn wait_for_first_config<W: WireFormat, C: Clock>(
+    gateway: &Rc<Gateway<W, C>>,
+    head: &Parts,
+    metadata: &RequestMetadata,
+) {
+    if gateway.routes.borrow().version().is_some() {
+        return;
+    }
+    let limit = first_config_wait(gateway.now(), metadata.time_left);
+    let memory = gateway
+        .memory
+        .hold(unread_request_bytes(head), Requester::WithinShare);
+    if limit.is_zero() || memory.is_none() {
+        return;
+    }
+    let is_known = timeout(limit, gateway.first_config()).await.is_ok();
+    meters::count_first_config_wait(is_known);
+}
+
 /// Returns the route of a request, and the client account that pays for it.
 pub(crate) fn find_route<W: WireFormat, C: Clock>(
     gateway: &Rc<Gateway<W, C>>,
@@ -163,13 +186,18 @@
     gateway.log(LogEvent::RequestTurnedAway, &fields);
     match error {
         LookupError::NoConfig => {
-            response::not_run_response("no configuration yet", NO_CONFIG_RETRY_AFTER)
+            response::not_run_response("no configuration yet", FIRST_CONFIG_RETRY_DELAY)
         }
         LookupError::NoRoute => response::text_response(StatusCode::NOT_FOUND, "no route"),
         LookupError::UnknownKey => response::text_response(StatusCode::UNAUTHORIZED, "unknown key"),
     }
 }
 
+/// Returns the memory that a request takes without its body.
+fn unread_request_bytes(head: &Parts) -> u64 {
+    REQUEST_OVERHEAD_BYTES + HEAD_COPIES * head_bytes(head)
+}
+
 fn head_bytes(head: &Parts) -> u64 {
     let fields = head
         .headers
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -122,6 +122,7 @@
     next_request_id: Cell<u64>,
     ticker_sleeps_until: Cell<Duration>,
     wake_ticker: Notify,
+    first_config_adopted: Notify,
 }
 
 impl<W: WireFormat, C: Clock> Gateway<W, C> {
@@ -165,6 +166,7 @@
             next_request_id: Cell::new(0),
             ticker_sleeps_until: Cell::new(Duration::ZERO),
             wake_ticker: Notify::new(),
+            first_config_adopted: Notify::new(),
         }
     }
 
@@ -194,6 +196,20 @@
         true
     }
 
+    /// Puts the routes and account keys of a configuration in force, and lets requests proceed that wait for the first one.
+    pub fn adopt_routes(&self, routes: RouteTable) {
+        *self.routes.borrow_mut() = Rc::new(routes);
+        self.first_config_adopted.notify_waiters();
+    }
+
+    /// Waits until a configuration is in force.
+    pub async fn first_config(&self) {
+        let adopted = self.first_config_adopted.notified();
+        if self.routes.borrow().version().is_none() {
+            adopted.await;
+        }
+    }
+
     /// Returns the id of a new request.
     pub fn new_request_id(&self) -> RequestId {
         let number = self.next_request_id.get();
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -32,6 +32,15 @@
     counter!("sedgeridge_gateway_refused_total", "reason" => reason).increment(1);
 }
 
+/// Counts a request that waited for the host's first configuration, by whether it became known in that time.
+pub fn count_first_config_wait(is_known: bool) {
+    let outcome = match is_known {
+        true => "served",
+        false => "refused",
+    };
+    counter!("sedgeridge_gateway_first_config_waits_total", "outcome" => outcome).increment(1);
+}
+
 /// Counts a request that failed after it may have run.
 pub fn count_failed(reason: &'static str) {
     counter!("sedgeridge_gateway_failed_total", "reason" => reason).increment(1);
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -406,8 +406,7 @@
             ("routes", config.routes.len().into()),
         ];
         self.gateway.log(LogEvent::ConfigAdopted, &fields);
-        let table = Rc::new(RouteTable::new(&config));
-        *self.gateway.routes.borrow_mut() = table;
+        self.gateway.adopt_routes(RouteTable::new(&config));
         let max_header_bytes = config.limits.max_header_bytes;
         self.gateway.max_header_bytes.set(max_header_bytes);
         self.gateway
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -164,6 +164,7 @@
 pub struct TestStore {
     endpoints: Vec<String>,
     overwritten: Rc<Notify>,
+    config_delay: Duration,
 }
 
 impl Store for TestStore {
@@ -171,6 +172,9 @@
         if let StoreCall::Feed { .. } = call {
             return self.change(table).await;
         }
+        if table == Table::Config {
+            tokio::time::sleep(self.config_delay).await;
+        }
         let row = |key: &str| Row {
             key: Arc::from(key),
             version: 1.into(),
@@ -276,6 +280,16 @@
     run_config(TEST_TIMEOUT, config, endpoints, script, test);
 }
 
+/// Runs a test on a router with one endpoint that gets its configuration from the store after a delay.
+pub fn run_with_late_config<F: Future<Output = ()>>(
+    config_delay: Duration,
+    script: Script,
+    test: impl FnOnce(Fleet) -> F,
+) {
+    let config = config(Repeat::AtMostOnce, ServiceId::from(SERVICE));
+    run_delayed(TEST_TIMEOUT, config, config_delay, 1, script, test);
+}
+
 /// Runs a test on a router without endpoints that get requests, within a time of its own.
 pub fn run_within<F: Future<Output = ()>>(limit: Duration, test: impl FnOnce(Fleet) -> F) {
     let config = config(Repeat::Idempotent, ServiceId::from(SERVICE));
@@ -309,13 +323,24 @@
     endpoints: usize,
     script: Script,
     test: impl FnOnce(Fleet) -> F,
+) {
+    run_delayed(limit, config, Duration::ZERO, endpoints, script, test);
+}
+
+fn run_delayed<F: Future<Output = ()>>(
+    limit: Duration,
+    config: FleetConfig,
+    config_delay: Duration,
+    endpoints: usize,
+    script: Script,
+    test: impl FnOnce(Fleet) -> F,
 ) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .expect("a runtime");
     LocalSet::new().block_on(&runtime, async move {
-        let fleet = start(config, endpoints, script).await;
+        let fleet = start(config, config_delay, endpoints, script).await;
         let done = timeout(limit, test(fleet)).await;
         done.expect("the test ends in time");
     });
@@ -330,7 +355,7 @@
     SocketAddr::from(([127, 200, high, low], port))
 }
 
-async fn start(config: FleetConfig, count: usize, script: Script) -> Fleet {
+async fn start(config: FleetConfig, config_delay: Duration, count: usize, script: Script) -> Fleet {
     let service = ServiceId::from(SERVICE);
     let mut endpoints = BTreeMap::new();
     let mut records = Vec::new();
@@ -360,6 +385,7 @@
     let store = TestStore {
         endpoints: endpoints.keys().cloned().collect(),
         overwritten: overwrite.clone(),
+        config_delay,
     };
     let stop = Rc::new(Notify::new());
     let context = Context {
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -158,6 +158,12 @@
         Values::Fixed("as sedgeridge_gateway_attempts_failed_total"),
         "requests that failed after they may have run",
     ),
+    counter(
+        "sedgeridge_gateway_first_config_waits_total",
+        "outcome",
+        Values::Fixed("served, refused"),
+        "requests that waited for a starting host's first configuration, and whether it came in time",
+    ),
     histogram(
         "sedgeridge_gateway_first_piece_seconds",
         "time from a request's head to the first piece of its answer",
