fleet, gateway: the load that endpoints state in their answers

Endpoints of some services state in X-Instance-Load how many requests run and wait there, and how long work takes now. Nothing read it. No decision uses it yet.

--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -39,6 +39,8 @@
 use crate::peer_hosts::ListedHost;
 use crate::peer_report::PeerReport;
 use crate::placement::CachedParts;
+use crate::reported_load::ReportedLoad;
+use crate::reported_load::ReportedLoads;
 use crate::resend_window::ResendLimits;
 use crate::resend_window::ResendWindow;
 use crate::retry_delay::RetryDelays;
@@ -98,6 +100,8 @@
     EndpointLeaving(Arc<Endpoint>),
     /// An endpoint rejected a request and asked this host to send none for the given time.
     EndpointPaused(Arc<Endpoint>, Duration),
+    /// An endpoint stated its load in an answer.
+    LoadReported(Arc<Endpoint>, ReportedLoad),
     /// The operator evacuated a data centre: its endpoints get no more requests.
     Evacuated(Arc<str>),
     /// The operator ended the evacuation of a data centre.
@@ -136,6 +140,7 @@
     evacuated: BTreeSet<Arc<str>>,
     cold: ColdEndpoints,
     speeds: EngineSpeeds,
+    reported: ReportedLoads,
     loads: EndpointLoads,
     records: EndpointRecords,
     cached: CachedParts,
@@ -206,6 +211,7 @@
             evacuated: BTreeSet::new(),
             cold: ColdEndpoints::new(settings.host, settings.cold_starts),
             speeds: EngineSpeeds::default(),
+            reported: ReportedLoads::default(),
             loads: EndpointLoads::default(),
             records: EndpointRecords::default(),
             cached: CachedParts::default(),
@@ -235,6 +241,11 @@
             DispatchEvent::EndpointPaused(endpoint, pause) => {
                 self.pauses.note(endpoint.key, now.saturating_add(pause));
             }
+            DispatchEvent::LoadReported(endpoint, load) => {
+                if self.endpoints.get_by_key(endpoint.key).is_some() {
+                    self.reported.note(now, endpoint.key, load);
+                }
+            }
             DispatchEvent::Evacuated(data_centre) => {
                 self.evacuated.insert(data_centre);
             }
@@ -414,6 +425,7 @@
         self.cached.forget_endpoint(run.key);
         self.cold.forget(run.key);
         self.speeds.forget(run.key);
+        self.reported.forget(run.key);
         self.records.forget(run.key);
     }
 
@@ -445,6 +457,7 @@
             self.cold.tick(now);
             self.departures.tick(now);
             self.pauses.tick(now);
+            self.reported.tick(now);
         }
         self.serve_queue(now, decisions);
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod prompt;
 pub mod registration_retries;
 pub mod relay;
+pub mod reported_load;
 pub mod resend_window;
 pub mod retry_delay;
 pub mod route_table;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,6 +18,7 @@
 use hyper::body::Incoming;
 use sedgeridge_fleet::dispatcher::DispatchEvent;
 use sedgeridge_fleet::endpoint_table::Endpoint;
+use sedgeridge_fleet::reported_load::ReportedLoad;
 use sedgeridge_fleet::verdict::Failure;
 use sedgeridge_state::fingerprint::Fingerprint;
 use sedgeridge_state::ids::AccountId;
@@ -33,6 +34,7 @@
 use crate::wire::ExecutionStatus;
 use crate::wire::ForwardMetadata;
 use crate::wire::ResponseMetadata;
+use crate::wire::WireError;
 use crate::wire::WireFormat;
 
 /// Longest response that is buffered completely before its caller gets any of it.
@@ -211,6 +213,12 @@
     if metadata.id.as_ref().is_some_and(|id| *id != outgoing.id) {
         return Err(Failure::SpoiledAnswer);
     }
+    if let Some(load) = metadata
+        .load
+        .filter(|_| metadata.execution != ExecutionStatus::Misdirected)
+    {
+        report_load(gateway, outgoing, endpoint, load);
+    }
     match metadata.execution {
         ExecutionStatus::Misdirected => return Err(Failure::Misdirected),
         ExecutionStatus::NotRun => return Err(Failure::TurnedAway),
@@ -248,6 +256,27 @@
     }
 }
 
+/// Reports the load that an endpoint states in an answer to this request.
+fn report_load<W: WireFormat, C: Clock>(
+    gateway: &Gateway<W, C>,
+    outgoing: &OutgoingRequest,
+    endpoint: &Arc<Endpoint>,
+    load: Result<ReportedLoad, WireError>,
+) {
+    match load {
+        Ok(load) => gateway.handle(DispatchEvent::LoadReported(endpoint.clone(), load)),
+        Err(error) => {
+            meters::count_endpoint_notice("unusable_load");
+            let fields = [
+                ("request", (*outgoing.id).into()),
+                ("endpoint", endpoint.id.as_str().into()),
+                ("reason", error.to_string().into()),
+            ];
+            gateway.log(LogEvent::EndpointLoadUnusable, &fields);
+        }
+    }
+}
+
 impl OutgoingRequest {
     /// Returns a fingerprint of the account, method, URI and body. It is equal when the same
     /// request comes again.
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -63,6 +63,8 @@
     EndpointLeaving = 3108, "gateway_endpoint_leaving";
     /// An endpoint turned a request away and wants no further ones for a while.
     EndpointPaused = 3109, "gateway_endpoint_paused";
+    /// An endpoint states its load in an answer, and the load cannot be read.
+    EndpointLoadUnusable = 3110, "gateway_endpoint_load_unusable";
     /// The platform's store gives no answer about a table.
     StoreLost = 3201, "gateway_store_lost";
     /// The platform's store answers about a table again.
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -9,6 +9,7 @@
 use sedgeridge_fleet::config::FleetConfig;
 use sedgeridge_fleet::endpoint_table::Endpoint;
 use sedgeridge_fleet::prompt::Prompt;
+use sedgeridge_fleet::reported_load::ReportedLoad;
 use sedgeridge_state::ids::AccountId;
 use thiserror::Error;
 
@@ -55,6 +56,8 @@
     pub is_leaving: bool,
     /// Time for which the endpoint wants no further request from this host.
     pub pause: Option<Duration>,
+    /// Load that the endpoint states, if it states any.
+    pub load: Option<Result<ReportedLoad, WireError>>,
 }
 
 /// Whether an endpoint ran a request.
@@ -69,7 +72,7 @@
 }
 
 /// Why a document or head of the platform cannot be used.
-#[derive(Debug, Error, PartialEq, Eq)]
+#[derive(Debug, Clone, Error, PartialEq, Eq)]
 pub enum WireError {
     /// A required header or field is missing.
     #[error("{0} is missing")]
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -124,6 +124,7 @@
             pause: text(&head.headers, "pause-ms")
                 .and_then(|pause| pause.parse().ok())
                 .map(Duration::from_millis),
+            load: None,
         }
     }
 
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -118,8 +118,9 @@
     counter(
         "sedgeridge_gateway_endpoint_notices_total",
         "notice",
-        Values::Fixed("leaving, pause"),
-        "answers in which an endpoint said that it is about to stop, or asked for time without requests",
+        Values::Fixed("leaving, pause, unusable_load"),
+        "answers in which an endpoint said that it is about to stop, asked for time without requests, or stated a load that \
+         cannot be read",
     ),
     gauge(
         "sedgeridge_gateway_callers",
