plain services: endpoints drawn by work ahead, a part admitted in a shortage

All hosts chose the endpoint with the least known work, the same one until the next reports; its queue overflowed while others stood idle, answers of full queues were late, and refused callers were told 400 ms, past their target of 150 ms.

Now a host spreads its requests over the endpoints as if the requests that it cannot know of yet filled them to the same cost, admits the part of its requests that can be answered in time, shared among accounts, and tells a refused caller to retry within its target. What endpoints state of their load counts within a factor of two of what hosts report. The learnt time leaves out the waiting. The limit of two requests a slot is gone.

--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -6,6 +6,7 @@
 mod candidates;
 mod closed;
 mod peers;
+mod plain;
 mod refusals;
 
 use std::collections::BTreeMap;
@@ -39,6 +40,7 @@
 use crate::peer_hosts::ListedHost;
 use crate::peer_report::PeerReport;
 use crate::placement::CachedParts;
+use crate::plain_pressure::PlainPressure;
 use crate::reported_load::ReportedLoad;
 use crate::reported_load::ReportedLoads;
 use crate::resend_window::ResendLimits;
@@ -147,6 +149,7 @@
     shares: AccountShares,
     resends: ResendWindow,
     retry_delays: RetryDelays,
+    pressure: PlainPressure,
     quarantine: Quarantine,
     requests: HashMap<RequestId, Pending>,
     queue: Vec<RequestId>,
@@ -218,6 +221,7 @@
             shares: AccountShares::new(settings.share_window),
             resends: ResendWindow::new(settings.resends, settings.host),
             retry_delays: RetryDelays::default(),
+            pressure: PlainPressure::default(),
             quarantine: Quarantine::new(HealthSettings::default()),
             requests: HashMap::new(),
             queue: Vec::new(),
@@ -371,6 +375,11 @@
         self.has_no_room(now) && self.is_over_share(account)
     }
 
+    /// Returns the smallest part of any plain service's requests that is admitted.
+    pub fn least_admitted_part(&self) -> f64 {
+        self.pressure.least_admitted()
+    }
+
     /// Returns how many requests wait for an endpoint.
     pub fn queued_requests(&self) -> usize {
         self.queue.len()
@@ -384,6 +393,9 @@
     fn on_config(&mut self, now: Duration, config: &FleetConfig) {
         let old_services = std::mem::replace(&mut self.services, config.services.clone());
         self.note_cold_starts_of_new_services(now, &old_services);
+        let services = &self.services;
+        self.pressure
+            .retain(|service| services.contains_key(service));
         self.tokens_per_s = config.limits.tokens_per_s;
         self.shares.set_capacity(config.limits.tokens_per_s);
         self.shortest_target.clear();
--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -34,9 +34,6 @@
     /// Fraction of an engine's memory that requests in progress may take. An engine without memory suspends a running
     /// request and reads its prompt again later. The rest covers answers longer than expected.
     pub memory_ratio: f64,
-    /// Maximum number of requests on a plain endpoint, as a multiple of its slots. With 2, a request waits there for at
-    /// most one other on average.
-    pub plain_requests_per_slot: f64,
     /// Time added to an endpoint in another data centre when endpoints are compared: the way there and back at a
     /// millisecond each, doubled because traffic between data centres is paid for.
     pub remote_cost: Duration,
@@ -51,7 +48,6 @@
             queue_time_ratio: 0.3,
             target_ratio: 0.9,
             memory_ratio: 0.9,
-            plain_requests_per_slot: 2.0,
             remote_cost: Duration::from_millis(4),
         }
     }
@@ -63,7 +59,7 @@
 const NO_ROOM_DURATION: Duration = Duration::from_millis(10);
 
 /// Next step of a request.
-enum Admission {
+pub(super) enum Admission {
     Send(Arc<Endpoint>, Load),
     Wait,
     Refuse(RefusalReason, Option<BestEndpoint>),
@@ -157,6 +153,9 @@
         let waits_until = arrival.received_at + max_wait;
         let has_waited_long = now >= waits_until;
         let Some(best) = self.best_candidate(now, pending) else {
+            if self.is_plain_shortage(now, arrival) {
+                return self.wait_or_refuse_plain(now, arrival, None);
+            }
             let closed_until = self.closed_until(now, &arrival.service);
             let is_closed_too_long = closed_until.is_some_and(|until| until > waits_until);
             return match has_waited_long || is_closed_too_long {
@@ -167,6 +166,9 @@
         if self.is_admitted(now, pending, &best) {
             return Admission::Send(best.endpoint.clone(), best.load);
         }
+        if arrival.prompt.is_none() {
+            return self.wait_or_refuse_plain(now, arrival, Some(best.into()));
+        }
         let reason = match is_over_share {
             // Waiting would not help, since accounts with a smaller share used go first.
             true => RefusalReason::OverShare,
@@ -180,7 +182,7 @@
         let arrival = &pending.arrival;
         let settings = &self.settings.admission;
         if arrival.prompt.is_none() {
-            return true;
+            return self.admits_plain(pending, best);
         }
         if pending.may_have_run {
             // The request was started before: its caller waits for the rest, and engines have done work for it.
@@ -209,7 +211,7 @@
     }
 
     /// Returns the shortest latency target of the routes to the request's service, in milliseconds.
-    fn target_ms(&self, arrival: &Arrival) -> f64 {
+    pub(super) fn target_ms(&self, arrival: &Arrival) -> f64 {
         let target = self.shortest_target.get(&arrival.service);
         let target = target.copied().unwrap_or(arrival.route.latency_target);
         target.as_secs_f64() * 1_000.0
--- a/crates/fleet/src/dispatcher/attempts.rs
+++ b/crates/fleet/src/dispatcher/attempts.rs
@@ -40,6 +40,9 @@
             self.shares
                 .on_arrived(now, account, arrival.charged_tokens());
         }
+        if arrival.prompt.is_none() {
+            self.on_plain_arrival(now, &arrival);
+        }
         let quarantined = arrival.fingerprint;
         let quarantined = quarantined.and_then(|it| self.quarantine.refused_for(now, it));
         if let Some(quarantine_left) = quarantined {
@@ -315,6 +318,7 @@
             share_requested: account.map_or(0.0, |account| self.shares.share_requested(account)),
             least_share_used: self.shares.least_share_used(),
             queued_requests: self.queue.len(),
+            admitted_part: self.admitted_part(&pending.arrival),
             hosts: self.hosts(now),
             oldest_report_age: self.loads.oldest_report_age(now),
             backlog_ms: best.as_ref().map_or(0.0, |best| best.backlog_ms),
--- a/crates/fleet/src/dispatcher/candidates.rs
+++ b/crates/fleet/src/dispatcher/candidates.rs
@@ -33,7 +33,7 @@
 pub(super) struct Candidate<'a> {
     pub(super) endpoint: &'a Arc<Endpoint>,
     pub(super) load: Load,
-    cost_ms: f64,
+    pub(super) cost_ms: f64,
     pub(super) backlog_ms: f64,
     pub(super) first_event_ms: f64,
     /// Requests in progress, as a fraction of the slots.
@@ -105,22 +105,21 @@
                 && self.is_open(now, endpoint)
                 && !pending.tried_endpoints.contains(&endpoint.key)
         });
-        let candidates = untried.filter_map(|endpoint| match (prompt, engine) {
-            (Some(prompt), Some(engine)) => {
-                let home = allowed.home_rank(endpoint.key);
-                let candidate =
-                    self.engine_candidate(now, endpoint, engine, prompt, home.is_some())?;
-                let is_second = matches!(allowed, AllowedEndpoints::Homes(_)) && home == Some(1);
-                if is_second && candidate.busy_ratio > SECOND_HOME_RATIO {
-                    return None;
-                }
-                let home_cost_ms = f64::from(u8::from(is_second)) * SECOND_HOME_COST_MS;
-                Some(Candidate {
-                    cost_ms: candidate.cost_ms + home_cost_ms,
-                    ..candidate
-                })
+        let (Some(prompt), Some(engine)) = (prompt, engine) else {
+            return self.best_plain(now, pending, untried);
+        };
+        let candidates = untried.filter_map(|endpoint| {
+            let home = allowed.home_rank(endpoint.key);
+            let candidate = self.engine_candidate(now, endpoint, engine, prompt, home.is_some())?;
+            let is_second = matches!(allowed, AllowedEndpoints::Homes(_)) && home == Some(1);
+            if is_second && candidate.busy_ratio > SECOND_HOME_RATIO {
+                return None;
             }
-            _ => self.plain_candidate(now, endpoint),
+            let home_cost_ms = f64::from(u8::from(is_second)) * SECOND_HOME_COST_MS;
+            Some(Candidate {
+                cost_ms: candidate.cost_ms + home_cost_ms,
+                ..candidate
+            })
         });
         candidates.min_by(|one, other| {
             let by_cost = one.cost_ms.total_cmp(&other.cost_ms);
@@ -130,7 +129,7 @@
 
     /// Returns this host's rank of an endpoint among others of the same cost. If all hosts preferred the first of equal
     /// endpoints, they would send to the same one, since they see each other's work late.
-    fn own_rank(&self, candidate: &Candidate<'_>) -> u64 {
+    pub(super) fn own_rank(&self, candidate: &Candidate<'_>) -> u64 {
         pair_hash(self.settings.host, candidate.endpoint.key)
     }
 
@@ -177,34 +176,7 @@
         })
     }
 
-    fn plain_candidate<'a>(
-        &self,
-        now: Duration,
-        endpoint: &'a Arc<Endpoint>,
-    ) -> Option<Candidate<'a>> {
-        let key = endpoint.key;
-        let total = self.loads.total(key);
-        let slots = f64::from(endpoint.slots.max(1));
-        let depth = (f64::from(total.requests) + 1.0) / slots;
-        if total.requests > 0 && depth > self.settings.admission.plain_requests_per_slot {
-            return None;
-        }
-        let answer_ms = self.records.mean_answer_ms(key) * depth.max(1.0 / slots);
-        let load = Load {
-            requests: 1,
-            ..Load::default()
-        };
-        Some(Candidate {
-            endpoint,
-            load,
-            cost_ms: answer_ms + self.extra_cost_ms(now, endpoint),
-            backlog_ms: 0.0,
-            first_event_ms: answer_ms,
-            busy_ratio: depth,
-        })
-    }
-
-    fn extra_cost_ms(&self, now: Duration, endpoint: &Endpoint) -> f64 {
+    pub(super) fn extra_cost_ms(&self, now: Duration, endpoint: &Endpoint) -> f64 {
         let is_near = endpoint.data_centre == self.settings.data_centre;
         let remote_cost_ms = match is_near {
             true => 0.0,
--- a/crates/fleet/src/dispatcher/refusals.rs
+++ b/crates/fleet/src/dispatcher/refusals.rs
@@ -30,6 +30,10 @@
                 self.retry_delays.after_refusal(refused)
             }
             RefusalReason::Quarantined => QUARANTINE_RETRY_DELAY,
+            RefusalReason::TurnedAway if self.is_plain_shortage(now, arrival) => {
+                let refused = self.refused_request(now, arrival, best);
+                self.retry_delays.after_refusal(refused)
+            }
             RefusalReason::NoEndpoint | RefusalReason::TurnedAway => {
                 let closed_until = self.closed_until(now, &arrival.service);
                 closed_until.map_or(OUTAGE_RETRY_DELAY, |until| {
--- a/crates/fleet/src/endpoint_load.rs
+++ b/crates/fleet/src/endpoint_load.rs
@@ -126,6 +126,11 @@
         load
     }
 
+    /// Returns the load of the other hosts on an endpoint, as of their reports.
+    pub fn of_others(&self, endpoint: u64) -> Load {
+        self.others.get(&endpoint).copied().unwrap_or_default()
+    }
+
     /// The sum is updated by differences. Adding up all hosts at each report would take time quadratic in their number.
     fn subtract_others(&mut self, report: &HostReport) {
         for (endpoint, load) in &report.loads {
--- a/crates/fleet/src/endpoint_record.rs
+++ b/crates/fleet/src/endpoint_record.rs
@@ -20,10 +20,12 @@
 /// Failure share from which no prompts are placed on an endpoint: about seven failures in a row, or
 /// every second request over a while.
 const UNHEALTHY_FAILURE_SHARE: f64 = 0.5;
-/// Weight of one answer in the mean answer time.
-const ANSWER_TIME_WEIGHT: f64 = 0.1;
-/// Assumed answer time of an endpoint without results.
-const ASSUMED_ANSWER_MS: f64 = 20.0;
+/// Weight of an answer in the learnt work time if it took less, and if it took more. Answers that waited at the endpoint
+/// take longer, so the learnt time lies between those that did not.
+const SHORTER_ANSWER_WEIGHT: f64 = 0.1;
+const LONGER_ANSWER_WEIGHT: f64 = 0.02;
+/// Assumed work time of an endpoint without results.
+const ASSUMED_WORK_MS: f64 = 20.0;
 
 /// Results of requests by endpoint.
 #[derive(Debug, Default)]
@@ -35,7 +37,7 @@
 struct EndpointRecord {
     failure_share: f64,
     last_outcome_at: Duration,
-    mean_answer_ms: f64,
+    work_ms: f64,
     down_until: Duration,
     full_until: Duration,
     down_count: u32,
@@ -46,7 +48,7 @@
         Self {
             failure_share: 0.0,
             last_outcome_at: Duration::ZERO,
-            mean_answer_ms: ASSUMED_ANSWER_MS,
+            work_ms: ASSUMED_WORK_MS,
             down_until: Duration::ZERO,
             full_until: Duration::ZERO,
             down_count: 0,
@@ -60,7 +62,11 @@
         let record = self.records.entry(endpoint).or_default();
         let answer_ms = answer_time.as_secs_f64() * 1_000.0;
         record.note_outcome(now, 0.0, OUTCOME_WEIGHT);
-        record.mean_answer_ms += (answer_ms - record.mean_answer_ms) * ANSWER_TIME_WEIGHT;
+        let weight = match answer_ms < record.work_ms {
+            true => SHORTER_ANSWER_WEIGHT,
+            false => LONGER_ANSWER_WEIGHT,
+        };
+        record.work_ms += (answer_ms - record.work_ms) * weight;
         record.down_count = 0;
     }
 
@@ -94,6 +100,12 @@
         record.is_none_or(|record| now >= record.down_until && now >= record.full_until)
     }
 
+    /// Returns whether the endpoint can be reached, even if it is full.
+    pub fn is_reachable(&self, now: Duration, endpoint: u64) -> bool {
+        let record = self.records.get(&endpoint);
+        record.is_none_or(|record| now >= record.down_until)
+    }
+
     /// Returns whether prompts may be placed on the endpoint: it is reachable, and most requests
     /// succeed there. An endpoint that is only full keeps its prompts.
     pub fn is_healthy(&self, now: Duration, endpoint: u64) -> bool {
@@ -109,10 +121,10 @@
         record.map_or(0.0, |record| record.failure_share(now))
     }
 
-    /// Returns the mean time of a complete answer in milliseconds.
-    pub fn mean_answer_ms(&self, endpoint: u64) -> f64 {
+    /// Returns the time in milliseconds in which the endpoint answers a request that does not wait there.
+    pub fn work_ms(&self, endpoint: u64) -> f64 {
         let record = self.records.get(&endpoint);
-        record.map_or(ASSUMED_ANSWER_MS, |record| record.mean_answer_ms)
+        record.map_or(ASSUMED_WORK_MS, |record| record.work_ms)
     }
 
     /// Forgets an endpoint that is gone.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,6 +25,8 @@
 pub mod peer_schedule;
 pub mod peer_versions;
 pub mod placement;
+pub mod plain_choice;
+pub mod plain_pressure;
 pub mod prompt;
 pub mod registration_retries;
 pub mod relay;
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod load_play;
+pub mod plain_play;
 pub mod table_fleet;
 
 use std::collections::BTreeMap;
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -113,6 +113,8 @@
     pub endpoints_cold: usize,
     /// Data centres that the operator has evacuated.
     pub data_centres_evacuated: usize,
+    /// Smallest part of a plain service's requests that is admitted.
+    pub admitted_part: f64,
     /// Requests that wait for an endpoint.
     pub queued: usize,
     /// Requests without a final response yet.
@@ -139,6 +141,7 @@
     gauge!("sedgeridge_gateway_endpoints").set(values.endpoints as f64);
     gauge!("sedgeridge_gateway_endpoints_cold").set(values.endpoints_cold as f64);
     gauge!("sedgeridge_gateway_data_centres_evacuated").set(values.data_centres_evacuated as f64);
+    gauge!("sedgeridge_gateway_admitted_part").set(values.admitted_part);
     gauge!("sedgeridge_gateway_queued").set(values.queued as f64);
     gauge!("sedgeridge_gateway_unfinished").set(values.unfinished as f64);
     gauge!("sedgeridge_gateway_hosts").set(values.hosts as f64);
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -110,6 +110,7 @@
         ("asked", rounded(basis.share_requested)),
         ("least_standing", rounded(basis.least_share_used)),
         ("queued", basis.queued_requests.into()),
+        ("admitted", basis.admitted_part.map(rounded).into()),
         ("hosts", basis.hosts.into()),
         ("oldest_report_ms", millis(basis.oldest_report_age)),
         ("endpoint", endpoint.into()),
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -175,6 +175,10 @@
         "sedgeridge_gateway_log_lines_dropped",
         "log lines that were dropped since standard output was not read",
     ),
+    gauge(
+        "sedgeridge_gateway_admitted_part",
+        "smallest part of a service's requests without prompts that this host admits; 1 without a shortage",
+    ),
     gauge(
         "sedgeridge_gateway_queued",
         "requests that wait for an endpoint",
