--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -6,6 +6,7 @@
 mod candidates;
 mod closed;
 mod peers;
+mod plain;
 mod refusals;
 
 use std::collections::BTreeMap;
@@ -39,6 +40,9 @@
 use crate::peer_hosts::ListedHost;
 use crate::peer_report::PeerReport;
 use crate::placement::CachedParts;
+use crate::plain_pressure::PlainPressure;
+use crate::reported_load::ReportedLoad;
+use crate::reported_load::ReportedLoads;
 use crate::resend_window::ResendLimits;
 use crate::resend_window::ResendWindow;
 use crate::retry_delay::RetryDelays;
@@ -98,6 +102,8 @@
     EndpointLeaving(Arc<Endpoint>),
     /// An endpoint rejected a request and asked this host to send none for the given time.
     EndpointPaused(Arc<Endpoint>, Duration),
+    /// An endpoint stated its load in an answer.
+    LoadReported(Arc<Endpoint>, ReportedLoad),
     /// The operator evacuated a data centre: its endpoints get no more requests.
     Evacuated(Arc<str>),
     /// The operator ended the evacuation of a data centre.
@@ -136,12 +142,14 @@
     evacuated: BTreeSet<Arc<str>>,
     cold: ColdEndpoints,
     speeds: EngineSpeeds,
+    reported: ReportedLoads,
     loads: EndpointLoads,
     records: EndpointRecords,
     cached: CachedParts,
     shares: AccountShares,
     resends: ResendWindow,
     retry_delays: RetryDelays,
+    pressure: PlainPressure,
     quarantine: Quarantine,
     requests: HashMap<RequestId, Pending>,
     queue: Vec<RequestId>,
@@ -206,12 +214,14 @@
             evacuated: BTreeSet::new(),
             cold: ColdEndpoints::new(settings.host, settings.cold_starts),
             speeds: EngineSpeeds::default(),
+            reported: ReportedLoads::default(),
             loads: EndpointLoads::default(),
             records: EndpointRecords::default(),
             cached: CachedParts::default(),
             shares: AccountShares::new(settings.share_window),
             resends: ResendWindow::new(settings.resends, settings.host),
             retry_delays: RetryDelays::default(),
+            pressure: PlainPressure::default(),
             quarantine: Quarantine::new(HealthSettings::default()),
             requests: HashMap::new(),
             queue: Vec::new(),
@@ -235,6 +245,11 @@
             DispatchEvent::EndpointPaused(endpoint, pause) => {
                 self.pauses.note(endpoint.key, now.saturating_add(pause));
             }
+            DispatchEvent::LoadReported(endpoint, load) => {
+                if self.endpoints.get_by_key(endpoint.key).is_some() {
+                    self.reported.note(now, endpoint.key, load);
+                }
+            }
             DispatchEvent::Evacuated(data_centre) => {
                 self.evacuated.insert(data_centre);
             }
@@ -360,6 +375,11 @@
         self.has_no_room(now) && self.is_over_share(account)
     }
 
+    /// Returns the smallest part of any plain service's requests that is admitted.
+    pub fn least_admitted_part(&self) -> f64 {
+        self.pressure.least_admitted()
+    }
+
     /// Returns how many requests wait for an endpoint.
     pub fn queued_requests(&self) -> usize {
         self.queue.len()
@@ -373,6 +393,9 @@
     fn on_config(&mut self, now: Duration, config: &FleetConfig) {
         let old_services = std::mem::replace(&mut self.services, config.services.clone());
         self.note_cold_starts_of_new_services(now, &old_services);
+        let services = &self.services;
+        self.pressure
+            .retain(|service| services.contains_key(service));
         self.tokens_per_s = config.limits.tokens_per_s;
         self.shares.set_capacity(config.limits.tokens_per_s);
         self.shortest_target.clear();
@@ -414,6 +437,7 @@
         self.cached.forget_endpoint(run.key);
         self.cold.forget(run.key);
         self.speeds.forget(run.key);
+        self.reported.forget(run.key);
         self.records.forget(run.key);
     }
 
@@ -445,6 +469,7 @@
             self.cold.tick(now);
             self.departures.tick(now);
             self.pauses.tick(now);
+            self.reported.tick(now);
         }
         self.serve_queue(now, decisions);
     }
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -118,8 +118,9 @@
     counter(
         "sedgeridge_gateway_endpoint_notices_total",
         "notice",
-        Values::Fixed("leaving, pause"),
-        "answers in which an endpoint said that it is about to stop, or asked for time without requests",
+        Values::Fixed("leaving, pause, unusable_load"),
+        "answers in which an endpoint said that it is about to stop, asked for time without requests, or stated a load that \
+         cannot be read",
     ),
     gauge(
         "sedgeridge_gateway_callers",
@@ -180,6 +181,10 @@
         "sedgeridge_gateway_log_lines_dropped",
         "log lines that were dropped since standard output was not read",
     ),
+    gauge(
+        "sedgeridge_gateway_admitted_part",
+        "smallest part of a service's requests without prompts that this host admits; 1 without a shortage",
+    ),
     gauge(
         "sedgeridge_gateway_queued",
         "requests that wait for an endpoint",
