admission: a refusal for full engines counts for its route only

Cause: after one comparison that found no engine for an account over its share, a host refused all requests of such accounts for 10 ms unseen.

The mark ends with its route's configuration; early refusals use it as before.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod endpoint_table;
 pub mod engine_speed;
 pub mod event_stream;
+pub mod full_engines;
 pub mod hashing;
 pub mod home_ring;
 pub mod idle_connections;
