--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -113,6 +113,8 @@
     pub endpoints_cold: usize,
     /// Data centres that the operator has evacuated.
     pub data_centres_evacuated: usize,
+    /// Part of a first event's time that is the same for all prompts, in milliseconds.
+    pub first_event_fixed_ms: f64,
     /// Requests that wait for an endpoint.
     pub queued: usize,
     /// Requests without a final response yet.
@@ -139,6 +141,8 @@
     gauge!("sedgeridge_gateway_endpoints").set(values.endpoints as f64);
     gauge!("sedgeridge_gateway_endpoints_cold").set(values.endpoints_cold as f64);
     gauge!("sedgeridge_gateway_data_centres_evacuated").set(values.data_centres_evacuated as f64);
+    gauge!("sedgeridge_gateway_first_event_fixed_seconds")
+        .set(values.first_event_fixed_ms / 1_000.0);
     gauge!("sedgeridge_gateway_queued").set(values.queued as f64);
     gauge!("sedgeridge_gateway_unfinished").set(values.unfinished as f64);
     gauge!("sedgeridge_gateway_hosts").set(values.hosts as f64);
@@ -153,6 +157,7 @@
     gauge!("sedgeridge_gateway_sent").set(counts.sent as f64);
     gauge!("sedgeridge_gateway_resent").set(counts.resent as f64);
     gauge!("sedgeridge_gateway_resends_denied").set(counts.resends_denied as f64);
+    gauge!("sedgeridge_gateway_prompts_overdue").set(counts.overdue as f64);
 }
 
 fn kind_label(repeat: Repeat) -> &'static str {
--- a/crates/gateway/src/pages.rs
+++ b/crates/gateway/src/pages.rs
@@ -73,6 +73,7 @@
             endpoints: dispatcher.endpoints().len(),
             endpoints_cold: dispatcher.cold_endpoints(now),
             data_centres_evacuated: dispatcher.evacuated_data_centres(),
+            first_event_fixed_ms: dispatcher.longest_fixed_ms(),
             queued: dispatcher.queued_requests(),
             unfinished: dispatcher.unfinished_requests(),
             hosts: dispatcher.hosts(now),
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -159,6 +159,10 @@
         Values::Fixed("as sedgeridge_gateway_attempts_failed_total"),
         "requests that failed after they may have run",
     ),
+    gauge(
+        "sedgeridge_gateway_first_event_fixed_seconds",
+        "part of the time to a first event that is the same for all prompts, as learnt; of the slowest service",
+    ),
     histogram(
         "sedgeridge_gateway_first_piece_seconds",
         "time from a request's head to the first piece of its answer",
@@ -175,6 +179,10 @@
         "sedgeridge_gateway_log_lines_dropped",
         "log lines that were dropped since standard output was not read",
     ),
+    gauge(
+        "sedgeridge_gateway_prompts_overdue",
+        "prompts that counted as unread again since their first events were overdue, since the start",
+    ),
     gauge(
         "sedgeridge_gateway_queued",
         "requests that wait for an endpoint",
