fleet: a short fixed part of first events is left as it was

Late answers were counted at four times the expected time at most, so that engines behind a queue looked faster than they were.

--- a/crates/fleet/src/dispatcher/attempts.rs
+++ b/crates/fleet/src/dispatcher/attempts.rs
@@ -103,7 +103,7 @@
         let first_event_ms = model.first_event_ms(endpoint.key, tokens) * slowdown;
         let read_at = now + Duration::from_secs_f64(reading_ms / 1_000.0);
         let overdue_at = now + Duration::from_secs_f64(first_event_ms * OVERDUE_FACTOR / 1_000.0);
-        if pending.arrival.prompt.is_some() {
+        if model.counts_until_read() {
             self.reading_times.add(read_at, id);
             self.reading_times.add(overdue_at, id);
         }
--- a/crates/fleet/src/first_event.rs
+++ b/crates/fleet/src/first_event.rs
@@ -11,10 +11,12 @@
 /// Bounds of the part that does not depend on the prompt: connection, first step, way back. The lower one is used until
 /// enough is known.
 const FIXED_MS_BOUNDS: RangeInclusive<f64> = 12.0..=150.0;
-/// Factor applied to earlier answers of an engine at each new one. About 50 answers count.
-const ENGINE_DECAY_FACTOR: f64 = 0.98;
-/// The same for all engines of a service together. About 200 answers count.
-const SERVICE_DECAY_FACTOR: f64 = 0.995;
+/// Factor applied to earlier answers at each new one. About 50 answers count.
+const DECAY_FACTOR: f64 = 0.98;
+/// The same for all engines of a service with a long fixed part, whose answers tell less of reading. About 200 count.
+const LONG_FIXED_DECAY_FACTOR: f64 = 0.995;
+/// Fixed part from which on it is told apart from reading.
+const LONG_FIXED_MS: f64 = 20.0;
 /// Weight of the expected time against observations.
 const PRIOR_MS: f64 = 400.0;
 /// Bounds of an engine's pace.
@@ -173,13 +175,20 @@
         let usual_ms = event.after.as_secs_f64() * 1_000.0 / event.slowdown.max(1.0);
         let most_ms = self.first_event_ms(endpoint, tokens) * MAX_SURPRISE;
         let least_ms = FIXED_MS_BOUNDS.start() + MIN_READING_MS;
-        let millis = usual_ms.min(most_ms).max(least_ms);
+        let millis = match self.has_long_fixed_part() {
+            true => usual_ms.min(most_ms).max(least_ms),
+            false => usual_ms.max(least_ms),
+        };
         let is_short = tokens * self.all.count <= self.all.tokens * SHORT_PROMPT_RATIO;
-        self.all.add(tokens, millis, SERVICE_DECAY_FACTOR);
+        let decay_factor = match self.has_long_fixed_part() {
+            true => LONG_FIXED_DECAY_FACTOR,
+            false => DECAY_FACTOR,
+        };
+        self.all.add(tokens, millis, decay_factor);
         self.engines
             .entry(endpoint)
             .or_default()
-            .add(tokens, millis, ENGINE_DECAY_FACTOR);
+            .add(tokens, millis, DECAY_FACTOR);
         if is_short && event.tokens_ahead == 0.0 {
             self.short.push_back(ShortAnswer { tokens, millis });
             if self.short.len() > *SHORT_PROMPT_COUNTS.end() {
@@ -195,6 +204,16 @@
         self.fixed_ms
     }
 
+    /// Tells whether prompts count as read before their first events: the fixed part is long, or not known yet.
+    pub fn counts_until_read(&self) -> bool {
+        self.has_long_fixed_part() || self.short.len() < *SHORT_PROMPT_COUNTS.start()
+    }
+
+    /// Tells whether the fixed part is long enough to be told apart from reading.
+    pub fn has_long_fixed_part(&self) -> bool {
+        self.fixed_ms >= LONG_FIXED_MS
+    }
+
     /// Returns the reading speed of an endpoint in tokens per millisecond.
     pub fn tokens_per_ms(&self, endpoint: u64) -> f64 {
         self.tokens_per_ms / self.pace(endpoint)
@@ -238,6 +257,9 @@
         let mut fixed_ms: Vec<f64> = self.short.iter().map(without_reading).collect();
         let at = (fixed_ms.len() as f64 * FIXED_QUANTILE) as usize;
         let (_, fixed, _) = fixed_ms.select_nth_unstable_by(at, f64::total_cmp);
-        self.fixed_ms = fixed.clamp(*FIXED_MS_BOUNDS.start(), *FIXED_MS_BOUNDS.end());
+        self.fixed_ms = match *fixed >= LONG_FIXED_MS {
+            true => fixed.min(*FIXED_MS_BOUNDS.end()),
+            false => *FIXED_MS_BOUNDS.start(),
+        };
     }
 }
