--- a/crates/fleet/tests/first_event.rs
+++ b/crates/fleet/tests/first_event.rs
@@ -195,7 +195,7 @@
     };
     for seed in 1..=3 {
         let (got, requests) = play_under(flood(seed, 300), conditions);
-        let is_slow = |engine: &u64| engine % HALF_SPEED_EVERY == 0;
+        let is_slow = |engine: &u64| engine.is_multiple_of(HALF_SPEED_EVERY);
         let slow = requests.iter().filter(|(engine, _)| is_slow(engine));
         let slow: u64 = slow.map(|(_, requests)| requests).sum();
         let all: u64 = requests.values().sum();
