review: plain services' counts, waits and closed endpoints; first events without a stated throughput; stop before accept

Plain services: accounts are counted on arrival and shared at observations only; a service without requests for four seconds is forgotten; endpoints that are evacuated, paused or cold are no room; the wait goes by the service's shortest target, and is longer for a request that was sent before; an idle endpoint takes any request. The front looks at the stop before it accepts.

--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -204,6 +204,8 @@
     own_tokens: u32,
     /// When the endpoint has read the prompt, as expected.
     read_at: Duration,
+    /// Whether the load changes at `read_at` and `overdue_at`.
+    is_timed: bool,
     /// When the first event is so late that the prompt may be unread.
     overdue_at: Duration,
     has_first_piece: bool,
@@ -463,9 +465,7 @@
     }
 
     fn update_expected_speed(&mut self) {
-        let Some(tokens_per_s) = self.tokens_per_s else {
-            return;
-        };
+        let tokens_per_s = self.tokens_per_s.unwrap_or_default();
         let engines = self.engine_count();
         let engine_tokens_per_ms = tokens_per_s / 1_000.0 / engines.max(1) as f64;
         let engine_services = self.services.iter();
@@ -496,6 +496,7 @@
             self.departures.tick(now);
             self.pauses.tick(now);
             self.reported.tick(now);
+            self.pressure.tick(now);
         }
         self.serve_queue(now, decisions);
     }
--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -149,8 +149,8 @@
         let waits_until = arrival.received_at + max_wait;
         let has_waited_long = now >= waits_until;
         let Some(best) = self.best_candidate(now, pending) else {
-            if self.is_plain_shortage(now, arrival) {
-                return self.wait_or_refuse_plain(now, arrival, None);
+            if self.is_plain_shortage(now, arrival, &pending.tried_endpoints) {
+                return self.wait_or_refuse_plain(now, pending, None);
             }
             let closed_until = self.closed_until(now, &arrival.service);
             let is_closed_too_long = closed_until.is_some_and(|until| until > waits_until);
@@ -163,7 +163,7 @@
             return Admission::Send(best.endpoint.clone(), best.load);
         }
         if arrival.prompt.is_none() {
-            return self.wait_or_refuse_plain(now, arrival, Some(best.into()));
+            return self.wait_or_refuse_plain(now, pending, Some(best.into()));
         }
         let reason = match is_over_share {
             // Waiting would not help, since accounts with a smaller share used go first.
--- a/crates/fleet/src/dispatcher/attempts.rs
+++ b/crates/fleet/src/dispatcher/attempts.rs
@@ -106,7 +106,10 @@
         let first_event_ms = model.first_event_ms(endpoint.key, tokens) * slowdown;
         let read_at = now + Duration::from_secs_f64(reading_ms / 1_000.0);
         let overdue_at = now + Duration::from_secs_f64(first_event_ms * OVERDUE_FACTOR / 1_000.0);
-        if model.counts_until_read() {
+        let read_at = read_at.min(pending.arrival.deadline);
+        let overdue_at = overdue_at.min(pending.arrival.deadline);
+        let is_timed = load.unread_tokens > 0 && model.expects_reading_end();
+        if is_timed {
             self.reading_times.add(read_at, id);
             self.reading_times.add(overdue_at, id);
         }
@@ -118,6 +121,7 @@
             own_tokens: load.unread_tokens,
             read_at,
             overdue_at,
+            is_timed,
             has_first_piece: false,
         });
         pending.sends += 1;
@@ -164,7 +168,7 @@
         };
         attempt.load.unread_tokens = 0;
         self.loads.subtract_own(key, read);
-        if has_prompt {
+        if has_prompt && self.endpoints.get_by_key(key).is_some() {
             let took = now.saturating_sub(attempt.sent_at);
             let event = FirstEvent {
                 tokens_ahead: attempt.tokens_ahead,
@@ -185,6 +189,9 @@
             let Some(attempt) = pending.and_then(|pending| pending.attempt.as_mut()) else {
                 continue;
             };
+            if !attempt.is_timed {
+                continue;
+            }
             let is_read =
                 attempt.has_first_piece || (attempt.read_at <= now && now < attempt.overdue_at);
             let unread_tokens = match is_read {
--- a/crates/fleet/src/dispatcher/plain.rs
+++ b/crates/fleet/src/dispatcher/plain.rs
@@ -30,14 +30,14 @@
 const LOW_USE_RATIO: f64 = 0.5;
 /// Requests up to which an endpoint counts as able to answer in time, as a multiple of its slots, if its answers take
 /// nearly as long as the latency target: each request then waits for at most one other on average.
-const MIN_REQUESTS_PER_SLOT: f64 = 2.0;
+const MIN_LIMIT_PER_SLOT: f64 = 2.0;
 
 impl Dispatcher {
     /// Counts a plain request, and updates the part of its service's requests that is admitted.
     pub(super) fn on_plain_arrival(&mut self, now: Duration, arrival: &Arrival) {
         let service = &arrival.service;
         let account = arrival.account.unwrap_or_default();
-        self.pressure.on_arrived(now, service, account);
+        self.pressure.on_arrived(service, account);
         if self.pressure.is_observation_due(now, service) {
             let fill_ratio = self.fill_ratio(now, arrival);
             self.pressure.observe(now, service, fill_ratio);
@@ -63,8 +63,9 @@
                 cost_per_request_ms: self.ms_per_request(candidate.endpoint),
             })
             .collect();
-        let unseen = candidates.iter();
-        let unseen = unseen.map(|candidate| self.unseen_requests(candidate.endpoint));
+        let unseen = candidates
+            .iter()
+            .map(|candidate| self.unseen_requests(candidate.endpoint));
         let draw = self.draw(pending, u64::from(pending.sends));
         if let Some(drawn) = draw_option(&options, unseen.sum(), draw) {
             return Some(candidates.swap_remove(drawn));
@@ -98,12 +99,13 @@
         let work_ms = self.records.work_ms(candidate.endpoint.key);
         let in_time = target_ms / work_ms.max(1.0);
         let is_idle = self.loads.total(candidate.endpoint.key).requests == 0;
-        is_idle || candidate.busy_ratio <= in_time.max(MIN_REQUESTS_PER_SLOT)
+        is_idle || candidate.busy_ratio <= in_time.max(MIN_LIMIT_PER_SLOT)
     }
 
     /// Tells whether a plain request may be sent to its best endpoint.
     pub(super) fn admits_plain(&self, pending: &Pending, best: &Candidate<'_>) -> bool {
-        if best.busy_ratio <= LOW_USE_RATIO || pending.sends > 0 {
+        let is_idle = self.loads.total(best.endpoint.key).requests == 0;
+        if is_idle || best.busy_ratio <= LOW_USE_RATIO || pending.sends > 0 {
             return true;
         }
         let arrival = &pending.arrival;
@@ -112,22 +114,38 @@
         self.pressure.admits(&arrival.service, account, draw)
     }
 
-    /// Tells whether the endpoints of a plain request are reachable and open, so that it can only be their load that keeps
-    /// it waiting.
-    pub(super) fn is_plain_shortage(&self, now: Duration, arrival: &Arrival) -> bool {
+    /// Tells whether endpoints of a plain request other than the `tried` ones are reachable and open, so that it can only be
+    /// their load that keeps it waiting.
+    pub(super) fn is_plain_shortage(
+        &self,
+        now: Duration,
+        arrival: &Arrival,
+        tried: &[u64],
+    ) -> bool {
         let mut usable = self.endpoints.usable(&arrival.service).iter();
         arrival.prompt.is_none()
-            && usable.any(|it| self.records.is_reachable(now, it.key) && self.is_open(now, it))
+            && usable.any(|it| !tried.contains(&it.key) && self.takes_requests(now, it))
+    }
+
+    /// Tells whether an endpoint counts among those that share the service's requests.
+    fn takes_requests(&self, now: Duration, endpoint: &Endpoint) -> bool {
+        self.records.is_reachable(now, endpoint.key) && self.is_open(now, endpoint)
     }
 
     /// Returns the next step of a plain request that no endpoint would answer in time.
     pub(super) fn wait_or_refuse_plain(
         &self,
         now: Duration,
-        arrival: &Arrival,
+        pending: &Pending,
         best: Option<BestEndpoint>,
     ) -> Admission {
-        let max_wait = arrival.route.latency_target.mul_f64(QUEUE_TIME_RATIO);
+        // The caller of a request that was sent before cannot be sent to another host at once.
+        let wait_ratio = match pending.sends {
+            0 => QUEUE_TIME_RATIO,
+            _ => self.settings.admission.queue_time_ratio,
+        };
+        let arrival = &pending.arrival;
+        let max_wait = Duration::from_secs_f64(self.target_ms(arrival) / 1_000.0 * wait_ratio);
         match now < arrival.received_at + max_wait {
             true => Admission::Wait,
             false => Admission::Refuse(RefusalReason::Overload, best),
@@ -144,9 +162,8 @@
     fn fill_ratio(&self, now: Duration, arrival: &Arrival) -> f64 {
         let target_ms = self.target_ms(arrival);
         let usable = self.endpoints.usable(&arrival.service).iter();
-        let open = usable.filter(|it| self.records.is_reachable(now, it.key));
         let (mut requests, mut limit) = (0.0, 0.0);
-        for endpoint in open {
+        for endpoint in usable.filter(|it| self.takes_requests(now, it)) {
             let work_ms = self.records.work_ms(endpoint.key);
             requests += f64::from(self.loads.total(endpoint.key).requests);
             limit += endpoint_limit(endpoint.slots, work_ms, target_ms);
--- a/crates/fleet/src/dispatcher/refusals.rs
+++ b/crates/fleet/src/dispatcher/refusals.rs
@@ -30,7 +30,7 @@
                 self.retry_delays.after_refusal(refused)
             }
             RefusalReason::Quarantined => QUARANTINE_RETRY_DELAY,
-            RefusalReason::TurnedAway if self.is_plain_shortage(now, arrival) => {
+            RefusalReason::TurnedAway if self.is_plain_shortage(now, arrival, &[]) => {
                 let refused = self.refused_request(now, arrival, best);
                 self.retry_delays.after_refusal(refused)
             }
--- a/crates/fleet/src/first_config_wait.rs
+++ b/crates/fleet/src/first_config_wait.rs
@@ -1,7 +1,7 @@
 //! Decides how long a request may wait on a host that has just started and knows no configuration yet.
 //!
-//! Answers the load after all hosts were restarted at once: callers have waited for a connection, their requests arrive
-//! before the first configuration, and a caller that is refused then finds the other hosts in the same state.
+//! After a restart of all hosts, requests arrive before the first configuration, and a refused caller finds the other
+//! hosts in the same state.
 
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
 /// Fraction of the caller's remaining time that a request may wait. The latency targets are unknown without a configuration;
 /// they are mostly longer than this.
 const TIME_LEFT_RATIO: f64 = 0.1;
-/// Longest wait, and the retry delay of a caller that is refused: waiting up to it is never worse than being refused.
+/// Longest wait, and the retry delay of a refused caller, which would return no sooner.
 pub const FIRST_CONFIG_RETRY_DELAY: Duration = Duration::from_millis(300);
 
 /// Returns how long a request may wait for the first configuration, `since_start` after the start of the process.
--- a/crates/fleet/src/first_event.rs
+++ b/crates/fleet/src/first_event.rs
@@ -27,6 +27,8 @@
 const SHORT_PROMPT_RATIO: f64 = 0.5;
 /// Number of answers to short prompts that are kept, and from which on the fixed part is learnt from them.
 const SHORT_PROMPT_COUNTS: RangeInclusive<usize> = 16..=64;
+/// Answers after which the fixed part counts as short if too few of them were to short prompts.
+const MAX_UNKNOWN_ANSWERS: u64 = 512;
 /// Quantile of the answers to short prompts that gives the fixed part. The others waited for something.
 const FIXED_QUANTILE: f64 = 0.25;
 /// Least time that counts as reading of one prompt.
@@ -125,6 +127,7 @@
     engines: IntMap<u64, Answers>,
     /// Newest answers to short prompts that found no backlog.
     short: VecDeque<ShortAnswer>,
+    answers: u64,
 }
 
 impl Default for FirstEventModel {
@@ -136,6 +139,7 @@
             all: Answers::default(),
             engines: IntMap::default(),
             short: VecDeque::new(),
+            answers: 0,
         }
     }
 }
@@ -196,6 +200,7 @@
             }
             self.update_fixed_part();
         }
+        self.answers += 1;
         self.update_speed();
     }
 
@@ -205,8 +210,10 @@
     }
 
     /// Tells whether prompts count as read before their first events: the fixed part is long, or not known yet.
-    pub fn counts_until_read(&self) -> bool {
-        self.has_long_fixed_part() || self.short.len() < *SHORT_PROMPT_COUNTS.start()
+    pub fn expects_reading_end(&self) -> bool {
+        let is_unknown =
+            self.short.len() < *SHORT_PROMPT_COUNTS.start() && self.answers < MAX_UNKNOWN_ANSWERS;
+        self.has_long_fixed_part() || is_unknown
     }
 
     /// Tells whether the fixed part is long enough to be told apart from reading.
--- a/crates/fleet/src/plain_pressure.rs
+++ b/crates/fleet/src/plain_pressure.rs
@@ -23,6 +23,8 @@
 const MIN_ADMITTED: f64 = 0.05;
 /// Time in which the counted requests of accounts decay by a factor of e.
 const COUNT_TIME: Duration = Duration::from_secs(2);
+/// Time without requests after which a service is forgotten.
+const MAX_SILENCE: Duration = Duration::from_secs(4);
 /// Decayed count below which an account is forgotten.
 const MIN_COUNT: f64 = 0.05;
 /// Fraction of the time that a request can wait at an endpoint for which requests are admitted. The rest covers requests
@@ -60,7 +62,7 @@
 /// for number in 0..100 {
 ///     let now = Duration::from_millis(10 * number);
 ///     // Account 2 sends nine of ten requests.
-///     pressure.on_arrived(now, &service, 2 - u64::from(number % 10 == 0));
+///     pressure.on_arrived(&service, 2 - u64::from(number % 10 == 0));
 ///     pressure.observe(now, &service, 1.5);
 /// }
 /// assert!(pressure.admitted(&service) < 0.5);
@@ -78,7 +80,6 @@
     observed_at: Duration,
     /// Recent requests by account.
     accounts: IntMap<u64, f64>,
-    counted_at: Duration,
     /// Recent requests up to which an account's requests are all admitted.
     max_count: f64,
 }
@@ -89,7 +90,6 @@
             admitted: 1.0,
             observed_at: Duration::ZERO,
             accounts: IntMap::default(),
-            counted_at: Duration::ZERO,
             max_count: f64::INFINITY,
         }
     }
@@ -97,13 +97,13 @@
 
 impl PlainPressure {
     /// Counts a request of an account that arrived.
-    pub fn on_arrived(&mut self, now: Duration, service: &ServiceId, account: u64) {
+    pub fn on_arrived(&mut self, service: &ServiceId, account: u64) {
         if let Some(pressure) = self.services.get_mut(service) {
-            pressure.count(now, account);
+            pressure.count(account);
             return;
         }
         let pressure = self.services.entry(service.clone()).or_default();
-        pressure.count(now, account);
+        pressure.count(account);
     }
 
     /// Tells whether it is time for the next observation of a service.
@@ -139,6 +139,12 @@
         draw * count <= pressure.max_count
     }
 
+    /// Forgets services without recent requests. Their admitted part is from a shortage that may be over.
+    pub fn tick(&mut self, now: Duration) {
+        self.services
+            .retain(|_, it| now < it.observed_at + MAX_SILENCE);
+    }
+
     /// Forgets services that are no longer configured.
     pub fn retain(&mut self, is_configured: impl Fn(&ServiceId) -> bool) {
         self.services.retain(|service, _| is_configured(service));
@@ -146,19 +152,20 @@
 }
 
 impl ServicePressure {
-    fn count(&mut self, now: Duration, account: u64) {
-        let elapsed = now.saturating_sub(self.counted_at);
+    fn count(&mut self, account: u64) {
+        *self.accounts.entry(account).or_default() += 1.0;
+    }
+
+    fn decay(&mut self, elapsed: Duration) {
         let decay = (-elapsed.as_secs_f64() / COUNT_TIME.as_secs_f64()).exp();
         self.accounts.retain(|_, count| {
             *count *= decay;
             *count >= MIN_COUNT
         });
-        self.counted_at = now;
-        *self.accounts.entry(account).or_default() += 1.0;
-        self.share();
     }
 
     fn observe(&mut self, now: Duration, fill_ratio: f64) {
+        self.decay(now.saturating_sub(self.observed_at));
         let elapsed = now.saturating_sub(self.observed_at).min(MAX_OBSERVED_TIME);
         self.observed_at = now;
         let excess = (fill_ratio - 1.0).clamp(-1.0, 1.0);
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -35,7 +35,7 @@
 /// Counts a request that waited for the host's first configuration, by whether it became known in that time.
 pub fn count_first_config_wait(is_known: bool) {
     let outcome = match is_known {
-        true => "served",
+        true => "configured",
         false => "refused",
     };
     counter!("sedgeridge_gateway_first_config_waits_total", "outcome" => outcome).increment(1);
--- a/crates/transport/src/caller_connection.rs
+++ b/crates/transport/src/caller_connection.rs
@@ -42,9 +42,9 @@
 /// where they are stored.
 const MAX_BUFFER_BYTES: usize = 8 << 10;
 
-/// Time from the stop until unused connections are closed. The runtime reads the sockets before it fires a timer, so
-/// that a request that arrived before the stop is not closed unread.
-pub(crate) const READ_BEFORE_STOP: Duration = Duration::from_millis(5);
+/// Time from the stop until the listener and unused connections are closed, in which connections and bytes that had
+/// arrived before are still taken.
+pub(crate) const READ_TIME_AFTER_STOP: Duration = Duration::from_millis(5);
 
 /// Whether a connection is within the limit on connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -100,7 +100,7 @@
             Event::Ended(ended) => return count_parse_error(ended),
             Event::Stopped => {
                 stopping = true;
-                close_unused_at = Some(Instant::now() + READ_BEFORE_STOP);
+                close_unused_at = Some(Instant::now() + READ_TIME_AFTER_STOP);
             }
             Event::CloseUnused => {
                 close_unused_at = None;
--- a/crates/transport/src/front.rs
+++ b/crates/transport/src/front.rs
@@ -40,7 +40,7 @@
 use crate::answer::AnswerReceiver;
 use crate::answer::Refusal;
 use crate::caller_connection::Admission;
-use crate::caller_connection::READ_BEFORE_STOP;
+use crate::caller_connection::READ_TIME_AFTER_STOP;
 use crate::caller_connection::serve_connection;
 use crate::caller_connection::wait_until;
 use crate::core::CoreInput;
@@ -122,12 +122,12 @@
         let may_accept = close_at.is_none_or(|at| Instant::now() < at);
         let accepted = tokio::select! {
             biased;
-            accepted = listener.accept(), if may_accept => accepted,
-            () = wait_until(close_at) => break,
             _ = stop.wait_for(|stop| *stop), if close_at.is_none() => {
-                close_at = Some(Instant::now() + READ_BEFORE_STOP);
+                close_at = Some(Instant::now() + READ_TIME_AFTER_STOP);
                 continue;
             }
+            accepted = listener.accept(), if may_accept => accepted,
+            () = wait_until(close_at) => break,
         };
         let stream = match accepted {
             Ok((stream, _)) => stream,
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -162,7 +162,7 @@
     counter(
         "sedgeridge_gateway_first_config_waits_total",
         "outcome",
-        Values::Fixed("served, refused"),
+        Values::Fixed("configured, refused"),
         "requests that waited for a starting host's first configuration, and whether it came in time",
     ),
     gauge(
