--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -35,7 +35,7 @@
 use crate::endpoint_record::EndpointRecords;
 use crate::endpoint_table::Endpoint;
 use crate::endpoint_table::EndpointTable;
-use crate::first_event::FirstEventModels;
+use crate::engine_speed::EngineSpeeds;
 use crate::full_engines::FullEngines;
 use crate::hashing::stable_hash;
 use crate::idle_connections::idle_connections;
@@ -43,7 +43,6 @@
 use crate::peer_report::PeerReport;
 use crate::placement::CachedParts;
 use crate::plain_pressure::PlainPressure;
-use crate::reading_times::ReadingTimes;
 use crate::reported_load::ReportedLoad;
 use crate::reported_load::ReportedLoads;
 use crate::resend_window::ResendLimits;
@@ -144,8 +143,7 @@
     pauses: EndpointPauses,
     evacuated: BTreeSet<Arc<str>>,
     cold: ColdEndpoints,
-    first_events: FirstEventModels,
-    reading_times: ReadingTimes,
+    speeds: EngineSpeeds,
     reported: ReportedLoads,
     loads: EndpointLoads,
     records: EndpointRecords,
@@ -174,8 +172,6 @@
     pub resent: u64,
     /// Resends that the limits did not allow.
     pub resends_denied: u64,
-    /// Prompts that counted as unread again because their first events were overdue.
-    pub overdue: u64,
 }
 
 /// A request that has no final answer yet.
@@ -198,16 +194,7 @@
     endpoint: Arc<Endpoint>,
     load: Load,
     sent_at: Duration,
-    /// Tokens that the endpoint had to read for other requests.
-    tokens_ahead: f64,
-    /// Unread tokens that the send added.
-    own_tokens: u32,
-    /// When the endpoint has read the prompt, as expected.
-    read_at: Duration,
-    /// Whether the load changes at `read_at` and `overdue_at`.
-    is_timed: bool,
-    /// When the first event is so late that the prompt may be unread.
-    overdue_at: Duration,
+    unread_tokens_at_send: f64,
     has_first_piece: bool,
 }
 
@@ -227,8 +214,7 @@
             pauses: EndpointPauses::default(),
             evacuated: BTreeSet::new(),
             cold: ColdEndpoints::new(settings.host, settings.cold_starts),
-            first_events: FirstEventModels::default(),
-            reading_times: ReadingTimes::default(),
+            speeds: EngineSpeeds::default(),
             reported: ReportedLoads::default(),
             loads: EndpointLoads::default(),
             records: EndpointRecords::default(),
@@ -252,7 +238,6 @@
 
     /// Handles one event and appends the resulting decisions to `decisions`.
     pub fn handle(&mut self, now: Duration, event: DispatchEvent, decisions: &mut Vec<Decision>) {
-        self.count_read_prompts(now);
         match event {
             DispatchEvent::Configured(config) => self.on_config(now, &config),
             DispatchEvent::EndpointListed(endpoint) => self.on_listed(now, endpoint),
@@ -351,12 +336,6 @@
         self.loads.total(endpoint)
     }
 
-    /// Returns the part of a first event's time that is the same for all prompts, in milliseconds: that of the slowest
-    /// service.
-    pub fn longest_fixed_ms(&self) -> f64 {
-        self.first_events.longest_fixed_ms()
-    }
-
     /// Returns the tokens that the fleet started for an account, as a multiple of its fair share.
     pub fn account_share_used(&self, account: u64) -> f64 {
         self.shares.share_used(account)
@@ -459,21 +438,18 @@
     fn forget_run(&mut self, run: &Endpoint) {
         self.cached.forget_endpoint(run.key);
         self.cold.forget(run.key);
-        self.first_events.forget(run.key);
+        self.speeds.forget(run.key);
         self.reported.forget(run.key);
         self.records.forget(run.key);
     }
 
     fn update_expected_speed(&mut self) {
-        let tokens_per_s = self.tokens_per_s.unwrap_or_default();
+        let Some(tokens_per_s) = self.tokens_per_s else {
+            return;
+        };
         let engines = self.engine_count();
         let engine_tokens_per_ms = tokens_per_s / 1_000.0 / engines.max(1) as f64;
-        let engine_services = self.services.iter();
-        let engine_services = engine_services.filter(|(_, spec)| spec.engine.is_some());
-        self.first_events.expect(
-            engine_services.map(|(id, _)| id),
-            engine_tokens_per_ms * READ_SPEED_FACTOR,
-        );
+        self.speeds.expect(engine_tokens_per_ms * READ_SPEED_FACTOR);
     }
 
     fn engine_count(&self) -> usize {
--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -201,8 +201,7 @@
     /// be compared: the stated throughput, by which shares are counted, may be a small part of what the engines can do.
     fn has_idle_engines(&self, arrival: &Arrival) -> bool {
         let settings = &self.settings.admission;
-        let model = self.first_events.of(&arrival.service);
-        let tokens_per_ms = model.expected_tokens_per_ms() * self.engine_count() as f64;
+        let tokens_per_ms = self.speeds.expected_tokens_per_ms() * self.engine_count() as f64;
         let mean_backlog_ms = self.loads.unread_tokens() as f64 / tokens_per_ms.max(1.0);
         mean_backlog_ms <= self.target_ms(arrival) * settings.low_backlog_ratio
     }
--- a/crates/fleet/src/dispatcher/attempts.rs
+++ b/crates/fleet/src/dispatcher/attempts.rs
@@ -13,7 +13,6 @@
 use crate::arrival::RequestId;
 use crate::endpoint_load::Load;
 use crate::endpoint_table::Endpoint;
-use crate::first_event::FirstEvent;
 use crate::verdict::Basis;
 use crate::verdict::Decision;
 use crate::verdict::Failure;
@@ -26,9 +25,6 @@
 /// Multiple of the latency target. If an endpoint has sent nothing for that long when the caller disconnects, the attempt
 /// counts as failed. Otherwise an endpoint that takes requests and never answers would look as good as the others.
 const MAX_SILENCE_TARGETS: u32 = 2;
-/// Multiple of the expected time of a first event after which its prompt counts as unread again. An endpoint that doesn't
-/// answer must not look idle.
-const OVERDUE_FACTOR: f64 = 2.0;
 /// Minimum time to the deadline with which a request is sent again.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(30);
 
@@ -98,30 +94,12 @@
                 return true;
             }
         }
-        let tokens_ahead = f64::from(self.loads.total(endpoint.key).unread_tokens);
-        let model = self.first_events.of(&pending.arrival.service);
-        let slowdown = self.reported.slowdown(now, endpoint.key);
-        let tokens = tokens_ahead + f64::from(load.unread_tokens);
-        let reading_ms = tokens / model.tokens_per_ms(endpoint.key) * slowdown;
-        let first_event_ms = model.first_event_ms(endpoint.key, tokens) * slowdown;
-        let read_at = now + Duration::from_secs_f64(reading_ms / 1_000.0);
-        let overdue_at = now + Duration::from_secs_f64(first_event_ms * OVERDUE_FACTOR / 1_000.0);
-        let read_at = read_at.min(pending.arrival.deadline);
-        let overdue_at = overdue_at.min(pending.arrival.deadline);
-        let is_timed = load.unread_tokens > 0 && model.expects_reading_end();
-        if is_timed {
-            self.reading_times.add(read_at, id);
-            self.reading_times.add(overdue_at, id);
-        }
+        let unread_before = self.loads.total(endpoint.key).unread_tokens;
         pending.attempt = Some(Attempt {
             endpoint: endpoint.clone(),
             load,
             sent_at: now,
-            tokens_ahead,
-            own_tokens: load.unread_tokens,
-            read_at,
-            overdue_at,
-            is_timed,
+            unread_tokens_at_send: f64::from(unread_before) + f64::from(load.unread_tokens),
             has_first_piece: false,
         });
         pending.sends += 1;
@@ -168,46 +146,14 @@
         };
         attempt.load.unread_tokens = 0;
         self.loads.subtract_own(key, read);
-        if has_prompt && self.endpoints.get_by_key(key).is_some() {
+        if has_prompt {
             let took = now.saturating_sub(attempt.sent_at);
-            let event = FirstEvent {
-                tokens_ahead: attempt.tokens_ahead,
-                own_tokens: f64::from(attempt.own_tokens),
-                after: took,
-                slowdown: self.reported.slowdown(now, key),
-            };
-            self.first_events
-                .observe(&pending.arrival.service, key, event);
+            self.speeds
+                .observe(key, attempt.unread_tokens_at_send, took);
         }
         self.tick_early(now);
     }
 
-    /// Counts prompts no longer that are read by now, as expected, and again those whose first events are overdue.
-    pub(super) fn count_read_prompts(&mut self, now: Duration) {
-        while let Some(id) = self.reading_times.take_due(now) {
-            let pending = self.requests.get_mut(&id);
-            let Some(attempt) = pending.and_then(|pending| pending.attempt.as_mut()) else {
-                continue;
-            };
-            if !attempt.is_timed {
-                continue;
-            }
-            let is_read =
-                attempt.has_first_piece || (attempt.read_at <= now && now < attempt.overdue_at);
-            let unread_tokens = match is_read {
-                true => 0,
-                false => attempt.own_tokens,
-            };
-            let is_counted_again = attempt.load.unread_tokens < unread_tokens;
-            self.counts.overdue += u64::from(is_counted_again);
-            let key = attempt.endpoint.key;
-            self.loads.subtract_own(key, attempt.load);
-            attempt.load.unread_tokens = unread_tokens;
-            self.loads.add_own(key, attempt.load);
-            self.tick_early(now);
-        }
-    }
-
     pub(super) fn on_completed(&mut self, now: Duration, id: RequestId) {
         let Some(mut pending) = self.requests.remove(&id) else {
             return;
--- a/crates/fleet/src/dispatcher/candidates.rs
+++ b/crates/fleet/src/dispatcher/candidates.rs
@@ -9,7 +9,6 @@
 use crate::config::EngineSpec;
 use crate::endpoint_load::Load;
 use crate::endpoint_table::Endpoint;
-use crate::first_event::FirstEventModel;
 use crate::hashing::pair_hash;
 use crate::prompt::Prompt;
 
@@ -101,7 +100,6 @@
         let spec = self.services.get(&arrival.service);
         let engine = spec.and_then(|spec| spec.engine);
         let prompt = arrival.prompt.as_ref();
-        let model = self.first_events.of(&arrival.service);
         let untried = endpoints.filter(|endpoint| {
             self.records.is_up(now, endpoint.key)
                 && self.is_open(now, endpoint)
@@ -112,8 +110,7 @@
         };
         let candidates = untried.filter_map(|endpoint| {
             let home = allowed.home_rank(endpoint.key);
-            let candidate =
-                self.engine_candidate(now, endpoint, engine, model, prompt, home.is_some())?;
+            let candidate = self.engine_candidate(now, endpoint, engine, prompt, home.is_some())?;
             let is_second = matches!(allowed, AllowedEndpoints::Homes(_)) && home == Some(1);
             if is_second && candidate.busy_ratio > SECOND_HOME_RATIO {
                 return None;
@@ -141,7 +138,6 @@
         now: Duration,
         endpoint: &'a Arc<Endpoint>,
         engine: EngineSpec,
-        model: &FirstEventModel,
         prompt: &Prompt,
         is_home: bool,
     ) -> Option<Candidate<'a>> {
@@ -167,15 +163,14 @@
             return None;
         }
         let backlog = f64::from(total.unread_tokens);
-        let slowdown = self.reported.slowdown(now, key);
-        let first_event_ms = model.first_event_ms(key, backlog + f64::from(unread)) * slowdown;
+        let first_event_ms = self.speeds.first_event_ms(key, backlog + f64::from(unread));
         Some(Candidate {
             endpoint,
             load,
             cost_ms: first_event_ms
                 + f64::from(unread_shared) * REREAD_TOKEN_COST_MS
                 + self.extra_cost_ms(now, endpoint),
-            backlog_ms: backlog / model.tokens_per_ms(key) * slowdown,
+            backlog_ms: backlog / self.speeds.tokens_per_ms(key),
             first_event_ms,
             busy_ratio: f64::from(total.requests) / f64::from(endpoint.slots.max(1)),
         })
--- a/crates/fleet/src/dispatcher/peers.rs
+++ b/crates/fleet/src/dispatcher/peers.rs
@@ -237,7 +237,6 @@
 
     /// Returns the reports that are due. Call it about ten times a second.
     pub fn reports_due(&mut self, now: Duration, state: HostState) -> Vec<OutgoingReport> {
-        self.count_read_prompts(now);
         self.peers.own_store = OwnStoreState::new(now, state);
         if self.must_hasten(state) {
             self.peers.schedule.make_due_now();
--- a/crates/fleet/src/reported_load.rs
+++ b/crates/fleet/src/reported_load.rs
@@ -7,8 +7,7 @@
 /// Time for which a stated load is believed. Requests come and go within a few steps of an engine, and slow spells of a
 /// machine begin and end many times a second.
 const MAX_AGE: Duration = Duration::from_millis(60);
-/// Bounds of a slowdown that is believed. An endpoint that overstates its own gets fewer requests while it is believed;
-/// one that understates it gains nothing.
+/// Bounds of a slowdown that is believed, so that a false figure cannot exclude an endpoint.
 const SLOWDOWN_BOUNDS: std::ops::RangeInclusive<f64> = 1.0..=10.0;
 /// Work time in percent on a machine that works as usual.
 const USUAL_WORK_PERCENT: f64 = 100.0;
--- a/crates/fleet/tests/support/load_play.rs
+++ b/crates/fleet/tests/support/load_play.rs
@@ -15,12 +15,10 @@
 use sedgeridge_fleet::config::FleetConfig;
 use sedgeridge_fleet::dispatcher::DispatchEvent;
 use sedgeridge_fleet::endpoint_table::Endpoint;
-use sedgeridge_fleet::hashing::pair_hash;
 use sedgeridge_fleet::peer_hosts::ListedHost;
 use sedgeridge_fleet::peer_report::PeerReport;
 use sedgeridge_fleet::prompt::Prompt;
 use sedgeridge_fleet::prompt::PromptPart;
-use sedgeridge_fleet::reported_load::ReportedLoad;
 use sedgeridge_fleet::verdict::Decision;
 use sedgeridge_fleet::verdict::Failure;
 use sedgeridge_fleet::verdict::Verdict;
@@ -37,16 +35,10 @@
 
 /// Latency target of the requests, the same as in [`super::route`].
 const TARGET_MS: u64 = 250;
-/// Work time on a machine in a slow spell, in percent of the usual one.
-const SLOW_SPELL_PERCENT: u64 = 250;
-/// Length of a slow spell.
-const SLOW_SPELL_MS: u64 = 600;
-/// Chance that a machine is in a slow spell.
-const SLOW_SPELL_SHARE_PERCENT: u64 = 15;
-/// Work time of engines at half the others' speed, in percent.
-const HALF_SPEED_PERCENT: u64 = 200;
-/// Multiple of the usual own tokens that a long prompt has.
-const LONG_PROMPT_FACTOR: u32 = 8;
+/// Prompt tokens that an engine reads per millisecond.
+const TOKENS_PER_MS: u64 = 20;
+/// Time from the end of reading to the first event.
+const FIRST_EVENT_MS: u64 = 25;
 /// Time from the first event to the last.
 const GENERATE_MS: u64 = 200;
 /// Interval of a host's reports.
@@ -178,56 +170,11 @@
     pub arrived: BTreeMap<(usize, u64), Vec<u64>>,
 }
 
-/// How engines work, and how prompts differ.
-#[derive(Debug, Clone, Copy)]
-pub struct Conditions {
-    /// Prompt tokens that an engine reads per millisecond.
-    pub tokens_per_ms: u64,
-    /// Time from the end of reading to the first event.
-    pub first_event_ms: u64,
-    /// Every so many engines one works at half the others' speed.
-    pub half_speed_every: Option<u64>,
-    /// Whether machines have slow spells, which engines state.
-    pub has_slow_spells: bool,
-    /// Every so many callers one has a long prompt.
-    pub long_prompt_every: Option<u64>,
-}
-
-impl Default for Conditions {
-    fn default() -> Self {
-        Self {
-            tokens_per_ms: 20,
-            first_event_ms: 25,
-            half_speed_every: None,
-            has_slow_spells: false,
-            long_prompt_every: None,
-        }
-    }
-}
-
-impl Conditions {
-    fn work_percent(&self, engine: u64, now_ms: u64) -> u64 {
-        let is_slow = self
-            .half_speed_every
-            .is_some_and(|every| engine.is_multiple_of(every));
-        let usual_percent = if is_slow { HALF_SPEED_PERCENT } else { 100 };
-        usual_percent * self.stated_percent(engine, now_ms) / 100
-    }
-
-    fn stated_percent(&self, engine: u64, now_ms: u64) -> u64 {
-        let spell = pair_hash(engine, now_ms / SLOW_SPELL_MS) % 100;
-        match self.has_slow_spells && spell < SLOW_SPELL_SHARE_PERCENT {
-            true => SLOW_SPELL_PERCENT,
-            false => 100,
-        }
-    }
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Step {
     TurnedAway(usize, RequestId, u64),
     Try(usize),
-    FirstEvent(usize, RequestId, u64),
+    FirstEvent(usize, RequestId),
     End(usize, RequestId),
     Tick(usize),
     Report(usize),
@@ -242,25 +189,10 @@
     tries: u64,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Engine {
-    number: u64,
-    endpoint: Arc<Endpoint>,
     free_at_ms: u64,
     cached: BTreeSet<u64>,
-    requests: u64,
-}
-
-impl Engine {
-    fn new(number: u64) -> Self {
-        Self {
-            number,
-            endpoint: Arc::new(endpoint(ENGINES, &format!("desk-{number}"))),
-            free_at_ms: 0,
-            cached: BTreeSet::new(),
-            requests: 0,
-        }
-    }
 }
 
 /// A simulation in progress.
@@ -274,7 +206,6 @@
     random: SeededRandom,
     results: BTreeMap<u64, Results>,
     started_at_ms: BTreeMap<u64, Vec<u64>>,
-    conditions: Conditions,
     turning_away: Option<TurningAway>,
     turned_away: TurnedAway,
 }
@@ -306,22 +237,6 @@
     play.started_at_ms
 }
 
-/// Simulates a load to its end under other conditions; returns the results of each account, and the number of requests of
-/// each engine.
-pub fn play_under(
-    load: Load,
-    conditions: Conditions,
-) -> (BTreeMap<u64, Results>, BTreeMap<u64, u64>) {
-    let mut play = Play::new(load);
-    play.conditions = conditions;
-    play.run();
-    let engines = play.engines.values();
-    (
-        play.results,
-        engines.map(|it| (it.number, it.requests)).collect(),
-    )
-}
-
 /// Simulates a load to its end while some engines reject every request.
 pub fn play_turned_away(load: Load, away: TurningAway) -> (BTreeMap<u64, Results>, TurnedAway) {
     let mut play = Play::new(load);
@@ -358,18 +273,16 @@
                 host.send(0, DispatchEvent::EndpointListed(engine));
             }
         }
-        let engines = (1..=load.engines as u64).map(Engine::new);
-        let engines = engines.map(|engine| (engine.endpoint.key, engine));
+        let engine = |name: &String| (endpoint(ENGINES, name).key, Engine::default());
         let mut play = Self {
             hosts,
-            engines: engines.collect(),
+            engines: names.iter().map(engine).collect(),
             callers: Vec::new(),
             waiting: BTreeMap::new(),
             steps: BinaryHeap::new(),
             random: SeededRandom::new(load.seed),
             results: BTreeMap::new(),
             started_at_ms: BTreeMap::new(),
-            conditions: Conditions::default(),
             turning_away: None,
             turned_away: TurnedAway::default(),
             load,
@@ -419,9 +332,7 @@
             match step {
                 Step::TurnedAway(host, id, engine) => self.on_turned_away(now_ms, host, id, engine),
                 Step::Try(caller) => self.on_try(now_ms, caller),
-                Step::FirstEvent(host, id, engine) => {
-                    self.on_first_event(now_ms, host, id, engine);
-                }
+                Step::FirstEvent(host, id) => self.on_first_event(now_ms, host, id),
                 Step::End(host, id) => self.send(now_ms, host, DispatchEvent::Completed(id)),
                 Step::Tick(host) => {
                     self.send(now_ms, host, DispatchEvent::Tick);
@@ -441,12 +352,10 @@
         };
         let caller = &mut self.callers[number];
         caller.tries += 1;
-        let Caller {
-            account, subject, ..
-        } = *caller;
+        let account = caller.account;
         self.results.entry(account).or_default().tries += 1;
         let id = RequestId(number as u64 * 2 + caller.tries);
-        let prompt = self.prompts(number).prompt(subject, number as u64);
+        let prompt = self.load.prompts.prompt(caller.subject, number as u64);
         let arrival = Arrival {
             id,
             ..engine_request(now_ms, account, prompt)
@@ -484,21 +393,17 @@
                     return;
                 }
                 self.started_at_ms.entry(account).or_default().push(now_ms);
-                let prompts = self.prompts(number);
-                let conditions = self.conditions;
                 let engine = self.engines.get_mut(&endpoint.key).expect("a known engine");
-                let percent = conditions.work_percent(engine.number, now_ms);
-                engine.requests += 1;
+                let prompts = self.load.prompts;
                 let shared_tokens = match engine.cached.insert(subject) {
                     true => prompts.shared_tokens,
                     false => 0,
                 };
                 let read_from_ms = engine.free_at_ms.max(now_ms + 1);
                 let tokens = u64::from(prompts.own_tokens + shared_tokens);
-                let reading_ms = tokens * percent / 100 / conditions.tokens_per_ms;
-                engine.free_at_ms = read_from_ms + reading_ms;
-                let first_event_ms = engine.free_at_ms + conditions.first_event_ms * percent / 100;
-                self.plan(first_event_ms, Step::FirstEvent(host, id, endpoint.key));
+                engine.free_at_ms = read_from_ms + tokens / TOKENS_PER_MS;
+                let first_event_ms = engine.free_at_ms + FIRST_EVENT_MS;
+                self.plan(first_event_ms, Step::FirstEvent(host, id));
             }
             Verdict::Refuse { retry_after, .. } => self.on_refused(now_ms, number, retry_after),
             Verdict::Fail(failure) => panic!("no attempt fails here: {failure:?}"),
@@ -538,39 +443,13 @@
         self.plan(now_ms + wait_ms + 2 * NETWORK_DELAY_MS, Step::Try(number));
     }
 
-    fn prompts(&self, caller: usize) -> Prompts {
-        let every = self.conditions.long_prompt_every;
-        let is_long = every.is_some_and(|every| (caller as u64).is_multiple_of(every));
-        let factor = if is_long { LONG_PROMPT_FACTOR } else { 1 };
-        Prompts {
-            own_tokens: self.load.prompts.own_tokens * factor,
-            ..self.load.prompts
-        }
-    }
-
-    fn state_load(&mut self, now_ms: u64, host: usize, engine: u64) {
-        let engine = &self.engines[&engine];
-        let percent = self.conditions.stated_percent(engine.number, now_ms);
-        let load = ReportedLoad {
-            running: 1,
-            waiting: 0,
-            slots: SLOTS,
-            work_percent: Some(percent as u32),
-        };
-        let stated = DispatchEvent::LoadReported(engine.endpoint.clone(), load);
-        self.send(now_ms, host, stated);
-    }
-
-    fn on_first_event(&mut self, now_ms: u64, host: usize, id: RequestId, engine: u64) {
+    fn on_first_event(&mut self, now_ms: u64, host: usize, id: RequestId) {
         let caller = self.callers[self.waiting[&(host, id)]];
         let got = self.results.entry(caller.account).or_default();
         match now_ms + NETWORK_DELAY_MS <= caller.first_try_at_ms + TARGET_MS {
             true => got.in_time += 1,
             false => got.late += 1,
         }
-        if self.conditions.has_slow_spells {
-            self.state_load(now_ms, host, engine);
-        }
         self.send(now_ms, host, DispatchEvent::FirstPiece(id));
         self.plan(now_ms + GENERATE_MS, Step::End(host, id));
     }
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -124,8 +124,6 @@
     pub data_centres_evacuated: usize,
     /// Smallest part of a plain service's requests that is admitted.
     pub admitted_part: f64,
-    /// Part of a first event's time that is the same for all prompts, in milliseconds.
-    pub first_event_fixed_ms: f64,
     /// Requests that wait for an endpoint.
     pub queued: usize,
     /// Requests without a final response yet.
@@ -153,8 +151,6 @@
     gauge!("sedgeridge_gateway_endpoints_cold").set(values.endpoints_cold as f64);
     gauge!("sedgeridge_gateway_data_centres_evacuated").set(values.data_centres_evacuated as f64);
     gauge!("sedgeridge_gateway_admitted_part").set(values.admitted_part);
-    gauge!("sedgeridge_gateway_first_event_fixed_seconds")
-        .set(values.first_event_fixed_ms / 1_000.0);
     gauge!("sedgeridge_gateway_queued").set(values.queued as f64);
     gauge!("sedgeridge_gateway_unfinished").set(values.unfinished as f64);
     gauge!("sedgeridge_gateway_hosts").set(values.hosts as f64);
@@ -169,7 +165,6 @@
     gauge!("sedgeridge_gateway_sent").set(counts.sent as f64);
     gauge!("sedgeridge_gateway_resent").set(counts.resent as f64);
     gauge!("sedgeridge_gateway_resends_denied").set(counts.resends_denied as f64);
-    gauge!("sedgeridge_gateway_prompts_overdue").set(counts.overdue as f64);
 }
 
 fn kind_label(repeat: Repeat) -> &'static str {
--- a/crates/gateway/src/pages.rs
+++ b/crates/gateway/src/pages.rs
@@ -74,7 +74,6 @@
             endpoints_cold: dispatcher.cold_endpoints(now),
             data_centres_evacuated: dispatcher.evacuated_data_centres(),
             admitted_part: dispatcher.least_admitted_part(),
-            first_event_fixed_ms: dispatcher.longest_fixed_ms(),
             queued: dispatcher.queued_requests(),
             unfinished: dispatcher.unfinished_requests(),
             hosts: dispatcher.hosts(now),
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -165,10 +165,6 @@
         Values::Fixed("configured, refused"),
         "requests that waited for a starting host's first configuration, and whether it came in time",
     ),
-    gauge(
-        "sedgeridge_gateway_first_event_fixed_seconds",
-        "part of the time to a first event that is the same for all prompts, as learnt; of the slowest service",
-    ),
     histogram(
         "sedgeridge_gateway_first_piece_seconds",
         "time from a request's head to the first piece of its answer",
@@ -189,10 +185,6 @@
         "sedgeridge_gateway_admitted_part",
         "smallest part of a service's requests without prompts that this host admits; 1 without a shortage",
     ),
-    gauge(
-        "sedgeridge_gateway_prompts_overdue",
-        "prompts that counted as unread again since their first events were overdue, since the start",
-    ),
     gauge(
         "sedgeridge_gateway_queued",
         "requests that wait for an endpoint",
