--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -26,7 +26,6 @@
 use crate::cold_start::ColdEndpoints;
 use crate::cold_start::ColdStartBounds;
 use crate::config::FleetConfig;
-use crate::config::Route;
 use crate::config::ServiceSpec;
 use crate::departures::Departures;
 use crate::endpoint_load::EndpointLoads;
@@ -36,7 +35,6 @@
 use crate::endpoint_table::Endpoint;
 use crate::endpoint_table::EndpointTable;
 use crate::engine_speed::EngineSpeeds;
-use crate::full_engines::FullEngines;
 use crate::hashing::stable_hash;
 use crate::idle_connections::idle_connections;
 use crate::peer_hosts::ListedHost;
@@ -157,7 +155,8 @@
     queue: Vec<RequestId>,
     own_listing: ListedHost,
     peers: peers::PeerLinks,
-    full_engines: FullEngines,
+    /// Until when requests of accounts over their share are refused without a comparison of engines.
+    no_room_until: Duration,
     next_tick: Duration,
     next_upkeep: Duration,
     counts: DispatchCounts,
@@ -228,7 +227,7 @@
             queue: Vec::new(),
             own_listing,
             peers: peers::PeerLinks::new(own_listing),
-            full_engines: FullEngines::default(),
+            no_room_until: Duration::ZERO,
             next_tick: Duration::ZERO,
             next_upkeep: Duration::ZERO,
             counts: DispatchCounts::default(),
@@ -366,14 +365,14 @@
         self.account_share_used(account) > 1.0
     }
 
-    /// Tells whether, a moment ago, some engines had no capacity left for accounts over their share.
-    pub fn has_full_engines(&self, now: Duration) -> bool {
-        !self.full_engines.is_empty(now)
+    /// Tells whether, a moment ago, engines had no capacity left for accounts over their share.
+    pub fn has_no_room(&self, now: Duration) -> bool {
+        now < self.no_room_until
     }
 
-    /// Tells whether a new prompt of an account is refused without a comparison of engines.
-    pub fn refuses_at_once(&self, now: Duration, account: u64, route: &Route) -> bool {
-        self.is_over_share(account) && self.full_engines.contains(now, route)
+    /// Tells whether a new prompt of an account is refused at once, whatever its length.
+    pub fn refuses_at_once(&self, now: Duration, account: u64) -> bool {
+        self.has_no_room(now) && self.is_over_share(account)
     }
 
     /// Returns the smallest part of any plain service's requests that is admitted.
@@ -409,7 +408,6 @@
                 *shortest = (*shortest).min(route.latency_target);
             }
         }
-        self.full_engines.clear();
         self.update_expected_speed();
     }
 
--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -53,6 +53,11 @@
     }
 }
 
+/// Time for which accounts over their share are refused without another comparison, after one has shown that engines have
+/// no capacity left for them. In a flood, comparing a hundred engines for each request uses up the processor of a small
+/// host, and all requests wait.
+const NO_ROOM_DURATION: Duration = Duration::from_millis(10);
+
 /// Next step of a request.
 pub(super) enum Admission {
     Send(Arc<Endpoint>, Load),
@@ -87,14 +92,13 @@
         let Some(pending) = self.requests.get(&id) else {
             return;
         };
-        let route = pending.arrival.route.clone();
         let is_queued = match self.decide(now, pending) {
             Admission::Send(endpoint, load) => !self.start(now, id, endpoint, load, decisions),
             Admission::Wait => true,
             Admission::Refuse(reason, best) => {
                 // A refusal without a comparison of endpoints gives no new information.
                 if reason == RefusalReason::OverShare && best.is_some() {
-                    self.full_engines.note(now, &route);
+                    self.no_room_until = now + NO_ROOM_DURATION;
                 }
                 self.end_unsent(now, id, reason, best, decisions);
                 false
@@ -139,7 +143,7 @@
         }
         let is_over_share = self.share_used(arrival) > 1.0;
         let is_first_send = arrival.prompt.is_some() && pending.sends == 0;
-        if is_over_share && is_first_send && self.full_engines.contains(now, &arrival.route) {
+        if is_over_share && is_first_send && self.has_no_room(now) {
             return Admission::Refuse(RefusalReason::OverShare, None);
         }
         let max_wait = arrival
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,7 +16,6 @@
 pub mod engine_speed;
 pub mod event_stream;
 pub mod first_config_wait;
-pub mod full_engines;
 pub mod hashing;
 pub mod home_ring;
 pub mod idle_connections;
--- a/crates/gateway/src/early_refusal.rs
+++ b/crates/gateway/src/early_refusal.rs
@@ -17,7 +17,6 @@
 use http::request::Parts;
 use sedgeridge_fleet::arrival::Arrival;
 use sedgeridge_fleet::dispatcher::DispatchEvent;
-use sedgeridge_fleet::dispatcher::Dispatcher;
 use sedgeridge_fleet::hashing::stable_hash;
 use sedgeridge_fleet::route_table::choose_service;
 use sedgeridge_fleet::verdict::Basis;
@@ -158,9 +157,8 @@
         gateway.record_shed(account_hash, prompt);
         return Some(refuse_busy(gateway, &refused));
     }
-    let is_refused =
-        |dispatcher: &mut Dispatcher| dispatcher.refuses_at_once(received_at, account_hash, &route);
-    if !gateway.with_dispatcher(is_refused) {
+    if !gateway.with_dispatcher(|dispatcher| dispatcher.refuses_at_once(received_at, account_hash))
+    {
         return None;
     }
     let time_left = metadata.time_left.unwrap_or(route.timeout);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -344,8 +344,7 @@
     /// Returns whether many requests are being refused, so that checking each for an early refusal
     /// pays off.
     pub fn is_refusing_many(&self) -> bool {
-        let has_full_engines = self.dispatcher.borrow().has_full_engines(self.now());
-        self.shedding.borrow().is_active() || has_full_engines
+        self.shedding.borrow().is_active() || self.dispatcher.borrow().has_no_room(self.now())
     }
 
     /// Returns whether the process was told to stop.
