host load: hosts short of processor time leave the rotation by counts of their data centre

Cause: a client's connections all reach one host while it is ready. Shedding keeps that host's timers just below the mean of 80 ms at which it left, so the flood stays there while the neighbours idle.

Reports and relays' sums carry five counts. Once the balancer was told twice, connections of refused requests are closed one by one.

--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -163,6 +163,8 @@
     pub resent: u64,
     /// Resends that the limits did not allow.
     pub resends_denied: u64,
+    /// Reports with an impossible load of hosts, which was bounded.
+    pub host_loads_bounded: u64,
 }
 
 /// A request that has no final answer yet.
--- a/crates/fleet/src/dispatcher/peers.rs
+++ b/crates/fleet/src/dispatcher/peers.rs
@@ -6,6 +6,7 @@
 use sedgeridge_coordination::poison_notice::PoisonNotice;
 
 use super::Dispatcher;
+use crate::host_load::HostLoads;
 use crate::peer_hosts::ListedHost;
 use crate::peer_hosts::PeerHosts;
 use crate::peer_report::CrashNotice;
@@ -31,6 +32,8 @@
 /// Number of own reports that are kept, in order to subtract them from sums that include them: as many as a host makes in
 /// the time for which relays count a report.
 const MAX_KEPT_REPORTS: usize = 51;
+/// Age up to which the load of the data centre is used: a few intervals between sums.
+const MAX_HOST_LOADS_AGE: Duration = Duration::from_millis(1_500);
 /// Key of the sums over the fleet among reports of hosts. The hash of a host's name has this value only by chance.
 const FLEET_SOURCE: u64 = 0;
 
@@ -43,6 +46,8 @@
     pub is_stopping: bool,
     /// Whether the host is overloaded.
     pub is_busy: bool,
+    /// The host's part of the load of its data centre.
+    pub load: HostLoads,
     /// Whether the store answered the host's last call.
     pub store_answers: bool,
     /// Time since the store stopped answering the host; zero if it answers.
@@ -102,6 +107,8 @@
     own_store: OwnStoreState,
     relay: Relay,
     view: FleetView,
+    /// Load of the data centre that a relay reported, and its time.
+    reported_loads: Option<(Duration, HostLoads)>,
     schedule: PeerSchedule,
     reported_state: HostState,
     reports_made: u64,
@@ -119,6 +126,7 @@
             own_store: OwnStoreState::default(),
             relay: Relay::default(),
             view: FleetView::default(),
+            reported_loads: None,
             schedule: PeerSchedule::default(),
             reported_state: HostState::default(),
             reports_made: 0,
@@ -262,6 +270,7 @@
         self.collect_news();
         let mut report = self.blank_report(state, Scope::Own);
         report.set_work(self.loads.own().collect(), self.shares.own());
+        report.host_loads = (state.load.hosts > 0).then_some(state.load);
         report.crashes = self.peers.take_news();
         self.peers.schedule.on_reported();
         self.peers.keep_report(&report);
@@ -273,6 +282,20 @@
         self.peers.schedule.unreported_starts()
     }
 
+    /// Returns the load of the hosts of this data centre, this one included, if recent reports tell it.
+    pub fn host_loads(&self, now: Duration, own: HostLoads) -> Option<HostLoads> {
+        if self.peers.hosts.is_small_fleet(now) {
+            let mut hosts = self.peers.relay.members_load();
+            hosts.add(&own);
+            return (hosts.hosts > 1).then_some(hosts);
+        }
+        let is_recent = |at| now.saturating_sub(at) <= MAX_HOST_LOADS_AGE;
+        let reported = self.peers.reported_loads;
+        reported
+            .filter(|(at, _)| is_recent(*at))
+            .map(|(_, loads)| loads)
+    }
+
     /// Returns the number of hosts that report, this one included.
     pub fn hosts(&self, now: Duration) -> usize {
         self.peers.hosts.live_count(now)
@@ -294,12 +317,19 @@
             }
             Scope::Fleet => {
                 self.peers.hosts.on_sum(now, report.host);
+                self.on_host_loads(now, &report);
                 self.on_fleet_sum(now, &report);
             }
         }
     }
 
     fn on_own_work(&mut self, now: Duration, report: PeerReport) {
+        if let Some(load) = report.host_loads
+            && report.data_centre == self.own_data_centre()
+            && !self.peers.relay.on_member_load(now, report.host, load)
+        {
+            self.counts.host_loads_bounded += 1;
+        }
         if self.peers.hosts.is_small_fleet(now) {
             self.shares.on_report(now, report.host, report.usage);
             self.loads.on_report(now, report.host, report.loads);
@@ -308,6 +338,18 @@
         }
     }
 
+    fn on_host_loads(&mut self, now: Duration, report: &PeerReport) {
+        let Some(loads) = report.host_loads else {
+            return;
+        };
+        if report.data_centre != self.own_data_centre() {
+            return;
+        }
+        let bounded = loads.bounded(self.peers.hosts.data_centre_hosts());
+        self.counts.host_loads_bounded += u64::from(bounded != loads);
+        self.peers.reported_loads = Some((now, bounded));
+    }
+
     fn on_fleet_sum(&mut self, now: Duration, report: &PeerReport) {
         if self.peers.hosts.is_small_fleet(now) || !self.peers.view.accepts(now, report.hosts) {
             return;
@@ -337,6 +379,9 @@
     fn must_hasten(&mut self, state: HostState) -> bool {
         self.collect_news();
         let reported = std::mem::replace(&mut self.peers.reported_state, state);
+        if reported.load != state.load {
+            self.peers.schedule.make_report_due_now();
+        }
         let has_changed =
             (reported.is_stopping, reported.is_busy) != (state.is_stopping, state.is_busy);
         has_changed || !self.peers.news.is_empty()
@@ -444,6 +489,10 @@
         sum.work.add(&own_loads, &own_usage);
         report.hosts = sum.hosts + 1;
         report.set_work(sum.work.loads(), sum.work.usage());
+        let mut loads = self.peers.relay.members_load();
+        loads.add(&state.load);
+        self.peers.reported_loads = Some((now, loads));
+        report.host_loads = Some(loads);
         let members = self.peers.relay.members();
         let to = members.map(|(host, included)| ReportRecipient { host, included });
         let to = to.collect();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod event_stream;
 pub mod hashing;
 pub mod home_ring;
+pub mod host_load;
 pub mod idle_connections;
 pub mod load_shedding;
 pub mod memory_budget;
--- a/crates/fleet/src/peer_hosts.rs
+++ b/crates/fleet/src/peer_hosts.rs
@@ -241,6 +241,13 @@
         counted.count() + 1
     }
 
+    /// Returns the number of hosts of this host's data centre that are listed or were heard from, this one included.
+    pub fn data_centre_hosts(&self) -> u32 {
+        let others = self.relay_order.get(&self.own.data_centre);
+        let hosts = others.map_or(0, BTreeMap::len) + 1;
+        u32::try_from(hosts).unwrap_or(u32::MAX)
+    }
+
     /// Returns whether this host has had the means to learn of the others.
     pub fn knows_fleet(&self, now: Duration) -> bool {
         self.has_list || !self.hosts.is_empty() || now >= MAX_LIST_WAIT
--- a/crates/fleet/src/peer_report.rs
+++ b/crates/fleet/src/peer_report.rs
@@ -13,6 +13,7 @@
 
 use crate::account_shares::Usage;
 use crate::endpoint_load::Load;
+use crate::host_load::HostLoads;
 use crate::store_version::StoreVersion;
 use crate::store_version::TableVersions;
 
@@ -111,6 +112,10 @@
     /// Number of rows that the sender left out of `loads` and `usage`, since there was no room.
     #[serde(rename = "x", default)]
     pub left_out: u32,
+    /// Load of the hosts of the sender's data centre, or of the sender alone in a report of its own work. Hosts of an earlier
+    /// version do not send it.
+    #[serde(rename = "q", default, skip_serializing_if = "Option::is_none")]
+    pub host_loads: Option<HostLoads>,
     /// Notices of requests that crash endpoints.
     #[serde(rename = "p")]
     pub crashes: Vec<CrashNotice>,
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -9,6 +9,7 @@
 
 use nohash_hasher::IntMap;
 
+use crate::host_load::HostLoads;
 use crate::peer_report::PeerReport;
 use crate::work_sums::WorkSums;
 
@@ -24,6 +25,7 @@
 #[derive(Debug, Default)]
 pub struct Relay {
     members: IntMap<u64, Member>,
+    loads: IntMap<u64, MemberLoad>,
     data_centres: IntMap<u64, DataCentreSum>,
 }
 
@@ -35,6 +37,13 @@
     work: WorkSums,
 }
 
+/// Latest load of a host of the same data centre.
+#[derive(Debug)]
+struct MemberLoad {
+    received_at: Duration,
+    load: HostLoads,
+}
+
 /// Latest sum of another data centre.
 #[derive(Debug)]
 struct DataCentreSum {
@@ -63,6 +72,23 @@
         self.members.insert(report.host, member);
     }
 
+    /// Records the load of a host of this data centre. Returns whether its report was possible.
+    pub fn on_member_load(&mut self, now: Duration, host: u64, reported: HostLoads) -> bool {
+        let load = reported.bounded(1);
+        let received_at = now;
+        self.loads.insert(host, MemberLoad { received_at, load });
+        load == reported
+    }
+
+    /// Returns the load of the hosts of this data centre that reported theirs, without this host.
+    pub fn members_load(&self) -> HostLoads {
+        let mut sum = HostLoads::default();
+        for member in self.loads.values() {
+            sum.add(&member.load);
+        }
+        sum
+    }
+
     /// Records the sum of another data centre. Relays there may hear from different hosts; the sum
     /// of more hosts is kept while it is recent.
     pub fn on_data_centre(&mut self, now: Duration, report: &PeerReport) {
@@ -86,6 +112,7 @@
         let is_recent = |at: Duration| now.saturating_sub(at) <= MAX_REPORT_AGE;
         self.members
             .retain(|_, member| is_recent(member.received_at));
+        self.loads.retain(|_, member| is_recent(member.received_at));
         self.data_centres
             .retain(|_, sum| is_recent(sum.received_at));
     }
--- a/crates/gateway/src/caller_listener.rs
+++ b/crates/gateway/src/caller_listener.rs
@@ -1,7 +1,6 @@
 //! Accepts callers' connections.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -12,21 +11,25 @@
 use crate::gateway::Gateway;
 use crate::wire::WireFormat;
 
-/// Pause after each accepted connection while the host is overloaded. Without it a flood of
-/// connections, each read and refused, takes processor time from the requests that were admitted.
-/// Callers that are not accepted reach another host, since this one is not ready meanwhile.
-const OVERLOADED_ACCEPT_PAUSE: Duration = Duration::from_millis(1);
+/// Connections accepted in one turn of the event loop while the host is overloaded. Without a limit
+/// a flood of connections, each read and refused, takes processor time from the requests that were
+/// admitted; a pause by a timer would last as long as timers are late, and leave callers without a
+/// connection.
+const OVERLOADED_ACCEPTS_PER_TURN: u32 = 16;
 
 /// Accepts connections for as long as the process runs.
 pub async fn accept_forever<W: WireFormat, C: Clock>(
     gateway: Rc<Gateway<W, C>>,
     listener: TcpListener,
 ) {
+    let mut accepted = 0;
     loop {
         let stream = gateway.accept(&listener).await;
         spawn_local(serve_counted(gateway.clone(), stream));
-        if gateway.loop_lag.borrow().is_overloaded() {
-            tokio::time::sleep(OVERLOADED_ACCEPT_PAUSE).await;
+        accepted += 1;
+        if accepted >= OVERLOADED_ACCEPTS_PER_TURN && gateway.host_load.borrow().is_overloaded() {
+            accepted = 0;
+            tokio::task::yield_now().await;
         }
     }
 }
--- a/crates/gateway/src/early_refusal.rs
+++ b/crates/gateway/src/early_refusal.rs
@@ -56,6 +56,13 @@
     length: usize,
 }
 
+/// Response to a refused request.
+struct RefusalResponse {
+    bytes: Vec<u8>,
+    /// Whether the connection is closed after it.
+    closes: bool,
+}
+
 /// Refuses the next request on a connection if its first bytes are enough to decide that.
 pub(crate) fn refuse_next<W: WireFormat, C: Clock>(
     gateway: &Rc<Gateway<W, C>>,
@@ -76,7 +83,7 @@
         return EarlyOutcome::NotRefused;
     };
     stream.put_back(&bytes[length..]);
-    match stream.write_now(&response) && !gateway.should_close_connections() {
+    match stream.write_now(&response.bytes) && !response.closes {
         true => EarlyOutcome::Refused,
         false => EarlyOutcome::Close,
     }
@@ -140,7 +147,7 @@
 fn refuse_request<W: WireFormat, C: Clock>(
     gateway: &Rc<Gateway<W, C>>,
     head: &Parts,
-) -> Option<Vec<u8>> {
+) -> Option<RefusalResponse> {
     let received_at = gateway.now();
     let metadata = gateway.wire.parse_request(head).ok()?;
     let (route, account) = find_route(gateway, head, &metadata).ok()?;
@@ -184,7 +191,7 @@
     };
     log_refusal(gateway, &refused, reason, retry_after, &basis);
     Some(refusal_response(
-        gateway.should_close_connections(),
+        gateway.should_close_refused(),
         reason.as_str(),
         retry_after,
     ))
@@ -194,7 +201,7 @@
 fn refuse_busy<W: WireFormat, C: Clock>(
     gateway: &Rc<Gateway<W, C>>,
     refused: &RefusedRequest<'_>,
-) -> Vec<u8> {
+) -> RefusalResponse {
     let reason = RefusalReason::HostBusy;
     log_refusal(
         gateway,
@@ -204,14 +211,14 @@
         &Basis::default(),
     );
     refusal_response(
-        gateway.should_close_connections(),
+        gateway.should_close_refused(),
         reason.as_str(),
         BUSY_RETRY_AFTER,
     )
 }
 
-fn refusal_response(should_close: bool, reason: &str, retry_after: Duration) -> Vec<u8> {
-    let connection = match should_close {
+fn refusal_response(closes: bool, reason: &str, retry_after: Duration) -> RefusalResponse {
+    let connection = match closes {
         true => "connection: close\r\n",
         false => "",
     };
@@ -221,5 +228,8 @@
         "HTTP/1.1 503 Service Unavailable\r\ncontent-type: text/plain\r\nretry-after: {seconds:.3}\r\n\
          {connection}content-length: {length}\r\n\r\n{reason}"
     );
-    response.into_bytes()
+    RefusalResponse {
+        bytes: response.into_bytes(),
+        closes,
+    }
 }
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -43,7 +43,7 @@
     SettingsAdopted = 3004, "gateway_settings_adopted";
     /// Changed settings cannot be used; those before stay in force.
     SettingsUnusable = 3005, "gateway_settings_unusable";
-    /// The host has more to do than its processor allows, or has room again.
+    /// The host left the balancer's rotation for lack of processor time, or came back.
     LoadChanged = 3006, "gateway_load_changed";
     /// Another configuration is in force.
     ConfigAdopted = 3101, "gateway_config_adopted";
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,6 +14,8 @@
 use sedgeridge_fleet::dispatcher::Dispatcher;
 use sedgeridge_fleet::dispatcher::DispatcherSettings;
 use sedgeridge_fleet::hashing::stable_hash;
+use sedgeridge_fleet::host_load::HostLoad;
+use sedgeridge_fleet::host_load::HostLoads;
 use sedgeridge_fleet::load_shedding::LoadShedding;
 use sedgeridge_fleet::memory_budget::MemoryBudget;
 use sedgeridge_fleet::prompt::Prompt;
@@ -39,7 +41,6 @@
 use crate::event_log::millis;
 use crate::held_memory::HeldMemory;
 use crate::held_memory::SharedMemoryBudget;
-use crate::loop_lag::LoopLag;
 use crate::meters;
 use crate::settings::GatewaySettings;
 use crate::wire::WireFormat;
@@ -106,8 +107,8 @@
     pub memory: SharedMemoryBudget,
     /// Time at which the process was told to stop; `None` before that.
     pub stop_requested_at: watch::Sender<Option<Duration>>,
-    /// Lateness of the event loop's timers.
-    pub loop_lag: RefCell<LoopLag>,
+    /// Decides when the host leaves the balancer's rotation.
+    pub host_load: RefCell<HostLoad>,
     /// Decides which requests are shed while the host lacks processor time.
     pub shedding: RefCell<LoadShedding>,
     /// Open connections of callers.
@@ -128,8 +129,9 @@
     /// Creates the state of a router without a configuration. `run` is the number of this run of
     /// the host; a later run has a higher number.
     pub fn new(wire: W, clock: C, log: EventLog, settings: GatewaySettings, run: u64) -> Self {
+        let host = stable_hash(&settings.host);
         let dispatcher = Dispatcher::new(DispatcherSettings {
-            host: stable_hash(&settings.host),
+            host,
             run,
             data_centre: settings.data_centre.clone(),
             share_window: settings.share_window,
@@ -140,6 +142,7 @@
         });
         let limits = sedgeridge_fleet::config::CallerLimits::default();
         let budget = MemoryBudget::new(settings.memory_bytes);
+        let host_load = HostLoad::new(host, settings.processor_millicores);
         Self {
             wire,
             clock,
@@ -155,7 +158,7 @@
             max_partial_heads: budget.max_partial_heads(),
             memory: SharedMemoryBudget::new(budget),
             stop_requested_at: watch::Sender::new(None),
-            loop_lag: RefCell::new(LoopLag::default()),
+            host_load: RefCell::new(host_load),
             shedding: RefCell::default(),
             caller_connections: Cell::new(0),
             partial_heads: Cell::new(0),
@@ -345,16 +348,27 @@
     /// Returns whether the router can serve callers.
     pub fn is_ready(&self) -> bool {
         let has_endpoints = !self.dispatcher.borrow().endpoints().is_empty();
-        let has_room = !self.loop_lag.borrow().is_overloaded() && !self.memory.is_short();
+        let has_room = self.host_load.borrow().takes_callers() && !self.memory.is_short();
         let can_serve = !self.is_stopping() && has_room;
         can_serve && self.routes.borrow().version().is_some() && has_endpoints
     }
 
+    /// Returns whether the connection of a refused request is closed after the response.
+    pub fn should_close_refused(&self) -> bool {
+        let now = self.now();
+        self.should_close_connections() || self.host_load.borrow_mut().try_close(now)
+    }
+
+    /// Returns the load of the hosts of this data centre, if recent reports tell it.
+    pub fn host_loads(&self) -> Option<HostLoads> {
+        let own = self.host_load.borrow().own();
+        let now = self.now();
+        self.with_dispatcher(|dispatcher| dispatcher.host_loads(now, own))
+    }
+
     fn record_lag(&self, planned_at: Duration) {
-        let late = self.now().saturating_sub(planned_at);
-        let was_overloaded = self.loop_lag.borrow().is_overloaded();
-        self.loop_lag.borrow_mut().record(late);
         let now = self.now();
+        let late = now.saturating_sub(planned_at);
         let is_flooded = LoadShedding::is_late(late)
             && self.with_dispatcher(|dispatcher| dispatcher.has_excess_demand(now));
         let late_for_callers = match is_flooded {
@@ -362,11 +376,18 @@
             false => Duration::ZERO,
         };
         self.shedding.borrow_mut().on_timer(now, late_for_callers);
-        let is_overloaded = self.loop_lag.borrow().is_overloaded();
-        if is_overloaded != was_overloaded {
+        let is_shedding = self.shedding.borrow().is_active();
+        let reported = self.host_loads();
+        let mut load = self.host_load.borrow_mut();
+        if load.on_timer(now, late, reported) {
+            let hosts = reported.unwrap_or_default();
             let fields = [
-                ("is_overloaded", is_overloaded.into()),
-                ("late_ms", millis(late)),
+                ("is_relieved", load.is_relieved().into()),
+                ("is_shedding", is_shedding.into()),
+                ("mean_late_ms", millis(load.mean_delay())),
+                ("hosts", hosts.hosts.into()),
+                ("pressed", hosts.pressed.into()),
+                ("relieved", hosts.relieved.into()),
             ];
             self.log(LogEvent::LoadChanged, &fields);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,7 +18,6 @@
 pub mod held_memory;
 pub mod host_directory;
 pub mod http_client;
-pub mod loop_lag;
 pub mod meters;
 mod page_server;
 pub mod pages;
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -119,6 +119,12 @@
     pub unfinished: usize,
     /// Hosts that report, this one included.
     pub hosts: usize,
+    /// Whether this host has left the balancer's rotation for lack of processor time.
+    pub is_relieved: bool,
+    /// Hosts of this data centre that have left it, as far as reports tell.
+    pub hosts_relieved: u32,
+    /// Mean delay of the event loop's last timers.
+    pub timer_delay: Duration,
     /// Connections that were opened to endpoints.
     pub connections_opened: u64,
     /// Connections to endpoints that wait for their next request.
@@ -142,6 +148,9 @@
     gauge!("sedgeridge_gateway_queued").set(values.queued as f64);
     gauge!("sedgeridge_gateway_unfinished").set(values.unfinished as f64);
     gauge!("sedgeridge_gateway_hosts").set(values.hosts as f64);
+    gauge!("sedgeridge_gateway_relieved").set(f64::from(u8::from(values.is_relieved)));
+    gauge!("sedgeridge_gateway_hosts_relieved").set(f64::from(values.hosts_relieved));
+    gauge!("sedgeridge_gateway_timer_delay_seconds").set(values.timer_delay.as_secs_f64());
     gauge!("sedgeridge_gateway_connections_opened").set(values.connections_opened as f64);
     gauge!("sedgeridge_gateway_connections_idle").set(values.connections_idle as f64);
     gauge!("sedgeridge_gateway_callers").set(values.callers as f64);
@@ -152,6 +161,7 @@
     gauge!("sedgeridge_gateway_log_lines_dropped").set(values.log_lines_dropped as f64);
     gauge!("sedgeridge_gateway_sent").set(counts.sent as f64);
     gauge!("sedgeridge_gateway_resent").set(counts.resent as f64);
+    gauge!("sedgeridge_gateway_host_loads_bounded").set(counts.host_loads_bounded as f64);
     gauge!("sedgeridge_gateway_resends_denied").set(counts.resends_denied as f64);
 }
 
--- a/crates/gateway/src/pages.rs
+++ b/crates/gateway/src/pages.rs
@@ -67,6 +67,7 @@
 
 fn set_gauges<W: WireFormat, C: Clock>(gateway: &Gateway<W, C>) {
     let now = gateway.now();
+    let hosts_relieved = gateway.host_loads().map_or(0, |hosts| hosts.relieved);
     let (gauges, counts) = gateway.with_dispatcher(|dispatcher| {
         let gauges = GaugeValues {
             config_version: gateway.routes.borrow().version().unwrap_or(0),
@@ -76,6 +77,9 @@
             queued: dispatcher.queued_requests(),
             unfinished: dispatcher.unfinished_requests(),
             hosts: dispatcher.hosts(now),
+            is_relieved: gateway.host_load.borrow().is_relieved(),
+            hosts_relieved,
+            timer_delay: gateway.host_load.borrow().mean_delay(),
             connections_opened: gateway.pool.borrow().opened_count(),
             connections_idle: gateway.pool.borrow().idle_count(),
             callers: gateway.caller_connections.get(),
@@ -98,11 +102,15 @@
     gateway: &Gateway<W, C>,
     request: &Request<Incoming>,
 ) -> Page {
+    let is_ready = gateway.is_ready();
     let status = match request.uri().path() {
         path if path != gateway.wire.ready_path() => StatusCode::NOT_FOUND,
-        _ if gateway.is_ready() => StatusCode::OK,
+        _ if is_ready => StatusCode::OK,
         _ => StatusCode::SERVICE_UNAVAILABLE,
     };
+    if status != StatusCode::NOT_FOUND {
+        gateway.host_load.borrow_mut().on_ready_answer(is_ready);
+    }
     let mut page = Response::new(Full::default());
     *page.status_mut() = status;
     page
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -26,6 +26,8 @@
     pub peers_address: SocketAddr,
     /// Number of caller connections above which each response closes its connection.
     pub max_callers: usize,
+    /// Share of the processor that the process may use, in thousandths of a core; 0 if it is not known.
+    pub processor_millicores: u32,
     /// Memory that the process may use. It is killed if it uses more.
     pub memory_bytes: u64,
     /// Time between SIGTERM and SIGKILL.
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -410,6 +410,7 @@
         metrics_address: free_address(),
         peers_address: free_address(),
         max_callers: 3,
+        processor_millicores: 0,
         memory_bytes: 64 << 20,
         grace_period: Duration::from_secs(4),
         share_window: Duration::from_secs(4),
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -166,6 +166,14 @@
         "sedgeridge_gateway_held_bytes",
         "memory that requests in progress hold, their bodies included",
     ),
+    gauge(
+        "sedgeridge_gateway_host_loads_bounded",
+        "reports with an impossible load of hosts, which was bounded, since the start",
+    ),
+    gauge(
+        "sedgeridge_gateway_hosts_relieved",
+        "hosts of the data centre that left the balancer's rotation for lack of processor time",
+    ),
     gauge(
         "sedgeridge_gateway_hosts",
         "hosts that report, this one included",
@@ -208,6 +216,14 @@
         Values::Fixed(""),
         "endpoints and accounts that reports to other hosts had no room for",
     ),
+    gauge(
+        "sedgeridge_gateway_relieved",
+        "1 while this host has left the balancer's rotation for lack of processor time, else 0",
+    ),
+    gauge(
+        "sedgeridge_gateway_timer_delay_seconds",
+        "mean delay of the event loop's last timers",
+    ),
     gauge(
         "sedgeridge_gateway_resends_denied",
         "sends to a second endpoint that the budget did not allow, since the start",
