--- a/crates/fleet/tests/host_load.rs
+++ b/crates/fleet/tests/host_load.rs
@@ -7,6 +7,7 @@
 use sedgeridge_fleet::dispatcher::DispatchEvent;
 use sedgeridge_fleet::dispatcher::HostState;
 use sedgeridge_fleet::hashing::pair_hash;
+use sedgeridge_fleet::hashing::stable_hash;
 use sedgeridge_fleet::host_load::HostLoad;
 use sedgeridge_fleet::host_load::HostLoads;
 use sedgeridge_fleet::load_shedding::LoadShedding;
@@ -429,7 +430,7 @@
 fn fleet(hosts: u64) -> Vec<Host> {
     let listed = (1..=hosts).map(|host| ListedHost {
         host,
-        data_centre: sedgeridge_fleet::hashing::stable_hash("here"),
+        data_centre: stable_hash("here"),
     });
     let listed: Vec<_> = listed.collect();
     let fleet = (1..=hosts).map(|number| {
