prompt copies: further copies of long shared parts by need

Cause: a prompt with more than 300 shared tokens could go to two homes only, the second up to a quarter of its slots, so that callers were refused beside idle engines; a token read again cost .1 ms whatever the engine's speed.

--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -39,6 +39,7 @@
 use crate::peer_hosts::ListedHost;
 use crate::peer_report::PeerReport;
 use crate::placement::CachedParts;
+use crate::prompt_copies::PromptCopies;
 use crate::resend_window::ResendLimits;
 use crate::resend_window::ResendWindow;
 use crate::retry_delay::RetryDelays;
@@ -139,6 +140,7 @@
     loads: EndpointLoads,
     records: EndpointRecords,
     cached: CachedParts,
+    copies: PromptCopies,
     shares: AccountShares,
     resends: ResendWindow,
     retry_delays: RetryDelays,
@@ -163,6 +165,10 @@
     pub resent: u64,
     /// Resends that the limits did not allow.
     pub resends_denied: u64,
+    /// Copies of shared prompt parts that were opened.
+    pub copies_opened: u64,
+    /// Copies of shared prompt parts that were closed.
+    pub copies_closed: u64,
 }
 
 /// A request that has no final answer yet.
@@ -208,7 +214,8 @@
             speeds: EngineSpeeds::default(),
             loads: EndpointLoads::default(),
             records: EndpointRecords::default(),
-            cached: CachedParts::default(),
+            cached: CachedParts::new(settings.admission.cached_part_lifetime),
+            copies: PromptCopies::new(settings.admission.cached_part_lifetime),
             shares: AccountShares::new(settings.share_window),
             resends: ResendWindow::new(settings.resends, settings.host),
             retry_delays: RetryDelays::default(),
--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -12,6 +12,7 @@
 use crate::arrival::RequestId;
 use crate::endpoint_load::Load;
 use crate::endpoint_table::Endpoint;
+use crate::placement::DEFAULT_CACHE_LIFETIME;
 use crate::verdict::Decision;
 use crate::verdict::RefusalReason;
 
@@ -40,6 +41,8 @@
     /// Time added to an endpoint in another data centre when endpoints are compared: the way there and back at a
     /// millisecond each, doubled because traffic between data centres is paid for.
     pub remote_cost: Duration,
+    /// Time after its last use for which a part of a prompt counts as cached.
+    pub cached_part_lifetime: Duration,
 }
 
 impl Default for AdmissionSettings {
@@ -53,6 +56,7 @@
             memory_ratio: 0.9,
             plain_requests_per_slot: 2.0,
             remote_cost: Duration::from_millis(4),
+            cached_part_lifetime: DEFAULT_CACHE_LIFETIME,
         }
     }
 }
--- a/crates/fleet/src/dispatcher/attempts.rs
+++ b/crates/fleet/src/dispatcher/attempts.rs
@@ -91,6 +91,10 @@
                 return true;
             }
         }
+        self.note_copy(now, id, endpoint.key);
+        let Some(pending) = self.requests.get_mut(&id) else {
+            return true;
+        };
         let unread_before = self.loads.total(endpoint.key).unread_tokens;
         pending.attempt = Some(Attempt {
             endpoint: endpoint.clone(),
--- a/crates/fleet/src/dispatcher/candidates.rs
+++ b/crates/fleet/src/dispatcher/candidates.rs
@@ -6,24 +6,20 @@
 use super::Dispatcher;
 use super::Pending;
 use super::allowed_endpoints::AllowedEndpoints;
+use super::allowed_endpoints::CopyOrder;
 use crate::config::EngineSpec;
 use crate::endpoint_load::Load;
 use crate::endpoint_table::Endpoint;
 use crate::hashing::pair_hash;
 use crate::prompt::Prompt;
+use crate::prompt_copies::reread_cost_ms;
 
 /// Cost in the comparison of an endpoint with a failure share of 1. It is several latency targets, so that any endpoint
 /// that answers is preferred to one that never does.
 const FAILURE_COST_MS: f64 = 400.0;
-/// Cost in the comparison of each shared token that an endpoint has not cached, in addition to its reading time: it
-/// displaces other shared parts from the cache, which are then read again.
-const REREAD_TOKEN_COST_MS: f64 = 0.1;
-/// Cost in the comparison of the second home of a prompt, a third of the time in which a usual shared part is read. Below
-/// this difference in time, all requests about a subject go to its first home, which alone caches the shared part.
-const SECOND_HOME_COST_MS: f64 = 30.0;
-/// Fraction of its slots in use up to which the second home takes a prompt with a long shared part. Each home has to read
-/// the shared part; without a second home more requests are refused under light load.
-const SECOND_HOME_RATIO: f64 = 0.25;
+/// Cost in the comparison of a copy other than the first home's, a third of the time in which a usual shared part is read.
+/// Below this difference in time, all requests about a subject go to its first home, which alone caches the shared part.
+const COPY_COST_MS: f64 = 30.0;
 /// Fraction of the shared tokens that counts as memory of one request: several requests hold them together.
 const SHARED_MEMORY_RATIO: f64 = 0.3;
 /// Fraction of the maximum answer length that counts as memory: answers end early, and grow while they run.
@@ -66,6 +62,9 @@
             AllowedEndpoints::Preferred { .. } if best.is_none() => {
                 self.best_of(now, pending, &AllowedEndpoints::Any)
             }
+            AllowedEndpoints::Copies(order) if best.is_none() && order.may_open => {
+                self.next_with_capacity(now, pending, &order)
+            }
             _ => best,
         }
     }
@@ -88,6 +87,21 @@
         self.best_among(now, pending, allowed, usable)
     }
 
+    /// Returns the first endpoint of an order with free capacity, if those that have a copy are full.
+    fn next_with_capacity(
+        &self,
+        now: Duration,
+        pending: &Pending,
+        order: &CopyOrder,
+    ) -> Option<Candidate<'_>> {
+        let rest = order.rest();
+        let mut listed = rest.filter_map(|key| self.endpoints.get_by_key(key));
+        listed.find_map(|endpoint| {
+            let usable = std::iter::once(endpoint).filter(|it| !it.is_leaving);
+            self.best_among(now, pending, &AllowedEndpoints::Any, usable)
+        })
+    }
+
     /// Returns the best of some endpoints of the request's service.
     fn best_among<'a>(
         &'a self,
@@ -107,18 +121,7 @@
         });
         let candidates = untried.filter_map(|endpoint| match (prompt, engine) {
             (Some(prompt), Some(engine)) => {
-                let home = allowed.home_rank(endpoint.key);
-                let candidate =
-                    self.engine_candidate(now, endpoint, engine, prompt, home.is_some())?;
-                let is_second = matches!(allowed, AllowedEndpoints::Homes(_)) && home == Some(1);
-                if is_second && candidate.busy_ratio > SECOND_HOME_RATIO {
-                    return None;
-                }
-                let home_cost_ms = f64::from(u8::from(is_second)) * SECOND_HOME_COST_MS;
-                Some(Candidate {
-                    cost_ms: candidate.cost_ms + home_cost_ms,
-                    ..candidate
-                })
+                self.engine_candidate(now, endpoint, engine, prompt, allowed)
             }
             _ => self.plain_candidate(now, endpoint),
         });
@@ -140,11 +143,12 @@
         endpoint: &'a Arc<Endpoint>,
         engine: EngineSpec,
         prompt: &Prompt,
-        is_home: bool,
+        allowed: &AllowedEndpoints,
     ) -> Option<Candidate<'a>> {
         let settings = &self.settings.admission;
         let key = endpoint.key;
         let total = self.loads.total(key);
+        let is_home = allowed.is_home(key);
         let unread = self.cached.unread_tokens(now, key, prompt, is_home);
         let own_tokens = prompt.prompt_tokens.saturating_sub(prompt.shared_tokens());
         let unread_shared = unread.saturating_sub(own_tokens);
@@ -165,13 +169,17 @@
         }
         let backlog = f64::from(total.unread_tokens);
         let first_event_ms = self.speeds.first_event_ms(key, backlog + f64::from(unread));
+        let tokens_per_ms = self.speeds.tokens_per_ms(key);
+        let lifetime = settings.cached_part_lifetime;
+        let shared_cost_ms = match unread_shared {
+            0 if allowed.is_further_copy(key) => COPY_COST_MS,
+            _ => reread_cost_ms(unread_shared, tokens_per_ms, engine.memory_tokens, lifetime),
+        };
         Some(Candidate {
             endpoint,
             load,
-            cost_ms: first_event_ms
-                + f64::from(unread_shared) * REREAD_TOKEN_COST_MS
-                + self.extra_cost_ms(now, endpoint),
-            backlog_ms: backlog / self.speeds.tokens_per_ms(key),
+            cost_ms: first_event_ms + shared_cost_ms + self.extra_cost_ms(now, endpoint),
+            backlog_ms: backlog / tokens_per_ms,
             first_event_ms,
             busy_ratio: f64::from(total.requests) / f64::from(endpoint.slots.max(1)),
         })
--- a/crates/fleet/src/home_ring.rs
+++ b/crates/fleet/src/home_ring.rs
@@ -10,8 +10,7 @@
 
 use crate::hashing::pair_hash;
 
-/// Number of home endpoints of each prompt. With one, a burst of one prompt overflows to other endpoints and is read again
-/// there; with more, each copy is used too rarely to stay cached.
+/// Number of home endpoints of a prompt with a short shared part.
 pub const HOMES_PER_PROMPT: usize = 2;
 /// Points of a prompt. More points make the shares of endpoints more even, and a decision slower.
 const POINTS_PER_PROMPT: u64 = 16;
@@ -66,16 +65,46 @@
     /// Returns the homes of prompts with a key among the endpoints that `is_usable` accepts. It is
     /// asked about few of them.
     pub fn homes(&self, key: u64, is_usable: impl Fn(u64) -> bool) -> Homes {
+        let mut order = self.order(key, HOMES_PER_PROMPT, is_usable).into_iter();
+        std::array::from_fn(|_| order.next())
+    }
+
+    /// Returns at most `max_endpoints` endpoints that `is_usable` accepts, the first home first. If
+    /// one is removed, those after it move up.
+    ///
+    /// ```
+    /// use sedgeridge_fleet::home_ring::HomeRing;
+    ///
+    /// let mut ring = HomeRing::default();
+    /// for endpoint in 1..=8 {
+    ///     ring.insert(endpoint);
+    /// }
+    /// let order = ring.order(7, 4, |_| true);
+    /// assert_eq!(order.len(), 4);
+    /// assert_eq!(ring.homes(7, |_| true), [Some(order[0]), Some(order[1])]);
+    /// ```
+    pub fn order(
+        &self,
+        key: u64,
+        max_endpoints: usize,
+        is_usable: impl Fn(u64) -> bool,
+    ) -> Vec<u64> {
         let mut candidates: Vec<Candidate> = Vec::new();
         for number in 0..POINTS_PER_PROMPT {
             let point = pair_hash(key, number);
             candidates.extend(self.following(point, &is_usable).into_iter().flatten());
         }
-        let first = candidates.iter().min().map(|(_, endpoint)| *endpoint);
-        let others = candidates.iter();
-        let others = others.filter(|(_, endpoint)| Some(*endpoint) != first);
-        let second = others.min().map(|(_, endpoint)| *endpoint);
-        [first, second]
+        candidates.sort_unstable();
+        let mut order = Vec::with_capacity(max_endpoints);
+        for (_, endpoint) in candidates {
+            if order.len() == max_endpoints {
+                break;
+            }
+            if !order.contains(&endpoint) {
+                order.push(endpoint);
+            }
+        }
+        order
     }
 
     /// Returns the first usable endpoints at or after a point.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod peer_versions;
 pub mod placement;
 pub mod prompt;
+pub mod prompt_copies;
 pub mod registration_retries;
 pub mod relay;
 pub mod resend_window;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -5,11 +5,11 @@
 
 use crate::prompt::Prompt;
 
-/// Time after its last use for which a part counts as cached. Engines evict the least recently used parts; under load the
-/// contents of their memory change completely within some tens of seconds.
-const CACHE_LIFETIME: Duration = Duration::from_secs(15);
+/// Default of the time after its last use for which a part counts as cached. Engines evict the least recently used parts;
+/// under load the contents of their memory change completely within some tens of seconds.
+pub const DEFAULT_CACHE_LIFETIME: Duration = Duration::from_secs(15);
 /// Maximum number of remembered parts, which take some megabytes. A host that sends 200 requests a second with three parts
-/// each notes 9,000 parts within [`CACHE_LIFETIME`].
+/// each notes 9,000 parts within [`DEFAULT_CACHE_LIFETIME`].
 pub const MAX_REMEMBERED_PARTS: usize = 20_000;
 
 /// Prompt parts that this host's requests made endpoints cache.
@@ -17,13 +17,29 @@
 /// Parts are kept in two generations. When the younger one reaches half of the maximum, it replaces the older one. Callers
 /// choose how many parts they name; even a flood of them neither exceeds the maximum nor makes the host search all parts
 /// for each request.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct CachedParts {
+    lifetime: Duration,
     younger: HashMap<(u64, u64), Duration>,
     older: HashMap<(u64, u64), Duration>,
 }
 
+impl Default for CachedParts {
+    fn default() -> Self {
+        Self::new(DEFAULT_CACHE_LIFETIME)
+    }
+}
+
 impl CachedParts {
+    /// Creates an empty table. A part counts as cached for `lifetime` after its last use.
+    pub fn new(lifetime: Duration) -> Self {
+        Self {
+            lifetime,
+            younger: HashMap::new(),
+            older: HashMap::new(),
+        }
+    }
+
     /// Notes that an endpoint has read a prompt.
     pub fn note(&mut self, now: Duration, endpoint: u64, prompt: &Prompt) {
         for part in &prompt.parts {
@@ -56,7 +72,7 @@
         let mut cached = 0;
         for (index, part) in prompt.parts.iter().enumerate() {
             let read_at = self.read_at(endpoint, part.id);
-            let is_read = read_at.is_some_and(|at| now.saturating_sub(at) < CACHE_LIFETIME);
+            let is_read = read_at.is_some_and(|at| now.saturating_sub(at) < self.lifetime);
             let is_cached = is_read || is_home && index < shared_parts;
             if !is_cached {
                 break;
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -153,6 +153,8 @@
     gauge!("sedgeridge_gateway_sent").set(counts.sent as f64);
     gauge!("sedgeridge_gateway_resent").set(counts.resent as f64);
     gauge!("sedgeridge_gateway_resends_denied").set(counts.resends_denied as f64);
+    gauge!("sedgeridge_gateway_copies_opened").set(counts.copies_opened as f64);
+    gauge!("sedgeridge_gateway_copies_closed").set(counts.copies_closed as f64);
 }
 
 fn kind_label(repeat: Repeat) -> &'static str {
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -148,6 +148,14 @@
         "sedgeridge_gateway_endpoints_cold",
         "endpoints that are cold, as far as this host knows",
     ),
+    gauge(
+        "sedgeridge_gateway_copies_closed",
+        "copies of shared prompt parts that were closed since the start",
+    ),
+    gauge(
+        "sedgeridge_gateway_copies_opened",
+        "copies of shared prompt parts that were opened since the start",
+    ),
     gauge(
         "sedgeridge_gateway_data_centres_evacuated",
         "data centres that the operator has evacuated",
