--- a/crates/fleet/src/plain_pressure.rs
+++ b/crates/fleet/src/plain_pressure.rs
@@ -112,7 +112,7 @@
         pressure.is_some_and(|it| now >= it.observed_at + OBSERVATION_INTERVAL)
     }
 
-    /// Notes the requests at the service's endpoints, as a fraction of those that are answered in time.
+    /// Records the requests at the service's endpoints, as a fraction of those that are answered in time.
     pub fn observe(&mut self, now: Duration, service: &ServiceId, fill_ratio: f64) {
         if let Some(pressure) = self.services.get_mut(service) {
             pressure.observe(now, fill_ratio);
--- a/crates/fleet/src/verdict.rs
+++ b/crates/fleet/src/verdict.rs
@@ -45,7 +45,7 @@
     pub least_share_used: f64,
     /// Requests that waited on this host.
     pub queued_requests: usize,
-    /// Part of the plain service's requests that is admitted; `None` for prompts.
+    /// Fraction of the plain service's requests that is admitted; `None` for prompts.
     pub admitted_part: Option<f64>,
     /// Hosts whose reports counted, this one included.
     pub hosts: usize,
--- a/crates/fleet/tests/support/plain_play.rs
+++ b/crates/fleet/tests/support/plain_play.rs
@@ -40,7 +40,7 @@
 /// Mean time for which a request takes a slot.
 const WORK_MS: u64 = 30;
 /// Slots of an endpoint.
-const SLOTS: usize = 6;
+const SLOTS_PER_ENDPOINT: usize = 6;
 /// Requests that may wait at an endpoint; it rejects any beyond that.
 const QUEUE_LENGTH: usize = 24;
 /// One-way delay between a caller and a host, between hosts, or between a host and an endpoint.
@@ -127,7 +127,7 @@
 pub fn capacity_per_s(endpoints: usize) -> f64 {
     let tail = (TAIL_FACTOR - 1) as f64 / TAIL_ONE_IN as f64;
     let mean_work_ms = WORK_MS as f64 * (1.0 + tail);
-    (endpoints * SLOTS) as f64 * 1_000.0 / mean_work_ms
+    (endpoints * SLOTS_PER_ENDPOINT) as f64 * 1_000.0 / mean_work_ms
 }
 
 /// Simulates a load to its end.
@@ -150,7 +150,7 @@
         let names = (0..load.endpoints).map(|number| format!("ledger-{number}"));
         let listed: Vec<_> = names
             .map(|name| Endpoint {
-                slots: SLOTS as u32,
+                slots: SLOTS_PER_ENDPOINT as u32,
                 ..endpoint(PLAIN, &name)
             })
             .collect();
@@ -315,7 +315,7 @@
     fn on_reach(&mut self, now_ms: u64, endpoint: usize, host: usize, id: RequestId) {
         self.results.arrivals += 1;
         let state = &mut self.endpoints[endpoint];
-        if state.running < SLOTS {
+        if state.running < SLOTS_PER_ENDPOINT {
             state.running += 1;
             self.run_request(now_ms, endpoint, host, id);
         } else if state.waiting.len() < QUEUE_LENGTH {
@@ -370,7 +370,7 @@
         ReportedLoad {
             running: running as u32,
             waiting: waiting as u32,
-            slots: SLOTS as u32,
+            slots: SLOTS_PER_ENDPOINT as u32,
             work_percent: None,
         }
     }
