--- a/crates/slopes/src/data_paths.rs
+++ b/crates/slopes/src/data_paths.rs
@@ -21,7 +21,7 @@
 use sedgeridge_platform_standins::documents::RouteKind;
 use sedgeridge_platform_standins::documents::RouteSpec;
 use sedgeridge_platform_standins::endpoint;
-use sedgeridge_platform_standins::endpoint::ListedId;
+use sedgeridge_platform_standins::endpoint::ListedRun;
 use sedgeridge_platform_standins::endpoint::RunLog;
 use sedgeridge_platform_standins::endpoint::STREAM_PATH;
 use sedgeridge_platform_standins::endpoint::StreamShape;
@@ -83,10 +83,11 @@
         interval: Duration::from_secs_f64(target::TOKEN_INTERVAL_MS / 1e3),
     };
     let store = store::spawn(rows.clone())?;
-    let endpoint = endpoint::spawn(ListedId::new("e-1"), RunLog::default(), shape)?;
+    let endpoint = endpoint::spawn(ListedRun::new("e-1", "v1"), RunLog::default(), shape)?;
     rows.put(OPERATOR_TABLE, CONFIG_KEY, &documents::config(&config()));
     let entry = documents::endpoint(&EndpointSpec {
         service: "streams".to_owned(),
+        software_version: "v1".to_owned(),
         address: endpoint.address(),
         data_centre: "dc-0".to_owned(),
         slots: SLOTS,
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -29,6 +29,7 @@
 
 use crate::records::Outcome;
 use crate::records::RequestRecord;
+use crate::site::FIRST_SOFTWARE_VERSION;
 use crate::site::HOST;
 use crate::site::TIMEOUT;
 use crate::site::key;
@@ -291,7 +292,9 @@
             .get("id")
             .and_then(|number| number.parse::<u64>().ok());
         let data = fields.get("data").copied().unwrap_or_default();
-        if number != Some(*next_event) || data != event_data(id, *next_event) {
+        if number != Some(*next_event)
+            || data != event_data(id, *next_event, FIRST_SOFTWARE_VERSION)
+        {
             return Some(format!("{event:?} instead of event {next_event}"));
         }
         *next_event += 1;
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -13,7 +13,7 @@
 use sedgeridge_platform_standins::documents::RouteKind;
 use sedgeridge_platform_standins::documents::RouteSpec;
 use sedgeridge_platform_standins::endpoint;
-use sedgeridge_platform_standins::endpoint::ListedId;
+use sedgeridge_platform_standins::endpoint::ListedRun;
 use sedgeridge_platform_standins::endpoint::RunLog;
 use sedgeridge_platform_standins::endpoint::STREAM_PATH;
 use sedgeridge_platform_standins::endpoint::StreamShape;
@@ -37,6 +37,8 @@
 const SLOTS: u32 = 16;
 const STREAM_SERVICE: &str = "streams";
 const WHOLE_SERVICE: &str = "answers";
+/// Software version of the endpoints at the start of a run.
+pub const FIRST_SOFTWARE_VERSION: &str = "v1";
 /// Table of another system that uses the store.
 const OTHER_TABLE: &str = "other";
 /// Writes of the other system that are lost, more than all others of a run.
@@ -78,7 +80,7 @@
     pub server: RunningServer,
     /// Link from all routers to the endpoint.
     pub link: Link,
-    listed_id: ListedId,
+    listed_run: ListedRun,
     service: &'static str,
     data_centre: String,
     index: usize,
@@ -187,8 +189,8 @@
 
 impl SoakEndpoint {
     fn start(index: usize, runs: &RunLog) -> io::Result<Self> {
-        let listed_id = ListedId::new(&endpoint_id(index, 0));
-        let server = endpoint::spawn(listed_id.clone(), runs.clone(), StreamShape::default())?;
+        let listed_run = ListedRun::new(&endpoint_id(index, 0), FIRST_SOFTWARE_VERSION);
+        let server = endpoint::spawn(listed_run.clone(), runs.clone(), StreamShape::default())?;
         let link = Link::to(server.address())?;
         let service = match index % 2 {
             0 => STREAM_SERVICE,
@@ -197,7 +199,7 @@
         Ok(Self {
             server,
             link,
-            listed_id,
+            listed_run,
             service,
             data_centre: format!("dc-{}", index / 2 % DATA_CENTRES),
             index,
@@ -211,6 +213,7 @@
         self.is_leaving.set(is_leaving);
         let entry = documents::endpoint(&EndpointSpec {
             service: self.service.to_owned(),
+            software_version: self.listed_run.software_version().to_string(),
             address: self.link.address(),
             data_centre: self.data_centre.clone(),
             slots: SLOTS,
@@ -224,7 +227,7 @@
     pub fn relist(&self, rows: &StoreRows) {
         rows.remove(ENDPOINTS_TABLE, &self.id());
         self.incarnation.set(self.incarnation.get() + 1);
-        self.listed_id.set(&self.id());
+        self.listed_run.set(&self.id(), FIRST_SOFTWARE_VERSION);
         self.put_entry(rows, false);
     }
 
