A broken stream goes on only at the software version that began it

What callers saw: one answer with events of two software versions (ORDER).

Cause: the version in an endpoint's entry was checked for its type and dropped. A broken stream was placed like any request that may run again: at any endpoint of the service.

The dispatcher binds a stream to its origin, service and software version, with the first successful answer. From there on only endpoints with this origin are compared, at most 32 of them, found by an index of the endpoint table; before, all endpoints of the service were compared for a stream that went on. Without one, the stream ends at once.

--- a/crates/fleet/examples/decision_time.rs
+++ b/crates/fleet/examples/decision_time.rs
@@ -206,6 +206,7 @@
             max_output_tokens: 300,
             parts,
         }),
+        origin: None,
         fingerprint: None,
     }
 }
--- a/crates/fleet/examples/report_bytes.rs
+++ b/crates/fleet/examples/report_bytes.rs
@@ -178,6 +178,7 @@
         received_at: Duration::ZERO,
         deadline: Duration::from_secs(60),
         prompt: None,
+        origin: None,
         fingerprint: None,
     }
 }
--- a/crates/fleet/src/arrival.rs
+++ b/crates/fleet/src/arrival.rs
@@ -8,6 +8,7 @@
 
 use crate::config::Route;
 use crate::prompt::Prompt;
+use crate::stream_origin::StreamOrigin;
 
 /// Number of a request, unique within the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -30,6 +31,8 @@
     pub deadline: Duration,
     /// Prompt, for requests to model engines.
     pub prompt: Option<Prompt>,
+    /// Origin of the stream that the request resumes. Only endpoints with this origin may get it.
+    pub origin: Option<StreamOrigin>,
     /// Digest of the request's content, equal when the same request is sent again. It is computed only where it may
     /// matter, since the digest of a long body costs more than a refusal.
     pub fingerprint: Option<Fingerprint>,
--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -112,6 +112,9 @@
     Arrived(Box<Arrival>),
     /// The first piece of a request's answer arrived.
     FirstPiece(RequestId),
+    /// An endpoint answered a resumable stream with success. From here on the stream may go on only at endpoints with the
+    /// same origin.
+    StreamBegan(RequestId),
     /// A request's answer is complete.
     Completed(RequestId),
     /// The fingerprint of a request that arrived without one was computed.
@@ -258,6 +261,7 @@
             }
             DispatchEvent::Arrived(arrival) => self.on_arrival(now, *arrival, decisions),
             DispatchEvent::FirstPiece(request) => self.on_first_piece(now, request),
+            DispatchEvent::StreamBegan(request) => self.on_stream_began(request),
             DispatchEvent::Completed(request) => self.on_completed(now, request),
             DispatchEvent::FingerprintComputed(request, fingerprint) => {
                 if let Some(pending) = self.requests.get_mut(&request) {
--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -141,8 +141,15 @@
         if now >= arrival.deadline {
             return Admission::Refuse(RefusalReason::OutOfTime, None);
         }
+        let no_endpoint_of_version = arrival
+            .origin
+            .is_some_and(|origin| self.endpoints_with_origin(arrival, origin).is_empty());
+        if no_endpoint_of_version {
+            return Admission::Refuse(RefusalReason::VersionGone, None);
+        }
         let is_over_share = self.share_used(arrival) > 1.0;
-        let is_first_send = arrival.prompt.is_some() && pending.sends == 0;
+        let is_first_send =
+            arrival.prompt.is_some() && pending.sends == 0 && arrival.origin.is_none();
         if is_over_share && is_first_send && self.has_no_room(now) {
             return Admission::Refuse(RefusalReason::OverShare, None);
         }
@@ -184,7 +191,7 @@
         if arrival.prompt.is_none() {
             return self.admits_plain(pending, best);
         }
-        if pending.may_have_run {
+        if pending.may_have_run || arrival.origin.is_some() {
             // The request was started before: its caller waits for the rest, and engines have done work for it.
             return true;
         }
--- a/crates/fleet/src/dispatcher/allowed_endpoints.rs
+++ b/crates/fleet/src/dispatcher/allowed_endpoints.rs
@@ -1,16 +1,24 @@
 //! Selects the endpoints to which a request may go, before their load is compared.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::Dispatcher;
 use super::Pending;
+use crate::arrival::Arrival;
+use crate::endpoint_table::Endpoint;
 use crate::hashing::pair_hash;
 use crate::home_ring::Homes;
+use crate::stream_origin::StreamOrigin;
 
 /// Number of shared tokens above which a prompt is read only at its homes. Otherwise, when all engines are nearly full, any
 /// engine with a free slot would read the shared part again.
 const MAX_SHARED_TOKENS_ANYWHERE: u32 = 300;
 
+/// Endpoints that are compared for a stream that goes on. Enough to find a free one among busy ones, in a service of any
+/// size.
+const MAX_COMPARED_WITH_ORIGIN: usize = 32;
+
 /// Endpoints to which a request may go.
 pub(super) enum AllowedEndpoints {
     /// Any endpoint with free capacity.
@@ -89,6 +97,33 @@
         AllowedEndpoints::Preferred { homes, drawn, cold }
     }
 
+    /// Returns the endpoints at which a stream with this origin may go on.
+    pub(super) fn endpoints_with_origin(
+        &self,
+        arrival: &Arrival,
+        origin: StreamOrigin,
+    ) -> &[Arc<Endpoint>] {
+        let usable = self.endpoints.with_origin(origin);
+        // The route may lead to another service than when the stream began.
+        match usable.first() {
+            Some(first) if first.service == arrival.service => usable,
+            _ => &[],
+        }
+    }
+
+    /// Returns those of them that are compared for a request, a different part for each request and host.
+    pub(super) fn drawn_with_origin(
+        &self,
+        arrival: &Arrival,
+        origin: StreamOrigin,
+    ) -> impl Iterator<Item = &Arc<Endpoint>> {
+        let usable = self.endpoints_with_origin(arrival, origin);
+        let draw = pair_hash(self.settings.host, arrival.id.0);
+        let first = draw.checked_rem(usable.len() as u64).unwrap_or(0);
+        let from_first = usable.iter().cycle().skip(first as usize);
+        from_first.take(usable.len().min(MAX_COMPARED_WITH_ORIGIN))
+    }
+
     /// Returns whether an endpoint works, as far as this host knows, and takes requests now.
     fn is_sound(&self, now: Duration, endpoint: u64) -> bool {
         let listed = self.endpoints.get_by_key(endpoint);
--- a/crates/fleet/src/dispatcher/attempts.rs
+++ b/crates/fleet/src/dispatcher/attempts.rs
@@ -13,6 +13,7 @@
 use crate::arrival::RequestId;
 use crate::endpoint_load::Load;
 use crate::endpoint_table::Endpoint;
+use crate::stream_origin::StreamOrigin;
 use crate::verdict::Basis;
 use crate::verdict::Decision;
 use crate::verdict::Failure;
@@ -154,6 +155,16 @@
         self.tick_early(now);
     }
 
+    pub(super) fn on_stream_began(&mut self, id: RequestId) {
+        let Some(pending) = self.requests.get_mut(&id) else {
+            return;
+        };
+        if let Some(attempt) = &pending.attempt {
+            let origin = StreamOrigin::of(&attempt.endpoint);
+            pending.arrival.origin.get_or_insert(origin);
+        }
+    }
+
     pub(super) fn on_completed(&mut self, now: Duration, id: RequestId) {
         let Some(mut pending) = self.requests.remove(&id) else {
             return;
--- a/crates/fleet/src/dispatcher/candidates.rs
+++ b/crates/fleet/src/dispatcher/candidates.rs
@@ -60,6 +60,10 @@
 impl Dispatcher {
     /// Returns the best endpoint with free capacity among those allowed for the request.
     pub(super) fn best_candidate(&self, now: Duration, pending: &Pending) -> Option<Candidate<'_>> {
+        if let Some(origin) = pending.arrival.origin {
+            let drawn = self.drawn_with_origin(&pending.arrival, origin);
+            return self.best_among(now, pending, &AllowedEndpoints::Any, drawn);
+        }
         let allowed = self.allowed_endpoints(now, pending);
         let best = self.best_of(now, pending, &allowed);
         match allowed {
--- a/crates/fleet/src/endpoint_table.rs
+++ b/crates/fleet/src/endpoint_table.rs
@@ -13,6 +13,7 @@
 use crate::hashing::pair_hash;
 use crate::hashing::stable_hash;
 use crate::home_ring::HomeRing;
+use crate::stream_origin::StreamOrigin;
 
 /// One run of an endpoint. A restart may keep the id; the new run then has a later start.
 #[derive(Debug, Clone, PartialEq)]
@@ -76,6 +77,8 @@
     by_id: BTreeMap<EndpointId, Arc<Endpoint>>,
     by_key: IntMap<u64, Arc<Endpoint>>,
     by_service: HashMap<ServiceId, ServiceEndpoints>,
+    /// Endpoints that take new work, in order of their ids, by the origin of the streams that they begin.
+    by_origin: IntMap<u64, Vec<Arc<Endpoint>>>,
 }
 
 /// The endpoints of one service.
@@ -110,10 +113,15 @@
     }
 
     fn position_of(&self, id: &EndpointId) -> Result<usize, usize> {
-        self.usable.binary_search_by(|known| known.id.cmp(id))
+        position_of(&self.usable, id)
     }
 }
 
+/// Returns the position of an id among endpoints in order of their ids, or the one at which it would be inserted.
+fn position_of(endpoints: &[Arc<Endpoint>], id: &EndpointId) -> Result<usize, usize> {
+    endpoints.binary_search_by(|known| known.id.cmp(id))
+}
+
 impl EndpointTable {
     /// Adds a new or changed entry. Returns the earlier run that it replaces.
     ///
@@ -131,6 +139,7 @@
         let replaced = self.remove(&endpoint.id);
         let service_endpoints = self.by_service.entry(endpoint.service.clone()).or_default();
         service_endpoints.add(&endpoint);
+        self.add_by_origin(&endpoint);
         self.by_id.insert(endpoint.id.clone(), endpoint.clone());
         self.by_key.insert(endpoint.key, endpoint.clone());
         replaced.filter(|replaced| replaced.key != endpoint.key)
@@ -143,9 +152,34 @@
         if let Some(service_endpoints) = self.by_service.get_mut(&removed.service) {
             service_endpoints.remove(&removed);
         }
+        self.remove_by_origin(&removed);
         Some(removed)
     }
 
+    fn add_by_origin(&mut self, endpoint: &Arc<Endpoint>) {
+        if endpoint.is_leaving {
+            return;
+        }
+        let StreamOrigin(origin) = StreamOrigin::of(endpoint);
+        let usable = self.by_origin.entry(origin).or_default();
+        if let Err(at) = position_of(usable, &endpoint.id) {
+            usable.insert(at, endpoint.clone());
+        }
+    }
+
+    fn remove_by_origin(&mut self, endpoint: &Endpoint) {
+        let StreamOrigin(origin) = StreamOrigin::of(endpoint);
+        let Some(usable) = self.by_origin.get_mut(&origin) else {
+            return;
+        };
+        if let Ok(at) = position_of(usable, &endpoint.id) {
+            usable.remove(at);
+        }
+        if usable.is_empty() {
+            self.by_origin.remove(&origin);
+        }
+    }
+
     /// Marks a run as leaving. Returns whether it was not marked before. A later run under the same
     /// id is not changed.
     pub fn set_leaving(&mut self, run: &Endpoint) -> bool {
@@ -186,6 +220,12 @@
         service_endpoints.map_or(&[], |it| it.usable.as_slice())
     }
 
+    /// Returns the endpoints that begin streams with this origin and take new work, in order of their ids.
+    pub fn with_origin(&self, origin: StreamOrigin) -> &[Arc<Endpoint>] {
+        let usable = self.by_origin.get(&origin.0);
+        usable.map_or(&[], Vec::as_slice)
+    }
+
     /// Returns whether a run is listed and takes new work.
     pub fn is_usable(&self, run: &Endpoint) -> bool {
         let known = self.by_id.get(&run.id);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod store_followers;
 pub mod store_outage;
 pub mod store_version;
+pub mod stream_origin;
 pub mod table_copy_budget;
 pub mod unreported_starts;
 pub mod verdict;
--- a/crates/fleet/src/verdict.rs
+++ b/crates/fleet/src/verdict.rs
@@ -68,6 +68,8 @@
     Overload,
     /// No endpoint of the service can be reached.
     NoEndpoint,
+    /// No endpoint has the software version that began the stream.
+    VersionGone,
     /// The request crashed endpoints that ran it.
     Quarantined,
     /// Endpoints rejected every attempt without running the request.
@@ -85,6 +87,7 @@
             Self::OverShare => "over_share",
             Self::Overload => "overload",
             Self::NoEndpoint => "no_endpoint",
+            Self::VersionGone => "version_gone",
             Self::Quarantined => "quarantined",
             Self::TurnedAway => "turned_away",
             Self::OutOfTime => "out_of_time",
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -200,6 +200,7 @@
         received_at: at(now),
         deadline: at(now + 2_000),
         prompt: None,
+        origin: None,
         fingerprint: Some(Fingerprint(u128::from(now))),
     }
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -114,6 +114,7 @@
         received_at: read.received_at,
         deadline: read.outgoing.deadline,
         prompt: read.prompt.clone(),
+        origin: None,
         fingerprint: needs_fingerprint.then(|| read.outgoing.fingerprint()),
     }
 }
@@ -244,6 +245,9 @@
     ) -> CallerResponse {
         let (status, headers) = attempt::head_for_caller(&response.head);
         self.record_first_piece();
+        if self.route.repeat == (Repeat::Stream { resumable: true }) {
+            self.gateway.handle(DispatchEvent::StreamBegan(self.id));
+        }
         let forwarder = stream_forward::StreamForwarder {
             gateway: self.gateway,
             guard: self.guard,
--- a/crates/gateway/src/early_refusal.rs
+++ b/crates/gateway/src/early_refusal.rs
@@ -170,6 +170,7 @@
         received_at,
         deadline: received_at + time_left.min(route.timeout),
         prompt: metadata.prompt.clone(),
+        origin: None,
         fingerprint: None,
         route: route.clone(),
     };
