--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -141,10 +141,7 @@
         if now >= arrival.deadline {
             return Admission::Refuse(RefusalReason::OutOfTime, None);
         }
-        let no_endpoint_of_version = arrival
-            .origin
-            .is_some_and(|origin| self.endpoints_with_origin(arrival, origin).is_empty());
-        if no_endpoint_of_version {
+        if self.is_version_gone(pending) {
             return Admission::Refuse(RefusalReason::VersionGone, None);
         }
         let is_over_share = self.share_used(arrival) > 1.0;
@@ -185,6 +182,15 @@
         Admission::Refuse(reason, Some(best.into()))
     }
 
+    /// Returns whether the request's stream has begun and no endpoint is left at which it may go on.
+    fn is_version_gone(&self, pending: &Pending) -> bool {
+        let arrival = &pending.arrival;
+        arrival.origin.is_some_and(|origin| {
+            let mut usable = self.endpoints_with_origin(arrival, origin).iter();
+            usable.all(|endpoint| pending.tried_endpoints.contains(&endpoint.key))
+        })
+    }
+
     fn is_admitted(&self, now: Duration, pending: &Pending, best: &Candidate<'_>) -> bool {
         let arrival = &pending.arrival;
         let settings = &self.settings.admission;
