soak: releases under broken streams that callers resume; only live hosts hold origins

The soak replaces all endpoints by two further software versions in each run, one after the other, while its other faults go on; callers resume broken streams within their time, at any router. Checked: all events of a stream, over all attempts, are of one version, and resumes go on at least half as often as new streams begin while two endpoints of their version serve. Both checks have hand-made evidence.

A host that says that it stops, or that has been silent for as long as the count of live hosts allows, holds nothing now (only_live_hosts_hold_origins).

--- a/crates/fleet/src/peer_hosts.rs
+++ b/crates/fleet/src/peer_hosts.rs
@@ -70,7 +70,7 @@
     follower_order: BTreeMap<u64, u64>,
     /// Hosts of each data centre in the order in which they are chosen as relays.
     relay_order: BTreeMap<u64, BTreeMap<u64, u64>>,
-    /// All hosts, this one included, as holders of streams' origins.
+    /// Live hosts, this one included, as holders of streams' origins.
     holders: HomeRing,
     /// The last count of the live hosts, and its time.
     counted: Cell<Option<(Duration, usize)>>,
@@ -104,6 +104,10 @@
     store_answered_at: Option<Duration>,
     /// Whether it may serve as a relay: it is neither stopping nor overloaded.
     may_relay: bool,
+    /// Whether its last report said that it is about to stop.
+    is_stopping: bool,
+    /// Whether it is asked to hold streams' origins.
+    is_holder: bool,
     /// Time since which sums are expected from it.
     sums_expected_since: Option<Duration>,
     last_sum_at: Option<Duration>,
@@ -136,16 +140,18 @@
                 .insert(pair_hash(FOLLOWER_SALT, host), host);
             let relays = self.relay_order.entry(data_centre).or_default();
             relays.insert(pair_hash(RELAY_SALT, host), host);
-            self.holders.insert(host);
         }
         let known = self.hosts.entry(host).or_default();
         known.data_centre = data_centre;
+        if known_data_centre.is_none() {
+            known.is_holder = true;
+            self.holders.insert(host);
+        }
         known
     }
 
     fn leave_order(&mut self, host: u64, data_centre: Option<u64>) {
         self.follower_order.remove(&pair_hash(FOLLOWER_SALT, host));
-        self.holders.remove(host);
         let relays = data_centre.and_then(|it| self.relay_order.get_mut(&it));
         if let Some(relays) = relays {
             relays.remove(&pair_hash(RELAY_SALT, host));
@@ -201,6 +207,7 @@
         let answered_ago = report.store_answered_ago_ms.map(Duration::from_millis);
         host.store_answered_at = answered_ago.map(|ago| now.saturating_sub(ago));
         host.may_relay = !report.is_stopping && !report.is_busy;
+        host.is_stopping = report.is_stopping;
         true
     }
 
@@ -222,6 +229,24 @@
         for (host, data_centre) in gone {
             self.hosts.remove(&host);
             self.leave_order(host, Some(data_centre));
+            self.holders.remove(host);
+        }
+        self.update_holders(now);
+    }
+
+    /// Asks only live hosts that go on running to hold streams' origins.
+    fn update_holders(&mut self, now: Duration) {
+        let silence = self.max_silence();
+        for (host, known) in &mut self.hosts {
+            let is_holder = known.is_live(now, silence) && !known.is_stopping;
+            if is_holder == known.is_holder {
+                continue;
+            }
+            known.is_holder = is_holder;
+            match is_holder {
+                true => self.holders.insert(*host),
+                false => self.holders.remove(*host),
+            }
         }
     }
 
@@ -242,15 +267,18 @@
     }
 
     fn count_live(&self, now: Duration) -> usize {
-        let silence = self.heartbeat_interval() * MISSED_HEARTBEATS;
-        let silence = silence.max(MIN_HOST_SILENCE);
+        let silence = self.max_silence();
         let hosts = self.hosts.values();
-        let counted = hosts.filter(|host| {
-            host.was_heard_within(now, silence) || host.is_listed_unheard(now, silence)
-        });
+        let counted = hosts.filter(|host| host.is_live(now, silence));
         counted.count() + 1
     }
 
+    /// Returns the silence after which a host no longer counts as part of the fleet.
+    fn max_silence(&self) -> Duration {
+        let silence = self.heartbeat_interval() * MISSED_HEARTBEATS;
+        silence.max(MIN_HOST_SILENCE)
+    }
+
     /// Returns whether this host has had the means to learn of the others.
     pub fn knows_fleet(&self, now: Duration) -> bool {
         self.has_list || !self.hosts.is_empty() || now >= MAX_LIST_WAIT
@@ -406,6 +434,10 @@
 }
 
 impl PeerHost {
+    fn is_live(&self, now: Duration, silence: Duration) -> bool {
+        self.was_heard_within(now, silence) || self.is_listed_unheard(now, silence)
+    }
+
     fn was_heard_within(&self, now: Duration, silence: Duration) -> bool {
         let is_recent = |at| now.saturating_sub(at) <= silence;
         self.last_report_at.is_some_and(is_recent)
--- a/crates/fleet/tests/origin_exchange.rs
+++ b/crates/fleet/tests/origin_exchange.rs
@@ -18,6 +18,7 @@
 use sedgeridge_fleet::origin_exchange::OutgoingMessage;
 use sedgeridge_fleet::origin_message::OriginMessage;
 use sedgeridge_fleet::peer_hosts::ListedHost;
+use sedgeridge_fleet::peer_report::PeerReport;
 use sedgeridge_fleet::stream_origin::StreamKey;
 use sedgeridge_fleet::stream_origin::StreamOrigin;
 use yare::parameterized;
@@ -313,6 +314,45 @@
     assert!(most <= 3 * mean, "{most} at one host, {mean} on average");
 }
 
+/// Guards against streams that wait for hosts which have stopped or are dead, and against a returning host that is asked for
+/// nothing.
+#[test]
+fn only_live_hosts_hold_origins() {
+    let mut host = new_host(1, &[1, 2, 3]);
+    let mut decisions = Vec::new();
+    let mut holders_after = |now: u64, reports: &[(u64, u64, bool)]| {
+        for (host_number, number, is_stopping) in reports {
+            let report = PeerReport {
+                host: *host_number,
+                run: 1,
+                number: *number,
+                data_centre: host_number % DATA_CENTRES,
+                is_stopping: *is_stopping,
+                ..PeerReport::default()
+            };
+            let event = DispatchEvent::Reported(report);
+            host.dispatcher.handle(at(now), event, &mut decisions);
+        }
+        host.dispatcher
+            .handle(at(now), DispatchEvent::Tick, &mut decisions);
+        let mut holders = host.dispatcher.origin_holders(stream(1));
+        holders.sort_unstable();
+        holders
+    };
+    assert_eq!(holders_after(100, &[(2, 1, false), (3, 1, false)]), [2, 3]);
+    assert_eq!(holders_after(200, &[(2, 2, true)]), [3]);
+    assert_eq!(
+        holders_after(8_000, &[(2, 3, false)]),
+        [2],
+        "host 3 is silent"
+    );
+    assert_eq!(
+        holders_after(8_100, &[(3, 2, false)]),
+        [2, 3],
+        "host 3 is back"
+    );
+}
+
 /// Guards against origins that are lost with one data centre.
 #[test]
 fn the_first_two_holders_are_in_different_data_centres() {
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -18,6 +18,7 @@
 use sedgeridge_gateway::endpoint_pool::EndpointConnection;
 use sedgeridge_gateway::endpoint_pool::open_connection;
 use sedgeridge_platform_standins::caller::CallerAttempt;
+use sedgeridge_platform_standins::caller::ResumedStream;
 use sedgeridge_platform_standins::caller::build_request;
 use sedgeridge_platform_standins::caller::has_endpoint_stamp;
 use sedgeridge_platform_standins::documents::RouteKind;
@@ -29,7 +30,6 @@
 
 use crate::records::Outcome;
 use crate::records::RequestRecord;
-use crate::site::FIRST_SOFTWARE_VERSION;
 use crate::site::HOST;
 use crate::site::TIMEOUT;
 use crate::site::key;
@@ -62,6 +62,8 @@
     pub process_ids: RefCell<Vec<u32>>,
     /// Whether the load balancer considers each router ready.
     pub ready: RefCell<Vec<bool>>,
+    /// Number of endpoints that take new streams, by software version.
+    pub stream_versions: RefCell<HashMap<String, usize>>,
     /// Newest key generation and the time of the change to it.
     pub newest_key: Cell<(u64, Duration)>,
     /// Whether callers continue to send requests.
@@ -94,11 +96,47 @@
     opened_at: Duration,
 }
 
+/// A stream of which the caller has some events.
+#[derive(Debug, Clone)]
+struct StreamProgress {
+    first_attempt: String,
+    next_event: u64,
+    /// Software version that wrote the events so far.
+    software_version: Option<String>,
+    /// Time at which the caller gives up.
+    deadline: Duration,
+}
+
+impl StreamProgress {
+    fn new(first_attempt: &str, deadline: Duration) -> Self {
+        Self {
+            first_attempt: first_attempt.to_owned(),
+            next_event: 0,
+            software_version: None,
+            deadline,
+        }
+    }
+
+    /// Returns what an attempt that resumes the stream says of it; `None` if there are no events.
+    fn as_resumed(&self) -> Option<ResumedStream> {
+        let last_event = self.next_event.checked_sub(1)?;
+        Some(ResumedStream {
+            first_attempt: self.first_attempt.clone(),
+            last_event,
+        })
+    }
+
+    fn may_be_resumed(&self, now: Duration) -> bool {
+        (1..STREAM_EVENTS).contains(&self.next_event) && now < self.deadline
+    }
+}
+
 /// Runs one caller until `keep_sending` becomes false.
 pub async fn run<C: Clock>(shared: Rc<SharedState<C>>, number: u64, seed: u64) {
     let mut random = SeededRandom::new(seed ^ number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
     let mut connection = None;
     let mut requests = 0;
+    let mut broken: Option<StreamProgress> = None;
     while shared.keep_sending.get() {
         let Some(open) = ensure_open(&shared, &mut random, &mut connection).await else {
             sleep(RETRY_PAUSE).await;
@@ -106,11 +144,14 @@
         };
         requests += 1;
         let id = format!("{number}-{requests}");
-        let record = send_request(&shared, &mut random, open, id, body(requests)).await;
+        broken = broken.filter(|stream| stream.may_be_resumed(shared.now()));
+        let planned = plan_request(&shared, &mut random, &id, broken.take());
+        let (record, stream) = send_request(&shared, open, id, planned, body(requests)).await;
         if !matches!(record.outcome, Outcome::Answered { .. }) {
             connection = None;
         }
         if !record.is_served() {
+            broken = stream;
             sleep(RETRY_PAUSE).await;
         }
         shared.records.borrow_mut().push(record);
@@ -153,13 +194,22 @@
     }
 }
 
-async fn send_request<C: Clock>(
+/// A request that a caller is about to send.
+struct PlannedRequest {
+    kind: RouteKind,
+    key_generation: u64,
+    is_revoked: bool,
+    /// The stream that it begins or resumes.
+    stream: StreamProgress,
+}
+
+/// Plans the resume of a broken stream, or a random request.
+fn plan_request<C: Clock>(
     shared: &SharedState<C>,
     random: &mut SeededRandom,
-    connection: &mut Connection,
-    id: String,
-    body: Bytes,
-) -> RequestRecord {
+    id: &str,
+    broken: Option<StreamProgress>,
+) -> PlannedRequest {
     let kinds = [
         RouteKind::Idempotent,
         RouteKind::AtMostOnce,
@@ -167,24 +217,55 @@
     ];
     let kind = kinds[random.below(3) as usize];
     let (newest, changed_at) = shared.newest_key.get();
-    let is_revoked = newest >= 3 && random.below(100) < REVOKED_PERCENT;
+    let is_revoked = newest >= 3 && random.below(100) < REVOKED_PERCENT && broken.is_none();
     let is_adopted = shared.now().saturating_sub(changed_at) >= KEY_ADOPTION_DELAY;
-    let generation = match (is_revoked, is_adopted) {
-        (true, _) => newest - 2,
-        (false, true) => newest,
-        (false, false) => newest - 1,
-    };
+    PlannedRequest {
+        kind: match broken {
+            Some(_) => RouteKind::Stream,
+            None => kind,
+        },
+        key_generation: match (is_revoked, is_adopted) {
+            (true, _) => newest - 2,
+            (false, true) => newest,
+            (false, false) => newest - 1,
+        },
+        is_revoked,
+        stream: broken.unwrap_or_else(|| StreamProgress::new(id, shared.now() + TIMEOUT)),
+    }
+}
+
+/// Sends a request. Returns its record and how far its stream has come.
+async fn send_request<C: Clock>(
+    shared: &SharedState<C>,
+    connection: &mut Connection,
+    id: String,
+    planned: PlannedRequest,
+    body: Bytes,
+) -> (RequestRecord, Option<StreamProgress>) {
+    let PlannedRequest {
+        kind,
+        key_generation,
+        is_revoked,
+        mut stream,
+    } = planned;
+    let sent_at = shared.now();
+    let resumed = stream.as_resumed();
+    let resumed_at = resumed.is_some().then(|| {
+        let version = stream.software_version.as_deref().unwrap_or_default();
+        let versions = shared.stream_versions.borrow();
+        versions.get(version).copied().unwrap_or(0)
+    });
     let head = CallerAttempt {
         id: id.clone(),
         host: HOST.to_owned(),
         path: path(kind).to_owned(),
-        key: key(generation),
-        timeout_ms: TIMEOUT.as_millis() as u64,
+        key: key(key_generation),
+        timeout_ms: stream.deadline.saturating_sub(sent_at).as_millis() as u64,
+        resumed,
     };
-    let sent_at = shared.now();
     let outcome = match build_request(&head, Full::from(body)) {
         Ok(request) => {
-            let pending_answer = exchange(&mut connection.sender, request, &id, kind);
+            let pending_answer = exchange(&mut connection.sender, request, &id, kind, &mut stream);
             timeout(HANG_TIMEOUT, pending_answer)
                 .await
                 .unwrap_or(Outcome::Hung)
@@ -194,7 +275,7 @@
             wrong: None,
         },
     };
-    RequestRecord {
+    let record = RequestRecord {
         id,
         kind,
         router: connection.router,
@@ -202,10 +283,12 @@
         connected_at: connection.opened_at,
         sent_at,
         ended_at: shared.now(),
-        key_generation: generation,
+        key_generation,
         is_revoked,
+        resumed_at,
         outcome,
-    }
+    };
+    (record, (kind == RouteKind::Stream).then_some(stream))
 }
 
 async fn exchange(
@@ -213,6 +296,7 @@
     request: hyper::Request<Full<Bytes>>,
     id: &str,
     kind: RouteKind,
+    stream: &mut StreamProgress,
 ) -> Outcome {
     let answer = match sender.send_request(request).await {
         Ok(answer) => answer,
@@ -226,7 +310,7 @@
     let status = answer.status().as_u16();
     let is_vouched = has_endpoint_stamp(answer.headers());
     let (is_whole, wrong) = match (status, kind) {
-        (200, RouteKind::Stream) => read_stream(answer, id).await,
+        (200, RouteKind::Stream) => read_stream(answer, stream).await,
         (200, RouteKind::Idempotent | RouteKind::AtMostOnce) => read_whole(answer, id).await,
         _ => (answer.into_body().collect().await.is_ok(), None),
     };
@@ -256,32 +340,38 @@
 
 /// Reads and checks events as they arrive. The received part of an interrupted stream must be
 /// correct.
-async fn read_stream(answer: Response<Incoming>, id: &str) -> (bool, Option<String>) {
+async fn read_stream(
+    answer: Response<Incoming>,
+    stream: &mut StreamProgress,
+) -> (bool, Option<String>) {
     let mut body = answer.into_body();
     let mut text = String::new();
-    let mut next_event = 0;
     loop {
         let frame = match body.frame().await {
             None => break,
-            Some(Err(_)) => return (false, check_events(&mut text, &mut next_event, id)),
+            Some(Err(_)) => return (false, check_events(&mut text, stream)),
             Some(Ok(frame)) => frame,
         };
         if let Ok(bytes) = frame.into_data() {
             text.push_str(&String::from_utf8_lossy(&bytes));
         }
-        if let Some(wrong) = check_events(&mut text, &mut next_event, id) {
+        if let Some(wrong) = check_events(&mut text, stream) {
             return (true, Some(wrong));
         }
     }
-    let is_complete = next_event == STREAM_EVENTS && text.is_empty();
+    let is_complete = stream.next_event == STREAM_EVENTS && text.is_empty();
     (
         true,
-        (!is_complete).then(|| format!("ended without an error after {next_event} events")),
+        (!is_complete).then(|| {
+            let events = stream.next_event;
+            format!("ended without an error after {events} events")
+        }),
     )
 }
 
-/// Removes complete events from the text and returns a description of the first wrong one.
-fn check_events(text: &mut String, next_event: &mut u64, id: &str) -> Option<String> {
+/// Removes complete events from the text and returns a description of the first wrong one. All events of a stream, over
+/// all attempts, must be written by one software version.
+fn check_events(text: &mut String, stream: &mut StreamProgress) -> Option<String> {
     while let Some(end) = text.find("\n\n") {
         let event: String = text.drain(..end + 2).collect();
         let fields: HashMap<_, _> = event
@@ -292,12 +382,15 @@
             .get("id")
             .and_then(|number| number.parse::<u64>().ok());
         let data = fields.get("data").copied().unwrap_or_default();
-        if number != Some(*next_event)
-            || data != event_data(id, *next_event, FIRST_SOFTWARE_VERSION)
-        {
-            return Some(format!("{event:?} instead of event {next_event}"));
+        let version = stream.software_version.get_or_insert_with(|| {
+            let (_, version) = data.rsplit_once(' ').unwrap_or_default();
+            version.to_owned()
+        });
+        let expected = event_data(&stream.first_attempt, stream.next_event, version);
+        if number != Some(stream.next_event) || data != expected {
+            return Some(format!("{event:?} instead of {expected:?}"));
         }
-        *next_event += 1;
+        stream.next_event += 1;
     }
     None
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -123,10 +123,14 @@
         .iter()
         .filter(|it| it.is_served())
         .count();
+    let resumes = observations.records.iter();
+    let resumes: Vec<_> = resumes.filter(|it| it.resumed_at.is_some()).collect();
+    let resumed = resumes.iter().filter(|it| it.is_served()).count();
     println!(
-        "seed {seed}: {} faults, {served} of {} requests served, {} runs, {} KB, {} broken",
+        "seed {seed}: {} faults, {served} of {} requests served, {resumed} of {} resumes, {} runs, {} KB, {} broken",
         result.faults.len(),
         observations.records.len(),
+        resumes.len(),
         observations.run_ids.len(),
         observations.peak_memory_kb,
         result.violations.len(),
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -20,6 +20,10 @@
 pub const GRACE: Duration = Duration::from_secs(4);
 /// Maximum memory of a router, from the bound on the control memory of a node.
 const MAX_MEMORY_KB: u64 = 64 * 1024;
+/// Number of resumes from which their share is judged.
+const MIN_RESUMES: usize = 12;
+/// Lowest share of resumes that go on, as a fraction of the share of new streams that begin.
+const MIN_RESUMED_SHARE: f64 = 0.5;
 /// Time window of the resend limit.
 const RESEND_WINDOW: Duration = Duration::from_secs(10);
 
@@ -44,6 +48,7 @@
     }
     check_keys(observations, &mut report);
     check_recovery(observations, &mut report);
+    check_resumes(observations, &mut report);
     check_resends(observations, &mut report);
     check_processes(observations, &mut report);
     violations
@@ -183,6 +188,33 @@
     }
 }
 
+/// Checks that resumed streams go on at least half as often as new streams begin, while two endpoints of their software
+/// version serve.
+fn check_resumes(observations: &Observations, report: &mut impl FnMut(&'static str, String)) {
+    let is_calm = |record: &&RequestRecord| {
+        let was_answered = record.status().is_some();
+        was_answered && record.kind == RouteKind::Stream && !record.is_revoked
+    };
+    let streams: Vec<_> = observations.records.iter().filter(is_calm).collect();
+    let share = |records: &[&&RequestRecord]| {
+        let served = records.iter().filter(|record| record.is_served()).count();
+        served as f64 / records.len() as f64
+    };
+    let is_resumable = |record: &&&RequestRecord| record.resumed_at.is_some_and(|it| it >= 2);
+    let resumed: Vec<_> = streams.iter().filter(is_resumable).collect();
+    let new = streams.iter().filter(|record| record.resumed_at.is_none());
+    let new: Vec<_> = new.collect();
+    if resumed.len() >= MIN_RESUMES && share(&resumed) < share(&new) * MIN_RESUMED_SHARE {
+        let observed = format!(
+            "{:.2} of {} resumes, {:.2} of new streams",
+            share(&resumed),
+            resumed.len(),
+            share(&new)
+        );
+        report("a resume at its own version", observed);
+    }
+}
+
 fn check_resends(observations: &Observations, report: &mut impl FnMut(&'static str, String)) {
     let (ratio, extra) = RESEND_LIMITS;
     let distinct: HashSet<_> = observations.run_ids.iter().collect();
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -49,6 +49,8 @@
     pub key_generation: u64,
     /// Whether the key was already revoked when the request was sent.
     pub is_revoked: bool,
+    /// Number of endpoints that served at the stream's software version when the request was sent, if it resumes a stream.
+    pub resumed_at: Option<usize>,
     /// How it ended.
     pub outcome: Outcome,
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -158,6 +158,7 @@
             process_ids: RefCell::new(routers.iter().map(Router::process).collect()),
             ready: RefCell::new(vec![false; routers.len()]),
             newest_key: Cell::new((site.generation(), Duration::ZERO)),
+            stream_versions: RefCell::new(site.stream_versions()),
             keep_sending: Cell::new(true),
             records: RefCell::default(),
         };
@@ -243,8 +244,9 @@
                 let endpoint = &self.site.endpoints[endpoint as usize];
                 inject_fault(&endpoint.server, fault, planned.length)?;
             }
-            Fault::Leave(endpoint) => {
+            Fault::Leave(endpoint) | Fault::Upgrade(endpoint, _) => {
                 self.site.endpoints[endpoint as usize].put_entry(&self.site.rows, true);
+                self.note_stream_versions();
             }
             Fault::ChangeKeys => {
                 self.site.change_keys();
@@ -276,6 +278,11 @@
             }
             Fault::Leave(endpoint) => {
                 self.site.endpoints[endpoint as usize].relist(&self.site.rows);
+                self.note_stream_versions();
+            }
+            Fault::Upgrade(endpoint, release) => {
+                self.site.endpoints[endpoint as usize].upgrade(&self.site.rows, release);
+                self.note_stream_versions();
             }
             Fault::RestoreStore => self.site.rows.set_away(false),
             Fault::Reload(_)
@@ -289,6 +296,11 @@
         Ok(())
     }
 
+    /// Tells callers how many endpoints serve streams at each software version.
+    fn note_stream_versions(&self) {
+        *self.shared.stream_versions.borrow_mut() = self.site.stream_versions();
+    }
+
     fn record_disturbance(&mut self, router: u64, planned: &PlannedFault) {
         let from = self.shared.now();
         self.observations.disturbances.push(Disturbance {
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -21,6 +21,16 @@
 const MAX_REWRITE_DELAY: Duration = Duration::from_millis(1_900);
 /// Makes the store's returns independent of the other faults of a seed.
 const RETURN_SALT: u64 = 0x5e_7a11;
+/// Number of releases in a run. The second one may begin before the first is over.
+const RELEASES: u32 = 2;
+/// Bounds of the start of a release and of the time from one endpoint to the next, as percentages of the fault period that
+/// the release may take.
+const RELEASE_AT_PERCENT: (u64, u64) = (0, 50);
+const RELEASE_GAP_PERCENT: (u64, u64) = (5, 40);
+/// Bounds of the time for which a replaced endpoint is leaving.
+const UPGRADE_DURATION_MS: (u64, u64) = (150, 600);
+/// Makes the releases independent of the other faults of a seed.
+const RELEASE_SALT: u64 = 0x5e_7a12;
 /// Maximum delay of a slow link, store or endpoint.
 const MAX_DELAY_MS: u64 = 400;
 
@@ -92,6 +102,8 @@
     Endpoint(u64, ServerFault),
     /// Marks an endpoint as leaving, then removes it and lists it again under a new id.
     Leave(u64),
+    /// Marks an endpoint as leaving, then lists it again under a new id with the software of this release.
+    Upgrade(u64, u32),
     /// The operator changes keys.
     ChangeKeys,
 }
@@ -107,7 +119,7 @@
     pub fault: Fault,
 }
 
-/// Plans the faults of a run at random, with returns of the store among them. All end before `end`.
+/// Plans the faults of a run at random, with returns of the store and releases among them. All end before `end`.
 ///
 /// ```
 /// use std::time::Duration;
@@ -131,6 +143,29 @@
         planned.push(PlannedFault { at, length, fault });
     }
     planned.extend(plan_store_returns(seed, end));
+    planned.extend(plan_releases(seed, targets, end));
+    planned
+}
+
+/// Plans releases, each of which replaces the endpoints one after the other, as far as they fit into the run.
+fn plan_releases(seed: u64, targets: Targets, end: Duration) -> Vec<PlannedFault> {
+    let mut random = SeededRandom::new(seed ^ RELEASE_SALT);
+    let period = end / RELEASES;
+    let mut planned = Vec::new();
+    for release in 1..=RELEASES {
+        let mut part =
+            |(low, high): (u64, u64)| period * (low + random.below(high - low)) as u32 / 100;
+        let mut at = period * (release - 1) + part(RELEASE_AT_PERCENT);
+        let gap = part(RELEASE_GAP_PERCENT);
+        for endpoint in 0..targets.endpoints {
+            let length = random_duration(&mut random, UPGRADE_DURATION_MS);
+            let fault = Fault::Upgrade(endpoint, release);
+            if at + length < end {
+                planned.push(PlannedFault { at, length, fault });
+            }
+            at += gap;
+        }
+    }
     planned
 }
 
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -38,7 +39,7 @@
 const STREAM_SERVICE: &str = "streams";
 const WHOLE_SERVICE: &str = "answers";
 /// Software version of the endpoints at the start of a run.
-pub const FIRST_SOFTWARE_VERSION: &str = "v1";
+const FIRST_SOFTWARE_VERSION: &str = "v1";
 /// Table of another system that uses the store.
 const OTHER_TABLE: &str = "other";
 /// Writes of the other system that are lost, more than all others of a run.
@@ -113,6 +114,16 @@
         Ok(site)
     }
 
+    /// Returns the number of endpoints that take new streams, by software version.
+    pub fn stream_versions(&self) -> HashMap<String, usize> {
+        let mut versions = HashMap::new();
+        for endpoint in self.endpoints.iter().filter(|it| it.takes_streams()) {
+            let version = endpoint.listed_run.software_version().to_string();
+            *versions.entry(version).or_default() += 1;
+        }
+        versions
+    }
+
     /// Returns the address of the store.
     pub fn store_address(&self) -> SocketAddr {
         self.store.address()
@@ -225,12 +236,25 @@
 
     /// Removes the entry of the endpoint and lists the endpoint again under a new id.
     pub fn relist(&self, rows: &StoreRows) {
+        self.restart(rows, &self.listed_run.software_version());
+    }
+
+    /// Does the same, with the software of a release.
+    pub fn upgrade(&self, rows: &StoreRows, release: u32) {
+        self.restart(rows, &format!("v{}", release + 1));
+    }
+
+    fn restart(&self, rows: &StoreRows, software_version: &str) {
         rows.remove(ENDPOINTS_TABLE, &self.id());
         self.incarnation.set(self.incarnation.get() + 1);
-        self.listed_run.set(&self.id(), FIRST_SOFTWARE_VERSION);
+        self.listed_run.set(&self.id(), software_version);
         self.put_entry(rows, false);
     }
 
+    fn takes_streams(&self) -> bool {
+        self.service == STREAM_SERVICE && !self.is_leaving.get()
+    }
+
     /// Writes the entry again, and removes those of earlier ids that came back.
     fn write_again(&self, rows: &StoreRows) {
         for earlier in 0..self.incarnation.get() {
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -55,6 +55,7 @@
         ended_at: at(sent_ms + 100),
         key_generation: 1,
         is_revoked: false,
+        resumed_at: None,
         outcome,
     }
 }
@@ -241,3 +242,25 @@
         ["no exit of its own", "bounded memory"]
     );
 }
+
+/// Guards against routers that keep streams apart by refusing to resume any.
+#[parameterized(
+    all_refused = { 0, 2, &["a resume at its own version"] },
+    a_third_goes_on = { 4, 2, &["a resume at its own version"] },
+    most_go_on = { 9, 2, &[] },
+    their_version_is_gone = { 0, 1, &[] },
+)]
+fn resumes_that_are_refused_are_found(served: usize, endpoints: usize, promises: &[&str]) {
+    let mut observations = valid_run();
+    for number in 0..12 {
+        let id = format!("r{number}");
+        let status = if number < served { 200 } else { 503 };
+        let mut resume = record(&id, RouteKind::Stream, 5_000, answered(status));
+        resume.resumed_at = Some(endpoints);
+        observations.records.push(resume);
+        if number < served {
+            observations.run_ids.push(id);
+        }
+    }
+    assert_eq!(broken_promises(&observations), promises);
+}
--- a/crates/soak/tests/schedule.rs
+++ b/crates/soak/tests/schedule.rs
@@ -24,3 +24,19 @@
         }
     }
 }
+
+/// Guards against runs in which all endpoints have the same software version.
+#[test]
+fn releases_leave_two_versions_side_by_side() {
+    let targets = Targets {
+        routers: 4,
+        endpoints: 6,
+    };
+    for seed in 0..200 {
+        let planned = plan_faults(seed, targets, Duration::from_secs(12));
+        let first_release = planned
+            .iter()
+            .filter(|it| matches!(it.fault, Fault::Upgrade(_, 1)));
+        assert!(first_release.count() >= 2, "seed {seed}");
+    }
+}
