soak: a router's memory is measured only once its process runs the router

Children that still ran the soak's own program showed up to 99172 KB, the soak itself 118028 KB, routers 14560 KB at most. A measure right after a start saw the copy of the parent; measuring before a start did not help, since the next measure may follow at once. The bound stays.

--- a/crates/soak/src/routers.rs
+++ b/crates/soak/src/routers.rs
@@ -145,7 +145,17 @@
 
     /// Returns the resident memory of the process in kilobytes, 0 if it does not run.
     pub fn memory_kb(&self) -> u64 {
-        resident_bytes(self.process()).unwrap_or(0) / 1_024
+        match self.has_begun() {
+            true => resident_bytes(self.process()).unwrap_or(0) / 1_024,
+            false => 0,
+        }
+    }
+
+    /// Returns whether the process runs the router. Right after the start it is still a copy of this process, with the
+    /// memory of this process.
+    fn has_begun(&self) -> bool {
+        let running = fs::read_link(format!("/proc/{}/exe", self.process()));
+        running.is_ok_and(|running| running.file_name() == self.binary.file_name())
     }
 
     fn settings_path(&self) -> PathBuf {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -334,8 +334,6 @@
                     .unexpected_exits
                     .push((index, exit.status));
             }
-            // Measured before the start: right after it, the system reports the memory of this
-            // process for its child, 46 to 56 MB where a router uses 8.
             self.observations.peak_memory_kb =
                 self.observations.peak_memory_kb.max(router.memory_kb());
             if self.should_run[index] {
