A broken stream waits a moment for an endpoint of its version

A stream that broke off later than its time in the queue, 0.3 of the latency target after its arrival, was ended at once if all endpoints of its version were full at that moment, though its caller waits for two seconds and more. The wait counts from the break now, for streams that have begun only. Test first: a_broken_stream_waits_a_moment_for_an_endpoint_of_its_version, red without the change.

--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -183,6 +183,8 @@
 #[derive(Debug)]
 struct Pending {
     arrival: Arrival,
+    /// Time from which its wait for an endpoint counts: the arrival, or the break of its stream.
+    waits_since: Duration,
     sends: u32,
     unreachable: u32,
     tried_endpoints: Vec<u64>,
--- a/crates/fleet/src/dispatcher/admission.rs
+++ b/crates/fleet/src/dispatcher/admission.rs
@@ -154,7 +154,7 @@
             .route
             .latency_target
             .mul_f64(self.settings.admission.queue_time_ratio);
-        let waits_until = arrival.received_at + max_wait;
+        let waits_until = pending.waits_since + max_wait;
         let has_waited_long = now >= waits_until;
         let Some(best) = self.best_candidate(now, pending) else {
             if self.is_plain_shortage(now, arrival, &pending.tried_endpoints) {
--- a/crates/fleet/src/dispatcher/attempts.rs
+++ b/crates/fleet/src/dispatcher/attempts.rs
@@ -59,6 +59,7 @@
             return;
         }
         let pending = Pending {
+            waits_since: arrival.received_at,
             arrival,
             sends: 0,
             unreachable: 0,
@@ -214,6 +215,9 @@
         let endpoint = attempt.endpoint;
         let fingerprint = pending.arrival.fingerprint;
         pending.last_failure = Some(failure);
+        if pending.arrival.origin.is_some() {
+            pending.waits_since = now;
+        }
         pending.may_have_run |= failure.may_have_run();
         if !failure.was_sent() {
             pending.sends -= 1;
--- a/crates/fleet/tests/stream_versions.rs
+++ b/crates/fleet/tests/stream_versions.rs
@@ -64,6 +64,10 @@
     }
 }
 
+fn is_sent_to(verdict: &Option<Verdict>, endpoint: &str) -> bool {
+    matches!(verdict, Some(Verdict::Send(sent)) if sent.id.as_str() == endpoint)
+}
+
 fn break_off(host: &mut Host, now: u64, id: RequestId) -> Option<Verdict> {
     let failed = DispatchEvent::AttemptFailed(id, Failure::ConnectionLost);
     verdict_of(id, host.send(now, failed))
@@ -191,3 +195,22 @@
     host.send(at(70_000).as_millis() as u64, DispatchEvent::Tick);
     assert_eq!(host.dispatcher.sole_origin(&service), Some(second));
 }
+
+/// Guards against a stream that ends because its endpoint breaks off while all others of its version are full for a moment.
+#[test]
+fn a_broken_stream_waits_a_moment_for_an_endpoint_of_its_version() {
+    let mut host = host_with(&[("a", "v1")]);
+    let (id, verdict) = host.arrive(0, request());
+    assert_eq!(&*version_of(verdict), "v1");
+    host.send(10, DispatchEvent::StreamBegan(id));
+    host.send(10, DispatchEvent::EndpointListed(engine("b", "v1")));
+    let origin = StreamOrigin::of(&engine("b", "v1"));
+    // Fills both endpoints.
+    let others = [(); 7].map(|()| host.arrive(20, resumed(origin)));
+    let at_the_other = others.iter().find(|(_, verdict)| is_sent_to(verdict, "b"));
+    let (at_the_other, _) = at_the_other.expect("the other endpoint takes some");
+    assert_eq!(break_off(&mut host, 1_000, id), None, "the stream waits");
+    host.send(1_040, DispatchEvent::Completed(*at_the_other));
+    let (_, verdict) = host.wait(1_040, id).expect("the stream goes on or ends");
+    assert_eq!(&*version_of(Some(verdict)), "v1");
+}
