Hosts that are about to stop are asked for the origins that they hold

New origins are placed at live hosts that go on running, as before. A resume asks these and the hosts that would hold the origin if all known hosts were live: six hosts at most. One ring of all known hosts serves both; liveness is looked at when holders are chosen, which replaces a pass over all hosts every 50 ms. Test first: hosts_that_are_about_to_stop_are_asked_for_what_they_hold, red without the change.

The soak's check counted attempts; a caller of the soak tries again ten times a second. The rule is about streams: a stream counts once, and as going on if any of its resumes is served (a_stream_that_goes_on_at_a_later_try_counts_once). The bound stays.

--- a/crates/fleet/examples/decision_time.rs
+++ b/crates/fleet/examples/decision_time.rs
@@ -22,13 +22,17 @@
 use sedgeridge_fleet::dispatcher::Dispatcher;
 use sedgeridge_fleet::dispatcher::DispatcherSettings;
 use sedgeridge_fleet::endpoint_table::Endpoint;
+use sedgeridge_fleet::hashing::pair_hash;
+use sedgeridge_fleet::peer_hosts::ListedHost;
 use sedgeridge_fleet::prompt::Prompt;
 use sedgeridge_fleet::prompt::PromptPart;
 use sedgeridge_fleet::resend_window::ResendLimits;
+use sedgeridge_fleet::stream_origin::StreamKey;
 use sedgeridge_fleet::verdict::Failure;
 use sedgeridge_state::ids::EndpointId;
 use sedgeridge_state::ids::ServiceId;
 
+const HOST_COUNTS: [u64; 3] = [6, 295, 986];
 const ENGINE_COUNTS: [u64; 6] = [9, 60, 204, 2_200, 9_762, 20_000];
 const SERVICE: &str = "desk";
 const SLOTS: u32 = 12;
@@ -56,6 +60,39 @@
             );
         }
     }
+    print_holder_times();
+}
+
+/// Prints the time to choose the hosts that hold the origin of a stream, and the time of a tick, which keeps them.
+fn print_holder_times() {
+    println!("hosts  us to choose holders  us a tick");
+    for hosts in HOST_COUNTS {
+        let mut host = host(0);
+        let mut decisions = Vec::new();
+        let listed = (1..=hosts).map(|number| ListedHost {
+            host: pair_hash(number, hosts),
+            data_centre: number % 5,
+        });
+        let listed = DispatchEvent::HostsListed(listed.collect());
+        host.handle(Duration::ZERO, listed, &mut decisions);
+        let started = Instant::now();
+        let chosen: usize = (0..ARRIVALS)
+            .map(|stream| {
+                host.origin_holders(Duration::ZERO, StreamKey(pair_hash(stream, 1)))
+                    .len()
+            })
+            .sum();
+        let choice_us = started.elapsed().as_secs_f64() * 1e6 / ARRIVALS as f64;
+        assert!(chosen > 0, "the fleet has holders");
+        let started = Instant::now();
+        const TICKS: u64 = 100;
+        for tick in 0..TICKS {
+            let now = Duration::from_millis(50 * tick);
+            host.handle(now, DispatchEvent::Tick, &mut decisions);
+        }
+        let tick_us = started.elapsed().as_secs_f64() * 1e6 / TICKS as f64;
+        println!("{hosts:5}  {choice_us:20.2}  {tick_us:9.1}");
+    }
 }
 
 /// Sends far more requests than the engines take, so that requests wait and are refused.
--- a/crates/fleet/src/dispatcher/peers.rs
+++ b/crates/fleet/src/dispatcher/peers.rs
@@ -259,9 +259,14 @@
         self.peers.schedule.make_due_now();
     }
 
+    /// Returns the other hosts that are to hold the origin of a stream.
+    pub fn origin_holders(&self, now: Duration, stream: StreamKey) -> Holders {
+        self.peers.hosts.origin_holders(now, stream)
+    }
+
     /// Returns the other hosts that may hold the origin of a stream.
-    pub fn origin_holders(&self, stream: StreamKey) -> Holders {
-        self.peers.hosts.origin_holders(stream)
+    pub fn possible_origin_holders(&self, now: Duration, stream: StreamKey) -> Holders {
+        self.peers.hosts.possible_origin_holders(now, stream)
     }
 
     /// Returns this host's report about its own work.
--- a/crates/fleet/src/peer_hosts.rs
+++ b/crates/fleet/src/peer_hosts.rs
@@ -70,7 +70,7 @@
     follower_order: BTreeMap<u64, u64>,
     /// Hosts of each data centre in the order in which they are chosen as relays.
     relay_order: BTreeMap<u64, BTreeMap<u64, u64>>,
-    /// Live hosts, this one included, as holders of streams' origins.
+    /// All hosts, this one included, as holders of streams' origins.
     holders: HomeRing,
     /// The last count of the live hosts, and its time.
     counted: Cell<Option<(Duration, usize)>>,
@@ -106,8 +106,6 @@
     may_relay: bool,
     /// Whether its last report said that it is about to stop.
     is_stopping: bool,
-    /// Whether it is asked to hold streams' origins.
-    is_holder: bool,
     /// Time since which sums are expected from it.
     sums_expected_since: Option<Duration>,
     last_sum_at: Option<Duration>,
@@ -140,13 +138,10 @@
                 .insert(pair_hash(FOLLOWER_SALT, host), host);
             let relays = self.relay_order.entry(data_centre).or_default();
             relays.insert(pair_hash(RELAY_SALT, host), host);
+            self.holders.insert(host);
         }
         let known = self.hosts.entry(host).or_default();
         known.data_centre = data_centre;
-        if known_data_centre.is_none() {
-            known.is_holder = true;
-            self.holders.insert(host);
-        }
         known
     }
 
@@ -231,23 +226,6 @@
             self.leave_order(host, Some(data_centre));
             self.holders.remove(host);
         }
-        self.update_holders(now);
-    }
-
-    /// Asks only live hosts that go on running to hold streams' origins.
-    fn update_holders(&mut self, now: Duration) {
-        let silence = self.max_silence();
-        for (host, known) in &mut self.hosts {
-            let is_holder = known.is_live(now, silence) && !known.is_stopping;
-            if is_holder == known.is_holder {
-                continue;
-            }
-            known.is_holder = is_holder;
-            match is_holder {
-                true => self.holders.insert(*host),
-                false => self.holders.remove(*host),
-            }
-        }
     }
 
     /// Returns the number of live hosts, including this one.
@@ -300,15 +278,39 @@
         self.hosts.keys().copied()
     }
 
-    /// Returns the other hosts that may hold the origin of a stream. Hosts that know the same hosts choose the same ones.
-    /// The second one is in another data centre than the first, if there is one nearby on the ring.
-    pub fn origin_holders(&self, stream: StreamKey) -> Holders {
-        let [first, next] = self.holders.homes(stream.0, |_| true);
+    /// Returns the other hosts that are to hold the origin of a stream: live ones that go on running. Hosts that know the
+    /// same hosts choose the same ones.
+    pub fn origin_holders(&self, now: Duration, stream: StreamKey) -> Holders {
+        let silence = self.max_silence();
+        self.choose_holders(stream, |host| {
+            let known = self.hosts.get(&host);
+            known.is_none_or(|known| known.is_live(now, silence) && !known.is_stopping)
+        })
+    }
+
+    /// Returns the other hosts that may hold the origin of a stream: also those that would hold it if all hosts were live,
+    /// since it may have been placed before one of them stopped or fell silent.
+    pub fn possible_origin_holders(&self, now: Duration, stream: StreamKey) -> Holders {
+        let mut holders = self.origin_holders(now, stream);
+        let usual = self.choose_holders(stream, |_| true);
+        holders.extend(
+            usual
+                .iter()
+                .filter(|host| !holders.contains(host))
+                .collect::<Vec<_>>(),
+        );
+        holders
+    }
+
+    /// Chooses holders by the stream's position on the ring of hosts. The second one is in another data centre than the
+    /// first, if there is one nearby.
+    fn choose_holders(&self, stream: StreamKey, may_hold: impl Fn(u64) -> bool) -> Holders {
+        let [first, next] = self.holders.homes(stream.0, &may_hold);
         let data_centre = first.map(|host| self.data_centre_of(host));
-        let is_elsewhere = |host| Some(self.data_centre_of(host)) != data_centre;
+        let is_elsewhere = |host| may_hold(host) && Some(self.data_centre_of(host)) != data_centre;
         let [elsewhere, _] = self.holders.homes(stream.0, is_elsewhere);
         let second = elsewhere.or(next);
-        let is_third = |host| Some(host) != first && Some(host) != second;
+        let is_third = |host| may_hold(host) && Some(host) != first && Some(host) != second;
         let [third, _] = self.holders.homes(stream.0, is_third);
         let chosen = [first, second, third].into_iter().flatten();
         chosen.filter(|host| *host != self.own.host).collect()
--- a/crates/fleet/tests/origin_exchange.rs
+++ b/crates/fleet/tests/origin_exchange.rs
@@ -128,7 +128,7 @@
     ) -> bool {
         let sender = self.hosts.get_mut(&host).expect("the host runs");
         sender.exchange.keep(now, stream, origin, LIFETIME);
-        let holders = sender.dispatcher.origin_holders(stream);
+        let holders = sender.dispatcher.origin_holders(now, stream);
         (0..KEEP_ROUNDS).any(|round| {
             let sent = OriginExchange::keep_messages(&holders, round, stream, origin, LIFETIME);
             self.exchange(now, host, sent).contains(&OriginNews::Kept)
@@ -141,7 +141,7 @@
         if let Some(origin) = asking.exchange.get(now, stream) {
             return Some(origin);
         }
-        let holders = asking.dispatcher.origin_holders(stream);
+        let holders = asking.dispatcher.possible_origin_holders(now, stream);
         asking.exchange.begin_search(stream, holders);
         for _ in 0..FIND_ROUNDS {
             let sent = self.hosts[&host].exchange.find_messages(stream);
@@ -166,6 +166,27 @@
         hosts[self.random.below(hosts.len() as u64) as usize]
     }
 
+    /// Delivers the reports of hosts that are about to stop.
+    fn tell_all_that_they_stop(&mut self, stopping: &[u64]) {
+        let mut decisions = Vec::new();
+        for host in self.hosts.values_mut() {
+            for stopping in stopping {
+                let report = PeerReport {
+                    host: *stopping,
+                    run: 1,
+                    number: 1,
+                    data_centre: listing(*stopping).data_centre,
+                    is_stopping: true,
+                    ..PeerReport::default()
+                };
+                let reported = DispatchEvent::Reported(report);
+                host.dispatcher.handle(at(10), reported, &mut decisions);
+            }
+            let tick = DispatchEvent::Tick;
+            host.dispatcher.handle(at(20), tick, &mut decisions);
+        }
+    }
+
     /// Kills hosts at the same moment and starts them again without what they knew.
     fn restart(&mut self, killed: &[u64]) {
         let mut all: Vec<_> = self.hosts.keys().copied().collect();
@@ -263,6 +284,41 @@
     }
 }
 
+/// Guards against a stream whose holders have told that they stop, and are not asked although they still run.
+#[test]
+fn hosts_that_are_about_to_stop_are_asked_for_what_they_hold() {
+    let mut fleet = PlayedFleet::new(8, 6, 0);
+    for number in 0..100 {
+        let first = fleet.any_host();
+        fleet.publish(at(0), first, stream(number), origin(number));
+        let holders = fleet.hosts[&first]
+            .dispatcher
+            .origin_holders(at(0), stream(number));
+        fleet.restart(&[first]);
+        fleet.tell_all_that_they_stop(&holders);
+        let others = (1..=6).filter(|host| *host != first && !holders.contains(host));
+        for second in others.collect::<Vec<_>>() {
+            let found = fleet.find(at(50), second, stream(number));
+            assert_eq!(
+                found,
+                Some(origin(number)),
+                "asked by {second}, held by {holders:?}"
+            );
+        }
+        let all: Vec<_> = (1..=6).collect();
+        fleet.restart(&all);
+    }
+}
+
+/// Guards against a host that waits for ever, or guesses, while no message passes.
+#[test]
+fn an_origin_is_unknown_elsewhere_while_its_host_is_cut_off() {
+    let mut fleet = PlayedFleet::new(7, 6, 100);
+    assert!(!fleet.publish(at(0), 1, stream(1), origin(1)));
+    assert_eq!(fleet.find(at(50), 2, stream(1)), None);
+    assert_eq!(fleet.find(at(50), 1, stream(1)), Some(origin(1)));
+}
+
 /// Guards against a stream that goes on at the wrong version: whatever is lost, an origin is the right one or unknown.
 #[test]
 fn a_found_origin_is_the_right_one_after_any_history() {
@@ -335,7 +391,7 @@
         }
         host.dispatcher
             .handle(at(now), DispatchEvent::Tick, &mut decisions);
-        let mut holders = host.dispatcher.origin_holders(stream(1));
+        let mut holders = host.dispatcher.origin_holders(at(now), stream(1));
         holders.sort_unstable();
         holders
     };
@@ -359,7 +415,7 @@
     let fleet = PlayedFleet::new(5, FLEET_HOSTS, 0);
     let host = &fleet.hosts[&1];
     for number in 0..1_000 {
-        let holders = host.dispatcher.origin_holders(stream(number));
+        let holders = host.dispatcher.origin_holders(at(0), stream(number));
         let distinct: BTreeSet<_> = holders.iter().collect();
         assert_eq!(distinct.len(), holders.len(), "{holders:?}");
         let asked: Vec<_> = holders.iter().take(2).map(|it| it % DATA_CENTRES).collect();
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -146,7 +146,7 @@
         .exchange
         .borrow_mut()
         .keep(now, stream.key, origin, lifetime);
-    let holders = gateway.with_dispatcher(|dispatcher| dispatcher.origin_holders(stream.key));
+    let holders = gateway.with_dispatcher(|dispatcher| dispatcher.origin_holders(now, stream.key));
     if holders.is_empty() {
         return;
     }
@@ -174,11 +174,13 @@
     stream: StreamKey,
 ) -> Option<(StreamOrigin, OriginSource)> {
     let origins = &gateway.origins;
-    let known = origins.exchange.borrow().get(gateway.now(), stream);
+    let now = gateway.now();
+    let known = origins.exchange.borrow().get(now, stream);
     if let Some(origin) = known {
         return Some((origin, OriginSource::OwnHost));
     }
-    let holders = gateway.with_dispatcher(|dispatcher| dispatcher.origin_holders(stream));
+    let holders =
+        gateway.with_dispatcher(|dispatcher| dispatcher.possible_origin_holders(now, stream));
     if holders.is_empty() {
         return None;
     }
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -30,6 +30,7 @@
 
 use crate::records::Outcome;
 use crate::records::RequestRecord;
+use crate::records::Resume;
 use crate::site::HOST;
 use crate::site::TIMEOUT;
 use crate::site::key;
@@ -250,10 +251,13 @@
     } = planned;
     let sent_at = shared.now();
     let resumed = stream.as_resumed();
-    let resumed_at = resumed.is_some().then(|| {
+    let resume = resumed.as_ref().map(|resumed| {
         let version = stream.software_version.as_deref().unwrap_or_default();
         let versions = shared.stream_versions.borrow();
-        versions.get(version).copied().unwrap_or(0)
+        Resume {
+            first_request: resumed.first_attempt.clone(),
+            endpoints: versions.get(version).copied().unwrap_or(0),
+        }
     });
     let head = CallerAttempt {
         id: id.clone(),
@@ -285,7 +289,7 @@
         ended_at: shared.now(),
         key_generation,
         is_revoked,
-        resumed_at,
+        resume,
         outcome,
     };
     (record, (kind == RouteKind::Stream).then_some(stream))
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -5,6 +5,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use sedgeridge_soak::promises::resumed_streams;
 use sedgeridge_soak::run::RunConfig;
 use sedgeridge_soak::run::RunResult;
 use sedgeridge_soak::run::run;
@@ -123,14 +124,13 @@
         .iter()
         .filter(|it| it.is_served())
         .count();
-    let resumes = observations.records.iter();
-    let resumes: Vec<_> = resumes.filter(|it| it.resumed_at.is_some()).collect();
-    let resumed = resumes.iter().filter(|it| it.is_served()).count();
+    let resumed = resumed_streams(&observations.records);
+    let went_on = resumed.values().filter(|went_on| **went_on).count();
     println!(
-        "seed {seed}: {} faults, {served} of {} requests served, {resumed} of {} resumes, {} runs, {} KB, {} broken",
+        "seed {seed}: {} faults, {served} of {} requests served, {went_on} of {} resumed, {} runs, {} KB, {} broken",
         result.faults.len(),
         observations.records.len(),
-        resumes.len(),
+        resumed.len(),
         observations.run_ids.len(),
         observations.peak_memory_kb,
         result.violations.len(),
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -188,28 +188,34 @@
     }
 }
 
-/// Checks that resumed streams go on at least half as often as new streams begin, while two endpoints of their software
-/// version serve.
+/// Returns the streams that callers resumed while two endpoints of their software version served, and whether they went on.
+pub fn resumed_streams(records: &[RequestRecord]) -> HashMap<&str, bool> {
+    let mut streams = HashMap::new();
+    for record in records.iter().filter(|record| record.status().is_some()) {
+        if let Some(resume) = record.resume.as_ref().filter(|it| it.endpoints >= 2) {
+            *streams.entry(resume.first_request.as_str()).or_default() |= record.is_served();
+        }
+    }
+    streams
+}
+
+/// Checks that resumed streams go on at least half as often as new streams begin.
 fn check_resumes(observations: &Observations, report: &mut impl FnMut(&'static str, String)) {
-    let is_calm = |record: &&RequestRecord| {
-        let was_answered = record.status().is_some();
-        was_answered && record.kind == RouteKind::Stream && !record.is_revoked
-    };
-    let streams: Vec<_> = observations.records.iter().filter(is_calm).collect();
-    let share = |records: &[&&RequestRecord]| {
-        let served = records.iter().filter(|record| record.is_served()).count();
-        served as f64 / records.len() as f64
-    };
-    let is_resumable = |record: &&&RequestRecord| record.resumed_at.is_some_and(|it| it >= 2);
-    let resumed: Vec<_> = streams.iter().filter(is_resumable).collect();
-    let new = streams.iter().filter(|record| record.resumed_at.is_none());
-    let new: Vec<_> = new.collect();
-    if resumed.len() >= MIN_RESUMES && share(&resumed) < share(&new) * MIN_RESUMED_SHARE {
+    let new = observations.records.iter().filter(|record| {
+        let is_new = record.status().is_some() && record.resume.is_none();
+        is_new && record.kind == RouteKind::Stream && !record.is_revoked
+    });
+    let (begun, new) = new.fold((0, 0), |(begun, new), record| {
+        (begun + usize::from(record.is_served()), new + 1)
+    });
+    let resumed = resumed_streams(&observations.records);
+    let went_on = resumed.values().filter(|went_on| **went_on).count();
+    let begun_share = begun as f64 / new as f64;
+    let resumed_share = went_on as f64 / resumed.len() as f64;
+    if resumed.len() >= MIN_RESUMES && resumed_share < begun_share * MIN_RESUMED_SHARE {
         let observed = format!(
-            "{:.2} of {} resumes, {:.2} of new streams",
-            share(&resumed),
-            resumed.len(),
-            share(&new)
+            "{went_on} of {} resumed streams, {begun} of {new} new ones",
+            resumed.len()
         );
         report("a resume at its own version", observed);
     }
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -28,6 +28,15 @@
     Hung,
 }
 
+/// A resumed stream.
+#[derive(Debug, Clone)]
+pub struct Resume {
+    /// Id of the request that began it.
+    pub first_request: String,
+    /// Number of endpoints that served at the stream's software version when the request was sent.
+    pub endpoints: usize,
+}
+
 /// One request of a caller.
 #[derive(Debug, Clone)]
 pub struct RequestRecord {
@@ -49,8 +58,8 @@
     pub key_generation: u64,
     /// Whether the key was already revoked when the request was sent.
     pub is_revoked: bool,
-    /// Number of endpoints that served at the stream's software version when the request was sent, if it resumes a stream.
-    pub resumed_at: Option<usize>,
+    /// The stream that the request resumes, if it resumes one.
+    pub resume: Option<Resume>,
     /// How it ended.
     pub outcome: Outcome,
 }
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -9,6 +9,7 @@
 use sedgeridge_soak::records::Outcome;
 use sedgeridge_soak::records::PlannedStop;
 use sedgeridge_soak::records::RequestRecord;
+use sedgeridge_soak::records::Resume;
 use yare::parameterized;
 
 const KINDS: [RouteKind; 3] = [
@@ -55,7 +56,7 @@
         ended_at: at(sent_ms + 100),
         key_generation: 1,
         is_revoked: false,
-        resumed_at: None,
+        resume: None,
         outcome,
     }
 }
@@ -256,7 +257,10 @@
         let id = format!("r{number}");
         let status = if number < served { 200 } else { 503 };
         let mut resume = record(&id, RouteKind::Stream, 5_000, answered(status));
-        resume.resumed_at = Some(endpoints);
+        resume.resume = Some(Resume {
+            first_request: id.clone(),
+            endpoints,
+        });
         observations.records.push(resume);
         if number < served {
             observations.run_ids.push(id);
@@ -264,3 +268,22 @@
     }
     assert_eq!(broken_promises(&observations), promises);
 }
+
+/// Guards against a stream that counts as often as its caller tries to resume it.
+#[test]
+fn a_stream_that_goes_on_at_a_later_try_counts_once() {
+    let mut observations = valid_run();
+    for number in 0..12 {
+        for (attempt, status) in [(1, 503), (2, 503), (3, 200)] {
+            let id = format!("r{number}-{attempt}");
+            let mut resume = record(&id, RouteKind::Stream, 5_000, answered(status));
+            resume.resume = Some(Resume {
+                first_request: format!("r{number}"),
+                endpoints: 2,
+            });
+            observations.records.push(resume);
+        }
+        observations.run_ids.push(format!("r{number}-3"));
+    }
+    assert_eq!(check(&observations), []);
+}
