review: a question about a stream's origin ends with its caller; names; a gauge of known streams

Found by reading: a caller that left while its host asked others for the origin left the question behind for good. A guard ends it with the last task that waits for the stream, and a second question about the same stream no longer ends the first one's (a_question_ends_with_its_caller and a_question_goes_on_while_another_caller_waits, both red without the guard).

Names: a holder holds (Hold, Held), an event instead of news, ResumableStream.

--- a/crates/fleet/examples/decision_time.rs
+++ b/crates/fleet/examples/decision_time.rs
@@ -69,7 +69,7 @@
 fn print_holder_times() {
     let origin = StreamOrigin(pair_hash(1, 2));
     let lifetime = Duration::from_secs(12);
-    let message = OriginMessage::keep(StreamKey(pair_hash(3, 4)), origin, lifetime, true);
+    let message = OriginMessage::hold(StreamKey(pair_hash(3, 4)), origin, lifetime, true);
     println!("bytes of a message: {}", message.encode().len());
     println!("hosts  us to choose holders");
     for hosts in HOST_COUNTS {
--- a/crates/fleet/src/home_ring.rs
+++ b/crates/fleet/src/home_ring.rs
@@ -1,4 +1,5 @@
-//! Chooses the home endpoints of prompts, at a cost that grows with the logarithm of their number.
+//! Chooses the home endpoints of prompts, at a cost that grows with the logarithm of their number. Hosts that hold the
+//! origins of streams are chosen in the same way.
 //!
 //! Each endpoint has some positions on a ring, and each prompt some points. Its homes are the
 //! endpoints that follow one of these points most closely (multi-probe consistent hashing). All
--- a/crates/fleet/src/origin_exchange.rs
+++ b/crates/fleet/src/origin_exchange.rs
@@ -20,8 +20,8 @@
 const USUAL_HOLDERS: usize = 2;
 /// Time until the messages of a round are repeated.
 pub const ROUND_TIME: Duration = Duration::from_millis(25);
-/// Rounds in which hosts are asked to keep an origin. All of them together take less time than an event may be held.
-pub const KEEP_ROUNDS: u32 = 3;
+/// Rounds in which hosts are asked to hold an origin. All of them together take less time than an event may be held.
+pub const HOLD_ROUNDS: u32 = 3;
 /// Rounds in which hosts are asked for an origin.
 pub const FIND_ROUNDS: u32 = 4;
 
@@ -31,20 +31,20 @@
 /// A message and the host that gets it.
 pub type OutgoingMessage = (u64, OriginMessage);
 
-/// What a received message leads to.
+/// Result of a received message.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Received {
     /// Answer to the sender.
     pub reply: Option<OriginMessage>,
-    /// News for a task that waits for an answer about a stream.
-    pub news: Option<(StreamKey, OriginNews)>,
+    /// Answer about a stream, for the tasks that wait for it.
+    pub event: Option<(StreamKey, OriginEvent)>,
 }
 
 /// Answer of another host about a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum OriginNews {
+pub enum OriginEvent {
     /// It holds the stream's origin.
-    Kept,
+    Held,
     /// The stream's origin is known.
     Found(StreamOrigin),
     /// All hosts that may hold the origin have answered, and none knows it.
@@ -92,9 +92,9 @@
         self.known.len()
     }
 
-    /// Returns the messages of a round that asks hosts to keep an origin. The first round waits for one host only, since
+    /// Returns the messages of a round that asks hosts to hold an origin. The first round waits for one host only, since
     /// each answer costs processor time; the next ones for any.
-    pub fn keep_messages(
+    pub fn hold_messages(
         holders: &[u64],
         round: u32,
         stream: StreamKey,
@@ -108,15 +108,20 @@
         let asked = holders.iter().take(asked).enumerate();
         let messages = asked.map(|(rank, holder)| {
             let wants_answer = rank == 0 || round > 0;
-            let message = OriginMessage::keep(stream, origin, lifetime, wants_answer);
+            let message = OriginMessage::hold(stream, origin, lifetime, wants_answer);
             (*holder, message)
         });
         messages.collect()
     }
 
-    /// Begins to ask hosts for an origin.
+    /// Begins to ask hosts for an origin, unless they are being asked already.
     pub fn begin_search(&mut self, stream: StreamKey, holders: Holders) {
-        self.unanswered.insert(stream.0, holders);
+        self.unanswered.entry(stream.0).or_insert(holders);
+    }
+
+    /// Returns the number of streams whose origin is being asked for.
+    pub fn searches(&self) -> usize {
+        self.unanswered.len()
     }
 
     /// Returns the messages to hosts that have not answered yet.
@@ -135,7 +140,7 @@
     /// Handles a message of another host.
     pub fn receive(&mut self, now: Duration, message: OriginMessage) -> Received {
         match message {
-            OriginMessage::Keep {
+            OriginMessage::Hold {
                 stream,
                 origin,
                 lifetime_ms,
@@ -144,13 +149,13 @@
                 let lifetime = Duration::from_millis(lifetime_ms);
                 self.known.put(now, stream, origin, lifetime);
                 Received {
-                    reply: wants_answer.then_some(OriginMessage::Kept { stream }),
-                    news: None,
+                    reply: wants_answer.then_some(OriginMessage::Held { stream }),
+                    event: None,
                 }
             }
-            OriginMessage::Kept { stream } => Received {
+            OriginMessage::Held { stream } => Received {
                 reply: None,
-                news: Some((stream, OriginNews::Kept)),
+                event: Some((stream, OriginEvent::Held)),
             },
             OriginMessage::Find { stream } => {
                 let origin = self.known.get(now, stream);
@@ -160,7 +165,7 @@
                         origin,
                         host: self.host,
                     }),
-                    news: None,
+                    event: None,
                 }
             }
             OriginMessage::Found {
@@ -169,7 +174,7 @@
                 host,
             } => Received {
                 reply: None,
-                news: self.on_found(stream, origin, host),
+                event: self.on_found(stream, origin, host),
             },
         }
     }
@@ -179,14 +184,14 @@
         stream: StreamKey,
         origin: Option<StreamOrigin>,
         host: u64,
-    ) -> Option<(StreamKey, OriginNews)> {
+    ) -> Option<(StreamKey, OriginEvent)> {
         let unanswered = self.unanswered.get_mut(&stream.0)?;
         if let Some(origin) = origin {
-            return Some((stream, OriginNews::Found(origin)));
+            return Some((stream, OriginEvent::Found(origin)));
         }
         unanswered.retain(|asked| *asked != host);
         unanswered
             .is_empty()
-            .then_some((stream, OriginNews::Unknown))
+            .then_some((stream, OriginEvent::Unknown))
     }
 }
--- a/crates/fleet/src/origin_message.rs
+++ b/crates/fleet/src/origin_message.rs
@@ -11,30 +11,30 @@
 use crate::stream_origin::StreamOrigin;
 
 /// First byte of every message. Reports begin with another one.
-const FORMAT: u8 = 3;
+const MESSAGE_FORMAT: u8 = 3;
 
 /// A message about the origin of one stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OriginMessage {
-    /// Asks the receiver to keep an origin.
+    /// Asks the receiver to hold an origin.
     #[serde(rename = "k")]
-    Keep {
+    Hold {
         /// The stream.
         #[serde(rename = "s")]
         stream: StreamKey,
         /// Its origin.
         #[serde(rename = "o")]
         origin: StreamOrigin,
-        /// Time for which it is kept, in milliseconds.
+        /// Time for which it is held, in milliseconds.
         #[serde(rename = "l")]
         lifetime_ms: u64,
-        /// Whether the sender waits for [`OriginMessage::Kept`].
+        /// Whether the sender waits for [`OriginMessage::Held`].
         #[serde(rename = "w")]
         wants_answer: bool,
     },
-    /// The sender keeps the origin of the stream.
+    /// The sender holds the origin of the stream.
     #[serde(rename = "a")]
-    Kept {
+    Held {
         /// The stream.
         #[serde(rename = "s")]
         stream: StreamKey,
@@ -73,14 +73,14 @@
 }
 
 impl OriginMessage {
-    /// Returns the message that asks a host to keep an origin.
-    pub fn keep(
+    /// Returns the message that asks a host to hold an origin.
+    pub fn hold(
         stream: StreamKey,
         origin: StreamOrigin,
         lifetime: Duration,
         wants_answer: bool,
     ) -> Self {
-        Self::Keep {
+        Self::Hold {
             stream,
             origin,
             lifetime_ms: to_millis(lifetime),
@@ -90,7 +90,7 @@
 
     /// Tells whether a datagram claims to be such a message.
     pub fn has_format(datagram: &[u8]) -> bool {
-        datagram.first() == Some(&FORMAT)
+        datagram.first() == Some(&MESSAGE_FORMAT)
     }
 
     /// Encodes the message.
@@ -104,7 +104,7 @@
     /// assert!(OriginMessage::decode(b"?").is_err());
     /// ```
     pub fn encode(&self) -> Vec<u8> {
-        let mut bytes = vec![FORMAT];
+        let mut bytes = vec![MESSAGE_FORMAT];
         ciborium::into_writer(self, &mut bytes).expect("writing to a vector cannot fail");
         bytes
     }
@@ -115,7 +115,7 @@
     ///
     /// The bytes are not a message of this format.
     pub fn decode(datagram: &[u8]) -> Result<Self, OriginMessageError> {
-        let Some((&FORMAT, body)) = datagram.split_first() else {
+        let Some((&MESSAGE_FORMAT, body)) = datagram.split_first() else {
             return Err(OriginMessageError::UnknownFormat);
         };
         ciborium::from_reader(body)
--- a/crates/fleet/src/peer_hosts.rs
+++ b/crates/fleet/src/peer_hosts.rs
@@ -292,13 +292,11 @@
     /// since it may have been placed before one of them stopped or fell silent.
     pub fn possible_origin_holders(&self, now: Duration, stream: StreamKey) -> Holders {
         let mut holders = self.origin_holders(now, stream);
-        let usual = self.choose_holders(stream, |_| true);
-        holders.extend(
-            usual
-                .iter()
-                .filter(|host| !holders.contains(host))
-                .collect::<Vec<_>>(),
-        );
+        for host in self.choose_holders(stream, |_| true) {
+            if !holders.contains(&host) {
+                holders.push(host);
+            }
+        }
         holders
     }
 
--- a/crates/fleet/src/stream_origin.rs
+++ b/crates/fleet/src/stream_origin.rs
@@ -47,14 +47,14 @@
 
 /// A resumable stream of a caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct CallerStreamId {
+pub struct ResumableStream {
     /// Key of the stream.
     pub key: StreamKey,
     /// End of the caller's time, after which it does not resume the stream.
     pub deadline: Duration,
 }
 
-impl CallerStreamId {
+impl ResumableStream {
     /// Returns the time from `now` for which the stream's origin is kept.
     pub fn lifetime(&self, now: Duration) -> Duration {
         self.deadline.saturating_sub(now) + EXPIRY_MARGIN
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -89,8 +89,7 @@
         Err(response) => return response.into(),
     };
     let id = gateway.new_request_id();
-    let mut arrival = build_arrival(&gateway, id, service, &read);
-    arrival.origin = origin;
+    let arrival = build_arrival(&gateway, id, service, origin, &read);
     if let Some(account) = arrival.account.filter(|_| arrival.prompt.is_some()) {
         gateway.record_admitted(account);
     }
@@ -113,6 +112,7 @@
     gateway: &Gateway<W, C>,
     id: RequestId,
     service: ServiceId,
+    origin: Option<StreamOrigin>,
     read: &RoutedRequest,
 ) -> Arrival {
     let account = read.outgoing.account.as_ref();
@@ -125,7 +125,7 @@
         received_at: read.received_at,
         deadline: read.outgoing.deadline,
         prompt: read.prompt.clone(),
-        origin: None,
+        origin,
         fingerprint: needs_fingerprint.then(|| read.outgoing.fingerprint()),
     }
 }
@@ -257,7 +257,7 @@
     ) -> CallerResponse {
         let (status, headers) = attempt::head_for_caller(&response.head);
         self.record_first_piece();
-        let publication = self.stream.id().map(|stream| {
+        let publication = self.stream.stream().map(|stream| {
             self.gateway.handle(DispatchEvent::StreamBegan(self.id));
             let origin = StreamOrigin::of(&endpoint);
             spawn_local(stream_origins::publish(
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -151,6 +151,8 @@
     pub queued: usize,
     /// Requests without a final response yet.
     pub unfinished: usize,
+    /// Streams whose origin the host knows.
+    pub known_streams: usize,
     /// Hosts that report, this one included.
     pub hosts: usize,
     /// Connections that were opened to endpoints.
@@ -176,6 +178,7 @@
     gauge!("sedgeridge_gateway_admitted_part").set(values.admitted_part);
     gauge!("sedgeridge_gateway_queued").set(values.queued as f64);
     gauge!("sedgeridge_gateway_unfinished").set(values.unfinished as f64);
+    gauge!("sedgeridge_gateway_known_streams").set(values.known_streams as f64);
     gauge!("sedgeridge_gateway_hosts").set(values.hosts as f64);
     gauge!("sedgeridge_gateway_connections_opened").set(values.connections_opened as f64);
     gauge!("sedgeridge_gateway_connections_idle").set(values.connections_idle as f64);
--- a/crates/gateway/src/pages.rs
+++ b/crates/gateway/src/pages.rs
@@ -76,6 +76,7 @@
             admitted_part: dispatcher.least_admitted_part(),
             queued: dispatcher.queued_requests(),
             unfinished: dispatcher.unfinished_requests(),
+            known_streams: gateway.origins.known_streams(),
             hosts: dispatcher.hosts(now),
             connections_opened: gateway.pool.borrow().opened_count(),
             connections_idle: gateway.pool.borrow().idle_count(),
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -5,13 +5,14 @@
 use std::rc::Rc;
 
 use sedgeridge_fleet::origin_exchange::FIND_ROUNDS;
-use sedgeridge_fleet::origin_exchange::KEEP_ROUNDS;
+use sedgeridge_fleet::origin_exchange::HOLD_ROUNDS;
+use sedgeridge_fleet::origin_exchange::Holders;
+use sedgeridge_fleet::origin_exchange::OriginEvent;
 use sedgeridge_fleet::origin_exchange::OriginExchange;
-use sedgeridge_fleet::origin_exchange::OriginNews;
 use sedgeridge_fleet::origin_exchange::OutgoingMessage;
 use sedgeridge_fleet::origin_exchange::ROUND_TIME;
 use sedgeridge_fleet::origin_message::OriginMessage;
-use sedgeridge_fleet::stream_origin::CallerStreamId;
+use sedgeridge_fleet::stream_origin::ResumableStream;
 use sedgeridge_fleet::stream_origin::StreamKey;
 use sedgeridge_fleet::stream_origin::StreamOrigin;
 use tokio::sync::Notify;
@@ -30,7 +31,7 @@
     exchange: RefCell<OriginExchange>,
     outgoing: RefCell<Vec<OutgoingMessage>>,
     has_outgoing: Notify,
-    waiting: RefCell<HashMap<StreamKey, Vec<oneshot::Sender<OriginNews>>>>,
+    waiting: RefCell<HashMap<StreamKey, Vec<oneshot::Sender<OriginEvent>>>>,
 }
 
 /// Where the origin of a resumed stream was found.
@@ -82,34 +83,78 @@
         }
     }
 
+    /// Asks hosts for the origin of a stream. `None` if none of them knows it, or answers in time.
+    pub async fn ask(&self, stream: StreamKey, holders: Holders) -> Option<StreamOrigin> {
+        self.exchange.borrow_mut().begin_search(stream, holders);
+        let _search = SearchGuard {
+            origins: self,
+            stream,
+        };
+        let mut answer = self.wait_for_event(stream);
+        for _ in 0..FIND_ROUNDS {
+            let messages = self.exchange.borrow().find_messages(stream);
+            self.send(messages);
+            if let Ok(answer) = timeout(ROUND_TIME, &mut answer).await {
+                return match answer {
+                    Ok(OriginEvent::Found(origin)) => Some(origin),
+                    Ok(OriginEvent::Held | OriginEvent::Unknown) | Err(_) => None,
+                };
+            }
+        }
+        None
+    }
+
+    /// Returns the number of streams whose origin is being asked for.
+    pub fn searches(&self) -> usize {
+        self.exchange.borrow().searches()
+    }
+
     fn send(&self, messages: Vec<OutgoingMessage>) {
         self.outgoing.borrow_mut().extend(messages);
         self.has_outgoing.notify_one();
     }
 
-    fn wait_for_news(&self, stream: StreamKey) -> oneshot::Receiver<OriginNews> {
+    fn wait_for_event(&self, stream: StreamKey) -> oneshot::Receiver<OriginEvent> {
         let (sender, receiver) = oneshot::channel();
         let mut waiting = self.waiting.borrow_mut();
         waiting.entry(stream).or_default().push(sender);
         receiver
     }
 
-    fn on_news(&self, stream: StreamKey, news: OriginNews) {
+    fn on_event(&self, stream: StreamKey, event: OriginEvent) {
         let waiting = self.waiting.borrow_mut().remove(&stream);
         for sender in waiting.into_iter().flatten() {
             // The receiver is gone if its task has stopped waiting.
-            let _ = sender.send(news);
+            let _ = sender.send(event);
         }
     }
 
-    /// Forgets tasks that have stopped waiting for a stream.
-    fn drop_waiting(&self, stream: StreamKey) {
+    /// Forgets tasks that have stopped waiting for a stream. Returns whether none is left.
+    fn drop_waiting(&self, stream: StreamKey) -> bool {
         let mut waiting = self.waiting.borrow_mut();
-        if let Some(senders) = waiting.get_mut(&stream) {
-            senders.retain(|sender| !sender.is_closed());
-            if senders.is_empty() {
-                waiting.remove(&stream);
-            }
+        let Some(senders) = waiting.get_mut(&stream) else {
+            return true;
+        };
+        senders.retain(|sender| !sender.is_closed());
+        let is_last = senders.is_empty();
+        if is_last {
+            waiting.remove(&stream);
+        }
+        is_last
+    }
+}
+
+/// Ends the search for a stream's origin with its last task, also if the task is dropped because its caller left.
+struct SearchGuard<'a> {
+    origins: &'a StreamOrigins,
+    stream: StreamKey,
+}
+
+impl Drop for SearchGuard<'_> {
+    fn drop(&mut self) {
+        if self.origins.drop_waiting(self.stream) {
+            let mut exchange = self.origins.exchange.borrow_mut();
+            exchange.end_search(self.stream);
         }
     }
 }
@@ -124,8 +169,8 @@
         .exchange
         .borrow_mut()
         .receive(gateway.now(), message);
-    if let Some((stream, news)) = received.news {
-        origins.on_news(stream, news);
+    if let Some((stream, event)) = received.event {
+        origins.on_event(stream, event);
     }
     received.reply
 }
@@ -136,7 +181,7 @@
 /// long as this host lives.
 pub async fn publish<W: WireFormat, C: Clock>(
     gateway: Rc<Gateway<W, C>>,
-    stream: CallerStreamId,
+    stream: ResumableStream,
     origin: StreamOrigin,
 ) {
     let origins = &gateway.origins;
@@ -150,16 +195,16 @@
     if holders.is_empty() {
         return;
     }
-    let mut kept = origins.wait_for_news(stream.key);
-    for round in 0..KEEP_ROUNDS {
-        let messages = OriginExchange::keep_messages(&holders, round, stream.key, origin, lifetime);
+    let mut held = origins.wait_for_event(stream.key);
+    for round in 0..HOLD_ROUNDS {
+        let messages = OriginExchange::hold_messages(&holders, round, stream.key, origin, lifetime);
         origins.send(messages);
-        if timeout(ROUND_TIME, &mut kept).await.is_ok() {
+        if timeout(ROUND_TIME, &mut held).await.is_ok() {
             meters::count_published_origin(true);
             return;
         }
     }
-    drop(kept);
+    drop(held);
     origins.drop_waiting(stream.key);
     meters::count_published_origin(false);
     gateway.log(
@@ -181,28 +226,6 @@
     }
     let holders =
         gateway.with_dispatcher(|dispatcher| dispatcher.possible_origin_holders(now, stream));
-    if holders.is_empty() {
-        return None;
-    }
-    origins.exchange.borrow_mut().begin_search(stream, holders);
-    let news = search(origins, stream).await;
-    origins.exchange.borrow_mut().end_search(stream);
-    match news {
-        Some(OriginNews::Found(origin)) => Some((origin, OriginSource::OtherHost)),
-        Some(OriginNews::Kept | OriginNews::Unknown) | None => None,
-    }
-}
-
-async fn search(origins: &StreamOrigins, stream: StreamKey) -> Option<OriginNews> {
-    let mut news = origins.wait_for_news(stream);
-    for _ in 0..FIND_ROUNDS {
-        let messages = origins.exchange.borrow().find_messages(stream);
-        origins.send(messages);
-        if let Ok(news) = timeout(ROUND_TIME, &mut news).await {
-            return news.ok();
-        }
-    }
-    drop(news);
-    origins.drop_waiting(stream);
-    None
+    let origin = origins.ask(stream, holders).await?;
+    Some((origin, OriginSource::OtherHost))
 }
--- a/crates/gateway/src/stream_request.rs
+++ b/crates/gateway/src/stream_request.rs
@@ -4,7 +4,7 @@
 
 use sedgeridge_fleet::config::Repeat;
 use sedgeridge_fleet::config::Route;
-use sedgeridge_fleet::stream_origin::CallerStreamId;
+use sedgeridge_fleet::stream_origin::ResumableStream;
 use sedgeridge_fleet::stream_origin::StreamKey;
 use sedgeridge_fleet::stream_origin::StreamOrigin;
 use sedgeridge_fleet::verdict::Basis;
@@ -34,9 +34,9 @@
     /// The route has no resumable streams.
     NotResumable,
     /// The request begins a stream.
-    Begins(CallerStreamId),
+    Begins(ResumableStream),
     /// The request resumes a stream.
-    Resumes(CallerStreamId),
+    Resumes(ResumableStream),
     /// The request resumes a stream and does not say which.
     ResumesUnnamed,
 }
@@ -48,21 +48,21 @@
             return Self::NotResumable;
         }
         let time_left = metadata.time_left.unwrap_or(route.timeout);
-        let id = |attempt: &str| CallerStreamId {
+        let stream = |attempt: &str| ResumableStream {
             key: StreamKey::of_attempt(attempt),
             deadline: received_at.saturating_add(time_left),
         };
         match &metadata.resumed_attempt {
-            Some(attempt) => Self::Resumes(id(attempt)),
+            Some(attempt) => Self::Resumes(stream(attempt)),
             None if metadata.last_event_id.is_some() => Self::ResumesUnnamed,
-            None => Self::Begins(id(&metadata.id)),
+            None => Self::Begins(stream(&metadata.id)),
         }
     }
 
     /// Returns the stream, if it is resumable and known by name.
-    pub fn id(&self) -> Option<CallerStreamId> {
+    pub fn stream(&self) -> Option<ResumableStream> {
         match self {
-            Self::Begins(id) | Self::Resumes(id) => Some(*id),
+            Self::Begins(stream) | Self::Resumes(stream) => Some(*stream),
             Self::NotResumable | Self::ResumesUnnamed => None,
         }
     }
@@ -81,7 +81,7 @@
 ) -> Result<Option<StreamOrigin>, CallerResponse> {
     let found = match &read.stream {
         StreamRequest::NotResumable | StreamRequest::Begins(_) => return Ok(None),
-        StreamRequest::Resumes(id) => stream_origins::find(gateway, id.key).await,
+        StreamRequest::Resumes(stream) => stream_origins::find(gateway, stream.key).await,
         StreamRequest::ResumesUnnamed => {
             let sole = gateway.with_dispatcher(|dispatcher| dispatcher.sole_origin(service));
             sole.map(|origin| (origin, OriginSource::SoleVersion))
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -173,6 +173,10 @@
         "sedgeridge_gateway_held_bytes",
         "memory that requests in progress hold, their bodies included",
     ),
+    gauge(
+        "sedgeridge_gateway_known_streams",
+        "streams that may be resumed and whose origin this host knows, begun here or held for other hosts",
+    ),
     gauge(
         "sedgeridge_gateway_hosts",
         "hosts that report, this one included",
