observability: how far a failed attempt got, and the parts of its prompt

E3303 tells the time since the attempt was sent, the time for which its answer had been arriving, and the ids of the prompt's parts; sedgeridge_gateway_attempts_lost_total counts lost connections by the stage of the answer. With them the hypotheses of the incident can be told apart: attempts that were lost soon after their answers began, at endpoint after endpoint, and the part that they have in common.

--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -202,7 +202,7 @@
     load: Load,
     sent_at: Duration,
     unread_tokens_at_send: f64,
-    has_first_piece: bool,
+    first_piece_at: Option<Duration>,
 }
 
 impl Dispatcher {
--- a/crates/fleet/src/dispatcher/attempts.rs
+++ b/crates/fleet/src/dispatcher/attempts.rs
@@ -11,6 +11,7 @@
 use super::candidates::BestEndpoint;
 use crate::arrival::Arrival;
 use crate::arrival::RequestId;
+use crate::attempt_progress::AttemptProgress;
 use crate::endpoint_load::Load;
 use crate::endpoint_table::Endpoint;
 use crate::stream_origin::StreamOrigin;
@@ -102,7 +103,7 @@
             load,
             sent_at: now,
             unread_tokens_at_send: f64::from(unread_before) + f64::from(load.unread_tokens),
-            has_first_piece: false,
+            first_piece_at: None,
         });
         pending.sends += 1;
         pending.tried_endpoints.push(endpoint.key);
@@ -137,10 +138,13 @@
             return;
         };
         let has_prompt = pending.arrival.prompt.is_some();
-        let Some(attempt) = pending.attempt.as_mut().filter(|a| !a.has_first_piece) else {
+        let Some(attempt) = pending.attempt.as_mut() else {
             return;
         };
-        attempt.has_first_piece = true;
+        if attempt.first_piece_at.is_some() {
+            return;
+        }
+        attempt.first_piece_at = Some(now);
         let key = attempt.endpoint.key;
         let read = Load {
             unread_tokens: attempt.load.unread_tokens,
@@ -156,6 +160,18 @@
         self.tick_early(now);
     }
 
+    /// Returns the progress of a request's attempt, if one is in progress.
+    pub fn attempt_progress(&self, now: Duration, id: RequestId) -> Option<AttemptProgress> {
+        let pending = self.requests.get(&id)?;
+        let attempt = pending.attempt.as_ref()?;
+        let prompt = pending.arrival.prompt.as_ref();
+        Some(AttemptProgress {
+            sent_ago: now.saturating_sub(attempt.sent_at),
+            answered_for: attempt.first_piece_at.map(|at| now.saturating_sub(at)),
+            parts: prompt.map_or_else(Vec::new, |prompt| prompt.parts.clone()),
+        })
+    }
+
     pub(super) fn on_stream_began(&mut self, id: RequestId) {
         let Some(pending) = self.requests.get_mut(&id) else {
             return;
@@ -189,7 +205,7 @@
             self.loads.subtract_own(attempt.endpoint.key, attempt.load);
             let silent_for = now.saturating_sub(attempt.sent_at);
             let max_silence = pending.arrival.route.latency_target * MAX_SILENCE_TARGETS;
-            if !attempt.has_first_piece && silent_for > max_silence {
+            if attempt.first_piece_at.is_none() && silent_for > max_silence {
                 let key = attempt.endpoint.key;
                 self.records.on_failure(now, key, Failure::TimedOut);
             }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -137,7 +137,7 @@
     guard: RequestGuard<W, C>,
     pub(crate) route: Arc<Route>,
     pub(crate) outgoing: OutgoingRequest,
-    id: RequestId,
+    pub(crate) id: RequestId,
     stream: StreamRequest,
     pub(crate) received_at: Duration,
 }
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -8,6 +8,7 @@
 use metrics_exporter_prometheus::BuildError;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
+use sedgeridge_fleet::attempt_progress::AnswerStage;
 use sedgeridge_fleet::config::Repeat;
 use sedgeridge_fleet::dispatcher::DispatchCounts;
 
@@ -51,6 +52,11 @@
     counter!("sedgeridge_gateway_attempts_failed_total", "reason" => reason).increment(1);
 }
 
+/// Counts an attempt whose connection was lost, by how much of its answer had arrived.
+pub fn count_lost_attempt(answer: AnswerStage) {
+    counter!("sedgeridge_gateway_attempts_lost_total", "answer" => answer.as_str()).increment(1);
+}
+
 /// Counts a notice of an endpoint about itself, sent with a response.
 pub fn count_endpoint_notice(notice: &'static str) {
     counter!("sedgeridge_gateway_endpoint_notices_total", "notice" => notice).increment(1);
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use sedgeridge_fleet::arrival::RequestId;
 use sedgeridge_fleet::endpoint_table::Endpoint;
 use sedgeridge_fleet::verdict::Basis;
 use sedgeridge_fleet::verdict::Failure;
@@ -32,7 +33,6 @@
     }
 
     pub(crate) fn log_failed_attempt(&self, endpoint: &Endpoint, failure: Failure) {
-        meters::count_failed_attempt(failure.as_str());
         let fields = [
             ("request", (*self.outgoing.id).into()),
             ("endpoint", endpoint.id.as_str().into()),
@@ -40,7 +40,7 @@
             ("failure", failure.as_str().into()),
             ("may_have_run", failure.may_have_run().into()),
         ];
-        self.gateway.log(LogEvent::AttemptFailed, &fields);
+        log_failed_attempt(&self.gateway, self.id, failure, &fields);
     }
 
     pub(crate) fn log_refusal(&self, reason: RefusalReason, retry_after: Duration, basis: &Basis) {
@@ -124,3 +124,25 @@
 fn rounded(value: f64) -> Value {
     ((value * 100.0).round() / 100.0).into()
 }
+
+/// Counts and logs a failed attempt, with how far it got: an attempt that was lost soon after its answer began may have
+/// crashed its endpoint, by some part of its prompt.
+pub(crate) fn log_failed_attempt<W: WireFormat, C: Clock>(
+    gateway: &Gateway<W, C>,
+    id: RequestId,
+    failure: Failure,
+    fields: &[(&'static str, Value)],
+) {
+    meters::count_failed_attempt(failure.as_str());
+    let now = gateway.now();
+    let progress = gateway.with_dispatcher(|dispatcher| dispatcher.attempt_progress(now, id));
+    let progress = progress.unwrap_or_default();
+    if failure == Failure::ConnectionLost {
+        meters::count_lost_attempt(progress.stage());
+    }
+    let mut fields = fields.to_vec();
+    fields.push(("sent_ago_ms", millis(progress.sent_ago)));
+    fields.push(("answered_for_ms", progress.answered_for.map(millis).into()));
+    fields.push(("parts", progress.part_ids().into()));
+    gateway.log(LogEvent::AttemptFailed, &fields);
+}
--- a/crates/gateway/src/stream_forward.rs
+++ b/crates/gateway/src/stream_forward.rs
@@ -26,6 +26,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::RequestGuard;
 use crate::meters;
+use crate::request_log::log_failed_attempt;
 use crate::response::STREAM_QUEUE_LENGTH;
 use crate::response::StreamInterrupted;
 use crate::wire::WireFormat;
@@ -136,7 +137,6 @@
     }
 
     fn log_interruption(&self, endpoint: &Endpoint, failure: Failure) {
-        meters::count_failed_attempt(failure.as_str());
         let fields = [
             ("request", (*self.outgoing.id).into()),
             ("endpoint", endpoint.id.as_str().into()),
@@ -144,7 +144,7 @@
             ("failure", failure.as_str().into()),
             ("last_event", self.outgoing.last_event_id.into()),
         ];
-        self.gateway.log(LogEvent::AttemptFailed, &fields);
+        log_failed_attempt(&self.gateway, self.id, failure, &fields);
     }
 
     /// Forwards the events of one endpoint.
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -106,6 +106,12 @@
         Values::Fixed("told, failed"),
         "drains that the coordinator asked routers for",
     ),
+    counter(
+        "sedgeridge_gateway_attempts_lost_total",
+        "answer",
+        Values::Fixed("not_begun, begun, sound"),
+        "attempts whose connection was lost, by how much of the answer had arrived",
+    ),
     counter(
         "sedgeridge_gateway_attempts_failed_total",
         "reason",
