--- /dev/null
+++ b/crates/fleet/tests/support/crash_play.rs
@@ -0,0 +1,521 @@
+//! Plays a fleet of dispatchers before engines that crash when they begin an answer to a prompt with a certain part. No
+//! two requests are alike, and they reach any host.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use sedgeridge_coordination::random::SeededRandom;
+use sedgeridge_fleet::arrival::Arrival;
+use sedgeridge_fleet::arrival::RequestId;
+use sedgeridge_fleet::config::EngineSpec;
+use sedgeridge_fleet::config::FleetConfig;
+use sedgeridge_fleet::dispatcher::DispatchEvent;
+use sedgeridge_fleet::dispatcher::Dispatcher;
+use sedgeridge_fleet::dispatcher::DispatcherSettings;
+use sedgeridge_fleet::endpoint_table::Endpoint;
+use sedgeridge_fleet::hashing::stable_hash;
+use sedgeridge_fleet::peer_hosts::ListedHost;
+use sedgeridge_fleet::peer_report::PeerReport;
+use sedgeridge_fleet::prompt::Prompt;
+use sedgeridge_fleet::prompt::PromptPart;
+use sedgeridge_fleet::verdict::Decision;
+use sedgeridge_fleet::verdict::Failure;
+use sedgeridge_fleet::verdict::RefusalReason;
+use sedgeridge_fleet::verdict::Verdict;
+use sedgeridge_state::fingerprint::Fingerprint;
+use sedgeridge_state::ids::ServiceId;
+
+use super::ENGINES;
+use super::at;
+use super::config;
+use super::endpoint;
+use super::engine_request;
+use super::live;
+use super::settings;
+
+/// First part of every prompt.
+pub const SYSTEM_PART: u64 = 1;
+/// Time between two steps.
+const STEP_MS: u64 = 5;
+const TICK_INTERVAL_MS: u64 = 20;
+const REPORT_POLL_INTERVAL_MS: u64 = 50;
+const NETWORK_DELAY_MS: u64 = 2;
+/// Shortest and longest time from a send to the first piece of the answer.
+const FIRST_PIECE_MS: (u64, u64) = (20, 100);
+/// Time from the first piece of an answer to the crash that its prompt causes.
+const CRASH_DELAY_MS: u64 = 80;
+/// Time for which a crashed engine is down.
+const DOWN_MS: u64 = 3_000;
+/// Time from a crash until the engine's entry is removed.
+const LISTED_AFTER_CRASH_MS: u64 = 3_600;
+const SLOTS: u32 = 64;
+const STATED_TOKENS_PER_S: f64 = 1_000_000.0;
+const DATA_CENTRES: usize = 3;
+
+/// A request to play. `parts` are the ids of its prompt's parts but for the last one, which no other request has.
+#[derive(Debug, Clone)]
+pub struct PlayedRequest {
+    /// Account that pays for it.
+    pub account: u64,
+    /// All parts but the last one.
+    pub parts: Vec<u64>,
+    /// Last part; `None` for one that no other request has.
+    pub last_part: Option<u64>,
+    /// Time from its first piece to its end.
+    pub answer_ms: u64,
+}
+
+impl PlayedRequest {
+    /// A request with the first part of all prompts and a part of its account, and further `parts` after them.
+    pub fn with_parts(account: u64, parts: &[u64]) -> Self {
+        let shared = [SYSTEM_PART, 100 + account];
+        Self {
+            account,
+            parts: shared.into_iter().chain(parts.iter().copied()).collect(),
+            last_part: None,
+            answer_ms: 1_200,
+        }
+    }
+}
+
+/// What became of a request.
+#[derive(Debug, Clone)]
+pub struct Outcome {
+    /// When it arrived.
+    pub arrived_ms: u64,
+    /// Whether its prompt has a part that crashes engines.
+    pub is_culprit: bool,
+    /// Parts of its prompt, the last one included.
+    pub parts: Vec<u64>,
+    /// Reason of its refusal, if it was refused.
+    pub refused: Option<RefusalReason>,
+    /// When it was first sent.
+    pub sent_ms: Option<u64>,
+    /// Whether its answer was complete.
+    pub is_complete: bool,
+    host: usize,
+    answer_ms: u64,
+}
+
+struct PlayedHost {
+    dispatcher: Option<Dispatcher>,
+    run: u64,
+    started_ms: u64,
+}
+
+struct Engine {
+    run: u32,
+    listed: Arc<Endpoint>,
+    up_from_ms: u64,
+    streams: Vec<Stream>,
+}
+
+struct Stream {
+    host: usize,
+    host_run: u64,
+    id: RequestId,
+    first_piece_ms: u64,
+    has_first_piece: bool,
+}
+
+/// A fleet, its engines and the requests so far.
+pub struct CrashPlay {
+    /// Time of the play.
+    pub now_ms: u64,
+    /// All requests so far.
+    pub outcomes: BTreeMap<RequestId, Outcome>,
+    /// Times at which engines crashed under a part that crashes them.
+    pub crashes_ms: Vec<u64>,
+    /// Times at which requests with such a part were sent to engines that were up.
+    pub culprit_sends_ms: Vec<u64>,
+    crashing_parts: Vec<u64>,
+    hosts: Vec<PlayedHost>,
+    engines: Vec<Engine>,
+    entries_to_remove: Vec<(u64, Arc<Endpoint>)>,
+    reports: Vec<(u64, u64, PeerReport)>,
+    events: Vec<(u64, usize, u64, DispatchEvent)>,
+    random: SeededRandom,
+}
+
+fn host_key(host: usize) -> u64 {
+    stable_hash(&format!("host-{host}"))
+}
+
+fn data_centre_of(host: usize) -> String {
+    format!("dc-{}", host % DATA_CENTRES)
+}
+
+fn engine_entry(number: usize, run: u32) -> Endpoint {
+    Endpoint {
+        slots: SLOTS,
+        ..endpoint(ENGINES, &format!("engine-{number}-{run}"))
+    }
+}
+
+fn engine_config() -> Arc<FleetConfig> {
+    let mut config = FleetConfig::clone(&config());
+    let engine = EngineSpec {
+        slots: SLOTS,
+        memory_tokens: 1_000_000,
+    };
+    let service = config.services.get_mut(&ServiceId::from(ENGINES));
+    service.expect("the service").engine = Some(engine);
+    config.limits.tokens_per_s = Some(STATED_TOKENS_PER_S);
+    Arc::new(config)
+}
+
+impl CrashPlay {
+    /// Starts hosts and engines, and plays until the hosts know each other.
+    pub fn start(hosts: usize, engines: usize, crashing_parts: &[u64], seed: u64) -> Self {
+        let engine = |number| Engine {
+            run: 0,
+            listed: Arc::new(engine_entry(number, 0)),
+            up_from_ms: 0,
+            streams: Vec::new(),
+        };
+        let mut play = Self {
+            now_ms: 0,
+            outcomes: BTreeMap::new(),
+            crashes_ms: Vec::new(),
+            culprit_sends_ms: Vec::new(),
+            crashing_parts: crashing_parts.to_vec(),
+            hosts: Vec::new(),
+            engines: (0..engines).map(engine).collect(),
+            entries_to_remove: Vec::new(),
+            reports: Vec::new(),
+            events: Vec::new(),
+            random: SeededRandom::new(seed),
+        };
+        for _ in 0..hosts {
+            play.hosts.push(PlayedHost {
+                dispatcher: None,
+                run: 0,
+                started_ms: 0,
+            });
+        }
+        for host in 0..hosts {
+            play.start_host(host);
+        }
+        play.run_for(2_000);
+        play
+    }
+
+    /// Kills a host and starts it again without memory.
+    pub fn restart_host(&mut self, host: usize) {
+        self.start_host(host);
+    }
+
+    fn start_host(&mut self, host: usize) {
+        let run = self.hosts[host].run + 1;
+        let mut dispatcher = Dispatcher::new(DispatcherSettings {
+            run,
+            data_centre: Arc::from(data_centre_of(host)),
+            ..settings(host_key(host))
+        });
+        let listed = (0..self.hosts.len()).map(|host| ListedHost {
+            host: host_key(host),
+            data_centre: stable_hash(&data_centre_of(host)),
+        });
+        let engines = self.engines.iter();
+        let engines = engines.map(|it| DispatchEvent::EndpointListed(Endpoint::clone(&it.listed)));
+        let mut events = vec![
+            DispatchEvent::HostsListed(listed.collect()),
+            DispatchEvent::Configured(engine_config()),
+        ];
+        events.extend(engines);
+        for event in events {
+            dispatcher.handle(at(0), event, &mut Vec::new());
+        }
+        self.hosts[host] = PlayedHost {
+            dispatcher: Some(dispatcher),
+            run,
+            started_ms: self.now_ms,
+        };
+    }
+
+    /// Sends a request to a random host. Returns its number.
+    pub fn request(&mut self, request: &PlayedRequest) -> RequestId {
+        let host = self.random.index(self.hosts.len());
+        self.request_at(host, request)
+    }
+
+    /// Sends a request to a host. Returns its number.
+    pub fn request_at(&mut self, host: usize, request: &PlayedRequest) -> RequestId {
+        let id = RequestId(self.outcomes.len() as u64);
+        let own_part = request.last_part.unwrap_or(1_000_000 + id.0);
+        let parts: Vec<u64> = request.parts.iter().copied().chain([own_part]).collect();
+        let is_culprit = self.crashes_engines(&parts);
+        let outcome = Outcome {
+            arrived_ms: self.now_ms,
+            is_culprit,
+            parts: parts.clone(),
+            refused: None,
+            sent_ms: None,
+            is_complete: false,
+            host,
+            answer_ms: request.answer_ms,
+        };
+        self.outcomes.insert(id, outcome);
+        let now = self.host_time(host);
+        let prompt = Prompt {
+            prompt_tokens: 100 * parts.len() as u32,
+            max_output_tokens: 50,
+            parts: parts
+                .iter()
+                .map(|id| PromptPart {
+                    id: *id,
+                    tokens: 100,
+                })
+                .collect(),
+        };
+        let arrival = Arrival {
+            id,
+            fingerprint: None,
+            deadline: at(now + 12_000),
+            ..engine_request(now, request.account, prompt)
+        };
+        self.send(host, DispatchEvent::Arrived(Box::new(arrival)));
+        id
+    }
+
+    /// Plays on for a time.
+    pub fn run_for(&mut self, ms: u64) {
+        let end = self.now_ms + ms;
+        while self.now_ms < end {
+            self.now_ms += STEP_MS;
+            self.step();
+        }
+    }
+
+    /// Crashes an engine for another cause than a prompt.
+    pub fn crash_engine(&mut self, number: usize) {
+        let crashed = &mut self.engines[number];
+        crashed.up_from_ms = self.now_ms + DOWN_MS;
+        let listed = crashed.listed.clone();
+        self.entries_to_remove
+            .push((self.now_ms + LISTED_AFTER_CRASH_MS, listed));
+        for stream in std::mem::take(&mut crashed.streams) {
+            let arrives_ms = self.now_ms + NETWORK_DELAY_MS;
+            let fingerprint = Fingerprint(u128::from(stream.id.0) + 1);
+            let events = [
+                DispatchEvent::FingerprintComputed(stream.id, fingerprint),
+                DispatchEvent::AttemptFailed(stream.id, Failure::ConnectionLost),
+            ];
+            for event in events {
+                self.events
+                    .push((arrives_ms, stream.host, stream.host_run, event));
+            }
+        }
+    }
+
+    /// Returns the dispatcher of a host.
+    pub fn dispatcher(&mut self, host: usize) -> &mut Dispatcher {
+        self.hosts[host]
+            .dispatcher
+            .as_mut()
+            .expect("a running host")
+    }
+
+    /// Returns the number of hosts.
+    pub fn host_count(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Returns the requests without a crashing part that were refused because of crashes.
+    pub fn quarantined_sound_requests(&self) -> usize {
+        let sound = self.outcomes.values().filter(|it| !it.is_culprit);
+        let refused = sound.filter(|it| it.refused == Some(RefusalReason::Quarantined));
+        refused.count()
+    }
+
+    /// Returns the share of the sound requests since a time that were sent at once.
+    pub fn share_sent_at_once(&self, since_ms: u64) -> f64 {
+        let is_counted = |it: &&Outcome| !it.is_culprit && it.arrived_ms >= since_ms;
+        let sound: Vec<_> = self.outcomes.values().filter(is_counted).collect();
+        let sent = sound.iter().filter(|it| it.sent_ms == Some(it.arrived_ms));
+        sent.count() as f64 / sound.len().max(1) as f64
+    }
+
+    fn host_time(&self, host: usize) -> u64 {
+        self.now_ms - self.hosts[host].started_ms
+    }
+
+    fn crashes_engines(&self, parts: &[u64]) -> bool {
+        let shared = &parts[..parts.len() - 1];
+        shared.iter().any(|part| self.crashing_parts.contains(part))
+    }
+
+    fn step(&mut self) {
+        self.deliver_reports();
+        self.deliver_events();
+        self.start_engines_again();
+        self.remove_entries();
+        self.run_engines();
+        if self.now_ms.is_multiple_of(TICK_INTERVAL_MS) {
+            for host in 0..self.hosts.len() {
+                self.send(host, DispatchEvent::Tick);
+            }
+        }
+        if self.now_ms.is_multiple_of(REPORT_POLL_INTERVAL_MS) {
+            self.send_reports();
+        }
+    }
+
+    fn send(&mut self, host: usize, event: DispatchEvent) {
+        let now = at(self.host_time(host));
+        let mut decisions = Vec::new();
+        self.dispatcher(host).handle(now, event, &mut decisions);
+        for decision in decisions {
+            self.carry_out(host, decision);
+        }
+    }
+
+    fn carry_out(&mut self, host: usize, decision: Decision) {
+        let id = decision.request;
+        match decision.verdict {
+            Verdict::Send(endpoint) => self.start_stream(host, id, &endpoint),
+            Verdict::Refuse { reason, .. } => self.outcome(id).refused = Some(reason),
+            Verdict::Fail(_) => {}
+        }
+    }
+
+    fn outcome(&mut self, id: RequestId) -> &mut Outcome {
+        self.outcomes.get_mut(&id).expect("a known request")
+    }
+
+    fn start_stream(&mut self, host: usize, id: RequestId, endpoint: &Endpoint) {
+        let now_ms = self.now_ms;
+        let host_run = self.hosts[host].run;
+        self.outcome(id).sent_ms.get_or_insert(now_ms);
+        let (shortest, longest) = FIRST_PIECE_MS;
+        let first_piece_ms = now_ms + shortest + self.random.below(longest - shortest);
+        let engine = self.engines.iter_mut();
+        let engine = engine.filter(|it| it.listed.key == endpoint.key && it.up_from_ms <= now_ms);
+        let Some(engine) = engine.last() else {
+            let failed = DispatchEvent::AttemptFailed(id, Failure::NotConnected);
+            let arrives_ms = now_ms + NETWORK_DELAY_MS;
+            self.events.push((arrives_ms, host, host_run, failed));
+            return;
+        };
+        engine.streams.push(Stream {
+            host,
+            host_run,
+            id,
+            first_piece_ms,
+            has_first_piece: false,
+        });
+        if self.outcomes[&id].is_culprit {
+            self.culprit_sends_ms.push(now_ms);
+        }
+    }
+
+    fn deliver_events(&mut self) {
+        let now_ms = self.now_ms;
+        let (due, later) = std::mem::take(&mut self.events)
+            .into_iter()
+            .partition(|(at_ms, ..)| *at_ms <= now_ms);
+        self.events = later;
+        let due: Vec<(u64, usize, u64, DispatchEvent)> = due;
+        for (_, host, run, event) in due {
+            if self.hosts[host].run == run {
+                self.send(host, event);
+            }
+        }
+    }
+
+    fn start_engines_again(&mut self) {
+        for number in 0..self.engines.len() {
+            if self.engines[number].up_from_ms != self.now_ms {
+                continue;
+            }
+            let run = self.engines[number].run + 1;
+            let entry = engine_entry(number, run);
+            self.engines[number].run = run;
+            self.engines[number].listed = Arc::new(entry.clone());
+            for host in 0..self.hosts.len() {
+                self.send(host, DispatchEvent::EndpointListed(entry.clone()));
+            }
+        }
+    }
+
+    fn remove_entries(&mut self) {
+        let now_ms = self.now_ms;
+        let entries = std::mem::take(&mut self.entries_to_remove);
+        for (at_ms, entry) in entries {
+            if at_ms > now_ms {
+                self.entries_to_remove.push((at_ms, entry));
+                continue;
+            }
+            for host in 0..self.hosts.len() {
+                self.send(host, DispatchEvent::EndpointGone(entry.clone()));
+            }
+        }
+    }
+
+    fn run_engines(&mut self) {
+        for number in 0..self.engines.len() {
+            let crashes = self.engines[number].streams.iter().any(|stream| {
+                self.outcomes[&stream.id].is_culprit
+                    && self.now_ms >= stream.first_piece_ms + CRASH_DELAY_MS
+            });
+            if crashes {
+                self.crashes_ms.push(self.now_ms);
+                self.crash_engine(number);
+                continue;
+            }
+            for mut stream in std::mem::take(&mut self.engines[number].streams) {
+                if self.run_stream(&mut stream) {
+                    self.engines[number].streams.push(stream);
+                }
+            }
+        }
+    }
+
+    /// Returns whether the stream goes on.
+    fn run_stream(&mut self, stream: &mut Stream) -> bool {
+        let id = stream.id;
+        if self.hosts[stream.host].run != stream.host_run {
+            return false;
+        }
+        if !stream.has_first_piece && self.now_ms >= stream.first_piece_ms {
+            stream.has_first_piece = true;
+            self.send(stream.host, DispatchEvent::StreamBegan(id));
+            self.send(stream.host, DispatchEvent::FirstPiece(id));
+        }
+        if self.now_ms < stream.first_piece_ms + self.outcomes[&id].answer_ms {
+            return true;
+        }
+        self.outcome(id).is_complete = true;
+        self.send(stream.host, DispatchEvent::Completed(id));
+        false
+    }
+
+    fn send_reports(&mut self) {
+        for host in 0..self.hosts.len() {
+            let now = at(self.host_time(host));
+            let due = self.dispatcher(host).reports_due(now, live());
+            for outgoing in due {
+                for recipient in outgoing.to {
+                    let mut report =
+                        PeerReport::decode(&outgoing.report.encode()).expect("a report");
+                    report.included = recipient.included;
+                    let arrives_ms = self.now_ms + NETWORK_DELAY_MS;
+                    self.reports.push((arrives_ms, recipient.host, report));
+                }
+            }
+        }
+    }
+
+    fn deliver_reports(&mut self) {
+        let now_ms = self.now_ms;
+        let (due, later) = std::mem::take(&mut self.reports)
+            .into_iter()
+            .partition(|(at_ms, ..)| *at_ms <= now_ms);
+        self.reports = later;
+        let due: Vec<(u64, u64, PeerReport)> = due;
+        for (_, to, report) in due {
+            let host = (0..self.hosts.len()).find(|host| host_key(*host) == to);
+            self.send(host.expect("a known host"), DispatchEvent::Reported(report));
+        }
+    }
+}
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod crash_play;
 pub mod load_play;
 pub mod plain_play;
 pub mod table_fleet;
