A stream without length or chunks that ends before its first event, or inside one, has lost its connection

Callers saw an empty stream that looked complete when an endpoint crashed before the first event of an answer that only its connection ends; the request went to no other endpoint. One that ended inside an event was sent on, but counted as a spoiled answer, so that its crash was no evidence. a_stream_that_ends_without_an_event_begins_at_another_endpoint failed before; the other tests of unframed_answers.rs passed before and hold what worked.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -76,6 +76,8 @@
     pub keep_alive_timeout: Option<Duration>,
     /// Whether the connection stays open after this response.
     pub is_reusable: bool,
+    /// Whether only the end of the connection ends the body, which has neither a length nor chunks.
+    pub is_unframed: bool,
 }
 
 /// An endpoint's response with its body in memory.
@@ -133,6 +135,7 @@
     let response = EndpointResponse {
         keep_alive_timeout: parse_keep_alive_timeout(&head.headers),
         is_reusable: is_reusable(&head),
+        is_unframed: is_unframed(&head),
         head,
         body,
         connection,
@@ -156,6 +159,7 @@
         connection,
         keep_alive_timeout,
         is_reusable,
+        ..
     } = response;
     let body = http_body_util::Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES);
     let body = body.collect().await.map_err(|_| Failure::ConnectionLost)?;
@@ -339,6 +343,11 @@
     !says_close && head.version == Version::HTTP_11
 }
 
+fn is_unframed(head: &Parts) -> bool {
+    let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+    !framing.iter().any(|name| head.headers.contains_key(name))
+}
+
 fn parse_keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
     let timeout = value
--- a/crates/gateway/src/stream_forward.rs
+++ b/crates/gateway/src/stream_forward.rs
@@ -160,6 +160,7 @@
             connection,
             keep_alive_timeout,
             is_reusable,
+            is_unframed,
             ..
         } = response;
         loop {
@@ -186,6 +187,11 @@
                 return StreamEnd::CallerLeft;
             }
         }
+        let has_begun = self.has_first_event || self.outgoing.last_event_id.is_some();
+        if is_unframed && (splitter.has_partial_event() || !has_begun) {
+            // A crash ends such a stream like its last event does.
+            return StreamEnd::Broken(Failure::ConnectionLost);
+        }
         if splitter.has_partial_event() {
             return StreamEnd::Broken(Failure::SpoiledAnswer);
         }
