Sound parts are not refused after crashes of all endpoints at once

Evidence counts only once it is older than the time in which a suspect is cleared, and answers have to flow for that time again after a gap. The suspect with the most crashes goes first; what most requests have, or what has worked before while something else was in all of its crashes, needs a contrast: other requests that are answered.

The soak learns it: a caller sends prompts with a part that crashes endpoints throughout, and in the quiet period at most three of them may reach any; other callers' streams carry prompts with the same first part.

--- a/crates/fleet/src/crash_evidence.rs
+++ b/crates/fleet/src/crash_evidence.rs
@@ -37,9 +37,15 @@
 const REFUTATION_TIME: Duration = Duration::from_secs(60);
 /// Number of reports that tell of a change before other suspects get their turn.
 const CHANGE_REPEATS: u32 = 4;
+/// Crashes from which a suspect needs no trial once everything else in them is cleared.
+const SETTLING_CRASHES: usize = 6;
+/// First quarantine of a suspect that may be innocent.
+const AMBIGUOUS_QUARANTINE_TIME: Duration = Duration::from_secs(10);
 /// Longest delay of a host's first trial after a quarantine. Hosts draw different ones: the first trial clears the suspect
 /// or renews the quarantine for all of them.
 const MAX_TRIAL_DELAY: Duration = Duration::from_secs(60);
+/// Time without sound answers after which hosts need the settle time anew.
+const ANSWER_GAP: Duration = Duration::from_secs(1);
 /// Added to the process's clock, which starts at zero, so that times before its start can be kept.
 const CLOCK_HEADROOM: Duration = Duration::from_secs(7 * 24 * 60 * 60);
 
@@ -78,10 +84,10 @@
 ///     evidence.add_crash(lost_at, Suspect::Part(7), crash);
 /// }
 /// let (now, settle_time) = (Duration::from_secs(5), Duration::from_secs(1));
-/// evidence.tick(Duration::from_secs(3), settle_time);
-/// evidence.tick(now, settle_time);
-/// assert!(evidence.quarantined_for(now, &[4, 7], None).is_some());
-/// assert!(evidence.quarantined_for(now, &[4], None).is_none());
+/// let is_common = |_| Some(false);
+/// evidence.tick(now, settle_time, is_common);
+/// assert!(evidence.quarantined_for(now, &[4, 7], None, is_common).is_some());
+/// assert!(evidence.quarantined_for(now, &[4], None, is_common).is_none());
 /// ```
 #[derive(Debug)]
 pub struct CrashEvidence {
@@ -95,6 +101,10 @@
     last_reported: Option<Suspect>,
     /// Whether this host has found out something that others don't know.
     has_news: bool,
+    /// Time of this host's last sound answer to a prompt.
+    last_sound_at: Option<Duration>,
+    /// Since when there have been such answers without a gap.
+    answers_since: Duration,
 }
 
 #[derive(Debug, Default)]
@@ -114,6 +124,8 @@
             suspects: BTreeMap::new(),
             last_reported: None,
             has_news: false,
+            last_sound_at: None,
+            answers_since: Duration::ZERO,
         }
     }
 
@@ -164,6 +176,34 @@
         was_quarantined && entry.record.quarantine().is_none()
     }
 
+    fn note_sound_answer(&mut self, now: Duration) {
+        if !self.is_answering(now) {
+            self.answers_since = now;
+        }
+        self.last_sound_at = Some(now);
+    }
+
+    /// Returns whether prompts have been answered within the last moments.
+    fn is_answering(&self, now: Duration) -> bool {
+        let last = self.last_sound_at;
+        last.is_some_and(|last| now.saturating_sub(last) <= ANSWER_GAP)
+    }
+
+    /// Records a sound answer to a request that has only these suspects.
+    pub fn add_contrasts(&mut self, now: Duration, suspects: &[Suspect], sent_at: Duration) {
+        let now = self.set_now(now);
+        let has_prompt = suspects.iter().any(|suspect| suspect.is_part());
+        if has_prompt {
+            self.note_sound_answer(now);
+        }
+        for (other, entry) in &mut self.suspects {
+            let is_alike = has_prompt || !other.is_part();
+            if is_alike && !suspects.contains(other) {
+                entry.record.add_contrast(sent_at + CLOCK_HEADROOM);
+            }
+        }
+    }
+
     /// Takes in what another host knows about a suspect. Returns whether a quarantine started or ended by it.
     pub fn merge(&mut self, now: Duration, report: &SuspectReport) -> Option<QuarantineEvent> {
         let now = self.set_now(now);
@@ -174,12 +214,14 @@
             return None;
         }
         entry.repeats = CHANGE_REPEATS;
-        match (before, entry.record.quarantine()) {
+        let after = entry.record.quarantine();
+        let crashes = entry.record.crashes().len();
+        match (before, after) {
             (Some(_), None) => Some(QuarantineEvent::Cleared(suspect)),
             (_, Some(after)) if before != Some(after) && after.until > now => {
                 Some(QuarantineEvent::Started(Quarantined {
                     suspect,
-                    crashes: entry.record.crashes().len(),
+                    crashes,
                     duration: after.until.saturating_sub(now),
                 }))
             }
@@ -195,6 +237,7 @@
             crash_sent_at: now,
             until: now + left,
             round: 1,
+            is_ambiguous: false,
         };
         if entry.record.adopt_quarantine(now, quarantine) {
             entry.repeats = CHANGE_REPEATS;
@@ -246,17 +289,27 @@
 
     /// Quarantines suspects with enough evidence and drops old records. `settle_time` is the time that hosts need to learn
     /// of a suspect and to clear it. Returns the new quarantines.
-    pub fn tick(&mut self, now: Duration, settle_time: Duration) -> Vec<Quarantined> {
+    ///
+    /// `is_common` tells whether most requests have a suspect. While all endpoints are down nothing clears it, and its
+    /// quarantine would keep any answer from clearing it later. So it needs a contrast: other requests that are answered.
+    pub fn tick(
+        &mut self,
+        now: Duration,
+        settle_time: Duration,
+        is_common: impl Fn(Suspect) -> Option<bool>,
+    ) -> Vec<Quarantined> {
         let now = self.set_now(now);
         let evidence_time = self.quarantine_time();
-        let mut quarantined = Vec::new();
+        let until = now.saturating_sub(settle_time);
+        let settled = self.settled(until).into_iter();
+        let mut quarantined: Vec<_> = settled.map(|it| self.quarantine(now, it, until)).collect();
         loop {
-            let proven = self.proven(now, settle_time);
+            let proven = self.proven(now, settle_time, &is_common);
             if proven.is_empty() {
                 break;
             }
             let proven = proven.into_iter();
-            quarantined.extend(proven.map(|suspect| self.quarantine(now, suspect)));
+            quarantined.extend(proven.map(|suspect| self.quarantine(now, suspect, until)));
         }
         let is_kept = |entry: &Entry| entry.record.kept_until(evidence_time, REFUTATION_TIME) > now;
         self.suspects.retain(|_, entry| is_kept(entry));
@@ -265,36 +318,97 @@
 
     /// Returns the suspects to be quarantined next: those with the most crashes that no quarantined part explains. Parts
     /// that share requests with the culprit have some of its crashes, which prove nothing about them.
-    fn proven(&mut self, now: Duration, settle_time: Duration) -> Vec<Suspect> {
+    fn proven(
+        &mut self,
+        now: Duration,
+        settle_time: Duration,
+        is_common: &impl Fn(Suspect) -> Option<bool>,
+    ) -> Vec<Suspect> {
         let explained = self.explained_crashes();
         let recent = self.recent_crashes(now);
+        // While nothing is answered, nothing can be cleared.
+        if now.saturating_sub(self.answers_since) < settle_time {
+            return Vec::new();
+        }
+        let until = now.saturating_sub(settle_time);
         let request_crashes = self.settings.poison_after_crashes.max(2) as usize;
         let mut proven: Vec<(usize, Suspect)> = Vec::new();
+        let mut most = 0;
         for (suspect, entry) in &mut self.suspects {
             let record = &mut entry.record;
-            let is_proven = match (record.quarantine().is_some(), suspect.is_part()) {
-                (true, _) => record.failed_trial(),
-                (false, true) => {
+            let is_proven = match record.quarantine() {
+                Some(_) => record.failed_trial(),
+                None => {
                     let is_other = |endpoint: &u64| {
                         !explained.contains(endpoint) && !record.has_crash_of(*endpoint)
                     };
-                    let part_crashes = match recent.iter().any(is_other) {
-                        true => PART_CRASHES_AMONG_OTHERS,
-                        false => PART_CRASHES,
+                    let threshold = match (suspect.is_part(), recent.iter().any(is_other)) {
+                        (false, _) => request_crashes,
+                        (true, false) => PART_CRASHES,
+                        (true, true) => PART_CRASHES_AMONG_OTHERS,
                     };
-                    record.is_proven(now, &explained, part_crashes, settle_time)
+                    record.is_proven(now, &explained, threshold, until)
                 }
-                (false, false) => record.is_proven(now, &explained, request_crashes, settle_time),
             };
-            if is_proven {
-                proven.push((record.independent_crashes(&explained), *suspect));
+            let is_rare = match is_common(*suspect) {
+                Some(is_common) => !is_common,
+                None => !suspect.is_part(),
+            };
+            if !is_proven {
+                continue;
+            }
+            let crashes = record.independent_crashes(&explained, until);
+            most = most.max(crashes);
+            if is_rare || record.has_contrast() {
+                proven.push((crashes, *suspect));
             }
         }
-        let most = proven.iter().map(|(crashes, _)| *crashes).max();
-        proven.retain(|(crashes, _)| Some(*crashes) == most);
+        let is_answering = self.is_answering(now);
+        proven.retain(|(crashes, suspect)| {
+            *crashes == most && !self.is_excused(*suspect, until, is_answering)
+        });
         proven.into_iter().map(|(_, suspect)| suspect).collect()
     }
 
+    /// Returns whether a suspect has worked before, and either nothing is answered that could clear it, or something else
+    /// was in progress in all of its crashes.
+    fn is_excused(&self, suspect: Suspect, until: Duration, is_answering: bool) -> bool {
+        let entry = self.suspects.get(&suspect);
+        entry.is_some_and(|Entry { record, .. }| {
+            let has_worked = record.has_history() && !record.has_contrast();
+            has_worked && (!is_answering || self.has_rival(suspect, record, until))
+        })
+    }
+
+    /// Returns whether a suspect's first quarantine rests on crashes in all of which another part was in progress. Its first
+    /// trial comes soon then: it clears the suspect, or tells it from the others.
+    fn is_ambiguous(&self, suspect: Suspect, until: Duration) -> bool {
+        let entry = self.suspects.get(&suspect);
+        entry.is_some_and(|Entry { record, .. }| {
+            record.quarantine().is_none() && self.has_rival(suspect, record, until)
+        })
+    }
+
+    /// Returns whether another part was in progress in all crashes of a suspect.
+    fn has_rival(&self, suspect: Suspect, record: &CrashRecord, until: Duration) -> bool {
+        let others = self.suspects.iter();
+        let mut others = others.filter(|(other, _)| other.is_part() && **other != suspect);
+        others.any(|(_, other)| other.record.has_all_crashes_of(record, until))
+    }
+
+    /// Returns the suspects that may have been innocent when their quarantine began, and whose many crashes nothing else
+    /// explains now that the others are cleared.
+    fn settled(&self, until: Duration) -> Vec<Suspect> {
+        let is_settled = |suspect: &Suspect, record: &CrashRecord| {
+            let is_ambiguous = record.quarantine().is_some_and(|it| it.is_ambiguous);
+            let has_many = record.crashes().len() >= SETTLING_CRASHES;
+            is_ambiguous && has_many && !self.has_rival(*suspect, record, until)
+        };
+        let entries = self.suspects.iter();
+        let settled = entries.filter(|(suspect, entry)| is_settled(suspect, &entry.record));
+        settled.map(|(suspect, _)| *suspect).collect()
+    }
+
     /// Returns the endpoints that crashed a short time ago.
     fn recent_crashes(&self, now: Duration) -> BTreeSet<u64> {
         let records = self.suspects.values().map(|entry| &entry.record);
@@ -312,12 +426,16 @@
         crashes.map(|crash| crash.endpoint).collect()
     }
 
-    fn quarantine(&mut self, now: Duration, suspect: Suspect) -> Quarantined {
-        let base_time = self.quarantine_time();
+    fn quarantine(&mut self, now: Duration, suspect: Suspect, until: Duration) -> Quarantined {
+        let is_ambiguous = self.is_ambiguous(suspect, until);
+        let base_time = match is_ambiguous {
+            true => AMBIGUOUS_QUARANTINE_TIME,
+            false => self.quarantine_time(),
+        };
         let entry = self.entry_mut(suspect);
         entry.repeats = CHANGE_REPEATS;
         let record = &mut entry.record;
-        record.start_quarantine(now, base_time);
+        record.start_quarantine(now, base_time, is_ambiguous);
         let until = record.quarantine().map_or(now, |it| it.until);
         let crashes = record.crashes().len();
         self.has_news = true;
@@ -331,6 +449,7 @@
     /// Returns for how long a request is refused, if it is: `parts` are those of its prompt without the last one, and
     /// `request` stands for its whole content.
     ///
+    /// What most requests here have, and what has worked before, is refused only with a contrast, see [`Self::tick`].
     /// Parts that were in the same crashes can't be told apart yet. A request with only some of them is not refused; it
     /// clears those that it has, or adds the crash that tells them from the others.
     pub fn quarantined_for(
@@ -338,6 +457,7 @@
         now: Duration,
         parts: &[u64],
         request: Option<Suspect>,
+        is_common: impl Fn(Suspect) -> Option<bool>,
     ) -> Option<Duration> {
         if self.suspects.is_empty() {
             return None;
@@ -348,6 +468,10 @@
         let quarantined = suspects.iter().filter_map(|suspect| {
             let record = &self.suspects.get(suspect)?.record;
             let left = self.quarantine_left(now, *suspect, record)?;
+            let was_usual = record.has_history() && is_common(*suspect) == Some(true);
+            if was_usual && !record.has_contrast() {
+                return None;
+            }
             let may_be_another = suspect.is_part() && self.may_be_another(record, &suspects);
             (!may_be_another).then_some(left)
         });
@@ -361,7 +485,7 @@
         let mut others = others.filter(|(other, _)| other.is_part() && !suspects.contains(other));
         others.any(|(_, Entry { record: other, .. })| {
             let is_as_likely = record.has_history() || !other.has_history();
-            is_as_likely && other.has_all_crashes_of(record)
+            is_as_likely && other.has_all_crashes_of(record, Duration::MAX)
         })
     }
 
@@ -371,14 +495,19 @@
         suspect: Suspect,
         record: &CrashRecord,
     ) -> Option<Duration> {
-        let until = record.quarantine()?.until + self.trial_delay(suspect);
+        let quarantine = record.quarantine()?;
+        let max_delay = match quarantine.is_ambiguous {
+            true => AMBIGUOUS_QUARANTINE_TIME,
+            false => MAX_TRIAL_DELAY,
+        };
+        let until = quarantine.until + self.trial_delay(suspect, max_delay);
         let left = until.saturating_sub(now);
         (!left.is_zero()).then_some(left)
     }
 
-    fn trial_delay(&self, suspect: Suspect) -> Duration {
+    fn trial_delay(&self, suspect: Suspect, max_delay: Duration) -> Duration {
         let (Suspect::Part(key) | Suspect::Request(key)) = suspect;
-        let max_ms = MAX_TRIAL_DELAY.as_millis() as u64;
+        let max_ms = max_delay.as_millis() as u64;
         millis(pair_hash(self.host, key) % max_ms)
     }
 
--- a/crates/fleet/src/crash_evidence/record.rs
+++ b/crates/fleet/src/crash_evidence/record.rs
@@ -8,9 +8,11 @@
 use std::time::Duration;
 
 /// Maximum number of crashes that are kept; more would prove nothing more.
-pub const MAX_CRASHES: usize = 12;
+pub const MAX_CRASHES: usize = 16;
 /// Maximum number of refuted crashes that are kept.
 pub const MAX_REFUTED: usize = 16;
+/// Sound answers without a common suspect that show that only requests with it crash endpoints.
+const MIN_CONTRASTS: u32 = 5;
 /// Maximum number of times that the quarantine time is doubled.
 const MAX_DOUBLINGS: u32 = 5;
 
@@ -34,6 +36,8 @@
     pub until: Duration,
     /// Number of quarantines of the suspect, this one included.
     pub round: u32,
+    /// Whether something else was in progress in all of its crashes, so that it may be innocent.
+    pub is_ambiguous: bool,
 }
 
 /// Crashes under a suspect, its quarantine, and the answers that speak for it.
@@ -48,6 +52,8 @@
     cleared_round: u32,
     /// Whether a host knew of sound answers from before the crashes.
     has_history: bool,
+    /// Sound answers to requests without the suspect, sent after the crashes that prove anything.
+    contrasts: u32,
     /// When this host first knew of enough crashes for a quarantine.
     proven_at: Option<Duration>,
     changed_at: Duration,
@@ -64,10 +70,25 @@
         if self.crashes.len() > MAX_CRASHES {
             self.crashes.remove(0);
         }
+        if self.proven_at.is_none() {
+            self.contrasts = 0;
+        }
         self.changed_at = now;
         true
     }
 
+    /// Records a sound answer to a request without the suspect.
+    pub fn add_contrast(&mut self, sent_at: Duration) {
+        if self.proven_at.is_none_or(|proven_at| sent_at > proven_at) {
+            self.contrasts = self.contrasts.saturating_add(1);
+        }
+    }
+
+    /// Tells whether requests without the suspect have been answered since its last crash, and none with it.
+    pub fn has_contrast(&self) -> bool {
+        self.contrasts >= MIN_CONTRASTS
+    }
+
     /// Records an answer that did not crash its endpoint, to a request that was sent at `sent_at`. It refutes all crashes
     /// under requests that were sent before. Returns whether that changed anything.
     pub fn add_sound_answer(&mut self, now: Duration, sent_at: Duration) -> bool {
@@ -92,6 +113,7 @@
         let excess = self.refuted.len().saturating_sub(MAX_REFUTED);
         self.refuted.drain(..excess);
         self.proven_at = None;
+        self.contrasts = 0;
         self.changed_at = now;
         true
     }
@@ -120,51 +142,55 @@
         true
     }
 
-    /// Tells whether a request that was sent after the last quarantine was over has crashed an endpoint.
+    /// Tells whether a request that was sent after the last quarantine was over has crashed an endpoint. If the suspect may
+    /// be innocent, other requests have to be answered meanwhile.
     pub fn failed_trial(&self) -> bool {
-        let over_since = self.quarantine.map(|it| it.until);
-        let newest = self.crashes.last();
-        newest.is_some_and(|crash| over_since.is_some_and(|since| crash.sent_at > since))
+        let (Some(last), Some(newest)) = (self.quarantine, self.crashes.last()) else {
+            return false;
+        };
+        newest.sent_at > last.until && (!last.is_ambiguous || self.has_contrast())
     }
 
-    /// Returns whether there is enough evidence for a first quarantine: `threshold` crashes that no other suspect explains,
-    /// and none of them refuted for `settle_time` since this host knew of them.
+    /// Returns whether there is enough evidence for a first quarantine: `threshold` crashes until a time that no other
+    /// suspect explains, none of them refuted.
     pub fn is_proven(
         &mut self,
         now: Duration,
         explained: &BTreeSet<u64>,
         threshold: usize,
-        settle_time: Duration,
+        until: Duration,
     ) -> bool {
-        if self.independent_crashes(explained) < threshold {
-            self.proven_at = None;
-            return false;
-        }
-        let proven_at = *self.proven_at.get_or_insert(self.changed_at);
-        now.saturating_sub(proven_at) >= settle_time
+        let is_proven = self.independent_crashes(explained, until) >= threshold;
+        self.proven_at = match is_proven {
+            true => self.proven_at.or(Some(now)),
+            false => None,
+        };
+        is_proven
     }
 
     /// Starts a quarantine. Each further one lasts twice as long, until an answer clears the suspect.
-    pub fn start_quarantine(&mut self, now: Duration, base_time: Duration) {
+    pub fn start_quarantine(&mut self, now: Duration, base_time: Duration, is_ambiguous: bool) {
         let newest = self.crashes.last();
         let last_round = self.quarantine.map_or(self.cleared_round, |it| it.round);
-        let earlier_rounds = last_round - self.cleared_round;
+        let certain = self.quarantine.filter(|it| !it.is_ambiguous);
+        let earlier_rounds = certain.map_or(0, |it| it.round - self.cleared_round);
         let duration = base_time.saturating_mul(1 << earlier_rounds.min(MAX_DOUBLINGS));
         self.quarantine = Some(Quarantine {
             crash_sent_at: newest.map_or(now, |crash| crash.sent_at),
             until: now + duration,
             round: last_round + 1,
+            is_ambiguous,
         });
         self.proven_at = None;
         self.changed_at = now;
     }
 
-    /// Returns the number of crashes of which each suspect was sent after the crash before, without those of some
-    /// endpoints. Endpoints that crash at the same time, for whatever cause, count once.
-    pub fn independent_crashes(&self, explained: &BTreeSet<u64>) -> usize {
+    /// Returns the number of crashes until a time of which each suspect was sent after the crash before, without those of
+    /// some endpoints. Endpoints that crash at the same time, for whatever cause, count once.
+    pub fn independent_crashes(&self, explained: &BTreeSet<u64>, until: Duration) -> usize {
         let mut count = 0;
         let mut last_at = Duration::ZERO;
-        let crashes = self.crashes.iter();
+        let crashes = self.crashes.iter().filter(|it| it.lost_at <= until);
         for crash in crashes.filter(|it| !explained.contains(&it.endpoint)) {
             if crash.sent_at >= last_at {
                 count += 1;
@@ -179,15 +205,16 @@
         self.crashes.iter().any(|it| it.endpoint == endpoint)
     }
 
-    /// Tells whether this suspect was in progress in all crashes of another one, as far as they are kept.
-    pub fn has_all_crashes_of(&self, other: &Self) -> bool {
+    /// Tells whether this suspect was in progress in all crashes of another one until a time, as far as they are kept.
+    pub fn has_all_crashes_of(&self, other: &Self, until: Duration) -> bool {
         let is_full = self.crashes.len() >= MAX_CRASHES;
         let oldest = self.crashes.first().filter(|_| is_full);
         let has = |crash: &Crash| {
             let is_dropped = oldest.is_some_and(|oldest| crash.lost_at < oldest.lost_at);
             is_dropped || self.has_crash_of(crash.endpoint)
         };
-        !other.crashes.is_empty() && other.crashes.iter().all(has)
+        let mut crashes = other.crashes.iter().filter(|it| it.lost_at <= until);
+        !other.crashes.is_empty() && crashes.all(has)
     }
 
     /// Records that there were sound answers before the crashes. Returns whether that is new.
--- a/crates/fleet/src/crash_evidence/report.rs
+++ b/crates/fleet/src/crash_evidence/report.rs
@@ -44,9 +44,9 @@
 struct CrashAges(u64, u64, u64);
 
 /// A quarantine: milliseconds since the newest request that it rests on was sent, milliseconds left (negative if it is
-/// over), and its number.
+/// over), its number, and whether the suspect may be innocent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-struct QuarantineAges(u64, i64, u32);
+struct QuarantineAges(u64, i64, u32, bool);
 
 impl SuspectReport {
     /// Describes a record. `now` and the times of the record are of one clock.
@@ -62,7 +62,7 @@
             refuted: record.refuted().to_vec(),
             quarantine: quarantine.map(|it| {
                 let left_ms = to_millis(it.until) as i64 - to_millis(now) as i64;
-                QuarantineAges(age_ms(it.crash_sent_at), left_ms, it.round)
+                QuarantineAges(age_ms(it.crash_sent_at), left_ms, it.round, it.is_ambiguous)
             }),
             cleared_round: record.cleared_round(),
             has_history: record.has_history(),
@@ -100,7 +100,7 @@
 
 impl QuarantineAges {
     fn at(self, now: Duration) -> Quarantine {
-        let Self(crash_sent_ago_ms, left_ms, round) = self;
+        let Self(crash_sent_ago_ms, left_ms, round, is_ambiguous) = self;
         let left = Duration::from_millis(left_ms.unsigned_abs()).min(MAX_AGE);
         Quarantine {
             crash_sent_at: ago(now, crash_sent_ago_ms),
@@ -109,6 +109,7 @@
                 false => now + left,
             },
             round,
+            is_ambiguous,
         }
     }
 }
--- a/crates/fleet/src/dispatcher/attempts.rs
+++ b/crates/fleet/src/dispatcher/attempts.rs
@@ -45,6 +45,7 @@
         if arrival.prompt.is_none() {
             self.on_plain_arrival(now, &arrival);
         }
+        self.crashes.arrivals.note(now, &suspects_of(&arrival));
         if let Some(quarantine_left) = self.quarantined_for(now, &arrival) {
             let verdict = Verdict::Refuse {
                 reason: RefusalReason::Quarantined,
--- a/crates/fleet/src/dispatcher/crashes.rs
+++ b/crates/fleet/src/dispatcher/crashes.rs
@@ -7,6 +7,7 @@
 use super::Dispatcher;
 use crate::arrival::Arrival;
 use crate::arrival::RequestId;
+use crate::arrival_shares::ArrivalShares;
 use crate::crash_evidence::Crash;
 use crate::crash_evidence::CrashEvidence;
 use crate::crash_evidence::QuarantineEvent;
@@ -30,6 +31,8 @@
 pub(super) struct Crashes {
     pub(super) evidence: CrashEvidence,
     pub(super) answers: SoundAnswers,
+    /// What the requests that arrive at this host have in common.
+    pub(super) arrivals: ArrivalShares,
     lost: LostAnswers,
     endpoints_to_check: Vec<Arc<Endpoint>>,
     news: Vec<CrashNews>,
@@ -49,6 +52,7 @@
         Self {
             evidence: CrashEvidence::new(host),
             answers: SoundAnswers::default(),
+            arrivals: ArrivalShares::default(),
             lost: LostAnswers::default(),
             endpoints_to_check: Vec::new(),
             news: Vec::new(),
@@ -99,7 +103,8 @@
         }
         let parts: Vec<u64> = shared_part_ids(arrival).collect();
         let request = arrival.fingerprint.map(Suspect::request);
-        evidence.quarantined_for(now, &parts, request)
+        let arrivals = &self.crashes.arrivals;
+        evidence.quarantined_for(now, &parts, request, |it| arrivals.is_common(it))
     }
 
     /// Records that the connection of an attempt was lost. Its endpoint may have crashed under the attempt, or under an
@@ -183,6 +188,8 @@
     /// Clears suspects of answers that have gone on, and quarantines those with enough evidence.
     pub(super) fn check_crashes(&mut self, now: Duration) {
         for answer in self.crashes.answers.take_sound(now) {
+            let evidence = &mut self.crashes.evidence;
+            evidence.add_contrasts(now, &answer.suspects, answer.sent_at);
             for suspect in answer.suspects {
                 self.clear(now, suspect, answer.sent_at);
             }
@@ -192,7 +199,10 @@
             true => SMALL_FLEET_SETTLE_TIME,
             false => SETTLE_TIME,
         };
-        let quarantined = self.crashes.evidence.tick(now, settle_time);
+        let Crashes {
+            evidence, arrivals, ..
+        } = &mut self.crashes;
+        let quarantined = evidence.tick(now, settle_time, |it| arrivals.is_common(it));
         let events = quarantined.into_iter().map(QuarantineEvent::Started);
         self.crashes.news.extend(events.map(CrashNews::Quarantine));
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod account_shares;
 pub mod arrival;
+pub mod arrival_shares;
 pub mod attempt_progress;
 pub mod cold_start;
 pub mod config;
--- a/crates/fleet/tests/crashing_parts.rs
+++ b/crates/fleet/tests/crashing_parts.rs
@@ -31,6 +31,8 @@
 const QUARANTINE_MS: u64 = 300_000;
 /// Longest time after it in which a host still refuses the part.
 const MAX_TRIAL_DELAY_MS: u64 = 60_000;
+/// Longest time for which a part is refused that may be innocent.
+const AMBIGUOUS_MS: u64 = 20_000;
 /// Time between two steps of the load.
 const LOAD_STEP_MS: u64 = 20;
 
@@ -279,3 +281,34 @@
         assert!(suspects <= MAX_SUSPECTS, "{suspects}");
     }
 }
+
+/// Guards against parts that are refused, and so never cleared, after all engines have crashed at once again and again
+/// with nothing answered in between: those that all prompts have not at all, others not for long.
+#[test]
+fn crashes_of_all_engines_refuse_no_sound_part_for_long() {
+    for seed in 0..5 {
+        let mut play = CrashPlay::start(6, 3, &[], seed);
+        play_load(&mut play, SOUND_LOAD_MS, &[], CULPRIT_INTERVAL_MS);
+        for _ in 0..3 {
+            play_load(&mut play, 300, &[], CULPRIT_INTERVAL_MS);
+            for engine in 0..3 {
+                play.crash_engine(engine);
+                play_load(&mut play, 100, &[], CULPRIT_INTERVAL_MS);
+            }
+            play.run_for(2_800);
+        }
+        let from_ms = play.now_ms;
+        play_load(&mut play, 30_000, &[], CULPRIT_INTERVAL_MS);
+        let refused = play.outcomes.values().filter(|it| it.is_quarantined());
+        let refused: Vec<_> = refused.map(|it| it.arrived_ms).collect();
+        assert!(
+            refused.len() * 10 < play.outcomes.len(),
+            "seed {seed}: {}",
+            refused.len()
+        );
+        let late = refused
+            .iter()
+            .filter(|at_ms| **at_ms > from_ms + AMBIGUOUS_MS);
+        assert_eq!(late.count(), 0, "seed {seed}");
+    }
+}
--- a/crates/fleet/tests/support/crash_play.rs
+++ b/crates/fleet/tests/support/crash_play.rs
@@ -93,10 +93,17 @@
     pub sent_ms: Option<u64>,
     /// Whether its answer was complete.
     pub is_complete: bool,
-    pub host: usize,
+    host: usize,
     answer_ms: u64,
 }
 
+impl Outcome {
+    /// Tells whether it was refused because of crashes.
+    pub fn is_quarantined(&self) -> bool {
+        self.refused == Some(RefusalReason::Quarantined)
+    }
+}
+
 struct PlayedHost {
     dispatcher: Option<Dispatcher>,
     run: u64,
@@ -351,8 +358,7 @@
     /// Returns the requests without a crashing part that were refused because of crashes.
     pub fn quarantined_sound_requests(&self) -> usize {
         let sound = self.outcomes.values().filter(|it| !it.is_culprit);
-        let refused = sound.filter(|it| it.refused == Some(RefusalReason::Quarantined));
-        refused.count()
+        sound.filter(|it| it.is_quarantined()).count()
     }
 
     /// Returns the share of the sound requests since a time that were sent at once.
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 use sedgeridge_coordination::clock::Clock;
 use sedgeridge_coordination::random::SeededRandom;
+use sedgeridge_fleet::hashing::stable_hash;
 use sedgeridge_gateway::endpoint_pool::EndpointConnection;
 use sedgeridge_gateway::endpoint_pool::open_connection;
 use sedgeridge_platform_standins::caller::CallerAttempt;
@@ -49,6 +50,16 @@
 /// because the memory of a router depends on the longest bodies rather than on average ones.
 const LONG_BODY_INTERVAL: u64 = 8;
 const LONG_BODY_BYTES: usize = 64 * 1024;
+/// First part of all prompts.
+const SYSTEM_PART: u64 = 0x5_0000;
+/// Number of parts of which each prompt has one.
+const SHARED_PARTS: u64 = 16;
+/// Part of prompts that crashes endpoints.
+pub const CRASHING_PART: u64 = 0xbad_0000;
+/// Bounds of the pause between two requests with this part.
+const CULPRIT_PAUSE_MS: (u64, u64) = (200, 900);
+/// Makes these requests independent of the other callers of a seed.
+const CULPRIT_SALT: u64 = 0x5e_7a13;
 /// Time from a key change until callers use the new key.
 const KEY_ADOPTION_DELAY: Duration = Duration::from_secs(2);
 
@@ -266,6 +277,10 @@
         key: key(key_generation),
         timeout_ms: stream.deadline.saturating_sub(sent_at).as_millis() as u64,
         resumed,
+        parts: match kind {
+            RouteKind::Stream => prompt_parts(&stream.first_attempt, &[]),
+            RouteKind::Idempotent | RouteKind::AtMostOnce => Vec::new(),
+        },
     };
     let outcome = match build_request(&head, Full::from(body)) {
         Ok(request) => {
@@ -295,6 +310,51 @@
     (record, (kind == RouteKind::Stream).then_some(stream))
 }
 
+/// Returns the parts of a prompt: one that all prompts have, `further` ones, one that some have, and its own.
+fn prompt_parts(id: &str, further: &[u64]) -> Vec<u64> {
+    let own = stable_hash(id);
+    let mut parts = vec![SYSTEM_PART];
+    parts.extend(further);
+    parts.extend([own % SHARED_PARTS, own]);
+    parts
+}
+
+/// Sends requests whose prompts have a part that crashes endpoints, no two alike, until `keep_sending` becomes false. What
+/// becomes of them does not count.
+pub async fn run_culprits<C: Clock>(shared: Rc<SharedState<C>>, seed: u64) {
+    let mut random = SeededRandom::new(seed ^ CULPRIT_SALT);
+    let mut requests = 0;
+    while shared.keep_sending.get() {
+        requests += 1;
+        let (low, high) = CULPRIT_PAUSE_MS;
+        sleep(Duration::from_millis(low + random.below(high - low))).await;
+        let router = shared.pick_router(&mut random);
+        let Ok(mut sender) = open_connection(shared.addresses[router]).await else {
+            continue;
+        };
+        let id = format!("culprit-{requests}");
+        let (newest, _) = shared.newest_key.get();
+        let attempt = CallerAttempt {
+            parts: prompt_parts(&id, &[CRASHING_PART]),
+            id,
+            host: HOST.to_owned(),
+            path: path(RouteKind::Stream).to_owned(),
+            key: key(newest),
+            timeout_ms: TIMEOUT.as_millis() as u64,
+            resumed: None,
+        };
+        let Ok(request) = build_request(&attempt, Full::from(Bytes::from_static(b"body"))) else {
+            continue;
+        };
+        // Its stream breaks off with the endpoint, or it is refused.
+        let _ = timeout(TIMEOUT, async {
+            let answer = sender.send_request(request).await?;
+            answer.into_body().collect().await
+        })
+        .await;
+    }
+}
+
 async fn exchange(
     sender: &mut EndpointConnection,
     request: hyper::Request<Full<Bytes>>,
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -24,6 +24,10 @@
 const MIN_RESUMES: usize = 12;
 /// Lowest share of resumes that go on, as a fraction of the share of new streams that begin.
 const MIN_RESUMED_SHARE: f64 = 0.5;
+/// Crashes under one part of prompts after which requests with it are refused.
+const MAX_CRASHES: usize = 5;
+/// Requests with the part that may reach endpoints later all the same.
+const MAX_LATE_CULPRITS: usize = 3;
 /// Time window of the resend limit.
 const RESEND_WINDOW: Duration = Duration::from_secs(10);
 
@@ -50,6 +54,7 @@
     check_recovery(observations, &mut report);
     check_resumes(observations, &mut report);
     check_resends(observations, &mut report);
+    check_crashing_part(observations, &mut report);
     check_processes(observations, &mut report);
     violations
 }
@@ -235,6 +240,19 @@
     }
 }
 
+/// Checks that requests with a part that has crashed several endpoints no longer reach any.
+fn check_crashing_part(observations: &Observations, report: &mut impl FnMut(&'static str, String)) {
+    let Observations {
+        crashes,
+        late_culprits,
+        ..
+    } = *observations;
+    if crashes >= MAX_CRASHES && late_culprits > MAX_LATE_CULPRITS {
+        let observed = format!("{late_culprits} requests after {crashes} crashes");
+        report("a part that crashes endpoints is refused", observed);
+    }
+}
+
 fn check_processes(observations: &Observations, report: &mut impl FnMut(&'static str, String)) {
     for (router, observed) in &observations.unexpected_exits {
         report("no exit of its own", format!("router {router}: {observed}"));
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -118,6 +118,10 @@
     pub unexpected_exits: Vec<(usize, String)>,
     /// Start and end of the period after all faults in which everything must work.
     pub quiet_period: (Duration, Duration),
+    /// Endpoints that crashed under a part of a prompt.
+    pub crashes: usize,
+    /// Requests with this part that reached endpoints in the quiet period.
+    pub late_culprits: usize,
     /// Highest memory observed in any router, in kilobytes.
     pub peak_memory_kb: u64,
     /// Duration of the whole run.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -123,6 +123,7 @@
     for number in 0..config.callers {
         spawn_local(callers::run(soak.shared.clone(), number, config.seed));
     }
+    spawn_local(callers::run_culprits(soak.shared.clone(), config.seed));
     let targets = Targets {
         routers: config.routers as u64,
         endpoints: config.endpoints as u64,
@@ -131,7 +132,10 @@
     soak.inject_faults(&faults).await?;
     soak.watch_for(SETTLE_TIME).await?;
     let quiet_from = soak.shared.now();
+    let arrivals_before = soak.site.crashing.arrivals().len();
     soak.watch_for(QUIET_TIME).await?;
+    soak.observations.crashes = soak.site.crashing.crashes().len();
+    soak.observations.late_culprits = soak.site.crashing.arrivals().len() - arrivals_before;
     soak.observations.quiet_period = (quiet_from, soak.shared.now());
     soak.stop_all().await?;
     Ok(RunResult {
@@ -341,6 +345,9 @@
             }
             self.shared.process_ids.borrow_mut()[index] = router.process();
         }
+        if self.site.carry_out_crashes(self.shared.now())? {
+            self.note_stream_versions();
+        }
         for index in 0..self.routers.len() {
             let is_ready = is_ready(self.routers[index].ready_address()).await;
             self.shared.ready.borrow_mut()[index] = is_ready;
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use sedgeridge_platform_standins::crashing_parts::CrashingParts;
 use sedgeridge_platform_standins::documents;
 use sedgeridge_platform_standins::documents::AccountSpec;
 use sedgeridge_platform_standins::documents::ConfigSpec;
@@ -27,8 +28,10 @@
 use sedgeridge_standins::server::RunningServer;
 use serde_json::json;
 
+use crate::callers::CRASHING_PART;
 use crate::links::Link;
 use crate::routers::DATA_CENTRES;
+use crate::schedule::LinkFault;
 
 /// Host name that callers address.
 pub const HOST: &str = "desk.example";
@@ -36,6 +39,8 @@
 pub const TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum number of running requests of an endpoint; the callers of a usual run do not reach it.
 const SLOTS: u32 = 16;
+/// Time for which an endpoint is down after a crash.
+const CRASH_DOWN_TIME: Duration = Duration::from_millis(500);
 const STREAM_SERVICE: &str = "streams";
 const WHOLE_SERVICE: &str = "answers";
 /// Software version of the endpoints at the start of a run.
@@ -70,6 +75,8 @@
     pub rows: StoreRows,
     /// The endpoints.
     pub endpoints: Vec<SoakEndpoint>,
+    /// Parts of prompts that crash endpoints.
+    pub crashing: CrashingParts,
     generation: Cell<u64>,
     copy: RefCell<Option<StoreCopy>>,
 }
@@ -87,6 +94,8 @@
     index: usize,
     incarnation: Cell<u32>,
     is_leaving: Cell<bool>,
+    /// When the endpoint starts again after a crash, since the start of the run.
+    down_until: Cell<Option<Duration>>,
 }
 
 impl Site {
@@ -98,12 +107,15 @@
     pub fn start(endpoints: usize) -> io::Result<Self> {
         let rows = StoreRows::default();
         let runs = RunLog::default();
-        let endpoints = (0..endpoints).map(|index| SoakEndpoint::start(index, &runs));
+        let crashing = CrashingParts::default();
+        crashing.add(CRASHING_PART);
+        let endpoints = (0..endpoints).map(|index| SoakEndpoint::start(index, &runs, &crashing));
         let site = Self {
             store: store::spawn(rows.clone())?,
             endpoints: endpoints.collect::<io::Result<_>>()?,
             rows,
             runs,
+            crashing,
             generation: Cell::new(1),
             copy: RefCell::new(None),
         };
@@ -134,6 +146,30 @@
         self.generation.get()
     }
 
+    /// Cuts off endpoints that have crashed under a part of a prompt, and lists them again under a new id after a while.
+    /// Returns whether any of them changed.
+    ///
+    /// # Errors
+    ///
+    /// A link did not accept an order.
+    pub fn carry_out_crashes(&self, now: Duration) -> io::Result<bool> {
+        let crashed = self.crashing.take_crashed();
+        let mut has_changed = false;
+        for endpoint in &self.endpoints {
+            if crashed.contains(&endpoint.id()) {
+                endpoint.link.start_fault(LinkFault::Reset)?;
+                endpoint.down_until.set(Some(now + CRASH_DOWN_TIME));
+                has_changed = true;
+            } else if endpoint.down_until.get().is_some_and(|until| now >= until) {
+                endpoint.down_until.set(None);
+                endpoint.link.end_fault(LinkFault::Reset)?;
+                endpoint.relist(&self.rows);
+                has_changed = true;
+            }
+        }
+        Ok(has_changed)
+    }
+
     /// Adds a new key and revokes the older of the two valid ones.
     pub fn change_keys(&self) {
         self.generation.set(self.generation.get() + 1);
@@ -199,9 +235,15 @@
 }
 
 impl SoakEndpoint {
-    fn start(index: usize, runs: &RunLog) -> io::Result<Self> {
+    fn start(index: usize, runs: &RunLog, crashing: &CrashingParts) -> io::Result<Self> {
         let listed_run = ListedRun::new(&endpoint_id(index, 0), FIRST_SOFTWARE_VERSION);
-        let server = endpoint::spawn(listed_run.clone(), runs.clone(), StreamShape::default())?;
+        let server = endpoint::spawn_at(
+            SocketAddr::from(([127, 0, 0, 1], 0)),
+            listed_run.clone(),
+            runs.clone(),
+            StreamShape::default(),
+            crashing.clone(),
+        )?;
         let link = Link::to(server.address())?;
         let service = match index % 2 {
             0 => STREAM_SERVICE,
@@ -216,6 +258,7 @@
             index,
             incarnation: Cell::new(0),
             is_leaving: Cell::new(false),
+            down_until: Cell::new(None),
         })
     }
 
@@ -252,7 +295,8 @@
     }
 
     fn takes_streams(&self) -> bool {
-        self.service == STREAM_SERVICE && !self.is_leaving.get()
+        let is_up = self.down_until.get().is_none() && !self.is_leaving.get();
+        self.service == STREAM_SERVICE && is_up
     }
 
     /// Writes the entry again, and removes those of earlier ids that came back.
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -287,3 +287,23 @@
     }
     assert_eq!(check(&observations), []);
 }
+
+/// Guards against a check that misses requests with a crashing part, or takes the first few for too many.
+#[parameterized(
+    too_many = { 5, 4, true },
+    allowed = { 5, 3, false },
+    not_known_yet = { 4, 4, false },
+)]
+fn requests_with_a_crashing_part_are_found(crashes: usize, late_culprits: usize, is_broken: bool) {
+    let observations = Observations {
+        crashes,
+        late_culprits,
+        ..valid_run()
+    };
+    let broken = broken_promises(&observations);
+    let expected = match is_broken {
+        true => vec!["a part that crashes endpoints is refused"],
+        false => Vec::new(),
+    };
+    assert_eq!(broken, expected);
+}
