Quarantines: what may be innocent is refused for some seconds and not kept in the store; contents that many requests share

A whole request needs two more crashes where endpoints also crash without it, and one that a tenth of the requests resemble is not refused at all. A quarantine that may be wrong lasts four seconds and is not kept in the platform's store. Endpoints behind something that accepts and closes connections count as down.

--- a/crates/fleet/src/arrival_shares.rs
+++ b/crates/fleet/src/arrival_shares.rs
@@ -9,10 +9,14 @@
 const GENERATION_TIME: Duration = Duration::from_secs(5);
 /// Maximum number of suspects in a generation. What many requests have in common is among the first ones.
 const MAX_COUNTED: usize = 4_096;
-/// Minimum number of arrivals from which shares are known.
-const MIN_ARRIVALS: u32 = 5;
-/// Share of the arrivals above which something counts as common.
-const COMMON_SHARE: f64 = 0.5;
+/// Minimum number of arrivals with prompts, and with fingerprints, from which shares are known.
+const MIN_PROMPTS: u32 = 5;
+const MIN_FINGERPRINTS: u32 = 20;
+/// Share of the arrivals with prompts above which a part counts as common.
+const COMMON_PART_SHARE: f64 = 0.5;
+/// Share of the arrivals with a fingerprint above which their content counts as common: it is not one request that comes
+/// again and again.
+const COMMON_REQUEST_SHARE: f64 = 0.1;
 
 /// Counts of recent arrivals at this host.
 ///
@@ -40,7 +44,8 @@
 
 #[derive(Debug, Default)]
 struct Generation {
-    arrivals: u32,
+    prompts: u32,
+    fingerprints: u32,
     counts: HashMap<Suspect, u32>,
 }
 
@@ -54,20 +59,30 @@
         self.young.note(suspects);
     }
 
-    /// Tells whether most of the recent requests have something in common. `None` if there were too few.
+    /// Tells whether many of the recent requests have something in common. `None` if there were too few.
     pub fn is_common(&self, suspect: Suspect) -> Option<bool> {
-        let arrivals = self.young.arrivals + self.old.arrivals;
-        if arrivals < MIN_ARRIVALS {
+        let (young, old) = (&self.young, &self.old);
+        let (arrivals, min_arrivals, common_share) = match suspect.is_part() {
+            true => (young.prompts + old.prompts, MIN_PROMPTS, COMMON_PART_SHARE),
+            false => {
+                let fingerprints = young.fingerprints + old.fingerprints;
+                (fingerprints, MIN_FINGERPRINTS, COMMON_REQUEST_SHARE)
+            }
+        };
+        if arrivals < min_arrivals {
             return None;
         }
-        let count = self.young.count(suspect) + self.old.count(suspect);
-        Some(f64::from(count) > f64::from(arrivals) * COMMON_SHARE)
+        let count = young.count(suspect) + old.count(suspect);
+        Some(f64::from(count) > f64::from(arrivals) * common_share)
     }
 }
 
 impl Generation {
     fn note(&mut self, suspects: &[Suspect]) {
-        self.arrivals += 1;
+        let has_prompt = suspects.iter().any(|suspect| suspect.is_part());
+        let has_fingerprint = suspects.iter().any(|suspect| !suspect.is_part());
+        self.prompts += u32::from(has_prompt);
+        self.fingerprints += u32::from(has_fingerprint);
         for suspect in suspects {
             if let Some(count) = self.counts.get_mut(suspect) {
                 *count += 1;
--- a/crates/fleet/src/crash_evidence.rs
+++ b/crates/fleet/src/crash_evidence.rs
@@ -31,16 +31,20 @@
 const PART_CRASHES: usize = 3;
 /// The same where endpoints have also crashed without the part.
 const PART_CRASHES_AMONG_OTHERS: usize = 4;
-/// Time for which a crash without the part counts.
+/// Further crashes that are needed of a whole request where endpoints have also crashed without it.
+const EXTRA_REQUEST_CRASHES: usize = 2;
+/// Time for which a crash of another suspect counts.
 const OTHER_CRASH_TIME: Duration = Duration::from_secs(60);
 /// Time for which a cleared suspect is kept, so that all hosts learn of it.
 const REFUTATION_TIME: Duration = Duration::from_secs(60);
 /// Number of reports that tell of a change before other suspects get their turn.
 const CHANGE_REPEATS: u32 = 4;
 /// Crashes from which a suspect needs no trial once everything else in them is cleared.
-const SETTLING_CRASHES: usize = 6;
+const SETTLING_CRASHES: usize = 8;
 /// First quarantine of a suspect that may be innocent.
-const AMBIGUOUS_QUARANTINE_TIME: Duration = Duration::from_secs(10);
+const AMBIGUOUS_QUARANTINE_TIME: Duration = Duration::from_secs(4);
+/// Longest delay of a host's first trial after it.
+const MAX_AMBIGUOUS_TRIAL_DELAY: Duration = Duration::from_secs(2);
 /// Longest delay of a host's first trial after a quarantine. Hosts draw different ones: the first trial clears the suspect
 /// or renews the quarantine for all of them.
 const MAX_TRIAL_DELAY: Duration = Duration::from_secs(60);
@@ -67,6 +71,8 @@
     pub crashes: usize,
     /// Duration of the quarantine.
     pub duration: Duration,
+    /// Whether something else was in progress in all of its crashes, so that it may be innocent.
+    pub is_ambiguous: bool,
 }
 
 /// Evidence of one host, its own and that of others.
@@ -223,6 +229,7 @@
                     suspect,
                     crashes,
                     duration: after.until.saturating_sub(now),
+                    is_ambiguous: after.is_ambiguous,
                 }))
             }
             _ => None,
@@ -343,23 +350,25 @@
                         !explained.contains(endpoint) && !record.has_crash_of(*endpoint)
                     };
                     let threshold = match (suspect.is_part(), recent.iter().any(is_other)) {
-                        (false, _) => request_crashes,
+                        (false, false) => request_crashes,
+                        (false, true) => request_crashes + EXTRA_REQUEST_CRASHES,
                         (true, false) => PART_CRASHES,
                         (true, true) => PART_CRASHES_AMONG_OTHERS,
                     };
                     record.is_proven(now, &explained, threshold, until)
                 }
             };
-            let is_rare = match is_common(*suspect) {
-                Some(is_common) => !is_common,
-                None => !suspect.is_part(),
+            let may_be_cause = match (suspect.is_part(), is_common(*suspect)) {
+                (true, Some(false)) => true,
+                (true, _) => record.has_contrast(),
+                (false, is_common) => is_common != Some(true),
             };
             if !is_proven {
                 continue;
             }
             let crashes = record.independent_crashes(&explained, until);
             most = most.max(crashes);
-            if is_rare || record.has_contrast() {
+            if may_be_cause {
                 proven.push((crashes, *suspect));
             }
         }
@@ -443,6 +452,7 @@
             suspect,
             crashes,
             duration: until.saturating_sub(now),
+            is_ambiguous,
         }
     }
 
@@ -468,9 +478,11 @@
         let quarantined = suspects.iter().filter_map(|suspect| {
             let record = &self.suspects.get(suspect)?.record;
             let left = self.quarantine_left(now, *suspect, record)?;
-            let was_usual = record.has_history() && is_common(*suspect) == Some(true);
-            if was_usual && !record.has_contrast() {
-                return None;
+            if is_common(*suspect) == Some(true) {
+                let is_excused = record.has_history() && !record.has_contrast();
+                if is_excused || !suspect.is_part() {
+                    return None;
+                }
             }
             let may_be_another = suspect.is_part() && self.may_be_another(record, &suspects);
             (!may_be_another).then_some(left)
@@ -497,7 +509,7 @@
     ) -> Option<Duration> {
         let quarantine = record.quarantine()?;
         let max_delay = match quarantine.is_ambiguous {
-            true => AMBIGUOUS_QUARANTINE_TIME,
+            true => MAX_AMBIGUOUS_TRIAL_DELAY,
             false => MAX_TRIAL_DELAY,
         };
         let until = quarantine.until + self.trial_delay(suspect, max_delay);
--- a/crates/fleet/tests/crashing_parts.rs
+++ b/crates/fleet/tests/crashing_parts.rs
@@ -32,7 +32,7 @@
 /// Longest time after it in which a host still refuses the part.
 const MAX_TRIAL_DELAY_MS: u64 = 60_000;
 /// Longest time for which a part is refused that may be innocent.
-const AMBIGUOUS_MS: u64 = 20_000;
+const AMBIGUOUS_MS: u64 = 6_000;
 /// Time between two steps of the load.
 const LOAD_STEP_MS: u64 = 20;
 
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -15,6 +15,7 @@
 use sedgeridge_fleet::suspect::Suspect;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
+use tokio::time::sleep;
 
 use crate::attempt;
 use crate::clock::Clock;
@@ -25,6 +26,8 @@
 use crate::meters;
 use crate::wire::WireFormat;
 
+/// Time in which something in front of an endpoint that is down closes a connection that it has accepted.
+const CLOSE_WAIT: Duration = Duration::from_millis(50);
 /// Maximum number of changes that wait for the platform's store. Later ones reach other hosts all the same.
 const MAX_WAITING_CHANGES: usize = 64;
 
@@ -120,8 +123,12 @@
             ("suspect", quarantined.suspect.to_string().into()),
             ("crashes", quarantined.crashes.into()),
             ("for_ms", millis(quarantined.duration)),
+            ("is_ambiguous", quarantined.is_ambiguous.into()),
         ];
         self.log(LogEvent::QuarantineStarted, &fields);
+        if quarantined.is_ambiguous {
+            return;
+        }
         self.crash_watch.add_change(QuarantineChange {
             suspect: quarantined.suspect,
             duration: Some(quarantined.duration),
@@ -154,11 +161,20 @@
     gateway: Rc<Gateway<W, C>>,
     endpoint: Arc<Endpoint>,
 ) {
-    match open_connection(endpoint.address).await {
-        Ok(connection) => attempt::return_to_pool(&gateway, &endpoint, connection, None),
-        Err(error) if is_refusal(&error) => gateway.handle(DispatchEvent::EndpointDown(endpoint)),
-        // An endpoint that does not answer may have been cut off; that says nothing about its requests.
-        Err(_) => {}
+    let is_down = match open_connection(endpoint.address).await {
+        Ok(connection) => {
+            sleep(CLOSE_WAIT).await;
+            let is_closed = connection.is_closed();
+            if !is_closed {
+                attempt::return_to_pool(&gateway, &endpoint, connection, None);
+            }
+            is_closed
+        }
+        // One that does not answer may have been cut off, which says nothing about its requests.
+        Err(error) => is_refusal(&error),
+    };
+    if is_down {
+        gateway.handle(DispatchEvent::EndpointDown(endpoint));
     }
 }
 
