--- a/crates/fleet/src/crash_evidence.rs
+++ b/crates/fleet/src/crash_evidence.rs
@@ -6,11 +6,11 @@
 //! evidence on in their reports, and each host decides for itself. A suspect is refused from then on; before, it is
 //! neither refused nor delayed.
 
+mod decisions;
 mod record;
 mod report;
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use sedgeridge_state::settings::HealthSettings;
@@ -27,22 +27,8 @@
 
 /// Maximum number of suspects that a host keeps records of.
 pub const MAX_SUSPECTS: usize = 512;
-/// Crashes that prove that a part of prompts is their cause, each under a request that was sent after the one before.
-const PART_CRASHES: usize = 3;
-/// The same where endpoints have also crashed without the part.
-const PART_CRASHES_AMONG_OTHERS: usize = 4;
-/// Further crashes that are needed of a whole request where endpoints have also crashed without it.
-const EXTRA_REQUEST_CRASHES: usize = 2;
-/// Time for which a crash of another suspect counts.
-const OTHER_CRASH_TIME: Duration = Duration::from_secs(60);
-/// Time for which a cleared suspect is kept, so that all hosts learn of it.
-const REFUTATION_TIME: Duration = Duration::from_secs(60);
 /// Number of reports that tell of a change before other suspects get their turn.
 const CHANGE_REPEATS: u32 = 4;
-/// Crashes from which a suspect needs no trial once everything else in them is cleared.
-const SETTLING_CRASHES: usize = 8;
-/// First quarantine of a suspect that may be innocent.
-const AMBIGUOUS_QUARANTINE_TIME: Duration = Duration::from_secs(4);
 /// Longest delay of a host's first trial after it.
 const MAX_AMBIGUOUS_TRIAL_DELAY: Duration = Duration::from_secs(2);
 /// Longest delay of a host's first trial after a quarantine. Hosts draw different ones: the first trial clears the suspect
@@ -294,168 +280,6 @@
         self.has_news
     }
 
-    /// Quarantines suspects with enough evidence and drops old records. `settle_time` is the time that hosts need to learn
-    /// of a suspect and to clear it. Returns the new quarantines.
-    ///
-    /// `is_common` tells whether most requests have a suspect. While all endpoints are down nothing clears it, and its
-    /// quarantine would keep any answer from clearing it later. So it needs a contrast: other requests that are answered.
-    pub fn tick(
-        &mut self,
-        now: Duration,
-        settle_time: Duration,
-        is_common: impl Fn(Suspect) -> Option<bool>,
-    ) -> Vec<Quarantined> {
-        let now = self.set_now(now);
-        let evidence_time = self.quarantine_time();
-        let until = now.saturating_sub(settle_time);
-        let settled = self.settled(until).into_iter();
-        let mut quarantined: Vec<_> = settled.map(|it| self.quarantine(now, it, until)).collect();
-        loop {
-            let proven = self.proven(now, settle_time, &is_common);
-            if proven.is_empty() {
-                break;
-            }
-            let proven = proven.into_iter();
-            quarantined.extend(proven.map(|suspect| self.quarantine(now, suspect, until)));
-        }
-        let is_kept = |entry: &Entry| entry.record.kept_until(evidence_time, REFUTATION_TIME) > now;
-        self.suspects.retain(|_, entry| is_kept(entry));
-        quarantined
-    }
-
-    /// Returns the suspects to be quarantined next: those with the most crashes that no quarantined part explains. Parts
-    /// that share requests with the culprit have some of its crashes, which prove nothing about them.
-    fn proven(
-        &mut self,
-        now: Duration,
-        settle_time: Duration,
-        is_common: &impl Fn(Suspect) -> Option<bool>,
-    ) -> Vec<Suspect> {
-        let explained = self.explained_crashes();
-        let recent = self.recent_crashes(now);
-        // While nothing is answered, nothing can be cleared.
-        if now.saturating_sub(self.answers_since) < settle_time {
-            return Vec::new();
-        }
-        let until = now.saturating_sub(settle_time);
-        let request_crashes = self.settings.poison_after_crashes.max(2) as usize;
-        let mut proven: Vec<(usize, Suspect)> = Vec::new();
-        let mut most = 0;
-        for (suspect, entry) in &mut self.suspects {
-            let record = &mut entry.record;
-            let is_proven = match record.quarantine() {
-                Some(_) => record.failed_trial(),
-                None => {
-                    let is_other = |endpoint: &u64| {
-                        !explained.contains(endpoint) && !record.has_crash_of(*endpoint)
-                    };
-                    let threshold = match (suspect.is_part(), recent.iter().any(is_other)) {
-                        (false, false) => request_crashes,
-                        (false, true) => request_crashes + EXTRA_REQUEST_CRASHES,
-                        (true, false) => PART_CRASHES,
-                        (true, true) => PART_CRASHES_AMONG_OTHERS,
-                    };
-                    record.is_proven(now, &explained, threshold, until)
-                }
-            };
-            let may_be_cause = match (suspect.is_part(), is_common(*suspect)) {
-                (true, Some(false)) => true,
-                (true, _) => record.has_contrast(),
-                (false, is_common) => is_common != Some(true),
-            };
-            if !is_proven {
-                continue;
-            }
-            let crashes = record.independent_crashes(&explained, until);
-            most = most.max(crashes);
-            if may_be_cause {
-                proven.push((crashes, *suspect));
-            }
-        }
-        let is_answering = self.is_answering(now);
-        proven.retain(|(crashes, suspect)| {
-            *crashes == most && !self.is_excused(*suspect, until, is_answering)
-        });
-        proven.into_iter().map(|(_, suspect)| suspect).collect()
-    }
-
-    /// Returns whether a suspect has worked before, and either nothing is answered that could clear it, or something else
-    /// was in progress in all of its crashes.
-    fn is_excused(&self, suspect: Suspect, until: Duration, is_answering: bool) -> bool {
-        let entry = self.suspects.get(&suspect);
-        entry.is_some_and(|Entry { record, .. }| {
-            let has_worked = record.has_history() && !record.has_contrast();
-            has_worked && (!is_answering || self.has_rival(suspect, record, until))
-        })
-    }
-
-    /// Returns whether a suspect's first quarantine rests on crashes in all of which another part was in progress. Its first
-    /// trial comes soon then: it clears the suspect, or tells it from the others.
-    fn is_ambiguous(&self, suspect: Suspect, until: Duration) -> bool {
-        let entry = self.suspects.get(&suspect);
-        entry.is_some_and(|Entry { record, .. }| {
-            record.quarantine().is_none() && self.has_rival(suspect, record, until)
-        })
-    }
-
-    /// Returns whether another part was in progress in all crashes of a suspect.
-    fn has_rival(&self, suspect: Suspect, record: &CrashRecord, until: Duration) -> bool {
-        let others = self.suspects.iter();
-        let mut others = others.filter(|(other, _)| other.is_part() && **other != suspect);
-        others.any(|(_, other)| other.record.has_all_crashes_of(record, until))
-    }
-
-    /// Returns the suspects that may have been innocent when their quarantine began, and whose many crashes nothing else
-    /// explains now that the others are cleared.
-    fn settled(&self, until: Duration) -> Vec<Suspect> {
-        let is_settled = |suspect: &Suspect, record: &CrashRecord| {
-            let is_ambiguous = record.quarantine().is_some_and(|it| it.is_ambiguous);
-            let has_many = record.crashes().len() >= SETTLING_CRASHES;
-            is_ambiguous && has_many && !self.has_rival(*suspect, record, until)
-        };
-        let entries = self.suspects.iter();
-        let settled = entries.filter(|(suspect, entry)| is_settled(suspect, &entry.record));
-        settled.map(|(suspect, _)| *suspect).collect()
-    }
-
-    /// Returns the endpoints that crashed a short time ago.
-    fn recent_crashes(&self, now: Duration) -> BTreeSet<u64> {
-        let records = self.suspects.values().map(|entry| &entry.record);
-        let crashes = records.flat_map(CrashRecord::crashes);
-        let recent = crashes.filter(|it| now.saturating_sub(it.lost_at) < OTHER_CRASH_TIME);
-        recent.map(|crash| crash.endpoint).collect()
-    }
-
-    /// Returns the endpoints that crashed under quarantined parts.
-    fn explained_crashes(&self) -> BTreeSet<u64> {
-        let records = self.suspects.iter();
-        let parts = records.filter(|(suspect, _)| suspect.is_part());
-        let quarantined = parts.filter(|(_, entry)| entry.record.quarantine().is_some());
-        let crashes = quarantined.flat_map(|(_, entry)| entry.record.crashes());
-        crashes.map(|crash| crash.endpoint).collect()
-    }
-
-    fn quarantine(&mut self, now: Duration, suspect: Suspect, until: Duration) -> Quarantined {
-        let is_ambiguous = self.is_ambiguous(suspect, until);
-        let base_time = match is_ambiguous {
-            true => AMBIGUOUS_QUARANTINE_TIME,
-            false => self.quarantine_time(),
-        };
-        let entry = self.entry_mut(suspect);
-        entry.repeats = CHANGE_REPEATS;
-        let record = &mut entry.record;
-        record.start_quarantine(now, base_time, is_ambiguous);
-        let until = record.quarantine().map_or(now, |it| it.until);
-        let crashes = record.crashes().len();
-        self.has_news = true;
-        Quarantined {
-            suspect,
-            crashes,
-            duration: until.saturating_sub(now),
-            is_ambiguous,
-        }
-    }
-
     /// Returns for how long a request is refused, if it is: `parts` are those of its prompt without the last one, and
     /// `request` stands for its whole content.
     ///
