--- a/crates/fleet/src/verdict.rs
+++ b/crates/fleet/src/verdict.rs
@@ -72,7 +72,7 @@
     VersionGone,
     /// No host that may hold the origin of the stream knows it.
     OriginUnknown,
-    /// The request crashed endpoints that ran it.
+    /// The request, or a part of its prompt, crashed endpoints that ran it.
     Quarantined,
     /// Endpoints rejected every attempt without running the request.
     TurnedAway,
--- a/crates/gateway/src/pages.rs
+++ b/crates/gateway/src/pages.rs
@@ -77,7 +77,7 @@
             queued: dispatcher.queued_requests(),
             unfinished: dispatcher.unfinished_requests(),
             known_streams: gateway.origins.known_streams(),
-            suspects: gateway.with_dispatcher(|dispatcher| dispatcher.suspect_counts()),
+            suspects: dispatcher.suspect_counts(),
             hosts: dispatcher.hosts(now),
             connections_opened: gateway.pool.borrow().opened_count(),
             connections_idle: gateway.pool.borrow().idle_count(),
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -22,6 +22,7 @@
 use sedgeridge_platform_standins::caller::ResumedStream;
 use sedgeridge_platform_standins::caller::build_request;
 use sedgeridge_platform_standins::caller::has_endpoint_stamp;
+use sedgeridge_platform_standins::crashing_parts::CrashingParts;
 use sedgeridge_platform_standins::documents::RouteKind;
 use sedgeridge_platform_standins::endpoint::STREAM_EVENTS;
 use sedgeridge_platform_standins::endpoint::event_data;
@@ -76,6 +77,8 @@
     pub ready: RefCell<Vec<bool>>,
     /// Number of endpoints that take new streams, by software version.
     pub stream_versions: RefCell<HashMap<String, usize>>,
+    /// Parts of prompts that crash endpoints.
+    pub crashing: CrashingParts,
     /// Newest key generation and the time of the change to it.
     pub newest_key: Cell<(u64, Duration)>,
     /// Whether callers continue to send requests.
@@ -90,6 +93,14 @@
         self.clock.now()
     }
 
+    /// Returns how many endpoints serve streams at a software version. Each of those that have just crashed may be one.
+    fn serving_endpoints(&self, version: &str) -> usize {
+        let listed = self.stream_versions.borrow().get(version).copied();
+        listed
+            .unwrap_or(0)
+            .saturating_sub(self.crashing.untaken_crashes())
+    }
+
     fn pick_router(&self, random: &mut SeededRandom) -> usize {
         let ready = self.ready.borrow();
         let ready: Vec<_> = (0..ready.len()).filter(|router| ready[*router]).collect();
@@ -262,13 +273,10 @@
     } = planned;
     let sent_at = shared.now();
     let resumed = stream.as_resumed();
-    let resume = resumed.as_ref().map(|resumed| {
-        let version = stream.software_version.as_deref().unwrap_or_default();
-        let versions = shared.stream_versions.borrow();
-        Resume {
-            first_request: resumed.first_attempt.clone(),
-            endpoints: versions.get(version).copied().unwrap_or(0),
-        }
+    let version = stream.software_version.clone().unwrap_or_default();
+    let mut resume = resumed.as_ref().map(|resumed| Resume {
+        first_request: resumed.first_attempt.clone(),
+        endpoints: shared.serving_endpoints(&version),
     });
     let head = CallerAttempt {
         id: id.clone(),
@@ -294,6 +302,9 @@
             wrong: None,
         },
     };
+    if let Some(resume) = &mut resume {
+        resume.endpoints = resume.endpoints.min(shared.serving_endpoints(&version));
+    }
     let record = RequestRecord {
         id,
         kind,
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -33,7 +33,7 @@
 pub struct Resume {
     /// Id of the request that began it.
     pub first_request: String,
-    /// Number of endpoints that served at the stream's software version when the request was sent.
+    /// Number of endpoints that served at the stream's software version from the request to its end.
     pub endpoints: usize,
 }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -163,6 +163,7 @@
             ready: RefCell::new(vec![false; routers.len()]),
             newest_key: Cell::new((site.generation(), Duration::ZERO)),
             stream_versions: RefCell::new(site.stream_versions()),
+            crashing: site.crashing.clone(),
             keep_sending: Cell::new(true),
             records: RefCell::default(),
         };
