--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -247,7 +247,11 @@
             Fault::WriteAgain => self.site.write_again(),
             Fault::Endpoint(endpoint, fault) => {
                 let endpoint = &self.site.endpoints[endpoint as usize];
-                inject_fault(&endpoint.server, fault, planned.length)?;
+                let injected = inject_fault(&endpoint.server, fault, planned.length);
+                // An endpoint that has crashed takes no orders.
+                if !self.site.crashing.has_crashed(&endpoint.id()) {
+                    injected?;
+                }
             }
             Fault::Leave(endpoint) | Fault::Upgrade(endpoint, _) => {
                 self.site.endpoints[endpoint as usize].put_entry(&self.site.rows, true);
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -310,7 +310,8 @@
         self.put_entry(rows, self.is_leaving.get());
     }
 
-    fn id(&self) -> String {
+    /// Returns the id of the endpoint's present run.
+    pub fn id(&self) -> String {
         endpoint_id(self.index, self.incarnation.get())
     }
 }
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -102,6 +102,7 @@
     /// Fault orders in force.
     pub faults: RefCell<Faults>,
     links: RefCell<Vec<Weak<Link>>>,
+    is_refusing: Cell<bool>,
     is_crashing: Cell<bool>,
 }
 
@@ -111,6 +112,7 @@
             started_at: Instant::now(),
             faults: RefCell::default(),
             links: RefCell::default(),
+            is_refusing: Cell::new(false),
             is_crashing: Cell::new(false),
         }
     }
@@ -135,6 +137,11 @@
             .collect()
     }
 
+    /// Closes new connections at once, as if nothing listened, or accepts them again.
+    pub fn refuse_connections(&self, is_refusing: bool) {
+        self.is_refusing.set(is_refusing);
+    }
+
     fn add_link(&self) -> Rc<Link> {
         let link = Rc::new(Link::default());
         let mut links = self.links.borrow_mut();
@@ -238,6 +245,9 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
+        if shared.is_refusing.get() {
+            continue;
+        }
         spawn_local(serve(tcp, Rc::clone(&shared), Rc::clone(&service)));
     }
 }
