--- a/crates/fleet/src/crash_evidence/decisions.rs
+++ b/crates/fleet/src/crash_evidence/decisions.rs
@@ -86,6 +86,7 @@
             if is_proven {
                 candidates.push(Candidate {
                     suspect: *suspect,
+                    is_trial: record.quarantine().is_some_and(|it| it.is_ambiguous),
                     crashes: record.independent_crashes(&explained, until),
                     may_be_cause: may_be_cause(*suspect, record, is_common(*suspect)),
                 });
@@ -94,7 +95,11 @@
         let is_answering = self.is_answering(now);
         let is_chosen = |it: &&Candidate| {
             let has_most = it.crashes == most_crashes(&candidates, it.suspect.is_part());
-            has_most && it.may_be_cause && !self.is_excused(it.suspect, until, is_answering)
+            let may_be_bystander = it.is_trial && !self.is_foremost(it.suspect);
+            has_most
+                && !may_be_bystander
+                && it.may_be_cause
+                && !self.is_excused(it.suspect, until, is_answering)
         };
         let chosen = candidates.iter().filter(is_chosen);
         chosen.map(|it| it.suspect).collect()
@@ -132,13 +137,27 @@
         let is_settled = |suspect: &Suspect, record: &CrashRecord| {
             let is_ambiguous = record.quarantine().is_some_and(|it| it.is_ambiguous);
             let has_many = record.crashes().len() >= SETTLING_CRASHES;
-            is_ambiguous && has_many && !self.has_rival(*suspect, record, until)
+            let is_sole = has_many && !self.has_rival(*suspect, record, until);
+            is_ambiguous && is_sole && self.has_most_crashes(record)
         };
         let entries = self.suspects.iter();
         let settled = entries.filter(|(suspect, entry)| is_settled(suspect, &entry.record));
         settled.map(|(suspect, _)| *suspect).collect()
     }
 
+    /// Returns whether no part has more crashes than a suspect.
+    fn is_foremost(&self, suspect: Suspect) -> bool {
+        let entry = self.suspects.get(&suspect);
+        entry.is_some_and(|entry| self.has_most_crashes(&entry.record))
+    }
+
+    /// Returns whether no part has more crashes than a record. One with more of them may be the cause of all.
+    fn has_most_crashes(&self, record: &CrashRecord) -> bool {
+        let parts = self.suspects.iter().filter(|(other, _)| other.is_part());
+        let mut crashes = parts.map(|(_, entry)| entry.record.crashes().len());
+        crashes.all(|crashes| crashes <= record.crashes().len())
+    }
+
     /// Returns the endpoints that crashed a short time ago.
     fn recent_crashes(&self, now: Duration) -> BTreeSet<u64> {
         let records = self.suspects.values().map(|entry| &entry.record);
@@ -181,6 +200,8 @@
 /// A suspect with enough crashes.
 struct Candidate {
     suspect: Suspect,
+    /// Whether it has failed the trial after a first quarantine that may have been wrong.
+    is_trial: bool,
     crashes: usize,
     may_be_cause: bool,
 }
