--- a/crates/fleet/src/dispatcher/crashes.rs
+++ b/crates/fleet/src/dispatcher/crashes.rs
@@ -23,6 +23,9 @@
 const SMALL_FLEET_SETTLE_TIME: Duration = Duration::from_millis(1_000);
 /// The same for fleets in which relays pass reports on.
 const SETTLE_TIME: Duration = Duration::from_millis(2_500);
+/// Maximum number of parts of a prompt that are suspects. A head has room for hundreds, which each answer that has begun
+/// would hold.
+const MAX_PARTS_PER_PROMPT: usize = 64;
 /// Maximum number of suspects in one report.
 const MAX_SUSPECTS_PER_REPORT: usize = 4;
 
@@ -70,7 +73,8 @@
 
 fn shared_part_ids(arrival: &Arrival) -> impl Iterator<Item = u64> + '_ {
     let parts = arrival.prompt.as_ref().map(Prompt::shared_parts);
-    parts.into_iter().flatten().map(|part| part.id)
+    let parts = parts.into_iter().flatten().take(MAX_PARTS_PER_PROMPT);
+    parts.map(|part| part.id)
 }
 
 impl Dispatcher {
