Evidence of crashes goes when its time is over, and is judged by the crashes near it

Found by reading the change. A host dropped a record and took it over again from the next report of a host that still had it, with a new time, and so did the other: no record ever went, requests were fingerprinted for good, and crashes of hours added up. Records go by the age of what they tell now, which reports carry, and one that is nearly over is not taken over. Refuted crashes carry their ages for the same reason; more than sixteen of them made hosts tell each other of changes without end.

A suspect with crashes of other causes beside it needed one or two crashes more only for a minute; after that it was quarantined on the same evidence. What crashed near its own crashes counts now, whenever it is judged.

evidence_that_is_out_of_date_is_forgotten_by_all_hosts failed before (1 and 2 suspects left on the first host after 480 s without a request) and passes now.

--- a/crates/fleet/src/crash_evidence.rs
+++ b/crates/fleet/src/crash_evidence.rs
@@ -27,6 +27,10 @@
 
 /// Maximum number of suspects that a host keeps records of.
 pub const MAX_SUSPECTS: usize = 512;
+/// Time for which a cleared suspect is kept, so that all hosts learn of it.
+const CLEARED_TIME: Duration = Duration::from_secs(60);
+/// Minimum time for which another host's evidence about an unknown suspect must still be of use.
+const MIN_KEPT_TIME: Duration = Duration::from_secs(20);
 /// Number of reports that tell of a change before other suspects get their turn.
 const CHANGE_REPEATS: u32 = 4;
 /// Longest delay of a host's first trial after it.
@@ -130,7 +134,8 @@
             ..crash
         };
         let entry = self.entry_mut(suspect);
-        if entry.record.add_crash(now, crash) {
+        if entry.record.add_crash(crash) {
+            entry.record.note_event(now);
             entry.repeats = CHANGE_REPEATS;
             self.has_news = true;
         }
@@ -138,11 +143,10 @@
 
     /// Records that this host knows of sound answers to a suspect from before its crashes. What has worked until a moment
     /// ago is less likely the cause than what has never worked.
-    pub fn add_history(&mut self, now: Duration, suspect: Suspect) {
-        let now = self.set_now(now);
+    pub fn add_history(&mut self, suspect: Suspect) {
         let entry = self.suspects.get_mut(&suspect);
         if let Some(entry) = entry.filter(|entry| !entry.record.crashes().is_empty())
-            && entry.record.add_history(now)
+            && entry.record.add_history()
         {
             entry.repeats = CHANGE_REPEATS;
             self.has_news = true;
@@ -162,6 +166,7 @@
             return false;
         }
         if entry.record.add_sound_answer(now, sent_at + CLOCK_HEADROOM) {
+            entry.record.note_event(now);
             entry.repeats = CHANGE_REPEATS;
             self.has_news = true;
         }
@@ -200,6 +205,9 @@
     pub fn merge(&mut self, now: Duration, report: &SuspectReport) -> Option<QuarantineEvent> {
         let now = self.set_now(now);
         let suspect = report.suspect;
+        if !self.suspects.contains_key(&suspect) && !self.is_worth_keeping(now, report) {
+            return None;
+        }
         let entry = self.entry_mut(suspect);
         let before = entry.record.quarantine();
         if !report.merge_into(now, &mut entry.record) {
@@ -222,6 +230,18 @@
         }
     }
 
+    /// Returns whether what a report tells is still of use for a while. Hosts drop a record at slightly different times; if
+    /// each took it over from those that still have it, it would never go.
+    fn is_worth_keeping(&self, now: Duration, report: &SuspectReport) -> bool {
+        let mut record = CrashRecord::default();
+        let is_news = report.merge_into(now, &mut record);
+        is_news && self.kept_until(&record) > now + MIN_KEPT_TIME
+    }
+
+    fn kept_until(&self, record: &CrashRecord) -> Duration {
+        record.kept_until(self.quarantine_time(), CLEARED_TIME)
+    }
+
     /// Quarantines a suspect for what is left of a quarantine that the platform's store has kept.
     pub fn restore(&mut self, now: Duration, suspect: Suspect, left: Duration) {
         let now = self.set_now(now);
@@ -232,7 +252,8 @@
             round: 1,
             is_ambiguous: false,
         };
-        if entry.record.adopt_quarantine(now, quarantine) {
+        if entry.record.adopt_quarantine(quarantine) {
+            entry.record.note_event(now);
             entry.repeats = CHANGE_REPEATS;
             self.has_news = true;
         }
@@ -389,7 +410,11 @@
             let least = self.suspects.iter().min_by_key(|(_, entry)| {
                 let record = &entry.record;
                 let is_quarantined = record.quarantine().is_some();
-                (is_quarantined, record.crashes().len(), record.changed_at())
+                (
+                    is_quarantined,
+                    record.crashes().len(),
+                    record.last_event_at(),
+                )
             });
             if let Some(least) = least.map(|(suspect, _)| *suspect) {
                 self.suspects.remove(&least);
--- a/crates/fleet/src/crash_evidence/decisions.rs
+++ b/crates/fleet/src/crash_evidence/decisions.rs
@@ -1,11 +1,13 @@
 //! Decides which suspects have crashed enough endpoints to be refused.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use sedgeridge_state::settings::HealthSettings;
 
 use super::CHANGE_REPEATS;
+use super::CLEARED_TIME;
 use super::CrashEvidence;
 use super::Entry;
 use super::Quarantined;
@@ -20,10 +22,8 @@
 const MIN_REQUEST_CRASHES: u32 = 2;
 /// Further crashes that are needed of a whole request where endpoints have also crashed without it.
 const EXTRA_REQUEST_CRASHES: usize = 2;
-/// Time for which a crash of another suspect counts.
+/// Time before and after the crashes of a suspect in which crashes without it count.
 const OTHER_CRASH_TIME: Duration = Duration::from_secs(60);
-/// Time for which a cleared suspect is kept, so that all hosts learn of it.
-const REFUTATION_TIME: Duration = Duration::from_secs(60);
 /// Crashes from which a suspect needs no trial once everything else in them is cleared.
 const SETTLING_CRASHES: usize = 8;
 /// First quarantine of a suspect that may be innocent.
@@ -42,7 +42,6 @@
         is_common: impl Fn(Suspect) -> Option<bool>,
     ) -> Vec<Quarantined> {
         let now = self.set_now(now);
-        let evidence_time = self.quarantine_time();
         let until = now.saturating_sub(settle_time);
         let settled = self.settled(until).into_iter();
         let mut quarantined: Vec<_> = settled.map(|it| self.quarantine(now, it, until)).collect();
@@ -54,11 +53,18 @@
             let proven = proven.into_iter();
             quarantined.extend(proven.map(|suspect| self.quarantine(now, suspect, until)));
         }
-        let is_kept = |entry: &Entry| entry.record.kept_until(evidence_time, REFUTATION_TIME) > now;
-        self.suspects.retain(|_, entry| is_kept(entry));
+        self.drop_old(now);
         quarantined
     }
 
+    fn drop_old(&mut self, now: Duration) {
+        let evidence_time = self.quarantine_time();
+        self.suspects.retain(|_, entry| {
+            entry.record.drop_old_refutations(now);
+            entry.record.kept_until(evidence_time, CLEARED_TIME) > now
+        });
+    }
+
     /// Returns the suspects to be quarantined next: those with the most crashes that no quarantined part explains. Parts
     /// that share requests with the culprit have some of its crashes, which prove nothing about them.
     fn proven(
@@ -73,11 +79,12 @@
         }
         let until = now.saturating_sub(settle_time);
         let explained = self.explained_crashes();
-        let recent = self.recent_crashes(now);
+        let unexplained = self.unexplained_crashes(&explained);
         let mut candidates = Vec::new();
         for (suspect, entry) in &mut self.suspects {
             let record = &mut entry.record;
-            let has_others = has_other_crashes(record, &recent, &explained);
+            record.note_other_crashes(&unexplained, OTHER_CRASH_TIME);
+            let has_others = record.had_other_crashes();
             let threshold = threshold(*suspect, has_others, &self.settings);
             let is_proven = match record.quarantine() {
                 Some(_) => record.failed_trial(),
@@ -158,12 +165,16 @@
         crashes.all(|crashes| crashes <= record.crashes().len())
     }
 
-    /// Returns the endpoints that crashed a short time ago.
-    fn recent_crashes(&self, now: Duration) -> BTreeSet<u64> {
+    /// Returns the endpoints that crashed under no quarantined part, and when, also if their crashes are refuted.
+    fn unexplained_crashes(&self, explained: &BTreeSet<u64>) -> BTreeMap<u64, Duration> {
         let records = self.suspects.values().map(|entry| &entry.record);
-        let crashes = records.flat_map(CrashRecord::crashes);
-        let recent = crashes.filter(|it| now.saturating_sub(it.lost_at) < OTHER_CRASH_TIME);
-        recent.map(|crash| crash.endpoint).collect()
+        let crashes = records.clone().flat_map(CrashRecord::crashes);
+        let crashes = crashes.map(|crash| (crash.endpoint, crash.lost_at));
+        let refuted = records.flat_map(CrashRecord::refuted);
+        let refuted = refuted.map(|refutation| (refutation.endpoint, refutation.at));
+        let all = refuted.chain(crashes);
+        all.filter(|(endpoint, _)| !explained.contains(endpoint))
+            .collect()
     }
 
     /// Returns the endpoints that crashed under quarantined parts.
@@ -185,6 +196,7 @@
         entry.repeats = CHANGE_REPEATS;
         let record = &mut entry.record;
         record.start_quarantine(now, base_time, is_ambiguous);
+        record.note_event(now);
         let until = record.quarantine().map_or(now, |it| it.until);
         let crashes = record.crashes().len();
         self.has_news = true;
@@ -214,16 +226,6 @@
     alike.map(|it| it.crashes).max().unwrap_or(0)
 }
 
-/// Returns whether endpoints have crashed a short time ago without a suspect, for no known cause.
-fn has_other_crashes(
-    record: &CrashRecord,
-    recent: &BTreeSet<u64>,
-    explained: &BTreeSet<u64>,
-) -> bool {
-    let mut unexplained = recent.difference(explained);
-    unexplained.any(|endpoint| !record.has_crash_of(*endpoint))
-}
-
 /// Returns how many crashes prove that a suspect is their cause.
 fn threshold(suspect: Suspect, has_others: bool, settings: &HealthSettings) -> usize {
     let request_crashes = settings.poison_after_crashes.max(MIN_REQUEST_CRASHES) as usize;
--- a/crates/fleet/src/crash_evidence/record.rs
+++ b/crates/fleet/src/crash_evidence/record.rs
@@ -4,13 +4,19 @@
 //! that are refuted, and the number of the last quarantine that is over. Times only decide at the host that sees an answer
 //! go on, and are never passed back and forth.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Maximum number of crashes that are kept; more would prove nothing more.
 pub const MAX_CRASHES: usize = 16;
-/// Maximum number of refuted crashes that are kept.
+/// Maximum number of refuted crashes that are kept, the newest ones.
 pub const MAX_REFUTED: usize = 16;
+/// Time for which a refuted crash is kept.
+const REFUTED_TIME: Duration = Duration::from_secs(60);
+/// Age up to which a refuted crash is taken over from another host. It is below [`REFUTED_TIME`], so that hosts don't tell
+/// each other again and again of one that each has dropped.
+const MAX_NEWS_AGE: Duration = Duration::from_secs(30);
 /// Sound answers without a common suspect that show that only requests with it crash endpoints.
 const MIN_CONTRASTS: u32 = 5;
 /// Maximum number of times that the quarantine time is doubled.
@@ -40,29 +46,41 @@
     pub is_ambiguous: bool,
 }
 
+/// Crash that a later answer has refuted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refutation {
+    /// Key of the run of the endpoint that crashed.
+    pub endpoint: u64,
+    /// When it was refuted.
+    pub at: Duration,
+}
+
 /// Crashes under a suspect, its quarantine, and the answers that speak for it.
 #[derive(Debug, Default)]
 pub struct CrashRecord {
     /// In the order in which connections were lost.
     crashes: Vec<Crash>,
-    /// Endpoints whose crashes are refuted by a later answer that went on.
-    refuted: Vec<u64>,
+    /// In the order in which they were refuted.
+    refuted: Vec<Refutation>,
     quarantine: Option<Quarantine>,
     /// Number of the last quarantine that an answer has ended.
     cleared_round: u32,
     /// Whether a host knew of sound answers from before the crashes.
     has_history: bool,
+    /// Whether endpoints have crashed without the suspect at about the same time, for no known cause.
+    had_other_crashes: bool,
     /// Sound answers to requests without the suspect, sent after the crashes that prove anything.
     contrasts: u32,
     /// When this host first knew of enough crashes for a quarantine.
     proven_at: Option<Duration>,
-    changed_at: Duration,
+    /// When the newest crash, answer or decision happened that the record knows of, at whatever host.
+    last_event_at: Duration,
 }
 
 impl CrashRecord {
     /// Adds a crash. Returns whether it is new and not refuted.
-    pub fn add_crash(&mut self, now: Duration, crash: Crash) -> bool {
-        if self.has_crash_of(crash.endpoint) || self.refuted.contains(&crash.endpoint) {
+    pub fn add_crash(&mut self, crash: Crash) -> bool {
+        if self.has_crash_of(crash.endpoint) || self.is_refuted(crash.endpoint) {
             return false;
         }
         self.crashes.push(crash);
@@ -73,7 +91,6 @@
         if self.proven_at.is_none() {
             self.contrasts = 0;
         }
-        self.changed_at = now;
         true
     }
 
@@ -93,52 +110,75 @@
     /// under requests that were sent before. Returns whether that changed anything.
     pub fn add_sound_answer(&mut self, now: Duration, sent_at: Duration) -> bool {
         let refuted = self.crashes.iter().filter(|it| it.sent_at <= sent_at);
-        let refuted: Vec<u64> = refuted.map(|it| it.endpoint).collect();
+        let refuted = refuted.map(|it| Refutation {
+            endpoint: it.endpoint,
+            at: now,
+        });
+        let refuted: Vec<_> = refuted.collect();
         let has_refuted = self.refute(now, &refuted);
         let ended = self.quarantine.filter(|it| it.crash_sent_at <= sent_at);
-        let has_ended = ended.is_some_and(|it| self.end_quarantines(now, it.round));
+        let has_ended = ended.is_some_and(|it| self.end_quarantines(it.round));
         has_refuted || has_ended
     }
 
     /// Drops crashes that are refuted, also if they become known later. Returns whether any of them is new.
-    pub fn refute(&mut self, now: Duration, endpoints: &[u64]) -> bool {
-        let known = &self.refuted;
-        let new = endpoints.iter().filter(|it| !known.contains(it));
-        let new: Vec<u64> = new.copied().collect();
-        if new.is_empty() {
+    pub fn refute(&mut self, now: Duration, refutations: &[Refutation]) -> bool {
+        let mut has_changed = false;
+        for refutation in refutations {
+            has_changed |= self.refute_one(now, *refutation);
+        }
+        has_changed
+    }
+
+    fn refute_one(&mut self, now: Duration, refutation: Refutation) -> bool {
+        let is_evidence = self.has_crash_of(refutation.endpoint);
+        let is_old = now.saturating_sub(refutation.at) > MAX_NEWS_AGE;
+        let is_known = self.is_refuted(refutation.endpoint);
+        if is_known || is_old && !is_evidence {
             return false;
         }
-        self.crashes.retain(|it| !new.contains(&it.endpoint));
-        self.refuted.extend(new);
+        if is_evidence {
+            self.crashes.retain(|it| it.endpoint != refutation.endpoint);
+            self.proven_at = None;
+            self.contrasts = 0;
+            self.had_other_crashes = false;
+        }
+        self.refuted.push(refutation);
+        self.refuted.sort_by_key(|it| it.at);
         let excess = self.refuted.len().saturating_sub(MAX_REFUTED);
         self.refuted.drain(..excess);
-        self.proven_at = None;
-        self.contrasts = 0;
-        self.changed_at = now;
-        true
+        is_evidence || self.is_refuted(refutation.endpoint)
+    }
+
+    fn is_refuted(&self, endpoint: u64) -> bool {
+        self.refuted.iter().any(|it| it.endpoint == endpoint)
+    }
+
+    /// Drops refuted crashes that all hosts know of.
+    pub fn drop_old_refutations(&mut self, now: Duration) {
+        self.refuted
+            .retain(|it| now.saturating_sub(it.at) < REFUTED_TIME);
     }
 
     /// Ends all quarantines up to a number. Returns whether that is new.
-    pub fn end_quarantines(&mut self, now: Duration, round: u32) -> bool {
+    pub fn end_quarantines(&mut self, round: u32) -> bool {
         if round <= self.cleared_round {
             return false;
         }
         self.cleared_round = round;
         self.quarantine = self.quarantine.filter(|it| it.round > round);
         self.proven_at = None;
-        self.changed_at = now;
         true
     }
 
     /// Takes over a quarantine that another host has decided, unless it has ended or an earlier one. Returns whether it
     /// was new.
-    pub fn adopt_quarantine(&mut self, now: Duration, quarantine: Quarantine) -> bool {
+    pub fn adopt_quarantine(&mut self, quarantine: Quarantine) -> bool {
         let known_round = self.quarantine.map_or(self.cleared_round, |it| it.round);
         if quarantine.round <= known_round {
             return false;
         }
         self.quarantine = Some(quarantine);
-        self.changed_at = now;
         true
     }
 
@@ -182,7 +222,6 @@
             is_ambiguous,
         });
         self.proven_at = None;
-        self.changed_at = now;
     }
 
     /// Returns the number of crashes until a time of which each suspect was sent after the crash before, without those of
@@ -200,6 +239,21 @@
         count
     }
 
+    /// Looks for crashes without the suspect that happened within `time` of its own ones.
+    pub fn note_other_crashes(&mut self, crashes: &BTreeMap<u64, Duration>, time: Duration) {
+        let (Some(first), Some(last)) = (self.crashes.first(), self.crashes.last()) else {
+            return;
+        };
+        let span = first.lost_at.saturating_sub(time)..=last.lost_at + time;
+        let mut near = crashes.iter().filter(|(_, at)| span.contains(at));
+        self.had_other_crashes |= near.any(|(endpoint, _)| !self.has_crash_of(*endpoint));
+    }
+
+    /// Tells whether endpoints have crashed without the suspect at about the same time, for no known cause.
+    pub fn had_other_crashes(&self) -> bool {
+        self.had_other_crashes
+    }
+
     /// Tells whether this suspect was in progress when an endpoint crashed.
     pub fn has_crash_of(&self, endpoint: u64) -> bool {
         self.crashes.iter().any(|it| it.endpoint == endpoint)
@@ -218,12 +272,8 @@
     }
 
     /// Records that there were sound answers before the crashes. Returns whether that is new.
-    pub fn add_history(&mut self, now: Duration) -> bool {
-        if std::mem::replace(&mut self.has_history, true) {
-            return false;
-        }
-        self.changed_at = now;
-        true
+    pub fn add_history(&mut self) -> bool {
+        !std::mem::replace(&mut self.has_history, true)
     }
 
     /// Returns whether a host knew of sound answers from before the crashes.
@@ -236,8 +286,8 @@
         &self.crashes
     }
 
-    /// Returns the endpoints whose crashes are refuted.
-    pub fn refuted(&self) -> &[u64] {
+    /// Returns the refuted crashes.
+    pub fn refuted(&self) -> &[Refutation] {
         &self.refuted
     }
 
@@ -251,16 +301,21 @@
         self.cleared_round
     }
 
-    /// Returns the time of the last change.
-    pub fn changed_at(&self) -> Duration {
-        self.changed_at
+    /// Records the time of a crash, an answer or a decision.
+    pub fn note_event(&mut self, at: Duration) {
+        self.last_event_at = self.last_event_at.max(at);
+    }
+
+    /// Returns when the newest crash, answer or decision happened that the record knows of.
+    pub fn last_event_at(&self) -> Duration {
+        self.last_event_at
     }
 
     /// Returns the time until which the record is of use.
     pub fn kept_until(&self, evidence_time: Duration, refutation_time: Duration) -> Duration {
         let newest = self.crashes.last().map(|it| it.lost_at + evidence_time);
         let quarantined = self.quarantine.map(|it| it.until + evidence_time);
-        let changed = self.changed_at + refutation_time;
-        changed.max(newest.max(quarantined).unwrap_or_default())
+        let cleared = self.last_event_at + refutation_time;
+        cleared.max(newest.max(quarantined).unwrap_or_default())
     }
 }
--- a/crates/fleet/src/crash_evidence/report.rs
+++ b/crates/fleet/src/crash_evidence/report.rs
@@ -10,6 +10,7 @@
 use super::record::MAX_CRASHES;
 use super::record::MAX_REFUTED;
 use super::record::Quarantine;
+use super::record::Refutation;
 use crate::peer_report::to_millis;
 use crate::suspect::Suspect;
 
@@ -25,9 +26,12 @@
     /// Crashes under it.
     #[serde(rename = "c", default)]
     crashes: Vec<CrashAges>,
-    /// Endpoints whose crashes are refuted.
+    /// Crashes that are refuted.
     #[serde(rename = "r", default)]
-    refuted: Vec<u64>,
+    refuted: Vec<RefutationAge>,
+    /// Time since the newest crash, answer or decision in the report, in milliseconds.
+    #[serde(rename = "a", default)]
+    last_event_ago_ms: u64,
     /// Its last quarantine.
     #[serde(rename = "q", default)]
     quarantine: Option<QuarantineAges>,
@@ -43,6 +47,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 struct CrashAges(u64, u64, u64);
 
+/// A refuted crash: key of the endpoint's run, and milliseconds since the refutation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct RefutationAge(u64, u64);
+
 /// A quarantine: milliseconds since the newest request that it rests on was sent, milliseconds left (negative if it is
 /// over), its number, and whether the suspect may be innocent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -59,7 +67,12 @@
             crashes: crashes
                 .map(|it| CrashAges(it.endpoint, age_ms(it.sent_at), age_ms(it.lost_at)))
                 .collect(),
-            refuted: record.refuted().to_vec(),
+            refuted: record
+                .refuted()
+                .iter()
+                .map(|it| RefutationAge(it.endpoint, age_ms(it.at)))
+                .collect(),
+            last_event_ago_ms: age_ms(record.last_event_at()),
             quarantine: quarantine.map(|it| {
                 let left_ms = to_millis(it.until) as i64 - to_millis(now) as i64;
                 QuarantineAges(age_ms(it.crash_sent_at), left_ms, it.round, it.is_ambiguous)
@@ -71,22 +84,36 @@
 
     /// Adds what the report tells to a record. Returns whether anything was new.
     pub(super) fn merge_into(&self, now: Duration, record: &mut CrashRecord) -> bool {
-        let refuted = self.refuted.iter().take(MAX_REFUTED).copied();
-        let mut has_changed = record.refute(now, &refuted.collect::<Vec<_>>());
-        has_changed |= record.end_quarantines(now, self.cleared_round);
+        let refuted = self.refuted.iter().take(MAX_REFUTED);
+        let refuted: Vec<_> = refuted.map(|it| it.at(now)).collect();
+        let mut has_changed = record.refute(now, &refuted);
+        has_changed |= record.end_quarantines(self.cleared_round);
         for crash in self.crashes.iter().take(MAX_CRASHES) {
-            has_changed |= record.add_crash(now, crash.at(now));
+            has_changed |= record.add_crash(crash.at(now));
         }
         if self.has_history {
-            has_changed |= record.add_history(now);
+            has_changed |= record.add_history();
         }
         if let Some(quarantine) = self.quarantine {
-            has_changed |= record.adopt_quarantine(now, quarantine.at(now));
+            has_changed |= record.adopt_quarantine(quarantine.at(now));
+        }
+        if has_changed {
+            record.note_event(ago(now, self.last_event_ago_ms));
         }
         has_changed
     }
 }
 
+impl RefutationAge {
+    fn at(self, now: Duration) -> Refutation {
+        let Self(endpoint, ago_ms) = self;
+        Refutation {
+            endpoint,
+            at: ago(now, ago_ms),
+        }
+    }
+}
+
 impl CrashAges {
     fn at(self, now: Duration) -> Crash {
         let Self(endpoint, sent_ago_ms, lost_ago_ms) = self;
--- a/crates/fleet/src/dispatcher/crashes.rs
+++ b/crates/fleet/src/dispatcher/crashes.rs
@@ -163,7 +163,7 @@
         for (suspect, crash) in crashes {
             self.crashes.evidence.add_crash(now, *suspect, *crash);
             if self.crashes.answers.last_sound(*suspect).is_some() {
-                self.crashes.evidence.add_history(now, *suspect);
+                self.crashes.evidence.add_history(*suspect);
             }
         }
         let mut suspects: Vec<_> = crashes.iter().map(|(suspect, _)| *suspect).collect();
@@ -178,7 +178,7 @@
             let event = self.crashes.evidence.merge(now, report);
             self.crashes.news.extend(event.map(CrashNews::Quarantine));
             if let Some(sent_at) = self.crashes.answers.last_sound(report.suspect) {
-                self.crashes.evidence.add_history(now, report.suspect);
+                self.crashes.evidence.add_history(report.suspect);
                 self.clear(now, report.suspect, sent_at);
             }
         }
--- a/crates/fleet/tests/crashing_parts.rs
+++ b/crates/fleet/tests/crashing_parts.rs
@@ -31,6 +31,8 @@
 const QUARANTINE_MS: u64 = 300_000;
 /// Longest time after it in which a host still refuses the part.
 const MAX_TRIAL_DELAY_MS: u64 = 60_000;
+/// Longest time after the end of a quarantine, or of the time for which evidence counts, until nothing of it is left.
+const FORGOTTEN_WITHIN_MS: u64 = 120_000;
 /// Longest time for which a part is refused that may be innocent.
 const AMBIGUOUS_MS: u64 = 6_000;
 /// Time between two steps of the load.
@@ -312,3 +314,20 @@
         assert_eq!(late.count(), 0, "seed {seed}");
     }
 }
+
+/// Guards against evidence that hosts tell each other again and again after its time, so that it never goes.
+#[parameterized(small_fleet = { 6, 9 }, relays = { 14, 9 })]
+fn evidence_that_is_out_of_date_is_forgotten_by_all_hosts(hosts: usize, engines: usize) {
+    let mut play = CrashPlay::start(hosts, engines, &[], 8);
+    play_load(&mut play, SOUND_LOAD_MS, &[], CULPRIT_INTERVAL_MS);
+    for crash in 0..24 {
+        play_load(&mut play, 300, &[], CULPRIT_INTERVAL_MS);
+        play.crash_engine(crash % engines);
+    }
+    play.run_for(2_000);
+    play.skip(QUARANTINE_MS + MAX_TRIAL_DELAY_MS + FORGOTTEN_WITHIN_MS);
+    for host in 0..play.host_count() {
+        let (suspects, _) = play.dispatcher(host).suspect_counts();
+        assert_eq!(suspects, 0, "host {host}");
+    }
+}
