Names and comments of the evidence of crashes; lost suspects by themselves

Constants of tests and the soak name what they stand for, the comments say what a part is instead of a figure of speech, the choice of suspects at a lost connection is a function of its own.

--- a/crates/fleet/src/arrival_shares.rs
+++ b/crates/fleet/src/arrival_shares.rs
@@ -7,7 +7,7 @@
 
 /// Time for which a generation counts arrivals. Two of them are kept.
 const GENERATION_TIME: Duration = Duration::from_secs(5);
-/// Maximum number of suspects in a generation. What many requests have in common is among the first ones.
+/// Maximum number of suspects in a generation. Common ones are among the first.
 const MAX_COUNTED: usize = 4_096;
 /// Minimum number of arrivals with prompts, and with fingerprints, from which shares are known.
 const MIN_PROMPTS: u32 = 5;
--- a/crates/fleet/src/crash_evidence.rs
+++ b/crates/fleet/src/crash_evidence.rs
@@ -43,7 +43,7 @@
 /// Added to the process's clock, which starts at zero, so that times before its start can be kept.
 const CLOCK_HEADROOM: Duration = Duration::from_secs(7 * 24 * 60 * 60);
 
-/// A change of what is refused.
+/// Start or end of a quarantine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QuarantineEvent {
     /// A suspect is refused from now on.
@@ -82,8 +82,9 @@
 /// let (now, settle_time) = (Duration::from_secs(5), Duration::from_secs(1));
 /// let is_common = |_| Some(false);
 /// evidence.tick(now, settle_time, is_common);
-/// assert!(evidence.quarantined_for(now, &[4, 7], None, is_common).is_some());
-/// assert!(evidence.quarantined_for(now, &[4], None, is_common).is_none());
+/// let (first, crashing) = (Suspect::Part(4), Suspect::Part(7));
+/// assert!(evidence.quarantined_for(now, &[first, crashing], is_common).is_some());
+/// assert!(evidence.quarantined_for(now, &[first], is_common).is_none());
 /// ```
 #[derive(Debug)]
 pub struct CrashEvidence {
@@ -95,7 +96,7 @@
     suspects: BTreeMap<Suspect, Entry>,
     /// Suspect after which the next report goes on with those that have not changed.
     last_reported: Option<Suspect>,
-    /// Whether this host has found out something that others don't know.
+    /// Whether this host has evidence that it has not reported.
     has_news: bool,
     /// Time of this host's last sound answer to a prompt.
     last_sound_at: Option<Duration>,
@@ -141,8 +142,8 @@
         }
     }
 
-    /// Records that this host knows of sound answers to a suspect from before its crashes. What has worked until a moment
-    /// ago is less likely the cause than what has never worked.
+    /// Records that this host knows of sound answers to a suspect from before its crashes. A part that has worked until a
+    /// moment ago is less likely the cause than one that has never worked.
     pub fn add_history(&mut self, suspect: Suspect) {
         let entry = self.suspects.get_mut(&suspect);
         if let Some(entry) = entry.filter(|entry| !entry.record.crashes().is_empty())
@@ -201,7 +202,7 @@
         }
     }
 
-    /// Takes in what another host knows about a suspect. Returns whether a quarantine started or ended by it.
+    /// Merges another host's evidence about a suspect. Returns whether a quarantine started or ended by it.
     pub fn merge(&mut self, now: Duration, report: &SuspectReport) -> Option<QuarantineEvent> {
         let now = self.set_now(now);
         let suspect = report.suspect;
@@ -230,7 +231,7 @@
         }
     }
 
-    /// Returns whether what a report tells is still of use for a while. Hosts drop a record at slightly different times; if
+    /// Returns whether a report is still of use for a while. Hosts drop a record at slightly different times; if
     /// each took it over from those that still have it, it would never go.
     fn is_worth_keeping(&self, now: Duration, report: &SuspectReport) -> bool {
         let mut record = CrashRecord::default();
@@ -259,7 +260,7 @@
         }
     }
 
-    /// Returns what this host's next report tells: changes first, then the other suspects in turn.
+    /// Returns the evidence for this host's next report: changes first, then the other suspects in turn.
     pub fn next_reports(&mut self, count: usize) -> Vec<SuspectReport> {
         let mut chosen: Vec<Suspect> = Vec::new();
         let mut changed: Vec<_> = self
@@ -296,30 +297,26 @@
         self.set_now(now);
     }
 
-    /// Tells whether this host has found out something since its last report.
+    /// Tells whether this host has evidence that it has not reported.
     pub fn has_news(&self) -> bool {
         self.has_news
     }
 
-    /// Returns for how long a request is refused, if it is: `parts` are those of its prompt without the last one, and
-    /// `request` stands for its whole content.
+    /// Returns the time for which a request with these suspects is refused; `None` if it is not.
     ///
-    /// What most requests here have, and what has worked before, is refused only with a contrast, see [`Self::tick`].
+    /// A suspect that is common here and has worked before is refused only with a contrast, see [`Self::tick`].
     /// Parts that were in the same crashes can't be told apart yet. A request with only some of them is not refused; it
     /// clears those that it has, or adds the crash that tells them from the others.
     pub fn quarantined_for(
         &self,
         now: Duration,
-        parts: &[u64],
-        request: Option<Suspect>,
+        suspects: &[Suspect],
         is_common: impl Fn(Suspect) -> Option<bool>,
     ) -> Option<Duration> {
         if self.suspects.is_empty() {
             return None;
         }
         let now = now + CLOCK_HEADROOM;
-        let parts = parts.iter().map(|part| Suspect::Part(*part));
-        let suspects: Vec<Suspect> = parts.chain(request).collect();
         let quarantined = suspects.iter().filter_map(|suspect| {
             let record = &self.suspects.get(suspect)?.record;
             let left = self.quarantine_left(now, *suspect, record)?;
@@ -329,7 +326,7 @@
                     return None;
                 }
             }
-            let may_be_another = suspect.is_part() && self.may_be_another(record, &suspects);
+            let may_be_another = suspect.is_part() && self.may_be_another(record, suspects);
             (!may_be_another).then_some(left)
         });
         quarantined.max()
@@ -370,8 +367,9 @@
 
     /// Tells whether any whole request is on record.
     pub fn has_request(&self) -> bool {
-        let mut suspects = self.suspects.keys();
-        suspects.any(|suspect| !suspect.is_part())
+        // Parts come before requests.
+        let last = self.suspects.last_key_value();
+        last.is_some_and(|(suspect, _)| !suspect.is_part())
     }
 
     /// Returns the number of suspects on record.
--- a/crates/fleet/src/crash_evidence/decisions.rs
+++ b/crates/fleet/src/crash_evidence/decisions.rs
@@ -66,7 +66,7 @@
     }
 
     /// Returns the suspects to be quarantined next: those with the most crashes that no quarantined part explains. Parts
-    /// that share requests with the culprit have some of its crashes, which prove nothing about them.
+    /// that share requests with it have some of its crashes, which prove nothing about them.
     fn proven(
         &mut self,
         now: Duration,
--- a/crates/fleet/src/crash_evidence/report.rs
+++ b/crates/fleet/src/crash_evidence/report.rs
@@ -17,7 +17,7 @@
 /// Longest age or duration in a report; more is absurd.
 const MAX_AGE: Duration = Duration::from_secs(24 * 60 * 60);
 
-/// What a host knows about a suspect.
+/// A host's evidence about a suspect.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectReport {
     /// The suspect.
@@ -82,7 +82,7 @@
         }
     }
 
-    /// Adds what the report tells to a record. Returns whether anything was new.
+    /// Merges the report into a record. Returns whether anything was new.
     pub(super) fn merge_into(&self, now: Duration, record: &mut CrashRecord) -> bool {
         let refuted = self.refuted.iter().take(MAX_REFUTED);
         let refuted: Vec<_> = refuted.map(|it| it.at(now)).collect();
--- a/crates/fleet/src/dispatcher/crashes.rs
+++ b/crates/fleet/src/dispatcher/crashes.rs
@@ -34,19 +34,19 @@
 pub(super) struct Crashes {
     pub(super) evidence: CrashEvidence,
     pub(super) answers: SoundAnswers,
-    /// What the requests that arrive at this host have in common.
+    /// Shares of the requests at this host that have a suspect in common.
     pub(super) arrivals: ArrivalShares,
     lost: LostAnswers,
     endpoints_to_check: Vec<Arc<Endpoint>>,
     news: Vec<CrashNews>,
 }
 
-/// Something that this host has found out about crashes, for logs, metrics and the platform's store.
+/// News about crashes, for logs, metrics and the platform's store.
 #[derive(Debug, Clone, PartialEq)]
 pub enum CrashNews {
     /// An endpoint crashed under requests of this host. The suspects are those that may be the cause.
     EndpointCrashed(Arc<Endpoint>, Vec<Suspect>),
-    /// What is refused has changed, by this host's evidence or by that of others.
+    /// A quarantine started or ended, by this host's evidence or by that of others.
     Quarantine(QuarantineEvent),
 }
 
@@ -63,20 +63,16 @@
     }
 }
 
-/// Returns what a request would be refused for: the parts of its prompt that other requests share, and its whole content.
+/// Returns the suspects of a request: the parts of its prompt that other requests share, and its whole content.
 pub(super) fn suspects_of(arrival: &Arrival) -> Vec<Suspect> {
-    let parts = shared_part_ids(arrival).map(Suspect::Part);
+    let parts = arrival.prompt.as_ref().map(Prompt::shared_parts);
+    let parts = parts.into_iter().flatten().take(MAX_PARTS_PER_PROMPT);
+    let parts = parts.map(|part| Suspect::Part(part.id));
     parts
         .chain(arrival.fingerprint.map(Suspect::request))
         .collect()
 }
 
-fn shared_part_ids(arrival: &Arrival) -> impl Iterator<Item = u64> + '_ {
-    let parts = arrival.prompt.as_ref().map(Prompt::shared_parts);
-    let parts = parts.into_iter().flatten().take(MAX_PARTS_PER_PROMPT);
-    parts.map(|part| part.id)
-}
-
 impl Dispatcher {
     /// Takes the endpoints that are to be connected to, since connections to them were lost and they may have crashed. If
     /// one refuses the connection, the answer is [`DispatchEvent::EndpointDown`](super::DispatchEvent::EndpointDown).
@@ -84,7 +80,7 @@
         std::mem::take(&mut self.crashes.endpoints_to_check)
     }
 
-    /// Takes what this host has found out about crashes since the last call.
+    /// Takes the news about crashes since the last call.
     pub fn take_crash_news(&mut self) -> Vec<CrashNews> {
         std::mem::take(&mut self.crashes.news)
     }
@@ -105,49 +101,57 @@
         if evidence.is_empty() {
             return None;
         }
-        let parts: Vec<u64> = shared_part_ids(arrival).collect();
-        let request = arrival.fingerprint.map(Suspect::request);
         let arrivals = &self.crashes.arrivals;
-        evidence.quarantined_for(now, &parts, request, |it| arrivals.is_common(it))
+        evidence.quarantined_for(now, &suspects_of(arrival), |it| arrivals.is_common(it))
     }
 
     /// Records that the connection of an attempt was lost. Its endpoint may have crashed under the attempt, or under an
     /// answer that was complete a moment before.
     pub(super) fn on_answer_lost(&mut self, now: Duration, id: RequestId, attempt: &Attempt) {
         let endpoint = &attempt.endpoint;
-        let is_leaving = !self.endpoints.is_usable(endpoint);
-        let begun = self.crashes.answers.take_lost(now, endpoint.key);
-        if is_leaving {
+        let crashes = self.lost_suspects(now, id, attempt);
+        if crashes.is_empty() || !self.endpoints.is_usable(endpoint) {
             return;
         }
+        if !self.crashes.lost.is_awaited(endpoint.key) {
+            self.crashes.endpoints_to_check.push(endpoint.clone());
+        }
+        let confirmed = self.crashes.lost.add(now, endpoint.key, crashes);
+        self.add_crashes(now, endpoint, &confirmed);
+    }
+
+    /// Returns the suspects of an attempt that had not begun, and of answers that had just begun at its endpoint, except
+    /// those that a later answer has cleared.
+    fn lost_suspects(
+        &mut self,
+        now: Duration,
+        id: RequestId,
+        attempt: &Attempt,
+    ) -> Vec<SuspectCrash> {
+        let endpoint = attempt.endpoint.key;
         let crash = |sent_at| Crash {
-            endpoint: endpoint.key,
+            endpoint,
             sent_at,
             lost_at: now,
         };
-        let from_begun = begun.iter().flat_map(|answer| {
+        let begun = self.crashes.answers.take_lost(now, endpoint);
+        let begun = begun.into_iter().flat_map(|answer| {
             let crash = crash(answer.sent_at);
-            answer.suspects.iter().map(move |suspect| (*suspect, crash))
+            let suspects = answer.suspects.into_iter();
+            suspects.map(move |suspect| (suspect, crash))
         });
-        let mut crashes: Vec<SuspectCrash> = from_begun.collect();
+        let mut crashes: Vec<SuspectCrash> = begun.collect();
         let has_begun = attempt.first_piece_at.is_some();
         if let Some(pending) = self.requests.get(&id).filter(|_| !has_begun) {
+            let suspects = suspects_of(&pending.arrival).into_iter();
             let crash = crash(attempt.sent_at);
-            let suspects = suspects_of(&pending.arrival);
-            crashes.extend(suspects.into_iter().map(|suspect| (suspect, crash)));
+            crashes.extend(suspects.map(|suspect| (suspect, crash)));
         }
         crashes.retain(|(suspect, crash)| {
             let sound_at = self.crashes.answers.last_sound(*suspect);
             sound_at.is_none_or(|at| at < crash.sent_at)
         });
-        if crashes.is_empty() {
-            return;
-        }
-        if !self.crashes.lost.is_awaited(endpoint.key) {
-            self.crashes.endpoints_to_check.push(endpoint.clone());
-        }
-        let confirmed = self.crashes.lost.add(now, endpoint.key, crashes);
-        self.add_crashes(now, endpoint, &confirmed);
+        crashes
     }
 
     /// Records that an endpoint refuses connections.
--- a/crates/fleet/src/sound_answers.rs
+++ b/crates/fleet/src/sound_answers.rs
@@ -28,7 +28,7 @@
     pub sent_at: Duration,
     /// When the first piece arrived.
     pub begun_at: Duration,
-    /// What would be the cause if the endpoint crashed.
+    /// Suspects, if the endpoint crashes.
     pub suspects: Vec<Suspect>,
 }
 
--- a/crates/fleet/tests/crashing_parts.rs
+++ b/crates/fleet/tests/crashing_parts.rs
@@ -9,9 +9,9 @@
 use support::crash_play::PlayedRequest;
 
 /// Part that crashes engines.
-const CULPRIT: u64 = 666;
+const CRASHING_PART: u64 = 666;
 /// Another one.
-const SECOND_CULPRIT: u64 = 777;
+const SECOND_CRASHING_PART: u64 = 777;
 /// Crashes after which no further requests with the part may reach engines.
 const MAX_CRASHES: usize = 5;
 /// Time after the last of these crashes until the fleet has to act on them.
@@ -24,7 +24,7 @@
 /// Time with sound requests only, before others come.
 const SOUND_LOAD_MS: u64 = 2_000;
 /// Time between two requests with a crashing part, in the fleets of six hosts.
-const CULPRIT_INTERVAL_MS: u64 = 700;
+const CRASH_INTERVAL_MS: u64 = 700;
 /// Accounts, each with a part of its own.
 const ACCOUNTS: u64 = 4;
 /// Duration of a first quarantine.
@@ -38,8 +38,8 @@
 /// Time between two steps of the load.
 const LOAD_STEP_MS: u64 = 20;
 
-/// Sound requests of all accounts, with parts that many, few or no others have, beside those that `culprits` tells.
-fn play_load(play: &mut CrashPlay, ms: u64, culprits: &[u64], culprit_interval_ms: u64) {
+/// Sound requests of all accounts, with parts that many, few or no others have, beside those that `crashing_parts` tells.
+fn play_load(play: &mut CrashPlay, ms: u64, crashing_parts: &[u64], crash_interval_ms: u64) {
     for step in 0..ms / LOAD_STEP_MS {
         let account = step % ACCOUNTS;
         let document = 1_000 + step % 40;
@@ -48,9 +48,12 @@
             sound.answer_ms = 40;
         }
         play.request(&sound);
-        if (step * LOAD_STEP_MS).is_multiple_of(culprit_interval_ms) {
-            for culprit in culprits {
-                play.request(&PlayedRequest::with_parts(account, &[*culprit, document]));
+        if (step * LOAD_STEP_MS).is_multiple_of(crash_interval_ms) {
+            for crashing_part in crashing_parts {
+                play.request(&PlayedRequest::with_parts(
+                    account,
+                    &[*crashing_part, document],
+                ));
             }
         }
         play.run_for(LOAD_STEP_MS);
@@ -63,7 +66,7 @@
     let Some(fifth) = crashes.get(MAX_CRASHES - 1) else {
         return;
     };
-    let late = play.culprit_sends_ms.iter();
+    let late = play.crashing_sends_ms.iter();
     let late = late.filter(|at_ms| **at_ms > fifth + STABLE_MS).count();
     assert!(
         late <= MAX_LATE_SENDS,
@@ -92,8 +95,8 @@
 )]
 fn a_part_that_crashes_engines_is_stopped(hosts: usize, engines: usize, interval_ms: u64) {
     for seed in 0..5 {
-        let mut play = CrashPlay::start(hosts, engines, &[CULPRIT], seed);
-        play_load(&mut play, 30_000, &[CULPRIT], interval_ms);
+        let mut play = CrashPlay::start(hosts, engines, &[CRASHING_PART], seed);
+        play_load(&mut play, 30_000, &[CRASHING_PART], interval_ms);
         assert_stopped(&play);
         let since_ms = play
             .crashes_ms
@@ -103,11 +106,11 @@
     }
 }
 
-/// Plays a small fleet with sound requests only, then with culprits.
-fn play_small_fleet(culprits: &[u64], seed: u64, ms: u64) -> CrashPlay {
-    let mut play = CrashPlay::start(6, 9, culprits, seed);
-    play_load(&mut play, SOUND_LOAD_MS, &[], CULPRIT_INTERVAL_MS);
-    play_load(&mut play, ms, culprits, CULPRIT_INTERVAL_MS);
+/// Plays a small fleet with sound requests only, then with crashing parts.
+fn play_small_fleet(crashing_parts: &[u64], seed: u64, ms: u64) -> CrashPlay {
+    let mut play = CrashPlay::start(6, 9, crashing_parts, seed);
+    play_load(&mut play, SOUND_LOAD_MS, &[], CRASH_INTERVAL_MS);
+    play_load(&mut play, ms, crashing_parts, CRASH_INTERVAL_MS);
     play
 }
 
@@ -115,12 +118,12 @@
 #[test]
 fn two_parts_that_crash_engines_are_both_stopped() {
     for seed in 0..5 {
-        let play = play_small_fleet(&[CULPRIT, SECOND_CULPRIT], seed, 30_000);
-        for culprit in [CULPRIT, SECOND_CULPRIT] {
+        let play = play_small_fleet(&[CRASHING_PART, SECOND_CRASHING_PART], seed, 30_000);
+        for crashing_part in [CRASHING_PART, SECOND_CRASHING_PART] {
             let late = play.outcomes.values().filter(|it| {
-                it.parts.contains(&culprit) && it.sent_ms.is_some_and(|at_ms| at_ms > 20_000)
+                it.parts.contains(&crashing_part) && it.sent_ms.is_some_and(|at_ms| at_ms > 20_000)
             });
-            assert_eq!(late.count(), 0, "seed {seed}, part {culprit}");
+            assert_eq!(late.count(), 0, "seed {seed}, part {crashing_part}");
         }
         assert_sound_requests_served(&play, 20_000);
     }
@@ -130,14 +133,14 @@
 #[test]
 fn a_second_part_that_comes_later_is_stopped() {
     for seed in 0..5 {
-        let mut play = CrashPlay::start(6, 9, &[CULPRIT, SECOND_CULPRIT], seed);
-        play_load(&mut play, 10_000, &[CULPRIT], CULPRIT_INTERVAL_MS);
+        let mut play = CrashPlay::start(6, 9, &[CRASHING_PART, SECOND_CRASHING_PART], seed);
+        play_load(&mut play, 10_000, &[CRASHING_PART], CRASH_INTERVAL_MS);
         let before = play.crashes_ms.len();
         play_load(
             &mut play,
             15_000,
-            &[CULPRIT, SECOND_CULPRIT],
-            CULPRIT_INTERVAL_MS,
+            &[CRASHING_PART, SECOND_CRASHING_PART],
+            CRASH_INTERVAL_MS,
         );
         let second = play.crashes_ms.len() - before;
         assert!(
@@ -154,7 +157,7 @@
     for seed in 0..5 {
         let mut play = CrashPlay::start(6, 9, &[], seed);
         for crash in 0..40 {
-            play_load(&mut play, 700, &[], CULPRIT_INTERVAL_MS);
+            play_load(&mut play, 700, &[], CRASH_INTERVAL_MS);
             play.crash_engine(crash * 4 % 9);
             if crash % 4 == 0 {
                 play.crash_engine((crash * 4 + 1) % 9);
@@ -171,12 +174,12 @@
 /// Guards against requests that are refused for a crashing part that is their last one, where it crashes nothing.
 #[test]
 fn a_crashing_part_in_the_last_place_is_served() {
-    let mut play = play_small_fleet(&[CULPRIT], 1, 10_000);
+    let mut play = play_small_fleet(&[CRASHING_PART], 1, 10_000);
     let crashes = play.crashes_ms.len();
     for account in 0..ACCOUNTS {
         for _ in 0..10 {
             play.request(&PlayedRequest {
-                last_part: Some(CULPRIT),
+                last_part: Some(CRASHING_PART),
                 ..PlayedRequest::with_parts(account, &[])
             });
             play.run_for(100);
@@ -190,10 +193,10 @@
 /// Guards against a fleet that forgets a crashing part while no request with it comes.
 #[test]
 fn a_crashing_part_is_still_known_after_a_pause() {
-    let mut play = play_small_fleet(&[CULPRIT], 2, 8_000);
+    let mut play = play_small_fleet(&[CRASHING_PART], 2, 8_000);
     let crashes = play.crashes_ms.len();
-    play_load(&mut play, 120_000, &[], CULPRIT_INTERVAL_MS);
-    play_load(&mut play, 10_000, &[CULPRIT], CULPRIT_INTERVAL_MS);
+    play_load(&mut play, 120_000, &[], CRASH_INTERVAL_MS);
+    play_load(&mut play, 10_000, &[CRASHING_PART], CRASH_INTERVAL_MS);
     assert_eq!(play.crashes_ms.len(), crashes);
     assert_sound_requests_served(&play, 20_000);
 }
@@ -201,14 +204,14 @@
 /// Guards against a host that starts again without what it knew, and lets requests with a crashing part through.
 #[parameterized(small_fleet = { 6, 9 }, relays = { 40, 30 })]
 fn a_restarted_host_learns_of_a_crashing_part(hosts: usize, engines: usize) {
-    let mut play = CrashPlay::start(hosts, engines, &[CULPRIT], 3);
-    play_load(&mut play, 8_000, &[CULPRIT], CULPRIT_INTERVAL_MS);
+    let mut play = CrashPlay::start(hosts, engines, &[CRASHING_PART], 3);
+    play_load(&mut play, 8_000, &[CRASHING_PART], CRASH_INTERVAL_MS);
     let crashes = play.crashes_ms.len();
     for host in 0..4 {
         play.restart_host(host);
         play.run_for(STABLE_MS);
         for account in 0..ACCOUNTS {
-            play.request_at(host, &PlayedRequest::with_parts(account, &[CULPRIT]));
+            play.request_at(host, &PlayedRequest::with_parts(account, &[CRASHING_PART]));
         }
     }
     play.run_for(1_000);
@@ -218,13 +221,13 @@
 /// Guards against a crashing part that is cleared by answers that never went on: their callers left before the crash.
 #[test]
 fn callers_that_leave_clear_no_part() {
-    let mut play = CrashPlay::start(6, 9, &[CULPRIT], 4);
-    play_load(&mut play, SOUND_LOAD_MS, &[], CULPRIT_INTERVAL_MS);
+    let mut play = CrashPlay::start(6, 9, &[CRASHING_PART], 4);
+    play_load(&mut play, SOUND_LOAD_MS, &[], CRASH_INTERVAL_MS);
     for _ in 0..20 {
-        let left = play.request(&PlayedRequest::with_parts(1, &[CULPRIT]));
-        play.request(&PlayedRequest::with_parts(2, &[CULPRIT]));
+        let left = play.request(&PlayedRequest::with_parts(1, &[CRASHING_PART]));
+        play.request(&PlayedRequest::with_parts(2, &[CRASHING_PART]));
         play.leave_at_first_piece(left);
-        play_load(&mut play, CULPRIT_INTERVAL_MS, &[], CULPRIT_INTERVAL_MS);
+        play_load(&mut play, CRASH_INTERVAL_MS, &[], CRASH_INTERVAL_MS);
     }
     assert_stopped(&play);
     assert_eq!(play.quarantined_sound_requests(), 0);
@@ -233,14 +236,14 @@
 /// Guards against answers that are complete before their engine crashes, and clear the part that crashes it.
 #[test]
 fn an_answer_that_ends_just_before_the_crash_clears_no_part() {
-    let mut play = CrashPlay::start(6, 9, &[CULPRIT], 5);
-    play_load(&mut play, SOUND_LOAD_MS, &[], CULPRIT_INTERVAL_MS);
+    let mut play = CrashPlay::start(6, 9, &[CRASHING_PART], 5);
+    play_load(&mut play, SOUND_LOAD_MS, &[], CRASH_INTERVAL_MS);
     for account in 0..30 {
         play.request(&PlayedRequest {
             answer_ms: 40,
-            ..PlayedRequest::with_parts(account % ACCOUNTS, &[CULPRIT])
+            ..PlayedRequest::with_parts(account % ACCOUNTS, &[CRASHING_PART])
         });
-        play_load(&mut play, CULPRIT_INTERVAL_MS, &[], CULPRIT_INTERVAL_MS);
+        play_load(&mut play, CRASH_INTERVAL_MS, &[], CRASH_INTERVAL_MS);
     }
     assert_stopped(&play);
     assert_eq!(play.quarantined_sound_requests(), 0);
@@ -249,18 +252,18 @@
 /// Guards against a part that is refused for good after the engines have been mended.
 #[test]
 fn a_mended_part_is_served_after_its_quarantine() {
-    let mut play = play_small_fleet(&[CULPRIT], 6, 8_000);
+    let mut play = play_small_fleet(&[CRASHING_PART], 6, 8_000);
     let crashes = play.crashes_ms.len();
-    play.mend(CULPRIT);
+    play.mend(CRASHING_PART);
     play.skip(QUARANTINE_MS + MAX_TRIAL_DELAY_MS);
     for account in 0..ACCOUNTS {
-        play.request(&PlayedRequest::with_parts(account, &[CULPRIT]));
+        play.request(&PlayedRequest::with_parts(account, &[CRASHING_PART]));
     }
     play.run_for(3_000);
     assert_eq!(play.crashes_ms.len(), crashes);
     let last = play.outcomes.values().rev().take(ACCOUNTS as usize);
     assert!(last.filter(|it| it.refused.is_some()).count() < ACCOUNTS as usize);
-    let id = play.request(&PlayedRequest::with_parts(1, &[CULPRIT]));
+    let id = play.request(&PlayedRequest::with_parts(1, &[CRASHING_PART]));
     play.run_for(2_000);
     assert!(play.outcomes[&id].is_complete);
 }
@@ -268,7 +271,7 @@
 /// Guards against callers that fill the memory of hosts with parts that they invent.
 #[test]
 fn records_of_invented_parts_are_bounded() {
-    let mut play = CrashPlay::start(2, 9, &[CULPRIT], 7);
+    let mut play = CrashPlay::start(2, 9, &[CRASHING_PART], 7);
     for round in 0..200_u64 {
         for n in 0..20 {
             let invented = 1_000_000_000 + round * 1_000 + n * 8;
@@ -290,17 +293,17 @@
 fn crashes_of_all_engines_refuse_no_sound_part_for_long() {
     for seed in 0..5 {
         let mut play = CrashPlay::start(6, 3, &[], seed);
-        play_load(&mut play, SOUND_LOAD_MS, &[], CULPRIT_INTERVAL_MS);
+        play_load(&mut play, SOUND_LOAD_MS, &[], CRASH_INTERVAL_MS);
         for _ in 0..3 {
-            play_load(&mut play, 300, &[], CULPRIT_INTERVAL_MS);
+            play_load(&mut play, 300, &[], CRASH_INTERVAL_MS);
             for engine in 0..3 {
                 play.crash_engine(engine);
-                play_load(&mut play, 100, &[], CULPRIT_INTERVAL_MS);
+                play_load(&mut play, 100, &[], CRASH_INTERVAL_MS);
             }
             play.run_for(2_800);
         }
         let from_ms = play.now_ms;
-        play_load(&mut play, 30_000, &[], CULPRIT_INTERVAL_MS);
+        play_load(&mut play, 30_000, &[], CRASH_INTERVAL_MS);
         let refused = play.outcomes.values().filter(|it| it.is_quarantined());
         let refused: Vec<_> = refused.map(|it| it.arrived_ms).collect();
         assert!(
@@ -319,9 +322,9 @@
 #[parameterized(small_fleet = { 6, 9 }, relays = { 14, 9 })]
 fn evidence_that_is_out_of_date_is_forgotten_by_all_hosts(hosts: usize, engines: usize) {
     let mut play = CrashPlay::start(hosts, engines, &[], 8);
-    play_load(&mut play, SOUND_LOAD_MS, &[], CULPRIT_INTERVAL_MS);
+    play_load(&mut play, SOUND_LOAD_MS, &[], CRASH_INTERVAL_MS);
     for crash in 0..24 {
-        play_load(&mut play, 300, &[], CULPRIT_INTERVAL_MS);
+        play_load(&mut play, 300, &[], CRASH_INTERVAL_MS);
         play.crash_engine(crash % engines);
     }
     play.run_for(2_000);
--- a/crates/fleet/tests/support/crash_play.rs
+++ b/crates/fleet/tests/support/crash_play.rs
@@ -48,7 +48,7 @@
 const DOWN_MS: u64 = 3_000;
 /// Time from a crash until the engine's entry is removed.
 const LISTED_AFTER_CRASH_MS: u64 = 3_600;
-const SLOTS: u32 = 64;
+const SLOTS_PER_ENGINE: u32 = 64;
 const STATED_TOKENS_PER_S: f64 = 1_000_000.0;
 const DATA_CENTRES: usize = 3;
 
@@ -84,7 +84,7 @@
     /// When it arrived.
     pub arrived_ms: u64,
     /// Whether its prompt has a part that crashes engines.
-    pub is_culprit: bool,
+    pub has_crashing_part: bool,
     /// Parts of its prompt, the last one included.
     pub parts: Vec<u64>,
     /// Reason of its refusal, if it was refused.
@@ -136,7 +136,7 @@
     /// Times at which engines crashed under a part that crashes them.
     pub crashes_ms: Vec<u64>,
     /// Times at which requests with such a part were sent to engines that were up.
-    pub culprit_sends_ms: Vec<u64>,
+    pub crashing_sends_ms: Vec<u64>,
     crashing_parts: Vec<u64>,
     /// Requests whose callers leave at the first piece.
     leaving: Vec<RequestId>,
@@ -158,7 +158,7 @@
 
 fn engine_entry(number: usize, run: u32) -> Endpoint {
     Endpoint {
-        slots: SLOTS,
+        slots: SLOTS_PER_ENGINE,
         ..endpoint(ENGINES, &format!("engine-{number}-{run}"))
     }
 }
@@ -166,7 +166,7 @@
 fn engine_config() -> Arc<FleetConfig> {
     let mut config = FleetConfig::clone(&config());
     let engine = EngineSpec {
-        slots: SLOTS,
+        slots: SLOTS_PER_ENGINE,
         memory_tokens: 1_000_000,
     };
     let service = config.services.get_mut(&ServiceId::from(ENGINES));
@@ -189,7 +189,7 @@
             now_ms: 0,
             outcomes: BTreeMap::new(),
             crashes_ms: Vec::new(),
-            culprit_sends_ms: Vec::new(),
+            crashing_sends_ms: Vec::new(),
             crashing_parts: crashing_parts.to_vec(),
             leaving: Vec::new(),
             hosts: Vec::new(),
@@ -257,10 +257,10 @@
         let id = RequestId(self.outcomes.len() as u64);
         let own_part = request.last_part.unwrap_or(1_000_000 + id.0);
         let parts: Vec<u64> = request.parts.iter().copied().chain([own_part]).collect();
-        let is_culprit = self.crashes_engines(&parts);
+        let has_crashing_part = self.crashes_engines(&parts);
         let outcome = Outcome {
             arrived_ms: self.now_ms,
-            is_culprit,
+            has_crashing_part,
             parts: parts.clone(),
             refused: None,
             sent_ms: None,
@@ -357,13 +357,13 @@
 
     /// Returns the requests without a crashing part that were refused because of crashes.
     pub fn quarantined_sound_requests(&self) -> usize {
-        let sound = self.outcomes.values().filter(|it| !it.is_culprit);
+        let sound = self.outcomes.values().filter(|it| !it.has_crashing_part);
         sound.filter(|it| it.is_quarantined()).count()
     }
 
     /// Returns the share of the sound requests since a time that were sent at once.
     pub fn share_sent_at_once(&self, since_ms: u64) -> f64 {
-        let is_counted = |it: &&Outcome| !it.is_culprit && it.arrived_ms >= since_ms;
+        let is_counted = |it: &&Outcome| !it.has_crashing_part && it.arrived_ms >= since_ms;
         let sound: Vec<_> = self.outcomes.values().filter(is_counted).collect();
         let sent = sound.iter().filter(|it| it.sent_ms == Some(it.arrived_ms));
         sent.count() as f64 / sound.len().max(1) as f64
@@ -452,8 +452,8 @@
             first_piece_ms,
             has_first_piece: false,
         });
-        if self.outcomes[&id].is_culprit {
-            self.culprit_sends_ms.push(now_ms);
+        if self.outcomes[&id].has_crashing_part {
+            self.crashing_sends_ms.push(now_ms);
         }
     }
 
@@ -514,7 +514,7 @@
                 let goes_on = self.run_stream(&mut stream);
                 let engine = &mut self.engines[number];
                 let begins = goes_on && !was_begun && stream.has_first_piece;
-                if begins && self.outcomes[&stream.id].is_culprit {
+                if begins && self.outcomes[&stream.id].has_crashing_part {
                     let crashes_ms = self.now_ms + CRASH_DELAY_MS;
                     engine.crashes_ms.get_or_insert(crashes_ms);
                 }
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -1,4 +1,4 @@
-//! Checks endpoints whose connections were lost, and tells what this host finds out about crashes.
+//! Checks endpoints whose connections were lost, and logs crashes and quarantines.
 
 use std::cell::RefCell;
 use std::io;
@@ -31,7 +31,7 @@
 /// Maximum number of changes that wait for the platform's store. Later ones reach other hosts all the same.
 const MAX_WAITING_CHANGES: usize = 64;
 
-/// A change of what is refused, to be kept in the platform's store.
+/// A quarantine that started or ended, to be kept in the platform's store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QuarantineChange {
     /// The suspect.
@@ -52,7 +52,7 @@
 }
 
 impl CrashWatch {
-    /// Waits for changes of what is refused, and takes them.
+    /// Waits for quarantines that start or end, and takes them.
     pub async fn take_changes(&self) -> Vec<QuarantineChange> {
         loop {
             let changes = std::mem::take(&mut *self.changes.borrow_mut());
@@ -84,7 +84,7 @@
 }
 
 impl<W: WireFormat, C: Clock> Gateway<W, C> {
-    /// Takes what the dispatcher has found out about crashes.
+    /// Carries out the dispatcher's news about crashes.
     pub(crate) fn note_crashes(&self) {
         let endpoints = self.with_dispatcher(Dispatcher::take_endpoints_to_check);
         if !endpoints.is_empty() {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -116,7 +116,7 @@
     pub shedding: RefCell<LoadShedding>,
     /// Open connections of callers.
     pub caller_connections: Cell<usize>,
-    /// What is found out about crashes of endpoints.
+    /// Endpoints to be checked after lost connections, and quarantines to be kept.
     pub crash_watch: CrashWatch,
     /// Connections of callers on which only part of a request's head has arrived.
     pub partial_heads: Cell<usize>,
--- a/crates/gateway/tests/unframed_answers.rs
+++ b/crates/gateway/tests/unframed_answers.rs
@@ -11,7 +11,7 @@
 use support::run;
 use support::send_request;
 
-const STREAM: Repeat = Repeat::Stream { resumable: true };
+const RESUMABLE_STREAM: Repeat = Repeat::Stream { resumable: true };
 const FIRST_EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 const LAST_EVENT: &str = "id: 3\ndata: c\n\n";
 
@@ -39,7 +39,7 @@
 fn a_stream_that_ends_inside_an_event_goes_on_at_another_endpoint() {
     let broken = format!("{FIRST_EVENTS}id: 3\nda");
     let script = vec![events(&broken), events(LAST_EVENT)];
-    run(STREAM, 2, script, async |fleet| {
+    run(RESUMABLE_STREAM, 2, script, async |fleet| {
         let response = send_request(fleet.callers, &request("a1"), true).await;
         let data: Vec<_> = response
             .lines()
@@ -60,7 +60,7 @@
 fn a_stream_that_ends_without_an_event_begins_at_another_endpoint() {
     let whole = format!("{FIRST_EVENTS}{LAST_EVENT}");
     let script = vec![events(""), events(&whole)];
-    run(STREAM, 2, script, async |fleet| {
+    run(RESUMABLE_STREAM, 2, script, async |fleet| {
         let response = send_request(fleet.callers, &request("a1"), true).await;
         assert_eq!(response.matches("data:").count(), 3, "{response}");
         assert_eq!(requests(&fleet).len(), 2);
@@ -71,7 +71,7 @@
 #[test]
 fn a_stream_that_ends_after_an_event_is_complete() {
     let whole = format!("{FIRST_EVENTS}{LAST_EVENT}");
-    run(STREAM, 2, vec![events(&whole)], async |fleet| {
+    run(RESUMABLE_STREAM, 2, vec![events(&whole)], async |fleet| {
         let response = send_request(fleet.callers, &request("a1"), true).await;
         assert_eq!(response.matches("data:").count(), 3, "{response}");
         assert!(response.ends_with("0\r\n\r\n"), "{response}");
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -58,9 +58,9 @@
 /// Part of prompts that crashes endpoints.
 pub const CRASHING_PART: u64 = 0xbad_0000;
 /// Bounds of the pause between two requests with this part.
-const CULPRIT_PAUSE_MS: (u64, u64) = (200, 900);
+const CRASHING_REQUEST_PAUSE_MS: (u64, u64) = (200, 900);
 /// Makes these requests independent of the other callers of a seed.
-const CULPRIT_SALT: u64 = 0x5e_7a13;
+const CRASHING_REQUEST_SALT: u64 = 0x5e_7a13;
 /// Time from a key change until callers use the new key.
 const KEY_ADOPTION_DELAY: Duration = Duration::from_secs(2);
 
@@ -332,18 +332,18 @@
 
 /// Sends requests whose prompts have a part that crashes endpoints, no two alike, until `keep_sending` becomes false. What
 /// becomes of them does not count.
-pub async fn run_culprits<C: Clock>(shared: Rc<SharedState<C>>, seed: u64) {
-    let mut random = SeededRandom::new(seed ^ CULPRIT_SALT);
+pub async fn run_crashing_caller<C: Clock>(shared: Rc<SharedState<C>>, seed: u64) {
+    let mut random = SeededRandom::new(seed ^ CRASHING_REQUEST_SALT);
     let mut requests = 0;
     while shared.keep_sending.get() {
         requests += 1;
-        let (low, high) = CULPRIT_PAUSE_MS;
+        let (low, high) = CRASHING_REQUEST_PAUSE_MS;
         sleep(Duration::from_millis(low + random.below(high - low))).await;
         let router = shared.pick_router(&mut random);
         let Ok(mut sender) = open_connection(shared.addresses[router]).await else {
             continue;
         };
-        let id = format!("culprit-{requests}");
+        let id = format!("crashing-{requests}");
         let (newest, _) = shared.newest_key.get();
         let attempt = CallerAttempt {
             parts: prompt_parts(&id, &[CRASHING_PART]),
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -27,7 +27,7 @@
 /// Crashes under one part of prompts after which requests with it are refused.
 const MAX_CRASHES: usize = 5;
 /// Requests with the part that may reach endpoints later all the same.
-const MAX_LATE_CULPRITS: usize = 3;
+const MAX_LATE_CRASHING_REQUESTS: usize = 3;
 /// Time window of the resend limit.
 const RESEND_WINDOW: Duration = Duration::from_secs(10);
 
@@ -244,11 +244,11 @@
 fn check_crashing_part(observations: &Observations, report: &mut impl FnMut(&'static str, String)) {
     let Observations {
         crashes,
-        late_culprits,
+        late_crashing_requests,
         ..
     } = *observations;
-    if crashes >= MAX_CRASHES && late_culprits > MAX_LATE_CULPRITS {
-        let observed = format!("{late_culprits} requests after {crashes} crashes");
+    if crashes >= MAX_CRASHES && late_crashing_requests > MAX_LATE_CRASHING_REQUESTS {
+        let observed = format!("{late_crashing_requests} requests after {crashes} crashes");
         report("a part that crashes endpoints is refused", observed);
     }
 }
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -121,7 +121,7 @@
     /// Endpoints that crashed under a part of a prompt.
     pub crashes: usize,
     /// Requests with this part that reached endpoints in the quiet period.
-    pub late_culprits: usize,
+    pub late_crashing_requests: usize,
     /// Highest memory observed in any router, in kilobytes.
     pub peak_memory_kb: u64,
     /// Duration of the whole run.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -123,7 +123,10 @@
     for number in 0..config.callers {
         spawn_local(callers::run(soak.shared.clone(), number, config.seed));
     }
-    spawn_local(callers::run_culprits(soak.shared.clone(), config.seed));
+    spawn_local(callers::run_crashing_caller(
+        soak.shared.clone(),
+        config.seed,
+    ));
     let targets = Targets {
         routers: config.routers as u64,
         endpoints: config.endpoints as u64,
@@ -135,7 +138,8 @@
     let arrivals_before = soak.site.crashing.arrivals().len();
     soak.watch_for(QUIET_TIME).await?;
     soak.observations.crashes = soak.site.crashing.crashes().len();
-    soak.observations.late_culprits = soak.site.crashing.arrivals().len() - arrivals_before;
+    soak.observations.late_crashing_requests =
+        soak.site.crashing.arrivals().len() - arrivals_before;
     soak.observations.quiet_period = (quiet_from, soak.shared.now());
     soak.stop_all().await?;
     Ok(RunResult {
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -294,10 +294,14 @@
     allowed = { 5, 3, false },
     not_known_yet = { 4, 4, false },
 )]
-fn requests_with_a_crashing_part_are_found(crashes: usize, late_culprits: usize, is_broken: bool) {
+fn requests_with_a_crashing_part_are_found(
+    crashes: usize,
+    late_crashing_requests: usize,
+    is_broken: bool,
+) {
     let observations = Observations {
         crashes,
-        late_culprits,
+        late_crashing_requests,
         ..valid_run()
     };
     let broken = broken_promises(&observations);
