--- a/crates/fleet/tests/crashing_parts.rs
+++ b/crates/fleet/tests/crashing_parts.rs
@@ -334,3 +334,84 @@
         assert_eq!(suspects, 0, "host {host}");
     }
 }
+
+/// Guards against a crashing part that is found only behind a part that all prompts have, or among several.
+#[parameterized(
+    first = { &[CRASHING_PART, 100, 1_000] },
+    only_shared_one = { &[CRASHING_PART] },
+    last_shared_one = { &[1, 100, 1_000, CRASHING_PART] },
+)]
+fn a_crashing_part_is_found_at_any_place(parts: &[u64]) {
+    let mut play = CrashPlay::start(6, 9, &[CRASHING_PART], 9);
+    play_load(&mut play, SOUND_LOAD_MS, &[], CRASH_INTERVAL_MS);
+    for _ in 0..30 {
+        play.request(&PlayedRequest {
+            parts: parts.to_vec(),
+            ..PlayedRequest::with_parts(0, &[])
+        });
+        play_load(&mut play, CRASH_INTERVAL_MS, &[], CRASH_INTERVAL_MS);
+    }
+    assert_stopped(&play);
+    assert_sound_requests_served(&play, play.now_ms - 2 * STABLE_MS);
+}
+
+/// Guards against a crashing part that hides among crashes of other causes, and against sound parts that are refused with it.
+#[test]
+fn a_crashing_part_is_found_among_crashes_of_other_causes() {
+    for seed in 0..5 {
+        let mut play = CrashPlay::start(6, 9, &[CRASHING_PART], seed);
+        play_load(&mut play, SOUND_LOAD_MS, &[], CRASH_INTERVAL_MS);
+        for crash in 0..10 {
+            play_load(&mut play, 1_500, &[CRASHING_PART], CRASH_INTERVAL_MS);
+            play.crash_engine(crash * 4 % 9);
+        }
+        play_load(&mut play, 5_000, &[CRASHING_PART], CRASH_INTERVAL_MS);
+        assert_stopped(&play);
+        assert_eq!(play.quarantined_sound_requests(), 0, "seed {seed}");
+    }
+}
+
+/// Guards against streams that take long and are refused or not resumed beside a crashing part.
+#[test]
+fn long_streams_beside_a_crashing_part_are_no_suspects() {
+    let mut play = CrashPlay::start(6, 9, &[CRASHING_PART], 10);
+    for step in 0..300 {
+        play.request(&PlayedRequest {
+            answer_ms: 8_000,
+            ..PlayedRequest::with_parts(step % ACCOUNTS, &[2_000 + step % 7])
+        });
+        if step % 10 == 9 {
+            play.request(&PlayedRequest::with_parts(
+                step % ACCOUNTS,
+                &[CRASHING_PART],
+            ));
+        }
+        play.run_for(100);
+    }
+    assert_stopped(&play);
+    assert_eq!(play.quarantined_sound_requests(), 0);
+}
+
+/// Guards against hosts that were cut off from the others and let requests with a known crashing part through when they are
+/// back.
+#[test]
+fn hosts_that_were_cut_off_learn_of_a_crashing_part() {
+    let mut play = CrashPlay::start(6, 9, &[CRASHING_PART], 11);
+    play_load(&mut play, SOUND_LOAD_MS, &[], CRASH_INTERVAL_MS);
+    play.cut_off(&[4, 5]);
+    for step in 0..30 {
+        let request = PlayedRequest::with_parts(step % ACCOUNTS, &[CRASHING_PART]);
+        play.request_at(step as usize % 4, &request);
+        play_load(&mut play, 400, &[], CRASH_INTERVAL_MS);
+    }
+    play.cut_off(&[]);
+    play.run_for(STABLE_MS);
+    let crashes = play.crashes_ms.len();
+    for step in 0..8 {
+        let request = PlayedRequest::with_parts(step % ACCOUNTS, &[CRASHING_PART]);
+        play.request_at(4 + step as usize % 2, &request);
+        play_load(&mut play, 400, &[], CRASH_INTERVAL_MS);
+    }
+    assert_eq!(play.crashes_ms.len(), crashes);
+    assert_eq!(play.quarantined_sound_requests(), 0);
+}
--- a/crates/fleet/tests/report_eras.rs
+++ b/crates/fleet/tests/report_eras.rs
@@ -51,3 +51,27 @@
     assert_eq!(versions.endpoints, 7.into());
     assert!(versions.config < StoreVersion { era: 1, number: 1 });
 }
+
+/// Guards against hosts of this version and of earlier ones that can't read each other's reports, because notices of crashes
+/// have changed.
+#[test]
+fn reports_with_earlier_notices_of_crashes_are_read() {
+    let encoded = report().encode();
+    let mut fields = fields(&encoded);
+    let notices = fields
+        .iter_mut()
+        .find(|(name, _)| *name == Value::from("p"));
+    let (_, notices) = notices.expect("a field that earlier hosts require");
+    assert_eq!(*notices, Value::Array(Vec::new()));
+    let notice = [("high", 1), ("low", 2)].map(|(name, number)| (name.into(), number.into()));
+    let kind = Value::Map(vec![("kind".into(), "Finished".into())]);
+    let notice = notice.into_iter().chain(kind.into_map().expect("a map"));
+    *notices = Value::Array(vec![Value::Map(notice.collect())]);
+    fields.retain(|(name, _)| *name != Value::from("q"));
+    let mut earlier = encoded[..HEAD_BYTES].to_vec();
+    ciborium::into_writer(&Value::Map(fields), &mut earlier)
+        .expect("writing to a vector cannot fail");
+    let decoded = PeerReport::decode(&earlier).expect("a report");
+    assert_eq!(decoded.table_versions(), report().table_versions());
+    assert!(decoded.suspects.is_empty());
+}
--- a/crates/fleet/tests/support/crash_play.rs
+++ b/crates/fleet/tests/support/crash_play.rs
@@ -140,6 +140,8 @@
     crashing_parts: Vec<u64>,
     /// Requests whose callers leave at the first piece.
     leaving: Vec<RequestId>,
+    /// Hosts whose reports reach no other host, and that get none.
+    cut_off: Vec<usize>,
     hosts: Vec<PlayedHost>,
     engines: Vec<Engine>,
     entries_to_remove: Vec<(u64, Arc<Endpoint>)>,
@@ -192,6 +194,7 @@
             crashing_sends_ms: Vec::new(),
             crashing_parts: crashing_parts.to_vec(),
             leaving: Vec::new(),
+            cut_off: Vec::new(),
             hosts: Vec::new(),
             engines: (0..engines).map(engine).collect(),
             entries_to_remove: Vec::new(),
@@ -296,6 +299,11 @@
         self.leaving.push(id);
     }
 
+    /// Cuts these hosts off from the others, and joins all that were cut off before.
+    pub fn cut_off(&mut self, hosts: &[usize]) {
+        self.cut_off = hosts.to_vec();
+    }
+
     /// Mends the engines: a part crashes them no longer.
     pub fn mend(&mut self, part: u64) {
         self.crashing_parts.retain(|crashing| *crashing != part);
@@ -552,6 +560,9 @@
         for host in 0..self.hosts.len() {
             let now = at(self.host_time(host));
             let due = self.dispatcher(host).reports_due(now, live());
+            if self.cut_off.contains(&host) {
+                continue;
+            }
             for outgoing in due {
                 let encoded = outgoing.report.encode();
                 let decoded = PeerReport::decode(&encoded).expect("a report");
@@ -574,7 +585,10 @@
         let due: Vec<(u64, u64, PeerReport)> = due;
         for (_, to, report) in due {
             let host = (0..self.hosts.len()).find(|host| host_key(*host) == to);
-            self.send(host.expect("a known host"), DispatchEvent::Reported(report));
+            let host = host.expect("a known host");
+            if !self.cut_off.contains(&host) {
+                self.send(host, DispatchEvent::Reported(report));
+            }
         }
     }
 }
