Requests sent to an endpoint after its crash are no suspects of it

After four crashes two sound parts had as many as the part that crashes, and were refused in its place.

Cause: evidence was filed under the endpoint, whatever the order of the send and the crash. An endpoint that was found down counts as down since the first lost connection now, and requests sent later are left out; one that accepts a connection has not crashed, and what was lost there is dropped.

--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -106,6 +106,8 @@
     EndpointLeaving(Arc<Endpoint>),
     /// A check found that an endpoint refuses connections.
     EndpointDown(Arc<Endpoint>),
+    /// A check found that an endpoint accepts connections.
+    EndpointUp(Arc<Endpoint>),
     /// An endpoint rejected a request and asked this host to send none for the given time.
     EndpointPaused(Arc<Endpoint>, Duration),
     /// An endpoint stated its load in an answer.
@@ -256,6 +258,7 @@
             DispatchEvent::EndpointGone(endpoint) => self.on_gone(now, &endpoint),
             DispatchEvent::EndpointLeaving(endpoint) => self.on_leaving(now, &endpoint),
             DispatchEvent::EndpointDown(endpoint) => self.on_endpoint_down(now, &endpoint),
+            DispatchEvent::EndpointUp(endpoint) => self.crashes.lost.on_found_up(endpoint.key),
             DispatchEvent::EndpointPaused(endpoint, pause) => {
                 self.pauses.note(endpoint.key, now.saturating_add(pause));
             }
--- a/crates/fleet/src/dispatcher/attempts.rs
+++ b/crates/fleet/src/dispatcher/attempts.rs
@@ -141,6 +141,7 @@
         };
         self.crashes.answers.follow(begun);
         let key = attempt.endpoint.key;
+        self.crashes.lost.on_answering(key, attempt.sent_at);
         let read = Load {
             unread_tokens: attempt.load.unread_tokens,
             ..Load::default()
@@ -242,7 +243,7 @@
         let endpoint = attempt.endpoint;
         self.loads.subtract_own(endpoint.key, attempt.load);
         if self.records.on_failure(now, endpoint.key, failure) {
-            self.on_endpoint_down(now, &endpoint);
+            self.on_connection_refused(now, &endpoint, attempt.sent_at);
             self.expect_cold_start(now, &endpoint);
         }
         if failure == Failure::Misdirected {
--- a/crates/fleet/src/dispatcher/crashes.rs
+++ b/crates/fleet/src/dispatcher/crashes.rs
@@ -36,7 +36,7 @@
     pub(super) answers: SoundAnswers,
     /// Shares of the requests at this host that have a suspect in common.
     pub(super) arrivals: ArrivalShares,
-    lost: LostAnswers,
+    pub(super) lost: LostAnswers,
     endpoints_to_check: Vec<Arc<Endpoint>>,
     news: Vec<CrashNews>,
 }
@@ -74,8 +74,9 @@
 }
 
 impl Dispatcher {
-    /// Takes the endpoints that are to be connected to, since connections to them were lost and they may have crashed. If
-    /// one refuses the connection, the answer is [`DispatchEvent::EndpointDown`](super::DispatchEvent::EndpointDown).
+    /// Takes the endpoints that are to be connected to, since connections to them were lost and they may have crashed. The
+    /// answer is [`DispatchEvent::EndpointDown`](super::DispatchEvent::EndpointDown) if one refuses the connection, and
+    /// [`DispatchEvent::EndpointUp`](super::DispatchEvent::EndpointUp) if it accepts it.
     pub fn take_endpoints_to_check(&mut self) -> Vec<Arc<Endpoint>> {
         std::mem::take(&mut self.crashes.endpoints_to_check)
     }
@@ -110,10 +111,10 @@
     pub(super) fn on_answer_lost(&mut self, now: Duration, id: RequestId, attempt: &Attempt) {
         let endpoint = &attempt.endpoint;
         let crashes = self.lost_suspects(now, id, attempt);
-        if crashes.is_empty() || !self.endpoints.is_usable(endpoint) {
+        if !self.endpoints.is_usable(endpoint) {
             return;
         }
-        if !self.crashes.lost.is_awaited(endpoint.key) {
+        if self.crashes.lost.must_check(endpoint.key) {
             self.crashes.endpoints_to_check.push(endpoint.clone());
         }
         let confirmed = self.crashes.lost.add(now, endpoint.key, crashes);
@@ -154,9 +155,20 @@
         crashes
     }
 
-    /// Records that an endpoint refuses connections.
+    /// Records that an endpoint was found down after connections to it were lost.
     pub(super) fn on_endpoint_down(&mut self, now: Duration, endpoint: &Arc<Endpoint>) {
-        let crashes = self.crashes.lost.on_down(now, endpoint.key);
+        let crashes = self.crashes.lost.on_found_down(now, endpoint.key);
+        self.add_crashes(now, endpoint, &crashes);
+    }
+
+    /// Records that an endpoint has refused the connection for an attempt.
+    pub(super) fn on_connection_refused(
+        &mut self,
+        now: Duration,
+        endpoint: &Arc<Endpoint>,
+        tried_at: Duration,
+    ) {
+        let crashes = self.crashes.lost.on_refused(endpoint.key, tried_at);
         self.add_crashes(now, endpoint, &crashes);
     }
 
--- a/crates/fleet/tests/crashing_parts.rs
+++ b/crates/fleet/tests/crashing_parts.rs
@@ -415,3 +415,33 @@
     assert_eq!(play.crashes_ms.len(), crashes);
     assert_eq!(play.quarantined_sound_requests(), 0);
 }
+
+/// Guards against requests that are sent to an engine after it has crashed and count as the cause of the crash.
+#[test]
+fn requests_sent_after_a_crash_are_no_suspects() {
+    let mut play = CrashPlay::start(1, 1, &[], 12);
+    play.close_connections_when_down();
+    play.request(&PlayedRequest::with_parts(0, &[1_000]));
+    play.run_for(1_000);
+    play.crash_engine(0);
+    for account in 0..ACCOUNTS {
+        play.run_for(500);
+        play.request(&PlayedRequest::with_parts(account, &[2_000]));
+    }
+    play.run_for(100);
+    assert_eq!(play.dispatcher(0).suspect_counts().0, 0);
+}
+
+/// Guards against requests that count as the cause of a crash since an earlier connection of theirs was lost.
+#[test]
+fn a_lost_connection_to_an_engine_that_is_up_is_no_crash() {
+    let mut play = CrashPlay::start(1, 1, &[], 13);
+    let id = play.request(&PlayedRequest::with_parts(0, &[1_000]));
+    play.run_for(10);
+    play.lose_connection(id);
+    play.run_for(1_000);
+    play.crash_engine(0);
+    play.request(&PlayedRequest::with_parts(0, &[2_000]));
+    play.run_for(100);
+    assert_eq!(play.dispatcher(0).suspect_counts().0, 0);
+}
--- a/crates/fleet/tests/support/crash_play.rs
+++ b/crates/fleet/tests/support/crash_play.rs
@@ -142,6 +142,8 @@
     leaving: Vec<RequestId>,
     /// Hosts whose reports reach no other host, and that get none.
     cut_off: Vec<usize>,
+    /// Whether something in front of an engine that is down accepts connections and closes them.
+    closes_when_down: bool,
     hosts: Vec<PlayedHost>,
     engines: Vec<Engine>,
     entries_to_remove: Vec<(u64, Arc<Endpoint>)>,
@@ -195,6 +197,7 @@
             crashing_parts: crashing_parts.to_vec(),
             leaving: Vec::new(),
             cut_off: Vec::new(),
+            closes_when_down: false,
             hosts: Vec::new(),
             engines: (0..engines).map(engine).collect(),
             entries_to_remove: Vec::new(),
@@ -304,6 +307,16 @@
         self.cut_off = hosts.to_vec();
     }
 
+    /// Puts something in front of engines that accepts connections and closes them while the engine is down.
+    pub fn close_connections_when_down(&mut self) {
+        self.closes_when_down = true;
+    }
+
+    /// Breaks the engines: a part crashes them from now on.
+    pub fn break_engines_for(&mut self, part: u64) {
+        self.crashing_parts.push(part);
+    }
+
     /// Mends the engines: a part crashes them no longer.
     pub fn mend(&mut self, part: u64) {
         self.crashing_parts.retain(|crashing| *crashing != part);
@@ -350,6 +363,16 @@
         }
     }
 
+    /// Ends the connection of a request to its engine, which is still up.
+    pub fn lose_connection(&mut self, id: RequestId) {
+        for engine in &mut self.engines {
+            engine.streams.retain(|stream| stream.id != id);
+        }
+        let host = self.outcomes[&id].host;
+        let lost = DispatchEvent::AttemptFailed(id, Failure::ConnectionLost);
+        self.send(host, lost);
+    }
+
     /// Returns the dispatcher of a host.
     pub fn dispatcher(&mut self, host: usize) -> &mut Dispatcher {
         self.hosts[host]
@@ -417,12 +440,13 @@
         for endpoint in self.dispatcher(host).take_endpoints_to_check() {
             let engines = self.engines.iter();
             let mut engines = engines.filter(|it| it.up_from_ms <= self.now_ms);
-            if engines.all(|it| it.listed.key != endpoint.key) {
-                let answered_ms = self.now_ms + 2 * NETWORK_DELAY_MS;
-                let down = DispatchEvent::EndpointDown(endpoint);
-                let run = self.hosts[host].run;
-                self.events.push((answered_ms, host, run, down));
-            }
+            let answered_ms = self.now_ms + 2 * NETWORK_DELAY_MS;
+            let answer = match engines.any(|it| it.listed.key == endpoint.key) {
+                true => DispatchEvent::EndpointUp(endpoint),
+                false => DispatchEvent::EndpointDown(endpoint),
+            };
+            let run = self.hosts[host].run;
+            self.events.push((answered_ms, host, run, answer));
         }
     }
 
@@ -448,7 +472,11 @@
         let engine = self.engines.iter_mut();
         let engine = engine.filter(|it| it.listed.key == endpoint.key && it.up_from_ms <= now_ms);
         let Some(engine) = engine.last() else {
-            let failed = DispatchEvent::AttemptFailed(id, Failure::NotConnected);
+            let failure = match self.closes_when_down {
+                true => Failure::ConnectionLost,
+                false => Failure::NotConnected,
+            };
+            let failed = DispatchEvent::AttemptFailed(id, failure);
             let arrives_ms = now_ms + NETWORK_DELAY_MS;
             self.events.push((arrives_ms, host, host_run, failed));
             return;
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -161,21 +161,23 @@
     gateway: Rc<Gateway<W, C>>,
     endpoint: Arc<Endpoint>,
 ) {
-    let is_down = match open_connection(endpoint.address).await {
+    let is_up = match open_connection(endpoint.address).await {
         Ok(connection) => {
             sleep(CLOSE_WAIT).await;
-            let is_closed = connection.is_closed();
-            if !is_closed {
+            let is_open = !connection.is_closed();
+            if is_open {
                 attempt::return_to_pool(&gateway, &endpoint, connection, None);
             }
-            is_closed
+            is_open
         }
+        Err(error) if is_refusal(&error) => false,
         // One that does not answer may have been cut off, which says nothing about its requests.
-        Err(error) => is_refusal(&error),
+        Err(_) => return,
     };
-    if is_down {
-        gateway.handle(DispatchEvent::EndpointDown(endpoint));
-    }
+    gateway.handle(match is_up {
+        true => DispatchEvent::EndpointUp(endpoint),
+        false => DispatchEvent::EndpointDown(endpoint),
+    });
 }
 
 fn is_refusal(error: &io::Error) -> bool {
