Every suspect of a crash is reported before any is repeated

A crash has 20 suspects and more, and a report has room for four.

Reports tell what has been told least first, and only then what has most crashes.

--- a/crates/fleet/src/crash_evidence.rs
+++ b/crates/fleet/src/crash_evidence.rs
@@ -10,6 +10,7 @@
 mod record;
 mod report;
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -260,7 +261,8 @@
         }
     }
 
-    /// Returns the evidence for this host's next report: changes first, then the other suspects in turn.
+    /// Returns the evidence for this host's next report: changes first, among them those of suspects with many crashes
+    /// and those that have been told least, then the other suspects in turn.
     pub fn next_reports(&mut self, count: usize) -> Vec<SuspectReport> {
         let mut chosen: Vec<Suspect> = Vec::new();
         let mut changed: Vec<_> = self
@@ -268,7 +270,7 @@
             .iter()
             .filter(|(_, it)| it.repeats > 0)
             .collect();
-        changed.sort_by_key(|(_, it)| std::cmp::Reverse(it.record.crashes().len()));
+        changed.sort_by_key(|(_, it)| Reverse((it.repeats, it.record.crashes().len())));
         chosen.extend(changed.iter().take(count).map(|(suspect, _)| **suspect));
         let after = self.last_reported;
         let later = self.suspects.keys().filter(|it| Some(**it) > after);
