soak: resumed streams are compared with new ones of the same time, and known endpoints count

The check compared the streams that go on, whenever they were resumed, with the new streams of the whole run, and counted each listed endpoint. Since the soak crashes endpoints by a part of prompts, most streams are resumed while no endpoint of their version can be reached or known, when new ones do not begin either.

An endpoint counts once a request has reached its run. Each resumed stream counts by the share of new streams sent within 100 ms of its tries that begin; half of the sum have to go on. As strict: a sum of 6 is judged, where 12 streams were needed before, and the sum over all seeds of a series is judged as well.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -75,7 +75,7 @@
     pub process_ids: RefCell<Vec<u32>>,
     /// Whether the load balancer considers each router ready.
     pub ready: RefCell<Vec<bool>>,
-    /// Number of endpoints that take new streams, by software version.
+    /// Number of endpoints that take new streams and that a router knows, by software version.
     pub stream_versions: RefCell<HashMap<String, usize>>,
     /// Parts of prompts that crash endpoints.
     pub crashing: CrashingParts,
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use sedgeridge_soak::promises::resumed_streams;
+use sedgeridge_soak::promises::ResumedStreams;
 use sedgeridge_soak::run::RunConfig;
 use sedgeridge_soak::run::RunResult;
 use sedgeridge_soak::run::run;
@@ -88,6 +88,7 @@
 
 fn soak(options: &SoakOptions) -> ExitCode {
     let mut failed_runs = 0;
+    let mut resumed = ResumedStreams::default();
     for seed in options.first_run.seed..options.first_run.seed + options.seed_count {
         let config = RunConfig {
             seed,
@@ -98,6 +99,7 @@
             Ok(result) => {
                 print_result(seed, &result);
                 failed_runs += usize::from(!result.violations.is_empty());
+                resumed.add(&ResumedStreams::of(&result.observations.records));
                 if result.violations.is_empty()
                     && let Err(error) = fs::remove_dir_all(&config.dir)
                 {
@@ -111,10 +113,10 @@
         }
     }
     println!(
-        "{} runs, {failed_runs} with a broken promise",
+        "{} runs, {failed_runs} with a broken promise; {resumed}",
         options.seed_count
     );
-    ExitCode::from(u8::from(failed_runs > 0))
+    ExitCode::from(u8::from(failed_runs > 0 || resumed.are_too_few()))
 }
 
 fn print_result(seed: u64, result: &RunResult) {
@@ -124,13 +126,12 @@
         .iter()
         .filter(|it| it.is_served())
         .count();
-    let resumed = resumed_streams(&observations.records);
-    let went_on = resumed.values().filter(|went_on| **went_on).count();
+    let resumed = ResumedStreams::of(&observations.records);
     println!(
-        "seed {seed}: {} faults, {served} of {} requests served, {went_on} of {} resumed, {} runs, {} KB, {} broken",
+        "seed {seed}: {} faults, {served} of {} requests served, {resumed}, {} crashes, {} runs, {} KB, {} broken",
         result.faults.len(),
         observations.records.len(),
-        resumed.len(),
+        observations.crashes,
         observations.run_ids.len(),
         observations.peak_memory_kb,
         result.violations.len(),
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -1,7 +1,9 @@
 //! Checks the guarantees for callers and operators against the observations of a run.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::fmt;
 use std::time::Duration;
 
 use sedgeridge_platform_standins::caller::is_not_run_status;
@@ -20,10 +22,12 @@
 pub const GRACE: Duration = Duration::from_secs(4);
 /// Maximum memory of a router, from the bound on the control memory of a node.
 const MAX_MEMORY_KB: u64 = 64 * 1024;
-/// Number of resumes from which their share is judged.
-const MIN_RESUMES: usize = 12;
-/// Lowest share of resumes that go on, as a fraction of the share of new streams that begin.
+/// Expected number of streams that go on from which their number is judged.
+const MIN_EXPECTED_RESUMES: f64 = 6.0;
+/// Lowest number of streams that go on, as a part of the expected number.
 const MIN_RESUMED_SHARE: f64 = 0.5;
+/// Time before and after the tries to resume a stream in which new streams are compared with it.
+const RESUME_MARGIN: Duration = Duration::from_millis(100);
 /// Crashes under one part of prompts after which requests with it are refused.
 const MAX_CRASHES: usize = 5;
 /// Requests with the part that may reach endpoints later all the same.
@@ -193,36 +197,85 @@
     }
 }
 
-/// Returns the streams that callers resumed while two endpoints of their software version served, and whether they went on.
-pub fn resumed_streams(records: &[RequestRecord]) -> HashMap<&str, bool> {
-    let mut streams = HashMap::new();
-    for record in records.iter().filter(|record| record.status().is_some()) {
-        if let Some(resume) = record.resume.as_ref().filter(|it| it.endpoints >= 2) {
-            *streams.entry(resume.first_request.as_str()).or_default() |= record.is_served();
+/// Streams that callers resumed while two endpoints of their software version served.
+#[derive(Debug, Default)]
+pub struct ResumedStreams {
+    /// Number of the streams.
+    pub count: usize,
+    /// Number of those that went on.
+    pub went_on: usize,
+    /// Number that would have gone on if resumes were served as often as new streams at the same time.
+    pub expected: f64,
+}
+
+impl ResumedStreams {
+    /// Counts the streams in the requests of a run.
+    pub fn of(records: &[RequestRecord]) -> Self {
+        let mut tries: BTreeMap<&str, Vec<&RequestRecord>> = BTreeMap::new();
+        for record in records.iter().filter(|record| record.status().is_some()) {
+            if let Some(resume) = record.resume.as_ref().filter(|it| it.endpoints >= 2) {
+                let tries = tries.entry(resume.first_request.as_str()).or_default();
+                tries.push(record);
+            }
+        }
+        let went_on = |tries: &&Vec<&RequestRecord>| tries.iter().any(|it| it.is_served());
+        Self {
+            count: tries.len(),
+            went_on: tries.values().filter(went_on).count(),
+            expected: tries
+                .values()
+                .fold(0.0, |sum, tries| sum + begun_share(records, tries)),
         }
     }
-    streams
+
+    /// Adds the streams of another run.
+    pub fn add(&mut self, other: &Self) {
+        self.count += other.count;
+        self.went_on += other.went_on;
+        self.expected += other.expected;
+    }
+
+    /// Returns whether too few streams went on. A few streams show nothing.
+    pub fn are_too_few(&self) -> bool {
+        let min_went_on = self.expected * MIN_RESUMED_SHARE;
+        self.expected >= MIN_EXPECTED_RESUMES && (self.went_on as f64) < min_went_on
+    }
 }
 
-/// Checks that resumed streams go on at least half as often as new streams begin.
-fn check_resumes(observations: &Observations, report: &mut impl FnMut(&'static str, String)) {
-    let new = observations.records.iter().filter(|record| {
-        let is_new = record.status().is_some() && record.resume.is_none();
-        is_new && record.kind == RouteKind::Stream && !record.is_revoked
+impl fmt::Display for ResumedStreams {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            count,
+            went_on,
+            expected,
+        } = self;
+        write!(
+            f,
+            "{went_on} of {count} streams resumed, {expected:.1} expected"
+        )
+    }
+}
+
+/// Returns the share of the new streams sent at about the time of some tries that began.
+fn begun_share(records: &[RequestRecord], tries: &[&RequestRecord]) -> f64 {
+    let from = tries.iter().map(|it| it.sent_at).min().unwrap_or_default();
+    let to = tries.iter().map(|it| it.ended_at).max().unwrap_or_default();
+    let period = from.saturating_sub(RESUME_MARGIN)..=to + RESUME_MARGIN;
+    let new = records.iter().filter(|it| {
+        let is_new = it.kind == RouteKind::Stream && it.resume.is_none() && !it.is_revoked;
+        is_new && it.status().is_some() && period.contains(&it.sent_at)
     });
-    let (begun, new) = new.fold((0, 0), |(begun, new), record| {
-        (begun + usize::from(record.is_served()), new + 1)
+    let (begun, new) = new.fold((0, 0), |(begun, new), it| {
+        (begun + usize::from(it.is_served()), new + 1)
     });
-    let resumed = resumed_streams(&observations.records);
-    let went_on = resumed.values().filter(|went_on| **went_on).count();
-    let begun_share = begun as f64 / new as f64;
-    let resumed_share = went_on as f64 / resumed.len() as f64;
-    if resumed.len() >= MIN_RESUMES && resumed_share < begun_share * MIN_RESUMED_SHARE {
-        let observed = format!(
-            "{went_on} of {} resumed streams, {begun} of {new} new ones",
-            resumed.len()
-        );
-        report("a resume at its own version", observed);
+    begun as f64 / new.max(1) as f64
+}
+
+/// Checks that resumed streams go on at least half as often as new streams begin at the same time.
+fn check_resumes(observations: &Observations, report: &mut impl FnMut(&'static str, String)) {
+    let resumed = ResumedStreams::of(&observations.records);
+    if resumed.are_too_few() {
+        report("a resume at its own version", resumed.to_string());
     }
 }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -355,9 +355,8 @@
             self.shared.process_ids.borrow_mut()[index] = router.process();
         }
         for index in 0..self.routers.len() {
-            if self.site.carry_out_crashes(self.shared.now())? {
-                self.note_stream_versions();
-            }
+            self.site.carry_out_crashes(self.shared.now())?;
+            self.note_stream_versions();
             let is_ready = is_ready(self.routers[index].ready_address()).await;
             self.shared.ready.borrow_mut()[index] = is_ready;
         }
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -126,7 +126,7 @@
         Ok(site)
     }
 
-    /// Returns the number of endpoints that take new streams, by software version.
+    /// Returns the number of endpoints that take new streams and that a router knows, by software version.
     pub fn stream_versions(&self) -> HashMap<String, usize> {
         let mut versions = HashMap::new();
         for endpoint in self.endpoints.iter().filter(|it| it.takes_streams()) {
@@ -147,27 +147,23 @@
     }
 
     /// Cuts off endpoints that have crashed under a part of a prompt, and lists them again under a new id after a while.
-    /// Returns whether any of them changed.
     ///
     /// # Errors
     ///
     /// A link did not accept an order.
-    pub fn carry_out_crashes(&self, now: Duration) -> io::Result<bool> {
+    pub fn carry_out_crashes(&self, now: Duration) -> io::Result<()> {
         let crashed = self.crashing.take_crashed();
-        let mut has_changed = false;
         for endpoint in &self.endpoints {
             if crashed.contains(&endpoint.id()) {
                 endpoint.link.start_fault(LinkFault::Reset)?;
                 endpoint.down_until.set(Some(now + CRASH_DOWN_TIME));
-                has_changed = true;
             } else if endpoint.down_until.get().is_some_and(|until| now >= until) {
                 endpoint.down_until.set(None);
                 endpoint.link.end_fault(LinkFault::Reset)?;
                 endpoint.relist(&self.rows);
-                has_changed = true;
             }
         }
-        Ok(has_changed)
+        Ok(())
     }
 
     /// Adds a new key and revokes the older of the two valid ones.
@@ -296,7 +292,7 @@
 
     fn takes_streams(&self) -> bool {
         let is_up = self.down_until.get().is_none() && !self.is_leaving.get();
-        self.service == STREAM_SERVICE && is_up
+        self.service == STREAM_SERVICE && is_up && self.listed_run.is_known()
     }
 
     /// Writes the entry again, and removes those of earlier ids that came back.
