--- a/crates/fleet/src/crash_evidence.rs
+++ b/crates/fleet/src/crash_evidence.rs
@@ -34,7 +34,7 @@
 const MIN_KEPT_TIME: Duration = Duration::from_secs(20);
 /// Number of reports that tell of a change before other suspects get their turn.
 const CHANGE_REPEATS: u32 = 4;
-/// Longest delay of a host's first trial after it.
+/// Longest delay of a host's first trial after a quarantine of a suspect that may be innocent.
 const MAX_AMBIGUOUS_TRIAL_DELAY: Duration = Duration::from_secs(2);
 /// Longest delay of a host's first trial after a quarantine. Hosts draw different ones: the first trial clears the suspect
 /// or renews the quarantine for all of them.
@@ -261,8 +261,8 @@
         }
     }
 
-    /// Returns the evidence for this host's next report: changes first, among them those of suspects with many crashes
-    /// and those that have been told least, then the other suspects in turn.
+    /// Returns the evidence for this host's next report: changes first, those that have been told least and then those with
+    /// most crashes before the others, then the other suspects in turn.
     pub fn next_reports(&mut self, count: usize) -> Vec<SuspectReport> {
         let mut chosen: Vec<Suspect> = Vec::new();
         let mut changed: Vec<_> = self
--- a/crates/fleet/src/dispatcher/crashes.rs
+++ b/crates/fleet/src/dispatcher/crashes.rs
@@ -13,8 +13,8 @@
 use crate::crash_evidence::QuarantineEvent;
 use crate::crash_evidence::SuspectReport;
 use crate::endpoint_table::Endpoint;
-use crate::lost_answers::LostAnswers;
-use crate::lost_answers::SuspectCrash;
+use crate::lost_connections::LostConnections;
+use crate::lost_connections::SuspectCrash;
 use crate::prompt::Prompt;
 use crate::sound_answers::SoundAnswers;
 use crate::suspect::Suspect;
@@ -36,7 +36,7 @@
     pub(super) answers: SoundAnswers,
     /// Shares of the requests at this host that have a suspect in common.
     pub(super) arrivals: ArrivalShares,
-    pub(super) lost: LostAnswers,
+    pub(super) lost: LostConnections,
     endpoints_to_check: Vec<Arc<Endpoint>>,
     news: Vec<CrashNews>,
 }
@@ -56,7 +56,7 @@
             evidence: CrashEvidence::new(host),
             answers: SoundAnswers::default(),
             arrivals: ArrivalShares::default(),
-            lost: LostAnswers::default(),
+            lost: LostConnections::default(),
             endpoints_to_check: Vec::new(),
             news: Vec::new(),
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,7 +24,7 @@
 pub mod idle_connections;
 pub mod known_origins;
 pub mod load_shedding;
-pub mod lost_answers;
+pub mod lost_connections;
 pub mod memory_budget;
 pub mod origin_exchange;
 pub mod origin_message;
--- a/crates/fleet/src/lost_answers.rs
+++ b/crates/fleet/src/lost_connections.rs
@@ -18,7 +18,7 @@
 
 /// Lost connections by endpoint, and endpoints that are down.
 #[derive(Debug, Default)]
-pub struct LostAnswers {
+pub struct LostConnections {
     unconfirmed: IntMap<u64, UnconfirmedCrash>,
     down_since: IntMap<u64, Duration>,
 }
@@ -30,7 +30,7 @@
     suspects: Vec<SuspectCrash>,
 }
 
-impl LostAnswers {
+impl LostConnections {
     /// Records a lost connection and its suspects. Returns them if the endpoint is known to be down, without those that
     /// were sent to it since.
     pub fn add(
