--- a/crates/fleet/src/crash_evidence/decisions.rs
+++ b/crates/fleet/src/crash_evidence/decisions.rs
@@ -84,7 +84,7 @@
         for (suspect, entry) in &mut self.suspects {
             let record = &mut entry.record;
             record.note_other_crashes(&unexplained, OTHER_CRASH_TIME);
-            let has_others = record.had_other_crashes();
+            let has_others = record.has_other_crashes();
             let threshold = threshold(*suspect, has_others, &self.settings);
             let is_proven = match record.quarantine() {
                 Some(_) => record.failed_trial(),
--- a/crates/fleet/src/crash_evidence/record.rs
+++ b/crates/fleet/src/crash_evidence/record.rs
@@ -68,7 +68,7 @@
     /// Whether a host knew of sound answers from before the crashes.
     has_history: bool,
     /// Whether endpoints have crashed without the suspect at about the same time, for no known cause.
-    had_other_crashes: bool,
+    has_other_crashes: bool,
     /// Sound answers to requests without the suspect, sent after the crashes that prove anything.
     contrasts: u32,
     /// When this host first knew of enough crashes for a quarantine.
@@ -141,7 +141,7 @@
             self.crashes.retain(|it| it.endpoint != refutation.endpoint);
             self.proven_at = None;
             self.contrasts = 0;
-            self.had_other_crashes = false;
+            self.has_other_crashes = false;
         }
         self.refuted.push(refutation);
         self.refuted.sort_by_key(|it| it.at);
@@ -253,12 +253,12 @@
         };
         let span = first.lost_at.saturating_sub(time)..=last.lost_at + time;
         let mut near = crashes.iter().filter(|(_, at)| span.contains(at));
-        self.had_other_crashes |= near.any(|(endpoint, _)| !self.has_crash_of(*endpoint));
+        self.has_other_crashes = near.any(|(endpoint, _)| !self.has_crash_of(*endpoint));
     }
 
     /// Tells whether endpoints have crashed without the suspect at about the same time, for no known cause.
-    pub fn had_other_crashes(&self) -> bool {
-        self.had_other_crashes
+    pub fn has_other_crashes(&self) -> bool {
+        self.has_other_crashes
     }
 
     /// Tells whether this suspect was in progress when an endpoint crashed.
