--- a/crates/fleet/src/crash_evidence.rs
+++ b/crates/fleet/src/crash_evidence.rs
@@ -98,7 +98,7 @@
     /// Suspect after which the next report goes on with those that have not changed.
     last_reported: Option<Suspect>,
     /// Whether this host has evidence that it has not reported.
-    has_news: bool,
+    has_unreported: bool,
     /// Time of this host's last sound answer to a prompt.
     last_sound_at: Option<Duration>,
     /// Since when there have been such answers without a gap.
@@ -121,7 +121,7 @@
             now: CLOCK_HEADROOM,
             suspects: BTreeMap::new(),
             last_reported: None,
-            has_news: false,
+            has_unreported: false,
             last_sound_at: None,
             answers_since: Duration::ZERO,
         }
@@ -139,7 +139,7 @@
         if entry.record.add_crash(crash) {
             entry.record.note_event(now);
             entry.repeats = CHANGE_REPEATS;
-            self.has_news = true;
+            self.has_unreported = true;
         }
     }
 
@@ -151,7 +151,7 @@
             && entry.record.add_history()
         {
             entry.repeats = CHANGE_REPEATS;
-            self.has_news = true;
+            self.has_unreported = true;
         }
     }
 
@@ -170,7 +170,7 @@
         if entry.record.add_sound_answer(now, sent_at + CLOCK_HEADROOM) {
             entry.record.note_event(now);
             entry.repeats = CHANGE_REPEATS;
-            self.has_news = true;
+            self.has_unreported = true;
         }
         was_quarantined && entry.record.quarantine().is_none()
     }
@@ -236,8 +236,8 @@
     /// each took it over from those that still have it, it would never go.
     fn is_worth_keeping(&self, now: Duration, report: &SuspectReport) -> bool {
         let mut record = CrashRecord::default();
-        let is_news = report.merge_into(now, &mut record);
-        is_news && self.kept_until(&record) > now + MIN_KEPT_TIME
+        let is_new = report.merge_into(now, &mut record);
+        is_new && self.kept_until(&record) > now + MIN_KEPT_TIME
     }
 
     fn kept_until(&self, record: &CrashRecord) -> Duration {
@@ -257,7 +257,7 @@
         if entry.record.adopt_quarantine(quarantine) {
             entry.record.note_event(now);
             entry.repeats = CHANGE_REPEATS;
-            self.has_news = true;
+            self.has_unreported = true;
         }
     }
 
@@ -284,7 +284,7 @@
                 self.last_reported = Some(*suspect);
             }
         }
-        self.has_news = false;
+        self.has_unreported = false;
         let now = self.now;
         let reports = chosen.into_iter().filter_map(|suspect| {
             let entry = self.suspects.get_mut(&suspect)?;
@@ -300,8 +300,8 @@
     }
 
     /// Tells whether this host has evidence that it has not reported.
-    pub fn has_news(&self) -> bool {
-        self.has_news
+    pub fn has_unreported(&self) -> bool {
+        self.has_unreported
     }
 
     /// Returns the time for which a request with these suspects is refused; `None` if it is not.
--- a/crates/fleet/src/crash_evidence/decisions.rs
+++ b/crates/fleet/src/crash_evidence/decisions.rs
@@ -199,7 +199,7 @@
         record.note_event(now);
         let until = record.quarantine().map_or(now, |it| it.until);
         let crashes = record.crashes().len();
-        self.has_news = true;
+        self.has_unreported = true;
         Quarantined {
             suspect,
             crashes,
--- a/crates/fleet/src/crash_evidence/record.rs
+++ b/crates/fleet/src/crash_evidence/record.rs
@@ -16,7 +16,7 @@
 const REFUTED_TIME: Duration = Duration::from_secs(60);
 /// Age up to which a refuted crash is taken over from another host. It is below [`REFUTED_TIME`], so that hosts don't tell
 /// each other again and again of one that each has dropped.
-const MAX_NEWS_AGE: Duration = Duration::from_secs(30);
+const MAX_REPORTED_AGE: Duration = Duration::from_secs(30);
 /// Sound answers without a common suspect that show that only requests with it crash endpoints.
 const MIN_CONTRASTS: u32 = 5;
 /// Maximum number of times that the quarantine time is doubled.
@@ -132,7 +132,7 @@
 
     fn refute_one(&mut self, now: Duration, refutation: Refutation) -> bool {
         let is_evidence = self.has_crash_of(refutation.endpoint);
-        let is_old = now.saturating_sub(refutation.at) > MAX_NEWS_AGE;
+        let is_old = now.saturating_sub(refutation.at) > MAX_REPORTED_AGE;
         let is_known = self.is_refuted(refutation.endpoint);
         if is_known || is_old && !is_evidence {
             return false;
--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -54,7 +54,7 @@
 
 pub use crate::store_followers::StoreRole;
 pub use admission::AdmissionSettings;
-pub use crashes::CrashNews;
+pub use crashes::CrashEvent;
 pub use peers::HostState;
 pub use peers::OutgoingReport;
 pub use peers::ReportRecipient;
--- a/crates/fleet/src/dispatcher/crashes.rs
+++ b/crates/fleet/src/dispatcher/crashes.rs
@@ -38,12 +38,12 @@
     pub(super) arrivals: ArrivalShares,
     pub(super) lost: LostConnections,
     endpoints_to_check: Vec<Arc<Endpoint>>,
-    news: Vec<CrashNews>,
+    events: Vec<CrashEvent>,
 }
 
-/// News about crashes, for logs, metrics and the platform's store.
+/// A crash, or the start or end of a quarantine, for logs, metrics and the platform's store.
 #[derive(Debug, Clone, PartialEq)]
-pub enum CrashNews {
+pub enum CrashEvent {
     /// An endpoint crashed under requests of this host. The suspects are those that may be the cause.
     EndpointCrashed(Arc<Endpoint>, Vec<Suspect>),
     /// A quarantine started or ended, by this host's evidence or by that of others.
@@ -58,7 +58,7 @@
             arrivals: ArrivalShares::default(),
             lost: LostConnections::default(),
             endpoints_to_check: Vec::new(),
-            news: Vec::new(),
+            events: Vec::new(),
         }
     }
 }
@@ -81,9 +81,9 @@
         std::mem::take(&mut self.crashes.endpoints_to_check)
     }
 
-    /// Takes the news about crashes since the last call.
-    pub fn take_crash_news(&mut self) -> Vec<CrashNews> {
-        std::mem::take(&mut self.crashes.news)
+    /// Takes the crashes and changes of quarantines since the last call.
+    pub fn take_crash_events(&mut self) -> Vec<CrashEvent> {
+        std::mem::take(&mut self.crashes.events)
     }
 
     /// Refuses a suspect for what is left of a quarantine that the platform's store has kept.
@@ -185,14 +185,16 @@
         let mut suspects: Vec<_> = crashes.iter().map(|(suspect, _)| *suspect).collect();
         suspects.sort_unstable();
         suspects.dedup();
-        let news = CrashNews::EndpointCrashed(endpoint.clone(), suspects);
-        self.crashes.news.push(news);
+        let event = CrashEvent::EndpointCrashed(endpoint.clone(), suspects);
+        self.crashes.events.push(event);
     }
 
     pub(super) fn on_suspects_reported(&mut self, now: Duration, reports: &[SuspectReport]) {
         for report in reports {
             let event = self.crashes.evidence.merge(now, report);
-            self.crashes.news.extend(event.map(CrashNews::Quarantine));
+            self.crashes
+                .events
+                .extend(event.map(CrashEvent::Quarantine));
             if let Some(sent_at) = self.crashes.answers.last_sound(report.suspect) {
                 self.crashes.evidence.add_history(report.suspect);
                 self.clear(now, report.suspect, sent_at);
@@ -224,14 +226,16 @@
         } = &mut self.crashes;
         let quarantined = evidence.tick(now, settle_time, |it| arrivals.is_common(it));
         let events = quarantined.into_iter().map(QuarantineEvent::Started);
-        self.crashes.news.extend(events.map(CrashNews::Quarantine));
+        self.crashes
+            .events
+            .extend(events.map(CrashEvent::Quarantine));
     }
 
     fn clear(&mut self, now: Duration, suspect: Suspect, sent_at: Duration) {
         let evidence = &mut self.crashes.evidence;
         if evidence.add_sound_answer(now, suspect, sent_at) {
             let event = QuarantineEvent::Cleared(suspect);
-            self.crashes.news.push(CrashNews::Quarantine(event));
+            self.crashes.events.push(CrashEvent::Quarantine(event));
         }
     }
 }
--- a/crates/fleet/src/dispatcher/peers.rs
+++ b/crates/fleet/src/dispatcher/peers.rs
@@ -218,7 +218,7 @@
         self.crashes.evidence.advance_to(now);
         if self.must_hasten(state) {
             self.peers.schedule.make_due_now();
-        } else if self.crashes.evidence.has_news() {
+        } else if self.crashes.evidence.has_unreported() {
             self.peers.schedule.make_report_due_now();
         }
         let mut due = Vec::new();
--- a/crates/fleet/tests/crash_evidence.rs
+++ b/crates/fleet/tests/crash_evidence.rs
@@ -1,4 +1,4 @@
-//! What hosts tell each other of suspects of crashes.
+//! Reports of evidence about crashes to other hosts.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -11,7 +11,7 @@
 const SUSPECTS_PER_REPORT: usize = 4;
 const SUSPECTS: usize = 20;
 
-/// Guards against suspects that no host hears of while the first few are reported again and again.
+/// Guards against suspects that reach no other host while the first few are reported again and again.
 #[test]
 fn every_suspect_is_reported_before_any_is_repeated() {
     let mut evidence = CrashEvidence::new(1);
--- a/crates/fleet/tests/support/crash_play.rs
+++ b/crates/fleet/tests/support/crash_play.rs
@@ -78,7 +78,7 @@
     }
 }
 
-/// What became of a request.
+/// Result of a request.
 #[derive(Debug, Clone)]
 pub struct Outcome {
     /// When it arrived.
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -8,7 +8,7 @@
 
 use sedgeridge_fleet::crash_evidence::QuarantineEvent;
 use sedgeridge_fleet::crash_evidence::Quarantined;
-use sedgeridge_fleet::dispatcher::CrashNews;
+use sedgeridge_fleet::dispatcher::CrashEvent;
 use sedgeridge_fleet::dispatcher::DispatchEvent;
 use sedgeridge_fleet::dispatcher::Dispatcher;
 use sedgeridge_fleet::endpoint_table::Endpoint;
@@ -84,22 +84,22 @@
 }
 
 impl<W: WireFormat, C: Clock> Gateway<W, C> {
-    /// Carries out the dispatcher's news about crashes.
+    /// Checks endpoints that may have crashed, and logs crashes and changes of quarantines.
     pub(crate) fn note_crashes(&self) {
         let endpoints = self.with_dispatcher(Dispatcher::take_endpoints_to_check);
         if !endpoints.is_empty() {
             self.crash_watch.endpoints.borrow_mut().extend(endpoints);
             self.crash_watch.has_endpoints.notify_one();
         }
-        for news in self.with_dispatcher(Dispatcher::take_crash_news) {
-            match news {
-                CrashNews::EndpointCrashed(endpoint, suspects) => {
+        for event in self.with_dispatcher(Dispatcher::take_crash_events) {
+            match event {
+                CrashEvent::EndpointCrashed(endpoint, suspects) => {
                     self.log_crash(&endpoint, &suspects);
                 }
-                CrashNews::Quarantine(QuarantineEvent::Started(quarantined)) => {
+                CrashEvent::Quarantine(QuarantineEvent::Started(quarantined)) => {
                     self.note_quarantine(quarantined);
                 }
-                CrashNews::Quarantine(QuarantineEvent::Cleared(suspect)) => {
+                CrashEvent::Quarantine(QuarantineEvent::Cleared(suspect)) => {
                     self.note_clearance(suspect);
                 }
             }
