An endpoint that refused a connection counts as down for two seconds only

An endpoint that had refused a connection ten seconds before, and answered nothing since, still counted as down (60 s), so that the request that crashed it was left out. It counts as down for two seconds after the last sign of it now; lost connections of requests that were sent meanwhile are such signs.

Only routers that were ready when a stream began can hold its origin; a stream counts while not all of them, or three, have ended.

--- a/crates/fleet/src/dispatcher/crashes.rs
+++ b/crates/fleet/src/dispatcher/crashes.rs
@@ -114,7 +114,7 @@
         if !self.endpoints.is_usable(endpoint) {
             return;
         }
-        if self.crashes.lost.must_check(endpoint.key) {
+        if self.crashes.lost.must_check(now, endpoint.key) {
             self.crashes.endpoints_to_check.push(endpoint.clone());
         }
         let confirmed = self.crashes.lost.add(now, endpoint.key, crashes);
@@ -168,7 +168,7 @@
         endpoint: &Arc<Endpoint>,
         tried_at: Duration,
     ) {
-        let crashes = self.crashes.lost.on_refused(endpoint.key, tried_at);
+        let crashes = self.crashes.lost.on_refused(now, endpoint.key, tried_at);
         self.add_crashes(now, endpoint, &crashes);
     }
 
--- a/crates/fleet/src/lost_connections.rs
+++ b/crates/fleet/src/lost_connections.rs
@@ -10,8 +10,8 @@
 /// Time after the first lost connection in which the endpoint has to be found down. Crashed endpoints are back after some
 /// seconds.
 const CONFIRMATION_TIME: Duration = Duration::from_secs(2);
-/// Time for which an endpoint that was found down counts as such, unless it answers.
-const DOWN_TIME: Duration = Duration::from_secs(60);
+/// Time after the last sign that an endpoint is down in which it counts as down, unless it answers.
+const DOWN_TIME: Duration = Duration::from_secs(2);
 
 /// A suspect and the crash that speaks against it.
 pub type SuspectCrash = (Suspect, Crash);
@@ -20,7 +20,14 @@
 #[derive(Debug, Default)]
 pub struct LostConnections {
     unconfirmed: IntMap<u64, UnconfirmedCrash>,
-    down_since: IntMap<u64, Duration>,
+    down: IntMap<u64, DownTime>,
+}
+
+/// Time in which an endpoint is known to be down.
+#[derive(Debug)]
+struct DownTime {
+    since: Duration,
+    last_sign_at: Duration,
 }
 
 /// Lost connections to an endpoint of which it is not known whether it is down.
@@ -39,8 +46,10 @@
         endpoint: u64,
         suspects: Vec<SuspectCrash>,
     ) -> Vec<SuspectCrash> {
-        if let Some(since) = self.down_since.get(&endpoint) {
-            return sent_before(*since, suspects);
+        let down = self.down.get_mut(&endpoint);
+        if let Some(down) = down.filter(|it| it.holds(now)) {
+            down.last_sign_at = now;
+            return sent_before(down.since, suspects);
         }
         let unconfirmed = self.unconfirmed.entry(endpoint);
         let unconfirmed = unconfirmed.or_insert_with(|| UnconfirmedCrash {
@@ -52,21 +61,34 @@
     }
 
     /// Returns whether an endpoint has to be connected to after a lost connection, to find out whether it is down.
-    pub fn must_check(&self, endpoint: u64) -> bool {
-        !self.unconfirmed.contains_key(&endpoint) && !self.down_since.contains_key(&endpoint)
+    pub fn must_check(&self, now: Duration, endpoint: u64) -> bool {
+        let is_down = self.down.get(&endpoint).is_some_and(|it| it.holds(now));
+        !is_down && !self.unconfirmed.contains_key(&endpoint)
     }
 
     /// Records that an endpoint was found down after connections to it were lost. Returns the suspects in its crash.
     pub fn on_found_down(&mut self, now: Duration, endpoint: u64) -> Vec<SuspectCrash> {
         let first_lost_at = self.unconfirmed.get(&endpoint).map(|it| it.first_lost_at);
-        self.on_refused(endpoint, first_lost_at.unwrap_or(now))
+        self.on_refused(now, endpoint, first_lost_at.unwrap_or(now))
     }
 
     /// Records that an endpoint has refused a connection that was tried at a time. Returns the suspects in its crash.
-    pub fn on_refused(&mut self, endpoint: u64, tried_at: Duration) -> Vec<SuspectCrash> {
-        let since = *self.down_since.entry(endpoint).or_insert(tried_at);
+    pub fn on_refused(
+        &mut self,
+        now: Duration,
+        endpoint: u64,
+        tried_at: Duration,
+    ) -> Vec<SuspectCrash> {
+        let known = self.down.get(&endpoint).filter(|it| it.holds(now));
+        let down = DownTime {
+            since: known.map_or(tried_at, |it| it.since),
+            last_sign_at: now,
+        };
+        let since = down.since;
+        self.down.insert(endpoint, down);
         let unconfirmed = self.unconfirmed.remove(&endpoint);
-        sent_before(since, unconfirmed.map(|it| it.suspects).unwrap_or_default())
+        let suspects = unconfirmed.map(|it| it.suspects).unwrap_or_default();
+        sent_before(since, suspects)
     }
 
     /// Records that an endpoint was found up after connections to it were lost: it has not crashed.
@@ -76,18 +98,23 @@
 
     /// Records that an endpoint has begun to answer a request that was sent at a time.
     pub fn on_answering(&mut self, endpoint: u64, sent_at: Duration) {
-        let since = self.down_since.get(&endpoint);
-        if since.is_some_and(|since| *since < sent_at) {
-            self.down_since.remove(&endpoint);
+        let down = self.down.get(&endpoint);
+        if down.is_some_and(|down| down.since < sent_at) {
+            self.down.remove(&endpoint);
         }
     }
 
     /// Drops what is too old.
     pub fn tick(&mut self, now: Duration) {
-        let age = |at: Duration| now.saturating_sub(at);
-        self.unconfirmed
-            .retain(|_, it| age(it.first_lost_at) < CONFIRMATION_TIME);
-        self.down_since.retain(|_, since| age(*since) < DOWN_TIME);
+        let is_recent = |at: Duration| now.saturating_sub(at) < CONFIRMATION_TIME;
+        self.unconfirmed.retain(|_, it| is_recent(it.first_lost_at));
+        self.down.retain(|_, it| it.holds(now));
+    }
+}
+
+impl DownTime {
+    fn holds(&self, now: Duration) -> bool {
+        now.saturating_sub(self.last_sign_at) < DOWN_TIME
     }
 }
 
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -61,6 +61,8 @@
 const CRASHING_REQUEST_PAUSE_MS: (u64, u64) = (200, 900);
 /// Makes these requests independent of the other callers of a seed.
 const CRASHING_REQUEST_SALT: u64 = 0x5e_7a13;
+/// Number of routers that know the origin of a stream: the one that began it and two others.
+const ORIGIN_HOLDERS: usize = 3;
 /// Time from a key change until callers use the new key.
 const KEY_ADOPTION_DELAY: Duration = Duration::from_secs(2);
 
@@ -101,13 +103,19 @@
             .saturating_sub(self.crashing.untaken_crashes())
     }
 
-    /// Returns how many of the routers with these process ids have ended.
-    fn lost_routers(&self, process_ids: &[u32]) -> usize {
+    /// Returns the process ids of the routers that the load balancer considers ready.
+    fn ready_processes(&self) -> Vec<u32> {
+        let (ready, process_ids) = (self.ready.borrow(), self.process_ids.borrow());
+        let processes = ready.iter().zip(process_ids.iter());
+        let ready = processes.filter(|(is_ready, _)| **is_ready);
+        ready.map(|(_, process_id)| *process_id).collect()
+    }
+
+    /// Returns whether all routers that knew the origin of a stream may have ended, of which these were ready when it began.
+    fn is_origin_lost(&self, ready_processes: &[u32]) -> bool {
         let present = self.process_ids.borrow();
-        let pairs = process_ids.iter().zip(present.iter());
-        pairs
-            .filter(|(earlier, present)| earlier != present)
-            .count()
+        let ended = ready_processes.iter().filter(|it| !present.contains(it));
+        ended.count() >= ready_processes.len().min(ORIGIN_HOLDERS)
     }
 
     fn pick_router(&self, random: &mut SeededRandom) -> usize {
@@ -137,18 +145,18 @@
     software_version: Option<String>,
     /// Time at which the caller gives up.
     deadline: Duration,
-    /// Process ids of the routers when the stream began.
-    process_ids: Vec<u32>,
+    /// Process ids of the routers that were ready when the stream began.
+    ready_processes: Vec<u32>,
 }
 
 impl StreamProgress {
-    fn new(first_attempt: &str, deadline: Duration, process_ids: Vec<u32>) -> Self {
+    fn new(first_attempt: &str, deadline: Duration, ready_processes: Vec<u32>) -> Self {
         Self {
             first_attempt: first_attempt.to_owned(),
             next_event: 0,
             software_version: None,
             deadline,
-            process_ids,
+            ready_processes,
         }
     }
 
@@ -266,8 +274,7 @@
         },
         is_revoked,
         stream: broken.unwrap_or_else(|| {
-            let process_ids = shared.process_ids.borrow().clone();
-            StreamProgress::new(id, shared.now() + TIMEOUT, process_ids)
+            StreamProgress::new(id, shared.now() + TIMEOUT, shared.ready_processes())
         }),
     }
 }
@@ -292,7 +299,7 @@
     let mut resume = resumed.as_ref().map(|resumed| Resume {
         first_request: resumed.first_attempt.clone(),
         endpoints: shared.serving_endpoints(&version),
-        lost_routers: 0,
+        is_origin_lost: false,
     });
     let head = CallerAttempt {
         id: id.clone(),
@@ -320,7 +327,7 @@
     };
     if let Some(resume) = &mut resume {
         resume.endpoints = resume.endpoints.min(shared.serving_endpoints(&version));
-        resume.lost_routers = shared.lost_routers(&stream.process_ids);
+        resume.is_origin_lost = shared.is_origin_lost(&stream.ready_processes);
     }
     let record = RequestRecord {
         id,
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -7,8 +7,6 @@
 
 /// Number of endpoints from which a stream is sure to find one that its router has not just failed at.
 const MIN_ENDPOINTS: usize = 2;
-/// Number of routers that know the origin of a stream: the one that began it and two others.
-const ORIGIN_HOLDERS: usize = 3;
 
 /// How a request ended.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -40,14 +38,14 @@
     pub first_request: String,
     /// Number of endpoints that served at the stream's software version from the request to its end.
     pub endpoints: usize,
-    /// Number of routers that have ended or started again since the stream began.
-    pub lost_routers: usize,
+    /// Whether all routers that knew the stream's origin may have ended.
+    pub is_origin_lost: bool,
 }
 
 impl Resume {
-    /// Returns whether two endpoints served that can go on with the stream, and a router is left that knows its origin.
+    /// Returns whether two endpoints served that can go on with the stream, and a router may know its origin.
     pub fn may_go_on(&self) -> bool {
-        self.endpoints >= MIN_ENDPOINTS && self.lost_routers < ORIGIN_HOLDERS
+        self.endpoints >= MIN_ENDPOINTS && !self.is_origin_lost
     }
 }
 
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -259,19 +259,18 @@
 
 /// Guards against routers that keep streams apart by refusing to resume any.
 #[parameterized(
-    all_refused = { 0, 2, 0, 12, &["a resume at its own version"] },
-    all_refused_after_two_routers_ended = { 0, 2, 2, 12, &["a resume at its own version"] },
-    a_third_goes_on = { 4, 2, 0, 12, &["a resume at its own version"] },
-    all_refused_and_half_of_the_new_ones = { 0, 2, 0, 6, &["a resume at its own version"] },
-    most_go_on = { 9, 2, 0, 12, &[] },
-    their_version_is_gone = { 0, 1, 0, 12, &[] },
-    their_origin_is_lost = { 0, 2, 3, 12, &[] },
-    no_stream_begins = { 0, 2, 0, 0, &[] },
+    all_refused = { 0, 2, false, 12, &["a resume at its own version"] },
+    a_third_goes_on = { 4, 2, false, 12, &["a resume at its own version"] },
+    all_refused_and_half_of_the_new_ones = { 0, 2, false, 6, &["a resume at its own version"] },
+    most_go_on = { 9, 2, false, 12, &[] },
+    their_version_is_gone = { 0, 1, false, 12, &[] },
+    their_origin_is_lost = { 0, 2, true, 12, &[] },
+    no_stream_begins = { 0, 2, false, 0, &[] },
 )]
 fn resumes_that_are_refused_are_found(
     served: usize,
     endpoints: usize,
-    lost_routers: usize,
+    is_origin_lost: bool,
     begun: usize,
     promises: &[&str],
 ) {
@@ -284,7 +283,7 @@
         resume.resume = Some(Resume {
             first_request: id.clone(),
             endpoints,
-            lost_routers,
+            is_origin_lost,
         });
         observations.records.push(resume);
         if number < served {
@@ -306,7 +305,7 @@
             resume.resume = Some(Resume {
                 first_request: format!("r{number}"),
                 endpoints: 2,
-                lost_routers: 0,
+                is_origin_lost: false,
             });
             observations.records.push(resume);
         }
