--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -252,8 +252,7 @@
             Fault::Endpoint(endpoint, fault) => {
                 let endpoint = &self.site.endpoints[endpoint as usize];
                 let injected = inject_fault(&endpoint.server, fault, planned.length);
-                // An endpoint that has crashed takes no orders.
-                if !self.site.crashing.has_crashed(&endpoint.id()) {
+                if !endpoint.may_be_down(&self.site.crashing) {
                     injected?;
                 }
             }
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -295,6 +295,15 @@
         self.service == STREAM_SERVICE && is_up && self.listed_run.is_known()
     }
 
+    /// Returns whether the endpoint may take no orders: it has crashed, or did before it was listed again, and starts only
+    /// when it sees its new id.
+    pub fn may_be_down(&self, crashing: &CrashingParts) -> bool {
+        let incarnation = self.incarnation.get();
+        let ids =
+            [incarnation, incarnation.saturating_sub(1)].map(|it| endpoint_id(self.index, it));
+        ids.iter().any(|id| crashing.has_crashed(id))
+    }
+
     /// Writes the entry again, and removes those of earlier ids that came back.
     fn write_again(&self, rows: &StoreRows) {
         for earlier in 0..self.incarnation.get() {
