Review case 1: pipelined requests reach engines with other bodies

Tried: three routers, six engines, twelve clients that pipeline 48 GET on a route that was removed 4 s before and 30 PUT on another route.

review/build.sh && review/1/run.sh

--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -14,13 +14,18 @@
 use crate::client::Pace;
 use crate::client::ETHERNET_SEGMENT;
 use crate::client::SLOW_BUFFER;
+use crate::fleet::Config;
 use crate::fleet::Fleet;
 use crate::fleet::FleetSpec;
 use crate::fleet::Record;
 use crate::fleet::StreamShape;
+use crate::fleet::FIRST_CONFIG;
 use crate::fleet::HOST_NAME;
 use crate::fleet::KEY;
+use crate::fleet::LOOKUP_PREFIX;
 use crate::fleet::STREAM_PATH;
+use crate::fleet::UPDATE_PREFIX;
+use crate::http;
 
 /// A long stream of 1.1 MB, which an engine makes in 2.2 s.
 const SHAPE: StreamShape = StreamShape {
@@ -59,6 +64,8 @@
     receive_buffer: 256 * 1024,
     segment_bytes: ETHERNET_SEGMENT,
 };
+/// Longer than `config_apply_ms`.
+const APPLY_TIME: Duration = Duration::from_secs(4);
 /// Time budget of the clients.
 const BUDGET_MS: u64 = 10_000;
 
@@ -71,6 +78,7 @@
         return ExitCode::from(2);
     };
     let outcome = match name {
+        "removed-route" => removed_route(&mut record, has_trouble),
         "route-timeout" => route_timeout(&mut record, has_trouble),
         "engine-crash" => engine_crash(&mut record, has_trouble),
         "rolling-stop" => rolling_stop(&mut record, has_trouble),
@@ -161,6 +169,121 @@
     ));
 }
 
+/// A request that a client sent on a kept connection.
+struct SentRequest {
+    method: &'static str,
+    target: String,
+    body: Vec<u8>,
+}
+
+/// UNASKED: an engine runs a request with the body that its client sent. Clients pipeline lookups and updates on a kept
+/// connection, and the route of the lookups has been removed.
+fn removed_route(record: &mut Record, has_trouble: bool) -> Result<usize, String> {
+    const ROUTERS: usize = 3;
+    const CLIENTS: usize = 12;
+    const LOOKUPS: usize = 48;
+    const UPDATES: usize = 30;
+    const UPDATE_BYTES: usize = 1_000;
+    let fleet = Fleet::start(FleetSpec {
+        routers: ROUTERS,
+        engines: 6,
+        shape: SHAPE,
+    })?;
+    record.note("the deployment is ready");
+    if has_trouble {
+        let config = Config {
+            has_lookups: false,
+            ..FIRST_CONFIG
+        };
+        if !fleet.write_config(2, config) {
+            return Err("the store took no configuration".to_owned());
+        }
+        record.note("the store acknowledged version 2, without the route of lookups");
+    }
+    thread::sleep(APPLY_TIME);
+    let mut all = BTreeMap::new();
+    let mut clients = Vec::new();
+    for client in 0..CLIENTS {
+        // Clients differ a little in the length of their lookups.
+        let info = "i".repeat(280 + 10 * (client / ROUTERS));
+        let mut bytes = Vec::new();
+        for number in 0..LOOKUPS + UPDATES {
+            let attempt = format!("{:016x}", 0xe_0000 + client * 0x100 + number);
+            let is_lookup = number < LOOKUPS;
+            let (method, prefix) = if is_lookup { ("GET", LOOKUP_PREFIX) } else { ("PUT", UPDATE_PREFIX) };
+            let body = if is_lookup { Vec::new() } else { attempt.repeat(UPDATE_BYTES / attempt.len()).into_bytes() };
+            let request = SentRequest {
+                method,
+                target: format!("{prefix}{number}"),
+                body,
+            };
+            bytes.extend(encode(&request, &attempt, &info));
+            all.insert(attempt, request);
+        }
+        let address = fleet.frontend(client % ROUTERS);
+        clients.push((client % ROUTERS, thread::spawn(move || client::pipeline(address, &bytes, LOOKUPS + UPDATES, FAST))));
+    }
+    record.note(&format!("{CLIENTS} clients sent {LOOKUPS} lookups and {UPDATES} updates each, without waiting for answers"));
+    let mut answers = 0;
+    for (router, client) in clients {
+        let statuses = client.join().expect("a client does not panic");
+        answers += statuses.len();
+        record.note(&format!("a client of router {router} got {} of {} answers: {:?}", statuses.len(), LOOKUPS + UPDATES, count_equal(&statuses)));
+    }
+    let broken = count_unasked(record, &fleet.engine_record(), &all);
+    if !has_trouble && broken == 0 && answers < all.len() {
+        return Err("a request was not answered though nothing was disturbed".to_owned());
+    }
+    Ok(broken)
+}
+
+fn encode(request: &SentRequest, attempt: &str, info: &str) -> Vec<u8> {
+    let SentRequest { method, target, body } = request;
+    let length = match body.is_empty() {
+        true => String::new(),
+        false => format!("Content-Length: {}\r\n", body.len()),
+    };
+    let head = format!(
+        "{method} {target} HTTP/1.1\r\nHost: {HOST_NAME}\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: 8000\r\n\
+         X-Client-Info: {info}\r\n{length}\r\n"
+    );
+    [head.as_bytes(), body].concat()
+}
+
+fn count_equal(statuses: &[u16]) -> BTreeMap<u16, usize> {
+    let mut counts = BTreeMap::new();
+    for status in statuses {
+        *counts.entry(*status).or_default() += 1;
+    }
+    counts
+}
+
+/// Counts the runs of requests that no client sent, or with another method, target or body.
+fn count_unasked(record: &mut Record, engines: &str, sent: &BTreeMap<String, SentRequest>) -> usize {
+    let mut runs = 0;
+    let mut broken = 0;
+    for line in engines.lines() {
+        let words: Vec<&str> = line.split(' ').collect();
+        let [engine, "ran", attempt, method, target, length, hash] = words.as_slice() else {
+            continue;
+        };
+        runs += 1;
+        let is_sent = sent.get(*attempt).is_some_and(|request| {
+            let sent_hash = format!("{:016x}", http::hash(&request.body));
+            request.method == *method && request.target == *target && sent_hash == *hash
+        });
+        if is_sent {
+            continue;
+        }
+        broken += 1;
+        record.note(&format!("UNASKED broken: {engine} ran {method} {target} of {attempt} with {length} other bytes:"));
+        let body = engines.lines().find(|line| line.contains(&format!(" body {attempt} ")));
+        record.note(&format!("  {}", body.unwrap_or_default()));
+    }
+    record.note(&format!("engines ran {runs} requests, {broken} of them not as sent"));
+    broken
+}
+
 /// Waits for the answers, records them, and returns them with how many streams came whole.
 fn collect(record: &mut Record, fleet: &Fleet, shape: StreamShape, sent: Vec<Sent>) -> (Vec<(usize, Answer, Run)>, usize) {
     let answers: Vec<_> = sent
@@ -210,16 +333,17 @@
     const ROUTERS: usize = 3;
     const STREAMS: usize = 12;
     const ROUTE_TIMEOUT_MS: u64 = 2_500;
-    /// Longer than `config_apply_ms`.
-    const APPLY_TIME: Duration = Duration::from_secs(4);
     let fleet = Fleet::start(FleetSpec {
         routers: ROUTERS,
         engines: 6,
         shape: QUICK_SHAPE,
-        timeout_ms: BUDGET_MS,
     })?;
     record.note("the deployment is ready");
-    if !fleet.write_config(2, ROUTE_TIMEOUT_MS) {
+    let config = Config {
+        stream_timeout_ms: ROUTE_TIMEOUT_MS,
+        ..FIRST_CONFIG
+    };
+    if !fleet.write_config(2, config) {
         return Err("the store took no configuration".to_owned());
     }
     record.note(&format!("the store acknowledged version 2, with timeout_ms {ROUTE_TIMEOUT_MS} for the route"));
@@ -243,7 +367,6 @@
         routers: ROUTERS,
         engines: ENGINES,
         shape: SHAPE,
-        timeout_ms: BUDGET_MS,
     })?;
     record.note("the deployment is ready");
     let mut sent = Vec::new();
@@ -278,7 +401,6 @@
         routers: ROUTERS,
         engines: 6,
         shape: SHORT_SHAPE,
-        timeout_ms: BUDGET_MS,
     })?;
     record.note("the deployment is ready");
     let mut broken = 0;
--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -2,11 +2,13 @@
 
 use std::ffi::c_int;
 use std::ffi::c_void;
+use std::io::BufReader;
 use std::io::ErrorKind;
 use std::io::Read;
 use std::io::Write;
 use std::mem::size_of;
 use std::net::Ipv4Addr;
+use std::net::Shutdown;
 use std::net::SocketAddrV4;
 use std::net::TcpStream;
 use std::os::fd::FromRawFd;
@@ -14,6 +16,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::http;
+
 /// How a client is connected, and how fast it takes an answer.
 #[derive(Debug, Clone, Copy)]
 pub struct Pace {
@@ -132,6 +136,33 @@
     End::TimedOut
 }
 
+/// Sends requests on one connection without waiting for answers. Returns the statuses of the answers, which have a length.
+pub fn pipeline(address: SocketAddrV4, requests: &[u8], expected: usize, pace: Pace) -> Vec<u16> {
+    const IDLE_LIMIT: Duration = Duration::from_secs(5);
+    let Ok(stream) = connect(address, pace) else { return Vec::new() };
+    let _ = stream.set_read_timeout(Some(IDLE_LIMIT));
+    let Ok(mut writer) = stream.try_clone() else { return Vec::new() };
+    let mut statuses = Vec::new();
+    thread::scope(|scope| {
+        // The router may close the connection before it has read all.
+        scope.spawn(move || writer.write_all(requests));
+        let mut reader = BufReader::new(&stream);
+        while statuses.len() < expected {
+            let Some((first, headers)) = http::read_head(&mut reader) else { break };
+            let length = headers.iter().find(|(name, _)| name.eq_ignore_ascii_case("content-length"));
+            let length = length.and_then(|(_, value)| value.parse().ok()).unwrap_or(0);
+            let mut body = vec![0; length];
+            if reader.read_exact(&mut body).is_err() {
+                break;
+            }
+            statuses.extend(first.split(' ').nth(1).and_then(|it| it.parse::<u16>().ok()));
+        }
+        // Ends the writer if it still waits for room.
+        let _ = stream.shutdown(Shutdown::Both);
+    });
+    statuses
+}
+
 fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
     bytes.windows(pattern.len()).position(|window| window == pattern)
 }
--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -21,6 +21,10 @@
 use crate::json;
 
 const SLOTS: u32 = 64;
+/// Prefix of the paths that are answered with a stream.
+pub const STREAMS_PREFIX: &str = "/pufi791/";
+/// Work of a request with a short answer.
+const WORK_TIME: Duration = Duration::from_millis(15);
 /// An engine cuts off an answer that remains unread for some seconds.
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -108,6 +112,9 @@
         if request.header("x-expect-instance").is_some_and(|expected| expected != self.id) {
             return http::write_answer(writer, 421, &[("X-Instance-Id", &self.id)], b"");
         }
+        if !request.path().starts_with(STREAMS_PREFIX) {
+            return self.answer_plain(request, attempt, writer);
+        }
         let load = self.running.fetch_add(1, Ordering::SeqCst);
         self.note(&format!("runs {attempt}"));
         let written = self.write_stream(request, attempt, load, writer);
@@ -118,6 +125,19 @@
         written
     }
 
+    /// Runs a request with a short answer, and records what it was given.
+    fn answer_plain(&self, request: &Request, attempt: &str, writer: &mut TcpStream) -> std::io::Result<()> {
+        let (method, target) = (&request.method, &request.target);
+        let (length, hash) = (request.body.len(), http::hash(&request.body));
+        self.note(&format!("ran {attempt} {method} {target} {length} {hash:016x}"));
+        let text = String::from_utf8_lossy(&request.body);
+        self.note(&format!("body {attempt} {}", text.replace(['\r', '\n', ' '], "_")));
+        thread::sleep(WORK_TIME);
+        let stamp = format!("stamp-{attempt}");
+        let headers = [("X-Attempt-Id", attempt), ("X-Server-Stamp", &stamp), ("Keep-Alive", "timeout=30")];
+        http::write_answer(writer, 200, &headers, attempt.as_bytes())
+    }
+
     /// Writes a stream of events. It ends early at the caller's deadline.
     fn write_stream(&self, request: &Request, attempt: &str, load: u32, writer: &mut TcpStream) -> std::io::Result<()> {
         let time_left = request.header("x-deadline-ms").and_then(|it| it.parse().ok()).unwrap_or(10_000);
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -18,12 +18,17 @@
 use std::time::Instant;
 
 use crate::engine::put_row;
+use crate::engine::STREAMS_PREFIX;
 use crate::http;
 
 pub const KEY: &str = "eevyxq2yyazax6pwawxd";
 pub const HOST_NAME: &str = "ficu95.example";
 /// Streams of this route may not run twice.
 pub const STREAM_PATH: &str = "/pufi791/2f";
+/// Prefix of an idempotent route of lookups.
+pub const LOOKUP_PREFIX: &str = "/cufi504/";
+/// Prefix of an idempotent route of updates.
+pub const UPDATE_PREFIX: &str = "/lohu930/";
 const SERVICE: &str = "huvo11a";
 const ZONES: [&str; 3] = ["bento", "garibaldi", "farroupilha"];
 const FRONTEND_PORT: u16 = 8162;
@@ -47,10 +52,23 @@
     pub routers: usize,
     pub engines: usize,
     pub shape: StreamShape,
-    /// Timeout of the route in the first configuration.
-    pub timeout_ms: u64,
 }
 
+/// What differs between the operator's configurations.
+#[derive(Debug, Clone, Copy)]
+pub struct Config {
+    /// Timeout of the route of streams.
+    pub stream_timeout_ms: u64,
+    /// Whether there is a route of lookups.
+    pub has_lookups: bool,
+}
+
+/// The configuration that every deployment starts with.
+pub const FIRST_CONFIG: Config = Config {
+    stream_timeout_ms: 10_000,
+    has_lookups: true,
+};
+
 pub struct Fleet {
     spec: FleetSpec,
     folder: PathBuf,
@@ -125,7 +143,7 @@
             fleet.engines.push((String::new(), None));
             fleet.start_engine(number)?;
         }
-        fleet.write_config(1, spec.timeout_ms);
+        fleet.write_config(1, FIRST_CONFIG);
         for number in 0..spec.routers {
             fleet.routers.push(None);
             fleet.start_router(number)?;
@@ -191,15 +209,29 @@
     }
 
     /// Writes the operator's configuration. Returns whether the store acknowledged it.
-    pub fn write_config(&self, version: u64, timeout_ms: u64) -> bool {
+    pub fn write_config(&self, version: u64, config: Config) -> bool {
+        let stream_timeout_ms = config.stream_timeout_ms;
+        let idempotent_route = |name: &str, prefix: &str| {
+            format!(
+                ",{{\"name\":\"{name}\",\"host\":\"{HOST_NAME}\",\"path_prefix\":\"{prefix}\",\"type\":\"idempotent\",\
+                 \"timeout_ms\":5000,\"target_latency_ms\":500,\"priority\":2,\"service\":\"{SERVICE}\",\
+                 \"max_attempts\":2,\"public\":true}}"
+            )
+        };
+        let lookups = match config.has_lookups {
+            true => idempotent_route("r-v2bfkz4", LOOKUP_PREFIX),
+            false => String::new(),
+        };
+        let updates = idempotent_route("r-k81dmw0", UPDATE_PREFIX);
         let document = format!(
             "{{\"version\":{version},\"routes\":[{{\"name\":\"r-bp7tcw9\",\"host\":\"{HOST_NAME}\",\
-             \"path_prefix\":\"/pufi791/\",\"type\":\"streaming\",\"timeout_ms\":{timeout_ms},\"target_latency_ms\":250,\
-             \"priority\":1,\"service\":\"{SERVICE}\",\"max_attempts\":1,\"public\":false,\"sticky\":true,\
-             \"resumable\":false,\"gap_target_ms\":300}}],\"services\":[{{\"name\":\"{SERVICE}\",\
-             \"health_path\":\"/healthz\",\"max_connections\":590,\"protocol\":\"h1\",\"tls\":false,\
-             \"cold_start_s\":0.0,\"cold_per_s\":0.0,\"engine\":{{\"slots\":64,\"kv_capacity\":511219,\
-             \"models\":[{{\"name\":\"m\"}}]}}}}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
+             \"path_prefix\":\"{STREAMS_PREFIX}\",\"type\":\"streaming\",\"timeout_ms\":{stream_timeout_ms},\
+             \"target_latency_ms\":250,\"priority\":1,\"service\":\"{SERVICE}\",\"max_attempts\":1,\"public\":false,\
+             \"sticky\":true,\"resumable\":false,\"gap_target_ms\":300}}{lookups}{updates}],\
+             \"services\":[{{\"name\":\"{SERVICE}\",\"health_path\":\"/healthz\",\"max_connections\":590,\
+             \"protocol\":\"h1\",\"tls\":false,\"cold_start_s\":0.0,\"cold_per_s\":0.0,\
+             \"engine\":{{\"slots\":64,\"kv_capacity\":511219,\"models\":[{{\"name\":\"m\"}}]}}}}],\
+             \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
              \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000,\"tokens_per_s\":3000000}},\
              \"tenants\":[{{\"name\":\"hule930\",\"api_keys\":[\"{KEY}\"],\"priority\":1}}]}}"
         );
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -10,6 +10,7 @@
 
 /// A request that was read completely.
 pub struct Request {
+    pub method: String,
     pub target: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
@@ -50,8 +51,10 @@
 /// Reads the next request of a connection; `None` at its end.
 pub fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Request> {
     let (first, headers) = read_head(reader)?;
+    let mut words = first.split(' ');
     let mut request = Request {
-        target: first.split(' ').nth(1)?.to_owned(),
+        method: words.next()?.to_owned(),
+        target: words.next()?.to_owned(),
         headers,
         body: Vec::new(),
     };
@@ -110,3 +113,9 @@
     reader.read_exact(&mut body).ok()?;
     Some((status, String::from_utf8_lossy(&body).into_owned()))
 }
+
+/// Returns a hash of a body (FNV-1a).
+pub fn hash(body: &[u8]) -> u64 {
+    let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+    body.iter().fold(0xcbf2_9ce4_8422_2325, step)
+}
