--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -121,8 +121,14 @@
         _ => FAST,
     };
     let time_left = Duration::from_millis(BUDGET_MS);
-    let client = thread::spawn(move || client::fetch_stream(address, &request, &attempt, time_left, options));
-    Sent { router, pace, client }
+    let client = thread::spawn(move || {
+        client::fetch_stream(address, &request, &attempt, time_left, options)
+    });
+    Sent {
+        router,
+        pace,
+        client,
+    }
 }
 
 /// What the engines have recorded of one attempt.
@@ -137,13 +143,21 @@
     let mut runs: BTreeMap<String, Run> = BTreeMap::new();
     for line in record.lines() {
         let mut words = line.split(' ');
-        let (Some(engine), Some(verb), Some(attempt)) = (words.next(), words.next(), words.next()) else {
+        let (Some(engine), Some(verb), Some(attempt)) = (words.next(), words.next(), words.next())
+        else {
             continue;
         };
-        let run = runs.entry(attempt.trim_end_matches(':').to_owned()).or_default();
+        let run = runs
+            .entry(attempt.trim_end_matches(':').to_owned())
+            .or_default();
         match verb {
             "runs" => run.engines.push(engine.to_owned()),
-            "made" => run.made = words.next().and_then(|it| it.parse().ok()).unwrap_or(run.made),
+            "made" => {
+                run.made = words
+                    .next()
+                    .and_then(|it| it.parse().ok())
+                    .unwrap_or(run.made)
+            }
             "ends" => run.has_ended = true,
             _ => {}
         }
@@ -151,7 +165,14 @@
     runs
 }
 
-fn note_answer(record: &mut Record, shape: StreamShape, router: usize, pace: &str, answer: &Answer, run: &Run) {
+fn note_answer(
+    record: &mut Record,
+    shape: StreamShape,
+    router: usize,
+    pace: &str,
+    answer: &Answer,
+    run: &Run,
+) {
     record.note(&format!(
         "answer {} router={router} client={pace} status={} stamp={} events={} of {} end={:?} body_bytes={} took_ms={} \
          | engine={} made={} ended={}",
@@ -210,8 +231,16 @@
         for number in 0..LOOKUPS + UPDATES {
             let attempt = format!("{:016x}", 0xe_0000 + client * 0x100 + number);
             let is_lookup = number < LOOKUPS;
-            let (method, prefix) = if is_lookup { ("GET", LOOKUP_PREFIX) } else { ("PUT", UPDATE_PREFIX) };
-            let body = if is_lookup { Vec::new() } else { attempt.repeat(UPDATE_BYTES / attempt.len()).into_bytes() };
+            let (method, prefix) = if is_lookup {
+                ("GET", LOOKUP_PREFIX)
+            } else {
+                ("PUT", UPDATE_PREFIX)
+            };
+            let body = if is_lookup {
+                Vec::new()
+            } else {
+                attempt.repeat(UPDATE_BYTES / attempt.len()).into_bytes()
+            };
             let request = SentRequest {
                 method,
                 target: format!("{prefix}{number}"),
@@ -221,14 +250,22 @@
             all.insert(attempt, request);
         }
         let address = fleet.frontend(client % ROUTERS);
-        clients.push((client % ROUTERS, thread::spawn(move || client::pipeline(address, &bytes, LOOKUPS + UPDATES, FAST))));
+        clients.push((
+            client % ROUTERS,
+            thread::spawn(move || client::pipeline(address, &bytes, LOOKUPS + UPDATES, FAST)),
+        ));
     }
     record.note(&format!("{CLIENTS} clients sent {LOOKUPS} lookups and {UPDATES} updates each, without waiting for answers"));
     let mut answers = 0;
     for (router, client) in clients {
         let statuses = client.join().expect("a client does not panic");
         answers += statuses.len();
-        record.note(&format!("a client of router {router} got {} of {} answers: {:?}", statuses.len(), LOOKUPS + UPDATES, count_equal(&statuses)));
+        record.note(&format!(
+            "a client of router {router} got {} of {} answers: {:?}",
+            statuses.len(),
+            LOOKUPS + UPDATES,
+            count_equal(&statuses)
+        ));
     }
     let broken = count_unasked(record, &fleet.engine_record(), &all);
     if !has_trouble && broken == 0 && answers < all.len() {
@@ -238,7 +275,11 @@
 }
 
 fn encode(request: &SentRequest, attempt: &str, info: &str) -> Vec<u8> {
-    let SentRequest { method, target, body } = request;
+    let SentRequest {
+        method,
+        target,
+        body,
+    } = request;
     let length = match body.is_empty() {
         true => String::new(),
         false => format!("Content-Length: {}\r\n", body.len()),
@@ -259,7 +300,11 @@
 }
 
 /// Counts the runs of requests that no client sent, or with another method, target or body.
-fn count_unasked(record: &mut Record, engines: &str, sent: &BTreeMap<String, SentRequest>) -> usize {
+fn count_unasked(
+    record: &mut Record,
+    engines: &str,
+    sent: &BTreeMap<String, SentRequest>,
+) -> usize {
     let mut runs = 0;
     let mut broken = 0;
     for line in engines.lines() {
@@ -277,18 +322,33 @@
         }
         broken += 1;
         record.note(&format!("UNASKED broken: {engine} ran {method} {target} of {attempt} with {length} other bytes:"));
-        let body = engines.lines().find(|line| line.contains(&format!(" body {attempt} ")));
+        let body = engines
+            .lines()
+            .find(|line| line.contains(&format!(" body {attempt} ")));
         record.note(&format!("  {}", body.unwrap_or_default()));
     }
-    record.note(&format!("engines ran {runs} requests, {broken} of them not as sent"));
+    record.note(&format!(
+        "engines ran {runs} requests, {broken} of them not as sent"
+    ));
     broken
 }
 
 /// Waits for the answers, records them, and returns them with how many streams came whole.
-fn collect(record: &mut Record, fleet: &Fleet, shape: StreamShape, sent: Vec<Sent>) -> (Vec<(usize, Answer, Run)>, usize) {
+fn collect(
+    record: &mut Record,
+    fleet: &Fleet,
+    shape: StreamShape,
+    sent: Vec<Sent>,
+) -> (Vec<(usize, Answer, Run)>, usize) {
     let answers: Vec<_> = sent
         .into_iter()
-        .map(|sent| (sent.router, sent.pace, sent.client.join().expect("a client does not panic")))
+        .map(|sent| {
+            (
+                sent.router,
+                sent.pace,
+                sent.client.join().expect("a client does not panic"),
+            )
+        })
         .collect();
     let runs = runs_of(&fleet.engine_record());
     let mut collected = Vec::new();
@@ -297,14 +357,26 @@
         note_answer(record, shape, router, pace, &answer, &run);
         collected.push((router, answer, run));
     }
-    let is_whole = |answer: &Answer| answer.end == End::Complete && answer.last_event() == shape.events;
-    let whole = collected.iter().filter(|(_, answer, _)| is_whole(answer)).count();
-    record.note(&format!("{whole} of {} streams were served whole", collected.len()));
+    let is_whole =
+        |answer: &Answer| answer.end == End::Complete && answer.last_event() == shape.events;
+    let whole = collected
+        .iter()
+        .filter(|(_, answer, _)| is_whole(answer))
+        .count();
+    record.note(&format!(
+        "{whole} of {} streams were served whole",
+        collected.len()
+    ));
     (collected, whole)
 }
 
 /// Counts the streams that end as complete before their last event, or have a gap.
-fn count_order_broken(record: &mut Record, fleet: &Fleet, shape: StreamShape, answers: &[(usize, Answer, Run)]) -> usize {
+fn count_order_broken(
+    record: &mut Record,
+    fleet: &Fleet,
+    shape: StreamShape,
+    answers: &[(usize, Answer, Run)],
+) -> usize {
     let mut broken = 0;
     for (router, answer, _) in answers {
         let is_success = answer.status == 200 && answer.has_stamp;
@@ -312,7 +384,9 @@
         if is_success && (is_short || !answer.is_gapless()) {
             broken += 1;
             let (attempt, last) = (&answer.attempt, answer.last_event());
-            record.note(&format!("ORDER broken: {attempt} ends as complete after event {last}"));
+            record.note(&format!(
+                "ORDER broken: {attempt} ends as complete after event {last}"
+            ));
             for line in fleet.router_lines(*router, attempt) {
                 record.note(&format!("  log of router {router}: {line}"));
             }
@@ -321,7 +395,12 @@
     broken
 }
 
-fn check_whole(has_trouble: bool, whole: usize, all: usize, broken: usize) -> Result<usize, String> {
+fn check_whole(
+    has_trouble: bool,
+    whole: usize,
+    all: usize,
+    broken: usize,
+) -> Result<usize, String> {
     if !has_trouble && whole < all && broken == 0 {
         return Err("a stream was not served whole though nothing was disturbed".to_owned());
     }
@@ -346,10 +425,19 @@
     if !fleet.write_config(2, config) {
         return Err("the store took no configuration".to_owned());
     }
-    record.note(&format!("the store acknowledged version 2, with timeout_ms {ROUTE_TIMEOUT_MS} for the route"));
+    record.note(&format!(
+        "the store acknowledged version 2, with timeout_ms {ROUTE_TIMEOUT_MS} for the route"
+    ));
     thread::sleep(APPLY_TIME);
     let pace = if has_trouble { "slow-at-first" } else { "fast" };
-    let send_one = |number| send(&fleet, number % ROUTERS, format!("{:016x}", 0xc000 + number), pace);
+    let send_one = |number| {
+        send(
+            &fleet,
+            number % ROUTERS,
+            format!("{:016x}", 0xc000 + number),
+            pace,
+        )
+    };
     let sent: Vec<_> = (0..STREAMS).map(send_one).collect();
     record.note(&format!("sent {STREAMS} requests"));
     let (answers, whole) = collect(record, &fleet, QUICK_SHAPE, sent);
@@ -372,20 +460,42 @@
     let mut sent = Vec::new();
     for number in 0..ROUTERS * STREAMS_PER_ROUTER {
         // Each third client is on a fast link, for comparison.
-        let pace = if number / ROUTERS % 3 == 2 { "fast" } else { "slow" };
-        sent.push(send(&fleet, number % ROUTERS, format!("{:016x}", 0xa000 + number), pace));
+        let pace = if number / ROUTERS % 3 == 2 {
+            "fast"
+        } else {
+            "slow"
+        };
+        sent.push(send(
+            &fleet,
+            number % ROUTERS,
+            format!("{:016x}", 0xa000 + number),
+            pace,
+        ));
     }
     record.note(&format!("sent {} requests", sent.len()));
     thread::sleep(Duration::from_millis(1_800));
     let runs = runs_of(&fleet.engine_record());
-    let load_of = |id: &str| runs.values().filter(|run| run.engines.iter().any(|engine| engine == id)).count();
-    let busiest = (0..ENGINES).max_by_key(|number| load_of(fleet.engine_id(*number))).unwrap_or(0);
+    let load_of = |id: &str| {
+        runs.values()
+            .filter(|run| run.engines.iter().any(|engine| engine == id))
+            .count()
+    };
+    let busiest = (0..ENGINES)
+        .max_by_key(|number| load_of(fleet.engine_id(*number)))
+        .unwrap_or(0);
     if has_trouble {
-        record.note(&format!("engine {} is killed, with {} streams", fleet.engine_id(busiest), load_of(fleet.engine_id(busiest))));
+        record.note(&format!(
+            "engine {} is killed, with {} streams",
+            fleet.engine_id(busiest),
+            load_of(fleet.engine_id(busiest))
+        ));
         fleet.kill_engine(busiest);
         thread::sleep(Duration::from_millis(4_500));
         fleet.start_engine(busiest)?;
-        record.note(&format!("the engine is back as {}", fleet.engine_id(busiest)));
+        record.note(&format!(
+            "the engine is back as {}",
+            fleet.engine_id(busiest)
+        ));
     }
     let (answers, whole) = collect(record, &fleet, SHAPE, sent);
     let broken = count_order_broken(record, &fleet, SHAPE, &answers);
@@ -420,7 +530,10 @@
                 return Err("no signal was sent".to_owned());
             }
             let (took, status) = fleet.wait_for_end(router);
-            record.note(&format!("router {router} ended {} ms after SIGTERM: {status}", took.as_millis()));
+            record.note(&format!(
+                "router {router} ended {} ms after SIGTERM: {status}",
+                took.as_millis()
+            ));
             fleet.start_router(router)?;
         }
         let (answers, whole_here) = collect(record, &fleet, SHORT_SHAPE, sent);
--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -65,12 +65,21 @@
 
     /// Tells whether the events are 1, 2, 3 and so on.
     pub fn is_gapless(&self) -> bool {
-        self.events.iter().zip(1..).all(|(event, expected)| *event == expected)
+        self.events
+            .iter()
+            .zip(1..)
+            .all(|(event, expected)| *event == expected)
     }
 }
 
 /// Sends a request for a stream and reads the answer.
-pub fn fetch_stream(address: SocketAddrV4, request: &str, attempt: &str, time_left: Duration, pace: Pace) -> Answer {
+pub fn fetch_stream(
+    address: SocketAddrV4,
+    request: &str,
+    attempt: &str,
+    time_left: Duration,
+    pace: Pace,
+) -> Answer {
     let started_at = Instant::now();
     let mut bytes = Vec::new();
     let end = match connect(address, pace) {
@@ -79,15 +88,23 @@
     };
     let head_end = find(&bytes, b"\r\n\r\n").map_or(bytes.len(), |at| at + 4);
     let head = String::from_utf8_lossy(&bytes[..head_end]).into_owned();
-    let status = head.split(' ').nth(1).and_then(|it| it.parse().ok()).unwrap_or(0);
-    let is_chunked = head.to_ascii_lowercase().contains("transfer-encoding: chunked");
+    let status = head
+        .split(' ')
+        .nth(1)
+        .and_then(|it| it.parse().ok())
+        .unwrap_or(0);
+    let is_chunked = head
+        .to_ascii_lowercase()
+        .contains("transfer-encoding: chunked");
     let (body, has_last_chunk) = match is_chunked {
         true => decode_chunks(&bytes[head_end..]),
         false => (bytes[head_end..].to_vec(), false),
     };
     let text = String::from_utf8_lossy(&body).into_owned();
     // An event counts once its closing blank line is there.
-    let events = text.split_inclusive("\n\n").filter(|event| event.ends_with("\n\n"));
+    let events = text
+        .split_inclusive("\n\n")
+        .filter(|event| event.ends_with("\n\n"));
     let ids = events.filter_map(|event| event.lines().next()?.strip_prefix("id: ")?.parse().ok());
     Answer {
         attempt: attempt.to_owned(),
@@ -104,15 +121,27 @@
 }
 
 /// Reads until the last chunk, the end of the connection, or the deadline.
-fn read_paced(mut stream: TcpStream, request: &str, bytes: &mut Vec<u8>, ends_at: Instant, pace: Pace) -> End {
+fn read_paced(
+    mut stream: TcpStream,
+    request: &str,
+    bytes: &mut Vec<u8>,
+    ends_at: Instant,
+    pace: Pace,
+) -> End {
     const STEP: Duration = Duration::from_millis(50);
     const FULL_STEP: usize = 1 << 16;
-    const RETRIED: [ErrorKind; 3] = [ErrorKind::WouldBlock, ErrorKind::TimedOut, ErrorKind::Interrupted];
+    const RETRIED: [ErrorKind; 3] = [
+        ErrorKind::WouldBlock,
+        ErrorKind::TimedOut,
+        ErrorKind::Interrupted,
+    ];
     let _ = stream.set_read_timeout(Some(STEP));
     if let Err(error) = stream.write_all(request.as_bytes()) {
         return End::Cut(error.to_string());
     }
-    let step_bytes = pace.bytes_per_s.map_or(FULL_STEP, |rate| rate * STEP.as_millis() as usize / 1_000);
+    let step_bytes = pace
+        .bytes_per_s
+        .map_or(FULL_STEP, |rate| rate * STEP.as_millis() as usize / 1_000);
     let mut buffer = vec![0; FULL_STEP];
     let started_at = Instant::now();
     let mut next_read_at = started_at;
@@ -139,23 +168,38 @@
 /// Sends requests on one connection without waiting for answers. Returns the statuses of the answers, which have a length.
 pub fn pipeline(address: SocketAddrV4, requests: &[u8], expected: usize, pace: Pace) -> Vec<u16> {
     const IDLE_LIMIT: Duration = Duration::from_secs(5);
-    let Ok(stream) = connect(address, pace) else { return Vec::new() };
+    let Ok(stream) = connect(address, pace) else {
+        return Vec::new();
+    };
     let _ = stream.set_read_timeout(Some(IDLE_LIMIT));
-    let Ok(mut writer) = stream.try_clone() else { return Vec::new() };
+    let Ok(mut writer) = stream.try_clone() else {
+        return Vec::new();
+    };
     let mut statuses = Vec::new();
     thread::scope(|scope| {
         // The router may close the connection before it has read all.
         scope.spawn(move || writer.write_all(requests));
         let mut reader = BufReader::new(&stream);
         while statuses.len() < expected {
-            let Some((first, headers)) = http::read_head(&mut reader) else { break };
-            let length = headers.iter().find(|(name, _)| name.eq_ignore_ascii_case("content-length"));
-            let length = length.and_then(|(_, value)| value.parse().ok()).unwrap_or(0);
+            let Some((first, headers)) = http::read_head(&mut reader) else {
+                break;
+            };
+            let length = headers
+                .iter()
+                .find(|(name, _)| name.eq_ignore_ascii_case("content-length"));
+            let length = length
+                .and_then(|(_, value)| value.parse().ok())
+                .unwrap_or(0);
             let mut body = vec![0; length];
             if reader.read_exact(&mut body).is_err() {
                 break;
             }
-            statuses.extend(first.split(' ').nth(1).and_then(|it| it.parse::<u16>().ok()));
+            statuses.extend(
+                first
+                    .split(' ')
+                    .nth(1)
+                    .and_then(|it| it.parse::<u16>().ok()),
+            );
         }
         // Ends the writer if it still waits for room.
         let _ = stream.shutdown(Shutdown::Both);
@@ -164,14 +208,18 @@
 }
 
 fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
-    bytes.windows(pattern.len()).position(|window| window == pattern)
+    bytes
+        .windows(pattern.len())
+        .position(|window| window == pattern)
 }
 
 /// Returns the decoded body, and whether the last chunk was there.
 fn decode_chunks(mut bytes: &[u8]) -> (Vec<u8>, bool) {
     let mut body = Vec::new();
     loop {
-        let Some(line_end) = find(bytes, b"\r\n") else { return (body, false) };
+        let Some(line_end) = find(bytes, b"\r\n") else {
+            return (body, false);
+        };
         let size = std::str::from_utf8(&bytes[..line_end]).ok();
         let Some(size) = size.and_then(|it| usize::from_str_radix(it.trim(), 16).ok()) else {
             return (body, false);
@@ -199,7 +247,13 @@
 
 extern "C" {
     fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int;
-    fn setsockopt(socket: c_int, level: c_int, name: c_int, value: *const c_void, length: u32) -> c_int;
+    fn setsockopt(
+        socket: c_int,
+        level: c_int,
+        name: c_int,
+        value: *const c_void,
+        length: u32,
+    ) -> c_int;
     #[link_name = "connect"]
     fn os_connect(socket: c_int, address: *const RawAddress, length: u32) -> c_int;
 }
--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -48,7 +48,10 @@
     let number = |name: &str| fields[name].parse::<u64>().expect("a number");
     let address: SocketAddr = fields["address"].parse().expect("an address");
     let listener = TcpListener::bind(address).expect("the engine's address is free");
-    let record = OpenOptions::new().create(true).append(true).open(fields["record"]);
+    let record = OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(fields["record"]);
     let engine = Arc::new(Engine {
         id: fields["id"].to_owned(),
         service: fields["service"].to_owned(),
@@ -93,7 +96,9 @@
     fn serve_connection(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let _ = stream.set_write_timeout(Some(UNREAD_TIMEOUT));
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(stream);
         while let Some(request) = http::read_request(&mut reader) {
             if self.answer(&request, &mut writer).is_err() {
@@ -109,7 +114,10 @@
         let Some(attempt) = request.header("x-attempt-id") else {
             return http::write_answer(writer, 400, &[("X-Not-Executed", "1")], b"");
         };
-        if request.header("x-expect-instance").is_some_and(|expected| expected != self.id) {
+        if request
+            .header("x-expect-instance")
+            .is_some_and(|expected| expected != self.id)
+        {
             return http::write_answer(writer, 421, &[("X-Instance-Id", &self.id)], b"");
         }
         if !request.path().starts_with(STREAMS_PREFIX) {
@@ -126,21 +134,44 @@
     }
 
     /// Runs a request with a short answer, and records what it was given.
-    fn answer_plain(&self, request: &Request, attempt: &str, writer: &mut TcpStream) -> std::io::Result<()> {
+    fn answer_plain(
+        &self,
+        request: &Request,
+        attempt: &str,
+        writer: &mut TcpStream,
+    ) -> std::io::Result<()> {
         let (method, target) = (&request.method, &request.target);
         let (length, hash) = (request.body.len(), http::hash(&request.body));
-        self.note(&format!("ran {attempt} {method} {target} {length} {hash:016x}"));
+        self.note(&format!(
+            "ran {attempt} {method} {target} {length} {hash:016x}"
+        ));
         let text = String::from_utf8_lossy(&request.body);
-        self.note(&format!("body {attempt} {}", text.replace(['\r', '\n', ' '], "_")));
+        self.note(&format!(
+            "body {attempt} {}",
+            text.replace(['\r', '\n', ' '], "_")
+        ));
         thread::sleep(WORK_TIME);
         let stamp = format!("stamp-{attempt}");
-        let headers = [("X-Attempt-Id", attempt), ("X-Server-Stamp", &stamp), ("Keep-Alive", "timeout=30")];
+        let headers = [
+            ("X-Attempt-Id", attempt),
+            ("X-Server-Stamp", &stamp),
+            ("Keep-Alive", "timeout=30"),
+        ];
         http::write_answer(writer, 200, &headers, attempt.as_bytes())
     }
 
     /// Writes a stream of events. It ends early at the caller's deadline.
-    fn write_stream(&self, request: &Request, attempt: &str, load: u32, writer: &mut TcpStream) -> std::io::Result<()> {
-        let time_left = request.header("x-deadline-ms").and_then(|it| it.parse().ok()).unwrap_or(10_000);
+    fn write_stream(
+        &self,
+        request: &Request,
+        attempt: &str,
+        load: u32,
+        writer: &mut TcpStream,
+    ) -> std::io::Result<()> {
+        let time_left = request
+            .header("x-deadline-ms")
+            .and_then(|it| it.parse().ok())
+            .unwrap_or(10_000);
         let ends_at = Instant::now() + Duration::from_millis(time_left);
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nX-Attempt-Id: {attempt}\r\n\
@@ -148,14 +179,20 @@
             load + 1
         );
         writer.write_all(head.as_bytes())?;
-        let first = request.header("last-event-id").and_then(|it| it.parse::<u64>().ok()).map_or(1, |it| it + 1);
+        let first = request
+            .header("last-event-id")
+            .and_then(|it| it.parse::<u64>().ok())
+            .map_or(1, |it| it + 1);
         for number in first..=self.events {
             thread::sleep(self.interval);
             if Instant::now() >= ends_at {
                 return Err(std::io::ErrorKind::TimedOut.into());
             }
             let padding = "x".repeat(self.event_bytes);
-            let event = format!("id: {number}\ndata: {number} of {} for {attempt} {padding}\n\n", self.events);
+            let event = format!(
+                "id: {number}\ndata: {number} of {} for {attempt} {padding}\n\n",
+                self.events
+            );
             write!(writer, "{:x}\r\n{event}\r\n", event.len())?;
             self.note(&format!("made {attempt} {number} of {}", self.events));
         }
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -94,7 +94,10 @@
 
 /// Sends a signal to a process that this program started.
 pub fn signal(process: &Child, name: &str) -> bool {
-    let sent = Command::new("kill").arg(format!("-{name}")).arg(process.id().to_string()).status();
+    let sent = Command::new("kill")
+        .arg(format!("-{name}"))
+        .arg(process.id().to_string())
+        .status();
     sent.is_ok_and(|status| status.success())
 }
 
@@ -121,7 +124,8 @@
 impl Fleet {
     /// Starts everything and waits until all routers are ready.
     pub fn start(spec: FleetSpec) -> Result<Self, String> {
-        let deploy = fs::read_to_string("deploy/system.toml").map_err(|error| format!("deploy file: {error}"))?;
+        let deploy = fs::read_to_string("deploy/system.toml")
+            .map_err(|error| format!("deploy file: {error}"))?;
         let run = deploy.lines().find_map(|line| line.strip_prefix("run = "));
         let run = run.ok_or("the deploy file has no run line")?;
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
@@ -160,7 +164,8 @@
         let mut command = Command::new(std::env::current_exe().map_err(|error| error.to_string())?);
         command.args(["store", &self.store.to_string()]);
         end_with_parent(&mut command);
-        self.processes.push(command.spawn().map_err(|error| error.to_string())?);
+        self.processes
+            .push(command.spawn().map_err(|error| error.to_string())?);
         let ends_at = Instant::now() + START_TIMEOUT;
         while http::call(self.store, "GET", "/v1/rows-get?table=op", "").is_none() {
             if Instant::now() > ends_at {
@@ -243,13 +248,20 @@
         let ip = address_of(100, number);
         let path = self.folder.join(format!("settings-{number}.conf"));
         fs::write(&path, self.settings(number, ip)).map_err(|error| error.to_string())?;
-        let log = File::options().create(true).append(true).open(self.folder.join(format!("router-{number}.log")));
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("router-{number}.log")));
         let mut words = self.router_command.split(' ');
         let mut command = Command::new(words.next().unwrap_or_default());
         command.args(words).env("SEDGERIDGE_BOOT", &path);
-        command.stdout(log.map_err(|error| error.to_string())?).stderr(Stdio::inherit());
+        command
+            .stdout(log.map_err(|error| error.to_string())?)
+            .stderr(Stdio::inherit());
         end_with_parent(&mut command);
-        let process = command.spawn().map_err(|error| format!("{}: {error}", self.router_command))?;
+        let process = command
+            .spawn()
+            .map_err(|error| format!("{}: {error}", self.router_command))?;
         self.routers[number] = Some(process);
         Ok(())
     }
@@ -257,7 +269,9 @@
     fn settings(&self, number: usize, ip: Ipv4Addr) -> String {
         let zone = ZONES[number % ZONES.len()];
         let store = self.store;
-        let zones = ZONES.map(|zone| format!("zones.{zone}=serra-gaucha\n")).concat();
+        let zones = ZONES
+            .map(|zone| format!("zones.{zone}=serra-gaucha\n"))
+            .concat();
         let grace_s = GRACE.as_secs();
         format!(
             "node_name=edge-{zone}-{number}\nrole=router\nmachine_class=edge\nserves=edge\nip={ip}\nzone={zone}\n\
@@ -294,7 +308,9 @@
 
     /// Sends SIGTERM to a router.
     pub fn terminate_router(&self, number: usize) -> bool {
-        self.routers[number].as_ref().is_some_and(|router| signal(router, "TERM"))
+        self.routers[number]
+            .as_ref()
+            .is_some_and(|router| signal(router, "TERM"))
     }
 
     /// Waits until a router has ended, and kills it after the grace time. Returns how long that took and how it ended.
@@ -310,7 +326,10 @@
             if asked_at.elapsed() >= GRACE {
                 let _ = router.kill();
                 let _ = router.wait();
-                return (asked_at.elapsed(), "SIGKILL after the grace time".to_owned());
+                return (
+                    asked_at.elapsed(),
+                    "SIGKILL after the grace time".to_owned(),
+                );
             }
             thread::sleep(Duration::from_millis(5));
         }
@@ -327,8 +346,12 @@
 
     /// Returns the lines of a router's log that name an attempt.
     pub fn router_lines(&self, number: usize, attempt: &str) -> Vec<String> {
-        let log = fs::read_to_string(self.folder.join(format!("router-{number}.log"))).unwrap_or_default();
-        log.lines().filter(|line| line.contains(attempt)).map(str::to_owned).collect()
+        let log = fs::read_to_string(self.folder.join(format!("router-{number}.log")))
+            .unwrap_or_default();
+        log.lines()
+            .filter(|line| line.contains(attempt))
+            .map(str::to_owned)
+            .collect()
     }
 }
 
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -18,7 +18,10 @@
 
 impl Request {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(key, _)| key.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -58,7 +61,10 @@
         headers,
         body: Vec::new(),
     };
-    let length = request.header("content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
+    let length = request
+        .header("content-length")
+        .and_then(|it| it.parse().ok())
+        .unwrap_or(0);
     request.body = vec![0; length];
     reader.read_exact(&mut request.body).ok()?;
     Some(request)
@@ -85,7 +91,12 @@
 }
 
 /// Writes an answer with a length.
-pub fn write_answer(stream: &mut TcpStream, status: u16, headers: &[(&str, &str)], body: &[u8]) -> std::io::Result<()> {
+pub fn write_answer(
+    stream: &mut TcpStream,
+    status: u16,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> std::io::Result<()> {
     let mut head = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n", body.len());
     for (name, value) in headers {
         head += &format!("{name}: {value}\r\n");
@@ -108,8 +119,15 @@
     let mut reader = BufReader::new(stream);
     let (first, headers) = read_head(&mut reader)?;
     let status = first.split(' ').nth(1)?.parse().ok()?;
-    let length = headers.iter().find(|(name, _)| name.eq_ignore_ascii_case("content-length"));
-    let mut body = vec![0; length.and_then(|(_, value)| value.parse().ok()).unwrap_or(0)];
+    let length = headers
+        .iter()
+        .find(|(name, _)| name.eq_ignore_ascii_case("content-length"));
+    let mut body = vec![
+        0;
+        length
+            .and_then(|(_, value)| value.parse().ok())
+            .unwrap_or(0)
+    ];
     reader.read_exact(&mut body).ok()?;
     Some((status, String::from_utf8_lossy(&body).into_owned()))
 }
--- a/review/standins/src/json.rs
+++ b/review/standins/src/json.rs
@@ -12,13 +12,18 @@
 
 impl Json {
     pub fn parse(text: &str) -> Option<Self> {
-        let mut parser = Parser { rest: text.as_bytes() };
+        let mut parser = Parser {
+            rest: text.as_bytes(),
+        };
         parser.value()
     }
 
     pub fn get(&self, name: &str) -> Option<&Json> {
         match self {
-            Self::Object(fields) => fields.iter().find(|(key, _)| key == name).map(|(_, value)| value),
+            Self::Object(fields) => fields
+                .iter()
+                .find(|(key, _)| key == name)
+                .map(|(_, value)| value),
             _ => None,
         }
     }
@@ -73,7 +78,11 @@
         let length = self.rest.iter().take_while(|byte| is_part(byte)).count();
         let (number, rest) = self.rest.split_at(length);
         self.rest = rest;
-        std::str::from_utf8(number).ok()?.parse().ok().map(Json::Number)
+        std::str::from_utf8(number)
+            .ok()?
+            .parse()
+            .ok()
+            .map(Json::Number)
     }
 
     /// Strings of the calls hold no escapes but quotes and backslashes.
@@ -133,7 +142,11 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let padded = [chunk[0], *chunk.get(1).unwrap_or(&0), *chunk.get(2).unwrap_or(&0)];
+        let padded = [
+            chunk[0],
+            *chunk.get(1).unwrap_or(&0),
+            *chunk.get(2).unwrap_or(&0),
+        ];
         let number = u32::from_be_bytes([0, padded[0], padded[1], padded[2]]);
         for place in 0..4 {
             let digit = (number >> (18 - 6 * place)) & 63;
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -20,7 +20,9 @@
         ["engine", settings @ ..] => engine::serve(settings),
         ["case", name, folder] => return cases::run(name, folder),
         _ => {
-            eprintln!("usage: review-standins store ADDRESS | engine NAME=VALUE... | case NAME FOLDER");
+            eprintln!(
+                "usage: review-standins store ADDRESS | engine NAME=VALUE... | case NAME FOLDER"
+            );
             return ExitCode::from(2);
         }
     }
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -55,9 +55,11 @@
         loop {
             thread::sleep(Duration::from_millis(100));
             let mut rows = self.rows.lock().expect("no thread panics");
-            let is_silent = |row: &Row| row.value.is_some() && row.written_at.elapsed() > ENTRY_LIFETIME;
+            let is_silent =
+                |row: &Row| row.value.is_some() && row.written_at.elapsed() > ENTRY_LIFETIME;
             let silent = rows.rows.iter();
-            let silent = silent.filter(|((table, _), row)| table == ENGINES_TABLE && is_silent(row));
+            let silent =
+                silent.filter(|((table, _), row)| table == ENGINES_TABLE && is_silent(row));
             let silent: Vec<_> = silent.map(|((_, key), _)| key.clone()).collect();
             for key in silent {
                 rows.version += 1;
@@ -69,7 +71,9 @@
 
     fn serve_connection(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(stream);
         while let Some(request) = http::read_request(&mut reader) {
             let (status, body) = self.answer(&request);
@@ -82,7 +86,11 @@
 
     fn answer(&self, request: &Request) -> (u16, String) {
         let table = request.query("table").unwrap_or_default();
-        let number = |name| request.query(name).and_then(|text| text.parse::<u64>().ok());
+        let number = |name| {
+            request
+                .query(name)
+                .and_then(|text| text.parse::<u64>().ok())
+        };
         match request.path() {
             "/v1/rows-get" => {
                 let rows = self.rows.lock().expect("no thread panics");
@@ -107,7 +115,11 @@
             if left.is_zero() || rows.has_changes(table, after) {
                 return rows.changes(table, after);
             }
-            rows = self.changed.wait_timeout(rows, left).expect("no thread panics").0;
+            rows = self
+                .changed
+                .wait_timeout(rows, left)
+                .expect("no thread panics")
+                .0;
         }
     }
 
@@ -118,11 +130,17 @@
         let mut rows = self.rows.lock().expect("no thread panics");
         rows.version += 1;
         for row in document.list("puts") {
-            let (table, key) = (row.text("table").unwrap_or_default(), row.text("key").unwrap_or_default());
+            let (table, key) = (
+                row.text("table").unwrap_or_default(),
+                row.text("key").unwrap_or_default(),
+            );
             rows.set(table, key, row.text("value").map(str::to_owned));
         }
         for row in document.list("remove") {
-            let (table, key) = (row.text("table").unwrap_or_default(), row.text("key").unwrap_or_default());
+            let (table, key) = (
+                row.text("table").unwrap_or_default(),
+                row.text("key").unwrap_or_default(),
+            );
             rows.set(table, key, None);
         }
         self.changed.notify_all();
@@ -141,13 +159,19 @@
     }
 
     fn has_changes(&self, table: &str, after: u64) -> bool {
-        self.rows.iter().any(|((of, _), row)| of == table && row.version > after)
+        self.rows
+            .iter()
+            .any(|((of, _), row)| of == table && row.version > after)
     }
 
     fn list(&self, table: &str, from: &str, limit: usize) -> String {
         let rows = self.rows.iter();
-        let rows = rows.filter(|((of, key), row)| of == table && key.as_str() >= from && row.value.is_some());
-        let mut rows: Vec<_> = rows.take(limit + 1).map(|((_, key), row)| row_document(table, key, row)).collect();
+        let rows = rows
+            .filter(|((of, key), row)| of == table && key.as_str() >= from && row.value.is_some());
+        let mut rows: Vec<_> = rows
+            .take(limit + 1)
+            .map(|((_, key), row)| row_document(table, key, row))
+            .collect();
         let has_more = rows.len() > limit;
         rows.truncate(limit);
         self.document(&rows, has_more)
@@ -155,14 +179,22 @@
 
     fn changes(&self, table: &str, after: u64) -> String {
         let rows = self.rows.iter();
-        let mut rows: Vec<_> = rows.filter(|((of, _), row)| of == table && row.version > after).collect();
+        let mut rows: Vec<_> = rows
+            .filter(|((of, _), row)| of == table && row.version > after)
+            .collect();
         rows.sort_by_key(|(_, row)| row.version);
-        let rows: Vec<_> = rows.iter().map(|((_, key), row)| row_document(table, key, row)).collect();
+        let rows: Vec<_> = rows
+            .iter()
+            .map(|((_, key), row)| row_document(table, key, row))
+            .collect();
         self.document(&rows, false)
     }
 
     fn document(&self, rows: &[String], has_more: bool) -> String {
-        let now_ms = std::time::SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default().as_millis();
+        let now_ms = std::time::SystemTime::UNIX_EPOCH
+            .elapsed()
+            .unwrap_or_default()
+            .as_millis();
         let (rows, version) = (rows.join(","), self.version);
         format!("{{\"rows\":[{rows}],\"has_more\":{has_more},\"row_version\":{version},\"now_ms\":{now_ms}}}")
     }
