--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -32,6 +32,8 @@
     events: 700,
     event_bytes: 1_500,
     interval_ms: 3,
+    single_events: 700,
+    batch: 1,
 };
 /// A stream of 0.85 MB, which an engine makes in 1.7 s.
 const SHORT_SHAPE: StreamShape = StreamShape {
@@ -43,6 +45,16 @@
     events: 900,
     event_bytes: 1_500,
     interval_ms: 2,
+    single_events: 900,
+    batch: 1,
+};
+/// A stream of 3.1 MB. A busy engine writes the later events of ten steps at once.
+const BATCHED_SHAPE: StreamShape = StreamShape {
+    events: 2_000,
+    event_bytes: 1_500,
+    interval_ms: 4,
+    single_events: 400,
+    batch: 10,
 };
 /// Reads a stream of `SHORT_SHAPE` in about 6 s.
 const SLOW: Pace = Pace {
@@ -66,6 +78,7 @@
 };
 /// Longer than `config_apply_ms`.
 const APPLY_TIME: Duration = Duration::from_secs(4);
+const MEMORY_MB: u64 = 512;
 /// Time budget of the clients.
 const BUDGET_MS: u64 = 10_000;
 
@@ -81,6 +94,7 @@
         "removed-route" => removed_route(&mut record, has_trouble),
         "route-timeout" => route_timeout(&mut record, has_trouble),
         "engine-crash" => engine_crash(&mut record, has_trouble),
+        "slow-memory" => slow_memory(&mut record, has_trouble),
         "rolling-stop" => rolling_stop(&mut record, has_trouble),
         _ => Err(format!("no case {name}")),
     };
@@ -209,6 +223,7 @@
         routers: ROUTERS,
         engines: 6,
         shape: SHAPE,
+        memory_mb: MEMORY_MB,
     })?;
     record.note("the deployment is ready");
     if has_trouble {
@@ -416,6 +431,7 @@
         routers: ROUTERS,
         engines: 6,
         shape: QUICK_SHAPE,
+        memory_mb: MEMORY_MB,
     })?;
     record.note("the deployment is ready");
     let config = Config {
@@ -455,6 +471,7 @@
         routers: ROUTERS,
         engines: ENGINES,
         shape: SHAPE,
+        memory_mb: MEMORY_MB,
     })?;
     record.note("the deployment is ready");
     let mut sent = Vec::new();
@@ -513,6 +530,7 @@
         routers: ROUTERS,
         engines: 6,
         shape: SHORT_SHAPE,
+        memory_mb: MEMORY_MB,
     })?;
     record.note("the deployment is ready");
     let mut broken = 0;
@@ -556,3 +574,80 @@
     }
     check_whole(has_trouble, whole, ROUTERS * STREAMS, broken)
 }
+
+/// LOST: a machine closes kept connections without an answer after it has passed their requests on to sound engines. Slow
+/// clients of streams fill its memory, and the platform kills a process over its limit.
+fn slow_memory(record: &mut Record, has_trouble: bool) -> Result<usize, String> {
+    const STREAMS: usize = 300;
+    const KEPT_CLIENTS: usize = 20;
+    const LIMIT_MB: u64 = 120;
+    let mut fleet = Fleet::start(FleetSpec {
+        routers: 1,
+        engines: 8,
+        shape: BATCHED_SHAPE,
+        memory_mb: LIMIT_MB,
+    })?;
+    record.note(&format!(
+        "the deployment is ready; the memory limit is {LIMIT_MB} MB"
+    ));
+    let address = fleet.frontend(0);
+    let kept: Vec<_> = (0..KEPT_CLIENTS)
+        .map(|client| {
+            thread::spawn(move || client::repeat_on_kept(address, 0xf0_0000 + client * 0x1000))
+        })
+        .collect();
+    let pace = if has_trouble { "slow" } else { "fast" };
+    let mut sent = Vec::new();
+    for number in 0..STREAMS {
+        sent.push(send(&fleet, 0, format!("{:016x}", 0xd000 + number), pace));
+        thread::sleep(Duration::from_millis(5));
+    }
+    record.note(&format!("{STREAMS} streams are asked for"));
+    let mut most = 0;
+    let mut was_killed = false;
+    for _ in 0..400 {
+        let memory = fleet.router_memory(0);
+        most = most.max(memory);
+        if memory > LIMIT_MB * 1_048_576 {
+            record.note(&format!("the router holds {memory} bytes and is killed"));
+            fleet.kill_router(0);
+            was_killed = true;
+            break;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    record.note(&format!("the router held {most} bytes at most"));
+    client::STOP.store(true, std::sync::atomic::Ordering::SeqCst);
+    let (answers, whole) = collect(record, &fleet, BATCHED_SHAPE, sent);
+    let refused = answers
+        .iter()
+        .filter(|(_, answer, _)| answer.status != 200)
+        .count();
+    record.note(&format!(
+        "{whole} streams were served whole, {refused} refused"
+    ));
+    let runs = fleet.engine_record();
+    let mut lost = 0;
+    let mut served = 0;
+    for client in kept {
+        let kept = client.join().expect("a client does not panic");
+        served += kept.answered;
+        let Some(attempt) = kept.unanswered else {
+            continue;
+        };
+        let was_passed_on = runs.contains(&format!(" ran {attempt} "));
+        record.note(&format!(
+            "{attempt} on a kept connection got no answer; an engine ran it: {was_passed_on}"
+        ));
+        lost += usize::from(was_passed_on);
+    }
+    record.note(&format!(
+        "{served} requests on kept connections were answered, {lost} that an engine ran were not"
+    ));
+    const ALLOWED: usize = 3;
+    Ok(if was_killed && lost > ALLOWED {
+        lost
+    } else {
+        0
+    })
+}
--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::ffi::c_int;
 use std::ffi::c_void;
+use std::io::BufRead;
 use std::io::BufReader;
 use std::io::ErrorKind;
 use std::io::Read;
@@ -12,10 +13,14 @@
 use std::net::SocketAddrV4;
 use std::net::TcpStream;
 use std::os::fd::FromRawFd;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::fleet::HOST_NAME;
+use crate::fleet::LOOKUP_PREFIX;
 use crate::http;
 
 /// How a client is connected, and how fast it takes an answer.
@@ -207,6 +212,68 @@
     statuses
 }
 
+/// Tells the clients of [`repeat_on_kept`] to stop.
+pub static STOP: AtomicBool = AtomicBool::new(false);
+
+/// What a client got that sends one request after the other on a kept connection.
+pub struct KeptAnswers {
+    pub answered: usize,
+    /// Attempt of a request that was sent on the kept connection and got no byte of an answer.
+    pub unanswered: Option<String>,
+}
+
+/// Sends requests one after the other on one connection, until it is told to stop or the connection ends.
+pub fn repeat_on_kept(address: SocketAddrV4, first_attempt: usize) -> KeptAnswers {
+    const PAUSE: Duration = Duration::from_millis(10);
+    let mut kept = KeptAnswers {
+        answered: 0,
+        unanswered: None,
+    };
+    let Ok(mut stream) = TcpStream::connect(address) else {
+        return kept;
+    };
+    let _ = stream.set_read_timeout(Some(Duration::from_secs(5)));
+    let Ok(reader) = stream.try_clone() else {
+        return kept;
+    };
+    let mut reader = BufReader::new(reader);
+    for number in 0.. {
+        if STOP.load(Ordering::SeqCst) {
+            break;
+        }
+        let attempt = format!("{:016x}", first_attempt + number);
+        let request = format!(
+            "GET {LOOKUP_PREFIX}{number} HTTP/1.1\r\nHost: {HOST_NAME}\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: 5000\r\n\r\n"
+        );
+        if stream.write_all(request.as_bytes()).is_err() {
+            break;
+        }
+        let is_first = number == 0;
+        match reader.fill_buf() {
+            Ok(bytes) if !bytes.is_empty() => {}
+            _ => {
+                kept.unanswered = Some(attempt).filter(|_| !is_first);
+                break;
+            }
+        }
+        let Some((_, headers)) = http::read_head(&mut reader) else {
+            break;
+        };
+        let length = headers
+            .iter()
+            .find(|(name, _)| name.eq_ignore_ascii_case("content-length"));
+        let length = length
+            .and_then(|(_, value)| value.parse().ok())
+            .unwrap_or(0);
+        if reader.read_exact(&mut vec![0; length]).is_err() {
+            break;
+        }
+        kept.answered += 1;
+        thread::sleep(PAUSE);
+    }
+    kept
+}
+
 fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
     bytes
         .windows(pattern.len())
--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -23,8 +23,10 @@
 const SLOTS: u32 = 64;
 /// Prefix of the paths that are answered with a stream.
 pub const STREAMS_PREFIX: &str = "/pufi791/";
+/// Methods of requests that it runs. It rejects others, as a sound server does.
+const KNOWN_METHODS: [&str; 3] = ["GET", "POST", "PUT"];
 /// Work of a request with a short answer.
-const WORK_TIME: Duration = Duration::from_millis(15);
+const WORK_TIME: Duration = Duration::from_millis(60);
 /// An engine cuts off an answer that remains unread for some seconds.
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -36,6 +38,9 @@
     address: SocketAddr,
     events: u64,
     event_bytes: usize,
+    /// Events that are written one by one, and the number of those that are written together after them.
+    single_events: u64,
+    batch: u64,
     interval: Duration,
     heartbeat: Duration,
     running: AtomicU32,
@@ -60,6 +65,8 @@
         address,
         events: number("events"),
         event_bytes: number("event_bytes") as usize,
+        single_events: number("single_events"),
+        batch: number("batch").max(1),
         interval: Duration::from_millis(number("interval_ms")),
         heartbeat: Duration::from_millis(number("heartbeat_ms")),
         running: AtomicU32::new(0),
@@ -120,6 +127,11 @@
         {
             return http::write_answer(writer, 421, &[("X-Instance-Id", &self.id)], b"");
         }
+        if !KNOWN_METHODS.contains(&request.method.as_str()) {
+            self.note(&format!("rejects {attempt} {}", request.method));
+            let headers = [("X-Attempt-Id", attempt), ("X-Not-Executed", "1")];
+            return http::write_answer(writer, 400, &headers, b"");
+        }
         if !request.path().starts_with(STREAMS_PREFIX) {
             return self.answer_plain(request, attempt, writer);
         }
@@ -183,18 +195,31 @@
             .header("last-event-id")
             .and_then(|it| it.parse::<u64>().ok())
             .map_or(1, |it| it + 1);
-        for number in first..=self.events {
+        let mut number = first;
+        while number <= self.events {
             thread::sleep(self.interval);
             if Instant::now() >= ends_at {
                 return Err(std::io::ErrorKind::TimedOut.into());
             }
+            // A busy engine writes the events of several steps at once.
+            let count = if number <= self.single_events {
+                1
+            } else {
+                self.batch
+            };
+            let last = (number + count - 1).min(self.events);
             let padding = "x".repeat(self.event_bytes);
-            let event = format!(
-                "id: {number}\ndata: {number} of {} for {attempt} {padding}\n\n",
-                self.events
-            );
-            write!(writer, "{:x}\r\n{event}\r\n", event.len())?;
-            self.note(&format!("made {attempt} {number} of {}", self.events));
+            let events: String = (number..=last)
+                .map(|number| {
+                    format!(
+                        "id: {number}\ndata: {number} of {} for {attempt} {padding}\n\n",
+                        self.events
+                    )
+                })
+                .collect();
+            write!(writer, "{:x}\r\n{events}\r\n", events.len())?;
+            self.note(&format!("made {attempt} {last} of {}", self.events));
+            number = last + 1;
         }
         writer.write_all(b"0\r\n\r\n")?;
         self.note(&format!("ends {attempt}"));
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -30,6 +30,10 @@
 /// Prefix of an idempotent route of updates.
 pub const UPDATE_PREFIX: &str = "/lohu930/";
 const SERVICE: &str = "huvo11a";
+/// Service of the lookups and updates.
+const APP_SERVICE: &str = "wuno96b";
+/// Number of its engines.
+const APP_ENGINES: usize = 3;
 const ZONES: [&str; 3] = ["bento", "garibaldi", "farroupilha"];
 const FRONTEND_PORT: u16 = 8162;
 const READY_PORT: u16 = 8163;
@@ -47,6 +51,10 @@
     pub events: u64,
     pub event_bytes: usize,
     pub interval_ms: u64,
+    /// Events that an engine writes one by one.
+    pub single_events: u64,
+    /// Number of the later events that it writes together.
+    pub batch: u64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -54,6 +62,8 @@
     pub routers: usize,
     pub engines: usize,
     pub shape: StreamShape,
+    /// Memory limit of a router.
+    pub memory_mb: u64,
 }
 
 /// What differs between the operator's configurations.
@@ -145,7 +155,7 @@
         };
         TcpListener::bind(store).map_err(|error| format!("{store}: {error}"))?;
         fleet.start_store()?;
-        for number in 0..spec.engines {
+        for number in 0..spec.engines + APP_ENGINES {
             fleet.engines.push((String::new(), None));
             fleet.start_engine(number)?;
         }
@@ -184,16 +194,22 @@
         let id = format!("i-{:04x}", self.engine_starts);
         let address = SocketAddr::from((address_of(60, number), ENGINE_PORT));
         let shape = self.spec.shape;
+        let service = match number < self.spec.engines {
+            true => SERVICE,
+            false => APP_SERVICE,
+        };
         let mut command = Command::new(std::env::current_exe().map_err(|error| error.to_string())?);
         command.arg("engine").args([
             format!("id={id}"),
             format!("address={address}"),
             format!("store={}", self.store),
-            format!("service={SERVICE}"),
+            format!("service={service}"),
             format!("zone={}", ZONES[number % ZONES.len()]),
             format!("events={}", shape.events),
             format!("event_bytes={}", shape.event_bytes),
             format!("interval_ms={}", shape.interval_ms),
+            format!("single_events={}", shape.single_events),
+            format!("batch={}", shape.batch),
             format!("heartbeat_ms={HEARTBEAT_MS}"),
             format!("record={}", self.record_path().display()),
         ]);
@@ -221,7 +237,7 @@
         let idempotent_route = |name: &str, prefix: &str| {
             format!(
                 ",{{\"name\":\"{name}\",\"host\":\"{HOST_NAME}\",\"path_prefix\":\"{prefix}\",\"type\":\"idempotent\",\
-                 \"timeout_ms\":5000,\"target_latency_ms\":500,\"priority\":2,\"service\":\"{SERVICE}\",\
+                 \"timeout_ms\":5000,\"target_latency_ms\":500,\"priority\":2,\"service\":\"{APP_SERVICE}\",\
                  \"max_attempts\":2,\"public\":true}}"
             )
         };
@@ -237,7 +253,9 @@
              \"sticky\":true,\"resumable\":false,\"gap_target_ms\":300}}{lookups}{updates}],\
              \"services\":[{{\"name\":\"{SERVICE}\",\"health_path\":\"/healthz\",\"max_connections\":590,\
              \"protocol\":\"h1\",\"tls\":false,\"cold_start_s\":0.0,\"cold_per_s\":0.0,\
-             \"engine\":{{\"slots\":64,\"kv_capacity\":511219,\"models\":[{{\"name\":\"m\"}}]}}}}],\
+             \"engine\":{{\"slots\":64,\"kv_capacity\":511219,\"models\":[{{\"name\":\"m\"}}]}}}},\
+             {{\"name\":\"{APP_SERVICE}\",\"health_path\":\"/healthz\",\"max_connections\":530,\
+             \"protocol\":\"h1\",\"tls\":false,\"cold_start_s\":0.0,\"cold_per_s\":0.0}}],\
              \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
              \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000,\"tokens_per_s\":3000000}},\
              \"tenants\":[{{\"name\":\"hule930\",\"api_keys\":[\"{KEY}\"],\"priority\":1}}]}}"
@@ -275,11 +293,12 @@
             .map(|zone| format!("zones.{zone}=serra-gaucha\n"))
             .concat();
         let grace_s = GRACE.as_secs();
+        let memory_mb = self.spec.memory_mb;
         format!(
             "node_name=edge-{zone}-{number}\nrole=router\nmachine_class=edge\nserves=edge\nip={ip}\nzone={zone}\n\
              region=serra-gaucha\n{zones}listen.frontend={ip}:{FRONTEND_PORT}\nlisten.ready={ip}:{READY_PORT}\n\
              internal_ports=7240,7255\nseeds=\nbootstrap=true\nfault_counted=false\nlimits.cpu_share=0.5\n\
-             limits.cpu_cores=1\nlimits.memory_mb=512\nlimits.max_fds=8192\nlimits.link_mbps=1000.0\nlimits.disk_mb=0\n\
+             limits.cpu_cores=1\nlimits.memory_mb={memory_mb}\nlimits.max_fds=8192\nlimits.link_mbps=1000.0\nlimits.disk_mb=0\n\
              discovery=platform\nentry=vip\nheartbeat_ms={HEARTBEAT_MS}\nbounds.seed_lag_s=3\nbounds.reuse_after_s=2\n\
              bounds.stable_ms=4000\nbounds.ack_ms=6000\nbounds.catch_up_s=6\nbounds.drain_ms=3000\n\
              bounds.grace_s={grace_s}\nbounds.loss_slack_ms=200\nbounds.config_apply_ms=3000\n\
@@ -337,6 +356,26 @@
         }
     }
 
+    /// Returns the resident memory of a router in bytes.
+    pub fn router_memory(&self, number: usize) -> u64 {
+        const PAGE_BYTES: u64 = 4_096;
+        let id = self.routers[number].as_ref().map_or(0, Child::id);
+        let pages = fs::read_to_string(format!("/proc/{id}/statm")).unwrap_or_default();
+        let resident = pages
+            .split(' ')
+            .nth(1)
+            .and_then(|pages| pages.parse::<u64>().ok());
+        resident.unwrap_or(0) * PAGE_BYTES
+    }
+
+    /// Kills a router, as the platform does with a process over its memory limit.
+    pub fn kill_router(&mut self, number: usize) {
+        if let Some(mut router) = self.routers[number].take() {
+            let _ = router.kill();
+            let _ = router.wait();
+        }
+    }
+
     fn record_path(&self) -> PathBuf {
         self.folder.join("engines.txt")
     }
