Quarantines that are waived are logged, and crashes on record are told

A quarantined request that was sent all the same left no line, and neither did the number of crashes on record against what is needed. E3312 names the endpoint and the reason (trial, other_part, common), sedgeridge_gateway_quarantine_waivers_total counts them, E3111 tells the crashes of each suspect. No decision changes.

--- a/crates/fleet/src/crash_evidence.rs
+++ b/crates/fleet/src/crash_evidence.rs
@@ -53,6 +53,39 @@
     Cleared(Suspect),
 }
 
+/// Result of checking a request against the quarantines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QuarantineCheck {
+    /// Nothing of it has been quarantined.
+    Clear,
+    /// It is refused for a time.
+    Refused(Duration),
+    /// One of its suspects has been quarantined, but it is sent all the same.
+    Waived(Suspect, Waiver),
+}
+
+/// Reason why a request with a quarantined suspect is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Waiver {
+    /// Most requests have the suspect, and nothing shows that only they crash endpoints.
+    Common,
+    /// A part that the request lacks is no less likely the cause.
+    OtherPart,
+    /// The time of the quarantine is over: the answer clears the suspect or renews the quarantine.
+    Trial,
+}
+
+impl Waiver {
+    /// Returns the name for logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Common => "common",
+            Self::OtherPart => "other_part",
+            Self::Trial => "trial",
+        }
+    }
+}
+
 /// A suspect that is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Quarantined {
@@ -70,7 +103,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use sedgeridge_fleet::crash_evidence::{Crash, CrashEvidence};
+/// use sedgeridge_fleet::crash_evidence::{Crash, CrashEvidence, QuarantineCheck};
 /// use sedgeridge_fleet::suspect::Suspect;
 ///
 /// let mut evidence = CrashEvidence::new(1);
@@ -84,8 +117,9 @@
 /// let is_common = |_| Some(false);
 /// evidence.tick(now, settle_time, is_common);
 /// let (first, crashing) = (Suspect::Part(4), Suspect::Part(7));
-/// assert!(evidence.quarantined_for(now, &[first, crashing], is_common).is_some());
-/// assert!(evidence.quarantined_for(now, &[first], is_common).is_none());
+/// let check = evidence.check(now, &[first, crashing], is_common);
+/// assert!(matches!(check, QuarantineCheck::Refused(_)));
+/// assert_eq!(evidence.check(now, &[first], is_common), QuarantineCheck::Clear);
 /// ```
 #[derive(Debug)]
 pub struct CrashEvidence {
@@ -304,34 +338,68 @@
         self.has_unreported
     }
 
-    /// Returns the time for which a request with these suspects is refused; `None` if it is not.
+    /// Checks a request with these suspects against the quarantines.
     ///
     /// A suspect that is common here and has worked before is refused only with a contrast, see [`Self::tick`].
     /// Parts that were in the same crashes can't be told apart yet. A request with only some of them is not refused; it
     /// clears those that it has, or adds the crash that tells them from the others.
-    pub fn quarantined_for(
+    pub fn check(
         &self,
         now: Duration,
         suspects: &[Suspect],
         is_common: impl Fn(Suspect) -> Option<bool>,
-    ) -> Option<Duration> {
+    ) -> QuarantineCheck {
+        let mut result = QuarantineCheck::Clear;
         if self.suspects.is_empty() {
-            return None;
+            return result;
         }
         let now = now + CLOCK_HEADROOM;
-        let quarantined = suspects.iter().filter_map(|suspect| {
-            let record = &self.suspects.get(suspect)?.record;
-            let left = self.quarantine_left(now, *suspect, record)?;
-            if is_common(*suspect) == Some(true) {
-                let is_excused = record.has_history() && !record.has_contrast();
-                if is_excused || !suspect.is_part() {
-                    return None;
+        for suspect in suspects {
+            match self.check_suspect(now, *suspect, suspects, is_common(*suspect)) {
+                Some(Ok(left)) => match result {
+                    QuarantineCheck::Refused(longest) if longest >= left => {}
+                    _ => result = QuarantineCheck::Refused(left),
+                },
+                Some(Err(waiver)) if result == QuarantineCheck::Clear => {
+                    result = QuarantineCheck::Waived(*suspect, waiver);
                 }
+                _ => {}
             }
-            let may_be_another = suspect.is_part() && self.may_be_another(record, suspects);
-            (!may_be_another).then_some(left)
-        });
-        quarantined.max()
+        }
+        result
+    }
+
+    /// Returns the time for which one of a request's suspects is refused, or why it is not although it has been
+    /// quarantined.
+    fn check_suspect(
+        &self,
+        now: Duration,
+        suspect: Suspect,
+        suspects: &[Suspect],
+        is_common: Option<bool>,
+    ) -> Option<Result<Duration, Waiver>> {
+        let record = &self.suspects.get(&suspect)?.record;
+        record.quarantine()?;
+        let Some(left) = self.quarantine_left(now, suspect, record) else {
+            return Some(Err(Waiver::Trial));
+        };
+        if is_common == Some(true) {
+            let is_excused = record.has_history() && !record.has_contrast();
+            if is_excused || !suspect.is_part() {
+                return Some(Err(Waiver::Common));
+            }
+        }
+        let may_be_another = suspect.is_part() && self.may_be_another(record, suspects);
+        Some(match may_be_another {
+            true => Err(Waiver::OtherPart),
+            false => Ok(left),
+        })
+    }
+
+    /// Returns the number of crashes on record of a suspect.
+    pub fn crash_count(&self, suspect: Suspect) -> usize {
+        let entry = self.suspects.get(&suspect);
+        entry.map_or(0, |entry| entry.record.crashes().len())
     }
 
     /// Returns whether a part that is not among `suspects` was in all crashes of a record, and is no less likely their
--- a/crates/fleet/src/dispatcher/attempts.rs
+++ b/crates/fleet/src/dispatcher/attempts.rs
@@ -82,6 +82,7 @@
         load: Load,
         decisions: &mut Vec<Decision>,
     ) {
+        self.note_waiver(now, id, &endpoint);
         let Some(pending) = self.requests.get_mut(&id) else {
             return;
         };
--- a/crates/fleet/src/dispatcher/crashes.rs
+++ b/crates/fleet/src/dispatcher/crashes.rs
@@ -10,8 +10,10 @@
 use crate::arrival_shares::ArrivalShares;
 use crate::crash_evidence::Crash;
 use crate::crash_evidence::CrashEvidence;
+use crate::crash_evidence::QuarantineCheck;
 use crate::crash_evidence::QuarantineEvent;
 use crate::crash_evidence::SuspectReport;
+use crate::crash_evidence::Waiver;
 use crate::endpoint_table::Endpoint;
 use crate::lost_connections::LostConnections;
 use crate::lost_connections::SuspectCrash;
@@ -44,8 +46,11 @@
 /// A crash, or the start or end of a quarantine, for logs, metrics and the platform's store.
 #[derive(Debug, Clone, PartialEq)]
 pub enum CrashEvent {
-    /// An endpoint crashed under requests of this host. The suspects are those that may be the cause.
-    EndpointCrashed(Arc<Endpoint>, Vec<Suspect>),
+    /// An endpoint crashed under requests of this host. The suspects are those that may be the cause, each with the number
+    /// of its crashes on record.
+    EndpointCrashed(Arc<Endpoint>, Vec<(Suspect, usize)>),
+    /// A request is sent to an endpoint although one of its suspects has been quarantined.
+    QuarantineWaived(Arc<Endpoint>, Suspect, Waiver),
     /// A quarantine started or ended, by this host's evidence or by that of others.
     Quarantine(QuarantineEvent),
 }
@@ -97,13 +102,33 @@
         (evidence.len(), evidence.quarantined_count())
     }
 
-    pub(super) fn quarantined_for(&self, now: Duration, arrival: &Arrival) -> Option<Duration> {
+    fn check_quarantine(&self, now: Duration, arrival: &Arrival) -> QuarantineCheck {
         let evidence = &self.crashes.evidence;
         if evidence.is_empty() {
-            return None;
+            return QuarantineCheck::Clear;
         }
         let arrivals = &self.crashes.arrivals;
-        evidence.quarantined_for(now, &suspects_of(arrival), |it| arrivals.is_common(it))
+        evidence.check(now, &suspects_of(arrival), |it| arrivals.is_common(it))
+    }
+
+    /// Returns the time for which a request is refused because of crashes; `None` if it is not.
+    pub(super) fn quarantined_for(&self, now: Duration, arrival: &Arrival) -> Option<Duration> {
+        match self.check_quarantine(now, arrival) {
+            QuarantineCheck::Refused(left) => Some(left),
+            QuarantineCheck::Clear | QuarantineCheck::Waived(..) => None,
+        }
+    }
+
+    /// Reports a request that is about to be sent although one of its suspects has been quarantined.
+    pub(super) fn note_waiver(&mut self, now: Duration, id: RequestId, endpoint: &Arc<Endpoint>) {
+        let Some(pending) = self.requests.get(&id) else {
+            return;
+        };
+        let check = self.check_quarantine(now, &pending.arrival);
+        if let QuarantineCheck::Waived(suspect, waiver) = check {
+            let event = CrashEvent::QuarantineWaived(endpoint.clone(), suspect, waiver);
+            self.crashes.events.push(event);
+        }
     }
 
     /// Records that the connection of an attempt was lost. Its endpoint may have crashed under the attempt, or under an
@@ -185,7 +210,10 @@
         let mut suspects: Vec<_> = crashes.iter().map(|(suspect, _)| *suspect).collect();
         suspects.sort_unstable();
         suspects.dedup();
-        let event = CrashEvent::EndpointCrashed(endpoint.clone(), suspects);
+        let evidence = &self.crashes.evidence;
+        let suspects = suspects.into_iter();
+        let suspects = suspects.map(|suspect| (suspect, evidence.crash_count(suspect)));
+        let event = CrashEvent::EndpointCrashed(endpoint.clone(), suspects.collect());
         self.crashes.events.push(event);
     }
 
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -8,6 +8,7 @@
 
 use sedgeridge_fleet::crash_evidence::QuarantineEvent;
 use sedgeridge_fleet::crash_evidence::Quarantined;
+use sedgeridge_fleet::crash_evidence::Waiver;
 use sedgeridge_fleet::dispatcher::CrashEvent;
 use sedgeridge_fleet::dispatcher::DispatchEvent;
 use sedgeridge_fleet::dispatcher::Dispatcher;
@@ -96,6 +97,9 @@
                 CrashEvent::EndpointCrashed(endpoint, suspects) => {
                     self.log_crash(&endpoint, &suspects);
                 }
+                CrashEvent::QuarantineWaived(endpoint, suspect, waiver) => {
+                    self.log_waiver(&endpoint, suspect, waiver);
+                }
                 CrashEvent::Quarantine(QuarantineEvent::Started(quarantined)) => {
                     self.note_quarantine(quarantined);
                 }
@@ -106,17 +110,31 @@
         }
     }
 
-    fn log_crash(&self, endpoint: &Endpoint, suspects: &[Suspect]) {
+    fn log_crash(&self, endpoint: &Endpoint, suspects: &[(Suspect, usize)]) {
         meters::count_endpoint_crash();
-        let suspects: Vec<_> = suspects.iter().map(Suspect::to_string).collect();
+        let crashes = suspects.iter().map(|(_, crashes)| crashes.to_string());
+        let crashes: Vec<_> = crashes.collect();
+        let suspects = suspects.iter().map(|(suspect, _)| suspect.to_string());
+        let suspects: Vec<_> = suspects.collect();
         let fields = [
             ("endpoint", endpoint.id.as_str().into()),
             ("address", endpoint.address.to_string().into()),
             ("suspects", suspects.join(",").into()),
+            ("crashes", crashes.join(",").into()),
         ];
         self.log(LogEvent::EndpointCrashed, &fields);
     }
 
+    fn log_waiver(&self, endpoint: &Endpoint, suspect: Suspect, waiver: Waiver) {
+        meters::count_quarantine_waiver(waiver);
+        let fields = [
+            ("endpoint", endpoint.id.as_str().into()),
+            ("suspect", suspect.to_string().into()),
+            ("reason", waiver.as_str().into()),
+        ];
+        self.log(LogEvent::QuarantineWaived, &fields);
+    }
+
     fn note_quarantine(&self, quarantined: Quarantined) {
         meters::count_quarantine("started");
         let fields = [
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -118,6 +118,8 @@
     QuarantineStarted = 3310, "gateway_quarantine_started";
     /// An endpoint has answered a request of a quarantine and did not crash. Such requests are sent again.
     QuarantineEnded = 3311, "gateway_quarantine_ended";
+    /// A request is sent although a part of its prompt, or its whole content, has been quarantined.
+    QuarantineWaived = 3312, "gateway_quarantine_waived";
 }
 
 /// Longest wait until the last lines are written. A running reader takes them within milliseconds.
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -10,6 +10,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use sedgeridge_fleet::attempt_progress::AnswerStage;
 use sedgeridge_fleet::config::Repeat;
+use sedgeridge_fleet::crash_evidence::Waiver;
 use sedgeridge_fleet::dispatcher::DispatchCounts;
 
 /// Upper bounds of the buckets of all histograms, in seconds: from a fraction of the shortest
@@ -67,6 +68,12 @@
     counter!("sedgeridge_gateway_quarantines_total", "event" => event).increment(1);
 }
 
+/// Counts a request that was sent although one of its suspects has been quarantined.
+pub fn count_quarantine_waiver(waiver: Waiver) {
+    counter!("sedgeridge_gateway_quarantine_waivers_total", "reason" => waiver.as_str())
+        .increment(1);
+}
+
 /// Counts a notice of an endpoint about itself, sent with a response.
 pub fn count_endpoint_notice(notice: &'static str) {
     counter!("sedgeridge_gateway_endpoint_notices_total", "notice" => notice).increment(1);
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -133,6 +133,12 @@
         Values::Fixed("started, cleared"),
         "parts of prompts and requests that crash endpoints: quarantines that started, and that an answer ended",
     ),
+    counter(
+        "sedgeridge_gateway_quarantine_waivers_total",
+        "reason",
+        Values::Fixed("common, other_part, trial"),
+        "requests that were sent although a part of their prompt, or their whole content, has been quarantined",
+    ),
     gauge(
         "sedgeridge_gateway_suspects",
         "parts of prompts and requests that may crash endpoints, those that are cleared included",
