--- a/crates/fleet/tests/support/crash_play.rs
+++ b/crates/fleet/tests/support/crash_play.rs
@@ -1,5 +1,5 @@
-//! Plays a fleet of dispatchers before engines that crash when they begin an answer to a prompt with a certain part. No
-//! two requests are alike, and they reach any host.
+//! Plays a fleet of dispatchers before engines that crash under some requests: those whose prompt has a certain part, or
+//! those with a certain content. Requests reach any host.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -9,6 +9,7 @@
 use sedgeridge_fleet::arrival::RequestId;
 use sedgeridge_fleet::config::EngineSpec;
 use sedgeridge_fleet::config::FleetConfig;
+use sedgeridge_fleet::config::Repeat;
 use sedgeridge_fleet::dispatcher::DispatchEvent;
 use sedgeridge_fleet::dispatcher::Dispatcher;
 use sedgeridge_fleet::dispatcher::DispatcherSettings;
@@ -26,11 +27,14 @@
 use sedgeridge_state::ids::ServiceId;
 
 use super::ENGINES;
+use super::PLAIN;
 use super::at;
 use super::config;
 use super::endpoint;
 use super::engine_request;
 use super::live;
+use super::plain_request;
+use super::route;
 use super::settings;
 
 /// First part of every prompt.
@@ -42,8 +46,14 @@
 const NETWORK_DELAY_MS: u64 = 2;
 /// Shortest and longest time from a send to the first piece of the answer.
 const FIRST_PIECE_MS: (u64, u64) = (20, 100);
-/// Time from the first piece of an answer to the crash that its prompt causes.
+/// Time from the begin of an answer to the crash that its request causes.
 const CRASH_DELAY_MS: u64 = 80;
+/// Time that a plain endpoint works on a request.
+const WORK_MS: u64 = 15;
+/// Time after which a host gives up an attempt to send a plain request that may run again.
+const ATTEMPT_TIMEOUT_MS: u64 = 750;
+/// Time after which the caller of a plain request leaves.
+const PLAIN_DEADLINE_MS: u64 = 1_000;
 /// Time for which a crashed engine is down.
 const DOWN_MS: u64 = 3_000;
 /// Time from a crash until the engine's entry is removed.
@@ -52,6 +62,15 @@
 const STATED_TOKENS_PER_S: f64 = 1_000_000.0;
 const DATA_CENTRES: usize = 3;
 
+/// Kind of a request without a prompt.
+#[derive(Debug, Clone, Copy)]
+pub struct PlainKind {
+    /// Whether it may run again.
+    pub repeat: Repeat,
+    /// Maximum number of endpoints that it is sent to.
+    pub max_attempts: u32,
+}
+
 /// A request to play. `parts` are the ids of its prompt's parts but for the last one, which no other request has.
 #[derive(Debug, Clone)]
 pub struct PlayedRequest {
@@ -63,9 +82,25 @@
     pub last_part: Option<u64>,
     /// Time from its first piece to its end.
     pub answer_ms: u64,
+    /// Identifies its path and body; `None` for those that no other request has.
+    pub content: Option<u64>,
+    /// Its kind, if it has no prompt.
+    pub plain: Option<PlainKind>,
 }
 
 impl PlayedRequest {
+    /// A request without a prompt.
+    pub fn plain(account: u64, kind: PlainKind, content: Option<u64>) -> Self {
+        Self {
+            account,
+            parts: Vec::new(),
+            last_part: None,
+            answer_ms: 0,
+            content,
+            plain: Some(kind),
+        }
+    }
+
     /// A request with the first part of all prompts and a part of its account, and further `parts` after them.
     pub fn with_parts(account: u64, parts: &[u64]) -> Self {
         let shared = [SYSTEM_PART, 100 + account];
@@ -74,6 +109,8 @@
             parts: shared.into_iter().chain(parts.iter().copied()).collect(),
             last_part: None,
             answer_ms: 1_200,
+            content: None,
+            plain: None,
         }
     }
 }
@@ -83,8 +120,8 @@
 pub struct Outcome {
     /// When it arrived.
     pub arrived_ms: u64,
-    /// Whether its prompt has a part that crashes engines.
-    pub has_crashing_part: bool,
+    /// Whether it crashes engines.
+    pub crashes_engines: bool,
     /// Parts of its prompt, the last one included.
     pub parts: Vec<u64>,
     /// Reason of its refusal, if it was refused.
@@ -95,6 +132,9 @@
     pub is_complete: bool,
     host: usize,
     answer_ms: u64,
+    plain: Option<PlainKind>,
+    content: u64,
+    fingerprint: Fingerprint,
 }
 
 impl Outcome {
@@ -114,8 +154,8 @@
     run: u32,
     listed: Arc<Endpoint>,
     up_from_ms: u64,
-    /// When it crashes under an answer that it has begun.
-    crashes_ms: Option<u64>,
+    /// When it crashes under a request that it has begun, and the content of the request.
+    crash: Option<(u64, u64)>,
     streams: Vec<Stream>,
 }
 
@@ -123,8 +163,11 @@
     pub host: usize,
     host_run: u64,
     id: RequestId,
-    first_piece_ms: u64,
+    /// When its first piece comes; `None` if its engine crashes before.
+    first_piece_ms: Option<u64>,
     has_first_piece: bool,
+    /// When the host gives the attempt up, and the event that tells it.
+    given_up: Option<(u64, DispatchEvent)>,
 }
 
 /// A fleet, its engines and the requests so far.
@@ -133,15 +176,24 @@
     pub now_ms: u64,
     /// All requests so far.
     pub outcomes: BTreeMap<RequestId, Outcome>,
-    /// Times at which engines crashed under a part that crashes them.
+    /// Times at which engines crashed under a request that crashes them.
     pub crashes_ms: Vec<u64>,
-    /// Times at which requests with such a part were sent to engines that were up.
+    /// Times at which such requests were sent to engines that were up.
     pub crashing_sends_ms: Vec<u64>,
+    /// The same by content.
+    crashes_by_content_ms: BTreeMap<u64, Vec<u64>>,
+    sends_by_content_ms: BTreeMap<u64, Vec<u64>>,
+    /// Time from the begin of an answer to the crash that its request causes.
+    pub crash_delay_ms: u64,
     crashing_parts: Vec<u64>,
+    crashing_contents: Vec<u64>,
+    service: &'static str,
     /// Requests whose callers leave at the first piece.
     leaving: Vec<RequestId>,
     /// Hosts whose reports reach no other host, and that get none.
     cut_off: Vec<usize>,
+    /// Hosts that do nothing.
+    paused: Vec<usize>,
     /// Whether something in front of an engine that is down accepts connections and closes them.
     closes_when_down: bool,
     hosts: Vec<PlayedHost>,
@@ -160,10 +212,10 @@
     format!("dc-{}", host % DATA_CENTRES)
 }
 
-fn engine_entry(number: usize, run: u32) -> Endpoint {
+fn engine_entry(service: &str, number: usize, run: u32) -> Endpoint {
     Endpoint {
         slots: SLOTS_PER_ENGINE,
-        ..endpoint(ENGINES, &format!("engine-{number}-{run}"))
+        ..endpoint(service, &format!("engine-{number}-{run}"))
     }
 }
 
@@ -180,13 +232,24 @@
 }
 
 impl CrashPlay {
-    /// Starts hosts and engines, and plays until the hosts know each other.
+    /// Starts hosts and engines that read prompts, and plays until the hosts know each other.
     pub fn start(hosts: usize, engines: usize, crashing_parts: &[u64], seed: u64) -> Self {
+        let mut play = Self::start_service(hosts, engines, ENGINES, seed);
+        play.crashing_parts = crashing_parts.to_vec();
+        play
+    }
+
+    /// Starts hosts and endpoints of a plain service, and plays until the hosts know each other.
+    pub fn start_plain(hosts: usize, endpoints: usize, seed: u64) -> Self {
+        Self::start_service(hosts, endpoints, PLAIN, seed)
+    }
+
+    fn start_service(hosts: usize, engines: usize, service: &'static str, seed: u64) -> Self {
         let engine = |number| Engine {
             run: 0,
-            listed: Arc::new(engine_entry(number, 0)),
+            listed: Arc::new(engine_entry(service, number, 0)),
             up_from_ms: 0,
-            crashes_ms: None,
+            crash: None,
             streams: Vec::new(),
         };
         let mut play = Self {
@@ -194,9 +257,15 @@
             outcomes: BTreeMap::new(),
             crashes_ms: Vec::new(),
             crashing_sends_ms: Vec::new(),
-            crashing_parts: crashing_parts.to_vec(),
+            crashes_by_content_ms: BTreeMap::new(),
+            sends_by_content_ms: BTreeMap::new(),
+            crash_delay_ms: CRASH_DELAY_MS,
+            crashing_parts: Vec::new(),
+            crashing_contents: Vec::new(),
+            service,
             leaving: Vec::new(),
             cut_off: Vec::new(),
+            paused: Vec::new(),
             closes_when_down: false,
             hosts: Vec::new(),
             engines: (0..engines).map(engine).collect(),
@@ -252,30 +321,60 @@
         };
     }
 
-    /// Sends a request to a random host. Returns its number.
+    /// Sends a request to a random host that is not paused. Returns its number.
     pub fn request(&mut self, request: &PlayedRequest) -> RequestId {
-        let host = self.random.index(self.hosts.len());
+        let mut host = self.random.index(self.hosts.len());
+        while self.paused.contains(&host) {
+            host = (host + 1) % self.hosts.len();
+        }
         self.request_at(host, request)
     }
 
+    /// Pauses a host. What reaches it meanwhile waits.
+    pub fn pause_host(&mut self, host: usize) {
+        self.paused.push(host);
+    }
+
+    /// Lets all paused hosts go on.
+    pub fn resume_hosts(&mut self) {
+        self.paused.clear();
+    }
+
     /// Sends a request to a host. Returns its number.
     pub fn request_at(&mut self, host: usize, request: &PlayedRequest) -> RequestId {
         let id = RequestId(self.outcomes.len() as u64);
         let own_part = request.last_part.unwrap_or(1_000_000 + id.0);
         let parts: Vec<u64> = request.parts.iter().copied().chain([own_part]).collect();
-        let has_crashing_part = self.crashes_engines(&parts);
+        let content = request.content.unwrap_or(2_000_000 + id.0);
         let outcome = Outcome {
             arrived_ms: self.now_ms,
-            has_crashing_part,
+            crashes_engines: self.crashes_engines(&parts, content),
             parts: parts.clone(),
             refused: None,
             sent_ms: None,
             is_complete: false,
             host,
             answer_ms: request.answer_ms,
+            plain: request.plain,
+            content,
+            fingerprint: Fingerprint(u128::from(content) << 32 | u128::from(request.account)),
         };
+        let needs_fingerprint = self.dispatcher(host).needs_fingerprints();
+        let fingerprint = needs_fingerprint.then_some(outcome.fingerprint);
         self.outcomes.insert(id, outcome);
         let now = self.host_time(host);
+        if let Some(kind) = request.plain {
+            let arrival = Arrival {
+                id,
+                account: Some(request.account),
+                route: route(PLAIN, kind.repeat, kind.max_attempts),
+                deadline: at(now + PLAIN_DEADLINE_MS),
+                fingerprint,
+                ..plain_request(now, kind.repeat)
+            };
+            self.send(host, DispatchEvent::Arrived(Box::new(arrival)));
+            return id;
+        }
         let prompt = Prompt {
             prompt_tokens: 100 * parts.len() as u32,
             max_output_tokens: 50,
@@ -289,7 +388,7 @@
         };
         let arrival = Arrival {
             id,
-            fingerprint: None,
+            fingerprint,
             deadline: at(now + 12_000),
             ..engine_request(now, request.account, prompt)
         };
@@ -317,6 +416,17 @@
         self.crashing_parts.push(part);
     }
 
+    /// Breaks the engines: requests with a content crash them from now on.
+    pub fn break_engines_for_content(&mut self, content: u64) {
+        self.crashing_contents.push(content);
+    }
+
+    /// Mends the engines: a content crashes them no longer.
+    pub fn mend_content(&mut self, content: u64) {
+        self.crashing_contents
+            .retain(|crashing| *crashing != content);
+    }
+
     /// Mends the engines: a part crashes them no longer.
     pub fn mend(&mut self, part: u64) {
         self.crashing_parts.retain(|crashing| *crashing != part);
@@ -345,13 +455,13 @@
     pub fn crash_engine(&mut self, number: usize) {
         let crashed = &mut self.engines[number];
         crashed.up_from_ms = self.now_ms + DOWN_MS;
-        crashed.crashes_ms = None;
+        crashed.crash = None;
         let listed = crashed.listed.clone();
         self.entries_to_remove
             .push((self.now_ms + LISTED_AFTER_CRASH_MS, listed));
         for stream in std::mem::take(&mut crashed.streams) {
             let arrives_ms = self.now_ms + NETWORK_DELAY_MS;
-            let fingerprint = Fingerprint(u128::from(stream.id.0) + 1);
+            let fingerprint = self.outcomes[&stream.id].fingerprint;
             let events = [
                 DispatchEvent::FingerprintComputed(stream.id, fingerprint),
                 DispatchEvent::AttemptFailed(stream.id, Failure::ConnectionLost),
@@ -373,6 +483,18 @@
         self.send(host, lost);
     }
 
+    /// Returns the times at which engines crashed under a content that crashes them.
+    pub fn crashes_of(&self, content: u64) -> &[u64] {
+        let crashes = self.crashes_by_content_ms.get(&content);
+        crashes.map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the times at which requests with such a content were sent to engines that were up.
+    pub fn sends_of(&self, content: u64) -> &[u64] {
+        let sends = self.sends_by_content_ms.get(&content);
+        sends.map_or(&[], Vec::as_slice)
+    }
+
     /// Returns the dispatcher of a host.
     pub fn dispatcher(&mut self, host: usize) -> &mut Dispatcher {
         self.hosts[host]
@@ -386,15 +508,15 @@
         self.hosts.len()
     }
 
-    /// Returns the requests without a crashing part that were refused because of crashes.
+    /// Returns the requests that crash no engine and were refused because of crashes.
     pub fn quarantined_sound_requests(&self) -> usize {
-        let sound = self.outcomes.values().filter(|it| !it.has_crashing_part);
+        let sound = self.outcomes.values().filter(|it| !it.crashes_engines);
         sound.filter(|it| it.is_quarantined()).count()
     }
 
     /// Returns the share of the sound requests since a time that were sent at once.
     pub fn share_sent_at_once(&self, since_ms: u64) -> f64 {
-        let is_counted = |it: &&Outcome| !it.has_crashing_part && it.arrived_ms >= since_ms;
+        let is_counted = |it: &&Outcome| !it.crashes_engines && it.arrived_ms >= since_ms;
         let sound: Vec<_> = self.outcomes.values().filter(is_counted).collect();
         let sent = sound.iter().filter(|it| it.sent_ms == Some(it.arrived_ms));
         sent.count() as f64 / sound.len().max(1) as f64
@@ -404,9 +526,10 @@
         self.now_ms - self.hosts[host].started_ms
     }
 
-    fn crashes_engines(&self, parts: &[u64]) -> bool {
+    fn crashes_engines(&self, parts: &[u64], content: u64) -> bool {
         let shared = &parts[..parts.len() - 1];
-        shared.iter().any(|part| self.crashing_parts.contains(part))
+        let has_part = shared.iter().any(|part| self.crashing_parts.contains(part));
+        has_part || self.crashing_contents.contains(&content)
     }
 
     fn step(&mut self) {
@@ -417,7 +540,9 @@
         self.run_engines();
         if self.now_ms.is_multiple_of(TICK_INTERVAL_MS) {
             for host in 0..self.hosts.len() {
-                self.send(host, DispatchEvent::Tick);
+                if !self.paused.contains(&host) {
+                    self.send(host, DispatchEvent::Tick);
+                }
             }
         }
         if self.now_ms.is_multiple_of(REPORT_POLL_INTERVAL_MS) {
@@ -467,8 +592,28 @@
         let now_ms = self.now_ms;
         let host_run = self.hosts[host].run;
         self.outcome(id).sent_ms.get_or_insert(now_ms);
+        let outcome = &self.outcomes[&id];
+        let crashes_engines = outcome.crashes_engines;
+        let content = outcome.content;
+        let is_plain = outcome.plain.is_some();
+        let given_up = outcome.plain.map(|kind| {
+            let left_ms = outcome.arrived_ms + PLAIN_DEADLINE_MS;
+            let timeout_ms = now_ms + ATTEMPT_TIMEOUT_MS;
+            match kind.repeat == Repeat::Idempotent && timeout_ms < left_ms {
+                true => (
+                    timeout_ms,
+                    DispatchEvent::AttemptFailed(id, Failure::TimedOut),
+                ),
+                false => (left_ms, DispatchEvent::Abandoned(id)),
+            }
+        });
         let (shortest, longest) = FIRST_PIECE_MS;
-        let first_piece_ms = now_ms + shortest + self.random.below(longest - shortest);
+        let first_piece_ms = match (is_plain, crashes_engines) {
+            (true, true) => None,
+            (true, false) => Some(now_ms + WORK_MS),
+            (false, _) => Some(now_ms + shortest + self.random.below(longest - shortest)),
+        };
+        let crash_delay_ms = self.crash_delay_ms;
         let engine = self.engines.iter_mut();
         let engine = engine.filter(|it| it.listed.key == endpoint.key && it.up_from_ms <= now_ms);
         let Some(engine) = engine.last() else {
@@ -487,17 +632,31 @@
             id,
             first_piece_ms,
             has_first_piece: false,
+            given_up,
         });
-        if self.outcomes[&id].has_crashing_part {
+        if crashes_engines {
+            if is_plain {
+                engine
+                    .crash
+                    .get_or_insert((now_ms + crash_delay_ms, content));
+            }
             self.crashing_sends_ms.push(now_ms);
+            let sends = self.sends_by_content_ms.entry(content);
+            sends.or_default().push(now_ms);
         }
     }
 
+    /// Tells a host at once, or when its pause is over.
+    fn push_event(&mut self, host: usize, event: DispatchEvent) {
+        let run = self.hosts[host].run;
+        self.events.push((self.now_ms, host, run, event));
+    }
+
     fn deliver_events(&mut self) {
         let now_ms = self.now_ms;
         let (due, later) = std::mem::take(&mut self.events)
             .into_iter()
-            .partition(|(at_ms, ..)| *at_ms <= now_ms);
+            .partition(|(at_ms, host, ..)| *at_ms <= now_ms && !self.paused.contains(host));
         self.events = later;
         let due: Vec<(u64, usize, u64, DispatchEvent)> = due;
         for (_, host, run, event) in due {
@@ -513,11 +672,11 @@
                 continue;
             }
             let run = self.engines[number].run + 1;
-            let entry = engine_entry(number, run);
+            let entry = engine_entry(self.service, number, run);
             self.engines[number].run = run;
             self.engines[number].listed = Arc::new(entry.clone());
             for host in 0..self.hosts.len() {
-                self.send(host, DispatchEvent::EndpointListed(entry.clone()));
+                self.push_event(host, DispatchEvent::EndpointListed(entry.clone()));
             }
         }
     }
@@ -531,17 +690,18 @@
                 continue;
             }
             for host in 0..self.hosts.len() {
-                self.send(host, DispatchEvent::EndpointGone(entry.clone()));
+                self.push_event(host, DispatchEvent::EndpointGone(entry.clone()));
             }
         }
     }
 
     fn run_engines(&mut self) {
         for number in 0..self.engines.len() {
-            let crashes_ms = self.engines[number].crashes_ms;
-            let crashes = crashes_ms.is_some_and(|at_ms| at_ms <= self.now_ms);
-            if crashes {
+            let crash = self.engines[number].crash;
+            if let Some((_, content)) = crash.filter(|(at_ms, _)| *at_ms <= self.now_ms) {
                 self.crashes_ms.push(self.now_ms);
+                let crashes = self.crashes_by_content_ms.entry(content);
+                crashes.or_default().push(self.now_ms);
                 self.crash_engine(number);
                 continue;
             }
@@ -550,9 +710,10 @@
                 let goes_on = self.run_stream(&mut stream);
                 let engine = &mut self.engines[number];
                 let begins = goes_on && !was_begun && stream.has_first_piece;
-                if begins && self.outcomes[&stream.id].has_crashing_part {
-                    let crashes_ms = self.now_ms + CRASH_DELAY_MS;
-                    engine.crashes_ms.get_or_insert(crashes_ms);
+                if begins && self.outcomes[&stream.id].crashes_engines {
+                    let crashes_ms = self.now_ms + self.crash_delay_ms;
+                    let content = self.outcomes[&stream.id].content;
+                    engine.crash.get_or_insert((crashes_ms, content));
                 }
                 if goes_on {
                     engine.streams.push(stream);
@@ -567,16 +728,33 @@
         if self.hosts[stream.host].run != stream.host_run {
             return false;
         }
-        if !stream.has_first_piece && self.now_ms >= stream.first_piece_ms {
+        let given_up = stream.given_up.take();
+        if given_up
+            .as_ref()
+            .is_some_and(|(at_ms, _)| *at_ms <= self.now_ms)
+        {
+            let given_up = given_up.map(|(_, event)| event);
+            self.events
+                .extend(given_up.map(|event| (self.now_ms, stream.host, stream.host_run, event)));
+            return false;
+        }
+        stream.given_up = given_up;
+        let Some(first_piece_ms) = stream.first_piece_ms else {
+            return true;
+        };
+        let is_plain = self.outcomes[&id].plain.is_some();
+        if !stream.has_first_piece && self.now_ms >= first_piece_ms {
             stream.has_first_piece = true;
-            self.send(stream.host, DispatchEvent::StreamBegan(id));
+            if !is_plain {
+                self.send(stream.host, DispatchEvent::StreamBegan(id));
+            }
             self.send(stream.host, DispatchEvent::FirstPiece(id));
             if self.leaving.contains(&id) {
                 self.send(stream.host, DispatchEvent::Abandoned(id));
                 return false;
             }
         }
-        if self.now_ms < stream.first_piece_ms + self.outcomes[&id].answer_ms {
+        if self.now_ms < first_piece_ms + self.outcomes[&id].answer_ms {
             return true;
         }
         self.outcome(id).is_complete = true;
@@ -588,7 +766,7 @@
         for host in 0..self.hosts.len() {
             let now = at(self.host_time(host));
             let due = self.dispatcher(host).reports_due(now, live());
-            if self.cut_off.contains(&host) {
+            if self.cut_off.contains(&host) || self.paused.contains(&host) {
                 continue;
             }
             for outgoing in due {
@@ -606,9 +784,10 @@
 
     fn deliver_reports(&mut self) {
         let now_ms = self.now_ms;
+        let paused: Vec<u64> = self.paused.iter().map(|host| host_key(*host)).collect();
         let (due, later) = std::mem::take(&mut self.reports)
             .into_iter()
-            .partition(|(at_ms, ..)| *at_ms <= now_ms);
+            .partition(|(at_ms, to, _)| *at_ms <= now_ms && !paused.contains(to));
         self.reports = later;
         let due: Vec<(u64, u64, PeerReport)> = due;
         for (_, to, report) in due {
