Whole requests are judged by their crashes and complete answers, not by how often they come

Callers saw the endpoints of a small service go down again and again under one request that all hosts had quarantined: hosts waived the quarantine wherever the request was more than a tenth of the lately counted arrivals, which a request that crashes endpoints is in a class of few requests. The waiver and a bound of four crashes among others were to protect contents that many requests have; both took frequency for innocence.

Now a complete answer clears a whole request, and only that; every request in progress at a crash is a suspect, however long its answer has been going on. Fingerprints are taken of all requests, so that hosts know which contents have been answered before. Crashes that a quarantined request explains prove nothing about other requests, and a part none beyond those of the request.

--- a/crates/fleet/src/arrival.rs
+++ b/crates/fleet/src/arrival.rs
@@ -33,8 +33,7 @@
     pub prompt: Option<Prompt>,
     /// Origin of the stream that the request resumes. Only endpoints with this origin may get it.
     pub origin: Option<StreamOrigin>,
-    /// Digest of the request's content, equal when the same request is sent again. It is computed only where it may
-    /// matter, since the digest of a long body costs more than a refusal.
+    /// Digest of the request's content, equal when the same request is sent again. `None` if its body has not been read.
     pub fingerprint: Option<Fingerprint>,
 }
 
--- a/crates/fleet/src/arrival_shares.rs
+++ b/crates/fleet/src/arrival_shares.rs
@@ -1,4 +1,4 @@
-//! Shares of recent requests that have a part of prompts, or the same content.
+//! Shares of recent prompts that have a part.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -9,14 +9,10 @@
 const GENERATION_TIME: Duration = Duration::from_secs(5);
 /// Maximum number of suspects in a generation. Common ones are among the first.
 const MAX_COUNTED: usize = 4_096;
-/// Minimum number of arrivals with prompts, and with fingerprints, from which shares are known.
+/// Minimum number of prompts from which shares are known.
 const MIN_PROMPTS: u32 = 5;
-const MIN_FINGERPRINTS: u32 = 20;
-/// Share of the arrivals with prompts above which a part counts as common.
+/// Share of the prompts above which a part counts as common.
 const COMMON_PART_SHARE: f64 = 0.5;
-/// Share of the arrivals with a fingerprint above which their content counts as common: it is not one request that comes
-/// again and again.
-const COMMON_REQUEST_SHARE: f64 = 0.1;
 
 /// Counts of recent arrivals at this host.
 ///
@@ -45,7 +41,6 @@
 #[derive(Debug, Default)]
 struct Generation {
     prompts: u32,
-    fingerprints: u32,
     counts: HashMap<Suspect, u32>,
 }
 
@@ -59,31 +54,23 @@
         self.young.note(suspects);
     }
 
-    /// Tells whether many of the recent requests have something in common. `None` if there were too few.
+    /// Tells whether most of the recent prompts have a part. `None` if there were too few, or for a whole request.
     pub fn is_common(&self, suspect: Suspect) -> Option<bool> {
         let (young, old) = (&self.young, &self.old);
-        let (arrivals, min_arrivals, common_share) = match suspect.is_part() {
-            true => (young.prompts + old.prompts, MIN_PROMPTS, COMMON_PART_SHARE),
-            false => {
-                let fingerprints = young.fingerprints + old.fingerprints;
-                (fingerprints, MIN_FINGERPRINTS, COMMON_REQUEST_SHARE)
-            }
-        };
-        if arrivals < min_arrivals {
+        let prompts = young.prompts + old.prompts;
+        if prompts < MIN_PROMPTS || !suspect.is_part() {
             return None;
         }
         let count = young.count(suspect) + old.count(suspect);
-        Some(f64::from(count) > f64::from(arrivals) * common_share)
+        Some(f64::from(count) > f64::from(prompts) * COMMON_PART_SHARE)
     }
 }
 
 impl Generation {
     fn note(&mut self, suspects: &[Suspect]) {
-        let has_prompt = suspects.iter().any(|suspect| suspect.is_part());
-        let has_fingerprint = suspects.iter().any(|suspect| !suspect.is_part());
-        self.prompts += u32::from(has_prompt);
-        self.fingerprints += u32::from(has_fingerprint);
-        for suspect in suspects {
+        let parts = suspects.iter().filter(|suspect| suspect.is_part());
+        self.prompts += u32::from(parts.clone().next().is_some());
+        for suspect in parts {
             if let Some(count) = self.counts.get_mut(suspect) {
                 *count += 1;
             } else if self.counts.len() < MAX_COUNTED {
--- a/crates/fleet/src/crash_evidence.rs
+++ b/crates/fleet/src/crash_evidence.rs
@@ -1,14 +1,15 @@
 //! Finds requests and parts of prompts that crash endpoints, and quarantines them.
 //!
-//! A crash ends all answers of an endpoint. Only those count as its possible cause that had not begun, or had begun a
-//! moment before: others had been written for a while without a crash. A suspect is cleared by any later answer that does
-//! not crash its endpoint, at whatever host, so that only what crashes every endpoint gathers evidence. Hosts pass the
-//! evidence on in their reports, and each host decides for itself. A suspect is refused from then on; before, it is
-//! neither refused nor delayed.
+//! A crash ends all answers of an endpoint. Its possible causes are the whole requests in progress, and those parts of
+//! prompts whose answers had not begun, or had begun a moment before: others had been written for a while without a crash.
+//! A suspect is cleared by any later answer that does not crash its endpoint, at whatever host, so that only what crashes
+//! every endpoint gathers evidence. Hosts pass the evidence on in their reports, and each host decides for itself. A suspect
+//! is refused from then on; before, it is neither refused nor delayed.
 
 mod decisions;
 mod record;
 mod report;
+mod request_decisions;
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -67,7 +68,7 @@
 /// Reason why a request with a quarantined suspect is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Waiver {
-    /// Most requests have the suspect, and nothing shows that only they crash endpoints.
+    /// Most prompts have the part, and nothing shows that only they crash endpoints.
     Common,
     /// A part that the request lacks is no less likely the cause.
     OtherPart,
@@ -222,16 +223,15 @@
         last.is_some_and(|last| now.saturating_sub(last) <= ANSWER_GAP)
     }
 
-    /// Records a sound answer to a request that has only these suspects.
-    pub fn add_contrasts(&mut self, now: Duration, suspects: &[Suspect], sent_at: Duration) {
+    /// Records a sound answer to a prompt that has only these parts; nothing if it has none.
+    pub fn add_contrasts(&mut self, now: Duration, parts: &[Suspect], sent_at: Duration) {
         let now = self.set_now(now);
-        let has_prompt = suspects.iter().any(|suspect| suspect.is_part());
-        if has_prompt {
-            self.note_sound_answer(now);
+        if parts.is_empty() {
+            return;
         }
+        self.note_sound_answer(now);
         for (other, entry) in &mut self.suspects {
-            let is_alike = has_prompt || !other.is_part();
-            if is_alike && !suspects.contains(other) {
+            if other.is_part() && !parts.contains(other) {
                 entry.record.add_contrast(sent_at + CLOCK_HEADROOM);
             }
         }
@@ -340,7 +340,7 @@
 
     /// Checks a request with these suspects against the quarantines.
     ///
-    /// A suspect that is common here and has worked before is refused only with a contrast, see [`Self::tick`].
+    /// A part that is common here and has worked before is refused only with a contrast, see [`Self::tick`].
     /// Parts that were in the same crashes can't be told apart yet. A request with only some of them is not refused; it
     /// clears those that it has, or adds the crash that tells them from the others.
     pub fn check(
@@ -383,14 +383,13 @@
         let Some(left) = self.quarantine_left(now, suspect, record) else {
             return Some(Err(Waiver::Trial));
         };
-        if is_common == Some(true) {
-            let is_excused = record.has_history() && !record.has_contrast();
-            if is_excused || !suspect.is_part() {
-                return Some(Err(Waiver::Common));
-            }
+        if !suspect.is_part() {
+            return Some(Ok(left));
+        }
+        if is_common == Some(true) && record.has_history() && !record.has_contrast() {
+            return Some(Err(Waiver::Common));
         }
-        let may_be_another = suspect.is_part() && self.may_be_another(record, suspects);
-        Some(match may_be_another {
+        Some(match self.may_be_another(record, suspects) {
             true => Err(Waiver::OtherPart),
             false => Ok(left),
         })
@@ -435,13 +434,6 @@
         millis(pair_hash(self.host, key) % max_ms)
     }
 
-    /// Tells whether any whole request is on record.
-    pub fn has_request(&self) -> bool {
-        // Parts come before requests.
-        let last = self.suspects.last_key_value();
-        last.is_some_and(|(suspect, _)| !suspect.is_part())
-    }
-
     /// Returns the number of suspects on record.
     pub fn len(&self) -> usize {
         self.suspects.len()
--- a/crates/fleet/src/crash_evidence/decisions.rs
+++ b/crates/fleet/src/crash_evidence/decisions.rs
@@ -1,11 +1,9 @@
-//! Decides which suspects have crashed enough endpoints to be refused.
+//! Decides which parts of prompts have crashed enough endpoints to be refused, and carries out all decisions.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use sedgeridge_state::settings::HealthSettings;
-
 use super::CHANGE_REPEATS;
 use super::CLEARED_TIME;
 use super::CrashEvidence;
@@ -18,12 +16,8 @@
 const PART_CRASHES: usize = 3;
 /// The same where endpoints have also crashed without the part.
 const PART_CRASHES_AMONG_OTHERS: usize = 4;
-/// Minimum number of crashes that prove that a whole request is their cause, whatever the settings say.
-const MIN_REQUEST_CRASHES: u32 = 2;
-/// Further crashes that are needed of a whole request where endpoints have also crashed without it.
-const EXTRA_REQUEST_CRASHES: usize = 2;
 /// Time before and after the crashes of a suspect in which crashes without it count.
-const OTHER_CRASH_TIME: Duration = Duration::from_secs(60);
+pub(super) const OTHER_CRASH_TIME: Duration = Duration::from_secs(60);
 /// Crashes from which a suspect needs no trial once everything else in them is cleared.
 const SETTLING_CRASHES: usize = 8;
 /// First quarantine of a suspect that may be innocent.
@@ -33,8 +27,8 @@
     /// Quarantines suspects with enough evidence and drops old records. `settle_time` is the time that hosts need to learn
     /// of a suspect and to clear it. Returns the new quarantines.
     ///
-    /// `is_common` tells whether most requests have a suspect. While all endpoints are down nothing clears it, and its
-    /// quarantine would keep any answer from clearing it later. So it needs a contrast: other requests that are answered.
+    /// `is_common` tells whether most prompts have a part. While all endpoints are down nothing clears it, and its
+    /// quarantine would keep any answer from clearing it later. So it needs a contrast: other prompts that are answered.
     pub fn tick(
         &mut self,
         now: Duration,
@@ -44,14 +38,24 @@
         let now = self.set_now(now);
         let until = now.saturating_sub(settle_time);
         let settled = self.settled(until).into_iter();
-        let mut quarantined: Vec<_> = settled.map(|it| self.quarantine(now, it, until)).collect();
+        let mut quarantined: Vec<_> = settled.map(|it| self.quarantine(now, it, false)).collect();
         loop {
-            let proven = self.proven(now, settle_time, &is_common);
+            let requests = self.proven_requests(until);
+            let parts = self.proven_parts(now, settle_time, &is_common, &requests);
+            let proven = match parts.is_empty() {
+                true => requests,
+                false => parts,
+            };
             if proven.is_empty() {
                 break;
             }
+            // All of them are judged before any is quarantined, since a quarantine explains crashes of the others.
             let proven = proven.into_iter();
-            quarantined.extend(proven.map(|suspect| self.quarantine(now, suspect, until)));
+            let judged = proven.map(|suspect| (suspect, self.is_ambiguous(suspect, until)));
+            let judged: Vec<_> = judged.collect();
+            let started = judged.into_iter();
+            quarantined
+                .extend(started.map(|(it, is_ambiguous)| self.quarantine(now, it, is_ambiguous)));
         }
         self.drop_old(now);
         quarantined
@@ -65,27 +69,31 @@
         });
     }
 
-    /// Returns the suspects to be quarantined next: those with the most crashes that no quarantined part explains. Parts
+    /// Returns the parts to be quarantined next: those with the most crashes that no quarantined part explains. Parts
     /// that share requests with it have some of its crashes, which prove nothing about them.
-    fn proven(
+    fn proven_parts(
         &mut self,
         now: Duration,
         settle_time: Duration,
         is_common: &impl Fn(Suspect) -> Option<bool>,
+        proven_requests: &[Suspect],
     ) -> Vec<Suspect> {
         // While nothing is answered, nothing can be cleared.
         if now.saturating_sub(self.answers_since) < settle_time {
             return Vec::new();
         }
         let until = now.saturating_sub(settle_time);
-        let explained = self.explained_crashes();
+        let explained = self.explained_crashes(Suspect::is_part);
         let unexplained = self.unexplained_crashes(&explained);
         let mut candidates = Vec::new();
-        for (suspect, entry) in &mut self.suspects {
+        let parts = self.suspects.iter_mut();
+        for (suspect, entry) in parts.filter(|(suspect, _)| suspect.is_part()) {
             let record = &mut entry.record;
             record.note_other_crashes(&unexplained, OTHER_CRASH_TIME);
-            let has_others = record.has_other_crashes();
-            let threshold = threshold(*suspect, has_others, &self.settings);
+            let threshold = match record.has_other_crashes() {
+                true => PART_CRASHES_AMONG_OTHERS,
+                false => PART_CRASHES,
+            };
             let is_proven = match record.quarantine() {
                 Some(_) => record.failed_trial(),
                 None => record.is_proven(now, &explained, threshold, until),
@@ -95,13 +103,15 @@
                     suspect: *suspect,
                     is_trial: record.quarantine().is_some_and(|it| it.is_ambiguous),
                     crashes: record.crash_count(&explained, until),
-                    may_be_cause: may_be_cause(*suspect, record, is_common(*suspect)),
+                    may_be_cause: is_common(*suspect) == Some(false) || record.has_contrast(),
                 });
             }
         }
         let is_answering = self.is_answering(now);
+        candidates.retain(|it| !self.has_cause(it.suspect, proven_requests, until));
+        let most_crashes = candidates.iter().map(|it| it.crashes).max();
         let is_chosen = |it: &&Candidate| {
-            let has_most = it.crashes == most_crashes(&candidates, it.suspect.is_part());
+            let has_most = Some(it.crashes) == most_crashes;
             let may_be_bystander = it.is_trial && !self.is_foremost(it.suspect);
             has_most
                 && !may_be_bystander
@@ -122,12 +132,16 @@
         })
     }
 
-    /// Returns whether a suspect's first quarantine rests on crashes in all of which another part was in progress. Its first
+    /// Returns whether a suspect's first quarantine rests on crashes of which something else may be the cause. Its first
     /// trial comes soon then: it clears the suspect, or tells it from the others.
     fn is_ambiguous(&self, suspect: Suspect, until: Duration) -> bool {
         let entry = self.suspects.get(&suspect);
         entry.is_some_and(|Entry { record, .. }| {
-            record.quarantine().is_none() && self.has_rival(suspect, record, until)
+            record.quarantine().is_none()
+                && match suspect.is_part() {
+                    true => self.has_rival(suspect, record, until),
+                    false => self.may_be_innocent(suspect, record, until),
+                }
         })
     }
 
@@ -138,6 +152,20 @@
         others.any(|(_, other)| other.record.has_all_crashes_of(record, until))
     }
 
+    /// Returns whether a whole request is known to crash endpoints that was in progress in all crashes of a part.
+    fn has_cause(&self, part: Suspect, proven_requests: &[Suspect], until: Duration) -> bool {
+        let Some(Entry { record, .. }) = self.suspects.get(&part) else {
+            return false;
+        };
+        let is_known = |request: &Suspect, entry: &Entry| {
+            let quarantine = entry.record.quarantine();
+            quarantine.is_some_and(|it| !it.is_ambiguous) || proven_requests.contains(request)
+        };
+        let requests = self.suspects.iter().filter(|(it, _)| !it.is_part());
+        let mut known = requests.filter(|(request, entry)| is_known(request, entry));
+        known.any(|(_, entry)| entry.record.has_all_crashes_of(record, until))
+    }
+
     /// Returns the suspects that may have been innocent when their quarantine began, and whose many crashes nothing else
     /// explains now that the others are cleared.
     fn settled(&self, until: Duration) -> Vec<Suspect> {
@@ -165,8 +193,8 @@
         crashes.all(|crashes| crashes <= record.crashes().len())
     }
 
-    /// Returns the endpoints that crashed under no quarantined part, and when, also if their crashes are refuted.
-    fn unexplained_crashes(&self, explained: &BTreeSet<u64>) -> BTreeMap<u64, Duration> {
+    /// Returns the endpoints whose crashes are not explained, and when they crashed, also if the crashes are refuted.
+    pub(super) fn unexplained_crashes(&self, explained: &BTreeSet<u64>) -> BTreeMap<u64, Duration> {
         let records = self.suspects.values().map(|entry| &entry.record);
         let crashes = records.clone().flat_map(CrashRecord::crashes);
         let crashes = crashes.map(|crash| (crash.endpoint, crash.lost_at));
@@ -177,17 +205,16 @@
             .collect()
     }
 
-    /// Returns the endpoints that crashed under quarantined parts.
-    fn explained_crashes(&self) -> BTreeSet<u64> {
+    /// Returns the endpoints that crashed under those quarantined suspects that may explain a crash.
+    pub(super) fn explained_crashes(&self, explains: impl Fn(Suspect) -> bool) -> BTreeSet<u64> {
         let records = self.suspects.iter();
-        let parts = records.filter(|(suspect, _)| suspect.is_part());
-        let quarantined = parts.filter(|(_, entry)| entry.record.quarantine().is_some());
+        let explaining = records.filter(|(suspect, _)| explains(**suspect));
+        let quarantined = explaining.filter(|(_, entry)| entry.record.quarantine().is_some());
         let crashes = quarantined.flat_map(|(_, entry)| entry.record.crashes());
         crashes.map(|crash| crash.endpoint).collect()
     }
 
-    fn quarantine(&mut self, now: Duration, suspect: Suspect, until: Duration) -> Quarantined {
-        let is_ambiguous = self.is_ambiguous(suspect, until);
+    fn quarantine(&mut self, now: Duration, suspect: Suspect, is_ambiguous: bool) -> Quarantined {
         let base_time = match is_ambiguous {
             true => AMBIGUOUS_QUARANTINE_TIME,
             false => self.quarantine_time(),
@@ -209,7 +236,7 @@
     }
 }
 
-/// A suspect with enough crashes.
+/// A part with enough crashes.
 struct Candidate {
     suspect: Suspect,
     /// Whether it has failed the trial after a first quarantine that may have been wrong.
@@ -217,32 +244,3 @@
     crashes: usize,
     may_be_cause: bool,
 }
-
-/// Returns the largest number of crashes among the candidates that are parts, or among whole requests.
-fn most_crashes(candidates: &[Candidate], of_parts: bool) -> usize {
-    let alike = candidates
-        .iter()
-        .filter(|it| it.suspect.is_part() == of_parts);
-    alike.map(|it| it.crashes).max().unwrap_or(0)
-}
-
-/// Returns how many crashes prove that a suspect is their cause.
-fn threshold(suspect: Suspect, has_others: bool, settings: &HealthSettings) -> usize {
-    let request_crashes = settings.poison_after_crashes.max(MIN_REQUEST_CRASHES) as usize;
-    match (suspect.is_part(), has_others) {
-        (false, false) => request_crashes,
-        (false, true) => request_crashes + EXTRA_REQUEST_CRASHES,
-        (true, false) => PART_CRASHES,
-        (true, true) => PART_CRASHES_AMONG_OTHERS,
-    }
-}
-
-/// Returns whether a suspect may be refused. A content that many requests have is not one request that comes again and
-/// again, and a part that most requests have needs a contrast.
-fn may_be_cause(suspect: Suspect, record: &CrashRecord, is_common: Option<bool>) -> bool {
-    match (suspect.is_part(), is_common) {
-        (true, Some(false)) => true,
-        (true, _) => record.has_contrast(),
-        (false, is_common) => is_common != Some(true),
-    }
-}
--- a/crates/fleet/src/crash_evidence/record.rs
+++ b/crates/fleet/src/crash_evidence/record.rs
@@ -19,6 +19,8 @@
 const MAX_REPORTED_AGE: Duration = Duration::from_secs(30);
 /// Sound answers without a common suspect that show that only requests with it crash endpoints.
 const MIN_CONTRASTS: u32 = 5;
+/// Time between two crashes within which they count as one moment. Times that other hosts report are a little off.
+const SAME_MOMENT: Duration = Duration::from_millis(20);
 /// Maximum number of times that the quarantine time is doubled.
 const MAX_DOUBLINGS: u32 = 5;
 
@@ -182,13 +184,18 @@
         true
     }
 
-    /// Tells whether a request that was sent after the last quarantine was over has crashed an endpoint. If the suspect may
-    /// be innocent, other requests have to be answered meanwhile.
+    /// Tells whether a prompt that was sent after the last quarantine was over has crashed an endpoint. If the part may be
+    /// innocent, other prompts have to be answered meanwhile.
     pub fn failed_trial(&self) -> bool {
-        let (Some(last), Some(newest)) = (self.quarantine, self.crashes.last()) else {
-            return false;
-        };
-        newest.sent_at > last.until && (!last.is_ambiguous || self.has_contrast())
+        let is_certain = self.quarantine.is_some_and(|last| !last.is_ambiguous);
+        self.trial_crash().is_some() && (is_certain || self.has_contrast())
+    }
+
+    /// Returns the newest crash, if its request was sent after the last quarantine was over.
+    pub fn trial_crash(&self) -> Option<&Crash> {
+        let last = self.quarantine?;
+        let newest = self.crashes.last();
+        newest.filter(|newest| newest.sent_at > last.until)
     }
 
     /// Returns whether there is enough evidence for a first quarantine: `threshold` crashes until a time that no other
@@ -239,6 +246,21 @@
         count
     }
 
+    /// Returns the number of moments until a time at which endpoints crashed, without some endpoints. Endpoints that crash
+    /// together, for whatever cause, count once.
+    pub fn crash_moments(&self, explained: &BTreeSet<u64>, until: Duration) -> usize {
+        let mut count = 0;
+        let mut last_at = None;
+        let crashes = self.crashes.iter().filter(|it| it.lost_at <= until);
+        for crash in crashes.filter(|it| !explained.contains(&it.endpoint)) {
+            if last_at.is_none_or(|last_at| crash.lost_at > last_at + SAME_MOMENT) {
+                count += 1;
+                last_at = Some(crash.lost_at);
+            }
+        }
+        count
+    }
+
     /// Returns the number of crashes until a time, without those of some endpoints.
     pub fn crash_count(&self, explained: &BTreeSet<u64>, until: Duration) -> usize {
         let crashes = self.crashes.iter().filter(|it| it.lost_at <= until);
@@ -248,12 +270,19 @@
 
     /// Looks for crashes without the suspect that happened within `time` of its own ones.
     pub fn note_other_crashes(&mut self, crashes: &BTreeMap<u64, Duration>, time: Duration) {
+        if !self.crashes.is_empty() {
+            self.has_other_crashes = self.has_others_near(crashes, time);
+        }
+    }
+
+    /// Tells whether some of these crashes happened without the suspect within `time` of its own ones.
+    pub fn has_others_near(&self, crashes: &BTreeMap<u64, Duration>, time: Duration) -> bool {
         let (Some(first), Some(last)) = (self.crashes.first(), self.crashes.last()) else {
-            return;
+            return false;
         };
         let span = first.lost_at.saturating_sub(time)..=last.lost_at + time;
         let mut near = crashes.iter().filter(|(_, at)| span.contains(at));
-        self.has_other_crashes = near.any(|(endpoint, _)| !self.has_crash_of(*endpoint));
+        near.any(|(endpoint, _)| !self.has_crash_of(*endpoint))
     }
 
     /// Tells whether endpoints have crashed without the suspect at about the same time, for no known cause.
--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -16,7 +16,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sedgeridge_state::fingerprint::Fingerprint;
 use sedgeridge_state::ids::ServiceId;
 
 use crate::account_shares::AccountShares;
@@ -125,8 +124,6 @@
     StreamBegan(RequestId),
     /// A request's answer is complete.
     Completed(RequestId),
-    /// The fingerprint of a request that arrived without one was computed.
-    FingerprintComputed(RequestId, Fingerprint),
     /// An attempt failed.
     AttemptFailed(RequestId, Failure),
     /// The caller disconnected, or the request ended without a complete answer.
@@ -277,11 +274,6 @@
             DispatchEvent::FirstPiece(request) => self.on_first_piece(now, request),
             DispatchEvent::StreamBegan(request) => self.on_stream_began(request),
             DispatchEvent::Completed(request) => self.on_completed(now, request),
-            DispatchEvent::FingerprintComputed(request, fingerprint) => {
-                if let Some(pending) = self.requests.get_mut(&request) {
-                    pending.arrival.fingerprint = Some(fingerprint);
-                }
-            }
             DispatchEvent::AttemptFailed(request, failure) => {
                 self.on_attempt_failed(now, request, failure, decisions);
             }
@@ -311,11 +303,6 @@
         self.resends.set_limits(resends);
     }
 
-    /// Tells whether arrivals need fingerprints, because some request is suspected of crashing endpoints.
-    pub fn needs_fingerprints(&self) -> bool {
-        self.crashes.evidence.has_request()
-    }
-
     /// Returns the time of the next [`DispatchEvent::Tick`].
     pub fn next_tick(&self) -> Duration {
         self.next_tick
--- a/crates/fleet/src/dispatcher/attempts.rs
+++ b/crates/fleet/src/dispatcher/attempts.rs
@@ -7,7 +7,7 @@
 use super::Dispatcher;
 use super::Pending;
 use super::candidates::BestEndpoint;
-use super::crashes::suspects_of;
+use super::crashes::parts_of;
 use crate::arrival::Arrival;
 use crate::arrival::RequestId;
 use crate::attempt_progress::AttemptProgress;
@@ -45,7 +45,7 @@
         if arrival.prompt.is_none() {
             self.on_plain_arrival(now, &arrival);
         }
-        self.crashes.arrivals.note(now, &suspects_of(&arrival));
+        self.crashes.arrivals.note(now, &parts_of(&arrival));
         if let Some(quarantine_left) = self.quarantined_for(now, &arrival) {
             let verdict = Verdict::Refuse {
                 reason: RefusalReason::Quarantined,
@@ -138,7 +138,7 @@
             endpoint: attempt.endpoint.key,
             sent_at: attempt.sent_at,
             begun_at: now,
-            suspects: suspects_of(&pending.arrival),
+            parts: parts_of(&pending.arrival),
         };
         self.crashes.answers.follow(begun);
         let key = attempt.endpoint.key;
@@ -186,13 +186,14 @@
         if let Some(attempt) = pending.attempt.take() {
             let took = now.saturating_sub(attempt.sent_at);
             self.records.on_success(now, attempt.endpoint.key, took);
+            self.on_request_answered(now, &pending.arrival, attempt.sent_at);
             self.loads.subtract_own(attempt.endpoint.key, attempt.load);
         }
     }
 
     pub(super) fn on_abandoned(&mut self, now: Duration, id: RequestId) {
         self.queue.retain(|queued| *queued != id);
-        let Some(mut pending) = self.requests.remove(&id) else {
+        let Some(pending) = self.requests.get_mut(&id) else {
             return;
         };
         if let Some(attempt) = pending.attempt.take() {
@@ -204,6 +205,7 @@
                 self.records.on_failure(now, key, Failure::TimedOut);
             }
         }
+        self.requests.remove(&id);
         self.crashes.answers.withdraw(id);
     }
 
--- a/crates/fleet/src/dispatcher/crashes.rs
+++ b/crates/fleet/src/dispatcher/crashes.rs
@@ -68,14 +68,22 @@
     }
 }
 
-/// Returns the suspects of a request: the parts of its prompt that other requests share, and its whole content.
-pub(super) fn suspects_of(arrival: &Arrival) -> Vec<Suspect> {
+/// Returns the parts of a request's prompt that other requests share.
+pub(super) fn parts_of(arrival: &Arrival) -> Vec<Suspect> {
     let parts = arrival.prompt.as_ref().map(Prompt::shared_parts);
     let parts = parts.into_iter().flatten().take(MAX_PARTS_PER_PROMPT);
-    let parts = parts.map(|part| Suspect::Part(part.id));
-    parts
-        .chain(arrival.fingerprint.map(Suspect::request))
-        .collect()
+    parts.map(|part| Suspect::Part(part.id)).collect()
+}
+
+/// Returns the suspects of a request: the parts of its prompt that other requests share, and its whole content.
+fn suspects_of(arrival: &Arrival) -> Vec<Suspect> {
+    let mut suspects = parts_of(arrival);
+    suspects.extend(whole_request(arrival));
+    suspects
+}
+
+fn whole_request(arrival: &Arrival) -> Option<Suspect> {
+    arrival.fingerprint.map(Suspect::request)
 }
 
 impl Dispatcher {
@@ -146,8 +154,8 @@
         self.add_crashes(now, endpoint, &confirmed);
     }
 
-    /// Returns the suspects of an attempt that had not begun, and of answers that had just begun at its endpoint, except
-    /// those that a later answer has cleared.
+    /// Returns the suspects of an attempt, and the parts of answers that had just begun at its endpoint, except those that a
+    /// later answer has cleared. The parts of the attempt count only if its answer had not begun.
     fn lost_suspects(
         &mut self,
         now: Duration,
@@ -163,15 +171,18 @@
         let begun = self.crashes.answers.take_lost(now, endpoint);
         let begun = begun.into_iter().flat_map(|answer| {
             let crash = crash(answer.sent_at);
-            let suspects = answer.suspects.into_iter();
-            suspects.map(move |suspect| (suspect, crash))
+            let parts = answer.parts.into_iter();
+            parts.map(move |part| (part, crash))
         });
         let mut crashes: Vec<SuspectCrash> = begun.collect();
         let has_begun = attempt.first_piece_at.is_some();
-        if let Some(pending) = self.requests.get(&id).filter(|_| !has_begun) {
-            let suspects = suspects_of(&pending.arrival).into_iter();
+        if let Some(pending) = self.requests.get(&id) {
+            let suspects = match has_begun {
+                true => whole_request(&pending.arrival).into_iter().collect(),
+                false => suspects_of(&pending.arrival),
+            };
             let crash = crash(attempt.sent_at);
-            crashes.extend(suspects.map(|suspect| (suspect, crash)));
+            crashes.extend(suspects.into_iter().map(|suspect| (suspect, crash)));
         }
         crashes.retain(|(suspect, crash)| {
             let sound_at = self.crashes.answers.last_sound(*suspect);
@@ -235,13 +246,26 @@
         self.crashes.evidence.next_reports(MAX_SUSPECTS_PER_REPORT)
     }
 
-    /// Clears suspects of answers that have gone on, and quarantines those with enough evidence.
+    /// Clears a whole request of which an endpoint has sent the complete answer.
+    pub(super) fn on_request_answered(
+        &mut self,
+        now: Duration,
+        arrival: &Arrival,
+        sent_at: Duration,
+    ) {
+        if let Some(request) = whole_request(arrival) {
+            self.crashes.answers.note_sound(now, request, sent_at);
+            self.clear(now, request, sent_at);
+        }
+    }
+
+    /// Clears parts of answers that have gone on, and quarantines suspects with enough evidence.
     pub(super) fn check_crashes(&mut self, now: Duration) {
         for answer in self.crashes.answers.take_sound(now) {
             let evidence = &mut self.crashes.evidence;
-            evidence.add_contrasts(now, &answer.suspects, answer.sent_at);
-            for suspect in answer.suspects {
-                self.clear(now, suspect, answer.sent_at);
+            evidence.add_contrasts(now, &answer.parts, answer.sent_at);
+            for part in answer.parts {
+                self.clear(now, part, answer.sent_at);
             }
         }
         self.crashes.lost.tick(now);
--- a/crates/fleet/src/sound_answers.rs
+++ b/crates/fleet/src/sound_answers.rs
@@ -1,4 +1,5 @@
-//! Answers that have begun, until they have gone on for long enough to show that they don't crash their endpoints.
+//! Answers that show that their requests, or parts of their prompts, don't crash endpoints: that of a part once it has gone
+//! on for long enough, that of a whole request once it is complete.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -12,9 +13,9 @@
 
 /// Maximum number of answers that are followed at the same time.
 const MAX_FOLLOWED: usize = 8_192;
-/// Maximum number of parts in each of the two generations of [`SoundParts`].
-const MAX_PARTS: usize = 4_096;
-/// Time for which a generation takes in parts.
+/// Maximum number of keys in each of the two generations of [`RecentlySound`].
+const MAX_KEYS: usize = 4_096;
+/// Time for which a generation takes in keys.
 const GENERATION_TIME: Duration = Duration::from_secs(10);
 
 /// An answer of which the first piece has arrived.
@@ -28,15 +29,16 @@
     pub sent_at: Duration,
     /// When the first piece arrived.
     pub begun_at: Duration,
-    /// Suspects, if the endpoint crashes.
-    pub suspects: Vec<Suspect>,
+    /// Parts of the prompt that are suspects if the endpoint crashes.
+    pub parts: Vec<Suspect>,
 }
 
 /// Answers that have begun, complete or not.
 #[derive(Debug, Default)]
 pub struct SoundAnswers {
     followed: VecDeque<BegunAnswer>,
-    parts: SoundParts,
+    parts: RecentlySound,
+    requests: RecentlySound,
 }
 
 impl SoundAnswers {
@@ -69,20 +71,26 @@
         let sound = self.followed.iter().take_while(|it| is_sound(now, it));
         let sound: Vec<_> = self.followed.drain(..sound.count()).collect();
         for answer in &sound {
-            for suspect in &answer.suspects {
-                if let Suspect::Part(part) = suspect {
-                    self.parts.put(now, *part, answer.sent_at);
-                }
+            for part in &answer.parts {
+                self.note_sound(now, *part, answer.sent_at);
             }
         }
         sound
     }
 
-    /// Returns when the newest request with a part was sent whose answer did not crash its endpoint.
+    /// Records that the answer to a request that was sent at `sent_at` did not crash its endpoint.
+    pub fn note_sound(&mut self, now: Duration, suspect: Suspect, sent_at: Duration) {
+        match suspect {
+            Suspect::Part(part) => self.parts.put(now, part, sent_at),
+            Suspect::Request(hash) => self.requests.put(now, hash, sent_at),
+        }
+    }
+
+    /// Returns when the newest request with a suspect was sent whose answer did not crash its endpoint.
     pub fn last_sound(&self, suspect: Suspect) -> Option<Duration> {
         match suspect {
             Suspect::Part(part) => self.parts.get(part),
-            Suspect::Request(_) => None,
+            Suspect::Request(hash) => self.requests.get(hash),
         }
     }
 }
@@ -91,27 +99,27 @@
     now.saturating_sub(answer.begun_at) >= SOUND_ANSWER_TIME
 }
 
-/// Parts of recent answers, in two generations so that the older one can be dropped at once.
+/// Times of recent answers by a key, in two generations so that the older one can be dropped at once.
 #[derive(Debug, Default)]
-struct SoundParts {
+struct RecentlySound {
     young: IntMap<u64, Duration>,
     old: IntMap<u64, Duration>,
     young_since: Duration,
 }
 
-impl SoundParts {
-    fn put(&mut self, now: Duration, part: u64, sent_at: Duration) {
+impl RecentlySound {
+    fn put(&mut self, now: Duration, key: u64, sent_at: Duration) {
         let is_over = now.saturating_sub(self.young_since) > GENERATION_TIME;
-        if is_over || self.young.len() >= MAX_PARTS {
+        if is_over || self.young.len() >= MAX_KEYS {
             self.old = std::mem::take(&mut self.young);
             self.young_since = now;
         }
-        let known = self.young.entry(part).or_insert(sent_at);
+        let known = self.young.entry(key).or_insert(sent_at);
         *known = sent_at.max(*known);
     }
 
-    fn get(&self, part: u64) -> Option<Duration> {
-        let (young, old) = (self.young.get(&part), self.old.get(&part));
+    fn get(&self, key: u64) -> Option<Duration> {
+        let (young, old) = (self.young.get(&key), self.old.get(&key));
         young.max(old).copied()
     }
 }
--- a/crates/fleet/tests/crashing_parts.rs
+++ b/crates/fleet/tests/crashing_parts.rs
@@ -457,7 +457,8 @@
         play.request(&PlayedRequest::with_parts(account, &[2_000]));
     }
     play.run_for(100);
-    assert_eq!(play.dispatcher(0).suspect_counts().0, 0);
+    // Only the whole request that was in progress.
+    assert_eq!(play.dispatcher(0).suspect_counts().0, 1);
 }
 
 /// Guards against requests that count as the cause of a crash since an earlier connection of theirs was lost.
--- a/crates/fleet/tests/support/crash_play.rs
+++ b/crates/fleet/tests/support/crash_play.rs
@@ -134,7 +134,6 @@
     answer_ms: u64,
     plain: Option<PlainKind>,
     content: u64,
-    fingerprint: Fingerprint,
 }
 
 impl Outcome {
@@ -357,10 +356,8 @@
             answer_ms: request.answer_ms,
             plain: request.plain,
             content,
-            fingerprint: Fingerprint(u128::from(content) << 32 | u128::from(request.account)),
         };
-        let needs_fingerprint = self.dispatcher(host).needs_fingerprints();
-        let fingerprint = needs_fingerprint.then_some(outcome.fingerprint);
+        let fingerprint = Fingerprint(u128::from(content) << 32 | u128::from(request.account));
         self.outcomes.insert(id, outcome);
         let now = self.host_time(host);
         if let Some(kind) = request.plain {
@@ -369,7 +366,7 @@
                 account: Some(request.account),
                 route: route(PLAIN, kind.repeat, kind.max_attempts),
                 deadline: at(now + PLAIN_DEADLINE_MS),
-                fingerprint,
+                fingerprint: Some(fingerprint),
                 ..plain_request(now, kind.repeat)
             };
             self.send(host, DispatchEvent::Arrived(Box::new(arrival)));
@@ -388,7 +385,7 @@
         };
         let arrival = Arrival {
             id,
-            fingerprint,
+            fingerprint: Some(fingerprint),
             deadline: at(now + 12_000),
             ..engine_request(now, request.account, prompt)
         };
@@ -461,15 +458,9 @@
             .push((self.now_ms + LISTED_AFTER_CRASH_MS, listed));
         for stream in std::mem::take(&mut crashed.streams) {
             let arrives_ms = self.now_ms + NETWORK_DELAY_MS;
-            let fingerprint = self.outcomes[&stream.id].fingerprint;
-            let events = [
-                DispatchEvent::FingerprintComputed(stream.id, fingerprint),
-                DispatchEvent::AttemptFailed(stream.id, Failure::ConnectionLost),
-            ];
-            for event in events {
-                self.events
-                    .push((arrives_ms, stream.host, stream.host_run, event));
-            }
+            let event = DispatchEvent::AttemptFailed(stream.id, Failure::ConnectionLost);
+            self.events
+                .push((arrives_ms, stream.host, stream.host_run, event));
         }
     }
 
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -89,7 +89,7 @@
         Err(response) => return response.into(),
     };
     let id = gateway.new_request_id();
-    let arrival = build_arrival(&gateway, id, service, origin, &read);
+    let arrival = build_arrival(id, service, origin, &read);
     if let Some(account) = arrival.account.filter(|_| arrival.prompt.is_some()) {
         gateway.record_admitted(account);
     }
@@ -108,15 +108,13 @@
     active.run(receiver).await
 }
 
-fn build_arrival<W: WireFormat, C: Clock>(
-    gateway: &Gateway<W, C>,
+fn build_arrival(
     id: RequestId,
     service: ServiceId,
     origin: Option<StreamOrigin>,
     read: &RoutedRequest,
 ) -> Arrival {
     let account = read.outgoing.account.as_ref();
-    let needs_fingerprint = gateway.with_dispatcher(|dispatcher| dispatcher.needs_fingerprints());
     Arrival {
         id,
         account: account.map(|account| stable_hash(account.as_str())),
@@ -126,7 +124,7 @@
         deadline: read.outgoing.deadline,
         prompt: read.prompt.clone(),
         origin,
-        fingerprint: needs_fingerprint.then(|| read.outgoing.fingerprint()),
+        fingerprint: Some(read.outgoing.fingerprint()),
     }
 }
 
@@ -184,9 +182,7 @@
                         }
                         Err(failure) => {
                             self.log_failed_attempt(&endpoint, failure);
-                            receiver =
-                                self.gateway
-                                    .attempt_failed(self.id, &self.outgoing, failure);
+                            receiver = self.gateway.attempt_failed(self.id, failure);
                         }
                     }
                 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -31,7 +31,6 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
-use crate::attempt::OutgoingRequest;
 use crate::clock::Clock;
 use crate::crash_watch::CrashWatch;
 use crate::endpoint_pool::EndpointPool;
@@ -257,21 +256,8 @@
     }
 
     /// Reports a failed attempt. Returns the receiver of the next verdict.
-    pub fn attempt_failed(
-        &self,
-        id: RequestId,
-        outgoing: &OutgoingRequest,
-        failure: Failure,
-    ) -> VerdictReceiver {
+    pub fn attempt_failed(&self, id: RequestId, failure: Failure) -> VerdictReceiver {
         let receiver = self.register_waiter(id);
-        if failure == Failure::ConnectionLost {
-            // The request may have crashed the endpoint. With the fingerprint the dispatcher counts
-            // crashes from here on and recognises the same request when it is sent again.
-            self.handle(DispatchEvent::FingerprintComputed(
-                id,
-                outgoing.fingerprint(),
-            ));
-        }
         self.handle(DispatchEvent::AttemptFailed(id, failure));
         receiver
     }
--- a/crates/gateway/src/stream_forward.rs
+++ b/crates/gateway/src/stream_forward.rs
@@ -225,9 +225,7 @@
         failure: Failure,
         sender: &EventSender,
     ) -> Option<(Arc<Endpoint>, EndpointResponse)> {
-        let mut receiver = self
-            .gateway
-            .attempt_failed(self.id, &self.outgoing, failure);
+        let mut receiver = self.gateway.attempt_failed(self.id, failure);
         loop {
             let verdict = tokio::select! {
                 verdict = self.gateway.wait_for_verdict(receiver) => verdict,
@@ -244,14 +242,10 @@
             match sent {
                 Ok(next) if next.head.status.is_success() => return Some((endpoint, next)),
                 Ok(_) => {
-                    receiver =
-                        self.gateway
-                            .attempt_failed(self.id, &self.outgoing, Failure::ServerError);
+                    receiver = self.gateway.attempt_failed(self.id, Failure::ServerError);
                 }
                 Err(failure) => {
-                    receiver = self
-                        .gateway
-                        .attempt_failed(self.id, &self.outgoing, failure);
+                    receiver = self.gateway.attempt_failed(self.id, failure);
                 }
             }
         }
