Requests that were given up before their endpoint crashed are suspects; no second attempt in a trial

A host that gives an attempt up (its time is over, or the caller has left) forgot it, while the endpoint worked on and crashed: no host counted the crash. Such requests are kept until four seconds after their time, 1,024 at most, and count once their endpoint is found down. A request that is sent to find out whether it still crashes endpoints is not sent to a second one.

--- a/crates/fleet/src/dispatcher/attempts.rs
+++ b/crates/fleet/src/dispatcher/attempts.rs
@@ -204,6 +204,7 @@
                 let key = attempt.endpoint.key;
                 self.records.on_failure(now, key, Failure::TimedOut);
             }
+            self.on_attempt_given_up(id, &attempt);
         }
         self.requests.remove(&id);
         self.crashes.answers.withdraw(id);
@@ -241,6 +242,10 @@
         }
         match failure {
             Failure::ConnectionLost => self.on_answer_lost(now, id, &attempt),
+            Failure::TimedOut => {
+                self.crashes.answers.withdraw(id);
+                self.on_attempt_given_up(id, &attempt);
+            }
             _ => self.crashes.answers.withdraw(id),
         }
         let endpoint = attempt.endpoint;
@@ -272,6 +277,9 @@
         if arrival.deadline.saturating_sub(now) < MIN_TIME_LEFT {
             return false;
         }
+        if pending.last_failure == Some(Failure::ConnectionLost) && self.is_on_trial(now, arrival) {
+            return false;
+        }
         if pending.sends >= route.max_attempts || pending.unreachable > MAX_UNREACHABLE {
             return false;
         }
--- a/crates/fleet/src/dispatcher/crashes.rs
+++ b/crates/fleet/src/dispatcher/crashes.rs
@@ -5,6 +5,7 @@
 
 use super::Attempt;
 use super::Dispatcher;
+use super::Pending;
 use crate::arrival::Arrival;
 use crate::arrival::RequestId;
 use crate::arrival_shares::ArrivalShares;
@@ -15,6 +16,7 @@
 use crate::crash_evidence::SuspectReport;
 use crate::crash_evidence::Waiver;
 use crate::endpoint_table::Endpoint;
+use crate::lost_connections::GivenUp;
 use crate::lost_connections::LostConnections;
 use crate::lost_connections::SuspectCrash;
 use crate::prompt::Prompt;
@@ -191,6 +193,27 @@
         crashes
     }
 
+    /// Records that an attempt was given up. Its endpoint may still work on it, and crash.
+    pub(super) fn on_attempt_given_up(&mut self, id: RequestId, attempt: &Attempt) {
+        let Some(Pending { arrival, .. }) = self.requests.get(&id) else {
+            return;
+        };
+        if let Some(suspect) = whole_request(arrival) {
+            self.crashes.lost.add_given_up(GivenUp {
+                suspect,
+                endpoint: attempt.endpoint.key,
+                sent_at: attempt.sent_at,
+                deadline: arrival.deadline,
+            });
+        }
+    }
+
+    /// Returns whether a request is sent only to find out whether it still crashes endpoints.
+    pub(super) fn is_on_trial(&self, now: Duration, arrival: &Arrival) -> bool {
+        let check = self.check_quarantine(now, arrival);
+        matches!(check, QuarantineCheck::Waived(_, Waiver::Trial))
+    }
+
     /// Records that an endpoint was found down after connections to it were lost.
     pub(super) fn on_endpoint_down(&mut self, now: Duration, endpoint: &Arc<Endpoint>) {
         let crashes = self.crashes.lost.on_found_down(now, endpoint.key);
--- a/crates/fleet/src/lost_connections.rs
+++ b/crates/fleet/src/lost_connections.rs
@@ -1,5 +1,7 @@
-//! Connections lost to endpoints, until it is known whether the endpoints crashed.
+//! Requests that were in progress at endpoints, until it is known whether the endpoints crashed: those whose connections
+//! were lost, and those that this host gave up without an answer.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use nohash_hasher::IntMap;
@@ -13,6 +15,11 @@
 /// Time after the last sign that an endpoint is down in which it counts as down, unless it answers.
 const DOWN_TIME: Duration = Duration::from_secs(2);
 
+/// Time after the end of a request's time in which a crash under it has to become known. Endpoints work on it until then.
+const GIVEN_UP_TIME: Duration = Duration::from_secs(4);
+/// Maximum number of requests that are kept after they were given up.
+const MAX_GIVEN_UP: usize = 1_024;
+
 /// A suspect and the crash that speaks against it.
 pub type SuspectCrash = (Suspect, Crash);
 
@@ -21,6 +28,20 @@
 pub struct LostConnections {
     unconfirmed: IntMap<u64, UnconfirmedCrash>,
     down: IntMap<u64, DownTime>,
+    given_up: VecDeque<GivenUp>,
+}
+
+/// A request that was given up without an answer, while its endpoint may still work on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GivenUp {
+    /// The request.
+    pub suspect: Suspect,
+    /// Key of the endpoint's run.
+    pub endpoint: u64,
+    /// When the request was sent.
+    pub sent_at: Duration,
+    /// End of the time for which the endpoint works on it.
+    pub deadline: Duration,
 }
 
 /// Time in which an endpoint is known to be down.
@@ -87,10 +108,35 @@
         let since = down.since;
         self.down.insert(endpoint, down);
         let unconfirmed = self.unconfirmed.remove(&endpoint);
-        let suspects = unconfirmed.map(|it| it.suspects).unwrap_or_default();
+        let mut suspects = unconfirmed.map(|it| it.suspects).unwrap_or_default();
+        suspects.extend(self.take_given_up(endpoint, since));
         sent_before(since, suspects)
     }
 
+    /// Records a request that was given up without an answer. If there are too many, the oldest one goes.
+    pub fn add_given_up(&mut self, request: GivenUp) {
+        if self.given_up.len() >= MAX_GIVEN_UP {
+            self.given_up.pop_front();
+        }
+        self.given_up.push_back(request);
+    }
+
+    /// Takes the requests that were given up at an endpoint that has crashed at a time.
+    pub fn take_given_up(&mut self, endpoint: u64, lost_at: Duration) -> Vec<SuspectCrash> {
+        let at_endpoint = self.given_up.iter().filter(|it| it.endpoint == endpoint);
+        let crashes = at_endpoint.map(|it| {
+            let crash = Crash {
+                endpoint,
+                sent_at: it.sent_at,
+                lost_at,
+            };
+            (it.suspect, crash)
+        });
+        let crashes = crashes.collect();
+        self.given_up.retain(|it| it.endpoint != endpoint);
+        crashes
+    }
+
     /// Records that an endpoint was found up after connections to it were lost: it has not crashed.
     pub fn on_found_up(&mut self, endpoint: u64) {
         self.unconfirmed.remove(&endpoint);
@@ -109,6 +155,7 @@
         let is_recent = |at: Duration| now.saturating_sub(at) < CONFIRMATION_TIME;
         self.unconfirmed.retain(|_, it| is_recent(it.first_lost_at));
         self.down.retain(|_, it| it.holds(now));
+        self.given_up.retain(|it| now < it.deadline + GIVEN_UP_TIME);
     }
 }
 
