Reports tell important evidence first

Changes go by all known crashes, refuted ones included, so that a clearance goes as early as the evidence; a single crash under a request that had long been in progress is told once, after the others.

--- a/crates/fleet/src/crash_evidence.rs
+++ b/crates/fleet/src/crash_evidence.rs
@@ -35,6 +35,9 @@
 const MIN_KEPT_TIME: Duration = Duration::from_secs(20);
 /// Number of reports that tell of a change before other suspects get their turn.
 const CHANGE_REPEATS: u32 = 4;
+/// Time after which a request that is in progress is not likely to crash its endpoint any more. Crashes under such requests
+/// are reported once, after all other changes, until there are more of them.
+const LIKELY_CRASH_TIME: Duration = Duration::from_millis(500);
 /// Longest delay of a host's first trial after a quarantine of a suspect that may be innocent.
 const MAX_AMBIGUOUS_TRIAL_DELAY: Duration = Duration::from_secs(2);
 /// Longest delay of a host's first trial after a quarantine. Hosts draw different ones: the first trial clears the suspect
@@ -132,6 +135,8 @@
     suspects: BTreeMap<Suspect, Entry>,
     /// Suspect after which the next report goes on with those that have not changed.
     last_reported: Option<Suspect>,
+    /// The same for those that are refused.
+    last_refused_reported: Option<Suspect>,
     /// Whether this host has evidence that it has not reported.
     has_unreported: bool,
     /// Time of this host's last sound answer to a prompt.
@@ -156,6 +161,7 @@
             now: CLOCK_HEADROOM,
             suspects: BTreeMap::new(),
             last_reported: None,
+            last_refused_reported: None,
             has_unreported: false,
             last_sound_at: None,
             answers_since: Duration::ZERO,
@@ -173,7 +179,7 @@
         let entry = self.entry_mut(suspect);
         if entry.record.add_crash(crash) {
             entry.record.note_event(now);
-            entry.repeats = CHANGE_REPEATS;
+            entry.repeats = change_repeats(suspect, &entry.record);
             self.has_unreported = true;
         }
     }
@@ -249,7 +255,7 @@
         if !report.merge_into(now, &mut entry.record) {
             return None;
         }
-        entry.repeats = CHANGE_REPEATS;
+        entry.repeats = change_repeats(suspect, &entry.record);
         let after = entry.record.quarantine();
         let crashes = entry.record.crashes().len();
         match (before, after) {
@@ -296,7 +302,8 @@
     }
 
     /// Returns the evidence for this host's next report: changes first, those that have been told least and then those with
-    /// most crashes before the others, then the other suspects in turn.
+    /// most crashes, refuted or not, before the others. Then come the other suspects in turn, one of those that are refused
+    /// first, since a host that has just started must not send them.
     pub fn next_reports(&mut self, count: usize) -> Vec<SuspectReport> {
         let mut chosen: Vec<Suspect> = Vec::new();
         let mut changed: Vec<_> = self
@@ -304,20 +311,18 @@
             .iter()
             .filter(|(_, it)| it.repeats > 0)
             .collect();
-        changed.sort_by_key(|(_, it)| Reverse((it.repeats, it.record.crashes().len())));
+        changed.sort_by_key(|(_, it)| Reverse((it.repeats, it.record.known_crashes())));
         chosen.extend(changed.iter().take(count).map(|(suspect, _)| **suspect));
-        let after = self.last_reported;
-        let later = self.suspects.keys().filter(|it| Some(**it) > after);
-        let earlier = self.suspects.keys().filter(|it| Some(**it) <= after);
-        for suspect in later.chain(earlier) {
-            if chosen.len() >= count {
-                break;
-            }
-            if !chosen.contains(suspect) {
-                chosen.push(*suspect);
-                self.last_reported = Some(*suspect);
-            }
+        let refused = self.next_refused(&chosen).filter(|_| chosen.len() < count);
+        if let Some(refused) = refused {
+            chosen.push(refused);
+            self.last_refused_reported = Some(refused);
         }
+        let others = self.in_turn(self.last_reported);
+        let others = others.filter(|it| !chosen.contains(it));
+        let others: Vec<_> = others.take(count - chosen.len()).collect();
+        self.last_reported = others.last().copied().or(self.last_reported);
+        chosen.extend(others);
         self.has_unreported = false;
         let now = self.now;
         let reports = chosen.into_iter().filter_map(|suspect| {
@@ -328,6 +333,23 @@
         reports.collect()
     }
 
+    /// Returns the next suspect in turn that is refused, if it is not chosen already.
+    fn next_refused(&self, chosen: &[Suspect]) -> Option<Suspect> {
+        let mut suspects = self.in_turn(self.last_refused_reported);
+        suspects.find(|suspect| {
+            let record = self.suspects.get(suspect).map(|entry| &entry.record);
+            let left = record.and_then(|it| self.quarantine_left(self.now, *suspect, it));
+            left.is_some() && !chosen.contains(suspect)
+        })
+    }
+
+    /// Returns all suspects, those behind one of them first.
+    fn in_turn(&self, after: Option<Suspect>) -> impl Iterator<Item = Suspect> {
+        let later = self.suspects.keys().filter(move |it| Some(**it) > after);
+        let earlier = self.suspects.keys().filter(move |it| Some(**it) <= after);
+        later.chain(earlier).copied()
+    }
+
     /// Sets the time to which the ages in the next reports refer.
     pub fn advance_to(&mut self, now: Duration) {
         self.set_now(now);
@@ -483,3 +505,12 @@
         self.suspects.entry(suspect).or_default()
     }
 }
+
+/// Returns the number of reports that tell of a change of a record before other suspects get their turn.
+fn change_repeats(suspect: Suspect, record: &CrashRecord) -> u32 {
+    let is_unlikely = |crash: &Crash| crash.lost_at > crash.sent_at + LIKELY_CRASH_TIME;
+    match record.crashes() {
+        [crash] if !suspect.is_part() && is_unlikely(crash) => 1,
+        _ => CHANGE_REPEATS,
+    }
+}
--- a/crates/fleet/src/crash_evidence/record.rs
+++ b/crates/fleet/src/crash_evidence/record.rs
@@ -322,6 +322,11 @@
         &self.crashes
     }
 
+    /// Returns the number of crashes, those that are refuted included.
+    pub fn known_crashes(&self) -> usize {
+        self.crashes.len() + self.refuted.len()
+    }
+
     /// Returns the refuted crashes.
     pub fn refuted(&self) -> &[Refutation] {
         &self.refuted
--- a/crates/fleet/tests/crash_evidence.rs
+++ b/crates/fleet/tests/crash_evidence.rs
@@ -31,3 +31,31 @@
     }
     assert_eq!(reported.len(), SUSPECTS);
 }
+
+/// Guards against hosts that start again and learn of a refused request only after hundreds of other suspects.
+#[test]
+fn refused_suspects_are_reported_among_many_others() {
+    let mut evidence = CrashEvidence::new(1);
+    let refused = Suspect::Request(7);
+    let crash = |endpoint: u64, second: u64| Crash {
+        endpoint,
+        sent_at: Duration::from_secs(second),
+        lost_at: Duration::from_secs(second) + Duration::from_millis(60),
+    };
+    for endpoint in 0..3 {
+        let now = Duration::from_secs(endpoint + 1);
+        evidence.add_crash(now, refused, crash(endpoint, endpoint));
+    }
+    let now = Duration::from_secs(10);
+    for number in 0..300 {
+        evidence.add_crash(now, Suspect::Request(100 + number), crash(3, 9));
+    }
+    let quarantined = evidence.tick(now, Duration::from_secs(1), |_| None);
+    assert_eq!(quarantined.len(), 1);
+    // Every change has been told by then.
+    for _ in 0..1_000 {
+        evidence.next_reports(SUSPECTS_PER_REPORT);
+    }
+    let reports = evidence.next_reports(SUSPECTS_PER_REPORT);
+    assert!(reports.iter().any(|it| it.suspect == refused));
+}
