--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -282,15 +282,19 @@
 }
 
 impl OutgoingRequest {
-    /// Returns a fingerprint of the account, method, URI and body. It is equal when the same
-    /// request comes again.
+    /// Returns a fingerprint of the account, method, host name, URI and body. It is equal when the
+    /// same request comes again.
     pub fn fingerprint(&self) -> Fingerprint {
         let payer = self.account.clone();
         let payer = payer.unwrap_or_else(|| AccountId::from(""));
         let uri = self.uri.to_string();
-        let mut input = Vec::with_capacity(self.body.len() + uri.len() + 16);
+        let host_name = self.headers.get(header::HOST);
+        let host_name = host_name.map_or(&[][..], |name| name.as_bytes());
+        let mut input = Vec::with_capacity(self.body.len() + host_name.len() + uri.len() + 16);
         input.extend_from_slice(self.method.as_str().as_bytes());
         input.push(b' ');
+        input.extend_from_slice(&host_name.to_ascii_lowercase());
+        input.push(b' ');
         input.extend_from_slice(uri.as_bytes());
         input.push(b'\n');
         input.extend_from_slice(&self.body);
