A crash that another host reports counts for the answers of this host too

A host that had no connection to an endpoint when it crashed took the answers that the endpoint had just completed as proof for their parts, and forgot requests that it had given up there. Now the report of the crash withdraws them and makes them suspects.

--- a/crates/fleet/src/crash_evidence/report.rs
+++ b/crates/fleet/src/crash_evidence/report.rs
@@ -82,6 +82,12 @@
         }
     }
 
+    /// Returns the keys of the endpoints' runs whose crashes the report tells.
+    pub fn crashed_endpoints(&self) -> impl Iterator<Item = u64> {
+        let crashes = self.crashes.iter().take(MAX_CRASHES);
+        crashes.map(|CrashAges(endpoint, ..)| *endpoint)
+    }
+
     /// Merges the report into a record. Returns whether anything was new.
     pub(super) fn merge_into(&self, now: Duration, record: &mut CrashRecord) -> bool {
         let refuted = self.refuted.iter().take(MAX_REFUTED);
--- a/crates/fleet/src/dispatcher/crashes.rs
+++ b/crates/fleet/src/dispatcher/crashes.rs
@@ -208,10 +208,10 @@
         }
     }
 
-    /// Returns whether a request is sent only to find out whether it still crashes endpoints.
+    /// Returns whether a request is sent although one of its suspects has been quarantined, so that its endpoint may crash.
     pub(super) fn is_on_trial(&self, now: Duration, arrival: &Arrival) -> bool {
         let check = self.check_quarantine(now, arrival);
-        matches!(check, QuarantineCheck::Waived(_, Waiver::Trial))
+        matches!(check, QuarantineCheck::Waived(..))
     }
 
     /// Records that an endpoint was found down after connections to it were lost.
@@ -253,6 +253,9 @@
 
     pub(super) fn on_suspects_reported(&mut self, now: Duration, reports: &[SuspectReport]) {
         for report in reports {
+            for endpoint in report.crashed_endpoints() {
+                self.on_crash_reported(now, endpoint);
+            }
             let event = self.crashes.evidence.merge(now, report);
             self.crashes
                 .events
@@ -264,6 +267,23 @@
         }
     }
 
+    /// Adds the suspects that this host knows of a crash that another host has seen.
+    fn on_crash_reported(&mut self, now: Duration, endpoint: u64) {
+        let Crashes { answers, lost, .. } = &mut self.crashes;
+        let mut crashes = lost.take_given_up(endpoint, now);
+        for answer in answers.take_lost(now, endpoint) {
+            let crash = Crash {
+                endpoint,
+                sent_at: answer.sent_at,
+                lost_at: now,
+            };
+            crashes.extend(answer.parts.into_iter().map(|part| (part, crash)));
+        }
+        for (suspect, crash) in crashes {
+            self.crashes.evidence.add_crash(now, suspect, crash);
+        }
+    }
+
     /// Returns what the next report tells about suspects.
     pub(super) fn next_suspect_reports(&mut self) -> Vec<SuspectReport> {
         self.crashes.evidence.next_reports(MAX_SUSPECTS_PER_REPORT)
