--- a/crates/fleet/src/crash_evidence/decisions.rs
+++ b/crates/fleet/src/crash_evidence/decisions.rs
@@ -103,7 +103,9 @@
                     suspect: *suspect,
                     is_trial: record.quarantine().is_some_and(|it| it.is_ambiguous),
                     crashes: record.crash_count(&explained, until),
-                    may_be_cause: is_common(*suspect) == Some(false) || record.has_contrast(),
+                    may_be_cause: is_common(*suspect) == Some(false)
+                        || !record.has_history()
+                        || record.has_contrast(),
                 });
             }
         }
--- a/crates/fleet/src/crash_evidence/record.rs
+++ b/crates/fleet/src/crash_evidence/record.rs
@@ -185,10 +185,10 @@
     }
 
     /// Tells whether a prompt that was sent after the last quarantine was over has crashed an endpoint. If the part may be
-    /// innocent, other prompts have to be answered meanwhile.
+    /// innocent and has worked before, other prompts have to be answered meanwhile.
     pub fn failed_trial(&self) -> bool {
         let is_certain = self.quarantine.is_some_and(|last| !last.is_ambiguous);
-        self.trial_crash().is_some() && (is_certain || self.has_contrast())
+        self.trial_crash().is_some() && (is_certain || !self.has_history || self.has_contrast())
     }
 
     /// Returns the newest crash, if its request was sent after the last quarantine was over.
--- a/crates/fleet/tests/crashing_parts.rs
+++ b/crates/fleet/tests/crashing_parts.rs
@@ -116,13 +116,40 @@
 
 /// Guards against a part that is not found among the parts that many prompts have, since all engines crash under it within a
 /// second.
-#[parameterized(seed_11 = { 11 }, seed_22 = { 22 })]
+#[parameterized(seed_11 = { 11 }, seed_14 = { 14 }, seed_22 = { 22 })]
 fn a_part_that_crashes_all_engines_at_once_is_stopped(seed: u64) {
     let mut play = CrashPlay::start(6, 9, &[CRASHING_PART], seed);
     play_load(&mut play, 30_000, &[CRASHING_PART], 100);
     assert_stopped(&play);
 }
 
+/// Guards against a part that is taken for a common one, and sent, since most of few prompts have it.
+#[parameterized(
+    seldom = { 1_000, 700 },
+    seldom_often = { 1_000, 200 },
+    some = { 300, 700 },
+    none = { 1_000_000, 700 },
+)]
+fn a_part_is_stopped_whatever_else_comes(sound_interval_ms: u64, crash_interval_ms: u64) {
+    for seed in 0..40 {
+        let mut play = CrashPlay::start(6, 9, &[CRASHING_PART], seed);
+        for step in 0..1_500 {
+            let at_ms = step * LOAD_STEP_MS;
+            let (account, document) = (step % ACCOUNTS, 1_000 + step % 40);
+            if at_ms.is_multiple_of(sound_interval_ms) {
+                play.request(&PlayedRequest::with_parts(account, &[document]));
+            }
+            if at_ms > SOUND_LOAD_MS && at_ms.is_multiple_of(crash_interval_ms) {
+                let parts = [CRASHING_PART, document];
+                play.request(&PlayedRequest::with_parts(account, &parts));
+            }
+            play.run_for(LOAD_STEP_MS);
+        }
+        assert_stopped(&play);
+        assert_eq!(play.quarantined_sound_requests(), 0, "seed {seed}");
+    }
+}
+
 /// Guards against a part that worked before it began to crash engines, and is not found or takes sound parts with it, alone or
 /// among crashes of other causes.
 #[parameterized(alone = { false }, among_others = { true })]
