Requests that differ in their prompts only are different requests; answers that go on speak for theirs

The shared parts of a prompt belong to the fingerprint now; its last part does not, so that the same request is known again.

--- a/crates/fleet/src/crash_evidence.rs
+++ b/crates/fleet/src/crash_evidence.rs
@@ -177,6 +177,9 @@
             ..crash
         };
         let entry = self.entry_mut(suspect);
+        if !suspect.is_part() {
+            entry.record.note_last_sent(crash);
+        }
         if entry.record.add_crash(crash) {
             entry.record.note_event(now);
             entry.repeats = change_repeats(suspect, &entry.record);
@@ -216,6 +219,22 @@
         was_quarantined && entry.record.quarantine().is_none()
     }
 
+    /// Records an answer to a whole request, sent at `sent_at`, that has gone on until now. It speaks against crashes that
+    /// came earlier after their requests.
+    pub fn add_long_answer(&mut self, now: Duration, suspect: Suspect, sent_at: Duration) {
+        let now = self.set_now(now);
+        let sent_at = sent_at + CLOCK_HEADROOM;
+        let Some(entry) = self.suspects.get_mut(&suspect) else {
+            return;
+        };
+        let time = now.saturating_sub(sent_at);
+        if entry.record.add_long_answer(now, sent_at, time) {
+            entry.record.note_event(now);
+            entry.repeats = CHANGE_REPEATS;
+            self.has_unreported = true;
+        }
+    }
+
     fn note_sound_answer(&mut self, now: Duration) {
         if !self.is_answering(now) {
             self.answers_since = now;
--- a/crates/fleet/src/crash_evidence/decisions.rs
+++ b/crates/fleet/src/crash_evidence/decisions.rs
@@ -161,7 +161,9 @@
         };
         let is_known = |request: &Suspect, entry: &Entry| {
             let quarantine = entry.record.quarantine();
-            quarantine.is_some_and(|it| !it.is_ambiguous) || proven_requests.contains(request)
+            let is_proven = proven_requests.contains(request)
+                && !self.may_be_innocent(*request, &entry.record, until);
+            quarantine.is_some_and(|it| !it.is_ambiguous) || is_proven
         };
         let requests = self.suspects.iter().filter(|(it, _)| !it.is_part());
         let mut known = requests.filter(|(request, entry)| is_known(request, entry));
--- a/crates/fleet/src/crash_evidence/record.rs
+++ b/crates/fleet/src/crash_evidence/record.rs
@@ -21,6 +21,8 @@
 const MIN_CONTRASTS: u32 = 5;
 /// Time between two crashes within which they count as one moment. Times that other hosts report are a little off.
 const SAME_MOMENT: Duration = Duration::from_millis(20);
+/// Time by which crashes under the same request may differ in how long they come after it.
+const CRASH_TIME_SPREAD: Duration = Duration::from_millis(200);
 /// Maximum number of times that the quarantine time is doubled.
 const MAX_DOUBLINGS: u32 = 5;
 
@@ -96,6 +98,35 @@
         true
     }
 
+    /// Takes over when the last request with the suspect was sent to an endpoint that crashed.
+    pub fn note_last_sent(&mut self, crash: Crash) {
+        let known = self.crashes.iter_mut();
+        for known in known.filter(|it| it.endpoint == crash.endpoint) {
+            known.sent_at = known.sent_at.max(crash.sent_at).min(known.lost_at);
+        }
+    }
+
+    /// Records an answer that has gone on for `time` to a request that was sent at `sent_at`. It refutes crashes that came
+    /// earlier after their requests, and ends an ambiguous quarantine if none is left. Returns whether that changed anything.
+    pub fn add_long_answer(&mut self, now: Duration, sent_at: Duration, time: Duration) -> bool {
+        let is_refuted = |crash: &&Crash| {
+            let crash_time = crash.lost_at.saturating_sub(crash.sent_at);
+            crash.sent_at <= sent_at && crash_time + CRASH_TIME_SPREAD < time
+        };
+        let refuted = self.crashes.iter().filter(is_refuted);
+        let refuted = refuted.map(|it| Refutation {
+            endpoint: it.endpoint,
+            at: now,
+        });
+        let refuted: Vec<_> = refuted.collect();
+        let has_refuted = self.refute(now, &refuted);
+        let unproven = self.quarantine.filter(|it| it.is_ambiguous);
+        if let Some(unproven) = unproven.filter(|_| has_refuted && self.crashes.is_empty()) {
+            self.end_quarantines(unproven.round);
+        }
+        has_refuted
+    }
+
     /// Records a sound answer to a request without the suspect.
     pub fn add_contrast(&mut self, sent_at: Duration) {
         if self.proven_at.is_none_or(|proven_at| sent_at > proven_at) {
--- a/crates/fleet/src/dispatcher/attempts.rs
+++ b/crates/fleet/src/dispatcher/attempts.rs
@@ -8,6 +8,7 @@
 use super::Pending;
 use super::candidates::BestEndpoint;
 use super::crashes::parts_of;
+use super::crashes::whole_request;
 use crate::arrival::Arrival;
 use crate::arrival::RequestId;
 use crate::attempt_progress::AttemptProgress;
@@ -139,6 +140,7 @@
             sent_at: attempt.sent_at,
             begun_at: now,
             parts: parts_of(&pending.arrival),
+            whole: whole_request(&pending.arrival),
         };
         self.crashes.answers.follow(begun);
         let key = attempt.endpoint.key;
--- a/crates/fleet/src/dispatcher/crashes.rs
+++ b/crates/fleet/src/dispatcher/crashes.rs
@@ -84,7 +84,8 @@
     suspects
 }
 
-fn whole_request(arrival: &Arrival) -> Option<Suspect> {
+/// Returns a request's whole content; `None` if its body has not been read.
+pub(super) fn whole_request(arrival: &Arrival) -> Option<Suspect> {
     arrival.fingerprint.map(Suspect::request)
 }
 
@@ -237,7 +238,7 @@
         }
         for (suspect, crash) in crashes {
             self.crashes.evidence.add_crash(now, *suspect, *crash);
-            if self.crashes.answers.last_sound(*suspect).is_some() {
+            if self.crashes.answers.has_worked(*suspect) {
                 self.crashes.evidence.add_history(*suspect);
             }
         }
@@ -260,8 +261,10 @@
             self.crashes
                 .events
                 .extend(event.map(CrashEvent::Quarantine));
-            if let Some(sent_at) = self.crashes.answers.last_sound(report.suspect) {
+            if self.crashes.answers.has_worked(report.suspect) {
                 self.crashes.evidence.add_history(report.suspect);
+            }
+            if let Some(sent_at) = self.crashes.answers.last_sound(report.suspect) {
                 self.clear(now, report.suspect, sent_at);
             }
         }
@@ -307,6 +310,9 @@
         for answer in self.crashes.answers.take_sound(now) {
             let evidence = &mut self.crashes.evidence;
             evidence.add_contrasts(now, &answer.parts, answer.sent_at);
+            if let Some(request) = answer.whole {
+                evidence.add_long_answer(now, request, answer.sent_at);
+            }
             for part in answer.parts {
                 self.clear(now, part, answer.sent_at);
             }
--- a/crates/fleet/src/sound_answers.rs
+++ b/crates/fleet/src/sound_answers.rs
@@ -31,6 +31,8 @@
     pub begun_at: Duration,
     /// Parts of the prompt that are suspects if the endpoint crashes.
     pub parts: Vec<Suspect>,
+    /// The whole request, if its content is known.
+    pub whole: Option<Suspect>,
 }
 
 /// Answers that have begun, complete or not.
@@ -39,6 +41,8 @@
     followed: VecDeque<BegunAnswer>,
     parts: RecentlySound,
     requests: RecentlySound,
+    /// Whole requests whose answers have gone on for long enough to be less likely the cause of a crash.
+    long_requests: RecentlySound,
 }
 
 impl SoundAnswers {
@@ -74,6 +78,9 @@
             for part in &answer.parts {
                 self.note_sound(now, *part, answer.sent_at);
             }
+            if let Some(Suspect::Request(hash)) = answer.whole {
+                self.long_requests.put(now, hash, answer.sent_at);
+            }
         }
         sound
     }
@@ -86,6 +93,15 @@
         }
     }
 
+    /// Tells whether answers to requests with a suspect have gone on for long, or were complete.
+    pub fn has_worked(&self, suspect: Suspect) -> bool {
+        let is_long = match suspect {
+            Suspect::Part(_) => false,
+            Suspect::Request(hash) => self.long_requests.get(hash).is_some(),
+        };
+        is_long || self.last_sound(suspect).is_some()
+    }
+
     /// Returns when the newest request with a suspect was sent whose answer did not crash its endpoint.
     pub fn last_sound(&self, suspect: Suspect) -> Option<Duration> {
         match suspect {
--- a/crates/fleet/tests/crashing_parts.rs
+++ b/crates/fleet/tests/crashing_parts.rs
@@ -426,6 +426,28 @@
     }
 }
 
+/// Guards against a content that all requests have, with long answers, and that is refused in place of the crashing part.
+#[test]
+fn a_common_content_with_long_answers_is_served_beside_a_crashing_part() {
+    for seed in 0..5 {
+        let mut play = CrashPlay::start(6, 9, &[CRASHING_PART], seed);
+        for step in 0..600 {
+            let alike = |parts: &[u64]| PlayedRequest {
+                answer_ms: 3_000,
+                content: Some(50),
+                ..PlayedRequest::with_parts(step % ACCOUNTS, parts)
+            };
+            play.request(&alike(&[1_000 + step % 7]));
+            if step > 40 && step % 6 == 0 {
+                play.request(&alike(&[CRASHING_PART, 1_000 + step % 7]));
+            }
+            play.run_for(50);
+        }
+        assert_stopped(&play);
+        assert_eq!(play.quarantined_sound_requests(), 0, "seed {seed}");
+    }
+}
+
 /// Guards against streams that take long and are refused or not resumed beside a crashing part.
 #[test]
 fn long_streams_beside_a_crashing_part_are_no_suspects() {
--- a/crates/fleet/tests/support/crash_play.rs
+++ b/crates/fleet/tests/support/crash_play.rs
@@ -357,7 +357,9 @@
             plain: request.plain,
             content,
         };
-        let fingerprint = Fingerprint(u128::from(content) << 32 | u128::from(request.account));
+        let shared_parts = stable_hash(&format!("{:?}", request.parts));
+        let content_hash = u128::from(content) << 32 | u128::from(request.account);
+        let fingerprint = Fingerprint(u128::from(shared_parts) << 64 | content_hash);
         self.outcomes.insert(id, outcome);
         let now = self.host_time(host);
         if let Some(kind) = request.plain {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,6 +18,7 @@
 use hyper::body::Incoming;
 use sedgeridge_fleet::dispatcher::DispatchEvent;
 use sedgeridge_fleet::endpoint_table::Endpoint;
+use sedgeridge_fleet::prompt::Prompt;
 use sedgeridge_fleet::reported_load::ReportedLoad;
 use sedgeridge_fleet::verdict::Failure;
 use sedgeridge_state::fingerprint::Fingerprint;
@@ -282,9 +283,9 @@
 }
 
 impl OutgoingRequest {
-    /// Returns a fingerprint of the account, method, host name, URI and body. It is equal when the
-    /// same request comes again.
-    pub fn fingerprint(&self) -> Fingerprint {
+    /// Returns a fingerprint of the account, method, host name, URI, shared parts of the prompt and
+    /// body. It is equal when the same request comes again.
+    pub fn fingerprint(&self, prompt: Option<&Prompt>) -> Fingerprint {
         let payer = self.account.clone();
         let payer = payer.unwrap_or_else(|| AccountId::from(""));
         let uri = self.uri.to_string();
@@ -296,6 +297,10 @@
         input.extend_from_slice(&host_name.to_ascii_lowercase());
         input.push(b' ');
         input.extend_from_slice(uri.as_bytes());
+        for part in prompt.into_iter().flat_map(Prompt::shared_parts) {
+            input.push(b' ');
+            input.extend_from_slice(&part.id.to_be_bytes());
+        }
         input.push(b'\n');
         input.extend_from_slice(&self.body);
         Fingerprint::of(&payer, &input)
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -124,7 +124,7 @@
         deadline: read.outgoing.deadline,
         prompt: read.prompt.clone(),
         origin,
-        fingerprint: Some(read.outgoing.fingerprint()),
+        fingerprint: Some(read.outgoing.fingerprint(read.prompt.as_ref())),
     }
 }
 
