--- a/crates/fleet/src/crash_evidence/decisions.rs
+++ b/crates/fleet/src/crash_evidence/decisions.rs
@@ -142,7 +142,7 @@
             record.quarantine().is_none()
                 && match suspect.is_part() {
                     true => self.has_rival(suspect, record, until),
-                    false => self.may_be_innocent(suspect, record, until),
+                    false => self.may_have_other_cause(suspect, record, until),
                 }
         })
     }
@@ -162,7 +162,7 @@
         let is_known = |request: &Suspect, entry: &Entry| {
             let quarantine = entry.record.quarantine();
             let is_proven = proven_requests.contains(request)
-                && !self.may_be_innocent(*request, &entry.record, until);
+                && !self.may_have_other_cause(*request, &entry.record, until);
             quarantine.is_some_and(|it| !it.is_ambiguous) || is_proven
         };
         let requests = self.suspects.iter().filter(|(it, _)| !it.is_part());
--- a/crates/fleet/src/crash_evidence/request_decisions.rs
+++ b/crates/fleet/src/crash_evidence/request_decisions.rs
@@ -64,13 +64,13 @@
         unexplained: &BTreeMap<u64, Duration>,
         until: Duration,
     ) -> bool {
-        let may_be_innocent = self.may_be_innocent(suspect, record, until);
+        let may_have_other_cause = self.may_have_other_cause(suspect, record, until);
         let has_others = record.has_others_near(unexplained, OTHER_CRASH_TIME);
-        let extra = match may_be_innocent || has_others {
+        let extra = match may_have_other_cause || has_others {
             true => EXTRA_REQUEST_CRASHES,
             false => 0,
         };
-        let crashes = match may_be_innocent {
+        let crashes = match may_have_other_cause {
             true => record.crash_moments(explained, until),
             false => record.crash_count(explained, until),
         };
@@ -79,7 +79,7 @@
 
     /// Returns whether something else may be the cause of all crashes of a request: it has been answered before, or another
     /// request was in progress in all of them.
-    pub(super) fn may_be_innocent(
+    pub(super) fn may_have_other_cause(
         &self,
         suspect: Suspect,
         record: &CrashRecord,
