A part without earlier answers is excused where nothing has been answered yet

That a part has never worked tells something only where other prompts had been answered before its crashes.

--- a/crates/fleet/src/crash_evidence.rs
+++ b/crates/fleet/src/crash_evidence.rs
@@ -141,6 +141,8 @@
     has_unreported: bool,
     /// Time of this host's last sound answer to a prompt.
     last_sound_at: Option<Duration>,
+    /// Time of this host's first sound answer to a prompt.
+    first_sound_at: Option<Duration>,
     /// Since when there have been such answers without a gap.
     answers_since: Duration,
 }
@@ -164,6 +166,7 @@
             last_refused_reported: None,
             has_unreported: false,
             last_sound_at: None,
+            first_sound_at: None,
             answers_since: Duration::ZERO,
         }
     }
@@ -240,6 +243,7 @@
             self.answers_since = now;
         }
         self.last_sound_at = Some(now);
+        self.first_sound_at.get_or_insert(now);
     }
 
     /// Returns whether prompts have been answered within the last moments.
--- a/crates/fleet/src/crash_evidence/decisions.rs
+++ b/crates/fleet/src/crash_evidence/decisions.rs
@@ -86,6 +86,7 @@
         let explained = self.explained_crashes(Suspect::is_part);
         let unexplained = self.unexplained_crashes(&explained);
         let mut candidates = Vec::new();
+        let first_sound_at = self.first_sound_at;
         let parts = self.suspects.iter_mut();
         for (suspect, entry) in parts.filter(|(suspect, _)| suspect.is_part()) {
             let record = &mut entry.record;
@@ -94,8 +95,9 @@
                 true => PART_CRASHES_AMONG_OTHERS,
                 false => PART_CRASHES,
             };
+            let never_worked = record.never_worked(first_sound_at);
             let is_proven = match record.quarantine() {
-                Some(_) => record.failed_trial(),
+                Some(_) => record.failed_trial(never_worked),
                 None => record.is_proven(now, &explained, threshold, until),
             };
             if is_proven {
@@ -104,7 +106,7 @@
                     is_trial: record.quarantine().is_some_and(|it| it.is_ambiguous),
                     crashes: record.crash_count(&explained, until),
                     may_be_cause: is_common(*suspect) == Some(false)
-                        || !record.has_history()
+                        || never_worked
                         || record.has_contrast(),
                 });
             }
--- a/crates/fleet/src/crash_evidence/record.rs
+++ b/crates/fleet/src/crash_evidence/record.rs
@@ -216,10 +216,16 @@
     }
 
     /// Tells whether a prompt that was sent after the last quarantine was over has crashed an endpoint. If the part may be
-    /// innocent and has worked before, other prompts have to be answered meanwhile.
-    pub fn failed_trial(&self) -> bool {
+    /// innocent, other prompts have to be answered meanwhile, unless it has never worked while others did.
+    pub fn failed_trial(&self, never_worked: bool) -> bool {
         let is_certain = self.quarantine.is_some_and(|last| !last.is_ambiguous);
-        self.trial_crash().is_some() && (is_certain || !self.has_history || self.has_contrast())
+        self.trial_crash().is_some() && (is_certain || never_worked || self.has_contrast())
+    }
+
+    /// Tells whether no sound answer is known from before the crashes although this host's first one to any prompt was.
+    pub fn never_worked(&self, first_sound_at: Option<Duration>) -> bool {
+        let first_crash = self.crashes.first().zip(first_sound_at);
+        !self.has_history && first_crash.is_some_and(|(crash, sound_at)| sound_at < crash.lost_at)
     }
 
     /// Returns the newest crash, if its request was sent after the last quarantine was over.
