--- a/crates/fleet/src/crash_evidence/decisions.rs
+++ b/crates/fleet/src/crash_evidence/decisions.rs
@@ -19,7 +19,7 @@
 /// Time before and after the crashes of a suspect in which crashes without it count.
 pub(super) const OTHER_CRASH_TIME: Duration = Duration::from_secs(60);
 /// Crashes from which a suspect needs no trial once everything else in them is cleared.
-const SETTLING_CRASHES: usize = 8;
+const SETTLING_CRASHES: usize = 5;
 /// First quarantine of a suspect that may be innocent.
 const AMBIGUOUS_QUARANTINE_TIME: Duration = Duration::from_secs(4);
 
