--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -291,7 +291,7 @@
         let uri = self.uri.to_string();
         let host_name = self.headers.get(header::HOST);
         let host_name = host_name.map_or(&[][..], |name| name.as_bytes());
-        let mut input = Vec::with_capacity(self.body.len() + host_name.len() + uri.len() + 16);
+        let mut input = Vec::with_capacity(host_name.len() + uri.len() + 16);
         input.extend_from_slice(self.method.as_str().as_bytes());
         input.push(b' ');
         input.extend_from_slice(&host_name.to_ascii_lowercase());
@@ -302,8 +302,8 @@
             input.extend_from_slice(&part.id.to_be_bytes());
         }
         input.push(b'\n');
-        input.extend_from_slice(&self.body);
-        Fingerprint::of(&payer, &input)
+        // The body is not copied, since the memory for it is counted once.
+        Fingerprint::of_pieces(&payer, [&input[..], &self.body[..]])
     }
 
     fn build_request<W: WireFormat, C: Clock>(
--- a/crates/state/src/fingerprint.rs
+++ b/crates/state/src/fingerprint.rs
@@ -27,10 +27,27 @@
 impl Fingerprint {
     /// Computes the fingerprint of a request.
     pub fn of(account: &AccountId, body: &[u8]) -> Self {
+        Self::of_pieces(account, [body])
+    }
+
+    /// Computes the fingerprint of a request whose content is in several pieces. It is that of the pieces put together.
+    ///
+    /// ```
+    /// use sedgeridge_state::fingerprint::Fingerprint;
+    /// use sedgeridge_state::ids::AccountId;
+    ///
+    /// let account = AccountId::from("crew-07");
+    /// let pieces: [&[u8]; 2] = [b"GET /read/", b"{}"];
+    /// let whole = Fingerprint::of(&account, b"GET /read/{}");
+    /// assert_eq!(Fingerprint::of_pieces(&account, pieces), whole);
+    /// ```
+    pub fn of_pieces<'a>(account: &AccountId, pieces: impl IntoIterator<Item = &'a [u8]>) -> Self {
         let mut hash = Sha256::new();
         hash.update((account.as_str().len() as u64).to_be_bytes());
         hash.update(account.as_str());
-        hash.update(body);
+        for piece in pieces {
+            hash.update(piece);
+        }
         let digest = hash.finalize();
         let mut bytes = [0; FINGERPRINT_BYTES];
         bytes.copy_from_slice(&digest[..FINGERPRINT_BYTES]);
