A stream is complete only if its sender says so

The queue to a caller is a module of its own now: its sender marks the stream as complete, and any other end of the sender ends the response with an error. A response that only ends with its connection (HTTP/1.0) ends with a reset. Weighed: waiting for room for the mark, which holds the request until its slow caller reads, and loses the mark when the request's task ends.

Events that wait take their length and not the capacity of the buffer that they arrived in.

The other dropped results of try_send in gateway, transport and router were read: they drop datagrams, or orders whose loss is counted; none loses the end of an answer.

--- a/crates/fleet/src/event_stream.rs
+++ b/crates/fleet/src/event_stream.rs
@@ -32,8 +32,9 @@
         let Some(end) = end_of_events(&self.partial) else {
             return Vec::new();
         };
-        let rest = self.partial.split_off(end);
-        let complete = std::mem::replace(&mut self.partial, rest);
+        // Copied, so that what waits for a slow caller takes no more memory than its length.
+        let complete = self.partial[..end].to_vec();
+        self.partial.drain(..end);
         self.note_ids(&complete);
         complete
     }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -56,7 +56,7 @@
 pub struct HeldResponse {
     /// The response.
     pub response: CallerResponse,
-    /// Memory of the response; `None` if its stream keeps the memory, or none was held.
+    /// Memory of the response; `None` if none was held.
     pub memory: Option<HeldMemory>,
 }
 
@@ -148,7 +148,7 @@
         match timeout(time_left, self.run_attempts(receiver)).await {
             Ok(AttemptsEnd::Response(response)) => HeldResponse {
                 response,
-                memory: self.guard.take_memory(),
+                memory: Some(self.guard.share_memory()),
             },
             Ok(AttemptsEnd::CallerLeft) => {
                 response::text_response(StatusCode::REQUEST_TIMEOUT, "caller left").into()
@@ -270,7 +270,7 @@
             repeat: self.route.repeat,
             publication,
             has_first_event: false,
-            is_caller_slow: false,
+            longest_chunk_bytes: 0,
         };
         let body = ResponseBody::Stream(forwarder.start(endpoint, response));
         let mut response = CallerResponse::new(body);
--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use http::HeaderValue;
 use http::Request;
+use http::Version;
 use http::header;
 use hyper::body::Body;
 use hyper::body::Frame;
@@ -34,13 +35,13 @@
 use crate::gateway::Gateway;
 use crate::held_memory::HeldMemory;
 use crate::response::ResponseBody;
-use crate::response::StreamInterrupted;
+use crate::stream_queue::StreamInterrupted;
 use crate::wire::WireFormat;
 
 /// Limit on hyper's read and write buffers for a connection, unless `max_header_bytes` is larger. A
 /// typical prompt fits in one read. hyper's default limit is so high that a few hundred callers
 /// with long bodies would fill a small host's memory.
-const MAX_BUFFERED_BYTES: usize = 32 * 1024;
+pub(crate) const MAX_BUFFERED_BYTES: usize = 32 * 1024;
 
 /// Serves one connection until either end closes it.
 ///
@@ -138,6 +139,7 @@
     let keep_alive = stop_requested.borrow_and_update().is_none();
     let service = service_fn(|request: Request<Incoming>| {
         let busy = stream.begin_request(!request.body().is_end_stream());
+        let ends_with_connection = request.version() == Version::HTTP_10;
         history.has_served.set(true);
         let (gateway, caller) = (gateway.clone(), stream.clone());
         async move {
@@ -150,7 +152,11 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
-            Ok::<_, Infallible>(response.map(|body| TrackedBody { body, _busy: busy }))
+            Ok::<_, Infallible>(response.map(|body| TrackedBody {
+                body,
+                busy,
+                ends_with_connection,
+            }))
         }
     });
     let mut connection = http1::Builder::new()
@@ -235,7 +241,9 @@
 /// all of it, or when the connection ends.
 struct TrackedBody {
     body: ResponseBody,
-    _busy: BusyGuard,
+    busy: BusyGuard,
+    /// Whether a response without a length ends with its connection, so that only a reset shows that it is not complete.
+    ends_with_connection: bool,
 }
 
 impl Body for TrackedBody {
@@ -246,7 +254,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamInterrupted>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let frame = Pin::new(&mut self.body).poll_frame(context);
+        if self.ends_with_connection && matches!(frame, Poll::Ready(Some(Err(_)))) {
+            self.busy.reset_on_close();
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -102,12 +102,12 @@
     let allowed = metadata.time_left.unwrap_or(route.timeout);
     let deadline = received_at + allowed.min(route.timeout);
     let bytes = unread_request_bytes(&head);
-    let Some(mut memory) = gateway.memory.hold(bytes, asker(gateway, account.as_ref())) else {
+    let Some(memory) = gateway.memory.hold(bytes, asker(gateway, account.as_ref())) else {
         request_body::discard(body).await;
         return Err(reject_no_memory(gateway, &metadata));
     };
     let time_left = deadline.saturating_sub(gateway.now());
-    let body = request_body::read(body, gateway.max_body_bytes.get(), time_left, &mut memory).await;
+    let body = request_body::read(body, gateway.max_body_bytes.get(), time_left, &memory).await;
     let body = body.map_err(|error| reject_unread_body(gateway, &metadata, &error))?;
     let stream = StreamRequest::new(&route, &metadata, received_at);
     let first_attempt = metadata.resumed_attempt.as_ref().unwrap_or(&metadata.id);
--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -12,6 +12,7 @@
 use std::task::Poll;
 use std::task::Waker;
 use std::task::ready;
+use std::time::Duration;
 
 use bytes::Bytes;
 use socket2::SockRef;
@@ -50,6 +51,15 @@
     stream: CallerStream,
 }
 
+impl BusyGuard {
+    /// Makes the end of the connection a reset.
+    pub fn reset_on_close(&self) {
+        let stream = self.stream.inner.stream.borrow();
+        // Fails only if the connection is gone already.
+        let _ = SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+    }
+}
+
 impl Drop for BusyGuard {
     fn drop(&mut self) {
         self.stream.inner.is_busy.set(false);
--- a/crates/gateway/src/endpoint_pool.rs
+++ b/crates/gateway/src/endpoint_pool.rs
@@ -23,7 +23,7 @@
 
 /// Limit on a connection's buffers, and on the head of a response. hyper's own limit is many times
 /// higher, and each stream with a slow caller would use it.
-const MAX_BUFFERED_BYTES: usize = 16 * 1024;
+pub(crate) const MAX_BUFFERED_BYTES: usize = 16 * 1024;
 
 /// A connection on which one request at a time can be sent.
 pub type EndpointConnection = SendRequest<Full<Bytes>>;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -398,7 +398,7 @@
     id: RequestId,
     wire_id: Arc<str>,
     state: RequestState,
-    memory: Option<HeldMemory>,
+    memory: HeldMemory,
 }
 
 /// State of a guarded request.
@@ -430,20 +430,18 @@
             id,
             wire_id,
             state: RequestState::Pending,
-            memory: Some(memory),
+            memory,
         }
     }
 
     /// Adds memory that is held for the response.
-    pub fn add_response_memory(&mut self, bytes: u64) {
-        if let Some(memory) = &mut self.memory {
-            memory.add(bytes);
-        }
+    pub fn add_response_memory(&self, bytes: u64) {
+        self.memory.add(bytes);
     }
 
-    /// Takes the request's memory, which is to be held until the response is delivered.
-    pub fn take_memory(&mut self) -> Option<HeldMemory> {
-        self.memory.take()
+    /// Returns a handle of the request's memory, which is to be held until the response is delivered.
+    pub fn share_memory(&self) -> HeldMemory {
+        self.memory.share()
     }
 
     /// Marks the response as complete.
--- a/crates/gateway/src/held_memory.rs
+++ b/crates/gateway/src/held_memory.rs
@@ -1,5 +1,6 @@
 //! Memory that requests in progress hold, counted until they end.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 
@@ -34,10 +35,13 @@
     /// ```
     pub fn hold(&self, bytes: u64, asker: Requester) -> Option<HeldMemory> {
         let is_taken = self.budget.borrow_mut().try_reserve(bytes, asker);
-        is_taken.then(|| HeldMemory {
+        let reservation = is_taken.then(|| Reservation {
             shared: self.clone(),
-            bytes,
+            bytes: Cell::new(bytes),
             asker,
+        });
+        reservation.map(|reservation| HeldMemory {
+            reservation: Rc::new(reservation),
         })
     }
 
@@ -52,45 +56,81 @@
     }
 }
 
-/// Memory of one request, given back on drop, however the request ends.
+/// Memory of one request. It is given back when the last of its handles is dropped, however the request ends.
 #[derive(Debug)]
 pub struct HeldMemory {
+    reservation: Rc<Reservation>,
+}
+
+#[derive(Debug)]
+struct Reservation {
     shared: SharedMemoryBudget,
-    bytes: u64,
+    bytes: Cell<u64>,
     asker: Requester,
 }
 
 impl HeldMemory {
+    /// Returns another handle of the same memory.
+    ///
+    /// ```
+    /// use sedgeridge_fleet::memory_budget::{MemoryBudget, Requester};
+    /// use sedgeridge_gateway::held_memory::SharedMemoryBudget;
+    ///
+    /// let memory = SharedMemoryBudget::new(MemoryBudget::new(100_000));
+    /// let held = memory.hold(40_000, Requester::WithinShare).unwrap();
+    /// let shared = held.share();
+    /// drop(held);
+    /// assert_eq!(memory.held_bytes(), 40_000);
+    /// drop(shared);
+    /// assert_eq!(memory.held_bytes(), 0);
+    /// ```
+    pub fn share(&self) -> Self {
+        Self {
+            reservation: self.reservation.clone(),
+        }
+    }
+
     /// Gives a part back before the request ends.
-    pub fn give_back(&mut self, bytes: u64) {
-        let bytes = bytes.min(self.bytes);
-        self.shared.budget.borrow_mut().release(bytes);
-        self.bytes -= bytes;
+    pub fn give_back(&self, bytes: u64) {
+        let Reservation {
+            shared,
+            bytes: held,
+            ..
+        } = &*self.reservation;
+        let bytes = bytes.min(held.get());
+        shared.budget.borrow_mut().release(bytes);
+        held.set(held.get() - bytes);
     }
 
     /// Counts the memory of an endpoint's response. It is never refused, since the response is
     /// delivered in any case.
-    pub fn add(&mut self, bytes: u64) {
-        self.shared.budget.borrow_mut().reserve(bytes);
-        self.bytes += bytes;
+    pub fn add(&self, bytes: u64) {
+        let Reservation {
+            shared,
+            bytes: held,
+            ..
+        } = &*self.reservation;
+        shared.budget.borrow_mut().reserve(bytes);
+        held.set(held.get() + bytes);
     }
 
     /// Reserves more memory for the same request. Returns whether there was enough.
-    pub fn grow(&mut self, bytes: u64) -> bool {
-        let is_taken = self
-            .shared
-            .budget
-            .borrow_mut()
-            .try_reserve(bytes, self.asker);
+    pub fn grow(&self, bytes: u64) -> bool {
+        let Reservation {
+            shared,
+            bytes: held,
+            asker,
+        } = &*self.reservation;
+        let is_taken = shared.budget.borrow_mut().try_reserve(bytes, *asker);
         if is_taken {
-            self.bytes += bytes;
+            held.set(held.get() + bytes);
         }
         is_taken
     }
 }
 
-impl Drop for HeldMemory {
+impl Drop for Reservation {
     fn drop(&mut self) {
-        self.shared.budget.borrow_mut().release(self.bytes);
+        self.shared.budget.borrow_mut().release(self.bytes.get());
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod store;
 pub mod stream_forward;
 pub mod stream_origins;
+pub mod stream_queue;
 pub mod stream_request;
 pub mod table_copies;
 pub mod table_events;
--- a/crates/gateway/src/request_body.rs
+++ b/crates/gateway/src/request_body.rs
@@ -49,7 +49,7 @@
     body: Incoming,
     max_bytes: usize,
     time_left: Duration,
-    memory: &mut HeldMemory,
+    memory: &HeldMemory,
 ) -> Result<Bytes, BodyError> {
     let read = timeout(time_left, collect(body, max_bytes, memory)).await;
     read.unwrap_or(Err(BodyError::TooSlow))
@@ -58,7 +58,7 @@
 async fn collect(
     mut body: Incoming,
     max_bytes: usize,
-    memory: &mut HeldMemory,
+    memory: &HeldMemory,
 ) -> Result<Bytes, BodyError> {
     let stated = body.size_hint().exact();
     let stated = stated.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
@@ -92,7 +92,7 @@
     bytes: &mut Vec<u8>,
     more: usize,
     stated: Option<usize>,
-    memory: &mut HeldMemory,
+    memory: &HeldMemory,
 ) -> bool {
     let needed = bytes.len() + more;
     if needed <= bytes.capacity() {
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::Stream;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Response;
@@ -14,16 +15,9 @@
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
-use thiserror::Error;
-use tokio::sync::mpsc;
 
-/// Chunks of events that are queued for a slow caller before reading from its endpoint pauses.
-pub const STREAM_QUEUE_LENGTH: usize = 32;
-
-/// A stream ended before its last event.
-#[derive(Debug, Error)]
-#[error("the stream ended before the response was complete")]
-pub struct StreamInterrupted;
+use crate::stream_queue::StreamInterrupted;
+use crate::stream_queue::StreamReceiver;
 
 /// Body of a response: known completely, or forwarded as it arrives.
 #[derive(Debug)]
@@ -32,7 +26,7 @@
     Buffered(Option<Bytes>),
     /// Chunks of a stream. An error breaks the connection, so that the response does not look
     /// complete.
-    Stream(mpsc::Receiver<Result<Bytes, StreamInterrupted>>),
+    Stream(StreamReceiver),
 }
 
 impl Body for ResponseBody {
@@ -46,7 +40,7 @@
         match self.get_mut() {
             Self::Buffered(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Self::Stream(chunks) => {
-                let chunk = chunks.poll_recv(context);
+                let chunk = Pin::new(chunks).poll_next(context);
                 chunk.map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
             }
         }
--- a/crates/gateway/src/stream_forward.rs
+++ b/crates/gateway/src/stream_forward.rs
@@ -12,8 +12,6 @@
 use sedgeridge_fleet::event_stream::EventSplitter;
 use sedgeridge_fleet::verdict::Failure;
 use sedgeridge_fleet::verdict::Verdict;
-use tokio::sync::mpsc;
-use tokio::sync::mpsc::error::TrySendError;
 use tokio::task::JoinHandle;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
@@ -27,10 +25,15 @@
 use crate::gateway::RequestGuard;
 use crate::meters;
 use crate::request_log::log_failed_attempt;
-use crate::response::STREAM_QUEUE_LENGTH;
-use crate::response::StreamInterrupted;
+use crate::stream_queue::StreamReceiver;
+use crate::stream_queue::StreamSender;
+use crate::stream_queue::stream_queue;
 use crate::wire::WireFormat;
 
+/// Number of copies of a chunk in memory: as read, split into events, written, and in buffers that have grown for it. The
+/// queue counts its own chunks.
+const CHUNK_COPIES: u64 = 4;
+
 /// A stream in progress.
 #[derive(Debug)]
 pub struct StreamForwarder<W: WireFormat, C: Clock> {
@@ -48,8 +51,8 @@
     pub publication: Option<JoinHandle<()>>,
     /// Whether the first event of the current attempt has arrived.
     pub has_first_event: bool,
-    /// Whether the caller has let the queue of events fill up.
-    pub is_caller_slow: bool,
+    /// Length of the longest chunk so far, whose copies are counted in the request's memory.
+    pub longest_chunk_bytes: u64,
 }
 
 /// Why forwarding ended.
@@ -59,16 +62,10 @@
     CallerLeft,
 }
 
-type EventSender = mpsc::Sender<Result<Bytes, StreamInterrupted>>;
-
 impl<W: WireFormat, C: Clock> StreamForwarder<W, C> {
     /// Starts forwarding. Returns the chunks of the caller's response.
-    pub fn start(
-        self,
-        endpoint: Arc<Endpoint>,
-        response: EndpointResponse,
-    ) -> mpsc::Receiver<Result<Bytes, StreamInterrupted>> {
-        let (sender, receiver) = mpsc::channel(STREAM_QUEUE_LENGTH);
+    pub fn start(self, endpoint: Arc<Endpoint>, response: EndpointResponse) -> StreamReceiver {
+        let (sender, receiver) = stream_queue(Some(self.guard.share_memory()));
         spawn_local(self.run(endpoint, response, sender));
         receiver
     }
@@ -77,7 +74,7 @@
         mut self,
         endpoint: Arc<Endpoint>,
         response: EndpointResponse,
-        sender: EventSender,
+        sender: StreamSender,
     ) {
         let time_left = self.outgoing.deadline.saturating_sub(self.gateway.now());
         let forwarding = timeout(time_left, self.forward(endpoint, response, &sender));
@@ -85,13 +82,11 @@
             Ok(true) => {
                 meters::count_served(self.repeat);
                 self.guard.complete();
-                return;
+                sender.complete();
             }
             Ok(false) => {}
             Err(_) => self.guard.mark_timed_out(),
         }
-        // The caller is gone already, or must see that the response is not complete.
-        let _ = sender.try_send(Err(StreamInterrupted));
     }
 
     /// Forwards events until the stream ends. Returns whether the response is complete.
@@ -99,7 +94,7 @@
         &mut self,
         mut endpoint: Arc<Endpoint>,
         mut response: EndpointResponse,
-        sender: &EventSender,
+        sender: &StreamSender,
     ) -> bool {
         let mut splitter = EventSplitter::default();
         let first_version = endpoint.software_version.clone();
@@ -153,7 +148,7 @@
         endpoint: &Endpoint,
         response: EndpointResponse,
         splitter: &mut EventSplitter,
-        sender: &EventSender,
+        sender: &StreamSender,
     ) -> StreamEnd {
         let EndpointResponse {
             mut body,
@@ -202,28 +197,26 @@
     }
 
     /// Queues events for the caller. Returns whether the caller is still connected.
-    async fn deliver(&mut self, sender: &EventSender, events: Bytes) -> bool {
+    async fn deliver(&mut self, sender: &StreamSender, events: Bytes) -> bool {
         if let Some(publication) = self.publication.take() {
             // A caller that has an event may resume the stream at any host. The task can't be cancelled.
             let _ = publication.await;
         }
-        let length = events.len();
-        let Err(TrySendError::Full(events)) = sender.try_send(Ok(events)) else {
-            return !sender.is_closed();
-        };
-        if !std::mem::replace(&mut self.is_caller_slow, true) {
-            // From here on the stream may hold this much memory until the caller reads.
-            self.guard
-                .add_response_memory((STREAM_QUEUE_LENGTH * length) as u64);
-        }
-        sender.send(events).await.is_ok()
+        self.count_copies(events.len() as u64);
+        sender.send(events).await
+    }
+
+    fn count_copies(&mut self, chunk_bytes: u64) {
+        let more = chunk_bytes.saturating_sub(self.longest_chunk_bytes);
+        self.guard.add_response_memory(more * CHUNK_COPIES);
+        self.longest_chunk_bytes += more;
     }
 
     /// Sends the request to other endpoints until one resumes the stream.
     async fn resume(
         &mut self,
         failure: Failure,
-        sender: &EventSender,
+        sender: &StreamSender,
     ) -> Option<(Arc<Endpoint>, EndpointResponse)> {
         let mut receiver = self.gateway.attempt_failed(self.id, failure);
         loop {
--- a/crates/slopes/src/data_paths.rs
+++ b/crates/slopes/src/data_paths.rs
@@ -81,6 +81,7 @@
     let shape = StreamShape {
         events: EVENTS,
         interval: Duration::from_secs_f64(target::TOKEN_INTERVAL_MS / 1e3),
+        comment_bytes: 0,
     };
     let store = store::spawn(rows.clone())?;
     let endpoint = endpoint::spawn(ListedRun::new("e-1", "v1"), RunLog::default(), shape)?;
