A stream's memory is held until its caller has been sent the last byte

The connection of the caller now holds a handle of it, as it does for whole answers, until everything is written. Weighed: counting queues by themselves; memory is what the stop waits for already, and admission needs it too.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -154,7 +154,9 @@
                 response::text_response(StatusCode::REQUEST_TIMEOUT, "caller left").into()
             }
             Ok(AttemptsEnd::Stream(endpoint, response)) => {
-                self.start_stream(endpoint, response).into()
+                let memory = Some(self.guard.share_memory());
+                let response = self.start_stream(endpoint, response);
+                HeldResponse { response, memory }
             }
             Err(_) => {
                 self.guard.mark_timed_out();
