A quarantine ends when another suspect explains all crashes that it rests on

A suspect whose crashes another one with a certain quarantine and more crashes has all had is released, and the hosts tell each other by the number of the quarantine, as for sound answers.

--- a/crates/fleet/src/crash_evidence.rs
+++ b/crates/fleet/src/crash_evidence.rs
@@ -53,7 +53,7 @@
 pub enum QuarantineEvent {
     /// A suspect is refused from now on.
     Started(Quarantined),
-    /// A suspect is no longer refused, since an answer did not crash its endpoint.
+    /// A suspect is no longer refused, since an answer did not crash its endpoint, or another suspect explains its crashes.
     Cleared(Suspect),
 }
 
--- a/crates/fleet/src/crash_evidence/decisions.rs
+++ b/crates/fleet/src/crash_evidence/decisions.rs
@@ -61,6 +61,40 @@
         quarantined
     }
 
+    /// Ends the quarantines of suspects whose crashes another suspect explains that has crashed more endpoints. Returns them.
+    pub fn release_explained(&mut self, now: Duration) -> Vec<Suspect> {
+        let now = self.set_now(now);
+        let explained: Vec<Suspect> = self.explained_suspects(now);
+        for suspect in &explained {
+            let Some(entry) = self.suspects.get_mut(suspect) else {
+                continue;
+            };
+            let round = entry.record.quarantine().map_or(0, |it| it.round);
+            if entry.record.end_quarantines(round) {
+                entry.record.note_event(now);
+                entry.repeats = CHANGE_REPEATS;
+                self.has_unreported = true;
+            }
+        }
+        explained
+    }
+
+    fn explained_suspects(&self, now: Duration) -> Vec<Suspect> {
+        let in_force = |record: &CrashRecord| record.quarantine().is_some_and(|it| it.until > now);
+        let explains = |other: &CrashRecord, record: &CrashRecord| {
+            let is_certain = other.quarantine().is_some_and(|it| !it.is_ambiguous);
+            is_certain
+                && other.crashes().len() > record.crashes().len()
+                && other.has_all_crashes_of(record, Duration::MAX)
+        };
+        let records = || self.suspects.iter().map(|(it, entry)| (it, &entry.record));
+        let quarantined = records().filter(|(_, record)| in_force(record));
+        let explained = quarantined.filter(|(_, record)| {
+            !record.crashes().is_empty() && records().any(|(_, other)| explains(other, record))
+        });
+        explained.map(|(suspect, _)| *suspect).collect()
+    }
+
     fn drop_old(&mut self, now: Duration) {
         let evidence_time = self.quarantine_time();
         self.suspects.retain(|_, entry| {
@@ -150,7 +184,12 @@
     }
 
     /// Returns whether another part was in progress in all crashes of a suspect.
-    fn has_rival(&self, suspect: Suspect, record: &CrashRecord, until: Duration) -> bool {
+    pub(super) fn has_rival(
+        &self,
+        suspect: Suspect,
+        record: &CrashRecord,
+        until: Duration,
+    ) -> bool {
         let others = self.suspects.iter();
         let mut others = others.filter(|(other, _)| other.is_part() && **other != suspect);
         others.any(|(_, other)| other.record.has_all_crashes_of(record, until))
@@ -163,9 +202,9 @@
         };
         let is_known = |request: &Suspect, entry: &Entry| {
             let quarantine = entry.record.quarantine();
-            let is_proven = proven_requests.contains(request)
-                && !self.may_have_other_cause(*request, &entry.record, until);
-            quarantine.is_some_and(|it| !it.is_ambiguous) || is_proven
+            let is_proven = proven_requests.contains(request) || quarantine.is_some();
+            let is_sole = !self.may_be_another_request(*request, &entry.record, until);
+            quarantine.is_some_and(|it| !it.is_ambiguous) || is_proven && is_sole
         };
         let requests = self.suspects.iter().filter(|(it, _)| !it.is_part());
         let mut known = requests.filter(|(request, entry)| is_known(request, entry));
--- a/crates/fleet/src/crash_evidence/request_decisions.rs
+++ b/crates/fleet/src/crash_evidence/request_decisions.rs
@@ -78,12 +78,23 @@
     }
 
     /// Returns whether something else may be the cause of all crashes of a request: it has been answered before, or another
-    /// request was in progress in all of them.
+    /// request or a part of prompts was in progress in all of them.
     pub(super) fn may_have_other_cause(
         &self,
         suspect: Suspect,
         record: &CrashRecord,
         until: Duration,
+    ) -> bool {
+        self.may_be_another_request(suspect, record, until)
+            || self.has_rival(suspect, record, until)
+    }
+
+    /// Returns whether a request has been answered before, or another request was in progress in all of its crashes.
+    pub(super) fn may_be_another_request(
+        &self,
+        suspect: Suspect,
+        record: &CrashRecord,
+        until: Duration,
     ) -> bool {
         let others = self.suspects.iter();
         let mut others = others.filter(|(other, _)| !other.is_part() && **other != suspect);
--- a/crates/fleet/src/dispatcher/crashes.rs
+++ b/crates/fleet/src/dispatcher/crashes.rs
@@ -326,7 +326,10 @@
             evidence, arrivals, ..
         } = &mut self.crashes;
         let quarantined = evidence.tick(now, settle_time, |it| arrivals.is_common(it));
-        let events = quarantined.into_iter().map(QuarantineEvent::Started);
+        let released = evidence.release_explained(now).into_iter();
+        let released = released.map(QuarantineEvent::Cleared);
+        let started = quarantined.into_iter().map(QuarantineEvent::Started);
+        let events = started.chain(released);
         self.crashes
             .events
             .extend(events.map(CrashEvent::Quarantine));
