The soak sends a request that crashes endpoints and comes again

One more caller sends the same plain request at any router; after three crashes at most three may reach endpoints in the quiet period.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -22,6 +22,7 @@
 use sedgeridge_platform_standins::caller::ResumedStream;
 use sedgeridge_platform_standins::caller::build_request;
 use sedgeridge_platform_standins::caller::has_endpoint_stamp;
+use sedgeridge_platform_standins::crashing_parts::CrashCause;
 use sedgeridge_platform_standins::crashing_parts::CrashingParts;
 use sedgeridge_platform_standins::documents::RouteKind;
 use sedgeridge_platform_standins::endpoint::STREAM_EVENTS;
@@ -57,7 +58,9 @@
 const SHARED_PARTS: u64 = 16;
 /// Part of prompts that crashes endpoints.
 pub const CRASHING_PART: u64 = 0xbad_0000;
-/// Bounds of the pause between two requests with this part.
+/// Path of the request that crashes endpoints.
+pub const CRASHING_PATH: &str = "/read/again";
+/// Bounds of the pause between two requests that crash endpoints.
 const CRASHING_REQUEST_PAUSE_MS: (u64, u64) = (200, 900);
 /// Makes these requests independent of the other callers of a seed.
 const CRASHING_REQUEST_SALT: u64 = 0x5e_7a13;
@@ -354,10 +357,18 @@
     parts
 }
 
-/// Sends requests whose prompts have a part that crashes endpoints, no two alike, until `keep_sending` becomes false. What
-/// becomes of them does not count.
-pub async fn run_crashing_caller<C: Clock>(shared: Rc<SharedState<C>>, seed: u64) {
-    let mut random = SeededRandom::new(seed ^ CRASHING_REQUEST_SALT);
+/// Sends requests that crash endpoints, until `keep_sending` becomes false: those whose prompts have a part that does so, no
+/// two alike, or the same request again and again. What becomes of them does not count.
+pub async fn run_crashing_caller<C: Clock>(
+    shared: Rc<SharedState<C>>,
+    cause: CrashCause,
+    seed: u64,
+) {
+    let salt = match cause {
+        CrashCause::Part => CRASHING_REQUEST_SALT,
+        CrashCause::Request => !CRASHING_REQUEST_SALT,
+    };
+    let mut random = SeededRandom::new(seed ^ salt);
     let mut requests = 0;
     while shared.keep_sending.get() {
         requests += 1;
@@ -367,13 +378,17 @@
         let Ok(mut sender) = open_connection(shared.addresses[router]).await else {
             continue;
         };
-        let id = format!("crashing-{requests}");
+        let id = format!("crashing-{cause:?}-{requests}");
         let (newest, _) = shared.newest_key.get();
+        let (parts, path) = match cause {
+            CrashCause::Part => (prompt_parts(&id, &[CRASHING_PART]), path(RouteKind::Stream)),
+            CrashCause::Request => (Vec::new(), CRASHING_PATH),
+        };
         let attempt = CallerAttempt {
-            parts: prompt_parts(&id, &[CRASHING_PART]),
+            parts,
             id,
             host: HOST.to_owned(),
-            path: path(RouteKind::Stream).to_owned(),
+            path: path.to_owned(),
             key: key(newest),
             timeout_ms: TIMEOUT.as_millis() as u64,
             resumed: None,
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -128,10 +128,11 @@
         .count();
     let resumed = ResumedStreams::of(&observations.records);
     println!(
-        "seed {seed}: {} faults, {served} of {} requests served, {resumed}, {} crashes, {} runs, {} KB, {} broken",
+        "seed {seed}: {} faults, {served} of {} requests served, {resumed}, {} and {} crashes, {} runs, {} KB, {} broken",
         result.faults.len(),
         observations.records.len(),
-        observations.crashes,
+        observations.part_crashes.crashes,
+        observations.request_crashes.crashes,
         observations.run_ids.len(),
         observations.peak_memory_kb,
         result.violations.len(),
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -10,6 +10,7 @@
 use sedgeridge_platform_standins::documents::RESEND_LIMITS;
 use sedgeridge_platform_standins::documents::RouteKind;
 
+use crate::records::CrashCounts;
 use crate::records::Observations;
 use crate::records::Outcome;
 use crate::records::PlannedStop;
@@ -29,8 +30,10 @@
 /// Time before and after the tries to resume a stream in which new streams are compared with it.
 const RESUME_MARGIN: Duration = Duration::from_millis(100);
 /// Crashes under one part of prompts after which requests with it are refused.
-const MAX_CRASHES: usize = 5;
-/// Requests with the part that may reach endpoints later all the same.
+const MAX_PART_CRASHES: usize = 5;
+/// Crashes under one request after which it is refused.
+const MAX_REQUEST_CRASHES: usize = 3;
+/// Requests that crash endpoints and may reach some later all the same.
 const MAX_LATE_CRASHING_REQUESTS: usize = 3;
 /// Time window of the resend limit.
 const RESEND_WINDOW: Duration = Duration::from_secs(10);
@@ -58,7 +61,7 @@
     check_recovery(observations, &mut report);
     check_resumes(observations, &mut report);
     check_resends(observations, &mut report);
-    check_crashing_part(observations, &mut report);
+    check_crashes(observations, &mut report);
     check_processes(observations, &mut report);
     violations
 }
@@ -293,16 +296,31 @@
     }
 }
 
-/// Checks that requests with a part that has crashed several endpoints no longer reach any.
-fn check_crashing_part(observations: &Observations, report: &mut impl FnMut(&'static str, String)) {
-    let Observations {
-        crashes,
-        late_crashing_requests,
-        ..
-    } = *observations;
-    if crashes >= MAX_CRASHES && late_crashing_requests > MAX_LATE_CRASHING_REQUESTS {
-        let observed = format!("{late_crashing_requests} requests after {crashes} crashes");
-        report("a part that crashes endpoints is refused", observed);
+/// Checks that requests under which several endpoints have crashed no longer reach any.
+fn check_crashes(observations: &Observations, report: &mut impl FnMut(&'static str, String)) {
+    let causes = [
+        (
+            "a part that crashes endpoints is refused",
+            observations.part_crashes,
+            MAX_PART_CRASHES,
+        ),
+        (
+            "a request that crashes endpoints is refused",
+            observations.request_crashes,
+            MAX_REQUEST_CRASHES,
+        ),
+    ];
+    for (promise, counts, max_crashes) in causes {
+        let CrashCounts {
+            crashes,
+            late_requests,
+        } = counts;
+        if crashes >= max_crashes && late_requests > MAX_LATE_CRASHING_REQUESTS {
+            report(
+                promise,
+                format!("{late_requests} requests after {crashes} crashes"),
+            );
+        }
     }
 }
 
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -115,6 +115,15 @@
     pub is_clean: bool,
 }
 
+/// Crashes of endpoints under requests with the same cause.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CrashCounts {
+    /// Endpoints that crashed.
+    pub crashes: usize,
+    /// Such requests that reached endpoints in the quiet period.
+    pub late_requests: usize,
+}
+
 /// Everything observed in a run.
 #[derive(Debug, Default)]
 pub struct Observations {
@@ -130,10 +139,10 @@
     pub unexpected_exits: Vec<(usize, String)>,
     /// Start and end of the period after all faults in which everything must work.
     pub quiet_period: (Duration, Duration),
-    /// Endpoints that crashed under a part of a prompt.
-    pub crashes: usize,
-    /// Requests with this part that reached endpoints in the quiet period.
-    pub late_crashing_requests: usize,
+    /// Crashes under a part of a prompt.
+    pub part_crashes: CrashCounts,
+    /// Crashes under a request that comes again.
+    pub request_crashes: CrashCounts,
     /// Highest memory observed in any router, in kilobytes.
     pub peak_memory_kb: u64,
     /// Duration of the whole run.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -15,6 +15,7 @@
 
 use sedgeridge_coordination::clock::Clock;
 use sedgeridge_load::processes::Signal;
+use sedgeridge_platform_standins::crashing_parts::CrashCause;
 use sedgeridge_platform_standins::documents::READY_PATH;
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
@@ -26,6 +27,7 @@
 use crate::promises::GRACE;
 use crate::promises::Violation;
 use crate::promises::check;
+use crate::records::CrashCounts;
 use crate::records::Disturbance;
 use crate::records::Observations;
 use crate::records::PlannedStop;
@@ -123,10 +125,10 @@
     for number in 0..config.callers {
         spawn_local(callers::run(soak.shared.clone(), number, config.seed));
     }
-    spawn_local(callers::run_crashing_caller(
-        soak.shared.clone(),
-        config.seed,
-    ));
+    for cause in [CrashCause::Part, CrashCause::Request] {
+        let shared = soak.shared.clone();
+        spawn_local(callers::run_crashing_caller(shared, cause, config.seed));
+    }
     let targets = Targets {
         routers: config.routers as u64,
         endpoints: config.endpoints as u64,
@@ -135,11 +137,16 @@
     soak.inject_faults(&faults).await?;
     soak.watch_for(SETTLE_TIME).await?;
     let quiet_from = soak.shared.now();
-    let arrivals_before = soak.site.crashing.arrivals().len();
+    let causes = [CrashCause::Part, CrashCause::Request];
+    let arrivals_before = causes.map(|cause| soak.site.crashing.arrivals(cause).len());
     soak.watch_for(QUIET_TIME).await?;
-    soak.observations.crashes = soak.site.crashing.crashes().len();
-    soak.observations.late_crashing_requests =
-        soak.site.crashing.arrivals().len() - arrivals_before;
+    let crash_counts = |index: usize| CrashCounts {
+        crashes: soak.site.crashing.crashes(causes[index]).len(),
+        late_requests: soak.site.crashing.arrivals(causes[index]).len() - arrivals_before[index],
+    };
+    let (part_crashes, request_crashes) = (crash_counts(0), crash_counts(1));
+    soak.observations.part_crashes = part_crashes;
+    soak.observations.request_crashes = request_crashes;
     soak.observations.quiet_period = (quiet_from, soak.shared.now());
     soak.stop_all().await?;
     Ok(RunResult {
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -29,6 +29,7 @@
 use serde_json::json;
 
 use crate::callers::CRASHING_PART;
+use crate::callers::CRASHING_PATH;
 use crate::links::Link;
 use crate::routers::DATA_CENTRES;
 use crate::schedule::LinkFault;
@@ -109,6 +110,7 @@
         let runs = RunLog::default();
         let crashing = CrashingParts::default();
         crashing.add(CRASHING_PART);
+        crashing.add_path(CRASHING_PATH);
         let endpoints = (0..endpoints).map(|index| SoakEndpoint::start(index, &runs, &crashing));
         let site = Self {
             store: store::spawn(rows.clone())?,
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -4,6 +4,7 @@
 
 use sedgeridge_platform_standins::documents::RouteKind;
 use sedgeridge_soak::promises::check;
+use sedgeridge_soak::records::CrashCounts;
 use sedgeridge_soak::records::Disturbance;
 use sedgeridge_soak::records::Observations;
 use sedgeridge_soak::records::Outcome;
@@ -320,14 +321,12 @@
     allowed = { 5, 3, false },
     not_known_yet = { 4, 4, false },
 )]
-fn requests_with_a_crashing_part_are_found(
-    crashes: usize,
-    late_crashing_requests: usize,
-    is_broken: bool,
-) {
+fn requests_with_a_crashing_part_are_found(crashes: usize, late_requests: usize, is_broken: bool) {
     let observations = Observations {
-        crashes,
-        late_crashing_requests,
+        part_crashes: CrashCounts {
+            crashes,
+            late_requests,
+        },
         ..valid_run()
     };
     let broken = broken_promises(&observations);
@@ -337,3 +336,24 @@
     };
     assert_eq!(broken, expected);
 }
+
+#[parameterized(
+    too_many = { 3, 4, true },
+    allowed = { 3, 3, false },
+    not_known_yet = { 2, 4, false },
+)]
+fn requests_that_come_again_are_found(crashes: usize, late_requests: usize, is_broken: bool) {
+    let observations = Observations {
+        request_crashes: CrashCounts {
+            crashes,
+            late_requests,
+        },
+        ..valid_run()
+    };
+    let broken = broken_promises(&observations);
+    let expected = match is_broken {
+        true => vec!["a request that crashes endpoints is refused"],
+        false => Vec::new(),
+    };
+    assert_eq!(broken, expected);
+}
