--- a/crates/fleet/src/crash_evidence/decisions.rs
+++ b/crates/fleet/src/crash_evidence/decisions.rs
@@ -61,10 +61,10 @@
         quarantined
     }
 
-    /// Ends the quarantines of suspects whose crashes another suspect explains that has crashed more endpoints. Returns them.
+    /// Ends the quarantines whose crashes another quarantined suspect has all had, with more crashes. Returns their suspects.
     pub fn release_explained(&mut self, now: Duration) -> Vec<Suspect> {
         let now = self.set_now(now);
-        let explained: Vec<Suspect> = self.explained_suspects(now);
+        let explained = self.explained_suspects(now);
         for suspect in &explained {
             let Some(entry) = self.suspects.get_mut(suspect) else {
                 continue;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -137,16 +137,11 @@
     soak.inject_faults(&faults).await?;
     soak.watch_for(SETTLE_TIME).await?;
     let quiet_from = soak.shared.now();
-    let causes = [CrashCause::Part, CrashCause::Request];
-    let arrivals_before = causes.map(|cause| soak.site.crashing.arrivals(cause).len());
+    let parts_before = soak.arrivals(CrashCause::Part);
+    let requests_before = soak.arrivals(CrashCause::Request);
     soak.watch_for(QUIET_TIME).await?;
-    let crash_counts = |index: usize| CrashCounts {
-        crashes: soak.site.crashing.crashes(causes[index]).len(),
-        late_requests: soak.site.crashing.arrivals(causes[index]).len() - arrivals_before[index],
-    };
-    let (part_crashes, request_crashes) = (crash_counts(0), crash_counts(1));
-    soak.observations.part_crashes = part_crashes;
-    soak.observations.request_crashes = request_crashes;
+    soak.observations.part_crashes = soak.crash_counts(CrashCause::Part, parts_before);
+    soak.observations.request_crashes = soak.crash_counts(CrashCause::Request, requests_before);
     soak.observations.quiet_period = (quiet_from, soak.shared.now());
     soak.stop_all().await?;
     Ok(RunResult {
@@ -187,6 +182,18 @@
         })
     }
 
+    /// Returns the number of requests that crash endpoints and have reached one.
+    fn arrivals(&self, cause: CrashCause) -> usize {
+        self.site.crashing.arrivals(cause).len()
+    }
+
+    fn crash_counts(&self, cause: CrashCause, arrivals_before: usize) -> CrashCounts {
+        CrashCounts {
+            crashes: self.site.crashing.crashes(cause).len(),
+            late_requests: self.arrivals(cause) - arrivals_before,
+        }
+    }
+
     async fn wait_until_ready(&mut self) -> io::Result<()> {
         let ends_at = self.shared.now() + START_TIMEOUT;
         while self.shared.now() < ends_at {
