--- a/crates/fleet/src/crash_evidence/request_decisions.rs
+++ b/crates/fleet/src/crash_evidence/request_decisions.rs
@@ -64,13 +64,13 @@
         unexplained: &BTreeMap<u64, Duration>,
         until: Duration,
     ) -> bool {
-        let may_have_other_cause = self.may_have_other_cause(suspect, record, until);
+        let may_be_another = self.may_be_another_request(suspect, record, until);
         let has_others = record.has_others_near(unexplained, OTHER_CRASH_TIME);
-        let extra = match may_have_other_cause || has_others {
+        let extra = match may_be_another || has_others {
             true => EXTRA_REQUEST_CRASHES,
             false => 0,
         };
-        let crashes = match may_have_other_cause {
+        let crashes = match may_be_another {
             true => record.crash_moments(explained, until),
             false => record.crash_count(explained, until),
         };
