--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -116,7 +116,7 @@
     StreamResumed = 3309, "gateway_stream_resumed";
     /// A part of prompts, or a request, has crashed several endpoints. Requests with it are refused from now on.
     QuarantineStarted = 3310, "gateway_quarantine_started";
-    /// An endpoint has answered a request of a quarantine and did not crash. Such requests are sent again.
+    /// An endpoint has answered a request of a quarantine and did not crash, or another suspect explains all crashes that it rests on. Such requests are sent again.
     QuarantineEnded = 3311, "gateway_quarantine_ended";
     /// A request is sent although a part of its prompt, or its whole content, has been quarantined.
     QuarantineWaived = 3312, "gateway_quarantine_waived";
