--- a/review/harness-2/src/base64.rs
+++ b/review/harness-2/src/base64.rs
@@ -11,7 +11,9 @@
         let bits = u32::from(group[0]) << 16 | u32::from(group[1]) << 8 | u32::from(group[2]);
         for index in 0..4 {
             match index <= chunk.len() {
-                true => text.push(char::from(ALPHABET[(bits >> (18 - 6 * index)) as usize & 63])),
+                true => text.push(char::from(
+                    ALPHABET[(bits >> (18 - 6 * index)) as usize & 63],
+                )),
                 false => text.push('='),
             }
         }
--- a/review/harness-2/src/bin/crash.rs
+++ b/review/harness-2/src/bin/crash.rs
@@ -69,8 +69,12 @@
             address: fixture.address(100 + number as u8, 9000),
             down_time: Duration::from_secs(3),
         };
-        Engine::start(spec, store.clone(), record.clone(), log.clone(), move |request| {
-            match has_trouble && request.path() == CRASHING_PATH {
+        Engine::start(
+            spec,
+            store.clone(),
+            record.clone(),
+            log.clone(),
+            move |request| match has_trouble && request.path() == CRASHING_PATH {
                 true => Work::StreamAndCrash {
                     first_after: Duration::from_millis(60),
                     interval: Duration::from_millis(40),
@@ -82,8 +86,8 @@
                     interval: Duration::from_millis(20),
                     event_bytes: 60,
                 },
-            }
-        });
+            },
+        );
     }
     for number in 0..routers {
         let zone = ZONES[number % 3];
@@ -112,8 +116,21 @@
             let attempt = format!("{:016x}", 0x5000_0000_0000u64 + u64::from(sent));
             let path = format!("/lohu930/{sent}");
             let (first, second) = shared();
-            let parts = format!("5c1e07a2:{first},{:x}:{second},{:x}:618", 0x1000 + sent % 40, 0xa000_0000u32 + sent);
-            callers.push(thread::spawn(move || call(&record, target, &attempt, &path, &parts, &format!("body {attempt}"))));
+            let parts = format!(
+                "5c1e07a2:{first},{:x}:{second},{:x}:618",
+                0x1000 + sent % 40,
+                0xa000_0000u32 + sent
+            );
+            callers.push(thread::spawn(move || {
+                call(
+                    &record,
+                    target,
+                    &attempt,
+                    &path,
+                    &parts,
+                    &format!("body {attempt}"),
+                )
+            }));
             sent += 1;
         }
         while interval * crashing < elapsed {
@@ -123,16 +140,29 @@
             callers.push(thread::spawn(move || {
                 let (first, second) = shared();
                 let parts = format!("5c1e07a2:{first},91bd3f06:{second},e4402b7d:618");
-                call(&record, target, &attempt, CRASHING_PATH, &parts, "the same body")
+                call(
+                    &record,
+                    target,
+                    &attempt,
+                    CRASHING_PATH,
+                    &parts,
+                    "the same body",
+                )
             }));
             crashing += 1;
         }
         thread::sleep(Duration::from_millis(4));
     }
-    let statuses: Vec<(String, u16)> = callers.into_iter().filter_map(|it| it.join().ok()).collect();
+    let statuses: Vec<(String, u16)> = callers
+        .into_iter()
+        .filter_map(|it| it.join().ok())
+        .collect();
     let sound = statuses.iter().filter(|(attempt, _)| attempt.contains('5'));
     let served = sound.clone().filter(|(_, status)| *status == 200).count();
-    record.say(&format!("sound requests {}, served {served}", sound.count()));
+    record.say(&format!(
+        "sound requests {}, served {served}",
+        sound.count()
+    ));
     judge(&record, &log)
 }
 
@@ -160,13 +190,16 @@
     record.note(&format!("sent {attempt} {path} to {target}"));
     let answer = http::fetch(target, request.as_bytes(), Duration::from_secs(12));
     let status = answer.as_ref().map_or(0, |it| it.status);
-    let text = answer.map_or_else(|| "no answer".to_owned(), |it| {
-        let reason = match it.status {
-            200 => String::new(),
-            _ => String::from_utf8_lossy(&it.body).into_owned(),
-        };
-        format!("{} {:?} {reason}", it.status, it.end)
-    });
+    let text = answer.map_or_else(
+        || "no answer".to_owned(),
+        |it| {
+            let reason = match it.status {
+                200 => String::new(),
+                _ => String::from_utf8_lossy(&it.body).into_owned(),
+            };
+            format!("{} {:?} {reason}", it.status, it.end)
+        },
+    );
     record.note(&format!("answer {attempt} {text}"));
     (attempt.to_owned(), status)
 }
@@ -174,20 +207,36 @@
 fn judge(record: &Record, log: &RunLog) -> i32 {
     let crashes = log.crashes();
     let runs = log.runs();
-    let of_request: Vec<_> = runs.iter().filter(|run| run.target == CRASHING_PATH).collect();
+    let of_request: Vec<_> = runs
+        .iter()
+        .filter(|run| run.target == CRASHING_PATH)
+        .collect();
     for (at, engine) in &crashes {
         record.say(&format!("crash at {:.3} of {engine}", at.as_secs_f64()));
     }
     let Some((third, _)) = crashes.get(2) else {
-        record.say(&format!("{} crashes, {} runs: the rule held", crashes.len(), of_request.len()));
+        record.say(&format!(
+            "{} crashes, {} runs: the rule held",
+            crashes.len(),
+            of_request.len()
+        ));
         return 0;
     };
     let from = *third + Duration::from_millis(LUCE_ETNA.stable_ms);
     let late: Vec<_> = of_request.iter().filter(|run| run.at > from).collect();
     for run in &late {
-        record.say(&format!("late arrival at {:.3}: {} at {}", run.at.as_secs_f64(), run.attempt, run.engine));
+        record.say(&format!(
+            "late arrival at {:.3}: {} at {}",
+            run.at.as_secs_f64(),
+            run.attempt,
+            run.engine
+        ));
     }
-    record.say(&format!("third crash at {:.3}, arrivals later than 3 s after it: {}", third.as_secs_f64(), late.len()));
+    record.say(&format!(
+        "third crash at {:.3}, arrivals later than 3 s after it: {}",
+        third.as_secs_f64(),
+        late.len()
+    ));
     match late.len() > 3 {
         true => {
             record.say("BUDGET is broken");
--- a/review/harness-2/src/bin/slow.rs
+++ b/review/harness-2/src/bin/slow.rs
@@ -75,12 +75,22 @@
             address: fixture.address(100 + number, 9000),
             down_time: Duration::from_secs(3),
         };
-        Engine::start(spec, store.clone(), record.clone(), log.clone(), |request| Work::Stream {
-            first_after: Duration::from_millis(60),
-            events: if request.path().ends_with("/short") { 2 } else { EVENTS },
-            interval: EVENT_INTERVAL,
-            event_bytes: EVENT_BYTES,
-        });
+        Engine::start(
+            spec,
+            store.clone(),
+            record.clone(),
+            log.clone(),
+            |request| Work::Stream {
+                first_after: Duration::from_millis(60),
+                events: if request.path().ends_with("/short") {
+                    2
+                } else {
+                    EVENTS
+                },
+                interval: EVENT_INTERVAL,
+                event_bytes: EVENT_BYTES,
+            },
+        );
     }
     for (number, zone) in ZONES.into_iter().enumerate() {
         let name = format!("edge-{zone}-{number}");
@@ -121,7 +131,9 @@
         cut += u32::from(!is_complete);
     }
     record.say(&format!("routers running: {}", fixture.running()));
-    record.say(&format!("streams that ended without a complete answer: {cut} of {CALLERS}"));
+    record.say(&format!(
+        "streams that ended without a complete answer: {cut} of {CALLERS}"
+    ));
     match cut > 3 {
         true => {
             record.say("LOST is broken");
@@ -135,7 +147,12 @@
 }
 
 /// Sends two requests on one connection. Returns when the second one was sent, and whether its answer was complete.
-fn call(record: &Record, target: SocketAddr, number: u64, is_slow: bool) -> Option<(Duration, bool)> {
+fn call(
+    record: &Record,
+    target: SocketAddr,
+    number: u64,
+    is_slow: bool,
+) -> Option<(Duration, bool)> {
     let stream = connect(target)?;
     let mut connection = Connection::of(stream, Duration::from_millis(TIME_LEFT_MS)).ok()?;
     let first = exchange(record, &mut connection, number * 16, "short", false);
@@ -144,7 +161,13 @@
     first.then_some((sent_at, second))
 }
 
-fn exchange(record: &Record, connection: &mut Connection, id: u64, path: &str, is_slow: bool) -> bool {
+fn exchange(
+    record: &Record,
+    connection: &mut Connection,
+    id: u64,
+    path: &str,
+    is_slow: bool,
+) -> bool {
     let attempt = format!("{id:016x}");
     let request = format!(
         "POST /lohu930/{path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\nX-Model: m\r\n\
@@ -166,8 +189,13 @@
             record.note(&format!("caller of {attempt} reads on"));
         }
     });
-    let events = String::from_utf8_lossy(&answer.body).matches("data:").count();
-    record.say(&format!("answer {attempt} {path}: {} {:?}, {events} events", answer.status, answer.end));
+    let events = String::from_utf8_lossy(&answer.body)
+        .matches("data:")
+        .count();
+    record.say(&format!(
+        "answer {attempt} {path}: {} {:?}, {events} events",
+        answer.status, answer.end
+    ));
     answer.status == 200 && answer.end == End::Complete
 }
 
--- a/review/harness-2/src/engine.rs
+++ b/review/harness-2/src/engine.rs
@@ -193,7 +193,10 @@
             return http::write_answer(writer, "400 Bad Request", headers, b"").is_ok();
         };
         let echo = format!("X-Attempt-Id: {attempt}\r\n");
-        if request.header("x-expect-instance").is_some_and(|expected| expected != id) {
+        if request
+            .header("x-expect-instance")
+            .is_some_and(|expected| expected != id)
+        {
             let headers = format!("{echo}X-Not-Executed: 1\r\n");
             return http::write_answer(writer, "421 Misdirected Request", &headers, b"").is_ok();
         }
@@ -204,13 +207,15 @@
             engine: id.clone(),
         };
         self.log.runs.lock().expect("no panic").push(run);
-        self.record.note(&format!("run {attempt} {} at {id}", request.target));
+        self.record
+            .note(&format!("run {attempt} {} at {id}", request.target));
         let headers = format!("{echo}X-Server-Stamp: {id}.{attempt}\r\n");
         match (self.work)(request) {
             Work::Whole { time, bytes } => {
                 thread::sleep(time);
                 let body = vec![b'.'; bytes];
-                self.is_alive(lifetime) && http::write_answer(writer, "200 OK", &headers, &body).is_ok()
+                self.is_alive(lifetime)
+                    && http::write_answer(writer, "200 OK", &headers, &body).is_ok()
             }
             Work::Stream {
                 first_after,
@@ -228,7 +233,8 @@
                     })
                     && http::write_chunk(writer, b"").is_ok();
                 let outcome = if is_sent { "complete" } else { "cut" };
-                self.record.note(&format!("engine {id} ends {attempt} {outcome}"));
+                self.record
+                    .note(&format!("engine {id} ends {attempt} {outcome}"));
                 is_sent
             }
             Work::StreamAndCrash {
--- a/review/harness-2/src/fixture.rs
+++ b/review/harness-2/src/fixture.rs
@@ -139,17 +139,27 @@
     }
 
     /// Writes a router's settings file anew, with other settings.
-    pub fn change_settings(&self, number: usize, zones: &[&str], store: SocketAddr, site: &SiteSettings) {
+    pub fn change_settings(
+        &self,
+        number: usize,
+        zones: &[&str],
+        store: SocketAddr,
+        site: &SiteSettings,
+    ) {
         let router = &self.routers[number];
         let text = settings_text(zones, &router.zone, &router.name, router.ip, store, site);
         let _ = std::fs::write(&router.settings, text);
-        self.record.note(&format!("settings of {} changed", router.name));
+        self.record
+            .note(&format!("settings of {} changed", router.name));
     }
 
     /// Starts a router's process, as at the beginning or after a kill.
     pub fn start_router(&mut self, number: usize) -> std::io::Result<()> {
         let router = &mut self.routers[number];
-        let log = File::options().create(true).append(true).open(&router.log)?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&router.log)?;
         let mut command = Command::new(ROUTER);
         command.env_clear();
         for name in ["PATH", "HOME", "LANG"] {
@@ -163,7 +173,8 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        self.record.note(&format!("start {} process {}", router.name, child.id()));
+        self.record
+            .note(&format!("start {} process {}", router.name, child.id()));
         router.child = Some(child);
         Ok(())
     }
@@ -191,7 +202,8 @@
     pub fn signal(&self, number: usize, signal: &str) {
         let router = &self.routers[number];
         if let Some(child) = &router.child {
-            self.record.say(&format!("signal {signal} to {}", router.name));
+            self.record
+                .say(&format!("signal {signal} to {}", router.name));
             let _ = Command::new("kill")
                 .args(["-s", signal, &child.id().to_string()])
                 .status();
@@ -211,7 +223,10 @@
     /// Returns the number of routers whose processes run.
     pub fn running(&mut self) -> usize {
         let children = self.routers.iter_mut().filter_map(|it| it.child.as_mut());
-        children.filter_map(|child| child.try_wait().ok()).filter(Option::is_none).count()
+        children
+            .filter_map(|child| child.try_wait().ok())
+            .filter(Option::is_none)
+            .count()
     }
 }
 
@@ -241,7 +256,10 @@
     store: SocketAddr,
     site: &SiteSettings,
 ) -> String {
-    let zones: String = zones.iter().map(|zone| format!("zones.{zone}=region\n")).collect();
+    let zones: String = zones
+        .iter()
+        .map(|zone| format!("zones.{zone}=region\n"))
+        .collect();
     let SiteSettings {
         memory_mb,
         config_apply_ms,
--- a/review/harness-2/src/http.rs
+++ b/review/harness-2/src/http.rs
@@ -224,7 +224,9 @@
                 }
             }
         } else {
-            let length = answer.header("content-length").and_then(|it| it.parse().ok());
+            let length = answer
+                .header("content-length")
+                .and_then(|it| it.parse().ok());
             let mut body = vec![0; length.unwrap_or(0)];
             if self.reader.read_exact(&mut body).is_ok() {
                 answer.end = End::Complete;
--- a/review/harness-2/src/json.rs
+++ b/review/harness-2/src/json.rs
@@ -185,7 +185,9 @@
             '"' => quoted.push_str("\\\""),
             '\\' => quoted.push_str("\\\\"),
             '\n' => quoted.push_str("\\n"),
-            other if u32::from(other) < 32 => quoted.push_str(&format!("\\u{:04x}", u32::from(other))),
+            other if u32::from(other) < 32 => {
+                quoted.push_str(&format!("\\u{:04x}", u32::from(other)))
+            }
             other => quoted.push(other),
         }
     }
--- a/review/harness-2/src/store.rs
+++ b/review/harness-2/src/store.rs
@@ -177,7 +177,8 @@
         let mut rows = self.inner.rows.lock().expect("no panic");
         loop {
             let changed = rows.rows.iter();
-            let changed = changed.filter(|((in_table, _, _), row)| *in_table == table && row.version > after);
+            let changed =
+                changed.filter(|((in_table, _, _), row)| *in_table == table && row.version > after);
             let mut changed: Vec<_> = changed.collect();
             changed.sort_by_key(|(_, row)| row.version);
             let left = ends_at.saturating_duration_since(Instant::now());
@@ -185,14 +186,21 @@
                 let changed: Vec<_> = changed.into_iter().map(row_document).collect();
                 return self.document(&changed, rows.version, false);
             }
-            rows = self.inner.changed.wait_timeout(rows, left).expect("no panic").0;
+            rows = self
+                .inner
+                .changed
+                .wait_timeout(rows, left)
+                .expect("no panic")
+                .0;
         }
     }
 
     fn document(&self, rows: &[String], version: u64, has_more: bool) -> String {
         let now_ms = self.inner.started_at.elapsed().as_millis();
         let rows = rows.join(",");
-        format!("{{\"rows\":[{rows}],\"has_more\":{has_more},\"row_version\":{version},\"now_ms\":{now_ms}}}")
+        format!(
+            "{{\"rows\":[{rows}],\"has_more\":{has_more},\"row_version\":{version},\"now_ms\":{now_ms}}}"
+        )
     }
 
     fn transact(&self, request: &Request) -> (&'static str, String) {
@@ -201,7 +209,10 @@
             return ("400 Bad Request", "{}".to_owned());
         };
         let is_forbidden = |row: &Value| matches!(row.text("table"), "op" | "servers");
-        let written = transaction.list("puts").iter().chain(transaction.list("remove"));
+        let written = transaction
+            .list("puts")
+            .iter()
+            .chain(transaction.list("remove"));
         if written.clone().any(is_forbidden) {
             return ("403 Forbidden", "{}".to_owned());
         }
@@ -221,13 +232,24 @@
             return ("412 Precondition Failed", "{\"rows\":[]}".to_owned());
         }
         let puts = transaction.list("puts").iter();
-        let puts = puts.map(|row| (row.text("table"), row.text("part"), row.text("key"), Some(row.text("value").to_owned())));
+        let puts = puts.map(|row| {
+            (
+                row.text("table"),
+                row.text("part"),
+                row.text("key"),
+                Some(row.text("value").to_owned()),
+            )
+        });
         let removed = transaction.list("remove").iter();
-        let removed = removed.map(|row| (row.text("table"), row.text("part"), row.text("key"), None));
+        let removed =
+            removed.map(|row| (row.text("table"), row.text("part"), row.text("key"), None));
         let changes: Vec<_> = puts.chain(removed).collect();
         let version = self.write(&changes);
         let now_ms = self.inner.started_at.elapsed().as_millis();
-        ("200 OK", format!("{{\"row_version\":{version},\"now_ms\":{now_ms}}}"))
+        (
+            "200 OK",
+            format!("{{\"row_version\":{version},\"now_ms\":{now_ms}}}"),
+        )
     }
 }
 
