--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -15,12 +15,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use crate::peer_socket::Peer;
+use crate::peer_socket::PeerSocket;
+
 /// A connection that hyper reads and writes while other code inspects it.
 ///
 /// It tracks whether a request is in progress, so that the state for requests can be dropped
@@ -32,7 +34,7 @@
 
 #[derive(Debug)]
 struct Inner {
-    stream: RefCell<TcpStream>,
+    stream: RefCell<PeerSocket>,
     /// Bytes that were put back, to be read again first.
     put_back_bytes: RefCell<Bytes>,
     /// Whether only part of a head has been read, or a response is not complete.
@@ -56,7 +58,7 @@
     pub fn reset_on_close(&self) {
         let stream = self.stream.inner.stream.borrow();
         // Fails only if the connection is gone already.
-        let _ = SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+        let _ = stream.socket().set_linger(Some(Duration::ZERO));
     }
 }
 
@@ -71,7 +73,7 @@
     /// Wraps a connection.
     pub fn new(stream: TcpStream) -> Self {
         let inner = Inner {
-            stream: RefCell::new(stream),
+            stream: RefCell::new(PeerSocket::new(stream, Peer::Client)),
             put_back_bytes: RefCell::new(Bytes::new()),
             is_busy: Cell::new(false),
             is_in_request: Cell::new(false),
@@ -156,7 +158,7 @@
     ///
     /// The connection is broken.
     pub async fn readable(&self) -> io::Result<()> {
-        poll_fn(|context| self.inner.stream.borrow().poll_read_ready(context)).await
+        poll_fn(|context| self.inner.stream.borrow_mut().poll_read_ready(context)).await
     }
 
     /// Returns whether the caller has closed the connection.
@@ -167,7 +169,7 @@
     pub fn has_closed(&self) -> bool {
         let stream = self.inner.stream.borrow();
         let mut next = [MaybeUninit::uninit()];
-        match SockRef::from(&*stream).peek(&mut next) {
+        match stream.socket().peek(&mut next) {
             Ok(peeked) => peeked == 0,
             Err(error) => error.kind() != io::ErrorKind::WouldBlock,
         }
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -10,6 +10,9 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::peer_socket::Peer;
+use crate::peer_socket::PeerSocket;
+
 /// Idle time before a connection is probed, and time between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered probes after which a connection is closed.
@@ -27,22 +30,13 @@
 /// # Errors
 ///
 /// The address cannot be reached in time.
-pub async fn open(address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
+pub async fn open(address: SocketAddr, limit: Duration) -> io::Result<PeerSocket> {
     let connecting = timeout(limit, TcpStream::connect(address));
     let stream = connecting
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    detect_silence(&stream)?;
-    Ok(stream)
-}
-
-/// Sets the options that detect a silent peer.
-///
-/// # Errors
-///
-/// The system refuses an option.
-fn detect_silence(stream: &TcpStream) -> io::Result<()> {
-    set_socket_options(&SockRef::from(stream))
+    set_socket_options(&SockRef::from(&stream))?;
+    Ok(PeerSocket::new(stream, Peer::Server))
 }
 
 /// Listens on an address. Accepted connections have the same options as those that [`open`] opens.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod meters;
 mod page_server;
 pub mod pages;
+pub mod peer_socket;
 pub mod peers;
 mod quarantine_store;
 pub mod request_body;
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -107,6 +107,12 @@
     counter!("sedgeridge_gateway_origins_published_total", "outcome" => outcome).increment(1);
 }
 
+/// Counts a connection that broke, by its peer and the cause.
+pub fn count_broken_connection(peer: &'static str, cause: &'static str) {
+    counter!("sedgeridge_gateway_connections_broken_total", "peer" => peer, "cause" => cause)
+        .increment(1);
+}
+
 /// Counts a call to the platform's store.
 pub fn count_store_call(table: &'static str, outcome: &'static str) {
     counter!("sedgeridge_gateway_store_calls_total", "table" => table, "outcome" => outcome)
--- a/crates/gateway/src/page_server.rs
+++ b/crates/gateway/src/page_server.rs
@@ -18,6 +18,8 @@
 
 use crate::clock::Clock;
 use crate::gateway::Gateway;
+use crate::peer_socket::Peer;
+use crate::peer_socket::PeerSocket;
 use crate::wire::WireFormat;
 
 /// Time after which a connection without a request is closed. The balancer asks each second.
@@ -46,7 +48,7 @@
             let serving = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(REQUEST_HEAD_TIMEOUT)
-                .serve_connection(TokioIo::new(stream), service);
+                .serve_connection(TokioIo::new(PeerSocket::new(stream, Peer::Client)), service);
             // A client that got no response asks again.
             drop(serving.await);
         });
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -162,6 +162,12 @@
         "sedgeridge_gateway_config_version",
         "version of the configuration in force",
     ),
+    counter(
+        "sedgeridge_gateway_connections_broken_total",
+        "peer, cause",
+        Values::Fixed("client, server; timed_out, reset, other"),
+        "connections that broke: those that clients opened and those that this host opened, by the system's error",
+    ),
     gauge(
         "sedgeridge_gateway_connections_idle",
         "connections to endpoints that wait for their next request",
