A peer that reads slowly is told from one that has gone without a word

TCP_USER_TIMEOUT of 1.5 s, which both ends of all connections had, also counts the time for which a window stays closed, though the peer answers each probe of it. Evidence: the router itself is given ETIMEDOUT (connections_broken_total, client, timed_out: 8 for 8 callers); neither callers nor endpoints close.

The option is gone. A connection with bytes on the way is checked each half second instead (PeerSocket): TCP_INFO says whether a packet or a probe was sent again since the last answer. Only a peer that leaves these unanswered for 1.5 s in a row is silent; the decision has no I/O and is tested by itself (PeerSilence). Idle connections keep their keepalive probes. A read of a broken connection is never taken for its end, since the check ends it with an error.

What the option ended besides, and is ended now by its own rule: a caller that answers and never reads is reset when its time is over, and its bytes stay counted until then; the connection to an endpoint closes when its request ends, also if the endpoint has not read all of it; pages have a limit of their own.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod peer_hosts;
 pub mod peer_report;
 pub mod peer_schedule;
+pub mod peer_silence;
 pub mod peer_versions;
 pub mod placement;
 pub mod plain_choice;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -116,7 +116,7 @@
         None => (connect(gateway, endpoint).await?, false),
     };
     let received = loop {
-        let sent = connection.try_send_request(request).await;
+        let sent = connection.sender().try_send_request(request).await;
         let mut error = match sent {
             Ok(response) => break response,
             Err(error) => error,
@@ -182,7 +182,7 @@
     let address = endpoint.address;
     let service = endpoint.service.clone();
     tokio::task::spawn_local(async move {
-        if connection.ready().await.is_ok() {
+        if connection.sender().ready().await.is_ok() {
             let now = gateway.now();
             let max_idle =
                 gateway.with_dispatcher(|dispatcher| dispatcher.idle_connections(now, &service));
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -58,6 +58,8 @@
     pub response: CallerResponse,
     /// Memory of the response; `None` if none was held.
     pub memory: Option<HeldMemory>,
+    /// Time until which the caller waits; `None` if the request was not read whole.
+    pub deadline: Option<Duration>,
 }
 
 impl From<CallerResponse> for HeldResponse {
@@ -65,6 +67,7 @@
         Self {
             response,
             memory: None,
+            deadline: None,
         }
     }
 }
@@ -144,11 +147,13 @@
     async fn run(mut self, receiver: VerdictReceiver) -> HeldResponse {
         // The timeout covers everything up to the head of the response. A stream applies the
         // deadline itself.
+        let deadline = Some(self.outgoing.deadline);
         let time_left = self.outgoing.deadline.saturating_sub(self.gateway.now());
         match timeout(time_left, self.run_attempts(receiver)).await {
             Ok(AttemptsEnd::Response(response)) => HeldResponse {
                 response,
                 memory: Some(self.guard.share_memory()),
+                deadline,
             },
             Ok(AttemptsEnd::CallerLeft) => {
                 response::text_response(StatusCode::REQUEST_TIMEOUT, "caller left").into()
@@ -156,7 +161,11 @@
             Ok(AttemptsEnd::Stream(endpoint, response)) => {
                 let memory = Some(self.guard.share_memory());
                 let response = self.start_stream(endpoint, response);
-                HeldResponse { response, memory }
+                HeldResponse {
+                    response,
+                    memory,
+                    deadline,
+                }
             }
             Err(_) => {
                 self.guard.mark_timed_out();
--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderValue;
@@ -43,6 +44,9 @@
 /// with long bodies would fill a small host's memory.
 pub(crate) const MAX_BUFFERED_BYTES: usize = 32 * 1024;
 
+/// Shortest time for which a caller may read nothing of its response.
+const MIN_WRITE_LIMIT: Duration = Duration::from_secs(2);
+
 /// Serves one connection until either end closes it.
 ///
 /// Between requests only the socket is kept, without hyper's state for the connection. The buffers
@@ -146,8 +150,10 @@
             let HeldResponse {
                 mut response,
                 memory,
-            } = call::handle(gateway.clone(), caller, request).await;
+                deadline,
+            } = call::handle(gateway.clone(), caller.clone(), request).await;
             history.undelivered.borrow_mut().extend(memory);
+            caller.set_write_limit(write_limit(&gateway, deadline));
             if gateway.should_close_connections() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
@@ -171,7 +177,10 @@
         let polled = poll_fn(|context| {
             // The error is ignored: a caller that leaves or an interrupted response ends the
             // connection with one, and the end of the request has already been counted.
-            match Pin::new(&mut connection).poll(context).is_ready() {
+            // hyper reads nothing while it holds the caller's next request, so the caller is checked here too.
+            let is_over = Pin::new(&mut connection).poll(context).is_ready()
+                || stream.poll_silence(context).is_ready();
+            match is_over {
                 true => Poll::Ready(NextStep::Close),
                 false => poll_next_step(gateway, stream, &mut partial_head),
             }
@@ -189,6 +198,18 @@
     next.unwrap_or(NextStep::Close)
 }
 
+/// Returns the longest time for which a caller may read nothing of its response: the rest of its time, or the idle timeout
+/// if it names none. A caller whose response is late gets a moment to read it.
+fn write_limit<W: WireFormat, C: Clock>(
+    gateway: &Gateway<W, C>,
+    deadline: Option<Duration>,
+) -> Duration {
+    let time_left = deadline.map(|deadline| deadline.saturating_sub(gateway.now()));
+    time_left
+        .unwrap_or(gateway.idle_timeout.get())
+        .max(MIN_WRITE_LIMIT)
+}
+
 /// Decides what happens to an open connection after hyper has done what it can for now. It keeps
 /// hyper's state (`Pending`) while a request is being received or answered.
 fn poll_next_step<W: WireFormat, C: Clock>(
--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -161,6 +161,16 @@
         poll_fn(|context| self.inner.stream.borrow_mut().poll_read_ready(context)).await
     }
 
+    /// Sets the longest time for which the caller may read nothing of a response.
+    pub fn set_write_limit(&self, limit: Duration) {
+        self.inner.stream.borrow_mut().set_write_limit(limit);
+    }
+
+    /// Checks the caller if it is time to. Ready once the caller has stopped answering.
+    pub fn poll_silence(&self, context: &mut Context<'_>) -> Poll<io::Error> {
+        self.inner.stream.borrow_mut().poll_silence(context)
+    }
+
     /// Returns whether the caller has closed the connection.
     ///
     /// hyper learns of this from the event loop, which is late on an overloaded host. Connections
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -17,15 +17,11 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
-/// Time for which sent bytes may stay unacknowledged. A round trip between data centres takes a few
-/// milliseconds, and a lost packet is sent again within some hundred.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Connects within `limit`.
 ///
-/// A connection may go silent for good without a reset. Without probes and the limit on
-/// unacknowledged bytes, its user waits until its own deadline. With them the kernel ends the
-/// connection within three seconds.
+/// A connection may go silent for good without a reset. Its user would wait until its own deadline.
+/// Probes end an idle connection within three seconds, and [`PeerSocket`] one with bytes on the way.
 ///
 /// # Errors
 ///
@@ -59,6 +55,5 @@
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+    socket.set_tcp_keepalive(&probes)
 }
--- a/crates/gateway/src/endpoint_pool.rs
+++ b/crates/gateway/src/endpoint_pool.rs
@@ -9,6 +9,7 @@
 use hyper::client::conn::http1::Builder;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use tokio::task::AbortHandle;
 use tokio::task::spawn_local;
 
 use crate::connection;
@@ -26,7 +27,36 @@
 pub(crate) const MAX_BUFFERED_BYTES: usize = 16 * 1024;
 
 /// A connection on which one request at a time can be sent.
-pub type EndpointConnection = SendRequest<Full<Bytes>>;
+///
+/// It closes when it is dropped, also if the endpoint has not read all of a request.
+#[derive(Debug)]
+pub struct EndpointConnection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+}
+
+impl EndpointConnection {
+    /// Returns the half that sends requests.
+    pub fn sender(&mut self) -> &mut SendRequest<Full<Bytes>> {
+        &mut self.sender
+    }
+
+    /// Returns whether a request can be sent now.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Returns whether the connection is closed.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
+
+impl Drop for EndpointConnection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
 
 /// Idle connections by address.
 ///
@@ -145,7 +175,7 @@
         .handshake(TokioIo::new(stream))
         .await
         .map_err(std::io::Error::other)?;
-    // The driver ends when the sender and the response are dropped. Its error is also the sender's.
-    spawn_local(driver);
-    Ok(sender)
+    // The driver's error is also the sender's.
+    let driver = spawn_local(driver).abort_handle();
+    Ok(EndpointConnection { sender, driver })
 }
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -94,13 +94,13 @@
             Some(connection) => connection,
             None => open_connection(self.address).await?,
         };
-        let sent = connection.send_request(request).await;
+        let sent = connection.sender().send_request(request).await;
         let response = sent.map_err(|error| CallError::ConnectionLost(error.to_string()))?;
         let (head, body) = response.into_parts();
         let body = Limited::new(body, MAX_RESPONSE_BYTES);
         let body = body.collect().await;
         let body = body.map_err(|error| CallError::ConnectionLost(error.to_string()))?;
-        if connection.ready().await.is_ok() {
+        if connection.sender().ready().await.is_ok() {
             let now = self.clock.now();
             let mut pool = self.pool.borrow_mut();
             pool.put(now, self.address, connection, None, MAX_IDLE_CONNECTIONS);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod request_log;
 pub mod resident_memory;
 pub mod response;
+mod sent_state;
 pub mod serve;
 pub mod settings;
 pub mod store;
--- a/crates/gateway/src/page_server.rs
+++ b/crates/gateway/src/page_server.rs
@@ -28,6 +28,9 @@
 /// connection holds memory: at one a second they would fill a small host's memory within hours.
 const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// Longest time for which a client may read nothing of a page.
+const PAGE_WRITE_LIMIT: Duration = Duration::from_secs(6);
+
 /// A response with a page.
 pub type Page = Response<Full<Bytes>>;
 
@@ -45,10 +48,12 @@
             async move { Ok::<_, Infallible>(page) }
         });
         spawn_local(async move {
+            let mut socket = PeerSocket::new(stream, Peer::Client);
+            socket.set_write_limit(PAGE_WRITE_LIMIT);
             let serving = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(REQUEST_HEAD_TIMEOUT)
-                .serve_connection(TokioIo::new(PeerSocket::new(stream, Peer::Client)), service);
+                .serve_connection(TokioIo::new(socket), service);
             // A client that got no response asks again.
             drop(serving.await);
         });
--- a/crates/gateway/src/peer_socket.rs
+++ b/crates/gateway/src/peer_socket.rs
@@ -1,18 +1,29 @@
-//! A connection whose failures are counted by their cause.
+//! A connection that ends with an error once its peer has stopped answering.
+//!
+//! Keepalive probes find a silent peer only while nothing is outstanding. The system's own limit on unacknowledged bytes
+//! (`TCP_USER_TIMEOUT`) also ends the connection of a peer that reads slowly and answers. So the bytes that were sent are
+//! checked here.
 
-use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
 
+use sedgeridge_fleet::peer_silence::CHECK_INTERVAL;
+use sedgeridge_fleet::peer_silence::PeerSilence;
+use sedgeridge_fleet::peer_silence::PeerStatus;
 use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
+use tokio::time::sleep;
 
 use crate::meters;
+use crate::sent_state;
 
 /// Peer of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,12 +44,66 @@
     }
 }
 
+/// Why a connection broke.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BreakCause {
+    /// The peer answers nothing.
+    Silent,
+    /// The peer answers and does not read.
+    NotRead,
+    /// The system's own limit.
+    TimedOut,
+    Reset,
+    Other,
+}
+
+impl BreakCause {
+    fn of(error: io::ErrorKind) -> Self {
+        match error {
+            io::ErrorKind::TimedOut => Self::TimedOut,
+            io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe => Self::Reset,
+            _ => Self::Other,
+        }
+    }
+
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Silent => "silent",
+            Self::NotRead => "not_read",
+            Self::TimedOut => "timed_out",
+            Self::Reset => "reset",
+            Self::Other => "other",
+        }
+    }
+}
+
 /// A connection over TCP.
 #[derive(Debug)]
 pub struct PeerSocket {
     stream: TcpStream,
     peer: Peer,
-    has_failed: Cell<bool>,
+    /// Longest time for which a write may make no progress; `None` if the connection's user limits it.
+    write_limit: Option<Duration>,
+    /// Set since a write has been pending.
+    write_timer: Option<Pin<Box<Sleep>>>,
+    /// Set while sent bytes may be outstanding.
+    check: Option<SilenceCheck>,
+    failure: Option<io::ErrorKind>,
+}
+
+#[derive(Debug)]
+struct SilenceCheck {
+    timer: Pin<Box<Sleep>>,
+    silence: PeerSilence,
+}
+
+impl SilenceCheck {
+    fn new() -> Self {
+        Self {
+            timer: Box::pin(sleep(CHECK_INTERVAL)),
+            silence: PeerSilence::default(),
+        }
+    }
 }
 
 impl PeerSocket {
@@ -47,10 +112,18 @@
         Self {
             stream,
             peer,
-            has_failed: Cell::new(false),
+            write_limit: None,
+            write_timer: None,
+            check: None,
+            failure: None,
         }
     }
 
+    /// Sets the longest time for which the peer may read nothing while it is written to.
+    pub fn set_write_limit(&mut self, limit: Duration) {
+        self.write_limit = Some(limit);
+    }
+
     /// Returns the socket, for its options.
     pub fn socket(&self) -> SockRef<'_> {
         SockRef::from(&self.stream)
@@ -71,26 +144,79 @@
     ///
     /// The connection is broken.
     pub fn poll_read_ready(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let ready = self.stream.poll_read_ready(context);
-        self.record(ready)
+        match self.stream.poll_read_ready(context) {
+            Poll::Ready(ready) => Poll::Ready(self.record(ready)),
+            Poll::Pending => self.poll_silence(context).map(Err),
+        }
+    }
+
+    /// Checks the peer if it is time to. Ready once the peer is silent.
+    pub fn poll_silence(&mut self, context: &mut Context<'_>) -> Poll<io::Error> {
+        while let Some(check) = &mut self.check {
+            ready!(check.timer.as_mut().poll(context));
+            let status = match sent_state::read(&self.stream) {
+                Some(sent) => check.silence.check(sent),
+                None => PeerStatus::Acknowledged,
+            };
+            match status {
+                PeerStatus::Acknowledged => self.check = None,
+                PeerStatus::Pending => check.timer.set(sleep(CHECK_INTERVAL)),
+                PeerStatus::Silent => return Poll::Ready(self.break_off(BreakCause::Silent)),
+            }
+        }
+        Poll::Pending
     }
 
-    /// Counts the first failure.
-    fn record<T>(&self, result: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
-        if let Poll::Ready(Err(error)) = &result
-            && !self.has_failed.replace(true)
-        {
-            meters::count_broken_connection(self.peer.as_str(), cause(error.kind()));
+    /// Waits until a pending write makes progress. Ready if the peer is silent or has not read for too long.
+    fn poll_blocked(&mut self, context: &mut Context<'_>) -> Poll<io::Error> {
+        if let Poll::Ready(error) = self.poll_silence(context) {
+            return Poll::Ready(error);
+        }
+        let Some(limit) = self.write_limit else {
+            return Poll::Pending;
+        };
+        let timer = self
+            .write_timer
+            .get_or_insert_with(|| Box::pin(sleep(limit)));
+        ready!(timer.as_mut().poll(context));
+        Poll::Ready(self.break_off(BreakCause::NotRead))
+    }
+
+    /// Makes the end of the connection a reset, so that the system drops what the peer has not read.
+    fn break_off(&mut self, cause: BreakCause) -> io::Error {
+        // Fails only if the connection is gone already.
+        let _ = self.socket().set_linger(Some(Duration::ZERO));
+        self.record_failure(io::ErrorKind::TimedOut, cause);
+        io::ErrorKind::TimedOut.into()
+    }
+
+    fn record<T>(&mut self, result: io::Result<T>) -> io::Result<T> {
+        if let Err(error) = &result {
+            self.record_failure(error.kind(), BreakCause::of(error.kind()));
         }
         result
     }
-}
 
-fn cause(error: io::ErrorKind) -> &'static str {
-    match error {
-        io::ErrorKind::TimedOut => "timed_out",
-        io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe => "reset",
-        _ => "other",
+    fn record_failure(&mut self, error: io::ErrorKind, cause: BreakCause) {
+        if self.failure.is_none() {
+            self.failure = Some(error);
+            meters::count_broken_connection(self.peer.as_str(), cause.as_str());
+        }
+    }
+
+    fn after_write(
+        &mut self,
+        written: Poll<io::Result<usize>>,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<usize>> {
+        match written {
+            Poll::Ready(written) => {
+                self.write_timer = None;
+                self.check.get_or_insert_with(SilenceCheck::new);
+                Poll::Ready(self.record(written))
+            }
+            Poll::Pending => self.poll_blocked(context).map(Err),
+        }
     }
 }
 
@@ -100,8 +226,10 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        self.record(read)
+        match Pin::new(&mut self.stream).poll_read(context, buffer) {
+            Poll::Ready(read) => Poll::Ready(self.record(read)),
+            Poll::Pending => self.poll_silence(context).map(Err),
+        }
     }
 }
 
@@ -112,7 +240,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.record(written)
+        self.after_write(written, context)
     }
 
     fn poll_write_vectored(
@@ -121,7 +249,7 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
-        self.record(written)
+        self.after_write(written, context)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -214,7 +214,7 @@
     connection: &'a mut Option<Connection>,
 ) -> Option<&'a mut Connection> {
     if let Some(open) = connection
-        && open.sender.ready().await.is_err()
+        && open.sender.sender().ready().await.is_err()
     {
         *connection = None;
     }
@@ -398,7 +398,7 @@
         };
         // Its stream breaks off with the endpoint, or it is refused.
         let _ = timeout(TIMEOUT, async {
-            let answer = sender.send_request(request).await?;
+            let answer = sender.sender().send_request(request).await?;
             answer.into_body().collect().await
         })
         .await;
@@ -412,7 +412,7 @@
     kind: RouteKind,
     stream: &mut StreamProgress,
 ) -> Outcome {
-    let answer = match sender.send_request(request).await {
+    let answer = match sender.sender().send_request(request).await {
         Ok(answer) => answer,
         Err(error) => {
             return Outcome::Failed {
