A reset that a write was told of is not the end of an answer

The system reports a reset to one call only; if that is the write of the upload, the next read returns the end of the connection, as a complete answer would. PeerSocket now returns the failure again.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one endpoint and checks the head of its response.
 
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -41,6 +42,9 @@
 /// Longest response that is buffered completely before its caller gets any of it.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 * 1024;
 
+/// Statuses of a final response. The HTTP library also accepts higher ones, and 101.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// A caller's request, from which each attempt builds its own.
 #[derive(Debug, Clone)]
 pub struct OutgoingRequest {
@@ -209,6 +213,9 @@
     endpoint: &Arc<Endpoint>,
     response: EndpointResponse,
 ) -> Result<EndpointResponse, Failure> {
+    if !FINAL_STATUSES.contains(&response.head.status.as_u16()) {
+        return Err(Failure::SpoiledAnswer);
+    }
     let metadata = gateway.wire.parse_response(&response.head);
     if metadata.execution != ExecutionStatus::Misdirected {
         report_notices(gateway, outgoing, endpoint, &metadata);
--- a/crates/gateway/src/peer_socket.rs
+++ b/crates/gateway/src/peer_socket.rs
@@ -226,9 +226,16 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        match Pin::new(&mut self.stream).poll_read(context, buffer) {
-            Poll::Ready(read) => Poll::Ready(self.record(read)),
-            Poll::Pending => self.poll_silence(context).map(Err),
+        let filled_before = buffer.filled().len();
+        let read = match Pin::new(&mut self.stream).poll_read(context, buffer) {
+            Poll::Ready(read) => self.record(read),
+            Poll::Pending => return self.poll_silence(context).map(Err),
+        };
+        let has_ended = read.is_ok() && buffer.filled().len() == filled_before;
+        match self.failure {
+            // The system reports a reset to one call only, which may have been a write.
+            Some(failure) if has_ended => Poll::Ready(Err(failure.into())),
+            _ => Poll::Ready(read),
         }
     }
 }
