Bytes without end in an answer are given up

Up to the end of a response's head no more than 64 KB are read from its connection now. An endpoint now has a megabyte for the bytes up to its next event, as it had for one event in part.

The event that has arrived in part is counted in the memory of its request, which it was not, and only new bytes are searched for its end.

--- a/crates/fleet/src/event_stream.rs
+++ b/crates/fleet/src/event_stream.rs
@@ -1,8 +1,11 @@
 //! Splits a stream of server-sent events into complete events, and tracks their ids.
 
-/// Maximum length of an event that is buffered until its end arrives.
+/// Maximum number of bytes up to the end of the next event, blank lines and comments included.
 pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
 const ID_FIELD: &[u8] = b"id:";
+const DATA_FIELD: &[u8] = b"data:";
+const EVENT_ENDS: [&[u8]; 2] = [b"\n\n", b"\r\n\r\n"];
+const LONGEST_EVENT_END: usize = 4;
 
 /// Splits received bytes after the last blank line.
 ///
@@ -21,6 +24,7 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: Vec<u8>,
+    bytes_since_event: usize,
     last_id: Option<u64>,
     events: u64,
 }
@@ -28,10 +32,13 @@
 impl EventSplitter {
     /// Adds received bytes and returns the events that are now complete.
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+        let searched = self.partial.len().saturating_sub(LONGEST_EVENT_END - 1);
         self.partial.extend_from_slice(bytes);
-        let Some(end) = end_of_events(&self.partial) else {
+        self.bytes_since_event += bytes.len();
+        let Some(end) = end_of_events(&self.partial[searched..]) else {
             return Vec::new();
         };
+        let end = searched + end;
         // Copied, so that what waits for a slow caller takes no more memory than its length.
         let complete = self.partial[..end].to_vec();
         self.partial.drain(..end);
@@ -54,18 +61,27 @@
         !self.partial.is_empty()
     }
 
-    /// Tells whether the partial event is longer than [`MAX_EVENT_BYTES`].
+    /// Returns the length of the partial event.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
+    /// Tells whether more than [`MAX_EVENT_BYTES`] have arrived since the last event.
     pub fn is_too_long(&self) -> bool {
-        self.partial.len() > MAX_EVENT_BYTES
+        self.bytes_since_event > MAX_EVENT_BYTES
     }
 
     /// Discards the partial event, which another endpoint will send completely.
     pub fn drop_partial(&mut self) {
         self.partial.clear();
+        self.bytes_since_event = 0;
     }
 
     fn note_ids(&mut self, events: &[u8]) {
         for line in events.split(|byte| *byte == b'\n') {
+            if line.starts_with(ID_FIELD) || line.starts_with(DATA_FIELD) {
+                self.bytes_since_event = self.partial.len();
+            }
             if let Some(value) = line.strip_prefix(ID_FIELD) {
                 self.events += 1;
                 let id = std::str::from_utf8(value).ok();
@@ -77,9 +93,11 @@
 
 /// Returns the position after the last blank line.
 fn end_of_events(bytes: &[u8]) -> Option<usize> {
-    let lf = bytes.windows(2).rposition(|pair| pair == b"\n\n");
-    let crlf = bytes.windows(4).rposition(|four| four == b"\r\n\r\n");
-    let lf = lf.map(|start| start + 2);
-    let crlf = crlf.map(|start| start + 4);
-    lf.max(crlf)
+    let ends = EVENT_ENDS.iter().filter_map(|end| {
+        let start = bytes
+            .windows(end.len())
+            .rposition(|window| window == *end)?;
+        Some(start + end.len())
+    });
+    ends.max()
 }
--- a/crates/fleet/tests/event_stream.rs
+++ b/crates/fleet/tests/event_stream.rs
@@ -46,3 +46,21 @@
     ]);
     assert!(splitter.is_too_long());
 }
+
+/// Guards against blank lines without end, which are no events and are passed on for as long as the caller waits.
+#[test]
+fn blank_lines_without_an_event_are_too_long() {
+    let mut splitter = EventSplitter::default();
+    let blank_lines = [b'\n'; 1024];
+    let pieces = sedgeridge_fleet::event_stream::MAX_EVENT_BYTES / blank_lines.len();
+    for _ in 0..pieces {
+        splitter.push(&blank_lines);
+        assert!(!splitter.is_too_long());
+    }
+    splitter.push(b"id: 1\ndata: a\n\n");
+    assert!(!splitter.is_too_long());
+    for _ in 0..=pieces {
+        splitter.push(&blank_lines);
+    }
+    assert!(splitter.is_too_long());
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,7 @@
 //! Sends a request to one endpoint and checks the head of its response.
 
+use std::error::Error;
+use std::io;
 use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -120,7 +122,7 @@
         None => (connect(gateway, endpoint).await?, false),
     };
     let received = loop {
-        let sent = connection.sender().try_send_request(request).await;
+        let sent = connection.send(request).await;
         let mut error = match sent {
             Ok(response) => break response,
             Err(error) => error,
@@ -186,7 +188,7 @@
     let address = endpoint.address;
     let service = endpoint.service.clone();
     tokio::task::spawn_local(async move {
-        if connection.sender().ready().await.is_ok() {
+        if connection.wait_until_ready().await {
             let now = gateway.now();
             let max_idle =
                 gateway.with_dispatcher(|dispatcher| dispatcher.idle_connections(now, &service));
@@ -344,7 +346,11 @@
 }
 
 fn failure_from_error(error: &hyper::Error) -> Failure {
-    match error.is_parse() {
+    let io_error = error
+        .source()
+        .and_then(|source| source.downcast_ref::<io::Error>());
+    let is_too_long = io_error.is_some_and(|error| error.kind() == io::ErrorKind::InvalidData);
+    match error.is_parse() || is_too_long {
         true => Failure::SpoiledAnswer,
         false => Failure::ConnectionLost,
     }
--- a/crates/gateway/src/endpoint_pool.rs
+++ b/crates/gateway/src/endpoint_pool.rs
@@ -6,6 +6,10 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::Builder;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -13,6 +17,7 @@
 use tokio::task::spawn_local;
 
 use crate::connection;
+use crate::peer_socket::ReadAllowance;
 
 /// Timeout for connecting. The slowest handshake of an endpoint takes a few milliseconds. If one
 /// takes longer than this, the endpoint's queue of new connections is full, and the operating
@@ -26,6 +31,10 @@
 /// higher, and each stream with a slow caller would use it.
 pub(crate) const MAX_BUFFERED_BYTES: usize = 16 * 1024;
 
+/// Bytes that may arrive up to the end of a response's head. The head itself fits in [`MAX_BUFFERED_BYTES`]; any number of
+/// interim responses may come before it.
+const MAX_HEAD_BYTES: usize = 4 * MAX_BUFFERED_BYTES;
+
 /// A connection on which one request at a time can be sent.
 ///
 /// It closes when it is dropped, also if the endpoint has not read all of a request.
@@ -33,12 +42,28 @@
 pub struct EndpointConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    allowance: ReadAllowance,
 }
 
 impl EndpointConnection {
-    /// Returns the half that sends requests.
-    pub fn sender(&mut self) -> &mut SendRequest<Full<Bytes>> {
-        &mut self.sender
+    /// Sends a request and returns the response once its head has arrived.
+    ///
+    /// # Errors
+    ///
+    /// The connection is lost, or what arrives is no response. The error has the request if nothing of it was written.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.allowance.set(Some(MAX_HEAD_BYTES));
+        let sent = self.sender.try_send_request(request).await;
+        self.allowance.set(None);
+        sent
+    }
+
+    /// Waits until the next request can be sent. Returns false if the connection is closed.
+    pub async fn wait_until_ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
     }
 
     /// Returns whether a request can be sent now.
@@ -169,13 +194,19 @@
 ///
 /// The endpoint cannot be reached, or does not speak the protocol.
 pub async fn open_connection(address: SocketAddr) -> std::io::Result<EndpointConnection> {
-    let stream = connection::open(address, CONNECT_TIMEOUT).await?;
+    let mut socket = connection::open(address, CONNECT_TIMEOUT).await?;
+    let allowance = ReadAllowance::default();
+    socket.set_read_allowance(allowance.clone());
     let (sender, driver) = Builder::new()
         .max_buf_size(MAX_BUFFERED_BYTES)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(socket))
         .await
         .map_err(std::io::Error::other)?;
     // The driver's error is also the sender's.
     let driver = spawn_local(driver).abort_handle();
-    Ok(EndpointConnection { sender, driver })
+    Ok(EndpointConnection {
+        sender,
+        driver,
+        allowance,
+    })
 }
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -94,13 +94,14 @@
             Some(connection) => connection,
             None => open_connection(self.address).await?,
         };
-        let sent = connection.sender().send_request(request).await;
-        let response = sent.map_err(|error| CallError::ConnectionLost(error.to_string()))?;
+        let sent = connection.send(request).await;
+        let response =
+            sent.map_err(|error| CallError::ConnectionLost(error.error().to_string()))?;
         let (head, body) = response.into_parts();
         let body = Limited::new(body, MAX_RESPONSE_BYTES);
         let body = body.collect().await;
         let body = body.map_err(|error| CallError::ConnectionLost(error.to_string()))?;
-        if connection.sender().ready().await.is_ok() {
+        if connection.wait_until_ready().await {
             let now = self.clock.now();
             let mut pool = self.pool.borrow_mut();
             pool.put(now, self.address, connection, None, MAX_IDLE_CONNECTIONS);
--- a/crates/gateway/src/peer_socket.rs
+++ b/crates/gateway/src/peer_socket.rs
@@ -4,8 +4,10 @@
 //! (`TCP_USER_TIMEOUT`) also ends the connection of a peer that reads slowly and answers. So the bytes that were sent are
 //! checked here.
 
+use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
@@ -51,6 +53,8 @@
     Silent,
     /// The peer answers and does not read.
     NotRead,
+    /// The peer sends more than it may.
+    TooMuchRead,
     /// The system's own limit.
     TimedOut,
     Reset,
@@ -70,6 +74,7 @@
         match self {
             Self::Silent => "silent",
             Self::NotRead => "not_read",
+            Self::TooMuchRead => "too_much_read",
             Self::TimedOut => "timed_out",
             Self::Reset => "reset",
             Self::Other => "other",
@@ -89,6 +94,27 @@
     /// Set while sent bytes may be outstanding.
     check: Option<SilenceCheck>,
     failure: Option<io::ErrorKind>,
+    read_allowance: Option<ReadAllowance>,
+}
+
+/// Number of bytes that may still be read from a connection, shared with its user.
+#[derive(Debug, Clone, Default)]
+pub struct ReadAllowance {
+    bytes: Rc<Cell<Option<usize>>>,
+}
+
+impl ReadAllowance {
+    /// Sets the number; `None` for no limit.
+    pub fn set(&self, bytes: Option<usize>) {
+        self.bytes.set(bytes);
+    }
+
+    /// Returns whether `read` bytes were within the limit, and subtracts them from it.
+    fn take(&self, read: usize) -> bool {
+        let left = self.bytes.get().map(|bytes| bytes.checked_sub(read));
+        self.bytes.set(left.map(Option::unwrap_or_default));
+        left != Some(None)
+    }
 }
 
 #[derive(Debug)]
@@ -116,6 +142,7 @@
             write_timer: None,
             check: None,
             failure: None,
+            read_allowance: None,
         }
     }
 
@@ -124,6 +151,11 @@
         self.write_limit = Some(limit);
     }
 
+    /// Limits what is read. A read beyond the limit fails with [`io::ErrorKind::InvalidData`].
+    pub fn set_read_allowance(&mut self, allowance: ReadAllowance) {
+        self.read_allowance = Some(allowance);
+    }
+
     /// Returns the socket, for its options.
     pub fn socket(&self) -> SockRef<'_> {
         SockRef::from(&self.stream)
@@ -186,8 +218,12 @@
     fn break_off(&mut self, cause: BreakCause) -> io::Error {
         // Fails only if the connection is gone already.
         let _ = self.socket().set_linger(Some(Duration::ZERO));
-        self.record_failure(io::ErrorKind::TimedOut, cause);
-        io::ErrorKind::TimedOut.into()
+        let error = match cause {
+            BreakCause::TooMuchRead => io::ErrorKind::InvalidData,
+            _ => io::ErrorKind::TimedOut,
+        };
+        self.record_failure(error, cause);
+        error.into()
     }
 
     fn record<T>(&mut self, result: io::Result<T>) -> io::Result<T> {
@@ -231,7 +267,12 @@
             Poll::Ready(read) => self.record(read),
             Poll::Pending => return self.poll_silence(context).map(Err),
         };
-        let has_ended = read.is_ok() && buffer.filled().len() == filled_before;
+        let read_bytes = buffer.filled().len() - filled_before;
+        let allowance = self.read_allowance.as_ref();
+        if allowance.is_some_and(|allowance| !allowance.take(read_bytes)) {
+            return Poll::Ready(Err(self.break_off(BreakCause::TooMuchRead)));
+        }
+        let has_ended = read.is_ok() && read_bytes == 0;
         match self.failure {
             // The system reports a reset to one call only, which may have been a write.
             Some(failure) if has_ended => Poll::Ready(Err(failure.into())),
--- a/crates/gateway/src/stream_forward.rs
+++ b/crates/gateway/src/stream_forward.rs
@@ -169,6 +169,7 @@
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             let events = splitter.push(&data);
+            self.count_copies(splitter.partial_bytes() as u64);
             if splitter.is_too_long() {
                 return StreamEnd::Broken(Failure::SpoiledAnswer);
             }
--- a/crates/gateway/src/table_copies.rs
+++ b/crates/gateway/src/table_copies.rs
@@ -319,7 +319,7 @@
     let headers = request.headers_mut();
     headers.insert(http::header::HOST, host);
     headers.insert(KNOWN_ERA, HeaderValue::from(after.era));
-    let response = connection.sender().send_request(request).await.ok()?;
+    let response = connection.send(request).await.ok()?;
     let status = response.status();
     let body = Limited::new(response.into_body(), MAX_COPY_BYTES);
     let bytes = body.collect().await.ok()?.to_bytes();
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -214,7 +214,7 @@
     connection: &'a mut Option<Connection>,
 ) -> Option<&'a mut Connection> {
     if let Some(open) = connection
-        && open.sender.sender().ready().await.is_err()
+        && !open.sender.wait_until_ready().await
     {
         *connection = None;
     }
@@ -398,8 +398,8 @@
         };
         // Its stream breaks off with the endpoint, or it is refused.
         let _ = timeout(TIMEOUT, async {
-            let answer = sender.sender().send_request(request).await?;
-            answer.into_body().collect().await
+            let answer = sender.send(request).await.ok()?;
+            answer.into_body().collect().await.ok()
         })
         .await;
     }
@@ -412,11 +412,11 @@
     kind: RouteKind,
     stream: &mut StreamProgress,
 ) -> Outcome {
-    let answer = match sender.sender().send_request(request).await {
+    let answer = match sender.send(request).await {
         Ok(answer) => answer,
         Err(error) => {
             return Outcome::Failed {
-                was_sent: !error.is_canceled(),
+                was_sent: !error.error().is_canceled(),
                 wrong: None,
             };
         }
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -165,8 +165,8 @@
     counter(
         "sedgeridge_gateway_connections_broken_total",
         "peer, cause",
-        Values::Fixed("client, server; silent, not_read, timed_out, reset, other"),
-        "connections that broke: those that clients opened and those that this host opened; silent: the peer answered nothing, not_read: it answered and read nothing in its time, else the system's error",
+        Values::Fixed("client, server; silent, not_read, too_much_read, timed_out, reset, other"),
+        "connections that broke: those that clients opened and those that this host opened; silent: the peer answered nothing, not_read: it answered and read nothing in its time, too_much_read: it sent more than a response may have before its body, else the system's error",
     ),
     gauge(
         "sedgeridge_gateway_connections_idle",
