A stop leaves no request without an answer

Reported from other systems (LOST): in a planned stop, requests that came late in the grace period were taken, passed on and cut at its end with no answer, among them requests that may not be repeated.

- A request that its endpoint has not answered at the end is cut with its connection.
It now gets a 504 shortly before (a 503 if it was never sent).
- A request is accepted by the time of its head; its body may arrive seconds later, and a request may wait for an endpoint.
It is now refused as not run if less time is left than its endpoint usually takes.
No endpoint gets it.
- A request that comes too late was refused before its body was read.
The connection was then reset, and the refusal lost.
The body is read first now.

What a host does at which time of a stop is decided in one place (StopTimes), which was spread over two files. Streams that have begun are still cut at the end.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod row_watch;
 pub mod service_versions;
 pub mod sound_answers;
+pub mod stop_times;
 pub mod store_followers;
 pub mod store_outage;
 pub mod store_version;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -107,6 +107,7 @@
         id,
         stream: read.stream,
         received_at: read.received_at,
+        was_sent: false,
     };
     active.run(receiver).await
 }
@@ -141,6 +142,8 @@
     pub(crate) id: RequestId,
     stream: StreamRequest,
     pub(crate) received_at: Duration,
+    /// Whether the request has been sent to an endpoint.
+    was_sent: bool,
 }
 
 impl<W: WireFormat, C: Clock> ActiveRequest<W, C> {
@@ -149,7 +152,13 @@
         // deadline itself.
         let deadline = Some(self.outgoing.deadline);
         let time_left = self.outgoing.deadline.saturating_sub(self.gateway.now());
-        match timeout(time_left, self.run_attempts(receiver)).await {
+        let gateway = self.gateway.clone();
+        let ended = tokio::select! {
+            biased;
+            ended = timeout(time_left, self.run_attempts(receiver)) => ended,
+            () = gateway.last_answers_due() => Ok(AttemptsEnd::Stopping),
+        };
+        match ended {
             Ok(AttemptsEnd::Response(response)) => HeldResponse {
                 response,
                 memory: Some(self.guard.share_memory()),
@@ -158,6 +167,7 @@
             Ok(AttemptsEnd::CallerLeft) => {
                 response::text_response(StatusCode::REQUEST_TIMEOUT, "caller left").into()
             }
+            Ok(AttemptsEnd::Stopping) => self.answer_before_stop().into(),
             Ok(AttemptsEnd::Stream(endpoint, response)) => {
                 let memory = Some(self.guard.share_memory());
                 let response = self.start_stream(endpoint, response);
@@ -174,12 +184,24 @@
         }
     }
 
+    /// Ends the request before the router does.
+    fn answer_before_stop(&mut self) -> CallerResponse {
+        self.guard.mark_stopped();
+        match self.was_sent {
+            true => response::text_response(StatusCode::GATEWAY_TIMEOUT, "stopping"),
+            false => caller_request::stopping_response(),
+        }
+    }
+
     /// Sends the request to endpoints for as long as the dispatcher allows.
     async fn run_attempts(&mut self, mut receiver: VerdictReceiver) -> AttemptsEnd {
         let mut last_response = None;
         loop {
             match self.gateway.wait_for_verdict(receiver).await {
                 Verdict::Send(_) if self.caller.has_closed() => return AttemptsEnd::CallerLeft,
+                Verdict::Send(_) if self.gateway.stops_within(self.route.latency_target) => {
+                    return AttemptsEnd::Stopping;
+                }
                 Verdict::Send(endpoint) => {
                     match self.try_endpoint(&endpoint, &mut last_response).await {
                         Ok(AttemptResult::Buffered(buffered)) => {
@@ -227,6 +249,7 @@
             self.route.repeat,
             self.gateway.now().saturating_sub(self.received_at),
         );
+        self.was_sent = true;
         let sending = attempt::send(&self.gateway, &self.outgoing, endpoint);
         let response = match self.attempt_timeout() {
             Some(limit) => timeout(limit, sending)
@@ -295,6 +318,8 @@
 enum AttemptsEnd {
     /// The caller has left; the guard tells the dispatcher.
     CallerLeft,
+    /// The router stops before an endpoint can answer.
+    Stopping,
     Response(CallerResponse),
     Stream(Arc<Endpoint>, attempt::EndpointResponse),
 }
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -37,9 +37,6 @@
 use crate::wire::WireError;
 use crate::wire::WireFormat;
 
-/// Time after SIGTERM in which the balancer may still send callers here. It asks each second and
-/// removes a host after two misses.
-const OUT_OF_ROTATION_TIME: Duration = Duration::from_millis(2_600);
 /// `Retry-After` when the router is about to stop: short, since the caller reaches another one.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// `Retry-After` when the host has no memory left. The caller reaches another host, and requests
@@ -69,11 +66,6 @@
     pub memory: HeldMemory,
 }
 
-/// Returns the time after SIGTERM in which new requests are still accepted.
-pub fn out_of_rotation_time(grace_period: Duration) -> Duration {
-    OUT_OF_ROTATION_TIME.min(grace_period / 2)
-}
-
 /// Reads a request.
 ///
 /// # Errors
@@ -84,15 +76,13 @@
     request: Request<Incoming>,
 ) -> Result<RoutedRequest, CallerResponse> {
     let received_at = gateway.now();
-    if gateway.time_since_stop_request()
-        > Some(out_of_rotation_time(
-            gateway.reloadable.borrow().grace_period,
-        ))
-    {
+    let (head, body) = request.into_parts();
+    let stop_times = gateway.stop_times();
+    if stop_times.is_some_and(|times| received_at > times.accepts_until) {
         // The request would be cut off by the end of the grace period.
-        return Err(response::not_run_response("stopping", STOPPING_RETRY_AFTER));
+        request_body::discard(body).await;
+        return Err(stopping_response());
     }
-    let (head, body) = request.into_parts();
     let metadata = gateway.wire.parse_request(&head);
     let metadata = metadata.map_err(|error| reject_malformed(gateway, &error))?;
     wait_for_first_config(gateway, &head, &metadata).await;
@@ -107,7 +97,12 @@
         return Err(reject_no_memory(gateway, &metadata));
     };
     let time_left = deadline.saturating_sub(gateway.now());
-    let body = request_body::read(body, gateway.max_body_bytes.get(), time_left, &memory).await;
+    let body = request_body::read(body, gateway.max_body_bytes.get(), time_left, &memory);
+    let body = tokio::select! {
+        biased;
+        body = body => body,
+        () = gateway.last_answers_due() => return Err(stopping_response()),
+    };
     let body = body.map_err(|error| reject_unread_body(gateway, &metadata, &error))?;
     let stream = StreamRequest::new(&route, &metadata, received_at);
     let first_attempt = metadata.resumed_attempt.as_ref().unwrap_or(&metadata.id);
@@ -136,6 +131,13 @@
     })
 }
 
+/// Builds the response to a request that is not sent because the router stops.
+pub(crate) fn stopping_response() -> CallerResponse {
+    const REASON: &str = "stopping";
+    meters::count_refused(REASON);
+    response::not_run_response(REASON, STOPPING_RETRY_AFTER)
+}
+
 /// Waits for the first configuration, if none is known and the host has just started. A request for which there is no
 /// memory does not wait.
 async fn wait_for_first_config<W: WireFormat, C: Clock>(
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,6 +19,7 @@
 use sedgeridge_fleet::prompt::Prompt;
 use sedgeridge_fleet::resend_window::ResendLimits;
 use sedgeridge_fleet::route_table::RouteTable;
+use sedgeridge_fleet::stop_times::StopTimes;
 use sedgeridge_fleet::verdict::Basis;
 use sedgeridge_fleet::verdict::Decision;
 use sedgeridge_fleet::verdict::Failure;
@@ -107,6 +108,8 @@
     pub memory: SharedMemoryBudget,
     /// Time at which the process was told to stop; `None` before that.
     pub stop_requested_at: watch::Sender<Option<Duration>>,
+    /// Notified when [`Gateway::last_answers_due`].
+    pub last_answers: Notify,
     /// Origins of streams that this host knows.
     pub origins: StreamOrigins,
     /// Lateness of the event loop's timers.
@@ -162,6 +165,7 @@
             max_partial_heads: budget.max_partial_heads(),
             memory: SharedMemoryBudget::new(budget),
             stop_requested_at: watch::Sender::new(None),
+            last_answers: Notify::new(),
             loop_lag: RefCell::new(LoopLag::default()),
             shedding: RefCell::default(),
             caller_connections: Cell::new(0),
@@ -347,10 +351,24 @@
         self.stop_requested_at.borrow().is_some()
     }
 
-    /// Returns the time since the process was told to stop.
-    pub fn time_since_stop_request(&self) -> Option<Duration> {
-        let since = *self.stop_requested_at.borrow();
-        since.map(|since| self.now().saturating_sub(since))
+    /// Returns the times of the stop in progress; `None` if the process was not told to stop.
+    pub fn stop_times(&self) -> Option<StopTimes> {
+        let requested_at = *self.stop_requested_at.borrow();
+        requested_at.map(|at| StopTimes::new(at, self.reloadable.borrow().grace_period))
+    }
+
+    /// Returns whether too little of a stop's grace period is left for a response that usually takes `usual_time`.
+    pub fn stops_within(&self, usual_time: Duration) -> bool {
+        let times = self.stop_times();
+        times.is_some_and(|times| !times.leaves_time_for(self.now(), usual_time))
+    }
+
+    /// Waits until a stop's grace period is nearly over, and all requests without a response are to be answered.
+    pub async fn last_answers_due(&self) {
+        let due = self.last_answers.notified();
+        if !self.stops_within(Duration::ZERO) {
+            due.await;
+        }
     }
 
     /// Returns whether the router can serve callers.
@@ -412,6 +430,8 @@
     TimedOut,
     /// The stream broke off and could not be resumed.
     StreamInterrupted,
+    /// The grace period of a stop was over first.
+    Stopped,
 }
 
 impl<W: WireFormat, C: Clock> RequestGuard<W, C> {
@@ -460,6 +480,11 @@
         self.state = RequestState::TimedOut;
     }
 
+    /// Marks the request as ended because the router stops.
+    pub fn mark_stopped(&mut self) {
+        self.state = RequestState::Stopped;
+    }
+
     /// Marks the stream as broken off. The dispatcher decided that it is not resumed.
     pub fn mark_stream_interrupted(&mut self) {
         self.state = RequestState::StreamInterrupted;
@@ -476,6 +501,7 @@
             RequestState::Pending => ("caller_left", LogEvent::CallerLeft),
             RequestState::TimedOut => ("timed_out", LogEvent::RequestTimedOut),
             RequestState::StreamInterrupted => ("cut", LogEvent::RequestFailed),
+            RequestState::Stopped => ("stopping", LogEvent::RequestTimedOut),
         };
         meters::count_ended_early(reason);
         let fields = [
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use metrics_exporter_prometheus::PrometheusHandle;
+use sedgeridge_fleet::stop_times::StopTimes;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
 use crate::caller_listener::accept_forever;
-use crate::caller_request::out_of_rotation_time;
 use crate::clock::Clock;
 use crate::connection;
 use crate::crash_watch::check_endpoints_forever;
@@ -31,8 +31,6 @@
 
 /// Time between reads of the settings, which may change without a signal.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(5);
-/// Fraction of the grace period after which the process ends, whatever is in progress.
-const USABLE_GRACE_FRACTION: f64 = 0.94;
 /// Time between checks whether all requests have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -185,22 +183,18 @@
     gateway.stop_requested_at.send_replace(Some(started_at));
     let entry = peers.entry();
     spawn_local(async move { store.unregister(&entry).await });
-    let ends_at = started_at
-        + gateway
-            .reloadable
-            .borrow()
-            .grace_period
-            .mul_f64(USABLE_GRACE_FRACTION);
-    let out_of_rotation_at =
-        started_at + out_of_rotation_time(gateway.reloadable.borrow().grace_period);
+    let times = StopTimes::new(started_at, gateway.reloadable.borrow().grace_period);
     loop {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         let now = gateway.now();
+        if now >= times.answers_at {
+            gateway.last_answers.notify_waiters();
+        }
         // Memory is held until the last byte of a response is written.
         let is_delivered =
             gateway.requests_in_progress.get() == 0 && gateway.memory.held_bytes() == 0;
-        let is_done = is_delivered && now >= out_of_rotation_at;
-        if is_done || now >= ends_at {
+        let is_done = is_delivered && now >= times.accepts_until;
+        if is_done || now >= times.ends_at {
             return;
         }
     }
--- a/crates/transport/src/metric_catalogue.rs
+++ b/crates/transport/src/metric_catalogue.rs
@@ -179,7 +179,7 @@
     counter(
         "sedgeridge_gateway_ended_early_total",
         "reason",
-        Values::Fixed("caller_left, timed_out, cut"),
+        Values::Fixed("caller_left, timed_out, cut, stopping"),
         "requests that ended without an answer in full",
     ),
     gauge("sedgeridge_gateway_endpoints", "endpoints that are listed"),
@@ -251,7 +251,7 @@
         "sedgeridge_gateway_refused_total",
         "reason",
         Values::Fixed(
-            "over_share, overload, no_endpoint, quarantined, turned_away, out_of_time, host_busy, no_memory",
+            "over_share, overload, no_endpoint, quarantined, turned_away, out_of_time, host_busy, no_memory, stopping",
         ),
         "requests that were refused unrun",
     ),
