A host that has just started does not vouch for the version of a stream

A host now vouches only once it has known the service for that minute, or if the settings say that the whole fleet starts for the first time (bootstrap), and the service was listed within 5 s. The test that a service has a sole origin while one version was known lately holds as before with a fleet's first start, and two more cover hosts that start later.

What it costs: for a minute after its start a host refuses callers that name no stream (503, not run).

--- a/crates/fleet/src/dispatcher.rs
+++ b/crates/fleet/src/dispatcher.rs
@@ -318,9 +318,14 @@
         &self.endpoints
     }
 
+    /// Records that the whole fleet starts for the first time, so that no stream is older than this process.
+    pub fn mark_first_start(&mut self) {
+        self.versions.mark_first_start();
+    }
+
     /// Returns the origin of all streams of a service, if this host has lately known one software version of it only.
-    pub fn sole_origin(&self, service: &ServiceId) -> Option<StreamOrigin> {
-        self.versions.sole_origin(service)
+    pub fn sole_origin(&self, now: Duration, service: &ServiceId) -> Option<StreamOrigin> {
+        self.versions.sole_origin(now, service)
     }
 
     /// Returns how many idle connections this host may keep to each endpoint of a service.
--- a/crates/fleet/tests/stream_versions.rs
+++ b/crates/fleet/tests/stream_versions.rs
@@ -152,22 +152,54 @@
 fn a_service_has_a_sole_origin_only_while_one_version_was_known_lately() {
     let service = ServiceId::from(ENGINES);
     let mut host = host_with(&[("a", "v1"), ("b", "v1")]);
+    host.dispatcher.mark_first_start();
+    let sole_origin = |host: &Host, at_ms| host.dispatcher.sole_origin(at(at_ms), &service);
     let first = StreamOrigin::of(&engine("a", "v1"));
-    assert_eq!(host.dispatcher.sole_origin(&service), Some(first));
+    assert_eq!(sole_origin(&host, 0), Some(first));
 
     host.send(1_000, DispatchEvent::EndpointListed(engine("c", "v2")));
-    assert_eq!(host.dispatcher.sole_origin(&service), None);
+    assert_eq!(sole_origin(&host, 1_000), None);
 
     for name in ["a", "b"] {
         let gone = Arc::new(engine(name, "v1"));
         host.send(2_000, DispatchEvent::EndpointGone(gone));
     }
     host.send(10_000, DispatchEvent::Tick);
-    assert_eq!(host.dispatcher.sole_origin(&service), None);
+    assert_eq!(sole_origin(&host, 10_000), None);
 
     host.send(70_000, DispatchEvent::Tick);
     let second = StreamOrigin::of(&engine("c", "v2"));
-    assert_eq!(host.dispatcher.sole_origin(&service), Some(second));
+    assert_eq!(sole_origin(&host, 70_000), Some(second));
+}
+
+/// Guards against a host that has started later than a stream and takes the only version that it knows for the stream's.
+#[test]
+fn a_host_that_starts_again_knows_no_sole_origin_until_all_older_streams_have_ended() {
+    let service = ServiceId::from(ENGINES);
+    let host = host_with(&[("a", "v1")]);
+    let first = StreamOrigin::of(&engine("a", "v1"));
+    for (at_ms, expected) in [(0, None), (59_999, None), (60_000, Some(first))] {
+        assert_eq!(
+            host.dispatcher.sole_origin(at(at_ms), &service),
+            expected,
+            "{at_ms}"
+        );
+    }
+}
+
+/// Guards against a host without the store at the first start of the fleet, which learns of a later version only.
+#[test]
+fn a_host_that_learns_late_of_a_service_knows_no_sole_origin() {
+    let service = ServiceId::from(ENGINES);
+    let mut host = Host::new(1);
+    host.dispatcher.mark_first_start();
+    for name in ["desk-1", "desk-2"] {
+        let usual = Arc::new(endpoint(ENGINES, name));
+        host.send(0, DispatchEvent::EndpointGone(usual));
+    }
+    host.send(70_000, DispatchEvent::Tick);
+    host.send(70_000, DispatchEvent::EndpointListed(engine("c", "v2")));
+    assert_eq!(host.dispatcher.sole_origin(at(70_000), &service), None);
 }
 
 /// Guards against a run that restarts at another version under its id and counts as two endpoints, or as none.
@@ -193,7 +225,10 @@
     let second = StreamOrigin::of(&engine("a", "v2"));
     assert_eq!(endpoints.with_origin(second).len(), 1);
     host.send(at(70_000).as_millis() as u64, DispatchEvent::Tick);
-    assert_eq!(host.dispatcher.sole_origin(&service), Some(second));
+    assert_eq!(
+        host.dispatcher.sole_origin(at(70_000), &service),
+        Some(second)
+    );
 }
 
 /// Guards against a stream that ends because its endpoint breaks off while all others of its version are full for a moment.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -137,7 +137,7 @@
     /// Creates the state of a router without a configuration. `run` is the number of this run of
     /// the host; a later run has a higher number.
     pub fn new(wire: W, clock: C, log: EventLog, settings: GatewaySettings, run: u64) -> Self {
-        let dispatcher = Dispatcher::new(DispatcherSettings {
+        let mut dispatcher = Dispatcher::new(DispatcherSettings {
             host: stable_hash(&settings.host),
             run,
             data_centre: settings.data_centre.clone(),
@@ -147,6 +147,9 @@
             cold_starts: settings.cold_start_bounds,
             admission: settings.admission.clone(),
         });
+        if settings.is_first_start {
+            dispatcher.mark_first_start();
+        }
         let limits = sedgeridge_fleet::config::CallerLimits::default();
         let budget = MemoryBudget::new(settings.memory_bytes);
         Self {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -11,6 +11,8 @@
 /// Settings that a router reads at its start.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
+    /// Whether the whole fleet starts for the first time.
+    pub is_first_start: bool,
     /// Name of the host.
     pub host: Arc<str>,
     /// Data centre of the host.
--- a/crates/gateway/src/stream_request.rs
+++ b/crates/gateway/src/stream_request.rs
@@ -83,7 +83,8 @@
         StreamRequest::NotResumable | StreamRequest::Begins(_) => return Ok(None),
         StreamRequest::Resumes(stream) => stream_origins::find(gateway, stream.key).await,
         StreamRequest::ResumesUnnamed => {
-            let sole = gateway.with_dispatcher(|dispatcher| dispatcher.sole_origin(service));
+            let now = gateway.now();
+            let sole = gateway.with_dispatcher(|dispatcher| dispatcher.sole_origin(now, service));
             sole.map(|origin| (origin, OriginSource::SoleVersion))
         }
     };
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -446,6 +446,7 @@
 
 fn settings() -> GatewaySettings {
     GatewaySettings {
+        is_first_start: true,
         host: Arc::from("test"),
         data_centre: Arc::from("here"),
         callers_address: free_address(),
