A crash is timed from the first request that was in progress

A longer answer to a request refutes crashes that came sooner after it. Of several copies of a request at one engine the newest counted, at one host, and at others whichever a report had told first. A copy that reached the engine 200 ms before it crashed under another one left a crash after 200 ms, and any answer of 500 ms refuted it at all hosts, though the request takes 3 s to crash an engine.

A crash of a whole request now counts from the first copy, and so it does when reports are merged. A lesser time is what merging keeps, so that times that grow on their way to other hosts change nothing.

--- a/crates/fleet/src/crash_evidence.rs
+++ b/crates/fleet/src/crash_evidence.rs
@@ -181,7 +181,7 @@
         };
         let entry = self.entry_mut(suspect);
         if !suspect.is_part() {
-            entry.record.note_last_sent(crash);
+            entry.record.note_first_sent(crash);
         }
         if entry.record.add_crash(crash) {
             entry.record.note_event(now);
--- a/crates/fleet/src/crash_evidence/record.rs
+++ b/crates/fleet/src/crash_evidence/record.rs
@@ -31,7 +31,7 @@
 pub struct Crash {
     /// Key of the endpoint's run, which ends with the crash.
     pub endpoint: u64,
-    /// When the suspect was sent to the endpoint.
+    /// When the suspect was sent to the endpoint: the first whole request, or the newest prompt with a part.
     pub sent_at: Duration,
     /// When the endpoint's connection was lost.
     pub lost_at: Duration,
@@ -98,11 +98,12 @@
         true
     }
 
-    /// Takes over when the last request with the suspect was sent to an endpoint that crashed.
-    pub fn note_last_sent(&mut self, crash: Crash) {
+    /// Takes over when the first of several requests with the suspect was sent that were in progress at an endpoint that
+    /// crashed: any of them may have been the cause.
+    pub fn note_first_sent(&mut self, crash: Crash) {
         let known = self.crashes.iter_mut();
         for known in known.filter(|it| it.endpoint == crash.endpoint) {
-            known.sent_at = known.sent_at.max(crash.sent_at).min(known.lost_at);
+            known.sent_at = known.sent_at.min(crash.sent_at);
         }
     }
 
--- a/crates/fleet/src/crash_evidence/report.rs
+++ b/crates/fleet/src/crash_evidence/report.rs
@@ -95,7 +95,11 @@
         let mut has_changed = record.refute(now, &refuted);
         has_changed |= record.end_quarantines(self.cleared_round);
         for crash in self.crashes.iter().take(MAX_CRASHES) {
-            has_changed |= record.add_crash(crash.at(now));
+            let crash = crash.at(now);
+            if !self.suspect.is_part() {
+                record.note_first_sent(crash);
+            }
+            has_changed |= record.add_crash(crash);
         }
         if self.has_history {
             has_changed |= record.add_history();
--- a/crates/fleet/tests/crashing_requests.rs
+++ b/crates/fleet/tests/crashing_requests.rs
@@ -429,6 +429,8 @@
     often = { 80, 200 },
     after_half_a_second = { 600, 700 },
     after_a_second = { 1_100, 700 },
+    after_three_seconds = { 3_000, 400 },
+    after_four_seconds = { 4_000, 667 },
 )]
 fn a_request_with_a_prompt_is_stopped(delay_ms: u64, interval_ms: u64) {
     for seed in 0..SEEDS {
@@ -441,7 +443,7 @@
             if (step * STEP_MS).is_multiple_of(interval_ms) {
                 play.request(&PlayedRequest {
                     content: Some(CRASHING_CONTENT),
-                    answer_ms: 2_000,
+                    answer_ms: delay_ms + 2_000,
                     ..PlayedRequest::with_parts(CRASHING_ACCOUNT, &[1_000])
                 });
             }
