A request is tried again by one caller of a host at a time

A request that may be innocent is refused for four seconds and then tried. All hosts let it through within two seconds, each for every caller that sent it, until an engine had crashed.

A host now sends one of them and refuses the others until the time has passed in which the request crashed engines, and a second more for the result to reach it. Hosts begin their trials over a time that grows with that and with their number, so that all together have about two in progress; the first result is for all of them.

Nothing changes for parts of prompts.

--- a/crates/fleet/src/crash_evidence.rs
+++ b/crates/fleet/src/crash_evidence.rs
@@ -43,6 +43,10 @@
 /// Longest delay of a host's first trial after a quarantine. Hosts draw different ones: the first trial clears the suspect
 /// or renews the quarantine for all of them.
 const MAX_TRIAL_DELAY: Duration = Duration::from_secs(60);
+/// Trials that all hosts together have in progress at a time, about.
+const TRIALS_IN_PROGRESS: u32 = 2;
+/// Time in which hosts learn of the result of a trial, after the time that the request took to crash endpoints.
+const TRIAL_RESULT_TIME: Duration = Duration::from_secs(1);
 /// Time without sound answers after which hosts need the settle time anew.
 const ANSWER_GAP: Duration = Duration::from_secs(1);
 /// Added to the process's clock, which starts at zero, so that times before its start can be kept.
@@ -145,11 +149,15 @@
     first_sound_at: Option<Duration>,
     /// Since when there have been such answers without a gap.
     answers_since: Duration,
+    /// Number of hosts in the fleet.
+    hosts: u32,
 }
 
 #[derive(Debug, Default)]
 struct Entry {
     record: CrashRecord,
+    /// Time until which the result of this host's last trial of a whole request may come.
+    trial_until: Duration,
     /// Number of reports that still have to tell of the last change.
     repeats: u32,
 }
@@ -168,6 +176,20 @@
             last_sound_at: None,
             first_sound_at: None,
             answers_since: Duration::ZERO,
+            hosts: 1,
+        }
+    }
+
+    /// Sets the number of hosts in the fleet, each of which tries a request once its quarantine is over.
+    pub fn set_hosts(&mut self, hosts: usize) {
+        self.hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+    }
+
+    /// Records that a request is sent whose quarantine is over. Others like it wait for the result.
+    pub fn begin_trial(&mut self, now: Duration, suspect: Suspect) {
+        let now = self.set_now(now);
+        if let Some(entry) = self.suspects.get_mut(&suspect) {
+            entry.trial_until = now + entry.record.longest_run() + TRIAL_RESULT_TIME;
         }
     }
 
@@ -423,10 +445,18 @@
         suspects: &[Suspect],
         is_common: Option<bool>,
     ) -> Option<Result<Duration, Waiver>> {
-        let record = &self.suspects.get(&suspect)?.record;
+        let Entry {
+            record,
+            trial_until,
+            ..
+        } = self.suspects.get(&suspect)?;
         record.quarantine()?;
         let Some(left) = self.quarantine_left(now, suspect, record) else {
-            return Some(Err(Waiver::Trial));
+            let trial_left = trial_until.saturating_sub(now);
+            return Some(match !suspect.is_part() && !trial_left.is_zero() {
+                true => Ok(trial_left),
+                false => Err(Waiver::Trial),
+            });
         };
         if !suspect.is_part() {
             return Some(Ok(left));
@@ -465,7 +495,7 @@
     ) -> Option<Duration> {
         let quarantine = record.quarantine()?;
         let max_delay = match quarantine.is_ambiguous {
-            true => MAX_AMBIGUOUS_TRIAL_DELAY,
+            true => self.ambiguous_trial_delay(suspect, record),
             false => MAX_TRIAL_DELAY,
         };
         let until = quarantine.until + self.trial_delay(suspect, max_delay);
@@ -473,6 +503,18 @@
         (!left.is_zero()).then_some(left)
     }
 
+    /// Returns the longest delay of a host's first trial of a suspect that may be innocent. The result of a trial is known
+    /// only after the time that the request took to crash endpoints. All hosts together begin about two trials in that time.
+    fn ambiguous_trial_delay(&self, suspect: Suspect, record: &CrashRecord) -> Duration {
+        if suspect.is_part() {
+            return MAX_AMBIGUOUS_TRIAL_DELAY;
+        }
+        let delay = record.longest_run() * self.hosts / TRIALS_IN_PROGRESS;
+        delay
+            .min(self.quarantine_time())
+            .max(MAX_AMBIGUOUS_TRIAL_DELAY)
+    }
+
     fn trial_delay(&self, suspect: Suspect, max_delay: Duration) -> Duration {
         let (Suspect::Part(key) | Suspect::Request(key)) = suspect;
         let max_ms = max_delay.as_millis() as u64;
--- a/crates/fleet/src/crash_evidence/record.rs
+++ b/crates/fleet/src/crash_evidence/record.rs
@@ -360,6 +360,13 @@
         &self.crashes
     }
 
+    /// Returns the longest time from a request to the crash under it.
+    pub fn longest_run(&self) -> Duration {
+        let runs = self.crashes.iter();
+        let runs = runs.map(|it| it.lost_at.saturating_sub(it.sent_at));
+        runs.max().unwrap_or_default()
+    }
+
     /// Returns the number of crashes, those that are refuted included.
     pub fn known_crashes(&self) -> usize {
         self.crashes.len() + self.refuted.len()
--- a/crates/fleet/src/dispatcher/crashes.rs
+++ b/crates/fleet/src/dispatcher/crashes.rs
@@ -137,6 +137,9 @@
         };
         let check = self.check_quarantine(now, &pending.arrival);
         if let QuarantineCheck::Waived(suspect, waiver) = check {
+            if waiver == Waiver::Trial {
+                self.crashes.evidence.begin_trial(now, suspect);
+            }
             let event = CrashEvent::QuarantineWaived(endpoint.clone(), suspect, waiver);
             self.crashes.events.push(event);
         }
@@ -209,10 +212,10 @@
         }
     }
 
-    /// Returns whether a request is sent although one of its suspects has been quarantined, so that its endpoint may crash.
+    /// Returns whether a request was sent although one of its suspects has been quarantined, so that its endpoint may crash.
     pub(super) fn is_on_trial(&self, now: Duration, arrival: &Arrival) -> bool {
         let check = self.check_quarantine(now, arrival);
-        matches!(check, QuarantineCheck::Waived(..))
+        check != QuarantineCheck::Clear
     }
 
     /// Records that an endpoint was found down after connections to it were lost.
@@ -322,9 +325,11 @@
             true => SMALL_FLEET_SETTLE_TIME,
             false => SETTLE_TIME,
         };
+        let hosts = self.hosts(now);
         let Crashes {
             evidence, arrivals, ..
         } = &mut self.crashes;
+        evidence.set_hosts(hosts);
         let quarantined = evidence.tick(now, settle_time, |it| arrivals.is_common(it));
         let released = evidence.release_explained(now).into_iter();
         let released = released.map(QuarantineEvent::Cleared);
--- a/crates/fleet/tests/crash_evidence.rs
+++ b/crates/fleet/tests/crash_evidence.rs
@@ -5,6 +5,8 @@
 
 use sedgeridge_fleet::crash_evidence::Crash;
 use sedgeridge_fleet::crash_evidence::CrashEvidence;
+use sedgeridge_fleet::crash_evidence::QuarantineCheck;
+use sedgeridge_fleet::crash_evidence::Waiver;
 use sedgeridge_fleet::suspect::Suspect;
 
 /// Number of suspects in one report.
@@ -59,3 +61,38 @@
     let reports = evidence.next_reports(SUSPECTS_PER_REPORT);
     assert!(reports.iter().any(|it| it.suspect == refused));
 }
+
+/// Guards against a request that all callers at a host send again while the result of its trial is not known, because it
+/// crashes endpoints only after seconds.
+#[test]
+fn a_host_tries_a_request_once_until_the_result_may_be_known() {
+    const RUN: Duration = Duration::from_secs(4);
+    let mut evidence = CrashEvidence::new(1);
+    let request = Suspect::Request(7);
+    for endpoint in 0..3 {
+        let sent_at = Duration::from_secs(5 * endpoint);
+        let crash = Crash {
+            endpoint,
+            sent_at,
+            lost_at: sent_at + RUN,
+        };
+        evidence.add_crash(crash.lost_at, request, crash);
+        evidence.add_history(request);
+    }
+    let now = Duration::from_secs(16);
+    let quarantined = evidence.tick(now, Duration::from_secs(1), |_| None);
+    assert!(quarantined[0].is_ambiguous);
+
+    let check = |evidence: &CrashEvidence, now| evidence.check(now, &[request], |_| None);
+    let trial = QuarantineCheck::Waived(request, Waiver::Trial);
+    let mut steps = (0..100).map(|step| now + Duration::from_millis(250) * step);
+    let trial_at = steps
+        .find(|now| check(&evidence, *now) == trial)
+        .expect("a trial");
+    evidence.begin_trial(trial_at, request);
+    assert!(matches!(
+        check(&evidence, trial_at + RUN),
+        QuarantineCheck::Refused(_)
+    ));
+    assert_eq!(check(&evidence, trial_at + RUN * 2), trial);
+}
