--- a/crates/fleet/src/crash_evidence.rs
+++ b/crates/fleet/src/crash_evidence.rs
@@ -43,8 +43,8 @@
 /// Longest delay of a host's first trial after a quarantine. Hosts draw different ones: the first trial clears the suspect
 /// or renews the quarantine for all of them.
 const MAX_TRIAL_DELAY: Duration = Duration::from_secs(60);
-/// Trials that all hosts together have in progress at a time, about.
-const TRIALS_IN_PROGRESS: u32 = 2;
+/// Mean time between the trials of two hosts, in multiples of the time in which the request crashed endpoints.
+const TRIAL_SPACING: u32 = 2;
 /// Time in which hosts learn of the result of a trial, after the time that the request took to crash endpoints.
 const TRIAL_RESULT_TIME: Duration = Duration::from_secs(1);
 /// Time without sound answers after which hosts need the settle time anew.
@@ -504,12 +504,15 @@
     }
 
     /// Returns the longest delay of a host's first trial of a suspect that may be innocent. The result of a trial is known
-    /// only after the time that the request took to crash endpoints. All hosts together begin about two trials in that time.
+    /// only after the time that the request took to crash endpoints, and few hosts are to begin theirs before.
     fn ambiguous_trial_delay(&self, suspect: Suspect, record: &CrashRecord) -> Duration {
         if suspect.is_part() {
             return MAX_AMBIGUOUS_TRIAL_DELAY;
         }
-        let delay = record.longest_run() * self.hosts / TRIALS_IN_PROGRESS;
+        let delay = record
+            .longest_run()
+            .saturating_mul(self.hosts)
+            .saturating_mul(TRIAL_SPACING);
         delay
             .min(self.quarantine_time())
             .max(MAX_AMBIGUOUS_TRIAL_DELAY)
