--- a/crates/fleet/tests/crash_evidence.rs
+++ b/crates/fleet/tests/crash_evidence.rs
@@ -66,7 +66,7 @@
 /// crashes endpoints only after seconds.
 #[test]
 fn a_host_tries_a_request_once_until_the_result_may_be_known() {
-    const RUN: Duration = Duration::from_secs(4);
+    const RUN_TIME: Duration = Duration::from_secs(4);
     let mut evidence = CrashEvidence::new(1);
     let request = Suspect::Request(7);
     for endpoint in 0..3 {
@@ -74,7 +74,7 @@
         let crash = Crash {
             endpoint,
             sent_at,
-            lost_at: sent_at + RUN,
+            lost_at: sent_at + RUN_TIME,
         };
         evidence.add_crash(crash.lost_at, request, crash);
         evidence.add_history(request);
@@ -91,8 +91,8 @@
         .expect("a trial");
     evidence.begin_trial(trial_at, request);
     assert!(matches!(
-        check(&evidence, trial_at + RUN),
+        check(&evidence, trial_at + RUN_TIME),
         QuarantineCheck::Refused(_)
     ));
-    assert_eq!(check(&evidence, trial_at + RUN * 2), trial);
+    assert_eq!(check(&evidence, trial_at + RUN_TIME * 2), trial);
 }
